--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Versions of the tools that `make check` runs.
+GOFUMPT = mvdan.cc/gofumpt@v0.12.0
+REVIVE  = github.com/mgechev/revive@v1.16.0
+
+HANDWRITTEN = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -E '\.(pb|twirp)\.go$$')
+
+.PHONY: all build test check fmt demo
+
+all: check test build
+
+build:
+	go build -o bin/anvilshunt ./cmd/anvilshunt
+
+test:
+	go test -race ./...
+
+check:
+	@out="$$(go run $(GOFUMPT) -l $(HANDWRITTEN))"; if [ -n "$$out" ]; then echo "not gofumpt-formatted:"; echo "$$out"; exit 1; fi
+	go vet ./...
+	go run $(REVIVE) -config revive.toml -exclude ./io/anvilrpc/... -set_exit_status ./...
+
+fmt:
+	go run $(GOFUMPT) -w $(HANDWRITTEN)
+
+demo: build
+	bash scripts/demo.sh
--- /dev/null
+++ b/core/anvilreport/report.go
@@ -0,0 +1,90 @@
+// Package anvilreport defines what targets tell the system about themselves.
+// docs/protocol.md describes the protocol.
+package anvilreport
+
+import (
+	"errors"
+	"fmt"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// ErrInvalid reports an announcement that can't be used.
+var ErrInvalid = errors.New("invalid announcement")
+
+// TaskState is the state of a gang member on a target.
+type TaskState string
+
+// States of a gang member.
+const (
+	Prepared TaskState = "prepared"
+	Running  TaskState = "running"
+	Ended    TaskState = "ended"
+	Failed   TaskState = "failed"
+	Stopped  TaskState = "stopped"
+)
+
+// Final tells whether the task will not run any more.
+func (s TaskState) Final() bool { return s == Ended || s == Failed || s == Stopped }
+
+// Task describes one gang member on a target.
+type Task struct {
+	Job          anvilid.JobID            `json:"job"`
+	Member       int                      `json:"member"`
+	Token        anvilid.Token            `json:"token"`
+	State        TaskState                `json:"state"`
+	Accelerators anvilid.AcceleratorCount `json:"accelerators"`
+	Detail       string                   `json:"detail,omitempty"`
+}
+
+// Report is the announcement of a target: its identity, its limits and its
+// usage. Usage may lag behind by Age.
+type Report struct {
+	Target       anvilid.TargetID         `json:"target"`
+	Incarnation  anvilid.Incarnation      `json:"incarnation"`
+	Address      anvilid.Address          `json:"address"`
+	Service      anvilid.ServiceName      `json:"service"`
+	Region       anvilid.RegionName       `json:"region"`
+	Zone         anvilid.ZoneName         `json:"zone"`
+	Rack         anvilid.RackName         `json:"rack"`
+	Slots        anvilid.SlotCount        `json:"slots"`
+	Connections  anvilid.ConnectionCount  `json:"connections"`
+	Accelerators anvilid.AcceleratorCount `json:"accelerators"`
+	Leaving      bool                     `json:"leaving,omitempty"`
+
+	// Epoch is the highest epoch that the target has accepted. It is zero for
+	// targets without fencing.
+	Epoch anvilid.Epoch `json:"epoch,omitempty"`
+	// Sequence grows with each report of one incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Age is the time since usage was read.
+	Age anvilclock.Millis `json:"age"`
+	// Running is the number of slots that short requests use.
+	Running anvilid.SlotCount `json:"running"`
+	// Open is the number of open connections from instances.
+	Open  anvilid.ConnectionCount `json:"open"`
+	Tasks []Task                  `json:"tasks,omitempty"`
+}
+
+// Check returns an error that wraps ErrInvalid and names the first field
+// that can't be used.
+func (r *Report) Check() error {
+	switch {
+	case r.Target == "":
+		return fmt.Errorf("%w: field \"target\" is missing", ErrInvalid)
+	case r.Address == "":
+		return fmt.Errorf("%w: target %q has no field \"address\"", ErrInvalid, r.Target)
+	case r.Service == "":
+		return fmt.Errorf("%w: target %q has no field \"service\"", ErrInvalid, r.Target)
+	case r.Slots <= 0:
+		return fmt.Errorf("%w: target %q has %d slots, want at least 1", ErrInvalid, r.Target, r.Slots)
+	case r.Connections <= 0:
+		return fmt.Errorf("%w: target %q has %d connections, want at least 1", ErrInvalid, r.Target, r.Connections)
+	case r.Accelerators < 0:
+		return fmt.Errorf("%w: target %q has %d accelerators, want 0 or more", ErrInvalid, r.Target, r.Accelerators)
+	case r.Running < 0 || r.Open < 0 || r.Age < 0:
+		return fmt.Errorf("%w: target %q reports negative usage", ErrInvalid, r.Target)
+	}
+	return nil
+}
