--- /dev/null
+++ b/core/anvilstate/command.go
@@ -0,0 +1,216 @@
+// Package anvilstate is the replicated state machine of the control group:
+// instances, targets and their owners, configuration, claims and jobs.
+//
+// Apply is deterministic: replicas that apply the same commands at the same
+// indexes hold the same state.
+package anvilstate
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// Command is one entry of the log. Exactly one pointer is set. Fields are
+// encoded by number, so numbers are never reused.
+type Command struct {
+	Join     *JoinInstance       `cbor:"1,keyasint,omitempty"`
+	Leave    *LeaveInstance      `cbor:"2,keyasint,omitempty"`
+	Expire   *ExpireInstance     `cbor:"3,keyasint,omitempty"`
+	Register *RegisterTarget     `cbor:"4,keyasint,omitempty"`
+	Depart   *LeaveTarget        `cbor:"5,keyasint,omitempty"`
+	Remove   *RemoveTarget       `cbor:"6,keyasint,omitempty"`
+	Release  *ReleaseTarget      `cbor:"7,keyasint,omitempty"`
+	Config   *anvilconfig.Change `cbor:"8,keyasint,omitempty"`
+	Claim    *Claim              `cbor:"9,keyasint,omitempty"`
+	Complete *Complete           `cbor:"10,keyasint,omitempty"`
+	Abandon  *Abandon            `cbor:"11,keyasint,omitempty"`
+	Submit   *SubmitJob          `cbor:"12,keyasint,omitempty"`
+	Cancel   *CancelJob          `cbor:"13,keyasint,omitempty"`
+	Place    *PlaceJob           `cbor:"14,keyasint,omitempty"`
+	Advance  *AdvanceJob         `cbor:"15,keyasint,omitempty"`
+}
+
+// Instance is one instance of the system.
+type Instance struct {
+	ID          anvilid.InstanceID  `cbor:"1,keyasint" json:"id"`
+	Incarnation anvilid.Incarnation `cbor:"2,keyasint" json:"incarnation"`
+	Region      anvilid.RegionName  `cbor:"3,keyasint" json:"region"`
+	Zone        anvilid.ZoneName    `cbor:"4,keyasint" json:"zone"`
+	// Peer is the address for other instances, Public the one for callers.
+	Peer   anvilid.Address `cbor:"5,keyasint" json:"peer"`
+	Public anvilid.Address `cbor:"6,keyasint" json:"public"`
+	// Draining instances own no targets.
+	Draining bool `cbor:"7,keyasint,omitempty" json:"draining,omitempty"`
+}
+
+// JoinInstance adds an instance, or a new run of a known one. The former
+// run loses its targets.
+type JoinInstance struct {
+	Instance Instance `cbor:"1,keyasint"`
+}
+
+// LeaveInstance removes an instance at its own wish. With Drain set the
+// instance stays known but gives up its targets.
+type LeaveInstance struct {
+	ID          anvilid.InstanceID  `cbor:"1,keyasint"`
+	Incarnation anvilid.Incarnation `cbor:"2,keyasint"`
+	Drain       bool                `cbor:"3,keyasint,omitempty"`
+}
+
+// ExpireInstance removes an instance whose lease has lapsed.
+type ExpireInstance struct {
+	ID          anvilid.InstanceID  `cbor:"1,keyasint"`
+	Incarnation anvilid.Incarnation `cbor:"2,keyasint"`
+}
+
+// Target is one target and its owner.
+type Target struct {
+	ID           anvilid.TargetID         `cbor:"1,keyasint" json:"id"`
+	Incarnation  anvilid.Incarnation      `cbor:"2,keyasint" json:"incarnation"`
+	Address      anvilid.Address          `cbor:"3,keyasint" json:"address"`
+	Service      anvilid.ServiceName      `cbor:"4,keyasint" json:"service"`
+	Region       anvilid.RegionName       `cbor:"5,keyasint" json:"region"`
+	Zone         anvilid.ZoneName         `cbor:"6,keyasint" json:"zone"`
+	Rack         anvilid.RackName         `cbor:"7,keyasint" json:"rack"`
+	Slots        anvilid.SlotCount        `cbor:"8,keyasint" json:"slots"`
+	Connections  anvilid.ConnectionCount  `cbor:"9,keyasint" json:"connections"`
+	Accelerators anvilid.AcceleratorCount `cbor:"10,keyasint" json:"accelerators"`
+	Leaving      bool                     `cbor:"11,keyasint,omitempty" json:"leaving,omitempty"`
+	// Owner is the only instance that may send work to the target. Epoch is
+	// the index of the entry that made it the owner.
+	Owner anvilid.InstanceID `cbor:"12,keyasint,omitempty" json:"owner,omitempty"`
+	Epoch anvilid.Epoch      `cbor:"13,keyasint,omitempty" json:"epoch,omitempty"`
+	// Next takes the target over once the owner has released it.
+	Next anvilid.InstanceID `cbor:"14,keyasint,omitempty" json:"next,omitempty"`
+}
+
+// RegisterTarget adds a target, or a new run of a known one.
+type RegisterTarget struct {
+	Target Target `cbor:"1,keyasint"`
+}
+
+// LeaveTarget marks a target as leaving: it receives no new work.
+type LeaveTarget struct {
+	ID          anvilid.TargetID    `cbor:"1,keyasint"`
+	Incarnation anvilid.Incarnation `cbor:"2,keyasint"`
+}
+
+// RemoveTarget forgets a target that is gone.
+type RemoveTarget struct {
+	ID          anvilid.TargetID    `cbor:"1,keyasint"`
+	Incarnation anvilid.Incarnation `cbor:"2,keyasint"`
+}
+
+// ReleaseTarget is sent by an owner that has stopped dispatching to a
+// target, so that Next may take it over.
+type ReleaseTarget struct {
+	ID    anvilid.TargetID   `cbor:"1,keyasint"`
+	Owner anvilid.InstanceID `cbor:"2,keyasint"`
+	Epoch anvilid.Epoch      `cbor:"3,keyasint"`
+}
+
+// RequestKey identifies a request that may not be repeated.
+type RequestKey struct {
+	Account anvilid.AccountID   `cbor:"1,keyasint"`
+	Service anvilid.ServiceName `cbor:"2,keyasint"`
+	ID      anvilid.RequestID   `cbor:"3,keyasint"`
+}
+
+// Holder is the run of an instance that executes a request.
+type Holder struct {
+	Instance    anvilid.InstanceID  `cbor:"1,keyasint"`
+	Incarnation anvilid.Incarnation `cbor:"2,keyasint"`
+	Attempt     anvilid.Attempt     `cbor:"3,keyasint"`
+}
+
+// Claim gives a holder the only right to run a request.
+type Claim struct {
+	Key    RequestKey `cbor:"1,keyasint"`
+	Digest []byte     `cbor:"2,keyasint"`
+	Holder Holder     `cbor:"3,keyasint"`
+}
+
+// Answer is a recorded answer.
+type Answer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint,omitempty"`
+	Body        []byte `cbor:"3,keyasint,omitempty"`
+	// Omitted is set when the body was too large to record.
+	Omitted bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Complete records how a claimed request ended. Lost means that it may have
+// run and its answer will never be known.
+type Complete struct {
+	Key    RequestKey `cbor:"1,keyasint"`
+	Holder Holder     `cbor:"2,keyasint"`
+	Answer Answer     `cbor:"3,keyasint"`
+	Lost   bool       `cbor:"4,keyasint,omitempty"`
+}
+
+// Abandon tells that the holder has not run the request and never will under
+// this attempt. It bars the attempt even if its claim arrives later.
+type Abandon struct {
+	Key    RequestKey `cbor:"1,keyasint"`
+	Holder Holder     `cbor:"2,keyasint"`
+}
+
+// SubmitJob queues a long job.
+type SubmitJob struct {
+	ID           anvilid.JobID            `cbor:"1,keyasint"`
+	Account      anvilid.AccountID        `cbor:"2,keyasint"`
+	Service      anvilid.ServiceName      `cbor:"3,keyasint"`
+	Shape        anvilid.ShapeName        `cbor:"4,keyasint,omitempty"`
+	Accelerators anvilid.AcceleratorCount `cbor:"5,keyasint,omitempty"`
+	Estimate     anvilclock.Millis        `cbor:"6,keyasint,omitempty"`
+	Payload      []byte                   `cbor:"7,keyasint,omitempty"`
+}
+
+// CancelJob ends a job at the caller's wish.
+type CancelJob struct {
+	ID anvilid.JobID `cbor:"1,keyasint"`
+}
+
+// Member is the part of a gang that runs on one target.
+type Member struct {
+	Target       anvilid.TargetID         `cbor:"1,keyasint" json:"target"`
+	Incarnation  anvilid.Incarnation      `cbor:"2,keyasint" json:"incarnation"`
+	Accelerators anvilid.AcceleratorCount `cbor:"3,keyasint" json:"accelerators"`
+}
+
+// PlaceJob reserves accelerators for every member of a gang at once.
+type PlaceJob struct {
+	ID      anvilid.JobID `cbor:"1,keyasint"`
+	Members []Member      `cbor:"2,keyasint"`
+}
+
+// JobState is the state of a long job.
+type JobState string
+
+// States of a long job.
+const (
+	JobSubmitted JobState = "submitted"
+	JobPlaced    JobState = "placed"
+	JobPreparing JobState = "preparing"
+	JobRunning   JobState = "running"
+	JobStopping  JobState = "stopping"
+	JobDone      JobState = "done"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+	JobNever     JobState = "never"
+)
+
+// Final tells whether the job has ended.
+func (s JobState) Final() bool {
+	return s == JobDone || s == JobFailed || s == JobCancelled || s == JobNever
+}
+
+// AdvanceJob moves a job on. Token names the placement that it speaks of, so
+// that a late message about an earlier placement changes nothing.
+type AdvanceJob struct {
+	ID     anvilid.JobID `cbor:"1,keyasint"`
+	Token  anvilid.Token `cbor:"2,keyasint"`
+	State  JobState      `cbor:"3,keyasint"`
+	Detail string        `cbor:"4,keyasint,omitempty"`
+}
