--- /dev/null
+++ b/io/anvilcontrol/client.go
@@ -0,0 +1,147 @@
+package anvilcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilrpc"
+)
+
+// ErrUnavailable reports that no leader accepted the command in time. The
+// command may have been committed all the same.
+var ErrUnavailable = errors.New("control group unavailable")
+
+// Pause between two rounds over the voters, short against an election.
+const retryPause = 20 * time.Millisecond
+
+// One call that isn't held by the leader takes at most this long before the
+// next voter is tried.
+const callTimeout = 500 * time.Millisecond
+
+// A change is in force everywhere after one lease at the latest, so a call
+// that waits for this and takes longer speaks to a lost leader.
+const everywhereTimeout = 3 * time.Second
+
+// Client finds the leader of the control group and talks to it.
+type Client struct {
+	dial   func(anvilid.Address) anvilrpc.Control
+	voters []anvilid.Address
+
+	mu     sync.Mutex
+	leader anvilid.Address
+	next   int
+}
+
+// NewClient returns a client of the group with the given voters.
+func NewClient(voters []anvilid.Address, dial func(anvilid.Address) anvilrpc.Control) *Client {
+	return &Client{voters: voters, dial: dial}
+}
+
+// pick returns the supposed leader, or the next voter in turn.
+func (c *Client) pick() anvilid.Address {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	address := c.voters[c.next%len(c.voters)]
+	c.next++
+	return address
+}
+
+// learn notes the outcome of a call to an address. It returns false when the
+// hint names another leader that can be tried at once.
+func (c *Client) learn(address anvilid.Address, err error) (pause bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.leader = address
+		return false
+	}
+	if c.leader == address {
+		c.leader = ""
+	}
+	var failure twirp.Error
+	if errors.As(err, &failure) && failure.Meta(metaLeader) != "" {
+		c.leader = anvilid.Address(failure.Meta(metaLeader))
+		return c.leader == address
+	}
+	return true
+}
+
+// Renew renews a lease once, at the supposed leader.
+func (c *Client) Renew(ctx context.Context, request *anvilrpc.RenewRequest, hold anvilclock.Millis) (*anvilrpc.RenewReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, hold.Duration()+callTimeout)
+	defer cancel()
+	address := c.pick()
+	reply, err := c.dial(address).Renew(ctx, request)
+	if c.learn(address, err) {
+		sleep(ctx, retryPause)
+	}
+	return reply, err
+}
+
+// Propose commits a command and returns its result. It tries until ctx ends:
+// commands carry ids, so that a resent command takes effect once.
+func (c *Client) Propose(ctx context.Context, command *anvilstate.Command) (anvilstate.Result, error) {
+	result, _, err := c.propose(ctx, command, false)
+	return result, err
+}
+
+// ProposeEverywhere is like Propose and tells whether the change was in force
+// on all instances before ctx ended.
+func (c *Client) ProposeEverywhere(ctx context.Context, command *anvilstate.Command) (anvilstate.Result, bool, error) {
+	return c.propose(ctx, command, true)
+}
+
+func (c *Client) propose(ctx context.Context, command *anvilstate.Command, everywhere bool) (anvilstate.Result, bool, error) {
+	var result anvilstate.Result
+	data, err := anvilstate.Encode(command)
+	if err != nil {
+		return result, false, err
+	}
+	request := &anvilrpc.ProposeRequest{Command: data, Everywhere: everywhere}
+	var last error
+	for ctx.Err() == nil {
+		address := c.pick()
+		reply, err := c.call(ctx, address, request)
+		pause := c.learn(address, err)
+		if err == nil {
+			err = anvilstate.Decode(reply.Result, &result)
+			return result, reply.Everywhere, err
+		}
+		last = err
+		if pause {
+			sleep(ctx, retryPause)
+		}
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return result, false, fmt.Errorf("%w: %w", ErrUnavailable, last)
+}
+
+func (c *Client) call(ctx context.Context, address anvilid.Address, request *anvilrpc.ProposeRequest) (*anvilrpc.ProposeReply, error) {
+	timeout := callTimeout
+	if request.Everywhere {
+		timeout = everywhereTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.dial(address).Propose(ctx, request)
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
--- /dev/null
+++ b/io/anvilcontrol/replica.go
@@ -0,0 +1,114 @@
+// Package anvilcontrol connects instances with the control group: the
+// replicated state of a voter, the Control service of the leader, and the
+// client that every instance uses.
+package anvilcontrol
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvillease"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+)
+
+// Replica holds the replicated state of one voter and, while it leads, the
+// leases of the instances.
+type Replica struct {
+	clock anvilclock.Clock
+	log   *anvillogs.Logger
+
+	mu      sync.Mutex
+	machine *anvilstate.Machine
+	granter *anvillease.Granter
+	loads   map[anvilid.InstanceID]*anvilrpc.InstanceLoad
+	// term is the term in which this voter has taken up leadership.
+	term anvilid.Term
+	// changed is closed and replaced whenever views change.
+	changed chan struct{}
+}
+
+// NewReplica returns an empty replica that grants leases of one span.
+func NewReplica(clock anvilclock.Clock, log *anvillogs.Logger, lease anvilclock.Millis) *Replica {
+	return &Replica{
+		clock: clock, log: log,
+		machine: anvilstate.New(),
+		granter: anvillease.NewGranter(lease),
+		loads:   map[anvilid.InstanceID]*anvilrpc.InstanceLoad{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Apply executes one committed entry.
+func (r *Replica) Apply(index anvilid.Index, at anvilclock.Millis, data []byte) anvilstate.Result {
+	var command anvilstate.Command
+	if err := anvilstate.Decode(data, &command); err != nil {
+		r.log.Write(anvillogs.EntryUnreadable, zap.Uint64("index", uint64(index)), zap.Error(err))
+		return anvilstate.Result{Index: index, Code: "unreadable", Detail: err.Error()}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.machine.Changed()
+	result := r.machine.Apply(index, at, command)
+	r.followSessions(command, result)
+	if r.machine.Changed() != before {
+		r.notify()
+	}
+	return result
+}
+
+// followSessions keeps the granter in step with the sessions of the state.
+func (r *Replica) followSessions(command anvilstate.Command, result anvilstate.Result) {
+	if result.Code != "" {
+		return
+	}
+	switch {
+	case command.Join != nil:
+		r.granter.Join(r.clock.Now(), sessionOf(command.Join.Instance))
+	case command.Leave != nil && !command.Leave.Drain:
+		r.forget(anvillease.Session{Instance: command.Leave.ID, Incarnation: command.Leave.Incarnation})
+	case command.Expire != nil:
+		r.forget(anvillease.Session{Instance: command.Expire.ID, Incarnation: command.Expire.Incarnation})
+	}
+}
+
+func (r *Replica) forget(session anvillease.Session) {
+	r.granter.Forget(session)
+	delete(r.loads, session.Instance)
+}
+
+func sessionOf(instance anvilstate.Instance) anvillease.Session {
+	return anvillease.Session{Instance: instance.ID, Incarnation: instance.Incarnation}
+}
+
+func (r *Replica) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Lead takes up leadership in a term. The caller has made sure that every
+// entry of earlier terms was applied.
+func (r *Replica) Lead(term anvilid.Term) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if term <= r.term {
+		return
+	}
+	var sessions []anvillease.Session
+	for _, instance := range r.machine.Instances() {
+		sessions = append(sessions, sessionOf(instance))
+	}
+	r.granter.Lead(r.clock.Now(), sessions)
+	r.term = term
+}
+
+// Read calls f with the state. f must not keep what it is given.
+func (r *Replica) Read(f func(*anvilstate.Machine)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.machine)
+}
--- /dev/null
+++ b/io/anvilcontrol/service.go
@@ -0,0 +1,290 @@
+package anvilcontrol
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvillease"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+)
+
+// Metadata of twirp errors.
+const (
+	metaLeader = "leader"
+	metaReason = "reason"
+)
+
+// Reasons for a refused proposal.
+const (
+	reasonNotLeader  = "not_leader"
+	reasonOverloaded = "overloaded"
+	reasonLeased     = "leased"
+	reasonLost       = "lost"
+)
+
+// How often the leader looks for expired sessions and waiters look whether a
+// change is in force.
+const (
+	expiryPeriod  = 25 * time.Millisecond
+	inForcePeriod = 5 * time.Millisecond
+)
+
+// Errors of the replicated log, as far as callers tell them apart.
+var (
+	ErrNotLeader  = errors.New("this voter isn't the leader")
+	ErrOverloaded = errors.New("the replicated log is overloaded")
+	ErrLost       = errors.New("the command may or may not be committed")
+)
+
+// Status tells what a voter knows of the group.
+type Status struct {
+	Leading   bool
+	HasQuorum bool
+	Term      anvilid.Term
+	Leader    anvilid.InstanceID
+}
+
+// Group is the replicated log.
+type Group struct {
+	Propose func(ctx context.Context, data []byte) (anvilstate.Result, error)
+	Status  func() Status
+	// Barrier returns when everything committed before the call was applied.
+	Barrier func(ctx context.Context) error
+	// Address finds the peer address of a voter.
+	Address func(anvilid.InstanceID) anvilid.Address
+}
+
+// Service is the Control service of one voter.
+type Service struct {
+	replica *Replica
+	group   Group
+	clock   anvilclock.Clock
+	log     *anvillogs.Logger
+	hold    anvilclock.Millis
+}
+
+// NewService returns the Control service of a voter. Renewals are held for up
+// to hold while nothing changes.
+func NewService(replica *Replica, group Group, hold anvilclock.Millis) *Service {
+	return &Service{replica: replica, group: group, clock: replica.clock, log: replica.log, hold: hold}
+}
+
+// leading returns an error that names the leader unless this voter leads and
+// has taken up its term.
+func (s *Service) leading() error {
+	status := s.group.Status()
+	s.replica.mu.Lock()
+	ready := s.replica.term == status.Term
+	s.replica.mu.Unlock()
+	if status.Leading && status.HasQuorum && ready {
+		return nil
+	}
+	failure := twirp.NewError(twirp.Unavailable, "not the leader").WithMeta(metaReason, reasonNotLeader)
+	if status.Leader != "" && !status.Leading {
+		failure = failure.WithMeta(metaLeader, string(s.group.Address(status.Leader)))
+	}
+	return failure
+}
+
+// Renew extends the lease of an instance and tells it what has changed.
+func (s *Service) Renew(ctx context.Context, request *anvilrpc.RenewRequest) (*anvilrpc.RenewReply, error) {
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	session := anvillease.Session{
+		Instance:    anvilid.InstanceID(request.Instance),
+		Incarnation: anvilid.Incarnation(request.Incarnation),
+	}
+	applied := anvilid.Index(request.Applied)
+	s.note(session, applied, request.Load)
+	s.awaitChange(ctx, applied)
+	// Leadership may have been lost during the wait.
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	return s.grant(session, applied)
+}
+
+// note keeps what an instance reports of itself.
+func (s *Service) note(session anvillease.Session, applied anvilid.Index, load []*anvilrpc.ServiceLoad) {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	s.replica.granter.Acknowledge(session, applied)
+	s.replica.loads[session.Instance] = &anvilrpc.InstanceLoad{Instance: string(session.Instance), Load: load}
+}
+
+func (s *Service) awaitChange(ctx context.Context, applied anvilid.Index) {
+	timer := time.NewTimer(s.hold.Duration())
+	defer timer.Stop()
+	for {
+		s.replica.mu.Lock()
+		news := applied == 0 || s.replica.machine.Changed() > applied
+		changed := s.replica.changed
+		s.replica.mu.Unlock()
+		if news {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) grant(session anvillease.Session, applied anvilid.Index) (*anvilrpc.RenewReply, error) {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	delta := s.replica.machine.Since(applied)
+	data, err := anvilstate.Encode(&delta)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	span, known := s.replica.granter.Renew(s.clock.Now(), session, applied)
+	reply := &anvilrpc.RenewReply{Known: known, Lease: int64(span), Index: uint64(delta.Index), Delta: data}
+	for _, instance := range s.replica.machine.Instances() {
+		if load, ok := s.replica.loads[instance.ID]; ok && instance.ID != session.Instance {
+			reply.Loads = append(reply.Loads, load)
+		}
+	}
+	return reply, nil
+}
+
+// Propose commits one command.
+func (s *Service) Propose(ctx context.Context, request *anvilrpc.ProposeRequest) (*anvilrpc.ProposeReply, error) {
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	if err := s.admit(request.Command); err != nil {
+		return nil, err
+	}
+	result, err := s.group.Propose(ctx, request.Command)
+	if err != nil {
+		return nil, s.refusal(err)
+	}
+	data, err := anvilstate.Encode(&result)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	reply := &anvilrpc.ProposeReply{Result: data, Index: uint64(result.Index)}
+	if request.Everywhere && result.Code == "" {
+		reply.Everywhere = s.awaitInForce(ctx, result.Index)
+	}
+	return reply, nil
+}
+
+// admit refuses a join while an earlier run of the same instance may hold a
+// lease, and stops that run from renewing it.
+func (s *Service) admit(data []byte) error {
+	var command anvilstate.Command
+	if err := anvilstate.Decode(data, &command); err != nil {
+		return twirp.InvalidArgumentError("command", err.Error())
+	}
+	if command.Join == nil {
+		return nil
+	}
+	session := sessionOf(command.Join.Instance)
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	if s.replica.granter.Supersede(s.clock.Now(), session) {
+		return twirp.NewError(twirp.FailedPrecondition, "an earlier run of this instance may hold a lease").
+			WithMeta(metaReason, reasonLeased)
+	}
+	return nil
+}
+
+func (s *Service) refusal(err error) error {
+	switch {
+	case errors.Is(err, ErrNotLeader):
+		if failure := s.leading(); failure != nil {
+			return failure
+		}
+		return twirp.NewError(twirp.Unavailable, err.Error()).WithMeta(metaReason, reasonNotLeader)
+	case errors.Is(err, ErrOverloaded):
+		return twirp.NewError(twirp.ResourceExhausted, err.Error()).WithMeta(metaReason, reasonOverloaded)
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error()).WithMeta(metaReason, reasonLost)
+}
+
+// awaitInForce waits until no instance can admit requests under a view older
+// than index.
+func (s *Service) awaitInForce(ctx context.Context, index anvilid.Index) bool {
+	ticker := time.NewTicker(inForcePeriod)
+	defer ticker.Stop()
+	for {
+		s.replica.mu.Lock()
+		inForce := s.replica.granter.InForce(s.clock.Now(), index)
+		s.replica.mu.Unlock()
+		if inForce {
+			return s.leading() == nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Run takes up leadership when this voter is elected, and expires sessions
+// while it leads.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := time.NewTicker(expiryPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.lead(ctx)
+		}
+	}
+}
+
+func (s *Service) lead(ctx context.Context) {
+	status := s.group.Status()
+	if !status.Leading || !status.HasQuorum {
+		return
+	}
+	if s.leading() != nil {
+		if err := s.group.Barrier(ctx); err != nil {
+			return
+		}
+		s.replica.Lead(status.Term)
+		s.log.Write(anvillogs.LeaderChanged, zap.Uint64("term", uint64(status.Term)))
+		return
+	}
+	s.expire(ctx)
+}
+
+func (s *Service) expire(ctx context.Context) {
+	s.replica.mu.Lock()
+	expired := s.replica.granter.Expired(s.clock.Now())
+	for _, session := range expired {
+		s.replica.granter.Close(session.Instance)
+	}
+	s.replica.mu.Unlock()
+	for _, session := range expired {
+		s.log.Write(anvillogs.SessionExpired, zap.String("instance", string(session.Instance)))
+		data, err := anvilstate.Encode(&anvilstate.Command{
+			Expire: &anvilstate.ExpireInstance{ID: session.Instance, Incarnation: session.Incarnation},
+		})
+		if err == nil {
+			_, err = s.group.Propose(ctx, data)
+		}
+		if err != nil {
+			s.log.Write(anvillogs.ProposalFailed, zap.Error(err))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/anvillogs/events.go
@@ -0,0 +1,51 @@
+package anvillogs
+
+import "go.uber.org/zap/zapcore"
+
+// Events of an instance's life.
+var (
+	InstanceStarted  = define(101, zapcore.InfoLevel, "instance started")
+	InstanceJoined   = define(102, zapcore.InfoLevel, "instance joined the control group")
+	InstanceDraining = define(103, zapcore.InfoLevel, "instance drains: no new requests are taken")
+	InstanceStopped  = define(104, zapcore.InfoLevel, "instance stopped")
+	InstanceKilled   = define(105, zapcore.WarnLevel, "second signal: instance stops at once")
+	DutyFailed       = define(106, zapcore.ErrorLevel, "a duty of the instance failed; the instance stops")
+)
+
+// Events of the lease and the control group.
+var (
+	LeaseGained     = define(201, zapcore.InfoLevel, "instance lease gained")
+	LeaseLost       = define(202, zapcore.WarnLevel, "instance lease lapsed: nothing new is admitted")
+	LeaderChanged   = define(203, zapcore.InfoLevel, "leader of the control group changed")
+	SessionExpired  = define(204, zapcore.WarnLevel, "lease of an instance expired; its targets get new owners")
+	ProposalFailed  = define(205, zapcore.WarnLevel, "command was not accepted by the control group")
+	RenewalFailed   = define(206, zapcore.DebugLevel, "lease renewal failed; trying the next voter")
+	EntryUnreadable = define(207, zapcore.ErrorLevel, "committed entry can't be decoded")
+)
+
+// Events of targets.
+var (
+	TargetRegistered  = define(301, zapcore.InfoLevel, "target registered")
+	TargetAdopted     = define(302, zapcore.InfoLevel, "target adopted; it receives work")
+	TargetAdoptFailed = define(303, zapcore.WarnLevel, "target could not be adopted yet")
+	TargetReleased    = define(304, zapcore.InfoLevel, "target released to another instance")
+	TargetGone        = define(305, zapcore.WarnLevel, "target has not reported and is removed")
+	TargetLeaving     = define(306, zapcore.InfoLevel, "target leaves: no new work is sent")
+	TargetEjected     = define(307, zapcore.WarnLevel, "target ejected for its failures")
+	TargetReturned    = define(308, zapcore.InfoLevel, "ejected target returned after probes")
+)
+
+// Events of requests.
+var (
+	AnswerRejected = define(401, zapcore.WarnLevel, "answer of a target failed its checks and was dropped")
+	OutcomeUnknown = define(402, zapcore.WarnLevel, "a request may have run; its answer is lost")
+)
+
+// Events of jobs.
+var (
+	JobPlaced     = define(501, zapcore.InfoLevel, "job placed")
+	JobStarted    = define(502, zapcore.InfoLevel, "job runs: every member was started")
+	JobUndone     = define(503, zapcore.WarnLevel, "job start undone; members stopped and fenced")
+	JobEnded      = define(504, zapcore.InfoLevel, "job ended")
+	JobMemberLost = define(505, zapcore.WarnLevel, "member of a job lost; the others are stopped")
+)
