Add fair queue with shedding and table of request ids

The queue serves accounts by virtual time, refuses requests that could not finish in time and bounds the slots of kinds that run long. First usable versions, without tests.

--- /dev/null
+++ b/core/anvildedup/list.go
@@ -0,0 +1,43 @@
+package anvildedup
+
+import "anvilshunt/core/anvilclock"
+
+type entry struct {
+	key    Key
+	digest Digest
+	holder Holder
+	state  State // InFlight or Done
+	lost   bool  // in flight at a holder that is gone
+	at     anvilclock.Millis
+	answer *Answer
+
+	byTime   link // in Table.inFlight, lost or done
+	byHolder link // in Table.holders while in flight, then in Table.answered
+	spare    *entry
+}
+
+// link is a member of a circular list.
+type link struct {
+	prev, next *link
+	entry      *entry
+}
+
+func (l *link) unlink() {
+	if l.next == nil {
+		return
+	}
+	l.prev.next, l.next.prev = l.next, l.prev
+	l.prev, l.next = nil, nil
+}
+
+type list struct{ head link }
+
+func (l *list) init() { l.head.prev, l.head.next = &l.head, &l.head }
+
+func (l *list) front() *entry { return l.head.next.entry }
+
+func (l *list) pushBack(k *link) {
+	last := l.head.prev
+	k.prev, k.next = last, &l.head
+	last.next, l.head.prev = k, k
+}
--- /dev/null
+++ b/core/anvilqueue/list.go
@@ -0,0 +1,74 @@
+package anvilqueue
+
+// list is a linked list of tickets, oldest first.
+type list struct {
+	front, back *Ticket
+	length      int
+}
+
+func (l *list) pushBack(t *Ticket) {
+	t.prev, t.next = l.back, nil
+	if l.back != nil {
+		l.back.next = t
+	} else {
+		l.front = t
+	}
+	l.back = t
+	l.length++
+}
+
+func (l *list) remove(t *Ticket) {
+	if t.prev != nil {
+		t.prev.next = t.next
+	} else {
+		l.front = t.next
+	}
+	if t.next != nil {
+		t.next.prev = t.prev
+	} else {
+		l.back = t.prev
+	}
+	t.prev, t.next = nil, nil
+	l.length--
+}
+
+type accountHeap []*account
+
+// classHeap orders the accounts with waiting requests of one class by
+// virtual time.
+type classHeap struct {
+	accounts *accountHeap
+	class    Class
+}
+
+func (h *classHeap) Len() int { return len(*h.accounts) }
+
+func (h *classHeap) Less(i, j int) bool {
+	a, b := (*h.accounts)[i], (*h.accounts)[j]
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
+	}
+	return a.id < b.id
+}
+
+func (h *classHeap) Swap(i, j int) {
+	accounts := *h.accounts
+	accounts[i], accounts[j] = accounts[j], accounts[i]
+	accounts[i].index[h.class], accounts[j].index[h.class] = i, j
+}
+
+func (h *classHeap) Push(x any) {
+	a := x.(*account)
+	a.index[h.class] = len(*h.accounts)
+	*h.accounts = append(*h.accounts, a)
+}
+
+func (h *classHeap) Pop() any {
+	accounts := *h.accounts
+	last := len(accounts) - 1
+	a := accounts[last]
+	accounts[last] = nil
+	*h.accounts = accounts[:last]
+	a.index[h.class] = -1
+	return a
+}
--- /dev/null
+++ b/core/anvilqueue/queue.go
@@ -0,0 +1,370 @@
+// Package anvilqueue is the queue of short requests of one service: fair
+// over client accounts by weight, bounded, and shedding by deadline.
+//
+// Accounts are served by virtual time, charged with the slot time that their
+// requests really took. Requests of a kind that has run long form a lower
+// class, which may hold a bounded share of the slots in use.
+//
+// A Queue is not safe for concurrent use.
+package anvilqueue
+
+import (
+	"container/heap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// Class is the size class of a request, learnt from the history of its kind.
+type Class int
+
+// Size classes.
+const (
+	Short Class = iota
+	Long
+	classes
+)
+
+// Verdict is the answer to a Push.
+type Verdict string
+
+// Verdicts. A refused request has not run.
+const (
+	Queued   Verdict = "queued"
+	Full     Verdict = "full"     // the account's queue is full
+	TooLate  Verdict = "too late" // it could not finish within its deadline
+	Hopeless Verdict = "hopeless" // the deadline is shorter than the usual duration
+)
+
+const (
+	defaultBound     = 1000
+	defaultLongShare = 25 // percent of the slots in use
+	// slack is added to the estimated wait, in percent, for the error of
+	// the estimate.
+	slack = 10
+	// newestAfter: the order within an account turns to newest first when
+	// its oldest request has waited for this part (percent) of its time.
+	newestAfter = 50
+)
+
+// Request is what the queue needs to know about a request.
+type Request struct {
+	Account anvilid.AccountID
+	// Kind tells apart requests of an account that differ in duration, for
+	// example by their route. It may be empty.
+	Kind string
+	// Deadline is when the caller stops to wait.
+	Deadline anvilclock.Millis
+	// Payload is the caller's own; the queue passes it through.
+	Payload any
+}
+
+// Ticket stands for a request in the queue or in a slot.
+type Ticket struct {
+	Request
+	Pushed anvilclock.Millis
+
+	class      Class
+	kind       *kind
+	account    *account
+	prev, next *Ticket
+	state      ticketState
+	started    anvilclock.Millis
+	charged    float64
+}
+
+type ticketState int
+
+const (
+	waiting ticketState = iota
+	running
+	ended
+)
+
+// Option configures a Queue.
+type Option func(*Queue)
+
+// WithBound sets the longest queue of one account.
+func WithBound(requests int) Option { return func(q *Queue) { q.bound = requests } }
+
+// WithLongShare sets the share of the slots in use that the lower class may
+// hold, in percent.
+func WithLongShare(percent int) Option { return func(q *Queue) { q.longShare = percent } }
+
+// WithOrder sets the order within an account.
+func WithOrder(order Order) Option { return func(q *Queue) { q.order = order } }
+
+// Order is the order of requests within an account.
+type Order int
+
+// Orders within an account.
+const (
+	// Adaptive serves the newest request first while the account is
+	// overloaded, else the oldest.
+	Adaptive Order = iota
+	OldestFirst
+	NewestFirst
+)
+
+// Queue holds the waiting requests of one service.
+type Queue struct {
+	bound     int
+	longShare int
+	order     Order
+
+	accounts map[anvilid.AccountID]*account
+	ready    [classes]accountHeap
+	waiting  [classes]int
+	running  [classes]int
+	weight   float64 // sum over accounts with waiting requests
+	virtual  float64 // virtual time of the latest pop
+
+	durations Durations
+	rate      rate
+	dropped   []*Ticket
+}
+
+type account struct {
+	id       anvilid.AccountID
+	weight   float64
+	virtual  float64 // slot time received over weight
+	waiting  [classes]list
+	index    [classes]int
+	kinds    map[string]*kind
+	inflight int
+}
+
+// New returns an empty queue.
+func New(options ...Option) *Queue {
+	q := &Queue{bound: defaultBound, longShare: defaultLongShare, accounts: map[anvilid.AccountID]*account{}}
+	for _, option := range options {
+		option(q)
+	}
+	return q
+}
+
+// SetWeight sets the weight of an account; accounts start with 1.
+func (q *Queue) SetWeight(id anvilid.AccountID, weight int) {
+	a := q.account(id)
+	if a.length() > 0 {
+		q.weight += float64(weight) - a.weight
+	}
+	a.weight = float64(max(1, weight))
+}
+
+func (q *Queue) account(id anvilid.AccountID) *account {
+	a, ok := q.accounts[id]
+	if !ok {
+		a = &account{id: id, weight: 1, kinds: map[string]*kind{}, index: [classes]int{-1, -1}}
+		q.accounts[id] = a
+	}
+	return a
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.waiting[Short] + q.waiting[Long] }
+
+// Push queues a request, or refuses it at once. The Ticket is nil unless the
+// verdict is Queued.
+func (q *Queue) Push(now anvilclock.Millis, request Request) (*Ticket, Verdict) {
+	a := q.account(request.Account)
+	if a.length() >= q.bound {
+		return nil, Full
+	}
+	k := a.kind(request.Kind)
+	class := k.class(&q.durations)
+	if now+k.usual(&q.durations) > request.Deadline {
+		return nil, Hopeless
+	}
+	if wait, known := q.expectedWait(now, a, class); known && now+wait+k.usual(&q.durations) > request.Deadline {
+		return nil, TooLate
+	}
+	t := &Ticket{Request: request, Pushed: now, class: class, kind: k, account: a}
+	q.enqueue(now, a, t)
+	return t, Queued
+}
+
+func (q *Queue) enqueue(now anvilclock.Millis, a *account, t *Ticket) {
+	if q.Len() == 0 {
+		q.rate.backlog(now)
+	}
+	if a.length() == 0 {
+		q.weight += a.weight
+		// An account that was idle has no claim to the time it left unused.
+		a.virtual = max(a.virtual, q.virtual)
+	}
+	a.waiting[t.class].pushBack(t)
+	q.waiting[t.class]++
+	if a.index[t.class] < 0 {
+		heap.Push(q.heap(t.class), a)
+	}
+}
+
+// ExpectedWait estimates how long a request pushed now would wait.
+func (q *Queue) ExpectedWait(now anvilclock.Millis, id anvilid.AccountID) anvilclock.Millis {
+	wait, _ := q.expectedWait(now, q.account(id), Short)
+	return wait
+}
+
+// expectedWait divides the requests ahead by the account's share of the
+// measured service rate.
+func (q *Queue) expectedWait(now anvilclock.Millis, a *account, class Class) (anvilclock.Millis, bool) {
+	if q.Len() == 0 {
+		return 0, true
+	}
+	perMilli, known := q.rate.measured(now)
+	if !known {
+		busy := q.running[Short] + q.running[Long]
+		mean := q.durations.mean()
+		if busy == 0 || mean == 0 {
+			return 0, false
+		}
+		perMilli = float64(busy) / mean
+	}
+	weight := q.weight
+	if a.length() == 0 {
+		weight += a.weight
+	}
+	ahead := a.waiting[Short].length + 1
+	if class == Long {
+		ahead += a.waiting[Long].length
+	}
+	wait := float64(ahead) * weight / (a.weight * perMilli)
+	return anvilclock.Millis(wait * (100 + slack) / 100), true
+}
+
+// Pop takes the request to run next, for a slot that is free. It returns nil
+// if none may run. Requests that can no longer finish are moved to Dropped.
+func (q *Queue) Pop(now anvilclock.Millis) *Ticket {
+	for {
+		class, ok := q.choose()
+		if !ok {
+			return nil
+		}
+		a := q.ready[class][0]
+		t := q.take(now, a, class)
+		q.virtual = max(q.virtual, a.virtual)
+		q.remove(now, t)
+		if now+t.kind.least(&q.durations) > t.Deadline {
+			t.state = ended
+			q.dropped = append(q.dropped, t)
+			continue
+		}
+		q.start(now, t)
+		return t
+	}
+}
+
+// choose prefers short requests, but lets one long request run, so that the
+// lower class makes progress.
+func (q *Queue) choose() (Class, bool) {
+	long := q.waiting[Long] > 0
+	switch {
+	case long && q.running[Long] == 0:
+		return Long, true
+	case q.waiting[Short] > 0:
+		return Short, true
+	case long && q.running[Long] < q.longBound():
+		return Long, true
+	}
+	return 0, false
+}
+
+// longBound counts the slot about to be filled.
+func (q *Queue) longBound() int {
+	return max(1, (q.running[Short]+q.running[Long]+1)*q.longShare/100)
+}
+
+func (q *Queue) take(now anvilclock.Millis, a *account, class Class) *Ticket {
+	oldest := a.waiting[class].front
+	switch q.order {
+	case OldestFirst:
+		return oldest
+	case NewestFirst:
+		return a.waiting[class].back
+	}
+	if (now-oldest.Pushed)*100 >= (oldest.Deadline-oldest.Pushed)*newestAfter {
+		return a.waiting[class].back
+	}
+	return oldest
+}
+
+func (q *Queue) start(now anvilclock.Millis, t *Ticket) {
+	t.state, t.started = running, now
+	q.running[t.class]++
+	t.account.inflight++
+	q.rate.served(now)
+	q.charge(t, float64(t.kind.expected(&q.durations)))
+}
+
+// charge sets the slot time that the account pays for a request.
+func (q *Queue) charge(t *Ticket, cost float64) {
+	a := t.account
+	a.virtual += (cost - t.charged) / a.weight
+	t.charged = cost
+	for class := range classes {
+		if a.index[class] >= 0 {
+			heap.Fix(q.heap(class), a.index[class])
+		}
+	}
+}
+
+// Done ends a popped request. Ran tells whether its duration says something
+// about its kind; it is false if the request never reached a target.
+func (q *Queue) Done(now anvilclock.Millis, t *Ticket, ran bool) {
+	if t.state != running {
+		return
+	}
+	t.state = ended
+	q.running[t.class]--
+	t.account.inflight--
+	if !ran {
+		q.charge(t, 0)
+		return
+	}
+	took := max(1, now-t.started)
+	q.charge(t, float64(took))
+	long := q.durations.long(took)
+	q.durations.add(took)
+	t.kind.add(took, long)
+}
+
+// Cancel takes a waiting request out of the queue. It returns false if the
+// request has already been popped, dropped or cancelled.
+func (q *Queue) Cancel(now anvilclock.Millis, t *Ticket) bool {
+	if t.state != waiting {
+		return false
+	}
+	q.remove(now, t)
+	t.state = ended
+	return true
+}
+
+// Dropped returns the requests that were met too late to run, and forgets
+// them. The slice is valid until the next call of Pop.
+func (q *Queue) Dropped() []*Ticket {
+	dropped := q.dropped
+	q.dropped = q.dropped[:0]
+	return dropped
+}
+
+func (q *Queue) remove(now anvilclock.Millis, t *Ticket) {
+	a := t.account
+	a.waiting[t.class].remove(t)
+	q.waiting[t.class]--
+	if a.waiting[t.class].length == 0 {
+		heap.Remove(q.heap(t.class), a.index[t.class])
+	}
+	if a.length() == 0 {
+		q.weight -= a.weight
+	}
+	if q.Len() == 0 {
+		q.rate.cleared(now)
+	}
+}
+
+func (q *Queue) heap(class Class) *classHeap {
+	return &classHeap{accounts: &q.ready[class], class: class}
+}
+
+func (a *account) length() int { return a.waiting[Short].length + a.waiting[Long].length }
--- a/core/anvilslot/evidence.go
+++ b/core/anvilslot/evidence.go
@@ -192,9 +192,9 @@
 		t.foreignOpen = min(t.foreignOpen, report.Open)
 		if read.lo > t.since {
 			t.since, t.sinceSequence = read.lo, report.Sequence
-			t.notePolled(now)
+			t.notePolled(now, read.lo)
 		}
-		if !t.pending.valid {
+		if !t.pending.valid || read.hi-read.lo < t.pending.hi-t.pending.lo {
 			t.pending = read
 		}
 	}
@@ -203,7 +203,7 @@
 
 // lower lowers foreign usage to the bound that a reading proves.
 func (t *target) lower(now anvilclock.Millis, read reading) {
-	if read.lo-PacketDelay < t.floor-PacketDelay {
+	if read.lo < t.floor {
 		return // unknown ends that matter to it are forgotten
 	}
 	sure := anvilid.SlotCount(0)
@@ -270,10 +270,10 @@
 	p.most = max(p.most, anvilid.SlotCount(len(t.own)))
 }
 
-func (t *target) notePolled(now anvilclock.Millis) {
+func (t *target) notePolled(now, read anvilclock.Millis) {
 	t.polled = now
 	t.pollsInRow++
-	if t.paused {
+	if t.paused && t.quiet(read) {
 		t.resume(now)
 	}
 	if t.foreign == 0 {
--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -202,7 +202,7 @@
 // requests, so that gang members may be prepared.
 func (l *Ledger) Cleared(id anvilid.TargetID) bool {
 	t, ok := l.targets[id]
-	return ok && t.state != Waiting &&
+	return ok && t.state == Adopted &&
 		t.held()+anvilid.SlotCount(len(t.own))+t.foreign <= t.limits.Slots
 }
 
