--- /dev/null
+++ b/io/anvilfleet/caller.go
@@ -0,0 +1,187 @@
+package anvilfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilreport"
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/core/anvilslot"
+	"anvilshunt/core/anvilstate"
+)
+
+// Headers of the target protocol.
+const (
+	HeaderID        = "Anvilshunt-Request-Id"
+	HeaderAccount   = "Anvilshunt-Account"
+	HeaderEpoch     = "Anvilshunt-Epoch"
+	HeaderToken     = "Anvilshunt-Token" //nolint:gosec // a fencing token, not a secret
+	HeaderRemaining = "Anvilshunt-Remaining"
+	HeaderCode      = "Anvilshunt-Code"
+)
+
+// maxReport bounds the size of a report.
+const maxReport = 1 << 20
+
+const dialTimeout = time.Second
+
+// Errors of a run on a target. errNotSent and errRefused mean that the
+// target has not run the request.
+var (
+	errNotSent     = errors.New("the request was not sent")
+	errRefused     = errors.New("the target refused the request")
+	errStarted     = errors.New("the target has already started the request under another dispatch")
+	errLost        = errors.New("the connection to the target broke before the whole answer arrived")
+	errWrongAnswer = errors.New("the answer is not the whole answer to this request")
+)
+
+// caller makes the calls to one target under one epoch.
+type caller struct {
+	address anvilid.Address
+	epoch   anvilid.Epoch
+	client  *http.Client
+}
+
+func newCaller(target anvilstate.Target) *caller {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &caller{
+		address: target.Address, epoch: target.Epoch,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     int(anvilslot.OwnerConnections),
+			MaxIdleConnsPerHost: int(anvilslot.OwnerConnections),
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+func (c *caller) close() { c.client.CloseIdleConnections() }
+
+func (c *caller) url(path string) string { return "http://" + string(c.address) + path }
+
+// adopt fences off older epochs and returns the usage read after that.
+func (c *caller) adopt(ctx context.Context, target anvilstate.Target, owner anvilid.InstanceID) (*anvilreport.Report, error) {
+	body, err := json.Marshal(struct {
+		Epoch anvilid.Epoch      `json:"epoch"`
+		Owner anvilid.InstanceID `json:"owner"`
+	}{target.Epoch, owner})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode adoption")
+	}
+	report := &anvilreport.Report{}
+	if err := c.post(ctx, http.MethodPost, "/v1/adopt", body, report); err != nil {
+		return nil, err
+	}
+	if report.Target != target.ID {
+		return nil, fmt.Errorf("%w: %s is target %q, not %q", errWrongAnswer, c.address, report.Target, target.ID)
+	}
+	return report, report.Check()
+}
+
+// post sends a JSON call and decodes the answer into reply unless it is nil.
+func (c *caller) post(ctx context.Context, method, path string, body []byte, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.url(path), bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "build call")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "call %s", path)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReport))
+	if err != nil {
+		return eris.Wrapf(err, "read the answer to %s", path)
+	}
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("%w: %s answered %d %s", errRefused, path, response.StatusCode, bytes.TrimSpace(data))
+	}
+	if reply == nil {
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(data, reply), "decode the answer to %s", path)
+}
+
+// run sends a request and returns the target's whole answer. The answer has
+// passed every check when the error is nil.
+func (c *caller) run(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, remaining anvilclock.Millis, limit anvilid.ByteCount) (anvilrequest.Answer, error) {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url("/v1/run"), bytes.NewReader(request.Body))
+	if err != nil {
+		return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errNotSent, err)
+	}
+	tokenText := strconv.FormatUint(uint64(token), 10)
+	call.Header[HeaderID] = []string{string(request.ID)}
+	call.Header[HeaderAccount] = []string{string(request.Account)}
+	call.Header[HeaderEpoch] = []string{strconv.FormatUint(uint64(c.epoch), 10)}
+	call.Header[HeaderToken] = []string{tokenText}
+	call.Header[HeaderRemaining] = []string{strconv.FormatInt(int64(remaining), 10)}
+	if request.ContentType != "" {
+		call.Header["Content-Type"] = []string{request.ContentType}
+	}
+	response, err := c.client.Do(call)
+	if err != nil {
+		if !connected {
+			return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errNotSent, err)
+		}
+		return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errLost, err)
+	}
+	// Closing a body that wasn't read to its end closes the connection, so
+	// that a wrong answer can't be followed by another one.
+	defer response.Body.Close()
+	if err := checkHeaders(response, request.ID, tokenText, limit); err != nil {
+		return anvilrequest.Answer{}, err
+	}
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errLost, err)
+	}
+	// The end of the body must follow, else the connection isn't reused.
+	_, _ = io.CopyN(io.Discard, response.Body, 1)
+	return readAnswer(response, body)
+}
+
+func checkHeaders(response *http.Response, id anvilid.RequestID, token string, limit anvilid.ByteCount) error {
+	switch {
+	case response.Header.Get(HeaderID) != string(id):
+		return fmt.Errorf("%w: it carries the id %q", errWrongAnswer, response.Header.Get(HeaderID))
+	case response.Header.Get(HeaderToken) != token:
+		return fmt.Errorf("%w: it carries the token %q, not %s", errWrongAnswer, response.Header.Get(HeaderToken), token)
+	case response.ContentLength < 0:
+		return fmt.Errorf("%w: it has no length", errWrongAnswer)
+	case response.ContentLength > int64(limit):
+		return fmt.Errorf("%w: it has %d bytes, the limit is %d", errWrongAnswer, response.ContentLength, limit)
+	}
+	return nil
+}
+
+func readAnswer(response *http.Response, body []byte) (anvilrequest.Answer, error) {
+	switch code := response.Header.Get(HeaderCode); code {
+	case "stale_epoch", "leaving", "full":
+		return anvilrequest.Answer{}, fmt.Errorf("%w: %s", errRefused, code)
+	case "stale_token":
+		return anvilrequest.Answer{}, errStarted
+	}
+	return anvilrequest.Answer{
+		Outcome: anvilrequest.Done, Status: response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"), Body: body,
+	}, nil
+}
