--- /dev/null
+++ b/io/anvildesk/convert.go
@@ -0,0 +1,36 @@
+package anvildesk
+
+import (
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/io/anvilrpc"
+)
+
+// AnswerOf reads an answer from a peer.
+func AnswerOf(reply *anvilrpc.RunReply) anvilrequest.Answer {
+	answer := anvilrequest.Answer{
+		Outcome: anvilrequest.Unknown, Code: anvilrequest.Code(reply.Code), Detail: reply.Detail,
+		Status: int(reply.Status), ContentType: reply.ContentType, Body: reply.Body,
+	}
+	switch reply.Outcome {
+	case anvilrpc.Outcome_OUTCOME_DONE:
+		answer.Outcome = anvilrequest.Done
+	case anvilrpc.Outcome_OUTCOME_NOT_RUN:
+		answer.Outcome = anvilrequest.NotRun
+	}
+	return answer
+}
+
+// ReplyOf writes an answer for a peer.
+func ReplyOf(answer anvilrequest.Answer) *anvilrpc.RunReply {
+	reply := &anvilrpc.RunReply{
+		Outcome: anvilrpc.Outcome_OUTCOME_UNKNOWN, Code: string(answer.Code), Detail: answer.Detail,
+		Status: int32(answer.Status), ContentType: answer.ContentType, Body: answer.Body,
+	}
+	switch answer.Outcome {
+	case anvilrequest.Done:
+		reply.Outcome = anvilrpc.Outcome_OUTCOME_DONE
+	case anvilrequest.NotRun:
+		reply.Outcome = anvilrpc.Outcome_OUTCOME_NOT_RUN
+	}
+	return reply
+}
--- /dev/null
+++ b/io/anvildesk/desk.go
@@ -0,0 +1,197 @@
+// Package anvildesk takes short requests from callers and peers and brings
+// them to a target: admission, request ids, claims, queues and forwarding.
+package anvildesk
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvildedup"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilqueue"
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/core/anvilretry"
+	"anvilshunt/core/anvilslot"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+)
+
+// Self is the run of the instance that the desk works for.
+type Self struct {
+	Instance    anvilid.InstanceID
+	Incarnation anvilid.Incarnation
+	Region      anvilid.RegionName
+}
+
+// Directory is what the desk asks of the instance's view. Each function
+// returns a copy or a value that doesn't change.
+type Directory struct {
+	Account func(anvilid.AccountID) *anvilconfig.Account
+	Service func(anvilid.ServiceName) *anvilconfig.Service
+	// Instances lists the instances that take work, in order of their ids.
+	Instances func() []anvilstate.Instance
+	// Local tells whether the own region has a target of the service.
+	Local func(anvilid.ServiceName) bool
+	// Leased tells whether the instance may admit and send work; Await waits
+	// until it may.
+	Leased func() bool
+	Await  func(context.Context) bool
+}
+
+// Runner is what the desk asks of the fleet.
+type Runner struct {
+	Acquire  func(anvilid.ServiceName) (anvilslot.Lease, bool)
+	Probe    func(anvilslot.Lease, anvilid.ServiceName) anvilslot.Lease
+	Release  func(anvilslot.Lease)
+	Dispatch func(context.Context, anvilslot.Lease, *anvilrequest.Request, anvilid.Token) anvilrequest.Answer
+}
+
+// Limits bound what the desk holds.
+type Limits struct {
+	Requests int
+	Queue    int
+	IDs      int
+	Cache    anvilid.ByteCount
+}
+
+// Desk takes requests.
+type Desk struct {
+	self      Self
+	clock     anvilclock.Clock
+	log       *anvillogs.Logger
+	directory Directory
+	runner    Runner
+	propose   func(context.Context, *anvilstate.Command) (anvilstate.Result, error)
+	peer      func(anvilid.Address) anvilrpc.Peer
+	record    func(anvilid.Address) anvilrpc.Peer
+	fetch     func(anvilid.Address) anvilrpc.Peer
+	limits    Limits
+
+	attempts atomic.Uint64
+	sequence atomic.Uint64
+	admitted atomic.Int64
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	services map[anvilid.ServiceName]*service
+	// held records the requests with ids that this instance holds, kept the
+	// ids that it keeps for the region.
+	held    *anvildedup.Table
+	kept    *anvildedup.Table
+	flights map[anvildedup.Key]*flight
+	counts  map[string]int64
+}
+
+// service is the queue of one service at this instance.
+type service struct {
+	queue  *anvilqueue.Queue
+	budget *anvilretry.Budget
+	peers  []hint
+}
+
+// hint is what is known about the free slots of a peer.
+type hint struct {
+	instance anvilid.InstanceID
+	free     int
+}
+
+// flight is a held request that hasn't ended.
+type flight struct {
+	done   chan struct{}
+	answer anvilrequest.Answer
+}
+
+// Option changes a Desk.
+type Option func(*Desk)
+
+// WithLimits sets the limits.
+func WithLimits(limits Limits) Option { return func(d *Desk) { d.limits = limits } }
+
+// WithPropose sets how commands are committed.
+func WithPropose(propose func(context.Context, *anvilstate.Command) (anvilstate.Result, error)) Option {
+	return func(d *Desk) { d.propose = propose }
+}
+
+// WithPeers sets the clients of other instances, by what they are used for.
+func WithPeers(run, record, fetch func(anvilid.Address) anvilrpc.Peer) Option {
+	return func(d *Desk) { d.peer, d.record, d.fetch = run, record, fetch }
+}
+
+// New returns a desk.
+func New(self Self, clock anvilclock.Clock, log *anvillogs.Logger, directory Directory, runner Runner, opts ...Option) *Desk {
+	d := &Desk{
+		self: self, clock: clock, log: log, directory: directory, runner: runner,
+		limits:   Limits{Requests: 4096, Queue: 4096, IDs: anvildedup.MostIDs, Cache: 64 << 20},
+		services: map[anvilid.ServiceName]*service{},
+		flights:  map[anvildedup.Key]*flight{},
+		counts:   map[string]int64{},
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.held = anvildedup.NewTable(anvildedup.WithMostIDs(d.limits.IDs), anvildedup.WithAnswerBytes(d.limits.Cache))
+	d.kept = anvildedup.NewTable(anvildedup.WithMostIDs(d.limits.IDs))
+	return d
+}
+
+func (d *Desk) service(name anvilid.ServiceName) *service {
+	s, ok := d.services[name]
+	if !ok {
+		s = &service{
+			queue:  anvilqueue.New(anvilqueue.WithBound(d.limits.Queue)),
+			budget: anvilretry.NewBudget(d.clock.Now()),
+		}
+		d.services[name] = s
+	}
+	return s
+}
+
+// Drain refuses all new requests from now on.
+func (d *Desk) Drain() { d.draining.Store(true) }
+
+// Admitted returns the number of requests that were taken and not answered.
+func (d *Desk) Admitted() int64 { return d.admitted.Load() }
+
+// Queued returns the number of waiting requests of each service.
+func (d *Desk) Queued() map[anvilid.ServiceName]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	queued := map[anvilid.ServiceName]int{}
+	for name, s := range d.services {
+		queued[name] = s.queue.Len()
+	}
+	return queued
+}
+
+// Counts returns the totals of answers by outcome and code.
+func (d *Desk) Counts() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := make(map[string]int64, len(d.counts))
+	for key, count := range d.counts {
+		counts[key] = count
+	}
+	return counts
+}
+
+func (d *Desk) count(answer anvilrequest.Answer) {
+	key := string(answer.Outcome)
+	if answer.Code != "" {
+		key += "_" + string(answer.Code)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts[key]++
+}
+
+// InstanceGone notes that a run of an instance has ended.
+func (d *Desk) InstanceGone(id anvilid.InstanceID, incarnation anvilid.Incarnation) {
+	holder := anvildedup.Holder{Instance: id, Incarnation: incarnation}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.kept.HolderGone(holder)
+}
--- /dev/null
+++ b/io/anvildesk/keeper.go
@@ -0,0 +1,179 @@
+package anvildesk
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvildedup"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilrpc"
+)
+
+// keepersTried bounds the keepers asked for one request. If none answers, the
+// request runs without a record, which may run it twice; it is repeatable.
+const keepersTried = 2
+
+// recordTimeout bounds one call to a keeper.
+const recordTimeout = 250 * anvilclock.Millisecond
+
+// repeatable runs a request whose id the caller chose and that may be
+// repeated. The keeper of the id knows whether another instance holds it.
+func (d *Desk) repeatable(ctx context.Context, request *anvilrequest.Request) anvilrequest.Answer {
+	if id, ok := issuer(request.ID); ok {
+		if answer, ok := d.fetchFrom(ctx, request, id); ok {
+			return answer
+		}
+		return d.hold(ctx, request, 0)
+	}
+	keeper, reply := d.recordAtKeeper(ctx, request)
+	switch reply.State {
+	case anvilrpc.RecordState_RECORD_CONFLICT:
+		return reused(request.ID)
+	case anvilrpc.RecordState_RECORD_HELD:
+		if holder := anvilid.InstanceID(reply.Holder); holder != d.self.Instance {
+			if answer, ok := d.fetchFrom(ctx, request, holder); ok {
+				return answer
+			}
+		}
+	}
+	answer := d.hold(ctx, request, 0)
+	if answer.Outcome == anvilrequest.NotRun && reply.State == anvilrpc.RecordState_RECORD_NEW {
+		d.forgetAtKeeper(keeper, request)
+	}
+	return answer
+}
+
+// recordAtKeeper notes the request at the first keeper that answers.
+func (d *Desk) recordAtKeeper(ctx context.Context, request *anvilrequest.Request) (anvilid.Address, *anvilrpc.RecordReply) {
+	digest := digestOf(request)
+	record := &anvilrpc.RecordRequest{
+		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID), Digest: digest[:],
+		Holder: string(d.self.Instance), Incarnation: uint64(d.self.Incarnation),
+	}
+	keepers := d.keepers(keyOf(request))
+	for _, keeper := range keepers[:min(len(keepers), keepersTried)] {
+		if keeper.ID == d.self.Instance {
+			return "", d.Record(record)
+		}
+		call, cancel := context.WithTimeout(ctx, recordTimeout.Duration())
+		reply, err := d.record(keeper.Peer).Record(call, record)
+		cancel()
+		if err == nil {
+			return keeper.Peer, reply
+		}
+	}
+	return "", &anvilrpc.RecordReply{}
+}
+
+// forgetAtKeeper tells the keeper that the request has not run. The answer
+// isn't awaited; a record that stays leads resends here, where the request is
+// not held and may run.
+func (d *Desk) forgetAtKeeper(keeper anvilid.Address, request *anvilrequest.Request) {
+	record := &anvilrpc.RecordRequest{
+		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID),
+		Holder: string(d.self.Instance), Incarnation: uint64(d.self.Incarnation), Forget: true,
+	}
+	if keeper == "" {
+		d.Record(record)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout.Duration())
+		defer cancel()
+		_, _ = d.record(keeper).Record(ctx, record)
+	}()
+}
+
+// Record notes a request id that this instance keeps for the region.
+func (d *Desk) Record(request *anvilrpc.RecordRequest) *anvilrpc.RecordReply {
+	key := anvildedup.Key{
+		Account: anvilid.AccountID(request.Account), Service: anvilid.ServiceName(request.Service),
+		ID: anvilid.RequestID(request.Id),
+	}
+	holder := anvildedup.Holder{
+		Instance: anvilid.InstanceID(request.Holder), Incarnation: anvilid.Incarnation(request.Incarnation),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if request.Forget {
+		d.kept.Forget(key, holder)
+		return &anvilrpc.RecordReply{}
+	}
+	var digest anvildedup.Digest
+	copy(digest[:], request.Digest)
+	found := d.kept.Begin(d.clock.Now(), key, digest, holder)
+	reply := &anvilrpc.RecordReply{Holder: string(found.Holder.Instance), Incarnation: uint64(found.Holder.Incarnation)}
+	switch found.State {
+	case anvildedup.New:
+		reply.State = anvilrpc.RecordState_RECORD_NEW
+	case anvildedup.Conflict:
+		reply.State = anvilrpc.RecordState_RECORD_CONFLICT
+	case anvildedup.Full:
+		reply.State = anvilrpc.RecordState_RECORD_FULL
+	default:
+		reply.State = anvilrpc.RecordState_RECORD_HELD
+	}
+	return reply
+}
+
+// keepers ranks the instances of the region for a key by rendezvous hashing:
+// when an instance joins or leaves, only the keys that it keeps move.
+func (d *Desk) keepers(key anvildedup.Key) []anvilstate.Instance {
+	var ranked []anvilstate.Instance
+	for _, instance := range d.directory.Instances() {
+		if instance.Region == d.self.Region {
+			ranked = append(ranked, instance)
+		}
+	}
+	weight := func(instance anvilstate.Instance) uint64 {
+		var hash xxh3.Hasher
+		for _, part := range []string{string(key.Account), string(key.Service), string(key.ID), string(instance.ID)} {
+			var length [4]byte
+			binary.LittleEndian.PutUint32(length[:], uint32(len(part)))
+			_, _ = hash.Write(length[:])
+			_, _ = hash.WriteString(part)
+		}
+		return hash.Sum64()
+	}
+	slices.SortFunc(ranked, func(a, b anvilstate.Instance) int {
+		if weight(a) > weight(b) {
+			return -1
+		}
+		return 1
+	})
+	return ranked
+}
+
+// fetchFrom asks another instance for the answer that it holds.
+func (d *Desk) fetchFrom(ctx context.Context, request *anvilrequest.Request, holder anvilid.InstanceID) (anvilrequest.Answer, bool) {
+	if holder == d.self.Instance {
+		return d.Fetch(ctx, keyOf(request), request.Deadline-d.clock.Now())
+	}
+	address, ok := d.addressOf(holder)
+	if !ok {
+		return anvilrequest.Answer{}, false
+	}
+	reply, err := d.fetch(address).Fetch(ctx, &anvilrpc.FetchRequest{
+		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID),
+		Remaining: int64(request.Deadline - d.clock.Now()),
+	})
+	if err != nil || !reply.Found {
+		return anvilrequest.Answer{}, false
+	}
+	return AnswerOf(reply.Answer), true
+}
+
+func (d *Desk) addressOf(id anvilid.InstanceID) (anvilid.Address, bool) {
+	for _, instance := range d.directory.Instances() {
+		if instance.ID == id {
+			return instance.Peer, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/io/anvildesk/route.go
@@ -0,0 +1,288 @@
+package anvildesk
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilqueue"
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/core/anvilretry"
+	"anvilshunt/core/anvilslot"
+	"anvilshunt/io/anvilrpc"
+)
+
+// A request is tried at most this often, counting tries that did not run.
+const mostTries = 4
+
+// hopLatency is taken off the remaining time of a forwarded request, the
+// one-way latency between regions.
+const hopLatency = 8 * anvilclock.Millisecond
+
+// grant is the way that the queue gives to a request: a slot of an own
+// target, or a peer with free slots.
+type grant struct {
+	lease  anvilslot.Lease
+	peer   anvilid.InstanceID
+	ticket *anvilqueue.Ticket
+	shed   bool
+}
+
+// route brings a request to a target. A repeatable request is tried again
+// within the retry budget; any other is sent at most once.
+func (d *Desk) route(ctx context.Context, request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
+	var answer anvilrequest.Answer
+	for try := 1; ; try++ {
+		answer = d.try(ctx, request, token)
+		if !d.worthRetry(request, answer, try) {
+			return answer
+		}
+	}
+}
+
+func (d *Desk) worthRetry(request *anvilrequest.Request, answer anvilrequest.Answer, try int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	budget := d.service(request.Service).budget
+	failed := answer.Outcome == anvilrequest.Unknown || answer.Outcome == anvilrequest.Done && answer.Status >= 500
+	if answer.Outcome == anvilrequest.Done && !failed {
+		budget.Succeeded()
+		return false
+	}
+	now := d.clock.Now()
+	refused := answer.Outcome == anvilrequest.NotRun &&
+		(answer.Code == anvilrequest.CodeNoTarget || answer.Code == anvilrequest.CodeFull)
+	if try >= mostTries || !refused && !(failed && request.Repeatable) {
+		return false
+	}
+	return anvilretry.Deadline(request.Deadline).Remaining(now) > 0 && budget.Spend(now)
+}
+
+// try queues the request and sends it where a slot is free.
+func (d *Desk) try(ctx context.Context, request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
+	granted := make(chan grant, 1)
+	ticket, verdict := d.push(request, granted)
+	if ticket == nil {
+		return refusal(request, verdict)
+	}
+	d.pump(request.Service)
+	select {
+	case way := <-granted:
+		return d.follow(ctx, request, token, way)
+	case <-ctx.Done():
+	}
+	return d.giveUp(ctx, request, token, ticket, granted)
+}
+
+func (d *Desk) push(request *anvilrequest.Request, granted chan grant) (*anvilqueue.Ticket, anvilqueue.Verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	queue := d.service(request.Service).queue
+	if account := d.directory.Account(request.Account); account != nil {
+		queue.SetWeight(request.Account, account.Weight)
+	}
+	return queue.Push(d.clock.Now(), anvilqueue.Request{
+		Account: request.Account, Deadline: request.Deadline, Payload: granted,
+	})
+}
+
+// giveUp takes an expired request out of the queue. If it was granted a slot
+// at the same moment, the grant is given back.
+func (d *Desk) giveUp(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, ticket *anvilqueue.Ticket, granted chan grant) anvilrequest.Answer {
+	d.mu.Lock()
+	cancelled := d.service(request.Service).queue.Cancel(d.clock.Now(), ticket)
+	d.mu.Unlock()
+	if !cancelled {
+		return d.follow(ctx, request, token, <-granted)
+	}
+	return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
+}
+
+func refusal(request *anvilrequest.Request, verdict anvilqueue.Verdict) anvilrequest.Answer {
+	switch verdict {
+	case anvilqueue.Full:
+		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "the queue of client account %q is full", request.Account)
+	case anvilqueue.Hopeless:
+		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "requests to service %q usually take longer than the timeout", request.Service)
+	}
+	return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "the expected wait exceeds the timeout")
+}
+
+// pump grants free slots to waiting requests, own targets before peers.
+func (d *Desk) pump(name anvilid.ServiceName) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(name)
+	for s.queue.Len() > 0 {
+		way, ok := d.way(name, s)
+		if !ok {
+			return
+		}
+		ticket := s.queue.Pop(d.clock.Now())
+		for _, dropped := range s.queue.Dropped() {
+			dropped.Payload.(chan grant) <- grant{shed: true}
+		}
+		if ticket == nil {
+			d.giveBack(way)
+			return
+		}
+		way.ticket = ticket
+		ticket.Payload.(chan grant) <- way
+	}
+}
+
+// way finds a free slot of the service.
+func (d *Desk) way(name anvilid.ServiceName, s *service) (grant, bool) {
+	if lease, ok := d.runner.Acquire(name); ok {
+		return grant{lease: lease}, true
+	}
+	for i := range s.peers {
+		if s.peers[i].free > 0 {
+			s.peers[i].free--
+			return grant{peer: s.peers[i].instance}, true
+		}
+	}
+	return grant{}, false
+}
+
+func (d *Desk) giveBack(way grant) {
+	if way.peer == "" {
+		d.runner.Release(way.lease)
+	}
+}
+
+// follow sends a request on the way that it was granted.
+func (d *Desk) follow(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, way grant) anvilrequest.Answer {
+	if way.shed {
+		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "the wait exceeded the timeout")
+	}
+	var answer anvilrequest.Answer
+	switch {
+	case ctx.Err() != nil:
+		d.giveBack(way)
+		answer = anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
+	case way.peer != "":
+		answer = d.forward(ctx, request, token, way.peer)
+	default:
+		lease := way.lease
+		if request.Repeatable {
+			lease = d.runner.Probe(lease, request.Service)
+		}
+		answer = d.runner.Dispatch(ctx, lease, request, token)
+	}
+	d.mu.Lock()
+	d.service(request.Service).queue.Done(d.clock.Now(), way.ticket, answer.Outcome != anvilrequest.NotRun)
+	d.mu.Unlock()
+	d.pump(request.Service)
+	return answer
+}
+
+// forward sends a request to a peer that owns a target with a free slot.
+func (d *Desk) forward(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, peer anvilid.InstanceID) anvilrequest.Answer {
+	address, ok := d.addressOf(peer)
+	if !ok {
+		return anvilrequest.Refuse(anvilrequest.CodeFull, "instance %q has left", peer)
+	}
+	reply, err := d.peer(address).Run(ctx, &anvilrpc.RunRequest{
+		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID),
+		Token: uint64(token), Repeatable: request.Repeatable,
+		Remaining:   int64(anvilretry.Deadline(request.Deadline).Hop(d.clock.Now(), hopLatency)),
+		ContentType: request.ContentType, Body: request.Body,
+	})
+	if err != nil {
+		d.hear(request.Service, peer, 0)
+		if notConnected(err) {
+			return anvilrequest.Refuse(anvilrequest.CodeFull, "instance %q can't be reached", peer)
+		}
+		return anvilrequest.Lost(anvilrequest.CodeLostAnswer, "instance %q did not answer: %v", peer, err)
+	}
+	d.hear(request.Service, peer, int(reply.Free))
+	return AnswerOf(reply)
+}
+
+// notConnected tells whether a call failed before a connection stood, so that
+// the peer can't have seen it.
+func notConnected(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
+// hear notes the free slots that a peer has told of.
+func (d *Desk) hear(name anvilid.ServiceName, peer anvilid.InstanceID, free int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peers := d.service(name).peers
+	for i := range peers {
+		if peers[i].instance == peer {
+			peers[i].free = free
+		}
+	}
+}
+
+// RunForPeer runs a request that a peer forwarded, if a slot is free and no
+// own request waits for it. It is never forwarded again.
+func (d *Desk) RunForPeer(request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
+	if d.draining.Load() {
+		return anvilrequest.Refuse(anvilrequest.CodeFull, "instance %q is shutting down", d.self.Instance)
+	}
+	d.admitted.Add(1)
+	defer d.admitted.Add(-1)
+	d.mu.Lock()
+	waiting := d.service(request.Service).queue.Len()
+	d.mu.Unlock()
+	if waiting > 0 {
+		return anvilrequest.Refuse(anvilrequest.CodeFull, "requests wait at instance %q", d.self.Instance)
+	}
+	lease, ok := d.runner.Acquire(request.Service)
+	if !ok {
+		return anvilrequest.Refuse(anvilrequest.CodeFull, "instance %q has no free slot", d.self.Instance)
+	}
+	ctx, cancel := d.until(request.Deadline)
+	defer cancel()
+	answer := d.runner.Dispatch(ctx, lease, request, token)
+	d.pump(request.Service)
+	return answer
+}
+
+// Freed grants slots that became free.
+func (d *Desk) Freed(name anvilid.ServiceName) { d.pump(name) }
+
+// Hear takes in the loads of all instances. Peers of the own region come
+// first; others count only for services without a target in the region.
+func (d *Desk) Hear(loads []*anvilrpc.InstanceLoad) {
+	regions := map[anvilid.InstanceID]anvilid.RegionName{}
+	for _, instance := range d.directory.Instances() {
+		regions[instance.ID] = instance.Region
+	}
+	peers := map[anvilid.ServiceName][]hint{}
+	for _, instance := range loads {
+		id := anvilid.InstanceID(instance.Instance)
+		region, known := regions[id]
+		if !known || id == d.self.Instance {
+			continue
+		}
+		for _, load := range instance.Load {
+			name := anvilid.ServiceName(load.Service)
+			if region == d.self.Region || !d.directory.Local(name) {
+				peers[name] = append(peers[name], hint{instance: id, free: int(load.Free)})
+			}
+		}
+	}
+	d.setPeers(peers)
+	for name := range peers {
+		d.pump(name)
+	}
+}
+
+func (d *Desk) setPeers(peers map[anvilid.ServiceName][]hint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.peers = nil
+	}
+	for name, hints := range peers {
+		d.service(name).peers = hints
+	}
+}
