--- /dev/null
+++ b/core/anvilconfig/diff.go
@@ -0,0 +1,32 @@
+package anvilconfig
+
+import "slices"
+
+// Difference is one object that two configurations hold differently. Old is
+// nil if it was added and New is nil if it was deleted.
+type Difference struct {
+	Key
+	Old *Object `json:"old,omitempty"`
+	New *Object `json:"new,omitempty"`
+}
+
+// Diff lists the objects that differ, in the order of their keys.
+func Diff(from, to Snapshot) []Difference {
+	var differences []Difference
+	for key, object := range from.Objects {
+		after, ok := to.Objects[key]
+		switch {
+		case !ok:
+			differences = append(differences, Difference{Key: key, Old: &object})
+		case !object.Same(after):
+			differences = append(differences, Difference{Key: key, Old: &object, New: &after})
+		}
+	}
+	for key, object := range to.Objects {
+		if _, ok := from.Objects[key]; !ok {
+			differences = append(differences, Difference{Key: key, New: &object})
+		}
+	}
+	slices.SortFunc(differences, func(a, b Difference) int { return a.Compare(b.Key) })
+	return differences
+}
--- /dev/null
+++ b/core/anvilconfig/format.go
@@ -0,0 +1,101 @@
+package anvilconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"anvilshunt/core/anvilid"
+)
+
+// ErrFormat reports JSON that isn't a configuration object.
+var ErrFormat = errors.New("invalid object")
+
+// specs returns the addresses of the specs by kind.
+func (o *Object) specs() map[Kind]any {
+	return map[Kind]any{KindAccount: &o.Account, KindGuarantee: &o.Guarantee, KindShape: &o.Shape, KindService: &o.Service}
+}
+
+// MarshalJSON writes the form that operators use: kind, name and spec.
+func (o Object) MarshalJSON() ([]byte, error) {
+	form := struct {
+		Key
+		Spec     any              `json:"spec"`
+		Revision anvilid.Revision `json:"revision,omitempty"`
+	}{Key: o.Key, Revision: o.Revision}
+	form.Spec = o.specs()[o.Kind]
+	return json.Marshal(form)
+}
+
+// UnmarshalJSON reads what operators write. Unknown fields are refused. A
+// revision is accepted, so that listed objects can be sent back.
+func (o *Object) UnmarshalJSON(data []byte) error {
+	var form struct {
+		Key
+		Spec     json.RawMessage  `json:"spec"`
+		Revision anvilid.Revision `json:"revision"`
+	}
+	if err := strict(data, &form); err != nil {
+		return fmt.Errorf("%w: %w; use the fields kind, name and spec", ErrFormat, err)
+	}
+	*o = Object{Key: form.Key, Revision: form.Revision}
+	spec, ok := o.specs()[form.Kind]
+	if !ok || len(form.Spec) == 0 {
+		return nil // Check reports a wrong kind or a missing spec
+	}
+	if err := strict(form.Spec, spec); err != nil {
+		return fmt.Errorf("%w: spec of %s %q: %w", ErrFormat, form.Kind, form.Name, err)
+	}
+	return nil
+}
+
+// strict decodes one JSON value without unknown fields.
+func strict(data []byte, value any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("there is text after the value")
+	}
+	return nil
+}
+
+// ParseChange reads a change set as operators send it and reports every
+// object that can't be read.
+func ParseChange(data []byte) (Change, []Problem) {
+	var found problems
+	var form struct {
+		ID       anvilid.ChangeID   `json:"id"`
+		Operator anvilid.OperatorID `json:"operator"`
+		Base     anvilid.Revision   `json:"base"`
+		Set      []json.RawMessage  `json:"set"`
+		Delete   []json.RawMessage  `json:"delete"`
+	}
+	if err := strict(data, &form); err != nil {
+		found.add(Key{}, "", CodeBadFormat, "the change set can't be read: %v; use the fields id, operator, base, set and delete", err)
+		return Change{}, found
+	}
+	change := Change{ID: form.ID, Operator: form.Operator, Base: form.Base}
+	for i, raw := range form.Set {
+		var object Object
+		if err := object.UnmarshalJSON(raw); err != nil {
+			found.add(object.Key, fmt.Sprintf("set[%d]", i), CodeBadFormat, "%v", err)
+			continue
+		}
+		object.Revision = 0
+		change.Set = append(change.Set, object)
+	}
+	for i, raw := range form.Delete {
+		var key Key
+		if err := strict(raw, &key); err != nil {
+			found.add(key, fmt.Sprintf("delete[%d]", i), CodeBadFormat, "%v; use the fields kind and name", err)
+			continue
+		}
+		change.Delete = append(change.Delete, key)
+	}
+	return change, found
+}
--- /dev/null
+++ b/core/anvilconfig/inventory.go
@@ -0,0 +1,32 @@
+package anvilconfig
+
+import "anvilshunt/core/anvilid"
+
+// Inventory returns the targets of a service that can receive work, grouped
+// by zone and rack. The order must not depend on map iteration, because it
+// decides the placement.
+type Inventory func(service anvilid.ServiceName) []Zone
+
+// Zone is an availability zone.
+type Zone struct {
+	Region anvilid.RegionName
+	Name   anvilid.ZoneName
+	Racks  []Rack
+}
+
+// Rack is a rack within a zone.
+type Rack struct {
+	Name    anvilid.RackName
+	Targets []Target
+}
+
+// Target is a target with its accelerators.
+type Target struct {
+	ID           anvilid.TargetID
+	Accelerators anvilid.AcceleratorCount
+}
+
+// FixedInventory returns an inventory with the given content.
+func FixedInventory(services map[anvilid.ServiceName][]Zone) Inventory {
+	return func(service anvilid.ServiceName) []Zone { return services[service] }
+}
--- a/core/anvilconfig/object.go
+++ b/core/anvilconfig/object.go
@@ -20,18 +20,18 @@
 
 // Key names one object.
 type Key struct {
-	Kind Kind               `json:"kind"`
-	Name anvilid.ObjectName `json:"name"`
+	Kind Kind               `cbor:"1,keyasint" json:"kind"`
+	Name anvilid.ObjectName `cbor:"2,keyasint" json:"name"`
 }
 
 // Account is a client account. Accounts may form a tree.
 type Account struct {
 	// Weight is the account's part in fair shares; at least 1.
-	Weight int `json:"weight"`
+	Weight int `cbor:"1,keyasint" json:"weight"`
 	// Parent is the account whose share this account divides with others.
-	Parent anvilid.AccountID `json:"parent,omitempty"`
+	Parent anvilid.AccountID `cbor:"2,keyasint,omitempty" json:"parent,omitempty"`
 	// Services that the account may use; none means all.
-	Services []anvilid.ServiceName `json:"services,omitempty"`
+	Services []anvilid.ServiceName `cbor:"3,keyasint,omitempty" json:"services,omitempty"`
 }
 
 // Extent says how close to each other the accelerators of a shape must be.
@@ -46,48 +46,48 @@
 
 // Shape is a set of adjacent accelerators.
 type Shape struct {
-	Accelerators anvilid.AcceleratorCount `json:"accelerators"`
-	Within       Extent                   `json:"within"`
+	Accelerators anvilid.AcceleratorCount `cbor:"1,keyasint" json:"accelerators"`
+	Within       Extent                   `cbor:"2,keyasint" json:"within"`
 }
 
 // Guarantee promises an account that it can always place count gangs of a
 // shape at once.
 type Guarantee struct {
-	Account anvilid.AccountID   `json:"account"`
-	Service anvilid.ServiceName `json:"service"`
-	Shape   anvilid.ShapeName   `json:"shape"`
-	Count   int                 `json:"count"`
+	Account anvilid.AccountID   `cbor:"1,keyasint" json:"account"`
+	Service anvilid.ServiceName `cbor:"2,keyasint" json:"service"`
+	Shape   anvilid.ShapeName   `cbor:"3,keyasint" json:"shape"`
+	Count   int                 `cbor:"4,keyasint" json:"count"`
 }
 
 // Service is what a group of targets serves.
 type Service struct {
 	// Repeatable is the default for requests that don't say.
-	Repeatable bool `json:"repeatable,omitempty"`
+	Repeatable bool `cbor:"1,keyasint,omitempty" json:"repeatable,omitempty"`
 	// Timeout is the default deadline of a request.
-	Timeout anvilclock.Millis `json:"timeout"`
+	Timeout anvilclock.Millis `cbor:"2,keyasint" json:"timeout"`
 	// Body is the largest request body.
-	Body anvilid.ByteCount `json:"body"`
+	Body anvilid.ByteCount `cbor:"3,keyasint" json:"body"`
 	// Queue is the longest queue of one account at one instance.
-	Queue int `json:"queue,omitempty"`
+	Queue int `cbor:"4,keyasint,omitempty" json:"queue,omitempty"`
 }
 
 // Object is one named object. The field for its kind is set.
 type Object struct {
 	Key
-	Account   *Account   `json:"account,omitempty"`
-	Guarantee *Guarantee `json:"guarantee,omitempty"`
-	Shape     *Shape     `json:"shape,omitempty"`
-	Service   *Service   `json:"service,omitempty"`
+	Account   *Account   `cbor:"3,keyasint,omitempty" json:"account,omitempty"`
+	Guarantee *Guarantee `cbor:"4,keyasint,omitempty" json:"guarantee,omitempty"`
+	Shape     *Shape     `cbor:"5,keyasint,omitempty" json:"shape,omitempty"`
+	Service   *Service   `cbor:"6,keyasint,omitempty" json:"service,omitempty"`
 	// Revision is the revision that last changed the object.
-	Revision anvilid.Revision `json:"revision,omitempty"`
+	Revision anvilid.Revision `cbor:"7,keyasint,omitempty" json:"revision,omitempty"`
 }
 
 // Change is a change set. It is published whole or not at all.
 type Change struct {
-	ID       anvilid.ChangeID   `json:"id"`
-	Operator anvilid.OperatorID `json:"operator"`
+	ID       anvilid.ChangeID   `cbor:"1,keyasint" json:"id"`
+	Operator anvilid.OperatorID `cbor:"2,keyasint" json:"operator"`
 	// Base is the revision that the operator saw.
-	Base   anvilid.Revision `json:"base"`
-	Set    []Object         `json:"set,omitempty"`
-	Delete []Key            `json:"delete,omitempty"`
+	Base   anvilid.Revision `cbor:"3,keyasint" json:"base"`
+	Set    []Object         `cbor:"4,keyasint,omitempty" json:"set,omitempty"`
+	Delete []Key            `cbor:"5,keyasint,omitempty" json:"delete,omitempty"`
 }
--- /dev/null
+++ b/core/anvilconfig/problem.go
@@ -0,0 +1,51 @@
+package anvilconfig
+
+import (
+	"fmt"
+
+	"anvilshunt/core/anvilid"
+)
+
+// Codes of problems. They are stable.
+const (
+	CodeMissing    = "missing"
+	CodeDoubled    = "doubled"
+	CodeBadName    = "bad_name"
+	CodeBadKind    = "bad_kind"
+	CodeBadValue   = "bad_value"
+	CodeBadFormat  = "bad_format"
+	CodeDangling   = "dangling_reference"
+	CodeCircular   = "circular_parent"
+	CodeInUse      = "in_use"
+	CodeNotFound   = "not_found"
+	CodeNoEffect   = "no_effect"
+	CodeUnplaced   = "guarantee_unplaced"
+	CodeNoTargets  = "no_targets"
+	CodeNotAllowed = "not_allowed"
+)
+
+// Problem is one reason why a change set can't be published. Kind and Name
+// are empty if the change set itself is at fault.
+type Problem struct {
+	Kind  Kind               `cbor:"1,keyasint,omitempty" json:"kind,omitempty"`
+	Name  anvilid.ObjectName `cbor:"2,keyasint,omitempty" json:"name,omitempty"`
+	Field string             `cbor:"3,keyasint,omitempty" json:"field,omitempty"`
+	Code  string             `cbor:"4,keyasint" json:"code"`
+	// Text says what is wrong and what to do.
+	Text string `cbor:"5,keyasint" json:"error"`
+}
+
+// Error formats the problem for people.
+func (p Problem) Error() string {
+	if p.Kind == "" {
+		return "change set: " + p.Text
+	}
+	return fmt.Sprintf("%s %q: %s", p.Kind, p.Name, p.Text)
+}
+
+// problems collects what is wrong with a change set.
+type problems []Problem
+
+func (p *problems) add(key Key, field, code, format string, args ...any) {
+	*p = append(*p, Problem{Kind: key.Kind, Name: key.Name, Field: field, Code: code, Text: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/core/anvilconfig/snapshot.go
@@ -0,0 +1,95 @@
+package anvilconfig
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	"anvilshunt/core/anvilid"
+)
+
+// Snapshot is the configuration at one revision. Readers must not modify the
+// specs of its objects.
+type Snapshot struct {
+	Revision anvilid.Revision
+	Objects  map[Key]Object
+}
+
+// NewSnapshot returns a configuration of the given objects.
+func NewSnapshot(revision anvilid.Revision, objects ...Object) Snapshot {
+	s := Snapshot{Revision: revision, Objects: make(map[Key]Object, len(objects))}
+	for _, object := range objects {
+		s.Objects[object.Key] = object
+	}
+	return s
+}
+
+// Account returns the spec of an account, or nil.
+func (s Snapshot) Account(name anvilid.AccountID) *Account {
+	return s.Objects[Key{KindAccount, anvilid.ObjectName(name)}].Account
+}
+
+// Service returns the spec of a service, or nil.
+func (s Snapshot) Service(name anvilid.ServiceName) *Service {
+	return s.Objects[Key{KindService, anvilid.ObjectName(name)}].Service
+}
+
+// Shape returns the spec of a shape, or nil.
+func (s Snapshot) Shape(name anvilid.ShapeName) *Shape {
+	return s.Objects[Key{KindShape, anvilid.ObjectName(name)}].Shape
+}
+
+// Guarantee returns the spec of a guarantee, or nil.
+func (s Snapshot) Guarantee(name anvilid.ObjectName) *Guarantee {
+	return s.Objects[Key{KindGuarantee, name}].Guarantee
+}
+
+// List returns all objects in the order of their keys.
+func (s Snapshot) List() []Object {
+	objects := make([]Object, 0, len(s.Objects))
+	for _, object := range s.Objects {
+		objects = append(objects, object)
+	}
+	slices.SortFunc(objects, func(a, b Object) int { return a.Compare(b.Key) })
+	return objects
+}
+
+// Publish applies a change set in place and gives its objects the revision.
+// The change must have passed Check.
+func (s *Snapshot) Publish(change Change, revision anvilid.Revision) {
+	if s.Objects == nil {
+		s.Objects = map[Key]Object{}
+	}
+	for _, key := range change.Delete {
+		delete(s.Objects, key)
+	}
+	for _, object := range change.Set {
+		if old, ok := s.Objects[object.Key]; ok && old.Same(object) {
+			continue // an unchanged object keeps the revision that set it
+		}
+		object.Revision = revision
+		s.Objects[object.Key] = object
+	}
+	s.Revision = revision
+}
+
+// Compare orders keys by kind and name.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.Name, other.Name))
+}
+
+// Same tells whether two objects have the same key and spec.
+func (o Object) Same(other Object) bool {
+	o.Revision, other.Revision = 0, 0
+	return reflect.DeepEqual(o.normal(), other.normal())
+}
+
+// normal makes an empty list of services equal to a missing one.
+func (o Object) normal() Object {
+	if o.Account != nil && len(o.Account.Services) == 0 {
+		account := *o.Account
+		account.Services = nil
+		o.Account = &account
+	}
+	return o
+}
--- /dev/null
+++ b/core/anvilconfig/verify.go
@@ -0,0 +1,104 @@
+package anvilconfig
+
+import (
+	"errors"
+	"fmt"
+
+	"anvilshunt/core/anvilid"
+)
+
+// ErrPlacement reports a placement that doesn't prove what it should.
+var ErrPlacement = errors.New("invalid placement")
+
+// Verify checks a placement of the guarantees of one service independently
+// of how it was found: every gang is there, large enough and close enough
+// together, and no accelerator is used twice.
+func Verify(placement Placement, snapshot Snapshot, service anvilid.ServiceName, zones []Zone) error {
+	v := verifier{places: map[anvilid.TargetID]place{}, used: map[slot]bool{}}
+	for i, zone := range zones {
+		for _, rack := range zone.Racks {
+			v.racks++
+			for _, target := range rack.Targets {
+				v.places[target.ID] = place{target: target, rack: v.racks, zone: i}
+			}
+		}
+	}
+	found := map[gangID]bool{}
+	for _, gang := range placement {
+		guarantee := snapshot.Guarantee(gang.Guarantee)
+		if guarantee == nil || guarantee.Service != service {
+			continue
+		}
+		if err := v.gang(gang, snapshot.Shape(guarantee.Shape)); err != nil {
+			return err
+		}
+		found[gangID{gang.Guarantee, gang.Number}] = true
+	}
+	for key, object := range snapshot.Objects {
+		if object.Guarantee == nil || object.Guarantee.Service != service {
+			continue
+		}
+		for number := range object.Guarantee.Count {
+			if !found[gangID{key.Name, number}] {
+				return fmt.Errorf("%w: gang %d of guarantee %q has no place", ErrPlacement, number, key.Name)
+			}
+		}
+	}
+	return nil
+}
+
+type gangID struct {
+	guarantee anvilid.ObjectName
+	number    int
+}
+
+type slot struct {
+	target anvilid.TargetID
+	number anvilid.AcceleratorCount
+}
+
+type place struct {
+	target     Target
+	rack, zone int
+}
+
+type verifier struct {
+	places map[anvilid.TargetID]place
+	used   map[slot]bool
+	racks  int
+}
+
+func (v *verifier) gang(gang Gang, shape *Shape) error {
+	fail := func(format string, args ...any) error {
+		return fmt.Errorf("%w: gang %d of guarantee %q: %s", ErrPlacement, gang.Number, gang.Guarantee, fmt.Sprintf(format, args...))
+	}
+	if len(gang.Parts) == 0 {
+		return fail("it has no parts")
+	}
+	if shape.Within == WithinWorker && len(gang.Parts) > 1 {
+		return fail("it spans %d targets", len(gang.Parts))
+	}
+	total := anvilid.AcceleratorCount(0)
+	first := v.places[gang.Parts[0].Target]
+	for _, part := range gang.Parts {
+		at, ok := v.places[part.Target]
+		if !ok || part.First < 0 || part.Accelerators < 1 || part.First+part.Accelerators > at.target.Accelerators {
+			return fail("target %q has no accelerators %d to %d", part.Target, part.First, part.First+part.Accelerators-1)
+		}
+		if shape.Within == WithinRack && at.rack != first.rack || at.zone != first.zone {
+			return fail("target %q is not within the same %s", part.Target, shape.Within)
+		}
+		for i := range part.Accelerators {
+			s := slot{part.Target, part.First + i}
+			if v.used[s] {
+				return fail("accelerator %d of target %q is used twice", s.number, s.target)
+			}
+			v.used[s] = true
+		}
+		total += part.Accelerators
+	}
+	if total < shape.Accelerators {
+		return fail("it has %d of %d accelerators", total, shape.Accelerators)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/anvilstate/capacity.go
@@ -0,0 +1,137 @@
+package anvilstate
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+type zoneKey struct {
+	region anvilid.RegionName
+	zone   anvilid.ZoneName
+}
+
+type rackKey struct {
+	zoneKey
+	rack anvilid.RackName
+}
+
+func zoneOf(target *Target) zoneKey { return zoneKey{target.Region, target.Zone} }
+func rackOf(target *Target) rackKey { return rackKey{zoneOf(target), target.Rack} }
+
+// capacity sums the accelerators of the registered targets of one service,
+// reserved or not. It is derived from the targets and not part of snapshots.
+type capacity struct {
+	targets targetSet
+	sizes   map[anvilid.AcceleratorCount]int
+	racks   map[rackKey]anvilid.AcceleratorCount
+	zones   map[zoneKey]anvilid.AcceleratorCount
+	// largest caches the largest sum by extent until a target changes.
+	largest map[anvilconfig.Extent]anvilid.AcceleratorCount
+}
+
+type capacities map[anvilid.ServiceName]*capacity
+
+// add counts a target in (by 1) or out (by -1).
+func (c capacities) add(target *Target, by int) {
+	of := c[target.Service]
+	if of == nil {
+		of = &capacity{
+			targets: targetSet{},
+			sizes:   map[anvilid.AcceleratorCount]int{},
+			racks:   map[rackKey]anvilid.AcceleratorCount{},
+			zones:   map[zoneKey]anvilid.AcceleratorCount{},
+		}
+		c[target.Service] = of
+	}
+	if by > 0 {
+		of.targets[target] = struct{}{}
+	} else {
+		delete(of.targets, target)
+	}
+	change := anvilid.AcceleratorCount(by) * target.Accelerators
+	addTo(of.sizes, target.Accelerators, by)
+	addTo(of.racks, rackOf(target), change)
+	addTo(of.zones, zoneOf(target), change)
+	of.largest = nil
+	if len(of.targets) == 0 {
+		delete(c, target.Service)
+	}
+}
+
+func addTo[K comparable, V ~int](sums map[K]V, key K, change V) {
+	if sums[key] += change; sums[key] == 0 {
+		delete(sums, key)
+	}
+}
+
+// largestOf returns the most accelerators that one target, rack or zone has.
+func (c capacities) largestOf(service anvilid.ServiceName, within anvilconfig.Extent) anvilid.AcceleratorCount {
+	of := c[service]
+	if of == nil {
+		return 0
+	}
+	if of.largest == nil {
+		of.largest = map[anvilconfig.Extent]anvilid.AcceleratorCount{}
+		for size := range of.sizes {
+			of.largest[anvilconfig.WithinWorker] = max(of.largest[anvilconfig.WithinWorker], size)
+		}
+		for _, sum := range of.racks {
+			of.largest[anvilconfig.WithinRack] = max(of.largest[anvilconfig.WithinRack], sum)
+		}
+		for _, sum := range of.zones {
+			of.largest[anvilconfig.WithinZone] = max(of.largest[anvilconfig.WithinZone], sum)
+		}
+	}
+	return of.largest[within]
+}
+
+// missing says why no set of registered targets could hold a gang even if all
+// were empty. It returns an empty text if one could.
+func (c capacities) missing(service anvilid.ServiceName, n anvilid.AcceleratorCount, within anvilconfig.Extent) string {
+	if c[service] == nil {
+		return fmt.Sprintf("service %q has no targets; start targets of the service first", service)
+	}
+	largest := c.largestOf(service, within)
+	if largest >= n {
+		return ""
+	}
+	return fmt.Sprintf("%d accelerators within one %s are needed and the largest %s of service %q has %d; add %d there or ask for less",
+		n, within, within, service, largest, n-largest)
+}
+
+// Inventory returns the targets of a service that aren't leaving, by zone and
+// rack.
+func (m *Machine) Inventory(service anvilid.ServiceName) []anvilconfig.Zone {
+	of := m.capacity[service]
+	if of == nil {
+		return nil
+	}
+	targets := make([]*Target, 0, len(of.targets))
+	for target := range of.targets {
+		if !target.Leaving {
+			targets = append(targets, target)
+		}
+	}
+	slices.SortFunc(targets, func(a, b *Target) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
+	})
+	var zones []anvilconfig.Zone
+	var before *Target
+	for _, target := range targets {
+		if before == nil || zoneOf(before) != zoneOf(target) {
+			zones = append(zones, anvilconfig.Zone{Region: target.Region, Name: target.Zone})
+		}
+		zone := &zones[len(zones)-1]
+		if len(zone.Racks) == 0 || zone.Racks[len(zone.Racks)-1].Name != target.Rack {
+			zone.Racks = append(zone.Racks, anvilconfig.Rack{Name: target.Rack})
+		}
+		rack := &zone.Racks[len(zone.Racks)-1]
+		rack.Targets = append(rack.Targets, anvilconfig.Target{ID: target.ID, Accelerators: target.Accelerators})
+		before = target
+	}
+	return zones
+}
--- /dev/null
+++ b/core/anvilstate/changes.go
@@ -0,0 +1,55 @@
+package anvilstate
+
+import (
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// change notes that an object changed at an index. One of the names is set.
+type change struct {
+	Index    anvilid.Index      `cbor:"1,keyasint"`
+	Instance anvilid.InstanceID `cbor:"2,keyasint,omitempty"`
+	Target   anvilid.TargetID   `cbor:"3,keyasint,omitempty"`
+	Object   anvilconfig.Key    `cbor:"4,keyasint,omitempty"`
+}
+
+// changeRing keeps the latest changes in order.
+type changeRing struct {
+	items []change
+	// floor is the index of the latest change that was dropped.
+	floor anvilid.Index
+	// window is the number of changes that are kept at least. An instance
+	// that is further behind receives the whole view.
+	window int
+}
+
+func (r *changeRing) add(c change) {
+	if n := len(r.items); n > 0 && r.items[n-1] == c {
+		return // one command may note an object several times
+	}
+	r.items = append(r.items, c)
+	if drop := len(r.items) - r.window; drop > r.window {
+		r.floor = r.items[drop-1].Index
+		r.items = append([]change(nil), r.items[drop:]...)
+	}
+}
+
+func (m *Machine) noteInstance(id anvilid.InstanceID) {
+	m.changes.add(change{Index: m.index, Instance: id})
+}
+
+func (m *Machine) noteTarget(id anvilid.TargetID) {
+	m.changes.add(change{Index: m.index, Target: id})
+}
+
+func (m *Machine) noteObject(key anvilconfig.Key) {
+	m.changes.add(change{Index: m.index, Object: key})
+}
+
+// Changed returns the index of the latest change that views show.
+func (m *Machine) Changed() anvilid.Index {
+	if len(m.changes.items) == 0 {
+		return m.changes.floor
+	}
+	return m.changes.items[len(m.changes.items)-1].Index
+}
--- a/core/anvilstate/codec.go
+++ b/core/anvilstate/codec.go
@@ -9,6 +9,20 @@
 // encoder writes maps in sorted order, so that equal values have equal bytes.
 var encoder = mustEncoder()
 
+// decoder accepts the large arrays of snapshots. The default limit is 131,072
+// elements, and a snapshot may hold 200,000 claims.
+var decoder = mustDecoder()
+
+const maxElements = 1 << 24
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
 func mustEncoder() cbor.EncMode {
 	mode, err := cbor.CanonicalEncOptions().EncMode()
 	if err != nil {
@@ -28,7 +42,7 @@
 
 // Decode reads what Encode wrote.
 func Decode(data []byte, value any) error {
-	if err := cbor.Unmarshal(data, value); err != nil {
+	if err := decoder.Unmarshal(data, value); err != nil {
 		return fmt.Errorf("decode %T: %w", value, err)
 	}
 	return nil
--- a/core/anvilstate/command.go
+++ b/core/anvilstate/command.go
@@ -29,6 +29,8 @@
 	Cancel   *CancelJob          `cbor:"13,keyasint,omitempty"`
 	Place    *PlaceJob           `cbor:"14,keyasint,omitempty"`
 	Advance  *AdvanceJob         `cbor:"15,keyasint,omitempty"`
+	// Rebalance spreads targets after an instance has joined.
+	Rebalance *Rebalance `cbor:"16,keyasint,omitempty"`
 }
 
 // Instance is one instance of the system.
@@ -83,6 +85,9 @@
 	Epoch anvilid.Epoch      `cbor:"13,keyasint,omitempty" json:"epoch,omitempty"`
 	// Next takes the target over once the owner has released it.
 	Next anvilid.InstanceID `cbor:"14,keyasint,omitempty" json:"next,omitempty"`
+	// Reserved is the number of slots that placed jobs use. The owner gives
+	// them to no short request.
+	Reserved anvilid.SlotCount `cbor:"15,keyasint,omitempty" json:"reserved,omitempty"`
 }
 
 // RegisterTarget adds a target, or a new run of a known one.
@@ -110,6 +115,13 @@
 	Epoch anvilid.Epoch      `cbor:"3,keyasint"`
 }
 
+// Rebalance hands targets over from the instances that have the most to those
+// that have the fewest. Limit bounds the targets handed over by one command;
+// zero means defaultMoves.
+type Rebalance struct {
+	Limit int `cbor:"1,keyasint,omitempty"`
+}
+
 // RequestKey identifies a request that may not be repeated.
 type RequestKey struct {
 	Account anvilid.AccountID   `cbor:"1,keyasint"`
--- /dev/null
+++ b/core/anvilstate/job.go
@@ -0,0 +1,119 @@
+package anvilstate
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// Job is the record of a long job.
+type Job struct {
+	ID           anvilid.JobID            `cbor:"1,keyasint" json:"id"`
+	Account      anvilid.AccountID        `cbor:"2,keyasint" json:"account"`
+	Service      anvilid.ServiceName      `cbor:"3,keyasint" json:"service"`
+	Shape        anvilid.ShapeName        `cbor:"4,keyasint,omitempty" json:"shape,omitempty"`
+	Accelerators anvilid.AcceleratorCount `cbor:"5,keyasint" json:"accelerators"`
+	// Within is taken from the shape when the job is submitted.
+	Within   anvilconfig.Extent `cbor:"6,keyasint" json:"within"`
+	Estimate anvilclock.Millis  `cbor:"7,keyasint,omitempty" json:"estimate,omitempty"`
+	// Payload is dropped when the job ends.
+	Payload []byte   `cbor:"8,keyasint,omitempty" json:"-"`
+	State   JobState `cbor:"9,keyasint" json:"state"`
+	Detail  string   `cbor:"10,keyasint,omitempty" json:"detail,omitempty"`
+	// Token is the index of the placement. It is zero while the job waits.
+	Token   anvilid.Token `cbor:"11,keyasint,omitempty" json:"token,omitempty"`
+	Members []Member      `cbor:"12,keyasint,omitempty" json:"members,omitempty"`
+	// Submitted orders jobs. A job that is placed again keeps its turn.
+	Submitted anvilid.Index     `cbor:"13,keyasint" json:"submitted"`
+	At        anvilclock.Millis `cbor:"14,keyasint" json:"at"`
+	// Changed is the time of the latest change of state.
+	Changed anvilclock.Millis `cbor:"15,keyasint" json:"changed"`
+	// Cancelled is set once the caller has cancelled the job.
+	Cancelled bool `cbor:"16,keyasint,omitempty" json:"cancelled,omitempty"`
+	// Placements counts how often the job was placed.
+	Placements int `cbor:"17,keyasint,omitempty" json:"placements,omitempty"`
+	// Digest recognises a resend.
+	Digest []byte `cbor:"18,keyasint" json:"-"`
+}
+
+// jobs is the table of long jobs.
+type jobs struct {
+	byID map[anvilid.JobID]*Job
+	// pending lists the submitted jobs in the order of submission, ended
+	// those that have ended in the order of their end.
+	pending, ended []*Job
+	// reserved holds the accelerators that jobs use on each target.
+	reserved map[anvilid.TargetID]map[anvilid.JobID]anvilid.AcceleratorCount
+	payloads anvilid.ByteCount
+}
+
+func newJobs() jobs {
+	return jobs{
+		byID:     map[anvilid.JobID]*Job{},
+		reserved: map[anvilid.TargetID]map[anvilid.JobID]anvilid.AcceleratorCount{},
+	}
+}
+
+// Job returns a job.
+func (m *Machine) Job(id anvilid.JobID) (Job, bool) {
+	job, ok := m.jobs.byID[id]
+	if !ok {
+		return Job{}, false
+	}
+	return *job, true
+}
+
+// Jobs returns all jobs in the order of submission.
+func (m *Machine) Jobs() []Job {
+	list := make([]Job, 0, len(m.jobs.byID))
+	for _, job := range m.jobs.byID {
+		list = append(list, *job)
+	}
+	slices.SortFunc(list, func(a, b Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	return list
+}
+
+// PendingJobs returns the jobs that wait for a placement in the order of
+// submission.
+func (m *Machine) PendingJobs() []Job {
+	list := make([]Job, 0, len(m.jobs.pending))
+	for _, job := range m.jobs.pending {
+		list = append(list, *job)
+	}
+	return list
+}
+
+// Reserved returns the accelerators that jobs use on a target.
+func (m *Machine) Reserved(target anvilid.TargetID) anvilid.AcceleratorCount {
+	sum := anvilid.AcceleratorCount(0)
+	for _, n := range m.jobs.reserved[target] {
+		sum += n
+	}
+	return sum
+}
+
+// queue adds a job to the pending ones in its turn.
+func (t *jobs) queue(job *Job) {
+	at, _ := t.turn(job)
+	t.pending = slices.Insert(t.pending, at, job)
+}
+
+func (t *jobs) unqueue(job *Job) {
+	if at, found := t.turn(job); found {
+		t.pending = slices.Delete(t.pending, at, at+1)
+	}
+}
+
+func (t *jobs) turn(job *Job) (int, bool) {
+	return slices.BinarySearchFunc(t.pending, job, func(a, b *Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+}
+
+// brief is the form of a job in results.
+func (j *Job) brief() *Job {
+	job := *j
+	job.Payload = nil
+	return &job
+}
--- a/core/anvilstate/machine.go
+++ b/core/anvilstate/machine.go
@@ -1,7 +1,6 @@
 package anvilstate
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 
@@ -9,64 +8,71 @@
 	"anvilshunt/core/anvilid"
 )
 
-// Errors of commands that the state machine refuses.
-var (
-	ErrStale   = errors.New("the command speaks of an earlier state")
-	ErrUnknown = errors.New("no such object")
-)
-
-// Result is the outcome of one command.
-type Result struct {
-	Index anvilid.Index `cbor:"1,keyasint"`
-	// Code is the stable code of a refusal, empty on success.
-	Code   string `cbor:"2,keyasint,omitempty"`
-	Detail string `cbor:"3,keyasint,omitempty"`
-}
-
 // Machine holds the replicated state.
 type Machine struct {
+	limits    Limits
 	index     anvilid.Index
 	at        anvilclock.Millis
 	instances map[anvilid.InstanceID]*Instance
 	targets   map[anvilid.TargetID]*Target
+	owners    owners
+	capacity  capacities
+	config    configuration
+	claims    claims
+	jobs      jobs
 	changes   changeRing
 }
 
 // New returns an empty state machine.
-func New() *Machine {
-	return &Machine{
+func New(opts ...Option) *Machine {
+	m := &Machine{
+		limits:    DefaultLimits(),
 		instances: map[anvilid.InstanceID]*Instance{},
 		targets:   map[anvilid.TargetID]*Target{},
+		owners:    newOwners(),
+		capacity:  capacities{},
+		config:    newConfiguration(),
+		claims:    newClaims(),
+		jobs:      newJobs(),
+	}
+	for _, opt := range opts {
+		opt(m)
 	}
+	m.changes.window = m.limits.Deltas
+	return m
 }
 
 // Index returns the index of the last applied entry.
 func (m *Machine) Index() anvilid.Index { return m.index }
 
+// At returns the time of the last applied entry.
+func (m *Machine) At() anvilclock.Millis { return m.at }
+
 // Apply executes one committed command. The time at was stamped by the
 // leader and never goes backwards.
 func (m *Machine) Apply(index anvilid.Index, at anvilclock.Millis, command Command) Result {
 	m.index = index
 	m.at = max(m.at, at)
-	err := m.dispatch(command)
+	m.expireChanges()
+	m.expireClaims()
+	m.expireJobs()
+	if command.Config != nil {
+		return m.changeConfig(*command.Config)
+	}
 	result := Result{Index: index}
-	if err != nil {
-		result.Code, result.Detail = codeOf(err), err.Error()
+	if err := m.dispatch(command, &result); err != nil {
+		refused := m.refuse(err)
+		refused.Job = result.Job
+		return refused
 	}
 	return result
 }
 
-func codeOf(err error) string {
-	switch {
-	case errors.Is(err, ErrStale):
-		return "stale"
-	case errors.Is(err, ErrUnknown):
-		return "unknown"
-	}
-	return "refused"
+func (m *Machine) refuse(err error) Result {
+	return Result{Index: m.index, Code: codeOf(err), Detail: err.Error()}
 }
 
-func (m *Machine) dispatch(c Command) error {
+func (m *Machine) dispatch(c Command, result *Result) (err error) {
 	switch {
 	case c.Join != nil:
 		return m.join(c.Join.Instance)
@@ -82,8 +88,26 @@
 		return m.remove(c.Remove.ID, c.Remove.Incarnation)
 	case c.Release != nil:
 		return m.release(*c.Release)
+	case c.Rebalance != nil:
+		result.Moved, err = m.rebalance(*c.Rebalance)
+	case c.Claim != nil:
+		result.Claim, err = m.claim(*c.Claim)
+	case c.Complete != nil:
+		result.Claim, err = m.complete(*c.Complete)
+	case c.Abandon != nil:
+		result.Claim, err = m.abandon(*c.Abandon)
+	case c.Submit != nil:
+		result.Job, err = m.submit(*c.Submit)
+	case c.Cancel != nil:
+		result.Job, err = m.cancel(*c.Cancel)
+	case c.Place != nil:
+		result.Job, err = m.place(*c.Place)
+	case c.Advance != nil:
+		result.Job, err = m.advance(*c.Advance)
+	default:
+		return fmt.Errorf("%w: empty command", ErrUnknown)
 	}
-	return fmt.Errorf("%w: empty command", ErrUnknown)
+	return err
 }
 
 // sortedKeys makes map order invisible to the rules of the state machine.
--- /dev/null
+++ b/core/anvilstate/owners.go
@@ -0,0 +1,122 @@
+package anvilstate
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilshunt/core/anvilid"
+)
+
+type targetSet map[*Target]struct{}
+
+// owners indexes targets by owner, so that an assignment doesn't have to look
+// at all targets. It is derived from the targets and not part of snapshots.
+type owners struct {
+	// names lists the instances in order.
+	names []anvilid.InstanceID
+	// of and next list the targets by Owner and by Next. The targets without
+	// an owner are of[""].
+	of, next map[anvilid.InstanceID]targetSet
+	// load counts targets by the instance that owns them once hand-overs are
+	// finished, in all and per service.
+	load map[anvilid.InstanceID]*ownerLoad
+}
+
+type ownerLoad struct {
+	total   int
+	service map[anvilid.ServiceName]int
+}
+
+func newOwners() owners {
+	return owners{
+		of:   map[anvilid.InstanceID]targetSet{},
+		next: map[anvilid.InstanceID]targetSet{},
+		load: map[anvilid.InstanceID]*ownerLoad{},
+	}
+}
+
+func (o *owners) list(id anvilid.InstanceID) {
+	if at, found := slices.BinarySearch(o.names, id); !found {
+		o.names = slices.Insert(o.names, at, id)
+	}
+}
+
+func (o *owners) unlist(id anvilid.InstanceID) {
+	if at, found := slices.BinarySearch(o.names, id); found {
+		o.names = slices.Delete(o.names, at, at+1)
+	}
+}
+
+// add indexes a target; drop removes it. Owner, Next and Service may change
+// only while the target isn't indexed.
+func (o *owners) add(target *Target) {
+	put(o.of, target.Owner, target)
+	if target.Next != "" {
+		put(o.next, target.Next, target)
+	}
+	o.count(target, 1)
+}
+
+func (o *owners) drop(target *Target) {
+	take(o.of, target.Owner, target)
+	if target.Next != "" {
+		take(o.next, target.Next, target)
+	}
+	o.count(target, -1)
+}
+
+func put(sets map[anvilid.InstanceID]targetSet, id anvilid.InstanceID, target *Target) {
+	if sets[id] == nil {
+		sets[id] = targetSet{}
+	}
+	sets[id][target] = struct{}{}
+}
+
+func take(sets map[anvilid.InstanceID]targetSet, id anvilid.InstanceID, target *Target) {
+	delete(sets[id], target)
+	if len(sets[id]) == 0 {
+		delete(sets, id)
+	}
+}
+
+func (o *owners) count(target *Target, by int) {
+	id := futureOwner(target)
+	if id == "" {
+		return
+	}
+	load := o.load[id]
+	if load == nil {
+		load = &ownerLoad{service: map[anvilid.ServiceName]int{}}
+		o.load[id] = load
+	}
+	load.total += by
+	if load.service[target.Service] += by; load.service[target.Service] == 0 {
+		delete(load.service, target.Service)
+	}
+	if load.total == 0 {
+		delete(o.load, id)
+	}
+}
+
+// loadOf returns the number of targets of a service and of all targets.
+func (o *owners) loadOf(id anvilid.InstanceID, service anvilid.ServiceName) (int, int) {
+	load := o.load[id]
+	if load == nil {
+		return 0, 0
+	}
+	return load.service[service], load.total
+}
+
+// futureOwner is the owner once a hand-over is finished.
+func futureOwner(target *Target) anvilid.InstanceID {
+	return cmp.Or(target.Next, target.Owner)
+}
+
+func sortedTargets(set targetSet) []*Target {
+	targets := make([]*Target, 0, len(set))
+	for target := range set {
+		targets = append(targets, target)
+	}
+	slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	return targets
+}
--- /dev/null
+++ b/core/anvilstate/result.go
@@ -0,0 +1,106 @@
+package anvilstate
+
+import (
+	"errors"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// Errors of commands that the state machine refuses.
+var (
+	ErrStale      = errors.New("the command speaks of an earlier state")
+	ErrUnknown    = errors.New("no such object")
+	ErrReused     = errors.New("the id was used for other content")
+	ErrOverloaded = errors.New("too much is recorded")
+	ErrInvalid    = errors.New("invalid command")
+	ErrRevision   = errors.New("another change was published since")
+	ErrChange     = errors.New("invalid change set")
+	ErrAccount    = errors.New("no such account")
+	ErrService    = errors.New("no such service")
+	ErrShape      = errors.New("no such shape")
+	ErrJob        = errors.New("no such job")
+	ErrCapacity   = errors.New("not enough free accelerators")
+	ErrTransition = errors.New("the job can't change to this state")
+)
+
+// codes maps errors to the stable codes of results.
+var codes = []struct {
+	err  error
+	code string
+}{
+	{ErrStale, "stale"},
+	{ErrUnknown, "unknown"},
+	{ErrReused, "id_reused"},
+	{ErrOverloaded, "overloaded"},
+	{ErrInvalid, "bad_request"},
+	{ErrRevision, "stale_revision"},
+	{ErrChange, "invalid_change"},
+	{ErrAccount, "unknown_account"},
+	{ErrService, "unknown_service"},
+	{ErrShape, "unknown_shape"},
+	{ErrJob, "unknown_job"},
+	{ErrCapacity, "no_capacity"},
+	{ErrTransition, "bad_transition"},
+}
+
+func codeOf(err error) string {
+	for _, known := range codes {
+		if errors.Is(err, known.err) {
+			return known.code
+		}
+	}
+	return "refused"
+}
+
+// Result is the outcome of one command.
+type Result struct {
+	Index anvilid.Index `cbor:"1,keyasint"`
+	// Code is the stable code of a refusal, empty on success.
+	Code   string `cbor:"2,keyasint,omitempty"`
+	Detail string `cbor:"3,keyasint,omitempty"`
+	// Revision is the revision that a configuration change published.
+	Revision anvilid.Revision `cbor:"4,keyasint,omitempty"`
+	// Problems says why a change set is invalid.
+	Problems []anvilconfig.Problem `cbor:"5,keyasint,omitempty"`
+	// Conflict tells the operator of a stale change what came before it.
+	Conflict *Conflict `cbor:"6,keyasint,omitempty"`
+	// Claim is the result of Claim, Complete and Abandon.
+	Claim *ClaimResult `cbor:"7,keyasint,omitempty"`
+	// Job is the job that a job command left, without its payload.
+	Job *Job `cbor:"8,keyasint,omitempty"`
+	// Moved is the number of targets that Rebalance hands over.
+	Moved int `cbor:"9,keyasint,omitempty"`
+}
+
+// Conflict describes what was published since the base of a stale change.
+type Conflict struct {
+	// Revision is the current revision.
+	Revision anvilid.Revision `cbor:"1,keyasint" json:"revision"`
+	// Change and Operator name the latest change.
+	Change   anvilid.ChangeID   `cbor:"2,keyasint" json:"change"`
+	Operator anvilid.OperatorID `cbor:"3,keyasint" json:"operator"`
+	// Differ lists the objects that were changed or deleted since the base.
+	Differ []anvilconfig.Key `cbor:"4,keyasint,omitempty" json:"differ,omitempty"`
+	// Changes lists the changes since the base, the latest first.
+	Changes []ChangeName `cbor:"5,keyasint,omitempty" json:"changes,omitempty"`
+	// Cut is set if Differ and Changes don't list everything, because there
+	// is too much or because the history doesn't reach back to the base.
+	Cut bool `cbor:"6,keyasint,omitempty" json:"cut,omitempty"`
+}
+
+// ChangeName names a published change.
+type ChangeName struct {
+	ID       anvilid.ChangeID   `cbor:"1,keyasint" json:"id"`
+	Operator anvilid.OperatorID `cbor:"2,keyasint" json:"operator"`
+	Revision anvilid.Revision   `cbor:"3,keyasint" json:"revision"`
+}
+
+// Published is one change of the history.
+type Published struct {
+	ChangeName
+	At      anvilclock.Millis `cbor:"4,keyasint" json:"at"`
+	Set     []anvilconfig.Key `cbor:"5,keyasint,omitempty" json:"set,omitempty"`
+	Deleted []anvilconfig.Key `cbor:"6,keyasint,omitempty" json:"deleted,omitempty"`
+}
--- /dev/null
+++ b/core/anvilstate/submit.go
@@ -0,0 +1,94 @@
+package anvilstate
+
+import (
+	"bytes"
+	"fmt"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// maxJobID bounds job ids like request ids.
+const maxJobID = 128
+
+// submit queues a job, once per id.
+func (m *Machine) submit(command SubmitJob) (*Job, error) {
+	digest, err := digestOf(command)
+	if err != nil {
+		return nil, fmt.Errorf("%w: job %q: %w", ErrInvalid, command.ID, err)
+	}
+	if known, ok := m.jobs.byID[command.ID]; ok {
+		if !bytes.Equal(known.Digest, digest) {
+			return nil, fmt.Errorf("%w: job id %q; choose a new id", ErrReused, command.ID)
+		}
+		return known.brief(), nil
+	}
+	job := &Job{
+		ID: command.ID, Account: command.Account, Service: command.Service, Shape: command.Shape,
+		Estimate: command.Estimate, Payload: bytes.Clone(command.Payload), State: JobSubmitted, Digest: digest,
+		Submitted: m.index, At: m.at, Changed: m.at,
+	}
+	if len(job.Payload) == 0 {
+		job.Payload = nil
+	}
+	if err := m.checkJob(job, command.Accelerators); err != nil {
+		return nil, err
+	}
+	m.jobs.byID[job.ID] = job
+	m.jobs.payloads += anvilid.ByteCount(len(job.Payload))
+	if missing := m.capacity.missing(job.Service, job.Accelerators, job.Within); missing != "" {
+		m.endJob(job, JobNever, missing)
+	} else {
+		m.jobs.queue(job)
+	}
+	return job.brief(), nil
+}
+
+// checkJob checks the fields of a new job and sets its size.
+func (m *Machine) checkJob(job *Job, accelerators anvilid.AcceleratorCount) error {
+	account := m.config.current.Account(job.Account)
+	switch {
+	case job.ID == "" || len(job.ID) > maxJobID:
+		return fmt.Errorf("%w: job id %q; use 1 to %d characters", ErrInvalid, job.ID, maxJobID)
+	case account == nil:
+		return fmt.Errorf("%w: account %q isn't configured", ErrAccount, job.Account)
+	case m.config.current.Service(job.Service) == nil:
+		return fmt.Errorf("%w: service %q isn't configured", ErrService, job.Service)
+	case !account.MayUse(job.Service):
+		return fmt.Errorf("%w: account %q may not use service %q", ErrService, job.Account, job.Service)
+	case job.Estimate < 0:
+		return fmt.Errorf("%w: job %q has the estimate %d; use 0 or more", ErrInvalid, job.ID, job.Estimate)
+	case anvilid.ByteCount(len(job.Payload)) > m.limits.Payload:
+		return fmt.Errorf("%w: job %q has a payload of %d bytes; use at most %d", ErrInvalid, job.ID, len(job.Payload), m.limits.Payload)
+	}
+	if err := m.size(job, accelerators); err != nil {
+		return err
+	}
+	live := len(m.jobs.byID) - len(m.jobs.ended)
+	if live >= m.limits.LiveJobs || m.jobs.payloads+anvilid.ByteCount(len(job.Payload)) > m.limits.Payloads {
+		return fmt.Errorf("%w: %d jobs with payloads of %d bytes haven't ended; submit the job later", ErrOverloaded, live, m.jobs.payloads)
+	}
+	return nil
+}
+
+// size takes the size of a job from its shape. A job without a shape needs
+// accelerators of one zone, the weakest adjacency.
+func (m *Machine) size(job *Job, accelerators anvilid.AcceleratorCount) error {
+	if job.Shape == "" {
+		if accelerators < 1 || accelerators > anvilconfig.MaxGang {
+			return fmt.Errorf("%w: job %q asks for %d accelerators; use 1 to %d or name a shape", ErrInvalid, job.ID, accelerators, anvilconfig.MaxGang)
+		}
+		job.Accelerators, job.Within = accelerators, anvilconfig.WithinZone
+		return nil
+	}
+	shape := m.config.current.Shape(job.Shape)
+	if shape == nil {
+		return fmt.Errorf("%w: shape %q isn't configured", ErrShape, job.Shape)
+	}
+	if accelerators != 0 && accelerators != shape.Accelerators {
+		return fmt.Errorf("%w: job %q asks for %d accelerators and shape %q has %d; leave one of the two out",
+			ErrInvalid, job.ID, accelerators, job.Shape, shape.Accelerators)
+	}
+	job.Accelerators, job.Within = shape.Accelerators, shape.Within
+	return nil
+}
--- a/core/anvilstate/target.go
+++ b/core/anvilstate/target.go
@@ -7,6 +7,10 @@
 )
 
 func (m *Machine) register(target Target) error {
+	if target.ID == "" || target.Service == "" || target.Accelerators < 0 {
+		return fmt.Errorf("%w: target %q registers with an id, a service and 0 or more accelerators", ErrInvalid, target.ID)
+	}
+	target.Owner, target.Epoch, target.Next, target.Reserved = "", 0, "", 0
 	known, ok := m.targets[target.ID]
 	if ok && known.Incarnation > target.Incarnation {
 		return fmt.Errorf("%w: target %q registered with incarnation %d after %d", ErrStale,
@@ -15,10 +19,25 @@
 	if ok && known.Incarnation == target.Incarnation {
 		return nil // a resent registration
 	}
-	target.Owner, target.Epoch, target.Next = "", 0, ""
+	if ok {
+		m.loseMembers(target.ID, fmt.Sprintf("target %q started anew", target.ID))
+		m.owners.drop(known)
+		m.capacity.add(known, -1)
+		// A live owner keeps the target: another one could use it only after
+		// this one has released it.
+		target.Owner, target.Next, target.Epoch = known.Owner, known.Next, known.Epoch
+		if target.Owner != "" {
+			target.Epoch = anvilid.Epoch(m.index)
+		}
+	}
 	m.targets[target.ID] = &target
-	m.assign(&target)
-	m.noteTarget(&target)
+	m.keepReservations(&target)
+	m.owners.add(&target)
+	m.capacity.add(&target, 1)
+	if target.Owner == "" {
+		m.assign(&target)
+	}
+	m.noteTarget(target.ID)
 	return nil
 }
 
@@ -38,17 +57,23 @@
 	if err != nil {
 		return err
 	}
-	target.Leaving = true
-	m.noteTarget(target)
+	if !target.Leaving {
+		target.Leaving = true
+		m.noteTarget(id)
+	}
 	return nil
 }
 
 func (m *Machine) remove(id anvilid.TargetID, incarnation anvilid.Incarnation) error {
-	if _, err := m.targetRun(id, incarnation); err != nil {
+	target, err := m.targetRun(id, incarnation)
+	if err != nil {
 		return err
 	}
+	m.loseMembers(id, fmt.Sprintf("target %q is gone", id))
+	m.owners.drop(target)
+	m.capacity.add(target, -1)
 	delete(m.targets, id)
-	m.noteTargetGone(id)
+	m.noteTarget(id)
 	return nil
 }
 
@@ -57,86 +82,11 @@
 	if !ok {
 		return fmt.Errorf("%w: target %q", ErrUnknown, command.ID)
 	}
-	if target.Owner != command.Owner || target.Epoch != command.Epoch {
+	if command.Owner == "" || target.Owner != command.Owner || target.Epoch != command.Epoch {
 		return fmt.Errorf("%w: target %q is owned by %q since epoch %d", ErrStale, command.ID, target.Owner, target.Epoch)
 	}
-	target.Owner, target.Next = "", ""
+	m.setOwner(target, "")
 	m.assign(target)
-	m.noteTarget(target)
+	m.noteTarget(target.ID)
 	return nil
 }
-
-// disownAll takes all targets from an instance whose run has ended.
-func (m *Machine) disownAll(id anvilid.InstanceID) {
-	for _, name := range sortedKeys(m.targets) {
-		target := m.targets[name]
-		if target.Next == id {
-			target.Next = ""
-			m.noteTarget(target)
-		}
-		if target.Owner == id {
-			target.Owner = ""
-			m.noteTarget(target)
-		}
-	}
-}
-
-func (m *Machine) assignUnowned() {
-	for _, name := range sortedKeys(m.targets) {
-		if target := m.targets[name]; target.Owner == "" {
-			m.assign(target)
-			m.noteTarget(target)
-		}
-	}
-}
-
-// assign gives an unowned target to the instance that owns the fewest
-// targets: one of the same zone if there is one, else of the same region,
-// else of any.
-func (m *Machine) assign(target *Target) {
-	owner := m.leastLoaded(target, "")
-	if owner == "" {
-		return
-	}
-	target.Owner = owner
-	target.Epoch = anvilid.Epoch(m.index)
-}
-
-// handOver asks the owner to release a target to another instance.
-func (m *Machine) handOver(target *Target) {
-	target.Next = m.leastLoaded(target, target.Owner)
-	m.noteTarget(target)
-}
-
-func (m *Machine) leastLoaded(target *Target, except anvilid.InstanceID) anvilid.InstanceID {
-	owned := map[anvilid.InstanceID]int{}
-	for _, other := range m.targets {
-		owned[other.Owner]++
-		if other.Next != "" {
-			owned[other.Next]++
-		}
-	}
-	var best anvilid.InstanceID
-	bestDistance, bestOwned := 0, 0
-	for _, id := range sortedKeys(m.instances) {
-		instance := m.instances[id]
-		if instance.Draining || id == except {
-			continue
-		}
-		distance := distanceBetween(instance, target)
-		if best == "" || distance < bestDistance || distance == bestDistance && owned[id] < bestOwned {
-			best, bestDistance, bestOwned = id, distance, owned[id]
-		}
-	}
-	return best
-}
-
-func distanceBetween(instance *Instance, target *Target) int {
-	switch {
-	case instance.Region != target.Region:
-		return 2
-	case instance.Zone != target.Zone:
-		return 1
-	}
-	return 0
-}
