Add the stand-in target, the load generator and the anvilemu command

Other parts need a target and callers to test against. The target serves adoption, runs and gang members, counts true slots and connections without enforcing its limits, and misbehaves on request. The load generator drives open and closed loops and checks each answer for its id and content.

--- /dev/null
+++ b/cmd/anvilemu/anvilemucmd/root.go
@@ -0,0 +1,119 @@
+// Package anvilemucmd is the command line of anvilemu: one file per verb.
+package anvilemucmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"anvilshunt/core/anvilid"
+)
+
+// Exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+	// ExitWrong reports that a load received wrong answers.
+	ExitWrong = 3
+)
+
+var (
+	errUsage = eris.New("usage")
+	errWrong = eris.New("wrong answers")
+)
+
+// Streams are what a command reads from its environment.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+	// Notify returns a context that ends with the first request to
+	// terminate.
+	Notify func(ctx context.Context) (context.Context, context.CancelFunc)
+}
+
+// System returns the streams and signals of the process.
+func System() Streams {
+	return Streams{
+		Out: os.Stdout,
+		Err: os.Stderr,
+		Notify: func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		},
+	}
+}
+
+// Main parses and runs a command line and returns the exit code.
+func Main(ctx context.Context, streams Streams, args []string) int {
+	root := &ff.Command{
+		Name:      "anvilemu",
+		Usage:     "anvilemu <target|targets|load> [flags]",
+		ShortHelp: "run stand-in targets and generate load",
+		Subcommands: []*ff.Command{
+			newTargetCommand(streams), newTargetsCommand(streams), newLoadCommand(streams),
+		},
+	}
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, ff.ErrHelp) {
+			fmt.Fprint(streams.Out, ffhelp.Command(root))
+			return ExitOK
+		}
+		fmt.Fprintf(streams.Err, "anvilemu: %v; list the flags with --help\n", err)
+		return ExitUsage
+	}
+	err := root.Run(ctx)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, ff.ErrNoExec):
+		fmt.Fprint(streams.Err, ffhelp.Command(root))
+		return ExitUsage
+	case errors.Is(err, errUsage):
+		fmt.Fprintln(streams.Err, "anvilemu:", err)
+		return ExitUsage
+	case errors.Is(err, errWrong):
+		fmt.Fprintln(streams.Err, "anvilemu:", err)
+		return ExitWrong
+	}
+	fmt.Fprintln(streams.Err, "anvilemu:", err)
+	return ExitFailed
+}
+
+func usage(format string, args ...any) error {
+	return fmt.Errorf("%w: %s; list the flags with --help", errUsage, fmt.Sprintf(format, args...))
+}
+
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		return usage("unexpected argument %q", args[0])
+	}
+	return nil
+}
+
+// addresses splits a comma-separated list.
+func addresses(list string) []anvilid.Address {
+	var result []anvilid.Address
+	for part := range strings.SplitSeq(list, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			result = append(result, anvilid.Address(part))
+		}
+	}
+	return result
+}
+
+func newLogger(w io.Writer) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), zap.InfoLevel))
+}
--- /dev/null
+++ b/cmd/anvilemu/main.go
@@ -0,0 +1,13 @@
+// Command anvilemu runs stand-in targets and generates load.
+package main
+
+import (
+	"context"
+	"os"
+
+	"anvilshunt/cmd/anvilemu/anvilemucmd"
+)
+
+func main() {
+	os.Exit(anvilemucmd.Main(context.Background(), anvilemucmd.System(), os.Args[1:]))
+}
--- /dev/null
+++ b/io/anvilload/generator.go
@@ -0,0 +1,203 @@
+package anvilload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+type generator struct {
+	settings Settings
+	client   *http.Client
+	observe  func(Result)
+	recorder *recorder
+	started  time.Time
+	sequence atomic.Int64
+	turn     atomic.Int64
+	shares   []anvilid.AccountID // one entry per unit of weight
+	body     []byte
+}
+
+// Run generates the load until its duration or count is reached or ctx
+// ends, waits for the requests in flight and returns the summary.
+func Run(ctx context.Context, settings Settings, options ...Option) (*Summary, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	g := &generator{settings: settings, observe: func(Result) {}, recorder: newRecorder()}
+	for _, option := range options {
+		option(g)
+	}
+	if g.client == nil {
+		g.client = newClient(max(settings.Concurrency*int(max(1, settings.Swing.Factor)), 256))
+	}
+	for _, share := range settings.Shares {
+		for range share.Weight {
+			g.shares = append(g.shares, share.Account)
+		}
+	}
+	g.body = make([]byte, settings.Body)
+	random := rand.New(rand.NewPCG(settings.Seed, 1))
+	for i := range g.body {
+		g.body[i] = byte('a' + random.IntN(26))
+	}
+	g.started = time.Now()
+	if settings.Rate > 0 {
+		g.openLoop(ctx)
+	} else {
+		g.closedLoop(ctx)
+	}
+	return g.recorder.summary(&g.settings, time.Since(g.started)), nil
+}
+
+func newClient(perHost int) *http.Client {
+	dialer := net.Dialer{Timeout: 2 * time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// peak tells whether the swing is in its high period at the given time.
+func (g *generator) peak(elapsed time.Duration) bool {
+	s := g.settings.Swing
+	return s.Factor > 0 && (elapsed/s.Period.Duration())%2 == 1
+}
+
+// openLoop sends at the set rate, however long the answers take. Latency
+// counts from the planned time of a request, so that a stalled generator
+// doesn't hide waiting time.
+func (g *generator) openLoop(ctx context.Context) {
+	s := &g.settings
+	random := rand.New(rand.NewPCG(s.Seed, 2))
+	slots := make(chan struct{}, s.InFlight)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	planned := time.Duration(0)
+	for n := 0; n < s.Count; n++ {
+		rate := s.Rate
+		peak := g.peak(planned)
+		if peak {
+			rate *= s.Swing.Factor
+		}
+		gap := 1 / rate
+		if s.Poisson {
+			gap *= random.ExpFloat64()
+		}
+		planned += time.Duration(gap * float64(time.Second))
+		if planned >= s.Duration.Duration() || !sleepUntil(ctx, g.started.Add(planned)) {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			g.recorder.skipped.Add(1)
+			continue
+		}
+		at, id := g.started.Add(planned), g.nextRequest(random.IntN(len(g.shares)), peak)
+		wait.Go(func() {
+			g.perform(ctx, id, at)
+			<-slots
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	span := time.Until(at)
+	if span <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// closedLoop keeps a number of requests in flight. During a high period of
+// the swing, more workers take part.
+func (g *generator) closedLoop(ctx context.Context) {
+	s := &g.settings
+	workers := s.Concurrency
+	if s.Swing.Factor > 1 {
+		workers = int(float64(workers) * s.Swing.Factor)
+	}
+	var wait sync.WaitGroup
+	for worker := range workers {
+		wait.Go(func() {
+			random := rand.New(rand.NewPCG(s.Seed, uint64(worker)+3))
+			for g.mayContinue(ctx) {
+				peak := g.peak(time.Since(g.started))
+				if worker >= s.Concurrency && !peak {
+					sleepUntil(ctx, time.Now().Add(time.Millisecond))
+					continue
+				}
+				if g.sequence.Load() >= int64(s.Count) {
+					return
+				}
+				g.perform(ctx, g.nextRequest(random.IntN(len(g.shares)), peak), time.Now())
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func (g *generator) mayContinue(ctx context.Context) bool {
+	return ctx.Err() == nil && time.Since(g.started) < g.settings.Duration.Duration()
+}
+
+// request is one request across its resends.
+type request struct {
+	number  int64
+	id      anvilid.RequestID
+	account anvilid.AccountID
+	peak    bool
+}
+
+func (g *generator) nextRequest(share int, peak bool) request {
+	n := g.sequence.Add(1)
+	r := request{number: n, account: g.shares[share], peak: peak}
+	if g.settings.IDs {
+		r.id = anvilid.RequestID(fmt.Sprintf("%s-%x-%d", g.settings.Prefix, g.started.UnixMilli(), n))
+	}
+	return r
+}
+
+// resendDelay leaves the system time to notice a failed instance.
+const resendDelay = 100 * anvilclock.Millisecond
+
+// perform sends a request, resends it while its outcome is unknown and
+// records the result.
+func (g *generator) perform(ctx context.Context, r request, planned time.Time) {
+	result := g.send(ctx, r)
+	first := result.Outcome
+	for attempt := 0; attempt < g.settings.Resend && result.Outcome == Unknown; attempt++ {
+		if !sleepUntil(ctx, time.Now().Add(resendDelay.Duration())) {
+			break
+		}
+		result = g.send(ctx, r)
+		result.Resends = attempt + 1
+		// A resend that was refused says nothing about the first attempt.
+		if result.Outcome == NotRun {
+			result.Outcome = Unknown
+		}
+	}
+	result.Latency = time.Since(planned)
+	result.First = first
+	g.recorder.record(result)
+	g.observe(result)
+}
--- /dev/null
+++ b/io/anvilload/summary.go
@@ -0,0 +1,210 @@
+package anvilload
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"anvilshunt/core/anvilid"
+)
+
+// maxExamples bounds the wrong answers that a summary quotes.
+const maxExamples = 10
+
+// Latency holds percentiles in microseconds.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P99   int64 `json:"p99"`
+	P999  int64 `json:"p999"`
+	Max   int64 `json:"max"`
+}
+
+// AccountSummary is the part of one account.
+type AccountSummary struct {
+	Account anvilid.AccountID `json:"account"`
+	Sent    int               `json:"sent"`
+	Done    int               `json:"done"`
+	Latency Latency           `json:"latency"`
+}
+
+// Phase is the part of the low or the high periods of a swing.
+type Phase struct {
+	Sent    int     `json:"sent"`
+	Done    int     `json:"done"`
+	Latency Latency `json:"latency"`
+}
+
+// Summary is the result of a load.
+type Summary struct {
+	Seconds  float64          `json:"seconds"`
+	Sent     int              `json:"sent"`
+	Done     int              `json:"done"`
+	Rate     float64          `json:"rate"` // requests done per second
+	Skipped  int64            `json:"skipped"`
+	Resends  int              `json:"resends"`
+	Resolved int              `json:"resolved"` // unknown outcomes that a resend turned into done
+	Wrong    int              `json:"wrong"`
+	Examples []string         `json:"examples,omitempty"`
+	Outcomes map[Outcome]int  `json:"outcomes"`
+	Codes    map[string]int   `json:"codes"`
+	Latency  Latency          `json:"latency"` // of requests that were done
+	Refusal  Latency          `json:"refusal"` // of requests that were not run
+	Base     Phase            `json:"base"`
+	Peak     Phase            `json:"peak"`
+	Accounts []AccountSummary `json:"accounts"`
+}
+
+type part struct {
+	sent, done int
+	histogram  *hdrhistogram.Histogram
+}
+
+func newPart() *part { return &part{histogram: newHistogram()} }
+
+// newHistogram covers 1 µs to 2 h with three significant digits.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (2 * time.Hour).Microseconds(), 3)
+}
+
+func (p *part) add(r Result) {
+	p.sent++
+	if r.Outcome == Done {
+		p.done++
+		_ = p.histogram.RecordValue(max(1, r.Latency.Microseconds()))
+	}
+}
+
+type recorder struct {
+	skipped atomic.Int64
+
+	mu       sync.Mutex
+	all      *part
+	refused  *hdrhistogram.Histogram
+	phases   [2]*part
+	accounts map[anvilid.AccountID]*part
+	outcomes map[Outcome]int
+	codes    map[string]int
+	resends  int
+	resolved int
+	wrong    int
+	examples []string
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		all: newPart(), refused: newHistogram(), phases: [2]*part{newPart(), newPart()},
+		accounts: map[anvilid.AccountID]*part{}, outcomes: map[Outcome]int{}, codes: map[string]int{},
+	}
+}
+
+func (r *recorder) record(result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all.add(result)
+	phase := 0
+	if result.Peak {
+		phase = 1
+	}
+	r.phases[phase].add(result)
+	account := r.accounts[result.Account]
+	if account == nil {
+		account = newPart()
+		r.accounts[result.Account] = account
+	}
+	account.add(result)
+	r.outcomes[result.Outcome]++
+	r.codes[result.Code]++
+	r.resends += result.Resends
+	if result.First == Unknown && result.Outcome == Done {
+		r.resolved++
+	}
+	if result.Outcome == NotRun {
+		_ = r.refused.RecordValue(max(1, result.Latency.Microseconds()))
+	}
+	if result.Wrong != "" {
+		r.wrong++
+		if len(r.examples) < maxExamples {
+			r.examples = append(r.examples, result.Wrong)
+		}
+	}
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	return Latency{
+		Count: h.TotalCount(),
+		P50:   h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), P999: h.ValueAtQuantile(99.9), Max: h.Max(),
+	}
+}
+
+func (p *part) phase() Phase { return Phase{p.sent, p.done, latencyOf(p.histogram)} }
+
+func (r *recorder) summary(settings *Settings, elapsed time.Duration) *Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &Summary{
+		Seconds: elapsed.Seconds(), Sent: r.all.sent, Done: r.all.done, Rate: float64(r.all.done) / elapsed.Seconds(),
+		Skipped: r.skipped.Load(), Resends: r.resends, Resolved: r.resolved, Wrong: r.wrong, Examples: r.examples,
+		Outcomes: r.outcomes, Codes: r.codes, Latency: latencyOf(r.all.histogram), Refusal: latencyOf(r.refused),
+		Base: r.phases[0].phase(), Peak: r.phases[1].phase(),
+	}
+	for _, share := range settings.Shares {
+		if p := r.accounts[share.Account]; p != nil {
+			s.Accounts = append(s.Accounts, AccountSummary{share.Account, p.sent, p.done, latencyOf(p.histogram)})
+		}
+	}
+	return s
+}
+
+// Write prints the summary as a table.
+func (s *Summary) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "sent\t%d in %.2f s\n", s.Sent, s.Seconds)
+	fmt.Fprintf(t, "done\t%d\t%.1f/s\n", s.Done, s.Rate)
+	fmt.Fprintf(t, "wrong answers\t%d\n", s.Wrong)
+	if s.Skipped > 0 {
+		fmt.Fprintf(t, "skipped at the in-flight limit\t%d\n", s.Skipped)
+	}
+	if s.Resends > 0 {
+		fmt.Fprintf(t, "resends\t%d\t%d resolved\n", s.Resends, s.Resolved)
+	}
+	for _, outcome := range slices.Sorted(maps.Keys(s.Outcomes)) {
+		fmt.Fprintf(t, "outcome %s\t%d\n", outcome, s.Outcomes[outcome])
+	}
+	for _, code := range slices.Sorted(maps.Keys(s.Codes)) {
+		fmt.Fprintf(t, "code %s\t%d\n", code, s.Codes[code])
+	}
+	fmt.Fprintf(t, "\nlatency in ms\tcount\tp50\tp99\tp99.9\tmax\n")
+	row := func(name string, l Latency) {
+		if l.Count > 0 {
+			fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\n", name, l.Count, ms(l.P50), ms(l.P99), ms(l.P999), ms(l.Max))
+		}
+	}
+	row("done", s.Latency)
+	row("not-run", s.Refusal)
+	if s.Peak.Sent > 0 {
+		row("done, low periods", s.Base.Latency)
+		row("done, high periods", s.Peak.Latency)
+	}
+	if len(s.Accounts) > 1 {
+		for _, a := range s.Accounts {
+			row("account "+string(a.Account), a.Latency)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, example := range s.Examples {
+		fmt.Fprintln(w, "wrong:", example)
+	}
+	return nil
+}
+
+func ms(microseconds int64) float64 { return float64(microseconds) / 1000 }
--- /dev/null
+++ b/io/anviltarget/group.go
@@ -0,0 +1,82 @@
+package anviltarget
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"anvilshunt/core/anvilid"
+)
+
+// targetsPerRack is the number of workers in a rack.
+const targetsPerRack = 8
+
+// Place is a zone and its region.
+type Place struct {
+	Region anvilid.RegionName
+	Zone   anvilid.ZoneName
+}
+
+// Group is a number of targets in one process.
+type Group struct {
+	Targets []*Target
+}
+
+// StartGroup starts count targets on consecutive ports, starting with that
+// of settings.Listen. Eight neighbours form a rack; the racks go to the
+// places in turn. The id in settings is the prefix of the ids.
+func StartGroup(settings Settings, count int, places []Place, options ...Option) (*Group, error) {
+	host, portText, err := net.SplitHostPort(string(settings.Listen))
+	if err != nil {
+		return nil, eris.Wrapf(err, "address %q isn't HOST:PORT", settings.Listen)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, eris.Wrapf(err, "address %q has no numeric port", settings.Listen)
+	}
+	options = append([]Option{WithClient(NewClient())}, options...)
+	g := &Group{}
+	for i := range count {
+		s := settings
+		rack := i / targetsPerRack
+		s.Target = anvilid.TargetID(fmt.Sprintf("%s%d", settings.Target, i+1))
+		s.Rack = anvilid.RackName(fmt.Sprintf("%sr%d", settings.Target, rack+1))
+		if len(places) > 0 {
+			place := places[rack%len(places)]
+			s.Region, s.Zone = place.Region, place.Zone
+		}
+		if port != 0 {
+			s.Listen = anvilid.Address(net.JoinHostPort(host, strconv.Itoa(port+i)))
+		}
+		t, err := Start(s, options...)
+		if err != nil {
+			g.Close()
+			return nil, err
+		}
+		g.Targets = append(g.Targets, t)
+	}
+	return g, nil
+}
+
+// Leave makes all targets leave at the same time and waits for them.
+func (g *Group) Leave(ctx context.Context) error {
+	errs := make([]error, len(g.Targets))
+	var wait sync.WaitGroup
+	for i, t := range g.Targets {
+		wait.Go(func() { errs[i] = t.Leave(ctx) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// Close stops all targets at once.
+func (g *Group) Close() {
+	for _, t := range g.Targets {
+		t.Close()
+	}
+}
