--- a/io/anvilload/generator.go
+++ b/io/anvilload/generator.go
@@ -146,10 +146,11 @@
 					sleepUntil(ctx, time.Now().Add(time.Millisecond))
 					continue
 				}
-				if g.sequence.Load() >= int64(s.Count) {
+				r := g.nextRequest(random.IntN(len(g.shares)), peak)
+				if r.number > int64(s.Count) {
 					return
 				}
-				g.perform(ctx, g.nextRequest(random.IntN(len(g.shares)), peak), time.Now())
+				g.perform(ctx, r, time.Now())
 			}
 		})
 	}
