--- a/cmd/anvilshunt/main.go
+++ b/cmd/anvilshunt/main.go
@@ -1,8 +1,14 @@
 // Command anvilshunt runs one instance of the scheduler and controls it.
 package main
 
-import "os"
+import (
+	"context"
+	"os"
+
+	"anvilshunt/io/anvilcmd"
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
 
 func main() {
-	os.Exit(0)
+	os.Exit(anvilcmd.Main(context.Background(), anvilfactory.System(), os.Args[1:]))
 }
--- /dev/null
+++ b/io/anvilcmd/anvilconfigcmd/config.go
@@ -0,0 +1,18 @@
+// Package anvilconfigcmd holds the commands about settings and configuration.
+package anvilconfigcmd
+
+import (
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
+
+// New returns the command.
+func New(factory *anvilfactory.Factory) *ff.Command {
+	return &ff.Command{
+		Name:        "config",
+		Usage:       "anvilshunt config <check> ...",
+		ShortHelp:   "check settings, view and change the configuration",
+		Subcommands: []*ff.Command{newCheck(factory)},
+	}
+}
--- /dev/null
+++ b/io/anvilcmd/root.go
@@ -0,0 +1,43 @@
+// Package anvilcmd is the root of the command line.
+package anvilcmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"anvilshunt/io/anvilcmd/anvilconfigcmd"
+	"anvilshunt/io/anvilcmd/anvilfactory"
+	"anvilshunt/io/anvilcmd/anvilservecmd"
+)
+
+// Main parses and runs a command line and returns the exit code.
+func Main(ctx context.Context, factory *anvilfactory.Factory, args []string) int {
+	root := &ff.Command{
+		Name:      "anvilshunt",
+		Usage:     "anvilshunt <command> [flags]",
+		ShortHelp: "schedule multi-accelerator jobs under client account guarantees",
+		Subcommands: []*ff.Command{
+			anvilservecmd.New(factory),
+			anvilconfigcmd.New(factory),
+		},
+	}
+	err := root.ParseAndRun(ctx, args)
+	switch {
+	case errors.Is(err, ff.ErrHelp):
+		fmt.Fprint(factory.Streams.Out, ffhelp.Command(root.GetSelected()))
+		return anvilfactory.ExitOK
+	case errors.Is(err, ff.ErrNoExec):
+		fmt.Fprint(factory.Streams.Err, ffhelp.Command(root.GetSelected()))
+		return anvilfactory.ExitUsage
+	case errors.Is(err, ff.ErrUnknownFlag):
+		err = anvilfactory.Usage("%w; list the flags with --help", err)
+	}
+	if err != nil {
+		fmt.Fprintf(factory.Streams.Err, "anvilshunt: %v\n", err)
+	}
+	return anvilfactory.ExitCode(err)
+}
--- /dev/null
+++ b/io/anvilcontrol/query.go
@@ -0,0 +1,98 @@
+package anvilcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/twitchtv/twirp"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilrpc"
+)
+
+// Kinds of queries.
+const (
+	QueryJob     = "job"
+	QueryJobs    = "jobs"
+	QueryHistory = "history"
+	QueryCheck   = "check"
+)
+
+// ErrNotFound reports a query for an object that doesn't exist.
+var ErrNotFound = errors.New("not found")
+
+// Query reads state that views don't hold. The leader has a quorum, so that
+// the answer isn't older than the call.
+func (s *Service) Query(_ context.Context, request *anvilrpc.QueryRequest) (*anvilrpc.QueryReply, error) {
+	if err := s.leading(); err != nil {
+		return nil, err
+	}
+	var result any
+	found := true
+	var failure error
+	s.replica.Read(func(machine *anvilstate.Machine) {
+		result, found, failure = query(machine, request)
+	})
+	if failure != nil {
+		return nil, failure
+	}
+	data, err := json.Marshal(result)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &anvilrpc.QueryReply{Found: found, Result: data}, nil
+}
+
+func query(machine *anvilstate.Machine, request *anvilrpc.QueryRequest) (result any, found bool, failure error) {
+	switch request.Kind {
+	case QueryJob:
+		job, ok := machine.Job(anvilid.JobID(request.Id))
+		return job, ok, nil
+	case QueryJobs:
+		return machine.Jobs(), true, nil
+	case QueryHistory:
+		return append([]anvilstate.Published(nil), machine.History()...), true, nil
+	case QueryCheck:
+		var change anvilconfig.Change
+		if err := anvilstate.Decode(request.Body, &change); err != nil {
+			return nil, false, twirp.InvalidArgumentError("body", err.Error())
+		}
+		_, problems := machine.CheckConfig(change)
+		return problems, true, nil
+	}
+	return nil, false, twirp.InvalidArgumentError("kind", fmt.Sprintf("unknown kind %q", request.Kind))
+}
+
+// Query reads state from the leader into result. It tries until ctx ends.
+func (c *Client) Query(ctx context.Context, kind, id string, body []byte, result any) error {
+	var last error
+	for ctx.Err() == nil {
+		address := c.pick()
+		reply, err := c.query(ctx, address, &anvilrpc.QueryRequest{Kind: kind, Id: id, Body: body})
+		pause := c.learn(address, err)
+		switch {
+		case err == nil && !reply.Found:
+			return fmt.Errorf("%w: %s %q", ErrNotFound, kind, id)
+		case err == nil:
+			return json.Unmarshal(reply.Result, result)
+		}
+		last = err
+		if pause {
+			sleep(ctx, retryPause)
+		}
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, last)
+}
+
+func (c *Client) query(ctx context.Context, address anvilid.Address, request *anvilrpc.QueryRequest) (*anvilrpc.QueryReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.dial(address).Query(ctx, request)
+}
--- a/io/anvildesk/admit.go
+++ b/io/anvildesk/admit.go
@@ -111,7 +111,8 @@
 	return anvildedup.Digest(hash.Sum(nil))
 }
 
-// holder is this run of the instance.
+// holder is this process in the table of held requests. The table is local,
+// so that it doesn't change when the instance joins again.
 func (d *Desk) holder() anvildedup.Holder {
 	return anvildedup.Holder{Instance: d.self.Instance, Incarnation: d.self.Incarnation}
 }
--- a/io/anvildesk/desk.go
+++ b/io/anvildesk/desk.go
@@ -22,7 +22,9 @@
 
 // Self is the run of the instance that the desk works for.
 type Self struct {
-	Instance    anvilid.InstanceID
+	Instance anvilid.InstanceID
+	// Incarnation is that of the process. A process that has to join again
+	// gets a higher one; see Rejoined.
 	Incarnation anvilid.Incarnation
 	Region      anvilid.RegionName
 }
@@ -71,6 +73,9 @@
 	fetch     func(anvilid.Address) anvilrpc.Peer
 	limits    Limits
 
+	// incarnation is the one under which the instance last joined.
+	incarnation atomic.Uint64
+
 	attempts atomic.Uint64
 	sequence atomic.Uint64
 	admitted atomic.Int64
@@ -133,6 +138,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.incarnation.Store(uint64(self.Incarnation))
 	d.held = anvildedup.NewTable(anvildedup.WithMostIDs(d.limits.IDs), anvildedup.WithAnswerBytes(d.limits.Cache))
 	d.kept = anvildedup.NewTable(anvildedup.WithMostIDs(d.limits.IDs))
 	return d
@@ -150,6 +156,12 @@
 	return s
 }
 
+// Rejoined notes the incarnation under which the instance has joined.
+func (d *Desk) Rejoined(incarnation anvilid.Incarnation) { d.incarnation.Store(uint64(incarnation)) }
+
+// joined returns the incarnation under which other instances know this one.
+func (d *Desk) joined() anvilid.Incarnation { return anvilid.Incarnation(d.incarnation.Load()) }
+
 // Drain refuses all new requests from now on.
 func (d *Desk) Drain() { d.draining.Store(true) }
 
--- a/io/anvildesk/keeper.go
+++ b/io/anvildesk/keeper.go
@@ -54,7 +54,7 @@
 	digest := digestOf(request)
 	record := &anvilrpc.RecordRequest{
 		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID), Digest: digest[:],
-		Holder: string(d.self.Instance), Incarnation: uint64(d.self.Incarnation),
+		Holder: string(d.self.Instance), Incarnation: uint64(d.joined()),
 	}
 	keepers := d.keepers(keyOf(request))
 	for _, keeper := range keepers[:min(len(keepers), keepersTried)] {
@@ -77,7 +77,7 @@
 func (d *Desk) forgetAtKeeper(keeper anvilid.Address, request *anvilrequest.Request) {
 	record := &anvilrpc.RecordRequest{
 		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID),
-		Holder: string(d.self.Instance), Incarnation: uint64(d.self.Incarnation), Forget: true,
+		Holder: string(d.self.Instance), Incarnation: uint64(d.joined()), Forget: true,
 	}
 	if keeper == "" {
 		d.Record(record)
--- a/io/anvildesk/once.go
+++ b/io/anvildesk/once.go
@@ -30,7 +30,7 @@
 		return gone(request.ID)
 	}
 	holder := anvilstate.Holder{
-		Instance: d.self.Instance, Incarnation: d.self.Incarnation, Attempt: anvilid.Attempt(d.attempts.Add(1)),
+		Instance: d.self.Instance, Incarnation: d.joined(), Attempt: anvilid.Attempt(d.attempts.Add(1)),
 	}
 	key := anvilstate.RequestKey{Account: request.Account, Service: request.Service, ID: request.ID}
 	digest := digestOf(request)
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -115,7 +115,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.service(name)
-	for s.queue.Len() > 0 {
+	for s.queue.Len() > 0 && d.directory.Leased() {
 		way, ok := d.way(name, s)
 		if !ok {
 			return
@@ -249,6 +249,13 @@
 // Freed grants slots that became free.
 func (d *Desk) Freed(name anvilid.ServiceName) { d.pump(name) }
 
+// Resume grants slots after the instance has regained its lease.
+func (d *Desk) Resume() {
+	for name := range d.Queued() {
+		d.pump(name)
+	}
+}
+
 // Hear takes in the loads of all instances. Peers of the own region come
 // first; others count only for services without a target in the region.
 func (d *Desk) Hear(loads []*anvilrpc.InstanceLoad) {
--- a/io/anvilfleet/run.go
+++ b/io/anvilfleet/run.go
@@ -14,34 +14,41 @@
 	"anvilshunt/io/anvillogs"
 )
 
-// Acquire leases a slot for a request of a service. An ejected target that is
-// due for a probe gets a repeatable request first, because a probe may fail.
-func (f *Fleet) Acquire(service anvilid.ServiceName, repeatable bool) (anvilslot.Lease, bool) {
+// Acquire leases a slot for a request of a service.
+func (f *Fleet) Acquire(service anvilid.ServiceName) (anvilslot.Lease, bool) {
 	if !f.leased() {
 		return anvilslot.Lease{}, false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	if repeatable {
-		if lease, ok := f.acquireProbe(now, service); ok {
-			return lease, true
-		}
-	}
-	return f.ledger.Acquire(now, service)
+	return f.ledger.Acquire(f.clock.Now(), service)
 }
 
-func (f *Fleet) acquireProbe(now anvilclock.Millis, service anvilid.ServiceName) (anvilslot.Lease, bool) {
+// Probe exchanges a lease for one on an ejected target that is due for a
+// probe. It is called for repeatable requests only, because a probe may fail.
+func (f *Fleet) Probe(lease anvilslot.Lease, service anvilid.ServiceName) anvilslot.Lease {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
 	for _, id := range f.judge.Probes(now) {
 		known, ok := f.targets[id]
 		if ok && known.state.Service == service {
-			if lease, ok := f.ledger.AcquireOn(now, id); ok {
-				return lease, true
+			if probe, ok := f.ledger.AcquireOn(now, id); ok {
+				f.ledger.Release(now, lease)
+				lease, service = probe, ""
+				continue
 			}
 		}
 		f.judge.Unprobed(id)
 	}
-	return anvilslot.Lease{}, false
+	return lease
+}
+
+// Release ends a lease that was not used.
+func (f *Fleet) Release(lease anvilslot.Lease) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ledger.Release(f.clock.Now(), lease)
 }
 
 // Dispatch runs a request on the target of a lease and ends the lease.
@@ -153,3 +160,15 @@
 	defer f.mu.Unlock()
 	add(&f.counts)
 }
+
+// Busy tells whether requests run on owned targets.
+func (f *Fleet) Busy() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, view := range f.ledger.Views() {
+		if view.Own > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/anvilhttp/api.go
@@ -0,0 +1,99 @@
+// Package anvilhttp is the HTTP interface for callers, operators and targets.
+// docs/protocol.md describes it.
+package anvilhttp
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilreport"
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/core/anvilstate"
+)
+
+// Errors that API functions return. Others are internal errors.
+var (
+	ErrNotFound    = errors.New("not found")
+	ErrUnavailable = errors.New("unavailable")
+	ErrStale       = errors.New("stale")
+)
+
+// Report is the announcement of a target.
+type Report = anvilreport.Report
+
+// API holds what the interface calls.
+type API struct {
+	Service  func(anvilid.ServiceName) *anvilconfig.Service
+	Issue    func() anvilid.RequestID
+	Run      func(*anvilrequest.Request) anvilrequest.Answer
+	Announce func(context.Context, *Report) (anvilid.Address, error)
+	Ready    func() bool
+	Status   func() Status
+	Config   func() anvilconfig.Snapshot
+	Check    func(context.Context, anvilconfig.Change) ([]anvilconfig.Problem, error)
+	Change   func(ctx context.Context, change anvilconfig.Change, everywhere bool) (anvilstate.Result, bool, error)
+	History  func(context.Context) ([]anvilstate.Published, error)
+	Submit   func(context.Context, anvilstate.SubmitJob) (anvilstate.Result, error)
+	Job      func(context.Context, anvilid.JobID) (anvilstate.Job, error)
+	Jobs     func(context.Context) ([]anvilstate.Job, error)
+	Cancel   func(context.Context, anvilid.JobID) (anvilstate.Result, error)
+	Drain    func(context.Context, anvilid.TargetID) error
+	Metrics  func(io.Writer) error
+}
+
+// Limits bound what a request may carry.
+type Limits struct {
+	Body anvilid.ByteCount
+}
+
+// Status is what an instance knows of itself and of the system.
+type Status struct {
+	Instance    anvilid.InstanceID    `json:"instance"`
+	Incarnation anvilid.Incarnation   `json:"incarnation"`
+	Region      anvilid.RegionName    `json:"region"`
+	Zone        anvilid.ZoneName      `json:"zone"`
+	Ready       bool                  `json:"ready"`
+	Leased      bool                  `json:"leased"`
+	Draining    bool                  `json:"draining,omitempty"`
+	Index       anvilid.Index         `json:"index"`
+	Revision    anvilid.Revision      `json:"revision"`
+	Admitted    int64                 `json:"admitted"`
+	Voter       *Voter                `json:"voter,omitempty"`
+	Owned       []Owned               `json:"owned"`
+	Instances   []anvilstate.Instance `json:"instances"`
+	Targets     []anvilstate.Target   `json:"targets"`
+}
+
+// Voter is the state of an instance's part in the replicated log.
+type Voter struct {
+	Leading bool                 `json:"leading"`
+	Quorum  bool                 `json:"quorum"`
+	Term    anvilid.Term         `json:"term"`
+	Leader  anvilid.InstanceID   `json:"leader,omitempty"`
+	Commit  anvilid.Index        `json:"commit"`
+	Applied anvilid.Index        `json:"applied"`
+	Voters  []anvilid.InstanceID `json:"voters,omitempty"`
+}
+
+// Owned is a target in the care of an instance.
+type Owned struct {
+	Target      anvilid.TargetID        `json:"target"`
+	Epoch       anvilid.Epoch           `json:"epoch"`
+	State       string                  `json:"state"`
+	Health      string                  `json:"health"`
+	Own         anvilid.SlotCount       `json:"own"`
+	Foreign     anvilid.SlotCount       `json:"foreign"`
+	Reserved    anvilid.SlotCount       `json:"reserved"`
+	Free        anvilid.SlotCount       `json:"free"`
+	Connections anvilid.ConnectionCount `json:"connections"`
+}
+
+// defaultTimeout is the deadline of requests to services that configure none.
+const defaultTimeout = 30 * anvilclock.Second
+
+// longestTimeout bounds the deadline of a request.
+const longestTimeout = 10 * anvilclock.Minute
--- /dev/null
+++ b/io/anvilhttp/jobs.go
@@ -0,0 +1,137 @@
+package anvilhttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+)
+
+// maxJob bounds the body of a job submission.
+const maxJob = 256 << 10
+
+// A waiting view of a job looks this often whether the job has ended.
+const jobPoll = 50 * time.Millisecond
+
+// submitStatuses maps result codes to HTTP statuses.
+var submitStatuses = map[string]int{
+	"id_reused": http.StatusConflict, "bad_request": http.StatusBadRequest, "overloaded": http.StatusTooManyRequests,
+	"unknown_account": http.StatusNotFound, "unknown_service": http.StatusNotFound,
+	"unknown_shape": http.StatusNotFound, "unknown_job": http.StatusNotFound,
+}
+
+func (s *server) submitJob(c echo.Context) error {
+	data, err := readLimited(c, maxJob)
+	if err != nil {
+		return fail(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	}
+	var form struct {
+		ID           anvilid.JobID            `json:"id"`
+		Account      anvilid.AccountID        `json:"account"`
+		Service      anvilid.ServiceName      `json:"service"`
+		Shape        anvilid.ShapeName        `json:"shape"`
+		Accelerators anvilid.AcceleratorCount `json:"accelerators"`
+		Estimate     anvilclock.Millis        `json:"estimate"`
+		Payload      string                   `json:"payload"`
+	}
+	if err := decodeStrict(data, &form); err != nil {
+		return fail(c, http.StatusBadRequest, "bad_request", "the job can't be read: "+err.Error())
+	}
+	if form.ID == "" {
+		form.ID = anvilid.JobID(s.api.Issue())
+	}
+	result, err := s.api.Submit(c.Request().Context(), anvilstate.SubmitJob{
+		ID: form.ID, Account: form.Account, Service: form.Service, Shape: form.Shape,
+		Accelerators: form.Accelerators, Estimate: form.Estimate, Payload: []byte(form.Payload),
+	})
+	switch {
+	case err != nil:
+		return err
+	case result.Code != "":
+		return refused(c, result)
+	case result.Job != nil && result.Job.State == anvilstate.JobNever:
+		return c.JSON(http.StatusUnprocessableEntity, struct {
+			failure
+			Job *anvilstate.Job `json:"job"`
+		}{failure{Code: "never", Error: result.Job.Detail, Outcome: "not-run"}, result.Job})
+	}
+	return c.JSON(http.StatusOK, result.Job)
+}
+
+// refused answers a command that the control group refused.
+func refused(c echo.Context, result anvilstate.Result) error {
+	status, ok := submitStatuses[result.Code]
+	if !ok {
+		status = http.StatusConflict
+	}
+	return c.JSON(status, failure{Code: result.Code, Error: result.Detail, Outcome: "not-run"})
+}
+
+func (s *server) listJobs(c echo.Context) error {
+	jobs, err := s.api.Jobs(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, jobs)
+}
+
+// viewJob shows a job. With wait=MS it answers when the job has ended or the
+// time is over.
+func (s *server) viewJob(c echo.Context) error {
+	var wait int64
+	if text := c.QueryParam("wait"); text != "" {
+		var err error
+		if wait, err = strconv.ParseInt(text, 10, 64); err != nil || wait < 0 {
+			return fail(c, http.StatusBadRequest, "bad_timeout", "wait is "+strconv.Quote(text)+"; expected milliseconds")
+		}
+	}
+	until := s.clock.Now() + anvilclock.Millis(wait)
+	for {
+		job, err := s.api.Job(c.Request().Context(), anvilid.JobID(c.Param("id")))
+		if err != nil {
+			return err
+		}
+		if job.State.Final() || s.clock.Now() >= until {
+			return c.JSON(http.StatusOK, job)
+		}
+		time.Sleep(jobPoll)
+	}
+}
+
+func (s *server) cancelJob(c echo.Context) error {
+	result, err := s.api.Cancel(c.Request().Context(), anvilid.JobID(c.Param("id")))
+	switch {
+	case err != nil:
+		return err
+	case result.Code != "":
+		return refused(c, result)
+	}
+	return c.JSON(http.StatusOK, result.Job)
+}
+
+func (s *server) announce(c echo.Context) error {
+	data, err := readLimited(c, maxJob)
+	if err != nil {
+		return fail(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	}
+	report := &Report{}
+	if err := json.Unmarshal(data, report); err != nil {
+		return fail(c, http.StatusBadRequest, "bad_request", "the announcement can't be read: "+err.Error())
+	}
+	if err := report.Check(); err != nil {
+		return fail(c, http.StatusBadRequest, "bad_request", err.Error())
+	}
+	owner, err := s.api.Announce(c.Request().Context(), report)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, struct {
+		Owner anvilid.Address `json:"owner"`
+	}{owner})
+}
--- /dev/null
+++ b/io/anvilhttp/operator.go
@@ -0,0 +1,136 @@
+package anvilhttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+)
+
+// maxChange bounds the body of a change set.
+const maxChange = 4 << 20
+
+// decodeStrict decodes one JSON value without unknown fields.
+func decodeStrict(data []byte, value any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("there is text after the value")
+	}
+	return nil
+}
+
+func (s *server) viewConfig(c echo.Context) error {
+	config := s.api.Config()
+	return c.JSON(http.StatusOK, struct {
+		Revision anvilid.Revision     `json:"revision"`
+		Objects  []anvilconfig.Object `json:"objects"`
+	}{config.Revision, config.List()})
+}
+
+// invalid is the answer to a change set that can't be published.
+type invalid struct {
+	failure
+	Problems []anvilconfig.Problem `json:"problems"`
+}
+
+// readChange reads a change set. It has answered if ok is false.
+func readChange(c echo.Context) (change anvilconfig.Change, ok bool, err error) {
+	data, err := readLimited(c, maxChange)
+	if err != nil {
+		return change, false, fail(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	}
+	change, problems := anvilconfig.ParseChange(data)
+	if len(problems) > 0 {
+		return change, false, c.JSON(http.StatusUnprocessableEntity, invalid{
+			failure{Code: "invalid_change", Error: "the change set can't be read"}, problems,
+		})
+	}
+	return change, true, nil
+}
+
+func (s *server) checkChange(c echo.Context) error {
+	change, ok, err := readChange(c)
+	if !ok {
+		return err
+	}
+	problems, err := s.api.Check(c.Request().Context(), change)
+	if err != nil {
+		return err
+	}
+	if len(problems) > 0 {
+		return c.JSON(http.StatusUnprocessableEntity, invalid{
+			failure{Code: "invalid_change", Error: "the change set can't be published"}, problems,
+		})
+	}
+	return c.JSON(http.StatusOK, struct {
+		OK bool `json:"ok"`
+	}{true})
+}
+
+func (s *server) applyChange(c echo.Context) error {
+	change, ok, err := readChange(c)
+	if !ok {
+		return err
+	}
+	result, everywhere, err := s.api.Change(c.Request().Context(), change, c.QueryParam("everywhere") == "yes")
+	if err != nil {
+		return err
+	}
+	return writeChange(c, result, everywhere)
+}
+
+func writeChange(c echo.Context, result anvilstate.Result, everywhere bool) error {
+	switch result.Code {
+	case "":
+		return c.JSON(http.StatusOK, struct {
+			Revision   anvilid.Revision `json:"revision"`
+			Everywhere bool             `json:"everywhere"`
+		}{result.Revision, everywhere})
+	case "invalid_change":
+		return c.JSON(http.StatusUnprocessableEntity, invalid{failure{Code: result.Code, Error: result.Detail}, result.Problems})
+	case "stale_revision":
+		return c.JSON(http.StatusConflict, struct {
+			failure
+			Conflict *anvilstate.Conflict `json:"conflict"`
+		}{failure{Code: result.Code, Error: result.Detail}, result.Conflict})
+	}
+	return refused(c, result)
+}
+
+func (s *server) listHistory(c echo.Context) error {
+	history, err := s.api.History(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, history)
+}
+
+func (s *server) viewStatus(c echo.Context) error { return c.JSON(http.StatusOK, s.api.Status()) }
+
+func (s *server) listInstances(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.api.Status().Instances)
+}
+
+func (s *server) listTargets(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.api.Status().Targets)
+}
+
+func (s *server) drainTarget(c echo.Context) error {
+	if err := s.api.Drain(c.Request().Context(), anvilid.TargetID(c.Param("id"))); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, struct {
+		Draining bool `json:"draining"`
+	}{true})
+}
--- /dev/null
+++ b/io/anvilhttp/request.go
@@ -0,0 +1,171 @@
+package anvilhttp
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilrequest"
+)
+
+// Headers of the caller protocol.
+const (
+	headerAccount    = "Anvilshunt-Account"
+	headerID         = "Anvilshunt-Request-Id"
+	headerRepeatable = "Anvilshunt-Repeatable"
+	headerTimeout    = "Anvilshunt-Timeout"
+	headerOutcome    = "Anvilshunt-Outcome"
+)
+
+// statuses maps codes to HTTP statuses. A code that isn't listed has the
+// status of its outcome.
+var statuses = map[anvilrequest.Code]int{
+	anvilrequest.CodeBadRequest:       http.StatusBadRequest,
+	anvilrequest.CodeBadID:            http.StatusBadRequest,
+	anvilrequest.CodeBadTimeout:       http.StatusBadRequest,
+	anvilrequest.CodeUnknownAccount:   http.StatusNotFound,
+	anvilrequest.CodeUnknownService:   http.StatusNotFound,
+	anvilrequest.CodeForbiddenService: http.StatusForbidden,
+	anvilrequest.CodeIDReused:         http.StatusConflict,
+	anvilrequest.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	anvilrequest.CodeOverloaded:       http.StatusTooManyRequests,
+	anvilrequest.CodeTimeout:          http.StatusGatewayTimeout,
+	anvilrequest.CodeInFlight:         http.StatusGatewayTimeout,
+	anvilrequest.CodeAnswerGone:       http.StatusGone,
+}
+
+func statusOf(answer anvilrequest.Answer) int {
+	if status, ok := statuses[answer.Code]; ok {
+		return status
+	}
+	if answer.Outcome == anvilrequest.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// request runs a short request.
+func (s *server) request(c echo.Context) error {
+	request, answer := s.parse(c)
+	if answer.Outcome == "" {
+		answer = s.api.Run(request)
+	}
+	return write(c, request.ID, answer)
+}
+
+// parse reads a request. The answer is set if it can't be taken.
+func (s *server) parse(c echo.Context) (*anvilrequest.Request, anvilrequest.Answer) {
+	header := c.Request().Header
+	request := &anvilrequest.Request{
+		Key: anvilrequest.Key{
+			Account: anvilid.AccountID(header.Get(headerAccount)),
+			Service: anvilid.ServiceName(c.Param("service")),
+			ID:      anvilid.RequestID(header.Get(headerID)),
+		},
+		ContentType: header.Get(echo.HeaderContentType),
+	}
+	request.Given = request.ID != ""
+	if !request.Given {
+		request.ID = s.api.Issue()
+	} else if err := anvilrequest.CheckID(request.ID); err != nil {
+		id := request.ID
+		request.ID = ""
+		return request, anvilrequest.Refuse(anvilrequest.CodeBadID, "header %s: %q: expected 1 to 128 of A-Z a-z 0-9 . _ : -", headerID, id)
+	}
+	if request.Account == "" {
+		return request, anvilrequest.Refuse(anvilrequest.CodeBadRequest, "header %s is missing; it names the client account", headerAccount)
+	}
+	if answer := s.options(c, request); answer.Outcome != "" {
+		return request, answer
+	}
+	return request, s.readBody(c, request)
+}
+
+// options reads what the service's configuration gives defaults for.
+func (s *server) options(c echo.Context, request *anvilrequest.Request) anvilrequest.Answer {
+	header := c.Request().Header
+	timeout := defaultTimeout
+	if service := s.api.Service(request.Service); service != nil {
+		request.Repeatable = service.Repeatable
+		if service.Timeout > 0 {
+			timeout = service.Timeout
+		}
+	}
+	switch text := header.Get(headerRepeatable); text {
+	case "":
+	case "yes", "no":
+		request.Repeatable = text == "yes"
+	default:
+		return anvilrequest.Refuse(anvilrequest.CodeBadRequest, "header %s is %q; expected yes or no", headerRepeatable, text)
+	}
+	if text := header.Get(headerTimeout); text != "" {
+		value, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || value <= 0 || anvilclock.Millis(value) > longestTimeout {
+			return anvilrequest.Refuse(anvilrequest.CodeBadTimeout, "header %s is %q; expected 1 to %d milliseconds",
+				headerTimeout, text, longestTimeout)
+		}
+		timeout = anvilclock.Millis(value)
+	}
+	request.Deadline = s.clock.Now() + timeout
+	return anvilrequest.Answer{}
+}
+
+func (s *server) readBody(c echo.Context, request *anvilrequest.Request) anvilrequest.Answer {
+	body, err := readLimited(c, s.limits.Body)
+	switch {
+	case errors.Is(err, errTooLarge):
+		return anvilrequest.Refuse(anvilrequest.CodeTooLarge, "%v", err)
+	case err != nil:
+		return anvilrequest.Refuse(anvilrequest.CodeBadRequest, "the body could not be read: %v", err)
+	}
+	request.Body = body
+	return anvilrequest.Answer{}
+}
+
+var errTooLarge = errors.New("the body is too large")
+
+// readLimited reads a whole body of at most limit bytes.
+func readLimited(c echo.Context, limit anvilid.ByteCount) ([]byte, error) {
+	request := c.Request()
+	if request.ContentLength > int64(limit) {
+		return nil, fmt.Errorf("%w: it has %d bytes; this instance takes at most %d", errTooLarge, request.ContentLength, limit)
+	}
+	if request.ContentLength >= 0 {
+		body := make([]byte, request.ContentLength)
+		_, err := io.ReadFull(request.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, int64(limit)+1))
+	if err == nil && len(body) > int(limit) {
+		err = fmt.Errorf("%w: this instance takes at most %d bytes", errTooLarge, limit)
+	}
+	return body, err
+}
+
+// write sends what became of a request.
+func write(c echo.Context, id anvilid.RequestID, answer anvilrequest.Answer) error {
+	header := c.Response().Header()
+	header[headerOutcome] = []string{string(answer.Outcome)}
+	if id != "" {
+		header[headerID] = []string{string(id)}
+	}
+	if answer.Outcome != anvilrequest.Done {
+		status := statusOf(answer)
+		if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+			header.Set("Retry-After", "1")
+		}
+		return c.JSON(status, failure{Code: string(answer.Code), Error: answer.Detail, Outcome: string(answer.Outcome)})
+	}
+	contentType := answer.ContentType
+	if contentType == "" {
+		contentType = echo.MIMEOctetStream
+	}
+	header[echo.HeaderContentLength] = []string{strconv.Itoa(len(answer.Body))}
+	return c.Blob(answer.Status, contentType, answer.Body)
+}
--- /dev/null
+++ b/io/anvilhttp/server.go
@@ -0,0 +1,88 @@
+package anvilhttp
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"anvilshunt/core/anvilclock"
+)
+
+type server struct {
+	api    API
+	limits Limits
+	clock  anvilclock.Clock
+}
+
+// New returns the handler of the HTTP interface.
+func New(api API, limits Limits, clock anvilclock.Clock) http.Handler {
+	s := &server{api: api, limits: limits, clock: clock}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = handleError
+	e.POST("/v1/services/:service/requests", s.request)
+	e.POST("/v1/jobs", s.submitJob)
+	e.GET("/v1/jobs", s.listJobs)
+	e.GET("/v1/jobs/:id", s.viewJob)
+	e.DELETE("/v1/jobs/:id", s.cancelJob)
+	e.GET("/v1/config", s.viewConfig)
+	e.POST("/v1/config/check", s.checkChange)
+	e.POST("/v1/config/changes", s.applyChange)
+	e.GET("/v1/config/history", s.listHistory)
+	e.GET("/v1/status", s.viewStatus)
+	e.GET("/v1/instances", s.listInstances)
+	e.GET("/v1/targets", s.listTargets)
+	e.POST("/v1/targets/:id/drain", s.drainTarget)
+	e.POST("/v1/targets/announce", s.announce)
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.ready)
+	e.GET("/debug/vars", s.metrics)
+	return e
+}
+
+// failure is the body of every error.
+type failure struct {
+	Code    string `json:"code"`
+	Error   string `json:"error"`
+	Outcome string `json:"outcome,omitempty"`
+}
+
+func fail(c echo.Context, status int, code, text string) error {
+	return c.JSON(status, failure{Code: code, Error: text})
+}
+
+// handleError answers errors of the router and of handlers.
+func handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var routed *echo.HTTPError
+	switch {
+	case errors.As(err, &routed) && routed.Code == http.StatusNotFound:
+		_ = fail(c, http.StatusNotFound, "unknown_path", "there is no "+c.Request().URL.Path+"; see docs/protocol.md")
+	case errors.As(err, &routed) && routed.Code == http.StatusMethodNotAllowed:
+		_ = fail(c, http.StatusMethodNotAllowed, "bad_method", c.Request().Method+" isn't served at "+c.Request().URL.Path)
+	case errors.Is(err, ErrNotFound):
+		_ = fail(c, http.StatusNotFound, "not_found", err.Error())
+	case errors.Is(err, ErrUnavailable):
+		c.Response().Header().Set("Retry-After", "1")
+		_ = fail(c, http.StatusServiceUnavailable, "control_unavailable", err.Error())
+	case errors.Is(err, ErrStale):
+		_ = fail(c, http.StatusConflict, "stale", err.Error())
+	default:
+		_ = fail(c, http.StatusInternalServerError, "internal", err.Error())
+	}
+}
+
+func (s *server) ready(c echo.Context) error {
+	if !s.api.Ready() {
+		return fail(c, http.StatusServiceUnavailable, "not_ready", "this instance has no lease or is shutting down")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *server) metrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	return s.api.Metrics(c.Response())
+}
--- /dev/null
+++ b/io/anvilserver/api.go
@@ -0,0 +1,143 @@
+package anvilserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilcontrol"
+	"anvilshunt/io/anvilhttp"
+)
+
+// api connects the HTTP interface with the parts of the instance.
+func (s *Server) api() anvilhttp.API {
+	return anvilhttp.API{
+		Service: func(name anvilid.ServiceName) *anvilconfig.Service { return s.config().Service(name) },
+		Issue:   s.desk.Issue,
+		Run:     s.desk.Run,
+		Announce: func(ctx context.Context, report *anvilhttp.Report) (anvilid.Address, error) {
+			owner, err := s.Announce(ctx, report)
+			return owner, announceError(err)
+		},
+		Ready:   s.Ready,
+		Status:  s.status,
+		Config:  s.config,
+		Check:   s.checkChange,
+		Change:  s.change,
+		History: s.history,
+		Submit:  s.submit,
+		Job:     s.job,
+		Jobs:    s.jobs,
+		Cancel:  s.cancelJob,
+		Drain:   s.drainTarget,
+		Metrics: s.metrics.write,
+	}
+}
+
+func announceError(err error) error {
+	switch {
+	case errors.Is(err, ErrTryAgain):
+		return fmt.Errorf("%w: %w", anvilhttp.ErrUnavailable, err)
+	case errors.Is(err, ErrOldRun):
+		return fmt.Errorf("%w: %w", anvilhttp.ErrStale, err)
+	}
+	return err
+}
+
+// status tells what this instance knows.
+func (s *Server) status() anvilhttp.Status {
+	index, config, instances, targets := s.snapshot()
+	status := anvilhttp.Status{
+		Instance: s.settings.Instance, Incarnation: s.currentIncarnation(),
+		Region: s.settings.Region, Zone: s.settings.Zone,
+		Ready: s.Ready(), Leased: s.isLeased(), Draining: s.draining(),
+		Index: index, Revision: config.Revision, Admitted: s.desk.Admitted(),
+		Instances: instances, Targets: targets,
+	}
+	for _, owned := range s.fleet.Statuses() {
+		status.Owned = append(status.Owned, anvilhttp.Owned{
+			Target: owned.Target, Epoch: owned.Epoch, State: string(owned.State), Health: string(owned.Health),
+			Own: owned.Own, Foreign: owned.Foreign, Reserved: owned.Reserved, Free: owned.Free,
+			Connections: owned.Connections,
+		})
+	}
+	if s.voter != nil {
+		status.Voter = s.voter.status()
+	}
+	return status
+}
+
+func (s *Server) checkChange(ctx context.Context, change anvilconfig.Change) ([]anvilconfig.Problem, error) {
+	data, err := anvilstate.Encode(&change)
+	if err != nil {
+		return nil, err
+	}
+	var problems []anvilconfig.Problem
+	err = s.client.Query(ctx, anvilcontrol.QueryCheck, "", data, &problems)
+	return problems, controlError(err)
+}
+
+func (s *Server) change(ctx context.Context, change anvilconfig.Change, everywhere bool) (anvilstate.Result, bool, error) {
+	command := &anvilstate.Command{Config: &change}
+	if everywhere {
+		result, done, err := s.client.ProposeEverywhere(ctx, command)
+		return result, done, controlError(err)
+	}
+	result, err := s.client.Propose(ctx, command)
+	return result, false, controlError(err)
+}
+
+func (s *Server) history(ctx context.Context) ([]anvilstate.Published, error) {
+	var published []anvilstate.Published
+	err := s.client.Query(ctx, anvilcontrol.QueryHistory, "", nil, &published)
+	return published, controlError(err)
+}
+
+func (s *Server) submit(ctx context.Context, job anvilstate.SubmitJob) (anvilstate.Result, error) {
+	if s.draining() {
+		return anvilstate.Result{}, fmt.Errorf("%w: this instance is shutting down", anvilhttp.ErrUnavailable)
+	}
+	result, err := s.client.Propose(ctx, &anvilstate.Command{Submit: &job})
+	return result, controlError(err)
+}
+
+func (s *Server) job(ctx context.Context, id anvilid.JobID) (anvilstate.Job, error) {
+	var job anvilstate.Job
+	err := s.client.Query(ctx, anvilcontrol.QueryJob, string(id), nil, &job)
+	return job, controlError(err)
+}
+
+func (s *Server) jobs(ctx context.Context) ([]anvilstate.Job, error) {
+	var jobs []anvilstate.Job
+	err := s.client.Query(ctx, anvilcontrol.QueryJobs, "", nil, &jobs)
+	return jobs, controlError(err)
+}
+
+func (s *Server) cancelJob(ctx context.Context, id anvilid.JobID) (anvilstate.Result, error) {
+	result, err := s.client.Propose(ctx, &anvilstate.Command{Cancel: &anvilstate.CancelJob{ID: id}})
+	return result, controlError(err)
+}
+
+func (s *Server) drainTarget(ctx context.Context, id anvilid.TargetID) error {
+	target, _, ok := s.target(id)
+	if !ok {
+		return fmt.Errorf("%w: target %q", anvilhttp.ErrNotFound, id)
+	}
+	_, err := s.client.Propose(ctx, &anvilstate.Command{
+		Depart: &anvilstate.LeaveTarget{ID: id, Incarnation: target.Incarnation},
+	})
+	return controlError(err)
+}
+
+func controlError(err error) error {
+	switch {
+	case errors.Is(err, anvilcontrol.ErrNotFound):
+		return fmt.Errorf("%w: %w", anvilhttp.ErrNotFound, err)
+	case errors.Is(err, anvilcontrol.ErrUnavailable):
+		return fmt.Errorf("%w: %w", anvilhttp.ErrUnavailable, err)
+	}
+	return err
+}
--- /dev/null
+++ b/io/anvilserver/peer.go
@@ -0,0 +1,77 @@
+package anvilserver
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/twitchtv/twirp"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvildedup"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilreport"
+	"anvilshunt/core/anvilrequest"
+	"anvilshunt/io/anvildesk"
+	"anvilshunt/io/anvilrpc"
+)
+
+// peerService answers the other instances.
+type peerService struct {
+	server *Server
+}
+
+// Run executes a request that a peer forwarded.
+func (p peerService) Run(_ context.Context, call *anvilrpc.RunRequest) (*anvilrpc.RunReply, error) {
+	s := p.server
+	request := &anvilrequest.Request{
+		Key: anvilrequest.Key{
+			Account: anvilid.AccountID(call.Account), Service: anvilid.ServiceName(call.Service),
+			ID: anvilid.RequestID(call.Id),
+		},
+		Repeatable: call.Repeatable, Deadline: s.clock.Now() + anvilclock.Millis(call.Remaining),
+		ContentType: call.ContentType, Body: call.Body,
+	}
+	reply := anvildesk.ReplyOf(s.desk.RunForPeer(request, anvilid.Token(call.Token)))
+	if !s.draining() {
+		reply.Free = int32(s.fleet.Free(request.Service))
+	}
+	return reply, nil
+}
+
+// Record notes a request id that this instance keeps.
+func (p peerService) Record(_ context.Context, call *anvilrpc.RecordRequest) (*anvilrpc.RecordReply, error) {
+	return p.server.desk.Record(call), nil
+}
+
+// Fetch returns an answer that this instance holds.
+func (p peerService) Fetch(ctx context.Context, call *anvilrpc.FetchRequest) (*anvilrpc.FetchReply, error) {
+	key := anvildedup.Key{
+		Account: anvilid.AccountID(call.Account), Service: anvilid.ServiceName(call.Service),
+		ID: anvilid.RequestID(call.Id),
+	}
+	answer, found := p.server.desk.Fetch(ctx, key, anvilclock.Millis(call.Remaining))
+	if !found {
+		return &anvilrpc.FetchReply{}, nil
+	}
+	return &anvilrpc.FetchReply{Found: true, Answer: anvildesk.ReplyOf(answer)}, nil
+}
+
+// Report takes in the report of a target that this instance owns.
+func (p peerService) Report(_ context.Context, call *anvilrpc.ReportRequest) (*anvilrpc.ReportReply, error) {
+	report := &anvilreport.Report{}
+	if err := json.Unmarshal(call.Report, report); err != nil {
+		return nil, twirp.InvalidArgumentError("report", err.Error())
+	}
+	if err := p.server.takeReport(report); err != nil {
+		return &anvilrpc.ReportReply{Detail: err.Error()}, nil
+	}
+	return &anvilrpc.ReportReply{Accepted: true}, nil
+}
+
+// Member drives one member of a gang.
+func (p peerService) Member(ctx context.Context, call *anvilrpc.MemberRequest) (*anvilrpc.MemberReply, error) {
+	if err := p.server.gangs.member(ctx, call); err != nil {
+		return &anvilrpc.MemberReply{Detail: err.Error()}, nil
+	}
+	return &anvilrpc.MemberReply{Done: true}, nil
+}
--- /dev/null
+++ b/io/anvilserver/server.go
@@ -0,0 +1,171 @@
+// Package anvilserver is the daemon: it assembles the parts of an instance
+// and runs its duties.
+package anvilserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvillease"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/core/anvilview"
+	"anvilshunt/io/anvilcontrol"
+	"anvilshunt/io/anvildesk"
+	"anvilshunt/io/anvilfleet"
+	"anvilshunt/io/anvillink"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilsettings"
+)
+
+// ErrLeftBehind reports that the instance was ended while it still held
+// requests.
+var ErrLeftBehind = errors.New("requests were left behind")
+
+// Server is one instance.
+type Server struct {
+	settings anvilsettings.Settings
+	clock    anvilclock.Clock
+	wall     anvilclock.Clock
+	log      *anvillogs.Logger
+	listen   func(network, address string) (net.Listener, error)
+
+	incarnation atomic.Uint64
+	links       *anvillink.Links
+	client      *anvilcontrol.Client
+	fleet       *anvilfleet.Fleet
+	desk        *anvildesk.Desk
+	gangs       *gangs
+	voter       *voter // nil without a data directory
+	metrics     *metrics
+	state       atomic.Int32
+
+	mu     sync.Mutex
+	view   *anvilview.View
+	lease  anvillease.Holder
+	leased chan struct{} // closed while the lease is valid
+	// registering holds the targets whose registration is under way.
+	registering map[anvilid.TargetID]bool
+}
+
+// Option changes a Server.
+type Option func(*Server)
+
+// WithClock replaces the clock that leases are measured with.
+func WithClock(clock anvilclock.Clock) Option { return func(s *Server) { s.clock = clock } }
+
+// WithLog sets the logger.
+func WithLog(log *anvillogs.Logger) Option { return func(s *Server) { s.log = log } }
+
+// WithListen replaces how the instance listens.
+func WithListen(listen func(network, address string) (net.Listener, error)) Option {
+	return func(s *Server) { s.listen = listen }
+}
+
+// New returns an instance that isn't running yet. It opens the data
+// directory, if there is one.
+func New(settings anvilsettings.Settings, opts ...Option) (*Server, error) {
+	s := &Server{
+		settings: settings, clock: anvilclock.Monotonic(), wall: anvilclock.Wall(), log: anvillogs.Discard(),
+		listen: net.Listen, view: anvilview.New(), leased: make(chan struct{}),
+		registering: map[anvilid.TargetID]bool{},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.log = s.log.With(zap.String("instance", string(settings.Instance)))
+	s.incarnation.Store(uint64(s.wall.Now()))
+	s.metrics = newMetrics()
+	s.links = anvillink.New(settings.Region, s.regionOf, anvillink.WithBytes(s.metrics.link))
+	s.client = anvilcontrol.NewClient(voterAddresses(settings), s.links.ControlAt)
+	s.fleet = anvilfleet.New(settings.Instance, s.clock, s.log, s.incarnation.Load(),
+		anvilfleet.WithLeased(s.isLeased), anvilfleet.WithPropose(s.client.Propose),
+		anvilfleet.WithAnswerLimit(settings.Limits.Answer),
+		anvilfleet.WithFreed(func(service anvilid.ServiceName) { s.desk.Freed(service) }))
+	s.desk = s.newDesk()
+	s.gangs = newGangs(s)
+	if settings.Data != "" {
+		voter, err := openVoter(s)
+		if err != nil {
+			return nil, err
+		}
+		s.voter = voter
+	}
+	s.metrics.publish(s)
+	return s, nil
+}
+
+func (s *Server) newDesk() *anvildesk.Desk {
+	self := anvildesk.Self{
+		Instance: s.settings.Instance, Incarnation: s.currentIncarnation(), Region: s.settings.Region,
+	}
+	runner := anvildesk.Runner{
+		Acquire: s.fleet.Acquire, Probe: s.fleet.Probe, Release: s.fleet.Release, Dispatch: s.fleet.Dispatch,
+	}
+	return anvildesk.New(self, s.clock, s.log, s.directory(), runner,
+		anvildesk.WithPropose(s.client.Propose),
+		anvildesk.WithPeers(s.peers(anvillink.Run), s.peers(anvillink.Record), s.peers(anvillink.Fetch)),
+		anvildesk.WithLimits(anvildesk.Limits{
+			Requests: s.settings.Limits.Requests, Queue: s.settings.Limits.Queue,
+			IDs: s.settings.Limits.IDs, Cache: s.settings.Limits.Cache,
+		}))
+}
+
+func (s *Server) currentIncarnation() anvilid.Incarnation {
+	return anvilid.Incarnation(s.incarnation.Load())
+}
+
+// self describes this run of the instance to the control group.
+func (s *Server) self() anvilstate.Instance {
+	return anvilstate.Instance{
+		ID: s.settings.Instance, Incarnation: s.currentIncarnation(),
+		Region: s.settings.Region, Zone: s.settings.Zone,
+		Peer: s.settings.Peer, Public: s.settings.Public,
+	}
+}
+
+func voterAddresses(settings anvilsettings.Settings) []anvilid.Address {
+	var addresses []anvilid.Address
+	for _, peer := range settings.Peers {
+		if peer.Voter {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
+
+// duty is one of the goroutines of an instance.
+type duty struct {
+	name string
+	run  func(context.Context) error
+}
+
+// runDuties runs all duties until ctx ends or one of them fails.
+func (s *Server) runDuties(ctx context.Context, duties []duty) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var group sync.WaitGroup
+	for _, d := range duties {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if err := d.run(ctx); err != nil && ctx.Err() == nil {
+				s.log.Write(anvillogs.DutyFailed, zap.String("duty", d.name), zap.Error(err))
+				cancel(eris.Wrap(err, d.name))
+			}
+		}()
+	}
+	group.Wait()
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		return fmt.Errorf("the instance stopped: %w", cause)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/anvilserver/view.go
@@ -0,0 +1,117 @@
+package anvilserver
+
+import (
+	"context"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvildesk"
+	"anvilshunt/io/anvillink"
+	"anvilshunt/io/anvilrpc"
+)
+
+// directory gives the desk access to the view.
+func (s *Server) directory() anvildesk.Directory {
+	return anvildesk.Directory{
+		Account: func(id anvilid.AccountID) *anvilconfig.Account { return s.config().Account(id) },
+		Service: func(name anvilid.ServiceName) *anvilconfig.Service { return s.config().Service(name) },
+		Instances: func() []anvilstate.Instance {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.view.Instances()
+		},
+		Local: func(name anvilid.ServiceName) bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.view.Local(name, s.settings.Region)
+		},
+		Leased: s.isLeased,
+		Await:  s.awaitLease,
+	}
+}
+
+func (s *Server) config() anvilconfig.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Config
+}
+
+// isLeased tells whether the instance holds its lease now.
+func (s *Server) isLeased() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Valid(s.clock.Now())
+}
+
+// awaitLease waits until the instance holds its lease.
+func (s *Server) awaitLease(ctx context.Context) bool {
+	for !s.isLeased() {
+		s.mu.Lock()
+		leased := s.leased
+		s.mu.Unlock()
+		select {
+		case <-leased:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// apply takes in a delta. The lease is extended only afterwards, so that it
+// never covers an older configuration.
+func (s *Server) apply(delta *anvilstate.Delta) {
+	s.mu.Lock()
+	changes := s.view.Apply(delta)
+	s.mu.Unlock()
+	for _, target := range changes.Targets {
+		s.fleet.Sync(target)
+	}
+	for _, id := range changes.TargetsGone {
+		s.fleet.Drop(id)
+	}
+	for _, instance := range changes.InstancesGone {
+		s.desk.InstanceGone(instance.ID, instance.Incarnation)
+	}
+}
+
+// regionOf finds the region of an address among the peers that are known.
+func (s *Server) regionOf(address anvilid.Address) anvilid.RegionName {
+	for _, peer := range s.settings.Peers {
+		if peer.Address == address {
+			return peer.Region
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.view.Instances() {
+		if instance.Peer == address {
+			return instance.Region
+		}
+	}
+	return ""
+}
+
+// target returns a target and the peer address of its owner.
+func (s *Server) target(id anvilid.TargetID) (anvilstate.Target, anvilstate.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	target, ok := s.view.Target(id)
+	if !ok {
+		return target, anvilstate.Instance{}, false
+	}
+	owner, _ := s.view.Instance(target.Owner)
+	return target, owner, true
+}
+
+func (s *Server) snapshot() (anvilid.Index, anvilconfig.Snapshot, []anvilstate.Instance, []anvilstate.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Index, s.view.Config, s.view.Instances(), s.view.Targets()
+}
+
+// peers returns the client constructor for one cause of traffic.
+func (s *Server) peers(cause anvillink.Cause) func(anvilid.Address) anvilrpc.Peer {
+	return func(address anvilid.Address) anvilrpc.Peer { return s.links.Peer(cause, address) }
+}
