Record the end of each gang member in the log

A job has to end when all members have, also after the leader that drove it is gone, so the ends are replicated state. A member that fails by itself lets the job be placed up to three times, so that one bad target doesn't fail it.

--- a/core/anvilstate/command.go
+++ b/core/anvilstate/command.go
@@ -31,6 +31,7 @@
 	Advance  *AdvanceJob         `cbor:"15,keyasint,omitempty"`
 	// Rebalance spreads targets after an instance has joined.
 	Rebalance *Rebalance `cbor:"16,keyasint,omitempty"`
+	EndMember *EndMember `cbor:"17,keyasint,omitempty"`
 }
 
 // Instance is one instance of the system.
--- a/core/anvilstate/job.go
+++ b/core/anvilstate/job.go
@@ -37,6 +37,10 @@
 	Placements int `cbor:"17,keyasint,omitempty" json:"placements,omitempty"`
 	// Digest recognises a resend.
 	Digest []byte `cbor:"18,keyasint" json:"-"`
+	// Ended lists the members that have completed their work.
+	Ended []int `cbor:"19,keyasint,omitempty" json:"ended,omitempty"`
+	// Broken is set if a member failed by itself.
+	Broken bool `cbor:"20,keyasint,omitempty" json:"broken,omitempty"`
 }
 
 // jobs is the table of long jobs.
--- a/core/anvilstate/machine.go
+++ b/core/anvilstate/machine.go
@@ -104,6 +104,8 @@
 		result.Job, err = m.place(*c.Place)
 	case c.Advance != nil:
 		result.Job, err = m.advance(*c.Advance)
+	case c.EndMember != nil:
+		result.Job, err = m.endMember(*c.EndMember)
 	default:
 		return fmt.Errorf("%w: empty command", ErrUnknown)
 	}
--- /dev/null
+++ b/core/anvilstate/member.go
@@ -0,0 +1,78 @@
+package anvilstate
+
+import (
+	"fmt"
+	"slices"
+
+	"anvilshunt/core/anvilid"
+)
+
+// MostPlacements bounds how often a job whose members fail by themselves is
+// placed. A target that fails everything must not fail a job alone, and a job
+// that always fails must come to an end.
+const MostPlacements = 3
+
+// MemberEnd tells how a member of a running gang ended.
+type MemberEnd string
+
+// Ends of a member.
+const (
+	// MemberDone means that the member has completed its work.
+	MemberDone MemberEnd = "done"
+	// MemberFailed means that the member's own work failed.
+	MemberFailed MemberEnd = "failed"
+	// MemberLost means that the member stopped or its target is lost.
+	MemberLost MemberEnd = "lost"
+)
+
+// EndMember reports the end of one member of a gang. The job is done when all
+// members are; the failure or loss of one stops the others.
+type EndMember struct {
+	ID     anvilid.JobID `cbor:"1,keyasint"`
+	Token  anvilid.Token `cbor:"2,keyasint"`
+	Member int           `cbor:"3,keyasint"`
+	End    MemberEnd     `cbor:"4,keyasint"`
+	Detail string        `cbor:"5,keyasint,omitempty"`
+}
+
+func (m *Machine) endMember(command EndMember) (*Job, error) {
+	job, ok := m.jobs.byID[command.ID]
+	if !ok {
+		return nil, fmt.Errorf("%w: job %q", ErrJob, command.ID)
+	}
+	if job.Token != command.Token || command.Member < 0 || command.Member >= len(job.Members) {
+		return job.brief(), fmt.Errorf("%w: job %q has the token %d and %d members", ErrStale, job.ID, job.Token, len(job.Members))
+	}
+	if job.State.Final() || slices.Contains(job.Ended, command.Member) {
+		return job.brief(), nil // a resent report
+	}
+	switch {
+	case command.End == MemberDone:
+		m.memberDone(job, command.Member)
+	case job.State != JobStopping:
+		job.Broken = job.Broken || command.End == MemberFailed
+		m.setState(job, JobStopping, fmt.Sprintf("member %d is %s: %s", command.Member, command.End, command.Detail))
+	}
+	return job.brief(), nil
+}
+
+func (m *Machine) memberDone(job *Job, member int) {
+	job.Ended = append(slices.Clone(job.Ended), member)
+	if len(job.Ended) == len(job.Members) && (job.State == JobRunning || job.State == JobPreparing) {
+		m.endJob(job, JobDone, "")
+	}
+}
+
+// AfterStop returns the state that follows once all members of a stopping job
+// have stopped.
+func (j *Job) AfterStop() JobState {
+	switch {
+	case j.Cancelled:
+		return JobCancelled
+	case len(j.Members) > 0 && len(j.Ended) == len(j.Members):
+		return JobDone
+	case j.Broken && j.Placements >= MostPlacements:
+		return JobFailed
+	}
+	return JobSubmitted
+}
