Run gangs: reserve, prepare, start, confirm; undo a start that fails

Owners drive members on their targets and renew their task leases; the leader drives whole gangs through the log. Placement is first fit, the baseline for the planner.

--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -94,6 +94,9 @@
 	return failure
 }
 
+// Leading tells whether this voter leads and has taken up its term.
+func (s *Service) Leading() bool { return s.leading() == nil }
+
 // Renew extends the lease of an instance and tells it what has changed.
 func (s *Service) Renew(ctx context.Context, request *anvilrpc.RenewRequest) (*anvilrpc.RenewReply, error) {
 	if err := s.leading(); err != nil {
--- a/io/anvilfleet/caller.go
+++ b/io/anvilfleet/caller.go
@@ -108,6 +108,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "read the answer to %s", path)
 	}
+	switch response.Header.Get(HeaderCode) {
+	case "unknown_task", "task_ended":
+		return fmt.Errorf("%w: %s", ErrUnknownTask, bytes.TrimSpace(data))
+	}
 	if response.StatusCode/100 != 2 {
 		return fmt.Errorf("%w: %s answered %d %s", errRefused, path, response.StatusCode, bytes.TrimSpace(data))
 	}
--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -62,6 +62,7 @@
 	calling   bool
 	proposing bool
 	retryAt   anvilclock.Millis
+	adoptedAt anvilclock.Millis
 }
 
 // Counts are totals since the start.
@@ -304,6 +305,7 @@
 	first := before.State == anvilslot.Waiting && after.State == anvilslot.Adopted
 	if first {
 		f.counts.Adoptions++
+		known.adoptedAt = now
 		f.limit(target.ID)
 	}
 	f.mu.Unlock()
--- /dev/null
+++ b/io/anvilgang/driver.go
@@ -0,0 +1,226 @@
+package anvilgang
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvillogs"
+)
+
+// Periods and bounds of the leader's work on jobs.
+const (
+	drivePeriod = 50 * time.Millisecond
+	// A gang that isn't prepared within this time is undone.
+	startTimeout = 20 * time.Second
+	actionPause  = 50 * time.Millisecond
+)
+
+// ErrUndone reports a start that had to be undone.
+var ErrUndone = errors.New("the start was undone")
+
+// Leader is what a driver asks of the control group and the owners.
+type Leader struct {
+	// Leading tells whether this voter leads.
+	Leading func() bool
+	// Jobs lists the jobs that haven't ended, in the order of submission.
+	Jobs func() []anvilstate.Job
+	Job  func(anvilid.JobID) (anvilstate.Job, bool)
+	// Plan chooses members for a job, or explains why it has to wait.
+	Plan func(job anvilstate.Job) (members []anvilstate.Member, reason string)
+	// Propose commits a command.
+	Propose func(context.Context, *anvilstate.Command) (anvilstate.Result, error)
+	// Do asks the owner of a member's target. It returns ErrNotOwned if the
+	// target has no owner now.
+	Do func(context.Context, Action, Member) error
+	// Lost tells whether the run of the target on which a member was placed
+	// is gone, and its tasks with it.
+	Lost func(anvilstate.Member) bool
+}
+
+// Driver drives gangs while its voter leads.
+type Driver struct {
+	log    *anvillogs.Logger
+	leader Leader
+
+	mu   sync.Mutex
+	busy map[anvilid.JobID]bool
+}
+
+// NewDriver returns a driver.
+func NewDriver(log *anvillogs.Logger, leader Leader) *Driver {
+	return &Driver{log: log, leader: leader, busy: map[anvilid.JobID]bool{}}
+}
+
+// Run drives gangs until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	ticker := time.NewTicker(drivePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if d.leader.Leading() {
+				d.step(ctx)
+			}
+		}
+	}
+}
+
+func (d *Driver) step(ctx context.Context) {
+	for _, job := range d.leader.Jobs() {
+		switch job.State {
+		case anvilstate.JobSubmitted:
+			d.place(ctx, job)
+		case anvilstate.JobPlaced, anvilstate.JobPreparing, anvilstate.JobStopping:
+			d.work(ctx, job.ID)
+		}
+	}
+}
+
+// work runs one step of a job at a time in its own goroutine.
+func (d *Driver) work(ctx context.Context, id anvilid.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.busy[id] {
+		return
+	}
+	d.busy[id] = true
+	go func() {
+		// The job is read again, because an earlier step may have ended
+		// since it was listed.
+		if job, ok := d.leader.Job(id); ok {
+			d.next(ctx, job)
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.busy, id)
+	}()
+}
+
+func (d *Driver) next(ctx context.Context, job anvilstate.Job) {
+	switch job.State {
+	case anvilstate.JobPlaced:
+		d.start(ctx, job)
+	case anvilstate.JobPreparing:
+		d.undo(ctx, job, "the leader that began the start is gone")
+	case anvilstate.JobStopping:
+		d.stop(ctx, job)
+	}
+}
+
+func (d *Driver) place(ctx context.Context, job anvilstate.Job) {
+	members, _ := d.leader.Plan(job)
+	if len(members) == 0 {
+		return
+	}
+	result, err := d.leader.Propose(ctx, &anvilstate.Command{Place: &anvilstate.PlaceJob{ID: job.ID, Members: members}})
+	if err != nil || result.Code != "" {
+		d.log.Write(anvillogs.ProposalFailed, zap.String("job", string(job.ID)), zap.String("detail", result.Detail), zap.Error(err))
+		return
+	}
+	d.log.Write(anvillogs.JobPlaced, zap.String("job", string(job.ID)), zap.Int("members", len(members)))
+}
+
+// start prepares all members and starts them once all are prepared. A step
+// that fails undoes the whole start.
+func (d *Driver) start(ctx context.Context, job anvilstate.Job) {
+	if !d.advance(ctx, job, anvilstate.JobPreparing, "") {
+		return
+	}
+	within, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, action := range []Action{Reserve, Prepare, Start} {
+		if err := d.all(within, action, job); err != nil {
+			d.undo(ctx, job, err.Error())
+			return
+		}
+	}
+	if d.advance(ctx, job, anvilstate.JobRunning, "") {
+		d.log.Write(anvillogs.JobStarted, zap.String("job", string(job.ID)), zap.Uint64("token", uint64(job.Token)))
+	}
+}
+
+func (d *Driver) undo(ctx context.Context, job anvilstate.Job, reason string) {
+	d.log.Write(anvillogs.JobUndone, zap.String("job", string(job.ID)), zap.String("reason", reason))
+	if d.advance(ctx, job, anvilstate.JobStopping, reason) {
+		d.stop(ctx, job)
+	}
+}
+
+// stop stops and fences all members. The job moves on only when every one has
+// certainly stopped.
+func (d *Driver) stop(ctx context.Context, job anvilstate.Job) {
+	within, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.all(within, Stop, job); err != nil {
+		return // the next step tries again
+	}
+	next := job.AfterStop()
+	if d.advance(ctx, job, next, job.Detail) && next.Final() {
+		d.log.Write(anvillogs.JobEnded, zap.String("job", string(job.ID)), zap.String("state", string(next)))
+	}
+}
+
+func (d *Driver) advance(ctx context.Context, job anvilstate.Job, state anvilstate.JobState, detail string) bool {
+	result, err := d.leader.Propose(ctx, &anvilstate.Command{Advance: &anvilstate.AdvanceJob{
+		ID: job.ID, Token: job.Token, State: state, Detail: detail,
+	}})
+	return err == nil && result.Code == ""
+}
+
+// all carries out an action for every member at the same time.
+func (d *Driver) all(ctx context.Context, action Action, job anvilstate.Job) error {
+	failures := make(chan error, len(job.Members))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i, member := range job.Members {
+		go func() { failures <- d.one(ctx, action, job, i, member) }()
+	}
+	var failed error
+	for range job.Members {
+		if err := <-failures; err != nil && failed == nil {
+			failed = err
+			if action != Stop {
+				cancel()
+			}
+		}
+	}
+	return failed
+}
+
+// one carries out an action for one member. Reserving and stopping take
+// several tries, because slots have to clear and targets may be out of reach.
+func (d *Driver) one(ctx context.Context, action Action, job anvilstate.Job, index int, placed anvilstate.Member) error {
+	member := Member{
+		Job: job.ID, Index: index, Token: job.Token, Target: placed.Target,
+		Accelerators: placed.Accelerators, Payload: job.Payload,
+	}
+	for {
+		if d.leader.Lost(placed) {
+			if action == Stop {
+				return nil
+			}
+			return fmt.Errorf("%w: target %q is lost", ErrUndone, placed.Target)
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := d.leader.Do(call, action, member)
+		cancel()
+		again := action == Stop || action == Reserve || errors.Is(err, ErrNotOwned)
+		if err == nil || !again {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %s of member %d on target %q: %w", ErrUndone, action, index, placed.Target, err)
+		case <-time.After(actionPause):
+		}
+	}
+}
--- a/io/anvilserver/gangs.go
+++ b/io/anvilserver/gangs.go
@@ -3,20 +3,113 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilreport"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilfleet"
+	"anvilshunt/io/anvilgang"
+	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvilrpc"
 )
 
-// gangs drives the members of gangs on owned targets.
-type gangs struct{ server *Server }
+// newOwner returns the part that drives gang members on owned targets.
+func (s *Server) newOwner() *anvilgang.Owner {
+	return anvilgang.NewOwner(s.clock, s.log, anvilgang.Calls{
+		Cleared: func(target anvilid.TargetID, token anvilid.Token) bool {
+			s.mu.Lock()
+			seen := uint64(s.view.Index) >= uint64(token)
+			s.mu.Unlock()
+			return seen && s.fleet.Cleared(target)
+		},
+		Owns:    s.fleet.Adopted,
+		Task:    s.callTask,
+		Propose: s.client.Propose,
+		Job:     s.job,
+	})
+}
 
-func newGangs(s *Server) *gangs { return &gangs{server: s} }
+// callTask makes a call about a member on an owned target.
+func (s *Server) callTask(ctx context.Context, target anvilid.TargetID, verb string, member anvilgang.Member, lease anvilclock.Millis) (anvilreport.Task, error) {
+	task, err := s.fleet.Task(ctx, target, verb, member.Job, member.Index, anvilfleet.TaskCall{
+		Token: member.Token, Accelerators: member.Accelerators, Lease: lease,
+		Payload: string(member.Payload), Checkpoint: verb == string(anvilgang.Stop),
+	})
+	switch {
+	case errors.Is(err, anvilfleet.ErrUnknownTask):
+		err = fmt.Errorf("%w: %w", anvilgang.ErrGone, err)
+	case errors.Is(err, anvilfleet.ErrNotOwned):
+		err = fmt.Errorf("%w: %w", anvilgang.ErrNotOwned, err)
+	}
+	return task, err
+}
 
-func (g *gangs) observe(*anvilreport.Report) {}
+// newDriver returns the part that drives whole gangs while this voter leads.
+func (s *Server) newDriver(v *voter) *anvilgang.Driver {
+	return anvilgang.NewDriver(s.log, anvilgang.Leader{
+		Leading: v.service.Leading,
+		Jobs: func() (live []anvilstate.Job) {
+			v.replica.Read(func(machine *anvilstate.Machine) { live = machine.LiveJobs() })
+			return live
+		},
+		Job: func(id anvilid.JobID) (job anvilstate.Job, ok bool) {
+			v.replica.Read(func(machine *anvilstate.Machine) { job, ok = machine.Job(id) })
+			return job, ok
+		},
+		Plan: func(job anvilstate.Job) (members []anvilstate.Member, reason string) {
+			v.replica.Read(func(machine *anvilstate.Machine) {
+				members, reason = anvilgang.FirstFit(job, machine.Targets())
+			})
+			return members, reason
+		},
+		Propose: s.client.Propose,
+		Do:      s.doMember,
+		Lost: func(member anvilstate.Member) (lost bool) {
+			v.replica.Read(func(machine *anvilstate.Machine) {
+				target, ok := machine.Target(member.Target)
+				lost = !ok || target.Incarnation != member.Incarnation
+			})
+			return lost
+		},
+	})
+}
 
-func (g *gangs) run(context.Context) error { return nil }
+// doMember asks the owner of a member's target to carry out an action.
+func (s *Server) doMember(ctx context.Context, action anvilgang.Action, member anvilgang.Member) error {
+	_, owner, ok := s.target(member.Target)
+	if !ok || owner.ID == "" {
+		return fmt.Errorf("%w: target %q has no owner", anvilgang.ErrNotOwned, member.Target)
+	}
+	if owner.ID == s.settings.Instance {
+		return s.owner.Do(ctx, action, member)
+	}
+	reply, err := s.links.Peer(anvillink.Member, owner.Peer).Member(ctx, &anvilrpc.MemberRequest{
+		Job: string(member.Job), Member: int32(member.Index), Token: uint64(member.Token),
+		Target: string(member.Target), Action: string(action),
+		Accelerators: int32(member.Accelerators), Payload: member.Payload,
+	})
+	switch {
+	case err != nil:
+		return fmt.Errorf("instance %q: %w", owner.ID, err)
+	case reply.Done:
+		return nil
+	case reply.NotOwned:
+		return fmt.Errorf("%w: instance %q: %s", anvilgang.ErrNotOwned, owner.ID, reply.Detail)
+	}
+	return fmt.Errorf("instance %q: %s", owner.ID, reply.Detail)
+}
 
-func (g *gangs) member(context.Context, *anvilrpc.MemberRequest) error {
-	return errors.New("gangs can't be run yet")
+// Member carries out an action for the leader.
+func (p peerService) Member(ctx context.Context, call *anvilrpc.MemberRequest) (*anvilrpc.MemberReply, error) {
+	err := p.server.owner.Do(ctx, anvilgang.Action(call.Action), anvilgang.Member{
+		Job: anvilid.JobID(call.Job), Index: int(call.Member), Token: anvilid.Token(call.Token),
+		Target: anvilid.TargetID(call.Target), Accelerators: anvilid.AcceleratorCount(call.Accelerators),
+		Payload: call.Payload,
+	})
+	if err != nil {
+		return &anvilrpc.MemberReply{Detail: err.Error(), NotOwned: errors.Is(err, anvilgang.ErrNotOwned)}, nil
+	}
+	return &anvilrpc.MemberReply{Done: true}, nil
 }
--- a/io/anvilserver/peer.go
+++ b/io/anvilserver/peer.go
@@ -67,11 +67,3 @@
 	}
 	return &anvilrpc.ReportReply{Accepted: true}, nil
 }
-
-// Member drives one member of a gang.
-func (p peerService) Member(ctx context.Context, call *anvilrpc.MemberRequest) (*anvilrpc.MemberReply, error) {
-	if err := p.server.gangs.member(ctx, call); err != nil {
-		return &anvilrpc.MemberReply{Detail: err.Error()}, nil
-	}
-	return &anvilrpc.MemberReply{Done: true}, nil
-}
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -21,6 +21,7 @@
 	"anvilshunt/io/anvilcontrol"
 	"anvilshunt/io/anvildesk"
 	"anvilshunt/io/anvilfleet"
+	"anvilshunt/io/anvilgang"
 	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilsettings"
@@ -43,7 +44,7 @@
 	client      *anvilcontrol.Client
 	fleet       *anvilfleet.Fleet
 	desk        *anvildesk.Desk
-	gangs       *gangs
+	owner       *anvilgang.Owner
 	voter       *voter // nil without a data directory
 	metrics     *metrics
 	state       atomic.Int32
@@ -91,7 +92,7 @@
 		anvilfleet.WithAnswerLimit(settings.Limits.Answer),
 		anvilfleet.WithFreed(func(service anvilid.ServiceName) { s.desk.Freed(service) }))
 	s.desk = s.newDesk()
-	s.gangs = newGangs(s)
+	s.owner = s.newOwner()
 	if settings.Data != "" {
 		voter, err := openVoter(s)
 		if err != nil {
--- a/io/anvilserver/targets.go
+++ b/io/anvilserver/targets.go
@@ -82,7 +82,7 @@
 	if err := s.fleet.Report(report); err != nil {
 		return fmt.Errorf("%w: %w", ErrTryAgain, err)
 	}
-	s.gangs.observe(report)
+	s.owner.Observe(context.Background(), report)
 	return nil
 }
 
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -8,6 +8,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilcontrol"
+	"anvilshunt/io/anvilgang"
 	"anvilshunt/io/anvilhttp"
 	"anvilshunt/io/anvilrpc"
 )
@@ -19,6 +20,7 @@
 	mu      sync.Mutex
 	index   anvilid.Index
 	leading bool
+	driver  *anvilgang.Driver
 }
 
 func openVoter(s *Server) (*voter, error) {
@@ -37,11 +39,12 @@
 		Barrier: func(context.Context) error { return nil },
 		Address: func(anvilid.InstanceID) anvilid.Address { return s.settings.Peers[0].Address },
 	}, s.settings.Timing.Hold)
+	v.driver = s.newDriver(v)
 	return v, nil
 }
 
 func (v *voter) duties() []duty {
-	return []duty{{"control", v.service.Run}}
+	return []duty{{"control", v.service.Run}, {"gangs", v.driver.Run}}
 }
 
 func (v *voter) register(mux *http.ServeMux) {
