Add the command line for configuration, jobs, targets and instances

One package per noun and one file per verb. config apply shows the difference, waits until the change is in force everywhere and repeats a lost answer under the same change id.

--- /dev/null
+++ b/io/anvilclient/client.go
@@ -0,0 +1,198 @@
+// Package anvilclient is a client of the HTTP interface for operators and
+// for callers of long jobs.
+package anvilclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilhttp"
+)
+
+// Errors of calls.
+var (
+	// ErrUnreachable reports that no instance answered.
+	ErrUnreachable = errors.New("no instance can be reached")
+	// ErrRefused is wrapped by every error that an instance answered with.
+	ErrRefused = errors.New("refused")
+)
+
+// maxAnswer bounds what is read of an answer.
+const maxAnswer = 256 << 20
+
+// Refusal is the error that an instance answered with.
+type Refusal struct {
+	Status   int                   `json:"-"`
+	Code     string                `json:"code"`
+	Text     string                `json:"error"`
+	Problems []anvilconfig.Problem `json:"problems"`
+	Conflict *anvilstate.Conflict  `json:"conflict"`
+}
+
+// Error returns the text that the instance gave.
+func (r *Refusal) Error() string { return r.Text }
+
+// Unwrap makes the error match ErrRefused.
+func (r *Refusal) Unwrap() error { return ErrRefused }
+
+// Client talks to the instances in turn until one answers.
+type Client struct {
+	http      *http.Client
+	addresses []anvilid.Address
+}
+
+// New returns a client of the instances at the given addresses.
+func New(client *http.Client, addresses []anvilid.Address) *Client {
+	return &Client{http: client, addresses: addresses}
+}
+
+// call makes one call. A call that may have reached an instance is repeated
+// at the next one; all calls of this client may be repeated.
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return fmt.Errorf("encode the call: %w", err)
+		}
+	}
+	var last error
+	for _, address := range c.addresses {
+		retry, err := c.once(ctx, method, "http://"+string(address)+path, data, reply)
+		if err == nil || !retry {
+			return err
+		}
+		last = err
+	}
+	return fmt.Errorf("%w at %v: %w", ErrUnreachable, c.addresses, last)
+}
+
+func (c *Client) once(ctx context.Context, method, target string, data []byte, reply any) (retry bool, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
+	if err != nil {
+		return false, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return true, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return true, err
+	}
+	if response.StatusCode/100 == 2 {
+		return false, json.Unmarshal(answer, reply)
+	}
+	refusal := &Refusal{Status: response.StatusCode}
+	if json.Unmarshal(answer, refusal) != nil || refusal.Code == "" {
+		refusal.Text = fmt.Sprintf("status %d", response.StatusCode)
+	}
+	return response.StatusCode == http.StatusServiceUnavailable, refusal
+}
+
+// Config is the configuration in force.
+type Config struct {
+	Revision anvilid.Revision     `json:"revision"`
+	Objects  []anvilconfig.Object `json:"objects"`
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	var config Config
+	err := c.call(ctx, http.MethodGet, "/v1/config", nil, &config)
+	return config, err
+}
+
+// Applied is the answer to a published change.
+type Applied struct {
+	Revision   anvilid.Revision `json:"revision"`
+	Everywhere bool             `json:"everywhere"`
+}
+
+// Apply publishes a change set and waits until it is in force everywhere.
+func (c *Client) Apply(ctx context.Context, change anvilconfig.Change) (Applied, error) {
+	var applied Applied
+	err := c.call(ctx, http.MethodPost, "/v1/config/changes?everywhere=yes", change, &applied)
+	return applied, err
+}
+
+// Check checks a change set without publishing it.
+func (c *Client) Check(ctx context.Context, change anvilconfig.Change) error {
+	var reply struct {
+		OK bool `json:"ok"`
+	}
+	return c.call(ctx, http.MethodPost, "/v1/config/check", change, &reply)
+}
+
+// History returns the latest published changes.
+func (c *Client) History(ctx context.Context) ([]anvilstate.Published, error) {
+	var history []anvilstate.Published
+	err := c.call(ctx, http.MethodGet, "/v1/config/history", nil, &history)
+	return history, err
+}
+
+// Status returns what an instance knows.
+func (c *Client) Status(ctx context.Context) (anvilhttp.Status, error) {
+	var status anvilhttp.Status
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &status)
+	return status, err
+}
+
+// Job is a job to submit.
+type Job struct {
+	ID           anvilid.JobID            `json:"id,omitempty"`
+	Account      anvilid.AccountID        `json:"account"`
+	Service      anvilid.ServiceName      `json:"service"`
+	Shape        anvilid.ShapeName        `json:"shape,omitempty"`
+	Accelerators anvilid.AcceleratorCount `json:"accelerators,omitempty"`
+	Estimate     anvilclock.Millis        `json:"estimate,omitempty"`
+	Payload      string                   `json:"payload,omitempty"`
+}
+
+// Submit submits a job.
+func (c *Client) Submit(ctx context.Context, job Job) (anvilstate.Job, error) {
+	var reply anvilstate.Job
+	err := c.call(ctx, http.MethodPost, "/v1/jobs", job, &reply)
+	return reply, err
+}
+
+// Jobs lists the jobs.
+func (c *Client) Jobs(ctx context.Context) ([]anvilstate.Job, error) {
+	var jobs []anvilstate.Job
+	err := c.call(ctx, http.MethodGet, "/v1/jobs", nil, &jobs)
+	return jobs, err
+}
+
+// Job returns a job. It waits for its end for up to the given time.
+func (c *Client) Job(ctx context.Context, id anvilid.JobID, wait anvilclock.Millis) (anvilstate.Job, error) {
+	var job anvilstate.Job
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/jobs/%s?wait=%d", url.PathEscape(string(id)), wait), nil, &job)
+	return job, err
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, id anvilid.JobID) (anvilstate.Job, error) {
+	var job anvilstate.Job
+	err := c.call(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(id)), nil, &job)
+	return job, err
+}
+
+// Drain stops new work to a target.
+func (c *Client) Drain(ctx context.Context, id anvilid.TargetID) error {
+	var reply struct {
+		Draining bool `json:"draining"`
+	}
+	return c.call(ctx, http.MethodPost, "/v1/targets/"+url.PathEscape(string(id))+"/drain", nil, &reply)
+}
--- /dev/null
+++ b/io/anvilcmd/anvilconfigcmd/apply.go
@@ -0,0 +1,165 @@
+package anvilconfigcmd
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/tailscale/hujson"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilclient"
+	"anvilshunt/io/anvilcmd/anvilfactory"
+	"anvilshunt/io/anvilcmd/anviltable"
+)
+
+// A lost answer is asked for again until this time is over. The change id
+// makes the resends safe.
+const applyTimeout = 30 * time.Second
+
+type applyOptions struct {
+	File     string
+	Operator string
+	Remote   *anvilfactory.Remote
+	Streams  anvilfactory.Streams
+	Read     func(string) ([]byte, error)
+}
+
+func newApply(factory *anvilfactory.Factory) *ff.Command {
+	opts := &applyOptions{Streams: factory.Streams, Read: os.ReadFile}
+	flags := ff.NewFlagSet("apply")
+	opts.Remote = factory.AddRemote(flags)
+	flags.StringVar(&opts.Operator, 0, "operator", factory.Env("USER"), "name that the change is published under")
+	return &ff.Command{
+		Name:      "apply",
+		Usage:     "anvilshunt config apply FILE [--operator NAME] [--json]",
+		ShortHelp: "publish a change set and wait until it is in force everywhere",
+		LongHelp: "FILE holds {\"set\": [objects], \"delete\": [keys]}, with comments. The fields id and base\n" +
+			"may be given; else an id is drawn and the current revision is the base.\n\n" +
+			"Example:\n  anvilshunt config apply accounts.jsonc --operator ada",
+		Flags: flags,
+		Exec: func(ctx context.Context, args []string) (err error) {
+			if opts.File, err = anvilfactory.One(args, "the file of the change set"); err != nil {
+				return err
+			}
+			return runApply(ctx, opts)
+		},
+	}
+}
+
+func runApply(ctx context.Context, opts *applyOptions) error {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	client := opts.Remote.Dial()
+	change, err := readChange(opts)
+	if err != nil {
+		return err
+	}
+	current, err := client.Config(ctx)
+	if err != nil {
+		return anvilfactory.Explain(err)
+	}
+	if change.Base == 0 {
+		change.Base = current.Revision
+	}
+	if !opts.Remote.JSON {
+		if err := showDiff(opts.Streams.Err, current, change); err != nil {
+			return err
+		}
+	}
+	applied, err := applyUntil(ctx, client, change)
+	if err != nil {
+		return anvilfactory.Explain(err)
+	}
+	if opts.Remote.JSON {
+		return anviltable.WriteJSON(opts.Streams.Out, applied)
+	}
+	if !applied.Everywhere {
+		return fmt.Errorf("revision %d is accepted, but it was not in force everywhere in time; look at `anvilshunt instance list`", applied.Revision)
+	}
+	fmt.Fprintf(opts.Streams.Out, "revision %d is in force on all instances\n", applied.Revision)
+	return nil
+}
+
+// applyUntil sends a change again while its answer may have been lost.
+func applyUntil(ctx context.Context, client *anvilclient.Client, change anvilconfig.Change) (anvilclient.Applied, error) {
+	for {
+		applied, err := client.Apply(ctx, change)
+		if err == nil && applied.Everywhere || err != nil && !errors.Is(err, anvilclient.ErrUnreachable) {
+			return applied, err
+		}
+		select {
+		case <-ctx.Done():
+			return applied, err
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func readChange(opts *applyOptions) (anvilconfig.Change, error) {
+	data, err := opts.Read(opts.File)
+	if err != nil {
+		return anvilconfig.Change{}, anvilfactory.Usage("read the change set: %w", err)
+	}
+	standard, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return anvilconfig.Change{}, anvilfactory.Usage("%s: %w", opts.File, err)
+	}
+	change, problems := anvilconfig.ParseChange(standard)
+	if len(problems) > 0 {
+		return change, anvilfactory.Usage("%s: %w", opts.File, problems[0])
+	}
+	if change.ID == "" {
+		var id [8]byte
+		_, _ = rand.Read(id[:])
+		change.ID = anvilid.ChangeID("cli-" + hex.EncodeToString(id[:]))
+	}
+	if change.Operator == "" {
+		change.Operator = anvilid.OperatorID(opts.Operator)
+	}
+	return change, nil
+}
+
+// showDiff tells what a change set will change.
+func showDiff(out io.Writer, current anvilclient.Config, change anvilconfig.Change) error {
+	before := anvilconfig.NewSnapshot(current.Revision, current.Objects...)
+	after := anvilconfig.NewSnapshot(current.Revision, current.Objects...)
+	after.Publish(change, current.Revision+1)
+	for _, difference := range anvilconfig.Diff(before, after) {
+		if err := showDifference(out, difference); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// showDifference writes the old form of an object after a minus sign and the
+// new one after a plus sign.
+func showDifference(out io.Writer, difference anvilconfig.Difference) error {
+	for _, side := range []struct {
+		sign   string
+		object *anvilconfig.Object
+	}{{"-", difference.Old}, {"+", difference.New}} {
+		if side.object == nil {
+			continue
+		}
+		side.object.Revision = 0
+		data, err := json.Marshal(side.object)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(out, side.sign, string(data)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/io/anvilcmd/anvilconfigcmd/config.go
+++ b/io/anvilcmd/anvilconfigcmd/config.go
@@ -11,8 +11,8 @@
 func New(factory *anvilfactory.Factory) *ff.Command {
 	return &ff.Command{
 		Name:        "config",
-		Usage:       "anvilshunt config <check> ...",
+		Usage:       "anvilshunt config <check|apply|diff|view|history> ...",
 		ShortHelp:   "check settings, view and change the configuration",
-		Subcommands: []*ff.Command{newCheck(factory)},
+		Subcommands: []*ff.Command{newCheck(factory), newApply(factory), newDiff(factory), newView(factory), newHistory(factory)},
 	}
 }
--- /dev/null
+++ b/io/anvilcmd/anvilconfigcmd/diff.go
@@ -0,0 +1,51 @@
+package anvilconfigcmd
+
+import (
+	"context"
+	"os"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
+
+func newDiff(factory *anvilfactory.Factory) *ff.Command {
+	opts := &applyOptions{Streams: factory.Streams, Read: os.ReadFile}
+	flags := ff.NewFlagSet("diff")
+	opts.Remote = factory.AddRemote(flags)
+	return &ff.Command{
+		Name:      "diff",
+		Usage:     "anvilshunt config diff FILE",
+		ShortHelp: "show what a change set would change, and check it",
+		LongHelp:  "Example:\n  anvilshunt config diff accounts.jsonc",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) (err error) {
+			if opts.File, err = anvilfactory.One(args, "the file of the change set"); err != nil {
+				return err
+			}
+			return runDiff(ctx, opts)
+		},
+	}
+}
+
+func runDiff(ctx context.Context, opts *applyOptions) error {
+	change, err := readChange(opts)
+	if err != nil {
+		return err
+	}
+	if change.Operator == "" {
+		change.Operator = "diff" // a check needs an operator, and nothing is published
+	}
+	client := opts.Remote.Dial()
+	current, err := client.Config(ctx)
+	if err != nil {
+		return anvilfactory.Explain(err)
+	}
+	if change.Base == 0 {
+		change.Base = current.Revision
+	}
+	if err := showDiff(opts.Streams.Out, current, change); err != nil {
+		return err
+	}
+	return anvilfactory.Explain(client.Check(ctx, change))
+}
--- /dev/null
+++ b/io/anvilcmd/anvilconfigcmd/view.go
@@ -0,0 +1,54 @@
+package anvilconfigcmd
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/io/anvilcmd/anvilfactory"
+	"anvilshunt/io/anvilcmd/anviltable"
+)
+
+type viewOptions struct {
+	Remote  *anvilfactory.Remote
+	Streams anvilfactory.Streams
+}
+
+func newView(factory *anvilfactory.Factory) *ff.Command {
+	opts := &viewOptions{Streams: factory.Streams}
+	flags := ff.NewFlagSet("view")
+	opts.Remote = factory.AddRemote(flags)
+	return &ff.Command{
+		Name:      "view",
+		Usage:     "anvilshunt config view [--json]",
+		ShortHelp: "show the configuration in force",
+		LongHelp:  "Example:\n  anvilshunt config view --json",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := anvilfactory.None(args); err != nil {
+				return err
+			}
+			return runView(ctx, opts)
+		},
+	}
+}
+
+func runView(ctx context.Context, opts *viewOptions) error {
+	config, err := opts.Remote.Dial().Config(ctx)
+	if err != nil {
+		return anvilfactory.Explain(err)
+	}
+	if opts.Remote.JSON {
+		return anviltable.WriteJSON(opts.Streams.Out, config)
+	}
+	table := anviltable.Table{Heading: []string{"kind", "name", "revision", "object"}}
+	for _, object := range config.Objects {
+		data, err := json.Marshal(object)
+		if err != nil {
+			return err
+		}
+		table.Add(object.Kind, object.Name, object.Revision, string(data))
+	}
+	return table.Write(opts.Streams)
+}
--- /dev/null
+++ b/io/anvilcmd/anvilfactory/flags.go
@@ -0,0 +1,87 @@
+package anvilfactory
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilclient"
+)
+
+// EnvServers names the variable that holds the addresses of instances.
+const EnvServers = "ANVILSHUNT_SERVERS"
+
+const defaultServer = "127.0.0.1:8081"
+
+// Remote holds the flags of commands that talk to instances.
+type Remote struct {
+	Servers string
+	JSON    bool
+
+	factory *Factory
+}
+
+// AddRemote adds the flags of commands that talk to instances.
+func (f *Factory) AddRemote(flags *ff.FlagSet) *Remote {
+	remote := &Remote{factory: f}
+	flags.StringVar(&remote.Servers, 0, "servers", "", "comma-separated addresses of instances (default: $"+EnvServers+" or "+defaultServer+")")
+	flags.BoolVar(&remote.JSON, 0, "json", "print JSON")
+	return remote
+}
+
+// Dial returns the client that the flags ask for.
+func (r *Remote) Dial() *anvilclient.Client {
+	servers := r.Servers
+	if servers == "" {
+		servers = r.factory.Env(EnvServers)
+	}
+	if servers == "" {
+		servers = defaultServer
+	}
+	var addresses []anvilid.Address
+	for _, server := range strings.Split(servers, ",") {
+		addresses = append(addresses, anvilid.Address(strings.TrimSpace(server)))
+	}
+	return anvilclient.New(r.factory.Client(), addresses)
+}
+
+// Explain adds to an error of the client what decides the exit code and what
+// to do next.
+func Explain(err error) error {
+	var refusal *anvilclient.Refusal
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, anvilclient.ErrUnreachable):
+		return fmt.Errorf("%w: %w; name running instances with --servers or $%s", ErrUnavailable, err, EnvServers)
+	case errors.As(err, &refusal) && len(refusal.Problems) > 0:
+		lines := []string{refusal.Text}
+		for _, problem := range refusal.Problems {
+			lines = append(lines, "  "+problem.Error())
+		}
+		return Usage("%s", strings.Join(lines, "\n"))
+	case errors.As(err, &refusal) && refusal.Conflict != nil:
+		return fmt.Errorf("%w; the latest change is %q by %q at revision %d, objects that differ: %v",
+			err, refusal.Conflict.Change, refusal.Conflict.Operator, refusal.Conflict.Revision, refusal.Conflict.Differ)
+	}
+	return err
+}
+
+// One returns the only argument of a command.
+func One(args []string, what string) (string, error) {
+	if len(args) != 1 || args[0] == "" {
+		return "", Usage("expected one argument, %s", what)
+	}
+	return args[0], nil
+}
+
+// None returns an error if a command got arguments.
+func None(args []string) error {
+	if len(args) > 0 {
+		return Usage("unexpected argument %q", args[0])
+	}
+	return nil
+}
--- /dev/null
+++ b/io/anvilcmd/anvilinstancecmd/instance.go
@@ -0,0 +1,23 @@
+// Package anvilinstancecmd holds the commands about instances.
+package anvilinstancecmd
+
+import (
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
+
+// New returns the command.
+func New(factory *anvilfactory.Factory) *ff.Command {
+	return &ff.Command{
+		Name:        "instance",
+		Usage:       "anvilshunt instance <list|view> ...",
+		ShortHelp:   "list and view instances",
+		Subcommands: []*ff.Command{newList(factory), newView(factory)},
+	}
+}
+
+type options struct {
+	Remote  *anvilfactory.Remote
+	Streams anvilfactory.Streams
+}
--- /dev/null
+++ b/io/anvilcmd/anvilinstancecmd/list.go
@@ -0,0 +1,43 @@
+package anvilinstancecmd
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/io/anvilcmd/anvilfactory"
+	"anvilshunt/io/anvilcmd/anviltable"
+)
+
+func newList(factory *anvilfactory.Factory) *ff.Command {
+	flags := ff.NewFlagSet("list")
+	opts := &options{Remote: factory.AddRemote(flags), Streams: factory.Streams}
+	return &ff.Command{
+		Name:      "list",
+		Usage:     "anvilshunt instance list [--json]",
+		ShortHelp: "list the instances that hold a session",
+		LongHelp:  "Example:\n  anvilshunt instance list",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := anvilfactory.None(args); err != nil {
+				return err
+			}
+			return runList(ctx, opts)
+		},
+	}
+}
+
+func runList(ctx context.Context, opts *options) error {
+	status, err := opts.Remote.Dial().Status(ctx)
+	if err != nil {
+		return anvilfactory.Explain(err)
+	}
+	if opts.Remote.JSON {
+		return anviltable.WriteJSON(opts.Streams.Out, status.Instances)
+	}
+	table := anviltable.Table{Heading: []string{"id", "region", "zone", "public", "peer", "draining"}}
+	for _, instance := range status.Instances {
+		table.Add(instance.ID, instance.Region, instance.Zone, instance.Public, instance.Peer, instance.Draining)
+	}
+	return table.Write(opts.Streams)
+}
--- /dev/null
+++ b/io/anvilcmd/anviljobcmd/view.go
@@ -0,0 +1,37 @@
+package anviljobcmd
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
+
+func newView(factory *anvilfactory.Factory) *ff.Command {
+	flags := ff.NewFlagSet("view")
+	opts := &options{Remote: factory.AddRemote(flags), Streams: factory.Streams}
+	return &ff.Command{
+		Name:      "view",
+		Usage:     "anvilshunt job view ID [--json]",
+		ShortHelp: "show a job",
+		LongHelp:  "Example:\n  anvilshunt job view storm-7",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) error {
+			id, err := anvilfactory.One(args, "the id of the job")
+			if err != nil {
+				return err
+			}
+			return runView(ctx, opts, anvilid.JobID(id))
+		},
+	}
+}
+
+func runView(ctx context.Context, opts *options, id anvilid.JobID) error {
+	job, err := opts.Remote.Dial().Job(ctx, id, 0)
+	if err != nil {
+		return anvilfactory.Explain(err)
+	}
+	return opts.show(job)
+}
--- /dev/null
+++ b/io/anvilcmd/anviltargetcmd/drain.go
@@ -0,0 +1,38 @@
+package anviltargetcmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
+
+func newDrain(factory *anvilfactory.Factory) *ff.Command {
+	flags := ff.NewFlagSet("drain")
+	opts := &options{Remote: factory.AddRemote(flags), Streams: factory.Streams}
+	return &ff.Command{
+		Name:      "drain",
+		Usage:     "anvilshunt target drain ID",
+		ShortHelp: "stop new work to a target until it starts anew",
+		LongHelp:  "Example:\n  anvilshunt target drain t-17",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) error {
+			id, err := anvilfactory.One(args, "the id of the target")
+			if err != nil {
+				return err
+			}
+			return runDrain(ctx, opts, anvilid.TargetID(id))
+		},
+	}
+}
+
+func runDrain(ctx context.Context, opts *options, id anvilid.TargetID) error {
+	if err := opts.Remote.Dial().Drain(ctx, id); err != nil {
+		return anvilfactory.Explain(err)
+	}
+	fmt.Fprintf(opts.Streams.Out, "target %s receives no new work\n", id)
+	return nil
+}
--- /dev/null
+++ b/io/anvilcmd/anviltargetcmd/target.go
@@ -0,0 +1,23 @@
+// Package anviltargetcmd holds the commands about targets.
+package anviltargetcmd
+
+import (
+	"github.com/peterbourgon/ff/v4"
+
+	"anvilshunt/io/anvilcmd/anvilfactory"
+)
+
+// New returns the command.
+func New(factory *anvilfactory.Factory) *ff.Command {
+	return &ff.Command{
+		Name:        "target",
+		Usage:       "anvilshunt target <list|view|drain> ...",
+		ShortHelp:   "list, view and drain targets",
+		Subcommands: []*ff.Command{newList(factory), newView(factory), newDrain(factory)},
+	}
+}
+
+type options struct {
+	Remote  *anvilfactory.Remote
+	Streams anvilfactory.Streams
+}
--- a/io/anvilcmd/root.go
+++ b/io/anvilcmd/root.go
@@ -9,9 +9,15 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
+	"anvilshunt/core/anvilconfig"
 	"anvilshunt/io/anvilcmd/anvilconfigcmd"
 	"anvilshunt/io/anvilcmd/anvilfactory"
+	"anvilshunt/io/anvilcmd/anvilinstancecmd"
+	"anvilshunt/io/anvilcmd/anviljobcmd"
+	"anvilshunt/io/anvilcmd/anvilobjectcmd"
 	"anvilshunt/io/anvilcmd/anvilservecmd"
+	"anvilshunt/io/anvilcmd/anvilstatuscmd"
+	"anvilshunt/io/anvilcmd/anviltargetcmd"
 )
 
 // Main parses and runs a command line and returns the exit code.
@@ -23,6 +29,15 @@
 		Subcommands: []*ff.Command{
 			anvilservecmd.New(factory),
 			anvilconfigcmd.New(factory),
+			anvilobjectcmd.New(factory, anvilconfig.KindAccount),
+			anvilobjectcmd.New(factory, anvilconfig.KindGuarantee),
+			anvilobjectcmd.New(factory, anvilconfig.KindShape),
+			anvilobjectcmd.New(factory, anvilconfig.KindService),
+			anviljobcmd.New(factory),
+			anviltargetcmd.New(factory),
+			anvilinstancecmd.New(factory),
+			anvilstatuscmd.New(factory),
+			anvilstatuscmd.NewVersion(factory),
 		},
 	}
 	err := root.ParseAndRun(ctx, args)
