--- /dev/null
+++ b/core/anvilraft/identity.go
@@ -0,0 +1,55 @@
+package anvilraft
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilshunt/core/anvilid"
+)
+
+// StorageID is a random value chosen when a data directory is created.
+type StorageID string
+
+// GroupID identifies one replicated log. It is chosen at random when the log
+// is created and when ForceSoleVoter is used, so that voters of different
+// groups ignore each other.
+type GroupID uint64
+
+// VoterID identifies a member of the group: an instance together with its
+// data directory. An instance that returns with an empty disk has another
+// StorageID and never counts as the member it was before.
+type VoterID struct {
+	Instance anvilid.InstanceID `cbor:"1,keyasint" json:"instance"`
+	Storage  StorageID          `cbor:"2,keyasint" json:"storage"`
+}
+
+// IsZero reports whether v names nobody.
+func (v VoterID) IsZero() bool { return v == VoterID{} }
+
+// String returns "instance/storage".
+func (v VoterID) String() string { return string(v.Instance) + "/" + string(v.Storage) }
+
+// Compare orders ids by instance, then storage.
+func (v VoterID) Compare(other VoterID) int {
+	return cmp.Or(cmp.Compare(v.Instance, other.Instance), cmp.Compare(v.Storage, other.Storage))
+}
+
+// Members is the membership of the group. Both lists are sorted and share no
+// member. A Members value is never changed in place.
+type Members struct {
+	Voters []VoterID `cbor:"1,keyasint" json:"voters"`
+	// Learners receive the log but have no vote.
+	Learners []VoterID `cbor:"2,keyasint,omitempty" json:"learners,omitempty"`
+}
+
+// IsVoter reports whether id has a vote.
+func (m Members) IsVoter(id VoterID) bool { return slices.Contains(m.Voters, id) }
+
+// IsLearner reports whether id receives the log without a vote.
+func (m Members) IsLearner(id VoterID) bool { return slices.Contains(m.Learners, id) }
+
+// Contains reports whether id is a voter or a learner.
+func (m Members) Contains(id VoterID) bool { return m.IsVoter(id) || m.IsLearner(id) }
+
+// Quorum returns the number of voters that form a majority.
+func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
--- /dev/null
+++ b/core/anvilraft/message.go
@@ -0,0 +1,74 @@
+package anvilraft
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// MessageType tells what a message is.
+type MessageType uint8
+
+// Message types. The numbers are part of the wire format.
+const (
+	// MessagePreVote asks whether a vote would be granted, without raising terms.
+	MessagePreVote MessageType = 1
+	// MessagePreVoteResponse answers MessagePreVote.
+	MessagePreVoteResponse MessageType = 2
+	// MessageVote asks for a vote.
+	MessageVote MessageType = 3
+	// MessageVoteResponse answers MessageVote.
+	MessageVoteResponse MessageType = 4
+	// MessageAppend carries entries, or none as a heartbeat.
+	MessageAppend MessageType = 5
+	// MessageAppendResponse acknowledges or rejects entries and heartbeats.
+	MessageAppendResponse MessageType = 6
+	// MessageSnapshot carries one chunk of a snapshot.
+	MessageSnapshot MessageType = 7
+	// MessageSnapshotResponse acknowledges or rejects a chunk.
+	MessageSnapshotResponse MessageType = 8
+)
+
+// Message is sent from one member to another. Messages may be lost, delayed,
+// doubled and reordered. Fields that a type does not use are zero.
+type Message struct {
+	Type  MessageType  `cbor:"1,keyasint"`
+	Group GroupID      `cbor:"2,keyasint"`
+	From  VoterID      `cbor:"3,keyasint"`
+	To    VoterID      `cbor:"4,keyasint"`
+	Term  anvilid.Term `cbor:"5,keyasint"`
+
+	// Index and LogTerm identify an entry: the candidate's last entry in vote
+	// requests, the entry before Entries in MessageAppend (repeated in its
+	// response), and the snapshot in MessageSnapshot and its response.
+	Index   anvilid.Index `cbor:"6,keyasint,omitempty"`
+	LogTerm anvilid.Term  `cbor:"7,keyasint,omitempty"`
+	Entries []Entry       `cbor:"8,keyasint,omitempty"`
+	// Commit is the leader's commit index.
+	Commit anvilid.Index `cbor:"9,keyasint,omitempty"`
+
+	// Sent is the leader's clock when it sent the request, and Round its
+	// barrier round. Responses repeat both; only the leader interprets them.
+	Sent  anvilclock.Millis `cbor:"10,keyasint,omitempty"`
+	Round uint64            `cbor:"11,keyasint,omitempty"`
+
+	// Reject refuses a vote, an append or a chunk.
+	Reject bool `cbor:"12,keyasint,omitempty"`
+	// Match is the highest persisted index known to equal the leader's log.
+	Match anvilid.Index `cbor:"13,keyasint,omitempty"`
+	// Hint and HintTerm name the highest entry of the sender that can still
+	// match, when an append is rejected.
+	Hint     anvilid.Index `cbor:"14,keyasint,omitempty"`
+	HintTerm anvilid.Term  `cbor:"15,keyasint,omitempty"`
+
+	// Offset is the position of Chunk, or the number of bytes received.
+	Offset anvilid.ByteCount `cbor:"16,keyasint,omitempty"`
+	Chunk  *Chunk            `cbor:"17,keyasint,omitempty"`
+}
+
+// Chunk is a part of a snapshot. The first three fields repeat in every chunk.
+type Chunk struct {
+	At      anvilclock.Millis `cbor:"1,keyasint"`
+	Members Members           `cbor:"2,keyasint"`
+	Size    anvilid.ByteCount `cbor:"3,keyasint"`
+	Data    []byte            `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/anvilraft/restored.go
@@ -0,0 +1,60 @@
+package anvilraft
+
+import (
+	"slices"
+
+	"anvilshunt/core/anvilid"
+)
+
+// Restored is the stored state of a voter, as read from its data directory.
+// The zero value, apart from Storage, is a new voter that waits to be added
+// to a group.
+type Restored struct {
+	Storage StorageID
+	Hard    HardState
+	// Snapshot has index zero if there is none.
+	Snapshot Snapshot
+	// Entries is the log tail without gaps. It may overlap the snapshot.
+	Entries []Entry
+}
+
+// Apply performs a Save on r. It is the reference for adapters that store the
+// state elsewhere.
+func (r *Restored) Apply(save Save) {
+	if save.Hard != nil {
+		r.Hard = *save.Hard
+	}
+	if save.Snapshot != nil {
+		r.Snapshot = *save.Snapshot
+		r.Entries = slices.DeleteFunc(slices.Clone(r.Entries), func(e Entry) bool {
+			return e.Index <= save.Snapshot.Index
+		})
+	}
+	if save.From == 0 {
+		return
+	}
+	keep := slices.IndexFunc(r.Entries, func(e Entry) bool { return e.Index >= save.From })
+	if keep < 0 {
+		keep = len(r.Entries)
+	}
+	r.Entries = append(r.Entries[:keep:keep], save.Entries...)
+}
+
+// Members returns the latest membership in the log, or in the snapshot if the
+// log has none.
+func (r *Restored) Members() (Members, error) {
+	for _, entry := range slices.Backward(r.Entries) {
+		if entry.Kind == KindMembers && entry.Index > r.Snapshot.Index {
+			return decodeMembers(entry.Data)
+		}
+	}
+	return r.Snapshot.Members, nil
+}
+
+// last returns the position of the last stored entry.
+func (r *Restored) last() (anvilid.Index, anvilid.Term) {
+	if n := len(r.Entries); n > 0 && r.Entries[n-1].Index > r.Snapshot.Index {
+		return r.Entries[n-1].Index, r.Entries[n-1].Term
+	}
+	return r.Snapshot.Index, r.Snapshot.Term
+}
