--- a/io/anvildisk/frame.go
+++ b/io/anvildisk/frame.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 
+	"anvilshunt/core/anvilraft"
+
 	"github.com/zeebo/xxh3"
 )
 
@@ -34,8 +36,8 @@
 // seed identifies a file of one storage.
 type seed uint64
 
-func fileSeed(id StorageID, name string) seed {
-	return seed(xxh3.HashStringSeed(name, xxh3.Hash(id[:])))
+func fileSeed(id anvilraft.StorageID, name string) seed {
+	return seed(xxh3.HashStringSeed(name, xxh3.HashString(string(id))))
 }
 
 func (s seed) at(offset int) uint64 {
--- a/io/anvildisk/log.go
+++ b/io/anvildisk/log.go
@@ -22,12 +22,20 @@
 	return logShape{last: last, runs: []termRun{{first: last, term: term}}}
 }
 
+// truncate drops the entries from an index on.
+func (l *logShape) truncate(from anvilid.Index) {
+	for len(l.runs) > 0 && l.runs[len(l.runs)-1].first >= from {
+		l.runs = l.runs[:len(l.runs)-1]
+	}
+	if from > 0 {
+		l.last = min(l.last, from-1)
+	}
+}
+
 // append adds an entry and drops the entries that it replaces. The caller has
 // checked that index is at most last+1.
 func (l *logShape) append(index anvilid.Index, term anvilid.Term) {
-	for len(l.runs) > 0 && l.runs[len(l.runs)-1].first >= index {
-		l.runs = l.runs[:len(l.runs)-1]
-	}
+	l.truncate(index)
 	if len(l.runs) == 0 || l.runs[len(l.runs)-1].term != term {
 		l.runs = append(l.runs, termRun{first: index, term: term})
 	}
--- a/io/anvildisk/reader.go
+++ b/io/anvildisk/reader.go
@@ -4,15 +4,15 @@
 	"path/filepath"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
 )
 
 // reader replays the segments.
 type reader struct {
 	*Storage
-	hard     *HardState
 	base     anvilid.Index // the entry before entries[0]
 	baseTerm anvilid.Term  // 0 if it isn't known
-	entries  []Entry
+	entries  []anvilraft.Entry
 
 	end       int    // size of the good part of the last segment
 	cut       int    // size of the torn tail behind it
@@ -65,7 +65,7 @@
 
 // readHead reads the first frame of a segment and returns its end.
 func (r *reader) readHead(name string, data []byte, sequence uint64) (int, error) {
-	f, state := readFrame(data, fileSeed(StorageID{}, name), 0)
+	f, state := readFrame(data, fileSeed("", name), 0)
 	if state != frameComplete || f.kind != frameSegment {
 		return 0, r.damaged(name, 0, "the first record fails its checksum")
 	}
@@ -77,10 +77,10 @@
 		return 0, r.damaged(name, 0, "the first record is malformed")
 	}
 	if len(r.segments) == 0 {
-		r.id = head.id
+		r.id = head.storage
 		r.base, r.baseTerm = head.last, head.lastTerm
 	} else {
-		if head.id != r.id {
+		if head.storage != r.id {
 			return 0, r.damaged(name, 0, "the segment belongs to another data directory")
 		}
 		if r.segments[len(r.segments)-1].sequence+1 != sequence {
@@ -95,7 +95,7 @@
 			return 0, r.damaged(name, 0, "the segment does not continue the one before it")
 		}
 	}
-	*r.hard = head.hard
+	r.hard = head.hard
 	return f.end, nil
 }
 
@@ -104,12 +104,11 @@
 	for len(d.data) > 0 && !d.bad {
 		switch d.byte() {
 		case recordHard:
-			hard := HardState{Term: anvilid.Term(d.uvarint()), Vote: anvilid.InstanceID(d.bytes())}
-			if !d.bad {
-				*r.hard = hard
-			}
+			r.hard = d.hard()
+		case recordTruncate:
+			r.truncate(anvilid.Index(d.uvarint()))
 		case recordEntry:
-			entry := Entry{Index: anvilid.Index(d.uvarint()), Term: anvilid.Term(d.uvarint()), Kind: d.byte(), Data: d.bytes()}
+			entry := d.entry()
 			if d.bad || entry.Index == 0 || entry.Index > r.last()+1 {
 				return r.damaged(name, offset, "an entry does not follow the one before it")
 			}
@@ -124,12 +123,20 @@
 	return nil
 }
 
-func (r *reader) addEntry(entry Entry) {
-	if entry.Index <= r.base {
+func (r *reader) truncate(from anvilid.Index) {
+	switch {
+	case from == 0 || from > r.last():
+	case from <= r.base:
 		// The segments with the entries before it have been removed.
-		r.base, r.baseTerm, r.entries = entry.Index-1, 0, r.entries[:0]
+		r.base, r.baseTerm, r.entries = from-1, 0, nil
+	default:
+		r.entries = r.entries[:from-r.base-1]
 	}
-	r.entries = append(r.entries[:entry.Index-r.base-1], entry)
+}
+
+func (r *reader) addEntry(entry anvilraft.Entry) {
+	r.truncate(entry.Index)
+	r.entries = append(r.entries, entry)
 	active := &r.segments[len(r.segments)-1]
 	active.highest = max(active.highest, entry.Index)
 }
--- a/io/anvildisk/record.go
+++ b/io/anvildisk/record.go
@@ -2,71 +2,57 @@
 
 import (
 	"encoding/binary"
-	"encoding/hex"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
-)
-
-// StorageID identifies one data directory. It is chosen at random when the
-// directory is created, so that a directory that was lost and created again
-// is never taken for the former one.
-type StorageID [16]byte
-
-// String returns the id in hexadecimal.
-func (id StorageID) String() string { return hex.EncodeToString(id[:]) }
-
-// HardState is what a voter must remember about elections.
-type HardState struct {
-	Term anvilid.Term
-	Vote anvilid.InstanceID
-}
-
-// Entry is one entry of the replicated log. The storage doesn't interpret
-// Kind and Data.
-type Entry struct {
-	Index anvilid.Index
-	Term  anvilid.Term
-	Kind  uint8
-	Data  []byte
-}
+	"anvilshunt/core/anvilraft"
 
-// Snapshot replaces the entries up to Index. The storage doesn't interpret
-// Meta and Data.
-type Snapshot struct {
-	Index anvilid.Index
-	Term  anvilid.Term
-	Meta  []byte
-	Data  []byte
-}
-
-// Batch is what one Save writes. Entries replace all earlier entries from
-// the index of the first one on. A snapshot that doesn't match an entry of the
-// log replaces the whole log.
-type Batch struct {
-	Hard     *HardState
-	Snapshot *Snapshot
-	Entries  []Entry
-}
+	"github.com/fxamacker/cbor/v2"
+)
 
+// Kinds of records in a batch.
 const (
-	recordHard  byte = 1
-	recordEntry byte = 2
+	recordHard     byte = 1
+	recordEntry    byte = 2
+	recordTruncate byte = 3 // removes the entries from an index on
 )
 
-func appendHard(b []byte, hard HardState) []byte {
-	b = append(b, recordHard)
+func appendHard(b []byte, hard anvilraft.HardState) []byte {
+	b = binary.AppendUvarint(b, uint64(hard.Group))
 	b = binary.AppendUvarint(b, uint64(hard.Term))
-	return appendBytes(b, []byte(hard.Vote))
+	b = appendBytes(b, []byte(hard.Vote.Instance))
+	return appendBytes(b, []byte(hard.Vote.Storage))
+}
+
+func (d *decoder) hard() anvilraft.HardState {
+	return anvilraft.HardState{
+		Group: anvilraft.GroupID(d.uvarint()),
+		Term:  anvilid.Term(d.uvarint()),
+		Vote: anvilraft.VoterID{
+			Instance: anvilid.InstanceID(d.bytes()),
+			Storage:  anvilraft.StorageID(d.bytes()),
+		},
+	}
 }
 
-func appendEntry(b []byte, entry *Entry) []byte {
-	b = append(b, recordEntry)
+func appendEntry(b []byte, entry *anvilraft.Entry) []byte {
 	b = binary.AppendUvarint(b, uint64(entry.Index))
 	b = binary.AppendUvarint(b, uint64(entry.Term))
-	b = append(b, entry.Kind)
+	b = binary.AppendVarint(b, int64(entry.At))
+	b = append(b, byte(entry.Kind))
 	return appendBytes(b, entry.Data)
 }
 
+func (d *decoder) entry() anvilraft.Entry {
+	return anvilraft.Entry{
+		Index: anvilid.Index(d.uvarint()),
+		Term:  anvilid.Term(d.uvarint()),
+		At:    anvilclock.Millis(d.varint()),
+		Kind:  anvilraft.EntryKind(d.byte()),
+		Data:  d.bytes(),
+	}
+}
+
 func appendBytes(b, data []byte) []byte {
 	b = binary.AppendUvarint(b, uint64(len(data)))
 	return append(b, data...)
@@ -76,9 +62,9 @@
 // a reader needs when the earlier segments have been removed.
 type segmentHead struct {
 	version  uint32
-	id       StorageID
+	storage  anvilraft.StorageID
 	sequence uint64
-	hard     HardState
+	hard     anvilraft.HardState
 	// last and lastTerm describe the entry before the first of the segment.
 	last     anvilid.Index
 	lastTerm anvilid.Term
@@ -88,10 +74,9 @@
 
 func (h *segmentHead) append(b []byte) []byte {
 	b = binary.LittleEndian.AppendUint32(b, h.version)
-	b = append(b, h.id[:]...)
+	b = appendBytes(b, []byte(h.storage))
 	b = binary.AppendUvarint(b, h.sequence)
-	b = binary.AppendUvarint(b, uint64(h.hard.Term))
-	b = appendBytes(b, []byte(h.hard.Vote))
+	b = appendHard(b, h.hard)
 	b = binary.AppendUvarint(b, uint64(h.last))
 	b = binary.AppendUvarint(b, uint64(h.lastTerm))
 	if h.reset {
@@ -106,26 +91,36 @@
 	if h.version != formatVersion {
 		return h, !d.bad
 	}
-	copy(h.id[:], d.take(uint64(len(h.id))))
+	h.storage = anvilraft.StorageID(d.bytes())
 	h.sequence = d.uvarint()
-	h.hard = HardState{Term: anvilid.Term(d.uvarint()), Vote: anvilid.InstanceID(d.bytes())}
+	h.hard = d.hard()
 	h.last, h.lastTerm = anvilid.Index(d.uvarint()), anvilid.Term(d.uvarint())
 	h.reset = d.byte() == 1
 	return h, d.finished()
 }
 
-func (s *Snapshot) append(b []byte) []byte {
-	b = binary.AppendUvarint(b, uint64(s.Index))
-	b = binary.AppendUvarint(b, uint64(s.Term))
-	b = appendBytes(b, s.Meta)
-	return appendBytes(b, s.Data)
+func appendSnapshot(b []byte, snap *anvilraft.Snapshot) ([]byte, error) {
+	members, err := cbor.Marshal(snap.Members)
+	if err != nil {
+		return nil, err
+	}
+	b = binary.AppendUvarint(b, uint64(snap.Index))
+	b = binary.AppendUvarint(b, uint64(snap.Term))
+	b = binary.AppendVarint(b, int64(snap.At))
+	b = appendBytes(b, members)
+	return appendBytes(b, snap.Data), nil
 }
 
-func readSnapshot(payload []byte) (*Snapshot, bool) {
+func readSnapshot(payload []byte) (anvilraft.Snapshot, bool) {
 	d := decoder{data: payload}
-	s := &Snapshot{Index: anvilid.Index(d.uvarint()), Term: anvilid.Term(d.uvarint())}
-	s.Meta, s.Data = d.bytes(), d.bytes()
-	return s, d.finished()
+	snap := anvilraft.Snapshot{
+		Index: anvilid.Index(d.uvarint()),
+		Term:  anvilid.Term(d.uvarint()),
+		At:    anvilclock.Millis(d.varint()),
+	}
+	err := cbor.Unmarshal(d.bytes(), &snap.Members)
+	snap.Data = d.bytes()
+	return snap, err == nil && d.finished()
 }
 
 // decoder reads the fields of a payload. After the first field that isn't
@@ -171,4 +166,14 @@
 	return value
 }
 
+func (d *decoder) varint() int64 {
+	value, n := binary.Varint(d.data)
+	if d.bad || n <= 0 {
+		d.bad = true
+		return 0
+	}
+	d.data = d.data[n:]
+	return value
+}
+
 func (d *decoder) bytes() []byte { return d.take(d.uvarint()) }
--- a/io/anvildisk/restore.go
+++ b/io/anvildisk/restore.go
@@ -2,24 +2,22 @@
 
 import (
 	"crypto/rand"
+	"encoding/hex"
 	"path/filepath"
 	"strconv"
 	"strings"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
 
 	"github.com/rotisserie/eris"
 )
 
-// Restored is what Open found.
+// Restored is what Open found. Entries follow the snapshot without a gap.
 type Restored struct {
-	ID StorageID
-	// Created tells that the directory was empty.
-	Created  bool
-	Hard     HardState
-	Snapshot *Snapshot
-	// Entries follow the snapshot without a gap.
-	Entries []Entry
+	anvilraft.Restored
+	// Created tells that the directory was empty. The storage id is new then.
+	Created bool
 	// Cut is the size of the incomplete last write that was removed.
 	Cut anvilid.ByteCount
 }
@@ -28,7 +26,7 @@
 // content. It returns an error that wraps ErrLocked, ErrFormat, ErrDamaged or
 // ErrFailed.
 func Open(dir string, opts ...Option) (*Storage, Restored, error) {
-	s := &Storage{dir: dir, files: OSFiles(), newID: randomID, segmentBytes: defaultSegmentBytes}
+	s := &Storage{dir: dir, files: OSFiles(), segmentBytes: defaultSegmentBytes}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -47,10 +45,10 @@
 	return eris.Is(err, ErrLocked) || eris.Is(err, ErrFormat) || eris.Is(err, ErrDamaged)
 }
 
-func randomID() (StorageID, error) {
-	var id StorageID
+func randomID() (anvilraft.StorageID, error) {
+	var id [16]byte
 	_, err := rand.Read(id[:])
-	return id, err
+	return anvilraft.StorageID(hex.EncodeToString(id[:])), err
 }
 
 func (s *Storage) open() (Restored, error) {
@@ -132,7 +130,7 @@
 }
 
 func (s *Storage) create() (Restored, error) {
-	id, err := s.newID()
+	id, err := randomID()
 	if err != nil {
 		return Restored{}, err
 	}
@@ -140,14 +138,14 @@
 	if err := s.startSegment(false); err != nil {
 		return Restored{}, err
 	}
-	return Restored{ID: id, Created: true}, nil
+	return Restored{Restored: anvilraft.Restored{Storage: id}, Created: true}, nil
 }
 
 func (s *Storage) restore(found listing) (Restored, error) {
 	if len(found.segments) == 0 {
 		return Restored{}, s.damaged(snapshotName(found.snapshots[0]), 0, "the segments are missing")
 	}
-	r := reader{Storage: s, hard: &s.hard}
+	r := reader{Storage: s}
 	for i, sequence := range found.segments {
 		if err := r.readSegment(sequence, i == len(found.segments)-1); err != nil {
 			return Restored{}, err
@@ -164,7 +162,7 @@
 	if err := s.repairTail(&r); err != nil {
 		return Restored{}, err
 	}
-	if snap != nil && !s.shape.matches(snap.Index, snap.Term) {
+	if snap.Index > 0 && !s.shape.matches(snap.Index, snap.Term) {
 		// The process died between the snapshot and the segment that follows it.
 		if err := s.startAfter(snap.Index, snap.Term); err != nil {
 			return Restored{}, err
@@ -180,26 +178,29 @@
 	if err := s.prune(); err != nil {
 		return Restored{}, err
 	}
-	return Restored{ID: s.id, Hard: s.hard, Snapshot: snap, Entries: entries, Cut: anvilid.ByteCount(r.cut)}, nil
+	return Restored{
+		Restored: anvilraft.Restored{Storage: s.id, Hard: s.hard, Snapshot: snap, Entries: entries},
+		Cut:      anvilid.ByteCount(r.cut),
+	}, nil
 }
 
-func (s *Storage) readLatest(indexes []anvilid.Index) (*Snapshot, error) {
+func (s *Storage) readLatest(indexes []anvilid.Index) (anvilraft.Snapshot, error) {
 	if len(indexes) == 0 {
-		return nil, nil
+		return anvilraft.Snapshot{}, nil
 	}
 	s.snapshot = indexes[len(indexes)-1]
 	name := snapshotName(s.snapshot)
 	data, err := s.files.Read(filepath.Join(s.dir, name))
 	if err != nil {
-		return nil, err
+		return anvilraft.Snapshot{}, err
 	}
 	f, state := readFrame(data, fileSeed(s.id, name), 0)
 	if state != frameComplete || f.kind != frameSnapshot || f.end != len(data) {
-		return nil, s.damaged(name, 0, "the snapshot fails its checksum")
+		return anvilraft.Snapshot{}, s.damaged(name, 0, "the snapshot fails its checksum")
 	}
 	snap, ok := readSnapshot(f.payload)
 	if !ok || snap.Index != s.snapshot {
-		return nil, s.damaged(name, 0, "the snapshot is malformed")
+		return anvilraft.Snapshot{}, s.damaged(name, 0, "the snapshot is malformed")
 	}
 	return snap, nil
 }
@@ -227,16 +228,16 @@
 
 // join returns the entries that follow the snapshot. There are none if the
 // log doesn't have the last entry of the snapshot.
-func (s *Storage) join(snap *Snapshot, r *reader) ([]Entry, error) {
+func (s *Storage) join(snap anvilraft.Snapshot, r *reader) ([]anvilraft.Entry, error) {
 	s.shape = newShape(r.base, r.baseTerm)
 	for i := range r.entries {
 		s.shape.append(r.entries[i].Index, r.entries[i].Term)
 	}
 	first := segmentName(s.segments[0].sequence)
 	switch {
-	case snap == nil && r.base == 0:
+	case snap.Index == 0 && r.base == 0:
 		return r.entries, nil
-	case snap == nil || snap.Index < r.base:
+	case snap.Index < r.base:
 		return nil, s.damaged(first, 0, "the entries or the snapshot before this segment are missing")
 	case s.shape.matches(snap.Index, snap.Term):
 		return r.entries[snap.Index-r.base:], nil
--- a/io/anvildisk/storage.go
+++ b/io/anvildisk/storage.go
@@ -10,6 +10,7 @@
 package anvildisk
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 	"strings"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
 
 	"github.com/rotisserie/eris"
 )
@@ -58,7 +60,8 @@
 	lockName       = "lock"
 )
 
-func segmentName(sequence uint64) string      { return fmt.Sprintf("%s%020d", segmentPrefix, sequence) }
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%020d", segmentPrefix, sequence) }
+
 func snapshotName(index anvilid.Index) string { return fmt.Sprintf("%s%020d", snapshotPrefix, index) }
 
 // segment describes one segment file.
@@ -72,12 +75,11 @@
 type Storage struct {
 	dir          string
 	files        Files
-	newID        func() (StorageID, error)
 	segmentBytes int
 	release      func() error
 
-	id       StorageID
-	hard     HardState
+	id       anvilraft.StorageID
+	hard     anvilraft.HardState
 	shape    logShape
 	snapshot anvilid.Index // index of the stored snapshot, 0 without one
 	segments []segment     // oldest first; the last one is written
@@ -98,27 +100,25 @@
 // WithSegmentBytes sets the size from which on a new segment is started.
 func WithSegmentBytes(size int) Option { return func(s *Storage) { s.segmentBytes = size } }
 
-// WithNewID replaces the random choice of the id of a new directory.
-func WithNewID(newID func() (StorageID, error)) Option {
-	return func(s *Storage) { s.newID = newID }
-}
-
 // ID returns the id that was chosen when the directory was created.
-func (s *Storage) ID() StorageID { return s.id }
+func (s *Storage) ID() anvilraft.StorageID { return s.id }
 
-// Save writes batches in order. When it returns nil, all of them survive a
-// loss of power. After an error that wraps ErrFailed, any part of the batches
-// may be stored, and every later call returns the same error.
-func (s *Storage) Save(batches ...Batch) error {
+// Save writes saves in order; anvilraft.Restored.Apply defines their meaning.
+// When it returns nil, all of them survive a loss of power. After an error
+// that wraps ErrFailed, any part of them may be stored, and every later call
+// returns the same error.
+//
+// A snapshot whose last entry isn't in the log makes the whole log void.
+func (s *Storage) Save(saves ...anvilraft.Save) error {
 	if s.failed != nil {
 		return s.failed
 	}
-	if err := s.check(batches); err != nil {
+	if err := s.check(saves); err != nil {
 		return err
 	}
 	s.buffer = newFrame(s.buffer)
-	for i := range batches {
-		if err := s.add(&batches[i]); err != nil {
+	for i := range saves {
+		if err := s.add(&saves[i]); err != nil {
 			return s.fail(err)
 		}
 	}
@@ -128,34 +128,38 @@
 	return nil
 }
 
-// check refuses batches that would make the stored log unreadable.
-func (s *Storage) check(batches []Batch) error {
+// check refuses saves that would make the stored log unreadable.
+func (s *Storage) check(saves []anvilraft.Save) error {
 	hard, snapshot, shape := s.hard, s.snapshot, s.shape.clone()
-	for i := range batches {
-		if next := batches[i].Hard; next != nil {
-			if next.Term < hard.Term {
-				return eris.Wrapf(ErrInvalid, "term %d in %s: want at least %d", next.Term, s.dir, hard.Term)
+	for i := range saves {
+		save := &saves[i]
+		if save.Hard != nil {
+			if save.Hard.Term < hard.Term {
+				return eris.Wrapf(ErrInvalid, "term %d in %s: want at least %d", save.Hard.Term, s.dir, hard.Term)
 			}
-			hard = *next
+			hard = *save.Hard
 		}
-		if snap := batches[i].Snapshot; snap != nil {
-			if snap.Index <= snapshot {
-				return eris.Wrapf(ErrInvalid, "snapshot %d in %s: want an index above %d", snap.Index, s.dir, snapshot)
-			}
-			if len(snap.Meta)+len(snap.Data) > maxContentBytes {
-				return eris.Wrapf(ErrInvalid, "snapshot %d in %s: want at most %d bytes", snap.Index, s.dir, maxContentBytes)
+		if snap := save.Snapshot; snap != nil {
+			if snap.Index <= snapshot || len(snap.Data) > maxContentBytes {
+				return eris.Wrapf(ErrInvalid, "snapshot %d of %d bytes in %s: want an index above %d and at most %d bytes",
+					snap.Index, len(snap.Data), s.dir, snapshot, maxContentBytes)
 			}
 			snapshot = snap.Index
 			shape.follow(snap.Index, snap.Term)
 		}
-		for j := range batches[i].Entries {
-			entry := &batches[i].Entries[j]
-			if entry.Index <= snapshot || entry.Index > shape.last+1 || (j > 0 && entry.Index != shape.last+1) {
-				return eris.Wrapf(ErrInvalid, "entry %d in %s: want an index above %d that follows %d",
-					entry.Index, s.dir, snapshot, shape.last)
-			}
-			if len(entry.Data) > maxContentBytes {
-				return eris.Wrapf(ErrInvalid, "entry %d in %s: want at most %d bytes", entry.Index, s.dir, maxContentBytes)
+		if save.From == 0 && len(save.Entries) == 0 {
+			continue
+		}
+		if save.From <= snapshot || save.From > shape.last+1 {
+			return eris.Wrapf(ErrInvalid, "entries from %d in %s: want an index from %d to %d",
+				save.From, s.dir, snapshot+1, shape.last+1)
+		}
+		shape.truncate(save.From)
+		for j := range save.Entries {
+			entry := &save.Entries[j]
+			if entry.Index != shape.last+1 || len(entry.Data) > maxContentBytes {
+				return eris.Wrapf(ErrInvalid, "entry %d of %d bytes in %s: want index %d and at most %d bytes",
+					entry.Index, len(entry.Data), s.dir, shape.last+1, maxContentBytes)
 			}
 			shape.append(entry.Index, entry.Term)
 		}
@@ -163,26 +167,30 @@
 	return nil
 }
 
-// add appends a batch to the buffer, and writes what can't wait for the end
-// of the Save.
-func (s *Storage) add(batch *Batch) error {
-	if batch.Hard != nil && *batch.Hard != s.hard {
-		s.hard = *batch.Hard
-		s.buffer = appendHard(s.buffer, s.hard)
-	}
-	if batch.Snapshot != nil {
+// add appends a save to the buffer, and writes what can't wait for the end of
+// the call.
+func (s *Storage) add(save *anvilraft.Save) error {
+	if save.Hard != nil && *save.Hard != s.hard {
+		s.hard = *save.Hard
+		s.buffer = appendHard(append(s.buffer, recordHard), s.hard)
+	}
+	if save.Snapshot != nil {
 		// The hard state goes first, so that a restored term is never lower
 		// than that of the snapshot.
 		if err := s.flush(); err != nil {
 			return err
 		}
-		if err := s.saveSnapshot(batch.Snapshot); err != nil {
+		if err := s.saveSnapshot(save.Snapshot); err != nil {
 			return err
 		}
 	}
-	for i := range batch.Entries {
-		entry := &batch.Entries[i]
-		s.buffer = appendEntry(s.buffer, entry)
+	if save.From > 0 && save.From <= s.shape.last {
+		s.shape.truncate(save.From)
+		s.buffer = binary.AppendUvarint(append(s.buffer, recordTruncate), uint64(save.From))
+	}
+	for i := range save.Entries {
+		entry := &save.Entries[i]
+		s.buffer = appendEntry(append(s.buffer, recordEntry), entry)
 		s.shape.append(entry.Index, entry.Term)
 		active := &s.segments[len(s.segments)-1]
 		active.highest = max(active.highest, entry.Index)
@@ -225,11 +233,11 @@
 	}
 	name := segmentName(sequence)
 	head := segmentHead{
-		version: formatVersion, id: s.id, sequence: sequence, hard: s.hard,
+		version: formatVersion, storage: s.id, sequence: sequence, hard: s.hard,
 		last: s.shape.last, lastTerm: s.shape.lastTerm(), reset: reset,
 	}
 	first := head.append(newFrame(nil))
-	sealFrame(first, frameSegment, fileSeed(StorageID{}, name), 0)
+	sealFrame(first, frameSegment, fileSeed("", name), 0)
 	file, err := s.publish(name, first)
 	if err != nil {
 		return err
@@ -270,9 +278,12 @@
 	return file, nil
 }
 
-func (s *Storage) saveSnapshot(snap *Snapshot) error {
+func (s *Storage) saveSnapshot(snap *anvilraft.Snapshot) error {
 	name := snapshotName(snap.Index)
-	content := snap.append(newFrame(nil))
+	content, err := appendSnapshot(newFrame(nil), snap)
+	if err != nil {
+		return err
+	}
 	sealFrame(content, frameSnapshot, fileSeed(s.id, name), 0)
 	file, err := s.publish(name, content)
 	if err != nil {
