--- /dev/null
+++ b/core/anvilraft/election.go
@@ -0,0 +1,131 @@
+package anvilraft
+
+import (
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// ballot is a granted vote or pre-vote.
+type ballot = VoterID
+
+// resetElection chooses a new random election timeout.
+func (n *Node) resetElection() {
+	spread := int64(n.options.electionMax - n.options.electionMin)
+	n.electionAt = n.now + n.options.electionMin
+	if spread > 0 {
+		n.electionAt += anvilclock.Millis(n.random.Int64N(spread))
+	}
+}
+
+// sticky reports whether this node heard from a leader within the minimum
+// election timeout and therefore takes part in no election. HasQuorum relies
+// on it, and members that were removed or cut off cannot disturb the group.
+func (n *Node) sticky() bool {
+	return n.role == Leader || n.now-n.heardAt < n.options.electionMin
+}
+
+// preCampaign asks the voters whether an election could succeed.
+func (n *Node) preCampaign() {
+	n.role, n.leader = PreCandidate, VoterID{}
+	n.ballots = []ballot{n.self}
+	n.resetElection()
+	n.requestVotes(MessagePreVote, n.hard.Term+1)
+	n.countVotes()
+}
+
+// campaign enters a new term as a candidate.
+func (n *Node) campaign() {
+	n.becomeFollower(n.hard.Term+1, VoterID{})
+	n.role = Candidate
+	n.hard.Vote = n.self
+	n.resetElection()
+	n.requestVotes(MessageVote, n.hard.Term)
+}
+
+func (n *Node) requestVotes(kind MessageType, term anvilid.Term) {
+	for _, voter := range n.members.latest().Voters {
+		if voter != n.self {
+			n.send(Message{Type: kind, To: voter, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+		}
+	}
+}
+
+// receiveVoteRequest answers MessagePreVote and MessageVote. Requests from
+// nodes outside the known membership are answered too, because this node may
+// lack the entry that added them.
+func (n *Node) receiveVoteRequest(m Message) {
+	if n.sticky() {
+		return
+	}
+	var free bool
+	response := Message{Type: MessagePreVoteResponse, To: m.From}
+	if m.Type == MessagePreVote {
+		free = m.Term > n.hard.Term
+	} else {
+		if m.Term > n.hard.Term {
+			n.becomeFollower(m.Term, VoterID{})
+		}
+		response.Type = MessageVoteResponse
+		free = m.Term == n.hard.Term && (n.hard.Vote.IsZero() || n.hard.Vote == m.From)
+	}
+	granted := free && n.log.upToDate(m.Index, m.LogTerm)
+	response.Reject = !granted
+	if granted && m.Type == MessagePreVote {
+		response.Term = m.Term
+	}
+	if granted && m.Type == MessageVote {
+		n.resetElection()
+		if n.hard.Vote.IsZero() {
+			n.hard.Vote = m.From
+			n.changedHard()
+		}
+	}
+	n.send(response)
+}
+
+// receivePreVoteGrant counts a pre-vote for the term after the current one.
+func (n *Node) receivePreVoteGrant(m Message) {
+	if n.role == PreCandidate && m.Term == n.hard.Term+1 {
+		n.addBallot(m.From)
+	}
+}
+
+func (n *Node) receiveVoteResponse(m Message) {
+	if n.role == Candidate && m.Type == MessageVoteResponse && !m.Reject {
+		n.addBallot(m.From)
+	}
+}
+
+// countOwnVote counts a candidate's vote for itself once it is synced.
+func (n *Node) countOwnVote() {
+	if n.persisted.synced >= n.persisted.hardSequence {
+		n.addBallot(n.self)
+	}
+}
+
+func (n *Node) addBallot(from VoterID) {
+	if !slices.Contains(n.ballots, from) {
+		n.ballots = append(n.ballots, from)
+	}
+	n.countVotes()
+}
+
+func (n *Node) countVotes() {
+	members := n.members.latest()
+	votes := 0
+	for _, voter := range members.Voters {
+		if slices.Contains(n.ballots, voter) {
+			votes++
+		}
+	}
+	if votes < members.Quorum() {
+		return
+	}
+	if n.role == PreCandidate {
+		n.campaign()
+	} else {
+		n.becomeLeader()
+	}
+}
--- /dev/null
+++ b/core/anvilraft/log.go
@@ -0,0 +1,130 @@
+package anvilraft
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// entryLog is the part of the log kept in memory: the entries after base.
+// Slices handed out stay valid, because entries are never overwritten in
+// place: truncation forces the next append to copy.
+type entryLog struct {
+	base     anvilid.Index
+	baseTerm anvilid.Term
+	baseAt   anvilclock.Millis
+	entries  []Entry
+}
+
+// newEntryLog returns the stored entries after the snapshot.
+func newEntryLog(restored Restored) entryLog {
+	log := entryLog{base: restored.Snapshot.Index, baseTerm: restored.Snapshot.Term, baseAt: restored.Snapshot.At}
+	for i, entry := range restored.Entries {
+		if entry.Index > log.base {
+			log.entries = restored.Entries[i:len(restored.Entries):len(restored.Entries)]
+			break
+		}
+	}
+	return log
+}
+
+func (l *entryLog) last() anvilid.Index { return l.base + anvilid.Index(len(l.entries)) }
+
+func (l *entryLog) lastTerm() anvilid.Term {
+	if n := len(l.entries); n > 0 {
+		return l.entries[n-1].Term
+	}
+	return l.baseTerm
+}
+
+func (l *entryLog) lastAt() anvilclock.Millis {
+	if n := len(l.entries); n > 0 {
+		return l.entries[n-1].At
+	}
+	return l.baseAt
+}
+
+// term returns the term of an entry, or false if the entry is not in memory.
+func (l *entryLog) term(index anvilid.Index) (anvilid.Term, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+// matches reports whether the log holds the entry with this index and term.
+func (l *entryLog) matches(index anvilid.Index, term anvilid.Term) bool {
+	own, ok := l.term(index)
+	return ok && own == term
+}
+
+// at returns an entry that is in memory.
+func (l *entryLog) at(index anvilid.Index) Entry { return l.entries[index-l.base-1] }
+
+// between returns the entries from first up to and including last.
+func (l *entryLog) between(first, last anvilid.Index) []Entry {
+	if first > last {
+		return nil
+	}
+	low, high := first-l.base-1, last-l.base
+	return l.entries[low:high:high]
+}
+
+// batch returns entries from first on, at least one and otherwise up to the
+// limits, and their size.
+func (l *entryLog) batch(first anvilid.Index, limit anvilid.ByteCount, count int) ([]Entry, anvilid.ByteCount) {
+	entries := l.between(first, l.last())
+	var size anvilid.ByteCount
+	for i, entry := range entries {
+		if i > 0 && (size+entry.size() > limit || i >= count) {
+			return entries[:i:i], size
+		}
+		size += entry.size()
+	}
+	return entries, size
+}
+
+func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// truncate removes the entries from index on.
+func (l *entryLog) truncate(index anvilid.Index) {
+	keep := index - l.base - 1
+	l.entries = l.entries[:keep:keep]
+}
+
+// compact removes the entries up to index from memory.
+func (l *entryLog) compact(index anvilid.Index) {
+	if index <= l.base {
+		return
+	}
+	removed := l.at(index)
+	// Copies the rest, so that the memory of removed entries is freed.
+	l.entries = append([]Entry(nil), l.entries[index-l.base:]...)
+	l.base, l.baseTerm, l.baseAt = index, removed.Term, removed.At
+}
+
+// reset empties the log after a snapshot.
+func (l *entryLog) reset(snapshot Snapshot) {
+	*l = entryLog{base: snapshot.Index, baseTerm: snapshot.Term, baseAt: snapshot.At}
+}
+
+// upToDate reports whether a log that ends at index and term is at least as
+// recent as this one.
+func (l *entryLog) upToDate(index anvilid.Index, term anvilid.Term) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.last()
+}
+
+// lastAtOrBelow returns the highest entry at or below index whose term is not
+// above term. An entry between two logs' common prefix and index cannot match
+// if its term is higher than the other log's term at index.
+func (l *entryLog) lastAtOrBelow(index anvilid.Index, term anvilid.Term) (anvilid.Index, anvilid.Term) {
+	index = min(index, l.last())
+	for ; index > l.base; index-- {
+		if own := l.at(index).Term; own <= term {
+			return index, own
+		}
+	}
+	return l.base, l.baseTerm
+}
--- a/core/anvilraft/restored.go
+++ b/core/anvilraft/restored.go
@@ -1,11 +1,16 @@
 package anvilraft
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 
 	"anvilshunt/core/anvilid"
 )
 
+// ErrDamaged means that stored state cannot be used.
+var ErrDamaged = errors.New("stored log is damaged; clear the data directory and add this voter anew")
+
 // Restored is the stored state of a voter, as read from its data directory.
 // The zero value, apart from Storage, is a new voter that waits to be added
 // to a group.
@@ -58,3 +63,29 @@
 	}
 	return r.Snapshot.Index, r.Snapshot.Term
 }
+
+// Check reports whether the stored state is complete: entries that follow the
+// snapshot without gaps, terms that never decrease, and readable members.
+func (r *Restored) Check() error {
+	index, term := r.Snapshot.Index, r.Snapshot.Term
+	for _, entry := range r.Entries {
+		if entry.Index <= r.Snapshot.Index {
+			continue
+		}
+		if entry.Index != index+1 || entry.Term < term {
+			return fmt.Errorf("%w: entry %d of term %d follows entry %d of term %d",
+				ErrDamaged, entry.Index, entry.Term, index, term)
+		}
+		index, term = entry.Index, entry.Term
+		if entry.Kind != KindMembers {
+			continue
+		}
+		if _, err := decodeMembers(entry.Data); err != nil {
+			return fmt.Errorf("%w: entry %d: %w", ErrDamaged, index, err)
+		}
+	}
+	if term > r.Hard.Term {
+		return fmt.Errorf("%w: entry %d of term %d is newer than the stored term %d", ErrDamaged, index, term, r.Hard.Term)
+	}
+	return nil
+}
