--- /dev/null
+++ b/io/anvilvoter/voter_test.go
@@ -0,0 +1,280 @@
+package anvilvoter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvildisk"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against loss of acknowledged commands when the leader dies, and
+// against a restart that doesn't continue from the data directory.
+func TestLeaderDiesAndRestarts(t *testing.T) {
+	g, members := newGroup(t, 3)
+	for i := range 20 {
+		propose(t, members, fmt.Sprint("command ", i))
+	}
+	first := leader(t, members...)
+	first.stop()
+	assert.NilError(t, <-first.done)
+	_, _, err := first.Propose(context.Background(), []byte("late"))
+	assert.ErrorIs(t, err, ErrStopped)
+	assert.Assert(t, !first.Status().HasQuorum)
+	rest := without(members, first)
+	for i := 20; i < 40; i++ {
+		propose(t, rest, fmt.Sprint("command ", i))
+	}
+	again := g.start(first.id.Instance, first.dir)
+	assert.Equal(t, again.id, first.id)
+	converge(t, lines(0, 40), append(rest, again)...)
+
+	for _, m := range append(rest, again) {
+		m.stop()
+	}
+	var all []*member
+	for _, m := range members {
+		all = append(all, g.start(m.id.Instance, m.dir))
+	}
+	propose(t, all, "command 40")
+	converge(t, lines(0, 41), all...)
+}
+
+// Guards against an instance that lost its disk and counts as its former self,
+// and against a replacement that doesn't get a vote.
+func TestReplaceLostDirectory(t *testing.T) {
+	g, members := newGroup(t, 3, WithCompactAfter(10), WithNode(anvilraft.WithTrailing(5)))
+	for i := range 30 {
+		propose(t, members, fmt.Sprint("command ", i))
+	}
+	lost := without(members, leader(t, members...))[0]
+	rest := without(members, lost)
+	lost.stop()
+	assert.NilError(t, os.RemoveAll(lost.dir))
+	fresh := g.start(lost.id.Instance, lost.dir)
+	assert.Assert(t, fresh.id != lost.id)
+
+	change(t, rest, anvilraft.ChangeVoters{Learn: fresh.id})
+	change(t, rest, anvilraft.ChangeVoters{Remove: lost.id})
+	change(t, rest, anvilraft.ChangeVoters{Add: fresh.id})
+	converge(t, lines(0, 30), fresh)
+	assert.Assert(t, fresh.restored > 0, "the snapshot was not sent")
+
+	// The group of three survives the loss of one more only if fresh votes.
+	rest[0].stop()
+	rest = []*member{rest[1], fresh}
+	propose(t, rest, "command 30")
+	converge(t, lines(0, 31), rest...)
+	voters := leader(t, rest...).Status().Members
+	assert.Assert(t, voters.IsVoter(fresh.id) && !voters.Contains(lost.id), "%v", voters)
+}
+
+// Guards against a log that grows without bound, and against a restart or a
+// lagging voter that can't continue from a snapshot.
+func TestCompaction(t *testing.T) {
+	g, members := newGroup(t, 3, WithCompactAfter(20), WithNode(anvilraft.WithTrailing(5)))
+	behind := without(members, leader(t, members...))[0]
+	behind.stop()
+	rest := without(members, behind)
+	for i := range 100 {
+		propose(t, rest, fmt.Sprint("command ", i))
+	}
+	behind = g.start(behind.id.Instance, behind.dir)
+	converge(t, lines(0, 100), append(rest, behind)...)
+	assert.Assert(t, behind.restored > 0, "the snapshot was not sent")
+	rest[0].stop()
+	assert.NilError(t, <-rest[0].done)
+	storage, restored, err := anvildisk.Open(rest[0].dir)
+	assert.NilError(t, err)
+	assert.NilError(t, storage.Close())
+	assert.Assert(t, restored.Snapshot.Index > 50 && len(restored.Entries) < 60, "%d, %d", restored.Snapshot.Index, len(restored.Entries))
+	again := g.start(rest[0].id.Instance, rest[0].dir)
+	converge(t, lines(0, 100), again)
+	assert.Equal(t, again.restored, 1)
+}
+
+// Guards against a voter that goes on after its disk failed, and against a
+// group that doesn't.
+func TestFailedDisk(t *testing.T) {
+	g, members := newGroup(t, 3)
+	propose(t, members, "command 0")
+	victim := leader(t, members...)
+	rest := without(members, victim)
+	victim.stop()
+	var broken atomic.Bool
+	errDisk := errors.New("input/output error")
+	victim = g.start(victim.id.Instance, victim.dir, slowDisk(func() error {
+		if broken.Load() {
+			return errDisk
+		}
+		return nil
+	}))
+	all := append(rest, victim)
+	propose(t, all, "command 1")
+	broken.Store(true)
+	// The victim fails at the next entry, whoever leads. If it leads itself,
+	// the outcome of the entry isn't known.
+	var err error
+	eventually(t, "the victim stops", func() bool {
+		_, _, _ = leader(t, all...).Propose(context.Background(), []byte("probe"))
+		select {
+		case err = <-victim.done:
+			return true
+		default:
+			return false
+		}
+	})
+	assert.ErrorIs(t, err, anvildisk.ErrFailed)
+	assert.ErrorIs(t, err, errDisk)
+	propose(t, rest, "command 2")
+	state := leader(t, rest...).state()
+	assert.Assert(t, strings.HasPrefix(state, lines(0, 2)) && strings.HasSuffix(state, "command 2"), state)
+	converge(t, state, rest...)
+}
+
+// Guards against an acknowledgement of entries that aren't synced: while the
+// sync hangs, nothing is applied although the step loop runs.
+func TestAppliesOnlyAfterSync(t *testing.T) {
+	var hang atomic.Bool
+	entered, release := make(chan struct{}), make(chan struct{})
+	_, members := newGroup(t, 1, slowDisk(func() error {
+		if hang.Load() {
+			entered <- struct{}{}
+			<-release
+		}
+		return nil
+	}))
+	m := leader(t, members...)
+	propose(t, members, "command 0")
+	hang.Store(true)
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := m.Propose(context.Background(), []byte("command 1"))
+		answered <- err
+	}()
+	<-entered
+	// Each barrier is one more turn of the step loop and of the apply loop.
+	for range 50 {
+		assert.NilError(t, m.Barrier(context.Background()))
+	}
+	assert.Equal(t, m.state(), lines(0, 1))
+	hang.Store(false)
+	close(release)
+	assert.NilError(t, <-answered)
+	assert.Equal(t, m.state(), lines(0, 2))
+}
+
+// Guards against wrong outcomes: a follower names the leader; a leader that is
+// cut off confirms no reads and answers "lost" when the caller gives up; a
+// command that another leader's entry replaced is reported as not run.
+func TestOutcomes(t *testing.T) {
+	// A leader must accept two commands after the cut, before it steps down.
+	g, members := newGroup(t, 3, WithNode(anvilraft.WithElectionTimeout(1500, 2000)))
+	propose(t, members, "command 0")
+	first := leader(t, members...)
+	rest := without(members, first)
+	eventually(t, "the follower knows the leader", func() bool { return rest[0].Status().Leader == first.id })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, _, err := rest[0].Propose(ctx, []byte("no"))
+	assert.ErrorIs(t, err, ErrNotLeader)
+	var hint *NotLeaderError
+	assert.Assert(t, errors.As(err, &hint) && hint.Leader == first.id, "%v", err)
+	assert.ErrorIs(t, rest[0].Barrier(ctx), ErrNotLeader)
+	assert.NilError(t, first.Barrier(ctx))
+
+	// The cut-off leader still accepts commands until it steps down.
+	g.setCut(first, true)
+	short, giveUp := context.WithCancel(ctx)
+	lost, replaced := make(chan error, 1), make(chan error, 1)
+	call := func(ctx context.Context, answer chan error) {
+		_, _, err := first.Propose(ctx, []byte("cut off"))
+		answer <- err
+	}
+	before := first.last()
+	go call(short, lost)
+	go call(ctx, replaced)
+	eventually(t, "both accepted", func() bool { return first.last() == before+2 })
+	giveUp()
+	assert.ErrorIs(t, <-lost, ErrLost)
+	assert.ErrorIs(t, first.Barrier(ctx), ErrNotLeader)
+	propose(t, rest, "command 1")
+	propose(t, rest, "command 2")
+	g.setCut(first, false)
+	assert.ErrorIs(t, <-replaced, ErrNotLeader)
+	converge(t, lines(0, 3), members...)
+}
+
+func (m *member) last() uint64 {
+	m.Voter.mu.Lock()
+	defer m.Voter.mu.Unlock()
+	return uint64(m.node.Status().Last)
+}
+
+// Guards against a peer whose network hangs and that stops the others, and
+// against queues without bound: the oldest messages are dropped.
+func TestHangingPeer(t *testing.T) {
+	block := make(chan struct{})
+	defer close(block)
+	var sent sync.Map
+	v := New("a", WithSend(func(_ context.Context, peer anvilraft.VoterID, messages [][]byte) error {
+		if peer.Instance == "hangs" {
+			<-block
+		}
+		sent.Store(peer.Instance, len(messages))
+		return nil
+	}))
+	s := newStepper(t.Context(), v)
+	for i := range 3 * peerSize {
+		s.senders.add(0, anvilraft.Message{To: anvilraft.VoterID{Instance: "hangs"}, Round: uint64(i)})
+	}
+	s.senders.add(0, anvilraft.Message{To: anvilraft.VoterID{Instance: "works"}})
+	eventually(t, "a message to the other peer", func() bool { _, ok := sent.Load(anvilid.InstanceID("works")); return ok })
+	queue := s.senders.queues[anvilraft.VoterID{Instance: "hangs"}].messages
+	assert.Equal(t, len(queue), peerSize)
+	var oldest anvilraft.Message = <-queue
+	assert.Assert(t, oldest.Round >= 2*peerSize, "%d", oldest.Round)
+	assert.Assert(t, v.Status().Dropped >= 2*peerSize-sendBatch, "%d", v.Status().Dropped)
+	s.senders.prune(2 * peerIdle)
+	assert.Equal(t, len(s.senders.queues), 0)
+}
+
+// Guards against calls that wait in a queue without bound, and messages that
+// block the network or stop the voter.
+func TestOverload(t *testing.T) {
+	v := New("a") // not running, so nothing is taken from the queues
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range requestSize {
+		assert.ErrorIs(t, v.Barrier(ctx), ErrLost)
+	}
+	assert.ErrorIs(t, v.Barrier(ctx), ErrOverloaded)
+	v.Deliver([][]byte{[]byte("not a message")})
+	assert.Equal(t, v.Status().Dropped, uint64(1))
+}
+
+// Guards against founding a group twice in one directory, and checks that the
+// survivor of a lost group can go on alone.
+func TestOperator(t *testing.T) {
+	g, members := newGroup(t, 3)
+	propose(t, members, "command 0")
+	converge(t, lines(0, 1), members...)
+	for _, m := range members {
+		m.stop()
+	}
+	survivor := members[0]
+	assert.ErrorIs(t, Found(survivor.dir, anvilraft.Bootstrap(groupID, survivor.id)), ErrNotEmpty)
+	assert.NilError(t, ForceSoleVoter(survivor.id.Instance, groupID+1, survivor.dir))
+	sole := g.start(survivor.id.Instance, survivor.dir)
+	propose(t, []*member{sole}, "command 1")
+	assert.Equal(t, sole.state(), lines(0, 2))
+}
