--- /dev/null
+++ b/core/anvilstate/property_test.go
@@ -0,0 +1,355 @@
+package anvilstate
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// steps is the number of commands of one run.
+const steps = 120
+
+// start gives every run instances, targets and a configuration, so that the
+// commands drawn later have something to work on.
+func (w *world) start() []Command {
+	w.m = nil
+	commands := []Command{}
+	for i, zone := range []anvilid.ZoneName{"z1", "z1", "z2"} {
+		id := anvilid.InstanceID(fmt.Sprintf("i%d", i+1))
+		commands = append(commands, Command{Join: &JoinInstance{Instance{ID: id, Incarnation: 1, Region: "r", Zone: zone}}})
+	}
+	for i := range 4 {
+		target := Target{ID: anvilid.TargetID(fmt.Sprintf("t%d", i+1)), Incarnation: 1, Service: "s1", Region: "r", Zone: "z1", Rack: "k", Accelerators: 4}
+		commands = append(commands, Command{Register: &RegisterTarget{target}})
+	}
+	return append(commands, configCommand(`{"id": "c0", "operator": "ada", "set": [
+		{"kind": "account", "name": "a1", "spec": {"weight": 1}},
+		{"kind": "service", "name": "s1", "spec": {"timeout": 1000, "body": 1000}}]}`))
+}
+
+// property applies drawn commands to a machine and calls check after each.
+func property(t *testing.T, check func(w *world, command Command, result Result)) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		m := w.m
+		apply := func(command Command) {
+			result := m.Apply(w.index, w.at, command)
+			check(w, command, result)
+		}
+		first := w.start()
+		w.m = m
+		for _, command := range first {
+			w.index++
+			apply(command)
+		}
+		for range steps {
+			_, _, command := w.next()
+			apply(command)
+		}
+	})
+}
+
+func snapshotOf(t assert.TestingT, m *Machine) []byte {
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	return data
+}
+
+// Guards against state that depends on map order, on a decoded command or on
+// anything else but the log.
+func TestReplicasAreEqual(t *testing.T) {
+	var replica *Machine
+	property(t, func(w *world, command Command, result Result) {
+		if w.index == 1 {
+			replica = New(WithLimits(smallLimits()))
+		}
+		data, err := Encode(command)
+		assert.NilError(w, err)
+		var decoded Command
+		assert.NilError(w, Decode(data, &decoded))
+		assert.DeepEqual(w, encoded(w, result), encoded(w, replica.Apply(w.index, w.at, decoded)))
+		if !bytes.Equal(snapshotOf(w, w.m), snapshotOf(w, replica)) {
+			w.Fatalf("replicas differ after entry %d", w.index)
+		}
+	})
+}
+
+func encoded(t assert.TestingT, value any) string {
+	data, err := Encode(value)
+	assert.NilError(t, err)
+	return fmt.Sprintf("%x", data)
+}
+
+// Guards against state that a snapshot leaves out.
+func TestSnapshotChangesNothing(t *testing.T) {
+	var restored *Machine
+	property(t, func(w *world, command Command, result Result) {
+		if w.index == 1 {
+			restored = New(WithLimits(smallLimits()))
+		}
+		got := restored.Apply(w.index, w.at, command)
+		assert.Equal(w, encoded(w, result), encoded(w, got))
+		seen := anvilid.Index(w.number(0, int(w.index)))
+		assert.Equal(w, encoded(w, w.m.Since(seen)), encoded(w, restored.Since(seen)))
+		assert.Equal(w, w.m.Changed(), restored.Changed())
+		assert.Equal(w, encoded(w, w.m.PendingJobs()), encoded(w, restored.PendingJobs()))
+		data := snapshotOf(w, restored)
+		if !bytes.Equal(snapshotOf(w, w.m), data) {
+			w.Fatalf("states differ after entry %d", w.index)
+		}
+		if w.number(0, 4) == 0 {
+			var err error
+			restored, err = Restore(data, WithLimits(smallLimits()))
+			assert.NilError(w, err)
+		}
+	})
+}
+
+// Guards against deltas that miss a change, at any distance.
+func TestDeltasAddUp(t *testing.T) {
+	views := map[int]*Machine{}
+	property(t, func(w *world, _ Command, _ Result) {
+		if w.index == 1 {
+			views = map[int]*Machine{}
+		}
+		reader := w.number(0, 2)
+		if views[reader] == nil {
+			views[reader] = New()
+		}
+		view := views[reader]
+		delta := w.m.Since(view.index)
+		applyDelta(view, delta)
+		want := w.m.whole()
+		got := view.whole()
+		got.Index = want.Index
+		assert.Equal(w, encoded(w, want), encoded(w, got))
+	})
+}
+
+func applyDelta(view *Machine, delta Delta) {
+	if delta.Whole {
+		*view = *New()
+	}
+	view.index = delta.Index
+	view.config.current.Revision = delta.Revision
+	for _, instance := range delta.Instances {
+		view.instances[instance.ID] = &instance
+	}
+	for _, id := range delta.InstancesGone {
+		delete(view.instances, id)
+	}
+	for _, target := range delta.Targets {
+		view.targets[target.ID] = &target
+	}
+	for _, id := range delta.TargetsGone {
+		delete(view.targets, id)
+	}
+	for _, object := range delta.Objects {
+		view.config.current.Objects[object.Key] = object
+	}
+	for _, key := range delta.ObjectsGone {
+		delete(view.config.current.Objects, key)
+	}
+}
+
+// grant is what the test remembers of the latest grant of a request.
+type grant struct {
+	holder Holder
+	token  anvilid.Token
+	at     anvilclock.Millis
+}
+
+// Guards against a second run of a request that may have run. The test keeps
+// its own record of grants that were not abandoned.
+func TestOneGrantPerRequest(t *testing.T) {
+	var granted map[RequestKey]grant
+	var barred map[RequestKey]map[Holder]anvilclock.Millis
+	property(t, func(w *world, command Command, result Result) {
+		if w.index == 1 {
+			granted, barred = map[RequestKey]grant{}, map[RequestKey]map[Holder]anvilclock.Millis{}
+		}
+		if command.Abandon != nil && result.Code == "" {
+			key, holder := command.Abandon.Key, command.Abandon.Holder
+			if granted[key].holder == holder {
+				delete(granted, key)
+			}
+			if barred[key] == nil {
+				barred[key] = map[Holder]anvilclock.Millis{}
+			}
+			barred[key][holder] = w.at
+		}
+		if command.Claim == nil || result.Claim == nil || result.Claim.Verdict != VerdictGranted {
+			return
+		}
+		key, holder := command.Claim.Key, command.Claim.Holder
+		now := grant{holder, result.Claim.Token, w.at}
+		old, ok := granted[key]
+		if resent := ok && old.holder == holder && old.token == now.token; !resent && ok && w.at < old.at+smallLimits().ClaimAge {
+			w.Fatalf("request %q was granted to %+v and then to %+v", key.ID, old, now)
+		}
+		if at, ok := barred[key][holder]; ok && w.at < at+smallLimits().ClaimAge {
+			w.Fatalf("request %q was granted to the barred attempt %+v", key.ID, holder)
+		}
+		granted[key] = now
+	})
+}
+
+// Guards against ids that are forgotten for lack of room or kept too long,
+// and against bodies beyond their limit.
+func TestClaimsStayWithinLimits(t *testing.T) {
+	property(t, func(w *world, _ Command, _ Result) {
+		limits := smallLimits()
+		size := anvilid.ByteCount(0)
+		for key, c := range w.m.claims.byKey {
+			if c.state != ClaimHeld && c.at+limits.ClaimAge <= w.at {
+				w.Fatalf("request %q is kept beyond its window", key.ID)
+			}
+			if c.answer != nil {
+				size += anvilid.ByteCount(len(c.answer.Body))
+			}
+			if c.state != ClaimHeld {
+				continue
+			}
+			if instance := w.m.instances[c.holder.Instance]; instance == nil || instance.Incarnation != c.holder.Incarnation {
+				w.Fatalf("request %q is held by the ended run %+v", key.ID, c.holder)
+			}
+		}
+		if len(w.m.claims.byKey) > limits.Claims || size > limits.Bodies || size != w.m.claims.bytes {
+			w.Fatalf("%d ids with %d bytes of bodies are kept, %d are counted", len(w.m.claims.byKey), size, w.m.claims.bytes)
+		}
+	})
+}
+
+// Guards against two owners of a target and against targets without one.
+func TestOwnersMoveForward(t *testing.T) {
+	var before map[anvilid.TargetID]Target
+	property(t, func(w *world, command Command, _ Result) {
+		if w.index == 1 {
+			before = map[anvilid.TargetID]Target{}
+		}
+		available := false
+		for _, instance := range w.m.instances {
+			available = available || !instance.Draining
+		}
+		after := map[anvilid.TargetID]Target{}
+		for id, target := range w.m.targets {
+			after[id] = *target
+			old, known := before[id]
+			checkMove(w, command, old, known, target)
+			if available && (target.Owner == "" || target.Next == "" && w.m.instances[target.Owner].Draining) {
+				w.Fatalf("target %q is stranded: %+v", id, *target)
+			}
+		}
+		before = after
+	})
+}
+
+func checkMove(w *world, command Command, old Target, known bool, target *Target) {
+	if target.Owner != "" && w.m.instances[target.Owner] == nil {
+		w.Fatalf("target %q is owned by %q, which has left", target.ID, target.Owner)
+	}
+	if target.Next != "" && !w.m.mayOwn(target.Next) {
+		w.Fatalf("target %q is to go to %q, which can't take it", target.ID, target.Next)
+	}
+	if !known {
+		return
+	}
+	if target.Epoch < old.Epoch {
+		w.Fatalf("the epoch of target %q went from %d to %d", target.ID, old.Epoch, target.Epoch)
+	}
+	if target.Owner == old.Owner {
+		return
+	}
+	if target.Owner != "" && target.Epoch <= old.Epoch {
+		w.Fatalf("target %q went from %q to %q in epoch %d", target.ID, old.Owner, target.Owner, target.Epoch)
+	}
+	released := command.Release != nil && command.Release.ID == target.ID && command.Release.Epoch == old.Epoch
+	ended := command.Expire != nil || command.Leave != nil && !command.Leave.Drain || command.Join != nil && command.Join.Instance.ID == old.Owner
+	if old.Owner != "" && !released && !ended {
+		w.Fatalf("target %q was taken from its live owner %q", target.ID, old.Owner)
+	}
+}
+
+// Guards against counts that drift from the targets they count.
+func TestCountsMatchTargets(t *testing.T) {
+	property(t, func(w *world, _ Command, _ Result) {
+		fresh := newOwners()
+		sums := capacities{}
+		for _, target := range w.m.targets {
+			fresh.add(target)
+			sums.add(target, 1)
+		}
+		for id := range w.m.instances {
+			wantService, wantAll := fresh.loadOf(id, "s1")
+			gotService, gotAll := w.m.owners.loadOf(id, "s1")
+			assert.Equal(w, [2]int{wantService, wantAll}, [2]int{gotService, gotAll})
+		}
+		assert.Equal(w, sums.missing("s1", 64, "zone"), w.m.capacity.missing("s1", 64, "zone"))
+	})
+}
+
+// Guards against published objects that name objects that don't exist, and
+// against revisions that don't grow.
+func TestPublishedReferencesExist(t *testing.T) {
+	revision := anvilid.Revision(0)
+	property(t, func(w *world, command Command, result Result) {
+		if w.index == 1 {
+			revision = 0
+		}
+		config := w.m.Config()
+		for key, object := range config.Objects {
+			for name, field := range object.References() {
+				if _, ok := config.Objects[name]; !ok {
+					w.Fatalf("revision %d: field %q of %v names %v, which doesn't exist", config.Revision, field, key, name)
+				}
+			}
+		}
+		if published := command.Config != nil && result.Code == "" && result.Index == w.index; published {
+			revision++
+		}
+		assert.Equal(w, revision, config.Revision)
+	})
+}
+
+// Guards against accelerators that two jobs use, and against gangs that are
+// reserved in part.
+func TestReservationsFit(t *testing.T) {
+	property(t, func(w *world, _ Command, _ Result) {
+		want := map[anvilid.TargetID]anvilid.AcceleratorCount{}
+		for _, job := range w.m.Jobs() {
+			if job.Token == 0 || job.State.Final() {
+				continue
+			}
+			sum := anvilid.AcceleratorCount(0)
+			for _, member := range job.Members {
+				sum += member.Accelerators
+				target, ok := w.m.targets[member.Target]
+				lost := !ok || target.Incarnation != member.Incarnation
+				if lost && job.State != JobStopping {
+					w.Fatalf("job %q is %s without target %q", job.ID, job.State, member.Target)
+				}
+				if !lost && w.m.jobs.reserved[target.ID][job.ID] == member.Accelerators {
+					want[target.ID] += member.Accelerators
+				} else if job.State != JobStopping {
+					w.Fatalf("job %q is %s without its place on target %q", job.ID, job.State, member.Target)
+				}
+			}
+			if sum != job.Accelerators {
+				w.Fatalf("job %q has %d of %d accelerators", job.ID, sum, job.Accelerators)
+			}
+		}
+		for id, target := range w.m.targets {
+			if want[id] > target.Accelerators {
+				w.Fatalf("jobs use %d of the %d accelerators of target %q", want[id], target.Accelerators, id)
+			}
+			assert.Equal(w, want[id], w.m.Reserved(id))
+			assert.Equal(w, anvilid.SlotCount(want[id]), target.Reserved)
+		}
+	})
+}
