--- a/core/anvilconfig/format.go
+++ b/core/anvilconfig/format.go
@@ -83,7 +83,7 @@
 	for i, raw := range form.Set {
 		var object Object
 		if err := object.UnmarshalJSON(raw); err != nil {
-			found.add(object.Key, fmt.Sprintf("set[%d]", i), CodeBadFormat, "%v", err)
+			found.add(keyOf(raw), fmt.Sprintf("set[%d]", i), CodeBadFormat, "%v", err)
 			continue
 		}
 		object.Revision = 0
@@ -92,10 +92,19 @@
 	for i, raw := range form.Delete {
 		var key Key
 		if err := strict(raw, &key); err != nil {
-			found.add(key, fmt.Sprintf("delete[%d]", i), CodeBadFormat, "%v; use the fields kind and name", err)
+			found.add(keyOf(raw), fmt.Sprintf("delete[%d]", i), CodeBadFormat, "%v; use the fields kind and name", err)
 			continue
 		}
 		change.Delete = append(change.Delete, key)
 	}
 	return change, found
 }
+
+// keyOf reads the kind and the name of an object that is otherwise invalid.
+func keyOf(raw []byte) Key {
+	var key Key
+	if json.Unmarshal(raw, &key) != nil {
+		return Key{}
+	}
+	return key
+}
--- a/core/anvilconfig/placement.go
+++ b/core/anvilconfig/placement.go
@@ -49,7 +49,7 @@
 		// Packing and verification share no code, so a fault in the packer
 		// refuses a change instead of publishing an empty promise.
 		if err := Verify(gangs, Snapshot{Objects: after}, service.name, zones); err != nil && len(c.problems) == 0 {
-			c.add(Key{KindService, anvilid.ObjectName(service.name)}, "", CodeUnplaced, "the placement of its guarantees failed verification: %v; report this fault", err)
+			c.add(Key{KindService, anvilid.ObjectName(service.name)}, "", CodeFault, "the placement of its guarantees failed verification: %v; report this fault", err)
 		}
 		placement = append(placement, gangs...)
 	}
--- a/core/anvilconfig/problem.go
+++ b/core/anvilconfig/problem.go
@@ -22,6 +22,7 @@
 	CodeUnplaced   = "guarantee_unplaced"
 	CodeNoTargets  = "no_targets"
 	CodeNotAllowed = "not_allowed"
+	CodeFault      = "fault"
 )
 
 // Problem is one reason why a change set can't be published. Kind and Name
--- a/core/anvilconfig/reference.go
+++ b/core/anvilconfig/reference.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		user := slices.MinFunc(users[key], Key.Compare)
-		c.add(key, "name", CodeInUse, "the object is used by %d others such as %s %q; change or delete these as well",
+		c.add(key, "name", CodeInUse, "%d other objects use it, such as %s %q; change or delete these as well",
 			len(users[key]), user.Kind, user.Name)
 	}
 }
