--- a/core/anvilstate/claim.go
+++ b/core/anvilstate/claim.go
@@ -117,6 +117,7 @@
 		return nil, fmt.Errorf("%w: request %q was abandoned %d times; send it with a new id", ErrOverloaded, command.Key.ID, len(c.barred))
 	}
 	c.digest, c.holder = bytes.Clone(command.Digest), command.Holder
+	c.holder.Instance = m.instances[command.Holder.Instance].ID // shares the string
 	c.token = anvilid.Token(m.index)
 	m.claims.hold(c)
 	return &ClaimResult{Verdict: VerdictGranted, Token: c.token, Holder: &command.Holder}, nil
@@ -163,6 +164,7 @@
 		return nil, fmt.Errorf("%w: %d request ids are remembered and none of them may be forgotten yet; send the request later",
 			ErrOverloaded, len(m.claims.byKey))
 	}
+	key = m.intern(key)
 	c := &claim{key: key, state: ClaimReleased}
 	m.claims.byKey[key] = c
 	return c, nil
--- a/core/anvilstate/claimrecord.go
+++ b/core/anvilstate/claimrecord.go
@@ -1,23 +1,17 @@
 package anvilstate
 
 import (
-	"slices"
-
+	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 )
 
 func (t *claims) heldRecords() []claimRecord {
-	var held []*claim
+	var records []claimRecord
 	for _, of := range t.held {
 		for c := range of {
-			held = append(held, c)
+			records = append(records, c.encoded())
 		}
 	}
-	slices.SortFunc(held, byToken)
-	records := make([]claimRecord, 0, len(held))
-	for _, c := range held {
-		records = append(records, c.encoded())
-	}
 	return records
 }
 
@@ -35,7 +29,8 @@
 		Answer: c.answer, Declared: c.declared, Barred: c.barred,
 	}
 	if c.holder != (Holder{}) {
-		record.Holder = &c.holder
+		holder := c.holder // a later grant overwrites the record's own
+		record.Holder = &holder
 	}
 	return record
 }
@@ -67,3 +62,16 @@
 		}
 	}
 }
+
+// intern lets keys of claims share the strings of the configuration. With
+// 200,000 claims, separate copies would take about 10 MB.
+func (m *Machine) intern(key RequestKey) RequestKey {
+	objects := m.config.current.Objects
+	if object, ok := objects[anvilconfig.Key{Kind: anvilconfig.KindAccount, Name: anvilid.ObjectName(key.Account)}]; ok {
+		key.Account = anvilid.AccountID(object.Name)
+	}
+	if object, ok := objects[anvilconfig.Key{Kind: anvilconfig.KindService, Name: anvilid.ObjectName(key.Service)}]; ok {
+		key.Service = anvilid.ServiceName(object.Name)
+	}
+	return key
+}
--- a/core/anvilstate/property_test.go
+++ b/core/anvilstate/property_test.go
@@ -86,12 +86,15 @@
 	return fmt.Sprintf("%x", data)
 }
 
-// Guards against state that a snapshot leaves out.
+// Guards against state that a snapshot leaves out, and against captures that
+// later commands reach.
 func TestSnapshotChangesNothing(t *testing.T) {
 	var restored *Machine
+	var capture *Capture
+	var captured []byte
 	property(t, func(w *world, command Command, result Result) {
 		if w.index == 1 {
-			restored = New(WithLimits(smallLimits()))
+			restored, capture = New(WithLimits(smallLimits())), nil
 		}
 		got := restored.Apply(w.index, w.at, command)
 		assert.Equal(w, encoded(w, result), encoded(w, got))
@@ -104,6 +107,12 @@
 			w.Fatalf("states differ after entry %d", w.index)
 		}
 		if w.number(0, 4) == 0 {
+			if capture != nil {
+				late, err := capture.Encode()
+				assert.NilError(w, err)
+				assert.Assert(w, bytes.Equal(captured, late), "a capture changed before entry %d", w.index)
+			}
+			capture, captured = restored.Capture(), data
 			var err error
 			restored, err = Restore(data, WithLimits(smallLimits()))
 			assert.NilError(w, err)
--- a/core/anvilstate/snapshot.go
+++ b/core/anvilstate/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -23,8 +24,8 @@
 	Version   int                    `cbor:"1,keyasint"`
 	Index     anvilid.Index          `cbor:"2,keyasint"`
 	At        anvilclock.Millis      `cbor:"3,keyasint"`
-	Instances []*Instance            `cbor:"4,keyasint,omitempty"`
-	Targets   []*Target              `cbor:"5,keyasint,omitempty"`
+	Instances []Instance             `cbor:"4,keyasint,omitempty"`
+	Targets   []Target               `cbor:"5,keyasint,omitempty"`
 	Changes   []change               `cbor:"6,keyasint,omitempty"`
 	Floor     anvilid.Index          `cbor:"7,keyasint,omitempty"`
 	Revision  anvilid.Revision       `cbor:"8,keyasint,omitempty"`
@@ -33,7 +34,7 @@
 	History   []Published            `cbor:"11,keyasint,omitempty"`
 	Held      []claimRecord          `cbor:"12,keyasint,omitempty"`
 	Ended     []claimRecord          `cbor:"13,keyasint,omitempty"`
-	Jobs      []*Job                 `cbor:"14,keyasint,omitempty"`
+	Jobs      []Job                  `cbor:"14,keyasint,omitempty"`
 	EndedJobs []anvilid.JobID        `cbor:"15,keyasint,omitempty"`
 	Reserved  []reservationsOfTarget `cbor:"16,keyasint,omitempty"`
 }
@@ -55,26 +56,47 @@
 	Jobs   map[anvilid.JobID]anvilid.AcceleratorCount `cbor:"2,keyasint"`
 }
 
-// Snapshot encodes the state.
-func (m *Machine) Snapshot() ([]byte, error) {
+// Capture is a copy of the state. It isn't affected by later commands, so it
+// can be encoded while the state machine goes on.
+type Capture struct {
+	state snapshot
+}
+
+// Capture copies the state. What records point to is replaced and never
+// modified by commands, so only the records themselves are copied.
+func (m *Machine) Capture() *Capture {
 	s := snapshot{
 		Version: snapshotVersion, Index: m.index, At: m.at,
-		Instances: sortedValues(m.instances), Targets: sortedValues(m.targets),
+		Instances: copies(m.instances), Targets: copies(m.targets), Jobs: copies(m.jobs.byID),
 		Changes: m.changes.items, Floor: m.changes.floor,
-		Revision: m.Revision(), Objects: m.config.current.List(),
-		Outcomes: m.config.order, History: m.config.history,
+		Revision: m.Revision(), Objects: slices.Collect(maps.Values(m.config.current.Objects)),
+		Outcomes: slices.Clone(m.config.order), History: slices.Clone(m.config.history),
 		Held: m.claims.heldRecords(), Ended: m.claims.endedRecords(),
-		Jobs: sortedValues(m.jobs.byID),
 	}
 	for _, job := range m.jobs.ended {
 		s.EndedJobs = append(s.EndedJobs, job.ID)
 	}
-	for _, id := range sortedKeys(m.jobs.reserved) {
-		s.Reserved = append(s.Reserved, reservationsOfTarget{id, m.jobs.reserved[id]})
+	for id, of := range m.jobs.reserved {
+		s.Reserved = append(s.Reserved, reservationsOfTarget{id, maps.Clone(of)})
 	}
+	return &Capture{s}
+}
+
+// Encode returns the snapshot.
+func (c *Capture) Encode() ([]byte, error) {
+	s := &c.state
+	slices.SortFunc(s.Instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Objects, func(a, b anvilconfig.Object) int { return a.Compare(b.Key) })
+	slices.SortFunc(s.Held, func(a, b claimRecord) int { return cmp.Compare(a.Token, b.Token) })
+	slices.SortFunc(s.Jobs, func(a, b Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	slices.SortFunc(s.Reserved, func(a, b reservationsOfTarget) int { return cmp.Compare(a.Target, b.Target) })
 	return Encode(s)
 }
 
+// Snapshot captures and encodes the state.
+func (m *Machine) Snapshot() ([]byte, error) { return m.Capture().Encode() }
+
 // Restore returns the state machine that wrote a snapshot. The options must be
 // the same.
 func Restore(data []byte, opts ...Option) (*Machine, error) {
@@ -89,15 +111,18 @@
 	m.index, m.at = s.Index, s.At
 	m.changes.items, m.changes.floor = s.Changes, s.Floor
 	for _, instance := range s.Instances {
-		m.instances[instance.ID] = instance
+		m.instances[instance.ID] = &instance
 		m.owners.list(instance.ID)
 	}
 	for _, target := range s.Targets {
-		m.targets[target.ID] = target
-		m.owners.add(target)
-		m.capacity.add(target, 1)
+		m.targets[target.ID] = &target
+		m.owners.add(&target)
+		m.capacity.add(&target, 1)
 	}
 	m.config.restore(s)
+	for i := range s.Ended {
+		s.Ended[i].Key = m.intern(s.Ended[i].Key)
+	}
 	m.claims.restore(s)
 	m.jobs.restore(s)
 	return m, nil
@@ -113,14 +138,14 @@
 }
 
 func (t *jobs) restore(s snapshot) {
-	for _, job := range s.Jobs {
+	for _, record := range s.Jobs {
+		job := &record
 		t.byID[job.ID] = job
 		t.payloads += anvilid.ByteCount(len(job.Payload))
 		if job.State == JobSubmitted {
 			t.pending = append(t.pending, job)
 		}
 	}
-	slices.SortFunc(t.pending, func(a, b *Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
 	for _, id := range s.EndedJobs {
 		t.ended = append(t.ended, t.byID[id])
 	}
@@ -129,10 +154,10 @@
 	}
 }
 
-func sortedValues[K ~string, V any](values map[K]V) []V {
+func copies[K comparable, V any](values map[K]*V) []V {
 	list := make([]V, 0, len(values))
-	for _, key := range sortedKeys(values) {
-		list = append(list, values[key])
+	for _, value := range values {
+		list = append(list, *value)
 	}
 	return list
 }
--- a/core/anvilstate/world_test.go
+++ b/core/anvilstate/world_test.go
@@ -176,7 +176,7 @@
 func (w *world) placement(job Job) Command {
 	place := &PlaceJob{ID: job.ID}
 	rest := job.Accelerators
-	for _, target := range sortedValues(w.m.targets) {
+	for _, target := range sortedTargets(allTargets(w.m)) {
 		if n := min(rest, target.Accelerators); n > 0 && w.number(0, 2) > 0 {
 			place.Members = append(place.Members, Member{target.ID, target.Incarnation, n})
 			rest -= n
@@ -184,3 +184,11 @@
 	}
 	return Command{Place: place}
 }
+
+func allTargets(m *Machine) targetSet {
+	all := targetSet{}
+	for _, target := range m.targets {
+		all[target] = struct{}{}
+	}
+	return all
+}
