--- /dev/null
+++ b/core/anvilraft/cluster_test.go
@@ -0,0 +1,315 @@
+package anvilraft
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// voter is one instance of a cluster with its disk and clock.
+type voter struct {
+	id       VoterID
+	node     *Node // nil while the process is down
+	disk     Restored
+	unsynced []Save
+	lag      bool // the disk does not sync
+	frozen   bool
+	rate     float64 // of the clock, against the cluster's time
+	offset   int64
+	role     Role
+	state    [registers]byte
+	applied  anvilid.Index
+	stalled  []Message // arrived while frozen
+	rejected []Rejection
+	barriers []Barrier
+	sent     int
+}
+
+const registers = 4
+
+type packet struct {
+	message Message
+	due     int64
+}
+
+// cluster runs nodes on a simulated network and checks after every step what
+// must always hold. Time is in microseconds.
+type cluster struct {
+	testing.TB
+	random    *rand.Rand
+	now       int64
+	voters    []*voter
+	packets   []packet
+	latency   func() int64 // negative for a lost message
+	double    float64      // probability that a message arrives twice
+	cut       map[[2]anvilid.InstanceID]bool
+	options   []Option
+	leaders   map[anvilid.Term]VoterID
+	records   map[[2]uint64]record
+	committed []Entry
+	onEntry   func(v *voter, entry Entry)
+	onEffects func(v *voter, effects Effects)
+}
+
+// record is what every log must hold at one index and term.
+type record struct {
+	data     string
+	previous anvilid.Term
+}
+
+func newCluster(t testing.TB, seed uint64, names []string, opts ...Option) *cluster {
+	c := &cluster{
+		TB: t, random: rand.New(rand.NewPCG(seed, 1)), latency: func() int64 { return 1000 },
+		cut:     map[[2]anvilid.InstanceID]bool{},
+		options: append([]Option{WithSeed(seed)}, opts...),
+		leaders: map[anvilid.Term]VoterID{}, records: map[[2]uint64]record{},
+		onEntry: func(*voter, Entry) {}, onEffects: func(*voter, Effects) {},
+	}
+	var ids []VoterID
+	for _, name := range names {
+		ids = append(ids, c.add(name).id)
+	}
+	for _, v := range c.voters {
+		v.disk.Apply(Bootstrap(7, ids...))
+		c.start(v)
+	}
+	return c
+}
+
+func (c *cluster) add(name string) *voter {
+	v := &voter{id: VoterID{anvilid.InstanceID(name), "1"}, rate: 1}
+	v.disk.Storage = v.id.Storage
+	c.voters = append(c.voters, v)
+	return v
+}
+
+func (c *cluster) start(v *voter) {
+	v.state, v.applied, v.stalled, v.role, v.frozen = [registers]byte{}, v.disk.Snapshot.Index, nil, Follower, false
+	copy(v.state[:], v.disk.Snapshot.Data)
+	v.node = New(v.id.Instance, v.disk, c.options...)
+	c.step(v, Tick{})
+}
+
+// crash stops a process. Some of its Saves may have reached the disk.
+func (c *cluster) crash(v *voter, written int) {
+	for _, save := range v.unsynced[:min(written, len(v.unsynced))] {
+		v.disk.Apply(save)
+	}
+	v.node, v.unsynced, v.role = nil, nil, Follower
+}
+
+// wipe replaces a stopped process's disk by an empty one.
+func (c *cluster) wipe(v *voter) {
+	v.id.Storage += "1"
+	v.disk = Restored{Storage: v.id.Storage}
+}
+
+func (v *voter) clock(now int64) anvilclock.Millis {
+	return anvilclock.Millis((float64(now)*v.rate + float64(v.offset)) / 1000)
+}
+
+func (v *voter) sync(c *cluster) {
+	if v.node == nil || v.frozen || len(v.unsynced) == 0 {
+		return
+	}
+	for _, save := range v.unsynced {
+		v.disk.Apply(save)
+	}
+	sequence := v.unsynced[len(v.unsynced)-1].Sequence
+	v.unsynced = nil
+	c.step(v, Persisted{sequence})
+}
+
+func (c *cluster) step(v *voter, event Event) {
+	effects := v.node.Step(v.clock(c.now), event)
+	if save := effects.Save; save != nil {
+		v.unsynced = append(v.unsynced, *save)
+		c.checkEntries(v, *save)
+	}
+	c.checkLeader(v, effects)
+	if effects.Restore != nil {
+		copy(v.state[:], effects.Restore.Data)
+		v.applied = effects.Restore.Index
+	}
+	for _, entry := range effects.Committed {
+		c.apply(v, entry)
+	}
+	v.rejected = append(v.rejected, effects.Rejected...)
+	v.barriers = append(v.barriers, effects.Barriers...)
+	c.onEffects(v, effects)
+	for _, m := range effects.Send {
+		c.checkSynced(v, m)
+		c.post(v, m)
+	}
+	c.checkQuorums()
+}
+
+func (c *cluster) post(v *voter, m Message) {
+	v.sent++
+	data, err := encoder.Marshal(m)
+	assert.NilError(c, err)
+	var decoded Message
+	assert.NilError(c, cbor.Unmarshal(data, &decoded))
+	copies := 1
+	if c.random.Float64() < c.double {
+		copies = 2
+	}
+	for range copies {
+		if delay := c.latency(); delay >= 0 {
+			c.packets = append(c.packets, packet{decoded, c.now + delay})
+		}
+	}
+}
+
+// deliver hands over the messages that are due, in order of time.
+func (c *cluster) deliver() {
+	due := func(p packet) bool { return p.due <= c.now }
+	if !slices.ContainsFunc(c.packets, due) {
+		return
+	}
+	var now []packet
+	for _, p := range c.packets {
+		if due(p) {
+			now = append(now, p)
+		}
+	}
+	c.packets = slices.DeleteFunc(c.packets, due)
+	slices.SortStableFunc(now, func(a, b packet) int { return cmp.Compare(a.due, b.due) })
+	for _, p := range now {
+		v := c.byInstance(p.message.To.Instance)
+		if v.node == nil || c.cut[[2]anvilid.InstanceID{p.message.From.Instance, v.id.Instance}] {
+			continue
+		}
+		if v.frozen {
+			v.stalled = append(v.stalled, p.message)
+			continue
+		}
+		c.step(v, Receive{p.message})
+	}
+}
+
+func (c *cluster) thaw(v *voter) {
+	v.frozen = false
+	stalled := v.stalled
+	v.stalled = nil
+	for _, m := range stalled {
+		c.step(v, Receive{m})
+	}
+}
+
+func (c *cluster) byInstance(id anvilid.InstanceID) *voter {
+	i := slices.IndexFunc(c.voters, func(v *voter) bool { return v.id.Instance == id })
+	assert.Assert(c, i >= 0, "no instance %q", id)
+	return c.voters[i]
+}
+
+// run lets time pass with prompt disks, unless they lag.
+func (c *cluster) run(span anvilclock.Millis) {
+	for range span {
+		c.now += 1000
+		c.deliver()
+		for _, v := range c.voters {
+			if v.node != nil && !v.frozen {
+				c.step(v, Tick{})
+			}
+			if !v.lag {
+				v.sync(c)
+			}
+		}
+	}
+}
+
+// leader returns the leader that has a quorum, or nil.
+func (c *cluster) leader() *voter {
+	for _, v := range c.voters {
+		if v.node != nil && !v.frozen && v.node.HasQuorum(v.clock(c.now)) {
+			return v
+		}
+	}
+	return nil
+}
+
+// checkEntries guards log matching: equal index and term mean equal entries
+// and, because the entry before is compared too, equal logs up to there.
+func (c *cluster) checkEntries(v *voter, save Save) {
+	for _, entry := range save.Entries {
+		previous, _ := v.node.log.term(entry.Index - 1)
+		key := [2]uint64{uint64(entry.Index), uint64(entry.Term)}
+		want := record{fmt.Sprint(entry.Kind, entry.At, entry.Data), previous}
+		if old, ok := c.records[key]; ok && old != want {
+			c.Fatalf("log matching: %v has %v at %v, elsewhere it is %v", v.id, want, key, old)
+		}
+		c.records[key] = want
+	}
+}
+
+// checkLeader guards against two leaders of a term and against a leader that
+// lacks a committed entry.
+func (c *cluster) checkLeader(v *voter, effects Effects) {
+	if effects.Role == Leader && v.role != Leader {
+		if other, ok := c.leaders[effects.Term]; ok {
+			c.Fatalf("two leaders in term %d: %v and %v", effects.Term, other, v.id)
+		}
+		c.leaders[effects.Term] = v.id
+		for _, entry := range c.committed {
+			if entry.Index > v.node.log.base && !v.node.log.matches(entry.Index, entry.Term) {
+				c.Fatalf("leader %v of term %d lacks committed entry %d of term %d", v.id, effects.Term, entry.Index, entry.Term)
+			}
+		}
+	}
+	v.role = effects.Role
+}
+
+// apply guards against committed entries that are lost, changed or repeated.
+func (c *cluster) apply(v *voter, entry Entry) {
+	if entry.Index != v.applied+1 {
+		c.Fatalf("%v applies entry %d after %d", v.id, entry.Index, v.applied)
+	}
+	if int(entry.Index) > len(c.committed) {
+		if n := len(c.committed); n > 0 && c.committed[n-1].At > entry.At {
+			c.Fatalf("time of entry %d goes backwards", entry.Index)
+		}
+		c.committed = append(c.committed, entry)
+	} else if want := c.committed[entry.Index-1]; want.Term != entry.Term || !bytes.Equal(want.Data, entry.Data) {
+		c.Fatalf("%v commits %v, but %v was committed before", v.id, entry, want)
+	}
+	v.applied = entry.Index
+	if entry.Kind == KindCommand && len(entry.Data) == 2 {
+		v.state[entry.Data[0]] = entry.Data[1]
+	}
+	c.onEntry(v, entry)
+}
+
+// checkSynced guards against acknowledging what a crash can still undo.
+func (c *cluster) checkSynced(v *voter, m Message) {
+	last, _ := v.disk.last()
+	if m.Type == MessageAppendResponse && m.Match > last {
+		c.Fatalf("%v acknowledges entry %d but has synced %d", v.id, m.Match, last)
+	}
+	if m.Type == MessageVoteResponse && !m.Reject && (v.disk.Hard.Term < m.Term || v.disk.Hard.Term == m.Term && v.disk.Hard.Vote != m.To) {
+		c.Fatalf("%v grants a vote for term %d that is not synced", v.id, m.Term)
+	}
+}
+
+// checkQuorums guards against two nodes that act as leader at one instant.
+func (c *cluster) checkQuorums() {
+	var first *voter
+	for _, v := range c.voters {
+		if v.node == nil || !v.node.HasQuorum(v.clock(c.now)) {
+			continue
+		}
+		if first != nil {
+			c.Fatalf("%v and %v both have a quorum at %d us", first.id, v.id, c.now)
+		}
+		first = v
+	}
+}
--- /dev/null
+++ b/core/anvilraft/script_test.go
@@ -0,0 +1,198 @@
+package anvilraft
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// TestScripts runs the scripts in testdata. The first comment of a script
+// says which failure it guards against; testdata/README lists the steps.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			f, err := os.Open(file)
+			assert.NilError(t, err)
+			defer f.Close()
+			s := script{t: t}
+			lines := bufio.NewScanner(f)
+			for s.line = 1; lines.Scan(); s.line++ {
+				text, _, _ := strings.Cut(lines.Text(), "#")
+				if words := strings.Fields(text); len(words) > 0 {
+					s.file = file
+					s.do(words[0], append(words[1:], "", "", "")[:len(words)+2])
+				}
+			}
+		})
+	}
+}
+
+type script struct {
+	t    *testing.T
+	c    *cluster
+	opts []Option
+	file string
+	line int
+	key  uint64
+}
+
+func (s *script) number(word string) int {
+	n, err := strconv.Atoi(word)
+	assert.NilError(s.t, err, "%s:%d", s.file, s.line)
+	return n
+}
+
+func (s *script) do(verb string, args []string) {
+	if s.c == nil {
+		s.setup(verb, args)
+		return
+	}
+	if verb == "run" {
+		s.c.run(anvilclock.Millis(s.number(args[0])))
+		return
+	}
+	if verb == "learner" {
+		s.c.start(s.c.add(args[0]))
+		return
+	}
+	v := s.c.byInstance(anvilid.InstanceID(args[0]))
+	switch verb {
+	case "tick": // moves only this clock
+		v.offset += int64(s.number(args[1])) * 1000
+		s.c.step(v, Tick{})
+	case "cut", "heal":
+		for _, other := range s.c.voters {
+			if args[1] == "" || args[1] == string(other.id.Instance) {
+				s.c.cut[[2]anvilid.InstanceID{v.id.Instance, other.id.Instance}] = verb == "cut"
+				s.c.cut[[2]anvilid.InstanceID{other.id.Instance, v.id.Instance}] = verb == "cut"
+			}
+		}
+	case "mute": // loses what one instance sends to another
+		s.c.cut[[2]anvilid.InstanceID{v.id.Instance, anvilid.InstanceID(args[1])}] = true
+	case "lag":
+		v.lag = true
+	case "sync":
+		v.lag = false
+		v.sync(s.c)
+	case "freeze":
+		v.frozen = true
+	case "thaw":
+		s.c.thaw(v)
+	case "crash":
+		s.c.crash(v, 0)
+	case "restart":
+		s.c.start(v)
+	case "wipe":
+		s.c.wipe(v)
+	case "force":
+		v.disk.Apply(ForceSoleVoter(v.id, v.disk, 8))
+	case "expect":
+		s.expect(v, args[1], strings.TrimSpace(strings.Join(args[2:], " ")))
+	default:
+		s.input(verb, v, args)
+	}
+}
+
+func (s *script) setup(verb string, args []string) {
+	switch verb {
+	case "window":
+		s.opts = append(s.opts, WithInflight(anvilid.ByteCount(s.number(args[0])), s.number(args[1])), WithMessageBytes(100))
+	case "uncommitted":
+		s.opts = append(s.opts, WithUncommittedBytes(anvilid.ByteCount(s.number(args[0]))))
+	case "trailing":
+		s.opts = append(s.opts, WithTrailing(s.number(args[0])))
+	case "voters":
+		s.c = newCluster(s.t, 1, strings.Fields(strings.Join(args, " ")), s.opts...)
+	}
+}
+
+func (s *script) input(verb string, v *voter, args []string) {
+	s.key++
+	v.rejected, v.barriers = nil, nil
+	member := func() VoterID { // "b" is the present b, "b/1" the one before its disk was lost
+		name, storage, ok := strings.Cut(args[1], "/")
+		if ok {
+			return VoterID{anvilid.InstanceID(name), StorageID(storage)}
+		}
+		return s.c.byInstance(anvilid.InstanceID(name)).id
+	}
+	switch verb {
+	case "propose": // a number of commands of a size, at a time
+		commands := make([][]byte, s.number(args[1]))
+		for i := range commands {
+			commands[i] = make([]byte, s.number(args[2]))
+		}
+		s.c.step(v, Propose{Key: s.key, Commands: commands, At: anvilclock.Millis(s.c.now / 1000)})
+	case "propose-at":
+		s.c.step(v, Propose{Key: s.key, Commands: [][]byte{nil}, At: anvilclock.Millis(s.number(args[1]))})
+	case "learn":
+		s.c.step(v, ChangeVoters{Key: s.key, Learn: member()})
+	case "add":
+		s.c.step(v, ChangeVoters{Key: s.key, Add: member()})
+	case "remove":
+		s.c.step(v, ChangeVoters{Key: s.key, Remove: member()})
+	case "barrier":
+		s.c.step(v, ReadBarrier{s.key})
+	case "compact":
+		s.c.step(v, Compact{v.applied, make([]byte, s.number(args[1]))})
+	default:
+		s.t.Fatalf("%s:%d: unknown step %q", s.file, s.line, verb)
+	}
+}
+
+func (s *script) expect(v *voter, what, want string) {
+	status := v.node.Status()
+	var got string
+	switch what {
+	case "role":
+		got = status.Role.String()
+	case "term":
+		got = fmt.Sprint(status.Term)
+	case "commit":
+		got = fmt.Sprint(status.Commit)
+	case "last":
+		got = fmt.Sprint(status.Last)
+	case "at":
+		got = fmt.Sprint(v.node.log.lastAt())
+	case "leader":
+		got = string(status.Leader.Instance)
+	case "voters":
+		got = fmt.Sprint(status.Members.Voters)
+	case "quorum":
+		got = fmt.Sprint(v.node.HasQuorum(v.clock(s.c.now)))
+	case "confirmed":
+		got = fmt.Sprint(len(v.barriers))
+	case "sent": // messages since the last time this was asked
+		got, v.sent = fmt.Sprint(v.sent), 0
+	case "inflight": // bytes to one member
+		name, rest, _ := strings.Cut(want, " ")
+		got, want = fmt.Sprint(v.node.peer(s.c.byInstance(anvilid.InstanceID(name)).id).inflightBytes), rest
+	case "rejected":
+		got = "none"
+		for name, reason := range map[string]error{
+			"leader": ErrNotLeader, "pressure": ErrBackPressure, "pending": ErrChangePending,
+			"lagging": ErrNotCaughtUp, "invalid": ErrInvalidChange, "compact": ErrInvalidCompact,
+		} {
+			if len(v.rejected) > 0 && errors.Is(v.rejected[0].Reason, reason) {
+				got = name
+			}
+		}
+	default:
+		s.t.Fatalf("%s:%d: cannot expect %q", s.file, s.line, what)
+	}
+	assert.Equal(s.t, got, want, "%s:%d: %s of %v", s.file, s.line, what, v.id)
+}
