--- a/core/anvilraft/cluster_test.go
+++ b/core/anvilraft/cluster_test.go
@@ -22,6 +22,7 @@
 	disk     Restored
 	unsynced []Save
 	lag      bool // the disk does not sync
+	hasty    bool // the election timeout expires at every tick
 	frozen   bool
 	rate     float64 // of the clock, against the cluster's time
 	offset   int64
@@ -52,6 +53,7 @@
 	latency   func() int64 // negative for a lost message
 	double    float64      // probability that a message arrives twice
 	cut       map[[2]anvilid.InstanceID]bool
+	prompt    bool // disks sync at once, unless they lag
 	options   []Option
 	leaders   map[anvilid.Term]VoterID
 	records   map[[2]uint64]record
@@ -117,15 +119,16 @@
 	return anvilclock.Millis((float64(now)*v.rate + float64(v.offset)) / 1000)
 }
 
-func (v *voter) sync(c *cluster) {
-	if v.node == nil || v.frozen || len(v.unsynced) == 0 {
+// sync writes the first Saves to disk and reports them.
+func (c *cluster) sync(v *voter, count int) {
+	if v.node == nil || v.frozen || count == 0 {
 		return
 	}
-	for _, save := range v.unsynced {
+	for _, save := range v.unsynced[:count] {
 		v.disk.Apply(save)
 	}
-	sequence := v.unsynced[len(v.unsynced)-1].Sequence
-	v.unsynced = nil
+	sequence := v.unsynced[count-1].Sequence
+	v.unsynced = v.unsynced[count:]
 	c.step(v, Persisted{sequence})
 }
 
@@ -137,9 +140,12 @@
 	}
 	c.checkLeader(v, effects)
 	if effects.Restore != nil {
-		copy(v.state[:], effects.Restore.Data)
+		data := effects.Restore.Data
+		assert.DeepEqual(c, data, bytes.Repeat(data[:registers], len(data)/registers))
+		copy(v.state[:], data)
 		v.applied = effects.Restore.Index
 	}
+	c.checkCommit(v, effects)
 	for _, entry := range effects.Committed {
 		c.apply(v, entry)
 	}
@@ -151,6 +157,9 @@
 		c.post(v, m)
 	}
 	c.checkQuorums()
+	if c.prompt && !v.lag {
+		c.sync(v, len(v.unsynced))
+	}
 }
 
 func (c *cluster) post(v *voter, m Message) {
@@ -173,9 +182,12 @@
 // deliver hands over the messages that are due, in order of time.
 func (c *cluster) deliver() {
 	due := func(p packet) bool { return p.due <= c.now }
-	if !slices.ContainsFunc(c.packets, due) {
-		return
+	for slices.ContainsFunc(c.packets, due) {
+		c.deliverOnce(due)
 	}
+}
+
+func (c *cluster) deliverOnce(due func(packet) bool) {
 	var now []packet
 	for _, p := range c.packets {
 		if due(p) {
@@ -199,11 +211,10 @@
 
 func (c *cluster) thaw(v *voter) {
 	v.frozen = false
-	stalled := v.stalled
-	v.stalled = nil
-	for _, m := range stalled {
-		c.step(v, Receive{m})
+	for _, m := range v.stalled {
+		c.packets = append(c.packets, packet{m, c.now + c.random.Int64N(5000)})
 	}
+	v.stalled = nil
 }
 
 func (c *cluster) byInstance(id anvilid.InstanceID) *voter {
@@ -212,22 +223,27 @@
 	return c.voters[i]
 }
 
-// run lets time pass with prompt disks, unless they lag.
+// run lets time pass without faults.
 func (c *cluster) run(span anvilclock.Millis) {
 	for range span {
 		c.now += 1000
 		c.deliver()
 		for _, v := range c.voters {
+			if v.hasty && v.role != Leader {
+				v.offset += 700_000
+			}
 			if v.node != nil && !v.frozen {
 				c.step(v, Tick{})
 			}
-			if !v.lag {
-				v.sync(c)
-			}
 		}
 	}
 }
 
+// cutLink loses what one instance sends to another.
+func (c *cluster) cutLink(from, to *voter) {
+	c.cut[[2]anvilid.InstanceID{from.id.Instance, to.id.Instance}] = true
+}
+
 // leader returns the leader that has a quorum, or nil.
 func (c *cluster) leader() *voter {
 	for _, v := range c.voters {
@@ -259,6 +275,9 @@
 		if other, ok := c.leaders[effects.Term]; ok {
 			c.Fatalf("two leaders in term %d: %v and %v", effects.Term, other, v.id)
 		}
+		if v.disk.Hard.Term != effects.Term || v.disk.Hard.Vote != v.id {
+			c.Fatalf("%v leads in term %d but has not synced its own vote", v.id, effects.Term)
+		}
 		c.leaders[effects.Term] = v.id
 		for _, entry := range c.committed {
 			if entry.Index > v.node.log.base && !v.node.log.matches(entry.Index, entry.Term) {
@@ -269,6 +288,27 @@
 	v.role = effects.Role
 }
 
+// checkCommit guards against a leader that commits what a minority of disks
+// holds. A disk that was lost since counts as holding it.
+func (c *cluster) checkCommit(v *voter, effects Effects) {
+	if effects.Role != Leader || len(effects.Committed) == 0 {
+		return
+	}
+	last := effects.Committed[len(effects.Committed)-1]
+	members := v.node.Status().Members
+	holders := 0
+	for _, id := range members.Voters {
+		other := c.byInstance(id.Instance)
+		holds := func(e Entry) bool { return e.Index == last.Index && e.Term == last.Term }
+		if other.id != id || other.disk.Snapshot.Index >= last.Index || slices.ContainsFunc(other.disk.Entries, holds) {
+			holders++
+		}
+	}
+	if holders < members.Quorum() {
+		c.Fatalf("%v commits entry %d, which only %d disks of %v hold", v.id, last.Index, holders, members.Voters)
+	}
+}
+
 // apply guards against committed entries that are lost, changed or repeated.
 func (c *cluster) apply(v *voter, entry Entry) {
 	if entry.Index != v.applied+1 {
--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -1,6 +1,7 @@
 package anvilraft
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -17,13 +18,13 @@
 // checks the log (see cluster) and that the registers are linearizable. Seeds
 // are fixed; a failure prints its seed as the name of the subtest.
 func TestRandomSchedules(t *testing.T) {
-	for seed := range uint64(24) {
+	for seed := range uint64(60) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			names := []string{"a", "b", "c", "d", "e"}[:3+2*(seed%2)]
 			s := newSchedule(newCluster(t, seed, names, WithTrailing(5), WithMessageBytes(120),
 				WithInflight(500, 8), WithUncommittedBytes(2000), WithCatchUp(3)))
-			s.run(12 * anvilclock.Second)
+			s.run(16 * anvilclock.Second)
 			s.calm()
 			s.checkHistory()
 			t.Logf("seed %d: %d entries committed, %d leaders, %d operations, %d disks lost, %d snapshots installed",
@@ -99,11 +100,14 @@
 			if v.node != nil && !v.frozen && s.chance(200) {
 				s.c.step(v, Tick{})
 			}
-			if s.chance(150) {
-				v.sync(s.c)
+			if n := len(v.unsynced); n > 0 && s.chance(150) && !v.lag {
+				s.c.sync(v, 1+s.c.random.IntN(n))
+			}
+			if s.chance(3) {
+				v.lag = s.c.random.IntN(4) == 0
 			}
 			if v.node != nil && !v.frozen && s.chance(2) {
-				s.c.step(v, Compact{v.applied, slices.Clone(v.state[:])})
+				s.c.step(v, Compact{v.applied, bytes.Repeat(v.state[:], 100)})
 			}
 		}
 		s.partition()
@@ -139,13 +143,25 @@
 	}
 }
 
-// partition cuts one direction of one link, or heals all.
+// partition cuts one or both directions of one link, isolates an instance, or
+// heals all.
 func (s *schedule) partition() {
-	pick := func() anvilid.InstanceID { return s.c.voters[s.c.random.IntN(len(s.c.voters))].id.Instance }
-	if s.chance(1.5) {
-		s.c.cut[[2]anvilid.InstanceID{pick(), pick()}] = true
-	}
+	pick := func() *voter { return s.c.voters[s.c.random.IntN(len(s.c.voters))] }
 	if s.chance(1) {
+		from, to := pick(), pick()
+		s.c.cutLink(from, to)
+		if s.chance(700) {
+			s.c.cutLink(to, from)
+		}
+	}
+	if s.chance(0.3) {
+		one := pick()
+		for _, v := range s.c.voters {
+			s.c.cutLink(v, one)
+			s.c.cutLink(one, v)
+		}
+	}
+	if s.chance(1.5) {
 		clear(s.c.cut)
 	}
 }
@@ -178,8 +194,9 @@
 // calm ends all faults and expects the group to recover completely.
 func (s *schedule) calm() {
 	clear(s.c.cut)
-	s.c.double, s.c.latency = 0, func() int64 { return 1000 }
+	s.c.prompt, s.c.double, s.c.latency = true, 0, func() int64 { return 1000 }
 	for _, v := range s.c.voters {
+		v.lag = false
 		if v.node == nil {
 			s.c.start(v)
 		}
--- a/core/anvilraft/script_test.go
+++ b/core/anvilraft/script_test.go
@@ -65,6 +65,11 @@
 		s.c.run(anvilclock.Millis(s.number(args[0])))
 		return
 	}
+	if verb == "latency" { // in microseconds
+		latency := int64(s.number(args[0]))
+		s.c.latency = func() int64 { return latency }
+		return
+	}
 	if verb == "learner" {
 		s.c.start(s.c.add(args[0]))
 		return
@@ -81,13 +86,22 @@
 				s.c.cut[[2]anvilid.InstanceID{other.id.Instance, v.id.Instance}] = verb == "cut"
 			}
 		}
-	case "mute": // loses what one instance sends to another
-		s.c.cut[[2]anvilid.InstanceID{v.id.Instance, anvilid.InstanceID(args[1])}] = true
+	case "mute":
+		s.c.cutLink(v, s.c.byInstance(anvilid.InstanceID(args[1])))
+	case "hasty":
+		v.hasty = args[1] != "off"
+	case "rate": // in percent
+		v.rate = float64(s.number(args[1])) / 100
+	case "stray": // a message from a node that is no member, with a high term
+		kind := map[string]MessageType{"vote": MessageVote, "prevote": MessagePreVote, "response": MessageAppendResponse}[args[1]]
+		s.c.step(v, Receive{Message{
+			Type: kind, Group: v.node.hard.Group, From: VoterID{"x", "1"}, To: v.id, Term: 99, Index: 99, LogTerm: 98, Reject: true,
+		}})
 	case "lag":
 		v.lag = true
 	case "sync":
 		v.lag = false
-		v.sync(s.c)
+		s.c.sync(v, len(v.unsynced))
 	case "freeze":
 		v.frozen = true
 	case "thaw":
@@ -117,6 +131,10 @@
 		s.opts = append(s.opts, WithTrailing(s.number(args[0])))
 	case "voters":
 		s.c = newCluster(s.t, 1, strings.Fields(strings.Join(args, " ")), s.opts...)
+		s.c.prompt = true
+		for _, v := range s.c.voters {
+			s.c.sync(v, len(v.unsynced))
+		}
 	}
 }
 
