--- a/io/anvilcontrol/replica.go
+++ b/io/anvilcontrol/replica.go
@@ -106,6 +106,27 @@
 	r.term = term
 }
 
+// Restore replaces the state by that of a snapshot.
+func (r *Replica) Restore(data []byte) error {
+	machine, err := anvilstate.Restore(data)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine = machine
+	r.notify()
+	return nil
+}
+
+// Snapshot encodes the state. Only the capture holds up other calls.
+func (r *Replica) Snapshot() ([]byte, error) {
+	r.mu.Lock()
+	capture := r.machine.Capture()
+	r.mu.Unlock()
+	return capture.Encode()
+}
+
 // Read calls f with the state. f must not keep what it is given.
 func (r *Replica) Read(f func(*anvilstate.Machine)) {
 	r.mu.Lock()
--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -11,6 +12,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvillease"
+	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
@@ -60,6 +62,12 @@
 	Barrier func(ctx context.Context) error
 	// Address finds the peer address of a voter.
 	Address func(anvilid.InstanceID) anvilid.Address
+	// Formed tells whether enough of the initial voters are enrolled. Until
+	// then the loss of one disk could lose an accepted change.
+	Formed func() bool
+	// Members returns the members of the group, Change makes one change.
+	Members func() anvilraft.Members
+	Change  func(context.Context, anvilraft.ChangeVoters) error
 }
 
 // Service is the Control service of one voter.
@@ -69,6 +77,9 @@
 	clock   anvilclock.Clock
 	log     *anvillogs.Logger
 	hold    anvilclock.Millis
+
+	// enrolling is held during a change of the voters.
+	enrolling sync.Mutex
 }
 
 // NewService returns the Control service of a voter. Renewals are held for up
@@ -84,9 +95,13 @@
 	s.replica.mu.Lock()
 	ready := s.replica.term == status.Term
 	s.replica.mu.Unlock()
-	if status.Leading && status.HasQuorum && ready {
+	if status.Leading && status.HasQuorum && ready && s.group.Formed() {
 		return nil
 	}
+	return s.notLeading(status)
+}
+
+func (s *Service) notLeading(status Status) error {
 	failure := twirp.NewError(twirp.Unavailable, "not the leader").WithMeta(metaReason, reasonNotLeader)
 	if status.Leader != "" && !status.Leading {
 		failure = failure.WithMeta(metaLeader, string(s.group.Address(status.Leader)))
@@ -259,7 +274,10 @@
 	if !status.Leading || !status.HasQuorum {
 		return
 	}
-	if s.leading() != nil {
+	s.replica.mu.Lock()
+	ready := s.replica.term == status.Term
+	s.replica.mu.Unlock()
+	if !ready {
 		if err := s.group.Barrier(ctx); err != nil {
 			return
 		}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -20,6 +20,11 @@
 	SessionExpired  = define(204, zapcore.WarnLevel, "lease of an instance expired; its targets get new owners")
 	ProposalFailed  = define(205, zapcore.WarnLevel, "command was not accepted by the control group")
 	RenewalFailed   = define(206, zapcore.DebugLevel, "lease renewal failed; trying the next voter")
+	VoterEnrolled   = define(208, zapcore.InfoLevel, "voter enrolled")
+	VoterRemoved    = define(209, zapcore.InfoLevel, "former voter removed")
+	VoterFailed     = define(210, zapcore.ErrorLevel, "voter stopped; this instance serves on without a vote")
+	GroupFounded    = define(211, zapcore.InfoLevel, "new control group founded")
+	GroupAwaited    = define(212, zapcore.InfoLevel, "waiting for the other initial voters before a group is founded")
 	EntryUnreadable = define(207, zapcore.ErrorLevel, "committed entry can't be decoded")
 )
 
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -70,9 +70,6 @@
 	}
 	err = s.runDuties(ctx, duties)
 	s.links.Close()
-	if s.voter != nil {
-		s.voter.close()
-	}
 	s.log.Write(anvillogs.InstanceStopped, zap.Int64("left", s.desk.Admitted()))
 	s.log.Sync()
 	if left := s.desk.Admitted(); err == nil && left > 0 {
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -2,56 +2,248 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
 	"net/http"
-	"sync"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilcontrol"
 	"anvilshunt/io/anvilgang"
 	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
+	"anvilshunt/io/anvilvoter"
 )
 
 // voter is the part of an instance that holds the replicated log.
 type voter struct {
+	server  *Server
+	id      anvilraft.VoterID
+	empty   bool // the data directory has never held a log
+	node    *anvilvoter.Voter
 	replica *anvilcontrol.Replica
 	service *anvilcontrol.Service
-	mu      sync.Mutex
-	index   anvilid.Index
-	leading bool
 	driver  *anvilgang.Driver
 }
 
+// openVoter opens the data directory, so that a wrong or damaged one stops
+// the start of the instance.
 func openVoter(s *Server) (*voter, error) {
-	v := &voter{replica: anvilcontrol.NewReplica(s.clock, s.log, s.settings.Timing.Lease)}
-	v.leading = s.settings.Peers[0].Instance == s.settings.Instance
-	v.service = anvilcontrol.NewService(v.replica, anvilcontrol.Group{
-		Propose: func(_ context.Context, data []byte) (anvilstate.Result, error) {
-			v.mu.Lock()
-			defer v.mu.Unlock()
-			v.index++
-			return v.replica.Apply(v.index, s.wall.Now(), data), nil
-		},
-		Status: func() anvilcontrol.Status {
-			return anvilcontrol.Status{Leading: v.leading, HasQuorum: v.leading, Term: 1, Leader: s.settings.Peers[0].Instance}
-		},
-		Barrier: func(context.Context) error { return nil },
-		Address: func(anvilid.InstanceID) anvilid.Address { return s.settings.Peers[0].Address },
-	}, s.settings.Timing.Hold)
+	id, empty, err := anvilvoter.Inspect(s.settings.Instance, s.settings.Data)
+	if err != nil {
+		return nil, eris.Wrap(err, "open the data directory")
+	}
+	v := &voter{server: s, id: id, empty: empty}
+	v.replica = anvilcontrol.NewReplica(s.clock, s.log, s.settings.Timing.Lease)
+	v.node = anvilvoter.New(s.settings.Instance,
+		anvilvoter.WithDir(s.settings.Data),
+		anvilvoter.WithClocks(s.clock, s.wall),
+		anvilvoter.WithNode(
+			anvilraft.WithElectionTimeout(s.settings.Timing.Election, 2*s.settings.Timing.Election),
+			anvilraft.WithHeartbeat(s.settings.Timing.Beat),
+			anvilraft.WithSeed(s.incarnation.Load())),
+		anvilvoter.WithMachine(anvilvoter.Machine{
+			Apply: func(entry anvilraft.Entry) any {
+				return v.replica.Apply(entry.Index, entry.At, entry.Data)
+			},
+			Restore:  func(snapshot anvilraft.Snapshot) error { return v.replica.Restore(snapshot.Data) },
+			Snapshot: v.replica.Snapshot,
+		}),
+		anvilvoter.WithSend(v.send))
+	v.service = anvilcontrol.NewService(v.replica, v.group(), s.settings.Timing.Hold)
 	v.driver = s.newDriver(v)
 	return v, nil
 }
 
+// group connects the Control service with the replicated log.
+func (v *voter) group() anvilcontrol.Group {
+	return anvilcontrol.Group{
+		Propose: v.propose,
+		Status: func() anvilcontrol.Status {
+			status := v.node.Status()
+			return anvilcontrol.Status{
+				Leading: status.Role == anvilraft.Leader, HasQuorum: status.HasQuorum,
+				Term: status.Term, Leader: status.Leader.Instance,
+			}
+		},
+		Barrier: v.node.Barrier,
+		Address: v.server.voterAddress,
+		Formed:  v.formed,
+		Members: func() anvilraft.Members { return v.node.Status().Members },
+		Change:  v.node.ChangeVoters,
+	}
+}
+
+// formed tells whether the group has a majority of the initial voters.
+func (v *voter) formed() bool {
+	return len(v.node.Status().Members.Voters) > len(voterAddresses(v.server.settings))/2
+}
+
+func (v *voter) propose(ctx context.Context, data []byte) (anvilstate.Result, error) {
+	_, result, err := v.node.Propose(ctx, data)
+	switch {
+	case err == nil:
+		applied, _ := result.(anvilstate.Result)
+		return applied, nil
+	case errors.Is(err, anvilvoter.ErrNotLeader), errors.Is(err, anvilvoter.ErrStopped):
+		return anvilstate.Result{}, fmt.Errorf("%w: %w", anvilcontrol.ErrNotLeader, err)
+	case errors.Is(err, anvilvoter.ErrOverloaded):
+		return anvilstate.Result{}, fmt.Errorf("%w: %w", anvilcontrol.ErrOverloaded, err)
+	}
+	return anvilstate.Result{}, fmt.Errorf("%w: %w", anvilcontrol.ErrLost, err)
+}
+
+func (v *voter) send(ctx context.Context, to anvilraft.VoterID, messages [][]byte) error {
+	address := v.server.voterAddress(to.Instance)
+	if address == "" {
+		return fmt.Errorf("voter %s has no address", to)
+	}
+	_, err := v.server.links.RaftAt(address).Deliver(ctx, &anvilrpc.DeliverRequest{
+		From: string(v.id.Instance), Messages: messages,
+	})
+	return err
+}
+
+// voterAddress finds the peer address of an instance.
+func (s *Server) voterAddress(id anvilid.InstanceID) anvilid.Address {
+	for _, peer := range s.settings.Peers {
+		if peer.Instance == id {
+			return peer.Address
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	instance, _ := s.view.Instance(id)
+	return instance.Peer
+}
+
 func (v *voter) duties() []duty {
-	return []duty{{"control", v.service.Run}, {"gangs", v.driver.Run}}
+	return []duty{{"voter", v.run}, {"enroll", v.enroll}, {"control", v.service.Run}, {"gangs", v.driver.Run}}
+}
+
+// run founds the group if this is its first start, and takes part in it. A
+// failed disk ends the vote of the instance and not the instance.
+func (v *voter) run(ctx context.Context) error {
+	if v.empty && v.founder() {
+		if err := v.found(ctx); err != nil {
+			return err
+		}
+	}
+	if err := v.node.Run(ctx); err != nil {
+		v.server.log.Write(anvillogs.VoterFailed, zap.Error(err))
+	}
+	return nil
+}
+
+// founder tells whether this instance is the first voter of the settings. It
+// alone may found the group; the others are enrolled.
+func (v *voter) founder() bool {
+	for _, peer := range v.server.settings.Peers {
+		if peer.Voter {
+			return peer.Instance == v.id.Instance
+		}
+	}
+	return false
+}
+
+// found creates a new group with this voter as its only one. It waits until
+// every initial voter has said that it belongs to no group: a founder that
+// lost its disk must not found a second one.
+func (v *voter) found(ctx context.Context) error {
+	for ctx.Err() == nil {
+		grouped, missing := v.ask(ctx)
+		switch {
+		case grouped:
+			return nil
+		case missing == "":
+			var group [8]byte
+			_, _ = rand.Read(group[:])
+			id := anvilraft.GroupID(binary.LittleEndian.Uint64(group[:]) | 1) // never zero
+			v.server.log.Write(anvillogs.GroupFounded)
+			return anvilvoter.Found(v.server.settings.Data, anvilraft.Bootstrap(id, v.id))
+		}
+		v.server.log.Write(anvillogs.GroupAwaited, zap.String("missing", string(missing)))
+		pause(ctx, joinPause)
+	}
+	return nil
+}
+
+// ask asks the other initial voters whether one of them belongs to a group.
+// It names one that didn't answer.
+func (v *voter) ask(ctx context.Context) (grouped bool, missing anvilid.InstanceID) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	for _, peer := range v.server.settings.Peers {
+		if !peer.Voter || peer.Instance == v.id.Instance {
+			continue
+		}
+		reply, err := v.server.links.RaftAt(peer.Address).Introduce(ctx, &anvilrpc.IntroduceRequest{})
+		switch {
+		case err != nil:
+			missing = peer.Instance
+		case reply.Grouped:
+			return true, ""
+		}
+	}
+	return false, missing
+}
+
+// enroll asks the leader for a vote until this data directory has one.
+func (v *voter) enroll(ctx context.Context) error {
+	select {
+	case <-v.node.Ready():
+	case <-ctx.Done():
+		return nil
+	}
+	for ctx.Err() == nil && !v.node.Status().Members.IsVoter(v.id) {
+		if err := v.server.client.Enroll(ctx, v.id); err != nil {
+			pause(ctx, joinPause)
+		}
+	}
+	return nil
 }
 
 func (v *voter) register(mux *http.ServeMux) {
 	control := anvilrpc.NewControlServer(v.service)
 	mux.Handle(control.PathPrefix(), control)
+	raft := anvilrpc.NewRaftServer(raftService{voter: v})
+	mux.Handle(raft.PathPrefix(), raft)
+}
+
+func (v *voter) status() *anvilhttp.Voter {
+	status := v.node.Status()
+	voter := &anvilhttp.Voter{
+		Leading: status.Role == anvilraft.Leader, Quorum: status.HasQuorum, Term: status.Term,
+		Leader: status.Leader.Instance, Commit: status.Commit, Applied: status.Applied,
+	}
+	for _, id := range status.Members.Voters {
+		voter.Voters = append(voter.Voters, id.Instance)
+	}
+	return voter
 }
 
-func (v *voter) status() *anvilhttp.Voter { return &anvilhttp.Voter{Leading: v.leading} }
+// raftService takes the messages of other voters.
+type raftService struct {
+	voter *voter
+}
+
+// Deliver takes messages of the replicated log.
+func (r raftService) Deliver(_ context.Context, request *anvilrpc.DeliverRequest) (*anvilrpc.DeliverReply, error) {
+	r.voter.node.Deliver(request.Messages)
+	return &anvilrpc.DeliverReply{}, nil
+}
 
-func (v *voter) close() {}
+// Introduce tells whether this voter belongs to a group.
+func (r raftService) Introduce(context.Context, *anvilrpc.IntroduceRequest) (*anvilrpc.IntroduceReply, error) {
+	return &anvilrpc.IntroduceReply{
+		Instance: string(r.voter.id.Instance), Storage: string(r.voter.id.Storage),
+		Grouped: !r.voter.empty || r.voter.node.Status().Term > 0,
+	}, nil
+}
--- /dev/null
+++ b/io/anvilvoter/inspect.go
@@ -0,0 +1,19 @@
+package anvilvoter
+
+import (
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvildisk"
+)
+
+// Inspect returns the id of the voter with a data directory, which it creates
+// if needed, and whether the directory has never held a log. The voter must
+// not be running.
+func Inspect(instance anvilid.InstanceID, dir string, opts ...anvildisk.Option) (id anvilraft.VoterID, empty bool, err error) {
+	storage, restored, err := anvildisk.Open(dir, opts...)
+	if err != nil {
+		return anvilraft.VoterID{}, false, err
+	}
+	empty = restored.Hard == (anvilraft.HardState{}) && restored.Snapshot.Index == 0 && len(restored.Entries) == 0
+	return anvilraft.VoterID{Instance: instance, Storage: restored.Storage}, empty, storage.Close()
+}
