Spread targets after instances or targets have come

An instance that joined after the targets registered owned none of them: in a trial 14 of 16 targets had one owner of three.

--- a/io/anvilcontrol/replica.go
+++ b/io/anvilcontrol/replica.go
@@ -28,6 +28,8 @@
 	loads   map[anvilid.InstanceID]*anvilrpc.InstanceLoad
 	// term is the term in which this voter has taken up leadership.
 	term anvilid.Term
+	// unbalanced is set while targets may be spread unevenly.
+	unbalanced bool
 	// changed is closed and replaced whenever views change.
 	changed chan struct{}
 }
@@ -67,7 +69,12 @@
 		return
 	}
 	switch {
+	case command.Rebalance != nil:
+		r.unbalanced = result.Moved > 0
+	case command.Register != nil:
+		r.unbalanced = true
 	case command.Join != nil:
+		r.unbalanced = true
 		r.granter.Join(r.clock.Now(), sessionOf(command.Join.Instance))
 	case command.Leave != nil && !command.Leave.Drain:
 		r.forget(anvillease.Session{Instance: command.Leave.ID, Incarnation: command.Leave.Incarnation})
@@ -104,6 +111,7 @@
 	}
 	r.granter.Lead(r.clock.Now(), sessions)
 	r.term = term
+	r.unbalanced = true
 }
 
 // Restore replaces the state by that of a snapshot.
--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -37,6 +37,8 @@
 const (
 	expiryPeriod  = 25 * time.Millisecond
 	inForcePeriod = 5 * time.Millisecond
+	// A hand-over takes a few round trips, so the next one waits longer.
+	rebalancePeriod = 500 * anvilclock.Millisecond
 )
 
 // Errors of the replicated log, as far as callers tell them apart.
@@ -78,6 +80,8 @@
 	log     *anvillogs.Logger
 	hold    anvilclock.Millis
 
+	balanceAt anvilclock.Millis // owned by Run
+
 	// enrolling is held during a change of the voters.
 	enrolling sync.Mutex
 }
@@ -286,6 +290,27 @@
 		return
 	}
 	s.expire(ctx)
+	s.rebalance(ctx)
+}
+
+// rebalance spreads targets over the instances, a bounded number at a time,
+// after instances or targets have come.
+func (s *Service) rebalance(ctx context.Context) {
+	now := s.clock.Now()
+	s.replica.mu.Lock()
+	due := s.replica.unbalanced && now >= s.balanceAt
+	s.replica.mu.Unlock()
+	if !due {
+		return
+	}
+	s.balanceAt = now + rebalancePeriod
+	data, err := anvilstate.Encode(&anvilstate.Command{Rebalance: &anvilstate.Rebalance{}})
+	if err == nil {
+		_, err = s.group.Propose(ctx, data)
+	}
+	if err != nil {
+		s.log.Write(anvillogs.ProposalFailed, zap.String("command", "rebalance"), zap.Error(err))
+	}
 }
 
 func (s *Service) expire(ctx context.Context) {
