--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 all: check test build
 
 build:
-	go build -o bin/anvilshunt ./cmd/anvilshunt
+	go build -o bin/ ./cmd/...
 
 test:
 	go test -race ./...
--- a/cmd/anvilemu/anvilemucmd/root.go
+++ b/cmd/anvilemu/anvilemucmd/root.go
@@ -58,10 +58,10 @@
 func Main(ctx context.Context, streams Streams, args []string) int {
 	root := &ff.Command{
 		Name:      "anvilemu",
-		Usage:     "anvilemu <target|targets|load> [flags]",
+		Usage:     "anvilemu <target|targets|load|check> [flags]",
 		ShortHelp: "run stand-in targets and generate load",
 		Subcommands: []*ff.Command{
-			newTargetCommand(streams), newTargetsCommand(streams), newLoadCommand(streams),
+			newTargetCommand(streams), newTargetsCommand(streams), newLoadCommand(streams), newCheckCommand(streams),
 		},
 	}
 	if err := root.Parse(args); err != nil {
--- a/io/anvilcmd/root.go
+++ b/io/anvilcmd/root.go
@@ -40,7 +40,7 @@
 			anvilstatuscmd.NewVersion(factory),
 		},
 	}
-	err := root.ParseAndRun(ctx, args)
+	err := root.ParseAndRun(ctx, arrange(root, args))
 	switch {
 	case errors.Is(err, ff.ErrHelp):
 		fmt.Fprint(factory.Streams.Out, ffhelp.Command(root.GetSelected()))
