--- a/core/anvilrequest/request.go
+++ b/core/anvilrequest/request.go
@@ -67,9 +67,20 @@
 	// Deadline is the instant at which the caller stops waiting.
 	Deadline    anvilclock.Millis
 	ContentType string
-	Body        []byte
+	// Metadata is passed on to the target with the request. It isn't part of
+	// the content, so a resend may carry other metadata.
+	Metadata []Pair
+	Body     []byte
+}
+
+// Pair is one header field that is passed on.
+type Pair struct {
+	Name, Value string
 }
 
+// MetadataPrefix begins the names of the header fields that are passed on.
+const MetadataPrefix = "X-"
+
 // Answer is what became of a request.
 type Answer struct {
 	Outcome Outcome
--- a/io/anvildesk/desk.go
+++ b/io/anvildesk/desk.go
@@ -20,6 +20,10 @@
 	"anvilshunt/io/anvilrpc"
 )
 
+// retryFloor is the number of retries a second that a service may always
+// make, far below what one target can take.
+const retryFloor = 10
+
 // Self is the run of the instance that the desk works for.
 type Self struct {
 	Instance anvilid.InstanceID
@@ -149,7 +153,7 @@
 	if !ok {
 		s = &service{
 			queue:  anvilqueue.New(anvilqueue.WithBound(d.limits.Queue)),
-			budget: anvilretry.NewBudget(d.clock.Now()),
+			budget: anvilretry.NewBudget(d.clock.Now(), anvilretry.WithFloor(retryFloor)),
 		}
 		d.services[name] = s
 	}
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -185,12 +185,16 @@
 	if !ok {
 		return anvilrequest.Refuse(anvilrequest.CodeFull, "instance %q has left", peer)
 	}
-	reply, err := d.peer(address).Run(ctx, &anvilrpc.RunRequest{
+	call := &anvilrpc.RunRequest{
 		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID),
 		Token: uint64(token), Repeatable: request.Repeatable,
 		Remaining:   int64(anvilretry.Deadline(request.Deadline).Hop(d.clock.Now(), hopLatency)),
 		ContentType: request.ContentType, Body: request.Body,
-	})
+	}
+	for _, pair := range request.Metadata {
+		call.Metadata = append(call.Metadata, &anvilrpc.Field{Name: pair.Name, Value: pair.Value})
+	}
+	reply, err := d.peer(address).Run(ctx, call)
 	if err != nil {
 		d.hear(request.Service, peer, 0)
 		if notConnected(err) {
--- a/io/anvilfleet/caller.go
+++ b/io/anvilfleet/caller.go
@@ -138,6 +138,9 @@
 	call.Header[HeaderEpoch] = []string{strconv.FormatUint(uint64(c.epoch), 10)}
 	call.Header[HeaderToken] = []string{tokenText}
 	call.Header[HeaderRemaining] = []string{strconv.FormatInt(int64(remaining), 10)}
+	for _, pair := range request.Metadata {
+		call.Header[pair.Name] = []string{pair.Value}
+	}
 	if request.ContentType != "" {
 		call.Header["Content-Type"] = []string{request.ContentType}
 	}
--- a/io/anvilhttp/request.go
+++ b/io/anvilhttp/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 
@@ -70,6 +71,11 @@
 		},
 		ContentType: header.Get(echo.HeaderContentType),
 	}
+	for name, values := range header {
+		if strings.HasPrefix(name, anvilrequest.MetadataPrefix) {
+			request.Metadata = append(request.Metadata, anvilrequest.Pair{Name: name, Value: values[0]})
+		}
+	}
 	request.Given = request.ID != ""
 	if !request.Given {
 		request.ID = s.api.Issue()
--- a/io/anvilserver/peer.go
+++ b/io/anvilserver/peer.go
@@ -31,6 +31,9 @@
 		Repeatable: call.Repeatable, Deadline: s.clock.Now() + anvilclock.Millis(call.Remaining),
 		ContentType: call.ContentType, Body: call.Body,
 	}
+	for _, field := range call.Metadata {
+		request.Metadata = append(request.Metadata, anvilrequest.Pair{Name: field.Name, Value: field.Value})
+	}
 	reply := anvildesk.ReplyOf(s.desk.RunForPeer(request, anvilid.Token(call.Token)))
 	if !s.draining() {
 		reply.Free = int32(s.fleet.Free(request.Service))
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -38,6 +38,7 @@
 	wall     anvilclock.Clock
 	log      *anvillogs.Logger
 	listen   func(network, address string) (net.Listener, error)
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 
 	incarnation atomic.Uint64
 	links       *anvillink.Links
@@ -71,6 +72,11 @@
 	return func(s *Server) { s.listen = listen }
 }
 
+// WithDial replaces how the instance connects to other instances.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(s *Server) { s.dial = dial }
+}
+
 // New returns an instance that isn't running yet. It opens the data
 // directory, if there is one.
 func New(settings anvilsettings.Settings, opts ...Option) (*Server, error) {
@@ -85,7 +91,11 @@
 	s.log = s.log.With(zap.String("instance", string(settings.Instance)))
 	s.incarnation.Store(uint64(s.wall.Now()))
 	s.metrics = newMetrics()
-	s.links = anvillink.New(settings.Region, s.regionOf, anvillink.WithBytes(s.metrics.link))
+	linkOptions := []anvillink.Option{anvillink.WithBytes(s.metrics.link)}
+	if s.dial != nil {
+		linkOptions = append(linkOptions, anvillink.WithDial(s.dial))
+	}
+	s.links = anvillink.New(settings.Region, s.regionOf, linkOptions...)
 	s.client = anvilcontrol.NewClient(voterAddresses(settings), s.links.ControlAt)
 	s.fleet = anvilfleet.New(settings.Instance, s.clock, s.log, s.incarnation.Load(),
 		anvilfleet.WithLeased(s.isLeased), anvilfleet.WithPropose(s.client.Propose),
--- a/io/anviltarget/run.go
+++ b/io/anviltarget/run.go
@@ -21,9 +21,9 @@
 	HeaderToken     = "Anvilshunt-Token"
 	HeaderRemaining = "Anvilshunt-Remaining"
 	HeaderCode      = "Anvilshunt-Code"
-	HeaderEmuTime   = "Anvilshunt-Emu-Time"
-	HeaderEmuSize   = "Anvilshunt-Emu-Size"
-	HeaderEmuFault  = "Anvilshunt-Emu-Fault"
+	HeaderEmuTime   = "X-Emu-Time"
+	HeaderEmuSize   = "X-Emu-Size"
+	HeaderEmuFault  = "X-Emu-Fault"
 )
 
 // Codes of refusals.
