--- a/core/anvilslot/evidence.go
+++ b/core/anvilslot/evidence.go
@@ -19,7 +19,7 @@
 // where sure counts the own requests that certainly ran at that time (leased
 // PacketDelay before lo and still held PacketDelay after hi), and late counts
 // the unknown ends after lo-PacketDelay, whose requests may have started
-// after the reading. A pushed report may have been delayed without bound, so
+// after the reading. Connections are bounded in the same way. A pushed report may have been delayed without bound, so
 // its lo comes from the latest call whose answer had a lower sequence.
 
 const (
@@ -67,6 +67,7 @@
 type reading struct {
 	lo, hi  anvilclock.Millis
 	running anvilid.SlotCount
+	open    anvilid.ConnectionCount
 	valid   bool
 }
 
@@ -86,7 +87,7 @@
 		return err
 	}
 	if t.state != Waiting {
-		l.learn(now, t, reading{lo: sent, hi: now, running: report.Running, valid: true}, report)
+		l.learn(now, t, reading{lo: sent, hi: now, running: report.Running, open: report.Open, valid: true}, report)
 		return nil
 	}
 	if report.Epoch != epoch && sent < t.owned+PacketDelay {
@@ -117,7 +118,7 @@
 	if err != nil || t.state == Waiting {
 		return err
 	}
-	l.learn(now, t, reading{lo: sent, hi: now, running: report.Running, valid: true}, report)
+	l.learn(now, t, reading{lo: sent, hi: now, running: report.Running, open: report.Open, valid: true}, report)
 	return nil
 }
 
@@ -162,7 +163,7 @@
 	if t.state == Waiting {
 		return nil
 	}
-	read := reading{hi: now, running: report.Running}
+	read := reading{hi: now, running: report.Running, open: report.Open}
 	read.lo = t.since - report.Age - report.Age/clockMargin - 1
 	read.valid = report.Sequence > t.sinceSequence && read.lo >= t.adopted
 	l.learn(now, t, read, report)
@@ -189,7 +190,6 @@
 	t.raise(now, report)
 	if read.valid {
 		t.lower(now, read)
-		t.foreignOpen = min(t.foreignOpen, report.Open)
 		if read.lo > t.since {
 			t.since, t.sinceSequence = read.lo, report.Sequence
 			t.notePolled(now, read.lo)
@@ -219,9 +219,10 @@
 		early++
 	}
 	late := anvilid.SlotCount(len(t.unknowns) - early)
-	bound := max(0, read.running-sure) + late
-	if bound < t.foreign {
-		t.foreign = bound
+	t.foreign = min(t.foreign, max(0, read.running-sure)+late)
+	sureOpen, lateOpen := anvilid.ConnectionCount(sure), anvilid.ConnectionCount(late)
+	t.foreignOpen = min(t.foreignOpen, max(0, read.open-sureOpen)+lateOpen)
+	if early > 0 {
 		t.unknowns = append(t.unknowns[:0], t.unknowns[early:]...)
 		t.floor = read.lo
 	}
@@ -258,6 +259,7 @@
 
 func (t *target) noteUnknown(now anvilclock.Millis) {
 	t.foreign++
+	t.foreignOpen++
 	t.unknowns = append(t.unknowns, now)
 }
 
@@ -324,7 +326,7 @@
 		}
 		return t.quiet(now) && now-t.polled >= pauseRetry
 	}
-	if t.foreign == 0 && t.limits.Connections-t.foreignOpen >= OwnerConnections {
+	if t.foreign == 0 && (t.foreignOpen == 0 || t.limits.Connections-t.foreignOpen >= OwnerConnections) {
 		return false
 	}
 	if t.foreign > 0 && len(t.own) > 0 && t.pollsInRow >= 2 && now >= t.nextPause &&
--- /dev/null
+++ b/core/anvilslot/usage_test.go
@@ -0,0 +1,257 @@
+package anvilslot
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilreport"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "2000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const subject anvilid.TargetID = "t"
+
+// world is a target that counts its true use, the owners it has had, and the
+// messages between them.
+type world struct {
+	*rapid.T
+	now    anvilclock.Millis
+	events []event
+	limits Limits
+	fenced bool
+	gangs  anvilid.SlotCount
+
+	epoch    anvilid.Epoch
+	sequence uint64
+	running  int
+	open     int
+	past     map[anvilclock.Millis]usage // usage per instant
+
+	owners []*owner
+}
+
+type usage struct{ running, open int }
+
+type event struct {
+	at anvilclock.Millis
+	do func()
+}
+
+type owner struct {
+	ledger *Ledger
+	epoch  anvilid.Epoch
+}
+
+func (w *world) after(span anvilclock.Millis, do func()) {
+	at := event{at: w.now + span, do: do}
+	i, _ := slices.BinarySearchFunc(w.events, at, func(a, b event) int {
+		if a.at <= b.at { // events of one instant keep their order
+			return -1
+		}
+		return 1
+	})
+	w.events = slices.Insert(w.events, i, at)
+}
+
+func (w *world) advance(span anvilclock.Millis) {
+	end := w.now + span
+	for w.now <= end {
+		for len(w.events) > 0 && w.events[0].at <= w.now {
+			do := w.events[0].do
+			w.events = w.events[1:]
+			do()
+		}
+		w.past[w.now] = usage{w.running, w.open}
+		w.now++
+	}
+	w.now = end
+}
+
+func (w *world) span(low, high anvilclock.Millis, label string) anvilclock.Millis {
+	return anvilclock.Millis(rapid.Int64Range(int64(low), int64(high)).Draw(w.T, label))
+}
+
+// dispatch sends a request under a lease. Its answer arrives or is lost.
+func (w *world) dispatch(o *owner) {
+	lease, ok := o.ledger.Acquire(w.now, "s")
+	if !ok {
+		return
+	}
+	idle := w.span(0, PacketDelay, "idle")
+	w.after(idle, func() {
+		if !o.ledger.Valid(w.now, lease) {
+			o.ledger.Release(w.now, lease)
+			return
+		}
+		travel := w.span(0, PacketDelay-idle, "travel")
+		if rapid.IntRange(0, 3).Draw(w.T, "lost") == 0 {
+			w.after(w.span(0, 600, "loss"), func() { o.ledger.ReleaseUnknown(w.now, lease) })
+		}
+		w.after(travel, func() { w.run(o, lease) })
+	})
+}
+
+func (w *world) run(o *owner, lease Lease) {
+	back := w.span(0, PacketDelay, "back")
+	if w.fenced && lease.Epoch < w.epoch {
+		w.after(back, func() { o.ledger.Release(w.now, lease) })
+		return
+	}
+	w.running++
+	w.open++
+	if used := w.running + int(w.gangs); used > int(w.limits.Slots) {
+		w.Fatalf("%d slots in use, limit %d, at %d ms", used, w.limits.Slots, w.now)
+	}
+	// A fenced target may still get a connection of a former owner after it
+	// was adopted; the bound of 16 connections per owner covers these.
+	if !w.fenced && w.open > int(w.limits.Connections) {
+		w.Fatalf("%d connections open, limit %d, at %d ms", w.open, w.limits.Connections, w.now)
+	}
+	w.after(w.span(1, 1500, "duration"), func() {
+		w.running--
+		w.open--
+		w.after(back, func() { o.ledger.Release(w.now, lease) })
+	})
+}
+
+func (w *world) read(age anvilclock.Millis) *anvilreport.Report {
+	then, ok := w.past[w.now-age]
+	if !ok || age == 0 {
+		then, age = usage{w.running, w.open}, 0
+	}
+	w.sequence++
+	report := &anvilreport.Report{
+		Target: subject, Incarnation: 1, Service: "s", Sequence: w.sequence, Age: age,
+		Running: anvilid.SlotCount(then.running), Open: anvilid.ConnectionCount(then.open),
+	}
+	if w.fenced {
+		report.Epoch = w.epoch
+	}
+	return report
+}
+
+// push sends a report to any owner; it may be lost or late.
+func (w *world) push() {
+	report := w.read(w.span(0, 900, "age"))
+	to := w.owners[rapid.IntRange(0, len(w.owners)-1).Draw(w.T, "to")]
+	if rapid.Bool().Draw(w.T, "pushed") {
+		w.after(w.span(0, 2500, "delay"), func() { _ = to.ledger.Report(w.now, report) })
+	}
+}
+
+// adopt calls the target with the owner's epoch; the call or its answer may
+// be late.
+func (w *world) adopt(o *owner) {
+	sent := w.now
+	w.after(w.span(0, 600, "call"), func() {
+		if w.fenced {
+			w.epoch = max(w.epoch, o.epoch)
+		}
+		report := w.read(0)
+		w.after(w.span(0, 600, "answer"), func() { _ = o.ledger.Adopted(w.now, sent, subject, o.epoch, report) })
+	})
+}
+
+func (w *world) take() {
+	if last := len(w.owners) - 1; last >= 0 {
+		w.owners[last].ledger.Disown(subject)
+	}
+	o := &owner{ledger: New(), epoch: anvilid.Epoch(len(w.owners) + 1)}
+	o.ledger.Own(w.now, subject, o.epoch, w.limits, w.gangs)
+	w.owners = append(w.owners, o)
+	w.adopt(o)
+}
+
+// TestSlotsNeverExceeded guards against overload of a target: whatever order
+// ownership, dispatch, reports, losses and adoption take, no more than its
+// slots and connections are in use.
+func TestSlotsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{T: t, past: map[anvilclock.Millis]usage{}, fenced: rapid.Bool().Draw(t, "fenced")}
+		w.limits = Limits{Service: "s", Incarnation: 1, Slots: anvilid.SlotCount(rapid.IntRange(1, 4).Draw(t, "slots")), Connections: 64}
+		if rapid.Bool().Draw(t, "tight") {
+			w.limits.Connections = 2
+		}
+		w.gangs = anvilid.SlotCount(rapid.IntRange(0, int(w.limits.Slots)-1).Draw(t, "gangs"))
+		w.take()
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			o := w.owners[rapid.IntRange(max(0, len(w.owners)-2), len(w.owners)-1).Draw(t, "owner")]
+			switch rapid.IntRange(0, 11).Draw(t, "step") {
+			case 0:
+				if len(w.owners) < 4 {
+					w.take()
+				}
+			case 1, 2:
+				w.adopt(o)
+			case 3, 4:
+				w.push()
+			case 5, 6:
+				w.advance(w.span(0, 400, "advance"))
+				o.ledger.Polls(w.now)
+			default:
+				w.dispatch(o)
+				w.advance(w.span(0, 60, "pause"))
+			}
+		}
+		w.advance(5000)
+	})
+}
+
+// TestForeignUsageIsRecovered guards against slots that stay lost: once the
+// former owner's requests have ended, all slots are free again, also while
+// short requests keep the target busy.
+func TestForeignUsageIsRecovered(t *testing.T) {
+	for _, took := range []anvilclock.Millis{20, 300, 2000} {
+		t.Run(fmt.Sprintf("requests of %d ms", took), func(t *testing.T) {
+			l := New()
+			l.Own(0, subject, 5, Limits{Service: "s", Incarnation: 1, Slots: 8, Connections: 64}, 0)
+			sequence := uint64(1)
+			foreign := 5
+			report := func() *anvilreport.Report {
+				sequence++
+				view, _ := l.View(subject)
+				return &anvilreport.Report{
+					Target: subject, Incarnation: 1, Epoch: 5, Sequence: sequence,
+					Running: view.Own + anvilid.SlotCount(foreign), Open: anvilid.ConnectionCount(int(view.Own) + foreign),
+				}
+			}
+			assert.NilError(t, l.Adopted(1, 0, subject, 5, report()))
+			var held []Lease
+			for now := anvilclock.Millis(2); now < 60_000; now++ {
+				if now == 4000 {
+					foreign = 0
+				}
+				for len(held) > 0 && now-held[0].acquired >= took {
+					l.Release(now, held[0])
+					held = held[1:]
+				}
+				for lease, ok := l.Acquire(now, "s"); ok; lease, ok = l.Acquire(now, "s") {
+					held = append(held, lease)
+				}
+				assert.Assert(t, len(held)+foreign <= 8)
+				if now%50 == 0 {
+					for _, id := range l.Polls(now) {
+						assert.NilError(t, l.Polled(now, now, id, 5, report()))
+					}
+				}
+			}
+			view, _ := l.View(subject)
+			assert.Equal(t, view.Foreign, anvilid.SlotCount(0))
+		})
+	}
+}
