--- a/core/anvilqueue/duration.go
+++ b/core/anvilqueue/duration.go
@@ -20,6 +20,8 @@
 	longTimes = 8
 	// longKind is the share of long requests that makes a kind long.
 	longKind = 0.5
+	// mostUnproven requests of a kind without history run as short ones.
+	mostUnproven = 4
 	// kindGain is the weight of the latest request of a kind.
 	kindGain = 0.125
 )
@@ -106,9 +108,10 @@
 
 // kind is the history of one kind of request of one account.
 type kind struct {
-	seen int
-	long float64 // moving share of long requests
-	mean float64 // moving mean duration
+	seen     int
+	inflight int
+	long     float64 // moving share of long requests
+	mean     float64 // moving mean duration
 }
 
 func (a *account) kind(name string) *kind {
@@ -137,8 +140,11 @@
 	k.mean += gain * (float64(took) - k.mean)
 }
 
-func (k *kind) class(_ *Durations) Class {
-	if k.long >= longKind && k.seen > 0 {
+// class is Long for a kind that has run long, and for one of which several
+// requests run and none has ended while the service's durations are known.
+func (k *kind) class(d *Durations) Class {
+	unproven := k.seen == 0 && k.inflight >= mostUnproven && d.total >= fewest
+	if k.long >= longKind || unproven {
 		return Long
 	}
 	return Short
--- a/core/anvilqueue/queue.go
+++ b/core/anvilqueue/queue.go
@@ -37,8 +37,10 @@
 )
 
 const (
-	defaultBound     = 1000
-	defaultLongShare = 25 // percent of the slots in use
+	defaultBound = 1000
+	// defaultLongShare is in percent of the slots. A quarter leaves short
+	// requests enough slots to hold their wait at the usual loads.
+	defaultLongShare = 25
 	// slack is added to the estimated wait, in percent, for the error of
 	// the estimate.
 	slack = 10
@@ -87,8 +89,8 @@
 // WithBound sets the longest queue of one account.
 func WithBound(requests int) Option { return func(q *Queue) { q.bound = requests } }
 
-// WithLongShare sets the share of the slots in use that the lower class may
-// hold, in percent.
+// WithLongShare sets the share of the slots that the lower class may hold, in
+// percent.
 func WithLongShare(percent int) Option { return func(q *Queue) { q.longShare = percent } }
 
 // WithOrder sets the order within an account.
@@ -111,6 +113,7 @@
 	bound     int
 	longShare int
 	order     Order
+	slots     int
 
 	accounts map[anvilid.AccountID]*account
 	ready    [classes]accountHeap
@@ -125,13 +128,12 @@
 }
 
 type account struct {
-	id       anvilid.AccountID
-	weight   float64
-	virtual  float64 // slot time received over weight
-	waiting  [classes]list
-	index    [classes]int
-	kinds    map[string]*kind
-	inflight int
+	id      anvilid.AccountID
+	weight  float64
+	virtual float64 // slot time received over weight
+	waiting [classes]list
+	index   [classes]int
+	kinds   map[string]*kind
 }
 
 // New returns an empty queue.
@@ -152,6 +154,10 @@
 	a.weight = float64(max(1, weight))
 }
 
+// SetSlots sets the number of slots that requests of this queue may use. The
+// share of the lower class refers to it; until it is set, to the slots in use.
+func (q *Queue) SetSlots(slots int) { q.slots = slots }
+
 func (q *Queue) account(id anvilid.AccountID) *account {
 	a, ok := q.accounts[id]
 	if !ok {
@@ -243,8 +249,14 @@
 		}
 		a := q.ready[class][0]
 		t := q.take(now, a, class)
-		q.virtual = max(q.virtual, a.virtual)
 		q.remove(now, t)
+		if class == Short && t.kind.class(&q.durations) == Long {
+			// The kind has turned out to be long since the request was pushed.
+			t.class = Long
+			q.enqueue(now, a, t)
+			continue
+		}
+		q.virtual = max(q.virtual, a.virtual)
 		if now+t.kind.least(&q.durations) > t.Deadline {
 			t.state = ended
 			q.dropped = append(q.dropped, t)
@@ -270,9 +282,12 @@
 	return 0, false
 }
 
-// longBound counts the slot about to be filled.
 func (q *Queue) longBound() int {
-	return max(1, (q.running[Short]+q.running[Long]+1)*q.longShare/100)
+	slots := q.slots
+	if slots == 0 {
+		slots = q.running[Short] + q.running[Long] + 1
+	}
+	return max(1, slots*q.longShare/100)
 }
 
 func (q *Queue) take(now anvilclock.Millis, a *account, class Class) *Ticket {
@@ -292,7 +307,7 @@
 func (q *Queue) start(now anvilclock.Millis, t *Ticket) {
 	t.state, t.started = running, now
 	q.running[t.class]++
-	t.account.inflight++
+	t.kind.inflight++
 	q.rate.served(now)
 	q.charge(t, float64(t.kind.expected(&q.durations)))
 }
@@ -317,7 +332,7 @@
 	}
 	t.state = ended
 	q.running[t.class]--
-	t.account.inflight--
+	t.kind.inflight--
 	if !ran {
 		q.charge(t, 0)
 		return
--- a/core/anvilslot/usage_test.go
+++ b/core/anvilslot/usage_test.go
@@ -105,9 +105,9 @@
 		if !fresh {
 			o.pool--
 		}
-		lost := w.random.IntN(5) == 0
+		lost := w.random.IntN(4) == 0
 		if lost {
-			w.after(w.span(0, 600), func() { o.ledger.ReleaseUnknown(w.now, lease) })
+			w.after(w.span(0, w.span(10, 600)), func() { o.ledger.ReleaseUnknown(w.now, lease) })
 		}
 		w.after(w.span(0, PacketDelay-idle), func() { w.run(o, lease, fresh, lost) })
 	})
@@ -187,12 +187,12 @@
 // be late.
 func (w *world) adopt(o *owner) {
 	sent := w.now
-	w.after(w.span(0, 400), func() {
+	w.after(w.span(0, w.span(1, 400)), func() {
 		if w.fenced {
 			w.epoch = max(w.epoch, o.epoch)
 		}
 		report := w.read(0)
-		w.after(w.span(0, 400), func() { _ = o.ledger.Adopted(w.now, sent, subject, o.epoch, report) })
+		w.after(w.span(0, w.span(1, 400)), func() { _ = o.ledger.Adopted(w.now, sent, subject, o.epoch, report) })
 	})
 }
 
