Bound the time from a lease to its dispatch separately

A lease is valid for 50 ms; the network bound of the design, 250 ms, comes on top. Checks that the floor of readings already covers are gone.

--- a/core/anvilslot/evidence.go
+++ b/core/anvilslot/evidence.go
@@ -17,7 +17,7 @@
 //	foreign <= running - sure + late
 //
 // where sure counts the own requests that certainly ran at that time (leased
-// PacketDelay before lo and still held PacketDelay after hi), and late counts
+// startWithin before lo and still held PacketDelay after hi), and late counts
 // the unknown ends after lo-PacketDelay, whose requests may have started
 // after the reading. Connections are bounded in the same way. A pushed report may have been delayed without bound, so
 // its lo comes from the latest call whose answer had a lower sequence.
@@ -45,13 +45,11 @@
 	foreign     anvilid.SlotCount
 	foreignOpen anvilid.ConnectionCount
 
-	sequence      uint64            // of the latest report
-	adopted       anvilclock.Millis // when the adoption call was sent
-	since         anvilclock.Millis // when the latest answered call was sent
-	sinceSequence uint64            // of its answer
+	sequence uint64            // of the latest report
+	since    anvilclock.Millis // when the latest answered call was sent
 
 	unknowns []anvilclock.Millis // times of unknown ends, oldest first
-	floor    anvilclock.Millis   // unknown ends before it are forgotten
+	floor    anvilclock.Millis   // readings before it prove nothing
 	pending  reading
 	peaks    [peakBuckets]peak
 
@@ -68,7 +66,7 @@
 	lo, hi  anvilclock.Millis
 	running anvilid.SlotCount
 	open    anvilid.ConnectionCount
-	valid   bool
+	valid   bool // false for no reading
 }
 
 // peak is the most own leases at one time within a bucket.
@@ -95,7 +93,7 @@
 	}
 	t.state = Adopted
 	t.foreign, t.foreignOpen = report.Running, report.Open
-	t.adopted, t.since, t.sinceSequence, t.floor, t.polled = sent, sent, report.Sequence, sent, now
+	t.since, t.floor, t.polled = sent, sent, now
 	t.nextPause, t.backoff = now+pauseBackoff, pauseBackoff
 	l.refresh(t)
 	return nil
@@ -163,9 +161,10 @@
 	if t.state == Waiting {
 		return nil
 	}
-	read := reading{hi: now, running: report.Running, open: report.Open}
+	read := reading{hi: now, running: report.Running, open: report.Open, valid: true}
+	// The report was made after the answers with lower sequences, and so
+	// after their calls were sent.
 	read.lo = t.since - report.Age - report.Age/clockMargin - 1
-	read.valid = report.Sequence > t.sinceSequence && read.lo >= t.adopted
 	l.learn(now, t, read, report)
 	return nil
 }
@@ -188,15 +187,13 @@
 func (l *Ledger) learn(now anvilclock.Millis, t *target, read reading, report *anvilreport.Report) {
 	t.settle(now)
 	t.raise(now, report)
-	if read.valid {
-		t.lower(now, read)
-		if read.lo > t.since {
-			t.since, t.sinceSequence = read.lo, report.Sequence
-			t.notePolled(now, read.lo)
-		}
-		if !t.pending.valid || read.hi-read.lo < t.pending.hi-t.pending.lo {
-			t.pending = read
-		}
+	t.lower(now, read)
+	if read.lo > t.since {
+		t.since = read.lo
+		t.notePolled(now, read.lo)
+	}
+	if !t.pending.valid || read.hi-read.lo < t.pending.hi-t.pending.lo {
+		t.pending = read
 	}
 	l.refresh(t)
 }
@@ -204,12 +201,12 @@
 // lower lowers foreign usage to the bound that a reading proves.
 func (t *target) lower(now anvilclock.Millis, read reading) {
 	if read.lo < t.floor {
-		return // unknown ends that matter to it are forgotten
+		return // before adoption, or unknown ends that matter are forgotten
 	}
 	sure := anvilid.SlotCount(0)
 	if now >= read.hi+PacketDelay {
 		for i := range t.own {
-			if t.own[i].acquired <= read.lo-PacketDelay {
+			if t.own[i].acquired <= read.lo-startWithin {
 				sure++
 			}
 		}
@@ -343,7 +340,7 @@
 // foreign ones.
 func (t *target) quiet(now anvilclock.Millis) bool {
 	for i := range t.own {
-		if t.own[i].acquired > now-PacketDelay {
+		if t.own[i].acquired > now-startWithin {
 			return false
 		}
 	}
--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -26,10 +26,15 @@
 	TargetLease = 5 * anvilclock.Second
 	// GoneAfter is how long a target may stay silent before Gone lists it.
 	GoneAfter = 30 * anvilclock.Second
-	// PacketDelay is the assumed bound on the time between the acquisition
-	// of a lease and the arrival of its request at the target, and between
-	// the end of a request at the target and the arrival of its answer.
+	// PacketDelay is the assumed bound on the time between the sending of a
+	// request and its start at the target, and between the end of a request
+	// at the target and the arrival of its answer.
 	PacketDelay = 250 * anvilclock.Millisecond
+	// DispatchWithin is how long after its acquisition a lease permits the
+	// request to be sent.
+	DispatchWithin = 50 * anvilclock.Millisecond
+	// startWithin bounds the time from a lease to the start of its request.
+	startWithin = DispatchWithin + PacketDelay
 	// OwnerConnections is the most connections that one owner opens to a
 	// target, so that four successive owners stay within 64.
 	OwnerConnections anvilid.ConnectionCount = 16
@@ -275,7 +280,7 @@
 // right before the request is sent.
 func (l *Ledger) Valid(now anvilclock.Millis, lease Lease) bool {
 	t, ok := l.targets[lease.Target]
-	return ok && t.epoch == lease.Epoch && t.find(lease) >= 0 && now-lease.acquired < PacketDelay/2
+	return ok && t.epoch == lease.Epoch && t.find(lease) >= 0 && now-lease.acquired < DispatchWithin
 }
 
 // Release ends a lease whose request has certainly ended at the target, or
