--- a/core/anvildedup/table.go
+++ b/core/anvildedup/table.go
@@ -62,6 +62,7 @@
 	Done     State = "done"      // at Holder; Answer is set if it is stored here
 	Conflict State = "conflict"  // the id was used for other content
 	Full     State = "full"      // all ids are in flight; nothing was noted
+	Gone     State = "gone"      // the run that asks has ended; nothing was noted
 	Unknown  State = "unknown"   // Lookup only: the id isn't in the table
 )
 
@@ -120,9 +121,12 @@
 func (t *Table) Bytes() anvilid.ByteCount { return t.bytes }
 
 // Begin looks an id up and notes the holder if the id is new. An id in
-// flight at a holder that is gone is new again.
+// flight at a holder that is gone is new again for the same content.
 func (t *Table) Begin(now anvilclock.Millis, key Key, digest Digest, holder Holder) Result {
 	t.expire(now)
+	if t.isGone(holder) {
+		return Result{State: Gone}
+	}
 	if e, ok := t.entries[key]; ok {
 		switch {
 		case e.digest != digest:
@@ -132,7 +136,7 @@
 		}
 		t.drop(e)
 	}
-	if t.isGone(holder) || !t.makeRoom() {
+	if !t.makeRoom() {
 		return Result{State: Full}
 	}
 	e := t.allocate()
@@ -156,6 +160,7 @@
 // Complete notes that a request has ended with an answer. A keeper passes
 // nil. It returns false if the holder no longer holds the id in flight.
 func (t *Table) Complete(now anvilclock.Millis, key Key, holder Holder, answer *Answer) bool {
+	t.expire(now)
 	e, ok := t.held(key, holder)
 	if !ok {
 		return false
@@ -177,7 +182,8 @@
 
 // Forget removes an id whose request has not run. It returns false if the
 // holder no longer holds the id in flight.
-func (t *Table) Forget(key Key, holder Holder) bool {
+func (t *Table) Forget(now anvilclock.Millis, key Key, holder Holder) bool {
+	t.expire(now)
 	e, ok := t.held(key, holder)
 	if ok {
 		t.drop(e)
--- /dev/null
+++ b/core/anvildedup/table_test.go
@@ -0,0 +1,157 @@
+package anvildedup
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "3000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// record is what the test knows of an id. It finds ids by scans.
+type record struct {
+	digest Digest
+	holder Holder
+	at     anvilclock.Millis
+	ended  int // order of the end, 0 while in flight
+	answer *Answer
+}
+
+// TestTable guards against requests that run twice or get another request's
+// answer: ids in flight stay until they end, expire or lose their holder,
+// finished ids go oldest first, and both bounds hold.
+func TestTable(t *testing.T) {
+	const mostIDs, mostBytes = 4, 30
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(WithMostIDs(mostIDs), WithAnswerBytes(mostBytes))
+		now, ends := anvilclock.Millis(0), 0
+		known := map[Key]*record{}
+		gone := map[Holder]bool{}
+		key := func() Key {
+			return Key{Account: "a", ID: anvilid.RequestID(rapid.SampledFrom([]string{"1", "2", "3", "4", "5", "6"}).Draw(t, "id"))}
+		}
+		holder := func() Holder {
+			return Holder{Instance: anvilid.InstanceID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "instance")), Incarnation: anvilid.Incarnation(rapid.IntRange(1, 2).Draw(t, "run"))}
+		}
+		prune := func() {
+			for k, r := range known {
+				if now-r.at >= Window {
+					delete(known, k)
+				}
+			}
+		}
+		begin := func(k Key, digest Digest, h Holder) {
+			count := table.Len()
+			got := table.Begin(now, k, digest, h)
+			r := known[k]
+			switch {
+			case gone[h]:
+				assert.Equal(t, got.State, Gone)
+			case r == nil || r.digest == digest && r.ended == 0 && gone[r.holder]:
+				if got.State == Full {
+					assert.Equal(t, count, mostIDs)
+					for _, other := range known {
+						assert.Assert(t, other.ended == 0 && !gone[other.holder], "refused although an id could go")
+					}
+				}
+				if got.State != Full {
+					assert.Equal(t, got.State, New)
+					known[k] = &record{digest: digest, holder: h, at: now}
+				}
+			case r.digest != digest:
+				assert.Equal(t, got.State, Conflict)
+			case r.ended == 0:
+				assert.Equal(t, got, Result{State: InFlight, Holder: r.holder})
+			default:
+				assert.Equal(t, got.State, Done)
+				assert.Equal(t, got.Holder, r.holder)
+				assert.Assert(t, got.Answer == nil || got.Answer == r.answer)
+			}
+		}
+		// evicted forgets finished ids that are no longer there.
+		evicted := func() {
+			newest := 0
+			for k, r := range known {
+				if r.ended == 0 && gone[r.holder] {
+					if _, ok := table.entries[k]; !ok {
+						delete(known, k)
+					}
+				} else if table.Lookup(now, k).State == Unknown {
+					assert.Assert(t, r.ended > 0, "evicted %v in flight", k)
+					newest = max(newest, r.ended)
+					delete(known, k)
+				}
+			}
+			for _, r := range known {
+				assert.Assert(t, r.ended == 0 || r.ended > newest, "evicted a newer id first")
+			}
+		}
+		for range 60 {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				now += anvilclock.Millis(rapid.Int64Range(0, int64(Window)).Draw(t, "advance"))
+			case 1:
+				h := holder()
+				table.HolderGone(h)
+				for run := anvilid.Incarnation(1); run <= h.Incarnation; run++ {
+					gone[Holder{h.Instance, run}] = true
+				}
+			case 2, 3, 4:
+				k, h := key(), holder()
+				answer := &Answer{Body: make([]byte, rapid.IntRange(0, 20).Draw(t, "size"))}
+				r := known[k]
+				held := r != nil && r.ended == 0 && r.holder == h && now-r.at < Window && !gone[h]
+				assert.Equal(t, table.Complete(now, k, h, answer), held, "end by %v", h)
+				if held {
+					ends++
+					r.ended, r.at, r.answer = ends, now, answer
+				}
+			case 5:
+				k, h := key(), holder()
+				r := known[k]
+				held := r != nil && r.ended == 0 && r.holder == h && now-r.at < Window && !gone[h]
+				assert.Equal(t, table.Forget(now, k, h), held)
+				if held {
+					delete(known, k)
+				}
+			default:
+				prune()
+				begin(key(), Digest{byte(rapid.IntRange(0, 1).Draw(t, "digest"))}, holder())
+			}
+			prune()
+			evicted()
+			assert.Assert(t, table.Len() <= mostIDs && table.Bytes() <= mostBytes)
+		}
+	})
+}
+
+func BenchmarkBegin(b *testing.B) {
+	table := NewTable()
+	h := Holder{"x", 1}
+	keys := make([]Key, 2*MostIDs)
+	for i := range keys {
+		keys[i] = Key{Account: "agency", Service: "planner", ID: anvilid.RequestID(fmt.Sprintf("request-%d", i))}
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() { // the table is full from the 200,000th on, and evicts
+		k := keys[i%len(keys)]
+		i++
+		if table.Begin(anvilclock.Millis(i/100), k, Digest{}, h).State == New {
+			table.Complete(anvilclock.Millis(i/100), k, h, nil)
+		}
+	}
+}
