Add the planner: cells, placement, guarantees and reclaim

The planner keeps four indexes of cells (present, free, unreserved and spare accelerators) and a reservation for each guaranteed gang, which is the proof that all guarantees fit at once.

--- /dev/null
+++ b/core/anvilplan/planner.go
@@ -0,0 +1,394 @@
+// Package anvilplan places gangs of accelerators and keeps the guarantees of
+// client accounts.
+//
+// Accelerators form hierarchical cells (accelerator, pair, quad, worker,
+// rack, zone). Gangs are placed in the smallest cell that holds them, so that
+// large cells stay whole.
+//
+// A guarantee promises an account a number of gangs of one shape. For each of
+// them the planner reserves accelerators, the proof that it can be placed.
+// Reservations never overlap. A reservation that isn't in use may be lent to
+// borrowers, which are gangs beyond the guarantee of their account. All
+// borrowers can be preempted, so that all guarantees can be placed at the
+// same time.
+//
+// The same calls in the same order give the same results on every replica.
+//
+// A Planner isn't safe for concurrent use.
+package anvilplan
+
+import (
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// topology holds the targets and the racks, zones and services that they are
+// in. Elements are referred to by number.
+type topology struct {
+	targets  []target
+	racks    []rack
+	zones    []zone
+	services []service
+}
+
+type target struct {
+	id       anvilid.TargetID
+	rack     int32
+	all      mask
+	used     mask // held by gangs
+	reserved mask // part of a reservation
+	cordoned bool
+}
+
+type rack struct {
+	zone    int32
+	targets []int32
+}
+
+type zone struct {
+	service int32
+}
+
+type service struct {
+	name  anvilid.ServiceName
+	zones []int32
+	unmet []int32 // units
+}
+
+type rackKey struct {
+	zone int32
+	rack anvilid.RackName
+}
+
+type zoneKey struct {
+	service int32
+	region  anvilid.RegionName
+	zone    anvilid.ZoneName
+}
+
+// Planner holds the accelerators, the gangs and the guarantees.
+type Planner struct {
+	topology
+
+	targetByID  map[anvilid.TargetID]int32
+	rackByKey   map[rackKey]int32
+	zoneByKey   map[zoneKey]int32
+	serviceByID map[anvilid.ServiceName]int32
+	freeTargets []int32
+
+	present    space // accelerators of targets that aren't cordoned
+	free       space // present and not held by a gang
+	unreserved space // present and not reserved
+	spare      space // free and unreserved
+
+	holder      []int32 // gang that holds each accelerator
+	reservation []int32 // unit that each accelerator is reserved for
+
+	gangs     []gang
+	freeGangs []int32
+	gangByJob map[anvilid.JobID]int32
+
+	accounts    []anvilid.AccountID
+	accountByID map[anvilid.AccountID]int32
+
+	kinds         []kind
+	kindByShape   map[kindKey]int32
+	promises      []promise
+	promiseByKey  map[promiseKey]int32
+	accountShapes map[accountService][]int32 // promises
+	units         []unit
+	freeUnits     []int32
+
+	cursor  int // where the next search for victims begins
+	scratch []block
+	visited []int32
+}
+
+// New returns an empty planner.
+func New() *Planner {
+	p := &Planner{
+		targetByID:    map[anvilid.TargetID]int32{},
+		rackByKey:     map[rackKey]int32{},
+		zoneByKey:     map[zoneKey]int32{},
+		serviceByID:   map[anvilid.ServiceName]int32{},
+		gangByJob:     map[anvilid.JobID]int32{},
+		accountByID:   map[anvilid.AccountID]int32{},
+		kindByShape:   map[kindKey]int32{},
+		promiseByKey:  map[promiseKey]int32{},
+		accountShapes: map[accountService][]int32{},
+	}
+	for _, s := range p.spaces() {
+		s.topology = &p.topology
+	}
+	return p
+}
+
+func (p *Planner) spaces() [4]*space {
+	return [4]*space{&p.present, &p.free, &p.unreserved, &p.spare}
+}
+
+// Target is one target of the inventory.
+type Target struct {
+	ID           anvilid.TargetID
+	Service      anvilid.ServiceName
+	Region       anvilid.RegionName
+	Zone         anvilid.ZoneName
+	Rack         anvilid.RackName
+	Accelerators anvilid.AcceleratorCount
+}
+
+// Member is the part of a gang on one target: accelerators First to
+// First+Count-1. First is a multiple of Count rounded up to a power of two.
+type Member struct {
+	Target anvilid.TargetID
+	First  int
+	Count  int
+}
+
+// Request asks for the placement of a gang.
+type Request struct {
+	Job     anvilid.JobID
+	Account anvilid.AccountID
+	Service anvilid.ServiceName
+	Shape   anvilconfig.Shape
+	// Preemptible gangs may run beyond the guarantee of their account.
+	Preemptible bool
+}
+
+// Placement is where a gang runs.
+type Placement struct {
+	Job     anvilid.JobID
+	Members []Member
+	// Guaranteed tells that the gang uses a guarantee of its account and
+	// won't be preempted.
+	Guaranteed bool
+	// Victims are the gangs to preempt for this one, least lost work first.
+	Victims []anvilid.JobID
+	// Waits are the gangs that must be released before this one may start:
+	// the victims and gangs that were already ending.
+	Waits []anvilid.JobID
+}
+
+// Unmet is a part of a guarantee that can't be proved.
+type Unmet struct {
+	Account anvilid.AccountID
+	Service anvilid.ServiceName
+	Shape   anvilconfig.Shape
+	Count   int
+}
+
+// Loss is the result of the removal of a target.
+type Loss struct {
+	// Gangs lost a member. Their other members must be stopped; Release
+	// then frees the accelerators that they still hold.
+	Gangs []anvilid.JobID
+	// Unmet lists all guarantees of the service that can't be proved now.
+	Unmet []Unmet
+}
+
+// refresh updates the spaces after a change of one target.
+func (p *Planner) refresh(number int32) {
+	t := &p.targets[number]
+	all := t.all
+	if t.cordoned {
+		all = 0
+	}
+	p.present.set(number, all)
+	p.free.set(number, all&^t.used)
+	p.unreserved.set(number, all&^t.reserved)
+	p.spare.set(number, all&^t.used&^t.reserved)
+}
+
+func (p *Planner) serviceOf(target int32) int32 {
+	return p.zones[p.racks[p.targets[target].rack].zone].service
+}
+
+// Largest returns the largest gangs that can be placed in a service without
+// preemption.
+func (p *Planner) Largest(name anvilid.ServiceName) Largest {
+	number, known := p.serviceByID[name]
+	if !known {
+		return Largest{}
+	}
+	return p.free.largest(number)
+}
+
+// AddTarget adds a target, or makes a cordoned one available again. It
+// returns the guarantees of the service that can't be proved.
+func (p *Planner) AddTarget(t Target) ([]Unmet, error) {
+	if t.Accelerators < 0 || t.Accelerators > workerSize {
+		return nil, refuse(ErrInvalid, "target %q has %d accelerators, want 0 to %d; split larger targets", t.ID, t.Accelerators, workerSize)
+	}
+	service := p.addService(t.Service)
+	rack := p.addRack(service, t)
+	number, known := p.targetByID[t.ID]
+	if known {
+		old := &p.targets[number]
+		if old.rack != rack || old.all != lowest(int(t.Accelerators)) {
+			return nil, refuse(ErrInvalid, "target %q is known with another place or size; remove it first", t.ID)
+		}
+		old.cordoned = false
+	} else {
+		number = p.newTarget(t, rack)
+	}
+	p.refresh(number)
+	p.proveUnmet(service)
+	return p.unmetOf(service), nil
+}
+
+func (p *Planner) newTarget(t Target, rack int32) int32 {
+	number := int32(len(p.targets))
+	record := target{id: t.ID, rack: rack, all: lowest(int(t.Accelerators))}
+	if last := len(p.freeTargets) - 1; last >= 0 {
+		number = p.freeTargets[last]
+		p.freeTargets = p.freeTargets[:last]
+		p.targets[number] = record
+	} else {
+		p.targets = append(p.targets, record)
+		for range workerSize {
+			p.holder = append(p.holder, none)
+			p.reservation = append(p.reservation, none)
+		}
+	}
+	p.targetByID[t.ID] = number
+	p.racks[rack].targets = append(p.racks[rack].targets, number)
+	for _, s := range p.spaces() {
+		s.addTarget(number)
+	}
+	return number
+}
+
+func (p *Planner) addService(name anvilid.ServiceName) int32 {
+	if number, known := p.serviceByID[name]; known {
+		return number
+	}
+	number := int32(len(p.services))
+	p.serviceByID[name] = number
+	p.services = append(p.services, service{name: name})
+	for _, s := range p.spaces() {
+		s.addService()
+	}
+	return number
+}
+
+func (p *Planner) addRack(serviceNumber int32, t Target) int32 {
+	zk := zoneKey{serviceNumber, t.Region, t.Zone}
+	zoneNumber, known := p.zoneByKey[zk]
+	if !known {
+		zoneNumber = int32(len(p.zones))
+		p.zoneByKey[zk] = zoneNumber
+		p.zones = append(p.zones, zone{service: serviceNumber})
+		p.services[serviceNumber].zones = append(p.services[serviceNumber].zones, zoneNumber)
+		for _, s := range p.spaces() {
+			s.addZone()
+		}
+	}
+	rk := rackKey{zoneNumber, t.Rack}
+	number, known := p.rackByKey[rk]
+	if !known {
+		number = int32(len(p.racks))
+		p.rackByKey[rk] = number
+		p.racks = append(p.racks, rack{zone: zoneNumber})
+		for _, s := range p.spaces() {
+			s.addRack(number)
+		}
+	}
+	return number
+}
+
+// Cordon keeps new gangs off a target. Gangs that run there continue, and
+// reservations there move. It returns the guarantees of the service that
+// can't be proved.
+func (p *Planner) Cordon(id anvilid.TargetID) []Unmet {
+	number, known := p.targetByID[id]
+	if !known {
+		return nil
+	}
+	service := p.serviceOf(number)
+	p.targets[number].cordoned = true
+	for _, u := range p.unitsOn(number) {
+		if p.units[u].gang == none {
+			p.unreserve(u)
+		}
+	}
+	p.refresh(number)
+	p.prove(service)
+	return p.unmetOf(service)
+}
+
+// RemoveTarget removes a target that is lost. Every gang with a member on it
+// is lost as a whole.
+func (p *Planner) RemoveTarget(id anvilid.TargetID) Loss {
+	number, known := p.targetByID[id]
+	if !known {
+		return Loss{}
+	}
+	service := p.serviceOf(number)
+	loss := Loss{Gangs: p.loseGangs(number)}
+	for _, u := range p.unitsOn(number) {
+		p.unreserve(u)
+	}
+	for _, s := range p.spaces() {
+		s.removeTarget(number)
+	}
+	r := &p.racks[p.targets[number].rack]
+	r.targets = slices.DeleteFunc(r.targets, func(t int32) bool { return t == number })
+	delete(p.targetByID, id)
+	p.freeTargets = append(p.freeTargets, number)
+	p.prove(service)
+	loss.Unmet = p.unmetOf(service)
+	return loss
+}
+
+// unitsOn returns the units that have reservations on a target.
+func (p *Planner) unitsOn(target int32) []int32 {
+	var units []int32
+	for _, u := range p.reservation[target*workerSize : (target+1)*workerSize] {
+		if u != none && !slices.Contains(units, u) {
+			units = append(units, u)
+		}
+	}
+	return units
+}
+
+// loseGangs takes a target away from the gangs that hold it, ends these
+// gangs and returns those that were running.
+func (p *Planner) loseGangs(target int32) []anvilid.JobID {
+	var holders []int32
+	for _, g := range p.holder[target*workerSize : (target+1)*workerSize] {
+		if g == none || slices.Contains(holders, g) {
+			continue
+		}
+		holders = append(holders, g)
+		// A gang that is ending may hold accelerators that were already
+		// given to another one.
+		for _, w := range p.gangs[g].waitsFor() {
+			if !slices.Contains(holders, w) {
+				holders = append(holders, w)
+			}
+		}
+	}
+	var lost []anvilid.JobID
+	for _, g := range holders {
+		if p.stripTarget(g, target) && !p.gangs[g].ending {
+			lost = append(lost, p.gangs[g].job)
+			p.endGang(g)
+		}
+	}
+	for i := target * workerSize; i < (target+1)*workerSize; i++ {
+		p.holder[i] = none
+	}
+	p.targets[target].used = 0
+	return lost
+}
+
+// Checkpoint records that a gang has saved its work, so that preempting it
+// costs only what it does from now on.
+func (p *Planner) Checkpoint(now anvilclock.Millis, job anvilid.JobID) {
+	if g, known := p.gangByJob[job]; known {
+		p.gangs[g].saved = now
+	}
+}
