--- a/io/anvildesk/keeper.go
+++ b/io/anvildesk/keeper.go
@@ -102,7 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if request.Forget {
-		d.kept.Forget(key, holder)
+		d.kept.Forget(d.clock.Now(), key, holder)
 		return &anvilrpc.RecordReply{}
 	}
 	var digest anvildedup.Digest
