Add fault tests over whole instances; choose peers by their replies

The tests kill, cut, drain and restart instances of a system of three and check what callers and targets see. TestLostDiskThenSecondLoss does not pass yet; its cause is looked for next.

--- a/core/anvilview/view.go
+++ b/core/anvilview/view.go
@@ -20,7 +20,8 @@
 	instances map[anvilid.InstanceID]anvilstate.Instance
 	targets   map[anvilid.TargetID]anvilstate.Target
 	// local counts the targets of each service by region.
-	local map[place]int
+	local  map[place]int
+	served map[anvilid.ServiceName]int
 }
 
 type place struct {
@@ -44,6 +45,7 @@
 		instances: map[anvilid.InstanceID]anvilstate.Instance{},
 		targets:   map[anvilid.TargetID]anvilstate.Target{},
 		local:     map[place]int{},
+		served:    map[anvilid.ServiceName]int{},
 	}
 }
 
@@ -116,15 +118,20 @@
 
 func (v *View) setTarget(target anvilstate.Target) {
 	if known, ok := v.targets[target.ID]; ok {
-		v.local[place{known.Service, known.Region}]--
+		v.count(known, -1)
 	}
 	v.targets[target.ID] = target
-	v.local[place{target.Service, target.Region}]++
+	v.count(target, 1)
+}
+
+func (v *View) count(target anvilstate.Target, change int) {
+	v.local[place{target.Service, target.Region}] += change
+	v.served[target.Service] += change
 }
 
 func (v *View) dropTarget(id anvilid.TargetID, changes *Changes) {
 	if known, ok := v.targets[id]; ok {
-		v.local[place{known.Service, known.Region}]--
+		v.count(known, -1)
 		delete(v.targets, id)
 		changes.TargetsGone = append(changes.TargetsGone, id)
 	}
@@ -180,6 +187,9 @@
 	return target, ok
 }
 
+// Served tells whether any region has a target of a service.
+func (v *View) Served(service anvilid.ServiceName) bool { return v.served[service] > 0 }
+
 // Local tells whether a region has a target of a service.
 func (v *View) Local(service anvilid.ServiceName, region anvilid.RegionName) bool {
 	return v.local[place{service, region}] > 0
--- a/io/anvildesk/admit.go
+++ b/io/anvildesk/admit.go
@@ -84,6 +84,10 @@
 		return anvilrequest.Refuse(anvilrequest.CodeUnknownService,
 			"service %q isn't configured; list services with `anvilshunt service list`", request.Service), false
 	}
+	if !d.directory.Served(request.Service) {
+		return anvilrequest.Refuse(anvilrequest.CodeNoTarget,
+			"no target of service %q has announced itself; see `anvilshunt target list`", request.Service), false
+	}
 	if len(account.Services) > 0 {
 		for _, allowed := range account.Services {
 			if allowed == request.Service {
--- a/io/anvildesk/desk.go
+++ b/io/anvildesk/desk.go
@@ -40,8 +40,10 @@
 	Service func(anvilid.ServiceName) *anvilconfig.Service
 	// Instances lists the instances that take work, in order of their ids.
 	Instances func() []anvilstate.Instance
-	// Local tells whether the own region has a target of the service.
-	Local func(anvilid.ServiceName) bool
+	// Local tells whether the own region has a target of the service, Served
+	// whether any region has one.
+	Local  func(anvilid.ServiceName) bool
+	Served func(anvilid.ServiceName) bool
 	// Leased tells whether the instance may admit and send work; Await waits
 	// until it may.
 	Leased func() bool
@@ -93,19 +95,13 @@
 	kept    *anvildedup.Table
 	flights map[anvildedup.Key]*flight
 	counts  map[string]int64
+	peers   *anvilslot.Peers
 }
 
 // service is the queue of one service at this instance.
 type service struct {
 	queue  *anvilqueue.Queue
 	budget *anvilretry.Budget
-	peers  []hint
-}
-
-// hint is what is known about the free slots of a peer.
-type hint struct {
-	instance anvilid.InstanceID
-	free     int
 }
 
 // flight is a held request that hasn't ended.
@@ -138,6 +134,7 @@
 		services: map[anvilid.ServiceName]*service{},
 		flights:  map[anvildedup.Key]*flight{},
 		counts:   map[string]int64{},
+		peers:    anvilslot.NewPeers(uint64(self.Incarnation)),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -210,4 +207,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.kept.HolderGone(holder)
+	d.peers.Forget(id)
 }
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
@@ -14,8 +15,16 @@
 	"anvilshunt/io/anvilrpc"
 )
 
-// A request is tried at most this often, counting tries that did not run.
-const mostTries = 4
+// A request is run at most this often.
+const mostRuns = 4
+
+// A request is refused by peers and targets at most this often before it is
+// given up. A refusal costs a round trip and no slot.
+const mostRefusals = 64
+
+// pumpPeriod is how often waiting requests are offered to peers that had no
+// free slot before.
+const pumpPeriod = 10 * time.Millisecond
 
 // hopLatency is taken off the remaining time of a forwarded request, the
 // one-way latency between regions.
@@ -30,19 +39,31 @@
 	shed   bool
 }
 
-// route brings a request to a target. A repeatable request is tried again
-// within the retry budget; any other is sent at most once.
+// route brings a request to a target. A repeatable request is run again
+// within the retry budget; any other is sent at most once. A peer or target
+// that had no slot after all costs no budget.
 func (d *Desk) route(ctx context.Context, request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
-	var answer anvilrequest.Answer
-	for try := 1; ; try++ {
-		answer = d.try(ctx, request, token)
-		if !d.worthRetry(request, answer, try) {
+	runs, refusals := 0, 0
+	for {
+		answer := d.try(ctx, request, token)
+		if refused(answer) && refusals < mostRefusals && ctx.Err() == nil {
+			refusals++
+			continue
+		}
+		runs++
+		if !d.worthRetry(request, answer, runs) {
 			return answer
 		}
 	}
 }
 
-func (d *Desk) worthRetry(request *anvilrequest.Request, answer anvilrequest.Answer, try int) bool {
+// refused tells whether the chosen peer or target could not take a request.
+func refused(answer anvilrequest.Answer) bool {
+	return answer.Outcome == anvilrequest.NotRun &&
+		(answer.Code == anvilrequest.CodeNoTarget || answer.Code == anvilrequest.CodeFull)
+}
+
+func (d *Desk) worthRetry(request *anvilrequest.Request, answer anvilrequest.Answer, runs int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	budget := d.service(request.Service).budget
@@ -51,12 +72,10 @@
 		budget.Succeeded()
 		return false
 	}
-	now := d.clock.Now()
-	refused := answer.Outcome == anvilrequest.NotRun &&
-		(answer.Code == anvilrequest.CodeNoTarget || answer.Code == anvilrequest.CodeFull)
-	if try >= mostTries || !refused && !(failed && request.Repeatable) {
+	if !failed || !request.Repeatable || runs >= mostRuns {
 		return false
 	}
+	now := d.clock.Now()
 	return anvilretry.Deadline(request.Deadline).Remaining(now) > 0 && budget.Spend(now)
 }
 
@@ -116,7 +135,7 @@
 	defer d.mu.Unlock()
 	s := d.service(name)
 	for s.queue.Len() > 0 && d.directory.Leased() {
-		way, ok := d.way(name, s)
+		way, ok := d.way(name)
 		if !ok {
 			return
 		}
@@ -134,15 +153,12 @@
 }
 
 // way finds a free slot of the service.
-func (d *Desk) way(name anvilid.ServiceName, s *service) (grant, bool) {
+func (d *Desk) way(name anvilid.ServiceName) (grant, bool) {
 	if lease, ok := d.runner.Acquire(name); ok {
 		return grant{lease: lease}, true
 	}
-	for i := range s.peers {
-		if s.peers[i].free > 0 {
-			s.peers[i].free--
-			return grant{peer: s.peers[i].instance}, true
-		}
+	if peer, ok := d.peers.Pick(d.clock.Now(), name); ok {
+		return grant{peer: peer}, true
 	}
 	return grant{}, false
 }
@@ -202,7 +218,7 @@
 		}
 		return anvilrequest.Lost(anvilrequest.CodeLostAnswer, "instance %q did not answer: %v", peer, err)
 	}
-	d.hear(request.Service, peer, int(reply.Free))
+	d.hear(request.Service, peer, anvilid.SlotCount(reply.Free))
 	return AnswerOf(reply)
 }
 
@@ -214,15 +230,10 @@
 }
 
 // hear notes the free slots that a peer has told of.
-func (d *Desk) hear(name anvilid.ServiceName, peer anvilid.InstanceID, free int) {
+func (d *Desk) hear(name anvilid.ServiceName, peer anvilid.InstanceID, free anvilid.SlotCount) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	peers := d.service(name).peers
-	for i := range peers {
-		if peers[i].instance == peer {
-			peers[i].free = free
-		}
-	}
+	d.peers.Heard(d.clock.Now(), peer, name, free)
 }
 
 // RunForPeer runs a request that a peer forwarded, if a slot is free and no
@@ -253,6 +264,20 @@
 // Freed grants slots that became free.
 func (d *Desk) Freed(name anvilid.ServiceName) { d.pump(name) }
 
+// RunDuty offers waiting requests to peers until ctx ends.
+func (d *Desk) RunDuty(ctx context.Context) error {
+	ticker := time.NewTicker(pumpPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.Resume()
+		}
+	}
+}
+
 // Resume grants slots after the instance has regained its lease.
 func (d *Desk) Resume() {
 	for name := range d.Queued() {
@@ -260,14 +285,14 @@
 	}
 }
 
-// Hear takes in the loads of all instances. Peers of the own region come
-// first; others count only for services without a target in the region.
+// Hear takes in the loads of all instances. Peers of other regions count only
+// for services without a target in the own region.
 func (d *Desk) Hear(loads []*anvilrpc.InstanceLoad) {
 	regions := map[anvilid.InstanceID]anvilid.RegionName{}
 	for _, instance := range d.directory.Instances() {
 		regions[instance.ID] = instance.Region
 	}
-	peers := map[anvilid.ServiceName][]hint{}
+	services := map[anvilid.ServiceName]bool{}
 	for _, instance := range loads {
 		id := anvilid.InstanceID(instance.Instance)
 		region, known := regions[id]
@@ -277,23 +302,12 @@
 		for _, load := range instance.Load {
 			name := anvilid.ServiceName(load.Service)
 			if region == d.self.Region || !d.directory.Local(name) {
-				peers[name] = append(peers[name], hint{instance: id, free: int(load.Free)})
+				d.hear(name, id, anvilid.SlotCount(load.Free))
+				services[name] = true
 			}
 		}
 	}
-	d.setPeers(peers)
-	for name := range peers {
+	for name := range services {
 		d.pump(name)
 	}
 }
-
-func (d *Desk) setPeers(peers map[anvilid.ServiceName][]hint) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, s := range d.services {
-		s.peers = nil
-	}
-	for name, hints := range peers {
-		d.service(name).peers = hints
-	}
-}
--- /dev/null
+++ b/io/anvilserver/fault_test.go
@@ -0,0 +1,425 @@
+package anvilserver_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anviltarget"
+)
+
+// change returns a change set that sets the weight of an account.
+func change(id string, base, weight int) string {
+	return fmt.Sprintf(`{"id": %q, "operator": "op-%s", "base": %d, "set": [{"kind": "account", "name": "agency", "spec": {"weight": %d}}]}`,
+		id, id, base, weight)
+}
+
+// applied is the answer to a published change.
+type applied struct {
+	Revision   int
+	Everywhere bool
+	Code       string
+	Conflict   struct {
+		Change   string
+		Operator string
+		Differ   []struct{ Kind, Name string }
+	}
+}
+
+func (s *system) apply(at, body string) (int, applied) {
+	s.t.Helper()
+	status, text := s.post(at, "/v1/config/changes?everywhere=yes", body)
+	var result applied
+	_ = json.Unmarshal([]byte(text), &result)
+	return status, result
+}
+
+// applyAnywhere sends a change to the instances in turn until one answers.
+func (s *system) applyAnywhere(body string) applied {
+	s.t.Helper()
+	var result applied
+	s.eventually("a change is accepted", func() bool {
+		for _, name := range s.order {
+			var status int
+			if status, result = s.apply(name, body); status == http.StatusOK && result.Everywhere {
+				return true
+			}
+		}
+		return false
+	})
+	return result
+}
+
+func (s *system) revision(name string) int {
+	status, ok := s.status(name)
+	if !ok {
+		return -1
+	}
+	return int(status.Revision)
+}
+
+// leader returns the instance that leads the control group.
+func (s *system) leader() (leader string) {
+	s.t.Helper()
+	s.eventually("an instance leads", func() bool {
+		for _, name := range s.order {
+			if status, ok := s.status(name); ok && status.Voter != nil && status.Voter.Leading && status.Voter.Quorum {
+				leader = name
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (s *system) others(name string) (others []string) {
+	for _, other := range s.order {
+		if other != name {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// Guards against an instance that admits requests under an old configuration
+// while it is cut off, against a change that waits for it, and against an old
+// revision that comes back into force when the cut heals.
+func TestCutInstanceStopsAdmission(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	cut := s.others(s.leader())[0]
+	s.instances[cut].network.setCut(true)
+	_, result := s.apply(s.leader(), change("c1", 1, 5))
+	assert.Assert(t, result.Everywhere, "the change waits for an instance without a lease")
+	// In force everywhere means that the cut instance admits nothing.
+	a, err := s.send(request{at: cut, account: "agency", service: "planner", timeout: "50", id: "while-cut"})
+	assert.NilError(t, err)
+	assert.Equal(t, a.outcome+" "+a.code, "not-run not_ready")
+	assert.Equal(t, s.ran("agency", "while-cut"), 0)
+	assert.Assert(t, !s.ready(cut))
+	s.instances[cut].network.setCut(false)
+	s.eventually("the cut instance is back", func() bool { return s.ready(cut) })
+	assert.Equal(t, s.revision(cut), 2, "ready under an old revision")
+}
+
+// Guards against accepted changes that are lost or reverted with the leader,
+// and against a resent change that is published twice by its successor.
+func TestLeaderLossKeepsChanges(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	leader := s.leader()
+	_, first := s.apply(leader, change("c1", 1, 5))
+	assert.Equal(t, first.Revision, 2)
+	s.kill(leader)
+	again := s.applyAnywhere(change("c1", 1, 5))
+	assert.Equal(t, again.Revision, 2, "a resend got another result")
+	next := s.applyAnywhere(change("c2", 2, 6))
+	assert.Equal(t, next.Revision, 3)
+	s.start(leader)
+	s.eventually("the former leader is back", func() bool { return s.ready(leader) })
+	assert.Equal(t, s.revision(leader), 3)
+	status, reused := s.apply(leader, change("c1", 1, 7))
+	assert.Equal(t, status, http.StatusConflict)
+	assert.Equal(t, reused.Code, "id_reused")
+}
+
+// Guards against two operators that both win under one revision, and a loser
+// who isn't told whose change came first.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	type reply struct {
+		status int
+		result applied
+	}
+	replies := make(chan reply, 2)
+	for i, name := range []string{"i1", "i2"} {
+		go func() {
+			status, result := s.apply(name, change(fmt.Sprintf("race-%d", i), 1, 10+i))
+			replies <- reply{status, result}
+		}()
+	}
+	a, b := <-replies, <-replies
+	if a.status != http.StatusOK {
+		a, b = b, a
+	}
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, a.result.Revision, 2)
+	assert.Equal(t, b.status, http.StatusConflict)
+	assert.Equal(t, b.result.Code, "stale_revision")
+	assert.Assert(t, strings.HasPrefix(b.result.Conflict.Change, "race-"))
+	assert.Equal(t, b.result.Conflict.Operator, "op-"+b.result.Conflict.Change)
+	assert.Equal(t, b.result.Conflict.Differ[0].Name, "agency")
+}
+
+// Guards against a voter that comes back with an empty disk and counts as the
+// old one, and against the loss of changes when a second instance is lost
+// right after the repair.
+func TestLostDiskThenSecondLoss(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	leader := s.leader()
+	lost, second := s.others(leader)[0], s.others(leader)[1]
+	for i := range 20 {
+		_, result := s.apply(leader, change(fmt.Sprint("c", i), i+1, i+2))
+		assert.Equal(t, result.Revision, i+2)
+	}
+	s.kill(lost)
+	assert.NilError(t, os.RemoveAll(s.instances[lost].settings.Data))
+	s.start(lost)
+	s.eventually("the new voter replaced the old one", func() bool {
+		status, ok := s.status(leader)
+		return ok && s.ready(lost) && len(status.Voter.Voters) == 3
+	})
+	s.kill(second)
+	next := s.applyAnywhere(change("after", 21, 99))
+	assert.Equal(t, next.Revision, 22)
+	s.kill(leader)
+	s.start(second)
+	last := s.applyAnywhere(change("last", 22, 100))
+	assert.Equal(t, last.Revision, 23, "a change was lost with the first leader")
+}
+
+// Guards against state that doesn't survive a restart of every instance.
+func TestAllInstancesRestart(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	for i := range 50 {
+		_, result := s.apply("i1", change(fmt.Sprint("c", i), i+1, i+2))
+		assert.Equal(t, result.Revision, i+2)
+	}
+	a, err := s.send(request{at: "i1", account: "agency", service: "planner", id: "n-1", repeatable: "no", body: "once"})
+	assert.NilError(t, err)
+	assert.Equal(t, a.outcome, "done")
+	for _, name := range s.order {
+		s.kill(name)
+	}
+	for _, name := range s.order {
+		s.start(name)
+	}
+	s.eventually("all are back", func() bool { return s.ready("i1") && s.ready("i2") && s.ready("i3") })
+	assert.Equal(t, s.revision("i2"), 51)
+	s.eventually("targets are adopted", func() bool { return s.adopted(3) })
+	a, err = s.send(request{at: "i3", account: "agency", service: "planner", id: "n-1", repeatable: "no", body: "once"})
+	assert.NilError(t, err)
+	assert.Assert(t, a.outcome == "done" || a.outcome == "unknown")
+	assert.Equal(t, s.ran("agency", "n-1"), 1, "a request that may not be repeated ran again")
+}
+
+// Guards against a second run of a request that may not be repeated when the
+// instance that holds it dies, and against a "not run" for it.
+func TestHolderDiesDuringRun(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	holder := s.others(s.leader())[0]
+	r := request{account: "agency", service: "planner", id: "n-1", repeatable: "no", work: "1500", body: "x"}
+	first := r
+	first.at = holder
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = s.send(first) // the connection breaks with the instance
+	}()
+	s.eventually("it runs", func() bool { return s.ran("agency", "n-1") == 1 })
+	s.kill(holder)
+	<-done
+	for _, name := range s.others(holder) {
+		r.at = name
+		a, err := s.send(r)
+		assert.NilError(t, err)
+		assert.Equal(t, a.outcome, "unknown", a.code)
+	}
+	assert.Equal(t, s.ran("agency", "n-1"), 1)
+}
+
+// Guards against more than 8 slots in use at a target when its owner dies
+// with requests on it and another instance takes it over.
+func TestOwnerDiesUnderLoad(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	owner := s.others(s.leader())[0]
+	begin := func(at string, count int) {
+		for i := range count {
+			go func() {
+				_, _ = s.send(request{at: at, account: "agency", service: "planner", id: fmt.Sprint(at, "-", i), work: "3000", timeout: "15000"})
+			}()
+		}
+	}
+	begin(owner, 8)
+	s.eventually("the owner's target is full", func() bool { return s.targets["t-"+owner].Stats().Running == 8 })
+	s.kill(owner)
+	for _, name := range s.others(owner) {
+		begin(name, 40)
+	}
+	s.eventually("all requests have ended", func() bool {
+		running := 0
+		for _, target := range s.targets {
+			running += target.Stats().Running
+		}
+		status, ok := s.status(s.others(owner)[0])
+		return ok && running == 0 && status.Admitted == 0 && s.adopted(3)
+	})
+	for name, target := range s.targets {
+		stats := target.Stats()
+		assert.Equal(t, stats.Slots.Violations, 0, "%s had %d slots in use", name, stats.Slots.Highest)
+		assert.Equal(t, stats.Connections.Violations, 0)
+	}
+}
+
+// Guards against new work to a target that leaves while one instance is cut
+// off from the others.
+func TestLeavingTargetWithCutPeer(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	cut := s.others(s.leader())[0]
+	s.instances[cut].network.setCut(true)
+	target := s.targets["t-"+cut] // owned by the instance that is cut off
+	target.StartLeaving()
+	s.eventually("the owner's lease has lapsed or it knows", func() bool {
+		a, err := s.send(request{at: cut, account: "agency", service: "planner", id: "late", timeout: "50"})
+		return err == nil && a.outcome == "not-run"
+	})
+	before := target.Stats().Runs + target.Stats().Refused.Leaving
+	for range 20 {
+		_, _ = s.send(request{at: cut, account: "agency", service: "planner", timeout: "20"})
+	}
+	assert.Equal(t, target.Stats().Runs+target.Stats().Refused.Leaving, before)
+}
+
+func (s *system) job(id string) (job anvilstate.Job) {
+	s.t.Helper()
+	s.eventually("job "+id+" can be read", func() bool {
+		for _, name := range s.order {
+			status, body := s.post2(http.MethodGet, name, "/v1/jobs/"+id)
+			if status == http.StatusOK {
+				return json.Unmarshal([]byte(body), &job) == nil
+			}
+		}
+		return false
+	})
+	return job
+}
+
+func (s *system) post2(method, at, path string) (int, string) {
+	call, err := http.NewRequest(method, "http://"+string(s.instances[at].settings.Public)+path, nil)
+	assert.NilError(s.t, err)
+	response, err := s.client.Do(call)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	var body json.RawMessage
+	_ = json.NewDecoder(response.Body).Decode(&body)
+	return response.StatusCode, string(body)
+}
+
+// gangSystem has a rack of four targets.
+func gangSystem(t *testing.T) *system {
+	t.Helper()
+	s := three(t)
+	for i := range 4 {
+		s.startTarget(fmt.Sprint("g", i), anviltarget.Settings{Region: "west", Zone: "zone-i1", Rack: "r9"})
+	}
+	s.eventually("targets are adopted", func() bool { return s.adopted(7) })
+	return s
+}
+
+func (s *system) membersRunning(job string) int {
+	running := 0
+	for _, target := range s.targets {
+		for _, task := range target.Stats().Tasks {
+			if string(task.Job) == job && task.Started > 0 && task.Stopped == 0 {
+				running++
+			}
+		}
+	}
+	return running
+}
+
+// Guards against a gang that runs in part because one of its targets fails
+// the start: the members that were started are stopped, and the job runs
+// elsewhere.
+func TestGangStartFails(t *testing.T) {
+	t.Parallel()
+	s := gangSystem(t)
+	s.setFaults(s.targets["g0"].Address(), `{"fail": true}`)
+	status, body := s.post("i2", "/v1/jobs", `{"id": "storm", "account": "agency", "service": "planner", "accelerators": 32, "shape": "", "payload": "x"}`)
+	assert.Equal(t, status, http.StatusOK, body)
+	s.eventually("a start was undone", func() bool {
+		job := s.job("storm")
+		return job.Placements > 1 || job.State == anvilstate.JobStopping || job.State == anvilstate.JobSubmitted && job.Detail != ""
+	})
+	s.setFaults(s.targets["g0"].Address(), `{}`)
+	s.eventually("the job runs", func() bool { return s.job("storm").State == anvilstate.JobRunning })
+	s.eventually("all members run", func() bool { return s.membersRunning("storm") == len(s.job("storm").Members) })
+	s.checkGangs("storm")
+}
+
+// checkGangs checks that no member ran under a placement whose other members
+// were never started together with it: each placement either started all of
+// its members or stopped those that it had started.
+func (s *system) checkGangs(job string) {
+	s.t.Helper()
+	current := s.job(job)
+	for _, target := range s.targets {
+		for _, task := range target.Stats().Tasks {
+			if string(task.Job) == job && task.Token != current.Token {
+				assert.Assert(s.t, task.Started == 0 || task.Stopped > 0, "a member of placement %d runs under placement %d", task.Token, current.Token)
+			}
+		}
+	}
+}
+
+// Guards against members that run on after one of their gang is lost.
+func TestGangMemberLost(t *testing.T) {
+	t.Parallel()
+	s := gangSystem(t)
+	status, body := s.post("i2", "/v1/jobs", `{"id": "storm", "account": "agency", "service": "planner", "shape": "gang", "payload": "x"}`)
+	assert.Equal(t, status, http.StatusOK, body)
+	s.eventually("the gang runs", func() bool { return s.job("storm").State == anvilstate.JobRunning && s.membersRunning("storm") == 2 })
+	first := s.job("storm")
+	// The target stops the member as it would when it is about to fail.
+	target := s.targets[string(first.Members[0].Target)]
+	stop := fmt.Sprintf(`{"epoch": %d, "token": %d}`, target.Stats().Epoch, first.Token)
+	response, err := s.client.Post(fmt.Sprintf("http://%s/v1/tasks/storm/0/stop", target.Address()), "application/json", strings.NewReader(stop))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	s.eventually("the gang was stopped and runs again", func() bool {
+		job := s.job("storm")
+		return job.Token > first.Token && job.State == anvilstate.JobRunning && s.membersRunning("storm") == 2
+	})
+	s.checkGangs("storm")
+}
+
+// Guards against a gang that stays half started when the leader that drives
+// the start is lost.
+func TestLeaderDiesDuringGangStart(t *testing.T) {
+	t.Parallel()
+	s := gangSystem(t)
+	for i := range 3 {
+		id := anvilid.JobID(fmt.Sprint("storm-", i))
+		status, body := s.post(s.others(s.leader())[0], "/v1/jobs", fmt.Sprintf(`{"id": %q, "account": "agency", "service": "planner", "accelerators": 8, "payload": "x"}`, id))
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	s.kill(s.leader())
+	s.eventually("all jobs run whole", func() bool {
+		for i := range 3 {
+			job := s.job(fmt.Sprint("storm-", i))
+			if job.State != anvilstate.JobRunning || s.membersRunning(fmt.Sprint("storm-", i)) != len(job.Members) {
+				return false
+			}
+		}
+		return true
+	})
+	for i := range 3 {
+		s.checkGangs(fmt.Sprint("storm-", i))
+	}
+}
--- a/io/anvilserver/view.go
+++ b/io/anvilserver/view.go
@@ -26,6 +26,11 @@
 			defer s.mu.Unlock()
 			return s.view.Local(name, s.settings.Region)
 		},
+		Served: func(name anvilid.ServiceName) bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.view.Served(name)
+		},
 		Leased: s.isLeased,
 		Await:  s.awaitLease,
 	}
