--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -7,6 +7,7 @@
 
 // leaderState is what only a leader keeps.
 type leaderState struct {
+	voter       bool // this leader itself is a voter
 	peers       []*peer
 	heartbeatAt anvilclock.Millis
 	// uncommitted is the size of the entries after the commit index.
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -156,6 +156,10 @@
 			n.leading.peers = append(n.leading.peers, n.newPeer(id))
 		}
 	}
+	n.leading.voter = members.IsVoter(n.self)
+	for _, p := range n.leading.peers {
+		p.voter = members.IsVoter(p.id)
+	}
 }
 
 // changeCommitted finishes a membership change on the leader.
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -91,14 +91,18 @@
 	}
 }
 
-// send queues a message for the end of the step. Every message depends on the
-// current hard state: a vote on the vote, all others on the term.
+// send releases a message, or withholds it until the current hard state is
+// synced. Every message depends on it: a vote on the vote, others on the term.
 func (n *Node) send(m Message) {
 	m.Group, m.From = n.hard.Group, n.self
 	if m.Term == 0 {
 		m.Term = n.hard.Term
 	}
-	n.persisted.held = append(n.persisted.held, heldMessage{n.persisted.hardSequence, m})
+	if p := &n.persisted; p.hardSequence > p.synced {
+		p.held = append(p.held, heldMessage{p.hardSequence, m})
+		return
+	}
+	n.out.Send = append(n.out.Send, m)
 }
 
 // finish builds the Save of this step, releases messages, and returns the
@@ -139,6 +143,9 @@
 // release moves the messages whose state is synced to the effects.
 func (n *Node) release() {
 	p := &n.persisted
+	if len(p.held) == 0 {
+		return
+	}
 	kept := p.held[:0]
 	for _, held := range p.held {
 		if held.sequence <= p.synced {
--- a/core/anvilraft/quorum.go
+++ b/core/anvilraft/quorum.go
@@ -13,18 +13,18 @@
 // quorumValue returns the highest value that a quorum of the voters reaches.
 // own is the value of this node and counts only if it is a voter.
 func quorumValue[T cmp.Ordered](n *Node, own T, value func(*peer) T) T {
-	members := n.members.latest()
-	values := make([]T, 0, len(members.Voters))
-	if members.IsVoter(n.self) {
+	var buffer [7]T // groups larger than 7 voters cost an allocation
+	values := buffer[:0]
+	if n.leading.voter {
 		values = append(values, own)
 	}
 	for _, p := range n.leading.peers {
-		if members.IsVoter(p.id) {
+		if p.voter {
 			values = append(values, value(p))
 		}
 	}
 	slices.Sort(values)
-	return values[len(values)-members.Quorum()]
+	return values[(len(values)-1)/2]
 }
 
 // HasQuorum reports whether this node is the leader and no other node can be
--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -8,6 +8,7 @@
 // peer is the leader's view of another member.
 type peer struct {
 	id    VoterID
+	voter bool
 	match anvilid.Index // synced by the member and equal to the leader's log
 	next  anvilid.Index // the next entry to send
 	// probing means that next is a guess: only messages without entries are
