--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -305,6 +305,11 @@
 
 // checkHistory guards against stale reads and lost writes, as seen by clients.
 func (s *schedule) checkHistory() {
+	for _, op := range s.ops {
+		if op != nil {
+			s.finish(op, 0, true)
+		}
+	}
 	model := porcupine.Model{
 		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 			parts := make([][]porcupine.Operation, registers)
