--- a/core/anvilraft/doc.go
+++ b/core/anvilraft/doc.go
@@ -14,4 +14,7 @@
 //   - Saves are synced in order; Persisted is stepped only after the sync.
 //   - Tick is stepped at least every 25 ms or so; timeouts are late by as much.
 //   - Effects share memory with the node and are not modified.
+//
+// Followers learn of a commit with the leader's next message, at the latest
+// with the next heartbeat. The leader's Effects show it first.
 package anvilraft
--- a/core/anvilraft/effects.go
+++ b/core/anvilraft/effects.go
@@ -94,8 +94,8 @@
 	Term        anvilid.Term
 }
 
-// Rejection reports that an event had no effect. For a Compact event Key is
-// the index.
+// Rejection reports that an event had no effect. All but those of ReadBarrier
+// come in the step of their event. For a Compact event Key is the index.
 type Rejection struct {
 	Key    uint64
 	Reason error
--- a/core/anvilraft/event.go
+++ b/core/anvilraft/event.go
@@ -19,6 +19,8 @@
 // is an Acceptance or a Rejection with the same Key. After an Acceptance, the
 // outcome is known when an entry with the accepted index is committed: the
 // command was committed if and only if that entry also has the accepted term.
+// Until then it is unknown, also when this node stops leading, and it stays
+// unknown here if the index is skipped by Effects.Restore.
 type Propose struct {
 	Key      uint64
 	Commands [][]byte
--- /dev/null
+++ b/core/anvilraft/link_test.go
@@ -0,0 +1,60 @@
+package anvilraft
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+)
+
+// TestNarrowLink guards against bulk transfers that fill the link between
+// regions, so that heartbeats behind them arrive too late. Two empty learners
+// and both other voters are reached over one link of 30 Mbit/s.
+func TestNarrowLink(t *testing.T) {
+	for _, name := range []string{"entries", "snapshot"} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, []string{"a", "b", "c"}, WithTrailing(0))
+			var free [2]int64 // when each direction of the link is idle again
+			var carried int
+			c.latency = func(from *voter, m Message) int64 {
+				data, _ := Encode(m)
+				direction := 0
+				if from.id.Instance == "a" {
+					direction = 1
+					carried += len(data)
+				}
+				const bytesPerMillisecond = 30_000 / 8
+				free[direction] = max(free[direction], c.now) + int64(len(data))*1000/bytesPerMillisecond
+				return free[direction] - c.now + 8000
+			}
+			a := c.voters[0]
+			c.run(299)
+			a.offset += 700_000
+			c.run(100)
+			const total = 4 << 20
+			for range total >> 14 {
+				c.step(a, Propose{Commands: [][]byte{make([]byte, 1<<14)}})
+				c.run(10)
+			}
+			if name == "snapshot" {
+				c.run(1000)
+				c.step(a, Compact{a.applied, snapshotData(a.state, total)})
+			}
+			for key, name := range []string{"d", "e"} {
+				learner := c.add(name)
+				c.start(learner)
+				c.step(a, ChangeVoters{Key: uint64(key), Learn: learner.id})
+				c.run(50)
+			}
+			start, before := c.now, carried
+			for c.voters[3].applied < a.applied || c.voters[4].applied < a.applied {
+				c.run(10)
+				assert.Assert(t, a.node.HasQuorum(a.clock(c.now)), "lost the quorum %d ms after the start", (c.now-start)/1000)
+				assert.Assert(t, c.now-start < 10_000_000, "the learners did not catch up")
+			}
+			span := anvilclock.Millis((c.now - start) / 1000)
+			t.Logf("carried %d bytes in %d ms", carried-before, span)
+		})
+	}
+}
--- a/core/anvilraft/options.go
+++ b/core/anvilraft/options.go
@@ -19,17 +19,19 @@
 	catchUp         int
 }
 
-// The byte limits suit a link of 30 Mbit/s with a round trip of 16 ms, which
-// holds 60 KB in flight. 256 KiB take 70 ms to send there, less than the
-// heartbeat interval, so heartbeats behind a full window arrive in time.
+// The byte limits suit a link of 30 Mbit/s with a round trip of 16 ms. Such a
+// link holds 60 KB in flight, or 100 KB with a sync of 10 ms before the
+// acknowledgement, so 128 KiB keep it busy. They take 35 ms to send, so a
+// heartbeat behind the full windows of four members is still answered within
+// the minimum election timeout.
 func defaults() options {
 	return options{
 		electionMin:     300,
 		electionMax:     600,
 		heartbeat:       75,
 		clockError:      0.01,
-		messageBytes:    64 << 10,
-		inflightBytes:   256 << 10,
+		messageBytes:    32 << 10,
+		inflightBytes:   128 << 10,
 		inflightEntries: 4096,
 		uncommitted:     16 << 20,
 		trailing:        1000,
