Let calls wait while the disk of a leader lags behind

Calls now wait in their queue, and a call whose caller gives up before its turn is reported as not made, which is certain, in place of lost. ReplaceVoter drives the replacement of a lost disk.

--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
+	"time"
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
@@ -12,6 +14,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// changeRetry is the interval at which ReplaceVoter tries a change that has to
+// wait for the log.
+const changeRetry = 20 * time.Millisecond
+
 // request is a call that waits for the step loop. Exactly one of the first
 // three fields is set.
 type request struct {
@@ -19,6 +25,9 @@
 	barrier bool
 	change  *anvilraft.ChangeVoters
 	command []byte
+	// taken is set by the step loop when it handles the request, or by the
+	// caller when it gives up first. Only the first of them succeeds.
+	taken atomic.Bool
 	// answer has room for the only outcome, so that giving it never blocks.
 	answer chan outcome
 }
@@ -57,6 +66,47 @@
 	return v.call(ctx, &request{change: &change}).err
 }
 
+// ReplaceVoter removes a voter whose data directory was lost and adds the one
+// that the instance started with an empty directory. It returns when the new
+// voter has a vote. After an error, call it again at the leader: it continues
+// with the step that is missing.
+func (v *Voter) ReplaceVoter(ctx context.Context, lost, fresh anvilraft.VoterID) error {
+	retry := time.NewTicker(changeRetry)
+	defer retry.Stop()
+	for {
+		step, done := replaceStep(v.Status().Members, lost, fresh)
+		if done {
+			return nil
+		}
+		err := v.ChangeVoters(ctx, step)
+		switch {
+		case err == nil:
+		case errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp):
+			select {
+			case <-retry.C:
+			case <-ctx.Done():
+				return eris.Wrapf(ctx.Err(), "replace voter %s: %v", lost, err)
+			}
+		default:
+			return eris.Wrapf(err, "replace voter %s by %s", lost, fresh)
+		}
+	}
+}
+
+// replaceStep returns the next change. The lost voter is removed before the
+// fresh one is added, because an instance has one vote at most.
+func replaceStep(members anvilraft.Members, lost, fresh anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
+	switch {
+	case !members.Contains(fresh):
+		return anvilraft.ChangeVoters{Learn: fresh}, false
+	case members.Contains(lost):
+		return anvilraft.ChangeVoters{Remove: lost}, false
+	case members.IsLearner(fresh):
+		return anvilraft.ChangeVoters{Add: fresh}, false
+	}
+	return step, true
+}
+
 func (v *Voter) call(ctx context.Context, r *request) outcome {
 	r.answer = make(chan outcome, 1)
 	select {
@@ -78,6 +128,12 @@
 	case <-v.stopped:
 		why = ErrStopped
 	}
+	if r.taken.CompareAndSwap(false, true) {
+		if !errors.Is(why, ErrStopped) {
+			why = fmt.Errorf("%w: %w", ErrOverloaded, why)
+		}
+		return outcome{err: eris.Wrapf(why, "voter %s", v.instance)}
+	}
 	select {
 	case out := <-r.answer: // it came at the same time
 		return out
--- a/io/anvilvoter/errors.go
+++ b/io/anvilvoter/errors.go
@@ -17,7 +17,7 @@
 	// effect. Propose the command again only if it carries an id of its own.
 	ErrLost = eris.New("the outcome of the call is not known")
 	// ErrOverloaded means that the call had no effect because too many others
-	// are waiting.
+	// are waiting, or because ctx was done before its turn came.
 	ErrOverloaded = eris.New("too many calls are waiting, try again later")
 	// ErrStopped means that the call had no effect because Run has returned.
 	ErrStopped = eris.New("the voter has stopped")
--- a/io/anvilvoter/step.go
+++ b/io/anvilvoter/step.go
@@ -51,6 +51,10 @@
 	ticker := time.NewTicker(s.tick.Duration())
 	defer ticker.Stop()
 	for {
+		requests := s.requests
+		if len(s.saves) > lagging || len(s.applies) > lagging {
+			requests = nil // calls wait while the disk or the state machine lags behind
+		}
 		select {
 		case <-s.ctx.Done():
 			return
@@ -63,7 +67,7 @@
 			s.step(anvilraft.Persisted{Sequence: sequence})
 		case compact := <-s.compacts:
 			s.step(compact)
-		case r := <-s.requests:
+		case r := <-requests:
 			s.gather(r)
 		}
 	}
@@ -77,6 +81,7 @@
 	size := 0
 	for r, count := first, 0; r != nil; count++ {
 		switch {
+		case !r.taken.CompareAndSwap(false, true): // the caller has given up
 		case r.change != nil:
 			s.change(r)
 		case r.barrier:
@@ -94,7 +99,7 @@
 		}
 	}
 	if len(proposals) > 0 {
-		s.propose(proposals, commands)
+		s.step(anvilraft.Propose{Key: s.ask(proposals), Commands: commands, At: s.wall.Now()})
 	}
 	if len(barriers) > 0 {
 		s.step(anvilraft.ReadBarrier{Key: s.ask(barriers)})
@@ -107,18 +112,6 @@
 	return s.key
 }
 
-// propose refuses commands while the disk or the state machine lags behind,
-// so that the queues to them stay free for what is already accepted.
-func (s *stepper) propose(requests []*request, commands [][]byte) {
-	if len(s.saves) > diskSize/2 || len(s.applies) > applySize/2 {
-		for _, r := range requests {
-			r.finish(0, nil, eris.Wrapf(ErrOverloaded, "voter %s", s.instance))
-		}
-		return
-	}
-	s.step(anvilraft.Propose{Key: s.ask(requests), Commands: commands, At: s.wall.Now()})
-}
-
 func (s *stepper) change(r *request) {
 	event := *r.change
 	event.Key = s.ask([]*request{r})
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -49,9 +49,14 @@
 
 	inboxSize   = 1024
 	requestSize = 4096
-	diskSize    = 1024
-	applySize   = 1024
 	peerSize    = 1024
+	// diskSize and applySize exceed the 4096 entries that a leader keeps in
+	// flight to one member, so that the step loop of a follower with a slow
+	// disk still answers heartbeats.
+	diskSize  = 8192
+	applySize = 8192
+	// lagging is the length of these queues from which on calls have to wait.
+	lagging = 1024
 )
 
 // Voter is one member of the replicated log.
