--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -81,8 +81,10 @@
 	ready     chan struct{} // closed when the data directory has been read
 	stopped   chan struct{} // closed when Run returns
 
-	mu   sync.Mutex // guards node between the step loop and Status
-	node *anvilraft.Node
+	mu      sync.Mutex // guards the fields below between the step loop and Status
+	node    *anvilraft.Node
+	created bool
+	cut     anvilid.ByteCount
 
 	applied    atomic.Uint64
 	dropped    atomic.Uint64
@@ -163,14 +165,14 @@
 	if err != nil {
 		return eris.Wrapf(err, "start voter %s", v.instance)
 	}
-	err = v.runOpen(ctx, storage, restored.Restored)
+	err = v.runOpen(ctx, storage, restored)
 	if closeErr := storage.Close(); err == nil && closeErr != nil {
 		err = eris.Wrapf(closeErr, "stop voter %s", v.instance)
 	}
 	return err
 }
 
-func (v *Voter) runOpen(parent context.Context, storage *anvildisk.Storage, restored anvilraft.Restored) error {
+func (v *Voter) runOpen(parent context.Context, storage *anvildisk.Storage, restored anvildisk.Restored) error {
 	if err := restored.Check(); err != nil {
 		return eris.Wrapf(err, "start voter %s with %s", v.instance, v.dir)
 	}
@@ -181,7 +183,8 @@
 	}
 	v.applied.Store(uint64(restored.Snapshot.Index))
 	v.mu.Lock()
-	v.node = anvilraft.New(v.instance, restored, v.nodeOptions...)
+	v.node = anvilraft.New(v.instance, restored.Restored, v.nodeOptions...)
+	v.created, v.cut = restored.Created, restored.Cut
 	v.mu.Unlock()
 	close(v.ready)
 
@@ -221,6 +224,10 @@
 	// Dropped counts messages that did not fit a queue or couldn't be read,
 	// SendErrors counts failed calls of Send.
 	Dropped, SendErrors uint64
+	// Created tells that Run found an empty data directory, and Cut is the size
+	// of an incomplete last write that it removed.
+	Created bool
+	Cut     anvilid.ByteCount
 }
 
 // Status returns the current state. Before Ready only the instance is known.
@@ -237,6 +244,7 @@
 	node := v.node.Status()
 	status.ID, status.Role, status.Term, status.Leader = node.ID, node.Role, node.Term, node.Leader
 	status.Commit, status.Members = node.Commit, node.Members
+	status.Created, status.Cut = v.created, v.cut
 	select {
 	case <-v.stopped:
 	default:
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -30,6 +30,7 @@
 	_, _, err := first.Propose(context.Background(), []byte("late"))
 	assert.ErrorIs(t, err, ErrStopped)
 	assert.Assert(t, !first.Status().HasQuorum)
+	assert.ErrorIs(t, first.Run(context.Background()), ErrStopped)
 	rest := without(members, first)
 	for i := 20; i < 40; i++ {
 		propose(t, rest, fmt.Sprint("command ", i))
@@ -62,7 +63,7 @@
 	lost.stop()
 	assert.NilError(t, os.RemoveAll(lost.dir))
 	fresh := g.start(lost.id.Instance, lost.dir)
-	assert.Assert(t, fresh.id != lost.id)
+	assert.Assert(t, fresh.id != lost.id && fresh.Status().Created)
 
 	do(t, rest, func(ctx context.Context, m *member) error { return m.ReplaceVoter(ctx, lost.id, fresh.id) })
 	converge(t, lines(0, 30), fresh)
