--- a/core/anvilconfig/check.go
+++ b/core/anvilconfig/check.go
@@ -76,6 +76,9 @@
 	} else if len(c.change.Operator) > maxName {
 		c.add(Key{}, "operator", CodeBadName, "the operator name has %d bytes; use at most %d", len(c.change.Operator), maxName)
 	}
+	if count := len(c.change.Set) + len(c.change.Delete); count > maxObjects {
+		c.add(Key{}, "set", CodeTooLarge, "the change has %d objects; split it into changes of at most %d", count, maxObjects)
+	}
 	if !c.hasEffect() {
 		c.add(Key{}, "set", CodeNoEffect, "the change leaves the configuration as it is; set or delete at least one object")
 	}
--- a/core/anvilconfig/problem.go
+++ b/core/anvilconfig/problem.go
@@ -18,6 +18,7 @@
 	CodeCircular   = "circular_parent"
 	CodeInUse      = "in_use"
 	CodeNotFound   = "not_found"
+	CodeTooLarge   = "too_large"
 	CodeNoEffect   = "no_effect"
 	CodeUnplaced   = "guarantee_unplaced"
 	CodeNoTargets  = "no_targets"
--- a/core/anvilconfig/spec.go
+++ b/core/anvilconfig/spec.go
@@ -13,6 +13,8 @@
 	maxTimeout = anvilclock.Hour
 	maxBody    = anvilid.ByteCount(1 << 30)
 	maxQueue   = 1_000_000
+	// maxObjects bounds a change set, whose names the history keeps.
+	maxObjects = 5000
 	// MaxGang is the largest number of accelerators of one gang.
 	MaxGang anvilid.AcceleratorCount = 64
 )
--- a/core/anvilstate/advance.go
+++ b/core/anvilstate/advance.go
@@ -68,7 +68,7 @@
 }
 
 func (m *Machine) setState(job *Job, state JobState, detail string) {
-	job.State, job.Detail, job.Changed = state, detail, m.at
+	job.State, job.Detail, job.Changed = state, detail[:min(len(detail), maxDetail)], m.at
 }
 
 func (m *Machine) requeue(job *Job, detail string) {
--- a/core/anvilstate/capacity.go
+++ b/core/anvilstate/capacity.go
@@ -31,6 +31,8 @@
 	zones   map[zoneKey]anvilid.AcceleratorCount
 	// largest caches the largest sum by extent until a target changes.
 	largest map[anvilconfig.Extent]anvilid.AcceleratorCount
+	// inventory caches the targets by zone and rack until one changes.
+	inventory []anvilconfig.Zone
 }
 
 type capacities map[anvilid.ServiceName]*capacity
@@ -56,7 +58,7 @@
 	addTo(of.sizes, target.Accelerators, by)
 	addTo(of.racks, rackOf(target), change)
 	addTo(of.zones, zoneOf(target), change)
-	of.largest = nil
+	of.largest, of.inventory = nil, nil
 	if len(of.targets) == 0 {
 		delete(c, target.Service)
 	}
@@ -103,15 +105,26 @@
 		n, within, within, service, largest, n-largest)
 }
 
+// leaves notes that a target is leaving: it still counts for what jobs may ask
+// for, and no longer for what may be guaranteed.
+func (c capacities) leaves(target *Target) { c[target.Service].inventory = nil }
+
 // Inventory returns the targets of a service that aren't leaving, by zone and
-// rack.
+// rack. It must not be modified.
 func (m *Machine) Inventory(service anvilid.ServiceName) []anvilconfig.Zone {
 	of := m.capacity[service]
 	if of == nil {
 		return nil
 	}
-	targets := make([]*Target, 0, len(of.targets))
-	for target := range of.targets {
+	if of.inventory == nil {
+		of.inventory = of.byRack()
+	}
+	return of.inventory
+}
+
+func (c *capacity) byRack() []anvilconfig.Zone {
+	targets := make([]*Target, 0, len(c.targets))
+	for target := range c.targets {
 		if !target.Leaving {
 			targets = append(targets, target)
 		}
--- a/core/anvilstate/codec.go
+++ b/core/anvilstate/codec.go
@@ -16,7 +16,13 @@
 const maxElements = 1 << 24
 
 func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		// Content types come from targets. A committed entry that can't be
+		// decoded would stop every replica.
+		UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
--- a/core/anvilstate/limits.go
+++ b/core/anvilstate/limits.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// Bounds of single texts, which come from callers and targets.
+const (
+	maxRequestID   = 128
+	maxName        = 64
+	maxDigest      = 64 // SHA-512
+	maxContentType = 256
+	maxDetail      = 1024
+)
+
 // Option changes a new state machine.
 type Option func(*Machine)
 
--- a/core/anvilstate/target.go
+++ b/core/anvilstate/target.go
@@ -59,6 +59,7 @@
 	}
 	if !target.Leaving {
 		target.Leaving = true
+		m.capacity.leaves(target)
 		m.noteTarget(id)
 	}
 	return nil
--- a/core/anvilstate/view.go
+++ b/core/anvilstate/view.go
@@ -74,12 +74,8 @@
 }
 
 func (m *Machine) whole() Delta {
-	delta := Delta{Whole: true, Index: m.index, Revision: m.Revision(), Objects: m.config.current.List()}
-	for _, id := range sortedKeys(m.instances) {
-		delta.Instances = append(delta.Instances, *m.instances[id])
+	return Delta{
+		Whole: true, Index: m.index, Revision: m.Revision(),
+		Instances: m.Instances(), Targets: m.Targets(), Objects: m.config.current.List(),
 	}
-	for _, id := range sortedKeys(m.targets) {
-		delta.Targets = append(delta.Targets, *m.targets[id])
-	}
-	return delta
 }
