--- a/core/anvilstate/claim.go
+++ b/core/anvilstate/claim.go
@@ -68,6 +68,9 @@
 	// at is the time when the id was last held. The window counts from it.
 	at     anvilclock.Millis
 	answer *Answer
+	// recorded is the index of the entry with the answer. Bodies are dropped
+	// in this order.
+	recorded anvilid.Index
 	// declared is set if the holder itself reported the loss.
 	declared bool
 	barred   []Holder
@@ -104,8 +107,8 @@
 	if err := m.currentRun(command.Holder); err != nil {
 		return nil, err
 	}
-	if len(command.Digest) == 0 || len(command.Digest) > maxDigest {
-		return nil, fmt.Errorf("%w: the digest of request %q has %d bytes; use 1 to %d", ErrInvalid, command.Key.ID, len(command.Digest), maxDigest)
+	if err := checkClaim(command.Key, command.Digest); err != nil {
+		return nil, err
 	}
 	if !known {
 		var err error
@@ -123,8 +126,18 @@
 	return &ClaimResult{Verdict: VerdictGranted, Token: c.token, Holder: &command.Holder}, nil
 }
 
-// maxDigest is the size of the longest digest in use, SHA-512.
-const maxDigest = 64
+// checkClaim bounds what is recorded of a request.
+func checkClaim(key RequestKey, digest []byte) error {
+	switch {
+	case key.ID == "" || len(key.ID) > maxRequestID:
+		return fmt.Errorf("%w: request id %q; use 1 to %d characters", ErrInvalid, key.ID, maxRequestID)
+	case len(key.Account) > maxName || len(key.Service) > maxName:
+		return fmt.Errorf("%w: the account or service name of request %q has more than %d bytes", ErrInvalid, key.ID, maxName)
+	case len(digest) == 0 || len(digest) > maxDigest:
+		return fmt.Errorf("%w: the digest of request %q has %d bytes; use 1 to %d", ErrInvalid, key.ID, len(digest), maxDigest)
+	}
+	return nil
+}
 
 // refusal returns the result of a claim that an existing record decides, or
 // nil if the id is free for this attempt.
@@ -207,19 +220,22 @@
 
 func (m *Machine) record(c *claim, answer Answer) {
 	answer.Body = bytes.Clone(answer.Body)
-	if anvilid.ByteCount(len(answer.Body)) > m.limits.Body {
-		answer.Body, answer.Omitted = nil, true
+	if anvilid.ByteCount(len(answer.Body)) > m.limits.Body || len(answer.ContentType) > maxContentType {
+		answer.Body, answer.ContentType, answer.Omitted = nil, "", true
 	}
 	if len(answer.Body) == 0 {
 		answer.Body = nil
 	}
-	c.answer = &answer
+	c.answer, c.recorded = &answer, m.index
 	m.endClaim(c, ClaimDone)
 	m.claims.addBody(c, m.limits.Bodies)
 }
 
 // abandon releases the id if the holder has it, and bars the attempt.
 func (m *Machine) abandon(command Abandon) (*ClaimResult, error) {
+	if err := checkClaim(command.Key, []byte("none")); err != nil {
+		return nil, err
+	}
 	c, ok := m.claims.byKey[command.Key]
 	if !ok {
 		var err error
@@ -236,11 +252,14 @@
 	if (mine || len(c.barred) < m.limits.Bars) && !slices.Contains(c.barred, command.Holder) {
 		c.barred = append(c.barred, command.Holder)
 	}
-	if mine || c.state == ClaimReleased {
+	switch {
+	case mine:
 		m.endClaim(c, ClaimReleased)
-	}
-	if mine {
 		c.holder, c.digest, c.token = Holder{}, nil, 0
+	case c.state != ClaimHeld:
+		// The bar has to last for the window from now on, whatever the record
+		// was kept for.
+		m.endClaim(c, c.state)
 	}
 	return &ClaimResult{Verdict: VerdictReleased}, nil
 }
--- a/core/anvilstate/world_test.go
+++ b/core/anvilstate/world_test.go
@@ -22,6 +22,10 @@
 			panic(err)
 		}
 	}
+	// A failure repeats without a file, which would be left in the tree.
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
@@ -29,7 +33,7 @@
 func smallLimits() Limits {
 	limits := DefaultLimits()
 	limits.ChangeIDs, limits.ChangeAge, limits.History = 4, 100, 3
-	limits.Claims, limits.ClaimAge, limits.Bars, limits.Body, limits.Bodies = 4, 50, 2, 4, 6
+	limits.Claims, limits.ClaimAge, limits.Bars, limits.Body, limits.Bodies = 4, 50, 2, 4, 5
 	limits.LiveJobs, limits.EndedJobs, limits.EndedAge, limits.Payloads = 6, 3, 80, 8
 	limits.Deltas = 12
 	return limits
@@ -41,6 +45,10 @@
 	m     *Machine
 	at    anvilclock.Millis
 	index anvilid.Index
+	// claimsOnly draws mostly claims, for properties that need many of them.
+	claimsOnly bool
+	// abandoned holds abandonments, whose delayed claims may still arrive.
+	abandoned []Abandon
 	// sent holds earlier commands, which are delivered again at times.
 	sent []Command
 }
@@ -56,11 +64,15 @@
 // next draws a command and the time of its entry.
 func (w *world) next() (anvilid.Index, anvilclock.Millis, Command) {
 	w.index++
-	w.at += anvilclock.Millis(draw(w, 0, 0, 1, 1, 5, 30))
+	w.at += anvilclock.Millis(draw(w, 0, 0, 0, 0, 1, 1, 2, 30))
 	if len(w.sent) > 0 && w.number(0, 7) == 0 {
 		return w.index, w.at, draw(w, w.sent...)
 	}
-	command := draw(w, w.instance, w.target, w.target, w.claim, w.claim, w.claim, w.config, w.job, w.job, w.job)()
+	kinds := []func() Command{w.instance, w.target, w.target, w.claim, w.claim, w.claim, w.config, w.job, w.job, w.job}
+	if w.claimsOnly {
+		kinds = []func() Command{w.instance, w.claim, w.claim, w.claim, w.claim, w.claim, w.claim, w.claim}
+	}
+	command := draw(w, kinds...)()
 	w.sent = append(w.sent, command)
 	return w.index, w.at, command
 }
@@ -114,12 +126,17 @@
 	if c, ok := w.m.claims.byKey[key]; ok && w.number(0, 2) > 0 {
 		holder = c.holder
 	}
+	if len(w.abandoned) > 0 && w.number(0, 4) == 0 {
+		late := draw(w, w.abandoned...)
+		return Command{Claim: &Claim{late.Key, []byte("x"), late.Holder}}
+	}
 	switch w.number(0, 6) {
 	case 0:
+		w.abandoned = append(w.abandoned, Abandon{key, holder})
 		return Command{Abandon: &Abandon{key, holder}}
 	case 1, 2:
-		body := []byte(draw(w, "", "abc", "abcde"))
-		return Command{Complete: &Complete{Key: key, Holder: holder, Answer: Answer{Status: 200, Body: body}, Lost: draw(w, false, false, true)}}
+		body := []byte(draw(w, "", "a", "abc", "abcde"))
+		return Command{Complete: &Complete{Key: key, Holder: holder, Answer: Answer{Status: 200, ContentType: draw(w, "", "\xff"), Body: body}, Lost: draw(w, false, false, true)}}
 	}
 	return Command{Claim: &Claim{key, []byte(draw(w, "x", "x", "x", "y")), holder}}
 }
@@ -176,7 +193,7 @@
 func (w *world) placement(job Job) Command {
 	place := &PlaceJob{ID: job.ID}
 	rest := job.Accelerators
-	for _, target := range sortedTargets(allTargets(w.m)) {
+	for _, target := range w.m.Targets() {
 		if n := min(rest, target.Accelerators); n > 0 && w.number(0, 2) > 0 {
 			place.Members = append(place.Members, Member{target.ID, target.Incarnation, n})
 			rest -= n
@@ -184,11 +201,3 @@
 	}
 	return Command{Place: place}
 }
-
-func allTargets(m *Machine) targetSet {
-	all := targetSet{}
-	for _, target := range m.targets {
-		all[target] = struct{}{}
-	}
-	return all
-}
