Learn what short requests need from short kinds alone

With few requests and a fifth of them long, the 90% quantile of all durations exceeded the timeout of short requests, which would have been refused on an idle queue. The median of all durations still decides what is long, so that a service that slows down as a whole keeps its classes. The slot ledger notes the own leases at each release too, since a late report of an ended request was counted as foreign.

--- a/core/anvilqueue/duration.go
+++ b/core/anvilqueue/duration.go
@@ -20,6 +20,8 @@
 	longTimes = 8
 	// longKind is the share of long requests that makes a kind long.
 	longKind = 0.5
+	// usualMeans is the 90% quantile of exponential durations over their mean.
+	usualMeans = 2.3
 	// mostUnproven requests of a kind without history run as short ones.
 	mostUnproven = 4
 	// kindGain is the weight of the latest request of a kind.
@@ -81,8 +83,20 @@
 	return boundOf(durationBuckets - 1)
 }
 
-func (d *Durations) long(took anvilclock.Millis) bool {
-	median := d.Quantile(50)
+// history holds the durations of a service. A request is long in comparison
+// with all, so that the comparison follows a service that gets slower as a
+// whole. What a short request needs is taken from the short kinds alone.
+type history struct{ all, short Durations }
+
+func (h *history) add(took anvilclock.Millis, class Class) {
+	h.all.add(took)
+	if class == Short {
+		h.short.add(took)
+	}
+}
+
+func (h *history) long(took anvilclock.Millis) bool {
+	median := h.all.Quantile(50)
 	return median > 0 && took > longTimes*median
 }
 
@@ -142,37 +156,46 @@
 
 // class is Long for a kind that has run long, and for one of which several
 // requests run and none has ended while the service's durations are known.
-func (k *kind) class(d *Durations) Class {
-	unproven := k.seen == 0 && k.inflight >= mostUnproven && d.total >= fewest
+func (k *kind) class(h *history) Class {
+	unproven := k.seen == 0 && k.inflight >= mostUnproven && h.all.total >= fewest
 	if k.long >= longKind || unproven {
 		return Long
 	}
 	return Short
 }
 
-// usual returns the time that a request should be given: for a short one the
-// 90% quantile of the service.
-func (k *kind) usual(d *Durations) anvilclock.Millis {
-	if k.class(d) == Long {
+// usual returns the time that a request is given when its wait is estimated:
+// about the 90% quantile.
+func (k *kind) usual(h *history) anvilclock.Millis {
+	if k.class(h) == Long {
 		return anvilclock.Millis(k.mean)
 	}
-	return d.Quantile(90)
+	usual := h.short.Quantile(90)
+	if k.seen >= fewest {
+		usual = min(usual, anvilclock.Millis(usualMeans*k.mean))
+	}
+	return usual
 }
 
-// least returns the time without which a request is not started.
-func (k *kind) least(d *Durations) anvilclock.Millis {
-	if k.class(d) == Long {
+// least returns the time without which a request is not started: about the
+// median.
+func (k *kind) least(h *history) anvilclock.Millis {
+	if k.class(h) == Long {
 		return anvilclock.Millis(k.mean / 2)
 	}
-	return max(1, d.Quantile(50))
+	least := max(1, h.short.Quantile(50))
+	if k.seen >= fewest {
+		least = min(least, anvilclock.Millis(k.mean))
+	}
+	return max(1, least)
 }
 
 // expected returns the slot time that a request is charged with in advance.
-func (k *kind) expected(d *Durations) anvilclock.Millis {
+func (k *kind) expected(h *history) anvilclock.Millis {
 	if k.seen > 0 {
 		return anvilclock.Millis(math.Max(1, k.mean))
 	}
-	return max(1, d.Quantile(50))
+	return max(1, h.short.Quantile(50))
 }
 
 // rate measures the service rate while requests are waiting.
--- a/core/anvilqueue/peak_test.go
+++ b/core/anvilqueue/peak_test.go
@@ -294,6 +294,10 @@
 	}{
 		{"none", []source{short}},
 		{"own kind", []source{short, {account: "bulk", kind: "replan", base: 0.02 * capacity, peak: 0.02 * capacity, stragglers: 1}}},
+		{"own kind, little traffic", []source{
+			{account: "short", base: 0.02 * capacity, peak: 0.02 * capacity},
+			{account: "bulk", kind: "replan", base: 0.005 * capacity, peak: 0.005 * capacity, stragglers: 1},
+		}},
 		{"own kind, flood", []source{short, {account: "bulk", kind: "replan", base: 0.2 * capacity, peak: 0.2 * capacity, stragglers: 1}}},
 		{"hidden 1% of an account", []source{
 			{account: "short", base: 0.4 * capacity, peak: 0.4 * capacity},
@@ -302,6 +306,8 @@
 	} {
 		demands := draw(13, c.sources...)
 		row(t, c.name+" fcfs", run(demands, firstCome()))
-		row(t, c.name+" fair", run(demands, fair(nil)))
+		o := run(demands, fair(nil))
+		row(t, c.name+" fair", o)
+		assert.Assert(t, float64(len(o.waits)) >= 0.95*float64(o.short), "short requests starve")
 	}
 }
--- a/core/anvilqueue/queue.go
+++ b/core/anvilqueue/queue.go
@@ -122,9 +122,9 @@
 	weight   float64 // sum over accounts with waiting requests
 	virtual  float64 // virtual time of the latest pop
 
-	durations Durations
-	rate      rate
-	dropped   []*Ticket
+	history history
+	rate    rate
+	dropped []*Ticket
 }
 
 type account struct {
@@ -179,11 +179,12 @@
 		return nil, Full
 	}
 	k := a.kind(request.Kind)
-	class := k.class(&q.durations)
-	if now+k.usual(&q.durations) > request.Deadline {
+	class := k.class(&q.history)
+	if now+k.least(&q.history) > request.Deadline {
 		return nil, Hopeless
 	}
-	if wait, known := q.expectedWait(now, a, class); known && now+wait+k.usual(&q.durations) > request.Deadline {
+	wait, known := q.expectedWait(now, a, class)
+	if known && wait > 0 && now+wait+k.usual(&q.history) > request.Deadline {
 		return nil, TooLate
 	}
 	t := &Ticket{Request: request, Pushed: now, class: class, kind: k, account: a}
@@ -207,6 +208,10 @@
 	}
 }
 
+// Durations returns the learnt durations of short requests, for example for
+// the median that a retry must have left.
+func (q *Queue) Durations() *Durations { return &q.history.short }
+
 // ExpectedWait estimates how long a request pushed now would wait.
 func (q *Queue) ExpectedWait(now anvilclock.Millis, id anvilid.AccountID) anvilclock.Millis {
 	wait, _ := q.expectedWait(now, q.account(id), Short)
@@ -222,7 +227,7 @@
 	perMilli, known := q.rate.measured(now)
 	if !known {
 		busy := q.running[Short] + q.running[Long]
-		mean := q.durations.mean()
+		mean := q.history.all.mean()
 		if busy == 0 || mean == 0 {
 			return 0, false
 		}
@@ -251,14 +256,14 @@
 		a := q.ready[class].accounts[0]
 		t := q.take(now, a, class)
 		q.remove(now, t)
-		if class == Short && t.kind.class(&q.durations) == Long {
+		if class == Short && t.kind.class(&q.history) == Long {
 			// The kind has turned out to be long since the request was pushed.
 			t.class = Long
 			q.enqueue(now, a, t)
 			continue
 		}
 		q.virtual = max(q.virtual, a.virtual)
-		if now+t.kind.least(&q.durations) > t.Deadline {
+		if now+t.kind.least(&q.history) > t.Deadline {
 			t.state = ended
 			q.dropped = append(q.dropped, t)
 			continue
@@ -310,7 +315,7 @@
 	q.running[t.class]++
 	t.kind.inflight++
 	q.rate.served(now)
-	q.charge(t, float64(t.kind.expected(&q.durations)))
+	q.charge(t, float64(t.kind.expected(&q.history)))
 }
 
 // charge sets the slot time that the account pays for a request.
@@ -340,9 +345,8 @@
 	}
 	took := max(1, now-t.started)
 	q.charge(t, float64(took))
-	long := q.durations.long(took)
-	q.durations.add(took)
-	t.kind.add(took, long)
+	t.kind.add(took, q.history.long(took))
+	q.history.add(took, t.kind.class(&q.history))
 }
 
 // Cancel takes a waiting request out of the queue. It returns false if the
--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -285,20 +285,20 @@
 
 // Release ends a lease whose request has certainly ended at the target, or
 // was never sent. It is a no-op for a void lease.
-func (l *Ledger) Release(_ anvilclock.Millis, lease Lease) {
-	l.drop(lease)
+func (l *Ledger) Release(now anvilclock.Millis, lease Lease) {
+	l.drop(now, lease)
 }
 
 // ReleaseUnknown ends a lease whose request may still run at the target. Its
 // slot counts as foreign until a report that was read later shows it free.
 func (l *Ledger) ReleaseUnknown(now anvilclock.Millis, lease Lease) {
-	if t := l.drop(lease); t != nil {
+	if t := l.drop(now, lease); t != nil {
 		t.noteUnknown(now)
 		l.refresh(t)
 	}
 }
 
-func (l *Ledger) drop(lease Lease) *target {
+func (l *Ledger) drop(now anvilclock.Millis, lease Lease) *target {
 	t, ok := l.targets[lease.Target]
 	if !ok || t.epoch != lease.Epoch {
 		return nil
@@ -307,6 +307,7 @@
 	if i < 0 {
 		return nil
 	}
+	t.notePeak(now)
 	last := len(t.own) - 1
 	t.own[i] = t.own[last]
 	t.own = t.own[:last]
--- a/core/anvilslot/ledger_test.go
+++ b/core/anvilslot/ledger_test.go
@@ -59,6 +59,20 @@
 	}
 }
 
+// TestLateReportOfOwnUse guards against own requests that are counted as
+// foreign because they ended before the report about them arrived.
+func TestLateReportOfOwnUse(t *testing.T) {
+	l := adopted(t, 0, "a")
+	lease, _ := l.Acquire(1, "s")
+	assert.NilError(t, l.Report(4000, use("a", 2, 1)))
+	l.Release(8000, lease)
+	late := use("a", 3, 1)
+	late.Age = 900
+	assert.NilError(t, l.Report(8500, late))
+	view, _ := l.View("a")
+	assert.Equal(t, view.Foreign, anvilid.SlotCount(0))
+}
+
 // TestDispatchOrder guards against work for targets that must not get any,
 // and against uneven use of the others.
 func TestDispatchOrder(t *testing.T) {
