Add retry policy, views for the status page, and Forget of an account

The policy joins budget, deadline and delay into one decision with a reason for the log. The token is spent last, so that a request without enough time does not take the retry of another one.

--- a/core/anvilhealth/judge.go
+++ b/core/anvilhealth/judge.go
@@ -210,6 +210,36 @@
 	return Healthy
 }
 
+// View shows one target.
+type View struct {
+	Target   anvilid.TargetID
+	Service  anvilid.ServiceName
+	State    State
+	Limit    anvilid.SlotCount
+	Outcomes int               // in the window
+	Failed   int               // percent of them
+	ProbeAt  anvilclock.Millis // of an ejected target
+}
+
+// Views returns all targets, ordered by id.
+func (j *Judge) Views(now anvilclock.Millis) []View {
+	views := make([]View, 0, len(j.targets))
+	for id, t := range j.targets {
+		view := View{Target: id, Service: t.name, State: t.state, Limit: t.Limit()}
+		sum := t.window.sum(now)
+		view.Outcomes = sum.total
+		if sum.total > 0 {
+			view.Failed = 100 * sum.bad / (failureWeight * sum.total)
+		}
+		if t.state == Ejected {
+			view.ProbeAt = t.probeAt
+		}
+		views = append(views, view)
+	}
+	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Target, b.Target) })
+	return views
+}
+
 // Limit returns the most concurrent requests of a target.
 func (t *target) Limit() anvilid.SlotCount {
 	switch t.state {
--- a/core/anvilqueue/queue.go
+++ b/core/anvilqueue/queue.go
@@ -9,7 +9,9 @@
 package anvilqueue
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
@@ -148,11 +150,11 @@
 
 // SetWeight sets the weight of an account; accounts start with 1.
 func (q *Queue) SetWeight(id anvilid.AccountID, weight int) {
-	a := q.account(id)
+	a, w := q.account(id), float64(max(1, weight))
 	if a.length() > 0 {
-		q.weight += float64(weight) - a.weight
+		q.weight += w - a.weight
 	}
-	a.weight = float64(max(1, weight))
+	a.weight = w
 }
 
 // SetSlots sets the number of slots that requests of this queue may use. The
@@ -349,6 +351,54 @@
 	q.history.add(took, t.kind.class(&q.history))
 }
 
+// View shows the requests of one account.
+type View struct {
+	Account anvilid.AccountID
+	Weight  int
+	Waiting int
+	Long    int               // of the waiting ones, those of the lower class
+	Wait    anvilclock.Millis // expected for a short request pushed now
+	Oldest  anvilclock.Millis // how long the oldest request has waited
+}
+
+// Views returns the accounts with waiting requests, ordered by id.
+func (q *Queue) Views(now anvilclock.Millis) []View {
+	var views []View
+	for id, a := range q.accounts {
+		if a.length() == 0 {
+			continue
+		}
+		view := View{Account: id, Weight: int(a.weight), Waiting: a.length(), Long: a.waiting[Long].length}
+		view.Wait, _ = q.expectedWait(now, a, Short)
+		for class := range classes {
+			if oldest := a.waiting[class].front; oldest != nil {
+				view.Oldest = max(view.Oldest, now-oldest.Pushed)
+			}
+		}
+		views = append(views, view)
+	}
+	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Account, b.Account) })
+	return views
+}
+
+// Forget removes an account that is no longer configured. Its waiting
+// requests are returned; they have not run.
+func (q *Queue) Forget(now anvilclock.Millis, id anvilid.AccountID) []*Ticket {
+	a, ok := q.accounts[id]
+	if !ok {
+		return nil
+	}
+	var waiting []*Ticket
+	for class := range classes {
+		for t := a.waiting[class].front; t != nil; t = a.waiting[class].front {
+			q.Cancel(now, t)
+			waiting = append(waiting, t)
+		}
+	}
+	delete(q.accounts, id)
+	return waiting
+}
+
 // Cancel takes a waiting request out of the queue. It returns false if the
 // request has already been popped, dropped or cancelled.
 func (q *Queue) Cancel(now anvilclock.Millis, t *Ticket) bool {
--- /dev/null
+++ b/core/anvilretry/policy.go
@@ -0,0 +1,60 @@
+package anvilretry
+
+import "anvilshunt/core/anvilclock"
+
+// Reason tells why a request is not retried.
+type Reason string
+
+// Reasons. Allowed is the absence of one.
+const (
+	Allowed     Reason = ""
+	Unrepeated  Reason = "may have run and may not be repeated"
+	TooOften    Reason = "all tries are used up"
+	TooLate     Reason = "too little time is left"
+	NoBudget    Reason = "the retry budget is exhausted"
+	defaultMost        = 3
+)
+
+// Try is a try at a request that has failed.
+type Try struct {
+	// Number counts the tries so far, from 1.
+	Number int
+	// Ran is false if the request certainly has not run.
+	Ran        bool
+	Repeatable bool
+	Deadline   Deadline
+	// Median is the observed median duration, or 0 if none is known.
+	Median anvilclock.Millis
+}
+
+// Policy decides on the retries of one service.
+type Policy struct {
+	Budget  *Budget
+	Backoff *Backoff
+	// Most is the most tries at one request; 0 means 3.
+	Most int
+}
+
+// Retry decides whether a failed try is followed by another one, and after
+// which delay. The token is spent only if the answer is Allowed, so that a
+// request without time does not cost another one its retry.
+func (p *Policy) Retry(now anvilclock.Millis, try Try) (anvilclock.Millis, Reason) {
+	if try.Ran && !try.Repeatable {
+		return 0, Unrepeated
+	}
+	most := p.Most
+	if most == 0 {
+		most = defaultMost
+	}
+	if try.Number >= most {
+		return 0, TooOften
+	}
+	delay := p.Backoff.Delay(try.Number)
+	if !try.Deadline.Allows(now+delay, try.Median) {
+		return 0, TooLate
+	}
+	if !p.Budget.Spend(now) {
+		return 0, NoBudget
+	}
+	return delay, Allowed
+}
