--- a/core/anvilqueue/queue_test.go
+++ b/core/anvilqueue/queue_test.go
@@ -23,7 +23,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(WithBound(bound), WithOrder(Order(rapid.IntRange(0, 2).Draw(t, "order"))))
 		q.SetSlots(slots)
-		now := anvilclock.Millis(0)
+		now := anvilclock.Hour
+		learn(q)
 		var waits []*Ticket
 		perAccount := map[anvilid.AccountID]int{}
 		leave := func(ticket *Ticket) {
@@ -34,7 +35,7 @@
 		}
 		var runs []*Ticket
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			switch step := rapid.IntRange(0, 9).Draw(t, "step"); {
+			switch step := rapid.IntRange(0, 13).Draw(t, "step"); {
 			case step == 0:
 				now += anvilclock.Millis(rapid.IntRange(0, 200).Draw(t, "advance"))
 			case step == 1 && len(waits) > 0:
@@ -85,6 +86,59 @@
 	})
 }
 
+// learn gives a queue a history of short requests and a few long ones.
+func learn(q *Queue) {
+	for i := range 24 {
+		kind, took := "", anvilclock.Millis(5)
+		if i >= 18 {
+			kind, took = "replan", 500
+		}
+		q.Push(0, Request{Account: "a", Kind: kind, Deadline: anvilclock.Hour})
+		q.Done(took, q.Pop(0), true)
+	}
+}
+
+// TestNewKind guards against a kind without history that takes all slots
+// before its first request ends, and against refusals by the duration of
+// other kinds.
+func TestNewKind(t *testing.T) {
+	q := New()
+	q.SetSlots(8)
+	learn(q)
+	for range 10 {
+		q.Push(0, Request{Account: "b", Deadline: anvilclock.Hour})
+	}
+	popped := 0
+	for q.Pop(0) != nil {
+		popped++
+	}
+	assert.Equal(t, popped, mostUnproven+2)
+	_, verdict := q.Push(0, Request{Account: "c", Deadline: 100})
+	assert.Equal(t, verdict, Queued)
+}
+
+// TestIdleAccount guards against an account that claims the time it left
+// unused from the ones that used it.
+func TestIdleAccount(t *testing.T) {
+	q := New()
+	push := func(account anvilid.AccountID) {
+		q.Push(0, Request{Account: account, Deadline: anvilclock.Hour})
+	}
+	got := map[anvilid.AccountID]int{}
+	for i := range 80 {
+		push("busy")
+		if i >= 40 {
+			push("idle")
+		}
+		ticket := q.Pop(0)
+		q.Done(100, ticket, true)
+		if i >= 40 {
+			got[ticket.Account]++
+		}
+	}
+	assert.Assert(t, got["idle"] <= 21, "%v", got)
+}
+
 func benchmarkQueue(b *testing.B, waiting int, step func(q *Queue, now anvilclock.Millis, account anvilid.AccountID)) {
 	q := New(WithBound(waiting))
 	var accounts []anvilid.AccountID
