--- a/core/anvildedup/table.go
+++ b/core/anvildedup/table.go
@@ -127,7 +127,12 @@
 	if t.isGone(holder) {
 		return Result{State: Gone}
 	}
-	if e, ok := t.entries[key]; ok {
+	e, ok := t.entries[key]
+	if ok && now-e.at >= Window {
+		t.drop(e) // lost ids are not listed by age
+		ok = false
+	}
+	if ok {
 		switch {
 		case e.digest != digest:
 			return Result{State: Conflict, Holder: e.holder}
@@ -139,7 +144,7 @@
 	if !t.makeRoom() {
 		return Result{State: Full}
 	}
-	e := t.allocate()
+	e = t.allocate()
 	e.key, e.digest, e.holder, e.at, e.state = key, digest, holder, now, InFlight
 	t.entries[key] = e
 	t.inFlight.pushBack(&e.byTime)
--- a/core/anvildedup/table_test.go
+++ b/core/anvildedup/table_test.go
@@ -132,6 +132,18 @@
 	})
 }
 
+// TestLostIDExpires guards against a conflict with an id that was lost
+// before a younger one and has expired.
+func TestLostIDExpires(t *testing.T) {
+	table := NewTable()
+	x, y := Holder{"x", 1}, Holder{"y", 1}
+	table.Begin(0, Key{ID: "old"}, Digest{}, x)
+	table.Begin(1, Key{ID: "young"}, Digest{}, y)
+	table.HolderGone(y)
+	table.HolderGone(x)
+	assert.Equal(t, table.Begin(Window, Key{ID: "old"}, Digest{1}, Holder{"x", 2}).State, New)
+}
+
 func BenchmarkBegin(b *testing.B) {
 	table := NewTable()
 	h := Holder{"x", 1}
