--- /dev/null
+++ b/core/anvilplan/compare_test.go
@@ -0,0 +1,254 @@
+package anvilplan
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// searchPlanner is the baseline without cells and reservations. It takes the
+// first accelerators that fit, and before it lends any it searches for a
+// placement of all guarantees.
+type searchPlanner struct {
+	free     []mask // by target; eight targets form a rack, 11 zones take racks in turn
+	borrowed []mask // lent to borrowers
+	jobs     map[anvilid.JobID]searchJob
+	promised map[anvilid.AccountID]int // gangs of eight
+	used     map[anvilid.AccountID]int
+}
+
+type searchJob struct {
+	blocks  []block
+	account anvilid.AccountID // set for guaranteed jobs
+}
+
+const searchZones = 11
+
+func newSearchPlanner(targets int) *searchPlanner {
+	s := &searchPlanner{
+		free: make([]mask, targets), borrowed: make([]mask, targets), jobs: map[anvilid.JobID]searchJob{},
+		promised: map[anvilid.AccountID]int{}, used: map[anvilid.AccountID]int{},
+	}
+	for i := range s.free {
+		s.free[i] = whole
+	}
+	return s
+}
+
+// find scans targets, racks or zones in order for n accelerators.
+func (s *searchPlanner) find(shape anvilconfig.Shape, avail func(int) mask) []block {
+	n := int(shape.Accelerators)
+	if n <= workerSize {
+		for t := range s.free {
+			if first := cells.first[n][avail(t)]; first != noFit {
+				return []block{{int32(t), first, uint8(n)}}
+			}
+		}
+	}
+	if shape.Within == anvilconfig.WithinWorker {
+		return nil
+	}
+	scopes, scopeOf := len(s.free)/workerSize, func(t int) int { return t / workerSize }
+	if shape.Within == anvilconfig.WithinZone {
+		scopes, scopeOf = searchZones, func(t int) int { return t / workerSize % searchZones }
+	}
+	counts := make([]int, scopes)
+	for t := range s.free {
+		counts[scopeOf(t)] += avail(t).count()
+	}
+	for scope, count := range counts {
+		if count < n {
+			continue
+		}
+		var blocks []block
+		for t := range s.free {
+			for i := uint8(0); scopeOf(t) == scope && i < workerSize && n > 0; i++ {
+				if avail(t)&(1<<i) != 0 {
+					blocks = append(blocks, block{int32(t), i, 1})
+					n--
+				}
+			}
+		}
+		return blocks
+	}
+	return nil
+}
+
+// provable searches for all idle guarantees at once, with extra taken away.
+func (s *searchPlanner) provable() bool {
+	idle := 0
+	for account, count := range s.promised {
+		idle += count - s.used[account]
+	}
+	for t := range s.free {
+		if s.free[t]|s.borrowed[t] == whole {
+			idle--
+		}
+	}
+	return idle <= 0
+}
+
+func (s *searchPlanner) place(r Request) bool {
+	blocks := s.find(r.Shape, func(t int) mask { return s.free[t] })
+	guaranteed := r.Shape == eight && s.used[r.Account] < s.promised[r.Account]
+	if blocks == nil || (!guaranteed && !s.provable()) {
+		return false
+	}
+	job := searchJob{blocks: blocks}
+	if guaranteed {
+		job.account = r.Account
+		s.used[r.Account]++
+	}
+	for _, b := range blocks {
+		s.free[b.target] &^= b.mask()
+		if !guaranteed {
+			s.borrowed[b.target] |= b.mask()
+		}
+	}
+	s.jobs[r.Job] = job
+	return true
+}
+
+func (s *searchPlanner) release(id anvilid.JobID) {
+	job := s.jobs[id]
+	for _, b := range job.blocks {
+		s.free[b.target] |= b.mask()
+		s.borrowed[b.target] &^= b.mask()
+	}
+	if job.account != "" {
+		s.used[job.account]--
+	}
+	delete(s.jobs, id)
+}
+
+// fitsByCount tells whether enough accelerators are free, wherever they are
+// in the service or, for the extent zone, in one zone.
+func fitsByCount(p *Planner, shape anvilconfig.Shape) bool {
+	l := p.Largest(testService)
+	if shape.Within == anvilconfig.WithinZone {
+		return l.Zone >= int(shape.Accelerators)
+	}
+	return l.Total >= int(shape.Accelerators)
+}
+
+func (s *searchPlanner) fitsByCount(shape anvilconfig.Shape) bool {
+	total := 0
+	zones := [searchZones]int{}
+	for t, m := range s.free {
+		total += m.count()
+		zones[t/workerSize%searchZones] += m.count()
+	}
+	if shape.Within != anvilconfig.WithinZone {
+		return total >= int(shape.Accelerators)
+	}
+	for _, count := range zones {
+		if count >= int(shape.Accelerators) {
+			return true
+		}
+	}
+	return false
+}
+
+type ending struct {
+	at  float64
+	job anvilid.JobID
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// share counts the gangs of one shape that fit by count and were placed.
+type share struct{ fit, placed int }
+
+func (s share) percent() float64 { return 100 * float64(s.placed) / float64(max(1, s.fit)) }
+
+// simulate offers the same gangs to any planner: 70% of them with one to
+// four accelerators, run times with a long tail, no preemption.
+func simulate(targets, arrivals int, load float64, place func(Request) bool, fits func(anvilconfig.Shape) bool, release func(anvilid.JobID)) (map[anvilconfig.Shape]share, time.Duration) {
+	random := rand.New(rand.NewPCG(11, 0))
+	shapes := []struct {
+		shape  anvilconfig.Shape
+		weight int
+	}{{single, 50}, {anvilconfig.Shape{Accelerators: 2, Within: anvilconfig.WithinWorker}, 10}, {anvilconfig.Shape{Accelerators: 4, Within: anvilconfig.WithinWorker}, 10}, {eight, 24}, {rackGang, 3}, {zoneGang, 3}}
+	meanSize := 0.0
+	for _, s := range shapes {
+		meanSize += float64(s.weight) / 100 * float64(s.shape.Accelerators)
+	}
+	gap := meanSize / (load * float64(targets) * 8)
+	shares := map[anvilconfig.Shape]share{}
+	var queue endings
+	now := 0.0
+	var spent time.Duration
+	for i := range arrivals {
+		now += random.ExpFloat64() * gap
+		for len(queue) > 0 && queue[0].at <= now {
+			release(heap.Pop(&queue).(ending).job)
+		}
+		pick, shape := random.IntN(100), single
+		for _, s := range shapes {
+			if pick -= s.weight; pick < 0 {
+				shape = s.shape
+				break
+			}
+		}
+		span := random.ExpFloat64() * 0.8
+		if random.IntN(50) == 0 {
+			span *= 11 // stragglers; the mean stays near 1
+		}
+		r := Request{Job: anvilid.JobID(fmt.Sprintf("j%d", i)), Account: "a0", Service: testService, Shape: shape, Preemptible: true}
+		s, fit := shares[shape], fits(shape)
+		start := time.Now()
+		placed := place(r)
+		spent += time.Since(start)
+		if placed {
+			heap.Push(&queue, ending{now + span, r.Job})
+		}
+		if fit && i > arrivals/4 {
+			s.fit++
+			if placed {
+				s.placed++
+			}
+		}
+		shares[shape] = s
+	}
+	return shares, spent / time.Duration(arrivals)
+}
+
+// Guards against placements that scatter small gangs over large cells. It
+// compares the cells with the plain search; -v prints the figures.
+func TestCellsKeepRoomForGangs(t *testing.T) {
+	const targets, arrivals = 480, 30_000
+	for _, load := range []float64{0.7, 0.9, 1.2} {
+		p := New()
+		addTargets(p, targets)
+		byCells, cellCost := simulate(targets, arrivals, load, func(r Request) bool {
+			_, err := p.Place(0, r)
+			return err == nil
+		}, func(s anvilconfig.Shape) bool { return fitsByCount(p, s) }, func(j anvilid.JobID) { p.Release(j) })
+		s := newSearchPlanner(targets)
+		bySearch, searchCost := simulate(targets, arrivals, load, s.place, s.fitsByCount, s.release)
+		for _, shape := range []anvilconfig.Shape{eight, rackGang, zoneGang} {
+			c, b := byCells[shape], bySearch[shape]
+			t.Logf("load %.1f, %d within %s: cells placed %.1f%% of %d that fit by count (%v each), search %.1f%% of %d (%v each)",
+				load, shape.Accelerators, shape.Within, c.percent(), c.fit, cellCost, b.percent(), b.fit, searchCost)
+			if c.percent() < b.percent() {
+				t.Errorf("cells place fewer gangs of %+v than the plain search", shape)
+			}
+		}
+	}
+}
--- a/core/anvilplan/guarantee.go
+++ b/core/anvilplan/guarantee.go
@@ -61,7 +61,7 @@
 	gang    int32 // none if not in use
 	lent    int32 // accelerators of an idle reservation that gangs hold
 	inKind  int32 // position in a list of the kind
-	inIdle  int32 // position in the idle list of the promise
+	inList  int32 // position in the idle list of the promise, or in the unmet list of the service
 	blocks  []block
 	surplus bool // no longer promised; removed when it is released
 }
@@ -93,7 +93,7 @@
 
 func (p *Planner) addIdle(u int32) {
 	promise := &p.promises[p.units[u].promise]
-	p.units[u].inIdle = int32(len(promise.idle))
+	p.units[u].inList = int32(len(promise.idle))
 	promise.idle = append(promise.idle, u)
 	p.addToKind(u)
 }
@@ -103,8 +103,8 @@
 	promise := &p.promises[p.units[u].promise]
 	last := len(promise.idle) - 1
 	moved := promise.idle[last]
-	promise.idle[p.units[u].inIdle] = moved
-	p.units[moved].inIdle = p.units[u].inIdle
+	promise.idle[p.units[u].inList] = moved
+	p.units[moved].inList = p.units[u].inList
 	promise.idle = promise.idle[:last]
 }
 
@@ -167,9 +167,7 @@
 	p.units[u].blocks = append(p.units[u].blocks[:0], blocks...)
 	p.mark(blocks, u)
 	p.recountLent(u)
-	p.promises[p.units[u].promise].unmet--
-	s := &p.services[p.kindOf(u).service]
-	s.unmet = slices.DeleteFunc(s.unmet, func(x int32) bool { return x == u })
+	p.removeUnmet(u)
 	p.addIdle(u)
 }
 
@@ -184,9 +182,20 @@
 func (p *Planner) addUnmet(u int32) {
 	p.promises[p.units[u].promise].unmet++
 	s := &p.services[p.kindOf(u).service]
+	p.units[u].inList = int32(len(s.unmet))
 	s.unmet = append(s.unmet, u)
 }
 
+func (p *Planner) removeUnmet(u int32) {
+	p.promises[p.units[u].promise].unmet--
+	s := &p.services[p.kindOf(u).service]
+	last := len(s.unmet) - 1
+	moved := s.unmet[last]
+	s.unmet[p.units[u].inList] = moved
+	p.units[moved].inList = p.units[u].inList
+	s.unmet = s.unmet[:last]
+}
+
 // move changes the reservation of an idle unit.
 func (p *Planner) move(u int32, blocks []block) {
 	p.unreserve(u)
@@ -237,10 +246,8 @@
 	if len(p.units[u].blocks) > 0 {
 		p.unreserve(u)
 	}
+	p.removeUnmet(u)
 	promise := &p.promises[p.units[u].promise]
-	promise.unmet--
-	s := &p.services[p.kinds[promise.kind].service]
-	s.unmet = slices.DeleteFunc(s.unmet, func(x int32) bool { return x == u })
 	promise.units = slices.DeleteFunc(promise.units, func(x int32) bool { return x == u })
 	p.units[u] = unit{gang: none}
 	p.freeUnits = append(p.freeUnits, u)
