--- a/core/anvilplan/gang.go
+++ b/core/anvilplan/gang.go
@@ -19,6 +19,9 @@
 	first   block
 	more    *gangRest
 	ending  bool
+	listed  bool // among the borrowers
+	older   int32
+	newer   int32
 }
 
 // gangRest holds what most gangs don't need.
@@ -103,9 +106,40 @@
 		p.gangs = append(p.gangs, record)
 	}
 	p.gangByJob[r.Job] = number
+	if unit == none {
+		p.list(number)
+	}
 	return number
 }
 
+// list adds a borrower to the list of those that may be preempted, as the
+// one with the least work to lose. Times don't go backwards, so the list is
+// in the order of the saved work.
+func (p *Planner) list(number int32) {
+	g := &p.gangs[number]
+	g.listed, g.older, g.newer = true, p.newest, none
+	if p.newest != none {
+		p.gangs[p.newest].newer = number
+	}
+	p.newest = number
+}
+
+func (p *Planner) unlist(number int32) {
+	g := &p.gangs[number]
+	if !g.listed {
+		return
+	}
+	g.listed = false
+	if g.newer == none {
+		p.newest = g.older
+	} else {
+		p.gangs[g.newer].older = g.older
+	}
+	if g.older != none {
+		p.gangs[g.older].newer = g.newer
+	}
+}
+
 func (p *Planner) addAccount(id anvilid.AccountID) int32 {
 	number, known := p.accountByID[id]
 	if !known {
@@ -172,6 +206,7 @@
 func (p *Planner) endGang(number int32) {
 	g := &p.gangs[number]
 	g.ending = true
+	p.unlist(number)
 	if unit := g.unit; unit != none {
 		g.unit = none
 		p.leaveUnit(unit)
--- a/core/anvilplan/guarantee.go
+++ b/core/anvilplan/guarantee.go
@@ -464,7 +464,7 @@
 // for at least one of them.
 func (p *Planner) mayRearrange(service int32) bool {
 	for _, u := range p.services[service].unmet {
-		if int32(p.kindOf(u).shape.Accelerators) <= p.unreserved.services[service].count {
+		if int32(p.kindOf(u).shape.Accelerators) <= p.unreserved.services[service] {
 			return true
 		}
 	}
--- a/core/anvilplan/mask.go
+++ b/core/anvilplan/mask.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/bits"
-	"slices"
 
 	"anvilshunt/core/anvilid"
 )
@@ -46,8 +45,8 @@
 type cellTable struct {
 	// first is the best position of a block, or noFit.
 	first [workerSize + 1][maskCount]uint8
-	// order lists the masks in which a block fits, best first.
-	order [workerSize + 1][]mask
+	// damage is what the cells lose by a block at its best position.
+	damage [workerSize + 1][maskCount]int32
 	// widest is the largest block that fits.
 	widest [maskCount]uint8
 }
@@ -57,8 +56,8 @@
 // cellValue weighs the free cells in a mask. Each level weighs four times
 // as much as the one below, so that splitting a large cell costs more than
 // using up any smaller ones.
-func cellValue(m mask) int {
-	value, weight := 0, 1
+func cellValue(m mask) int32 {
+	value, weight := int32(0), int32(1)
 	for size := 1; size <= workerSize; size *= 2 {
 		for first := 0; first < workerSize; first += size {
 			if cell := lowest(size) << first; m&cell == cell {
@@ -73,7 +72,6 @@
 func newCellTable() *cellTable {
 	t := &cellTable{}
 	for n := 1; n <= workerSize; n++ {
-		var damage [maskCount]int
 		for m := range maskCount {
 			t.first[n][m] = noFit
 			for first := 0; first+n <= workerSize; first += cellSize(n) {
@@ -82,21 +80,14 @@
 					continue
 				}
 				cost := cellValue(mask(m)) - cellValue(mask(m)&^used)
-				if t.first[n][m] == noFit || cost < damage[m] {
-					t.first[n][m], damage[m] = uint8(first), cost
+				if t.first[n][m] == noFit || cost < t.damage[n][m] {
+					t.first[n][m], t.damage[n][m] = uint8(first), cost
 				}
 			}
 			if t.first[n][m] != noFit {
-				t.order[n] = append(t.order[n], mask(m))
 				t.widest[m] = uint8(n)
 			}
 		}
-		slices.SortStableFunc(t.order[n], func(a, b mask) int {
-			if damage[a] != damage[b] {
-				return damage[a] - damage[b]
-			}
-			return a.count() - b.count()
-		})
 	}
 	return t
 }
--- a/core/anvilplan/place.go
+++ b/core/anvilplan/place.go
@@ -90,11 +90,14 @@
 	}
 }
 
+// unitScan bounds the idle units of a promise that are looked at.
+const unitScan = 8
+
 // chooseUnit returns an idle unit of a promise, without borrowers if a unit
 // of the same kind has none.
 func (p *Planner) chooseUnit(promise int32) int32 {
 	idle := p.promises[promise].idle
-	for i := len(idle) - 1; i >= 0 && i >= len(idle)-bucketScan; i-- {
+	for i := len(idle) - 1; i >= 0 && i >= len(idle)-unitScan; i-- {
 		if p.units[idle[i]].lent == 0 {
 			return idle[i]
 		}
--- a/core/anvilplan/planner.go
+++ b/core/anvilplan/planner.go
@@ -44,12 +44,14 @@
 }
 
 type rack struct {
-	zone    int32
-	targets []int32
+	zone     int32
+	position int32 // within the zone
+	targets  []int32
 }
 
 type zone struct {
 	service int32
+	racks   []int32
 }
 
 type service struct {
@@ -102,7 +104,8 @@
 	units         []unit
 	freeUnits     []int32
 
-	cursor  int // where the next search for victims begins
+	newest  int32 // borrower with the least work to lose, see gang.older
+	cursor  int   // where the next search for victims begins
 	scratch []block
 	visited []int32
 }
@@ -110,6 +113,7 @@
 // New returns an empty planner.
 func New() *Planner {
 	p := &Planner{
+		newest:        none,
 		targetByID:    map[anvilid.TargetID]int32{},
 		rackByKey:     map[rackKey]int32{},
 		zoneByKey:     map[zoneKey]int32{},
@@ -291,7 +295,9 @@
 	if !known {
 		number = int32(len(p.racks))
 		p.rackByKey[rk] = number
-		p.racks = append(p.racks, rack{zone: zoneNumber})
+		z := &p.zones[zoneNumber]
+		p.racks = append(p.racks, rack{zone: zoneNumber, position: int32(len(z.racks))})
+		z.racks = append(z.racks, number)
 		for _, s := range p.spaces() {
 			s.addRack(number)
 		}
@@ -332,7 +338,7 @@
 		p.unreserve(u)
 	}
 	for _, s := range p.spaces() {
-		s.removeTarget(number)
+		s.set(number, 0)
 	}
 	r := &p.racks[p.targets[number].rack]
 	r.targets = slices.DeleteFunc(r.targets, func(t int32) bool { return t == number })
@@ -390,5 +396,9 @@
 func (p *Planner) Checkpoint(now anvilclock.Millis, job anvilid.JobID) {
 	if g, known := p.gangByJob[job]; known {
 		p.gangs[g].saved = now
+		if p.gangs[g].listed {
+			p.unlist(g)
+			p.list(g)
+		}
 	}
 }
--- a/core/anvilplan/reclaim.go
+++ b/core/anvilplan/reclaim.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// maxUnitCandidates, maxTargetCandidates and maxRackCandidates bound
+	// maxGangCandidates, maxUnitCandidates, maxTargetCandidates and maxRackCandidates bound
 	// the places that are compared for one reclaim, which keeps a decision
 	// below 1 ms at 29,000 targets.
+	maxGangCandidates   = 128
 	maxUnitCandidates   = 128
 	maxTargetCandidates = 128
 	maxRackCandidates   = 8
@@ -20,18 +21,23 @@
 type reclaim struct {
 	planner *Planner
 	now     anvilclock.Millis
+	origin  int32 // unit whose reservation moves
 	cost    int64
 	unit    int32   // reservation to swap with, or none
-	blocks  []block // unreserved place to move to, if unit is none
+	blocks  []block // place to move to, if unit is none
+
+	candidate [1]block
 }
 
 // moveToCheapest moves the reservation of an idle unit to where preempting
 // borrowers costs the least work: to the reservation of another idle unit of
-// the same kind, or to unreserved accelerators. No other reservation becomes
-// invalid by that.
+// the same kind, to unreserved accelerators, or to a cell that holds only
+// whole reservations of idle units, which move the other way. No other
+// reservation becomes invalid by that.
 func (p *Planner) moveToCheapest(now anvilclock.Millis, u int32) {
-	r := &reclaim{planner: p, now: now, unit: u, cost: p.cost(now, p.units[u].blocks)}
+	r := &reclaim{planner: p, now: now, origin: u, unit: u, cost: p.cost(now, p.units[u].blocks)}
 	k := p.kindOf(u)
+	r.tryNewest(k)
 	// Later searches continue where this one stops, so that all units are
 	// considered in turn.
 	for i := range min(len(k.lent), maxUnitCandidates) {
@@ -39,12 +45,64 @@
 	}
 	p.cursor += maxUnitCandidates
 	r.tryTargets(k.service, k.shape)
-	r.tryRacks(k.service, k.shape)
+	if k.shape.Within != anvilconfig.WithinWorker {
+		r.tryRacks(k.service, int(k.shape.Accelerators))
+	}
 	if r.unit != none {
 		p.swap(u, r.unit)
 		return
 	}
-	p.move(u, r.blocks)
+	p.exchange(u, r.blocks)
+}
+
+// exchange moves the reservation of an idle unit to blocks. Reservations
+// there move to the same places in the former cell of the unit.
+func (p *Planner) exchange(u int32, blocks []block) {
+	former := p.units[u].blocks[0]
+	var moved []unitReservation
+	for _, b := range blocks {
+		for _, v := range p.reservations(b) {
+			if v == none || v == u || len(p.units[v].blocks) == 0 {
+				continue
+			}
+			shifted := slices.Clone(p.units[v].blocks)
+			for i := range shifted {
+				shifted[i].target, shifted[i].first = former.target, shifted[i].first-b.first+former.first
+			}
+			moved = append(moved, unitReservation{v, shifted})
+			p.unreserve(v)
+		}
+	}
+	p.move(u, blocks)
+	for _, r := range moved {
+		p.reserve(r.unit, r.blocks)
+	}
+}
+
+// reservations returns the unit that each accelerator of a block is reserved
+// for.
+func (p *Planner) reservations(b block) []int32 {
+	first := b.target*workerSize + int32(b.first)
+	return p.reservation[first : first+int32(b.count)]
+}
+
+// exchangeable tells whether a cell holds only whole reservations of idle
+// units other than u.
+func (p *Planner) exchangeable(u int32, cell block) bool {
+	for _, v := range p.reservations(cell) {
+		if v == none {
+			continue
+		}
+		if v == u || p.units[v].gang != none {
+			return false
+		}
+		for _, b := range p.units[v].blocks {
+			if b.target != cell.target || b.mask()&^cell.mask() != 0 {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // cost is the work lost by preempting all borrowers on blocks.
@@ -80,6 +138,46 @@
 	}
 }
 
+// tryNewest considers the places of the borrowers that lose the least work.
+// Looking at arbitrary places alone misses the few cheap ones.
+func (r *reclaim) tryNewest(k *kind) {
+	p, n := r.planner, int(k.shape.Accelerators)
+	racks := 0
+	for g, i := p.newest, 0; g != none && i < maxGangCandidates; g, i = p.gangs[g].older, i+1 {
+		b := p.gangs[g].first
+		if p.gangs[g].service != k.service || b.count == 0 {
+			continue
+		}
+		if v := p.reservation[b.target*workerSize+int32(b.first)]; v != none && p.units[v].gang == none && p.kindOf(v) == k {
+			r.tryUnit(v)
+			continue
+		}
+		rack := p.targets[b.target].rack
+		switch {
+		case n <= workerSize:
+			r.tryCell(b.target, n, int(b.first)/cellSize(n)*cellSize(n))
+		case k.shape.Within != anvilconfig.WithinWorker && racks < maxRackCandidates && int(p.unreserved.racks[rack].count) >= n:
+			racks++
+			r.tryRack(rack, n)
+		}
+	}
+}
+
+// tryCell considers n accelerators of a target.
+func (r *reclaim) tryCell(target int32, n, first int) {
+	p := r.planner
+	cell := block{target, uint8(first), uint8(n)}
+	if first+n > workerSize || p.present.masks[target]&cell.mask() != cell.mask() {
+		return
+	}
+	// A reservation of several blocks has no cell to offer in exchange.
+	unreserved := p.unreserved.masks[target]&cell.mask() == cell.mask()
+	if unreserved || (len(p.units[r.origin].blocks) == 1 && p.exchangeable(r.origin, cell)) {
+		r.candidate[0] = cell
+		r.tryBlocks(r.candidate[:])
+	}
+}
+
 // tryTargets considers single targets with enough unreserved accelerators.
 func (r *reclaim) tryTargets(service int32, shape anvilconfig.Shape) {
 	n := int(shape.Accelerators)
@@ -88,41 +186,45 @@
 	}
 	s := &r.planner.unreserved
 	tried := 0
-	for _, m := range cells.order[n] {
-		if s.services[service].targets[m] == 0 {
-			continue
-		}
-		for _, zone := range s.topology.services[service].zones {
-			for target := s.zones[zone].targets[m]; target != none; target = s.next[target] {
-				if tried++; tried > maxTargetCandidates {
-					return
+	for _, zone := range s.topology.services[service].zones {
+		for _, racks := range s.zones[zone].fits[n] {
+			for position := racks.after(0); position != none; position = racks.after(position + 1) {
+				for _, target := range s.topology.racks[s.topology.zones[zone].racks[position]].targets {
+					if tried++; tried > maxTargetCandidates {
+						return
+					}
+					for first := 0; first < workerSize; first += cellSize(n) {
+						r.tryCell(target, n, first)
+					}
 				}
-				b, _ := s.blockIn(target, n)
-				r.tryBlocks([]block{b})
 			}
 		}
 	}
 }
 
 // tryRacks considers racks with enough unreserved accelerators.
-func (r *reclaim) tryRacks(service int32, shape anvilconfig.Shape) {
-	n := int(shape.Accelerators)
-	if shape.Within == anvilconfig.WithinWorker {
-		return
-	}
+func (r *reclaim) tryRacks(service int32, n int) {
 	s := &r.planner.unreserved
-	var racks []int32
+	tried := 0
 	for _, zone := range s.topology.services[service].zones {
 		for count := min(n, rackSize); count <= rackSize; count++ {
-			for rack := s.zones[zone].counts[count]; rack != none && len(racks) < maxRackCandidates; rack = s.racks[rack].counts.next {
-				if int(s.racks[rack].count) >= n {
-					racks = append(racks, rack)
+			set := s.zones[zone].counts[count]
+			for position := set.after(0); position != none; position = set.after(position + 1) {
+				rack := s.topology.zones[zone].racks[position]
+				if int(s.racks[rack].count) < n {
+					continue
 				}
+				if tried++; tried > maxRackCandidates {
+					return
+				}
+				r.tryRack(rack, n)
 			}
 		}
 	}
-	for _, rack := range racks {
-		r.planner.scratch = s.gather(n, r.planner.scratch[:0], func(size int) (block, bool) { return s.blockInRack(rack, size) })
-		r.tryBlocks(r.planner.scratch)
-	}
+}
+
+func (r *reclaim) tryRack(rack int32, n int) {
+	p := r.planner
+	p.scratch = p.unreserved.gather(n, p.scratch[:0], func(size int) (block, bool) { return p.unreserved.blockInRack(rack, size) })
+	r.tryBlocks(p.scratch)
 }
--- a/core/anvilplan/search.go
+++ b/core/anvilplan/search.go
@@ -7,7 +7,7 @@
 // appended to blocks.
 func (s *space) search(service int32, shape anvilconfig.Shape, blocks []block) ([]block, bool) {
 	n := int(shape.Accelerators)
-	if int(s.services[service].count) < n {
+	if int(s.services[service]) < n {
 		return blocks, false
 	}
 	if n <= workerSize {
@@ -18,14 +18,21 @@
 	if shape.Within == anvilconfig.WithinWorker {
 		return blocks, false
 	}
-	if rack := s.rackFor(service, n); rack != none {
+	rack := s.rackFor(service, n)
+	if shape.Within == anvilconfig.WithinZone && (rack == none || s.racks[rack].isWhole()) {
+		// Gangs that may be apart leave whole racks to those that may not.
+		if zone := s.zoneFor(service, n, s.brokenCount); zone != none {
+			return s.gather(n, blocks, func(size int) (block, bool) { return s.blockInZone(zone, size, wholeRack) }), true
+		}
+	}
+	if rack != none {
 		return s.gather(n, blocks, func(size int) (block, bool) { return s.blockInRack(rack, size) }), true
 	}
 	if shape.Within == anvilconfig.WithinRack {
 		return blocks, false
 	}
-	if zone := s.zoneFor(service, n); zone != none {
-		return s.gather(n, blocks, func(size int) (block, bool) { return s.blockInZone(zone, size) }), true
+	if zone := s.zoneFor(service, n, s.zoneCount); zone != none {
+		return s.gather(n, blocks, func(size int) (block, bool) { return s.blockInZone(zone, size, fitClasses) }), true
 	}
 	return blocks, false
 }
@@ -52,33 +59,39 @@
 // rackFor returns the best rack for n accelerators: one with just enough
 // whole targets, or else one with just enough accelerators.
 func (s *space) rackFor(service int32, n int) int32 {
-	zones := s.topology.services[service].zones
 	for wholes := n / workerSize; wholes <= rackWorkers; wholes++ {
-		best := none
-		for _, zone := range zones {
-			rack := s.zones[zone].wholes[wholes]
-			for i := 0; rack != none && i < bucketScan; rack, i = s.racks[rack].wholes.next, i+1 {
-				if s.holdsNeatly(rack, n) && (best == none || s.racks[rack].count < s.racks[best].count) {
-					best = rack
-				}
-			}
-		}
-		if best != none {
-			return best
+		if rack := s.firstRack(service, func(z *spaceZone) rackSet { return z.wholes[wholes] },
+			func(rack int32) bool { return s.holdsNeatly(rack, n) }); rack != none {
+			return rack
 		}
 	}
 	for count := min(n, rackSize); count <= rackSize; count++ {
-		for _, zone := range zones {
-			for rack := s.zones[zone].counts[count]; rack != none; rack = s.racks[rack].counts.next {
-				if int(s.racks[rack].count) >= n {
-					return rack
-				}
-			}
+		if rack := s.firstRack(service, func(z *spaceZone) rackSet { return z.counts[count] },
+			func(rack int32) bool { return int(s.racks[rack].count) >= n }); rack != none {
+			return rack
 		}
 	}
 	return none
 }
 
+// rackScan bounds the racks of a zone that are tried for a neat placement.
+const rackScan = 16
+
+// firstRack returns the first rack of all zones that is in a set and
+// suitable.
+func (s *space) firstRack(service int32, set func(*spaceZone) rackSet, suitable func(rack int32) bool) int32 {
+	best, found := none, none
+	for _, zone := range s.topology.services[service].zones {
+		racks := set(&s.zones[zone])
+		for position, i := racks.after(0), 0; position != none && i < rackScan && (found == none || position < found); position, i = racks.after(position+1), i+1 {
+			if rack := s.topology.zones[zone].racks[position]; suitable(rack) {
+				best, found = rack, position
+			}
+		}
+	}
+	return best
+}
+
 // holdsNeatly tells whether a rack holds n accelerators as whole targets and
 // one block.
 func (s *space) holdsNeatly(rack int32, n int) bool {
@@ -99,16 +112,21 @@
 }
 
 // zoneFor returns the fullest zone that holds n accelerators.
-func (s *space) zoneFor(service int32, n int) int32 {
+func (s *space) zoneFor(service int32, n int, count func(zone int32) int32) int32 {
 	best := none
 	for _, zone := range s.topology.services[service].zones {
-		if int(s.zones[zone].count) >= n && (best == none || s.zones[zone].count < s.zones[best].count) {
+		if int(count(zone)) >= n && (best == none || count(zone) < count(best)) {
 			best = zone
 		}
 	}
 	return best
 }
 
+func (s *space) zoneCount(zone int32) int32 { return s.zones[zone].count }
+
+// brokenCount counts accelerators in racks that aren't whole.
+func (s *space) brokenCount(zone int32) int32 { return s.zones[zone].count - s.zones[zone].inWhole }
+
 // Largest are the largest gangs that fit at the moment, by extent.
 type Largest struct {
 	Total  int `json:"total"` // accelerators, wherever they are
@@ -118,17 +136,15 @@
 }
 
 func (s *space) largest(service int32) Largest {
-	l := Largest{Total: int(s.services[service].count)}
-	for m, count := range s.services[service].targets {
-		if count > 0 {
-			l.Worker = max(l.Worker, int(cells.widest[m]))
-		}
-	}
+	l := Largest{Total: int(s.services[service])}
 	for _, zone := range s.topology.services[service].zones {
 		z := &s.zones[zone]
 		l.Zone = max(l.Zone, int(z.count))
+		for n := l.Worker + 1; n <= workerSize && z.holds(n); n++ {
+			l.Worker = n
+		}
 		for count := rackSize; count > l.Rack; count-- {
-			if z.counts[count] != none {
+			if z.counts[count].after(0) != none {
 				l.Rack = count
 			}
 		}
--- a/core/anvilplan/space.go
+++ b/core/anvilplan/space.go
@@ -1,29 +1,29 @@
 package anvilplan
 
-import "slices"
+import (
+	"math/bits"
+	"slices"
+)
 
 const (
 	none = int32(-1)
 	// rackSize is the number of accelerators in a full rack. Racks with
-	// more free accelerators share the last bucket.
+	// more free accelerators share the last set.
 	rackSize = 64
-	// rackWorkers bounds the buckets of racks by whole targets.
+	// rackWorkers bounds the sets of racks by whole targets.
 	rackWorkers = 8
-	// bucketScan bounds the targets that are compared within a bucket.
-	bucketScan = 8
 )
 
 // space indexes a set of accelerators, such as the free ones, by the cells
-// that they form. All operations take time that doesn't grow with the
-// number of targets.
+// that they form. The racks of a zone have a fixed order. Gangs go to the
+// first racks that fit, so that the last racks drain and stay whole: packing
+// by the best fit alone leaves holes in all racks.
 type space struct {
 	topology *topology
 	masks    []mask // by target
-	next     []int32
-	prev     []int32
 	racks    []spaceRack
 	zones    []spaceZone
-	services []spaceService
+	services []int32 // number of accelerators
 	undo     []undoStep
 }
 
@@ -35,130 +35,122 @@
 type spaceRack struct {
 	count  int32 // accelerators
 	whole  int32 // targets with all accelerators of a full worker
-	counts link
-	wholes link
+	widest uint8 // largest block within one target
+	broken uint8 // largest block within a target that isn't whole
 }
 
-// link chains a rack into a bucket.
-type link struct{ next, prev int32 }
+// Classes of racks in which a block fits, in the order in which they are
+// used, so that whole workers and whole racks are split last.
+const (
+	brokenWorker = iota
+	wholeWorker
+	wholeRack
+	fitClasses
+)
 
 type spaceZone struct {
 	count   int32
-	targets [maskCount]int32       // first target by mask
-	counts  [rackSize + 1]int32    // first rack by count
-	wholes  [rackWorkers + 1]int32 // first rack by whole targets
+	inWhole int32 // accelerators in racks that are whole
+	// fits[n] are the racks in which a block of n fits, by class.
+	fits [workerSize + 1][fitClasses]rackSet
+	// counts and wholes are the racks by accelerators and by whole targets.
+	counts [rackSize + 1]rackSet
+	wholes [rackWorkers + 1]rackSet
 }
 
-type spaceService struct {
-	count   int32
-	targets [maskCount]int32 // number of targets by mask
+// rackSet is a set of racks of a zone, by their position in the zone.
+type rackSet []uint64
+
+func (r *rackSet) add(position int32) {
+	for int(position/64) >= len(*r) {
+		*r = append(*r, 0)
+	}
+	(*r)[position/64] |= 1 << (position % 64)
 }
 
-func (s *space) addService() { s.services = append(s.services, spaceService{}) }
+func (r rackSet) remove(position int32) { r[position/64] &^= 1 << (position % 64) }
 
-func (s *space) addZone() {
-	z := spaceZone{}
-	for i := range z.targets {
-		z.targets[i] = none
-	}
-	for i := range z.counts {
-		z.counts[i] = none
-	}
-	for i := range z.wholes {
-		z.wholes[i] = none
+// after returns the first position that is at least from, or none.
+func (r rackSet) after(from int32) int32 {
+	for i := int(from / 64); i < len(r); i++ {
+		word := r[i]
+		if i == int(from/64) {
+			word &= ^uint64(0) << (from % 64)
+		}
+		if word != 0 {
+			return int32(i*64 + bits.TrailingZeros64(word))
+		}
 	}
-	s.zones = append(s.zones, z)
+	return none
 }
 
+func (s *space) addService() { s.services = append(s.services, 0) }
+
+func (s *space) addZone() { s.zones = append(s.zones, spaceZone{}) }
+
 func (s *space) addRack(rack int32) {
 	s.racks = append(s.racks, spaceRack{})
-	s.linkRack(rack)
+	s.listRack(rack)
 }
 
-// addTarget adds an empty target, or connects one whose number is used
-// again.
+// addTarget adds an empty target, or one whose number is used again.
 func (s *space) addTarget(target int32) {
 	if int(target) == len(s.masks) {
 		s.masks = append(s.masks, 0)
-		s.next = append(s.next, none)
-		s.prev = append(s.prev, none)
 	}
-	s.masks[target] = 0
-	s.linkTarget(target)
-}
-
-// removeTarget disconnects an empty target.
-func (s *space) removeTarget(target int32) {
-	s.set(target, 0)
-	s.unlinkTarget(target)
 }
 
 func (s *space) zoneOfTarget(target int32) int32 {
 	return s.topology.racks[s.topology.targets[target].rack].zone
 }
 
-func (s *space) linkTarget(target int32) {
-	zone := s.zoneOfTarget(target)
-	m := s.masks[target]
-	head := &s.zones[zone].targets[m]
-	s.next[target], s.prev[target] = *head, none
-	if *head != none {
-		s.prev[*head] = target
+// isWhole tells whether the rack holds the largest gang.
+func (r *spaceRack) isWhole() bool { return r.count >= rackSize }
+
+// class returns the class of the rack for blocks of n.
+func (r *spaceRack) class(n int) int {
+	switch {
+	case r.isWhole():
+		return wholeRack
+	case n > int(r.broken):
+		return wholeWorker
 	}
-	*head = target
-	s.services[s.topology.zones[zone].service].targets[m]++
+	return brokenWorker
 }
 
-func (s *space) unlinkTarget(target int32) {
-	zone := s.zoneOfTarget(target)
-	m := s.masks[target]
-	next, prev := s.next[target], s.prev[target]
-	if prev == none {
-		s.zones[zone].targets[m] = next
-	} else {
-		s.next[prev] = next
-	}
-	if next != none {
-		s.prev[next] = prev
+// holds tells whether a block of n fits into any rack.
+func (z *spaceZone) holds(n int) bool {
+	for _, racks := range z.fits[n] {
+		if racks.after(0) != none {
+			return true
+		}
 	}
-	s.services[s.topology.zones[zone].service].targets[m]--
+	return false
 }
 
-func (s *space) linkRack(rack int32) {
-	r := &s.racks[rack]
-	z := &s.zones[s.topology.racks[rack].zone]
-	head := &z.counts[min(r.count, rackSize)]
-	r.counts = link{*head, none}
-	if *head != none {
-		s.racks[*head].counts.prev = rack
+func (s *space) listRack(rack int32) {
+	r, place := &s.racks[rack], &s.topology.racks[rack]
+	z := &s.zones[place.zone]
+	z.counts[min(r.count, rackSize)].add(place.position)
+	z.wholes[min(r.whole, rackWorkers)].add(place.position)
+	if r.isWhole() {
+		z.inWhole += r.count
 	}
-	*head = rack
-	head = &z.wholes[min(r.whole, rackWorkers)]
-	r.wholes = link{*head, none}
-	if *head != none {
-		s.racks[*head].wholes.prev = rack
+	for n := 1; n <= int(r.widest); n++ {
+		z.fits[n][r.class(n)].add(place.position)
 	}
-	*head = rack
 }
 
-func (s *space) unlinkRack(rack int32) {
-	r := &s.racks[rack]
-	z := &s.zones[s.topology.racks[rack].zone]
-	if r.counts.prev == none {
-		z.counts[min(r.count, rackSize)] = r.counts.next
-	} else {
-		s.racks[r.counts.prev].counts.next = r.counts.next
+func (s *space) unlistRack(rack int32) {
+	r, place := &s.racks[rack], &s.topology.racks[rack]
+	z := &s.zones[place.zone]
+	z.counts[min(r.count, rackSize)].remove(place.position)
+	z.wholes[min(r.whole, rackWorkers)].remove(place.position)
+	if r.isWhole() {
+		z.inWhole -= r.count
 	}
-	if r.counts.next != none {
-		s.racks[r.counts.next].counts.prev = r.counts.prev
-	}
-	if r.wholes.prev == none {
-		z.wholes[min(r.whole, rackWorkers)] = r.wholes.next
-	} else {
-		s.racks[r.wholes.prev].wholes.next = r.wholes.next
-	}
-	if r.wholes.next != none {
-		s.racks[r.wholes.next].wholes.prev = r.wholes.prev
+	for n := 1; n <= int(r.widest); n++ {
+		z.fits[n][r.class(n)].remove(place.position)
 	}
 }
 
@@ -168,23 +160,29 @@
 	if old == m {
 		return
 	}
-	rack := s.topology.targets[target].rack
-	zone := s.topology.racks[rack].zone
-	s.unlinkTarget(target)
+	number := s.topology.targets[target].rack
+	place, r := &s.topology.racks[number], &s.racks[number]
+	s.unlistRack(number)
 	s.masks[target] = m
-	s.linkTarget(target)
-	s.unlinkRack(rack)
 	change := int32(m.count() - old.count())
-	s.racks[rack].count += change
-	s.zones[zone].count += change
-	s.services[s.topology.zones[zone].service].count += change
+	r.count += change
+	s.zones[place.zone].count += change
+	s.services[s.topology.zones[place.zone].service] += change
 	if old == whole {
-		s.racks[rack].whole--
+		r.whole--
 	}
 	if m == whole {
-		s.racks[rack].whole++
+		r.whole++
+	}
+	r.widest, r.broken = 0, 0
+	for _, t := range place.targets {
+		widest := cells.widest[s.masks[t]]
+		r.widest = max(r.widest, widest)
+		if s.masks[t] != whole {
+			r.broken = max(r.broken, widest)
+		}
 	}
-	s.linkRack(rack)
+	s.listRack(number)
 }
 
 // take removes a block for the time of a search.
@@ -207,101 +205,44 @@
 	return block{target, first, uint8(n)}, first != noFit
 }
 
-// blockInService finds the best block of n accelerators in the targets of a
-// service: the one that splits the smallest cell, in the fullest zone and
-// rack.
+// blockInService finds a block of n accelerators in the first rack of all
+// zones that has one, in the order of the classes.
 func (s *space) blockInService(service int32, n int) (block, bool) {
-	counts := &s.services[service].targets
-	for _, m := range cells.order[n] {
-		if counts[m] == 0 {
-			continue
-		}
-		best := none
-		for _, zone := range s.topology.services[service].zones {
-			if target := s.targetInZone(zone, m); target != none && (best == none || s.fuller(target, best)) {
-				best = target
+	for class := range fitClasses {
+		best, zone := none, none
+		for _, z := range s.topology.services[service].zones {
+			if position := s.zones[z].fits[n][class].after(0); position != none && (best == none || position < best) {
+				best, zone = position, z
 			}
 		}
-		return s.blockIn(best, n)
-	}
-	return block{}, false
-}
-
-// blockInZone does the same for a zone.
-func (s *space) blockInZone(zone int32, n int) (block, bool) {
-	for _, m := range cells.order[n] {
-		if target := s.targetInZone(zone, m); target != none {
-			return s.blockIn(target, n)
+		if best != none {
+			return s.blockInRack(s.topology.zones[zone].racks[best], n)
 		}
 	}
 	return block{}, false
 }
 
-// blockInRack does the same for a rack.
-func (s *space) blockInRack(rack int32, n int) (block, bool) {
-	for _, m := range cells.order[n] {
-		for _, target := range s.topology.racks[rack].targets {
-			if s.masks[target] == m {
-				return s.blockIn(target, n)
-			}
+// blockInZone does the same for a zone and the classes below limit.
+func (s *space) blockInZone(zone int32, n, limit int) (block, bool) {
+	for class := range limit {
+		if position := s.zones[zone].fits[n][class].after(0); position != none {
+			return s.blockInRack(s.topology.zones[zone].racks[position], n)
 		}
 	}
 	return block{}, false
 }
 
-// fuller compares targets by the free accelerators of their zones and racks.
-func (s *space) fuller(a, b int32) bool {
-	zoneA, zoneB := s.zoneOfTarget(a), s.zoneOfTarget(b)
-	if zoneA != zoneB {
-		return s.zones[zoneA].count < s.zones[zoneB].count
-	}
-	return s.racks[s.topology.targets[a].rack].count < s.racks[s.topology.targets[b].rack].count
-}
-
-// targetInZone returns a target with exactly the given mask, preferably from
-// a full rack, so that other racks can become whole.
-func (s *space) targetInZone(zone int32, m mask) int32 {
-	z := &s.zones[zone]
-	if m == whole {
-		for n := 1; n <= rackWorkers; n++ {
-			if rack := z.wholes[n]; rack != none {
-				return s.wholeTarget(s.fullestRack(rack))
-			}
+// blockInRack finds the block in a rack that splits the smallest cell.
+func (s *space) blockInRack(rack int32, n int) (block, bool) {
+	best, damage := none, int32(0)
+	for _, target := range s.topology.racks[rack].targets {
+		m := s.masks[target]
+		if cells.first[n][m] != noFit && (best == none || cells.damage[n][m] < damage) {
+			best, damage = target, cells.damage[n][m]
 		}
-		return none
 	}
-	best := z.targets[m]
 	if best == none {
-		return none
-	}
-	for target, i := s.next[best], 1; target != none && i < bucketScan; target, i = s.next[target], i+1 {
-		if s.fuller(target, best) {
-			best = target
-		}
-	}
-	return best
-}
-
-// fullestRack returns the rack with the fewest accelerators among the first
-// of a bucket of racks with equally many whole targets.
-func (s *space) fullestRack(rack int32) int32 {
-	best := rack
-	for i := 1; i < bucketScan; i++ {
-		if rack = s.racks[rack].wholes.next; rack == none {
-			break
-		}
-		if s.racks[rack].count < s.racks[best].count {
-			best = rack
-		}
+		return block{}, false
 	}
-	return best
-}
-
-func (s *space) wholeTarget(rack int32) int32 {
-	for _, target := range s.topology.racks[rack].targets {
-		if s.masks[target] == whole {
-			return target
-		}
-	}
-	return none
+	return s.blockIn(best, n)
 }
