Enroll a new data directory in the order that the log permits

Cause: an instance that came back with an empty disk was never enrolled; the leader refused to add it before its former directory was removed, since an instance has one vote at most. The steps are now learn, remove, add, and calls of operators end after 10 s in place of never.

--- a/io/anvilcontrol/enroll.go
+++ b/io/anvilcontrol/enroll.go
@@ -20,9 +20,10 @@
 // catchUpPause is the time between two looks at a learner.
 const catchUpPause = 20 * time.Millisecond
 
-// Enroll makes a data directory a voter. The new voter learns the log first
-// and is added before the directory that it replaces is removed, so that the
-// quorum never depends on a voter that lacks the log.
+// Enroll makes a data directory a voter. The new member learns the log first.
+// The directory that it replaces is removed before it gets the vote, because
+// an instance has one vote at most; it is lost, so the quorum needs the same
+// voters with and without it.
 func (s *Service) Enroll(ctx context.Context, request *anvilrpc.EnrollRequest) (*anvilrpc.EnrollReply, error) {
 	if status := s.group.Status(); !status.Leading || !status.HasQuorum {
 		return nil, s.notLeading(status)
@@ -41,40 +42,41 @@
 }
 
 func (s *Service) enroll(ctx context.Context, id anvilraft.VoterID) error {
-	if members := s.group.Members(); !members.Contains(id) {
-		if err := s.group.Change(ctx, anvilraft.ChangeVoters{Learn: id}); err != nil {
-			return err
+	for ctx.Err() == nil {
+		step, done := enrollStep(s.group.Members(), id)
+		if done {
+			s.log.Write(anvillogs.VoterEnrolled, zap.Stringer("voter", id))
+			return nil
 		}
-	}
-	for !s.group.Members().IsVoter(id) {
-		err := s.group.Change(ctx, anvilraft.ChangeVoters{Add: id})
-		if err != nil && !errors.Is(err, anvilraft.ErrNotCaughtUp) {
+		err := s.group.Change(ctx, step)
+		switch {
+		case err == nil:
+			if !step.Remove.IsZero() {
+				s.log.Write(anvillogs.VoterRemoved, zap.Stringer("voter", step.Remove))
+			}
+		case errors.Is(err, anvilraft.ErrNotCaughtUp), errors.Is(err, anvilraft.ErrChangePending):
+			sleep(ctx, catchUpPause)
+		default:
 			return err
 		}
-		sleep(ctx, catchUpPause)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
 	}
-	s.log.Write(anvillogs.VoterEnrolled, zap.Stringer("voter", id))
-	return s.removeFormer(ctx, id)
+	return ctx.Err()
 }
 
-// removeFormer removes the directories that the instance had before.
-func (s *Service) removeFormer(ctx context.Context, id anvilraft.VoterID) error {
-	members := s.group.Members()
-	for _, list := range [][]anvilraft.VoterID{members.Voters, members.Learners} {
-		for _, former := range list {
-			if former.Instance != id.Instance || former == id {
-				continue
-			}
-			if err := s.group.Change(ctx, anvilraft.ChangeVoters{Remove: former}); err != nil {
-				return err
-			}
-			s.log.Write(anvillogs.VoterRemoved, zap.Stringer("voter", former))
+// enrollStep returns the next change on the way to a vote for id.
+func enrollStep(members anvilraft.Members, id anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
+	if members.IsVoter(id) {
+		return step, true
+	}
+	if !members.Contains(id) {
+		return anvilraft.ChangeVoters{Learn: id}, false
+	}
+	for _, former := range append(append([]anvilraft.VoterID(nil), members.Voters...), members.Learners...) {
+		if former.Instance == id.Instance && former != id {
+			return anvilraft.ChangeVoters{Remove: former}, false
 		}
 	}
-	return nil
+	return anvilraft.ChangeVoters{Add: id}, false
 }
 
 // Enroll asks the leader to make a data directory a voter.
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -25,6 +25,7 @@
 	VoterFailed     = define(210, zapcore.ErrorLevel, "voter stopped; this instance serves on without a vote")
 	GroupFounded    = define(211, zapcore.InfoLevel, "new control group founded")
 	GroupAwaited    = define(212, zapcore.InfoLevel, "waiting for the other initial voters before a group is founded")
+	EnrollFailed    = define(213, zapcore.InfoLevel, "voter is not enrolled yet; asking again")
 	EntryUnreadable = define(207, zapcore.ErrorLevel, "committed entry can't be decoded")
 )
 
--- a/io/anvilserver/api.go
+++ b/io/anvilserver/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
@@ -12,6 +13,10 @@
 	"anvilshunt/io/anvilhttp"
 )
 
+// operatorTimeout bounds a call of an operator or about a job. It leaves room
+// for an election and for the lapse of the lease of a lost instance.
+const operatorTimeout = 10 * time.Second
+
 // api connects the HTTP interface with the parts of the instance.
 func (s *Server) api() anvilhttp.API {
 	return anvilhttp.API{
@@ -71,6 +76,8 @@
 }
 
 func (s *Server) checkChange(ctx context.Context, change anvilconfig.Change) ([]anvilconfig.Problem, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	data, err := anvilstate.Encode(&change)
 	if err != nil {
 		return nil, err
@@ -81,6 +88,8 @@
 }
 
 func (s *Server) change(ctx context.Context, change anvilconfig.Change, everywhere bool) (anvilstate.Result, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	command := &anvilstate.Command{Config: &change}
 	if everywhere {
 		result, done, err := s.client.ProposeEverywhere(ctx, command)
@@ -91,12 +100,16 @@
 }
 
 func (s *Server) history(ctx context.Context) ([]anvilstate.Published, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	var published []anvilstate.Published
 	err := s.client.Query(ctx, anvilcontrol.QueryHistory, "", nil, &published)
 	return published, controlError(err)
 }
 
 func (s *Server) submit(ctx context.Context, job anvilstate.SubmitJob) (anvilstate.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	if s.draining() {
 		return anvilstate.Result{}, fmt.Errorf("%w: this instance is shutting down", anvilhttp.ErrUnavailable)
 	}
@@ -105,23 +118,31 @@
 }
 
 func (s *Server) job(ctx context.Context, id anvilid.JobID) (anvilstate.Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	var job anvilstate.Job
 	err := s.client.Query(ctx, anvilcontrol.QueryJob, string(id), nil, &job)
 	return job, controlError(err)
 }
 
 func (s *Server) jobs(ctx context.Context) ([]anvilstate.Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	var jobs []anvilstate.Job
 	err := s.client.Query(ctx, anvilcontrol.QueryJobs, "", nil, &jobs)
 	return jobs, controlError(err)
 }
 
 func (s *Server) cancelJob(ctx context.Context, id anvilid.JobID) (anvilstate.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	result, err := s.client.Propose(ctx, &anvilstate.Command{Cancel: &anvilstate.CancelJob{ID: id}})
 	return result, controlError(err)
 }
 
 func (s *Server) drainTarget(ctx context.Context, id anvilid.TargetID) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	target, _, ok := s.target(id)
 	if !ok {
 		return fmt.Errorf("%w: target %q", anvilhttp.ErrNotFound, id)
--- a/io/anvilserver/fault_test.go
+++ b/io/anvilserver/fault_test.go
@@ -176,8 +176,8 @@
 	assert.NilError(t, os.RemoveAll(s.instances[lost].settings.Data))
 	s.start(lost)
 	s.eventually("the new voter replaced the old one", func() bool {
-		status, ok := s.status(leader)
-		return ok && s.ready(lost) && len(status.Voter.Voters) == 3
+		status, ok := s.status(lost)
+		return ok && status.Ready && status.Voter.Vote && len(status.Voter.Voters) == 3
 	})
 	s.kill(second)
 	next := s.applyAnywhere(change("after", 21, 99))
@@ -351,7 +351,7 @@
 	t.Parallel()
 	s := gangSystem(t)
 	s.setFaults(s.targets["g0"].Address(), `{"fail": true}`)
-	status, body := s.post("i2", "/v1/jobs", `{"id": "storm", "account": "agency", "service": "planner", "accelerators": 32, "shape": "", "payload": "x"}`)
+	status, body := s.post("i2", "/v1/jobs", `{"id": "storm", "account": "agency", "service": "planner", "shape": "rack", "payload": "x"}`)
 	assert.Equal(t, status, http.StatusOK, body)
 	s.eventually("a start was undone", func() bool {
 		job := s.job("storm")
--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -21,6 +21,7 @@
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilserver"
 	"anvilshunt/io/anvilsettings"
 	"anvilshunt/io/anviltarget"
@@ -176,7 +177,13 @@
 	s.t.Helper()
 	i := s.instances[name]
 	i.network = &network{open: map[net.Conn]bool{}}
-	server, err := anvilserver.New(i.settings,
+	log := anvillogs.Discard()
+	if os.Getenv("ANVIL_TEST_LOG") != "" {
+		var err error
+		log, err = anvillogs.New(os.Stderr, "info")
+		assert.NilError(s.t, err)
+	}
+	server, err := anvilserver.New(i.settings, anvilserver.WithLog(log),
 		anvilserver.WithDial(i.network.dial),
 		anvilserver.WithListen(func(kind, address string) (net.Listener, error) {
 			l, err := net.Listen(kind, address)
@@ -349,6 +356,7 @@
  {"kind": "account", "name": "agency", "spec": {"weight": 3}},
  {"kind": "account", "name": "clubs", "spec": {"weight": 1, "services": ["desk"]}},
  {"kind": "shape", "name": "gang", "spec": {"accelerators": 16, "within": "rack"}},
+ {"kind": "shape", "name": "rack", "spec": {"accelerators": 32, "within": "rack"}},
  {"kind": "service", "name": "planner", "spec": {"timeout": 20000, "body": 1000, "repeatable": true}},
  {"kind": "service", "name": "desk", "spec": {"timeout": 20000, "body": 1000}}]}`
 
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -204,6 +204,7 @@
 	}
 	for ctx.Err() == nil && !v.node.Status().Members.IsVoter(v.id) {
 		if err := v.server.client.Enroll(ctx, v.id); err != nil {
+			v.server.log.Write(anvillogs.EnrollFailed, zap.Error(err))
 			pause(ctx, joinPause)
 		}
 	}
@@ -222,6 +223,7 @@
 	voter := &anvilhttp.Voter{
 		Leading: status.Role == anvilraft.Leader, Quorum: status.HasQuorum, Term: status.Term,
 		Leader: status.Leader.Instance, Commit: status.Commit, Applied: status.Applied,
+		Vote: status.Members.IsVoter(v.id),
 	}
 	for _, id := range status.Members.Voters {
 		voter.Voters = append(voter.Voters, id.Instance)
