--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -12,11 +12,20 @@
 
 // resetElection chooses a new random election timeout.
 func (n *Node) resetElection() {
-	spread := int64(n.options.electionMax - n.options.electionMin)
-	n.electionAt = n.now + n.options.electionMin
-	if spread > 0 {
-		n.electionAt += anvilclock.Millis(n.random.Int64N(spread))
+	n.electionAt = n.now + n.between(n.options.electionMin, n.options.electionMax)
+}
+
+// retryElection chooses when to ask again after a split vote. No leader is
+// disturbed by an early attempt, so it comes sooner than an election timeout.
+func (n *Node) retryElection() {
+	n.electionAt = n.now + n.between(n.options.electionMin/2, n.options.electionMin)
+}
+
+func (n *Node) between(minimum, maximum anvilclock.Millis) anvilclock.Millis {
+	if minimum >= maximum {
+		return minimum
 	}
+	return minimum + anvilclock.Millis(n.random.Int64N(int64(maximum-minimum)))
 }
 
 // sticky reports whether this node heard from a leader within the minimum
@@ -30,7 +39,7 @@
 func (n *Node) preCampaign() {
 	n.role, n.leader = PreCandidate, VoterID{}
 	n.ballots = []ballot{n.self}
-	n.resetElection()
+	n.retryElection()
 	n.requestVotes(MessagePreVote, n.hard.Term+1)
 	n.countVotes()
 }
@@ -40,7 +49,7 @@
 	n.becomeFollower(n.hard.Term+1, VoterID{})
 	n.role = Candidate
 	n.hard.Vote = n.self
-	n.resetElection()
+	n.retryElection()
 	n.requestVotes(MessageVote, n.hard.Term)
 }
 
