--- a/core/anvilstate/bench_test.go
+++ b/core/anvilstate/bench_test.go
@@ -160,8 +160,9 @@
 	free := f.claims // ids of new claims
 	round := 0       // numbers the rounds of all cases of changes
 	return []benchCase{
-		{"register+remove", func(int) {
+		{"register+depart+remove", func(int) {
 			f.must(f.registerTarget(f.targets, 1))
+			f.must(Command{Depart: &LeaveTarget{targetName(f.targets), 1}})
 			f.must(Command{Remove: &RemoveTarget{targetName(f.targets), 1}})
 		}},
 		{"release", func(int) {
@@ -172,7 +173,15 @@
 			f.must(f.joinInstance(f.instances, 1))
 			f.must(Command{Expire: &ExpireInstance{anvilid.InstanceID(fmt.Sprintf("instance-%02d", f.instances)), 1}})
 		}},
-		{"rejoin-owner", func(i int) { f.must(f.joinInstance(0, anvilid.Incarnation(i+2+int(f.index)))) }},
+		{"rejoin-owner", func(int) {
+			owner, _ := f.m.Instance("instance-00")
+			f.must(f.joinInstance(0, owner.Incarnation+1))
+		}},
+		{"drain+rejoin-owner", func(int) {
+			owner, _ := f.m.Instance("instance-01")
+			f.must(Command{Leave: &LeaveInstance{owner.ID, owner.Incarnation, true}})
+			f.must(f.joinInstance(1, owner.Incarnation+1))
+		}},
 		{"rebalance-64", func(int) { f.must(Command{Rebalance: &Rebalance{Limit: 64}}) }},
 		{"change-account", func(int) {
 			round++
@@ -183,14 +192,14 @@
 			// is part of the cost.
 			free++
 			f.at += anvilclock.Hour / anvilclock.Millis(f.claims/20)
-			claim := f.claimRequest(free*f.instances + 1).Claim
+			claim := f.claimRequest(free*f.instances + 2).Claim
 			f.must(Command{Claim: claim})
 			f.must(Command{Complete: &Complete{Key: claim.Key, Holder: claim.Holder, Answer: Answer{Status: 200, Body: make([]byte, 200)}}})
 		}},
 		{"claim+abandon", func(int) {
 			free++
 			f.at += anvilclock.Hour / anvilclock.Millis(f.claims/20)
-			claim := f.claimRequest(free*f.instances + 1).Claim
+			claim := f.claimRequest(free*f.instances + 2).Claim
 			f.must(Command{Claim: claim})
 			f.must(Command{Abandon: &Abandon{claim.Key, claim.Holder}})
 		}},
