Place gangs with the planner: guarantees, reclaim, a lane for short work

The leader keeps the cell planner in step with the replicated state, preempts borrowers when a guaranteed gang needs their accelerators, and restores the plan after a change of leader. A service may keep targets for short requests. First fit is gone.

--- a/core/anvilconfig/snapshot.go
+++ b/core/anvilconfig/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"reflect"
 	"slices"
 
@@ -44,6 +45,11 @@
 	return s.Objects[Key{KindGuarantee, name}].Guarantee
 }
 
+// Clone returns a copy whose objects may be added and removed.
+func (s Snapshot) Clone() Snapshot {
+	return Snapshot{Revision: s.Revision, Objects: maps.Clone(s.Objects)}
+}
+
 // List returns all objects in the order of their keys.
 func (s Snapshot) List() []Object {
 	objects := make([]Object, 0, len(s.Objects))
--- a/core/anvilstate/advance.go
+++ b/core/anvilstate/advance.go
@@ -73,7 +73,7 @@
 
 func (m *Machine) requeue(job *Job, detail string) {
 	m.unreserve(job)
-	job.Members, job.Token, job.Ended, job.Broken = nil, 0, nil, false
+	job.Members, job.Token, job.Ended, job.Broken, job.Guaranteed = nil, 0, nil, false, false
 	m.setState(job, JobSubmitted, detail)
 	m.jobs.queue(job)
 }
--- a/core/anvilstate/bench_test.go
+++ b/core/anvilstate/bench_test.go
@@ -91,7 +91,7 @@
 }
 
 func placeJob(i, target int) Command {
-	return Command{Place: &PlaceJob{anvilid.JobID(fmt.Sprintf("job-%06d", i)), []Member{{targetName(target), 1, 8}}}}
+	return Command{Place: &PlaceJob{anvilid.JobID(fmt.Sprintf("job-%06d", i)), []Member{{Target: targetName(target), Incarnation: 1, Accelerators: 8}}, false}}
 }
 
 func accountChange(id int, base anvilid.Revision, account, weight int) Command {
--- a/core/anvilstate/capacity.go
+++ b/core/anvilstate/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"anvilshunt/core/anvilconfig"
@@ -117,15 +118,50 @@
 		return nil
 	}
 	if of.inventory == nil {
-		of.inventory = of.byRack()
+		of.inventory = of.byRack(m.ShortLane(service))
 	}
 	return of.inventory
 }
 
-func (c *capacity) byRack() []anvilconfig.Zone {
+// ShortLane returns the targets of a service that gangs never use. They are
+// taken from all zones in turn, so that the loss of one leaves the others.
+func (m *Machine) ShortLane(service anvilid.ServiceName) map[anvilid.TargetID]bool {
+	of, spec := m.capacity[service], m.config.current.Service(service)
+	if of == nil || spec == nil || spec.Short <= 0 {
+		return nil
+	}
+	zones := map[zoneKey][]anvilid.TargetID{}
+	for target := range of.targets {
+		if !target.Leaving {
+			zones[zoneOf(target)] = append(zones[zoneOf(target)], target.ID)
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(zones), func(a, b zoneKey) int {
+		return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.zone, b.zone))
+	})
+	for _, key := range keys {
+		slices.Sort(zones[key])
+	}
+	lane := map[anvilid.TargetID]bool{}
+	for progress := true; progress && len(lane) < spec.Short; {
+		progress = false
+		for _, key := range keys {
+			left := zones[key]
+			if len(left) == 0 || len(lane) == spec.Short {
+				continue
+			}
+			lane[left[len(left)-1]] = true
+			zones[key] = left[:len(left)-1]
+			progress = true
+		}
+	}
+	return lane
+}
+
+func (c *capacity) byRack(except map[anvilid.TargetID]bool) []anvilconfig.Zone {
 	targets := make([]*Target, 0, len(c.targets))
 	for target := range c.targets {
-		if !target.Leaving {
+		if !target.Leaving && !except[target.ID] {
 			targets = append(targets, target)
 		}
 	}
--- a/core/anvilstate/config.go
+++ b/core/anvilstate/config.go
@@ -97,6 +97,9 @@
 		m.noteObject(key)
 	}
 	m.config.current.Publish(change, published.Revision)
+	for _, of := range m.capacity {
+		of.inventory = nil // the lane for short requests may have changed
+	}
 	m.config.history = append(m.config.history, published)
 	if extra := len(m.config.history) - m.limits.History; extra > 0 {
 		m.config.history = slices.Delete(m.config.history, 0, extra)
--- a/core/anvilstate/job.go
+++ b/core/anvilstate/job.go
@@ -39,6 +39,8 @@
 	Digest []byte `cbor:"18,keyasint" json:"-"`
 	// Ended lists the members that have completed their work.
 	Ended []int `cbor:"19,keyasint,omitempty" json:"ended,omitempty"`
+	// Guaranteed is set while the job uses a guarantee of its account.
+	Guaranteed bool `cbor:"21,keyasint,omitempty" json:"guaranteed,omitempty"`
 	// Broken is set if a member failed by itself.
 	Broken bool `cbor:"20,keyasint,omitempty" json:"broken,omitempty"`
 }
--- a/core/anvilstate/machine.go
+++ b/core/anvilstate/machine.go
@@ -21,6 +21,8 @@
 	claims    claims
 	jobs      jobs
 	changes   changeRing
+	// planned is not part of snapshots: a new leader plans anew.
+	planned anvilid.Index
 }
 
 // New returns an empty state machine.
@@ -56,6 +58,9 @@
 	m.expireChanges()
 	m.expireClaims()
 	m.expireJobs()
+	if command.concernsJobs() {
+		m.planned = index
+	}
 	if command.Config != nil {
 		return m.changeConfig(*command.Config)
 	}
@@ -68,6 +73,15 @@
 	return result
 }
 
+// Planned returns the index of the latest entry that may concern the planning
+// of jobs.
+func (m *Machine) Planned() anvilid.Index { return m.planned }
+
+// concernsJobs tells whether a command may change jobs, targets or guarantees.
+func (c *Command) concernsJobs() bool {
+	return c.Claim == nil && c.Complete == nil && c.Abandon == nil
+}
+
 func (m *Machine) refuse(err error) Result {
 	return Result{Index: m.index, Code: codeOf(err), Detail: err.Error()}
 }
--- a/core/anvilstate/place.go
+++ b/core/anvilstate/place.go
@@ -27,6 +27,7 @@
 	job.Members = slices.Clone(command.Members)
 	job.Token = anvilid.Token(m.index)
 	job.Placements++
+	job.Guaranteed = command.Guaranteed
 	m.setState(job, JobPlaced, "")
 	for _, member := range job.Members {
 		of := m.jobs.reserved[member.Target]
--- a/core/anvilstate/property_test.go
+++ b/core/anvilstate/property_test.go
@@ -303,7 +303,7 @@
 		}
 		assert.Equal(w, sums.missing("s1", 64, "zone"), w.m.capacity.missing("s1", 64, "zone"))
 		if sums["s1"] != nil {
-			assert.Equal(w, encoded(w, sums["s1"].byRack()), encoded(w, w.m.Inventory("s1")))
+			assert.Equal(w, encoded(w, sums["s1"].byRack(nil)), encoded(w, w.m.Inventory("s1")))
 		}
 	})
 }
--- a/core/anvilstate/script_test.go
+++ b/core/anvilstate/script_test.go
@@ -207,7 +207,7 @@
 		for _, word := range words[2:] {
 			parts := strings.Split(word, "/")
 			place.Members = append(place.Members, Member{
-				anvilid.TargetID(parts[0]), anvilid.Incarnation(number(parts[1])), anvilid.AcceleratorCount(number(parts[2])),
+				Target: anvilid.TargetID(parts[0]), Incarnation: anvilid.Incarnation(number(parts[1])), Accelerators: anvilid.AcceleratorCount(number(parts[2])),
 			})
 		}
 		return Command{Place: place}
--- a/core/anvilstate/world_test.go
+++ b/core/anvilstate/world_test.go
@@ -195,7 +195,7 @@
 	rest := job.Accelerators
 	for _, target := range w.m.Targets() {
 		if n := min(rest, target.Accelerators); n > 0 && w.number(0, 2) > 0 {
-			place.Members = append(place.Members, Member{target.ID, target.Incarnation, n})
+			place.Members = append(place.Members, Member{Target: target.ID, Incarnation: target.Incarnation, Accelerators: n})
 			rest -= n
 		}
 	}
--- a/io/anvilcontrol/query.go
+++ b/io/anvilcontrol/query.go
@@ -37,6 +37,10 @@
 	s.replica.Read(func(machine *anvilstate.Machine) {
 		result, found, failure = query(machine, request)
 	})
+	if job, ok := result.(anvilstate.Job); ok && job.State == anvilstate.JobSubmitted && s.group.Reason != nil {
+		job.Detail = s.group.Reason(job.ID)
+		result = job
+	}
 	if failure != nil {
 		return nil, failure
 	}
--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -67,6 +67,8 @@
 	// Formed tells whether enough of the initial voters are enrolled. Until
 	// then the loss of one disk could lose an accepted change.
 	Formed func() bool
+	// Reason says why a job waits. It may be nil.
+	Reason func(anvilid.JobID) string
 	// Members returns the members of the group, Change makes one change.
 	Members func() anvilraft.Members
 	Change  func(context.Context, anvilraft.ChangeVoters) error
--- a/io/anvilgang/driver.go
+++ b/io/anvilgang/driver.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvillogs"
@@ -29,11 +32,13 @@
 type Leader struct {
 	// Leading tells whether this voter leads.
 	Leading func() bool
-	// Jobs lists the jobs that haven't ended, in the order of submission.
-	Jobs func() []anvilstate.Job
-	Job  func(anvilid.JobID) (anvilstate.Job, bool)
-	// Plan chooses members for a job, or explains why it has to wait.
-	Plan func(job anvilstate.Job) (members []anvilstate.Member, reason string)
+	Job     func(anvilid.JobID) (anvilstate.Job, bool)
+	// Term is the term in which this voter leads; each has its own planner.
+	Term func() anvilid.Term
+	// Planned changes whenever there may be something new to plan.
+	Planned func() anvilid.Index
+	// State reads what the planner needs.
+	State func() State
 	// Propose commits a command.
 	Propose func(context.Context, *anvilstate.Command) (anvilstate.Result, error)
 	// Do asks the owner of a member's target. It returns ErrNotOwned if the
@@ -46,16 +51,30 @@
 
 // Driver drives gangs while its voter leads.
 type Driver struct {
+	clock  anvilclock.Clock
 	log    *anvillogs.Logger
 	leader Leader
 
-	mu   sync.Mutex
-	busy map[anvilid.JobID]bool
+	mu      sync.Mutex
+	busy    map[anvilid.JobID]bool
+	planner *Planner
+	term    anvilid.Term
+	planned anvilid.Index
+	unmet   int
+	// moving is set while jobs are neither waiting nor running.
+	moving bool
 }
 
 // NewDriver returns a driver.
-func NewDriver(log *anvillogs.Logger, leader Leader) *Driver {
-	return &Driver{log: log, leader: leader, busy: map[anvilid.JobID]bool{}}
+func NewDriver(clock anvilclock.Clock, log *anvillogs.Logger, leader Leader) *Driver {
+	return &Driver{clock: clock, log: log, leader: leader, busy: map[anvilid.JobID]bool{}, planner: NewPlanner()}
+}
+
+// Reason says why a job waits, as far as this leader knows.
+func (d *Driver) Reason(id anvilid.JobID) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.planner.Reason(id)
 }
 
 // Run drives gangs until ctx ends.
@@ -75,16 +94,66 @@
 }
 
 func (d *Driver) step(ctx context.Context) {
-	for _, job := range d.leader.Jobs() {
+	state, decision, ok := d.plan()
+	if !ok {
+		return
+	}
+	d.noteUnmet(decision)
+	for _, victim := range slices.Sorted(maps.Keys(decision.Preempt)) {
+		d.preempt(ctx, state, victim, decision.Preempt[victim])
+	}
+	for _, command := range decision.Place {
+		d.place(ctx, command)
+	}
+	for _, job := range state.Jobs {
 		switch job.State {
-		case anvilstate.JobSubmitted:
-			d.place(ctx, job)
 		case anvilstate.JobPlaced, anvilstate.JobPreparing, anvilstate.JobStopping:
 			d.work(ctx, job.ID)
 		}
 	}
 }
 
+// plan brings the planner in step with the state, if that has changed or a
+// job is under way.
+func (d *Driver) plan() (state State, decision Decision, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	term, planned := d.leader.Term(), d.leader.Planned()
+	if term != d.term {
+		d.planner, d.term, d.planned = NewPlanner(), term, 0
+	}
+	if planned == d.planned && !d.moving {
+		return state, decision, false
+	}
+	state = d.leader.State()
+	decision = d.planner.Step(d.clock.Now(), state)
+	d.planned = planned
+	d.moving = len(decision.Place)+len(decision.Preempt) > 0
+	for _, job := range state.Jobs {
+		d.moving = d.moving || holds(job) && job.State != anvilstate.JobRunning
+	}
+	return state, decision, true
+}
+
+// noteUnmet tells when guarantees can't be placed any more, or can again.
+func (d *Driver) noteUnmet(decision Decision) {
+	if len(decision.Unmet) == d.unmet {
+		return
+	}
+	d.unmet = len(decision.Unmet)
+	d.log.Write(anvillogs.GuaranteeUnmet, zap.Int("parts", d.unmet), zap.Any("unmet", decision.Unmet))
+}
+
+// preempt stops a borrower whose accelerators a guaranteed job needs.
+func (d *Driver) preempt(ctx context.Context, state State, victim, by anvilid.JobID) {
+	for _, job := range state.Jobs {
+		if job.ID == victim {
+			d.advance(ctx, job, anvilstate.JobStopping, fmt.Sprintf("preempted for job %q, which uses a guarantee", by))
+			d.log.Write(anvillogs.JobPreempted, zap.String("job", string(victim)), zap.String("by", string(by)))
+		}
+	}
+}
+
 // work runs one step of a job at a time in its own goroutine.
 func (d *Driver) work(ctx context.Context, id anvilid.JobID) {
 	d.mu.Lock()
@@ -116,17 +185,16 @@
 	}
 }
 
-func (d *Driver) place(ctx context.Context, job anvilstate.Job) {
-	members, _ := d.leader.Plan(job)
-	if len(members) == 0 {
-		return
-	}
-	result, err := d.leader.Propose(ctx, &anvilstate.Command{Place: &anvilstate.PlaceJob{ID: job.ID, Members: members}})
+func (d *Driver) place(ctx context.Context, command anvilstate.PlaceJob) {
+	result, err := d.leader.Propose(ctx, &anvilstate.Command{Place: &command})
 	if err != nil || result.Code != "" {
-		d.log.Write(anvillogs.ProposalFailed, zap.String("job", string(job.ID)), zap.String("detail", result.Detail), zap.Error(err))
+		d.mu.Lock()
+		d.planner.Refused(command.ID)
+		d.mu.Unlock()
+		d.log.Write(anvillogs.ProposalFailed, zap.String("job", string(command.ID)), zap.String("detail", result.Detail), zap.Error(err))
 		return
 	}
-	d.log.Write(anvillogs.JobPlaced, zap.String("job", string(job.ID)), zap.Int("members", len(members)))
+	d.log.Write(anvillogs.JobPlaced, zap.String("job", string(command.ID)), zap.Int("members", len(command.Members)))
 }
 
 // start prepares all members and starts them once all are prepared. A step
--- a/io/anvilserver/gangs.go
+++ b/io/anvilserver/gangs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
@@ -48,22 +49,18 @@
 
 // newDriver returns the part that drives whole gangs while this voter leads.
 func (s *Server) newDriver(v *voter) *anvilgang.Driver {
-	return anvilgang.NewDriver(s.log, anvilgang.Leader{
+	return anvilgang.NewDriver(s.clock, s.log, anvilgang.Leader{
 		Leading: v.service.Leading,
-		Jobs: func() (live []anvilstate.Job) {
-			v.replica.Read(func(machine *anvilstate.Machine) { live = machine.LiveJobs() })
-			return live
+		Term:    func() anvilid.Term { return v.node.Status().Term },
+		Planned: func() (planned anvilid.Index) {
+			v.replica.Read(func(machine *anvilstate.Machine) { planned = machine.Planned() })
+			return planned
 		},
+		State: v.planState,
 		Job: func(id anvilid.JobID) (job anvilstate.Job, ok bool) {
 			v.replica.Read(func(machine *anvilstate.Machine) { job, ok = machine.Job(id) })
 			return job, ok
 		},
-		Plan: func(job anvilstate.Job) (members []anvilstate.Member, reason string) {
-			v.replica.Read(func(machine *anvilstate.Machine) {
-				members, reason = anvilgang.FirstFit(job, machine.Targets())
-			})
-			return members, reason
-		},
 		Propose: s.client.Propose,
 		Do:      s.doMember,
 		Lost: func(member anvilstate.Member) (lost bool) {
@@ -76,6 +73,22 @@
 	})
 }
 
+// planState reads what the planner needs.
+func (v *voter) planState() (state anvilgang.State) {
+	v.replica.Read(func(machine *anvilstate.Machine) {
+		state = anvilgang.State{
+			Targets: machine.Targets(), Config: machine.Config().Clone(), Jobs: machine.LiveJobs(),
+			Lanes: map[anvilid.TargetID]bool{},
+		}
+		for _, object := range state.Config.List() {
+			if object.Service != nil {
+				maps.Copy(state.Lanes, machine.ShortLane(anvilid.ServiceName(object.Name)))
+			}
+		}
+	})
+	return state
+}
+
 // doMember asks the owner of a member's target to carry out an action.
 func (s *Server) doMember(ctx context.Context, action anvilgang.Action, member anvilgang.Member) error {
 	_, owner, ok := s.target(member.Target)
