--- a/io/anvilserver/fault_test.go
+++ b/io/anvilserver/fault_test.go
@@ -423,3 +423,38 @@
 		s.checkGangs(fmt.Sprint("storm-", i))
 	}
 }
+
+// Guards against new work to a target that has announced that it leaves,
+// whichever instance heard the announcement.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	s.startTarget("stays", anviltarget.Settings{Region: "west", Zone: "zone-i1", Rack: "r1"})
+	s.eventually("targets are adopted", func() bool { return s.adopted(4) })
+	target := s.targets["t-i1"]
+	target.StartLeaving()
+	offered := func() int { return target.Stats().Runs + target.Stats().Refused.Leaving }
+	// The owner is the instance of the target's zone or another one; all of
+	// them know once the announcement is in the log.
+	s.eventually("all instances know", func() bool {
+		for _, name := range s.order {
+			status, ok := s.status(name)
+			if !ok {
+				return false
+			}
+			for _, known := range status.Targets {
+				if known.ID == "t-i1" && !known.Leaving {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	before := offered()
+	for i := range 60 {
+		a, err := s.send(request{at: s.order[i%3], account: "agency", service: "planner", body: "x"})
+		assert.NilError(t, err)
+		assert.Equal(t, a.outcome, "done")
+	}
+	assert.Equal(t, offered(), before)
+}
