--- a/cmd/anvilemu/anvilemucmd/root.go
+++ b/cmd/anvilemu/anvilemucmd/root.go
@@ -30,7 +30,7 @@
 )
 
 var (
-	errUsage = eris.New("usage")
+	errUsage = eris.New("wrong usage")
 	errWrong = eris.New("wrong answers")
 )
 
--- a/core/anvilplan/bench_test.go
+++ b/core/anvilplan/bench_test.go
@@ -157,6 +157,61 @@
 	})
 }
 
+// BenchmarkPlaceScattered places gangs of 64 within a zone when only single
+// accelerators are free, which is the most work for one placement.
+func BenchmarkPlaceScattered(b *testing.B) {
+	eachFleet(b, func(b *testing.B, f *fleet) {
+		var t timings
+		members := 0
+		for b.Loop() {
+			b.StopTimer()
+			for f.p.Largest(testService).Zone < 64 {
+				f.release()
+			}
+			r := f.request(zoneGang, 1_000_000)
+			b.StartTimer()
+			var placement Placement
+			var err error
+			t.measure(func() { placement, err = f.p.Place(f.now, r) })
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.StopTimer()
+			members += len(placement.Members)
+			f.p.Release(r.Job)
+			f.fill()
+			b.StartTimer()
+		}
+		t.report(b)
+		b.ReportMetric(float64(members)/float64(b.N), "members/op")
+	})
+}
+
+// BenchmarkRearrange repairs a proof that can't be repaired: each attempt
+// arranges all reservations anew.
+func BenchmarkRearrange(b *testing.B) {
+	eachFleet(b, func(b *testing.B, f *fleet) {
+		var guarantees []Guarantee
+		for _, proof := range f.p.Proofs() {
+			guarantees = append(guarantees, Guarantee{proof.Account, proof.Service, proof.Shape, 1})
+		}
+		// Sevens leave single accelerators, into which no other seven fits.
+		seven := anvilconfig.Shape{Accelerators: 7, Within: anvilconfig.WithinWorker}
+		guarantees = append(guarantees, Guarantee{"a0", testService, seven, int(f.p.unreserved.services[0]) / 7})
+		unmet, err := f.p.SetGuarantees(guarantees)
+		if err != nil || len(unmet) == 0 {
+			b.Fatalf("%v, unmet %v; want guarantees that don't fit", err, unmet)
+		}
+		b.ResetTimer()
+		var t timings
+		for b.Loop() {
+			t.measure(func() { f.p.Repair() })
+		}
+		t.report(b)
+		b.ReportMetric(float64(len(f.p.units)), "units")
+	})
+}
+
 func BenchmarkRelease(b *testing.B) {
 	eachFleet(b, func(b *testing.B, f *fleet) {
 		var t timings
--- a/core/anvilplan/guarantee.go
+++ b/core/anvilplan/guarantee.go
@@ -439,9 +439,26 @@
 // miss a proof that exists.
 func (p *Planner) prove(service int32) {
 	p.proveUnmet(service)
-	if !p.mayRearrange(service) {
+	if p.mayRearrange(service) {
+		p.rearrange(service)
+	}
+}
+
+// maxQuickUnits bounds the units that the loss of one target rearranges,
+// because 600 units take about 1 ms.
+const maxQuickUnits = 512
+
+// proveQuickly does the same if there are few units. Otherwise, what is
+// unmet is left to Repair.
+func (p *Planner) proveQuickly(service int32) {
+	if len(p.units) <= maxQuickUnits {
+		p.prove(service)
 		return
 	}
+	p.proveUnmet(service)
+}
+
+func (p *Planner) rearrange(service int32) {
 	best, fewest := p.idleReservations(service), len(p.services[service].unmet)
 	for _, order := range provingOrders {
 		p.unreserveAll(service)
--- a/core/anvilplan/planner.go
+++ b/core/anvilplan/planner.go
@@ -190,6 +190,7 @@
 	// then frees the accelerators that they still hold.
 	Gangs []anvilid.JobID
 	// Unmet lists all guarantees of the service that can't be proved now.
+	// If there are many guarantees, Repair may still prove some of them.
 	Unmet []Unmet
 }
 
@@ -307,7 +308,7 @@
 
 // Cordon keeps new gangs off a target. Gangs that run there continue, and
 // reservations there move. It returns the guarantees of the service that
-// can't be proved.
+// can't be proved, see Loss.Unmet.
 func (p *Planner) Cordon(id anvilid.TargetID) []Unmet {
 	number, known := p.targetByID[id]
 	if !known {
@@ -321,7 +322,7 @@
 		}
 	}
 	p.refresh(number)
-	p.prove(service)
+	p.proveQuickly(service)
 	return p.unmetOf(service)
 }
 
@@ -344,7 +345,7 @@
 	r.targets = slices.DeleteFunc(r.targets, func(t int32) bool { return t == number })
 	delete(p.targetByID, id)
 	p.freeTargets = append(p.freeTargets, number)
-	p.prove(service)
+	p.proveQuickly(service)
 	loss.Unmet = p.unmetOf(service)
 	return loss
 }
--- a/core/anvilplan/restore.go
+++ b/core/anvilplan/restore.go
@@ -92,7 +92,8 @@
 }
 
 // Repair tries again to prove the guarantees that are unmet, and returns
-// those that remain so.
+// those that remain so. It may arrange all idle reservations anew, which
+// takes far longer than other calls.
 func (p *Planner) Repair() []Unmet {
 	var unmet []Unmet
 	for service := range p.services {
