--- a/io/anvilfleet/caller.go
+++ b/io/anvilfleet/caller.go
@@ -50,26 +50,26 @@
 
 // caller makes the calls to one target under one epoch.
 type caller struct {
-	address anvilid.Address
-	epoch   anvilid.Epoch
-	client  *http.Client
+	address   anvilid.Address
+	epoch     anvilid.Epoch
+	transport *http.Transport
 }
 
 func newCaller(target anvilstate.Target) *caller {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &caller{
 		address: target.Address, epoch: target.Epoch,
-		client: &http.Client{Transport: &http.Transport{
+		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxConnsPerHost:     int(anvilslot.OwnerConnections),
 			MaxIdleConnsPerHost: int(anvilslot.OwnerConnections),
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		}},
+		},
 	}
 }
 
-func (c *caller) close() { c.client.CloseIdleConnections() }
+func (c *caller) close() { c.transport.CloseIdleConnections() }
 
 func (c *caller) url(path string) string { return "http://" + string(c.address) + path }
 
@@ -99,7 +99,7 @@
 		return eris.Wrap(err, "build call")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.client.Do(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		return eris.Wrapf(err, "call %s", path)
 	}
@@ -144,7 +144,9 @@
 	if request.ContentType != "" {
 		call.Header["Content-Type"] = []string{request.ContentType}
 	}
-	response, err := c.client.Do(call)
+	// The transport is called without a client, because a redirect is an
+	// answer for the caller and must not be followed.
+	response, err := c.transport.RoundTrip(call)
 	if err != nil {
 		if !connected {
 			return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errNotSent, err)
