Add the operator's path for a lost majority; bound long requests by slots

The queues learn the slots of their service, so that long requests may hold a quarter of all slots and not of those in use. A stale lease clears the probe mark of its target only if it was the probe.

--- a/io/anvilcmd/anvilinstancecmd/instance.go
+++ b/io/anvilcmd/anvilinstancecmd/instance.go
@@ -11,9 +11,9 @@
 func New(factory *anvilfactory.Factory) *ff.Command {
 	return &ff.Command{
 		Name:        "instance",
-		Usage:       "anvilshunt instance <list|view> ...",
-		ShortHelp:   "list and view instances",
-		Subcommands: []*ff.Command{newList(factory), newView(factory)},
+		Usage:       "anvilshunt instance <list|view|recover> ...",
+		ShortHelp:   "list and view instances, recover a lost majority",
+		Subcommands: []*ff.Command{newList(factory), newView(factory), newRecover(factory)},
 	}
 }
 
--- a/io/anvilcmd/arrange.go
+++ b/io/anvilcmd/arrange.go
@@ -7,7 +7,7 @@
 )
 
 // switches are the flags without a value.
-var switches = map[string]bool{"json": true, "help": true, "h": true}
+var switches = map[string]bool{"json": true, "accept-loss": true, "help": true, "h": true}
 
 // arrange moves flags that follow arguments before them, because the flag
 // library stops at the first argument.
--- a/io/anvildesk/desk.go
+++ b/io/anvildesk/desk.go
@@ -52,9 +52,12 @@
 
 // Runner is what the desk asks of the fleet.
 type Runner struct {
-	Acquire  func(anvilid.ServiceName) (anvilslot.Lease, bool)
-	Probe    func(anvilslot.Lease, anvilid.ServiceName) anvilslot.Lease
-	Release  func(anvilslot.Lease)
+	Acquire func(anvilid.ServiceName) (anvilslot.Lease, bool)
+	Probe   func(anvilslot.Lease, anvilid.ServiceName) anvilslot.Lease
+	Release func(anvilslot.Lease)
+	// Loads tells the slots of each service, which bound the share of long
+	// requests.
+	Loads    func() []anvilslot.Load
 	Dispatch func(context.Context, anvilslot.Lease, *anvilrequest.Request, anvilid.Token) anvilrequest.Answer
 }
 
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -273,11 +273,22 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			d.setSlots()
 			d.Resume()
 		}
 	}
 }
 
+// setSlots tells the queues how many slots their services have here.
+func (d *Desk) setSlots() {
+	loads := d.runner.Loads()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, load := range loads {
+		d.service(load.Service).queue.SetSlots(int(load.Slots))
+	}
+}
+
 // Resume grants slots after the instance has regained its lease.
 func (d *Desk) Resume() {
 	for name := range d.Queued() {
--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -50,6 +50,7 @@
 	ledger  *anvilslot.Ledger
 	judge   *anvilhealth.Judge
 	targets map[anvilid.TargetID]*owned
+	probes  map[anvilid.TargetID]anvilslot.Lease
 	counts  Counts
 }
 
@@ -104,6 +105,7 @@
 			return anvilstate.Result{}, nil
 		},
 		ledger: anvilslot.New(), judge: anvilhealth.New(seed), targets: map[anvilid.TargetID]*owned{},
+		probes: map[anvilid.TargetID]anvilslot.Lease{},
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/io/anvilfleet/run.go
+++ b/io/anvilfleet/run.go
@@ -35,6 +35,7 @@
 		if ok && known.state.Service == service {
 			if probe, ok := f.ledger.AcquireOn(now, id); ok {
 				f.ledger.Release(now, lease)
+				f.probes[id] = probe
 				lease, service = probe, ""
 				continue
 			}
@@ -77,7 +78,10 @@
 	if !ok || !f.leased() || !f.ledger.Valid(now, lease) {
 		f.counts.StaleBefore++
 		f.ledger.Release(now, lease)
-		f.judge.Unprobed(lease.Target)
+		if f.probes[lease.Target] == lease {
+			f.judge.Unprobed(lease.Target)
+			delete(f.probes, lease.Target)
+		}
 		return nil, false
 	}
 	f.counts.Dispatched++
@@ -86,6 +90,9 @@
 
 func (f *Fleet) finish(lease anvilslot.Lease, service anvilid.ServiceName, answer anvilrequest.Answer, err error, now anvilclock.Millis) {
 	f.mu.Lock()
+	if f.probes[lease.Target] == lease {
+		delete(f.probes, lease.Target)
+	}
 	before := f.judge.State(lease.Target)
 	if f.judge.Record(now, lease.Target, judged(answer, err)) {
 		f.limit(lease.Target)
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -120,6 +120,7 @@
 	}
 	runner := anvildesk.Runner{
 		Acquire: s.fleet.Acquire, Probe: s.fleet.Probe, Release: s.fleet.Release, Dispatch: s.fleet.Dispatch,
+		Loads: s.fleet.Loads,
 	}
 	return anvildesk.New(self, s.clock, s.log, s.directory(), runner,
 		anvildesk.WithPropose(s.client.Propose),
