Let the keeper's oldest ids make room; test lost majority and ejection

A keeper noted ids as in flight for an hour and refused new ones when 200,000 were noted, which 56 requests a second reach; after that ids were not recorded at all. They are noted as ended at once now, so the oldest make room, and the message that took a record back is gone. New tests: two of three voters lose their disks and the group is recovered from the third; a target that fails at once is ejected, gets only probes and returns.

--- a/io/anvildesk/keeper.go
+++ b/io/anvildesk/keeper.go
@@ -31,7 +31,7 @@
 		}
 		return d.hold(ctx, request, 0)
 	}
-	keeper, reply := d.recordAtKeeper(ctx, request)
+	reply := d.recordAtKeeper(ctx, request)
 	switch reply.State {
 	case anvilrpc.RecordState_RECORD_CONFLICT:
 		return reused(request.ID)
@@ -42,15 +42,11 @@
 			}
 		}
 	}
-	answer := d.hold(ctx, request, 0)
-	if answer.Outcome == anvilrequest.NotRun && reply.State == anvilrpc.RecordState_RECORD_NEW {
-		d.forgetAtKeeper(keeper, request)
-	}
-	return answer
+	return d.hold(ctx, request, 0)
 }
 
 // recordAtKeeper notes the request at the first keeper that answers.
-func (d *Desk) recordAtKeeper(ctx context.Context, request *anvilrequest.Request) (anvilid.Address, *anvilrpc.RecordReply) {
+func (d *Desk) recordAtKeeper(ctx context.Context, request *anvilrequest.Request) *anvilrpc.RecordReply {
 	digest := digestOf(request)
 	record := &anvilrpc.RecordRequest{
 		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID), Digest: digest[:],
@@ -59,35 +55,16 @@
 	keepers := d.keepers(keyOf(request))
 	for _, keeper := range keepers[:min(len(keepers), keepersTried)] {
 		if keeper.ID == d.self.Instance {
-			return "", d.Record(record)
+			return d.Record(record)
 		}
 		call, cancel := context.WithTimeout(ctx, recordTimeout.Duration())
 		reply, err := d.record(keeper.Peer).Record(call, record)
 		cancel()
 		if err == nil {
-			return keeper.Peer, reply
+			return reply
 		}
 	}
-	return "", &anvilrpc.RecordReply{}
-}
-
-// forgetAtKeeper tells the keeper that the request has not run. The answer
-// isn't awaited; a record that stays leads resends here, where the request is
-// not held and may run.
-func (d *Desk) forgetAtKeeper(keeper anvilid.Address, request *anvilrequest.Request) {
-	record := &anvilrpc.RecordRequest{
-		Account: string(request.Account), Service: string(request.Service), Id: string(request.ID),
-		Holder: string(d.self.Instance), Incarnation: uint64(d.joined()), Forget: true,
-	}
-	if keeper == "" {
-		d.Record(record)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout.Duration())
-		defer cancel()
-		_, _ = d.record(keeper).Record(ctx, record)
-	}()
+	return &anvilrpc.RecordReply{}
 }
 
 // Record notes a request id that this instance keeps for the region.
@@ -101,10 +78,6 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if request.Forget {
-		d.kept.Forget(d.clock.Now(), key, holder)
-		return &anvilrpc.RecordReply{}
-	}
 	var digest anvildedup.Digest
 	copy(digest[:], request.Digest)
 	found := d.kept.Begin(d.clock.Now(), key, digest, holder)
@@ -112,6 +85,10 @@
 	switch found.State {
 	case anvildedup.New:
 		reply.State = anvilrpc.RecordState_RECORD_NEW
+		// The keeper only tells who holds the id. It is noted as ended at
+		// once, so that the oldest ids make room; a resend whose holder
+		// doesn't know it any more runs again, which is allowed.
+		d.kept.Complete(d.clock.Now(), key, holder, nil)
 	case anvildedup.Conflict:
 		reply.State = anvilrpc.RecordState_RECORD_CONFLICT
 	case anvildedup.Full:
--- a/io/anvilserver/fault_test.go
+++ b/io/anvilserver/fault_test.go
@@ -13,6 +13,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anviltarget"
+	"anvilshunt/io/anvilvoter"
 )
 
 // change returns a change set that sets the weight of an account.
@@ -458,3 +459,78 @@
 	}
 	assert.Equal(t, offered(), before)
 }
+
+// Guards against an operator's path that can't bring a group back after two of
+// three voters lost their disks, and against former voters that take part.
+func TestLostMajorityIsRecovered(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	for i := range 5 {
+		s.applyAnywhere(change(fmt.Sprint("c", i), i+1, i+2))
+	}
+	survivor := s.leader()
+	for _, name := range s.order {
+		s.kill(name)
+	}
+	for _, name := range s.others(survivor) {
+		assert.NilError(t, os.RemoveAll(s.instances[name].settings.Data))
+	}
+	assert.NilError(t, anvilvoter.ForceSoleVoter(anvilid.InstanceID(survivor), 77, s.instances[survivor].settings.Data))
+	for _, name := range s.order {
+		s.start(name)
+	}
+	s.eventually("all three are voters again", func() bool {
+		for _, name := range s.order {
+			status, ok := s.status(name)
+			if !ok || !status.Ready || !status.Voter.Vote || len(status.Voter.Voters) != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Equal(t, s.revision("i1"), 6)
+	assert.Equal(t, s.applyAnywhere(change("after", 6, 50)).Revision, 7)
+}
+
+// Guards against a target that fails everything at once and draws the work of
+// its service because it always looks idle.
+func TestFailingTargetIsEjected(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	for i := range 3 {
+		s.startTarget(fmt.Sprint("good", i), anviltarget.Settings{Region: "west", Zone: "zone-i1", Rack: "r1"})
+	}
+	s.eventually("targets are adopted", func() bool { return s.adopted(6) })
+	bad := s.targets["good0"]
+	s.setFaults(bad.Address(), `{"fail": true}`)
+	ejected := func() bool {
+		for _, name := range s.order {
+			status, ok := s.status(name)
+			for _, owned := range status.Owned {
+				if ok && string(owned.Target) == "good0" && owned.Health == "ejected" {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	s.eventually("the target is ejected", func() bool {
+		_, err := s.send(request{at: "i1", account: "agency", service: "planner", body: "x"})
+		assert.NilError(t, err)
+		return ejected()
+	})
+	// From now on it gets single probes only, at growing intervals from 1 s.
+	before := bad.Stats().Runs
+	for range 100 {
+		a, err := s.send(request{at: "i1", account: "agency", service: "planner", body: "x"})
+		assert.NilError(t, err)
+		assert.Equal(t, a.status, 200)
+	}
+	assert.Assert(t, bad.Stats().Runs-before <= 5, "an ejected target ran %d of 100 requests", bad.Stats().Runs-before)
+	s.setFaults(bad.Address(), `{}`)
+	s.eventually("the target is back after probes", func() bool {
+		_, err := s.send(request{at: "i1", account: "agency", service: "planner", body: "x"})
+		assert.NilError(t, err)
+		return !ejected()
+	})
+}
