--- /dev/null
+++ b/core/anvilview/view_test.go
@@ -0,0 +1,60 @@
+package anvilview_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/core/anvilview"
+)
+
+func account(revision anvilid.Revision, weight int) anvilconfig.Object {
+	return anvilconfig.Object{
+		Key:      anvilconfig.Key{Kind: anvilconfig.KindAccount, Name: "agency"},
+		Account:  &anvilconfig.Account{Weight: weight},
+		Revision: revision,
+	}
+}
+
+// Guards against a late message that puts an older configuration in force.
+func TestLateDeltaChangesNothing(t *testing.T) {
+	view := anvilview.New()
+	view.Apply(&anvilstate.Delta{Whole: true, Index: 5, Revision: 1, Objects: []anvilconfig.Object{account(1, 1)}})
+	view.Apply(&anvilstate.Delta{Index: 9, Revision: 2, Objects: []anvilconfig.Object{account(2, 7)}})
+	for _, late := range []anvilstate.Delta{
+		{Index: 7, Revision: 1, Objects: []anvilconfig.Object{account(1, 1)}},
+		{Whole: true, Index: 5, Revision: 1},
+	} {
+		view.Apply(&late)
+		assert.Equal(t, view.Index, anvilid.Index(9))
+		assert.Equal(t, view.Config.Revision, anvilid.Revision(2))
+		assert.Equal(t, view.Config.Account("agency").Weight, 7)
+	}
+}
+
+// Guards against objects that outlive a whole view and against readers whose
+// snapshot changes under them.
+func TestWholeViewReplacesEverything(t *testing.T) {
+	view := anvilview.New()
+	view.Apply(&anvilstate.Delta{
+		Whole: true, Index: 5, Revision: 1, Objects: []anvilconfig.Object{account(1, 1)},
+		Instances: []anvilstate.Instance{{ID: "i1", Incarnation: 1}, {ID: "i2", Incarnation: 1}},
+		Targets:   []anvilstate.Target{{ID: "t1", Service: "planner", Region: "west"}, {ID: "t2", Service: "planner", Region: "west"}},
+	})
+	before := view.Config
+	changes := view.Apply(&anvilstate.Delta{
+		Whole: true, Index: 8, Revision: 2,
+		Instances: []anvilstate.Instance{{ID: "i1", Incarnation: 2}},
+		Targets:   []anvilstate.Target{{ID: "t2", Service: "planner", Region: "west"}},
+	})
+	assert.DeepEqual(t, changes.TargetsGone, []anvilid.TargetID{"t1"})
+	assert.Equal(t, len(changes.InstancesGone), 2, "the former run of i1 and i2")
+	assert.Assert(t, view.Config.Account("agency") == nil)
+	assert.Assert(t, before.Account("agency") != nil)
+	assert.Assert(t, view.Local("planner", "west") && view.Served("planner"))
+	view.Apply(&anvilstate.Delta{Index: 9, Revision: 2, TargetsGone: []anvilid.TargetID{"t2"}})
+	assert.Assert(t, !view.Served("planner"))
+}
--- /dev/null
+++ b/io/anvildesk/keeper_test.go
@@ -0,0 +1,49 @@
+package anvildesk_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvildesk"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+)
+
+func newKeeper(ids int) *anvildesk.Desk {
+	clock := &anvilclock.Manual{}
+	directory := anvildesk.Directory{Instances: func() []anvilstate.Instance { return nil }}
+	return anvildesk.New(anvildesk.Self{Instance: "i1", Incarnation: 1}, clock.Clock(), anvillogs.Discard(),
+		directory, anvildesk.Runner{}, anvildesk.WithLimits(anvildesk.Limits{IDs: ids}))
+}
+
+func record(id, content, holder string) *anvilrpc.RecordRequest {
+	return &anvilrpc.RecordRequest{
+		Account: "agency", Service: "planner", Id: id, Digest: []byte(content), Holder: holder, Incarnation: 1,
+	}
+}
+
+// Guards against a keeper that stops recording ids once its table is full.
+func TestKeeperMakesRoomForNewIDs(t *testing.T) {
+	keeper := newKeeper(10)
+	for i := range 100 {
+		reply := keeper.Record(record(fmt.Sprint("r-", i), "x", "i2"))
+		assert.Equal(t, reply.State, anvilrpc.RecordState_RECORD_NEW)
+	}
+	assert.Equal(t, keeper.Record(record("r-99", "x", "i3")).State, anvilrpc.RecordState_RECORD_HELD)
+}
+
+// Guards against a keeper that names the wrong holder or misses other content
+// under a known id.
+func TestKeeperKnowsHolderAndContent(t *testing.T) {
+	keeper := newKeeper(10)
+	keeper.Record(record("r-1", "x", "i2"))
+	reply := keeper.Record(record("r-1", "x", "i3"))
+	assert.Equal(t, reply.State, anvilrpc.RecordState_RECORD_HELD)
+	assert.Equal(t, anvilid.InstanceID(reply.Holder), anvilid.InstanceID("i2"))
+	assert.Equal(t, keeper.Record(record("r-1", "y", "i3")).State, anvilrpc.RecordState_RECORD_CONFLICT)
+}
