Pass renewals on through another voter when the way to the leader is broken

An instance whose link to the leader alone failed lost its lease and targets although it reached the other voters. After a call that no voter answered, the client asks voters for 5 s to pass its calls on once.

--- a/io/anvilcontrol/client.go
+++ b/io/anvilcontrol/client.go
@@ -26,6 +26,10 @@
 // next voter is tried.
 const callTimeout = 500 * time.Millisecond
 
+// After a call that no voter answered, other voters are asked to pass calls on
+// for this time. Then the direct way is tried again.
+const relaySpan = 5 * time.Second
+
 // A change is in force everywhere after one lease at the latest, so a call
 // that waits for this and takes longer speaks to a lost leader.
 const everywhereTimeout = 3 * time.Second
@@ -38,6 +42,9 @@
 	mu     sync.Mutex
 	leader anvilid.Address
 	next   int
+	// relayUntil is set while the leader can't be reached directly, although
+	// other voters name it.
+	relayUntil time.Time
 }
 
 // NewClient returns a client of the group with the given voters.
@@ -70,18 +77,32 @@
 		c.leader = ""
 	}
 	var failure twirp.Error
-	if errors.As(err, &failure) && failure.Meta(metaLeader) != "" {
+	if !errors.As(err, &failure) || failure.Meta(metaReason) == "" {
+		// No voter answered. If it was the leader, only the way to it may
+		// be broken.
+		c.relayUntil = time.Now().Add(relaySpan)
+		return true
+	}
+	if failure.Meta(metaLeader) != "" && !time.Now().Before(c.relayUntil) {
 		c.leader = anvilid.Address(failure.Meta(metaLeader))
 		return c.leader == address
 	}
 	return true
 }
 
+// relays tells whether calls should be passed on by voters that don't lead.
+func (c *Client) relays() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.relayUntil)
+}
+
 // Renew renews a lease once, at the supposed leader.
 func (c *Client) Renew(ctx context.Context, request *anvilrpc.RenewRequest, hold anvilclock.Millis) (*anvilrpc.RenewReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold.Duration()+callTimeout)
 	defer cancel()
 	address := c.pick()
+	request.Relay = c.relays()
 	reply, err := c.dial(address).Renew(ctx, request)
 	if c.learn(address, err) {
 		sleep(ctx, retryPause)
@@ -136,6 +157,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	request.Relay = c.relays()
 	return c.dial(address).Propose(ctx, request)
 }
 
--- a/io/anvilcontrol/query.go
+++ b/io/anvilcontrol/query.go
@@ -27,8 +27,12 @@
 
 // Query reads state that views don't hold. The leader has a quorum, so that
 // the answer isn't older than the call.
-func (s *Service) Query(_ context.Context, request *anvilrpc.QueryRequest) (*anvilrpc.QueryReply, error) {
+func (s *Service) Query(ctx context.Context, request *anvilrpc.QueryRequest) (*anvilrpc.QueryReply, error) {
 	if err := s.leading(); err != nil {
+		if leader := s.relayTo(request.Relay); leader != nil {
+			request.Relay = false
+			return leader.Query(ctx, request)
+		}
 		return nil, err
 	}
 	var result any
@@ -98,5 +102,6 @@
 func (c *Client) query(ctx context.Context, address anvilid.Address, request *anvilrpc.QueryRequest) (*anvilrpc.QueryReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	request.Relay = c.relays()
 	return c.dial(address).Query(ctx, request)
 }
--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -64,6 +64,8 @@
 	Barrier func(ctx context.Context) error
 	// Address finds the peer address of a voter.
 	Address func(anvilid.InstanceID) anvilid.Address
+	// Dial returns a client of another voter, to pass calls on.
+	Dial func(anvilid.Address) anvilrpc.Control
 	// Formed tells whether enough of the initial voters are enrolled. Until
 	// then the loss of one disk could lose an accepted change.
 	Formed func() bool
@@ -118,9 +120,23 @@
 // Leading tells whether this voter leads and has taken up its term.
 func (s *Service) Leading() bool { return s.leading() == nil }
 
+// relayTo returns the leader for a call that its sender can't bring there
+// itself. A call is passed on once at most.
+func (s *Service) relayTo(relay bool) anvilrpc.Control {
+	status := s.group.Status()
+	if !relay || status.Leading || status.Leader == "" {
+		return nil
+	}
+	return s.group.Dial(s.group.Address(status.Leader))
+}
+
 // Renew extends the lease of an instance and tells it what has changed.
 func (s *Service) Renew(ctx context.Context, request *anvilrpc.RenewRequest) (*anvilrpc.RenewReply, error) {
 	if err := s.leading(); err != nil {
+		if leader := s.relayTo(request.Relay); leader != nil {
+			request.Relay = false
+			return leader.Renew(ctx, request)
+		}
 		return nil, err
 	}
 	session := anvillease.Session{
@@ -187,6 +203,10 @@
 // Propose commits one command.
 func (s *Service) Propose(ctx context.Context, request *anvilrpc.ProposeRequest) (*anvilrpc.ProposeReply, error) {
 	if err := s.leading(); err != nil {
+		if leader := s.relayTo(request.Relay); leader != nil {
+			request.Relay = false
+			return leader.Propose(ctx, request)
+		}
 		return nil, err
 	}
 	if err := s.admit(request.Command); err != nil {
--- a/io/anvilserver/fault_test.go
+++ b/io/anvilserver/fault_test.go
@@ -534,3 +534,24 @@
 		return !ejected()
 	})
 }
+
+// Guards against an instance that is taken for lost because the link between
+// it and the leader alone is broken.
+func TestOneBrokenLinkCostsNoLease(t *testing.T) {
+	t.Parallel()
+	s := three(t)
+	leader := s.leader()
+	name := s.others(leader)[0]
+	before, ok := s.status(name)
+	assert.Assert(t, ok)
+	s.instances[name].network.block(s.instances[leader].settings.Peer)
+	_, result := s.apply(leader, change("c1", 1, 5))
+	assert.Assert(t, result.Everywhere)
+	s.eventually("it learns of the change and is ready", func() bool { return s.revision(name) == 2 && s.ready(name) })
+	a, err := s.send(request{at: name, account: "agency", service: "planner", id: "n-1", repeatable: "no", body: "x"})
+	assert.NilError(t, err)
+	assert.Equal(t, a.outcome, "done", a.code)
+	after, ok := s.status(name)
+	assert.Assert(t, ok)
+	assert.Equal(t, after.Incarnation, before.Incarnation, "its session was ended")
+}
--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -60,10 +60,22 @@
 	open  map[net.Conn]bool
 	cut   atomic.Bool
 	latch net.Dialer
+	// blocked is an address that can't be reached from here.
+	blocked atomic.Value
+}
+
+// block breaks the way to one address.
+func (n *network) block(address anvilid.Address) {
+	n.blocked.Store(string(address))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.open {
+		_ = conn.Close()
+	}
 }
 
 func (n *network) dial(ctx context.Context, kind, address string) (net.Conn, error) {
-	if n.cut.Load() {
+	if blocked, _ := n.blocked.Load().(string); n.cut.Load() || blocked == address {
 		return nil, errCut
 	}
 	conn, err := n.latch.DialContext(ctx, kind, address)
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -76,6 +76,7 @@
 		Barrier: v.node.Barrier,
 		Address: v.server.voterAddress,
 		Formed:  v.formed,
+		Dial:    v.server.links.ControlAt,
 		Reason:  func(id anvilid.JobID) string { return v.driver.Reason(id) },
 		Members: func() anvilraft.Members { return v.node.Status().Members },
 		Change:  v.node.ChangeVoters,
