Exit with the usage code for every wrong flag

Only unknown flags had exit code 2; a value that can't be parsed or is missing exited with 1, so a script would repeat the command. All errors of parsing are usage errors now.

--- a/io/anvilcmd/root.go
+++ b/io/anvilcmd/root.go
@@ -40,16 +40,19 @@
 			anvilstatuscmd.NewVersion(factory),
 		},
 	}
-	err := root.ParseAndRun(ctx, arrange(root, args))
+	err := root.Parse(arrange(root, args))
 	switch {
 	case errors.Is(err, ff.ErrHelp):
 		fmt.Fprint(factory.Streams.Out, ffhelp.Command(root.GetSelected()))
 		return anvilfactory.ExitOK
-	case errors.Is(err, ff.ErrNoExec):
+	case err != nil:
+		err = anvilfactory.Usage("%w; list the flags with --help", err)
+	default:
+		err = root.Run(ctx)
+	}
+	if errors.Is(err, ff.ErrNoExec) {
 		fmt.Fprint(factory.Streams.Err, ffhelp.Command(root.GetSelected()))
 		return anvilfactory.ExitUsage
-	case errors.Is(err, ff.ErrUnknownFlag):
-		err = anvilfactory.Usage("%w; list the flags with --help", err)
 	}
 	if err != nil {
 		fmt.Fprintf(factory.Streams.Err, "anvilshunt: %v\n", err)
