--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -14,6 +14,7 @@
 	"anvilshunt/core/anvillease"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
 )
@@ -283,16 +284,7 @@
 // Run takes up leadership when this voter is elected, and expires sessions
 // while it leads.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(expiryPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.lead(ctx)
-		}
-	}
+	return anvilduty.Every(ctx, expiryPeriod, s.lead)
 }
 
 func (s *Service) lead(ctx context.Context) {
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -12,6 +12,7 @@
 	"anvilshunt/core/anvilrequest"
 	"anvilshunt/core/anvilretry"
 	"anvilshunt/core/anvilslot"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvilrpc"
 )
 
@@ -264,19 +265,12 @@
 // Freed grants slots that became free.
 func (d *Desk) Freed(name anvilid.ServiceName) { d.pump(name) }
 
-// RunDuty offers waiting requests to peers until ctx ends.
-func (d *Desk) RunDuty(ctx context.Context) error {
-	ticker := time.NewTicker(pumpPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.setSlots()
-			d.Resume()
-		}
-	}
+// Serve offers waiting requests to own targets and peers until ctx ends.
+func (d *Desk) Serve(ctx context.Context) error {
+	return anvilduty.Every(ctx, pumpPeriod, func(context.Context) {
+		d.setSlots()
+		d.Resume()
+	})
 }
 
 // setSlots tells the queues how many slots their services have here.
--- /dev/null
+++ b/io/anvilduty/duty.go
@@ -0,0 +1,22 @@
+// Package anvilduty runs the duties of a daemon.
+package anvilduty
+
+import (
+	"context"
+	"time"
+)
+
+// Every calls do once a period until ctx ends. A call that takes longer than
+// the period delays the next one.
+func Every(ctx context.Context, period time.Duration, do func(context.Context)) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			do(ctx)
+		}
+	}
+}
--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -15,6 +15,7 @@
 	"anvilshunt/core/anvilreport"
 	"anvilshunt/core/anvilslot"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -232,16 +233,7 @@
 
 // Run tends the owned targets until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tendPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f.tend(ctx)
-		}
-	}
+	return anvilduty.Every(ctx, tendPeriod, f.tend)
 }
 
 func (f *Fleet) tend(ctx context.Context) {
--- a/io/anvilgang/driver.go
+++ b/io/anvilgang/driver.go
@@ -14,6 +14,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -79,18 +80,11 @@
 
 // Run drives gangs until ctx ends.
 func (d *Driver) Run(ctx context.Context) error {
-	ticker := time.NewTicker(drivePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if d.leader.Leading() {
-				d.step(ctx)
-			}
+	return anvilduty.Every(ctx, drivePeriod, func(ctx context.Context) {
+		if d.leader.Leading() {
+			d.step(ctx)
 		}
-	}
+	})
 }
 
 func (d *Driver) step(ctx context.Context) {
--- a/io/anvilgang/owner.go
+++ b/io/anvilgang/owner.go
@@ -15,6 +15,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilreport"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -189,16 +190,7 @@
 
 // Run renews the members until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tendPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			o.tend(ctx)
-		}
-	}
+	return anvilduty.Every(ctx, tendPeriod, o.tend)
 }
 
 func (o *Owner) tend(ctx context.Context) {
--- a/io/anvilserver/renew.go
+++ b/io/anvilserver/renew.go
@@ -9,6 +9,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
 )
@@ -120,20 +121,13 @@
 
 // watch notes when the lease is gained and when it lapses.
 func (s *Server) watch(ctx context.Context) error {
-	ticker := time.NewTicker(watchPeriod)
-	defer ticker.Stop()
 	held := false
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return anvilduty.Every(ctx, watchPeriod, func(context.Context) {
 		if now := s.isLeased(); now != held {
 			held = now
 			s.leaseChanged(held)
 		}
-	}
+	})
 }
 
 func (s *Server) leaseChanged(held bool) {
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -60,7 +60,7 @@
 		{"renew", s.renew},
 		{"watch", s.watch},
 		{"fleet", s.fleet.Run},
-		{"desk", s.desk.RunDuty},
+		{"desk", s.desk.Serve},
 		{"gang members", s.owner.Run},
 		{"public", s.serve(public, s.publicHandler())},
 		{"peer", s.serve(peer, s.peerHandler())},
