Wait for all three voters before a test takes one away

TestLeaderLossKeepsChanges and TestHolderDiesDuringRun failed once: the third voter had not been enrolled when the leader was killed, and two voters can't lose one. The log of a failing run shows 'voter is not enrolled yet' until the end. The harness now waits for three voters; two runs with the race detector pass.

--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -380,7 +380,15 @@
 	for _, name := range s.order {
 		s.start(name)
 	}
-	s.eventually("all instances are ready", func() bool { return s.ready("i1") && s.ready("i2") && s.ready("i3") })
+	s.eventually("all instances are ready and voters", func() bool {
+		for _, name := range s.order {
+			status, ok := s.status(name)
+			if !ok || !status.Ready || !status.Voter.Vote || len(status.Voter.Voters) != 3 {
+				return false
+			}
+		}
+		return true
+	})
 	for _, name := range s.order {
 		zone := s.instances[name].settings.Zone
 		s.startTarget("t-"+name, anviltarget.Settings{Region: "west", Zone: zone, Rack: "r1"})
