--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -48,8 +48,12 @@
 			assert.NilError(t, err)
 			change, problems := anvilconfig.ParseChange(standard)
 			assert.Equal(t, len(problems), 0, "%v", problems)
-			if change.ID == "" {
-				change.ID, change.Operator = "tour", "tour" // `config apply` adds them
+			// `config apply` adds these. A file with a fixed id couldn't be applied
+			// again after a refusal, because the result is recorded for the id.
+			assert.Equal(t, change.ID, anvilid.ChangeID(""))
+			change.ID = "example"
+			if change.Operator == "" {
+				change.Operator = "ada"
 			}
 			accounts := 0
 			for _, object := range change.Set {
