Add process tests under real signals

Instances had only been tested inside one process, where a kill is a cancelled context and a freeze can't be made.

--- /dev/null
+++ b/cmd/anvilshunt/main_test.go
@@ -0,0 +1,438 @@
+//go:build linux
+
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvilsettings"
+	"anvilshunt/io/anviltarget"
+)
+
+// patience bounds waits for a condition. It is far above what any condition
+// needs, so that a busy machine doesn't fail a test.
+const patience = 60 * time.Second
+
+// program is the binary that TestMain builds.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "anvilshunt-process")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "anvilshunt")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// system is a set of instances in processes of their own, and stand-in
+// targets in the process of the test.
+type system struct {
+	t         *testing.T
+	dir       string
+	processes map[string]*process
+	order     []string
+	targets   map[string]*anviltarget.Target
+	client    *http.Client
+}
+
+// process is one run of `anvilshunt serve`.
+type process struct {
+	settings anvilsettings.Settings
+	file     string
+	log      string
+	command  *exec.Cmd // nil while it is down
+	ended    chan struct{}
+	code     int
+}
+
+// nextPort counts through ports below those that the kernel gives to outgoing
+// connections, so that a restarted instance finds its port free.
+var nextPort atomic.Int32
+
+func freeAddress(t *testing.T) anvilid.Address {
+	t.Helper()
+	const first, count = 20_000, 12_000
+	for range count {
+		port := first + (os.Getpid()*61+int(nextPort.Add(1)))%count
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return anvilid.Address(l.Addr().String())
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// baseConfig is the configuration that every session starts from.
+const baseConfig = `{"id": "base", "operator": "ada", "base": 0, "set": [
+ {"kind": "account", "name": "agency", "spec": {"weight": 3}},
+ {"kind": "account", "name": "clubs", "spec": {"weight": 1}},
+ {"kind": "service", "name": "planner", "spec": {"timeout": 30000, "body": 1000, "repeatable": true}}]}`
+
+// three starts three voters with a target each and the base configuration.
+func three(t *testing.T, target anviltarget.Settings) *system {
+	t.Helper()
+	t.Parallel()
+	s := &system{
+		t: t, dir: t.TempDir(), processes: map[string]*process{}, order: []string{"i1", "i2", "i3"},
+		targets: map[string]*anviltarget.Target{},
+		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	t.Cleanup(s.close)
+	s.plan()
+	for _, name := range s.order {
+		s.start(name)
+	}
+	s.eventually("all instances are ready", func() bool { return s.ready(s.order...) })
+	for _, name := range s.order {
+		s.startTarget("t-"+name, name, target)
+	}
+	s.publish("i1", baseConfig)
+	s.eventually("all targets are adopted", func() bool { return s.adopted(3) })
+	return s
+}
+
+func (s *system) plan() {
+	var peers []anvilsettings.Peer
+	for _, name := range s.order {
+		settings := anvilsettings.Defaults()
+		settings.Instance, settings.Region, settings.Zone = anvilid.InstanceID(name), "west", anvilid.ZoneName("zone-"+name)
+		settings.Public, settings.Peer = freeAddress(s.t), freeAddress(s.t)
+		settings.Data = filepath.Join(s.dir, "data-"+name)
+		s.processes[name] = &process{
+			settings: settings, file: filepath.Join(s.dir, name+".jsonc"), log: filepath.Join(s.dir, name+".log"),
+		}
+		peers = append(peers, anvilsettings.Peer{Instance: settings.Instance, Address: settings.Peer, Region: "west", Voter: true})
+	}
+	for _, name := range s.order {
+		p := s.processes[name]
+		p.settings.Peers = peers
+		data, err := json.MarshalIndent(p.settings, "", " ")
+		assert.NilError(s.t, err)
+		assert.NilError(s.t, os.WriteFile(p.file, data, 0o600))
+	}
+}
+
+func (s *system) start(name string) {
+	s.t.Helper()
+	p := s.processes[name]
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(s.t, err)
+	defer log.Close()
+	command := exec.Command(program, "serve", "--config", p.file)
+	command.Stderr = log
+	// The kernel ends the instance if the test process dies without cleaning up.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(s.t, command.Start())
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
+	go func() {
+		defer close(ended)
+		_ = command.Wait()
+		p.code = command.ProcessState.ExitCode()
+	}()
+}
+
+// signal sends a signal to the process of an instance, by its id.
+func (s *system) signal(name string, signal syscall.Signal) {
+	s.t.Helper()
+	assert.NilError(s.t, s.processes[name].command.Process.Signal(signal))
+}
+
+// exit waits for the end of a process and returns its exit code.
+func (s *system) exit(name string) int {
+	s.t.Helper()
+	p := s.processes[name]
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		s.t.Fatalf("instance %s did not end", name)
+	}
+	p.command = nil
+	return p.code
+}
+
+func (s *system) kill(names ...string) {
+	s.t.Helper()
+	for _, name := range names {
+		s.signal(name, syscall.SIGKILL)
+	}
+	for _, name := range names {
+		s.exit(name)
+	}
+}
+
+func (s *system) close() {
+	for _, p := range s.processes {
+		if p.command != nil {
+			_ = p.command.Process.Kill()
+			<-p.ended
+		}
+	}
+	for _, target := range s.targets {
+		target.Close()
+	}
+	if !s.t.Failed() {
+		return
+	}
+	for _, name := range s.order {
+		data, _ := os.ReadFile(s.processes[name].log)
+		s.t.Logf("end of the log of %s:\n%s", name, data[max(0, len(data)-2000):])
+	}
+}
+
+func (s *system) startTarget(name, zone string, settings anviltarget.Settings) {
+	s.t.Helper()
+	settings.Target, settings.Service, settings.Region = anvilid.TargetID(name), "planner", "west"
+	settings.Zone, settings.Rack, settings.Interval = anvilid.ZoneName("zone-"+zone), "r1", 100
+	for _, instance := range s.order {
+		settings.Instances = append(settings.Instances, s.processes[instance].settings.Public)
+	}
+	target, err := anviltarget.Start(settings)
+	assert.NilError(s.t, err)
+	s.targets[name] = target
+}
+
+// eventually waits until a condition holds.
+func (s *system) eventually(what string, condition func() bool) {
+	s.t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	s.t.Fatalf("%s: not after %s", what, patience)
+}
+
+func (s *system) url(at, path string) string {
+	return "http://" + string(s.processes[at].settings.Public) + path
+}
+
+// call makes one call at an instance. Status 0 means that it got no answer.
+func (s *system) call(method, at, path, body string, into any) int {
+	// A stopped process accepts connections and doesn't answer.
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, s.url(at, path), bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if json.NewDecoder(response.Body).Decode(into) != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+func (s *system) status(name string) (status anvilhttp.Status, ok bool) {
+	return status, s.call(http.MethodGet, name, "/v1/status", "", &status) == http.StatusOK
+}
+
+func (s *system) ready(names ...string) bool {
+	for _, name := range names {
+		if status, ok := s.status(name); !ok || !status.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// leader returns the instance that leads the control group, and its term.
+func (s *system) leader() (leader string, term anvilid.Term) {
+	s.t.Helper()
+	s.eventually("an instance leads", func() bool {
+		for _, name := range s.order {
+			if s.processes[name].command == nil {
+				continue
+			}
+			if status, ok := s.status(name); ok && status.Voter.Leading && status.Voter.Quorum {
+				leader, term = name, status.Voter.Term
+				return true
+			}
+		}
+		return false
+	})
+	return leader, term
+}
+
+func (s *system) others(names ...string) (others []string) {
+	for _, other := range s.order {
+		listed := false
+		for _, name := range names {
+			listed = listed || name == other
+		}
+		if !listed {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// owner returns the instance of the given ones that has adopted a target.
+func (s *system) owner(target string, among ...string) string {
+	for _, name := range among {
+		status, _ := s.status(name)
+		for _, owned := range status.Owned {
+			if string(owned.Target) == target && owned.State == "adopted" {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// adopted tells whether this many targets are in use by their owners.
+func (s *system) adopted(count int, among ...string) bool {
+	if len(among) == 0 {
+		among = s.order
+	}
+	for i := range s.order[:count] {
+		if s.owner("t-"+s.order[i], among...) == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// applied is the answer to a published change.
+type applied struct {
+	Revision   int
+	Everywhere bool
+	Code       string
+}
+
+func (s *system) change(at, body string) (int, applied) {
+	var result applied
+	status := s.call(http.MethodPost, at, "/v1/config/changes?everywhere=yes", body, &result)
+	return status, result
+}
+
+// publish sends a change until it is in force everywhere.
+func (s *system) publish(at, body string) (result applied) {
+	s.t.Helper()
+	s.eventually("a change is in force everywhere", func() bool {
+		var status int
+		status, result = s.change(at, body)
+		return status == http.StatusOK && result.Everywhere
+	})
+	return result
+}
+
+// setAccount is a change set that adds an account.
+func setAccount(name string, base int) string {
+	return fmt.Sprintf(`{"id": "c-%s", "operator": "ada", "base": %d, "set": [{"kind": "account", "name": %q, "spec": {"weight": 1}}]}`, name, base, name)
+}
+
+// request is a short request of a caller.
+type request struct {
+	at, id, account, repeatable, timeout, work, body string
+}
+
+// answer is what a caller received. The outcome "lost" stands for a
+// connection that broke.
+type answer struct {
+	outcome, code, body string
+}
+
+const lost = "lost"
+
+func (s *system) send(r request) answer {
+	call, err := http.NewRequest(http.MethodPost, s.url(r.at, "/v1/services/planner/requests"), bytes.NewReader([]byte(r.body)))
+	if err != nil {
+		return answer{outcome: lost}
+	}
+	if r.account == "" {
+		r.account = "agency"
+	}
+	for name, value := range map[string]string{
+		"Anvilshunt-Account": r.account, "Anvilshunt-Request-Id": r.id, "Anvilshunt-Repeatable": r.repeatable,
+		"Anvilshunt-Timeout": r.timeout, "X-Emu-Time": r.work,
+	} {
+		if value != "" {
+			call.Header.Set(name, value)
+		}
+	}
+	response, err := s.client.Do(call)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return answer{outcome: "not-run", code: "refused"}
+	}
+	if err != nil {
+		return answer{outcome: lost}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{outcome: lost}
+	}
+	a := answer{outcome: response.Header.Get("Anvilshunt-Outcome"), body: string(body)}
+	if a.outcome != "done" {
+		var failure struct{ Code string }
+		_ = json.Unmarshal(body, &failure)
+		a.code, a.body = failure.Code, ""
+	}
+	return a
+}
+
+// ran counts how often the targets ran a request.
+func (s *system) ran(account, id string) int {
+	sum := 0
+	for _, target := range s.targets {
+		sum += target.Ran(anvilid.AccountID(account), anvilid.RequestID(id))
+	}
+	return sum
+}
+
+// running counts the requests that run on all targets.
+func (s *system) running() int {
+	sum := 0
+	for _, target := range s.targets {
+		sum += target.Stats().Running
+	}
+	return sum
+}
+
+// checkLimits checks that no target had more requests or connections than it
+// may have.
+func (s *system) checkLimits() {
+	s.t.Helper()
+	for name, target := range s.targets {
+		stats := target.Stats()
+		assert.Equal(s.t, stats.Slots.Violations, 0, "%s had %d requests at once", name, stats.Slots.Highest)
+		assert.Equal(s.t, stats.Connections.Violations, 0, "%s had %d connections", name, stats.Connections.Highest)
+	}
+}
