Stop an owner that has claimed and waiting requests

The test of a stopped owner only had requests that ran. It now fills all slots, so that others are claimed and wait, and compares every answer with what ran.

--- a/cmd/anvilshunt/main_test.go
+++ b/cmd/anvilshunt/main_test.go
@@ -394,12 +394,18 @@
 // answer is what a caller received. The outcome "lost" stands for a
 // connection that broke.
 type answer struct {
-	outcome, code, body string
+	id, outcome, code, body string
 }
 
 const lost = "lost"
 
 func (s *system) send(r request) answer {
+	a := s.exchange(r)
+	a.id = r.id
+	return a
+}
+
+func (s *system) exchange(r request) answer {
 	call, err := http.NewRequest(http.MethodPost, s.url(r.at, "/v1/services/planner/requests"), bytes.NewReader([]byte(r.body)))
 	if err != nil {
 		return answer{outcome: lost}
--- a/cmd/anvilshunt/process_test.go
+++ b/cmd/anvilshunt/process_test.go
@@ -186,8 +186,11 @@
 		}
 	}
 	assert.Assert(t, target != "", "%s owns no target", stopped)
-	early := s.waiting(stopped, 2, request{id: "early", work: "300", body: "early"})
-	s.eventually("two requests run", func() bool { return s.running() == 2 })
+	early := s.waiting(stopped, 40, request{id: "early", repeatable: "no", work: "400", timeout: "30000", body: "early"})
+	s.eventually("all slots are in use and requests wait", func() bool {
+		status, ok := s.status(stopped)
+		return ok && status.Admitted >= 30 && s.running() >= 20
+	})
 	s.signal(stopped, syscall.SIGSTOP)
 	others := s.others(stopped)
 	s.eventually("another instance has the target", func() bool { return s.owner(target, others...) != "" })
@@ -203,13 +206,17 @@
 		assert.Equal(t, a.outcome, "not-run", a.code)
 		assert.Equal(t, s.ran("agency", fmt.Sprint("woken-", i)), 0)
 	}
-	for range 2 {
+	for range 40 {
 		a := <-early
-		assert.Assert(t, a.outcome == "unknown" || a == answer{outcome: "done", body: "early"}, "%v", a)
+		runs := s.ran("agency", a.id)
+		assert.Assert(t, runs <= 1, "%v ran %d times", a, runs)
+		assert.Assert(t, a.outcome != "not-run" || runs == 0, "%v ran", a)
+		assert.Assert(t, a.outcome != "done" || runs == 1 && a.body == "early", "%v ran %d times", a, runs)
 	}
 	for _, answers := range fill {
 		for range 24 {
-			assert.Equal(t, <-answers, answer{outcome: "done", body: "fill"})
+			a := <-answers
+			assert.Equal(t, a.outcome+" "+a.body, "done fill", a.code)
 		}
 	}
 	s.checkLimits()
@@ -322,7 +329,8 @@
 		s.signal(name, syscall.SIGTERM)
 		for _, kind := range answers {
 			for range 18 {
-				assert.Equal(t, <-kind, answer{outcome: "done", body: "kept"})
+				a := <-kind
+				assert.Equal(t, a.outcome+" "+a.body, "done kept", a.code)
 			}
 		}
 		assert.Equal(t, s.exit(name), 0)
