Keep a request's place in the queue when its slot is gone

TestOwnerStopsUnderLoad (branch process) showed requests refused with 'full' long before their deadline: instances that all had waiting requests forwarded them to each other until the bound of 64 refusals. A popped request whose slot is gone now takes its place in the queue again until its deadline, with a pause after three refusals; the test passes.

--- a/core/anvilqueue/list.go
+++ b/core/anvilqueue/list.go
@@ -17,6 +17,17 @@
 	l.length++
 }
 
+func (l *list) pushFront(t *Ticket) {
+	t.prev, t.next = nil, l.front
+	if l.front != nil {
+		l.front.prev = t
+	} else {
+		l.back = t
+	}
+	l.front = t
+	l.length++
+}
+
 func (l *list) remove(t *Ticket) {
 	if t.prev != nil {
 		t.prev.next = t.next
--- a/core/anvilqueue/queue.go
+++ b/core/anvilqueue/queue.go
@@ -180,7 +180,24 @@
 	return t, Queued
 }
 
+// Requeue takes back a popped request that was not run, because the slot that
+// it was meant for was gone. It is the next of its account and class again.
+func (q *Queue) Requeue(now anvilclock.Millis, t *Ticket) {
+	if t.state != running {
+		return
+	}
+	q.running[t.class]--
+	t.kind.inflight--
+	q.charge(t, 0)
+	t.state = waiting
+	q.insert(now, t.account, t, (*list).pushFront)
+}
+
 func (q *Queue) enqueue(now anvilclock.Millis, a *account, t *Ticket) {
+	q.insert(now, a, t, (*list).pushBack)
+}
+
+func (q *Queue) insert(now anvilclock.Millis, a *account, t *Ticket, push func(*list, *Ticket)) {
 	if q.waiting[t.class] == 0 {
 		q.rates[t.class].backlog(now)
 	}
@@ -192,7 +209,7 @@
 		// An account that was idle has no claim to the time it left unused.
 		a.virtual = max(a.virtual, q.virtual)
 	}
-	a.waiting[t.class].pushBack(t)
+	push(&a.waiting[t.class], t)
 	q.waiting[t.class]++
 	if a.index[t.class] < 0 {
 		heap.Push(&q.ready[t.class], a)
--- a/core/anvilqueue/queue_test.go
+++ b/core/anvilqueue/queue_test.go
@@ -193,3 +193,21 @@
 		q.Cancel(now, ticket)
 	})
 }
+
+// Guards against a request that loses its place, or charges its account, when
+// the slot it was popped for turns out to be gone.
+func TestRequeueKeepsThePlace(t *testing.T) {
+	q := New()
+	first, _ := q.Push(0, Request{Account: "a", Deadline: 10_000})
+	second, _ := q.Push(1, Request{Account: "a", Deadline: 10_000})
+	for now := anvilclock.Millis(2); now < 50; now++ {
+		assert.Assert(t, q.Pop(now) == first)
+		q.Requeue(now, first)
+		assert.Equal(t, q.Len(), 2)
+	}
+	assert.Assert(t, q.Pop(60) == first)
+	assert.Assert(t, q.Pop(60) == second)
+	q.Requeue(61, second)
+	assert.Assert(t, q.Cancel(62, second))
+	assert.Equal(t, q.Len(), 0)
+}
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -19,9 +19,9 @@
 // A request is run at most this often.
 const mostRuns = 4
 
-// A request is refused by peers and targets at most this often before it is
-// given up. A refusal costs a round trip and no slot.
-const mostRefusals = 64
+// After this many refusals by peers and targets a request pauses before it is
+// offered again, because known free slots are then out of date.
+const freeRefusals = 3
 
 // pumpPeriod is how often waiting requests are offered to peers that had no
 // free slot before.
@@ -34,24 +34,16 @@
 // grant is the way that the queue gives to a request: a slot of an own
 // target, or a peer with free slots.
 type grant struct {
-	lease  anvilslot.Lease
-	peer   anvilid.InstanceID
-	ticket *anvilqueue.Ticket
-	shed   bool
+	lease anvilslot.Lease
+	peer  anvilid.InstanceID
+	shed  bool
 }
 
 // route brings a request to a target. A repeatable request is run again
-// within the retry budget; any other is sent at most once. A peer or target
-// that had no slot after all costs no budget.
+// within the retry budget; any other is sent at most once.
 func (d *Desk) route(ctx context.Context, request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
-	runs, refusals := 0, 0
-	for {
+	for runs := 1; ; runs++ {
 		answer := d.try(ctx, request, token)
-		if refused(answer) && refusals < mostRefusals && ctx.Err() == nil {
-			refusals++
-			continue
-		}
-		runs++
 		if !d.worthRetry(request, answer, runs) {
 			return answer
 		}
@@ -80,20 +72,53 @@
 	return anvilretry.Deadline(request.Deadline).Remaining(now) > 0 && budget.Spend(now)
 }
 
-// try queues the request and sends it where a slot is free.
+// try queues the request and sends it where a slot is free. If the slot is
+// gone when the request gets there, the request takes its place in the queue
+// again, until its deadline.
 func (d *Desk) try(ctx context.Context, request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
 	granted := make(chan grant, 1)
 	ticket, verdict := d.push(request, granted)
 	if ticket == nil {
 		return refusal(request, verdict)
 	}
+	for refusals := 0; ; refusals++ {
+		d.pump(request.Service)
+		var way grant
+		select {
+		case way = <-granted:
+		case <-ctx.Done():
+			return d.giveUp(request, ticket, granted)
+		}
+		answer := d.follow(ctx, request, token, way)
+		if !refused(answer) || ctx.Err() != nil {
+			d.done(request, ticket, answer)
+			return answer
+		}
+		if refusals >= freeRefusals {
+			pause(ctx, pumpPeriod)
+		}
+		d.requeue(request, ticket)
+	}
+}
+
+func (d *Desk) done(request *anvilrequest.Request, ticket *anvilqueue.Ticket, answer anvilrequest.Answer) {
+	d.mu.Lock()
+	d.service(request.Service).queue.Done(d.clock.Now(), ticket, answer.Outcome != anvilrequest.NotRun)
+	d.mu.Unlock()
 	d.pump(request.Service)
+}
+
+func (d *Desk) requeue(request *anvilrequest.Request, ticket *anvilqueue.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(request.Service).queue.Requeue(d.clock.Now(), ticket)
+}
+
+func pause(ctx context.Context, span time.Duration) {
 	select {
-	case way := <-granted:
-		return d.follow(ctx, request, token, way)
 	case <-ctx.Done():
+	case <-time.After(span):
 	}
-	return d.giveUp(ctx, request, token, ticket, granted)
 }
 
 func (d *Desk) push(request *anvilrequest.Request, granted chan grant) (*anvilqueue.Ticket, anvilqueue.Verdict) {
@@ -110,14 +135,18 @@
 
 // giveUp takes an expired request out of the queue. If it was granted a slot
 // at the same moment, the grant is given back.
-func (d *Desk) giveUp(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, ticket *anvilqueue.Ticket, granted chan grant) anvilrequest.Answer {
+func (d *Desk) giveUp(request *anvilrequest.Request, ticket *anvilqueue.Ticket, granted chan grant) anvilrequest.Answer {
 	d.mu.Lock()
 	cancelled := d.service(request.Service).queue.Cancel(d.clock.Now(), ticket)
 	d.mu.Unlock()
+	answer := anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
 	if !cancelled {
-		return d.follow(ctx, request, token, <-granted)
+		if way := <-granted; !way.shed {
+			d.giveBack(way)
+			d.done(request, ticket, answer)
+		}
 	}
-	return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
+	return answer
 }
 
 func refusal(request *anvilrequest.Request, verdict anvilqueue.Verdict) anvilrequest.Answer {
@@ -148,7 +177,6 @@
 			d.giveBack(way)
 			return
 		}
-		way.ticket = ticket
 		ticket.Payload.(chan grant) <- way
 	}
 }
@@ -175,25 +203,18 @@
 	if way.shed {
 		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "the wait exceeded the timeout")
 	}
-	var answer anvilrequest.Answer
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		d.giveBack(way)
-		answer = anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
-	case way.peer != "":
-		answer = d.forward(ctx, request, token, way.peer)
-	default:
-		lease := way.lease
-		if request.Repeatable {
-			lease = d.runner.Probe(lease, request.Service)
-		}
-		answer = d.runner.Dispatch(ctx, lease, request, token)
+		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
 	}
-	d.mu.Lock()
-	d.service(request.Service).queue.Done(d.clock.Now(), way.ticket, answer.Outcome != anvilrequest.NotRun)
-	d.mu.Unlock()
-	d.pump(request.Service)
-	return answer
+	if way.peer != "" {
+		return d.forward(ctx, request, token, way.peer)
+	}
+	lease := way.lease
+	if request.Repeatable {
+		lease = d.runner.Probe(lease, request.Service)
+	}
+	return d.runner.Dispatch(ctx, lease, request, token)
 }
 
 // forward sends a request to a peer that owns a target with a free slot.
