Add anvilmeasure, which measures whole instances over loopback

The goals of the design page need figures from complete instances. The program starts eight instances in one process with delayed and cut links, one verb for each measurement, and prints a table or JSON. Trials so far are only of the change verb.

--- /dev/null
+++ b/io/anvilmeasure/command.go
@@ -0,0 +1,183 @@
+// Package anvilmeasure measures whole instances over loopback with delayed and
+// cut links. docs/measurements.md has the results.
+package anvilmeasure
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// Exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// A run that takes longer hangs.
+const longest = 5 * time.Minute
+
+// Streams are where the results go.
+type Streams struct{ Out, Err io.Writer }
+
+// measurement is one verb.
+type measurement struct {
+	name, help string
+	flags      func(*ff.FlagSet) func(context.Context) (*Table, error)
+}
+
+func measurements() []measurement {
+	return []measurement{
+		{"change", "change accepted to in force everywhere", changeFlags},
+		{"leader", "loss of the leader to the next accepted change", leaderFlags},
+		{"restart", "restart of voters with a long log", restartFlags},
+		{"link", "bytes over the region link", linkFlags},
+		{"once", "latency that a claim adds", onceFlags},
+		{"overhead", "latency and throughput through one instance", overheadFlags},
+		{"leaving", "new work to a target that leaves", leavingFlags},
+		{"capacity", "slopes for capacity planning", capacityFlags},
+	}
+}
+
+// Main parses and runs a command line and returns the exit code.
+func Main(ctx context.Context, streams Streams, args []string) int {
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	root := &ff.Command{Name: "anvilmeasure", Usage: "anvilmeasure MEASUREMENT [flags]", ShortHelp: "measure whole instances over loopback"}
+	for _, m := range measurements() {
+		root.Subcommands = append(root.Subcommands, m.command(streams))
+	}
+	err := root.ParseAndRun(ctx, args)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, ff.ErrHelp), errors.Is(err, ff.ErrNoExec):
+		fmt.Fprint(streams.Err, ffhelp.Command(root))
+		return ExitUsage
+	}
+	fmt.Fprintln(streams.Err, "anvilmeasure:", err)
+	return ExitFailed
+}
+
+func (m measurement) command(streams Streams) *ff.Command {
+	fs := ff.NewFlagSet(m.name)
+	asJSON := fs.BoolLong("json", "print the table as JSON")
+	run := m.flags(fs)
+	return &ff.Command{
+		Name: m.name, Usage: "anvilmeasure " + m.name + " [flags]", ShortHelp: m.help, Flags: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			load := loadAverage()
+			table, err := run(ctx)
+			if err != nil {
+				return err
+			}
+			table.Load = load + " to " + loadAverage()
+			if *asJSON {
+				return json.NewEncoder(streams.Out).Encode(table)
+			}
+			return table.Write(streams.Out)
+		},
+	}
+}
+
+// loadAverage returns the load average of the last minute.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	return first
+}
+
+func changeFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o ChangeOptions
+	rate := fs.IntLong("rate", 0, "changes a second; 0 measures 1 and 10")
+	fs.DurationVar(&o.Span, 0, "span", 6*time.Second, "duration of each row")
+	fs.DurationVar(&o.Period, 0, "period", 6*time.Second, "time between two cuts")
+	fs.IntVar(&o.Repeats, 0, "repeats", 1, "runs of each row")
+	return func(ctx context.Context) (*Table, error) {
+		o.Rates = []int{1, 10}
+		if *rate > 0 {
+			o.Rates = []int{*rate}
+		}
+		return Change(ctx, o)
+	}
+}
+
+func leaderFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o LeaderOptions
+	fs.IntVar(&o.Trials, 0, "trials", 10, "losses of each kind")
+	return func(ctx context.Context) (*Table, error) { return Leader(ctx, o) }
+}
+
+func restartFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o RestartOptions
+	fs.IntVar(&o.Claims, 0, "claims", 100_000, "claims in the log")
+	fs.IntVar(&o.Callers, 0, "callers", 256, "callers that propose claims at the same time")
+	fs.IntVar(&o.Repeats, 0, "repeats", 3, "restarts of each kind")
+	return func(ctx context.Context) (*Table, error) { return Restart(ctx, o) }
+}
+
+func linkFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o LinkOptions
+	fs.DurationVar(&o.Idle, 0, "idle", 5*time.Second, "time without requests")
+	fs.IntVar(&o.Count, 0, "count", 100, "changes and requests of each row")
+	fs.Float64Var(&o.Rate, 0, "rate", 50, "requests a second")
+	fs.IntVar(&o.Targets, 0, "targets", 4, "targets in each zone")
+	return func(ctx context.Context) (*Table, error) { return Link(ctx, o) }
+}
+
+func onceFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o OnceOptions
+	fs.DurationVar(&o.Span, 0, "span", 2*time.Second, "duration of each row")
+	fs.IntVar(&o.Repeats, 0, "repeats", 3, "runs of each row")
+	fs.IntVar(&o.Targets, 0, "targets", 4, "targets in each zone")
+	return func(ctx context.Context) (*Table, error) { return Once(ctx, o) }
+}
+
+func overheadFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o OverheadOptions
+	callers := fs.IntLong("callers", 0, "requests in flight; 0 measures 1, 8 and 32")
+	fs.StringVar(&o.Bin, 0, "bin", "bin", "directory of anvilshunt and anvilemu")
+	fs.DurationVar(&o.Span, 0, "span", 3*time.Second, "duration of each load")
+	fs.IntVar(&o.Repeats, 0, "repeats", 3, "runs of each row")
+	fs.IntVar(&o.Targets, 0, "targets", 4, "number of targets")
+	fs.StringVar(&o.Profile, 0, "profile", "", "run the instance in this process and write a CPU profile of it to this file")
+	return func(ctx context.Context) (*Table, error) {
+		o.Callers = []int{1, 8, 32}
+		if *callers > 0 {
+			o.Callers = []int{*callers}
+		}
+		return Overhead(ctx, o)
+	}
+}
+
+func leavingFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o LeavingOptions
+	fs.IntVar(&o.Trials, 0, "trials", 10, "targets that leave, of each kind")
+	fs.IntVar(&o.Targets, 0, "targets", 4, "targets in each zone")
+	fs.Float64Var(&o.Rate, 0, "rate", 800, "requests a second")
+	fs.DurationVar(&o.Watch, 0, "watch", 3*time.Second, "time for which a leaving target is watched")
+	return func(ctx context.Context) (*Table, error) { return Leaving(ctx, o) }
+}
+
+func capacityFlags(fs *ff.FlagSet) func(context.Context) (*Table, error) {
+	var o CapacityOptions
+	fs.DurationVar(&o.Span, 0, "span", 5*time.Second, "duration of each idle period")
+	fs.IntVar(&o.Instances, 0, "instances", 13, "instances without a vote in the larger system")
+	fs.IntVar(&o.Targets, 0, "targets", 32, "targets in each of three zones")
+	fs.IntVar(&o.Changes, 0, "changes", 50, "changes")
+	fs.IntVar(&o.Claims, 0, "claims", 20_000, "claims")
+	fs.IntVar(&o.States, 0, "states", 20_000, "objects of each kind in the state machine")
+	return func(ctx context.Context) (*Table, error) { return Capacity(ctx, o) }
+}
--- /dev/null
+++ b/io/anvilmeasure/leaving.go
@@ -0,0 +1,159 @@
+package anvilmeasure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilload"
+	"anvilshunt/io/anviltarget"
+)
+
+// LeavingOptions are the options of Leaving.
+type LeavingOptions struct {
+	Trials  int
+	Targets int     // in each zone
+	Rate    float64 // requests a second over all instances
+	Watch   time.Duration
+}
+
+var errNoTarget = errors.New("the instance owns no target")
+
+// Leaving measures how long new work reaches a target after it has begun to
+// leave, while the owner of the target is cut off from its peers.
+func Leaving(ctx context.Context, o LeavingOptions) (*Table, error) {
+	t := &Table{Name: "leaving: time until the last new work reaches a target that leaves", Columns: []string{
+		"owner of the target", "trials", "p50", "max", "requests after it began to leave", "after 2 s",
+	}}
+	for _, cut := range []bool{false, true} {
+		s, err := newSystem(deployment(), newFabric(false))
+		if err != nil {
+			return nil, err
+		}
+		err = s.leavingTrials(ctx, t, o, cut)
+		s.close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	t.note("%.0f requests a second through all instances; the owner's own region has other targets. Work that the leaving target refuses counts.", o.Rate)
+	return t, nil
+}
+
+func (s *system) leavingTrials(ctx context.Context, t *Table, o LeavingOptions, cut bool) error {
+	if err := s.lead("palermo-1"); err != nil {
+		return err
+	}
+	loadCtx, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	defer func() { stop(); <-ended }()
+	if err := s.addTargets("t", o.Targets); err != nil {
+		ended <- nil
+		return err
+	}
+	settings := anvilload.Settings{
+		Service: service, Shares: []anvilload.Share{{Account: account, Weight: 1}}, Rate: o.Rate, Repeatable: "yes", Body: 100, Answer: -1,
+		Duration: anvilclock.Hour, Time: 5, Timeout: anvilclock.Second,
+	}
+	for _, i := range s.instances {
+		settings.Addresses = append(settings.Addresses, i.settings.Public)
+	}
+	go func() {
+		_, err := anvilload.Run(loadCtx, settings)
+		ended <- err
+	}()
+	var spans sample
+	late, beyond := 0, 0
+	for trial := range o.Trials {
+		span, count, after, err := s.leaveOnce(ctx, s.find("trapani-2"), cut, o.Watch, trial)
+		if err != nil {
+			return err
+		}
+		spans = append(spans, span)
+		late += count
+		beyond += after
+	}
+	name := "connected"
+	if cut {
+		name = "cut off"
+	}
+	t.row(name, len(spans), spans.quantile(0.5), spans.max(), late, beyond)
+	return nil
+}
+
+// leaveOnce lets one target of an instance leave and starts another one in its
+// place.
+func (s *system) leaveOnce(ctx context.Context, owner *instance, cut bool, watch time.Duration, trial int) (last time.Duration, late, beyond int, err error) {
+	target := s.ownedBy(owner)
+	if target == nil {
+		return 0, 0, 0, fmt.Errorf("%w: %s", errNoTarget, owner.name)
+	}
+	if cut {
+		s.fabric.freeze(owner.name)
+	}
+	began := time.Now()
+	target.StartLeaving()
+	reached := func() int { stats := target.Stats(); return stats.Runs + stats.Refused.Leaving }
+	first := reached()
+	for seen := first; time.Since(began) < watch && ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		if now := reached(); now > seen {
+			last = time.Since(began)
+			if last > 2*time.Second {
+				beyond += now - seen
+			}
+			seen = now
+		}
+	}
+	late = reached() - first
+	s.fabric.hold(nil)
+	target.Close()
+	return last, late, beyond, s.replace(target, owner, trial)
+}
+
+// ownedBy returns a target that the instance has adopted.
+func (s *system) ownedBy(owner *instance) *anviltarget.Target {
+	var found *anviltarget.Target
+	_ = eventually("the instance owns a target", func() bool {
+		status, err := s.status(owner)
+		if err != nil {
+			return false
+		}
+		for _, owned := range status.Owned {
+			for _, target := range s.targets {
+				if owned.State == "adopted" && target.ID() == owned.Target {
+					found = target
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// replace starts a target in the place of one that has left.
+func (s *system) replace(old *anviltarget.Target, owner *instance, trial int) error {
+	var kept []*anviltarget.Target
+	for _, target := range s.targets {
+		if target != old {
+			kept = append(kept, target)
+		}
+	}
+	s.targets = kept
+	var instances []anvilid.Address
+	for _, i := range s.instances {
+		instances = append(instances, i.settings.Public)
+	}
+	target, err := anviltarget.Start(anviltarget.Settings{
+		Target: anvilid.TargetID(fmt.Sprintf("new-%d", trial)), Service: service, Region: owner.region, Zone: owner.zone,
+		Rack: "new", Instances: instances,
+	})
+	if err != nil {
+		return err
+	}
+	s.targets = append(s.targets, target)
+	return s.settle()
+}
--- /dev/null
+++ b/io/anvilmeasure/once.go
@@ -0,0 +1,69 @@
+package anvilmeasure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilload"
+)
+
+// OnceOptions are the options of Once.
+type OnceOptions struct {
+	Span    time.Duration // of each row
+	Repeats int
+	Targets int // in each zone
+}
+
+// Once measures what a claim adds to the latency of a request.
+func Once(ctx context.Context, o OnceOptions) (*Table, error) {
+	t := &Table{Name: "once: latency of short requests, one caller", Columns: []string{
+		"request", "at", "region of the leader", "done", "p50", "p99", "other outcomes",
+	}}
+	s, err := newSystem(deployment(), newFabric(false))
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if err := s.lead("palermo-1"); err != nil {
+		return nil, err
+	}
+	if err := s.addTargets("t", o.Targets); err != nil {
+		return nil, err
+	}
+	kinds := []struct {
+		name       string
+		ids        bool
+		repeatable string
+	}{
+		{"repeatable without id", false, "yes"},
+		{"repeatable with id", true, "yes"},
+		{"not repeatable", true, "no"},
+	}
+	for _, at := range []string{"palermo-1", "trapani-2", "catania-2"} {
+		for n, kind := range kinds {
+			for repeat := range o.Repeats {
+				summary, err := anvilload.Run(ctx, anvilload.Settings{
+					Addresses: []anvilid.Address{s.find(at).settings.Public}, Service: service,
+					Shares: []anvilload.Share{{Account: account, Weight: 1}}, Concurrency: 1,
+					Duration: anvilclock.FromDuration(o.Span), IDs: kind.ids, Prefix: fmt.Sprintf("once-%s-%d-%d", at, n, repeat),
+					Repeatable: kind.repeatable, Body: 100, Answer: -1,
+				})
+				if err != nil {
+					return nil, err
+				}
+				same := "same"
+				if s.find(at).region != "west" {
+					same = "other"
+				}
+				t.row(kind.name, at, same, summary.Done, microseconds(summary.Latency.P50), microseconds(summary.Latency.P99), summary.Sent-summary.Done)
+			}
+		}
+	}
+	t.note("Leader palermo-1. Targets answer at once.")
+	return t, nil
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/io/anvilmeasure/restart.go
@@ -0,0 +1,167 @@
+package anvilmeasure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilcontrol"
+	"anvilshunt/io/anvilrpc"
+)
+
+// RestartOptions are the options of Restart.
+type RestartOptions struct {
+	Claims  int
+	Callers int
+	Repeats int
+}
+
+// threeVoters are the voters of the deployment alone, because the others have
+// nothing to restart from.
+func threeVoters() []layout { return deployment()[:3] }
+
+// Restart measures how long voters take to apply their log after a restart.
+func Restart(ctx context.Context, o RestartOptions) (*Table, error) {
+	t := &Table{Name: "restart: start of a voter until everything is applied", Columns: []string{
+		"restarted", "entries", "start to applied", "start to ready", "data directory",
+	}}
+	s, err := newSystem(threeVoters(), newFabric(false))
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if err := s.lead("palermo-1"); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	if err := s.claim(ctx, o.Claims, o.Callers); err != nil {
+		return nil, err
+	}
+	t.note("%d claims by %d callers took %.1f s.", o.Claims, o.Callers, time.Since(began).Seconds())
+	for range o.Repeats {
+		if err := s.restart(t, "one follower", s.find("trapani-1")); err != nil {
+			return nil, err
+		}
+	}
+	for range o.Repeats {
+		if err := s.restart(t, "all three voters", s.instances...); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+// claim commits a number of claims at the leader.
+func (s *system) claim(ctx context.Context, count, callers int) error {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	defer client.CloseIdleConnections()
+	var addresses []anvilid.Address
+	for _, i := range s.instances {
+		if i.voter {
+			addresses = append(addresses, i.settings.Peer)
+		}
+	}
+	control := anvilcontrol.NewClient(addresses, func(address anvilid.Address) anvilrpc.Control {
+		return anvilrpc.NewControlProtobufClient("http://"+string(address), client)
+	})
+	var group sync.WaitGroup
+	errs := make([]error, callers)
+	for caller := range callers {
+		group.Go(func() {
+			for n := caller; n < count && errs[caller] == nil && ctx.Err() == nil; n += callers {
+				result, err := control.Propose(ctx, &anvilstate.Command{Claim: claimOf(n)})
+				if err == nil && result.Code != "" {
+					err = fmt.Errorf("claim %d: %s: %s", n, result.Code, result.Detail)
+				}
+				errs[caller] = err
+			}
+		})
+	}
+	group.Wait()
+	return errors.Join(append(errs, ctx.Err())...)
+}
+
+func claimOf(n int) *anvilstate.Claim {
+	return &anvilstate.Claim{
+		Key:    anvilstate.RequestKey{Account: account, Service: service, ID: anvilid.RequestID(fmt.Sprintf("palermo-1-17-%08d", n))},
+		Digest: make([]byte, 32), Holder: anvilstate.Holder{Instance: "palermo-1", Incarnation: 1, Attempt: anvilid.Attempt(n + 1)},
+	}
+}
+
+// restart ends some instances, starts them again and measures the slowest.
+func (s *system) restart(t *Table, name string, instances ...*instance) error {
+	leader, err := s.leader()
+	if err != nil {
+		return err
+	}
+	status, err := s.status(leader)
+	if err != nil {
+		return err
+	}
+	index := status.Voter.Applied
+	var ending sync.WaitGroup
+	for _, i := range instances {
+		ending.Go(func() { s.kill(i) })
+	}
+	ending.Wait()
+	size, err := directorySize(instances[0].settings.Data)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	var group sync.WaitGroup
+	errs := make([]error, len(instances))
+	applied, ready := make(sample, len(instances)), make(sample, len(instances))
+	for n, i := range instances {
+		group.Go(func() { applied[n], ready[n], errs[n] = s.startMeasured(i, index, began) })
+	}
+	group.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	t.row(name, index, applied.max(), ready.max(), fmt.Sprintf("%.1f MB", float64(size)/1e6))
+	return s.settle()
+}
+
+// startMeasured starts an instance and waits until it has applied an index and
+// until it is ready.
+func (s *system) startMeasured(i *instance, index anvilid.Index, began time.Time) (applied, ready time.Duration, err error) {
+	if err := s.start(i); err != nil {
+		return 0, 0, err
+	}
+	err = eventually(i.name+" has applied its log", func() bool {
+		status, err := s.status(i)
+		if err != nil {
+			return false
+		}
+		if applied == 0 && status.Voter.Applied >= index {
+			applied = time.Since(began)
+		}
+		if ready == 0 && status.Ready {
+			ready = time.Since(began)
+		}
+		return applied > 0 && ready > 0
+	})
+	return applied, ready, err
+}
+
+func directorySize(dir string) (size int64, err error) {
+	err = filepath.WalkDir(dir, func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		info, err := entry.Info()
+		if err == nil {
+			size += info.Size()
+		}
+		return err
+	})
+	return size, err
+}
