Measure targets that accept work while leaving; count bytes without delays

A stand-in target refuses work once it leaves, which hides late dispatches. A front now answers in its place.

--- a/io/anvilmeasure/capacity.go
+++ b/io/anvilmeasure/capacity.go
@@ -11,6 +11,7 @@
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anviltarget"
 )
 
 // CapacityOptions are the options of Capacity.
@@ -168,11 +169,33 @@
 	}
 	after := s.idle(ctx, o.Span)
 	count := float64(len(s.targets))
+	standIn, err := standInHeap(o.Targets)
+	if err != nil {
+		return err
+	}
+	t.note("A stand-in target alone takes %s of heap, which is part of the row of a target.", kilobytes(standIn))
 	t.row("target at its owner, with the stand-in, a second", time.Duration(float64(after.cpu-before.cpu)/count),
 		(after.all-before.all)/count, kilobytes((after.heap-before.heap)/count))
 	return nil
 }
 
+// standInHeap returns the heap of a stand-in target that nobody uses.
+func standInHeap(count int) (float64, error) {
+	var targets []*anviltarget.Target
+	before := used()
+	for range count {
+		target, err := anviltarget.Start(anviltarget.Settings{Target: "alone", Service: service})
+		if err != nil {
+			return 0, err
+		}
+		defer target.Close()
+		targets = append(targets, target)
+	}
+	after := used()
+	runtime.KeepAlive(targets)
+	return (after.heap - before.heap) / float64(count), nil
+}
+
 func kilobytes(bytes float64) string { return fmt.Sprintf("%.2f KB", bytes/1e3) }
 
 // capacityOfState measures the memory of the objects of the state machine.
@@ -201,7 +224,7 @@
 	}{
 		{"instance", joinCommand},
 		{"target", registerCommand},
-		{"claim", func(n int) anvilstate.Command { return anvilstate.Command{Claim: claimOf(n)} }},
+		{"claim", func(n int) anvilstate.Command { return anvilstate.Command{Claim: claimOf(n, 1)} }},
 		{"answer of 200 bytes to a claim", completeCommand},
 		{"job", submitCommand},
 	}
@@ -241,7 +264,7 @@
 }
 
 func completeCommand(n int) anvilstate.Command {
-	claim := claimOf(n)
+	claim := claimOf(n, 1)
 	return anvilstate.Command{Complete: &anvilstate.Complete{
 		Key: claim.Key, Holder: claim.Holder, Answer: anvilstate.Answer{Status: 200, Body: make([]byte, 200)},
 	}}
--- a/io/anvilmeasure/command.go
+++ b/io/anvilmeasure/command.go
@@ -158,6 +158,7 @@
 		if *callers > 0 {
 			o.Callers = []int{*callers}
 		}
+		o.Errors = os.Stderr
 		return Overhead(ctx, o)
 	}
 }
--- a/io/anvilmeasure/fabric.go
+++ b/io/anvilmeasure/fabric.go
@@ -22,9 +22,9 @@
 // the dialer of package anvillink.
 const dialTimeout = 250 * time.Millisecond
 
-// pipeChunks bounds the writes in flight per direction. It lies far above the
+// pipeChunks bounds the writes in flight per direction. It lies above the
 // product of delay and rate of the measured connections.
-const pipeChunks = 4096
+const pipeChunks = 512
 
 var errKilled = errors.New("the instance was killed")
 
@@ -41,7 +41,7 @@
 // fabric is the network between the instances. It delays the bytes of each
 // direction and holds them back while one end is frozen or cut off.
 type fabric struct {
-	flat bool // no delays
+	flat bool // neither delays nor held bytes, only counts
 
 	mu     sync.Mutex
 	places map[string]place // by peer address
@@ -171,10 +171,34 @@
 		if err != nil {
 			return nil, err
 		}
+		if f.flat {
+			return &counted{conn, f.counter(from.name, to.name), f.counter(to.name, from.name)}, nil
+		}
 		return f.open(conn, from, to, delay), nil
 	}
 }
 
+// counted is a connection of a flat fabric. It neither delays nor holds bytes,
+// so that it adds little to what is measured.
+type counted struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+// Write counts the bytes to the peer.
+func (c *counted) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// Read counts the bytes from the peer.
+func (c *counted) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // chunk is one write on its way.
 type chunk struct {
 	due  time.Time
--- a/io/anvilmeasure/leaving.go
+++ b/io/anvilmeasure/leaving.go
@@ -4,6 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"anvilshunt/core/anvilclock"
@@ -20,20 +26,63 @@
 	Watch   time.Duration
 }
 
+// front stands before a stand-in target and, while the target leaves, answers
+// work in its place. Targets outside of this project may accept work until they
+// are gone, whereas the stand-in refuses it.
+type front struct {
+	server *http.Server
+	target *anviltarget.Target
+	runs   atomic.Int64
+}
+
+// startFronted starts a target behind a front.
+func startFronted(settings anviltarget.Settings) (*front, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	inner, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	settings.Listen, settings.Advertise = inner, anvilid.Address(listener.Addr().String())
+	f := &front{}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: string(inner)})
+	f.server = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.target == nil || r.URL.Path != "/v1/run" || !f.target.Stats().Leaving {
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		f.runs.Add(1)
+		w.Header().Set(anviltarget.HeaderRequestID, r.Header.Get(anviltarget.HeaderRequestID))
+		w.Header().Set("Anvilshunt-Token", r.Header.Get("Anvilshunt-Token"))
+		w.Header().Set("Content-Length", strconv.Itoa(len(frontAnswer)))
+		_, _ = w.Write([]byte(frontAnswer))
+	})}
+	if f.target, err = anviltarget.Start(settings); err != nil {
+		return nil, err
+	}
+	go func() { _ = f.server.Serve(listener) }()
+	return f, nil
+}
+
+const frontAnswer = "done"
+
 var errNoTarget = errors.New("the instance owns no target")
 
 // Leaving measures how long new work reaches a target after it has begun to
 // leave, while the owner of the target is cut off from its peers.
 func Leaving(ctx context.Context, o LeavingOptions) (*Table, error) {
 	t := &Table{Name: "leaving: time until the last new work reaches a target that leaves", Columns: []string{
-		"owner of the target", "trials", "p50", "max", "requests after it began to leave", "after 2 s",
+		"owner of the target", "target refuses work", "trials", "p50", "max", "requests after it began to leave", "after 2 s",
 	}}
-	for _, cut := range []bool{false, true} {
+	for n := range 4 {
 		s, err := newSystem(deployment(), newFabric(false))
 		if err != nil {
 			return nil, err
 		}
-		err = s.leavingTrials(ctx, t, o, cut)
+		s.fronted = n >= 2
+		err = s.leavingTrials(ctx, t, o, n%2 == 1)
 		s.close()
 		if err != nil {
 			return nil, err
@@ -80,7 +129,11 @@
 	if cut {
 		name = "cut off"
 	}
-	t.row(name, len(spans), spans.quantile(0.5), spans.max(), late, beyond)
+	refuses := "yes"
+	if s.fronted {
+		refuses = "no"
+	}
+	t.row(name, refuses, len(spans), spans.quantile(0.5), spans.max(), late, beyond)
 	return nil
 }
 
@@ -96,7 +149,14 @@
 	}
 	began := time.Now()
 	target.StartLeaving()
-	reached := func() int { stats := target.Stats(); return stats.Runs + stats.Refused.Leaving }
+	reached := func() int {
+		stats := target.Stats()
+		sum := stats.Runs + stats.Refused.Leaving
+		if front := s.fronts[target]; front != nil {
+			sum += int(front.runs.Load())
+		}
+		return sum
+	}
 	first := reached()
 	for seen := first; time.Since(began) < watch && ctx.Err() == nil; time.Sleep(time.Millisecond) {
 		if now := reached(); now > seen {
@@ -143,17 +203,14 @@
 		}
 	}
 	s.targets = kept
-	var instances []anvilid.Address
-	for _, i := range s.instances {
-		instances = append(instances, i.settings.Public)
+	settings := anviltarget.Settings{
+		Target: anvilid.TargetID(fmt.Sprintf("new-%d", trial)), Region: owner.region, Zone: owner.zone, Rack: "new",
 	}
-	target, err := anviltarget.Start(anviltarget.Settings{
-		Target: anvilid.TargetID(fmt.Sprintf("new-%d", trial)), Service: service, Region: owner.region, Zone: owner.zone,
-		Rack: "new", Instances: instances,
-	})
-	if err != nil {
+	if err := s.startTarget(settings, anviltarget.NewClient()); err != nil {
+		return err
+	}
+	if err := s.settle(); err != nil {
 		return err
 	}
-	s.targets = append(s.targets, target)
-	return s.settle()
+	return s.adopted()
 }
--- a/io/anvilmeasure/overhead.go
+++ b/io/anvilmeasure/overhead.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +29,7 @@
 	Repeats int
 	Targets int
 	Callers []int
+	Errors  io.Writer // of the processes
 	// Profile is a file for a CPU profile of the instance, which then runs in
 	// this process.
 	Profile string
@@ -35,12 +39,14 @@
 type processes struct {
 	dir     string
 	bin     string
+	errors  io.Writer
 	running []*exec.Cmd
 	stop    func() error // ends an instance in this process
 }
 
 func (p *processes) start(name string, args ...string) error {
 	command := exec.Command(filepath.Join(p.bin, name), args...)
+	command.Stderr = p.errors
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: build the programs with `make build` and name their directory with --bin: %w", name, err)
 	}
@@ -80,23 +86,31 @@
 	return summary, json.Unmarshal(out, summary)
 }
 
-// consecutive returns the first of count free ports in a row, as far as can be
-// told without holding them.
+// Ports below the range from which the system picks ports for connections.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// consecutive returns the first and all of count free ports in a row.
 func consecutive(count int) (first string, all string, err error) {
-	address, err := freeAddress()
-	if err != nil {
-		return "", "", err
-	}
-	host, port, _ := strings.Cut(string(address), ":")
-	var base int
-	if _, err := fmt.Sscan(port, &base); err != nil {
-		return "", "", err
-	}
-	var list []string
-	for n := range count {
-		list = append(list, fmt.Sprintf("%s:%d", host, base+n))
+	for range 100 {
+		base := firstPort + rand.IntN(portCount)
+		var list []string
+		for n := range count {
+			address := fmt.Sprintf("127.0.0.1:%d", base+n)
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				break
+			}
+			_ = l.Close()
+			list = append(list, address)
+		}
+		if len(list) == count {
+			return list[0], strings.Join(list, ","), nil
+		}
 	}
-	return list[0], strings.Join(list, ","), nil
+	return "", "", fmt.Errorf("%w: %d free ports in a row", errNotReached, count)
 }
 
 // oneInstance starts an instance with a vote of its own, as a process or, to
@@ -163,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &processes{dir: dir, bin: o.Bin}
+	p := &processes{dir: dir, bin: o.Bin, errors: o.Errors}
 	defer p.close()
 	s, err := p.oneInstance(o.Profile)
 	if err != nil {
--- a/io/anvilmeasure/restart.go
+++ b/io/anvilmeasure/restart.go
@@ -71,12 +71,16 @@
 	control := anvilcontrol.NewClient(addresses, func(address anvilid.Address) anvilrpc.Control {
 		return anvilrpc.NewControlProtobufClient("http://"+string(address), client)
 	})
+	holder, err := s.status(s.find("palermo-1"))
+	if err != nil {
+		return err
+	}
 	var group sync.WaitGroup
 	errs := make([]error, callers)
 	for caller := range callers {
 		group.Go(func() {
 			for n := caller; n < count && errs[caller] == nil && ctx.Err() == nil; n += callers {
-				result, err := control.Propose(ctx, &anvilstate.Command{Claim: claimOf(n)})
+				result, err := control.Propose(ctx, &anvilstate.Command{Claim: claimOf(n, holder.Incarnation)})
 				if err == nil && result.Code != "" {
 					err = fmt.Errorf("claim %d: %s: %s", n, result.Code, result.Detail)
 				}
@@ -85,13 +89,18 @@
 		})
 	}
 	group.Wait()
-	return errors.Join(append(errs, ctx.Err())...)
+	for _, err := range append(errs, ctx.Err()) {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func claimOf(n int) *anvilstate.Claim {
+func claimOf(n int, incarnation anvilid.Incarnation) *anvilstate.Claim {
 	return &anvilstate.Claim{
 		Key:    anvilstate.RequestKey{Account: account, Service: service, ID: anvilid.RequestID(fmt.Sprintf("palermo-1-17-%08d", n))},
-		Digest: make([]byte, 32), Holder: anvilstate.Holder{Instance: "palermo-1", Incarnation: 1, Attempt: anvilid.Attempt(n + 1)},
+		Digest: make([]byte, 32), Holder: anvilstate.Holder{Instance: "palermo-1", Incarnation: incarnation, Attempt: anvilid.Attempt(n + 1)},
 	}
 }
 
--- a/io/anvilmeasure/system.go
+++ b/io/anvilmeasure/system.go
@@ -69,6 +69,8 @@
 	fabric    *fabric
 	instances []*instance
 	targets   []*anviltarget.Target
+	fronts    map[*anviltarget.Target]*front // of targets that don't refuse work
+	fronted   bool                           // new targets get a front
 	client    *http.Client
 	revision  int
 	changes   int
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{dir: dir, fabric: fabric, client: &http.Client{
+	s := &system{dir: dir, fabric: fabric, fronts: map[*anviltarget.Target]*front{}, client: &http.Client{
 		Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 512},
 	}}
 	var peers []anvilsettings.Peer
@@ -156,6 +158,9 @@
 	for _, target := range s.targets {
 		target.Close()
 	}
+	for _, front := range s.fronts {
+		_ = front.server.Close()
+	}
 	for _, i := range s.instances {
 		if i.cancel != nil {
 			i.cancel()
@@ -289,25 +294,54 @@
 // addTargets starts count targets in each zone and waits until their owners
 // have adopted them.
 func (s *system) addTargets(prefix string, count int) error {
-	var instances []anvilid.Address
 	zones := map[anvilid.ZoneName]anvilid.RegionName{}
 	for _, i := range s.instances {
-		instances = append(instances, i.settings.Public)
 		zones[i.zone] = i.region
 	}
 	client := anviltarget.NewClient()
 	for zone, region := range zones {
 		for n := range count {
-			target, err := anviltarget.Start(anviltarget.Settings{
-				Target: anvilid.TargetID(fmt.Sprintf("%s-%s-%d", prefix, zone, n)), Service: service,
-				Region: region, Zone: zone, Rack: anvilid.RackName(fmt.Sprintf("%s-%d", zone, n/8)), Instances: instances,
-			}, anviltarget.WithClient(client))
-			if err != nil {
+			settings := anviltarget.Settings{
+				Target: anvilid.TargetID(fmt.Sprintf("%s-%s-%d", prefix, zone, n)),
+				Region: region, Zone: zone, Rack: anvilid.RackName(fmt.Sprintf("%s-%d", zone, n/8)),
+			}
+			if err := s.startTarget(settings, client); err != nil {
 				return err
 			}
-			s.targets = append(s.targets, target)
 		}
 	}
+	return s.adopted()
+}
+
+// startTarget starts a target that announces itself to all instances.
+func (s *system) startTarget(settings anviltarget.Settings, client *http.Client) error {
+	settings.Service = service
+	for _, i := range s.instances {
+		settings.Instances = append(settings.Instances, i.settings.Public)
+	}
+	if s.fronted {
+		front, err := startFronted(settings)
+		if err != nil {
+			return err
+		}
+		s.fronts[front.target] = front
+		s.targets = append(s.targets, front.target)
+		return nil
+	}
+	target, err := anviltarget.Start(settings, anviltarget.WithClient(client))
+	if err != nil {
+		return err
+	}
+	s.targets = append(s.targets, target)
+	return nil
+}
+
+// adopted waits until all targets are in use by their owners.
+func (s *system) adopted() error {
+	running := map[anvilid.TargetID]bool{}
+	for _, target := range s.targets {
+		running[target.ID()] = true
+	}
 	return eventually("all targets are adopted", func() bool {
 		adopted := 0
 		for _, i := range s.instances {
@@ -316,7 +350,8 @@
 				return false
 			}
 			for _, owned := range status.Owned {
-				if owned.State == "adopted" {
+				// Targets that have left are owned until their lease lapses.
+				if owned.State == "adopted" && running[owned.Target] {
 					adopted++
 				}
 			}
