--- /dev/null
+++ b/io/anvilmeasure/measure_test.go
@@ -0,0 +1,128 @@
+package anvilmeasure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"os/exec"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against measurements that no longer run with the program they
+// measure, or whose rows don't match their columns.
+func TestVerbsRun(t *testing.T) {
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", bin, "anvilshunt/cmd/anvilshunt", "anvilshunt/cmd/anvilemu").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	for _, args := range [][]string{
+		{"change", "--rate", "10", "--span", "300ms", "--period", "200ms"},
+		{"leader", "--trials", "1"},
+		{"restart", "--claims", "100", "--callers", "10", "--repeats", "1"},
+		{"link", "--idle", "100ms", "--count", "3", "--targets", "1"},
+		{"once", "--span", "50ms", "--repeats", "1", "--targets", "1"},
+		{"overhead", "--bin", bin, "--span", "50ms", "--repeats", "1", "--targets", "1"},
+		{"leaving", "--trials", "1", "--targets", "3", "--rate", "50", "--watch", "100ms"},
+		{"capacity", "--span", "50ms", "--instances", "3", "--targets", "1", "--changes", "2", "--claims", "50", "--states", "20"},
+	} {
+		t.Run(args[0], func(t *testing.T) {
+			t.Parallel()
+			var out, failures bytes.Buffer
+			code := Main(context.Background(), Streams{Out: &out, Err: &failures}, append(args, "--json"))
+			assert.Equal(t, code, ExitOK, failures.String())
+			var table Table
+			assert.NilError(t, json.Unmarshal(out.Bytes(), &table))
+			assert.Assert(t, len(table.Rows) > 0)
+			for _, row := range table.Rows {
+				assert.Equal(t, len(row), len(table.Columns), "%q", row)
+			}
+			out.Reset()
+			assert.NilError(t, table.Write(&out))
+		})
+	}
+}
+
+// Guards against a command line that accepts anything.
+func TestUnknownVerb(t *testing.T) {
+	var out bytes.Buffer
+	for _, args := range [][]string{{}, {"speed"}, {"change", "--speed", "1"}} {
+		assert.Assert(t, Main(context.Background(), Streams{Out: &out, Err: &out}, args) != ExitOK)
+	}
+}
+
+// Guards against percentiles that leave out the largest values of a small
+// sample.
+func TestQuantile(t *testing.T) {
+	s := sample{3, 1, 2, 4}
+	for part, want := range map[float64]time.Duration{0.25: 1, 0.5: 2, 0.99: 4, 1: 4} {
+		assert.Equal(t, s.quantile(part), want)
+	}
+	assert.Equal(t, sample{}.max(), time.Duration(0))
+}
+
+// Guards against links that lose bytes, or pass them while an end is frozen.
+func TestFabricHoldsBytes(t *testing.T) {
+	f := newFabric(false)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	f.places[l.Addr().String()] = place{"b", "east", "catania"}
+	conn, err := f.dialer(place{"a", "west", "palermo"})(context.Background(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	peer, err := l.Accept()
+	assert.NilError(t, err)
+	defer peer.Close()
+	f.freeze("b")
+	_, err = conn.Write([]byte("held"))
+	assert.NilError(t, err)
+	_, err = peer.Write([]byte("back"))
+	assert.NilError(t, err)
+	// Far above the delay, so that bytes that aren't held have arrived.
+	assert.NilError(t, peer.SetReadDeadline(time.Now().Add(10*regionDelay)))
+	n, _ := peer.Read(make([]byte, 8))
+	assert.Equal(t, n, 0, "bytes passed while the peer was frozen")
+	f.hold(nil)
+	assert.NilError(t, peer.SetReadDeadline(time.Time{}))
+	for _, end := range []net.Conn{peer, conn} {
+		buffer := make([]byte, 8)
+		n, err := end.Read(buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, n, 4)
+	}
+	f.kill("a")
+	_, err = conn.Read(make([]byte, 8))
+	assert.ErrorIs(t, err, errKilled)
+	assert.Equal(t, f.touching("a"), int64(8))
+}
+
+// BenchmarkRoundTrip shows what a round trip over the fabric takes, which is
+// more than the delays because of the timers of the runtime.
+func BenchmarkRoundTrip(b *testing.B) {
+	for name, to := range map[string]place{"zone": {"b", "west", "trapani"}, "region": {"b", "east", "catania"}} {
+		b.Run(name, func(b *testing.B) {
+			f := newFabric(false)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(b, err)
+			defer l.Close()
+			f.places[l.Addr().String()] = to
+			conn, err := f.dialer(place{"a", "west", "palermo"})(context.Background(), "tcp", l.Addr().String())
+			assert.NilError(b, err)
+			defer conn.Close()
+			peer, err := l.Accept()
+			assert.NilError(b, err)
+			defer peer.Close()
+			go func() { _, _ = io.Copy(peer, peer) }()
+			buffer := make([]byte, 8)
+			for b.Loop() {
+				_, err := conn.Write(buffer)
+				assert.NilError(b, err)
+				_, err = conn.Read(buffer)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
