Kill and stop instances that drain

No test disturbed a drain. The new one kills a draining instance, or stops it for longer than its lease, and compares every first answer and resend with what ran.

--- a/cmd/anvilshunt/process_test.go
+++ b/cmd/anvilshunt/process_test.go
@@ -399,3 +399,40 @@
 	}
 	assert.Equal(t, ran, 1, "the instance waited for the request")
 }
+
+// Guards against second runs and overloaded targets when an instance that
+// drains is killed, or stops for longer than its lease.
+func TestDrainIsDisturbed(t *testing.T) {
+	for name, disturb := range map[string]func(*system, string){
+		"killed": func(s *system, name string) { s.kill(name) },
+		"stopped": func(s *system, name string) {
+			s.signal(name, syscall.SIGSTOP)
+			s.eventually("other instances have the targets", func() bool { return s.adopted(3, s.others(name)...) })
+			s.signal(name, syscall.SIGCONT)
+			s.exit(name)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := three(t, anviltarget.Settings{NoFencing: true})
+			leader, _ := s.leader()
+			drained := s.others(leader)[0]
+			answers := s.waiting(drained, 36, request{id: "n", repeatable: "no", work: "1500", timeout: "30000", body: "x"})
+			s.eventually("all slots are in use", func() bool { return s.running() >= 20 })
+			s.signal(drained, syscall.SIGTERM)
+			s.eventually("the instance drains", func() bool {
+				status, ok := s.status(drained)
+				return ok && status.Draining
+			})
+			disturb(s, drained)
+			s.eventually("other instances have the targets", func() bool { return s.adopted(3, s.others(drained)...) })
+			for range 36 {
+				first := <-answers
+				again := s.send(request{at: leader, id: first.id, repeatable: "no", timeout: "30000", work: "10", body: "x"})
+				runs := s.ran("agency", first.id)
+				assert.Assert(t, runs <= 1, "%v, then %v: ran %d times", first, again, runs)
+				assert.Assert(t, again.outcome != "done" || runs == 1, "%v, then %v: ran %d times", first, again, runs)
+			}
+			s.checkLimits()
+		})
+	}
+}
