Resend the release of a target until it is answered

A trial schedule ended with a target without an owner, because the simulated instance gave its release up after 5 s. The product's rule is to try until it is answered.

--- a/core/anvilproof/process_test.go
+++ b/core/anvilproof/process_test.go
@@ -272,7 +272,8 @@
 		}
 		p.released[target.ID] = target.Epoch
 		release := anvilstate.ReleaseTarget{ID: target.ID, Owner: p.id, Epoch: target.Epoch}
-		p.call(anvilstate.Command{Release: &release}, 5000, func(outcome, bool) {})
+		// It is tried until it is answered: nobody else can free the target.
+		p.call(anvilstate.Command{Release: &release}, anvilclock.Hour, func(outcome, bool) {})
 	}
 }
 
