Check the lane with the guarantees; check the body of every account

The check now packs guarantees on what the changed lane leaves, also when only the lane grows. An account with a list of services skipped the check of the body size: 200 bytes passed a limit of 100.

--- a/core/anvilconfig/object.go
+++ b/core/anvilconfig/object.go
@@ -69,7 +69,7 @@
 	Body anvilid.ByteCount `cbor:"3,keyasint" json:"body"`
 	// Short is the number of targets that gangs never use, so that short
 	// requests always find slots beside long jobs.
-	Short int `json:"short,omitempty"`
+	Short int `cbor:"5,keyasint,omitempty" json:"short,omitempty"`
 	// Queue is the longest queue of one account at one instance.
 	Queue int `cbor:"4,keyasint,omitempty" json:"queue,omitempty"`
 }
--- a/core/anvilconfig/placement.go
+++ b/core/anvilconfig/placement.go
@@ -43,7 +43,7 @@
 	after := map[Key]Object{}
 	c.each(func(object Object) { after[object.Key] = object })
 	var placement Placement
-	for _, service := range growing(before, demands(after, c.get)) {
+	for _, service := range growing(before, demands(after, c.get), c.widened()) {
 		zones := inventory(service.name)
 		gangs := c.placeService(service.name, service.demands, zones)
 		// Packing and verification share no code, so a fault in the packer
@@ -58,7 +58,32 @@
 
 func (c *checker) touchesDemand() bool {
 	touches := func(kind Kind) bool { return kind == KindGuarantee || kind == KindShape }
-	return slices.ContainsFunc(c.change.Set, func(o Object) bool { return touches(o.Kind) })
+	return slices.ContainsFunc(c.change.Set, func(o Object) bool { return touches(o.Kind) || c.widensLane(o) })
+}
+
+// widensLane tells whether an object of the change leaves fewer targets of a
+// service to gangs.
+func (c *checker) widensLane(object Object) bool {
+	if object.Service == nil {
+		return false
+	}
+	before := 0
+	if known := c.current.Objects[object.Key].Service; known != nil {
+		before = known.Short
+	}
+	return object.Service.Short > before
+}
+
+// widened returns the services of which the change leaves fewer targets to
+// gangs.
+func (c *checker) widened() map[anvilid.ServiceName]bool {
+	widened := map[anvilid.ServiceName]bool{}
+	for _, object := range c.change.Set {
+		if c.widensLane(object) {
+			widened[anvilid.ServiceName(object.Name)] = true
+		}
+	}
+	return widened
 }
 
 func (c *checker) placeService(service anvilid.ServiceName, wanted []demand, zones []Zone) Placement {
@@ -122,8 +147,8 @@
 }
 
 // growing returns the services that are asked for a gang more, larger or
-// closer together than before.
-func growing(before, after map[anvilid.ServiceName][]demand) []serviceDemand {
+// closer together than before, or that have fewer targets for gangs.
+func growing(before, after map[anvilid.ServiceName][]demand, widened map[anvilid.ServiceName]bool) []serviceDemand {
 	type form struct {
 		accelerators anvilid.AcceleratorCount
 		within       Extent
@@ -134,7 +159,7 @@
 		for _, d := range before[service] {
 			left[form{d.accelerators, d.within}] += d.count
 		}
-		grows := false
+		grows := widened[service]
 		for _, d := range list {
 			left[form{d.accelerators, d.within}] -= d.count
 			grows = grows || left[form{d.accelerators, d.within}] < 0
--- a/core/anvilconfig/spec.go
+++ b/core/anvilconfig/spec.go
@@ -13,6 +13,7 @@
 	maxTimeout = anvilclock.Hour
 	maxBody    = anvilid.ByteCount(1 << 30)
 	maxQueue   = 1_000_000
+	maxShort   = 100_000
 	// maxObjects bounds a change set, whose names the history keeps.
 	maxObjects = 5000
 	// MaxGang is the largest number of accelerators of one gang.
@@ -85,6 +86,7 @@
 	c.between(key, "timeout", int64(spec.Timeout), 1, int64(maxTimeout))
 	c.between(key, "body", int64(spec.Body), 1, int64(maxBody))
 	c.between(key, "queue", int64(spec.Queue), 0, maxQueue)
+	c.between(key, "short", int64(spec.Short), 0, maxShort)
 }
 
 // reference checks that an object that another one names will exist.
--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -77,14 +77,14 @@
 
 // Load sums up the targets of one service.
 type Load struct {
-	Service anvilid.ServiceName
-	Targets int
+	Service anvilid.ServiceName `json:"service"`
+	Targets int                 `json:"targets"`
 	// Slots is the sum of slots that are neither reserved nor foreign on
 	// targets that may get work.
-	Slots anvilid.SlotCount
-	Free  anvilid.SlotCount
+	Slots anvilid.SlotCount `json:"slots"`
+	Free  anvilid.SlotCount `json:"free"`
 	// Running counts the leases that this owner holds.
-	Running anvilid.SlotCount
+	Running anvilid.SlotCount `json:"running"`
 }
 
 // View shows one owned target.
--- a/core/anvilstate/capacity.go
+++ b/core/anvilstate/capacity.go
@@ -126,8 +126,17 @@
 // ShortLane returns the targets of a service that gangs never use. They are
 // taken from all zones in turn, so that the loss of one leaves the others.
 func (m *Machine) ShortLane(service anvilid.ServiceName) map[anvilid.TargetID]bool {
-	of, spec := m.capacity[service], m.config.current.Service(service)
-	if of == nil || spec == nil || spec.Short <= 0 {
+	spec := m.config.current.Service(service)
+	if spec == nil {
+		return nil
+	}
+	return m.lane(service, spec.Short)
+}
+
+// lane returns the targets of a service that a lane of a given length takes.
+func (m *Machine) lane(service anvilid.ServiceName, length int) map[anvilid.TargetID]bool {
+	of := m.capacity[service]
+	if of == nil || length <= 0 {
 		return nil
 	}
 	zones := map[zoneKey][]anvilid.TargetID{}
@@ -143,11 +152,11 @@
 		slices.Sort(zones[key])
 	}
 	lane := map[anvilid.TargetID]bool{}
-	for progress := true; progress && len(lane) < spec.Short; {
+	for progress := true; progress && len(lane) < length; {
 		progress = false
 		for _, key := range keys {
 			left := zones[key]
-			if len(left) == 0 || len(lane) == spec.Short {
+			if len(left) == 0 || len(lane) == length {
 				continue
 			}
 			lane[left[len(left)-1]] = true
--- a/core/anvilstate/config.go
+++ b/core/anvilstate/config.go
@@ -45,7 +45,19 @@
 
 // CheckConfig reports the problems of a change set without publishing it.
 func (m *Machine) CheckConfig(change anvilconfig.Change) (anvilconfig.Placement, []anvilconfig.Problem) {
-	return anvilconfig.Check(m.config.current, change, m.Inventory)
+	lengths := map[anvilid.ServiceName]int{}
+	for _, object := range change.Set {
+		if object.Service != nil {
+			lengths[anvilid.ServiceName(object.Name)] = object.Service.Short
+		}
+	}
+	return anvilconfig.Check(m.config.current, change, func(service anvilid.ServiceName) []anvilconfig.Zone {
+		length, changed := lengths[service]
+		if of := m.capacity[service]; changed && of != nil {
+			return of.byRack(m.lane(service, length))
+		}
+		return m.Inventory(service)
+	})
 }
 
 // changeConfig publishes a change set, once per change id. Refusals are
--- a/io/anvilcontrol/enroll.go
+++ b/io/anvilcontrol/enroll.go
@@ -45,15 +45,12 @@
 	for ctx.Err() == nil {
 		step, done := enrollStep(s.group.Members(), id)
 		if done {
-			s.log.Write(anvillogs.VoterEnrolled, zap.Stringer("voter", id))
 			return nil
 		}
 		err := s.group.Change(ctx, step)
 		switch {
 		case err == nil:
-			if !step.Remove.IsZero() {
-				s.log.Write(anvillogs.VoterRemoved, zap.Stringer("voter", step.Remove))
-			}
+			s.logStep(step)
 		case errors.Is(err, anvilraft.ErrNotCaughtUp), errors.Is(err, anvilraft.ErrChangePending):
 			sleep(ctx, catchUpPause)
 		default:
@@ -63,6 +60,15 @@
 	return ctx.Err()
 }
 
+func (s *Service) logStep(step anvilraft.ChangeVoters) {
+	switch {
+	case !step.Remove.IsZero():
+		s.log.Write(anvillogs.VoterRemoved, zap.Stringer("voter", step.Remove))
+	case !step.Add.IsZero():
+		s.log.Write(anvillogs.VoterEnrolled, zap.Stringer("voter", step.Add))
+	}
+}
+
 // enrollStep returns the next change on the way to a vote for id.
 func enrollStep(members anvilraft.Members, id anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
 	if members.IsVoter(id) {
--- a/io/anvildesk/admit.go
+++ b/io/anvildesk/admit.go
@@ -84,16 +84,7 @@
 		return anvilrequest.Refuse(anvilrequest.CodeUnknownService,
 			"service %q isn't configured; list services with `anvilshunt service list`", request.Service), false
 	}
-	if !d.directory.Served(request.Service) {
-		return anvilrequest.Refuse(anvilrequest.CodeNoTarget,
-			"no target of service %q has announced itself; see `anvilshunt target list`", request.Service), false
-	}
-	if len(account.Services) > 0 {
-		for _, allowed := range account.Services {
-			if allowed == request.Service {
-				return anvilrequest.Answer{}, true
-			}
-		}
+	if !account.MayUse(request.Service) {
 		return anvilrequest.Refuse(anvilrequest.CodeForbiddenService,
 			"client account %q may not use service %q", request.Account, request.Service), false
 	}
@@ -101,6 +92,10 @@
 		return anvilrequest.Refuse(anvilrequest.CodeTooLarge,
 			"the body has %d bytes; service %q takes at most %d", len(request.Body), request.Service, service.Body), false
 	}
+	if !d.directory.Served(request.Service) {
+		return anvilrequest.Refuse(anvilrequest.CodeNoTarget,
+			"no target of service %q has announced itself; see `anvilshunt target list`", request.Service), false
+	}
 	return anvilrequest.Answer{}, true
 }
 
--- a/io/anvilserver/guarantee_test.go
+++ b/io/anvilserver/guarantee_test.go
@@ -111,3 +111,23 @@
 		assert.Equal(t, target.Stats().Slots.Violations, 0, name)
 	}
 }
+
+// Guards against a lane for short requests that takes the targets of a
+// guarantee, in the same change as the guarantee or in a later one.
+func TestLaneAndGuaranteeAreCheckedTogether(t *testing.T) {
+	t.Parallel()
+	s := gangSystem(t) // seven targets, four of them in one rack
+	service := func(short int) string {
+		return fmt.Sprintf(`{"kind": "service", "name": "planner", "spec": {"timeout": 20000, "body": 1000, "repeatable": true, "short": %d}}`, short)
+	}
+	guarantee := `{"kind": "guarantee", "name": "rack", "spec": {"account": "agency", "service": "planner", "shape": "rack", "count": 1}}`
+	refused := func(id string, base int, set string) {
+		t.Helper()
+		status, body := s.post("i1", "/v1/config/changes", fmt.Sprintf(`{"id": %q, "operator": "ada", "base": %d, "set": [%s]}`, id, base, set))
+		assert.Equal(t, status, http.StatusUnprocessableEntity, body)
+	}
+	refused("both", 1, service(6)+","+guarantee)
+	refused("negative", 1, service(-5))
+	s.publish(`{"id": "g", "operator": "ada", "base": 1, "set": [` + guarantee + `]}`)
+	refused("later", 2, service(6))
+}
