Count service-level objectives in the replicated state

Operators could not see how much of an error budget a service had left. A service may now set objectives for waiting, for service and for starts of long jobs; recorders at instances count requests by minute, and a bounded history in the state machine (command Burn, field 18) takes each batch once and yields budgets and burn rates.

--- /dev/null
+++ b/core/anvilburn/codec.go
@@ -0,0 +1,186 @@
+package anvilburn
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// encoder writes equal values as equal bytes.
+var encoder = mustEncoder()
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+// formatVersion is the version of the encoded form.
+const formatVersion = 1
+
+// ErrFormat reports an encoded History that can't be read at all.
+var ErrFormat = errors.New("the encoded history of counts can't be read")
+
+// encoded is the form of a History. Every list is sorted.
+type encoded struct {
+	Version int `cbor:"1,keyasint"`
+	// Names holds each service, account and cause once. Counts refer to them
+	// by position.
+	Names   []string          `cbor:"2,keyasint,omitempty"`
+	Minutes []encodedBucket   `cbor:"3,keyasint,omitempty"`
+	Hours   []encodedBucket   `cbor:"4,keyasint,omitempty"`
+	Streams []encodedStream   `cbor:"5,keyasint,omitempty"`
+	Skipped Skipped           `cbor:"6,keyasint"`
+	Pruned  anvilclock.Millis `cbor:"7,keyasint,omitempty"`
+}
+
+// encodedBucket holds its counts as bytes, so that a damaged bucket doesn't
+// make the others unreadable.
+type encodedBucket struct {
+	Start anvilclock.Millis `cbor:"1,keyasint"`
+	Data  []byte            `cbor:"2,keyasint"`
+}
+
+type encodedStream struct {
+	Stream stream            `cbor:"1,keyasint"`
+	Latest anvilclock.Millis `cbor:"2,keyasint"`
+	Ranges []span            `cbor:"3,keyasint,omitempty"`
+}
+
+// countFields is the number of integers of one count: service, account,
+// cause, total, limited and beyond.
+const countFields = 6
+
+// Capture is a copy of a History that later batches don't affect.
+type Capture struct {
+	minutes, hours map[anvilclock.Millis]*bucket
+	rest           encoded
+}
+
+// Capture copies the History. Minutes and hours are shared until they change.
+func (h *History) Capture() *Capture {
+	for _, buckets := range []map[anvilclock.Millis]*bucket{h.minutes, h.hours} {
+		for _, b := range buckets {
+			b.shared = true
+		}
+	}
+	c := &Capture{minutes: maps.Clone(h.minutes), hours: maps.Clone(h.hours)}
+	c.rest = encoded{Version: formatVersion, Skipped: h.skipped, Pruned: h.pruned}
+	for id, known := range h.streams {
+		c.rest.Streams = append(c.rest.Streams, encodedStream{id, known.latest, slices.Clone(known.ranges)})
+	}
+	return c
+}
+
+// Encode returns the canonical form.
+func (c *Capture) Encode() ([]byte, error) {
+	form := c.rest
+	names := map[string]uint64{}
+	for _, buckets := range []map[anvilclock.Millis]*bucket{c.minutes, c.hours} {
+		for _, b := range buckets {
+			for key := range b.counts {
+				names[string(key.Service)], names[string(key.Account)], names[string(key.Cause)] = 0, 0, 0
+			}
+		}
+	}
+	form.Names = slices.Sorted(maps.Keys(names))
+	for i, name := range form.Names {
+		names[name] = uint64(i)
+	}
+	slices.SortFunc(form.Streams, func(a, b encodedStream) int {
+		return cmp.Or(cmp.Compare(a.Stream.Instance, b.Stream.Instance), cmp.Compare(a.Stream.Incarnation, b.Stream.Incarnation))
+	})
+	var err error
+	if form.Minutes, err = encodeBuckets(c.minutes, names); err == nil {
+		form.Hours, err = encodeBuckets(c.hours, names)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return encoder.Marshal(&form)
+}
+
+func encodeBuckets(buckets map[anvilclock.Millis]*bucket, names map[string]uint64) ([]encodedBucket, error) {
+	var list []encodedBucket
+	for _, start := range slices.Sorted(maps.Keys(buckets)) {
+		var numbers []uint64
+		for _, e := range sortedEntries(buckets[start].counts) {
+			numbers = append(numbers, names[string(e.Service)], names[string(e.Account)], names[string(e.Cause)],
+				e.Total, e.Limited, e.Beyond)
+		}
+		data, err := encoder.Marshal(numbers)
+		if err != nil {
+			return nil, fmt.Errorf("encode the counts of %d: %w", start, err)
+		}
+		list = append(list, encodedBucket{start, data})
+	}
+	return list, nil
+}
+
+// Decode reads what Encode wrote. Damaged minutes and hours are left out and
+// counted. No data is an empty History.
+func Decode(data []byte, limits Limits) (*History, error) {
+	h := NewHistory(limits)
+	if len(data) == 0 {
+		return h, nil
+	}
+	var form encoded
+	if err := cbor.Unmarshal(data, &form); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
+	}
+	if form.Version != formatVersion {
+		return nil, fmt.Errorf("%w: its version is %d and this program reads %d; use the program that wrote it", ErrFormat, form.Version, formatVersion)
+	}
+	h.skipped, h.pruned = form.Skipped, form.Pruned
+	for _, s := range form.Streams {
+		h.streams[s.Stream] = &seen{s.Latest, s.Ranges}
+	}
+	h.decode(h.minutes, anvilclock.Minute, form.Minutes, form.Names)
+	h.decode(h.hours, anvilclock.Hour, form.Hours, form.Names)
+	return h, nil
+}
+
+func (h *History) decode(into map[anvilclock.Millis]*bucket, span anvilclock.Millis, list []encodedBucket, names []string) {
+	for _, e := range list {
+		b, err := decodeBucket(e.Data, names)
+		if _, doubled := into[e.Start]; err != nil || doubled || e.Start%span != 0 {
+			h.skipped.Damaged++
+			continue
+		}
+		into[e.Start] = b
+	}
+}
+
+func decodeBucket(data []byte, names []string) (*bucket, error) {
+	var numbers []uint64
+	if err := cbor.Unmarshal(data, &numbers); err != nil {
+		return nil, err
+	}
+	b := &bucket{counts: make(map[Key]Count, len(numbers)/countFields)}
+	for ; len(numbers) >= countFields; numbers = numbers[countFields:] {
+		for _, name := range numbers[:3] {
+			if name >= uint64(len(names)) {
+				return nil, ErrFormat
+			}
+		}
+		key := Key{anvilid.ServiceName(names[numbers[0]]), anvilid.AccountID(names[numbers[1]]), Cause(names[numbers[2]])}
+		count := Count{numbers[3], numbers[4], numbers[5]}
+		if !count.valid() {
+			return nil, ErrFormat
+		}
+		b.counts[key] = count
+	}
+	if len(numbers) > 0 {
+		return nil, ErrFormat
+	}
+	return b, nil
+}
--- /dev/null
+++ b/core/anvilburn/report.go
@@ -0,0 +1,228 @@
+package anvilburn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilconfig"
+	"anvilshunt/core/anvilid"
+)
+
+// ObjectiveName names an objective of a service.
+type ObjectiveName string
+
+// Names of objectives.
+const (
+	ObjectiveWait    ObjectiveName = "wait"
+	ObjectiveService ObjectiveName = "service"
+	ObjectiveStarts  ObjectiveName = "starts"
+)
+
+// maxSpenders is the number of accounts and of causes that are listed.
+const maxSpenders = 5
+
+// Windows over which a burn rate is reported. Those up to KeepMinutes are
+// read from minutes, longer ones from hours.
+var windows = []struct {
+	name string
+	span anvilclock.Millis
+}{
+	{"5m", 5 * anvilclock.Minute},
+	{"1h", anvilclock.Hour},
+	{"6h", 6 * anvilclock.Hour},
+	{"3d", 72 * anvilclock.Hour},
+}
+
+// Service is a service with its objectives.
+type Service struct {
+	Name       anvilid.ServiceName
+	Objectives anvilconfig.Objectives
+}
+
+// Report tells how the services fare against their objectives.
+type Report struct {
+	At         anvilclock.Millis `json:"at"`
+	Objectives []Objective       `json:"objectives"`
+	Limits     Limits            `json:"limits"`
+	Skipped    Skipped           `json:"skipped"`
+	// Oldest is the start of the oldest hour with counts, zero without any.
+	Oldest anvilclock.Millis `json:"oldest"`
+}
+
+// Objective is the part of a report about one objective.
+type Objective struct {
+	Service anvilid.ServiceName `json:"service"`
+	Name    ObjectiveName       `json:"objective"`
+	Percent float64             `json:"percent"`
+	Limit   anvilclock.Millis   `json:"limit,omitempty"`
+	// Total and Spent count events and bad events of 30 days. Budget is the
+	// number of events that may be bad.
+	Total  uint64  `json:"total"`
+	Spent  uint64  `json:"spent"`
+	Budget float64 `json:"budget"`
+	Rates  []Rate  `json:"rates"`
+	// Accounts and Causes list those that spent most.
+	Accounts []Spender `json:"accounts,omitempty"`
+	Causes   []Spender `json:"causes,omitempty"`
+	// Minutes and Hours are the series that plots show. Spans without events
+	// are left out.
+	Minutes []Point `json:"minutes,omitempty"`
+	Hours   []Point `json:"hours,omitempty"`
+}
+
+// Remaining returns the part of the budget that isn't spent. It is negative
+// once the objective is missed, and 1 without events.
+func (o *Objective) Remaining() float64 {
+	if o.Budget == 0 {
+		return 1
+	}
+	return 1 - float64(o.Spent)/o.Budget
+}
+
+// Allowed returns the fraction of events that may be bad.
+func (o *Objective) Allowed() float64 { return (100 - o.Percent) / 100 }
+
+// Rate is the burn rate over a window. At 1, the budget lasts for exactly
+// 30 days.
+type Rate struct {
+	Window string  `json:"window"`
+	Total  uint64  `json:"total"`
+	Spent  uint64  `json:"spent"`
+	Burn   float64 `json:"burn"`
+}
+
+// Spender is an account or a cause and what it spent.
+type Spender struct {
+	Name  string `json:"name"`
+	Spent uint64 `json:"spent"`
+}
+
+// Point holds the events of one minute or hour.
+type Point struct {
+	At    anvilclock.Millis `json:"at"`
+	Total uint64            `json:"total"`
+	Spent uint64            `json:"spent"`
+}
+
+// BuildReport reports on services as of a time. Windows of minutes end with
+// the last whole minute, because instances send a minute once it is over.
+// Windows of hours include the current one.
+func BuildReport(h *History, now anvilclock.Millis, services []Service) Report {
+	report := Report{At: now, Limits: h.limits, Skipped: h.skipped}
+	if len(h.hours) > 0 {
+		report.Oldest = slices.Min(slices.Collect(maps.Keys(h.hours)))
+	}
+	for _, service := range services {
+		set := service.Objectives
+		if set.Wait != nil {
+			report.Objectives = append(report.Objectives, h.objective(now, Objective{
+				Service: service.Name, Name: ObjectiveWait, Percent: set.Wait.Percent, Limit: set.Wait.Limit,
+			}))
+		}
+		if set.Service != nil {
+			report.Objectives = append(report.Objectives, h.objective(now, Objective{
+				Service: service.Name, Name: ObjectiveService, Percent: set.Service.Percent,
+			}))
+		}
+		if set.Starts != nil {
+			report.Objectives = append(report.Objectives, h.objective(now, Objective{
+				Service: service.Name, Name: ObjectiveStarts, Percent: set.Starts.Percent, Limit: set.Starts.Limit,
+			}))
+		}
+	}
+	return report
+}
+
+// weigh returns the events and the bad events that a count means for an
+// objective.
+func (o *Objective) weigh(key Key, count Count) (total, spent uint64) {
+	switch {
+	case key.Service != o.Service || key.Cause.job() != (o.Name == ObjectiveStarts):
+		return 0, 0
+	case o.Name != ObjectiveService:
+		return count.Limited, count.Beyond
+	case key.Cause == CauseDone:
+		return count.Total, 0
+	}
+	return count.Total, count.Total
+}
+
+func (h *History) objective(now anvilclock.Millis, o Objective) Objective {
+	accounts, causes := map[string]uint64{}, map[string]uint64{}
+	minuteEnd := floor(now, anvilclock.Minute)
+	hourEnd := floor(now, anvilclock.Hour) + anvilclock.Hour
+	o.Minutes = o.series(h.minutes, minuteEnd-KeepMinutes, minuteEnd, nil)
+	o.Hours = o.series(h.hours, hourEnd-KeepHours, hourEnd, func(key Key, spent uint64) {
+		accounts[string(key.Account)] += spent
+		causes[string(key.Cause)] += spent
+	})
+	o.Total, o.Spent = sumSince(o.Hours, 0)
+	o.Budget = o.Allowed() * float64(o.Total)
+	o.Accounts, o.Causes = most(accounts), most(causes)
+	for _, window := range windows {
+		points, end := o.Minutes, minuteEnd
+		if window.span > KeepMinutes {
+			points, end = o.Hours, hourEnd
+		}
+		rate := Rate{Window: window.name}
+		rate.Total, rate.Spent = sumSince(points, end-window.span)
+		rate.Burn = o.Burn(rate.Total, rate.Spent)
+		o.Rates = append(o.Rates, rate)
+	}
+	return o
+}
+
+// Burn returns the burn rate of a number of events. It is 0 without events.
+func (o *Objective) Burn(total, spent uint64) float64 {
+	if total == 0 {
+		return 0
+	}
+	return float64(spent) / float64(total) / o.Allowed()
+}
+
+// series sums the buckets that start in a span by their start. It passes each
+// key that spent something to visit.
+func (o *Objective) series(buckets map[anvilclock.Millis]*bucket, from, to anvilclock.Millis, visit func(Key, uint64)) []Point {
+	var points []Point
+	for _, start := range slices.Sorted(maps.Keys(buckets)) {
+		if start < from || start >= to {
+			continue
+		}
+		point := Point{At: start}
+		for key, count := range buckets[start].counts {
+			total, spent := o.weigh(key, count)
+			point.Total += total
+			point.Spent += spent
+			if visit != nil && spent > 0 {
+				visit(key, spent)
+			}
+		}
+		if point.Total > 0 {
+			points = append(points, point)
+		}
+	}
+	return points
+}
+
+func sumSince(points []Point, from anvilclock.Millis) (total, spent uint64) {
+	for _, point := range points {
+		if point.At >= from {
+			total += point.Total
+			spent += point.Spent
+		}
+	}
+	return total, spent
+}
+
+func most(spent map[string]uint64) []Spender {
+	var list []Spender
+	for name, n := range spent {
+		list = append(list, Spender{name, n})
+	}
+	slices.SortFunc(list, func(a, b Spender) int {
+		return cmp.Or(cmp.Compare(b.Spent, a.Spent), cmp.Compare(a.Name, b.Name))
+	})
+	return list[:min(len(list), maxSpenders)]
+}
--- a/core/anvilconfig/object.go
+++ b/core/anvilconfig/object.go
@@ -72,6 +72,8 @@
 	Short int `json:"short,omitempty"`
 	// Queue is the longest queue of one account at one instance.
 	Queue int `cbor:"4,keyasint,omitempty" json:"queue,omitempty"`
+	// Objectives are the service-level objectives, which reports measure.
+	Objectives *Objectives `cbor:"6,keyasint,omitempty" json:"objectives,omitempty"`
 }
 
 // Object is one named object. The field for its kind is set.
--- a/core/anvilconfig/spec.go
+++ b/core/anvilconfig/spec.go
@@ -85,6 +85,7 @@
 	c.between(key, "timeout", int64(spec.Timeout), 1, int64(maxTimeout))
 	c.between(key, "body", int64(spec.Body), 1, int64(maxBody))
 	c.between(key, "queue", int64(spec.Queue), 0, maxQueue)
+	c.objectives(key, spec.Objectives)
 }
 
 // reference checks that an object that another one names will exist.
--- a/core/anvilstate/advance.go
+++ b/core/anvilstate/advance.go
@@ -69,6 +69,7 @@
 
 func (m *Machine) setState(job *Job, state JobState, detail string) {
 	job.State, job.Detail, job.Changed = state, detail[:min(len(detail), maxDetail)], m.at
+	m.countStart(job)
 }
 
 func (m *Machine) requeue(job *Job, detail string) {
--- /dev/null
+++ b/core/anvilstate/burn.go
@@ -0,0 +1,46 @@
+package anvilstate
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilshunt/core/anvilburn"
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// countStart counts a job once for the objective about starts: when it first
+// runs, or when it fails before that. Jobs that were cancelled or can never
+// run don't count.
+func (m *Machine) countStart(job *Job) {
+	cause := anvilburn.CauseStart
+	switch {
+	case job.Started:
+		return
+	case job.State == JobFailed:
+		cause = anvilburn.CauseNoStart
+	case job.State != JobRunning && job.State != JobDone:
+		return
+	}
+	job.Started = true
+	event := anvilburn.Event{Key: anvilburn.Key{Service: job.Service, Account: job.Account, Cause: cause}}
+	if service := m.config.current.Service(job.Service); service != nil && service.Objectives != nil && service.Objectives.Starts != nil {
+		event.Limited = true
+		event.Beyond = cause == anvilburn.CauseNoStart || m.at-job.At > service.Objectives.Starts.Limit
+	}
+	m.burn.AddJob(m.at, event)
+}
+
+// BurnReport reports on the services with objectives, or on one of them. The
+// time is the caller's, or that of the last entry if that is later.
+func (m *Machine) BurnReport(now anvilclock.Millis, only anvilid.ServiceName) anvilburn.Report {
+	var services []anvilburn.Service
+	for key, object := range m.config.current.Objects {
+		name := anvilid.ServiceName(key.Name)
+		if object.Service != nil && object.Service.Objectives != nil && (only == "" || only == name) {
+			services = append(services, anvilburn.Service{Name: name, Objectives: *object.Service.Objectives})
+		}
+	}
+	slices.SortFunc(services, func(a, b anvilburn.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return anvilburn.BuildReport(m.burn, max(now, m.at), services)
+}
--- a/core/anvilstate/command.go
+++ b/core/anvilstate/command.go
@@ -6,6 +6,7 @@
 package anvilstate
 
 import (
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
@@ -32,6 +33,8 @@
 	// Rebalance spreads targets after an instance has joined.
 	Rebalance *Rebalance `cbor:"16,keyasint,omitempty"`
 	EndMember *EndMember `cbor:"17,keyasint,omitempty"`
+	// Burn adds counts to the history of service-level objectives.
+	Burn *anvilburn.Batch `cbor:"18,keyasint,omitempty"`
 }
 
 // Instance is one instance of the system.
--- a/core/anvilstate/job.go
+++ b/core/anvilstate/job.go
@@ -43,6 +43,9 @@
 	Guaranteed bool `cbor:"21,keyasint,omitempty" json:"guaranteed,omitempty"`
 	// Broken is set if a member failed by itself.
 	Broken bool `cbor:"20,keyasint,omitempty" json:"broken,omitempty"`
+	// Started is set once the job has run, so that a job that is placed again
+	// counts once for the objective about starts.
+	Started bool `cbor:"22,keyasint,omitempty" json:"-"`
 }
 
 // jobs is the table of long jobs.
--- a/core/anvilstate/limits.go
+++ b/core/anvilstate/limits.go
@@ -1,6 +1,7 @@
 package anvilstate
 
 import (
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 )
@@ -31,6 +32,8 @@
 	Payloads anvilid.ByteCount
 	// Deltas bounds the changes kept for deltas.
 	Deltas int
+	// Burn bounds the history of service-level objectives.
+	Burn anvilburn.Limits
 }
 
 // DefaultLimits are the limits of docs/design.md, where it states them.
@@ -52,6 +55,7 @@
 		// Several instances with a thousand targets each may fail at once
 		// before an instance has to receive the whole view.
 		Deltas: 16_384,
+		Burn:   anvilburn.DefaultLimits(),
 	}
 }
 
--- a/core/anvilstate/machine.go
+++ b/core/anvilstate/machine.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 )
@@ -20,6 +21,7 @@
 	config    configuration
 	claims    claims
 	jobs      jobs
+	burn      *anvilburn.History
 	changes   changeRing
 	// planned is not part of snapshots: a new leader plans anew.
 	planned anvilid.Index
@@ -41,6 +43,7 @@
 		opt(m)
 	}
 	m.changes.window = m.limits.Deltas
+	m.burn = anvilburn.NewHistory(m.limits.Burn)
 	return m
 }
 
@@ -79,7 +82,7 @@
 
 // concernsJobs tells whether a command may change jobs, targets or guarantees.
 func (c *Command) concernsJobs() bool {
-	return c.Claim == nil && c.Complete == nil && c.Abandon == nil
+	return c.Claim == nil && c.Complete == nil && c.Abandon == nil && c.Burn == nil
 }
 
 func (m *Machine) refuse(err error) Result {
@@ -120,6 +123,8 @@
 		result.Job, err = m.advance(*c.Advance)
 	case c.EndMember != nil:
 		result.Job, err = m.endMember(*c.EndMember)
+	case c.Burn != nil:
+		return m.burn.Add(m.at, c.Burn)
 	default:
 		return fmt.Errorf("%w: empty command", ErrUnknown)
 	}
--- a/core/anvilstate/result.go
+++ b/core/anvilstate/result.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
@@ -43,6 +44,7 @@
 	{ErrJob, "unknown_job"},
 	{ErrCapacity, "no_capacity"},
 	{ErrTransition, "bad_transition"},
+	{anvilburn.ErrBatch, "bad_batch"},
 }
 
 func codeOf(err error) string {
--- a/core/anvilstate/snapshot.go
+++ b/core/anvilstate/snapshot.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
@@ -37,6 +38,8 @@
 	Jobs      []Job                  `cbor:"14,keyasint,omitempty"`
 	EndedJobs []anvilid.JobID        `cbor:"15,keyasint,omitempty"`
 	Reserved  []reservationsOfTarget `cbor:"16,keyasint,omitempty"`
+	// Burn is the encoded history of service-level objectives.
+	Burn []byte `cbor:"17,keyasint,omitempty"`
 }
 
 type claimRecord struct {
@@ -61,6 +64,7 @@
 // can be encoded while the state machine goes on.
 type Capture struct {
 	state snapshot
+	burn  *anvilburn.Capture
 }
 
 // Capture copies the state. What records point to is replaced and never
@@ -80,7 +84,7 @@
 	for id, of := range m.jobs.reserved {
 		s.Reserved = append(s.Reserved, reservationsOfTarget{id, maps.Clone(of)})
 	}
-	return &Capture{s}
+	return &Capture{s, m.burn.Capture()}
 }
 
 // Encode returns the snapshot.
@@ -92,6 +96,10 @@
 	slices.SortFunc(s.Held, func(a, b claimRecord) int { return cmp.Compare(a.Token, b.Token) })
 	slices.SortFunc(s.Jobs, func(a, b Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
 	slices.SortFunc(s.Reserved, func(a, b reservationsOfTarget) int { return cmp.Compare(a.Target, b.Target) })
+	var err error
+	if s.Burn, err = c.burn.Encode(); err != nil {
+		return nil, fmt.Errorf("encode the history of service-level objectives: %w", err)
+	}
 	return Encode(s)
 }
 
@@ -126,6 +134,10 @@
 	}
 	m.claims.restore(s)
 	m.jobs.restore(s)
+	var err error
+	if m.burn, err = anvilburn.Decode(s.Burn, m.limits.Burn); err != nil {
+		return nil, fmt.Errorf("restore the history of service-level objectives: %w", err)
+	}
 	return m, nil
 }
 
