Report error budgets and burn rates of service-level objectives

The desk counts each request that it admits once, a duty proposes closed minutes every 5 s and on drain, and `anvilshunt report burn` prints a table, JSON or a self-contained page with plots.

--- a/core/anvilburn/count.go
+++ b/core/anvilburn/count.go
@@ -47,13 +47,14 @@
 	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Account, other.Account), cmp.Compare(k.Cause, other.Cause))
 }
 
-// Count is what was counted under one key.
+// Count is what was counted under one key. Its numbers go on from those of Key,
+// because an Entry holds the fields of both.
 type Count struct {
-	Total uint64 `cbor:"1,keyasint"`
+	Total uint64 `cbor:"4,keyasint"`
 	// Limited counts those for which a limit of the waiting time was set,
 	// Beyond those of them that waited longer.
-	Limited uint64 `cbor:"2,keyasint,omitempty"`
-	Beyond  uint64 `cbor:"3,keyasint,omitempty"`
+	Limited uint64 `cbor:"5,keyasint,omitempty"`
+	Beyond  uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // maxCount keeps sums far from overflow: a batch covers a minute at most.
--- a/core/anvilrequest/request.go
+++ b/core/anvilrequest/request.go
@@ -71,6 +71,18 @@
 	// the content, so a resend may carry other metadata.
 	Metadata []Pair
 	Body     []byte
+	Course   Course
+}
+
+// Course notes how a request goes at the instance that the caller sent it to.
+type Course struct {
+	// Received and Started are the instants of the arrival and of the first
+	// start on a target. Started is valid if Ran is set.
+	Received, Started anvilclock.Millis
+	Ran               bool
+	// Admitted is set if this instance admitted the request. Resends that are
+	// answered from a held answer aren't admitted again.
+	Admitted bool
 }
 
 // Pair is one header field that is passed on.
--- a/core/anvilstate/burn.go
+++ b/core/anvilstate/burn.go
@@ -23,12 +23,15 @@
 		return
 	}
 	job.Started = true
-	event := anvilburn.Event{Key: anvilburn.Key{Service: job.Service, Account: job.Account, Cause: cause}}
-	if service := m.config.current.Service(job.Service); service != nil && service.Objectives != nil && service.Objectives.Starts != nil {
-		event.Limited = true
-		event.Beyond = cause == anvilburn.CauseNoStart || m.at-job.At > service.Objectives.Starts.Limit
+	service := m.config.current.Service(job.Service)
+	if service == nil || service.Objectives == nil || service.Objectives.Starts == nil {
+		return
 	}
-	m.burn.AddJob(m.at, event)
+	m.burn.AddJob(m.at, anvilburn.Event{
+		Key:     anvilburn.Key{Service: job.Service, Account: job.Account, Cause: cause},
+		Limited: true,
+		Beyond:  cause == anvilburn.CauseNoStart || m.at-job.At > service.Objectives.Starts.Limit,
+	})
 }
 
 // BurnReport reports on the services with objectives, or on one of them. The
--- a/io/anvilclient/client.go
+++ b/io/anvilclient/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
@@ -143,6 +144,13 @@
 	return history, err
 }
 
+// Burn reports on the service-level objectives of all services or of one.
+func (c *Client) Burn(ctx context.Context, service anvilid.ServiceName) (anvilburn.Report, error) {
+	var report anvilburn.Report
+	err := c.call(ctx, http.MethodGet, "/v1/burn?service="+url.QueryEscape(string(service)), nil, &report)
+	return report, err
+}
+
 // Status returns what an instance knows.
 func (c *Client) Status(ctx context.Context) (anvilhttp.Status, error) {
 	var status anvilhttp.Status
--- /dev/null
+++ b/io/anvilcmd/anvilreportcmd/plot.go
@@ -0,0 +1,87 @@
+package anvilreportcmd
+
+import (
+	"bytes"
+	"errors"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"anvilshunt/core/anvilburn"
+	"anvilshunt/core/anvilclock"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+)
+
+// day is a day in milliseconds, for axes.
+const day = 24 * float64(anvilclock.Hour)
+
+// burnWindow is the window of each point of the plotted burn rate.
+const burnWindow = 5 * anvilclock.Minute
+
+var errNoImage = errors.New("the plot library wrote no image")
+
+// plotBudget shows how the budget of the last 30 days was spent.
+func plotBudget(report anvilburn.Report, o anvilburn.Objective) ([]byte, error) {
+	points := plotter.XYs{{X: -float64(anvilburn.KeepHours) / day, Y: 100}}
+	spent := uint64(0)
+	for _, point := range o.Hours {
+		spent += point.Spent
+		left := 100.0
+		if o.Budget > 0 {
+			left = 100 * (1 - float64(spent)/o.Budget)
+		}
+		x := float64(point.At-report.At) / day
+		points = append(points, plotter.XY{X: x, Y: points[len(points)-1].Y}, plotter.XY{X: x, Y: left})
+	}
+	points = append(points, plotter.XY{X: 0, Y: points[len(points)-1].Y})
+	return render("Budget left over 30 days", "days", "percent", points)
+}
+
+// plotBurn shows the burn rate of the last hours.
+func plotBurn(report anvilburn.Report, o anvilburn.Objective) ([]byte, error) {
+	var points plotter.XYs
+	first := report.At - report.At%anvilclock.Minute - anvilburn.KeepMinutes + burnWindow
+	at := 0 // the first point of the window
+	for end := first; end <= report.At; end += burnWindow {
+		total, spent := uint64(0), uint64(0)
+		for ; at < len(o.Minutes) && o.Minutes[at].At < end; at++ {
+			total += o.Minutes[at].Total
+			spent += o.Minutes[at].Spent
+		}
+		points = append(points, plotter.XY{X: float64(end-report.At) / float64(anvilclock.Hour), Y: o.Burn(total, spent)})
+	}
+	return render("Burn rate over 5 minutes", "hours", "burn rate", points)
+}
+
+// render draws a line and returns it as an SVG element.
+func render(title, x, y string, points plotter.XYs) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return nil, err
+	}
+	p.Add(plotter.NewGrid(), line)
+	p.Y.Min = min(p.Y.Min, 0)
+	p.Y.Max = max(p.Y.Max, 1)
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return nil, err
+	}
+	// The prologue of an SVG file names a document type on another server.
+	at := bytes.Index(out.Bytes(), []byte("<svg"))
+	if at < 0 {
+		return nil, errNoImage
+	}
+	return out.Bytes()[at:], nil
+}
--- a/io/anvilcmd/root.go
+++ b/io/anvilcmd/root.go
@@ -15,6 +15,7 @@
 	"anvilshunt/io/anvilcmd/anvilinstancecmd"
 	"anvilshunt/io/anvilcmd/anviljobcmd"
 	"anvilshunt/io/anvilcmd/anvilobjectcmd"
+	"anvilshunt/io/anvilcmd/anvilreportcmd"
 	"anvilshunt/io/anvilcmd/anvilservecmd"
 	"anvilshunt/io/anvilcmd/anvilstatuscmd"
 	"anvilshunt/io/anvilcmd/anviltargetcmd"
@@ -35,6 +36,7 @@
 			anvilobjectcmd.New(factory, anvilconfig.KindService),
 			anviljobcmd.New(factory),
 			anviltargetcmd.New(factory),
+			anvilreportcmd.New(factory),
 			anvilinstancecmd.New(factory),
 			anvilstatuscmd.New(factory),
 			anvilstatuscmd.NewVersion(factory),
--- a/io/anvilcontrol/query.go
+++ b/io/anvilcontrol/query.go
@@ -8,6 +8,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
@@ -20,6 +21,7 @@
 	QueryJobs    = "jobs"
 	QueryHistory = "history"
 	QueryCheck   = "check"
+	QueryBurn    = "burn"
 )
 
 // ErrNotFound reports a query for an object that doesn't exist.
@@ -67,6 +69,12 @@
 		}
 		_, problems := machine.CheckConfig(change)
 		return problems, true, nil
+	case QueryBurn:
+		var now anvilclock.Millis
+		if err := anvilstate.Decode(request.Body, &now); err != nil {
+			return nil, false, twirp.InvalidArgumentError("body", err.Error())
+		}
+		return machine.BurnReport(now, anvilid.ServiceName(request.Id)), true, nil
 	}
 	return nil, false, twirp.InvalidArgumentError("kind", fmt.Sprintf("unknown kind %q", request.Kind))
 }
--- a/io/anvildesk/desk.go
+++ b/io/anvildesk/desk.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvildedup"
@@ -78,6 +79,7 @@
 	record    func(anvilid.Address) anvilrpc.Peer
 	fetch     func(anvilid.Address) anvilrpc.Peer
 	limits    Limits
+	tally     func(anvilburn.Event)
 
 	// incarnation is the one under which the instance last joined.
 	incarnation atomic.Uint64
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -175,6 +175,7 @@
 		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "the wait exceeded the timeout")
 	}
 	var answer anvilrequest.Answer
+	started := d.clock.Now()
 	switch {
 	case ctx.Err() != nil:
 		d.giveBack(way)
@@ -188,6 +189,9 @@
 		}
 		answer = d.runner.Dispatch(ctx, lease, request, token)
 	}
+	if course := &request.Course; !course.Ran && answer.Outcome != anvilrequest.NotRun {
+		course.Ran, course.Started = true, started
+	}
 	d.mu.Lock()
 	d.service(request.Service).queue.Done(d.clock.Now(), way.ticket, answer.Outcome != anvilrequest.NotRun)
 	d.mu.Unlock()
--- a/io/anvilhttp/api.go
+++ b/io/anvilhttp/api.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
@@ -37,6 +38,7 @@
 	Check    func(context.Context, anvilconfig.Change) ([]anvilconfig.Problem, error)
 	Change   func(ctx context.Context, change anvilconfig.Change, everywhere bool) (anvilstate.Result, bool, error)
 	History  func(context.Context) ([]anvilstate.Published, error)
+	Burn     func(context.Context, anvilid.ServiceName) (anvilburn.Report, error)
 	Submit   func(context.Context, anvilstate.SubmitJob) (anvilstate.Result, error)
 	Job      func(context.Context, anvilid.JobID) (anvilstate.Job, error)
 	Jobs     func(context.Context) ([]anvilstate.Job, error)
--- a/io/anvilhttp/operator.go
+++ b/io/anvilhttp/operator.go
@@ -116,6 +116,15 @@
 	return c.JSON(http.StatusOK, history)
 }
 
+// viewBurn reports on the service-level objectives of all services or of one.
+func (s *server) viewBurn(c echo.Context) error {
+	report, err := s.api.Burn(c.Request().Context(), anvilid.ServiceName(c.QueryParam("service")))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, report)
+}
+
 func (s *server) viewStatus(c echo.Context) error { return c.JSON(http.StatusOK, s.api.Status()) }
 
 func (s *server) listInstances(c echo.Context) error {
--- a/io/anvilhttp/server.go
+++ b/io/anvilhttp/server.go
@@ -30,6 +30,7 @@
 	e.POST("/v1/config/check", s.checkChange)
 	e.POST("/v1/config/changes", s.applyChange)
 	e.GET("/v1/config/history", s.listHistory)
+	e.GET("/v1/burn", s.viewBurn)
 	e.GET("/v1/status", s.viewStatus)
 	e.GET("/v1/instances", s.listInstances)
 	e.GET("/v1/targets", s.listTargets)
--- a/io/anvilserver/api.go
+++ b/io/anvilserver/api.go
@@ -33,6 +33,7 @@
 		Check:   s.checkChange,
 		Change:  s.change,
 		History: s.history,
+		Burn:    s.burn,
 		Submit:  s.submit,
 		Job:     s.job,
 		Jobs:    s.jobs,
--- a/io/anvilserver/metrics.go
+++ b/io/anvilserver/metrics.go
@@ -31,6 +31,8 @@
 		"slots":    func() any { return s.fleet.Loads() },
 		"leased":   func() any { return s.isLeased() },
 		"memory":   memory,
+		// burn_dropped counts requests missing from the history of objectives.
+		"burn_dropped": func() any { return s.tally.dropped() },
 	}
 	for name, value := range values {
 		m.all.Set(name, expvar.Func(value))
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -62,6 +62,7 @@
 		{"fleet", s.fleet.Run},
 		{"desk", s.desk.RunDuty},
 		{"gang members", s.owner.Run},
+		{"burn", s.sendCounts},
 		{"public", s.serve(public, s.publicHandler())},
 		{"peer", s.serve(peer, s.peerHandler())},
 		{"signals", func(ctx context.Context) error { return s.obey(ctx, signals, cancel) }},
@@ -157,6 +158,7 @@
 	s.lease.Revoke()
 	s.mu.Unlock()
 	s.fleet.DropAll()
+	s.proposeCounts(ctx, true)
 	s.leave(ctx, false)
 }
 
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvillease"
@@ -48,6 +49,7 @@
 	owner       *anvilgang.Owner
 	voter       *voter // nil without a data directory
 	metrics     *metrics
+	tally       *tally
 	state       atomic.Int32
 
 	mu     sync.Mutex
@@ -101,6 +103,7 @@
 		anvilfleet.WithLeased(s.isLeased), anvilfleet.WithPropose(s.client.Propose),
 		anvilfleet.WithAnswerLimit(settings.Limits.Answer),
 		anvilfleet.WithFreed(func(service anvilid.ServiceName) { s.desk.Freed(service) }))
+	s.tally = &tally{wall: s.wall, recorder: anvilburn.NewRecorder(settings.Instance, s.currentIncarnation())}
 	s.desk = s.newDesk()
 	s.owner = s.newOwner()
 	if settings.Data != "" {
@@ -123,6 +126,7 @@
 	}
 	return anvildesk.New(self, s.clock, s.log, s.directory(), runner,
 		anvildesk.WithPropose(s.client.Propose),
+		anvildesk.WithTally(s.tally.add),
 		anvildesk.WithPeers(s.peers(anvillink.Run), s.peers(anvillink.Record), s.peers(anvillink.Fetch)),
 		anvildesk.WithLimits(anvildesk.Limits{
 			Requests: s.settings.Limits.Requests, Queue: s.settings.Limits.Queue,
