--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -15,6 +15,7 @@
 	"anvilshunt/core/anvilreport"
 	"anvilshunt/core/anvilslot"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -50,6 +51,7 @@
 	ledger  *anvilslot.Ledger
 	judge   *anvilhealth.Judge
 	targets map[anvilid.TargetID]*owned
+	probes  map[anvilid.TargetID]anvilslot.Lease
 	counts  Counts
 }
 
@@ -104,6 +106,7 @@
 			return anvilstate.Result{}, nil
 		},
 		ledger: anvilslot.New(), judge: anvilhealth.New(seed), targets: map[anvilid.TargetID]*owned{},
+		probes: map[anvilid.TargetID]anvilslot.Lease{},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -230,16 +233,7 @@
 
 // Run tends the owned targets until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tendPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f.tend(ctx)
-		}
-	}
+	return anvilduty.Every(ctx, tendPeriod, f.tend)
 }
 
 func (f *Fleet) tend(ctx context.Context) {
--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -35,7 +35,7 @@
 
 // system is a set of instances and stand-in targets in one process.
 type system struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	instances map[string]*instance
 	order     []string
@@ -60,10 +60,22 @@
 	open  map[net.Conn]bool
 	cut   atomic.Bool
 	latch net.Dialer
+	// blocked is an address that can't be reached from here.
+	blocked atomic.Value
+}
+
+// block breaks the way to one address.
+func (n *network) block(address anvilid.Address) {
+	n.blocked.Store(string(address))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.open {
+		_ = conn.Close()
+	}
 }
 
 func (n *network) dial(ctx context.Context, kind, address string) (net.Conn, error) {
-	if n.cut.Load() {
+	if blocked, _ := n.blocked.Load().(string); n.cut.Load() || blocked == address {
 		return nil, errCut
 	}
 	conn, err := n.latch.DialContext(ctx, kind, address)
@@ -123,7 +135,7 @@
 	}
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	t.Helper()
 	s := &system{
 		t: t, dir: t.TempDir(), instances: map[string]*instance{}, targets: map[string]*anviltarget.Target{},
@@ -143,7 +155,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) anvilid.Address {
+func freeAddress(t testing.TB) anvilid.Address {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -368,7 +380,15 @@
 	for _, name := range s.order {
 		s.start(name)
 	}
-	s.eventually("all instances are ready", func() bool { return s.ready("i1") && s.ready("i2") && s.ready("i3") })
+	s.eventually("all instances are ready and voters", func() bool {
+		for _, name := range s.order {
+			status, ok := s.status(name)
+			if !ok || !status.Ready || !status.Voter.Vote || len(status.Voter.Voters) != 3 {
+				return false
+			}
+		}
+		return true
+	})
 	for _, name := range s.order {
 		zone := s.instances[name].settings.Zone
 		s.startTarget("t-"+name, anviltarget.Settings{Region: "west", Zone: zone, Rack: "r1"})
