--- a/io/anvilcmd/anvilreportcmd/burn.go
+++ b/io/anvilcmd/anvilreportcmd/burn.go
@@ -39,7 +39,7 @@
 		ShortHelp: "show error budgets and burn rates of the service-level objectives",
 		LongHelp: "The budget is the number of events of the last 30 days that the objective allows to be bad.\n" +
 			"At a burn rate of 1, it lasts for exactly 30 days.\n\n" +
-			"Examples:\n  anvilshunt report burn\n  anvilshunt report burn --service planner --html burn.html",
+			"Example:\n  anvilshunt report burn\n  anvilshunt report burn --service planner --html burn.html",
 		Flags: flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := anvilfactory.None(args); err != nil {
