--- a/core/anvilconfig/spec.go
+++ b/core/anvilconfig/spec.go
@@ -87,6 +87,7 @@
 	c.between(key, "body", int64(spec.Body), 1, int64(maxBody))
 	c.between(key, "queue", int64(spec.Queue), 0, maxQueue)
 	c.between(key, "short", int64(spec.Short), 0, maxShort)
+	c.objectives(key, spec.Objectives)
 }
 
 // reference checks that an object that another one names will exist.
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -203,6 +203,15 @@
 	if way.shed {
 		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "the wait exceeded the timeout")
 	}
+	started := d.clock.Now()
+	answer := d.sendOn(ctx, request, token, way)
+	if course := &request.Course; !course.Ran && answer.Outcome != anvilrequest.NotRun {
+		course.Ran, course.Started = true, started
+	}
+	return answer
+}
+
+func (d *Desk) sendOn(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, way grant) anvilrequest.Answer {
 	if ctx.Err() != nil {
 		d.giveBack(way)
 		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "no slot became free before the deadline")
