--- a/io/anvilmeasure/overhead.go
+++ b/io/anvilmeasure/overhead.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"runtime/pprof"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -86,19 +87,27 @@
 	return summary, json.Unmarshal(out, summary)
 }
 
-// Ports below the range from which the system picks ports for connections.
+// Ports below the range from which the system picks ports for connections. A
+// port of that range may be taken between its choice and its use, and then an
+// instance doesn't start.
 const (
 	firstPort = 20_000
 	portCount = 10_000
 )
 
+// nextPort makes the choices of this process differ from each other. It begins
+// at random, so that those of other processes are likely to differ too.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
 // consecutive returns the first and all of count free ports in a row.
 func consecutive(count int) (first string, all string, err error) {
 	for range 100 {
-		base := firstPort + rand.IntN(portCount)
+		base := int(nextPort.Add(uint32(count))-uint32(count)) % portCount
 		var list []string
 		for n := range count {
-			address := fmt.Sprintf("127.0.0.1:%d", base+n)
+			address := fmt.Sprintf("127.0.0.1:%d", firstPort+base+n)
 			l, err := net.Listen("tcp", address)
 			if err != nil {
 				break
--- a/io/anvilmeasure/system.go
+++ b/io/anvilmeasure/system.go
@@ -7,13 +7,15 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"time"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilhttp"
 	"anvilshunt/io/anvilserver"
 	"anvilshunt/io/anvilsettings"
@@ -77,12 +79,8 @@
 }
 
 func freeAddress() (anvilid.Address, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return anvilid.Address(l.Addr().String()), nil
+	first, _, err := consecutive(1)
+	return anvilid.Address(first), err
 }
 
 // newSystem starts the instances, waits until all are ready and publishes the
@@ -203,7 +201,7 @@
 		return reason == ""
 	})
 	if err != nil {
-		return fmt.Errorf("%w: %s", err, reason)
+		return fmt.Errorf("%w: %s; %s", err, reason, s.describe())
 	}
 	return nil
 }
@@ -224,7 +222,7 @@
 		case !status.Ready:
 			return i.name + " isn't ready"
 		case len(status.Instances) != len(s.instances):
-			return fmt.Sprintf("%s knows %d instances", i.name, len(status.Instances))
+			return fmt.Sprintf("%s knows %d instances; %s", i.name, len(status.Instances), s.absent(status.Instances))
 		case i.voter && (status.Voter == nil || len(status.Voter.Voters) != voters):
 			return i.name + " doesn't know all voters"
 		}
@@ -232,6 +230,38 @@
 	return ""
 }
 
+// describe tells what each instance knows, for reports of failures.
+func (s *system) describe() string {
+	var list []string
+	for _, i := range s.instances {
+		status, err := s.status(i)
+		if err != nil {
+			list = append(list, fmt.Sprintf("%s: %v", i.name, err))
+			continue
+		}
+		text := fmt.Sprintf("%s: leased %t, incarnation %d, index %d", i.name, status.Leased, status.Incarnation, status.Index)
+		if v := status.Voter; v != nil {
+			text += fmt.Sprintf(", leading %t, quorum %t, term %d, leader %q, commit %d, applied %d, voters %v",
+				v.Leading, v.Quorum, v.Term, v.Leader, v.Commit, v.Applied, v.Voters)
+		}
+		list = append(list, text)
+	}
+	return strings.Join(list, "; ")
+}
+
+// absent describes the instances that aren't among the known ones.
+func (s *system) absent(known []anvilstate.Instance) string {
+	var list []string
+	for _, i := range s.instances {
+		if slices.ContainsFunc(known, func(k anvilstate.Instance) bool { return string(k.ID) == i.name }) {
+			continue
+		}
+		status, err := s.status(i)
+		list = append(list, fmt.Sprintf("%s is missing: ready %t, incarnation %d, index %d, error %v", i.name, status.Ready, status.Incarnation, status.Index, err))
+	}
+	return strings.Join(list, "; ")
+}
+
 func (s *system) get(i *instance, path string, value any) error {
 	response, err := s.client.Get("http://" + string(i.settings.Public) + path)
 	if err != nil {
