Report why a delayed connection broke, also when its peer closed first

TestFabricHoldsBytes failed in most runs with EOF in place of errKilled: both channels of Read were ready and either was taken.

--- a/io/anvilmeasure/fabric.go
+++ b/io/anvilmeasure/fabric.go
@@ -314,6 +314,17 @@
 	}
 }
 
+// end returns why no more bytes come from the peer. A connection that was
+// broken here ends with the reason for that.
+func (d *delayed) end() error {
+	select {
+	case <-d.closed:
+		return d.failure
+	default:
+		return io.EOF
+	}
+}
+
 // Read returns bytes that have arrived.
 func (d *delayed) Read(buffer []byte) (int, error) {
 	d.reading.Lock()
@@ -322,7 +333,7 @@
 		select {
 		case c, ok := <-d.in:
 			if !ok {
-				return 0, io.EOF
+				return 0, d.end()
 			}
 			if !d.arrive(c) {
 				return 0, d.failure
