Give up on a lost leader sooner when a change waits for all instances

A call that waits until a change is in force stayed 3 s with a leader that was frozen, so such a change would miss the goal of 1 s by far; the wait is 1.2 s now.

--- a/io/anvilcontrol/client.go
+++ b/io/anvilcontrol/client.go
@@ -30,9 +30,10 @@
 // for this time. Then the direct way is tried again.
 const relaySpan = 5 * time.Second
 
-// A change is in force everywhere after one lease at the latest, so a call
-// that waits for this and takes longer speaks to a lost leader.
-const everywhereTimeout = 3 * time.Second
+// A change is in force everywhere after one lease of 900 ms and its margin at
+// the latest, so a call that waits longer speaks to a lost leader. With longer
+// leases the call is made again and finds the change in force later.
+const everywhereTimeout = 1200 * time.Millisecond
 
 // Client finds the leader of the control group and talks to it.
 type Client struct {
