Log what libraries write as an event; keep one view of the state

net/http reports an answer that no request waits for, such as a doubled one, as plain text on stderr between the JSON lines; it is event 403 now. The test of written events also reads the commands, which lie one folder deeper. anvilstate had a second View beside package anvilview that only its tests used; it is a model in a test file now, and the accessors stand in one file.

--- a/core/anvilstate/property_test.go
+++ b/core/anvilstate/property_test.go
@@ -141,10 +141,10 @@
 
 // Guards against deltas that miss a change, at any distance.
 func TestDeltasAddUp(t *testing.T) {
-	var views [3]*View
+	var views [3]*viewModel
 	property(t, func(w *world, _ Command, _ Result) {
 		if w.index == 1 {
-			views = [3]*View{NewView(), NewView(), NewView()}
+			views = [3]*viewModel{newViewModel(), newViewModel(), newViewModel()}
 		}
 		view := views[w.number(0, 2)]
 		view.Apply(w.m.Since(view.Index))
--- a/core/anvilstate/reader.go
+++ b/core/anvilstate/reader.go
@@ -1,58 +1,12 @@
 package anvilstate
 
 import (
-	"anvilshunt/core/anvilconfig"
+	"cmp"
+	"slices"
+
 	"anvilshunt/core/anvilid"
 )
 
-// View is what an instance knows of the replicated state. It follows the
-// state by deltas.
-type View struct {
-	Index     anvilid.Index
-	Instances map[anvilid.InstanceID]Instance
-	Targets   map[anvilid.TargetID]Target
-	Config    anvilconfig.Snapshot
-}
-
-// NewView returns a view at index 0, for which Since returns everything.
-func NewView() *View {
-	return &View{
-		Instances: map[anvilid.InstanceID]Instance{},
-		Targets:   map[anvilid.TargetID]Target{},
-		Config:    anvilconfig.NewSnapshot(0),
-	}
-}
-
-// Apply brings the view to the index of the delta. A delta that is older than
-// the view changes nothing.
-func (v *View) Apply(delta Delta) {
-	if delta.Index < v.Index {
-		return
-	}
-	if delta.Whole {
-		*v = *NewView()
-	}
-	v.Index, v.Config.Revision = delta.Index, delta.Revision
-	for _, instance := range delta.Instances {
-		v.Instances[instance.ID] = instance
-	}
-	for _, id := range delta.InstancesGone {
-		delete(v.Instances, id)
-	}
-	for _, target := range delta.Targets {
-		v.Targets[target.ID] = target
-	}
-	for _, id := range delta.TargetsGone {
-		delete(v.Targets, id)
-	}
-	for _, object := range delta.Objects {
-		v.Config.Objects[object.Key] = object
-	}
-	for _, key := range delta.ObjectsGone {
-		delete(v.Config.Objects, key)
-	}
-}
-
 // Instance returns an instance.
 func (m *Machine) Instance(id anvilid.InstanceID) (Instance, bool) {
 	instance, ok := m.instances[id]
@@ -88,3 +42,15 @@
 	}
 	return list
 }
+
+// LiveJobs returns the jobs that haven't ended in the order of submission.
+func (m *Machine) LiveJobs() []Job {
+	var live []Job
+	for _, job := range m.jobs.byID {
+		if !job.State.Final() {
+			live = append(live, *job)
+		}
+	}
+	slices.SortFunc(live, func(a, b Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	return live
+}
--- a/io/anvilcmd/anvilservecmd/serve.go
+++ b/io/anvilcmd/anvilservecmd/serve.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	log.CaptureStandard(anvillogs.LibraryMessage)
 	server, err := anvilserver.New(settings, anvilserver.WithLog(log))
 	if err != nil {
 		return err
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -44,6 +44,7 @@
 // Events of requests.
 var (
 	AnswerRejected = define(401, zapcore.WarnLevel, "answer of a target failed its checks and was dropped")
+	LibraryMessage = define(403, zapcore.WarnLevel, "message of a library")
 	OutcomeUnknown = define(402, zapcore.WarnLevel, "a request may have run; its answer is lost")
 )
 
--- a/io/anvillogs/events_test.go
+++ b/io/anvillogs/events_test.go
@@ -62,6 +62,9 @@
 	assert.Equal(t, len(definitions), len(Catalogue()), "definitions in events.go")
 	files, err := filepath.Glob("../*/*.go")
 	assert.NilError(t, err)
+	commands, err := filepath.Glob("../*/*/*.go")
+	assert.NilError(t, err)
+	files = append(files, commands...)
 	used := map[string]bool{}
 	for _, file := range files {
 		if strings.HasSuffix(file, "_test.go") {
--- a/io/anvillogs/logs.go
+++ b/io/anvillogs/logs.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"log"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,6 +73,24 @@
 	}
 }
 
+// CaptureStandard turns what libraries write to the standard logger into
+// events. net/http reports answers there that no request waits for.
+func (l *Logger) CaptureStandard(event Event) {
+	log.SetFlags(0)
+	log.SetOutput(standardWriter{l, event})
+}
+
+type standardWriter struct {
+	logger *Logger
+	event  Event
+}
+
+// Write writes one message as an event.
+func (w standardWriter) Write(message []byte) (int, error) {
+	w.logger.Write(w.event, zap.String("text", strings.TrimSpace(string(message))))
+	return len(message), nil
+}
+
 // Sync flushes what is buffered.
 func (l *Logger) Sync() {
 	_ = l.zap.Sync() // terminals and pipes don't support it
