--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -155,12 +155,26 @@
 	}
 }
 
+// nextPort makes the tests of this process take different ports.
+var nextPort atomic.Int64
+
+// freeAddress returns an address for a listener. Its port is below the range
+// from which the system takes the ports of connections, because one of those
+// could take it before the listener is opened.
 func freeAddress(t testing.TB) anvilid.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return anvilid.Address(l.Addr().String())
+	const first, count = 8_000, 12_000
+	for range count {
+		port := first + (os.Getpid()*61+int(nextPort.Add(1)))%count
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return anvilid.Address(l.Addr().String())
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // plan declares instances before they start, so that all know the voters.
@@ -259,6 +273,14 @@
 			return
 		}
 	}
+	for _, name := range s.order {
+		select {
+		case err := <-s.instances[name].ended:
+			s.t.Logf("instance %s has ended: %v", name, err)
+			s.instances[name].ended <- err
+		default:
+		}
+	}
 	s.t.Fatalf("%s: not after %s", what, patience)
 }
 
