Use the queue bound of a service; wait for ready instances in the demo

On a clean clone the demo published its configuration before an instance listened and failed after 0.1 s; it now waits until all three are ready. The field queue of a service had no effect; it bounds the account's queue now.

--- a/core/anvilqueue/queue_test.go
+++ b/core/anvilqueue/queue_test.go
@@ -211,3 +211,18 @@
 	assert.Assert(t, q.Cancel(62, second))
 	assert.Equal(t, q.Len(), 0)
 }
+
+// Guards against a bound of the configuration that has no effect on a queue
+// that exists already.
+func TestSetBound(t *testing.T) {
+	q := New()
+	push := func() Verdict {
+		_, verdict := q.Push(0, Request{Account: "a", Deadline: 10_000})
+		return verdict
+	}
+	assert.Equal(t, push(), Queued)
+	q.SetBound(1)
+	assert.Equal(t, push(), Full)
+	q.SetBound(2)
+	assert.Equal(t, push(), Queued)
+}
--- a/io/anvildesk/route.go
+++ b/io/anvildesk/route.go
@@ -128,6 +128,11 @@
 	if account := d.directory.Account(request.Account); account != nil {
 		queue.SetWeight(request.Account, account.Weight)
 	}
+	if service := d.directory.Service(request.Service); service != nil && service.Queue > 0 {
+		queue.SetBound(min(service.Queue, d.limits.Queue))
+	} else {
+		queue.SetBound(d.limits.Queue)
+	}
 	return queue.Push(d.clock.Now(), anvilqueue.Request{
 		Account: request.Account, Deadline: request.Deadline, Payload: granted,
 	})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -67,6 +67,15 @@
 	--zones west/palermo >"$work/targets.log" 2>&1 &
 pids[4]=$!
 
+for i in 1 2 3; do
+	for _ in $(seq 100); do
+		ready=$(bin/anvilshunt status --servers "$(public $i)" 2>/dev/null | awk -F'\t' '$1 == "ready" {print $2}')
+		[ "$ready" = true ] && break
+		sleep 0.1
+	done
+	[ "$ready" = true ] || fail "instance $i is not ready after 10 s"
+done
+
 echo "== publish a configuration and wait until it is in force everywhere"
 bin/anvilshunt config apply "$work/config.jsonc" --operator ada || fail "configuration"
 for _ in $(seq 100); do
