Refuse too large header fields with a code and the limit

net/http answered oversize headers with plain text and no code. Header fields over limits.header now get 431 headers_too_large with both sizes and the outcome not-run; net/http's own bound is four times that.

--- a/io/anvilhttp/api.go
+++ b/io/anvilhttp/api.go
@@ -49,7 +49,8 @@
 
 // Limits bound what a request may carry.
 type Limits struct {
-	Body anvilid.ByteCount
+	Body   anvilid.ByteCount
+	Header anvilid.ByteCount
 }
 
 // Status is what an instance knows of itself and of the system.
--- a/io/anvilhttp/server.go
+++ b/io/anvilhttp/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
 )
 
 type server struct {
@@ -21,6 +23,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = handleError
+	e.Use(s.limitHeader)
 	e.POST("/v1/services/:service/requests", s.request)
 	e.POST("/v1/jobs", s.submitJob)
 	e.GET("/v1/jobs", s.listJobs)
@@ -76,6 +79,26 @@
 	}
 }
 
+// limitHeader refuses requests whose header fields are too large in sum.
+func (s *server) limitHeader(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		size := anvilid.ByteCount(0)
+		for name, values := range c.Request().Header {
+			for _, value := range values {
+				size += anvilid.ByteCount(len(name) + len(value))
+			}
+		}
+		if size > s.limits.Header {
+			return c.JSON(http.StatusRequestHeaderFieldsTooLarge, failure{
+				Code:    "headers_too_large",
+				Error:   fmt.Sprintf("the header fields have %d bytes; this instance takes at most %d", size, s.limits.Header),
+				Outcome: "not-run",
+			})
+		}
+		return next(c)
+	}
+}
+
 func (s *server) ready(c echo.Context) error {
 	if !s.api.Ready() {
 		return fail(c, http.StatusServiceUnavailable, "not_ready", "this instance has no lease or is shutting down")
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -34,6 +34,10 @@
 
 const headerTimeout = 10 * time.Second
 
+// Header fields over the limit get an error that names it. Beyond this many
+// times the limit net/http answers by itself and closes the connection.
+const hardHeaderFactor = 4
+
 func (s *Server) draining() bool { return s.state.Load() == drainingPhase }
 
 // Ready tells whether the balancer should send requests here.
@@ -86,7 +90,7 @@
 	return func(ctx context.Context) error {
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout,
-			MaxHeaderBytes: int(s.settings.Limits.Header),
+			MaxHeaderBytes: hardHeaderFactor * int(s.settings.Limits.Header),
 		}
 		failed := make(chan error, 1)
 		go func() { failed <- server.Serve(listener) }()
@@ -105,7 +109,7 @@
 }
 
 func (s *Server) publicHandler() http.Handler {
-	return anvilhttp.New(s.api(), anvilhttp.Limits{Body: s.settings.Limits.Body}, s.clock)
+	return anvilhttp.New(s.api(), anvilhttp.Limits{Body: s.settings.Limits.Body, Header: s.settings.Limits.Header}, s.clock)
 }
 
 func (s *Server) peerHandler() http.Handler {
