Share the encoder and the enrolment of voters

Three packages had the same canonical encoder; anvilcodec has it now, and each keeps its own decoder, because their limits differ. anvilcontrol had written the steps of Voter.ReplaceVoter again, which only a test called; Voter.Enroll serves both, and the test that replaced a lost directory uses it. Delta.Empty was not used. Race tests of anvilraft, anvilburn, anvilvoter and anvilserver pass.

--- a/core/anvilburn/codec.go
+++ b/core/anvilburn/codec.go
@@ -10,20 +10,10 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilcodec"
 	"anvilshunt/core/anvilid"
 )
 
-// encoder writes equal values as equal bytes.
-var encoder = mustEncoder()
-
-func mustEncoder() cbor.EncMode {
-	mode, err := cbor.CanonicalEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
-
 // formatVersion is the version of the encoded form.
 const formatVersion = 1
 
@@ -106,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encoder.Marshal(&form)
+	return anvilcodec.Encode(&form)
 }
 
 func encodeBuckets(buckets map[anvilclock.Millis]*bucket, names map[string]uint64) ([]encodedBucket, error) {
@@ -117,7 +107,7 @@
 			numbers = append(numbers, names[string(e.Service)], names[string(e.Account)], names[string(e.Cause)],
 				e.Total, e.Limited, e.Beyond)
 		}
-		data, err := encoder.Marshal(numbers)
+		data, err := anvilcodec.Encode(numbers)
 		if err != nil {
 			return nil, fmt.Errorf("encode the counts of %d: %w", start, err)
 		}
--- a/core/anvilburn/history_test.go
+++ b/core/anvilburn/history_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilcodec"
 	"anvilshunt/core/anvilid"
 )
 
@@ -169,7 +170,7 @@
 	assert.NilError(t, cbor.Unmarshal(data, &form))
 	form.Hours[1].Data[0] ^= 0xff
 	form.Minutes[2].Data = []byte{0x86, 9, 0, 0, 1, 0, 0} // names no service
-	data, err = encoder.Marshal(&form)
+	data, err = anvilcodec.Encode(&form)
 	assert.NilError(t, err)
 	damaged, err := Decode(data, DefaultLimits())
 	assert.NilError(t, err)
--- a/core/anvilraft/codec.go
+++ b/core/anvilraft/codec.go
@@ -4,27 +4,14 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
-)
-
-// encoder writes maps in sorted order, so that equal values have equal bytes.
-var encoder = mustEncoder()
 
-func mustEncoder() cbor.EncMode {
-	mode, err := cbor.CanonicalEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
+	"anvilshunt/core/anvilcodec"
+)
 
 // Encode returns the canonical CBOR form of a value of this package, such as a
 // Message or an Entry.
 func Encode(value any) ([]byte, error) {
-	data, err := encoder.Marshal(value)
-	if err != nil {
-		return nil, fmt.Errorf("encode %T: %w", value, err)
-	}
-	return data, nil
+	return anvilcodec.Encode(value)
 }
 
 // Decode reads what Encode wrote.
--- a/core/anvilstate/codec.go
+++ b/core/anvilstate/codec.go
@@ -4,10 +4,9 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
-)
 
-// encoder writes maps in sorted order, so that equal values have equal bytes.
-var encoder = mustEncoder()
+	"anvilshunt/core/anvilcodec"
+)
 
 // decoder accepts the large arrays of snapshots. The default limit is 131,072
 // elements, and a snapshot may hold 200,000 claims.
@@ -29,21 +28,9 @@
 	return mode
 }
 
-func mustEncoder() cbor.EncMode {
-	mode, err := cbor.CanonicalEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
-
 // Encode returns the canonical CBOR form of a value of this package.
 func Encode(value any) ([]byte, error) {
-	data, err := encoder.Marshal(value)
-	if err != nil {
-		return nil, fmt.Errorf("encode %T: %w", value, err)
-	}
-	return data, nil
+	return anvilcodec.Encode(value)
 }
 
 // Decode reads what Encode wrote.
--- a/core/anvilstate/view.go
+++ b/core/anvilstate/view.go
@@ -23,12 +23,6 @@
 	ObjectsGone []anvilconfig.Key    `cbor:"9,keyasint,omitempty"`
 }
 
-// Empty tells whether the delta changes nothing.
-func (d *Delta) Empty() bool {
-	return !d.Whole && len(d.Instances)+len(d.InstancesGone)+len(d.Targets)+len(d.TargetsGone)+
-		len(d.Objects)+len(d.ObjectsGone) == 0
-}
-
 // Since returns what changed after an index. Objects of the configuration
 // must not be modified by the receiver.
 func (m *Machine) Since(index anvilid.Index) Delta {
--- a/io/anvilcontrol/service.go
+++ b/io/anvilcontrol/service.go
@@ -72,9 +72,8 @@
 	Formed func() bool
 	// Reason says why a job waits. It may be nil.
 	Reason func(anvilid.JobID) string
-	// Members returns the members of the group, Change makes one change.
-	Members func() anvilraft.Members
-	Change  func(context.Context, anvilraft.ChangeVoters) error
+	// Enroll gives a data directory a vote and tells of each change.
+	Enroll func(ctx context.Context, id anvilraft.VoterID, stepped func(anvilraft.ChangeVoters)) error
 }
 
 // Service is the Control service of one voter.
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -78,8 +78,7 @@
 		Formed:  v.formed,
 		Dial:    v.server.links.ControlAt,
 		Reason:  func(id anvilid.JobID) string { return v.driver.Reason(id) },
-		Members: func() anvilraft.Members { return v.node.Status().Members },
-		Change:  v.node.ChangeVoters,
+		Enroll:  v.node.Enroll,
 	}
 }
 
--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +15,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// changeRetry is the interval at which ReplaceVoter tries a change that has to
+// changeRetry is the interval at which Enroll tries a change that has to
 // wait for the log.
 const changeRetry = 20 * time.Millisecond
 
@@ -66,45 +67,49 @@
 	return v.call(ctx, &request{change: &change}).err
 }
 
-// ReplaceVoter removes a voter whose data directory was lost and adds the one
-// that the instance started with an empty directory. It returns when the new
-// voter has a vote. After an error, call it again at the leader: it continues
-// with the step that is missing.
-func (v *Voter) ReplaceVoter(ctx context.Context, lost, fresh anvilraft.VoterID) error {
+// Enroll gives a data directory a vote. The new member learns the log first.
+// The directory that it replaces is removed before it gets the vote, because
+// an instance has one vote at most; it is lost, so the quorum needs the same
+// voters with and without it. After an error, call it again at the leader: it
+// continues with the step that is missing. Stepped is called after each change.
+func (v *Voter) Enroll(ctx context.Context, fresh anvilraft.VoterID, stepped func(anvilraft.ChangeVoters)) error {
 	retry := time.NewTicker(changeRetry)
 	defer retry.Stop()
 	for {
-		step, done := replaceStep(v.Status().Members, lost, fresh)
+		step, done := enrollStep(v.Status().Members, fresh)
 		if done {
 			return nil
 		}
 		err := v.ChangeVoters(ctx, step)
 		switch {
 		case err == nil:
+			stepped(step)
 		case errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp):
 			select {
 			case <-retry.C:
 			case <-ctx.Done():
-				return eris.Wrapf(ctx.Err(), "replace voter %s: %v", lost, err)
+				return eris.Wrapf(ctx.Err(), "enroll voter %s: %v", fresh, err)
 			}
 		default:
-			return eris.Wrapf(err, "replace voter %s by %s", lost, fresh)
+			return eris.Wrapf(err, "enroll voter %s", fresh)
 		}
 	}
 }
 
-// replaceStep returns the next change. The lost voter is removed before the
-// fresh one is added, because an instance has one vote at most.
-func replaceStep(members anvilraft.Members, lost, fresh anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
+// enrollStep returns the next change on the way to a vote.
+func enrollStep(members anvilraft.Members, fresh anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
 	switch {
+	case members.IsVoter(fresh):
+		return step, true
 	case !members.Contains(fresh):
 		return anvilraft.ChangeVoters{Learn: fresh}, false
-	case members.Contains(lost):
-		return anvilraft.ChangeVoters{Remove: lost}, false
-	case members.IsLearner(fresh):
-		return anvilraft.ChangeVoters{Add: fresh}, false
 	}
-	return step, true
+	for _, former := range slices.Concat(members.Voters, members.Learners) {
+		if former.Instance == fresh.Instance && former != fresh {
+			return anvilraft.ChangeVoters{Remove: former}, false
+		}
+	}
+	return anvilraft.ChangeVoters{Add: fresh}, false
 }
 
 func (v *Voter) call(ctx context.Context, r *request) outcome {
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -65,7 +65,9 @@
 	fresh := g.start(lost.id.Instance, lost.dir)
 	assert.Assert(t, fresh.id != lost.id && fresh.Status().Created)
 
-	do(t, rest, func(ctx context.Context, m *member) error { return m.ReplaceVoter(ctx, lost.id, fresh.id) })
+	do(t, rest, func(ctx context.Context, m *member) error {
+		return m.Enroll(ctx, fresh.id, func(anvilraft.ChangeVoters) {})
+	})
 	converge(t, lines(0, 30), fresh)
 	assert.Assert(t, fresh.restored > 0, "the snapshot was not sent")
 
