--- /dev/null
+++ b/core/anvilorder/answers.go
@@ -0,0 +1,237 @@
+package anvilorder
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilwork"
+)
+
+// refusedPause keeps a target out of placement after it refused a start.
+const refusedPause = 2 * anvilclock.Second
+
+// answered finds the target that an answer belongs to and notes its clock.
+func (t *Tracker) answered(answer Answer, born anvilwork.Born) *target {
+	target := t.targets[answer.Target]
+	if target == nil || target.facts.Born != born {
+		return nil
+	}
+	target.lease.note(answer)
+	return target
+}
+
+// heardFrom notes an answer, as opposed to a call that failed.
+func (target *target) heardFrom(answer Answer) {
+	target.heard, target.silent = max(target.heard, answer.Received), 0
+}
+
+// Started takes the answer to a start.
+func (t *Tracker) Started(now anvilclock.Millis, answer StartAnswer) Effects {
+	var effects Effects
+	target := t.answered(answer.Answer, answer.Order.Target.Born)
+	if target == nil {
+		return effects
+	}
+	r := target.runs[answer.Order.Task]
+	if r == nil || r.number != answer.Order.Run {
+		return effects
+	}
+	r.sending = false
+	if answer.Verdict != StartUnanswered {
+		target.heardFrom(answer.Answer)
+	}
+	switch answer.Verdict {
+	case StartTaken:
+		r.phase, r.doubt = running, false
+		if r.seen == 0 {
+			r.seen = answer.Received
+		}
+	case StartUnanswered:
+		r.doubt, r.next = true, now+t.bounds.Retry
+		target.silent++
+	case StartLate:
+		target.fresh, r.next = true, now+t.bounds.Retry
+	case StartFenced:
+		effects.Fenced, r.next = true, now+t.bounds.Retry
+	case StartNothing:
+		target.badUntil = now + refusedPause
+		t.withdraw(now, answer.Order, r, &effects)
+	case StartOld:
+		// The list shows how it ended, or that it never was there.
+		r.phase, r.seen, target.fresh = running, answer.Received, true
+	case OtherIncarnation:
+		t.reborn(target, &effects)
+	}
+	return effects
+}
+
+// withdraw takes back a run that the target didn't start. If an earlier copy
+// of the order may still be carried out, a stop bars it first.
+func (t *Tracker) withdraw(now anvilclock.Millis, order Start, r *run, effects *Effects) {
+	if r.doubt {
+		r.stop, r.next = true, now+t.bounds.Retry
+		return
+	}
+	r.next = now + t.bounds.Retry
+	effects.Commands = append(effects.Commands,
+		anvilwork.Command{Void: &anvilwork.Void{Task: order.Task, Run: order.Run}})
+}
+
+// reborn gives up what an incarnation had when another one answers at its
+// address.
+func (t *Tracker) reborn(target *target, effects *Effects) {
+	target.silent++
+	effects.Commands = append(effects.Commands,
+		anvilwork.Command{Leave: &anvilwork.Leave{Target: target.facts.ID, Born: target.facts.Born}})
+}
+
+// Stopped takes the answer to a stop.
+func (t *Tracker) Stopped(now anvilclock.Millis, answer StopAnswer) Effects {
+	var effects Effects
+	target := t.answered(answer.Answer, answer.Order.Target.Born)
+	if target == nil {
+		return effects
+	}
+	if answer.Other {
+		t.reborn(target, &effects)
+		return effects
+	}
+	r := target.runs[answer.Order.Task]
+	if r == nil || r.number != answer.Order.Run {
+		return effects
+	}
+	r.stopSending, r.stopNext = false, now+t.bounds.Retry
+	effects.Fenced = answer.Fenced
+	if !answer.Done {
+		target.silent++
+		return effects
+	}
+	target.heardFrom(answer.Answer)
+	r.stopped, r.stoppedAt, r.phase = true, answer.Received, running
+	if r.seen == 0 {
+		r.seen = answer.Received
+	}
+	return effects
+}
+
+// Looked takes the answer to a look.
+func (t *Tracker) Looked(now anvilclock.Millis, answer LookAnswer) Effects {
+	var effects Effects
+	target := t.answered(answer.Answer, answer.Order.Target.Born)
+	if target == nil {
+		return effects
+	}
+	target.looking = false
+	if answer.Other {
+		t.reborn(target, &effects)
+		return effects
+	}
+	effects.Fenced = answer.Fenced
+	if !answer.Done {
+		target.silent++
+		target.nextAt = now + t.bounds.Retry*anvilclock.Millis(min(target.silent, 4))
+		return effects
+	}
+	target.heardFrom(answer.Answer)
+	target.adopted, target.nextAt = true, now
+	target.acked = max(target.acked, answer.Order.Cursor)
+	t.settle(target, answer, &effects)
+	t.compare(now, target, answer, &effects)
+	return effects
+}
+
+// settle commits the ends that weren't committed yet.
+func (t *Tracker) settle(target *target, answer LookAnswer, effects *Effects) {
+	ends := slices.DeleteFunc(slices.Clone(answer.Ended), func(end anvilwork.End) bool {
+		return end.Number <= max(target.facts.Cursor, target.settling)
+	})
+	if len(ends) == 0 {
+		return
+	}
+	slices.SortFunc(ends, func(a, b anvilwork.End) int { return cmp.Compare(a.Number, b.Number) })
+	target.settling = ends[len(ends)-1].Number
+	effects.Commands = append(effects.Commands, anvilwork.Command{Settle: &anvilwork.Settle{
+		Target: target.facts.ID, Born: target.facts.Born, Ends: ends,
+	}})
+}
+
+// SettleFailed tells that commands of this term were not committed, so that
+// ends are taken from the next list again.
+func (t *Tracker) SettleFailed() {
+	for _, target := range t.targets {
+		target.settling = target.facts.Cursor
+	}
+}
+
+// compare matches the target's list with the runs assigned to it.
+func (t *Tracker) compare(now anvilclock.Millis, target *target, answer LookAnswer, effects *Effects) {
+	listed := map[anvilwork.Task]Running{}
+	for _, entry := range answer.Running {
+		listed[entry.Task] = entry
+	}
+	ended := map[anvilwork.Task]anvilwork.Run{}
+	for _, end := range answer.Ended {
+		ended[end.Task] = max(ended[end.Task], end.Run)
+	}
+	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
+		r := target.runs[task]
+		entry, there := listed[task]
+		switch {
+		case there && entry.Run == r.number:
+			r.progress(now, entry)
+		case ended[task] >= r.number:
+			// its end is being committed
+		default:
+			t.absent(target, task, r, answer, effects)
+		}
+	}
+	t.stopStrangers(target, listed, effects)
+}
+
+func (r *run) progress(now anvilclock.Millis, entry Running) {
+	r.phase, r.doubt, r.missing = running, false, 0
+	if r.seen == 0 {
+		r.seen = now
+	}
+	if entry.Percent != r.percent {
+		r.percent, r.progressAt = entry.Percent, now
+	}
+	if entry.Saved != "" {
+		r.saved = entry.Saved
+	}
+}
+
+// absent handles an assigned run that a list doesn't show. A run that was
+// confirmed or barred before the list was asked for certainly isn't there. A
+// run of a former leader can't arrive any more, because the list was asked for
+// with a higher token.
+func (t *Tracker) absent(target *target, task anvilwork.Task, r *run, answer LookAnswer, effects *Effects) {
+	switch {
+	case r.phase == adopting:
+	case r.stopped && answer.Sent > r.stoppedAt:
+	case r.phase == running && !r.stop && answer.Sent > r.seen && !r.doubt:
+		// An end that the cursor has passed would leave this trace; one more
+		// list makes sure that no answers have overtaken each other.
+		r.missing++
+		target.fresh = true
+		if r.missing < 2 {
+			return
+		}
+	default:
+		return
+	}
+	effects.Commands = append(effects.Commands,
+		anvilwork.Command{Void: &anvilwork.Void{Task: task, Run: r.number}})
+}
+
+// stopStrangers ends runs that the log doesn't assign to this target.
+func (t *Tracker) stopStrangers(target *target, listed map[anvilwork.Task]Running, effects *Effects) {
+	for _, task := range slices.SortedFunc(maps.Keys(listed), anvilwork.Task.Compare) {
+		if r := target.runs[task]; r == nil || r.number < listed[task].Run {
+			effects.Stops = append(effects.Stops,
+				Stop{Target: target.facts, Task: task, Run: listed[task].Run, Token: t.token})
+		}
+	}
+}
--- /dev/null
+++ b/core/anvilplace/node.go
@@ -0,0 +1,125 @@
+package anvilplace
+
+import (
+	"slices"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// stepKey names one step of one occurrence.
+type stepKey struct {
+	job              anvilid.JobID
+	occurrence, step int
+}
+
+func keyOf(task anvilwork.Task) stepKey { return stepKey{task.Job, task.Occurrence, task.Step} }
+
+// tenant is a run that holds room on a node.
+type tenant struct {
+	task     anvilwork.Task
+	job      *anvilwork.Job
+	need     anvilwork.Room
+	stopping bool
+}
+
+// node is a target during one pass.
+type node struct {
+	target *anvilwork.Target
+	usable bool
+	free   anvilwork.Room
+	// soon is the room of runs whose end was asked for.
+	soon anvilwork.Room
+	// kept tells that an urgent job waits for this target.
+	kept    bool
+	tenants []*tenant
+	// tasks counts the runs of each step here, for steps with a spread.
+	tasks map[stepKey]int
+}
+
+// rack is a set of nodes.
+type rack struct {
+	name  anvilid.RackName
+	nodes []*node
+}
+
+// available is the room that a unit may take now.
+func (n *node) available() anvilwork.Room {
+	if !n.usable || n.kept {
+		return anvilwork.Room{}
+	}
+	return n.free
+}
+
+// promised is the room that is free now or after the runs that are stopping.
+func (n *node) promised() anvilwork.Room {
+	if !n.usable || n.kept {
+		return anvilwork.Room{}
+	}
+	return n.free.Plus(n.soon)
+}
+
+// take books the room of a task.
+func (n *node) take(u *unit, task anvilwork.Task) {
+	n.free = n.free.Minus(need(u.step))
+	n.tasks[keyOf(task)]++
+}
+
+// need is the room that a task of a step holds. Tasks that fill use
+// processors that others leave idle.
+func need(step anvilwork.Step) anvilwork.Room {
+	if step.Fills {
+		return anvilwork.Room{Memory: step.Need.Memory, GPU: step.Need.GPU}
+	}
+	return step.Need
+}
+
+// survey books all assigned runs.
+func (p *planner) survey() {
+	racks := map[anvilid.RackName]*rack{}
+	for _, target := range p.State.Targets() {
+		n := &node{
+			target: target, usable: !target.Leaving && p.Usable(target.ID),
+			free: target.Room, tasks: map[stepKey]int{},
+		}
+		p.nodes = append(p.nodes, n)
+		p.byID[target.ID] = n
+		r := racks[target.Rack]
+		if r == nil {
+			r = &rack{name: target.Rack}
+			racks[target.Rack] = r
+			p.racks = append(p.racks, r)
+		}
+		r.nodes = append(r.nodes, n)
+		p.book(n)
+	}
+	slices.SortFunc(p.racks, func(a, b *rack) int { return compareRacks(a.name, b.name) })
+}
+
+func compareRacks(a, b anvilid.RackName) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (p *planner) book(n *node) {
+	for task := range p.State.Runs(n.target.ID) {
+		job, ok := p.State.Job(task.Job)
+		if !ok {
+			continue
+		}
+		t := &tenant{task: task, job: job, need: need(job.Spec.Steps[task.Step])}
+		t.stopping = job.Phase.Ended() || p.Stopping(n.target.ID, task)
+		n.free = n.free.Minus(t.need)
+		if t.stopping {
+			n.soon = n.soon.Plus(t.need)
+		}
+		n.tenants = append(n.tenants, t)
+		n.tasks[keyOf(task)]++
+	}
+	slices.SortFunc(n.tenants, func(a, b *tenant) int { return a.task.Compare(b.task) })
+}
--- /dev/null
+++ b/core/anvilplace/plan.go
@@ -0,0 +1,230 @@
+package anvilplace
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// Input is what a plan is made from.
+type Input struct {
+	State *anvilwork.State
+	// Now is the clock of the log, Wall the wall clock.
+	Now, Wall anvilclock.Millis
+	// Usable tells whether a target may be given new work.
+	Usable func(anvilid.TargetID) bool
+	// Stopping tells whether the end of a run was asked for already.
+	Stopping func(anvilid.TargetID, anvilwork.Task) bool
+	// Paused tells whether a task waits before its next run.
+	Paused func(anvilwork.Task, *anvilwork.TaskState) bool
+}
+
+// Eviction is a run that shall end before its time.
+type Eviction struct {
+	Target anvilid.TargetID
+	Task   anvilwork.Task
+	// For is the job that needs the room.
+	For anvilid.JobID
+}
+
+// Decision is the outcome of a plan.
+type Decision struct {
+	// Places are sets of assignments; each takes effect whole or not at all.
+	Places []anvilwork.Place
+	Evict  []Eviction
+}
+
+// planner holds one pass.
+type planner struct {
+	Input
+	decision Decision
+	nodes    []*node
+	byID     map[anvilid.TargetID]*node
+	racks    []*rack
+	// used counts the accelerators of unfinished urgent jobs by account.
+	used map[anvilid.AccountID]anvilid.AcceleratorCount
+}
+
+// Plan returns what to start and what to stop now.
+func Plan(input Input) Decision {
+	p := &planner{Input: input, byID: map[anvilid.TargetID]*node{}, used: map[anvilid.AccountID]anvilid.AcceleratorCount{}}
+	p.survey()
+	p.account()
+	for _, unit := range p.queue() {
+		p.serve(unit)
+	}
+	return p.decision
+}
+
+// unit is a step of a job with tasks that wait.
+type unit struct {
+	job     *anvilwork.Job
+	terms   anvilwork.Terms
+	step    anvilwork.Step
+	urgent  bool // priority 0
+	assured bool // urgent and within the guarantee
+	due     anvilclock.Millis
+	tasks   []anvilwork.Task
+	// run is the number of the next run of the whole gang.
+	run anvilwork.Run
+}
+
+// account adds up what the unfinished urgent jobs of each account need.
+func (p *planner) account() {
+	for _, job := range p.State.Active() {
+		if p.State.Terms(job).Priority == 0 {
+			p.used[job.Account] += demand(job)
+		}
+	}
+}
+
+// demand is the largest number of accelerators that a job needs at one time.
+func demand(job *anvilwork.Job) anvilid.AcceleratorCount {
+	var most anvilid.AcceleratorCount
+	for _, step := range job.Spec.Steps {
+		most = max(most, anvilid.AcceleratorCount(step.Count)*step.Need.GPU)
+	}
+	return most
+}
+
+// queue lists the waiting units, those to be served first at the front.
+func (p *planner) queue() []*unit {
+	var units []*unit
+	for _, job := range p.State.Active() {
+		terms := p.State.Terms(job)
+		if terms.Advised {
+			continue
+		}
+		urgent := terms.Priority == 0
+		assured := false
+		if account, ok := p.State.Account(job.Account); ok && urgent {
+			assured = p.used[job.Account] <= account.Guaranteed
+		}
+		for k := range job.Occurrences {
+			for _, u := range p.waiting(job, k) {
+				u.terms, u.urgent, u.assured = terms, urgent, assured
+				u.due = due(job, terms, k)
+				units = append(units, u)
+			}
+		}
+	}
+	slices.SortStableFunc(units, p.compare)
+	return units
+}
+
+// waiting lists the units of one occurrence.
+func (p *planner) waiting(job *anvilwork.Job, k int) []*unit {
+	occurrence := &job.Occurrences[k]
+	if occurrence.Due > p.Wall {
+		return nil
+	}
+	var units []*unit
+	for index, step := range job.Spec.Steps {
+		if occurrence.Open[index] == 0 || !occurrence.Ready(step) {
+			continue
+		}
+		u := &unit{job: job, step: step}
+		for i := range occurrence.Tasks[index] {
+			state := &occurrence.Tasks[index][i]
+			task := anvilwork.Task{Job: job.ID, Occurrence: k, Step: index, Index: i}
+			if state.Phase == anvilwork.TaskWaiting && !p.Paused(task, state) {
+				u.tasks = append(u.tasks, task)
+				u.run = max(u.run, state.Run+1)
+			}
+		}
+		// A gang starts with all of its members or not at all.
+		if len(u.tasks) > 0 && (!step.Gang || len(u.tasks) == step.Count) {
+			units = append(units, u)
+		}
+	}
+	return units
+}
+
+// due is when a job should have ended.
+func due(job *anvilwork.Job, terms anvilwork.Terms, k int) anvilclock.Millis {
+	from := job.Accepted
+	if job.Occurrences[k].Due > 0 {
+		from = job.Occurrences[k].Due
+	}
+	return from + terms.Aim + anvilclock.Millis(terms.Stretch*float64(chain(job)))
+}
+
+// chain is the estimate of the longest chain of steps.
+func chain(job *anvilwork.Job) anvilclock.Millis {
+	var longest anvilclock.Millis
+	ends := make([]anvilclock.Millis, len(job.Spec.Steps))
+	for i, step := range job.Spec.Steps {
+		for _, earlier := range step.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += step.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// compare orders units: assured ones, other urgent ones, then by due time.
+func (p *planner) compare(a, b *unit) int {
+	return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.due, b.due))
+}
+
+func class(u *unit) int {
+	switch {
+	case u.assured:
+		return 0
+	case u.urgent:
+		return 1
+	}
+	return 2
+}
+
+// serve places what it can of a unit.
+func (p *planner) serve(u *unit) {
+	if u.step.Gang {
+		p.serveGang(u)
+		return
+	}
+	p.serveSingles(u)
+}
+
+func (p *planner) serveGang(u *unit) {
+	if spots := p.fit(u, len(u.tasks), (*node).available); spots != nil {
+		p.assign(u, u.tasks, spots)
+		return
+	}
+	if u.urgent {
+		p.clear(u, len(u.tasks))
+	}
+}
+
+func (p *planner) serveSingles(u *unit) {
+	spots := p.fitMost(u, len(u.tasks), (*node).available)
+	p.assign(u, u.tasks[:total(spots)], spots)
+	if rest := len(u.tasks) - total(spots); u.urgent && rest > 0 {
+		p.clear(u, rest)
+	}
+}
+
+// assign turns spots into assignments: one set for a gang, single ones else.
+func (p *planner) assign(u *unit, tasks []anvilwork.Task, spots []spot) {
+	var gang []anvilwork.Assignment
+	for _, s := range spots {
+		for range s.count {
+			task := tasks[0]
+			tasks = tasks[1:]
+			a := anvilwork.Assignment{Task: task, Run: u.run, Target: s.node.target.ID, Born: s.node.target.Born}
+			s.node.take(u, task)
+			if u.step.Gang {
+				gang = append(gang, a)
+				continue
+			}
+			p.decision.Places = append(p.decision.Places, anvilwork.Place{Assignments: []anvilwork.Assignment{a}})
+		}
+	}
+	if len(gang) > 0 {
+		p.decision.Places = append(p.decision.Places, anvilwork.Place{Assignments: gang})
+	}
+}
--- /dev/null
+++ b/core/anvilwork/state.go
@@ -0,0 +1,155 @@
+package anvilwork
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// Retention is how long ended jobs stay known. Callers may ask for at least
+// two minutes; resends come seconds later.
+const Retention = 10 * anvilclock.Minute
+
+// State is the replicated state. It isn't safe for concurrent use.
+type State struct {
+	config  Config
+	index   *index
+	jobs    map[anvilid.JobID]*Job
+	targets map[anvilid.TargetID]*Target
+	// runs lists the assigned tasks of each target.
+	runs map[anvilid.TargetID]map[Task]Run
+	// active lists the jobs that haven't ended, in the order of acceptance.
+	active []*Job
+	now    anvilclock.Millis
+}
+
+// New returns the state before the first entry.
+func New() *State {
+	s := &State{
+		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
+		runs: map[anvilid.TargetID]map[Task]Run{},
+	}
+	s.index = newIndex(&s.config)
+	return s
+}
+
+// Config returns the configuration in force. Its version is 0 before the first.
+func (s *State) Config() *Config { return &s.config }
+
+// Job returns a job.
+func (s *State) Job(id anvilid.JobID) (*Job, bool) {
+	job, ok := s.jobs[id]
+	return job, ok
+}
+
+// Active returns the jobs that haven't ended, in the order of acceptance.
+func (s *State) Active() []*Job { return s.active }
+
+// Target returns a target.
+func (s *State) Target(id anvilid.TargetID) (*Target, bool) {
+	target, ok := s.targets[id]
+	return target, ok
+}
+
+// Targets returns all targets, ordered by id.
+func (s *State) Targets() []*Target {
+	targets := make([]*Target, 0, len(s.targets))
+	for _, target := range s.targets {
+		targets = append(targets, target)
+	}
+	slices.SortFunc(targets, func(a, b *Target) int { return compareTargets(a.ID, b.ID) })
+	return targets
+}
+
+func compareTargets(a, b anvilid.TargetID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Runs returns the assigned runs of a target. The caller doesn't change it.
+func (s *State) Runs(id anvilid.TargetID) map[Task]Run { return s.runs[id] }
+
+// Waiting counts the jobs of a queue of which nothing has started. Jobs that
+// run at fixed times don't count before they are due.
+func (s *State) Waiting(queue QueueName, wall anvilclock.Millis) int {
+	count := 0
+	for _, job := range s.active {
+		if job.Queue == queue && job.Phase == JobQueued && job.Occurrences[0].Due <= wall {
+			count++
+		}
+	}
+	return count
+}
+
+// snapshot is the encoded form of State.
+type snapshot struct {
+	Config  Config            `cbor:"1,keyasint"`
+	Jobs    []*Job            `cbor:"2,keyasint"`
+	Targets []*Target         `cbor:"3,keyasint"`
+	Now     anvilclock.Millis `cbor:"4,keyasint"`
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) {
+	image := snapshot{Config: s.config, Targets: s.Targets(), Now: s.now}
+	for _, job := range s.jobs {
+		image.Jobs = append(image.Jobs, job)
+	}
+	slices.SortFunc(image.Jobs, compareJobs)
+	return cbor.Marshal(image)
+}
+
+// compareJobs orders jobs by acceptance; the id makes it a total order.
+func compareJobs(a, b *Job) int {
+	if a.Accepted != b.Accepted {
+		return int(a.Accepted - b.Accepted)
+	}
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+// Restore decodes what Snapshot wrote.
+func Restore(data []byte) (*State, error) {
+	var image snapshot
+	if err := cbor.Unmarshal(data, &image); err != nil {
+		return nil, err
+	}
+	s := New()
+	s.config, s.now = image.Config, image.Now
+	s.index = newIndex(&s.config)
+	for _, target := range image.Targets {
+		s.targets[target.ID] = target
+	}
+	for _, job := range image.Jobs {
+		s.jobs[job.ID] = job
+		if !job.Phase.Ended() {
+			s.active = append(s.active, job)
+		}
+		s.eachTask(job, func(task Task, state *TaskState) {
+			if state.Phase == TaskAssigned {
+				s.assign(task, state)
+			}
+		})
+	}
+	return s, nil
+}
+
+func (s *State) eachTask(job *Job, f func(Task, *TaskState)) {
+	for k := range job.Occurrences {
+		for step, tasks := range job.Occurrences[k].Tasks {
+			for i := range tasks {
+				f(Task{Job: job.ID, Occurrence: k, Step: step, Index: i}, &tasks[i])
+			}
+		}
+	}
+}
--- a/io/anvildisk/restore.go
+++ b/io/anvildisk/restore.go
@@ -130,15 +130,18 @@
 }
 
 func (s *Storage) create() (Restored, error) {
-	id, err := randomID()
-	if err != nil {
-		return Restored{}, err
+	s.id, s.shape = s.newID, newShape(0, 0)
+	if s.id == "" {
+		id, err := randomID()
+		if err != nil {
+			return Restored{}, err
+		}
+		s.id = id
 	}
-	s.id, s.shape = id, newShape(0, 0)
 	if err := s.startSegment(false); err != nil {
 		return Restored{}, err
 	}
-	return Restored{Restored: anvilraft.Restored{Storage: id}, Created: true}, nil
+	return Restored{Restored: anvilraft.Restored{Storage: s.id}, Created: true}, nil
 }
 
 func (s *Storage) restore(found listing) (Restored, error) {
--- a/io/anvildisk/storage.go
+++ b/io/anvildisk/storage.go
@@ -78,6 +78,7 @@
 	segmentBytes int
 	release      func() error
 
+	newID    anvilraft.StorageID // for a new directory; empty for a random one
 	id       anvilraft.StorageID
 	hard     anvilraft.HardState
 	shape    logShape
@@ -100,6 +101,10 @@
 // WithSegmentBytes sets the size from which on a new segment is started.
 func WithSegmentBytes(size int) Option { return func(s *Storage) { s.segmentBytes = size } }
 
+// WithNewID sets the storage id of a directory that Open creates. The default
+// is a random one. The id must never name another directory of this instance.
+func WithNewID(id anvilraft.StorageID) Option { return func(s *Storage) { s.newID = id } }
+
 // ID returns the id that was chosen when the directory was created.
 func (s *Storage) ID() anvilraft.StorageID { return s.id }
 
--- /dev/null
+++ b/io/anvillead/reign.go
@@ -0,0 +1,257 @@
+package anvillead
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilorder"
+	"anvilshunt/core/anvilplace"
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvillogs"
+)
+
+// planInterval is how often a plan is made when nothing has changed: targets
+// become usable again and jobs become due without a change.
+const planInterval = 200 * anvilclock.Millisecond
+
+// reign is one term of a leader. It belongs to one goroutine.
+type reign struct {
+	*Leader
+	term    anvilid.Term
+	tracker *anvilorder.Tracker
+	started anvilclock.Millis
+	planned anvilclock.Millis
+	dirty   bool
+	answers chan func(now anvilclock.Millis) anvilorder.Effects
+	// pending collects what answers have asked for.
+	pending []anvilwork.Command
+}
+
+func newReign(l *Leader, term anvilid.Term) *reign {
+	now := l.clock.Now()
+	return &reign{
+		Leader: l, term: term, started: now, dirty: true,
+		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
+		answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
+	}
+}
+
+func (r *reign) run(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		status := r.group.Voter.Status()
+		if status.Role != anvilraft.Leader || status.Term != r.term {
+			return
+		}
+		if status.HasQuorum {
+			r.step(ctx)
+		}
+		r.wait(ctx, ticker.C)
+	}
+}
+
+// wait returns when something has happened, with all of it taken in.
+func (r *reign) wait(ctx context.Context, tick <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-tick:
+	case <-r.changed:
+		r.dirty = true
+	case answer := <-r.answers:
+		r.take(answer)
+	case report := <-r.reports:
+		r.tracker.Heard(r.clock.Now(), report.target, report.born)
+	}
+	for {
+		select {
+		case <-r.changed:
+			r.dirty = true
+		case answer := <-r.answers:
+			r.take(answer)
+		case report := <-r.reports:
+			r.tracker.Heard(r.clock.Now(), report.target, report.born)
+		default:
+			return
+		}
+	}
+}
+
+func (r *reign) take(answer func(anvilclock.Millis) anvilorder.Effects) {
+	effects := answer(r.clock.Now())
+	r.pending = append(r.pending, effects.Commands...)
+	r.send(effects)
+}
+
+// step commits what is due and sends the orders that follow from it.
+func (r *reign) step(ctx context.Context) {
+	now := r.clock.Now()
+	commands, places := r.decide(now)
+	if len(commands) > 0 {
+		results, err := r.commit(ctx, commands...)
+		if err != nil {
+			r.log.Write(anvillogs.CommitFailed, zap.Int("commands", len(commands)), zap.Error(err))
+			r.tracker.SettleFailed()
+			return
+		}
+		r.committed(commands, results, places)
+	}
+	now = r.clock.Now()
+	if !r.leading() {
+		return
+	}
+	r.mu.Lock()
+	r.tracker.Sync(now, r.state)
+	effects := r.tracker.Next(now, r.state)
+	r.mu.Unlock()
+	r.pending = append(r.pending, effects.Commands...)
+	r.send(effects)
+}
+
+// decide returns the commands to commit; the last ones are placements, of
+// which places tells the number.
+func (r *reign) decide(now anvilclock.Millis) (commands []anvilwork.Command, places int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	commands, r.pending = r.pending, nil
+	r.tracker.Sync(now, r.state)
+	if !r.dirty && now-r.planned < planInterval {
+		return commands, 0
+	}
+	r.dirty, r.planned = false, now
+	r.stopEnded()
+	decision := anvilplace.Plan(r.input(now))
+	for _, eviction := range decision.Evict {
+		r.tracker.StopRun(eviction.Target, eviction.Task)
+		r.log.Write(anvillogs.RunEvicted, zap.Stringer("task", eviction.Task),
+			zap.String("target", string(eviction.Target)), zap.String("for", string(eviction.For)))
+	}
+	for i := range decision.Places {
+		commands = append(commands, anvilwork.Command{Place: &decision.Places[i]})
+	}
+	return commands, len(decision.Places)
+}
+
+// stopEnded asks for the end of what ended jobs still run.
+func (r *reign) stopEnded() {
+	for _, target := range r.state.Targets() {
+		for task := range r.state.Runs(target.ID) {
+			if job, ok := r.state.Job(task.Job); !ok || job.Phase.Ended() && !gangDone(job, task) {
+				r.tracker.StopRun(target.ID, task)
+			}
+		}
+	}
+}
+
+// gangDone tells that another member of a task's gang is done, so that the
+// end of this one is about to be listed.
+func gangDone(job *anvilwork.Job, task anvilwork.Task) bool {
+	if !job.Spec.Steps[task.Step].Gang {
+		return false
+	}
+	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
+		if member.Phase == anvilwork.TaskDone {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *reign) input(now anvilclock.Millis) anvilplace.Input {
+	// Announcements come once an interval, and may change their way after an
+	// election.
+	heard := 2*r.bounds.Report + anvilclock.Second
+	return anvilplace.Input{
+		State: r.state, Now: r.wall.Now(), Wall: r.wall.Now(),
+		Usable: func(id anvilid.TargetID) bool { return r.tracker.Usable(now, id, heard) },
+		Stopping: func(id anvilid.TargetID, task anvilwork.Task) bool {
+			return r.tracker.Stopping(id, task)
+		},
+		Paused: func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
+	}
+}
+
+// committed takes over the placements that took effect.
+func (r *reign) committed(commands []anvilwork.Command, results []anvilwork.Result, places int) {
+	now := r.clock.Now()
+	for i, command := range commands {
+		if i >= len(results) {
+			return
+		}
+		r.logCommand(command, results[i])
+		if i >= len(commands)-places && results[i] == anvilwork.Applied {
+			r.tracker.Placed(now, command.Place.Assignments)
+		}
+	}
+}
+
+func (r *reign) logCommand(command anvilwork.Command, result anvilwork.Result) {
+	switch {
+	case command.Place != nil:
+		for _, a := range command.Place.Assignments {
+			r.log.Write(anvillogs.RunPlaced, zap.Stringer("task", a.Task), zap.Uint64("run", uint64(a.Run)),
+				zap.String("target", string(a.Target)), zap.Uint8("result", uint8(result)))
+		}
+	case command.Settle != nil:
+		for _, end := range command.Settle.Ends {
+			r.log.Write(anvillogs.RunEnded, zap.Stringer("task", end.Task), zap.Uint64("run", uint64(end.Run)),
+				zap.String("target", string(command.Settle.Target)), zap.Uint8("outcome", uint8(end.Outcome)))
+		}
+	case command.Void != nil:
+		r.log.Write(anvillogs.RunVoided, zap.Stringer("task", command.Void.Task), zap.Uint64("run", uint64(command.Void.Run)))
+	case command.Lapse != nil:
+		r.log.Write(anvillogs.TargetSilent, zap.String("target", string(command.Lapse.Target)), zap.Int("runs", len(command.Lapse.Runs)))
+	}
+}
+
+// send gives the orders, each in a goroutine of its own: the connections to
+// one target are few and bounded by the client.
+func (r *reign) send(effects anvilorder.Effects) {
+	for _, order := range effects.Starts {
+		go func() {
+			answer := r.orders.Start(context.Background(), order)
+			r.logStart(answer)
+			r.answer(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.Started(now, answer) })
+		}()
+	}
+	for _, order := range effects.Stops {
+		go func() {
+			answer := r.orders.Stop(context.Background(), order)
+			r.answer(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.Stopped(now, answer) })
+		}()
+	}
+	for _, order := range effects.Looks {
+		go func() {
+			answer := r.orders.Look(context.Background(), order)
+			r.answer(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.Looked(now, answer) })
+		}()
+	}
+}
+
+// answer hands an answer to the term's goroutine. After the term nobody reads
+// any more, and the answer is dropped.
+func (r *reign) answer(f func(anvilclock.Millis) anvilorder.Effects) {
+	select {
+	case r.answers <- f:
+	default:
+	}
+}
+
+func (r *reign) logStart(answer anvilorder.StartAnswer) {
+	switch answer.Verdict {
+	case anvilorder.StartTaken:
+		return
+	case anvilorder.StartUnanswered:
+		r.log.Write(anvillogs.RunUnanswered, zap.Stringer("task", answer.Order.Task),
+			zap.Uint64("run", uint64(answer.Order.Run)), zap.String("target", string(answer.Target)))
+	default:
+		r.log.Write(anvillogs.RunRefused, zap.Stringer("task", answer.Order.Task), zap.Uint64("run", uint64(answer.Order.Run)),
+			zap.String("target", string(answer.Target)), zap.Uint8("verdict", uint8(answer.Verdict)))
+	}
+}
--- a/io/anvillink/link.go
+++ b/io/anvillink/link.go
@@ -105,6 +105,11 @@
 	return anvilrpc.NewRaftProtobufClient("http://"+string(address), l.Client(Raft))
 }
 
+// FleetAt returns a client of the Fleet service at an address.
+func (l *Links) FleetAt(address anvilid.Address) anvilrpc.Fleet {
+	return anvilrpc.NewFleetProtobufClient("http://"+string(address), l.Client(Control))
+}
+
 // Close closes the connections that carry nothing.
 func (l *Links) Close() {
 	l.mu.Lock()
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -14,19 +14,21 @@
 
 // Events of the lease and the control group.
 var (
-	LeaseGained     = define(201, zapcore.InfoLevel, "instance lease gained")
-	LeaseLost       = define(202, zapcore.WarnLevel, "instance lease lapsed: nothing new is admitted")
-	LeaderChanged   = define(203, zapcore.InfoLevel, "leader of the control group changed")
-	SessionExpired  = define(204, zapcore.WarnLevel, "lease of an instance expired; its targets get new owners")
-	ProposalFailed  = define(205, zapcore.WarnLevel, "command was not accepted by the control group")
-	RenewalFailed   = define(206, zapcore.DebugLevel, "lease renewal failed; trying the next voter")
-	VoterEnrolled   = define(208, zapcore.InfoLevel, "voter enrolled")
-	VoterRemoved    = define(209, zapcore.InfoLevel, "former voter removed")
-	VoterFailed     = define(210, zapcore.ErrorLevel, "voter stopped; this instance serves on without a vote")
-	GroupFounded    = define(211, zapcore.InfoLevel, "new control group founded")
-	GroupAwaited    = define(212, zapcore.InfoLevel, "waiting for the other initial voters before a group is founded")
-	EnrollFailed    = define(213, zapcore.InfoLevel, "voter is not enrolled yet; asking again")
-	EntryUnreadable = define(207, zapcore.ErrorLevel, "committed entry can't be decoded")
+	LeaseGained      = define(201, zapcore.InfoLevel, "instance lease gained")
+	LeaseLost        = define(202, zapcore.WarnLevel, "instance lease lapsed: nothing new is admitted")
+	LeaderChanged    = define(203, zapcore.InfoLevel, "leader of the control group changed")
+	SessionExpired   = define(204, zapcore.WarnLevel, "lease of an instance expired; its targets get new owners")
+	ProposalFailed   = define(205, zapcore.WarnLevel, "command was not accepted by the control group")
+	RenewalFailed    = define(206, zapcore.DebugLevel, "lease renewal failed; trying the next voter")
+	VoterEnrolled    = define(208, zapcore.InfoLevel, "voter enrolled")
+	VoterRemoved     = define(209, zapcore.InfoLevel, "former voter removed")
+	VoterFailed      = define(210, zapcore.ErrorLevel, "voter stopped; this instance serves on without a vote")
+	GroupFounded     = define(211, zapcore.InfoLevel, "new control group founded")
+	GroupAwaited     = define(212, zapcore.InfoLevel, "waiting for the other initial voters before a group is founded")
+	EnrollFailed     = define(213, zapcore.InfoLevel, "voter is not enrolled yet; asking again")
+	DirectoryDamaged = define(214, zapcore.ErrorLevel, "data directory is damaged and was emptied; the voter joins anew")
+	MembersChanged   = define(215, zapcore.InfoLevel, "members of the control group changed")
+	EntryUnreadable  = define(207, zapcore.ErrorLevel, "committed entry can't be decoded")
 )
 
 // Events of targets.
@@ -58,3 +60,32 @@
 	GuaranteeUnmet = define(507, zapcore.ErrorLevel, "guarantees that can't be placed have changed")
 	JobMemberLost  = define(505, zapcore.WarnLevel, "member of a job lost; the others are stopped")
 )
+
+// Events of the leader that gives the orders to targets.
+var (
+	TermBegun        = define(601, zapcore.InfoLevel, "leader took up its term")
+	TermEnded        = define(602, zapcore.InfoLevel, "leader gave up its term")
+	CommitFailed     = define(603, zapcore.WarnLevel, "commands of the leader were not committed")
+	JobAccepted      = define(604, zapcore.InfoLevel, "job accepted")
+	JobRefused       = define(605, zapcore.InfoLevel, "job refused")
+	JobCancelled     = define(606, zapcore.InfoLevel, "job cancelled")
+	RunPlaced        = define(607, zapcore.InfoLevel, "run placed")
+	RunRefused       = define(608, zapcore.WarnLevel, "start was not carried out by the target")
+	RunUnanswered    = define(609, zapcore.WarnLevel, "start got no answer; it is sent again")
+	RunEnded         = define(610, zapcore.InfoLevel, "run ended")
+	RunVoided        = define(611, zapcore.InfoLevel, "placement taken back: the run never started")
+	RunEvicted       = define(612, zapcore.InfoLevel, "run stopped to make room for an urgent job")
+	TargetSilent     = define(613, zapcore.WarnLevel, "target is silent and its lease has passed; its runs are placed anew")
+	TargetKnown      = define(614, zapcore.InfoLevel, "target became known or changed")
+	TargetUnanswered = define(617, zapcore.WarnLevel, "call to a target got no answer")
+	ListUnreadable   = define(618, zapcore.ErrorLevel, "entry of a target's list can't be read and is ignored")
+	ConfigChanged    = define(615, zapcore.InfoLevel, "configuration in force")
+	ConfigRefused    = define(616, zapcore.InfoLevel, "configuration refused")
+)
+
+// Events of an instance that passes requests on.
+var (
+	RequestFailed  = define(701, zapcore.InfoLevel, "request could not be passed to the leader")
+	LeaderSought   = define(702, zapcore.InfoLevel, "leader is unknown; asking the voters")
+	SettingsFailed = define(703, zapcore.WarnLevel, "settings could not be read again; the former ones stay")
+)
