--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"anvilshunt/core/anvilclock"
-	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
 
--- a/io/anvillogs/events_test.go
+++ b/io/anvillogs/events_test.go
@@ -64,7 +64,9 @@
 	assert.NilError(t, err)
 	commands, err := filepath.Glob("../*/*/*.go")
 	assert.NilError(t, err)
-	files = append(files, commands...)
+	adapter, err := filepath.Glob("../../platform/*.go")
+	assert.NilError(t, err)
+	files = append(append(files, commands...), adapter...)
 	used := map[string]bool{}
 	for _, file := range files {
 		if strings.HasSuffix(file, "_test.go") {
