Stop the rest of a torn gang; grant a silent target nothing more

A member that was taken back left the others waiting at their targets until they ended alone; nothing stopped them.

Found while writing the test of leases (anvilorder TestLease, failed first): each repeated look at a silent target carried a later deadline, so that its runs were never given up while looks were sent. Ruled out as intended: a look may be carried out seconds later and then does prolong the lease.

Tests of the state (scripts) and of the tracker come with it.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -219,7 +219,7 @@
 	if !ok {
 		return
 	}
-	deadline := target.lease.grant(now, t.bounds.Lease)
+	deadline := target.grant(now, t.bounds.Lease)
 	if deadline == 0 {
 		target.fresh = true // the look tells the clock
 		return
@@ -247,10 +247,19 @@
 	target.fresh = false
 	effects.Looks = append(effects.Looks, Look{
 		Target: target.facts, Token: t.token, Cursor: target.facts.Cursor,
-		Deadline: target.lease.grant(now, t.bounds.Lease), Wait: wait,
+		Deadline: target.grant(now, t.bounds.Lease), Wait: wait,
 	})
 }
 
+// grant returns the deadline for an order. A silent target is granted nothing
+// more: an order that it may carry out late must not prolong its lease.
+func (target *target) grant(now, span anvilclock.Millis) TargetClock {
+	if target.silent > 0 {
+		return target.lease.latest
+	}
+	return target.lease.grant(now, span)
+}
+
 func (t *Tracker) adopts(target *target) bool {
 	for _, r := range target.runs {
 		if r.phase == adopting {
--- /dev/null
+++ b/core/anvilorder/tracker_test.go
@@ -0,0 +1,283 @@
+package anvilorder
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+const (
+	testLease = 6000 * anvilclock.Millisecond
+	testRetry = 200 * anvilclock.Millisecond
+)
+
+// world is a state with one target and one job of two tasks, and a tracker.
+type world struct {
+	t       *testing.T
+	state   *anvilwork.State
+	tracker *Tracker
+	now     anvilclock.Millis
+	// out is the look that is under way, if any.
+	out *Look
+}
+
+var (
+	taskA = anvilwork.Task{Job: "j"}
+	taskB = anvilwork.Task{Job: "j", Index: 1}
+)
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, state: anvilwork.New(), now: 1000}
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "t", Born: 1, Service: "s", Address: "a:1", Room: anvilwork.Room{GPU: 8},
+	}}})
+	w.apply(anvilwork.Command{Submit: &anvilwork.Submit{
+		Job: "j", Terms: anvilwork.Terms{Service: "s", Attempts: 3},
+		Spec: anvilwork.Spec{Steps: []anvilwork.Step{{Count: 2, Need: anvilwork.Room{GPU: 1}}}},
+	}})
+	w.elect(1)
+	return w
+}
+
+// elect replaces the tracker by that of a new leader.
+func (w *world) elect(term anvilid.Token) {
+	w.tracker = New(term, w.now, Bounds{Lease: testLease, Wait: 2000, Retry: testRetry})
+	w.tracker.Sync(w.now, w.state)
+}
+
+func (w *world) apply(commands ...anvilwork.Command) {
+	for _, result := range w.state.Apply(w.now, anvilwork.Batch{Commands: commands}) {
+		assert.Equal(w.t, result, anvilwork.Applied)
+	}
+	if w.tracker != nil {
+		w.tracker.Sync(w.now, w.state)
+	}
+}
+
+func (w *world) place(task anvilwork.Task, run anvilwork.Run) {
+	a := anvilwork.Assignment{Task: task, Run: run, Target: "t", Born: 1}
+	assert.Equal(w.t, w.state.Apply(w.now, anvilwork.Batch{
+		Commands: []anvilwork.Command{{Place: &anvilwork.Place{Assignments: []anvilwork.Assignment{a}}}},
+	})[0], anvilwork.Applied)
+	w.tracker.Placed(w.now, []anvilwork.Assignment{a})
+	w.tracker.Sync(w.now, w.state)
+}
+
+// next advances the time and returns what is due.
+func (w *world) next(span anvilclock.Millis) Effects {
+	w.now += span
+	effects := w.tracker.Next(w.now, w.state)
+	for _, look := range effects.Looks {
+		w.out = &look
+	}
+	return effects
+}
+
+// look returns the look that is under way or due.
+func (w *world) look() Look {
+	if w.out == nil {
+		w.next(1)
+	}
+	assert.Assert(w.t, w.out != nil, "no look is due")
+	order := *w.out
+	w.out = nil
+	return order
+}
+
+// unlooked tells that a look got no answer.
+func (w *world) unlooked(order Look) {
+	w.tracker.Looked(w.now, LookAnswer{Answer: Answer{Target: "t", Born: 1}, Order: order})
+}
+
+// answer is an answer to a call that was sent and answered at given times.
+func (w *world) answer(sent, received anvilclock.Millis) Answer {
+	return Answer{Target: "t", Born: 1, Sent: sent, Received: received, Clock: TargetClock(received)}
+}
+
+// looked answers a look now that was sent a number of milliseconds ago.
+func (w *world) looked(order Look, ago anvilclock.Millis, running []Running, ended ...anvilwork.End) Effects {
+	return w.tracker.Looked(w.now, LookAnswer{
+		Answer: w.answer(w.now-ago, w.now), Order: order, Done: true, Running: running, Ended: ended,
+	})
+}
+
+// known makes the tracker learn the target's clock.
+func (w *world) known() {
+	w.tracker.targets["t"].fresh = true
+	w.looked(w.look(), 1, nil)
+}
+
+// started places a task and returns the start that is sent for it.
+func (w *world) started(task anvilwork.Task, run anvilwork.Run) Start {
+	w.known()
+	w.place(task, run)
+	effects := w.next(1)
+	assert.Equal(w.t, len(effects.Starts), 1)
+	return effects.Starts[0]
+}
+
+func (w *world) verdict(order Start, verdict Verdict) Effects {
+	answer := w.answer(w.now-1, w.now)
+	if verdict == StartUnanswered {
+		answer.Clock = 0
+	}
+	return w.tracker.Started(w.now, StartAnswer{Answer: answer, Order: order, Verdict: verdict})
+}
+
+// TestUnansweredStart guards against giving a run up, or placing it elsewhere,
+// while an order without an answer may still be carried out.
+func TestUnansweredStart(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	assert.Equal(t, len(w.verdict(order, StartUnanswered).Commands), 0)
+	effects := w.next(testRetry)
+	assert.Equal(t, len(effects.Starts), 1, "the same start is sent again")
+	assert.Equal(t, effects.Starts[0].Run, anvilwork.Run(1))
+	// A list without the run proves nothing: the first order may come later.
+	assert.Equal(t, len(w.looked(w.look(), 1, nil).Commands), 0)
+	// A refusal of the second order doesn't take back the first one either.
+	assert.Equal(t, len(w.verdict(effects.Starts[0], StartNothing).Commands), 0)
+	effects = w.next(testRetry)
+	assert.Equal(t, len(effects.Stops), 1, "a stop bars the run")
+	w.tracker.Stopped(w.now, StopAnswer{Answer: w.answer(w.now-1, w.now), Order: effects.Stops[0], Done: true})
+	w.looked(w.look(), 1, nil) // it may have been sent before the stop
+	w.now += 10
+	commands := w.looked(w.look(), 1, nil).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.DeepEqual(t, commands[0].Void, &anvilwork.Void{Task: taskA, Run: 1})
+}
+
+// TestRefusedStart guards against waiting for a run that certainly isn't there.
+func TestRefusedStart(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	commands := w.verdict(order, StartNothing).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.DeepEqual(t, commands[0].Void, &anvilwork.Void{Task: taskA, Run: 1})
+	assert.Assert(t, !w.tracker.Usable(w.now, "t", 5000), "the target pauses")
+	assert.Assert(t, w.tracker.Usable(w.now+refusedPause, "t", 5000))
+}
+
+// TestOvertakenList guards against taking a run for lost because a list that
+// was made before its start arrives after the answer to the start.
+func TestOvertakenList(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	look := Look{Target: order.Target, Token: 1}
+	w.verdict(order, StartTaken)
+	for range 3 {
+		assert.Equal(t, len(w.looked(look, 50, nil).Commands), 0)
+	}
+}
+
+// TestAdoption guards against a successor that starts a run again which its
+// predecessor had started, and against one that waits for a run that never was.
+func TestAdoption(t *testing.T) {
+	w := newWorld(t)
+	w.place(taskA, 1)
+	w.place(taskB, 1)
+	w.elect(2)
+	assert.Equal(t, len(w.next(1).Starts), 0)
+	look := w.look()
+	assert.Equal(t, look.Token, anvilid.Token(2), "the look fences the predecessor's orders")
+	assert.Equal(t, look.Wait, anvilclock.Millis(0))
+	commands := w.looked(look, 1, []Running{{Task: taskA, Run: 1}}).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.DeepEqual(t, commands[0].Void, &anvilwork.Void{Task: taskB, Run: 1})
+}
+
+// TestLease guards against running a task elsewhere while a silent target may
+// still run it: its clock may be 2% slow.
+func TestLease(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	granted := w.now
+	w.verdict(order, StartTaken)
+	look := w.look()
+	latest := look.Deadline
+	w.unlooked(look)
+	lease := float64(testLease)
+	silent := anvilclock.Millis(lease / (1 - slowest))
+	for w.now < granted+silent-100 {
+		effects := w.next(100)
+		assert.Equal(t, len(effects.Commands), 0, "at %d after the grant", w.now-granted)
+		for _, look := range effects.Looks {
+			assert.Assert(t, look.Deadline <= latest, "a look that may be carried out late extends nothing")
+			w.unlooked(look)
+		}
+	}
+	w.now = granted + silent + 2*leaseMargin
+	commands := w.tracker.Next(w.now, w.state).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, len(commands[0].Lapse.Runs), 1)
+}
+
+// TestLeaseOfPredecessor guards against a successor that doesn't wait for what
+// its predecessor may have granted.
+func TestLeaseOfPredecessor(t *testing.T) {
+	w := newWorld(t)
+	w.place(taskA, 1)
+	w.now = 5000
+	w.elect(2)
+	w.unlooked(w.look())
+	assert.Equal(t, len(w.next(testLease).Commands), 0)
+	assert.Equal(t, len(w.next(testLease/20).Commands), 1)
+}
+
+// TestCursor guards against acknowledging an end that isn't stored yet, and
+// against never acknowledging the last one.
+func TestCursor(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	w.verdict(order, StartTaken)
+	end := anvilwork.End{Number: 4, Task: taskA, Run: 1, Outcome: anvilwork.RunDone}
+	commands := w.looked(w.look(), 1, nil, end).Commands
+	assert.Equal(t, len(commands), 1)
+	look := w.look()
+	assert.Equal(t, look.Cursor, uint64(0))
+	assert.Equal(t, len(w.looked(look, 1, nil, end).Commands), 0, "the end is being committed")
+	w.tracker.SettleFailed()
+	assert.Equal(t, len(w.looked(w.look(), 1, nil, end).Commands), 1, "it was not committed")
+	w.apply(commands...)
+	look = w.look()
+	assert.Equal(t, look.Cursor, uint64(4))
+	w.looked(look, 1, nil)
+	assert.Equal(t, len(w.next(1).Looks), 0, "nothing is left to ask for")
+}
+
+// TestStranger guards against leaving a run alive that the log doesn't know.
+func TestStranger(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	w.verdict(order, StartTaken)
+	stops := w.looked(w.look(), 1, []Running{{Task: taskA, Run: 1}, {Task: taskB, Run: 3}}).Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Task, taskB)
+}
+
+// TestOtherIncarnation guards against taking answers of a new incarnation for
+// those of the former one.
+func TestOtherIncarnation(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	commands := w.verdict(order, OtherIncarnation).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.DeepEqual(t, commands[0].Leave, &anvilwork.Leave{Target: "t", Born: 1})
+}
+
+// TestStopBeforeStart guards against a start that is sent after its run was
+// given up.
+func TestStopBeforeStart(t *testing.T) {
+	w := newWorld(t)
+	w.known()
+	w.place(taskA, 1)
+	w.tracker.StopRun("t", taskA)
+	effects := w.next(1)
+	assert.Equal(t, len(effects.Starts), 0)
+	assert.Equal(t, len(effects.Commands), 1)
+	assert.DeepEqual(t, effects.Commands[0].Void, &anvilwork.Void{Task: taskA, Run: 1})
+}
--- /dev/null
+++ b/core/anvilwork/script_test.go
@@ -0,0 +1,256 @@
+package anvilwork
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// TestScripts runs the scripts in testdata. Each says in its first line which
+// failure it guards against. A line is an action with its expected result
+// after "=>", or a check of the state. After each line the state must survive
+// a snapshot.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) > 0)
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
+			file, err := os.Open(path)
+			assert.NilError(t, err)
+			defer file.Close()
+			s := &script{t: t, state: New()}
+			lines := bufio.NewScanner(file)
+			for number := 1; lines.Scan(); number++ {
+				line, _, _ := strings.Cut(lines.Text(), "#")
+				if strings.TrimSpace(line) != "" {
+					s.where = fmt.Sprintf("%s:%d: %s", path, number, line)
+					s.line(line)
+				}
+			}
+			assert.NilError(t, lines.Err())
+		})
+	}
+}
+
+type script struct {
+	t     *testing.T
+	state *State
+	where string
+	at    anvilclock.Millis
+}
+
+func (s *script) line(line string) {
+	action, expected, _ := strings.Cut(line, "=>")
+	words := strings.Fields(action)
+	switch words[0] {
+	case "at":
+		s.at = anvilclock.Millis(s.number(words[1]))
+	case "phase":
+		job, ok := s.state.Job(anvilid.JobID(words[1]))
+		assert.Assert(s.t, ok, s.where)
+		assert.Equal(s.t, job.Phase.String(), words[2], s.where)
+	case "task":
+		s.check(words)
+	case "unfit":
+		config := s.config(words)
+		assert.ErrorIs(s.t, config.Check(), ErrInvalid, s.where)
+	case "version":
+		assert.Equal(s.t, uint64(s.state.Config().Version), s.number(words[1]), s.where)
+	case "superfluous":
+		var found []string
+		for _, run := range s.state.Superfluous() {
+			found = append(found, run.Task.String())
+		}
+		assert.Equal(s.t, strings.Join(found, " "), strings.Join(words[1:], " "), s.where)
+	default:
+		results := s.state.Apply(s.at, Batch{Commands: []Command{s.command(words)}})
+		assert.Equal(s.t, results[0], s.result(expected), s.where)
+		s.reload()
+	}
+}
+
+// reload replaces the state by that of its snapshot, which must be the same.
+func (s *script) reload() {
+	data, err := s.state.Snapshot()
+	assert.NilError(s.t, err, s.where)
+	restored, err := Restore(data)
+	assert.NilError(s.t, err, s.where)
+	again, err := restored.Snapshot()
+	assert.NilError(s.t, err, s.where)
+	assert.DeepEqual(s.t, data, again)
+	s.state = restored
+}
+
+func (s *script) result(word string) Result {
+	word = strings.TrimSpace(word)
+	for i, name := range []string{"applied", "unchanged", "refused", "unknown"} {
+		if name == word || word == "" && i == 0 {
+			return Result(i)
+		}
+	}
+	s.t.Fatalf("%s: unknown result %q", s.where, word)
+	return 0
+}
+
+func (s *script) command(words []string) Command {
+	switch words[0] {
+	case "config":
+		return Command{Configure: s.config(words)}
+	case "target":
+		return Command{Announce: &Announce{Target: s.target(words)}}
+	case "leave":
+		return Command{Leave: &Leave{Target: anvilid.TargetID(words[1]), Born: Born(s.number(words[2]))}}
+	case "submit":
+		return Command{Submit: s.submit(words)}
+	case "cancel":
+		return Command{Cancel: &Cancel{Job: anvilid.JobID(words[1])}}
+	case "place":
+		place := &Place{}
+		for _, word := range words[1:] {
+			place.Assignments = append(place.Assignments, s.assignment(word))
+		}
+		return Command{Place: place}
+	case "end":
+		return Command{Settle: s.settle(words)}
+	case "void":
+		task, run := s.run(words[1])
+		return Command{Void: &Void{Task: task, Run: run}}
+	case "lapse":
+		return Command{Lapse: &Lapse{Target: anvilid.TargetID(words[1]), Born: Born(s.number(words[2]))}}
+	}
+	s.t.Fatalf("%s: unknown action", s.where)
+	return Command{}
+}
+
+func (s *script) number(word string) uint64 {
+	number, err := strconv.ParseUint(word, 10, 64)
+	assert.NilError(s.t, err, s.where)
+	return number
+}
+
+// options reads the words "name=value" and "name".
+func options(words []string) map[string]string {
+	found := map[string]string{}
+	for _, word := range words {
+		name, value, _ := strings.Cut(word, "=")
+		found[name] = value
+	}
+	return found
+}
+
+// config reads "config VERSION [queue=NAME:SERVICE:ATTEMPTS:TIMEOUT:HOST/PREFIX]... [service=S]... [key=ACCOUNT:KEY]...".
+func (s *script) config(words []string) *Config {
+	config := &Config{Version: Version(s.number(words[1]))}
+	for _, word := range words[2:] {
+		name, value, _ := strings.Cut(word, "=")
+		parts := strings.Split(value, ":")
+		switch name {
+		case "queue":
+			host, prefix, _ := strings.Cut(parts[4], "/")
+			config.Queues = append(config.Queues, Queue{
+				Name: QueueName(parts[0]), Host: host, Prefix: "/" + prefix, Timeout: anvilclock.Millis(s.number(parts[3])),
+				Terms: Terms{Service: anvilid.ServiceName(parts[1]), Attempts: int(s.number(parts[2]))},
+			})
+		case "service":
+			config.Services = append(config.Services, Service{Name: anvilid.ServiceName(value)})
+		case "key":
+			config.Accounts = append(config.Accounts, Account{Name: anvilid.AccountID(parts[0]), Keys: parts[1:]})
+		}
+	}
+	return config
+}
+
+// target reads "target ID BORN [at=ADDRESS] [leaving]".
+func (s *script) target(words []string) Target {
+	o := options(words[3:])
+	_, leaving := o["leaving"]
+	return Target{
+		ID: anvilid.TargetID(words[1]), Born: Born(s.number(words[2])), Service: "s", Address: anvilid.Address(o["at"] + ":80"),
+		Room: Room{CPU: 32000, Memory: 64000, GPU: 8}, Leaving: leaving,
+	}
+}
+
+// submit reads "submit JOB STEP...", a step being "count[,gang][,lasts][,after=N]".
+func (s *script) submit(words []string) *Submit {
+	submit := &Submit{Job: anvilid.JobID(words[1]), Queue: "q", Terms: Terms{Service: "s", Attempts: 2}}
+	for _, word := range words[2:] {
+		parts := strings.Split(word, ",")
+		step := Step{Count: int(s.number(parts[0])), Need: Room{GPU: 1}}
+		for name, value := range options(parts[1:]) {
+			switch name {
+			case "gang":
+				step.Gang = true
+			case "lasts":
+				step.Lasts = true
+			case "after":
+				step.After = append(step.After, int(s.number(value)))
+			}
+		}
+		submit.Spec.Steps = append(submit.Spec.Steps, step)
+	}
+	return submit
+}
+
+// run reads "JOB.K.STEP.INDEX:RUN".
+func (s *script) run(word string) (Task, Run) {
+	name, number, _ := strings.Cut(word, ":")
+	parts := strings.Split(name, ".")
+	task := Task{
+		Job: anvilid.JobID(parts[0]), Occurrence: int(s.number(parts[1])),
+		Step: int(s.number(parts[2])), Index: int(s.number(parts[3])),
+	}
+	if number == "" {
+		return task, 0
+	}
+	return task, Run(s.number(number))
+}
+
+// assignment reads "TASK:RUN@TARGET/BORN".
+func (s *script) assignment(word string) Assignment {
+	run, where, _ := strings.Cut(word, "@")
+	target, born, _ := strings.Cut(where, "/")
+	task, number := s.run(run)
+	return Assignment{Task: task, Run: number, Target: anvilid.TargetID(target), Born: Born(s.number(born))}
+}
+
+// settle reads "end TARGET BORN NUMBER TASK:RUN OUTCOME [CHECKPOINT]".
+func (s *script) settle(words []string) *Settle {
+	outcomes := map[string]Outcome{
+		"done": RunDone, "failed": RunFailed, "stopped": RunStopped, "lapsed": RunLapsed, "broken": RunBroken, "alone": RunAlone,
+	}
+	task, run := s.run(words[4])
+	end := End{Number: s.number(words[3]), Task: task, Run: run, Outcome: outcomes[words[5]]}
+	if len(words) > 6 {
+		end.Saved = words[6]
+	}
+	return &Settle{Target: anvilid.TargetID(words[1]), Born: Born(s.number(words[2])), Ends: []End{end}}
+}
+
+// check reads "task TASK PHASE [run=N] [failed=N] [saved=X]".
+func (s *script) check(words []string) {
+	task, _ := s.run(words[1])
+	job, ok := s.state.Job(task.Job)
+	assert.Assert(s.t, ok, s.where)
+	state := job.State(task)
+	assert.Equal(s.t, [...]string{"waiting", "assigned", "done"}[state.Phase], words[2], s.where)
+	for name, value := range options(words[3:]) {
+		switch name {
+		case "run":
+			assert.Equal(s.t, uint64(state.Run), s.number(value), s.where)
+		case "failed":
+			assert.Equal(s.t, uint64(state.Failed), s.number(value), s.where)
+		case "saved":
+			assert.Equal(s.t, state.Saved, value, s.where)
+		}
+	}
+}
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -1,6 +1,7 @@
 package anvilwork
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -153,3 +154,34 @@
 		}
 	}
 }
+
+// Superfluous lists the runs that shall end: those of jobs that have ended,
+// and those of gangs that can't complete because a member of the same run is
+// not there any more.
+func (s *State) Superfluous() []Assignment {
+	var found []Assignment
+	for _, target := range s.Targets() {
+		tasks := slices.SortedFunc(maps.Keys(s.runs[target.ID]), Task.Compare)
+		for _, task := range tasks {
+			run := s.runs[target.ID][task]
+			if job, ok := s.jobs[task.Job]; ok && superfluous(job, task, run) {
+				found = append(found, Assignment{Task: task, Run: run, Target: target.ID, Born: target.Born})
+			}
+		}
+	}
+	return found
+}
+
+func superfluous(job *Job, task Task, run Run) bool {
+	if !job.Spec.Steps[task.Step].Gang {
+		return job.Phase.Ended()
+	}
+	torn := false
+	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
+		if member.Phase == TaskDone {
+			return false // the gang is done, its members list their ends now
+		}
+		torn = torn || member.Phase != TaskAssigned || member.Run != run
+	}
+	return torn || job.Phase.Ended()
+}
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -125,7 +125,7 @@
 		return commands, 0
 	}
 	r.dirty, r.planned = false, now
-	r.stopEnded()
+	r.stopSuperfluous()
 	decision := anvilplace.Plan(r.input(now))
 	for _, eviction := range decision.Evict {
 		r.tracker.StopRun(eviction.Target, eviction.Task)
@@ -138,29 +138,11 @@
 	return commands, len(decision.Places)
 }
 
-// stopEnded asks for the end of what ended jobs still run.
-func (r *reign) stopEnded() {
-	for _, target := range r.state.Targets() {
-		for task := range r.state.Runs(target.ID) {
-			if job, ok := r.state.Job(task.Job); !ok || job.Phase.Ended() && !gangDone(job, task) {
-				r.tracker.StopRun(target.ID, task)
-			}
-		}
-	}
-}
-
-// gangDone tells that another member of a task's gang is done, so that the
-// end of this one is about to be listed.
-func gangDone(job *anvilwork.Job, task anvilwork.Task) bool {
-	if !job.Spec.Steps[task.Step].Gang {
-		return false
-	}
-	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
-		if member.Phase == anvilwork.TaskDone {
-			return true
-		}
+// stopSuperfluous asks for the end of what ended jobs and torn gangs run.
+func (r *reign) stopSuperfluous() {
+	for _, run := range r.state.Superfluous() {
+		r.tracker.StopRun(run.Target, run.Task)
 	}
-	return false
 }
 
 func (r *reign) input(now anvilclock.Millis) anvilplace.Input {
