Stop what has least to lose, and only when an urgent job would be late

Cause: an urgent job stopped the runs on the fullest targets at once. Change: the set of runs with the least lost work is searched rack by rack, a gang counts whole and a checkpoint counts; an urgent job first waits as long as it still ends in time. Tests: anvilplace TestLeastLoss, TestPatience, TestKeptRoom, TestInvariants.

--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -8,25 +8,49 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// gpuWeight is how many processor cores an accelerator counts for when the
-// loss of work is compared.
-const gpuWeight = 8
+const (
+	// gpuWeight is how many processor cores an accelerator counts for when the
+	// loss of work is compared.
+	gpuWeight = 8
+	// urgentLoss puts runs of urgent jobs behind all others, in core-milliseconds.
+	urgentLoss = 1e12
+	// stopSpan is the time from the decision to stop runs to the start of what
+	// takes their room: the stop itself, two commits and the calls.
+	stopSpan = 750 * anvilclock.Millisecond
+	// reclaimSpan is the longest that an assured job waits before others are
+	// stopped for it. With stopSpan it stays well below the bound of the
+	// guarantee.
+	reclaimSpan = 1200 * anvilclock.Millisecond
+)
 
 // clear makes room for an urgent unit: it waits for runs that are stopping,
-// or stops the cheapest set of runs. The nodes are kept for the unit.
+// or stops the runs that have least to lose. The nodes are kept for the unit.
 func (p *planner) clear(u *unit, count int) {
 	if spots := p.fit(u, count, (*node).promised); spots != nil {
 		p.keep(spots)
 		return
 	}
-	if !u.assured {
+	if !u.assured || p.Now < u.patience() {
 		return
 	}
-	spots := p.fit(u, count, p.reclaimable)
-	for _, s := range spots {
-		p.evict(u, s)
+	best := p.cheapest(u, count)
+	if best == nil {
+		return
 	}
-	p.keep(spots)
+	for _, v := range best.order {
+		v.tenant.stopping = true
+		v.node.soon = v.node.soon.Plus(v.tenant.need)
+		p.decision.Evict = append(p.decision.Evict,
+			Eviction{Target: v.node.target.ID, Task: v.tenant.task, For: u.job.ID})
+	}
+	p.keep(best.spots)
+}
+
+// patience is the time until which an urgent unit waits for room without
+// stopping others, because it still ends in time if it starts a little later.
+func (u *unit) patience() anvilclock.Millis {
+	slack := u.due - u.from - chain(u.job)
+	return u.from + max(0, min(slack-stopSpan, reclaimSpan))
 }
 
 func (p *planner) keep(spots []spot) {
@@ -35,71 +59,137 @@
 	}
 }
 
-// reclaimable is the room of a node without the runs that an urgent unit may
-// stop.
-func (p *planner) reclaimable(n *node) anvilwork.Room {
-	room := n.promised()
-	if !n.usable || n.kept {
-		return room
+// victim is a run that is stopped, with its node.
+type victim struct {
+	tenant *tenant
+	node   *node
+}
+
+// clearing is one way to make room.
+type clearing struct {
+	planner *planner
+	unit    *unit
+	gone    map[*tenant]bool
+	order   []victim
+	taken   map[*node]int
+	spots   []spot
+	loss    float64
+}
+
+// cheapest finds the way with the least loss, within one rack where the unit
+// needs that, or nil.
+func (p *planner) cheapest(u *unit, count int) *clearing {
+	if !u.step.Tight || !p.couldFitRack(u, count) {
+		return p.clearing(u, count, p.nodes)
 	}
-	for _, t := range n.tenants {
-		if !t.stopping && p.evictable(t) {
-			room = room.Plus(t.need)
+	var best *clearing
+	for _, r := range p.racks {
+		if c := p.clearing(u, count, r.nodes); c != nil && (best == nil || c.loss < best.loss) {
+			best = c
 		}
 	}
-	return room
+	return best
 }
 
-// evictable runs belong to jobs that aren't urgent, or to an account that has
-// more urgent work than its guarantee.
-func (p *planner) evictable(t *tenant) bool {
-	if p.State.Terms(t.job).Priority > 0 {
-		return true
+// clearing adds one task after the other where it costs least.
+func (p *planner) clearing(u *unit, count int, nodes []*node) *clearing {
+	c := &clearing{planner: p, unit: u, gone: map[*tenant]bool{}, taken: map[*node]int{}}
+	for range count {
+		var best *node
+		var victims []*tenant
+		var least float64
+		for _, n := range nodes {
+			set, loss, ok := c.price(n)
+			if ok && (best == nil || loss < least) {
+				best, victims, least = n, set, loss
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		c.stop(victims)
+		c.loss += least
+		c.taken[best]++
 	}
-	account, ok := p.State.Account(t.job.Account)
-	return !ok || p.used[t.job.Account] > account.Guaranteed
+	for _, n := range nodes {
+		if taken := c.taken[n]; taken > 0 {
+			c.spots = append(c.spots, spot{n, taken})
+		}
+	}
+	return c
 }
 
-// evict stops the runs on one node that have least to lose, until the tasks
-// fit.
-func (p *planner) evict(u *unit, s spot) {
-	room := s.node.free.Plus(s.node.soon)
-	victims := slices.Clone(s.node.tenants)
-	victims = slices.DeleteFunc(victims, func(t *tenant) bool { return t.stopping || !p.evictable(t) })
-	slices.SortStableFunc(victims, func(a, b *tenant) int { return cmp.Compare(p.loss(a), p.loss(b)) })
-	for _, t := range victims {
-		if room.Times(need(u.step), s.count) >= s.count {
-			return
+// price returns the runs to stop on a node for one more task, and their loss.
+func (c *clearing) price(n *node) (victims []*tenant, loss float64, ok bool) {
+	room := n.promised()
+	if !n.usable || n.kept || c.unit.capacity(n, c.taken[n]+1, whole) <= c.taken[n] {
+		return nil, 0, false
+	}
+	var candidates []*tenant
+	for _, t := range n.tenants {
+		switch {
+		case c.gone[t]:
+			room = room.Plus(t.need)
+		case !t.stopping && c.planner.evictable(t):
+			candidates = append(candidates, t)
 		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *tenant) int { return cmp.Compare(a.loss, b.loss) })
+	wanted := c.taken[n] + 1
+	for room.Times(need(c.unit.step), wanted) < wanted {
+		if len(candidates) == 0 {
+			return nil, 0, false
+		}
+		t := candidates[0]
+		candidates = candidates[1:]
 		room = room.Plus(t.need)
-		p.stop(u, t, s.node)
+		loss += t.loss
+		victims = append(victims, t)
 	}
+	return victims, loss, true
 }
 
-// stop ends a run, and with it the whole gang.
-func (p *planner) stop(u *unit, t *tenant, n *node) {
-	if !t.job.Spec.Steps[t.task.Step].Gang {
-		p.stopOne(u, t, n)
-		return
+// whole is the room of an empty target.
+func whole(n *node) anvilwork.Room { return n.target.Room }
+
+// stop notes runs as stopped, each with its whole gang.
+func (c *clearing) stop(victims []*tenant) {
+	for _, t := range victims {
+		for _, member := range c.planner.gang(t) {
+			if !c.gone[member.tenant] && !member.tenant.stopping {
+				c.gone[member.tenant] = true
+				c.order = append(c.order, member)
+			}
+		}
 	}
-	for _, other := range p.nodes {
-		for _, member := range other.tenants {
-			if keyOf(member.task) == keyOf(t.task) && !member.stopping {
-				p.stopOne(u, member, other)
+}
+
+// gang lists a run with the other members of its gang.
+func (p *planner) gang(t *tenant) []victim {
+	single := !t.job.Spec.Steps[t.task.Step].Gang
+	var members []victim
+	for _, n := range p.nodes {
+		for _, other := range n.tenants {
+			if other == t || !single && keyOf(other.task) == keyOf(t.task) {
+				members = append(members, victim{other, n})
 			}
 		}
 	}
+	return members
 }
 
-func (p *planner) stopOne(u *unit, t *tenant, n *node) {
-	t.stopping = true
-	n.soon = n.soon.Plus(t.need)
-	p.decision.Evict = append(p.decision.Evict, Eviction{Target: n.target.ID, Task: t.task, For: u.job.ID})
+// evictable runs belong to jobs that aren't urgent, or to an account that has
+// more urgent work than its guarantee.
+func (p *planner) evictable(t *tenant) bool {
+	if p.State.Terms(t.job).Priority > 0 {
+		return true
+	}
+	account, ok := p.State.Account(t.job.Account)
+	return !ok || p.used[t.job.Account] > account.Guaranteed
 }
 
-// loss is the work in core-milliseconds that stopping a run throws away.
-// Urgent runs come last.
-func (p *planner) loss(t *tenant) float64 {
+// lossOf is the work in core-milliseconds that stopping a run throws away.
+func (p *planner) lossOf(t *tenant) float64 {
 	state := t.job.State(t.task)
 	span := p.Now - state.At
 	step := t.job.Spec.Steps[t.task.Step]
@@ -112,7 +202,7 @@
 	}
 	lost := cores * float64(span)
 	if p.State.Terms(t.job).Priority == 0 {
-		lost += 1e12
+		lost += urgentLoss
 	}
 	return lost
 }
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -87,7 +87,6 @@
 
 // couldFitRack tells whether an empty rack would hold all tasks.
 func (p *planner) couldFitRack(u *unit, count int) bool {
-	whole := func(n *node) anvilwork.Room { return n.target.Room }
 	for _, r := range p.racks {
 		sum := 0
 		for _, n := range r.nodes {
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -21,6 +21,8 @@
 	job      *anvilwork.Job
 	need     anvilwork.Room
 	stopping bool
+	// loss is the work that stopping the run throws away.
+	loss float64
 }
 
 // node is a target during one pass.
@@ -114,6 +116,7 @@
 		}
 		t := &tenant{task: task, job: job, need: need(job.Spec.Steps[task.Step])}
 		t.stopping = job.Phase.Ended() || p.Stopping(n.target.ID, task)
+		t.loss = p.lossOf(t)
 		n.free = n.free.Minus(t.need)
 		if t.stopping {
 			n.soon = n.soon.Plus(t.need)
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -66,8 +66,9 @@
 	step    anvilwork.Step
 	urgent  bool // priority 0
 	assured bool // urgent and within the guarantee
-	due     anvilclock.Millis
-	tasks   []anvilwork.Task
+	// from and due are when the job was to begin and should have ended.
+	from, due anvilclock.Millis
+	tasks     []anvilwork.Task
 	// run is the number of the next run of the whole gang.
 	run anvilwork.Run
 }
@@ -106,7 +107,7 @@
 		for k := range job.Occurrences {
 			for _, u := range p.waiting(job, k) {
 				u.terms, u.urgent, u.assured = terms, urgent, assured
-				u.due = due(job, terms, k)
+				u.from, u.due = span(job, terms, k)
 				units = append(units, u)
 			}
 		}
@@ -143,13 +144,14 @@
 	return units
 }
 
-// due is when a job should have ended.
-func due(job *anvilwork.Job, terms anvilwork.Terms, k int) anvilclock.Millis {
-	from := job.Accepted
+// span returns when an occurrence of a job was to begin and when it should
+// have ended.
+func span(job *anvilwork.Job, terms anvilwork.Terms, k int) (from, due anvilclock.Millis) {
+	from = job.Accepted
 	if job.Occurrences[k].Due > 0 {
 		from = job.Occurrences[k].Due
 	}
-	return from + terms.Aim + anvilclock.Millis(terms.Stretch*float64(chain(job)))
+	return from, from + terms.Aim + anvilclock.Millis(terms.Stretch*float64(chain(job)))
 }
 
 // chain is the estimate of the longest chain of steps.
--- /dev/null
+++ b/core/anvilplace/plan_test.go
@@ -0,0 +1,195 @@
+package anvilplace
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// TestLeastLoss answers the pattern of a full system in which urgent jobs
+// arrive: the runs that are stopped for them are those with least to lose.
+// It guards against ending a whole gang, or work without a checkpoint, where
+// a cheaper run makes the same room.
+func TestLeastLoss(t *testing.T) {
+	w := newWorld(t, 2, 2, 8)
+	w.submit("gang", "common", "b", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, Tight: true})
+	w.plan()
+	w.submit("old", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	w.now += 5000
+	w.submit("saves", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8), Saves: true})
+	w.plan()
+	w.now += 5000
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	w.now += reclaimSpan
+	assert.DeepEqual(t, evicted(w.plan()), []anvilid.JobID{"saves"})
+}
+
+// TestPatience guards against stopping work for an urgent job that would end in
+// time even if it waited for a run that ends by itself.
+func TestPatience(t *testing.T) {
+	w := newWorld(t, 1, 1, 8)
+	w.submit("c", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 1, Need: gpus(8)})
+	assert.Equal(t, len(w.plan().Evict), 0)
+	// 300 ms and half of 2000 ms are left to wait, less the time of a stop.
+	w.now += 1300 - stopSpan - 1
+	assert.Equal(t, len(w.plan().Evict), 0)
+	w.now++
+	assert.Equal(t, len(w.plan().Evict), 1)
+}
+
+// TestKeptRoom guards against giving the room that was cleared for an urgent
+// gang to other jobs, one piece after the other.
+func TestKeptRoom(t *testing.T) {
+	w := newWorld(t, 1, 2, 16)
+	w.submit("c", "common", "b", anvilwork.Step{Count: 2, Need: gpus(8)})
+	w.plan()
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, Tight: true})
+	w.now += reclaimSpan
+	assert.Equal(t, len(w.plan().Evict), 2)
+	w.submit("d", "common", "b", anvilwork.Step{Count: 8, Need: gpus(1)})
+	w.end(anvilwork.Task{Job: "c"}, anvilwork.RunStopped)
+	w.plan()
+	assert.Equal(t, len(w.assigned("c"))+len(w.assigned("d")), 1, "only the run that still stops")
+	w.endStopping()
+	w.plan()
+	assert.Equal(t, len(w.assigned("u")), 2)
+}
+
+// TestGuarantee guards against urgent work beyond a guarantee that keeps an
+// account from its own, and against stopping work that is within a guarantee.
+func TestGuarantee(t *testing.T) {
+	w := newWorld(t, 1, 2, 8)
+	w.submit("mine", "urgent", "a", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.submit("beyond", "urgent", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	w.submit("more", "urgent", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.now += 2 * reclaimSpan
+	assert.Equal(t, len(w.plan().Evict), 0, "account b has no guarantee")
+	w.end(anvilwork.Task{Job: "mine"}, anvilwork.RunDone)
+	w.plan()
+	assert.Equal(t, len(w.assigned("more")), 1)
+	w.submit("again", "urgent", "a", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.now += 2 * reclaimSpan
+	assert.Equal(t, len(w.plan().Evict), 1, "account a gets its part back")
+}
+
+// TestTight guards against tearing a gang over racks that one rack could hold,
+// and against waiting for ever for a rack that none is large enough for.
+func TestTight(t *testing.T) {
+	w := newWorld(t, 2, 2, 0)
+	w.submit("c", "common", "b", anvilwork.Step{Count: 3, Need: gpus(8)})
+	w.plan()
+	w.end(anvilwork.Task{Job: "c"}, anvilwork.RunDone)
+	w.submit("pair", "common", "b", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, Tight: true})
+	w.plan()
+	assert.Equal(t, len(w.assigned("pair")), 0, "two targets are free, in two racks")
+	w.end(anvilwork.Task{Job: "c", Index: 1}, anvilwork.RunDone)
+	w.plan()
+	pair := w.assigned("pair")
+	assert.Equal(t, len(pair), 2)
+	assert.Equal(t, pair[0][:2], pair[1][:2])
+
+	wide := newWorld(t, 2, 2, 0)
+	wide.submit("wide", "common", "b", anvilwork.Step{Count: 3, Need: gpus(8), Gang: true, Tight: true})
+	wide.plan()
+	assert.Equal(t, len(wide.assigned("wide")), 3)
+}
+
+// TestRules guards against placing a task on a target without its label or
+// with too many of its kind.
+func TestRules(t *testing.T) {
+	w := newWorld(t, 1, 2, 0)
+	w.submit("spread", "common", "b", anvilwork.Step{Count: 5, Need: gpus(1), Spread: 2})
+	w.submit("label", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1), Label: "y"})
+	w.submit("fits", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1), Label: "x"})
+	w.plan()
+	assert.Equal(t, len(w.assigned("spread")), 4)
+	assert.Equal(t, len(w.assigned("label")), 0)
+	assert.Equal(t, len(w.assigned("fits")), 1)
+}
+
+// TestInvariants runs random days and checks after each plan that no target
+// holds more than it has room for, that gangs are placed whole, and that only
+// runs of jobs outside a guarantee are stopped.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld(t, 2, 3, 16)
+		for i := range rapid.IntRange(5, 40).Draw(r, "events") {
+			w.now += anvilclock.Millis(rapid.IntRange(0, 800).Draw(r, "pause"))
+			switch rapid.IntRange(0, 2).Draw(r, "event") {
+			case 0:
+				w.randomJob(r, i)
+			case 1:
+				w.endStopping()
+			case 2:
+				w.endSome(r)
+			}
+			w.checkDecision(w.plan())
+		}
+	})
+}
+
+func (w *world) randomJob(r *rapid.T, i int) {
+	queue := rapid.SampledFrom([]anvilwork.QueueName{"urgent", "common"}).Draw(r, "queue")
+	account := rapid.SampledFrom([]anvilid.AccountID{"a", "b"}).Draw(r, "account")
+	gang := rapid.Bool().Draw(r, "gang")
+	w.submit(anvilid.JobID(fmt.Sprintf("j%d", i)), queue, account, anvilwork.Step{
+		Count: rapid.IntRange(1, 6).Draw(r, "count"), Need: gpus(rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(r, "gpus")),
+		Gang: gang, Tight: gang && rapid.Bool().Draw(r, "tight"), Saves: rapid.Bool().Draw(r, "saves"),
+		Estimate: anvilclock.Millis(rapid.IntRange(100, 9000).Draw(r, "estimate")),
+	})
+}
+
+// endSome ends some runs; members of a gang end together.
+func (w *world) endSome(r *rapid.T) {
+	for _, job := range slices.Clone(w.state.Active()) {
+		if !rapid.Bool().Draw(r, "ends") {
+			continue
+		}
+		for i := range job.Occurrences[0].Tasks[0] {
+			if job.Occurrences[0].Tasks[0][i].Phase == anvilwork.TaskAssigned {
+				w.end(anvilwork.Task{Job: job.ID, Index: i}, anvilwork.RunDone)
+			}
+		}
+	}
+}
+
+func (w *world) checkDecision(decision Decision) {
+	for _, e := range decision.Evict {
+		job, ok := w.state.Job(e.Task.Job)
+		assert.Assert(w.t, ok)
+		if w.state.Terms(job).Priority > 0 {
+			continue
+		}
+		account, _ := w.state.Account(job.Account)
+		var used anvilid.AcceleratorCount
+		for _, other := range w.state.Active() {
+			if other.Account == job.Account && w.state.Terms(other).Priority == 0 {
+				used += demand(other)
+			}
+		}
+		assert.Assert(w.t, used > account.Guaranteed, "a run within a guarantee is stopped")
+	}
+	for _, job := range w.state.Active() {
+		step := job.Spec.Steps[0]
+		assigned := 0
+		for _, state := range job.Occurrences[0].Tasks[0] {
+			if state.Phase == anvilwork.TaskAssigned {
+				assigned++
+			}
+		}
+		assert.Assert(w.t, !step.Gang || assigned == 0 || assigned == step.Count || len(w.state.Superfluous()) > 0,
+			"%d of %d members of %s are assigned", assigned, step.Count, job.ID)
+	}
+}
--- /dev/null
+++ b/core/anvilplace/world_test.go
@@ -0,0 +1,148 @@
+package anvilplace
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// world is a replicated state that plans are made for and applied to.
+type world struct {
+	t        *testing.T
+	state    *anvilwork.State
+	now      anvilclock.Millis
+	stopping map[anvilwork.Task]bool
+	numbers  map[anvilid.TargetID]uint64
+}
+
+var testRoom = anvilwork.Room{CPU: 32000, Memory: 64000, GPU: 8}
+
+// newWorld has racks of targets with 8 accelerators each, an urgent queue and
+// a common one, and an account with a guarantee.
+func newWorld(t *testing.T, racks, size int, guaranteed anvilid.AcceleratorCount) *world {
+	w := &world{
+		t: t, state: anvilwork.New(), now: 1000, stopping: map[anvilwork.Task]bool{}, numbers: map[anvilid.TargetID]uint64{},
+	}
+	config := &anvilwork.Config{
+		Version: 1, Services: []anvilwork.Service{{Name: "s"}},
+		Queues: []anvilwork.Queue{
+			{Name: "urgent", Host: "h", Prefix: "/u", Timeout: 1, Terms: anvilwork.Terms{Service: "s", Stretch: 1.5, Aim: 300, Attempts: 3}},
+			{Name: "common", Host: "h", Prefix: "/c", Timeout: 1, Terms: anvilwork.Terms{Service: "s", Priority: 1, Stretch: 3, Aim: 3000, Attempts: 3}},
+		},
+		Accounts: []anvilwork.Account{{Name: "a", Guaranteed: guaranteed}, {Name: "b"}},
+	}
+	w.apply(anvilwork.Command{Configure: config})
+	for r := range racks {
+		for i := range size {
+			w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+				ID: anvilid.TargetID(fmt.Sprintf("r%d-%02d", r, i)), Born: 1, Service: "s",
+				Address: anvilid.Address(fmt.Sprintf("%d:%d", r, i)), Rack: anvilid.RackName(fmt.Sprintf("r%d", r)),
+				Labels: []string{"x"}, Room: testRoom,
+			}}})
+		}
+	}
+	return w
+}
+
+func (w *world) apply(command anvilwork.Command) {
+	results := w.state.Apply(w.now, anvilwork.Batch{Commands: []anvilwork.Command{command}})
+	assert.Equal(w.t, results[0], anvilwork.Applied)
+}
+
+// submit hands in a job of one step.
+func (w *world) submit(id anvilid.JobID, queue anvilwork.QueueName, account anvilid.AccountID, step anvilwork.Step) {
+	if step.Estimate == 0 {
+		step.Estimate = 2000
+	}
+	w.apply(anvilwork.Command{Submit: &anvilwork.Submit{
+		Job: id, Queue: queue, Account: account, Spec: anvilwork.Spec{Steps: []anvilwork.Step{step}},
+	}})
+}
+
+// plan makes a plan, checks it and applies its placements.
+func (w *world) plan() Decision {
+	decision := Plan(Input{
+		State: w.state, Now: w.now, Wall: w.now,
+		Usable:   func(anvilid.TargetID) bool { return true },
+		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
+		Paused:   func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
+	})
+	for i := range decision.Places {
+		w.apply(anvilwork.Command{Place: &decision.Places[i]})
+	}
+	for _, e := range decision.Evict {
+		w.stopping[e.Task] = true
+	}
+	w.checkRoom()
+	return decision
+}
+
+// checkRoom guards against more work on a target than it has room for.
+func (w *world) checkRoom() {
+	for _, target := range w.state.Targets() {
+		var used anvilwork.Room
+		for task := range w.state.Runs(target.ID) {
+			job, ok := w.state.Job(task.Job)
+			assert.Assert(w.t, ok)
+			used = used.Plus(need(job.Spec.Steps[task.Step]))
+		}
+		assert.Assert(w.t, target.Room.Holds(used), "%s holds %v", target.ID, used)
+	}
+}
+
+// end ends one run.
+func (w *world) end(task anvilwork.Task, outcome anvilwork.Outcome) {
+	job, ok := w.state.Job(task.Job)
+	assert.Assert(w.t, ok)
+	state := *job.State(task)
+	w.numbers[state.Target]++
+	w.apply(anvilwork.Command{Settle: &anvilwork.Settle{Target: state.Target, Born: state.Born, Ends: []anvilwork.End{
+		{Number: w.numbers[state.Target], Task: task, Run: state.Run, Outcome: outcome},
+	}}})
+	delete(w.stopping, task)
+}
+
+// endStopping ends all runs that were asked to stop.
+func (w *world) endStopping() {
+	var tasks []anvilwork.Task
+	for task := range w.stopping {
+		tasks = append(tasks, task)
+	}
+	slices.SortFunc(tasks, anvilwork.Task.Compare)
+	for _, task := range tasks {
+		w.end(task, anvilwork.RunStopped)
+	}
+}
+
+// assigned lists the targets of a job's runs, ordered by task.
+func (w *world) assigned(id anvilid.JobID) []anvilid.TargetID {
+	job, ok := w.state.Job(id)
+	assert.Assert(w.t, ok)
+	var targets []anvilid.TargetID
+	for _, state := range job.Occurrences[0].Tasks[0] {
+		if state.Phase == anvilwork.TaskAssigned {
+			targets = append(targets, state.Target)
+		}
+	}
+	return targets
+}
+
+// evicted lists the jobs that lose runs.
+func evicted(decision Decision) []anvilid.JobID {
+	var jobs []anvilid.JobID
+	for _, e := range decision.Evict {
+		jobs = append(jobs, e.Task.Job)
+	}
+	slices.Sort(jobs)
+	return slices.Compact(jobs)
+}
+
+func gpus(count int) anvilwork.Room {
+	return anvilwork.Room{CPU: 1000, GPU: anvilid.AcceleratorCount(count)}
+}
