Keep room for urgent jobs that wait, and let those beyond a guarantee stop cheaper work

Room that ended by itself while they waited went to other jobs, and jobs of accounts whose guarantee was used up never stopped anything. Ruled out: the commit and the calls (jobs that find room start after 45 to 85 ms). Change: the cheapest set of targets is kept while an urgent job waits; an urgent job beyond a guarantee may stop work up to its own.

--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -24,17 +24,20 @@
 )
 
 // clear makes room for an urgent unit: it waits for runs that are stopping,
-// or stops the runs that have least to lose. The nodes are kept for the unit.
+// or stops the runs that have least to lose. The nodes are kept for the unit,
+// also while it waits for runs that end by themselves: each that ends there is
+// one less to stop.
 func (p *planner) clear(u *unit, count int) {
 	if spots := p.fit(u, count, (*node).promised); spots != nil {
 		p.keep(spots)
 		return
 	}
-	if !u.assured || p.Now < u.patience() {
+	best := p.cheapest(u, count)
+	if best == nil || !u.assured && best.loss > u.work(count) {
 		return
 	}
-	best := p.cheapest(u, count)
-	if best == nil {
+	if p.Now < u.patience() {
+		p.keep(best.spots)
 		return
 	}
 	for _, v := range best.order {
@@ -46,6 +49,17 @@
 	p.keep(best.spots)
 }
 
+// work is what a number of tasks of a unit will do, in core-milliseconds. An
+// urgent unit without a guarantee doesn't stop more than that.
+func (u *unit) work(count int) float64 {
+	return cores(u.step) * float64(count) * float64(u.step.Estimate)
+}
+
+// cores is the weight of one task in processor cores.
+func cores(step anvilwork.Step) float64 {
+	return float64(step.Need.CPU)/1000 + gpuWeight*float64(step.Need.GPU)
+}
+
 // patience is the time until which an urgent unit waits for room without
 // stopping others, because it still ends in time if it starts a little later.
 func (u *unit) patience() anvilclock.Millis {
@@ -196,11 +210,10 @@
 	if step.Saves {
 		span = min(span, anvilclock.Second)
 	}
-	cores := float64(step.Need.CPU)/1000 + gpuWeight*float64(step.Need.GPU)
+	lost := cores(step) * float64(span)
 	if step.Gang {
-		cores *= float64(step.Count)
+		lost *= float64(step.Count)
 	}
-	lost := cores * float64(span)
 	if p.State.Terms(t.job).Priority == 0 {
 		lost += urgentLoss
 	}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -107,7 +107,7 @@
 		for k := range job.Occurrences {
 			for _, u := range p.waiting(job, k) {
 				u.terms, u.urgent, u.assured = terms, urgent, assured
-				u.from, u.due = span(job, terms, k)
+				u.from, u.due = Span(job, terms, k)
 				units = append(units, u)
 			}
 		}
@@ -144,9 +144,9 @@
 	return units
 }
 
-// span returns when an occurrence of a job was to begin and when it should
+// Span returns when an occurrence of a job was to begin and when it should
 // have ended.
-func span(job *anvilwork.Job, terms anvilwork.Terms, k int) (from, due anvilclock.Millis) {
+func Span(job *anvilwork.Job, terms anvilwork.Terms, k int) (from, due anvilclock.Millis) {
 	from = job.Accepted
 	if job.Occurrences[k].Due > 0 {
 		from = job.Occurrences[k].Due
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -193,3 +193,24 @@
 			"%d of %d members of %s are assigned", assigned, step.Count, job.ID)
 	}
 }
+
+// TestBeyondGuarantee answers the pattern of many urgent jobs of an account
+// whose guarantee is used up: they may stop work that has just begun, but
+// never more of it than they do themselves.
+func TestBeyondGuarantee(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  anvilclock.Millis
+		want int
+	}{{"new work", 1900, 1}, {"old work", 2100, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 1, 1, 0)
+			w.submit("c", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+			w.plan()
+			w.now += c.age - reclaimSpan
+			w.submit("u", "urgent", "b", anvilwork.Step{Count: 1, Need: gpus(8), Estimate: 2000})
+			w.now += reclaimSpan
+			assert.Equal(t, len(w.plan().Evict), c.want)
+		})
+	}
+}
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -30,6 +30,8 @@
 	answers chan func(now anvilclock.Millis) anvilorder.Effects
 	// pending collects what answers have asked for.
 	pending []anvilwork.Command
+	// active holds the jobs that hadn't ended, and when each first had a run.
+	active map[anvilid.JobID]anvilclock.Millis
 }
 
 func newReign(l *Leader, term anvilid.Term) *reign {
@@ -37,7 +39,7 @@
 	return &reign{
 		Leader: l, term: term, started: now, dirty: true,
 		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
-		answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
+		active:  map[anvilid.JobID]anvilclock.Millis{}, answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
 	}
 }
 
@@ -125,6 +127,7 @@
 		return commands, 0
 	}
 	r.dirty, r.planned = false, now
+	r.logEnded()
 	r.stopSuperfluous()
 	decision := anvilplace.Plan(r.input(now))
 	for _, eviction := range decision.Evict {
@@ -192,6 +195,32 @@
 	}
 }
 
+// logEnded writes a line for each job that ended since the last plan.
+func (r *reign) logEnded() {
+	now := r.wall.Now()
+	for id, first := range r.active {
+		job, ok := r.state.Job(id)
+		if !ok || !job.Phase.Ended() {
+			continue
+		}
+		delete(r.active, id)
+		_, due := anvilplace.Span(job, r.state.Terms(job), 0)
+		r.log.Write(anvillogs.WorkEnded, zap.String("job", string(id)), zap.String("queue", string(job.Queue)),
+			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(first-job.Accepted)),
+			zap.Int64("took", int64(job.Ended-job.Accepted)), zap.Int64("limit", int64(due-job.Accepted)))
+	}
+	for _, job := range r.state.Active() {
+		first, known := r.active[job.ID]
+		if !known || first == 0 && job.Phase == anvilwork.JobRunning {
+			first = 0
+			if job.Phase == anvilwork.JobRunning {
+				first = now
+			}
+			r.active[job.ID] = first
+		}
+	}
+}
+
 // send gives the orders, each in a goroutine of its own: the connections to
 // one target are few and bounded by the client.
 func (r *reign) send(effects anvilorder.Effects) {
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -9,6 +9,7 @@
 	InstanceDraining = define(103, zapcore.InfoLevel, "instance drains: no new requests are taken")
 	InstanceStopped  = define(104, zapcore.InfoLevel, "instance stopped")
 	InstanceKilled   = define(105, zapcore.WarnLevel, "second signal: instance stops at once")
+	LinesLost        = define(107, zapcore.WarnLevel, "log lines were left out")
 	DutyFailed       = define(106, zapcore.ErrorLevel, "a duty of the instance failed; the instance stops")
 )
 
@@ -79,6 +80,7 @@
 	TargetKnown      = define(614, zapcore.InfoLevel, "target became known or changed")
 	TargetUnanswered = define(617, zapcore.WarnLevel, "call to a target got no answer")
 	ListUnreadable   = define(618, zapcore.ErrorLevel, "entry of a target's list can't be read and is ignored")
+	WorkEnded        = define(619, zapcore.InfoLevel, "job ended on the leader's books")
 	ConfigChanged    = define(615, zapcore.InfoLevel, "configuration in force")
 	ConfigRefused    = define(616, zapcore.InfoLevel, "configuration refused")
 )
--- a/io/anvillogs/logs.go
+++ b/io/anvillogs/logs.go
@@ -52,12 +52,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), zapcore.Lock(zapcore.AddSync(out)), lowest)
+	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThen)
+	return &Logger{zap: zap.New(sampled)}, nil
+}
+
+// encoding is the form of all lines.
+func encoding() zapcore.EncoderConfig {
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), lowest)
-	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThen)
-	return &Logger{zap: zap.New(sampled)}, nil
+	return config
 }
 
 // Discard returns a logger that writes nothing.
