Ask the next server when one stays silent

Ruled out: a short timeout per server, because a change while the leader is lost takes 1.5 s and would be given up each time. Change: after 2 s without an answer the next server is asked too, and the first definite answer counts; changes carry ids, so that both are one.

--- a/io/anvilclient/client.go
+++ b/io/anvilclient/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"anvilshunt/core/anvilburn"
 	"anvilshunt/core/anvilclock"
@@ -57,8 +58,21 @@
 	return &Client{http: client, addresses: addresses}
 }
 
-// call makes one call. A call that may have reached an instance is repeated
-// at the next one; all calls of this client may be repeated.
+// nextAfter is how long a server may stay silent before the next one is asked
+// too. Commands wait up to 10 s, and a change while the leader is lost takes
+// about 1.5 s.
+const nextAfter = 2 * time.Second
+
+// outcome is what one server made of a call.
+type outcome struct {
+	answer []byte
+	retry  bool // another server may do better
+	err    error
+}
+
+// call makes one call. It asks the next server when one fails or stays silent,
+// without giving up the silent one: all calls of this client may be repeated,
+// and changes carry ids, so that a repeated one takes effect once.
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
 	var data []byte
 	if body != nil {
@@ -67,40 +81,62 @@
 			return fmt.Errorf("encode the call: %w", err)
 		}
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan outcome, len(c.addresses))
+	timer := time.NewTicker(nextAfter)
+	defer timer.Stop()
 	var last error
-	for _, address := range c.addresses {
-		retry, err := c.once(ctx, method, "http://"+string(address)+path, data, reply)
-		if err == nil || !retry {
-			return err
+	asked, answered := 0, 0
+	ask := func() {
+		if asked < len(c.addresses) {
+			target := "http://" + string(c.addresses[asked]) + path
+			asked++
+			go func() { outcomes <- c.once(ctx, method, target, data) }()
+		}
+	}
+	for ask(); answered < asked; {
+		select {
+		case <-timer.C:
+			ask()
+		case o := <-outcomes:
+			answered++
+			if o.err == nil {
+				return json.Unmarshal(o.answer, reply)
+			}
+			if !o.retry {
+				return o.err
+			}
+			last = o.err
+			ask()
 		}
-		last = err
 	}
 	return fmt.Errorf("%w at %v: %w", ErrUnreachable, c.addresses, last)
 }
 
-func (c *Client) once(ctx context.Context, method, target string, data []byte, reply any) (retry bool, err error) {
+func (c *Client) once(ctx context.Context, method, target string, data []byte) outcome {
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
 	if err != nil {
-		return false, err
+		return outcome{err: err}
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return true, err
+		return outcome{retry: true, err: err}
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
-		return true, err
+		return outcome{retry: true, err: err}
 	}
 	if response.StatusCode/100 == 2 {
-		return false, json.Unmarshal(answer, reply)
+		return outcome{answer: answer}
 	}
 	refusal := &Refusal{Status: response.StatusCode}
 	if json.Unmarshal(answer, refusal) != nil || refusal.Code == "" {
 		refusal.Text = fmt.Sprintf("status %d", response.StatusCode)
 	}
-	return response.StatusCode == http.StatusServiceUnavailable, refusal
+	return outcome{retry: response.StatusCode == http.StatusServiceUnavailable, err: refusal}
 }
 
 // Config is the configuration in force.
