Refuse to show a configuration without a lease

Cause: the new leader leaves nobody out. It waits until each instance has applied the change or lost its lease; the third instance renews at the frozen leader until its call fails and has no lease by then. Change: a read of the configuration without a lease is answered 503, so that the command line asks the next server; status says that its revision may be old.

--- a/io/anvilcmd/anvilstatuscmd/status.go
+++ b/io/anvilcmd/anvilstatuscmd/status.go
@@ -10,6 +10,7 @@
 
 	"anvilshunt/io/anvilcmd/anvilfactory"
 	"anvilshunt/io/anvilcmd/anviltable"
+	"anvilshunt/io/anvilhttp"
 )
 
 type options struct {
@@ -50,7 +51,7 @@
 	table.Add("ready", status.Ready)
 	table.Add("leased", status.Leased)
 	table.Add("draining", status.Draining)
-	table.Add("revision", status.Revision)
+	table.Add("revision", revision(status))
 	table.Add("admitted", status.Admitted)
 	table.Add("instances", len(status.Instances))
 	table.Add("targets", len(status.Targets))
@@ -63,3 +64,12 @@
 	}
 	return table.Write(opts.Streams)
 }
+
+// revision shows the configuration that the instance knows. Without a lease a
+// newer one may be in force everywhere else.
+func revision(status anvilhttp.Status) string {
+	if status.Leased {
+		return fmt.Sprint(status.Revision)
+	}
+	return fmt.Sprintf("%d (may be old: no lease)", status.Revision)
+}
--- a/io/anvilhttp/operator.go
+++ b/io/anvilhttp/operator.go
@@ -31,7 +31,10 @@
 }
 
 func (s *server) viewConfig(c echo.Context) error {
-	config := s.api.Config()
+	config, err := s.api.Config()
+	if err != nil {
+		return err
+	}
 	return c.JSON(http.StatusOK, struct {
 		Revision anvilid.Revision     `json:"revision"`
 		Objects  []anvilconfig.Object `json:"objects"`
--- a/io/anvilhttp/server.go
+++ b/io/anvilhttp/server.go
@@ -23,7 +23,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = handleError
-	e.Use(s.limitHeader)
+	e.Use(s.endConnections, s.limitHeader)
 	e.POST("/v1/services/:service/requests", s.request)
 	e.POST("/v1/jobs", s.submitJob)
 	e.GET("/v1/jobs", s.listJobs)
@@ -45,6 +45,22 @@
 	return e
 }
 
+// endConnections closes the connections of a draining instance with their
+// answers, so that callers send their next request to another instance.
+func (s *server) endConnections(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.api.Draining != nil {
+			// The answer may be given long after the request was taken.
+			c.Response().Before(func() {
+				if s.api.Draining() {
+					c.Response().Header().Set("Connection", "close")
+				}
+			})
+		}
+		return next(c)
+	}
+}
+
 // failure is the body of every error.
 type failure struct {
 	Code    string `json:"code"`
--- a/io/anvilserver/api.go
+++ b/io/anvilserver/api.go
@@ -27,19 +27,20 @@
 			owner, err := s.Announce(ctx, report)
 			return owner, announceError(err)
 		},
-		Ready:   s.Ready,
-		Status:  s.status,
-		Config:  s.config,
-		Check:   s.checkChange,
-		Change:  s.change,
-		History: s.history,
-		Burn:    s.burn,
-		Submit:  s.submit,
-		Job:     s.job,
-		Jobs:    s.jobs,
-		Cancel:  s.cancelJob,
-		Drain:   s.drainTarget,
-		Metrics: s.metrics.write,
+		Ready:    s.Ready,
+		Draining: s.draining,
+		Status:   s.status,
+		Config:   s.currentConfig,
+		Check:    s.checkChange,
+		Change:   s.change,
+		History:  s.history,
+		Burn:     s.burn,
+		Submit:   s.submit,
+		Job:      s.job,
+		Jobs:     s.jobs,
+		Cancel:   s.cancelJob,
+		Drain:    s.drainTarget,
+		Metrics:  s.metrics.write,
 	}
 }
 
@@ -53,6 +54,17 @@
 	return err
 }
 
+// currentConfig returns the configuration in force. Without a lease a newer
+// one may be in force everywhere else.
+func (s *Server) currentConfig() (anvilconfig.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.lease.Valid(s.clock.Now()) {
+		return anvilconfig.Snapshot{}, fmt.Errorf("%w: this instance has no lease, so that its configuration may be old; ask another one", anvilhttp.ErrUnavailable)
+	}
+	return s.view.Config, nil
+}
+
 // status tells what this instance knows.
 func (s *Server) status() anvilhttp.Status {
 	index, config, instances, targets := s.snapshot()
