End kept connections while an instance drains

Cause: answers given while draining kept their connections open, and the instance closed them as soon as its requests were done. Callers that sent their next request then lost it, with the outcome unknown.

--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilhttp"
 	"anvilshunt/io/anvillogs"
@@ -32,6 +34,11 @@
 // Connections that are open when the instance stops get this long to close.
 const closeTimeout = time.Second
 
+// Callers that keep connections open get this long after the instance began to
+// drain to send their next request, which is refused with "not run" and ends
+// the connection. The balancer's pause and the drain run within it.
+const lingerSpan = 1500 * anvilclock.Millisecond
+
 const headerTimeout = 10 * time.Second
 
 // Header fields over the limit get an error that names it. Beyond this many
@@ -67,8 +74,8 @@
 		{"desk", s.desk.Serve},
 		{"gang members", s.owner.Run},
 		{"burn", s.sendCounts},
-		{"public", s.serve(public, s.publicHandler())},
-		{"peer", s.serve(peer, s.peerHandler())},
+		{"public", s.serve(public, s.publicHandler(), &s.open)},
+		{"peer", s.serve(peer, s.peerHandler(), &connections{})},
 		{"signals", func(ctx context.Context) error { return s.obey(ctx, signals, cancel) }},
 	}
 	if s.voter != nil {
@@ -86,11 +93,12 @@
 
 // serve returns the duty that serves HTTP on a listener. It ends by closing
 // connections after their present requests.
-func (s *Server) serve(listener net.Listener, handler http.Handler) func(context.Context) error {
+func (s *Server) serve(listener net.Listener, handler http.Handler, connections *connections) func(context.Context) error {
 	return func(ctx context.Context) error {
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout,
 			MaxHeaderBytes: hardHeaderFactor * int(s.settings.Limits.Header),
+			ConnState:      connections.follow,
 		}
 		failed := make(chan error, 1)
 		go func() { failed <- server.Serve(listener) }()
@@ -151,6 +159,7 @@
 func (s *Server) drain(ctx context.Context) {
 	s.state.Store(drainingPhase)
 	s.desk.Drain()
+	lingerUntil := s.clock.Now() + lingerSpan
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Timing.Drain.Duration())
 	defer cancel()
 	pause(ctx, balancerPause)
@@ -164,8 +173,25 @@
 	s.fleet.DropAll()
 	s.proposeCounts(ctx, true)
 	s.leave(ctx, false)
+	for ctx.Err() == nil && s.open.count() > 0 && s.clock.Now() < lingerUntil {
+		pause(ctx, watchPeriod)
+	}
+}
+
+// connections counts the open connections of a server.
+type connections struct{ open atomic.Int64 }
+
+func (c *connections) follow(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
 }
 
+func (c *connections) count() int64 { return c.open.Load() }
+
 func (s *Server) leave(ctx context.Context, drain bool) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -51,6 +51,7 @@
 	metrics     *metrics
 	tally       *tally
 	state       atomic.Int32
+	open        connections // of callers, targets and operators
 
 	mu     sync.Mutex
 	view   *anvilview.View
