Judge targets by the progress of equal tasks

First try: any run below half the rate of its equals made a target slow, and gangs were moved from there. Now it takes two runs, or one that became slower itself.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -180,7 +180,8 @@
 		entry, there := listed[task]
 		switch {
 		case there && entry.Run == r.number:
-			r.progress(now, entry)
+			r.confirm(now)
+			t.Speeds.Observe(answer.Received, target.facts.ID, task, r.number, entry.Percent)
 		case ended[task] >= r.number:
 			// its end is being committed
 		default:
@@ -190,17 +191,12 @@
 	t.stopStrangers(target, listed, effects)
 }
 
-func (r *run) progress(now anvilclock.Millis, entry Running) {
+// confirm notes that a list shows the run.
+func (r *run) confirm(now anvilclock.Millis) {
 	r.phase, r.doubt, r.missing = running, false, 0
 	if r.seen == 0 {
 		r.seen = now
 	}
-	if entry.Percent != r.percent {
-		r.percent, r.progressAt = entry.Percent, now
-	}
-	if entry.Saved != "" {
-		r.saved = entry.Saved
-	}
 }
 
 // absent handles an assigned run that a list doesn't show. A run that was
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -6,6 +6,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -44,13 +45,10 @@
 	// seen is the time of sending of the first answer that confirmed the run.
 	seen anvilclock.Millis
 	// stop tells that the run shall end.
-	stop                 bool
-	stopSending          bool
-	stopNext, stoppedAt  anvilclock.Millis
-	stopped              bool
-	percent              int
-	progressAt, startsAt anvilclock.Millis
-	saved                string
+	stop                bool
+	stopSending         bool
+	stopNext, stoppedAt anvilclock.Millis
+	stopped             bool
 	// missing counts lists that should have shown a confirmed run.
 	missing int
 }
@@ -84,11 +82,13 @@
 	bounds  Bounds
 	elected anvilclock.Millis
 	targets map[anvilid.TargetID]*target
+	// Speeds judges the targets by the progress of their runs.
+	Speeds *anvilspeed.Judge
 }
 
 // New returns the tracker of a leader that was elected at a time.
 func New(token anvilid.Token, elected anvilclock.Millis, bounds Bounds) *Tracker {
-	return &Tracker{token: token, bounds: bounds, elected: elected, targets: map[anvilid.TargetID]*target{}}
+	return &Tracker{token: token, bounds: bounds, elected: elected, targets: map[anvilid.TargetID]*target{}, Speeds: anvilspeed.New()}
 }
 
 // Sync takes over the replicated state: targets that came or went, runs that
@@ -120,12 +120,13 @@
 	assigned := state.Runs(facts.ID)
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
-			known.runs[task] = &run{number: number, phase: adopting, startsAt: now, progressAt: now}
+			known.runs[task] = &run{number: number, phase: adopting}
 		}
 	}
 	for task := range known.runs {
 		if _, ok := assigned[task]; !ok {
 			delete(known.runs, task)
+			t.Speeds.Forget(task)
 		}
 	}
 }
@@ -135,7 +136,7 @@
 func (t *Tracker) Placed(now anvilclock.Millis, assignments []anvilwork.Assignment) {
 	for _, a := range assignments {
 		if target := t.targets[a.Target]; target != nil && target.facts.Born == a.Born {
-			target.runs[a.Task] = &run{number: a.Run, phase: starting, startsAt: now, progressAt: now}
+			target.runs[a.Task] = &run{number: a.Run, phase: starting}
 		}
 	}
 }
--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -136,7 +136,7 @@
 // price returns the runs to stop on a node for one more task, and their loss.
 func (c *clearing) price(n *node) (victims []*tenant, loss float64, ok bool) {
 	room := n.promised()
-	if !n.usable || n.kept || c.unit.capacity(n, c.taken[n]+1, whole) <= c.taken[n] {
+	if n.closed() || c.unit.capacity(n, c.taken[n]+1, whole) <= c.taken[n] {
 		return nil, 0, false
 	}
 	var candidates []*tenant
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -29,6 +29,7 @@
 type node struct {
 	target *anvilwork.Target
 	usable bool
+	slow   bool // much slower than others now
 	free   anvilwork.Room
 	// soon is the room of runs whose end was asked for.
 	soon anvilwork.Room
@@ -47,15 +48,18 @@
 
 // available is the room that a unit may take now.
 func (n *node) available() anvilwork.Room {
-	if !n.usable || n.kept {
+	if n.closed() {
 		return anvilwork.Room{}
 	}
 	return n.free
 }
 
+// closed nodes take no more tasks in this pass.
+func (n *node) closed() bool { return !n.usable || n.slow || n.kept }
+
 // promised is the room that is free now or after the runs that are stopping.
 func (n *node) promised() anvilwork.Room {
-	if !n.usable || n.kept {
+	if n.closed() {
 		return anvilwork.Room{}
 	}
 	return n.free.Plus(n.soon)
@@ -82,7 +86,7 @@
 	for _, target := range p.State.Targets() {
 		n := &node{
 			target: target, usable: !target.Leaving && p.Usable(target.ID),
-			free: target.Room, tasks: map[stepKey]int{},
+			slow: p.Slow(target.ID), free: target.Room, tasks: map[stepKey]int{},
 		}
 		p.nodes = append(p.nodes, n)
 		p.byID[target.ID] = n
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -6,6 +6,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -18,6 +19,10 @@
 	Usable func(anvilid.TargetID) bool
 	// Stopping tells whether the end of a run was asked for already.
 	Stopping func(anvilid.TargetID, anvilwork.Task) bool
+	// Slow tells whether a target works much slower than others now.
+	Slow func(anvilid.TargetID) bool
+	// Progress tells how far a run is, if that is known.
+	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
 	// Paused tells whether a task waits before its next run.
 	Paused func(anvilwork.Task, *anvilwork.TaskState) bool
 }
@@ -56,6 +61,7 @@
 	for _, unit := range p.queue() {
 		p.serve(unit)
 	}
+	p.moveStragglers()
 	return p.decision
 }
 
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -10,6 +10,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -214,3 +215,50 @@
 		})
 	}
 }
+
+// TestSlowTargets answers the pattern of targets that turn slow for some
+// seconds: a gang is as slow as its slowest member. It guards against placing
+// work there, and against leaving a gang that would end earlier elsewhere.
+func TestSlowTargets(t *testing.T) {
+	w := newWorld(t, 2, 2, 0)
+	w.slow["r0-00"] = true
+	w.submit("g", "common", "b", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, Tight: true})
+	w.plan()
+	assert.DeepEqual(t, w.assigned("g"), []anvilid.TargetID{"r1-00", "r1-01"})
+
+	// One of them turns slow: 40% after 1 s became 45% after 2 s.
+	w.slow = map[anvilid.TargetID]bool{"r1-01": true}
+	first, second := anvilwork.Task{Job: "g"}, anvilwork.Task{Job: "g", Index: 1}
+	w.progress[first] = anvilspeed.Progress{Percent: 80, Rate: 0.04, Best: 0.04}
+	w.progress[second] = anvilspeed.Progress{Percent: 45, Rate: 0.005, Best: 0.04}
+	assert.DeepEqual(t, evicted(w.plan()), []anvilid.JobID{"g"})
+	w.endStopping()
+	w.plan()
+	assert.DeepEqual(t, w.assigned("g"), []anvilid.TargetID{"r0-00", "r0-01"})
+}
+
+// TestNearlyDone guards against moving a run that ends sooner where it is.
+func TestNearlyDone(t *testing.T) {
+	w := newWorld(t, 1, 2, 0)
+	w.submit("x", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	w.progress[anvilwork.Task{Job: "x"}] = anvilspeed.Progress{Percent: 90, Rate: 0.005, Best: 0.04}
+	assert.Equal(t, len(w.plan().Evict), 0)
+}
+
+// TestStandstill guards against runs that never end because their target
+// stands still, and against moving a task for ever that stands still anywhere.
+func TestStandstill(t *testing.T) {
+	w := newWorld(t, 1, 3, 0)
+	w.submit("x", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	task := anvilwork.Task{Job: "x"}
+	moves := 0
+	for range 6 {
+		w.progress[task] = anvilspeed.Progress{Still: stillSpan}
+		moves += len(w.plan().Evict)
+		w.endStopping()
+		w.plan()
+	}
+	assert.Equal(t, moves, moveLimit-1)
+}
--- a/core/anvilplace/world_test.go
+++ b/core/anvilplace/world_test.go
@@ -9,6 +9,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -19,6 +20,8 @@
 	now      anvilclock.Millis
 	stopping map[anvilwork.Task]bool
 	numbers  map[anvilid.TargetID]uint64
+	slow     map[anvilid.TargetID]bool
+	progress map[anvilwork.Task]anvilspeed.Progress
 }
 
 var testRoom = anvilwork.Room{CPU: 32000, Memory: 64000, GPU: 8}
@@ -28,6 +31,7 @@
 func newWorld(t *testing.T, racks, size int, guaranteed anvilid.AcceleratorCount) *world {
 	w := &world{
 		t: t, state: anvilwork.New(), now: 1000, stopping: map[anvilwork.Task]bool{}, numbers: map[anvilid.TargetID]uint64{},
+		slow: map[anvilid.TargetID]bool{}, progress: map[anvilwork.Task]anvilspeed.Progress{},
 	}
 	config := &anvilwork.Config{
 		Version: 1, Services: []anvilwork.Service{{Name: "s"}},
@@ -71,7 +75,12 @@
 		State: w.state, Now: w.now, Wall: w.now,
 		Usable:   func(anvilid.TargetID) bool { return true },
 		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
-		Paused:   func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
+		Slow:     func(id anvilid.TargetID) bool { return w.slow[id] },
+		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
+			progress, ok := w.progress[task]
+			return progress, ok
+		},
+		Paused: func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
 	})
 	for i := range decision.Places {
 		w.apply(anvilwork.Command{Place: &decision.Places[i]})
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilplace"
 	"anvilshunt/core/anvilraft"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
 )
@@ -152,7 +154,12 @@
 	// Announcements come once an interval, and may change their way after an
 	// election.
 	heard := 2*r.bounds.Report + anvilclock.Second
+	slow := r.tracker.Speeds.Slow(now, len(r.state.Targets()))
 	return anvilplace.Input{
+		Slow: func(id anvilid.TargetID) bool { return slices.Contains(slow, id) },
+		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
+			return r.tracker.Speeds.Progress(now, task)
+		},
 		State: r.state, Now: r.wall.Now(), Wall: r.wall.Now(),
 		Usable: func(id anvilid.TargetID) bool { return r.tracker.Usable(now, id, heard) },
 		Stopping: func(id anvilid.TargetID, task anvilwork.Task) bool {
