--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -133,7 +133,7 @@
 
 // Placed tells that assignments of this leader were committed. Their starts
 // are sent by the next call of Next.
-func (t *Tracker) Placed(now anvilclock.Millis, assignments []anvilwork.Assignment) {
+func (t *Tracker) Placed(assignments []anvilwork.Assignment) {
 	for _, a := range assignments {
 		if target := t.targets[a.Target]; target != nil && target.facts.Born == a.Born {
 			target.runs[a.Task] = &run{number: a.Run, phase: starting}
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -171,14 +171,13 @@
 
 // committed takes over the placements that took effect.
 func (r *reign) committed(commands []anvilwork.Command, results []anvilwork.Result, places int) {
-	now := r.clock.Now()
 	for i, command := range commands {
 		if i >= len(results) {
 			return
 		}
 		r.logCommand(command, results[i])
 		if i >= len(commands)-places && results[i] == anvilwork.Applied {
-			r.tracker.Placed(now, command.Place.Assignments)
+			r.tracker.Placed(command.Place.Assignments)
 		}
 	}
 }
