--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -28,8 +28,11 @@
 // also while it waits for runs that end by themselves: each that ends there is
 // one less to stop.
 func (p *planner) clear(u *unit, count int) {
+	if p.fit(u, count, (*node).own) != nil {
+		return // it is on its way
+	}
 	if spots := p.fit(u, count, (*node).promised); spots != nil {
-		p.keep(spots)
+		p.keep(u, spots)
 		return
 	}
 	best := p.cheapest(u, count)
@@ -37,7 +40,7 @@
 		return
 	}
 	if p.Now < u.patience() {
-		p.keep(best.spots)
+		p.keep(u, best.spots)
 		return
 	}
 	for _, v := range best.order {
@@ -46,7 +49,7 @@
 		p.decision.Evict = append(p.decision.Evict,
 			Eviction{Target: v.node.target.ID, Task: v.tenant.task, For: u.job.ID})
 	}
-	p.keep(best.spots)
+	p.keep(u, best.spots)
 }
 
 // work is what a number of tasks of a unit will do, in core-milliseconds. An
@@ -67,9 +70,20 @@
 	return u.from + max(0, min(slack-stopSpan, reclaimSpan))
 }
 
-func (p *planner) keep(spots []spot) {
+// keep keeps targets for a unit, in place of those it had before.
+func (p *planner) keep(u *unit, spots []spot) {
+	p.release(u)
 	for _, s := range spots {
-		s.node.kept = true
+		s.node.keeper = u.job.ID
+	}
+}
+
+// release opens the targets that were kept for a unit.
+func (p *planner) release(u *unit) {
+	for _, n := range p.nodes {
+		if n.keeper == u.job.ID {
+			n.keeper = ""
+		}
 	}
 }
 
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -33,8 +33,9 @@
 	free   anvilwork.Room
 	// soon is the room of runs whose end was asked for.
 	soon anvilwork.Room
-	// kept tells that an urgent job waits for this target.
-	kept    bool
+	// keeper is the urgent job that waits for this target, if any.
+	keeper  anvilid.JobID
+	planner *planner
 	tenants []*tenant
 	// tasks counts the runs of each step here, for steps with a spread.
 	tasks map[stepKey]int
@@ -54,8 +55,19 @@
 	return n.free
 }
 
-// closed nodes take no more tasks in this pass.
-func (n *node) closed() bool { return !n.usable || n.slow || n.kept }
+// closed nodes take no tasks of the job that is being served.
+func (n *node) closed() bool {
+	return !n.usable || n.slow || n.keeper != "" && n.keeper != n.planner.serving
+}
+
+// own is the room that is promised on targets kept for the job that is being
+// served.
+func (n *node) own() anvilwork.Room {
+	if n.keeper == "" {
+		return anvilwork.Room{}
+	}
+	return n.promised()
+}
 
 // promised is the room that is free now or after the runs that are stopping.
 func (n *node) promised() anvilwork.Room {
@@ -85,7 +97,7 @@
 	racks := map[anvilid.RackName]*rack{}
 	for _, target := range p.State.Targets() {
 		n := &node{
-			target: target, usable: !target.Leaving && p.Usable(target.ID),
+			planner: p, target: target, usable: !target.Leaving && p.Usable(target.ID),
 			slow: p.Slow(target.ID), free: target.Room, tasks: map[stepKey]int{},
 		}
 		p.nodes = append(p.nodes, n)
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -23,6 +23,8 @@
 	Slow func(anvilid.TargetID) bool
 	// Progress tells how far a run is, if that is known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
+	// Kept are the targets that the plan before kept for jobs that wait.
+	Kept map[anvilid.TargetID]anvilid.JobID
 	// Paused tells whether a task waits before its next run.
 	Paused func(anvilwork.Task, *anvilwork.TaskState) bool
 }
@@ -40,6 +42,9 @@
 	// Places are sets of assignments; each takes effect whole or not at all.
 	Places []anvilwork.Place
 	Evict  []Eviction
+	// Kept are the targets that are kept for jobs that wait. The next plan
+	// needs them, so that it doesn't stop runs a second time.
+	Kept map[anvilid.TargetID]anvilid.JobID
 }
 
 // planner holds one pass.
@@ -51,6 +56,8 @@
 	racks    []*rack
 	// used counts the accelerators of unfinished urgent jobs by account.
 	used map[anvilid.AccountID]anvilid.AcceleratorCount
+	// serving is the job that is being served.
+	serving anvilid.JobID
 }
 
 // Plan returns what to start and what to stop now.
@@ -58,13 +65,37 @@
 	p := &planner{Input: input, byID: map[anvilid.TargetID]*node{}, used: map[anvilid.AccountID]anvilid.AcceleratorCount{}}
 	p.survey()
 	p.account()
-	for _, unit := range p.queue() {
+	units := p.queue()
+	p.keepOn(units)
+	for _, unit := range units {
+		p.serving = unit.job.ID
 		p.serve(unit)
 	}
+	p.serving = ""
 	p.moveStragglers()
+	p.decision.Kept = map[anvilid.TargetID]anvilid.JobID{}
+	for _, n := range p.nodes {
+		if n.keeper != "" {
+			p.decision.Kept[n.target.ID] = n.keeper
+		}
+	}
 	return p.decision
 }
 
+// keepOn keeps targets for the jobs that they were kept for before, if these
+// still wait.
+func (p *planner) keepOn(units []*unit) {
+	waits := map[anvilid.JobID]bool{}
+	for _, u := range units {
+		waits[u.job.ID] = u.urgent
+	}
+	for id, job := range p.Kept {
+		if n := p.byID[id]; n != nil && waits[job] {
+			n.keeper = job
+		}
+	}
+}
+
 // unit is a step of a job with tasks that wait.
 type unit struct {
 	job     *anvilwork.Job
@@ -200,6 +231,7 @@
 
 func (p *planner) serveGang(u *unit) {
 	if spots := p.fit(u, len(u.tasks), (*node).available); spots != nil {
+		p.release(u)
 		p.assign(u, u.tasks, spots)
 		return
 	}
@@ -211,7 +243,11 @@
 func (p *planner) serveSingles(u *unit) {
 	spots := p.fitMost(u, len(u.tasks), (*node).available)
 	p.assign(u, u.tasks[:total(spots)], spots)
-	if rest := len(u.tasks) - total(spots); u.urgent && rest > 0 {
+	rest := len(u.tasks) - total(spots)
+	switch {
+	case rest == 0:
+		p.release(u)
+	case u.urgent:
 		p.clear(u, rest)
 	}
 }
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -262,3 +262,20 @@
 	}
 	assert.Equal(t, moves, moveLimit-1)
 }
+
+// TestStable guards against a plan that stops further runs while those that it
+// has stopped for the same jobs still end.
+func TestStable(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld(t, 2, 4, 64)
+		for i := range rapid.IntRange(3, 25).Draw(r, "jobs") {
+			w.now += anvilclock.Millis(rapid.IntRange(0, 300).Draw(r, "pause"))
+			w.randomJob(r, i)
+			w.plan()
+		}
+		w.now += reclaimSpan
+		w.plan()
+		again := w.plan()
+		assert.Equal(t, len(again.Evict), 0, "%v", again.Evict)
+	})
+}
--- a/core/anvilplace/world_test.go
+++ b/core/anvilplace/world_test.go
@@ -21,6 +21,7 @@
 	stopping map[anvilwork.Task]bool
 	numbers  map[anvilid.TargetID]uint64
 	slow     map[anvilid.TargetID]bool
+	kept     map[anvilid.TargetID]anvilid.JobID
 	progress map[anvilwork.Task]anvilspeed.Progress
 }
 
@@ -72,7 +73,7 @@
 // plan makes a plan, checks it and applies its placements.
 func (w *world) plan() Decision {
 	decision := Plan(Input{
-		State: w.state, Now: w.now, Wall: w.now,
+		State: w.state, Now: w.now, Wall: w.now, Kept: w.kept,
 		Usable:   func(anvilid.TargetID) bool { return true },
 		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
 		Slow:     func(id anvilid.TargetID) bool { return w.slow[id] },
@@ -82,6 +83,7 @@
 		},
 		Paused: func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
 	})
+	w.kept = decision.Kept
 	for i := range decision.Places {
 		w.apply(anvilwork.Command{Place: &decision.Places[i]})
 	}
--- a/io/anvilgate/gate.go
+++ b/io/anvilgate/gate.go
@@ -23,7 +23,7 @@
 const (
 	// attemptTimeout bounds one attempt. A commit takes a few tens of
 	// milliseconds; a connection that went silent costs one attempt.
-	attemptTimeout = 900 * time.Millisecond
+	attemptTimeout = 600 * time.Millisecond
 	// roundPause is the pause after all known voters were asked in vain. An
 	// election takes a second or so.
 	roundPause = 60 * time.Millisecond
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -32,6 +32,8 @@
 	answers chan func(now anvilclock.Millis) anvilorder.Effects
 	// pending collects what answers have asked for.
 	pending []anvilwork.Command
+	// kept are the targets that the latest plan keeps for jobs that wait.
+	kept map[anvilid.TargetID]anvilid.JobID
 	// active holds the jobs that hadn't ended, and when each first had a run.
 	active map[anvilid.JobID]anvilclock.Millis
 }
@@ -132,6 +134,7 @@
 	r.logEnded()
 	r.stopSuperfluous()
 	decision := anvilplace.Plan(r.input(now))
+	r.kept = decision.Kept
 	for _, eviction := range decision.Evict {
 		r.tracker.StopRun(eviction.Target, eviction.Task)
 		r.log.Write(anvillogs.RunEvicted, zap.Stringer("task", eviction.Task),
@@ -156,6 +159,7 @@
 	heard := 2*r.bounds.Report + anvilclock.Second
 	slow := r.tracker.Speeds.Slow(now, len(r.state.Targets()))
 	return anvilplace.Input{
+		Kept: r.kept,
 		Slow: func(id anvilid.TargetID) bool { return slices.Contains(slow, id) },
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
