Hold racks back for urgent jobs from jobs that can wait

Change: as many accelerators as urgent jobs needed lately, times two and at most half, stay free for them in whole racks, until a job that waits would end late. Test: anvilplace TestHeldBack names the pattern.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -33,6 +33,8 @@
 	free   anvilwork.Room
 	// soon is the room of runs whose end was asked for.
 	soon anvilwork.Room
+	// reserved tells that the node is held back for urgent jobs.
+	reserved bool
 	// keeper is the urgent job that waits for this target, if any.
 	keeper  anvilid.JobID
 	planner *planner
@@ -57,7 +59,7 @@
 
 // closed nodes take no tasks of the job that is being served.
 func (n *node) closed() bool {
-	return !n.usable || n.slow || n.keeper != "" && n.keeper != n.planner.serving
+	return !n.usable || n.slow || n.reserved && n.planner.waits || n.keeper != "" && n.keeper != n.planner.serving
 }
 
 // own is the room that is promised on targets kept for the job that is being
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -23,6 +23,8 @@
 	Slow func(anvilid.TargetID) bool
 	// Progress tells how far a run is, if that is known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
+	// Reserve is how many accelerators are held back for urgent jobs.
+	Reserve anvilid.AcceleratorCount
 	// Kept are the targets that the plan before kept for jobs that wait.
 	Kept map[anvilid.TargetID]anvilid.JobID
 	// Paused tells whether a task waits before its next run.
@@ -58,20 +60,23 @@
 	used map[anvilid.AccountID]anvilid.AcceleratorCount
 	// serving is the job that is being served.
 	serving anvilid.JobID
+	// waits tells that this job can wait, and gets nothing that is held back.
+	waits bool
 }
 
 // Plan returns what to start and what to stop now.
 func Plan(input Input) Decision {
 	p := &planner{Input: input, byID: map[anvilid.TargetID]*node{}, used: map[anvilid.AccountID]anvilid.AcceleratorCount{}}
 	p.survey()
+	p.holdBack()
 	p.account()
 	units := p.queue()
 	p.keepOn(units)
 	for _, unit := range units {
-		p.serving = unit.job.ID
+		p.serving, p.waits = unit.job.ID, p.canWait(unit)
 		p.serve(unit)
 	}
-	p.serving = ""
+	p.serving, p.waits = "", true
 	p.moveStragglers()
 	p.decision.Kept = map[anvilid.TargetID]anvilid.JobID{}
 	for _, n := range p.nodes {
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -279,3 +279,41 @@
 		assert.Equal(t, len(again.Evict), 0, "%v", again.Evict)
 	})
 }
+
+// TestHeldBack answers the pattern of long jobs that fill the system between
+// two bursts of urgent ones: jobs that can wait leave racks free for as much as
+// urgent jobs needed lately, until they would end late.
+func TestHeldBack(t *testing.T) {
+	w := newWorld(t, 4, 2, 0)
+	w.reserve = 16
+	w.submit("long", "common", "b", anvilwork.Step{Count: 64, Need: gpus(1), Estimate: 20_000})
+	w.plan()
+	assert.Equal(t, len(w.assigned("long")), 48)
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, Tight: true})
+	assert.Equal(t, len(w.plan().Evict), 0)
+	assert.DeepEqual(t, w.assigned("u"), []anvilid.TargetID{"r3-00", "r3-01"})
+	for i := range 2 {
+		w.end(anvilwork.Task{Job: "u", Index: i}, anvilwork.RunDone)
+	}
+	w.plan()
+	assert.Equal(t, len(w.assigned("long")), 48)
+	w.now += 3000 + 3*20_000 - 26_000 - riskMargin // its latest start
+	w.plan()
+	assert.Equal(t, len(w.assigned("long")), 64)
+}
+
+// TestDemand guards against room that is held back for ever after a burst, or
+// never because one moment was calm.
+func TestDemand(t *testing.T) {
+	var d Demand
+	for now := anvilclock.Millis(0); now <= 30_000; now += 100 {
+		d.Note(now, 50)
+	}
+	assert.Assert(t, d.Reserve() > 80, "%d", d.Reserve())
+	d.Note(30_100, 0)
+	assert.Assert(t, d.Reserve() > 80, "%d", d.Reserve())
+	for now := anvilclock.Millis(30_200); now <= 90_000; now += 100 {
+		d.Note(now, 0)
+	}
+	assert.Equal(t, d.Reserve(), anvilid.AcceleratorCount(0))
+}
--- a/core/anvilplace/world_test.go
+++ b/core/anvilplace/world_test.go
@@ -22,6 +22,7 @@
 	numbers  map[anvilid.TargetID]uint64
 	slow     map[anvilid.TargetID]bool
 	kept     map[anvilid.TargetID]anvilid.JobID
+	reserve  anvilid.AcceleratorCount
 	progress map[anvilwork.Task]anvilspeed.Progress
 }
 
@@ -73,7 +74,7 @@
 // plan makes a plan, checks it and applies its placements.
 func (w *world) plan() Decision {
 	decision := Plan(Input{
-		State: w.state, Now: w.now, Wall: w.now, Kept: w.kept,
+		State: w.state, Now: w.now, Wall: w.now, Kept: w.kept, Reserve: w.reserve,
 		Usable:   func(anvilid.TargetID) bool { return true },
 		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
 		Slow:     func(id anvilid.TargetID) bool { return w.slow[id] },
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -32,6 +32,8 @@
 	answers chan func(now anvilclock.Millis) anvilorder.Effects
 	// pending collects what answers have asked for.
 	pending []anvilwork.Command
+	// demand follows what urgent jobs need.
+	demand anvilplace.Demand
 	// kept are the targets that the latest plan keeps for jobs that wait.
 	kept map[anvilid.TargetID]anvilid.JobID
 	// active holds the jobs that hadn't ended, and when each first had a run.
@@ -133,7 +135,10 @@
 	r.dirty, r.planned = false, now
 	r.logEnded()
 	r.stopSuperfluous()
-	decision := anvilplace.Plan(r.input(now))
+	input := r.input(now)
+	r.demand.Note(now, anvilplace.UrgentNeed(input))
+	input.Reserve = r.demand.Reserve()
+	decision := anvilplace.Plan(input)
 	r.kept = decision.Kept
 	for _, eviction := range decision.Evict {
 		r.tracker.StopRun(eviction.Target, eviction.Task)
