Stop runs for urgent jobs 350 ms earlier

Cause: from the decision to stop runs to the start of the urgent job it takes the stop itself (400 ms), the list, two commits and the calls; traces show about a second, 750 ms were counted.

--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -16,7 +16,7 @@
 	urgentLoss = 1e12
 	// stopSpan is the time from the decision to stop runs to the start of what
 	// takes their room: the stop itself, two commits and the calls.
-	stopSpan = 750 * anvilclock.Millisecond
+	stopSpan = 1100 * anvilclock.Millisecond
 	// reclaimSpan is the longest that an assured job waits before others are
 	// stopped for it. With stopSpan it stays well below the bound of the
 	// guarantee.
