Count the error of estimates when an urgent job waits

An urgent job waited until it would just end in time by its estimate; the estimates of urgent work are off by a fifth. The margin is now a fifth of the estimate, which is about that for the usual job.

--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -17,6 +17,9 @@
 	// stopSpan is the time from the decision to stop runs to the start of what
 	// takes their room: the stop itself, two commits and the calls.
 	stopSpan = 1100 * anvilclock.Millisecond
+	// estimateError is the part of an estimate by which urgent work is usually
+	// longer at most.
+	estimateError = 0.2
 	// reclaimSpan is the longest that an assured job waits before others are
 	// stopped for it. With stopSpan it stays well below the bound of the
 	// guarantee.
@@ -66,7 +69,7 @@
 // patience is the time until which an urgent unit waits for room without
 // stopping others, because it still ends in time if it starts a little later.
 func (u *unit) patience() anvilclock.Millis {
-	slack := u.due - u.from - chain(u.job)
+	slack := u.due - u.from - anvilclock.Millis((1+estimateError)*float64(chain(u.job)))
 	return u.from + max(0, min(slack-stopSpan, reclaimSpan))
 }
 
