--- a/io/anvilcmd/limits_test.go
+++ b/io/anvilcmd/limits_test.go
@@ -16,10 +16,10 @@
 
 var limitRow = regexp.MustCompile("(?m)^\\| `(limits|timing)\\.([a-z]+)` \\| (\\d+) \\|[^|]*\\| (\\d+) to (\\d+)?")
 
-// TestLimitsTable guards against defaults and ranges in docs/operations.md
+// TestLimitsTable guards against defaults and ranges in docs/OPERATIONS.md
 // that the settings don't have, and against settings that the page lacks.
 func TestLimitsTable(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	defaults := anvilsettings.Defaults()
 	wanted := map[string]map[string]int64{}
--- a/io/anvilcmd/root.go
+++ b/io/anvilcmd/root.go
@@ -11,6 +11,7 @@
 
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/io/anvilcmd/anvilconfigcmd"
+	"anvilshunt/io/anvilcmd/anvilexplaincmd"
 	"anvilshunt/io/anvilcmd/anvilfactory"
 	"anvilshunt/io/anvilcmd/anvilinstancecmd"
 	"anvilshunt/io/anvilcmd/anviljobcmd"
@@ -39,6 +40,7 @@
 			anvilreportcmd.New(factory),
 			anvilinstancecmd.New(factory),
 			anvilstatuscmd.New(factory),
+			anvilexplaincmd.New(factory),
 			anvilstatuscmd.NewVersion(factory),
 		},
 	}
