--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -49,6 +49,8 @@
 	Instance anvilid.InstanceID
 	Port     int // of all instances, for calls between them
 	Dir      string
+	// Disk has further options of the data directory.
+	Disk []anvildisk.Option
 	// First tells that the whole system starts for the first time.
 	First bool
 	// Seeds returns some instances with a vote, as the settings name them now.
@@ -91,7 +93,7 @@
 		}
 		settings.First = false
 		g.settings.First = false
-		id, empty, err = anvilvoter.Inspect(settings.Instance, settings.Dir)
+		id, empty, err = anvilvoter.Inspect(settings.Instance, settings.Dir, settings.Disk...)
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "open the data directory")
@@ -103,7 +105,7 @@
 		}
 	}
 	g.Voter = anvilvoter.New(settings.Instance,
-		anvilvoter.WithDir(settings.Dir), anvilvoter.WithClocks(clock, wall),
+		anvilvoter.WithDir(settings.Dir, settings.Disk...), anvilvoter.WithClocks(clock, wall),
 		anvilvoter.WithTick(tick), anvilvoter.WithCompactAfter(compactAfter),
 		anvilvoter.WithNode(
 			anvilraft.WithElectionTimeout(settings.Election, 2*settings.Election),
@@ -122,9 +124,9 @@
 
 func (g *Group) diskOptions() []anvildisk.Option {
 	if !g.founder() {
-		return nil
+		return g.settings.Disk
 	}
-	return []anvildisk.Option{anvildisk.WithNewID(founderID(g.firstSeeds()))}
+	return append([]anvildisk.Option{anvildisk.WithNewID(founderID(g.firstSeeds()))}, g.settings.Disk...)
 }
 
 // founder tells whether this instance is one of those that found the group.
@@ -159,7 +161,7 @@
 	}
 	g.log.Write(anvillogs.GroupFounded)
 	save := anvilraft.Bootstrap(anvilraft.GroupID(digest(seeds)|1), voters...) // a group id is never zero
-	return anvilvoter.Found(g.settings.Dir, save)
+	return anvilvoter.Found(g.settings.Dir, save, g.settings.Disk...)
 }
 
 // ID returns the voter's id.
