--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -26,7 +26,7 @@
 
 // capacity returns how many tasks of a unit a node can take.
 func (u *unit) capacity(n *node, limit int, of room) int {
-	if n.target.Service != u.terms.Service || !u.labelled(n.target) {
+	if n.target.Service != u.terms.Service || !u.labelled(n.target) || n.planner.Failed(u.tasks[0], n.target.ID) {
 		return 0
 	}
 	if u.step.Spread > 0 {
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -29,7 +29,7 @@
 type node struct {
 	target *anvilwork.Target
 	usable bool
-	slow   bool // much slower than others now
+	slow   bool // much slower than others now, or failing
 	free   anvilwork.Room
 	// soon is the room of runs whose end was asked for.
 	soon anvilwork.Room
@@ -100,7 +100,7 @@
 	for _, target := range p.State.Targets() {
 		n := &node{
 			planner: p, target: target, usable: !target.Leaving && p.Usable(target.ID),
-			slow: p.Slow(target.ID), free: target.Room, tasks: map[stepKey]int{},
+			slow: p.Avoid(target.ID), free: target.Room, tasks: map[stepKey]int{},
 		}
 		p.nodes = append(p.nodes, n)
 		p.byID[target.ID] = n
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -19,8 +19,11 @@
 	Usable func(anvilid.TargetID) bool
 	// Stopping tells whether the end of a run was asked for already.
 	Stopping func(anvilid.TargetID, anvilwork.Task) bool
-	// Slow tells whether a target works much slower than others now.
-	Slow func(anvilid.TargetID) bool
+	// Avoid tells whether a target works much slower than others now, or fails
+	// what it starts.
+	Avoid func(anvilid.TargetID) bool
+	// Failed tells whether a task of this step has failed on a target.
+	Failed func(anvilwork.Task, anvilid.TargetID) bool
 	// Progress tells how far a run is, if that is known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
 	// Reserve is how many accelerators are held back for urgent jobs.
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -316,3 +316,16 @@
 	}
 	assert.Equal(t, d.Reserve(), anvilid.AcceleratorCount(0))
 }
+
+// TestFailedElsewhere answers the pattern of a target that fails fast and
+// therefore looks idle: a task doesn't return to where it has failed.
+func TestFailedElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 2, 0)
+	w.submit("x", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	first := w.assigned("x")[0]
+	w.end(anvilwork.Task{Job: "x"}, anvilwork.RunFailed)
+	w.failed = map[anvilid.TargetID]bool{first: true}
+	w.plan()
+	assert.Assert(t, w.assigned("x")[0] != first)
+}
--- a/core/anvilplace/world_test.go
+++ b/core/anvilplace/world_test.go
@@ -21,6 +21,7 @@
 	stopping map[anvilwork.Task]bool
 	numbers  map[anvilid.TargetID]uint64
 	slow     map[anvilid.TargetID]bool
+	failed   map[anvilid.TargetID]bool // all steps have failed there
 	kept     map[anvilid.TargetID]anvilid.JobID
 	reserve  anvilid.AcceleratorCount
 	progress map[anvilwork.Task]anvilspeed.Progress
@@ -77,7 +78,8 @@
 		State: w.state, Now: w.now, Wall: w.now, Kept: w.kept, Reserve: w.reserve,
 		Usable:   func(anvilid.TargetID) bool { return true },
 		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
-		Slow:     func(id anvilid.TargetID) bool { return w.slow[id] },
+		Avoid:    func(id anvilid.TargetID) bool { return w.slow[id] },
+		Failed:   func(_ anvilwork.Task, id anvilid.TargetID) bool { return w.failed[id] },
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			progress, ok := w.progress[task]
 			return progress, ok
--- a/core/anvilwork/config.go
+++ b/core/anvilwork/config.go
@@ -44,8 +44,6 @@
 // Service is a kind of target.
 type Service struct {
 	Name anvilid.ServiceName `cbor:"1,keyasint"`
-	// Guarded tells that the targets themselves refuse what does not fit.
-	Guarded bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Account is a client account with its keys.
@@ -57,11 +55,10 @@
 
 // Config is one complete configuration.
 type Config struct {
-	Version  Version           `cbor:"1,keyasint"`
-	Queues   []Queue           `cbor:"2,keyasint,omitempty"`
-	Services []Service         `cbor:"3,keyasint,omitempty"`
-	Accounts []Account         `cbor:"4,keyasint,omitempty"`
-	Body     anvilid.ByteCount `cbor:"5,keyasint,omitempty"` // largest job
+	Version  Version   `cbor:"1,keyasint"`
+	Queues   []Queue   `cbor:"2,keyasint,omitempty"`
+	Services []Service `cbor:"3,keyasint,omitempty"`
+	Accounts []Account `cbor:"4,keyasint,omitempty"`
 	// Raw is the document as the operator sent it. Reads return it unchanged.
 	Raw []byte `cbor:"6,keyasint,omitempty"`
 }
--- a/io/anvillead/reign.go
+++ b/io/anvillead/reign.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilblame"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilorder"
@@ -26,12 +27,13 @@
 	*Leader
 	term    anvilid.Term
 	tracker *anvilorder.Tracker
-	started anvilclock.Millis
 	planned anvilclock.Millis
 	dirty   bool
 	answers chan func(now anvilclock.Millis) anvilorder.Effects
 	// pending collects what answers have asked for.
 	pending []anvilwork.Command
+	// blame keeps which targets fail what they start.
+	blame *anvilblame.Book
 	// demand follows what urgent jobs need.
 	demand anvilplace.Demand
 	// kept are the targets that the latest plan keeps for jobs that wait.
@@ -43,9 +45,10 @@
 func newReign(l *Leader, term anvilid.Term) *reign {
 	now := l.clock.Now()
 	return &reign{
-		Leader: l, term: term, started: now, dirty: true,
+		Leader: l, term: term, dirty: true,
 		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
-		active:  map[anvilid.JobID]anvilclock.Millis{}, answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
+		blame:   anvilblame.New(), active: map[anvilid.JobID]anvilclock.Millis{},
+		answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
 	}
 }
 
@@ -162,10 +165,14 @@
 	// Announcements come once an interval, and may change their way after an
 	// election.
 	heard := 2*r.bounds.Report + anvilclock.Second
-	slow := r.tracker.Speeds.Slow(now, len(r.state.Targets()))
+	known := len(r.state.Targets())
+	slow, blamed := r.tracker.Speeds.Slow(now, known), r.blame.Blamed(now, known)
 	return anvilplace.Input{
 		Kept: r.kept,
-		Slow: func(id anvilid.TargetID) bool { return slices.Contains(slow, id) },
+		Avoid: func(id anvilid.TargetID) bool {
+			return slices.Contains(slow, id) || slices.Contains(blamed, id)
+		},
+		Failed: r.blame.Failed,
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
 		},
@@ -184,14 +191,15 @@
 		if i >= len(results) {
 			return
 		}
-		r.logCommand(command, results[i])
+		r.note(command, results[i])
 		if i >= len(commands)-places && results[i] == anvilwork.Applied {
 			r.tracker.Placed(command.Place.Assignments)
 		}
 	}
 }
 
-func (r *reign) logCommand(command anvilwork.Command, result anvilwork.Result) {
+// note logs a committed command and takes in what it tells of targets.
+func (r *reign) note(command anvilwork.Command, result anvilwork.Result) {
 	switch {
 	case command.Place != nil:
 		for _, a := range command.Place.Assignments {
@@ -200,6 +208,7 @@
 		}
 	case command.Settle != nil:
 		for _, end := range command.Settle.Ends {
+			r.blame.Ended(r.clock.Now(), command.Settle.Target, end.Task, end.Outcome)
 			r.log.Write(anvillogs.RunEnded, zap.Stringer("task", end.Task), zap.Uint64("run", uint64(end.Run)),
 				zap.String("target", string(command.Settle.Target)), zap.Uint8("outcome", uint8(end.Outcome)))
 		}
@@ -219,6 +228,7 @@
 			continue
 		}
 		delete(r.active, id)
+		r.blame.Forget(id)
 		_, due := anvilplace.Span(job, r.state.Terms(job), 0)
 		r.log.Write(anvillogs.WorkEnded, zap.String("job", string(id)), zap.String("queue", string(job.Queue)),
 			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(first-job.Accepted)),
