--- a/io/anvillead/seat.go
+++ b/io/anvillead/host.go
@@ -18,26 +18,26 @@
 // full disk may have room again at any moment.
 const reopenPause = time.Second
 
-// Seat is the place of a voter in its process. A voter whose disk fails ends;
+// VoterHost runs the voter of a process. A voter whose disk fails ends;
 // the process goes on, passes calls to the others, and opens the voter again.
-type Seat struct {
+type VoterHost struct {
 	log     *anvillogs.Logger
 	current atomic.Pointer[Leader]
 }
 
-// NewSeat returns an empty seat.
-func NewSeat(log *anvillogs.Logger) *Seat { return &Seat{log: log} }
+// NewVoterHost returns a host without a voter.
+func NewVoterHost(log *anvillogs.Logger) *VoterHost { return &VoterHost{log: log} }
 
 // Run keeps a voter running until ctx is done. Open reads the data directory
 // and returns a leader that is attached to its group.
-func (s *Seat) Run(ctx context.Context, open func() (*Leader, error)) error {
+func (h *VoterHost) Run(ctx context.Context, open func() (*Leader, error)) error {
 	for ctx.Err() == nil {
 		leader, err := open()
 		if err == nil {
-			err = s.sit(ctx, leader)
+			err = h.runVoter(ctx, leader)
 		}
 		if err != nil {
-			s.log.Write(anvillogs.VoterFailed, zap.Error(err))
+			h.log.Write(anvillogs.VoterFailed, zap.Error(err))
 		}
 		select {
 		case <-ctx.Done():
@@ -47,11 +47,11 @@
 	return nil
 }
 
-// sit runs the duties of one voter until it fails or ctx is done.
-func (s *Seat) sit(parent context.Context, leader *Leader) error {
+// runVoter runs the duties of one voter until it fails or ctx is done.
+func (h *VoterHost) runVoter(parent context.Context, leader *Leader) error {
 	ctx, cancel := context.WithCancel(parent)
-	s.current.Store(leader)
-	defer s.current.Store(nil)
+	h.current.Store(leader)
+	defer h.current.Store(nil)
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context) error{leader.group.Join, leader.group.Trim, leader.Run} {
 		duties.Go(func() { _ = duty(ctx) }) // they end with ctx only
@@ -63,16 +63,16 @@
 }
 
 // Members returns the instances with a vote, as far as the voter knows.
-func (s *Seat) Members() []anvilid.InstanceID {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) Members() []anvilid.InstanceID {
+	if leader := h.current.Load(); leader != nil {
 		return leader.group.Members()
 	}
 	return nil
 }
 
 // group returns the group of the present voter, or nil.
-func (s *Seat) group() *anvilgroup.Group {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) group() *anvilgroup.Group {
+	if leader := h.current.Load(); leader != nil {
 		return leader.group
 	}
 	return nil
@@ -82,40 +82,40 @@
 func nobody() *anvilrpc.Redirection { return &anvilrpc.Redirection{} }
 
 // Locate passes the call to the present voter.
-func (s *Seat) Locate(ctx context.Context, call *anvilrpc.LocateCall) (*anvilrpc.LocateReply, error) {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) Locate(ctx context.Context, call *anvilrpc.LocateCall) (*anvilrpc.LocateReply, error) {
+	if leader := h.current.Load(); leader != nil {
 		return leader.Locate(ctx, call)
 	}
 	return &anvilrpc.LocateReply{Redirection: nobody()}, nil
 }
 
 // Join passes the call to the present voter.
-func (s *Seat) Join(ctx context.Context, call *anvilrpc.JoinCall) (*anvilrpc.JoinReply, error) {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) Join(ctx context.Context, call *anvilrpc.JoinCall) (*anvilrpc.JoinReply, error) {
+	if leader := h.current.Load(); leader != nil {
 		return leader.Join(ctx, call)
 	}
 	return &anvilrpc.JoinReply{Redirection: nobody()}, nil
 }
 
 // Job passes the call to the present voter.
-func (s *Seat) Job(ctx context.Context, call *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) Job(ctx context.Context, call *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
+	if leader := h.current.Load(); leader != nil {
 		return leader.Job(ctx, call)
 	}
 	return &anvilrpc.JobReply{Redirection: nobody()}, nil
 }
 
 // Configure passes the call to the present voter.
-func (s *Seat) Configure(ctx context.Context, call *anvilrpc.ConfigureCall) (*anvilrpc.ConfigureReply, error) {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) Configure(ctx context.Context, call *anvilrpc.ConfigureCall) (*anvilrpc.ConfigureReply, error) {
+	if leader := h.current.Load(); leader != nil {
 		return leader.Configure(ctx, call)
 	}
 	return &anvilrpc.ConfigureReply{Redirection: nobody()}, nil
 }
 
 // Announce passes the call to the present voter.
-func (s *Seat) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
-	if leader := s.current.Load(); leader != nil {
+func (h *VoterHost) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
+	if leader := h.current.Load(); leader != nil {
 		return leader.Announce(ctx, call)
 	}
 	return &anvilrpc.AnnounceReply{Redirection: nobody()}, nil
@@ -123,16 +123,16 @@
 
 // Deliver passes log messages to the present voter. Without one they are lost,
 // as on a broken link.
-func (s *Seat) Deliver(ctx context.Context, request *anvilrpc.DeliverRequest) (*anvilrpc.DeliverReply, error) {
-	if group := s.group(); group != nil {
+func (h *VoterHost) Deliver(ctx context.Context, request *anvilrpc.DeliverRequest) (*anvilrpc.DeliverReply, error) {
+	if group := h.group(); group != nil {
 		return group.Deliver(ctx, request)
 	}
 	return &anvilrpc.DeliverReply{}, nil
 }
 
 // Introduce tells whether the present voter belongs to a group.
-func (s *Seat) Introduce(ctx context.Context, request *anvilrpc.IntroduceRequest) (*anvilrpc.IntroduceReply, error) {
-	if group := s.group(); group != nil {
+func (h *VoterHost) Introduce(ctx context.Context, request *anvilrpc.IntroduceRequest) (*anvilrpc.IntroduceReply, error) {
+	if group := h.group(); group != nil {
 		return group.Introduce(ctx, request)
 	}
 	return &anvilrpc.IntroduceReply{}, nil
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -159,7 +159,7 @@
 	l.term = term
 	l.mu.Unlock()
 	l.log.Write(anvillogs.TermBegun, zap.Uint64("term", uint64(term)))
-	newReign(l, term).run(ctx)
+	newLeadership(l, term).run(ctx)
 	l.mu.Lock()
 	l.term = 0
 	l.mu.Unlock()
--- a/io/anvillead/reign.go
+++ b/io/anvillead/leadership.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"anvilshunt/core/anvilblame"
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvileject"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilplace"
@@ -22,8 +22,8 @@
 // become usable again and jobs become due without a change.
 const planInterval = 200 * anvilclock.Millisecond
 
-// reign is one term of a leader. It belongs to one goroutine.
-type reign struct {
+// leadership is one term of a leader. It belongs to one goroutine.
+type leadership struct {
 	*Leader
 	term    anvilid.Term
 	tracker *anvilorder.Tracker
@@ -32,8 +32,8 @@
 	answers chan func(now anvilclock.Millis) anvilorder.Effects
 	// pending collects what answers have asked for.
 	pending []anvilwork.Command
-	// blame keeps which targets fail what they start.
-	blame *anvilblame.Book
+	// ejector knows which targets fail what they start.
+	ejector *anvileject.Ejector
 	// demand follows what urgent jobs need.
 	demand anvilplace.Demand
 	// kept are the targets that the latest plan keeps for jobs that wait.
@@ -42,17 +42,17 @@
 	active map[anvilid.JobID]anvilclock.Millis
 }
 
-func newReign(l *Leader, term anvilid.Term) *reign {
+func newLeadership(l *Leader, term anvilid.Term) *leadership {
 	now := l.clock.Now()
-	return &reign{
+	return &leadership{
 		Leader: l, term: term, dirty: true,
 		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
-		blame:   anvilblame.New(), active: map[anvilid.JobID]anvilclock.Millis{},
+		ejector: anvileject.New(), active: map[anvilid.JobID]anvilclock.Millis{},
 		answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
 	}
 }
 
-func (r *reign) run(ctx context.Context) {
+func (r *leadership) run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -68,7 +68,7 @@
 }
 
 // wait returns when something has happened, with all of it taken in.
-func (r *reign) wait(ctx context.Context, tick <-chan time.Time) {
+func (r *leadership) wait(ctx context.Context, tick <-chan time.Time) {
 	select {
 	case <-ctx.Done():
 		return
@@ -94,14 +94,14 @@
 	}
 }
 
-func (r *reign) take(answer func(anvilclock.Millis) anvilorder.Effects) {
+func (r *leadership) take(answer func(anvilclock.Millis) anvilorder.Effects) {
 	effects := answer(r.clock.Now())
 	r.pending = append(r.pending, effects.Commands...)
 	r.send(effects)
 }
 
 // step commits what is due and sends the orders that follow from it.
-func (r *reign) step(ctx context.Context) {
+func (r *leadership) step(ctx context.Context) {
 	now := r.clock.Now()
 	commands, places := r.decide(now)
 	if len(commands) > 0 {
@@ -127,7 +127,7 @@
 
 // decide returns the commands to commit; the last ones are placements, of
 // which places tells the number.
-func (r *reign) decide(now anvilclock.Millis) (commands []anvilwork.Command, places int) {
+func (r *leadership) decide(now anvilclock.Millis) (commands []anvilwork.Command, places int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	commands, r.pending = r.pending, nil
@@ -155,24 +155,24 @@
 }
 
 // stopSuperfluous asks for the end of what ended jobs and torn gangs run.
-func (r *reign) stopSuperfluous() {
+func (r *leadership) stopSuperfluous() {
 	for _, run := range r.state.Superfluous() {
 		r.tracker.StopRun(run.Target, run.Task)
 	}
 }
 
-func (r *reign) input(now anvilclock.Millis) anvilplace.Input {
+func (r *leadership) input(now anvilclock.Millis) anvilplace.Input {
 	// Announcements come once an interval, and may change their way after an
 	// election.
 	heard := 2*r.bounds.Report + anvilclock.Second
 	known := len(r.state.Targets())
-	slow, blamed := r.tracker.Speeds.Slow(now, known), r.blame.Blamed(now, known)
+	slow, ejected := r.tracker.Speeds.Slow(now, known), r.ejector.Ejected(now, known)
 	return anvilplace.Input{
 		Kept: r.kept,
 		Avoid: func(id anvilid.TargetID) bool {
-			return slices.Contains(slow, id) || slices.Contains(blamed, id)
+			return slices.Contains(slow, id) || slices.Contains(ejected, id)
 		},
-		Failed: r.blame.Failed,
+		Failed: r.ejector.Failed,
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
 		},
@@ -186,7 +186,7 @@
 }
 
 // committed takes over the placements that took effect.
-func (r *reign) committed(commands []anvilwork.Command, results []anvilwork.Result, places int) {
+func (r *leadership) committed(commands []anvilwork.Command, results []anvilwork.Result, places int) {
 	for i, command := range commands {
 		if i >= len(results) {
 			return
@@ -199,7 +199,7 @@
 }
 
 // note logs a committed command and takes in what it tells of targets.
-func (r *reign) note(command anvilwork.Command, result anvilwork.Result) {
+func (r *leadership) note(command anvilwork.Command, result anvilwork.Result) {
 	switch {
 	case command.Place != nil:
 		for _, a := range command.Place.Assignments {
@@ -208,7 +208,7 @@
 		}
 	case command.Settle != nil:
 		for _, end := range command.Settle.Ends {
-			r.blame.Ended(r.clock.Now(), command.Settle.Target, end.Task, end.Outcome)
+			r.ejector.Ended(r.clock.Now(), command.Settle.Target, end.Task, end.Outcome)
 			r.log.Write(anvillogs.RunEnded, zap.Stringer("task", end.Task), zap.Uint64("run", uint64(end.Run)),
 				zap.String("target", string(command.Settle.Target)), zap.Uint8("outcome", uint8(end.Outcome)))
 		}
@@ -220,7 +220,7 @@
 }
 
 // logEnded writes a line for each job that ended since the last plan.
-func (r *reign) logEnded() {
+func (r *leadership) logEnded() {
 	now := r.wall.Now()
 	for id, first := range r.active {
 		job, ok := r.state.Job(id)
@@ -228,7 +228,7 @@
 			continue
 		}
 		delete(r.active, id)
-		r.blame.Forget(id)
+		r.ejector.Forget(id)
 		_, due := anvilplace.Span(job, r.state.Terms(job), 0)
 		r.log.Write(anvillogs.WorkEnded, zap.String("job", string(id)), zap.String("queue", string(job.Queue)),
 			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(first-job.Accepted)),
@@ -248,7 +248,7 @@
 
 // send gives the orders, each in a goroutine of its own: the connections to
 // one target are few and bounded by the client.
-func (r *reign) send(effects anvilorder.Effects) {
+func (r *leadership) send(effects anvilorder.Effects) {
 	for _, order := range effects.Starts {
 		go func() {
 			answer := r.orders.Start(context.Background(), order)
@@ -272,14 +272,14 @@
 
 // answer hands an answer to the term's goroutine. After the term nobody reads
 // any more, and the answer is dropped.
-func (r *reign) answer(f func(anvilclock.Millis) anvilorder.Effects) {
+func (r *leadership) answer(f func(anvilclock.Millis) anvilorder.Effects) {
 	select {
 	case r.answers <- f:
 	default:
 	}
 }
 
-func (r *reign) logStart(answer anvilorder.StartAnswer) {
+func (r *leadership) logStart(answer anvilorder.StartAnswer) {
 	switch answer.Verdict {
 	case anvilorder.StartTaken:
 		return
