--- a/scripts/check-matrix.sh
+++ b/scripts/check-matrix.sh
@@ -9,7 +9,7 @@
 
 # directory prints where the tests of a package are.
 directory() {
-	for dir in "core/$1" "io/$1" "cmd/$1"; do
+	for dir in "core/$1" "io/$1" "cmd/$1" "$1"; do
 		[ -d "$dir" ] && echo "$dir" && return
 	done
 }
