--- a/io/anvilmeasure/fabric.go
+++ b/io/anvilmeasure/fabric.go
@@ -285,11 +285,13 @@
 			if !d.arrive(c) {
 				return
 			}
-			if _, err := d.Conn.Write(c.data); err != nil {
+			// Bytes count before the peer can have read them.
+			d.sent.Add(int64(len(c.data)))
+			if n, err := d.Conn.Write(c.data); err != nil {
+				d.sent.Add(int64(n - len(c.data)))
 				d.fail(err)
 				return
 			}
-			d.sent.Add(int64(len(c.data)))
 		}
 	}
 }
