Take out what was written twice or never read

One name for a step in place of three, one way to note runs that are stopped in place of two, the library's comparison in place of two of our own. A seam that always said no (Paused) and the answers' mark of a higher token, which nobody read, are gone. Behaviour is the same.

--- a/core/anvileject/ejector.go
+++ b/core/anvileject/ejector.go
@@ -24,11 +24,6 @@
 	ejectMost = 0.4
 )
 
-type step struct {
-	job              anvilid.JobID
-	occurrence, step int
-}
-
 type record struct {
 	jobs  []anvilid.JobID // that failed since the latest success
 	until anvilclock.Millis
@@ -38,16 +33,14 @@
 // Ejector keeps the failures of targets. It belongs to one goroutine.
 type Ejector struct {
 	targets map[anvilid.TargetID]*record
-	steps   map[step][]anvilid.TargetID
+	steps   map[anvilwork.StepKey][]anvilid.TargetID
 }
 
 // New returns an ejector that knows of no failures.
 func New() *Ejector {
-	return &Ejector{targets: map[anvilid.TargetID]*record{}, steps: map[step][]anvilid.TargetID{}}
+	return &Ejector{targets: map[anvilid.TargetID]*record{}, steps: map[anvilwork.StepKey][]anvilid.TargetID{}}
 }
 
-func stepOf(task anvilwork.Task) step { return step{task.Job, task.Occurrence, task.Step} }
-
 // Ended takes the end of a run.
 func (e *Ejector) Ended(now anvilclock.Millis, target anvilid.TargetID, task anvilwork.Task, outcome anvilwork.Outcome) {
 	switch outcome {
@@ -59,7 +52,7 @@
 }
 
 func (e *Ejector) failed(now anvilclock.Millis, target anvilid.TargetID, task anvilwork.Task) {
-	if key := stepOf(task); !slices.Contains(e.steps[key], target) {
+	if key := task.StepKey(); !slices.Contains(e.steps[key], target) {
 		e.steps[key] = append(e.steps[key], target)
 	}
 	r := e.targets[target]
@@ -94,13 +87,13 @@
 
 // Failed tells whether a task of this step has failed on a target.
 func (e *Ejector) Failed(task anvilwork.Task, target anvilid.TargetID) bool {
-	return slices.Contains(e.steps[stepOf(task)], target)
+	return slices.Contains(e.steps[task.StepKey()], target)
 }
 
 // Forget drops what is known of a job.
 func (e *Ejector) Forget(job anvilid.JobID) {
 	for key := range e.steps {
-		if key.job == job {
+		if key.Job == job {
 			delete(e.steps, key)
 		}
 	}
--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -54,7 +54,7 @@
 	case StartLate:
 		target.fresh, r.next = true, now+t.bounds.Retry
 	case StartFenced:
-		effects.Fenced, r.next = true, now+t.bounds.Retry
+		r.next = now + t.bounds.Retry // another leader acts
 	case StartNothing:
 		target.badUntil = now + refusedPause
 		t.withdraw(now, answer.Order, r, &effects)
@@ -103,7 +103,6 @@
 		return effects
 	}
 	r.stopSending, r.stopNext = false, now+t.bounds.Retry
-	effects.Fenced = answer.Fenced
 	if !answer.Done {
 		target.silent++
 		return effects
@@ -128,7 +127,6 @@
 		t.reborn(target, &effects)
 		return effects
 	}
-	effects.Fenced = answer.Fenced
 	if !answer.Done {
 		target.silent++
 		target.nextAt = now + t.bounds.Retry*anvilclock.Millis(min(target.silent, 4))
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -81,10 +81,9 @@
 // StopAnswer answers a Stop. Without Done the call may be carried out later.
 type StopAnswer struct {
 	Answer
-	Order  Stop
-	Done   bool
-	Fenced bool
-	Other  bool // another incarnation answered
+	Order Stop
+	Done  bool
+	Other bool // another incarnation answered
 }
 
 // Running is one run in a target's list.
@@ -101,7 +100,6 @@
 	Answer
 	Order   Look
 	Done    bool
-	Fenced  bool
 	Other   bool // another incarnation answered
 	Running []Running
 	Ended   []anvilwork.End
@@ -114,6 +112,4 @@
 	Stops    []Stop
 	Looks    []Look
 	Commands []anvilwork.Command
-	// Fenced tells that a target has seen a higher token: another leader acts.
-	Fenced bool
 }
--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -46,13 +47,18 @@
 		p.keep(u, best.spots)
 		return
 	}
-	for _, v := range best.order {
+	p.evict(best.order, u.job.ID)
+	p.keep(u, best.spots)
+}
+
+// evict stops runs for a job.
+func (p *planner) evict(victims []victim, job anvilid.JobID) {
+	for _, v := range victims {
 		v.tenant.stopping = true
 		v.node.soon = v.node.soon.Plus(v.tenant.need)
 		p.decision.Evict = append(p.decision.Evict,
-			Eviction{Target: v.node.target.ID, Task: v.tenant.task, For: u.job.ID})
+			Eviction{Target: v.node.target.ID, Task: v.tenant.task, For: job})
 	}
-	p.keep(u, best.spots)
 }
 
 // work is what a number of tasks of a unit will do, in core-milliseconds. An
@@ -201,7 +207,7 @@
 	var members []victim
 	for _, n := range p.nodes {
 		for _, other := range n.tenants {
-			if other == t || !single && keyOf(other.task) == keyOf(t.task) {
+			if other == t || !single && other.task.StepKey() == t.task.StepKey() {
 				members = append(members, victim{other, n})
 			}
 		}
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -30,7 +30,7 @@
 		return 0
 	}
 	if u.step.Spread > 0 {
-		limit = min(limit, u.step.Spread-n.tasks[keyOf(u.tasks[0])])
+		limit = min(limit, u.step.Spread-n.tasks[u.tasks[0].StepKey()])
 	}
 	if limit <= 0 {
 		return 0
--- a/core/anvilplace/move.go
+++ b/core/anvilplace/move.go
@@ -23,18 +23,18 @@
 // end earlier with a new start elsewhere. A gang is as slow as its slowest
 // member and moves whole.
 func (p *planner) moveStragglers() {
-	done := map[stepKey]bool{}
+	done := map[anvilwork.StepKey]bool{}
 	for _, n := range p.nodes {
 		for _, t := range n.tenants {
-			if t.stopping || done[keyOf(t.task)] {
+			if t.stopping || done[t.task.StepKey()] {
 				continue
 			}
 			members := p.gang(t)
 			if t.job.Spec.Steps[t.task.Step].Gang {
-				done[keyOf(t.task)] = true
+				done[t.task.StepKey()] = true
 			}
 			if p.straggles(t, members) && p.roomFor(t, members) {
-				p.move(t, members)
+				p.evict(members, t.job.ID)
 			}
 		}
 	}
@@ -94,12 +94,3 @@
 		return n.free.Plus(own[n])
 	}) != nil
 }
-
-func (p *planner) move(t *tenant, members []victim) {
-	for _, m := range members {
-		m.tenant.stopping = true
-		m.node.soon = m.node.soon.Plus(m.tenant.need)
-		p.decision.Evict = append(p.decision.Evict,
-			Eviction{Target: m.node.target.ID, Task: m.tenant.task, For: t.job.ID})
-	}
-}
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -1,20 +1,13 @@
 package anvilplace
 
 import (
+	"cmp"
 	"slices"
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
 
-// stepKey names one step of one occurrence.
-type stepKey struct {
-	job              anvilid.JobID
-	occurrence, step int
-}
-
-func keyOf(task anvilwork.Task) stepKey { return stepKey{task.Job, task.Occurrence, task.Step} }
-
 // tenant is a run that holds room on a node.
 type tenant struct {
 	task     anvilwork.Task
@@ -40,7 +33,7 @@
 	planner *planner
 	tenants []*tenant
 	// tasks counts the runs of each step here, for steps with a spread.
-	tasks map[stepKey]int
+	tasks map[anvilwork.StepKey]int
 }
 
 // rack is a set of nodes.
@@ -82,7 +75,7 @@
 // take books the room of a task.
 func (n *node) take(u *unit, task anvilwork.Task) {
 	n.free = n.free.Minus(need(u.step))
-	n.tasks[keyOf(task)]++
+	n.tasks[task.StepKey()]++
 }
 
 // need is the room that a task of a step holds. Tasks that fill use
@@ -100,7 +93,7 @@
 	for _, target := range p.State.Targets() {
 		n := &node{
 			planner: p, target: target, usable: !target.Leaving && p.Usable(target.ID),
-			slow: p.Avoid(target.ID), free: target.Room, tasks: map[stepKey]int{},
+			slow: p.Avoid(target.ID), free: target.Room, tasks: map[anvilwork.StepKey]int{},
 		}
 		p.nodes = append(p.nodes, n)
 		p.byID[target.ID] = n
@@ -113,17 +106,7 @@
 		r.nodes = append(r.nodes, n)
 		p.book(n)
 	}
-	slices.SortFunc(p.racks, func(a, b *rack) int { return compareRacks(a.name, b.name) })
-}
-
-func compareRacks(a, b anvilid.RackName) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	slices.SortFunc(p.racks, func(a, b *rack) int { return cmp.Compare(a.name, b.name) })
 }
 
 func (p *planner) book(n *node) {
@@ -140,7 +123,7 @@
 			n.soon = n.soon.Plus(t.need)
 		}
 		n.tenants = append(n.tenants, t)
-		n.tasks[keyOf(task)]++
+		n.tasks[task.StepKey()]++
 	}
 	slices.SortFunc(n.tenants, func(a, b *tenant) int { return a.task.Compare(b.task) })
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -30,8 +30,6 @@
 	Reserve anvilid.AcceleratorCount
 	// Kept are the targets that the plan before kept for jobs that wait.
 	Kept map[anvilid.TargetID]anvilid.JobID
-	// Paused tells whether a task waits before its next run.
-	Paused func(anvilwork.Task, *anvilwork.TaskState) bool
 }
 
 // Eviction is a run that shall end before its time.
@@ -176,7 +174,7 @@
 		for i := range occurrence.Tasks[index] {
 			state := &occurrence.Tasks[index][i]
 			task := anvilwork.Task{Job: job.ID, Occurrence: k, Step: index, Index: i}
-			if state.Phase == anvilwork.TaskWaiting && !p.Paused(task, state) {
+			if state.Phase == anvilwork.TaskWaiting {
 				u.tasks = append(u.tasks, task)
 				u.run = max(u.run, state.Run+1)
 			}
--- a/core/anvilplace/world_test.go
+++ b/core/anvilplace/world_test.go
@@ -83,7 +83,6 @@
 			progress, ok := w.progress[task]
 			return progress, ok
 		},
-		Paused: func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
 	})
 	w.kept = decision.Kept
 	for i := range decision.Places {
--- a/core/anvilspeed/judge.go
+++ b/core/anvilspeed/judge.go
@@ -43,12 +43,6 @@
 	Still anvilclock.Millis
 }
 
-// step names equal tasks.
-type step struct {
-	job              anvilid.JobID
-	occurrence, step int
-}
-
 type sample struct {
 	target  anvilid.TargetID
 	run     anvilwork.Run
@@ -62,20 +56,18 @@
 
 // Judge keeps the progress of all runs. It belongs to one goroutine.
 type Judge struct {
-	steps map[step]map[int]*sample
+	steps map[anvilwork.StepKey]map[int]*sample
 }
 
 // New returns a judge that knows nothing.
-func New() *Judge { return &Judge{steps: map[step]map[int]*sample{}} }
-
-func stepOf(task anvilwork.Task) step { return step{task.Job, task.Occurrence, task.Step} }
+func New() *Judge { return &Judge{steps: map[anvilwork.StepKey]map[int]*sample{}} }
 
 // Observe takes a report of a run's progress in percent.
 func (j *Judge) Observe(now anvilclock.Millis, target anvilid.TargetID, task anvilwork.Task, run anvilwork.Run, percent int) {
-	samples := j.steps[stepOf(task)]
+	samples := j.steps[task.StepKey()]
 	if samples == nil {
 		samples = map[int]*sample{}
-		j.steps[stepOf(task)] = samples
+		j.steps[task.StepKey()] = samples
 	}
 	s := samples[task.Index]
 	if s == nil || s.run != run || s.target != target {
@@ -98,10 +90,10 @@
 
 // Forget drops a task that has no run any more.
 func (j *Judge) Forget(task anvilwork.Task) {
-	samples := j.steps[stepOf(task)]
+	samples := j.steps[task.StepKey()]
 	delete(samples, task.Index)
 	if len(samples) == 0 {
-		delete(j.steps, stepOf(task))
+		delete(j.steps, task.StepKey())
 	}
 }
 
@@ -118,7 +110,7 @@
 
 // Progress returns what is known of a run, if its rate is.
 func (j *Judge) Progress(now anvilclock.Millis, task anvilwork.Task) (Progress, bool) {
-	samples := j.steps[stepOf(task)]
+	samples := j.steps[task.StepKey()]
 	s := samples[task.Index]
 	if s == nil || s.rated == 0 {
 		return Progress{}, false
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -160,6 +160,15 @@
 		cmp.Compare(t.Step, other.Step), cmp.Compare(t.Index, other.Index))
 }
 
+// StepKey names one step of one occurrence of a job.
+type StepKey struct {
+	Job              anvilid.JobID
+	Occurrence, Step int
+}
+
+// StepKey names the step that the task belongs to.
+func (t Task) StepKey() StepKey { return StepKey{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
+
 // Run numbers the starts of one task. It rises for good, across targets and
 // leaders.
 type Run uint64
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -1,6 +1,7 @@
 package anvilwork
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -61,20 +62,10 @@
 	for _, target := range s.targets {
 		targets = append(targets, target)
 	}
-	slices.SortFunc(targets, func(a, b *Target) int { return compareTargets(a.ID, b.ID) })
+	slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
 	return targets
 }
 
-func compareTargets(a, b anvilid.TargetID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Runs returns the assigned runs of a target. The caller doesn't change it.
 func (s *State) Runs(id anvilid.TargetID) map[Task]Run { return s.runs[id] }
 
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -181,7 +181,6 @@
 		Stopping: func(id anvilid.TargetID, task anvilwork.Task) bool {
 			return r.tracker.Stopping(id, task)
 		},
-		Paused: func(anvilwork.Task, *anvilwork.TaskState) bool { return false },
 	}
 }
 
