Reserve ports for tests across processes; fix the red restart test

Cause: four test harnesses picked ports by opening and closing a listener, from ranges that overlapped (20000 to 30000 and 20000 to 32000; 12000 to 20000 and 8000 to 20000). Packages run side by side, so an instance could be given a port on which an instance of another test listened. A voter that asks there whether a group exists hears yes, founds none, and isn't ready for as long as the test waits. Ruled out: load. The symptom has index 0 and no voters after 30 s, which no slow processor explains in a system that is ready within 2 s. Mended: one package reserves ports and holds a UDP socket on each while the process runs, which other processes see; the four copies are gone. The measurement harness reports an instance that has ended by itself at once. New test: three processes that reserve 2200 ports each share none.

--- a/cmd/anvilshunt/main_test.go
+++ b/cmd/anvilshunt/main_test.go
@@ -9,12 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +21,7 @@
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvilport"
 	"anvilshunt/io/anvilsettings"
 	"anvilshunt/io/anviltarget"
 )
@@ -74,26 +73,6 @@
 	code     int
 }
 
-// nextPort counts through ports below those that the kernel gives to outgoing
-// connections, so that a restarted instance finds its port free.
-var nextPort atomic.Int32
-
-func freeAddress(t *testing.T) anvilid.Address {
-	t.Helper()
-	const first, count = 20_000, 12_000
-	for range count {
-		port := first + (os.Getpid()*61+int(nextPort.Add(1)))%count
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, l.Close())
-		return anvilid.Address(l.Addr().String())
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // baseConfig is the configuration that every session starts from.
 const baseConfig = `{"id": "base", "operator": "ada", "base": 0, "set": [
  {"kind": "account", "name": "agency", "spec": {"weight": 3}},
@@ -132,11 +111,13 @@
 }
 
 func (s *system) plan() {
+	ports, err := anvilport.Reserve(2 * len(s.order))
+	assert.NilError(s.t, err)
 	var peers []anvilsettings.Peer
-	for _, name := range s.order {
+	for n, name := range s.order {
 		settings := anvilsettings.Defaults()
 		settings.Instance, settings.Region, settings.Zone = anvilid.InstanceID(name), "west", anvilid.ZoneName("zone-"+name)
-		settings.Public, settings.Peer = freeAddress(s.t), freeAddress(s.t)
+		settings.Public, settings.Peer = anvilport.Loopback(ports[2*n]), anvilport.Loopback(ports[2*n+1])
 		settings.Data = filepath.Join(s.dir, "data-"+name)
 		s.processes[name] = &process{
 			settings: settings, file: filepath.Join(s.dir, name+".jsonc"), log: filepath.Join(s.dir, name+".log"),
--- a/io/anvilmeasure/leaving.go
+++ b/io/anvilmeasure/leaving.go
@@ -16,6 +16,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvilload"
+	"anvilshunt/io/anvilport"
 	"anvilshunt/io/anviltarget"
 )
 
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	inner, err := freeAddress()
+	inner, err := anvilport.Address()
 	if err != nil {
 		return nil, err
 	}
--- a/io/anvilmeasure/overhead.go
+++ b/io/anvilmeasure/overhead.go
@@ -6,19 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime/pprof"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"anvilshunt/io/anvilload"
+	"anvilshunt/io/anvilport"
 	"anvilshunt/io/anvilserver"
 	"anvilshunt/io/anvilsettings"
 )
@@ -87,49 +85,14 @@
 	return summary, json.Unmarshal(out, summary)
 }
 
-// Ports below the range from which the system picks ports for connections. A
-// port of that range may be taken between its choice and its use, and then an
-// instance doesn't start.
-const (
-	firstPort = 20_000
-	portCount = 10_000
-)
-
-// nextPort makes the choices of this process differ from each other. It begins
-// at random, so that those of other processes are likely to differ too.
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(rand.Uint32N(portCount)) }
-
-// consecutive returns the first and all of count free ports in a row.
-func consecutive(count int) (first string, all string, err error) {
-	for range 100 {
-		base := int(nextPort.Add(uint32(count))-uint32(count)) % portCount
-		var list []string
-		for n := range count {
-			address := fmt.Sprintf("127.0.0.1:%d", firstPort+base+n)
-			l, err := net.Listen("tcp", address)
-			if err != nil {
-				break
-			}
-			_ = l.Close()
-			list = append(list, address)
-		}
-		if len(list) == count {
-			return list[0], strings.Join(list, ","), nil
-		}
-	}
-	return "", "", fmt.Errorf("%w: %d free ports in a row", errNotReached, count)
-}
-
 // oneInstance starts an instance with a vote of its own, as a process or, to
 // profile it, in this process.
 func (p *processes) oneInstance(profile string) (*system, error) {
 	settings := anvilsettings.Defaults()
 	settings.Instance, settings.Region, settings.Zone, settings.Log = "palermo-1", "west", "palermo", "warn"
 	var publicErr, peerErr error
-	settings.Public, publicErr = freeAddress()
-	settings.Peer, peerErr = freeAddress()
+	settings.Public, publicErr = anvilport.Address()
+	settings.Peer, peerErr = anvilport.Address()
 	settings.Data = filepath.Join(p.dir, "data")
 	settings.Peers = []anvilsettings.Peer{{Instance: settings.Instance, Address: settings.Peer, Region: "west", Voter: true}}
 	if err := errors.Join(publicErr, peerErr); err != nil {
@@ -220,21 +183,20 @@
 // targets starts a group of targets that announce themselves and one that is
 // called directly, whose addresses it returns.
 func (p *processes) targets(s *system, count int) (direct string, err error) {
-	first, _, err := consecutive(count)
+	announced, err := anvilport.Reserve(count)
 	if err != nil {
 		return "", err
 	}
-	i := s.instances[0]
-	if err := p.start("anvilemu", "targets", "--count", fmt.Sprint(count), "--listen", first,
-		"--instances", string(i.settings.Public), "--zones", "west/palermo"); err != nil {
+	called, err := anvilport.Reserve(count)
+	if err != nil {
 		return "", err
 	}
-	time.Sleep(300 * time.Millisecond) // the first group has taken its ports
-	first, direct, err = consecutive(count)
-	if err != nil {
+	i := s.instances[0]
+	if err := p.start("anvilemu", "targets", "--count", fmt.Sprint(count), "--listen", string(anvilport.Loopback(announced[0])),
+		"--instances", string(i.settings.Public), "--zones", "west/palermo"); err != nil {
 		return "", err
 	}
-	if err := p.start("anvilemu", "targets", "--count", fmt.Sprint(count), "--listen", first, "--no-fencing", "--zones", "west/palermo"); err != nil {
+	if err := p.start("anvilemu", "targets", "--count", fmt.Sprint(count), "--listen", string(anvilport.Loopback(called[0])), "--no-fencing", "--zones", "west/palermo"); err != nil {
 		return "", err
 	}
 	if err := eventually("the instance is ready", func() bool { return s.ready(i) }); err != nil {
@@ -243,7 +205,11 @@
 	if _, err := s.post(i, "/v1/config/changes?everywhere=yes", baseConfig); err != nil {
 		return "", err
 	}
-	return direct, eventually("the targets are adopted", func() bool {
+	var list []string
+	for _, port := range called {
+		list = append(list, string(anvilport.Loopback(port)))
+	}
+	return strings.Join(list, ","), eventually("the targets are adopted", func() bool {
 		status, err := s.status(i)
 		adopted := 0
 		for _, owned := range status.Owned {
--- a/io/anvilmeasure/system.go
+++ b/io/anvilmeasure/system.go
@@ -17,6 +17,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvilport"
 	"anvilshunt/io/anvilserver"
 	"anvilshunt/io/anvilsettings"
 	"anvilshunt/io/anviltarget"
@@ -62,7 +63,8 @@
 	layout
 	settings anvilsettings.Settings
 	cancel   context.CancelFunc // nil while it doesn't run
-	ended    chan error
+	ended    chan struct{}      // closed once it has ended
+	err      error              // why it ended, once ended is closed
 }
 
 // system is a set of instances and stand-in targets in this process.
@@ -78,11 +80,6 @@
 	changes   int
 }
 
-func freeAddress() (anvilid.Address, error) {
-	first, _, err := consecutive(1)
-	return anvilid.Address(first), err
-}
-
 // newSystem starts the instances, waits until all are ready and publishes the
 // base configuration.
 func newSystem(layouts []layout, fabric *fabric) (*system, error) {
@@ -98,8 +95,8 @@
 		settings := anvilsettings.Defaults()
 		settings.Instance, settings.Region, settings.Zone = anvilid.InstanceID(l.name), l.region, l.zone
 		var publicErr, peerErr error
-		settings.Public, publicErr = freeAddress()
-		settings.Peer, peerErr = freeAddress()
+		settings.Public, publicErr = anvilport.Address()
+		settings.Peer, peerErr = anvilport.Address()
 		if err := errors.Join(publicErr, peerErr); err != nil {
 			return nil, err
 		}
@@ -135,8 +132,11 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	i.cancel, i.ended = cancel, make(chan error, 1)
-	go func() { i.ended <- server.Run(ctx, make(chan os.Signal)) }()
+	i.cancel, i.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(i.ended)
+		i.err = server.Run(ctx, make(chan os.Signal))
+	}()
 	return nil
 }
 
@@ -196,16 +196,35 @@
 // voters take part.
 func (s *system) settle() error {
 	reason := ""
+	var failure error
 	err := eventually("all instances are ready", func() bool {
-		reason = s.unsettled()
-		return reason == ""
+		reason, failure = s.unsettled(), s.failure()
+		return reason == "" || failure != nil
 	})
+	if failure != nil {
+		return failure
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %s; %s", err, reason, s.describe())
 	}
 	return nil
 }
 
+// failure returns the error of an instance that has ended by itself, if any.
+func (s *system) failure() error {
+	for _, i := range s.instances {
+		if i.cancel == nil {
+			continue
+		}
+		select {
+		case <-i.ended:
+			return fmt.Errorf("%s has ended: %w", i.name, i.err)
+		default:
+		}
+	}
+	return nil
+}
+
 // unsettled tells what keeps the system from its full size.
 func (s *system) unsettled() string {
 	voters := 0
--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -22,6 +22,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvilhttp"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilport"
 	"anvilshunt/io/anvilserver"
 	"anvilshunt/io/anvilsettings"
 	"anvilshunt/io/anviltarget"
@@ -155,36 +156,16 @@
 	}
 }
 
-// nextPort makes the tests of this process take different ports.
-var nextPort atomic.Int64
-
-// freeAddress returns an address for a listener. Its port is below the range
-// from which the system takes the ports of connections, because one of those
-// could take it before the listener is opened.
-func freeAddress(t testing.TB) anvilid.Address {
-	t.Helper()
-	const first, count = 8_000, 12_000
-	for range count {
-		port := first + (os.Getpid()*61+int(nextPort.Add(1)))%count
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, l.Close())
-		return anvilid.Address(l.Addr().String())
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // plan declares instances before they start, so that all know the voters.
 func (s *system) plan(names []string, region func(string) string, voter func(string) bool) {
+	ports, err := anvilport.Reserve(2 * len(names))
+	assert.NilError(s.t, err)
 	var peers []anvilsettings.Peer
-	for _, name := range names {
+	for n, name := range names {
 		settings := s.base
 		settings.Instance = anvilid.InstanceID(name)
 		settings.Region, settings.Zone = anvilid.RegionName(region(name)), anvilid.ZoneName("zone-"+name)
-		settings.Public, settings.Peer = freeAddress(s.t), freeAddress(s.t)
+		settings.Public, settings.Peer = anvilport.Loopback(ports[2*n]), anvilport.Loopback(ports[2*n+1])
 		if voter(name) {
 			settings.Data = filepath.Join(s.dir, name)
 		}
