Soak the deployed program; bar runs on the next incarnation of a target

The soak is platform.TestSoak: real processes, faults from outside by a seed, and a comparison of what workers saw with what callers were told.

Mended: an incarnation under the same id takes over the runs of the former one, and each is stopped there before it is given up. If the new one is silent too, that waits until a late start can't be carried out any more.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,12 @@
 
 HANDWRITTEN = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -E '\.(pb|twirp)\.go$$')
 
-.PHONY: all build test check fmt demo
+# Seeds and time of `make soak`.
+FIRST = 1000
+SEEDS = 20
+SPAN  = 20s
+
+.PHONY: all build test check fmt demo soak
 
 all: check test build
 
@@ -22,5 +27,8 @@
 fmt:
 	go run $(GOFUMPT) -w $(HANDWRITTEN)
 
+soak:
+	go test -count=1 -run TestSoak -timeout 2h -parallel 2 ./platform -soak.first $(FIRST) -soak.seeds $(SEEDS) -soak.span $(SPAN)
+
 demo: build
 	bash scripts/demo.sh
--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -50,6 +50,7 @@
 		}
 	case StartUnanswered:
 		r.doubt, r.next = true, now+t.bounds.Retry
+		r.late = answer.Sent + lateSpan
 		target.silent++
 	case StartLate:
 		target.fresh, r.next = true, now+t.bounds.Retry
@@ -62,7 +63,8 @@
 		// The list shows how it ended, or that it never was there.
 		r.phase, r.seen, target.fresh = running, answer.Received, true
 	case OtherIncarnation:
-		t.reborn(target, &effects)
+		r.late = answer.Received
+		t.reborn(target, answer.By, &effects)
 	}
 	return effects
 }
@@ -79,12 +81,20 @@
 		anvilwork.Command{Void: &anvilwork.Void{Task: order.Task, Run: order.Run}})
 }
 
-// reborn gives up what an incarnation had when another one answers at its
-// address.
-func (t *Tracker) reborn(target *target, effects *Effects) {
+// reborn handles an answer of another incarnation. One that has the id of the
+// former one may have carried out what was meant for that, so it takes over
+// its runs, which are stopped there before they are placed again. Another id
+// tells that the former one is gone.
+func (t *Tracker) reborn(target *target, by anvilwork.Born, effects *Effects) {
 	target.silent++
-	effects.Commands = append(effects.Commands,
-		anvilwork.Command{Leave: &anvilwork.Leave{Target: target.facts.ID, Born: target.facts.Born}})
+	if by <= target.facts.Born {
+		effects.Commands = append(effects.Commands,
+			anvilwork.Command{Leave: &anvilwork.Leave{Target: target.facts.ID, Born: target.facts.Born}})
+		return
+	}
+	facts := target.facts
+	facts.Born, facts.Cursor, facts.Leaving, facts.LeavesAt = by, 0, false, 0
+	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: facts}})
 }
 
 // Stopped takes the answer to a stop.
@@ -95,7 +105,7 @@
 		return effects
 	}
 	if answer.Other {
-		t.reborn(target, &effects)
+		t.reborn(target, answer.By, &effects)
 		return effects
 	}
 	r := target.runs[answer.Order.Task]
@@ -124,7 +134,7 @@
 	}
 	target.looking = false
 	if answer.Other {
-		t.reborn(target, &effects)
+		t.reborn(target, answer.By, &effects)
 		return effects
 	}
 	if !answer.Done {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -21,6 +21,10 @@
 	Retry anvilclock.Millis
 }
 
+// lateSpan is how long after its sending an order without an answer may be
+// carried out.
+const lateSpan = 12 * anvilclock.Second
+
 // phase is what the tracker knows of one assigned run.
 type phase uint8
 
@@ -42,6 +46,8 @@
 	next    anvilclock.Millis
 	// doubt tells that a start went unanswered and may be carried out later.
 	doubt bool
+	// late is until when a start that went unanswered may be carried out.
+	late anvilclock.Millis
 	// seen is the time of sending of the first answer that confirmed the run.
 	seen anvilclock.Millis
 	// stop tells that the run shall end.
@@ -108,16 +114,17 @@
 }
 
 func (t *Tracker) syncTarget(now anvilclock.Millis, facts *anvilwork.Target, state *anvilwork.State) {
-	known := t.targets[facts.ID]
-	if known == nil || known.facts.Born != facts.Born {
+	known, assigned := t.targets[facts.ID], state.Runs(facts.ID)
+	switch {
+	case known == nil:
 		known = &target{runs: map[anvilwork.Task]*run{}, heard: now}
-		if facts.Since == 0 || len(state.Runs(facts.ID)) > 0 {
-			known.lease.before = t.elected + anvilclock.Millis(float64(t.bounds.Lease)/(1-slowest))
+		if facts.Since == 0 || len(assigned) > 0 {
+			known.lease.before = t.elected + t.longestLease()
 		}
-		t.targets[facts.ID] = known
+	case known.facts.Born != facts.Born:
+		known = t.carried(now, known, assigned)
 	}
-	known.facts = *facts
-	assigned := state.Runs(facts.ID)
+	t.targets[facts.ID], known.facts = known, *facts
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
 			known.runs[task] = &run{number: number, phase: adopting}
@@ -131,6 +138,33 @@
 	}
 }
 
+// carried returns an incarnation with the runs of the former one. Starts of
+// this term may still be carried out there, and the new incarnation has seen no
+// token that bars them: each run is stopped before it is given up.
+func (t *Tracker) carried(now anvilclock.Millis, former *target, assigned map[anvilwork.Task]anvilwork.Run) *target {
+	fresh := &target{runs: map[anvilwork.Task]*run{}, heard: now}
+	fresh.lease.before = now
+	for task, number := range assigned {
+		r := &run{number: number, phase: running, seen: now, stop: true}
+		if before := former.runs[task]; before != nil && before.number == number {
+			r.late = before.late
+			if before.sending {
+				r.late = max(r.late, before.next+lateSpan)
+			}
+		}
+		if r.late > 0 {
+			fresh.lease.before = max(fresh.lease.before, r.late+t.longestLease())
+		}
+		fresh.runs[task] = r
+	}
+	return fresh
+}
+
+// longestLease is how long a lease may last by the leader's clock.
+func (t *Tracker) longestLease() anvilclock.Millis {
+	return anvilclock.Millis(float64(t.bounds.Lease) / (1 - slowest))
+}
+
 // Placed tells that assignments of this leader were committed. Their starts
 // are sent by the next call of Next.
 func (t *Tracker) Placed(assignments []anvilwork.Assignment) {
@@ -225,7 +259,7 @@
 		target.fresh = true // the look tells the clock
 		return
 	}
-	r.sending, r.next = true, now
+	r.sending, r.next = true, now // when it was sent, until the answer
 	effects.Starts = append(effects.Starts, Start{
 		Target: target.facts, Task: task, Run: r.number, Text: job.Spec.Text,
 		Saved: job.State(task).Saved, Token: t.token, Deadline: deadline,
--- a/core/anvilorder/tracker_test.go
+++ b/core/anvilorder/tracker_test.go
@@ -260,7 +260,8 @@
 }
 
 // TestOtherIncarnation guards against taking answers of a new incarnation for
-// those of the former one.
+// those of the former one. Without a word on who answered, another target has
+// the address.
 func TestOtherIncarnation(t *testing.T) {
 	w := newWorld(t)
 	order := w.started(taskA, 1)
@@ -269,6 +270,56 @@
 	assert.DeepEqual(t, commands[0].Leave, &anvilwork.Leave{Target: "t", Born: 1})
 }
 
+// TestStartAtNewIncarnation guards against a task that runs twice because the
+// new incarnation of a target carried out a start that was meant for the former
+// one: the run must be stopped there before it is placed again.
+func TestStartAtNewIncarnation(t *testing.T) {
+	w := newWorld(t)
+	order := w.started(taskA, 1)
+	answer := w.answer(w.now-1, w.now)
+	answer.By = 2
+	effects := w.tracker.Started(w.now, StartAnswer{Answer: answer, Order: order, Verdict: OtherIncarnation})
+	assert.Equal(t, len(effects.Commands), 1)
+	w.apply(effects.Commands...)
+	assert.Equal(t, w.state.Runs("t")[taskA], anvilwork.Run(1), "the run is still assigned")
+
+	effects = w.next(1)
+	assert.Equal(t, len(effects.Starts), 0)
+	assert.Equal(t, len(effects.Stops), 1)
+	stop := effects.Stops[0]
+	assert.Equal(t, stop.Target.Born, anvilwork.Born(2))
+	reply := func() Answer {
+		return Answer{Target: "t", Born: 2, Sent: w.now - 1, Received: w.now, Clock: TargetClock(w.now)}
+	}
+	// A list without the run proves nothing before the stop was answered.
+	look := w.look()
+	effects = w.tracker.Looked(w.now, LookAnswer{Answer: reply(), Order: look, Done: true})
+	assert.Equal(t, len(effects.Commands), 0)
+	w.now += 10
+	w.tracker.Stopped(w.now, StopAnswer{Answer: reply(), Order: stop, Done: true})
+	w.now += 10
+	effects = w.tracker.Looked(w.now, LookAnswer{Answer: reply(), Order: w.look(), Done: true})
+	assert.Equal(t, len(effects.Commands), 1)
+	assert.DeepEqual(t, effects.Commands[0].Void, &anvilwork.Void{Task: taskA, Run: 1})
+}
+
+// TestSilentNewIncarnation guards against placing a run again while a late
+// start may bring it to life on a new incarnation that doesn't answer.
+func TestSilentNewIncarnation(t *testing.T) {
+	w := newWorld(t)
+	w.verdict(w.started(taskA, 1), StartUnanswered)
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "t", Born: 2, Service: "s", Address: "a:1", Room: anvilwork.Room{GPU: 8},
+	}}})
+	w.out = nil
+	silence := Answer{Target: "t", Born: 2}
+	w.tracker.Looked(w.now, LookAnswer{Answer: silence, Order: w.look()})
+	for span := testRetry; span < lateSpan+testLease; span += testRetry {
+		assert.Equal(t, len(w.next(testRetry).Commands), 0, "after %d ms", span)
+	}
+	assert.Equal(t, len(w.next(testLease/10).Commands), 1)
+}
+
 // TestStopBeforeStart guards against a start that is sent after its run was
 // given up.
 func TestStopBeforeStart(t *testing.T) {
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -57,7 +57,8 @@
 	StartFenced
 	// StartUnanswered means that the call may be carried out at any later time.
 	StartUnanswered
-	// OtherIncarnation means that another incarnation answered.
+	// OtherIncarnation means that another incarnation answered. It may have
+	// started the run.
 	OtherIncarnation
 )
 
@@ -69,6 +70,8 @@
 	Sent, Received anvilclock.Millis
 	// Clock is the target's clock, or 0 if the answer didn't tell it.
 	Clock TargetClock
+	// By is the incarnation that answered, or 0 if the answer didn't tell it.
+	By anvilwork.Born
 }
 
 // StartAnswer answers a Start.
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -120,7 +120,9 @@
 }
 
 // announce takes over what a target says of itself. An older incarnation
-// changes nothing; a newer one ends what ran on the older one.
+// changes nothing. A newer one under the same id ends what ran on the older
+// one, but a start that was meant for that may still be carried out here:
+// its runs stay assigned until the target has refused or ended them.
 func (s *State) announce(target Target) Result {
 	if !s.Announces(target) {
 		return Unchanged
@@ -130,14 +132,23 @@
 		target.Cursor, target.Since = known.Cursor, known.Since
 		target.Leaving = target.Leaving || known.Leaving
 	} else {
-		s.lapseAll(target.ID)
 		s.dropAddress(target)
 		target.Since = s.now
 	}
 	s.targets[target.ID] = &target
+	s.carryOver(&target)
 	return Applied
 }
 
+// carryOver gives the runs of a target to its present incarnation.
+func (s *State) carryOver(target *Target) {
+	for task, run := range s.runs[target.ID] {
+		if _, state := s.assigned(task, run); state != nil {
+			state.Born = target.Born
+		}
+	}
+}
+
 // dropAddress removes an earlier target at the address of a new one: an
 // address belongs to one incarnation at a time, the one that was born last.
 func (s *State) dropAddress(fresh Target) {
