Pass calls on through other instances when the voters are out of reach

Now the gate knows from the connection whether anything was sent, asks another entry instance to pass the call on once two attempts in a row got no reaction, and refuses at once when nobody reacts, with a time to come back that grows with the outage.

--- a/io/anvilgate/gate_test.go
+++ b/io/anvilgate/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -20,6 +21,13 @@
 	anvilrpc.Fleet
 	locate func(context.Context) (*anvilrpc.LocateReply, error)
 	calls  int
+	// job is the answer of a relay.
+	job *anvilrpc.JobReply
+}
+
+func (v *voter) Job(context.Context, *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
+	v.calls++
+	return v.job, nil
 }
 
 func (v *voter) Locate(ctx context.Context, _ *anvilrpc.LocateCall) (*anvilrpc.LocateReply, error) {
@@ -108,3 +116,78 @@
 		})
 	}
 }
+
+// unreachable is a voter whose connections are never made.
+func unreachable() anvilrpc.Fleet {
+	return anvilrpc.NewFleetProtobufClient("http://voter", &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	}})
+}
+
+// submitOnce hands a job in and returns the answer and how long it took.
+func submitOnce(g *Gate) (*anvilrpc.JobReply, time.Duration, error) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reply, err := g.Job(ctx, &anvilrpc.JobCall{Action: anvilrpc.JobAction_JOB_ACTION_SUBMIT})
+	return reply, time.Since(began), err
+}
+
+// cutGate is the gate of an instance "self" that no voter reacts to.
+func cutGate(relays map[anvilid.InstanceID]*voter) *Gate {
+	g := New(anvilclock.Monotonic(), anvillogs.Discard(),
+		func() []anvilid.InstanceID { return []anvilid.InstanceID{"a", "b", "c"} },
+		func(instance anvilid.InstanceID) anvilrpc.Fleet {
+			if relay := relays[instance]; relay != nil {
+				return relay
+			}
+			return unreachable()
+		}, WithRelays("self"))
+	g.learnRelays([]string{"self", "r"})
+	return g
+}
+
+// TestRelay guards against callers that are left without an answer at an
+// instance that is cut off from the voters while others of its zone aren't.
+func TestRelay(t *testing.T) {
+	relay := &voter{job: &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE}}
+	g := cutGate(map[anvilid.InstanceID]*voter{"r": relay})
+	reply, _, err := submitOnce(g)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Code, anvilrpc.JobCode_JOB_CODE_DONE)
+	// Once the cut is known, the relay is asked first.
+	_, took, err := submitOnce(g)
+	assert.NilError(t, err)
+	assert.Assert(t, took < attemptTimeout, took)
+	assert.Equal(t, relay.calls, 2)
+	assert.Assert(t, !g.Connected(), "the voters themselves can't be reached")
+}
+
+// TestHopelessCall guards against holding a caller to its deadline, with an
+// answer that leaves in doubt what certainly was not sent: connections that
+// were never made, to voters that don't react, and a relay that is cut off too.
+func TestHopelessCall(t *testing.T) {
+	relay := &voter{job: &anvilrpc.JobReply{Redirection: &anvilrpc.Redirection{}}}
+	g := cutGate(map[anvilid.InstanceID]*voter{"r": relay})
+	_, took, err := submitOnce(g)
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.Assert(t, took < 4*attemptTimeout, took)
+	assert.Equal(t, g.Retry(), maxRetry, "no voter was ever reached")
+}
+
+// TestRelayIsCutOff guards against relays that pass calls on among each other,
+// and against a refusal in doubt from a relay that reaches nobody.
+func TestRelayIsCutOff(t *testing.T) {
+	other := &voter{job: &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE}}
+	relay := NewRelay(cutGate(map[anvilid.InstanceID]*voter{"r": other}))
+	for range 2 {
+		reply, err := relay.Job(context.Background(), &anvilrpc.JobCall{})
+		assert.NilError(t, err)
+		assert.Assert(t, reply.Redirection != nil)
+		assert.Equal(t, reply.Code, anvilrpc.JobCode_JOB_CODE_UNSPECIFIED)
+	}
+	assert.Equal(t, other.calls, 0)
+}
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -56,6 +56,7 @@
 	orders Orders
 	bounds Bounds
 
+	relays  relays
 	changed chan struct{} // holds a token when the state has changed
 	reports chan report
 
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -42,8 +42,8 @@
 	return r
 }
 
-// Locate tells who leads.
-func (l *Leader) Locate(context.Context, *anvilrpc.LocateCall) (*anvilrpc.LocateReply, error) {
+// Locate tells who leads, and which other instances pass calls on.
+func (l *Leader) Locate(_ context.Context, call *anvilrpc.LocateCall) (*anvilrpc.LocateReply, error) {
 	if r := l.redirection(); r != nil {
 		return &anvilrpc.LocateReply{Redirection: r}, nil
 	}
@@ -51,6 +51,7 @@
 	for _, member := range l.group.Members() {
 		reply.Redirection.Voters = append(reply.Redirection.Voters, string(member))
 	}
+	reply.Relays = l.relays.others(l.clock.Now(), anvilid.InstanceID(call.Instance))
 	return reply, nil
 }
 
