Gather room for gangs that wait

Cause: a gang that isn't urgent got room only if all of it was free at one moment. Change: after 1.5 s the targets on which room comes first are kept for such a gang, up to a quarter of all accelerators; urgent jobs use them all the same.

--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -83,7 +83,7 @@
 func (p *planner) keep(u *unit, spots []spot) {
 	p.release(u)
 	for _, s := range spots {
-		s.node.keeper = u.job.ID
+		s.node.keepFor(u)
 	}
 }
 
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -28,8 +28,10 @@
 	soon anvilwork.Room
 	// reserved tells that the node is held back for urgent jobs.
 	reserved bool
-	// keeper is the urgent job that waits for this target, if any.
+	// keeper is the job that waits for this target, if any. Yields tells that
+	// urgent work may use it all the same.
 	keeper  anvilid.JobID
+	yields  bool
 	planner *planner
 	tenants []*tenant
 	// tasks counts the runs of each step here, for steps with a spread.
@@ -52,13 +54,21 @@
 
 // closed nodes take no tasks of the job that is being served.
 func (n *node) closed() bool {
-	return !n.usable || n.slow || n.reserved && n.planner.waits || n.keeper != "" && n.keeper != n.planner.serving
+	return !n.usable || n.slow || n.reserved && n.planner.waits || n.keptFromServing()
 }
 
+// keptFromServing tells whether the node waits for another job.
+func (n *node) keptFromServing() bool {
+	return n.keeper != "" && n.keeper != n.planner.serving && !(n.yields && n.planner.urgent)
+}
+
+// keepFor keeps the node for a unit.
+func (n *node) keepFor(u *unit) { n.keeper, n.yields = u.job.ID, !u.urgent }
+
 // own is the room that is promised on targets kept for the job that is being
 // served.
 func (n *node) own() anvilwork.Room {
-	if n.keeper == "" {
+	if n.keeper != n.planner.serving {
 		return anvilwork.Room{}
 	}
 	return n.promised()
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -59,8 +59,12 @@
 	racks    []*rack
 	// used counts the accelerators of unfinished urgent jobs by account.
 	used map[anvilid.AccountID]anvilid.AcceleratorCount
-	// serving is the job that is being served.
+	// serving is the job that is being served, and urgent tells that it is.
 	serving anvilid.JobID
+	urgent  bool
+	// gathered counts the accelerators of targets that are kept for gangs that
+	// aren't urgent.
+	gathered anvilid.AcceleratorCount
 	// waits tells that this job can wait, and gets nothing that is held back.
 	waits bool
 }
@@ -74,10 +78,10 @@
 	units := p.queue()
 	p.keepOn(units)
 	for _, unit := range units {
-		p.serving, p.waits = unit.job.ID, p.canWait(unit)
+		p.serving, p.urgent, p.waits = unit.job.ID, unit.urgent, p.canWait(unit)
 		p.serve(unit)
 	}
-	p.serving, p.waits = "", true
+	p.serving, p.urgent, p.waits = "", false, true
 	p.moveStragglers()
 	p.decision.Kept = map[anvilid.TargetID]anvilid.JobID{}
 	for _, n := range p.nodes {
@@ -91,13 +95,13 @@
 // keepOn keeps targets for the jobs that they were kept for before, if these
 // still wait.
 func (p *planner) keepOn(units []*unit) {
-	waits := map[anvilid.JobID]bool{}
+	waiting := map[anvilid.JobID]*unit{}
 	for _, u := range units {
-		waits[u.job.ID] = u.urgent
+		waiting[u.job.ID] = u
 	}
 	for id, job := range p.Kept {
-		if n := p.byID[id]; n != nil && waits[job] {
-			n.keeper = job
+		if n, u := p.byID[id], waiting[job]; n != nil && u != nil {
+			n.keepFor(u)
 		}
 	}
 }
@@ -243,7 +247,9 @@
 	}
 	if u.urgent {
 		p.clear(u, len(u.tasks))
+		return
 	}
+	p.gather(u)
 }
 
 func (p *planner) serveSingles(u *unit) {
