Ask for advice, carry out waves of upkeep, pace what fills

A job of an advised queue waited for ever, a wave got 404, and nothing slowed down a task that harms one that serves.

Advice: a waiting step is asked about at once, for the targets with most room that weren't denied, twice what it needs and 30 at most; one question at a time, since the service answers in turn. The ticket is committed with the placement, so that a new leader repeats the same start, and is asked for again when a target refuses it or half a second before it runs out. Waves: stored before they are acknowledged. The phase of each machine is in the replicated state, so that no change of the leader lets more machines be down than allowed; an order without an answer counts as down until the platform has accepted it and lists the machine as up. Lasting tasks are not ended while their step misses as many as it may, by waves or by urgent work. Sharing: a tail over its bound lowers all that fills on that target to 30 and then to 0 percent, within two reports; two calm seconds raise it by 20.

Ruled out: asking for all targets (the answer takes longer for each), a ticket kept in the leader's memory only (lost with it, while the start may be late), lowering in small steps (the bound of harm is four reports).

--- a/core/anvilid/id.go
+++ b/core/anvilid/id.go
@@ -7,6 +7,8 @@
 	InstanceID string
 	// TargetID names one target.
 	TargetID string
+	// MachineID names the machine that a target runs on.
+	MachineID string
 	// AccountID names one client account.
 	AccountID string
 	// ServiceName names a service that targets serve.
--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -59,6 +59,8 @@
 	case StartNothing:
 		target.badUntil = now + refusedPause
 		t.withdraw(now, answer.Order, r, &effects)
+	case StartUnticketed:
+		t.withdraw(now, answer.Order, r, &effects)
 	case StartOld:
 		// The list shows how it ended, or that it never was there.
 		r.phase, r.seen, target.fresh = running, answer.Received, true
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -17,6 +17,7 @@
 	Run      anvilwork.Run
 	Text     string
 	Saved    string
+	Ticket   anvilwork.Ticket // empty where none is needed
 	Token    anvilid.Token
 	Deadline TargetClock
 }
@@ -49,6 +50,8 @@
 	StartTaken Verdict = iota + 1
 	// StartNothing means that the target did nothing on this call.
 	StartNothing
+	// StartUnticketed means that the ticket is missing or not valid any more.
+	StartUnticketed
 	// StartOld means that the target has ended or barred this run.
 	StartOld
 	// StartLate means that the lease in the order had passed.
@@ -96,6 +99,9 @@
 	Saved string
 	// Percent is the share of the work that is done.
 	Percent int
+	// Tail is the tail of a serving task's response times. For other tasks the
+	// figure means something else.
+	Tail anvilclock.Millis
 }
 
 // LookAnswer answers a Look.
--- /dev/null
+++ b/core/anvilplace/advice_test.go
@@ -0,0 +1,39 @@
+package anvilplace
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// TestAdvised guards against a start without a ticket, against questions about
+// targets that are full or denied while others are free, and against a job that
+// waits for targets nobody asked about.
+func TestAdvised(t *testing.T) {
+	w := newWorld(t, 2, 2, 0)
+	w.submit("full", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	w.plan()
+	full := w.assigned("full")[0]
+	w.submit("a", "advised", "b", anvilwork.Step{Count: 1, Need: gpus(8)})
+	decision := w.plan()
+	assert.Equal(t, len(decision.Places), 0)
+	assert.Equal(t, len(decision.Wants), 1)
+	asked := decision.Wants[0].Targets
+	assert.Equal(t, len(asked), spareTickets)
+	for _, target := range asked {
+		assert.Assert(t, target.ID != full)
+	}
+
+	w.tickets = map[anvilid.TargetID]anvilwork.Ticket{asked[0].ID: "", asked[1].ID: ""}
+	decision = w.plan()
+	assert.Equal(t, len(decision.Wants[0].Targets), 2, "the others are asked about")
+	third := decision.Wants[0].Targets[0].ID
+	w.tickets[third] = "x"
+	decision = w.plan()
+	assert.Equal(t, len(decision.Places), 1)
+	assert.Equal(t, decision.Places[0].Assignments[0].Target, third)
+	assert.Equal(t, decision.Places[0].Assignments[0].Ticket, anvilwork.Ticket("x"))
+}
--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -218,6 +218,9 @@
 // evictable runs belong to jobs that aren't urgent, or to an account that has
 // more urgent work than its guarantee.
 func (p *planner) evictable(t *tenant) bool {
+	if !p.mayStop(t) {
+		return false
+	}
 	if p.State.Terms(t.job).Priority > 0 {
 		return true
 	}
@@ -225,11 +228,29 @@
 	return !ok || p.used[t.job.Account] > account.Guaranteed
 }
 
-// lossOf is the work in core-milliseconds that stopping a run throws away.
-func (p *planner) lossOf(t *tenant) float64 {
-	state := t.job.State(t.task)
-	span := p.Now - state.At
+// mayStop tells whether the caller bears the loss of a lasting run. Two of a
+// step are never stopped at a time, because the state shows the first only once
+// it has ended.
+func (p *planner) mayStop(t *tenant) bool {
 	step := t.job.Spec.Steps[t.task.Step]
+	if !step.Lasts || step.MayMiss == 0 {
+		return true
+	}
+	for _, n := range p.nodes {
+		for _, other := range n.tenants {
+			if other.stopping && other.task.StepKey() == t.task.StepKey() {
+				return false
+			}
+		}
+	}
+	return p.State.MayStop(t.task)
+}
+
+// Loss is the work in core-milliseconds that stopping a run throws away, that
+// of its whole gang included. Now is the clock of the log.
+func Loss(job *anvilwork.Job, task anvilwork.Task, now anvilclock.Millis) float64 {
+	span := now - job.State(task).At
+	step := job.Spec.Steps[task.Step]
 	if step.Saves {
 		span = min(span, anvilclock.Second)
 	}
@@ -237,6 +258,12 @@
 	if step.Gang {
 		lost *= float64(step.Count)
 	}
+	return lost
+}
+
+// lossOf is the loss of a run, by which those of urgent jobs come last.
+func (p *planner) lossOf(t *tenant) float64 {
+	lost := Loss(t.job, t.task, p.Now)
 	if p.State.Terms(t.job).Priority == 0 {
 		lost += urgentLoss
 	}
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -26,7 +26,7 @@
 
 // capacity returns how many tasks of a unit a node can take.
 func (u *unit) capacity(n *node, limit int, of room) int {
-	if n.target.Service != u.terms.Service || !u.labelled(n.target) || n.planner.Failed(u.tasks[0], n.target.ID) {
+	if !u.suits(n) || u.terms.Advice.Needed() && !u.ticketed(n) {
 		return 0
 	}
 	if u.step.Spread > 0 {
@@ -38,6 +38,11 @@
 	return of(n).Times(need(u.step), limit)
 }
 
+// suits tells whether a node may run the unit, tickets and room aside.
+func (u *unit) suits(n *node) bool {
+	return n.target.Service == u.terms.Service && u.labelled(n.target) && !n.planner.Failed(u.tasks[0], n.target.ID)
+}
+
 func (u *unit) labelled(target *anvilwork.Target) bool {
 	return u.step.Label == "" || slices.Contains(target.Labels, u.step.Label)
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"anvilshunt/core/anviladvice"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilspeed"
@@ -28,6 +29,10 @@
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
 	// Reserve is how many accelerators are held back for urgent jobs.
 	Reserve anvilid.AcceleratorCount
+	// Ticket returns the ticket of a step for a target where one is needed, and
+	// May tells whether one can be had.
+	Ticket func(anvilwork.StepKey, *anvilwork.Target) (anvilwork.Ticket, bool)
+	May    func(anvilwork.StepKey, *anvilwork.Target) bool
 	// Kept are the targets that the plan before kept for jobs that wait.
 	Kept map[anvilid.TargetID]anvilid.JobID
 }
@@ -48,6 +53,8 @@
 	// Kept are the targets that are kept for jobs that wait. The next plan
 	// needs them, so that it doesn't stop runs a second time.
 	Kept map[anvilid.TargetID]anvilid.JobID
+	// Wants are steps that wait for tickets.
+	Wants []anviladvice.Want
 }
 
 // planner holds one pass.
@@ -143,9 +150,6 @@
 	var units []*unit
 	for _, job := range p.State.Active() {
 		terms := p.State.Terms(job)
-		if terms.Advised {
-			continue
-		}
 		urgent := terms.Priority == 0
 		assured := false
 		if account, ok := p.State.Account(job.Account); ok && urgent {
@@ -232,6 +236,9 @@
 
 // serve places what it can of a unit.
 func (p *planner) serve(u *unit) {
+	if u.terms.Advice.Needed() {
+		p.want(u)
+	}
 	if u.step.Gang {
 		p.serveGang(u)
 		return
@@ -272,6 +279,9 @@
 			task := tasks[0]
 			tasks = tasks[1:]
 			a := anvilwork.Assignment{Task: task, Run: u.run, Target: s.node.target.ID, Born: s.node.target.Born}
+			if u.terms.Advice.Needed() {
+				a.Ticket, _ = p.Ticket(task.StepKey(), s.node.target) // fit has seen one
+			}
 			s.node.take(u, task)
 			if u.step.Gang {
 				gang = append(gang, a)
--- a/core/anvilplace/world_test.go
+++ b/core/anvilplace/world_test.go
@@ -24,6 +24,8 @@
 	kept     map[anvilid.TargetID]anvilid.JobID
 	reserve  anvilid.AcceleratorCount
 	progress map[anvilwork.Task]anvilspeed.Progress
+	// tickets has those of all steps by target; an empty one is a denial.
+	tickets map[anvilid.TargetID]anvilwork.Ticket
 }
 
 var testRoom = anvilwork.Room{CPU: 32000, Memory: 64000, GPU: 8}
@@ -40,6 +42,9 @@
 		Queues: []anvilwork.Queue{
 			{Name: "urgent", Host: "h", Prefix: "/u", Timeout: 1, Terms: anvilwork.Terms{Service: "s", Stretch: 1.5, Aim: 300, Attempts: 3}},
 			{Name: "common", Host: "h", Prefix: "/c", Timeout: 1, Terms: anvilwork.Terms{Service: "s", Priority: 1, Stretch: 3, Aim: 3000, Attempts: 3}},
+			{Name: "advised", Host: "h", Prefix: "/a", Timeout: 1, Terms: anvilwork.Terms{
+				Service: "s", Priority: 1, Stretch: 3, Aim: 3000, Attempts: 3, Advice: anvilwork.Advice{Validity: 3000},
+			}},
 		},
 		Accounts: []anvilwork.Account{{Name: "a", Guaranteed: guaranteed}, {Name: "b"}},
 	}
@@ -83,6 +88,14 @@
 			progress, ok := w.progress[task]
 			return progress, ok
 		},
+		Ticket: func(_ anvilwork.StepKey, target *anvilwork.Target) (anvilwork.Ticket, bool) {
+			ticket := w.tickets[target.ID]
+			return ticket, ticket != ""
+		},
+		May: func(_ anvilwork.StepKey, target *anvilwork.Target) bool {
+			ticket, known := w.tickets[target.ID]
+			return !known || ticket != ""
+		},
 	})
 	w.kept = decision.Kept
 	for i := range decision.Places {
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -51,6 +51,10 @@
 		return s.void(*command.Void)
 	case command.Lapse != nil:
 		return s.lapse(*command.Lapse)
+	case command.StartWave != nil:
+		return s.startWave(*command.StartWave)
+	case command.AdvanceWave != nil:
+		return s.advanceWave(*command.AdvanceWave)
 	}
 	return Unknown
 }
@@ -161,7 +165,7 @@
 }
 
 func sameFacts(a, b *Target) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Room == b.Room &&
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Room == b.Room && a.Machine == b.Machine &&
 		slices.Equal(a.Labels, b.Labels)
 }
 
@@ -187,6 +191,7 @@
 		job := s.jobs[a.Task.Job]
 		state := job.State(a.Task)
 		state.Phase, state.Run, state.Target, state.Born, state.At = TaskAssigned, a.Run, a.Target, a.Born, s.now
+		state.Ticket = a.Ticket
 		job.Phase = JobRunning
 		s.assign(a.Task, state)
 	}
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -25,6 +25,9 @@
 	Settle    *Settle   `cbor:"7,keyasint,omitempty"`
 	Void      *Void     `cbor:"8,keyasint,omitempty"`
 	Lapse     *Lapse    `cbor:"9,keyasint,omitempty"`
+
+	StartWave   *Wave        `cbor:"10,keyasint,omitempty"`
+	AdvanceWave *AdvanceWave `cbor:"11,keyasint,omitempty"`
 }
 
 // Submit hands a job in. A second one with the same id changes nothing.
@@ -58,6 +61,8 @@
 	Run    Run              `cbor:"2,keyasint"`
 	Target anvilid.TargetID `cbor:"3,keyasint"`
 	Born   Born             `cbor:"4,keyasint"`
+	// Ticket allows the run where the queue needs that.
+	Ticket Ticket `cbor:"5,keyasint,omitempty"`
 }
 
 // Place assigns tasks. Either all assignments take effect or none.
@@ -125,6 +130,9 @@
 	LeavesAt anvilclock.Millis `cbor:"10,keyasint,omitempty"`
 	// Cursor is the number of the latest recorded end.
 	Cursor uint64 `cbor:"11,keyasint,omitempty"`
+	// Machine is what the target runs on, or empty if that isn't known. It
+	// stays while incarnations and ids change.
+	Machine anvilid.MachineID `cbor:"13,keyasint,omitempty"`
 	// Since is when the target was first known.
 	Since anvilclock.Millis `cbor:"12,keyasint,omitempty"`
 }
--- a/core/anvilwork/config.go
+++ b/core/anvilwork/config.go
@@ -26,10 +26,26 @@
 	// which a job should end.
 	Stretch float64           `cbor:"4,keyasint,omitempty"`
 	Aim     anvilclock.Millis `cbor:"5,keyasint,omitempty"`
-	// Advised tells that another service decides which targets may run a step.
-	Advised bool `cbor:"6,keyasint,omitempty"`
+	// Advice tells that another service decides which targets may run a step.
+	// It is zero where nobody is asked.
+	Advice Advice `cbor:"7,keyasint"`
 }
 
+// Advice is what is promised of the service that decides where a step may run.
+type Advice struct {
+	// Decision and PerTarget, for each target named, is how long an answer takes.
+	Decision  anvilclock.Millis `cbor:"1,keyasint,omitempty"`
+	PerTarget anvilclock.Millis `cbor:"2,keyasint,omitempty"`
+	// Validity is how long a ticket may be used.
+	Validity anvilclock.Millis `cbor:"3,keyasint,omitempty"`
+}
+
+// Needed reports whether a step needs a ticket.
+func (a Advice) Needed() bool { return a.Validity > 0 }
+
+// Ticket allows a step to run on a target.
+type Ticket string
+
 // Queue is a place where callers hand jobs in.
 type Queue struct {
 	Name   QueueName `cbor:"1,keyasint"`
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -75,6 +75,11 @@
 	Copies bool `cbor:"11,keyasint,omitempty"`
 	// Lasts tells that the tasks run until the job is cancelled.
 	Lasts bool `cbor:"12,keyasint,omitempty"`
+	// MayMiss is how many tasks of a lasting step may be away at a time because
+	// of orders, or 0 if nobody counts.
+	MayMiss int `cbor:"14,keyasint,omitempty"`
+	// Tail is the bound of the response times that a serving task reports, or 0.
+	Tail anvilclock.Millis `cbor:"15,keyasint,omitempty"`
 	// Fills tells that the tasks use the processors that others leave idle.
 	Fills bool `cbor:"13,keyasint,omitempty"`
 }
@@ -130,7 +135,7 @@
 
 func (s *Step) check(index int) error {
 	need := s.Need
-	if s.Count < 1 || s.Count > maxTasks || need.CPU < 0 || need.Memory < 0 || need.GPU < 0 || s.Spread < 0 || s.Estimate < 0 {
+	if s.Count < 1 || s.Count > maxTasks || need.CPU < 0 || need.Memory < 0 || need.GPU < 0 || s.Spread < 0 || s.Estimate < 0 || s.MayMiss < 0 {
 		return fmt.Errorf("%w: step %d has a number that is out of range", ErrSpec, index)
 	}
 	for _, earlier := range s.After {
@@ -197,6 +202,8 @@
 	FailedRun Run `cbor:"8,keyasint,omitempty"`
 	// Saved is the latest checkpoint, or empty.
 	Saved string `cbor:"6,keyasint,omitempty"`
+	// Ticket is that of the latest run, where the queue needs one.
+	Ticket Ticket `cbor:"9,keyasint,omitempty"`
 	// At is when the phase began, by the clock of the log.
 	At anvilclock.Millis `cbor:"7,keyasint,omitempty"`
 }
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -66,6 +67,18 @@
 		assert.ErrorIs(s.t, config.Check(), ErrInvalid, s.where)
 	case "version":
 		assert.Equal(s.t, uint64(s.state.Config().Version), s.number(words[1]), s.where)
+	case "machine":
+		assert.Equal(s.t, s.state.InUpkeep(anvilid.MachineID(words[1])), words[2] == "upkeep", s.where)
+	case "completed":
+		wave, ok := s.state.Wave(WaveNumber(s.number(words[1])))
+		assert.Assert(s.t, ok, s.where)
+		assert.Equal(s.t, wave.Completed(), words[2] == "yes", s.where)
+	case "maystop":
+		task, _ := s.run(words[1])
+		assert.Equal(s.t, s.state.MayStop(task), words[2] == "yes", s.where)
+	case "unfit-wave":
+		wave := s.wave(words[1:])
+		assert.ErrorIs(s.t, wave.Check(), ErrWave, s.where)
 	case "superfluous":
 		var found []string
 		for _, run := range s.state.Superfluous() {
@@ -125,6 +138,15 @@
 	case "void":
 		task, run := s.run(words[1])
 		return Command{Void: &Void{Task: task, Run: run}}
+	case "wave":
+		wave := s.wave(words[2:])
+		wave.Number = WaveNumber(s.number(words[1]))
+		return Command{StartWave: wave}
+	case "advance":
+		phase := slices.Index([]string{"waiting", "emptying", "ordered", "done"}, words[3])
+		return Command{AdvanceWave: &AdvanceWave{
+			Wave: WaveNumber(s.number(words[1])), Machine: anvilid.MachineID(words[2]), Phase: WavePhase(phase),
+		}}
 	case "lapse":
 		return Command{Lapse: &Lapse{Target: anvilid.TargetID(words[1]), Born: Born(s.number(words[2]))}}
 	}
@@ -180,7 +202,17 @@
 	}
 }
 
-// submit reads "submit JOB STEP...", a step being "count[,gang][,lasts][,after=N]".
+// wave reads "limit=N MACHINE...".
+func (s *script) wave(words []string) *Wave {
+	wave := &Wave{Limit: int(s.number(strings.TrimPrefix(words[0], "limit=")))}
+	for _, machine := range words[1:] {
+		wave.Machines = append(wave.Machines, WaveMachine{Machine: anvilid.MachineID(machine)})
+	}
+	return wave
+}
+
+// submit reads "submit JOB STEP...", a step being
+// "count[,gang][,lasts][,miss=N][,after=N]".
 func (s *script) submit(words []string) *Submit {
 	submit := &Submit{Job: anvilid.JobID(words[1]), Queue: "q", Terms: Terms{Service: "s", Attempts: 2}}
 	for _, word := range words[2:] {
@@ -192,6 +224,8 @@
 				step.Gang = true
 			case "lasts":
 				step.Lasts = true
+			case "miss":
+				step.MayMiss = int(s.number(value))
 			case "after":
 				step.After = append(step.After, int(s.number(value)))
 			}
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -25,6 +25,7 @@
 	runs map[anvilid.TargetID]map[Task]Run
 	// active lists the jobs that haven't ended, in the order of acceptance.
 	active []*Job
+	waves  map[WaveNumber]*Wave
 	now    anvilclock.Millis
 }
 
@@ -32,7 +33,7 @@
 func New() *State {
 	s := &State{
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
-		runs: map[anvilid.TargetID]map[Task]Run{},
+		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -87,6 +88,7 @@
 	Jobs    []*Job            `cbor:"2,keyasint"`
 	Targets []*Target         `cbor:"3,keyasint"`
 	Now     anvilclock.Millis `cbor:"4,keyasint"`
+	Waves   []*Wave           `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state.
@@ -96,6 +98,10 @@
 		image.Jobs = append(image.Jobs, job)
 	}
 	slices.SortFunc(image.Jobs, compareJobs)
+	for _, wave := range s.waves {
+		image.Waves = append(image.Waves, wave)
+	}
+	slices.SortFunc(image.Waves, func(a, b *Wave) int { return cmp.Compare(a.Number, b.Number) })
 	return cbor.Marshal(image)
 }
 
@@ -119,6 +125,9 @@
 	s := New()
 	s.config, s.now = image.Config, image.Now
 	s.index = newIndex(&s.config)
+	for _, wave := range image.Waves {
+		s.waves[wave.Number] = wave
+	}
 	for _, target := range image.Targets {
 		s.targets[target.ID] = target
 	}
--- a/io/anvilgate/relay.go
+++ b/io/anvilgate/relay.go
@@ -63,6 +63,11 @@
 	return &anvilrpc.ConfigureReply{Redirection: &anvilrpc.Redirection{}}, nil
 }
 
+// Wave is not passed on: operators turn to voters.
+func (r *Relay) Wave(context.Context, *anvilrpc.WaveCall) (*anvilrpc.WaveReply, error) {
+	return &anvilrpc.WaveReply{Redirection: &anvilrpc.Redirection{}}, nil
+}
+
 // Announce is not passed on: targets turn to voters.
 func (r *Relay) Announce(context.Context, *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
 	return &anvilrpc.AnnounceReply{Redirection: &anvilrpc.Redirection{}}, nil
--- a/io/anvillead/host.go
+++ b/io/anvillead/host.go
@@ -113,6 +113,14 @@
 	return &anvilrpc.ConfigureReply{Redirection: nobody()}, nil
 }
 
+// Wave starts or shows a wave of upkeep.
+func (h *VoterHost) Wave(ctx context.Context, call *anvilrpc.WaveCall) (*anvilrpc.WaveReply, error) {
+	if leader := h.current.Load(); leader != nil {
+		return leader.Wave(ctx, call)
+	}
+	return &anvilrpc.WaveReply{Redirection: nobody()}, nil
+}
+
 // Announce passes the call to the present voter.
 func (h *VoterHost) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
 	if leader := h.current.Load(); leader != nil {
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -7,10 +7,13 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anviladvice"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilorder"
+	"anvilshunt/core/anvilpace"
 	"anvilshunt/core/anvilraft"
+	"anvilshunt/core/anvilupkeep"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvilgroup"
 	"anvilshunt/io/anvillogs"
@@ -35,6 +38,13 @@
 	Start func(context.Context, anvilorder.Start) anvilorder.StartAnswer
 	Stop  func(context.Context, anvilorder.Stop) anvilorder.StopAnswer
 	Look  func(context.Context, anvilorder.Look) anvilorder.LookAnswer
+	// Pace sets the share at which a run works, and tells whether that was done.
+	Pace func(context.Context, anvilpace.Order) bool
+	// Advise asks which targets may run a step.
+	Advise func(context.Context, anviladvice.Question) (anviladvice.Answer, error)
+	// Machines lists the machines, and Upkeep orders the upkeep of one.
+	Machines func(context.Context) (map[anvilid.MachineID]anvilupkeep.Machine, error)
+	Upkeep   func(context.Context, anvilupkeep.Order, anvilid.Token) (anvilupkeep.Verdict, error)
 }
 
 // Bounds are the times that the platform promises or demands.
@@ -42,6 +52,8 @@
 	Orders anvilorder.Bounds
 	// Report is the interval of the announcements of targets.
 	Report anvilclock.Millis
+	// Upkeep is how long a machine is down for its upkeep.
+	Upkeep anvilclock.Millis
 	// Voters is the number of voters without which no configuration is
 	// accepted at the first start, or 0.
 	Voters int
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -7,13 +7,16 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anviladvice"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvileject"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilorder"
+	"anvilshunt/core/anvilpace"
 	"anvilshunt/core/anvilplace"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilspeed"
+	"anvilshunt/core/anvilupkeep"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
 )
@@ -34,6 +37,11 @@
 	pending []anvilwork.Command
 	// ejector knows which targets fail what they start.
 	ejector *anvileject.Ejector
+	// advisor knows which targets may run which steps.
+	advisor *anviladvice.Advisor
+	upkeep  upkeep
+	// governor paces what fills beside what serves.
+	governor *anvilpace.Governor
 	// demand follows what urgent jobs need.
 	demand anvilplace.Demand
 	// kept are the targets that the latest plan keeps for jobs that wait.
@@ -47,7 +55,8 @@
 	return &leadership{
 		Leader: l, term: term, dirty: true,
 		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
-		ejector: anvileject.New(), active: map[anvilid.JobID]anvilclock.Millis{},
+		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
+		upkeep: upkeep{keeper: anvilupkeep.New(l.bounds.Upkeep)}, active: map[anvilid.JobID]anvilclock.Millis{},
 		answers: make(chan func(anvilclock.Millis) anvilorder.Effects, answersSize),
 	}
 }
@@ -138,11 +147,13 @@
 	r.dirty, r.planned = false, now
 	r.logEnded()
 	r.stopSuperfluous()
+	r.keepUp(now)
 	input := r.input(now)
 	r.demand.Note(now, anvilplace.UrgentNeed(input))
 	input.Reserve = r.demand.Reserve()
 	decision := anvilplace.Plan(input)
 	r.kept = decision.Kept
+	r.ask(now, decision.Wants)
 	for _, eviction := range decision.Evict {
 		r.tracker.StopRun(eviction.Target, eviction.Task)
 		r.log.Write(anvillogs.RunEvicted, zap.Stringer("task", eviction.Task),
@@ -173,11 +184,17 @@
 			return slices.Contains(slow, id) || slices.Contains(ejected, id)
 		},
 		Failed: r.ejector.Failed,
+		Ticket: func(step anvilwork.StepKey, target *anvilwork.Target) (anvilwork.Ticket, bool) {
+			return r.advisor.Ticket(now, step, anviladvice.Target{ID: target.ID, Born: target.Born})
+		},
+		May: func(step anvilwork.StepKey, target *anvilwork.Target) bool {
+			return r.advisor.May(step, anviladvice.Target{ID: target.ID, Born: target.Born})
+		},
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
 		},
 		State: r.state, Now: r.wall.Now(), Wall: r.wall.Now(),
-		Usable: func(id anvilid.TargetID) bool { return r.tracker.Usable(now, id, heard) },
+		Usable: func(id anvilid.TargetID) bool { return r.tracker.Usable(now, id, heard) && !r.upkeep.closed[id] },
 		Stopping: func(id anvilid.TargetID, task anvilwork.Task) bool {
 			return r.tracker.Stopping(id, task)
 		},
@@ -228,6 +245,7 @@
 		}
 		delete(r.active, id)
 		r.ejector.Forget(id)
+		r.advisor.Forget(id)
 		_, due := anvilplace.Span(job, r.state.Terms(job), 0)
 		r.log.Write(anvillogs.WorkEnded, zap.String("job", string(id)), zap.String("queue", string(job.Queue)),
 			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(first-job.Accepted)),
@@ -252,7 +270,10 @@
 		go func() {
 			answer := r.orders.Start(context.Background(), order)
 			r.logStart(answer)
-			r.answer(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.Started(now, answer) })
+			r.answer(func(now anvilclock.Millis) anvilorder.Effects {
+				r.noteTicket(answer)
+				return r.tracker.Started(now, answer)
+			})
 		}()
 	}
 	for _, order := range effects.Stops {
@@ -264,7 +285,10 @@
 	for _, order := range effects.Looks {
 		go func() {
 			answer := r.orders.Look(context.Background(), order)
-			r.answer(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.Looked(now, answer) })
+			r.answer(func(now anvilclock.Millis) anvilorder.Effects {
+				r.pace(now, answer)
+				return r.tracker.Looked(now, answer)
+			})
 		}()
 	}
 }
