--- a/io/anvilgate/relay.go
+++ b/io/anvilgate/relay.go
@@ -39,25 +39,6 @@
 	return reply, nil
 }
 
-// Job passes a call of a caller to the leader.
-func (g *Gate) Job(ctx context.Context, call *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
-	return g.job(ctx, call, g.Call)
-}
-
-func (g *Gate) job(ctx context.Context, call *anvilrpc.JobCall, pass func(context.Context, Attempt) error) (*anvilrpc.JobReply, error) {
-	var reply *anvilrpc.JobReply
-	err := pass(ctx, func(ctx context.Context, fleet anvilrpc.Fleet) (*anvilrpc.Redirection, bool, error) {
-		var err error
-		reply, err = fleet.Job(ctx, call)
-		if err != nil {
-			return nil, false, err
-		}
-		// A change in doubt is asked for again: it is idempotent.
-		return reply.Redirection, reply.Code != anvilrpc.JobCode_JOB_CODE_UNSPECIFIED && reply.Code != anvilrpc.JobCode_JOB_CODE_UNKNOWN, nil
-	})
-	return reply, err
-}
-
 // Configure is not passed on: operators turn to voters.
 func (r *Relay) Configure(context.Context, *anvilrpc.ConfigureCall) (*anvilrpc.ConfigureReply, error) {
 	return &anvilrpc.ConfigureReply{Redirection: &anvilrpc.Redirection{}}, nil
