Plan in time that grows with the targets, not with their square

Cause: each plan looked through all runs for each run to find the members of its gang (moveStragglers, 65% of a plan at 350 targets by a profile), and each of many waiting gangs of the same shape through all racks; each placed job released its targets by a scan of all. Change: an index of runs by step, one of kept targets by job, and a note of the smallest gang of each shape that found no room in this plan. Room for at most four more gangs is sought in a plan, so that many waiting ones don't pay for six horizons each. Ruled out: the ejector and the judge of speeds (under 1% of the profile). All tests of anvilplace pass unchanged, TestInvariants and TestStable among them.

--- /dev/null
+++ b/core/anvilplace/bench_test.go
@@ -0,0 +1,34 @@
+package anvilplace
+
+import (
+	"fmt"
+	"testing"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// BenchmarkPlan measures one plan in a busy system: four tasks run on each
+// target, of which one in ten just became free, and a job waits for each ten
+// targets.
+func BenchmarkPlan(b *testing.B) {
+	for _, targets := range []int{48, 350, 2900} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			w := newWorld(b, targets/8, 8, 0)
+			for n := range targets / 8 {
+				w.submit(anvilid.JobID(fmt.Sprint("running-", n)), "common", "b",
+					anvilwork.Step{Count: 32, Need: gpus(2), Estimate: 20_000})
+			}
+			w.plan()
+			for n := range targets / 10 {
+				w.submit(anvilid.JobID(fmt.Sprint("waiting-", n)), "common", "b",
+					anvilwork.Step{Count: 1 + n%5, Need: gpus(8), Gang: true, Tight: true, Estimate: 4000})
+			}
+			input := w.input()
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(input)
+			}
+		})
+	}
+}
--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -83,17 +83,24 @@
 func (p *planner) keep(u *unit, spots []spot) {
 	p.release(u)
 	for _, s := range spots {
-		s.node.keepFor(u)
+		p.keepNode(s.node, u)
 	}
 }
 
 // release opens the targets that were kept for a unit.
 func (p *planner) release(u *unit) {
-	for _, n := range p.nodes {
+	for _, n := range p.keptBy[u.job.ID] {
 		if n.keeper == u.job.ID {
 			n.keeper = ""
 		}
 	}
+	delete(p.keptBy, u.job.ID)
+}
+
+// keepNode keeps a node for a unit, in place of the one it was kept for.
+func (p *planner) keepNode(n *node, u *unit) {
+	n.keeper, n.yields = u.job.ID, !u.urgent
+	p.keptBy[u.job.ID] = append(p.keptBy[u.job.ID], n)
 }
 
 // victim is a run that is stopped, with its node.
@@ -203,16 +210,10 @@
 
 // gang lists a run with the other members of its gang.
 func (p *planner) gang(t *tenant) []victim {
-	single := !t.job.Spec.Steps[t.task.Step].Gang
-	var members []victim
-	for _, n := range p.nodes {
-		for _, other := range n.tenants {
-			if other == t || !single && other.task.StepKey() == t.task.StepKey() {
-				members = append(members, victim{other, n})
-			}
-		}
+	if !t.job.Spec.Steps[t.task.Step].Gang {
+		return []victim{{t, t.node}}
 	}
-	return members
+	return p.runs[t.task.StepKey()]
 }
 
 // evictable runs belong to jobs that aren't urgent, or to an account that has
@@ -236,11 +237,9 @@
 	if !step.Lasts || step.MayMiss == 0 {
 		return true
 	}
-	for _, n := range p.nodes {
-		for _, other := range n.tenants {
-			if other.stopping && other.task.StepKey() == t.task.StepKey() {
-				return false
-			}
+	for _, other := range p.runs[t.task.StepKey()] {
+		if other.tenant.stopping {
+			return false
 		}
 	}
 	return p.State.MayStop(t.task)
--- a/core/anvilplace/gather.go
+++ b/core/anvilplace/gather.go
@@ -13,6 +13,9 @@
 	// gatherShare bounds the part of all accelerators that is gathered, because
 	// some of them are idle meanwhile.
 	gatherShare = 0.25
+	// gathersAPlan bounds the gangs for which room is sought in one plan; the
+	// next one goes on with the others.
+	gathersAPlan = 4
 	// youngRest is the rest of a run of which nothing is known but that it has
 	// taken longer than its estimate.
 	youngRest = 500 * anvilclock.Millisecond
@@ -31,12 +34,16 @@
 		return
 	}
 	p.release(u)
+	if p.gathers >= gathersAPlan || p.gathered >= p.gatherLimit {
+		return
+	}
+	p.gathers++
 	for _, horizon := range gatherHorizons {
 		spots := p.fit(u, len(u.tasks), func(n *node) anvilwork.Room { return n.within(horizon) })
 		if spots == nil {
 			continue
 		}
-		if p.gathered+accelerators(spots) <= p.gatherLimit() {
+		if p.gathered+accelerators(spots) <= p.gatherLimit {
 			p.gathered += accelerators(spots)
 			p.keep(u, spots)
 		}
@@ -47,6 +54,9 @@
 // stillGathers tells whether the targets that the plan before kept for a gang
 // will do.
 func (p *planner) stillGathers(u *unit) bool {
+	if len(p.keptBy[u.job.ID]) == 0 {
+		return false
+	}
 	last := gatherHorizons[len(gatherHorizons)-1]
 	kept := p.fit(u, len(u.tasks), func(n *node) anvilwork.Room {
 		if n.keeper != u.job.ID {
@@ -54,21 +64,22 @@
 		}
 		return n.within(last)
 	})
-	if kept == nil || p.gathered+accelerators(kept) > p.gatherLimit() {
+	if kept == nil || p.gathered+accelerators(kept) > p.gatherLimit {
 		return false
 	}
 	p.gathered += accelerators(kept)
 	return true
 }
 
-func (p *planner) gatherLimit() anvilid.AcceleratorCount {
+// limitGather works out how many accelerators may be gathered.
+func (p *planner) limitGather() {
 	var all anvilid.AcceleratorCount
 	for _, n := range p.nodes {
 		if n.usable {
 			all += n.target.Room.GPU
 		}
 	}
-	return anvilid.AcceleratorCount(gatherShare * float64(all))
+	p.gatherLimit = anvilid.AcceleratorCount(gatherShare * float64(all))
 }
 
 func accelerators(spots []spot) anvilid.AcceleratorCount {
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -12,6 +12,7 @@
 type tenant struct {
 	task     anvilwork.Task
 	job      *anvilwork.Job
+	node     *node
 	need     anvilwork.Room
 	stopping bool
 	// loss is the work that stopping the run throws away.
@@ -62,9 +63,6 @@
 	return n.keeper != "" && n.keeper != n.planner.serving && !(n.yields && n.planner.urgent)
 }
 
-// keepFor keeps the node for a unit.
-func (n *node) keepFor(u *unit) { n.keeper, n.yields = u.job.ID, !u.urgent }
-
 // own is the room that is promised on targets kept for the job that is being
 // served.
 func (n *node) own() anvilwork.Room {
@@ -125,7 +123,7 @@
 		if !ok {
 			continue
 		}
-		t := &tenant{task: task, job: job, need: need(job.Spec.Steps[task.Step])}
+		t := &tenant{task: task, job: job, node: n, need: need(job.Spec.Steps[task.Step])}
 		t.stopping = job.Phase.Ended() || p.Stopping(n.target.ID, task)
 		t.loss = p.lossOf(t)
 		n.free = n.free.Minus(t.need)
@@ -136,4 +134,7 @@
 		n.tasks[task.StepKey()]++
 	}
 	slices.SortFunc(n.tenants, func(a, b *tenant) int { return a.task.Compare(b.task) })
+	for _, t := range n.tenants {
+		p.runs[t.task.StepKey()] = append(p.runs[t.task.StepKey()], victim{t, n})
+	}
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -69,6 +69,16 @@
 	// serving is the job that is being served, and urgent tells that it is.
 	serving anvilid.JobID
 	urgent  bool
+	// runs lists the runs of each step.
+	runs map[anvilwork.StepKey][]victim
+	// keptBy lists the nodes that are kept for a job.
+	keptBy map[anvilid.JobID][]*node
+	// blockedAt is the smallest gang of each shape that found no room.
+	blockedAt map[shape]int
+	// gatherLimit bounds gathered, and gathers counts the gangs for which room
+	// was sought in this plan.
+	gatherLimit anvilid.AcceleratorCount
+	gathers     int
 	// gathered counts the accelerators of targets that are kept for gangs that
 	// aren't urgent.
 	gathered anvilid.AcceleratorCount
@@ -78,8 +88,12 @@
 
 // Plan returns what to start and what to stop now.
 func Plan(input Input) Decision {
-	p := &planner{Input: input, byID: map[anvilid.TargetID]*node{}, used: map[anvilid.AccountID]anvilid.AcceleratorCount{}}
+	p := &planner{
+		Input: input, byID: map[anvilid.TargetID]*node{}, used: map[anvilid.AccountID]anvilid.AcceleratorCount{},
+		runs: map[anvilwork.StepKey][]victim{}, keptBy: map[anvilid.JobID][]*node{}, blockedAt: map[shape]int{},
+	}
 	p.survey()
+	p.limitGather()
 	p.holdBack()
 	p.account()
 	units := p.queue()
@@ -108,7 +122,7 @@
 	}
 	for id, job := range p.Kept {
 		if n, u := p.byID[id], waiting[job]; n != nil && u != nil {
-			n.keepFor(u)
+			p.keepNode(n, u)
 		}
 	}
 }
@@ -247,10 +261,13 @@
 }
 
 func (p *planner) serveGang(u *unit) {
-	if spots := p.fit(u, len(u.tasks), (*node).available); spots != nil {
-		p.release(u)
-		p.assign(u, u.tasks, spots)
-		return
+	if !p.blocked(u) {
+		if spots := p.fit(u, len(u.tasks), (*node).available); spots != nil {
+			p.release(u)
+			p.assign(u, u.tasks, spots)
+			return
+		}
+		p.noteBlocked(u)
 	}
 	if u.urgent {
 		p.clear(u, len(u.tasks))
