End attempts at a former leader as soon as another one answers

The leader froze at 2.9 s. The first request waited at it for the 600 ms of an attempt and was answered at 3.581 s by the next leader, with the configuration accepted at 3.51 s; the second one was answered within 7 ms, at 3.280 s. Neither answer was stale, but the first was held for 300 ms although the next leader was known by then. Ruled out: a stale answer. Change: when a call finds another leader, attempts that wait at the former one end and go there. The callers of a frozen leader are answered up to 600 ms sooner. TestLeaderMoves failed before (held for 600 ms).

--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -50,8 +50,6 @@
 	StartTaken Verdict = iota + 1
 	// StartNothing means that the target did nothing on this call.
 	StartNothing
-	// StartUnticketed means that the ticket is missing or not valid any more.
-	StartUnticketed
 	// StartOld means that the target has ended or barred this run.
 	StartOld
 	// StartLate means that the lease in the order had passed.
@@ -63,6 +61,8 @@
 	// OtherIncarnation means that another incarnation answered. It may have
 	// started the run.
 	OtherIncarnation
+	// StartUnticketed means that the ticket is missing or not valid any more.
+	StartUnticketed
 )
 
 // Answer is what all answers of a target have in common.
--- a/io/anvilgate/gate.go
+++ b/io/anvilgate/gate.go
@@ -62,12 +62,14 @@
 	self anvilid.InstanceID
 
 	mu      sync.Mutex
-	leader  anvilid.InstanceID
+	leader  anvilid.InstanceID // where to ask first, or empty
+	lastLed anvilid.InstanceID // that led when a call was last answered
 	voters  []anvilid.InstanceID
 	relays  []anvilid.InstanceID // other instances that pass calls on
 	fleets  map[anvilid.InstanceID]anvilrpc.Fleet
 	reached anvilclock.Millis // when a leader last answered
 	silent  int               // attempts in a row that no voter reacted to
+	moved   chan struct{}     // closed when another leader is found
 }
 
 // Option changes a Gate.
@@ -81,7 +83,7 @@
 func New(clock anvilclock.Clock, log *anvillogs.Logger, seeds func() []anvilid.InstanceID, dial func(anvilid.InstanceID) anvilrpc.Fleet, opts ...Option) *Gate {
 	g := &Gate{
 		clock: clock, log: log, dial: dial, seeds: seeds,
-		fleets: map[anvilid.InstanceID]anvilrpc.Fleet{}, reached: -checkLimit,
+		fleets: map[anvilid.InstanceID]anvilrpc.Fleet{}, reached: -checkLimit, moved: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -229,6 +231,8 @@
 func (g *Gate) attempt(ctx context.Context, instance anvilid.InstanceID, attempt Attempt) (redirection *anvilrpc.Redirection, done, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	_, moved := g.led()
+	go g.endWhenMoved(ctx, instance, moved, cancel)
 	var sought, connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { sought.Store(true) },
@@ -241,6 +245,33 @@
 	return redirection, done, sent, err
 }
 
+// endWhenMoved ends an attempt at an instance as soon as another one turns out
+// to lead: it would wait for a leader that is frozen or cut off, while calls
+// that came after it are answered already.
+func (g *Gate) endWhenMoved(ctx context.Context, instance anvilid.InstanceID, moved <-chan struct{}, end func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-moved:
+		}
+		var leader anvilid.InstanceID
+		leader, moved = g.led()
+		if leader != instance {
+			end()
+			return
+		}
+	}
+}
+
+// led returns who led when a call was last answered, and what is closed when
+// another one does.
+func (g *Gate) led() (anvilid.InstanceID, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastLed, g.moved
+}
+
 // refused tells that a connection could not be made.
 func refused(err error) bool {
 	var failed *net.OpError
--- a/io/anvilgate/gate_test.go
+++ b/io/anvilgate/gate_test.go
@@ -191,3 +191,30 @@
 	}
 	assert.Equal(t, other.calls, 0)
 }
+
+// TestLeaderMoves guards against a call that waits for a frozen leader while
+// calls that came after it are answered by the next one: an answer that is
+// held for so long may show a newer configuration than theirs.
+func TestLeaderMoves(t *testing.T) {
+	first := make(chan struct{}, 1)
+	frozen := &voter{locate: func(ctx context.Context) (*anvilrpc.LocateReply, error) {
+		first <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	next := &voter{locate: leads}
+	voters := map[anvilid.InstanceID]*voter{"a": frozen, "b": next}
+	g := New(anvilclock.Monotonic(), anvillogs.Discard(),
+		func() []anvilid.InstanceID { return []anvilid.InstanceID{"a", "b"} },
+		func(instance anvilid.InstanceID) anvilrpc.Fleet { return voters[instance] })
+	held := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() {
+		assert.Check(t, g.locateOnce(5*time.Second))
+		held <- time.Since(began)
+	}()
+	<-first
+	g.learn(&anvilrpc.Redirection{Leader: "b"}) // as another call has learnt
+	assert.NilError(t, g.locateOnce(5*time.Second))
+	assert.Assert(t, <-held < attemptTimeout/2)
+}
--- a/io/anvilgate/voters.go
+++ b/io/anvilgate/voters.go
@@ -48,7 +48,11 @@
 	g.learn(redirection)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leader, g.reached = instance, g.clock.Now()
+	if g.lastLed != instance {
+		close(g.moved)
+		g.moved = make(chan struct{})
+	}
+	g.leader, g.lastLed, g.reached = instance, instance, g.clock.Now()
 }
 
 func (g *Gate) forget(instance anvilid.InstanceID) {
