--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -106,8 +106,9 @@
 		present[facts.ID] = true
 		t.syncTarget(now, facts, state)
 	}
-	for id := range t.targets {
+	for id, gone := range t.targets {
 		if !present[id] {
+			t.forget(gone, nil)
 			delete(t.targets, id)
 		}
 	}
@@ -122,6 +123,7 @@
 			known.lease.before = t.elected + t.longestLease()
 		}
 	case known.facts.Born != facts.Born:
+		t.forget(known, assigned)
 		known = t.carried(now, known, assigned)
 	}
 	t.targets[facts.ID], known.facts = known, *facts
@@ -130,9 +132,14 @@
 			known.runs[task] = &run{number: number, phase: adopting}
 		}
 	}
-	for task := range known.runs {
+	t.forget(known, assigned)
+}
+
+// forget drops the runs of a target that aren't assigned to it any more.
+func (t *Tracker) forget(target *target, assigned map[anvilwork.Task]anvilwork.Run) {
+	for task := range target.runs {
 		if _, ok := assigned[task]; !ok {
-			delete(known.runs, task)
+			delete(target.runs, task)
 			t.Speeds.Forget(task)
 		}
 	}
--- a/core/anvilorder/tracker_test.go
+++ b/core/anvilorder/tracker_test.go
@@ -332,3 +332,22 @@
 	assert.Equal(t, len(effects.Commands), 1)
 	assert.DeepEqual(t, effects.Commands[0].Void, &anvilwork.Void{Task: taskA, Run: 1})
 }
+
+// TestGoneTargetIsForgotten guards against judging a run by the progress of an
+// earlier one whose target is gone: it would be moved as soon as it is placed.
+func TestGoneTargetIsForgotten(t *testing.T) {
+	w := newWorld(t)
+	w.verdict(w.started(taskA, 1), StartTaken)
+	for percent := range 3 {
+		w.now += testLease / 6
+		w.looked(w.look(), 1, []Running{{Task: taskA, Run: 1, Percent: 10 * percent}})
+	}
+	_, known := w.tracker.Speeds.Progress(w.now, taskA)
+	assert.Assert(t, known)
+	// Another target has taken its address.
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "u", Born: 2, Service: "s", Address: "a:1", Room: anvilwork.Room{GPU: 8},
+	}}})
+	_, known = w.tracker.Speeds.Progress(w.now, taskA)
+	assert.Assert(t, !known)
+}
