--- a/core/anvilplace/doc.go
+++ b/core/anvilplace/doc.go
@@ -8,7 +8,8 @@
 // Urgent jobs (priority 0) come first, those within their account's guarantee
 // before the others. They may stop runs of other jobs, and what they wait for
 // is kept free for them. All other jobs are ordered by the time at which they
-// should have ended. Gangs are placed whole, and in one rack where that
+// should have ended; a gang among them that fits nowhere gets room gathered for
+// it. Gangs are placed whole, and in one rack where that
 // matters; single tasks fill targets that are in use already, so that whole
 // targets stay free for gangs.
 package anvilplace
