--- a/io/anvilport/port.go
+++ b/io/anvilport/port.go
@@ -20,9 +20,6 @@
 	portCount = 22_000
 )
 
-// attempts bounds the search for free ports.
-const attempts = 1000
-
 // ErrNoPort reports that no free ports were found.
 var ErrNoPort = errors.New("no free ports")
 
@@ -40,7 +37,7 @@
 func Reserve(count int) ([]int, error) {
 	mu.Lock()
 	defer mu.Unlock()
-	for range attempts {
+	for range portCount {
 		first := firstPort + next
 		next = (next + count) % (portCount - count)
 		if sockets := reserve(first, count); sockets != nil {
