Log writes to the data directory that outlast an election

Port collisions are ruled out since the ports are reserved; no instance had ended.

Voters now log event 216 when a write with its sync takes longer than the election timeout, and both harnesses print the last lines of each instance's log when a test fails.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -111,6 +111,7 @@
 			anvilraft.WithElectionTimeout(settings.Election, 2*settings.Election),
 			anvilraft.WithHeartbeat(settings.Beat),
 			anvilraft.WithSeed(uint64(wall.Now()))),
+		anvilvoter.WithLog(log, settings.Election),
 		anvilvoter.WithMachine(machine), anvilvoter.WithSend(g.send))
 	return g, nil
 }
--- a/io/anvilmeasure/system.go
+++ b/io/anvilmeasure/system.go
@@ -17,6 +17,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilport"
 	"anvilshunt/io/anvilserver"
 	"anvilshunt/io/anvilsettings"
@@ -62,6 +63,7 @@
 type instance struct {
 	layout
 	settings anvilsettings.Settings
+	log      *anvillogs.Tail
 	cancel   context.CancelFunc // nil while it doesn't run
 	ended    chan struct{}      // closed once it has ended
 	err      error              // why it ended, once ended is closed
@@ -104,7 +106,7 @@
 			settings.Data = filepath.Join(dir, l.name)
 		}
 		fabric.places[string(settings.Peer)] = l.place
-		s.instances = append(s.instances, &instance{layout: l, settings: settings})
+		s.instances = append(s.instances, &instance{layout: l, settings: settings, log: &anvillogs.Tail{}})
 		peers = append(peers, anvilsettings.Peer{Instance: settings.Instance, Address: settings.Peer, Region: l.region, Voter: l.voter})
 	}
 	for _, i := range s.instances {
@@ -127,7 +129,11 @@
 }
 
 func (s *system) start(i *instance) error {
-	server, err := anvilserver.New(i.settings, anvilserver.WithDial(s.fabric.dialer(i.place)))
+	log, err := anvillogs.New(i.log, "info")
+	if err != nil {
+		return err
+	}
+	server, err := anvilserver.New(i.settings, anvilserver.WithLog(log), anvilserver.WithDial(s.fabric.dialer(i.place)))
 	if err != nil {
 		return err
 	}
@@ -205,7 +211,7 @@
 		return failure
 	}
 	if err != nil {
-		return fmt.Errorf("%w: %s; %s", err, reason, s.describe())
+		return fmt.Errorf("%w: %s; %s\n%s", err, reason, s.describe(), s.logs())
 	}
 	return nil
 }
@@ -268,6 +274,15 @@
 	return strings.Join(list, "; ")
 }
 
+// logs returns the last lines of the logs of all instances.
+func (s *system) logs() string {
+	var text strings.Builder
+	for _, i := range s.instances {
+		fmt.Fprintf(&text, "log of %s:\n%s", i.name, i.log)
+	}
+	return text.String()
+}
+
 // absent describes the instances that aren't among the known ones.
 func (s *system) absent(known []anvilstate.Instance) string {
 	var list []string
--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -48,6 +48,7 @@
 // instance is one run of a server with a network that can be cut.
 type instance struct {
 	settings anvilsettings.Settings
+	log      anvillogs.Tail
 	server   *anvilserver.Server
 	signals  chan os.Signal
 	cancel   context.CancelFunc
@@ -153,6 +154,9 @@
 	}
 	for _, name := range s.order {
 		s.kill(name)
+		if s.t.Failed() {
+			s.t.Logf("log of %s:\n%s", name, &s.instances[name].log)
+		}
 	}
 }
 
@@ -184,12 +188,8 @@
 	s.t.Helper()
 	i := s.instances[name]
 	i.network = &network{open: map[net.Conn]bool{}}
-	log := anvillogs.Discard()
-	if os.Getenv("ANVIL_TEST_LOG") != "" {
-		var err error
-		log, err = anvillogs.New(os.Stderr, "info")
-		assert.NilError(s.t, err)
-	}
+	log, err := anvillogs.New(&i.log, "info")
+	assert.NilError(s.t, err)
 	server, err := anvilserver.New(i.settings, anvilserver.WithLog(log),
 		anvilserver.WithDial(i.network.dial),
 		anvilserver.WithListen(func(kind, address string) (net.Listener, error) {
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -56,6 +56,7 @@
 			Restore:  func(snapshot anvilraft.Snapshot) error { return v.replica.Restore(snapshot.Data) },
 			Snapshot: v.replica.Snapshot,
 		}),
+		anvilvoter.WithLog(s.log, s.settings.Timing.Election),
 		anvilvoter.WithSend(v.send))
 	v.service = anvilcontrol.NewService(v.replica, v.group(), s.settings.Timing.Hold)
 	v.driver = s.newDriver(v)
--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvildisk"
+	"anvilshunt/io/anvillogs"
 )
 
 // groupSize bounds the Saves that share one sync.
@@ -29,9 +32,13 @@
 				more = false
 			}
 		}
+		began := v.clock.Now()
 		if err := storage.Save(group...); err != nil {
 			return err
 		}
+		if took := v.clock.Now() - began; took > v.slowSave {
+			v.log.Write(anvillogs.DiskSlow, zap.Int64("took", int64(took)), zap.Int64("limit", int64(v.slowSave)))
+		}
 		reportPersisted(v.persisted, group[len(group)-1].Sequence)
 		clear(group) // frees the entries
 	}
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -21,6 +21,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvildisk"
+	"anvilshunt/io/anvillogs"
 
 	"github.com/rotisserie/eris"
 )
@@ -70,6 +71,8 @@
 	clock, wall  anvilclock.Clock
 	tick         anvilclock.Millis
 	compactAfter int
+	log          *anvillogs.Logger
+	slowSave     anvilclock.Millis
 
 	inbox     chan anvilraft.Message
 	requests  chan *request
@@ -121,6 +124,12 @@
 // WithCompactAfter sets how many applied entries cause a snapshot.
 func WithCompactAfter(entries int) Option { return func(v *Voter) { v.compactAfter = entries } }
 
+// WithLog sets the log, which gets an event for each write to the data
+// directory that takes longer than slow.
+func WithLog(log *anvillogs.Logger, slow anvilclock.Millis) Option {
+	return func(v *Voter) { v.log, v.slowSave = log, slow }
+}
+
 // New returns a voter that does nothing until Run.
 func New(id anvilid.InstanceID, opts ...Option) *Voter {
 	v := &Voter{
@@ -133,6 +142,7 @@
 		send:  func(context.Context, anvilraft.VoterID, [][]byte) error { return nil },
 		clock: anvilclock.Monotonic(), wall: anvilclock.Wall(),
 		tick: defaultTick, compactAfter: defaultCompactAfter,
+		log: anvillogs.Discard(),
 
 		inbox:     make(chan anvilraft.Message, inboxSize),
 		requests:  make(chan *request, requestSize),
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -9,9 +9,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvildisk"
+	"anvilshunt/io/anvillogs"
 
 	"gotest.tools/v3/assert"
 )
@@ -314,3 +317,25 @@
 	propose(t, []*member{sole}, "command 1")
 	assert.Equal(t, sole.state(), lines(0, 2))
 }
+
+// Guards against a slow disk that shows in no log: changes then time out for
+// no visible reason.
+func TestSlowWritesAreLogged(t *testing.T) {
+	t.Parallel()
+	const limit = 50 * anvilclock.Millisecond
+	var delay atomic.Bool
+	disk := slowDisk(func() error {
+		if delay.Load() {
+			time.Sleep(2 * limit.Duration())
+		}
+		return nil
+	})
+	var tail anvillogs.Tail
+	log, err := anvillogs.New(&tail, "warn")
+	assert.NilError(t, err)
+	_, members := newGroup(t, 1, disk, WithLog(log, limit))
+	propose(t, members, "fast")
+	delay.Store(true)
+	propose(t, members, "slow")
+	assert.Assert(t, strings.Contains(tail.String(), `"event":216`), tail.String())
+}
