anvilmeasure: don't wait for a revision that never comes

Cause: a change that failed left a gap in the revisions that the following changes were based on. They took it for one that they had overtaken, and asked again until the measurement's 150 s were over.

A change now waits only while another open change may produce its base, and is based on the present revision otherwise. TestFailedChangeHoldsNoOthers takes 10 s without this and 50 ms with it.

--- a/io/anvilmeasure/capacity.go
+++ b/io/anvilmeasure/capacity.go
@@ -132,7 +132,7 @@
 }
 
 func (s *system) capacityOfChanges(ctx context.Context, t *Table, o CapacityOptions, quiet idle) error {
-	stream := &changeStream{s: s, at: s.find("palermo-1")}
+	stream := newChangeStream(s, s.find("palermo-1"))
 	began, sent := used(), s.fabric.touching("")
 	stream.run(ctx, 10, time.Duration(o.Changes)*time.Second/10)
 	ended := used()
--- a/io/anvilmeasure/change.go
+++ b/io/anvilmeasure/change.go
@@ -27,19 +27,30 @@
 	at *instance
 
 	mu       sync.Mutex
+	open     map[int]int // changes without a result, by the revision they are based on
 	latency  sample
 	conflict int // changes that were based on a revision that had passed
 	early    int // changes said to be in force that a ready instance didn't have
 	failed   []string
 }
 
+func newChangeStream(s *system, at *instance) *changeStream {
+	return &changeStream{s: s, at: at, open: map[int]int{}}
+}
+
 // publish sends one change until it is in force on all instances.
 func (c *changeStream) publish(ctx context.Context) {
 	c.mu.Lock()
 	base := c.s.revision
 	body := c.s.changeBody(base)
 	c.s.revision++
+	c.open[base]++
 	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.open[base]--
+	}()
 	began := time.Now()
 	for ctx.Err() == nil {
 		data, err := c.s.post(c.at, "/v1/config/changes?everywhere=yes", body)
@@ -69,20 +80,37 @@
 	}
 }
 
-// rebase bases a change on the present revision if its base has passed, and
-// waits otherwise: then it has overtaken the change before it.
+// rebase bases a change on the present revision. It waits instead if the change
+// has overtaken one that may still produce its base.
 func (c *changeStream) rebase(body string, base int) (string, int) {
 	var config struct{ Revision int }
-	if err := c.s.get(c.at, "/v1/config", &config); err != nil || config.Revision < base {
+	err := c.s.get(c.at, "/v1/config", &config)
+	if err != nil || c.overtaken(config.Revision, base) {
 		time.Sleep(overtakePause)
 		return body, base
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.s.revision = max(config.Revision+1, c.s.revision)
-	c.mu.Unlock()
+	c.open[base]--
+	c.open[config.Revision]++
 	return strings.Replace(body, fmt.Sprintf(`"base": %d`, base), fmt.Sprintf(`"base": %d`, config.Revision), 1), config.Revision
 }
 
+// overtaken tells whether an open change is based on one of the revisions from
+// present up to base. Without one, base is never reached, because a change
+// before it has failed.
+func (c *changeStream) overtaken(present, base int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for revision := present; revision < base; revision++ {
+		if c.open[revision] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // done records a change and checks that every instance that admits requests
 // has it.
 func (c *changeStream) done(latency time.Duration, revision int) {
@@ -136,7 +164,7 @@
 				if err := s.lead("palermo-1"); err != nil {
 					return nil, err
 				}
-				stream := &changeStream{s: s, at: s.find("palermo-2")}
+				stream := newChangeStream(s, s.find("palermo-2"))
 				stop := s.flap(condition.cut, o.Period)
 				stream.run(ctx, rate, o.Span)
 				stop()
--- a/io/anvilmeasure/link.go
+++ b/io/anvilmeasure/link.go
@@ -125,7 +125,7 @@
 		{"repeatable request without id", "catania-2", false, "yes"},
 	}
 	changes, err := s.linkDuring(idle, func() error {
-		stream := &changeStream{s: s, at: s.find("palermo-2")}
+		stream := newChangeStream(s, s.find("palermo-2"))
 		stream.run(ctx, 10, time.Duration(o.Count)*time.Second/10)
 		if len(stream.failed) > 0 {
 			return fmt.Errorf("a change failed: %s", stream.failed[0])
--- a/io/anvilmeasure/measure_test.go
+++ b/io/anvilmeasure/measure_test.go
@@ -4,13 +4,20 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os/exec"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilsettings"
 )
 
 // Guards against measurements that no longer run with the program they
@@ -126,3 +133,41 @@
 		})
 	}
 }
+
+// Guards against a measurement that waits to its end for a revision that never
+// comes, because the change that was to produce it has failed.
+func TestFailedChangeHoldsNoOthers(t *testing.T) {
+	var mu sync.Mutex
+	revision, refused := 1, false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		var change struct{ Base int }
+		if r.Method == http.MethodPost {
+			assert.Check(t, json.NewDecoder(r.Body).Decode(&change))
+		}
+		switch {
+		case r.Method == http.MethodGet:
+		case !refused:
+			refused = true
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case change.Base != revision:
+			w.WriteHeader(http.StatusConflict)
+			_, _ = io.WriteString(w, "stale_revision")
+			return
+		default:
+			revision++
+		}
+		_, _ = fmt.Fprintf(w, `{"revision": %d, "everywhere": true}`, revision)
+	}))
+	defer server.Close()
+	at := &instance{settings: anvilsettings.Settings{Public: anvilid.Address(server.Listener.Addr().String())}}
+	stream := newChangeStream(&system{client: server.Client(), revision: revision}, at)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	stream.run(ctx, 100, 50*time.Millisecond)
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, len(stream.failed), 1)
+	assert.Equal(t, revision, 1+len(stream.latency))
+}
