Elect a leader while syncs take longer than an election

Cause: a vote is synced before it is sent, on the candidate and on the voters, and a candidate asked again 150 to 300 ms after its last attempt. Each attempt voids the votes of the one before. With syncs over 150 ms on two disks no leader was ever elected; the terms rose instead. The logs of failed tests beside heavy writers show it: terms 13, 14, 27 within 17 s.

A node starts no new attempt while its own vote is unsynced, waits for two syncs as long as the last, and doubles the wait with each failed campaign.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -7,6 +7,10 @@
 	"anvilshunt/core/anvilid"
 )
 
+// maximumDoublings bounds the wait between two campaigns to 16 minimum
+// election timeouts, which lets syncs take several of them.
+const maximumDoublings = 4
+
 // ballot is a granted vote or pre-vote.
 type ballot = VoterID
 
@@ -17,8 +21,22 @@
 
 // retryElection chooses when to ask again after a split vote. No leader is
 // disturbed by an early attempt, so it comes sooner than an election timeout.
+// Votes are synced before they are sent, and a new attempt voids those that a
+// slow disk still holds back. The time therefore covers two syncs that take as
+// long as the last one here, and doubles with each failed campaign.
 func (n *Node) retryElection() {
-	n.electionAt = n.now + n.between(n.options.electionMin/2, n.options.electionMin)
+	span := n.between(n.options.electionMin/2, n.options.electionMin)
+	n.electionAt = n.now + span<<min(n.campaigns, maximumDoublings) + 2*n.persisted.hardSpan
+}
+
+// waitAfterSync chooses when to ask after the term or the vote of this node
+// was synced. What depends on it is only sent now.
+func (n *Node) waitAfterSync() {
+	if n.role == Candidate {
+		n.retryElection()
+	} else {
+		n.resetElection()
+	}
 }
 
 func (n *Node) between(minimum, maximum anvilclock.Millis) anvilclock.Millis {
@@ -50,6 +68,7 @@
 	n.role = Candidate
 	n.hard.Vote = n.self
 	n.retryElection()
+	n.campaigns++
 	n.requestVotes(MessageVote, n.hard.Term)
 }
 
@@ -109,7 +128,7 @@
 
 // countOwnVote counts a candidate's vote for itself once it is synced.
 func (n *Node) countOwnVote() {
-	if n.persisted.synced >= n.persisted.hardSequence {
+	if !n.persisted.holdsBack() {
 		n.addBallot(n.self)
 	}
 }
--- a/core/anvilraft/follower.go
+++ b/core/anvilraft/follower.go
@@ -21,7 +21,7 @@
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.heardAt = n.now
+	n.heardAt, n.campaigns = n.now, 0
 	n.resetElection()
 	n.follower.sent = max(n.follower.sent, m.Sent)
 	n.follower.round = max(n.follower.round, m.Round)
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -22,7 +22,7 @@
 // becomeLeader starts leading with an empty entry. Entries of earlier terms
 // can only be counted as committed together with an entry of this term.
 func (n *Node) becomeLeader() {
-	n.role, n.leader, n.ballots = Leader, n.self, nil
+	n.role, n.leader, n.ballots, n.campaigns = Leader, n.self, nil, 0
 	n.leading = leaderState{heartbeatAt: n.now + n.options.heartbeat}
 	for _, entry := range n.log.between(n.commit+1, n.log.last()) {
 		n.leading.uncommitted += entry.size()
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -30,6 +30,8 @@
 	// electionAt is when the election timeout expires.
 	electionAt anvilclock.Millis
 	ballots    []ballot
+	// campaigns counts the campaigns since this node last knew a leader.
+	campaigns int
 
 	follower  followerState
 	incoming  *incomingSnapshot
@@ -109,7 +111,8 @@
 		}
 		return
 	}
-	if n.now >= n.electionAt && n.members.latest().IsVoter(n.self) {
+	// A node whose disk still holds back its vote would only add to the writes.
+	if n.now >= n.electionAt && !n.persisted.holdsBack() && n.members.latest().IsVoter(n.self) {
 		n.preCampaign()
 	}
 }
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -1,6 +1,9 @@
 package anvilraft
 
-import "anvilshunt/core/anvilid"
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
 
 // maximumHeld bounds the messages withheld while a disk is slow. The oldest
 // ones are dropped; the protocol tolerates lost messages.
@@ -15,7 +18,10 @@
 	pending []pendingSave
 	// hardSequence is the Save that holds the current hard state.
 	hardSequence uint64
-	held         []heldMessage
+	// hardAt is when that Save was made, and hardSpan how long the last Save of
+	// a hard state took.
+	hardAt, hardSpan anvilclock.Millis
+	held             []heldMessage
 
 	// What the Save of the current step will contain.
 	hard     bool
@@ -33,10 +39,14 @@
 	message  Message
 }
 
+// holdsBack tells whether messages wait for the sync of the hard state.
+func (p *persistence) holdsBack() bool { return p.hardSequence > p.synced }
+
 // changedHard schedules the hard state for the Save of this step.
 func (n *Node) changedHard() {
 	n.persisted.hard = true
 	n.persisted.hardSequence = n.persisted.sequence + 1
+	n.persisted.hardAt = n.now
 }
 
 // appendToLog appends entries to the log and schedules them for saving.
@@ -75,7 +85,13 @@
 // saved handles Persisted.
 func (n *Node) saved(sequence uint64) {
 	p := &n.persisted
+	held := p.holdsBack()
 	p.synced = max(p.synced, min(sequence, p.sequence))
+	if held && !p.holdsBack() {
+		// A process that was suspended meanwhile must not wait as long again.
+		p.hardSpan = min(n.now-p.hardAt, n.options.electionMin<<maximumDoublings)
+		n.waitAfterSync()
+	}
 	done := 0
 	for ; done < len(p.pending) && p.pending[done].sequence <= p.synced; done++ {
 		p.stable = max(p.stable, p.pending[done].last)
@@ -98,7 +114,7 @@
 	if m.Term == 0 {
 		m.Term = n.hard.Term
 	}
-	if p := &n.persisted; p.hardSequence > p.synced {
+	if p := &n.persisted; p.holdsBack() {
 		p.held = append(p.held, heldMessage{p.hardSequence, m})
 		return
 	}
