Answer commands and joins while syncs take longer than a call

A call for a command is given up after 500 ms and made anew, so no result ever arrives while a commit takes longer; each new call adds an entry. A join that went in unnoticed expires after one lease of 900 ms.

The time of a call doubles with each call that got no answer. After an unanswered join the instance polls, which renews the session if it exists.

TestSlowCommitsAreAnswered: 10 s without a result before, third call answered now.

The harness's slow disk moves from anvilvoter's tests to io/anvilfault, for both.

--- a/io/anvilcontrol/client.go
+++ b/io/anvilcontrol/client.go
@@ -23,7 +23,8 @@
 const retryPause = 20 * time.Millisecond
 
 // One call that isn't held by the leader takes at most this long before the
-// next voter is tried.
+// next voter is tried. For commands the time doubles with each call that got
+// no answer, up to the end of the command.
 const callTimeout = 500 * time.Millisecond
 
 // After a call that no voter answered, other voters are asked to pass calls on
@@ -131,10 +132,18 @@
 		return result, false, err
 	}
 	request := &anvilrpc.ProposeRequest{Command: data, Everywhere: everywhere}
+	timeout := callTimeout
+	if everywhere {
+		timeout = everywhereTimeout
+	}
 	var last error
 	for ctx.Err() == nil {
 		address := c.pick()
-		reply, err := c.call(ctx, address, request)
+		reply, unanswered, err := c.call(ctx, address, request, timeout)
+		if unanswered {
+			// The leader may be waiting for its disk.
+			timeout *= 2
+		}
 		pause := c.learn(address, err)
 		if err == nil {
 			err = anvilstate.Decode(reply.Result, &result)
@@ -151,15 +160,13 @@
 	return result, false, fmt.Errorf("%w: %w", ErrUnavailable, last)
 }
 
-func (c *Client) call(ctx context.Context, address anvilid.Address, request *anvilrpc.ProposeRequest) (*anvilrpc.ProposeReply, error) {
-	timeout := callTimeout
-	if request.Everywhere {
-		timeout = everywhereTimeout
-	}
+// call makes one call and tells whether it ended without an answer in time.
+func (c *Client) call(ctx context.Context, address anvilid.Address, request *anvilrpc.ProposeRequest, timeout time.Duration) (reply *anvilrpc.ProposeReply, unanswered bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request.Relay = c.relays()
-	return c.dial(address).Propose(ctx, request)
+	reply, err = c.dial(address).Propose(ctx, request)
+	return reply, ctx.Err() != nil, err
 }
 
 func sleep(ctx context.Context, span time.Duration) {
--- /dev/null
+++ b/io/anvilcontrol/client_test.go
@@ -0,0 +1,46 @@
+package anvilcontrol
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilrpc"
+)
+
+// slowLeader answers a command once its commit, which takes a time, is done.
+type slowLeader struct {
+	anvilrpc.Control
+	commit time.Duration
+	calls  int
+}
+
+func (l *slowLeader) Propose(ctx context.Context, _ *anvilrpc.ProposeRequest) (*anvilrpc.ProposeReply, error) {
+	l.calls++
+	select {
+	case <-time.After(l.commit):
+		result, err := anvilstate.Encode(&anvilstate.Result{})
+		return &anvilrpc.ProposeReply{Result: result}, err
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.DeadlineExceeded, ctx.Err().Error())
+	}
+}
+
+// Guards against a client that never learns a result while each commit takes
+// longer than one call, because the disks of the voters are slow: it would ask
+// again and again, each time with a new entry of the log.
+func TestSlowCommitsAreAnswered(t *testing.T) {
+	t.Parallel()
+	leader := &slowLeader{commit: 3 * callTimeout}
+	client := NewClient([]anvilid.Address{"leader"}, func(anvilid.Address) anvilrpc.Control { return leader })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*callTimeout)
+	defer cancel()
+	_, err := client.Propose(ctx, &anvilstate.Command{})
+	assert.NilError(t, err)
+	assert.Equal(t, leader.calls, 3)
+}
--- /dev/null
+++ b/io/anvilfault/disk.go
@@ -0,0 +1,28 @@
+// Package anvilfault provides faults of the system for tests.
+package anvilfault
+
+import "anvilshunt/io/anvildisk"
+
+// BeforeSync returns the file calls of the operating system with a function
+// that runs before each sync of a file, and whose error replaces the sync.
+func BeforeSync(before func() error) anvildisk.Files {
+	files := anvildisk.OSFiles()
+	hook := func(open func(string) (*anvildisk.File, error)) func(string) (*anvildisk.File, error) {
+		return func(path string) (*anvildisk.File, error) {
+			file, err := open(path)
+			if err != nil {
+				return nil, err
+			}
+			sync := file.Sync
+			file.Sync = func() error {
+				if err := before(); err != nil {
+					return err
+				}
+				return sync()
+			}
+			return file, nil
+		}
+	}
+	files.Open, files.Create = hook(files.Open), hook(files.Create)
+	return files
+}
--- a/io/anvilserver/harness_test.go
+++ b/io/anvilserver/harness_test.go
@@ -20,6 +20,8 @@
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvildisk"
+	"anvilshunt/io/anvilfault"
 	"anvilshunt/io/anvilhttp"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilport"
@@ -43,6 +45,7 @@
 	targets   map[string]*anviltarget.Target
 	client    *http.Client
 	base      anvilsettings.Settings
+	syncTime  atomic.Int64 // what each sync of a voter takes longer, in nanoseconds
 }
 
 // instance is one run of a server with a network that can be cut.
@@ -190,7 +193,12 @@
 	i.network = &network{open: map[net.Conn]bool{}}
 	log, err := anvillogs.New(&i.log, "info")
 	assert.NilError(s.t, err)
+	files := anvilfault.BeforeSync(func() error {
+		time.Sleep(time.Duration(s.syncTime.Load()))
+		return nil
+	})
 	server, err := anvilserver.New(i.settings, anvilserver.WithLog(log),
+		anvilserver.WithDisk(anvildisk.WithFiles(files)),
 		anvilserver.WithDial(i.network.dial),
 		anvilserver.WithListen(func(kind, address string) (net.Listener, error) {
 			l, err := net.Listen(kind, address)
--- a/io/anvilserver/renew.go
+++ b/io/anvilserver/renew.go
@@ -39,12 +39,15 @@
 }
 
 func (s *Server) join(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	attempt, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	result, err := s.client.Propose(ctx, &anvilstate.Command{Join: &anvilstate.JoinInstance{Instance: s.self()}})
+	result, err := s.client.Propose(attempt, &anvilstate.Command{Join: &anvilstate.JoinInstance{Instance: s.self()}})
 	if err != nil {
 		s.log.Write(anvillogs.ProposalFailed, zap.String("command", "join"), zap.Error(err))
-		return false
+		// It may have been accepted all the same, and its session would expire
+		// before another join is answered.
+		known, _ := s.poll(ctx)
+		return known
 	}
 	if result.Code != "" {
 		// An earlier run had a later clock. Incarnations only have to grow.
@@ -69,6 +72,15 @@
 
 // renewOnce makes one long poll. It returns false if the session has ended.
 func (s *Server) renewOnce(ctx context.Context) bool {
+	known, answered := s.poll(ctx)
+	if answered && !known {
+		s.rejoin()
+	}
+	return known || !answered
+}
+
+// poll makes one long poll, which renews the lease if the session is known.
+func (s *Server) poll(ctx context.Context) (known, answered bool) {
 	s.mu.Lock()
 	applied := s.view.Index
 	s.mu.Unlock()
@@ -79,21 +91,20 @@
 	}, s.settings.Timing.Hold)
 	if err != nil {
 		s.log.Write(anvillogs.RenewalFailed, zap.Error(err))
-		return true
+		return false, false
 	}
 	var delta anvilstate.Delta
 	if err := anvilstate.Decode(reply.Delta, &delta); err != nil {
 		s.log.Write(anvillogs.RenewalFailed, zap.Error(err))
-		return true
+		return false, false
 	}
 	s.apply(&delta)
 	if !reply.Known {
-		s.rejoin()
-		return false
+		return false, true
 	}
 	s.extend(sent, anvilclock.Millis(reply.Lease))
 	s.desk.Hear(reply.Loads)
-	return true
+	return true, true
 }
 
 func (s *Server) extend(sent, span anvilclock.Millis) {
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -21,6 +21,7 @@
 	"anvilshunt/core/anvilview"
 	"anvilshunt/io/anvilcontrol"
 	"anvilshunt/io/anvildesk"
+	"anvilshunt/io/anvildisk"
 	"anvilshunt/io/anvilfleet"
 	"anvilshunt/io/anvilgang"
 	"anvilshunt/io/anvillink"
@@ -40,6 +41,7 @@
 	log      *anvillogs.Logger
 	listen   func(network, address string) (net.Listener, error)
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	disk     []anvildisk.Option
 
 	incarnation atomic.Uint64
 	links       *anvillink.Links
@@ -80,6 +82,11 @@
 	return func(s *Server) { s.dial = dial }
 }
 
+// WithDisk adds options of the data directory.
+func WithDisk(opts ...anvildisk.Option) Option {
+	return func(s *Server) { s.disk = opts }
+}
+
 // New returns an instance that isn't running yet. It opens the data
 // directory, if there is one.
 func New(settings anvilsettings.Settings, opts ...Option) (*Server, error) {
--- a/io/anvilserver/voter.go
+++ b/io/anvilserver/voter.go
@@ -36,14 +36,14 @@
 // openVoter opens the data directory, so that a wrong or damaged one stops
 // the start of the instance.
 func openVoter(s *Server) (*voter, error) {
-	id, empty, err := anvilvoter.Inspect(s.settings.Instance, s.settings.Data)
+	id, empty, err := anvilvoter.Inspect(s.settings.Instance, s.settings.Data, s.disk...)
 	if err != nil {
 		return nil, eris.Wrap(err, "open the data directory")
 	}
 	v := &voter{server: s, id: id, empty: empty}
 	v.replica = anvilcontrol.NewReplica(s.clock, s.log, s.settings.Timing.Lease)
 	v.node = anvilvoter.New(s.settings.Instance,
-		anvilvoter.WithDir(s.settings.Data),
+		anvilvoter.WithDir(s.settings.Data, s.disk...),
 		anvilvoter.WithClocks(s.clock, s.wall),
 		anvilvoter.WithNode(
 			anvilraft.WithElectionTimeout(s.settings.Timing.Election, 2*s.settings.Timing.Election),
@@ -169,7 +169,7 @@
 			_, _ = rand.Read(group[:])
 			id := anvilraft.GroupID(binary.LittleEndian.Uint64(group[:]) | 1) // never zero
 			v.server.log.Write(anvillogs.GroupFounded)
-			return anvilvoter.Found(v.server.settings.Data, anvilraft.Bootstrap(id, v.id))
+			return anvilvoter.Found(v.server.settings.Data, anvilraft.Bootstrap(id, v.id), v.server.disk...)
 		}
 		v.server.log.Write(anvillogs.GroupAwaited, zap.String("missing", string(missing)))
 		pause(ctx, joinPause)
--- a/io/anvilvoter/group_test.go
+++ b/io/anvilvoter/group_test.go
@@ -14,6 +14,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvildisk"
+	"anvilshunt/io/anvilfault"
 
 	"gotest.tools/v3/assert"
 )
@@ -211,26 +212,9 @@
 	return others
 }
 
-// slowDisk returns the calls of the operating system with a function that runs
-// before each sync of a file.
+// slowDisk runs a function before each sync of a file.
 func slowDisk(before func() error) Option {
-	files := anvildisk.OSFiles()
-	hook := func(open func(string) (*anvildisk.File, error)) func(string) (*anvildisk.File, error) {
-		return func(path string) (*anvildisk.File, error) {
-			file, err := open(path)
-			if err != nil {
-				return nil, err
-			}
-			sync := file.Sync
-			file.Sync = func() error {
-				if err := before(); err != nil {
-					return err
-				}
-				return sync()
-			}
-			return file, nil
-		}
+	return func(v *Voter) {
+		v.diskOptions = append(v.diskOptions, anvildisk.WithFiles(anvilfault.BeforeSync(before)))
 	}
-	files.Open, files.Create = hook(files.Open), hook(files.Create)
-	return func(v *Voter) { v.diskOptions = append(v.diskOptions, anvildisk.WithFiles(files)) }
 }
