Keep cleared room with its urgent job though its target seems slow

A target whose runs are all being stopped shows no progress and counts as slow; it was then closed to the very job it was cleared for, other targets were cleared instead, and its room was handed out.

Ruled out: jobs that take kept room from each other (kept targets are closed to others); unanswered calls (the targets were usable).

A target that is kept for the urgent job being served stays open to it. TestClearedTargetTurnsSlow stopped one run more before.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -55,7 +55,14 @@
 
 // closed nodes take no tasks of the job that is being served.
 func (n *node) closed() bool {
-	return !n.usable || n.slow || n.reserved && n.planner.waits || n.keptFromServing()
+	return !n.usable || n.slow && !n.cleared() || n.reserved && n.planner.waits || n.keptFromServing()
+}
+
+// cleared tells whether the node is kept for the urgent job that is being
+// served. It stays with that job even if it seems slow now: runs that are
+// stopped no longer progress, and elsewhere more would have to be stopped.
+func (n *node) cleared() bool {
+	return n.planner.urgent && n.keeper != "" && n.keeper == n.planner.serving
 }
 
 // keptFromServing tells whether the node waits for another job.
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -72,6 +72,27 @@
 	assert.Equal(t, len(w.assigned("u")), 2)
 }
 
+// TestClearedTargetTurnsSlow answers the pattern of a full system in which runs
+// are stopped for an urgent gang, and their target seems slow while they stop.
+// It guards against stopping others elsewhere as well, and against giving the
+// room that was paid for to other jobs.
+func TestClearedTargetTurnsSlow(t *testing.T) {
+	w := newWorld(t, 1, 3, 16)
+	w.submit("c", "common", "b", anvilwork.Step{Count: 3, Need: gpus(8)})
+	w.plan()
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, Tight: true})
+	w.submit("d", "common", "b", anvilwork.Step{Count: 8, Need: gpus(1)})
+	w.now += reclaimSpan
+	evicted := w.plan().Evict
+	assert.Equal(t, len(evicted), 2)
+	w.slow[evicted[0].Target] = true
+	assert.Equal(t, len(w.plan().Evict), 0)
+	w.endStopping()
+	w.plan()
+	assert.Equal(t, len(w.assigned("u")), 2)
+	assert.Equal(t, len(w.assigned("d")), 0)
+}
+
 // TestGuarantee guards against urgent work beyond a guarantee that keeps an
 // account from its own, and against stopping work that is within a guarantee.
 func TestGuarantee(t *testing.T) {
