Correct the reason why cleared targets stay open

Lines of a debug build show all runs of such a target at half their former rate at once, or at a fifth: the target really is slower for a moment, or its report was late.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -59,8 +59,8 @@
 }
 
 // cleared tells whether the node is kept for the urgent job that is being
-// served. It stays with that job even if it seems slow now: runs that are
-// stopped no longer progress, and elsewhere more would have to be stopped.
+// served. It stays with that job even if it seems slow now, because elsewhere
+// more runs would have to be stopped.
 func (n *node) cleared() bool {
 	return n.planner.urgent && n.keeper != "" && n.keeper == n.planner.serving
 }
