--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -248,7 +248,7 @@
 		r.advisor.Forget(id)
 		_, due := anvilplace.Span(job, r.state.Terms(job), 0)
 		r.log.Write(anvillogs.WorkEnded, zap.String("job", string(id)), zap.String("queue", string(job.Queue)),
-			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(first-job.Accepted)),
+			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(waited(job, first))),
 			zap.Int64("took", int64(job.Ended-job.Accepted)), zap.Int64("limit", int64(due-job.Accepted)))
 	}
 	for _, job := range r.state.Active() {
@@ -263,6 +263,14 @@
 	}
 }
 
+// waited is the time until a job first had a run, or until its end if it had none.
+func waited(job *anvilwork.Job, first anvilclock.Millis) anvilclock.Millis {
+	if first == 0 {
+		first = job.Ended
+	}
+	return first - job.Accepted
+}
+
 // send gives the orders, each in a goroutine of its own: the connections to
 // one target are few and bounded by the client.
 func (r *leadership) send(effects anvilorder.Effects) {
