Spare jobs that are done just in time when runs are stopped

Victims were chosen by lost work alone.

The loss of a run counts three times if its job isn't done in time when the run begins anew, by the estimates of its step and those after it. TestTightJobsAreSpared stops the wrong run without it.

--- a/core/anvilplace/evict.go
+++ b/core/anvilplace/evict.go
@@ -15,6 +15,9 @@
 	gpuWeight = 8
 	// urgentLoss puts runs of urgent jobs behind all others, in core-milliseconds.
 	urgentLoss = 1e12
+	// tightLoss scales the loss of a run whose job isn't done in time if the run
+	// begins anew: its worth is lost besides its work.
+	tightLoss = 3
 	// stopSpan is the time from the decision to stop runs to the start of what
 	// takes their room: the stop itself, two commits and the calls.
 	stopSpan = 1100 * anvilclock.Millisecond
@@ -260,11 +263,22 @@
 	return lost
 }
 
-// lossOf is the loss of a run, by which those of urgent jobs come last.
+// lossOf is the loss of a run, by which those of urgent jobs come last, and
+// those of jobs that can wait come first.
 func (p *planner) lossOf(t *tenant) float64 {
 	lost := Loss(t.job, t.task, p.Now)
-	if p.State.Terms(t.job).Priority == 0 {
+	terms := p.State.Terms(t.job)
+	switch {
+	case terms.Priority == 0:
 		lost += urgentLoss
+	case p.tight(t, terms):
+		lost *= tightLoss
 	}
 	return lost
 }
+
+// tight tells whether a job isn't done in time if a run of it begins anew.
+func (p *planner) tight(t *tenant, terms anvilwork.Terms) bool {
+	_, due := Span(t.job, terms, t.task.Occurrence)
+	return p.Now+anvilclock.Millis(riskChain*float64(chains(t.job)[t.task.Step])) > due
+}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -222,15 +222,23 @@
 // chain is the estimate of the longest chain of steps.
 func chain(job *anvilwork.Job) anvilclock.Millis {
 	var longest anvilclock.Millis
-	ends := make([]anvilclock.Millis, len(job.Spec.Steps))
-	for i, step := range job.Spec.Steps {
+	for _, span := range chains(job) {
+		longest = max(longest, span)
+	}
+	return longest
+}
+
+// chains lists the estimates of the longest chains that begin with each step.
+func chains(job *anvilwork.Job) []anvilclock.Millis {
+	steps := job.Spec.Steps
+	spans := make([]anvilclock.Millis, len(steps))
+	for i, step := range slices.Backward(steps) {
+		spans[i] += step.Estimate
 		for _, earlier := range step.After {
-			ends[i] = max(ends[i], ends[earlier])
+			spans[earlier] = max(spans[earlier], spans[i])
 		}
-		ends[i] += step.Estimate
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return spans
 }
 
 // compare orders units: assured ones, other urgent ones, then by due time.
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -38,6 +38,32 @@
 	assert.DeepEqual(t, evicted(w.plan()), []anvilid.JobID{"saves"})
 }
 
+// TestTightJobsAreSpared answers the pattern of a full system with jobs that
+// can wait and jobs that are done just in time. It guards against stopping the
+// latter for an urgent job, so that they are late, where a run of a job that can
+// wait loses somewhat more work.
+func TestTightJobsAreSpared(t *testing.T) {
+	w := newWorld(t, 1, 2, 8)
+	slack := anvilwork.Step{Count: 1, Need: gpus(8), Estimate: 60_000}
+	w.submit("slack", "common", "b", slack)
+	w.plan()
+	w.now += 4000
+	w.submit("tight", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8), Estimate: 4000})
+	w.plan()
+	w.now += 11_000
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 1, Need: gpus(8)})
+	assert.DeepEqual(t, evicted(w.plan()), []anvilid.JobID{"slack"})
+}
+
+// TestChains guards against a wrong estimate of what follows a step.
+func TestChains(t *testing.T) {
+	job := &anvilwork.Job{Spec: anvilwork.Spec{Steps: []anvilwork.Step{
+		{Estimate: 1000}, {Estimate: 500, After: []int{0}}, {Estimate: 700}, {Estimate: 200, After: []int{1, 2}},
+	}}}
+	assert.DeepEqual(t, chains(job), []anvilclock.Millis{1700, 700, 900, 200})
+	assert.Equal(t, chain(job), anvilclock.Millis(1700))
+}
+
 // TestPatience guards against stopping work for an urgent job that would end in
 // time even if it waited for a run that ends by itself.
 func TestPatience(t *testing.T) {
