Start the search for a lost entry at a seed of today's elections

From seed 1225 on, the first schedule that broke anything was 1435, and it broke the recovery, not one of the three invariants that the test names.

Ruled out: a group that doesn't recover because of the new elections. Without the sync, seeds 1435, 1445 and 1720 end with a stable leader and a follower that lacks entries that it had acknowledged, so that nothing commits; the former elections did so too (seed 1899).

The search starts at 1100, the first seed that breaks one of the three (of 900 tried, 8 do so; before, 9 of 900). The invariants stay as they were.

--- a/core/anvilproof/proof_test.go
+++ b/core/anvilproof/proof_test.go
@@ -108,7 +108,7 @@
 		{staleDelta, []string{neverBack, inForce}, 1004},
 		{releaseFirst, []string{oneOwner}, 1000},
 		{baseCompared, []string{linearizable}, 1000},
-		{syncFirst, []string{neverLost, noPanic, linearizable}, 1225},
+		{syncFirst, []string{neverLost, noPanic, linearizable}, 1100},
 		{readBarrier, []string{linearizable}, 1000},
 		{lateGrantIgnored, []string{oneRun, trueNotRun}, 1000},
 	} {
