--- a/io/anvilmeasure/system.go
+++ b/io/anvilmeasure/system.go
@@ -112,7 +112,7 @@
 		s.close()
 		return nil, err
 	}
-	if _, err := s.post(s.instances[0], "/v1/config/changes?everywhere=yes", baseConfig); err != nil {
+	if err := s.publishBase(); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -120,6 +120,20 @@
 	return s, nil
 }
 
+// publishBase publishes the base configuration. It is sent again until it is
+// accepted: its id makes sure that it takes effect once.
+func (s *system) publishBase() error {
+	var failure error
+	err := eventually("the base configuration is in force", func() bool {
+		_, failure = s.post(s.instances[0], "/v1/config/changes?everywhere=yes", baseConfig)
+		return failure == nil
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %w\n%s", err, failure, s.logs())
+	}
+	return nil
+}
+
 func (s *system) start(i *instance) error {
 	log, err := anvillogs.New(i.log, "info")
 	if err != nil {
