Release the lock of a data directory for good

The log, now printed, shows it: 'new control group founded', and 8 ms later 'voter stopped: data directory is in use by another process'. The founder writes the first entry, closes the directory, and opens it again as a voter. The test starts other programs meanwhile; between fork and exec such a process holds a copy of the lock file, and closing ours leaves the lock to it. On a busy machine that lasts for several milliseconds.

The lock is given up explicitly, which copies don't outlive. TestReleasedLockIsFree failed with 'data directory is in use' before.

--- a/io/anvildisk/files.go
+++ b/io/anvildisk/files.go
@@ -1,6 +1,7 @@
 package anvildisk
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 
@@ -111,5 +112,9 @@
 		}
 		return nil, err
 	}
-	return file.Close, nil
+	return func() error {
+		// A process that is being started holds copies of all files until it
+		// runs its program, and closing this one would leave the lock to it.
+		return errors.Join(unix.Flock(int(file.Fd()), unix.LOCK_UN), file.Close())
+	}, nil
 }
--- a/io/anvildisk/storage_test.go
+++ b/io/anvildisk/storage_test.go
@@ -7,12 +7,14 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"syscall"
 	"testing"
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -306,3 +308,32 @@
 	}
 	assert.NilError(t, storage.Save(anvilraft.Save{From: 6, Entries: entries(6, 6, 2)}))
 }
+
+// Guards against a lock that outlives its release, because a process that is
+// started at that moment holds a copy of the file: the group was founded in a
+// directory that its voter then could not open.
+func TestReleasedLockIsFree(t *testing.T) {
+	path := filepath.Join(t.TempDir(), lockName)
+	release, err := lockFile(path)
+	assert.NilError(t, err)
+	copied := false
+	entries, err := os.ReadDir("/proc/self/fd")
+	assert.NilError(t, err)
+	for _, entry := range entries {
+		if target, err := os.Readlink("/proc/self/fd/" + entry.Name()); err != nil || target != path {
+			continue
+		}
+		fd, err := strconv.Atoi(entry.Name())
+		assert.NilError(t, err)
+		kept, err := unix.Dup(fd)
+		assert.NilError(t, err)
+		defer unix.Close(kept)
+		copied = true
+		break
+	}
+	assert.Assert(t, copied)
+	assert.NilError(t, release())
+	again, err := lockFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, again())
+}
