Count the accelerators of usable targets once a plan

The parts held back for urgent jobs and gathered for gangs each went over all targets for the same sum, and the limit of the second was kept beside what it follows from. The sum is taken where the targets are surveyed.

--- a/core/anvilplace/gather.go
+++ b/core/anvilplace/gather.go
@@ -34,7 +34,7 @@
 		return
 	}
 	p.release(u)
-	if p.gathers >= gathersAPlan || p.gathered >= p.gatherLimit {
+	if p.gathers >= gathersAPlan || p.gathered >= p.gatherLimit() {
 		return
 	}
 	p.gathers++
@@ -43,7 +43,7 @@
 		if spots == nil {
 			continue
 		}
-		if p.gathered+accelerators(spots) <= p.gatherLimit {
+		if p.gathered+accelerators(spots) <= p.gatherLimit() {
 			p.gathered += accelerators(spots)
 			p.keep(u, spots)
 		}
@@ -64,22 +64,16 @@
 		}
 		return n.within(last)
 	})
-	if kept == nil || p.gathered+accelerators(kept) > p.gatherLimit {
+	if kept == nil || p.gathered+accelerators(kept) > p.gatherLimit() {
 		return false
 	}
 	p.gathered += accelerators(kept)
 	return true
 }
 
-// limitGather works out how many accelerators may be gathered.
-func (p *planner) limitGather() {
-	var all anvilid.AcceleratorCount
-	for _, n := range p.nodes {
-		if n.usable {
-			all += n.target.Room.GPU
-		}
-	}
-	p.gatherLimit = anvilid.AcceleratorCount(gatherShare * float64(all))
+// gatherLimit is how many accelerators may be gathered.
+func (p *planner) gatherLimit() anvilid.AcceleratorCount {
+	return anvilid.AcceleratorCount(gatherShare * float64(p.capacity))
 }
 
 func accelerators(spots []spot) anvilid.AcceleratorCount {
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -111,6 +111,9 @@
 			planner: p, target: target, usable: !target.Leaving && p.Usable(target.ID),
 			slow: p.Avoid(target.ID), free: target.Room, tasks: map[anvilwork.StepKey]int{},
 		}
+		if n.usable {
+			p.capacity += target.Room.GPU
+		}
 		p.nodes = append(p.nodes, n)
 		p.byID[target.ID] = n
 		r := racks[target.Rack]
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -64,6 +64,8 @@
 	nodes    []*node
 	byID     map[anvilid.TargetID]*node
 	racks    []*rack
+	// capacity counts the accelerators of targets that may be given work.
+	capacity anvilid.AcceleratorCount
 	// used counts the accelerators of unfinished urgent jobs by account.
 	used map[anvilid.AccountID]anvilid.AcceleratorCount
 	// serving is the job that is being served, and urgent tells that it is.
@@ -75,10 +77,8 @@
 	keptBy map[anvilid.JobID][]*node
 	// blockedAt is the smallest gang of each shape that found no room.
 	blockedAt map[shape]int
-	// gatherLimit bounds gathered, and gathers counts the gangs for which room
-	// was sought in this plan.
-	gatherLimit anvilid.AcceleratorCount
-	gathers     int
+	// gathers counts the gangs for which room was sought in this plan.
+	gathers int
 	// gathered counts the accelerators of targets that are kept for gangs that
 	// aren't urgent.
 	gathered anvilid.AcceleratorCount
@@ -93,7 +93,6 @@
 		runs: map[anvilwork.StepKey][]victim{}, keptBy: map[anvilid.JobID][]*node{}, blockedAt: map[shape]int{},
 	}
 	p.survey()
-	p.limitGather()
 	p.holdBack()
 	p.account()
 	units := p.queue()
--- a/core/anvilplace/reserve.go
+++ b/core/anvilplace/reserve.go
@@ -55,13 +55,7 @@
 // holdBack marks whole racks for urgent jobs, the last ones first. A gang needs
 // room in one rack, so that room spread over all of them would not help.
 func (p *planner) holdBack() {
-	var all anvilid.AcceleratorCount
-	for _, n := range p.nodes {
-		if n.usable {
-			all += n.target.Room.GPU
-		}
-	}
-	left := min(p.Reserve, anvilid.AcceleratorCount(reserveShare*float64(all)))
+	left := min(p.Reserve, anvilid.AcceleratorCount(reserveShare*float64(p.capacity)))
 	for _, r := range slices.Backward(p.racks) {
 		for _, n := range r.nodes {
 			if left <= 0 {
