Look up machines in upkeep by a set

While a wave ran, each plan searched all machines of all waves for every listed machine and every target, which grows with the square of their number. The machines in upkeep are collected once a plan.

--- a/core/anvilwork/wave.go
+++ b/core/anvilwork/wave.go
@@ -96,19 +96,18 @@
 	return waves
 }
 
-// InUpkeep reports whether a machine is emptied for its upkeep or has it.
-func (s *State) InUpkeep(machine anvilid.MachineID) bool {
-	if machine == "" {
-		return false
-	}
-	for _, wave := range s.waves {
+// InUpkeep returns the machines of waves that are emptied for their upkeep or
+// have it.
+func InUpkeep(waves []*Wave) map[anvilid.MachineID]bool {
+	machines := map[anvilid.MachineID]bool{}
+	for _, wave := range waves {
 		for _, m := range wave.Machines {
-			if m.Machine == machine && (m.Phase == WaveEmptying || m.Phase == WaveOrdered) {
-				return true
+			if m.Phase == WaveEmptying || m.Phase == WaveOrdered {
+				machines[m.Machine] = true
 			}
 		}
 	}
-	return false
+	return machines
 }
 
 func (s *State) startWave(wave Wave) Result {
--- a/io/anvillead/upkeep.go
+++ b/io/anvillead/upkeep.go
@@ -61,16 +61,17 @@
 // word and by the list.
 func (r *leadership) closedTargets(waves []*anvilwork.Wave) map[anvilid.TargetID]bool {
 	closed := map[anvilid.TargetID]bool{}
-	if len(waves) == 0 {
+	inUpkeep := anvilwork.InUpkeep(waves)
+	if len(inUpkeep) == 0 {
 		return closed
 	}
-	for id, machine := range r.upkeep.list.Machines {
-		if r.state.InUpkeep(id) {
-			closed[machine.Target] = true
+	for machine := range inUpkeep {
+		if listed, ok := r.upkeep.list.Machines[machine]; ok {
+			closed[listed.Target] = true
 		}
 	}
 	for _, target := range r.state.Targets() {
-		if r.state.InUpkeep(target.Machine) {
+		if inUpkeep[target.Machine] {
 			closed[target.ID] = true
 		}
 	}
