--- a/io/anvillead/host.go
+++ b/io/anvillead/host.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilgate"
 	"anvilshunt/io/anvilgroup"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
@@ -78,55 +79,42 @@
 	return nil
 }
 
-// nobody is the redirection of a voter that knows nothing.
-func nobody() *anvilrpc.Redirection { return &anvilrpc.Redirection{} }
+// fleet returns the present voter, or one that knows nothing.
+func (h *VoterHost) fleet() anvilrpc.Fleet {
+	if leader := h.current.Load(); leader != nil {
+		return leader
+	}
+	return anvilgate.Nobody{}
+}
 
 // Locate passes the call to the present voter.
 func (h *VoterHost) Locate(ctx context.Context, call *anvilrpc.LocateCall) (*anvilrpc.LocateReply, error) {
-	if leader := h.current.Load(); leader != nil {
-		return leader.Locate(ctx, call)
-	}
-	return &anvilrpc.LocateReply{Redirection: nobody()}, nil
+	return h.fleet().Locate(ctx, call)
 }
 
 // Join passes the call to the present voter.
 func (h *VoterHost) Join(ctx context.Context, call *anvilrpc.JoinCall) (*anvilrpc.JoinReply, error) {
-	if leader := h.current.Load(); leader != nil {
-		return leader.Join(ctx, call)
-	}
-	return &anvilrpc.JoinReply{Redirection: nobody()}, nil
+	return h.fleet().Join(ctx, call)
 }
 
 // Job passes the call to the present voter.
 func (h *VoterHost) Job(ctx context.Context, call *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
-	if leader := h.current.Load(); leader != nil {
-		return leader.Job(ctx, call)
-	}
-	return &anvilrpc.JobReply{Redirection: nobody()}, nil
+	return h.fleet().Job(ctx, call)
 }
 
 // Configure passes the call to the present voter.
 func (h *VoterHost) Configure(ctx context.Context, call *anvilrpc.ConfigureCall) (*anvilrpc.ConfigureReply, error) {
-	if leader := h.current.Load(); leader != nil {
-		return leader.Configure(ctx, call)
-	}
-	return &anvilrpc.ConfigureReply{Redirection: nobody()}, nil
+	return h.fleet().Configure(ctx, call)
 }
 
-// Wave starts or shows a wave of upkeep.
+// Wave passes the call to the present voter.
 func (h *VoterHost) Wave(ctx context.Context, call *anvilrpc.WaveCall) (*anvilrpc.WaveReply, error) {
-	if leader := h.current.Load(); leader != nil {
-		return leader.Wave(ctx, call)
-	}
-	return &anvilrpc.WaveReply{Redirection: nobody()}, nil
+	return h.fleet().Wave(ctx, call)
 }
 
 // Announce passes the call to the present voter.
 func (h *VoterHost) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
-	if leader := h.current.Load(); leader != nil {
-		return leader.Announce(ctx, call)
-	}
-	return &anvilrpc.AnnounceReply{Redirection: nobody()}, nil
+	return h.fleet().Announce(ctx, call)
 }
 
 // Deliver passes log messages to the present voter. Without one they are lost,
