Wait in the process tests until SIGSTOP has taken effect

Cause: TestStoppedLeader failed once beside other work with "leads on in term 2".

Change: after SIGSTOP the tests wait until all threads of the process are in state T in /proc. No check of the tests is changed.

Ruled out: a leader that leads on after it woke up; the log of the failure has no second election.

--- a/cmd/anvilshunt/main_test.go
+++ b/cmd/anvilshunt/main_test.go
@@ -155,10 +155,15 @@
 	}()
 }
 
-// signal sends a signal to the process of the instance with the given name.
+// signal sends a signal to the process of the instance with the given name. After SIGSTOP it waits until
+// the process is suspended, so that the process takes no part in what the test does next.
 func (s *system) signal(name string, signal syscall.Signal) {
 	s.t.Helper()
-	assert.NilError(s.t, s.processes[name].command.Process.Signal(signal))
+	process := s.processes[name].command.Process
+	assert.NilError(s.t, process.Signal(signal))
+	if signal == syscall.SIGSTOP {
+		s.eventually(name+" is suspended", func() bool { return suspended(process.Pid) })
+	}
 }
 
 // waitExit waits until the process of an instance has ended and returns its exit code.
