--- a/core/anvilplace/advice.go
+++ b/core/anvilplace/advice.go
@@ -25,12 +25,12 @@
 func (p *planner) requestTickets(u *waitingStep) {
 	step := u.tasks[0].StepKey()
 	var nodes []*node
-	for _, n := range p.nodes {
-		if n.usable && !n.slow && u.eligible(n) && p.Allowed(step, n.target) && totalResources(n).Holds(need(u.step)) {
+	for _, n := range p.all.nodes {
+		if n.usable && !n.slow && u.eligible(n) && p.Allowed(step, n.target) && n.target.Resources.Holds(u.need) {
 			nodes = append(nodes, n)
 		}
 	}
-	capacity := func(n *node) int { return n.free.FitCount(need(u.step), len(u.tasks)) }
+	capacity := func(n *node) int { return n.free.FitCount(u.need, len(u.tasks)) }
 	slices.SortStableFunc(nodes, func(a, b *node) int { return cmp.Compare(capacity(b), capacity(a)) })
 	want := anviladvice.Candidates{Step: step, Advice: u.policy.Advice}
 	covered := 0
--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -36,10 +37,10 @@
 // with the least work to lose and claims their nodes at once, but stops the runs only from evictAfter
 // on: each run that ends by itself until then is one less to stop.
 func (p *planner) freeResources(u *waitingStep, count int) {
-	if p.fitAll(u, count, (*node).claimedResources) != nil {
+	if len(p.nodesClaimedBy[u.job.ID]) > 0 && p.fitAll(u, count, claimedOnly) != nil {
 		return // the step will fit on the targets that are already claimed for it
 	}
-	if allotments := p.fitAll(u, count, (*node).freeOrFreeing); allotments != nil {
+	if allotments := p.fitAll(u, count, availableOrFreeing); allotments != nil {
 		p.claimTargets(u, allotments)
 		return
 	}
@@ -58,7 +59,7 @@
 // evict adds runs to Decision.Evictions, to be stopped for a job.
 func (p *planner) evict(victims []runOnNode, job anvilid.JobID) {
 	for _, v := range victims {
-		v.placedRun.stopping = true
+		v.placedRun.stopping, v.node.endingKnown = true, false
 		v.node.freeing = v.node.freeing.Plus(v.placedRun.need)
 		p.decision.Evictions = append(p.decision.Evictions,
 			Eviction{Target: v.node.target.ID, Task: v.placedRun.task, Preemptor: job})
@@ -81,7 +82,7 @@
 // the step waits for runs that end by themselves, because it would still meet its deadline if it
 // started a little later.
 func (u *waitingStep) evictAfter() anvilclock.Millis {
-	slack := u.due - u.from - anvilclock.Millis((1+estimateError)*float64(longestChain(u.job)))
+	slack := u.due - u.from - anvilclock.Millis((1+estimateError)*float64(u.info.longest))
 	return u.from + max(0, min(slack-stopLatency, maxReclaimWait))
 }
 
@@ -121,48 +122,56 @@
 type evictionPlan struct {
 	planner     *planner
 	waitingStep *waitingStep
-	evicting    map[*placedRun]bool // the runs in evictions
-	evictions   []runOnNode         // the runs to stop, with all members of their gangs
-	taken       map[*node]int       // number of tasks that are to be placed on each node
-	allotments  []allotment         // the same as taken, ordered like the nodes
-	loss        float64             // sum of the losses of the runs, see lossOf
+	nodes       []*node
+	prices      []price       // of placing one more task on each of nodes
+	evictions   []runOnNode   // the runs to stop, with all members of their gangs
+	taken       map[*node]int // number of tasks that are to be placed on each node
+	allotments  []allotment   // the same as taken, ordered like the nodes
+	loss        float64       // sum of the losses of the runs, see lossOf
+	victims     []*placedRun  // result of the latest call of findVictims
+}
+
+// price is the sum of the losses of the runs that must be stopped to place one more task on a node.
+type price struct {
+	loss     float64
+	possible bool
 }
 
 // cheapestEvictions returns the eviction plan with the least loss for count tasks of a step, or nil if
 // there is none. All tasks go to one rack if the step prefers that and some rack is large enough.
 func (p *planner) cheapestEvictions(u *waitingStep, count int) *evictionPlan {
 	if !u.step.PreferOneRack || !p.fitsEmptyRack(u, count) {
-		return p.planEvictions(u, count, p.nodes)
+		return p.planEvictions(u, count, p.all.nodes, math.Inf(1))
 	}
 	var best *evictionPlan
+	limit := math.Inf(1)
 	for _, r := range p.racks {
-		if c := p.planEvictions(u, count, r.nodes); c != nil && (best == nil || c.loss < best.loss) {
-			best = c
+		if c := p.planEvictions(u, count, r.nodes, limit); c != nil {
+			best, limit = c, c.loss
 		}
 	}
 	return best
 }
 
 // planEvictions places count tasks one after the other, each on the node where stopping runs loses the
-// least. It returns nil if not all of them can be placed.
-func (p *planner) planEvictions(u *waitingStep, count int, nodes []*node) *evictionPlan {
-	c := &evictionPlan{planner: p, waitingStep: u, evicting: map[*placedRun]bool{}, taken: map[*node]int{}}
+// least. It returns nil if not all of them can be placed, or only with a loss of limit or more.
+func (p *planner) planEvictions(u *waitingStep, count int, nodes []*node, limit float64) *evictionPlan {
+	c := &evictionPlan{planner: p, waitingStep: u, nodes: nodes, prices: make([]price, len(nodes)), taken: map[*node]int{}}
+	for i, n := range nodes {
+		n.repricing, c.prices[i] = false, c.priceOneTask(n)
+	}
 	for range count {
-		var best *node
-		var victims []*placedRun
-		var least float64
-		for _, n := range nodes {
-			set, loss, ok := c.priceOneTask(n)
-			if ok && (best == nil || loss < least) {
-				best, victims, least = n, set, loss
-			}
+		best := c.cheapest()
+		if best < 0 {
+			return nil
 		}
-		if best == nil {
+		if c.loss += c.prices[best].loss; c.loss >= limit {
 			return nil
 		}
-		c.addEvictions(victims)
-		c.loss += least
-		c.taken[best]++
+		c.findVictims(nodes[best])
+		c.addEvictions(c.victims)
+		c.taken[nodes[best]]++
+		nodes[best].repricing = true
 	}
 	for _, n := range nodes {
 		if taken := c.taken[n]; taken > 0 {
@@ -172,46 +181,79 @@
 	return c
 }
 
-// priceOneTask returns the runs that must be stopped on a node to place one more task there, and the
-// sum of their losses. It returns false if that isn't possible.
-func (c *evictionPlan) priceOneTask(n *node) (victims []*placedRun, loss float64, ok bool) {
-	resources := n.freeOrFreeing()
-	if n.unavailable() || c.waitingStep.taskCapacity(n, c.taken[n]+1, totalResources) <= c.taken[n] {
-		return nil, 0, false
+// cheapest returns the index of the first node with the lowest price, or -1 if no node can take a
+// further task.
+func (c *evictionPlan) cheapest() int {
+	best := -1
+	for i, n := range c.nodes {
+		if n.repricing {
+			n.repricing, c.prices[i] = false, c.priceOneTask(n)
+		}
+		if c.prices[i].possible && (best < 0 || c.prices[i].loss < c.prices[best].loss) {
+			best = i
+		}
+	}
+	return best
+}
+
+// priceOneTask returns the price of placing one more task on a node.
+func (c *evictionPlan) priceOneTask(n *node) price {
+	loss, ok := c.findVictims(n)
+	return price{loss, ok}
+}
+
+// findVictims sets c.victims to the runs that must be stopped on a node to place one more task there,
+// and returns the sum of their losses. It returns false if that isn't possible.
+func (c *evictionPlan) findVictims(n *node) (loss float64, ok bool) {
+	u, wanted := c.waitingStep, c.taken[n]+1
+	c.victims = c.victims[:0]
+	if n.unavailable() || u.taskCapacity(n, wanted, n.target.Resources) < wanted {
+		return 0, false
 	}
-	var candidates []*placedRun
-	for _, t := range n.placedRuns {
-		switch {
-		case c.evicting[t]:
-			resources = resources.Plus(t.need)
-		case !t.stopping && c.planner.evictable(t):
-			candidates = append(candidates, t)
+	resources := n.freeOrFreeing()
+	if wanted > 1 || len(c.evictions) > 0 {
+		for _, t := range n.placedRuns {
+			if t.evictedBy == c {
+				resources = resources.Plus(t.need)
+			}
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b *placedRun) int { return cmp.Compare(c.planner.lossOf(a), c.planner.lossOf(b)) })
-	wanted := c.taken[n] + 1
-	for resources.FitCount(need(c.waitingStep.step), wanted) < wanted {
-		if len(candidates) == 0 {
-			return nil, 0, false
+	for _, t := range n.evictionOrder() {
+		if resources.FitCount(u.need, wanted) >= wanted {
+			break
+		}
+		if t.stopping || t.evictedBy == c || !c.planner.mayStop(t) {
+			continue
 		}
-		t := candidates[0]
-		candidates = candidates[1:]
 		resources = resources.Plus(t.need)
 		loss += c.planner.lossOf(t)
-		victims = append(victims, t)
+		c.victims = append(c.victims, t)
 	}
-	return victims, loss, true
+	return loss, resources.FitCount(u.need, wanted) >= wanted
 }
 
-// totalResources returns all resources of a target, whether in use or not.
-func totalResources(n *node) anvilwork.Resources { return n.target.Resources }
+// evictionOrder returns the runs on a node that may be stopped for an urgent job, with the least loss
+// first. mayStop and placedRun.stopping can still forbid to stop them.
+func (n *node) evictionOrder() []*placedRun {
+	if !n.evictableKnown {
+		n.evictableKnown = true
+		for _, t := range n.placedRuns {
+			if t.job.evictable && !t.stopping {
+				n.evictable = append(n.evictable, t)
+			}
+		}
+		p := n.planner
+		slices.SortStableFunc(n.evictable, func(a, b *placedRun) int { return cmp.Compare(p.lossOf(a), p.lossOf(b)) })
+	}
+	return n.evictable
+}
 
 // addEvictions adds runs to the evictions of the plan, each together with all members of its gang.
 func (c *evictionPlan) addEvictions(victims []*placedRun) {
 	for _, t := range victims {
 		for _, member := range c.planner.gangMembers(t) {
-			if !c.evicting[member.placedRun] && !member.placedRun.stopping {
-				c.evicting[member.placedRun] = true
+			if member.placedRun.evictedBy != c && !member.placedRun.stopping {
+				member.placedRun.evictedBy, member.node.repricing = c, true
 				c.evictions = append(c.evictions, member)
 			}
 		}
@@ -221,31 +263,18 @@
 // gangMembers returns the runs of all members of a run's gang, or only the run itself if it belongs to
 // no gang.
 func (p *planner) gangMembers(t *placedRun) []runOnNode {
-	if !t.job.Spec.Steps[t.task.Step].Gang {
+	if !t.job.job.Spec.Steps[t.task.Step].Gang {
 		return []runOnNode{{t, t.node}}
 	}
 	return p.runsByStep[t.task.StepKey()]
 }
 
-// evictable reports whether a run may be stopped for an urgent job: its own job isn't urgent, or
-// its account has more urgent work than its guarantee covers.
-func (p *planner) evictable(t *placedRun) bool {
-	if !p.mayStop(t) {
-		return false
-	}
-	if p.State.PolicyOf(t.job).Priority > 0 {
-		return true
-	}
-	account, ok := p.State.Account(t.job.Account)
-	return !ok || p.urgentByAccount[t.job.Account] > account.Guaranteed
-}
-
 // mayStop reports whether a run may be stopped without violating Step.MaxUnavailable, the number of
 // tasks of a long-running step that may be down at the same time. Two runs of such a step are never
 // stopped at the same time, because the replicated state counts the first one as unavailable only
 // once it has ended.
 func (p *planner) mayStop(t *placedRun) bool {
-	step := t.job.Spec.Steps[t.task.Step]
+	step := t.job.job.Spec.Steps[t.task.Step]
 	if !step.LongRunning || step.MaxUnavailable == 0 {
 		return true
 	}
@@ -285,19 +314,18 @@
 // computeLoss returns the work that is lost if a run is stopped, in core-milliseconds, with an addition
 // for urgent jobs and a factor for jobs that would miss their deadline.
 func (p *planner) computeLoss(t *placedRun) float64 {
-	lost := Loss(t.job, t.task, p.Now)
-	policy := p.State.PolicyOf(t.job)
+	lost := Loss(t.job.job, t.task, p.Now)
 	switch {
-	case policy.Priority == 0:
+	case t.job.policy.Priority == 0:
 		lost += urgentLossPenalty
-	case p.lateIfRestarted(t, policy):
+	case p.lateIfRestarted(t):
 		lost *= lateLossFactor
 	}
 	return lost
 }
 
 // lateIfRestarted reports whether a job would miss its deadline if a run of the job started over now.
-func (p *planner) lateIfRestarted(t *placedRun, policy anvilwork.QueuePolicy) bool {
-	_, due := ScheduledWindow(t.job, policy, t.task.Occurrence)
-	return p.Now+anvilclock.Millis(runtimeSafetyFactor*float64(chainsFrom(t.job)[t.task.Step])) > due
+func (p *planner) lateIfRestarted(t *placedRun) bool {
+	_, due := t.job.window(t.task.Occurrence)
+	return p.Now+anvilclock.Millis(runtimeSafetyFactor*float64(t.job.chains[t.task.Step])) > due
 }
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -21,23 +22,33 @@
 	return sum
 }
 
-// resourcesFunc returns the resources of a node that a search may use: those that are free now, those
-// that will be free later, or all that the target has.
-type resourcesFunc func(*node) anvilwork.Resources
+// view is the resources of the nodes that a search may use: those that are free now, those that will be
+// free later, or all that the targets have.
+type view struct {
+	resourcesOf func(*node) anvilwork.Resources
+	// free means that resourcesOf never returns more than node.free, so that a search need not look at
+	// nodes that have too few free accelerators.
+	free bool
+}
 
-// taskCapacity returns how many tasks of a step fit in the resources of a node, at most limit. It is 0
-// if the step may not run there or needs a ticket that isn't known.
-func (u *waitingStep) taskCapacity(n *node, limit int, resourcesOf resourcesFunc) int {
-	if !u.eligible(n) || u.policy.Advice.Needed() && !u.hasTicket(n) {
-		return 0
-	}
+// Views of the resources that the current job can use.
+var (
+	availableNow       = view{resourcesOf: (*node).available, free: true}
+	availableOrFreeing = view{resourcesOf: (*node).freeOrFreeing}
+	claimedOnly        = view{resourcesOf: (*node).claimedResources}
+)
+
+// taskCapacity returns how many tasks of a step fit in the given resources of a node, at most limit. It
+// is 0 if the step may not run there or needs a ticket that isn't known.
+func (u *waitingStep) taskCapacity(n *node, limit int, resources anvilwork.Resources) int {
 	if u.step.MaxPerTarget > 0 {
 		limit = min(limit, u.step.MaxPerTarget-n.taskCounts[u.tasks[0].StepKey()])
 	}
-	if limit <= 0 {
+	limit = resources.FitCount(u.need, limit)
+	if limit <= 0 || !u.eligible(n) || u.policy.Advice.Needed() && !u.hasTicket(n) {
 		return 0
 	}
-	return resourcesOf(n).FitCount(need(u.step), limit)
+	return limit
 }
 
 // eligible reports whether the service and labels of a node suit the step and the step hasn't failed
@@ -53,21 +64,16 @@
 // fitAll finds allotments for exactly count tasks, or returns nil if not all of them fit. Tasks of a
 // step that prefers one rack are spread over several racks only if no rack would be large enough even
 // if it were empty.
-func (p *planner) fitAll(u *waitingStep, count int, resourcesOf resourcesFunc) []allotment {
-	if !u.step.PreferOneRack {
-		allotments := p.fitMost(u, count, resourcesOf)
-		if taskCount(allotments) < count {
-			return nil
-		}
-		return allotments
-	}
-	if allotments := p.fitInOneRack(u, count, resourcesOf); allotments != nil {
-		return allotments
-	}
-	if p.fitsEmptyRack(u, count) {
-		return nil
+func (p *planner) fitAll(u *waitingStep, count int, v view) []allotment {
+	var allotments []allotment
+	switch {
+	case !u.step.PreferOneRack:
+		allotments = p.fitMost(u, count, v)
+	case !p.fitsEmptyRack(u, count):
+		allotments = p.fitAcrossRacks(u, count, v)
+	default:
+		return p.fitInOneRack(u, count, v)
 	}
-	allotments := p.fitAcrossRacks(u, count, resourcesOf)
 	if taskCount(allotments) < count {
 		return nil
 	}
@@ -77,110 +83,148 @@
 // fitInOneRack finds allotments for count tasks in one rack, or returns nil. It prefers
 // Step.PreferredRack, which has the data of the step, and otherwise takes the rack that could take the
 // fewest further tasks.
-func (p *planner) fitInOneRack(u *waitingStep, count int, resourcesOf resourcesFunc) []allotment {
-	var best []allotment
+func (p *planner) fitInOneRack(u *waitingStep, count int, v view) []allotment {
+	var best *group
 	bestRest := 0
 	for _, r := range p.racks {
-		allotments, capacity := p.packNodes(u, r.nodes, count, resourcesOf)
-		if taskCount(allotments) < count {
-			continue
-		}
-		rest := capacity - count
-		if r.name == u.step.PreferredRack {
-			return allotments
-		}
-		if best == nil || rest < bestRest {
-			best, bestRest = allotments, rest
+		rest := r.capacity(u, count, v) - count
+		switch {
+		case rest < 0:
+		case r.name == u.step.PreferredRack:
+			return r.pack(u, count, v, nil)
+		case best == nil || rest < bestRest:
+			best, bestRest = r, rest
 		}
 	}
-	return best
+	if best == nil {
+		return nil
+	}
+	return best.pack(u, count, v, nil)
 }
 
 // fitsEmptyRack reports whether count tasks would fit in some rack if no runs were assigned to it.
 func (p *planner) fitsEmptyRack(u *waitingStep, count int) bool {
+	cacheable := u.step.MaxPerTarget == 0 && !u.policy.Advice.Needed() && !u.hasFailed()
+	if !cacheable {
+		return p.largestRack(u, count) >= count
+	}
+	key := emptyRackKey{need: u.need, service: u.policy.Service, label: u.step.Label}
+	largest, known := p.emptyRacks[key]
+	if !known {
+		largest = p.largestRack(u, maxRackTasks)
+		p.emptyRacks[key] = largest
+	}
+	return largest >= count
+}
+
+// maxRackTasks is above the number of tasks of any step that fit on one target.
+const maxRackTasks = 1 << 20
+
+// largestRack returns how many tasks of a step would fit in the largest rack if no runs were assigned to
+// it, at most limit on each target.
+func (p *planner) largestRack(u *waitingStep, limit int) int {
+	largest := 0
 	for _, r := range p.racks {
 		sum := 0
 		for _, n := range r.nodes {
 			if n.usable {
-				sum += u.taskCapacity(n, count, totalResources)
+				sum += u.taskCapacity(n, limit, n.target.Resources)
 			}
 		}
-		if sum >= count {
-			return true
-		}
+		largest = max(largest, sum)
 	}
-	return false
+	return largest
 }
 
 // fitAcrossRacks fills the racks with the most capacity first, so that a gang that is too large for
 // one rack is spread over few.
-func (p *planner) fitAcrossRacks(u *waitingStep, count int, resourcesOf resourcesFunc) []allotment {
+func (p *planner) fitAcrossRacks(u *waitingStep, count int, v view) []allotment {
 	type option struct {
-		rack     *rack
+		rack     *group
 		capacity int
 	}
 	var options []option
 	for _, r := range p.racks {
-		if _, capacity := p.packNodes(u, r.nodes, count, resourcesOf); capacity > 0 {
+		if capacity := r.capacity(u, 1, v); capacity > 0 {
 			options = append(options, option{r, capacity})
 		}
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.capacity, a.capacity) })
 	var all []allotment
 	for _, o := range options {
-		allotments, _ := p.packNodes(u, o.rack.nodes, count-taskCount(all), resourcesOf)
-		all = append(all, allotments...)
+		all = append(all, o.rack.pack(u, count-taskCount(all), v, nil)...)
 	}
 	return all
 }
 
 // fitMost finds allotments for as many of count tasks as possible. It fills Step.PreferredRack first,
 // which has the data of the step.
-func (p *planner) fitMost(u *waitingStep, count int, resourcesOf resourcesFunc) []allotment {
-	if u.step.PreferredRack == "" {
-		allotments, _ := p.packNodes(u, p.nodes, count, resourcesOf)
-		return allotments
-	}
-	var nearData, otherNodes []*node
-	for _, n := range p.nodes {
-		if n.target.Rack == u.step.PreferredRack {
-			nearData = append(nearData, n)
-		} else {
-			otherNodes = append(otherNodes, n)
+func (p *planner) fitMost(u *waitingStep, count int, v view) []allotment {
+	near := p.rackByName[u.step.PreferredRack]
+	if u.step.PreferredRack == "" || near == nil {
+		return p.all.pack(u, count, v, nil)
+	}
+	allotments := near.pack(u, count, v, nil)
+	return append(allotments, p.all.pack(u, count-taskCount(allotments), v, near)...)
+}
+
+// capacity returns how many tasks of the step the nodes of the group could take in total. The result may
+// be 0 if that is less than wanted.
+func (g *group) capacity(u *waitingStep, wanted int, v view) int {
+	nodes := g.nodes
+	if v.free {
+		if g.freeAccelerators < u.need.GPU*anvilid.AcceleratorCount(wanted) {
+			return 0
 		}
+		nodes = g.withFreeAccelerators(u.need.GPU)
+	}
+	sum := 0
+	for _, n := range nodes {
+		sum += u.taskCapacity(n, len(u.tasks), v.resourcesOf(n))
 	}
-	allotments, _ := p.packNodes(u, nearData, count, resourcesOf)
-	rest, _ := p.packNodes(u, otherNodes, count-taskCount(allotments), resourcesOf)
-	return append(allotments, rest...)
+	return sum
 }
 
-// packNodes finds allotments for up to count tasks on nodes. It fills the nodes with the least
-// available resources first, so that empty nodes stay empty. It also returns how many tasks of the
-// step the nodes could take in total, which may be more than count.
-func (p *planner) packNodes(u *waitingStep, nodes []*node, count int, resourcesOf resourcesFunc) ([]allotment, int) {
+// pack finds allotments for up to count tasks on the nodes of the group that are not in the group except.
+// It fills the nodes with the least available resources first, so that empty nodes stay empty.
+func (g *group) pack(u *waitingStep, count int, v view, except *group) []allotment {
+	if v.free {
+		return packInOrder(u, g.withFreeAccelerators(u.need.GPU), count, v, except)
+	}
 	type option struct {
-		node     *node
-		capacity int
+		node      *node
+		resources anvilwork.Resources
 	}
-	options := make([]option, 0, len(nodes))
-	capacity := 0
-	for _, n := range nodes {
-		if c := u.taskCapacity(n, len(u.tasks), resourcesOf); c > 0 {
-			options = append(options, option{n, c})
-			capacity += c
+	var options []option
+	for _, n := range g.nodes {
+		if resources := v.resourcesOf(n); resources.FitCount(u.need, 1) > 0 {
+			options = append(options, option{n, resources})
 		}
 	}
 	slices.SortStableFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(resourcesOf(a.node).GPU, resourcesOf(b.node).GPU), cmp.Compare(resourcesOf(a.node).CPU, resourcesOf(b.node).CPU))
+		return cmp.Or(cmp.Compare(a.resources.GPU, b.resources.GPU), cmp.Compare(a.resources.CPU, b.resources.CPU))
 	})
+	nodes := make([]*node, len(options))
+	for i, o := range options {
+		nodes[i] = o.node
+	}
+	return packInOrder(u, nodes, count, v, except)
+}
+
+// packInOrder finds allotments for up to count tasks on nodes, and fills them in the given order.
+func packInOrder(u *waitingStep, nodes []*node, count int, v view, except *group) []allotment {
 	var allotments []allotment
-	for _, o := range options {
+	for _, n := range nodes {
 		if count <= 0 {
 			break
 		}
-		taken := min(o.capacity, count)
-		allotments = append(allotments, allotment{o.node, taken})
-		count -= taken
+		if except != nil && n.rack == except {
+			continue
+		}
+		if taken := u.taskCapacity(n, count, v.resourcesOf(n)); taken > 0 {
+			allotments = append(allotments, allotment{n, taken})
+			count -= taken
+		}
 	}
-	return allotments, capacity
+	return allotments
 }
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -24,7 +24,7 @@
 // gangClaimHorizons are the spans of time from now that claimForGang tries one after the other, the
 // shortest first. It looks for targets on which the gang fits once all runs that are expected to end
 // within the span are over.
-var gangClaimHorizons = []anvilclock.Millis{500, 1000, 2000, 4000, 8000, 16_000}
+var gangClaimHorizons = [...]anvilclock.Millis{500, 1000, 2000, 4000, 8000, 16_000}
 
 // claimForGang claims the targets on which a gang that fits nowhere now will fit soonest. Without the
 // claim, a gang that needs empty targets or an empty rack would wait forever, because smaller tasks
@@ -38,8 +38,8 @@
 		return
 	}
 	p.gangClaimAttempts++
-	for _, horizon := range gangClaimHorizons {
-		allotments := p.fitAll(u, len(u.tasks), func(n *node) anvilwork.Resources { return n.availableWithin(horizon) })
+	for horizon := range gangClaimHorizons {
+		allotments := p.fitAll(u, len(u.tasks), view{resourcesOf: func(n *node) anvilwork.Resources { return n.availableWithin(horizon) }})
 		if allotments == nil {
 			continue
 		}
@@ -58,13 +58,12 @@
 	if len(p.nodesClaimedBy[u.job.ID]) == 0 {
 		return false
 	}
-	last := gangClaimHorizons[len(gangClaimHorizons)-1]
-	claimed := p.fitAll(u, len(u.tasks), func(n *node) anvilwork.Resources {
+	claimed := p.fitAll(u, len(u.tasks), view{resourcesOf: func(n *node) anvilwork.Resources {
 		if n.claimedBy != u.job.ID {
 			return anvilwork.Resources{}
 		}
-		return n.availableWithin(last)
-	})
+		return n.availableWithin(len(gangClaimHorizons) - 1)
+	}})
 	if claimed == nil || p.gangClaimed+accelerators(claimed) > p.gangClaimLimit() {
 		return false
 	}
@@ -86,25 +85,39 @@
 	return sum
 }
 
-// availableWithin returns the resources that the current job can use on a node once span has passed, if
-// nothing else is placed there until then.
-func (n *node) availableWithin(span anvilclock.Millis) anvilwork.Resources {
-	resources := n.freeOrFreeing()
+// availableWithin returns the resources that the current job can use on a node once a horizon has passed,
+// if nothing else is placed there until then. horizon is an index of gangClaimHorizons.
+func (n *node) availableWithin(horizon int) anvilwork.Resources {
 	if n.unavailable() {
-		return resources
+		return anvilwork.Resources{}
 	}
-	for _, t := range n.placedRuns {
-		if !t.stopping && n.planner.remainingTime(t) <= span {
-			resources = resources.Plus(t.need)
+	return n.free.Plus(n.freeing).Plus(n.endingWithin(horizon))
+}
+
+// endingWithin returns the resources of the runs on a node that are expected to end by themselves within
+// a horizon.
+func (n *node) endingWithin(horizon int) anvilwork.Resources {
+	if !n.endingKnown {
+		n.ending, n.endingKnown = [len(gangClaimHorizons)]anvilwork.Resources{}, true
+		for _, t := range n.placedRuns {
+			if t.stopping {
+				continue
+			}
+			remaining := n.planner.remainingTime(t)
+			for i, span := range gangClaimHorizons {
+				if remaining <= span {
+					n.ending[i] = n.ending[i].Plus(t.need)
+				}
+			}
 		}
 	}
-	return resources
+	return n.ending[horizon]
 }
 
 // remainingTime estimates how much longer a run takes, from its speed or else from the estimated run
 // time of its step. It returns an hour for runs that continue until they are cancelled.
 func (p *planner) remainingTime(t *placedRun) anvilclock.Millis {
-	step := t.job.Spec.Steps[t.task.Step]
+	step := t.job.job.Spec.Steps[t.task.Step]
 	progress, known := p.Progress(t.task)
 	switch {
 	case step.LongRunning:
@@ -112,5 +125,5 @@
 	case known && progress.Rate > 0:
 		return anvilclock.Millis((100 - progress.Percent) / progress.Rate)
 	}
-	return max(minRemainingTime, step.Estimate-(p.Now-t.job.State(t.task).PhaseSince))
+	return max(minRemainingTime, step.Estimate-(p.Now-t.job.job.State(t.task).PhaseSince))
 }
--- a/core/anvilplace/gang_shape.go
+++ b/core/anvilplace/gang_shape.go
@@ -1,6 +1,8 @@
 package anvilplace
 
 import (
+	"slices"
+
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
@@ -17,10 +19,18 @@
 	deferrable    bool
 }
 
+// emptyRackKey has the properties of a step on which the number of its tasks that fit in an empty rack
+// depends, unless the step has failed somewhere or has further limits.
+type emptyRackKey struct {
+	need    anvilwork.Resources
+	service anvilid.ServiceName
+	label   string
+}
+
 // shape returns the shape of a gang. It is meaningful only if dependsOnShapeOnly reports true.
 func (p *planner) shape(u *waitingStep) gangShape {
 	return gangShape{
-		need: need(u.step), service: u.policy.Service, label: u.step.Label, dataRack: u.step.PreferredRack,
+		need: u.need, service: u.policy.Service, label: u.step.Label, dataRack: u.step.PreferredRack,
 		maxPerTarget: u.step.MaxPerTarget, preferOneRack: u.step.PreferOneRack, deferrable: p.deferrable,
 	}
 }
@@ -31,12 +41,12 @@
 	if u.urgent || u.policy.Advice.Needed() || len(p.nodesClaimedBy[u.job.ID]) > 0 {
 		return false
 	}
-	for _, task := range u.tasks {
-		if u.job.State(task).Failed > 0 {
-			return false
-		}
-	}
-	return true
+	return !u.hasFailed()
+}
+
+// hasFailed reports whether a waiting task of the step has failed before.
+func (u *waitingStep) hasFailed() bool {
+	return slices.ContainsFunc(u.tasks, func(task anvilwork.Task) bool { return u.job.State(task).Failed > 0 })
 }
 
 // blocked reports whether it is already known that a gang doesn't fit, because a gang of the same shape
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -11,10 +11,12 @@
 // placedRun is a run that is assigned to a node and occupies resources there.
 type placedRun struct {
 	task     anvilwork.Task
-	job      *anvilwork.Job
+	job      *jobInfo
 	node     *node
 	need     anvilwork.Resources
 	stopping bool // was asked to stop, or its job has ended
+	// evictedBy is the eviction plan that stops the run, if any.
+	evictedBy *evictionPlan
 	// loss is the weighted work that is lost if the run is stopped, see computeLoss. It is valid if
 	// lossKnown is set; lossOf sets both.
 	loss      float64
@@ -24,8 +26,10 @@
 // node is a target as seen by one call of Plan.
 type node struct {
 	target *anvilwork.Target
-	usable bool // may be given new runs
-	slow   bool // much slower than other targets at present, or failing the tasks that it starts
+	index  int    // position among all nodes
+	rack   *group // nil only before addNodes returns
+	usable bool   // may be given new runs
+	slow   bool   // much slower than other targets at present, or failing the tasks that it starts
 	free   anvilwork.Resources
 	// freeing has the resources of those runs on this node that are being stopped.
 	freeing anvilwork.Resources
@@ -38,14 +42,18 @@
 	yieldsToUrgent bool
 	planner        *planner
 	placedRuns     []*placedRun
-	// taskCounts is the number of runs of each step on this node, which Step.MaxPerTarget may limit.
+	// taskCounts is the number of runs on this node of each step that Step.MaxPerTarget limits.
 	taskCounts map[anvilwork.StepKey]int
-}
-
-// rack groups the nodes of one rack.
-type rack struct {
-	name  anvilid.RackName
-	nodes []*node
+	// evictable has those of placedRuns that may be stopped for an urgent job, with the least loss first.
+	// It is valid if evictableKnown is set; evictionOrder sets both.
+	evictable      []*placedRun
+	evictableKnown bool
+	// ending has the resources of the runs that are expected to end by themselves within each of the
+	// horizons. It is valid if endingKnown is set; endingWithin sets both.
+	ending      [len(gangClaimHorizons)]anvilwork.Resources
+	endingKnown bool
+	// repricing means that the price of the node in the present eviction plan is outdated.
+	repricing bool
 }
 
 // available returns the resources that the current job can use now.
@@ -93,11 +101,25 @@
 	return n.free.Plus(n.freeing)
 }
 
-// allocate subtracts the resources of one task of the step from the free ones and counts the task
+// allocate subtracts the resources of count tasks of the step from the free ones and counts the tasks
 // towards the limit of tasks per target.
-func (n *node) allocate(u *waitingStep, task anvilwork.Task) {
-	n.free = n.free.Minus(need(u.step))
-	n.taskCounts[task.StepKey()]++
+func (n *node) allocate(u *waitingStep, count int) {
+	reduceFree(n, []*group{n.rack, n.planner.all}, func() {
+		for range count {
+			n.free = n.free.Minus(u.need)
+		}
+	})
+	n.countTasks(u.step, u.tasks[0].StepKey(), count)
+}
+
+func (n *node) countTasks(step anvilwork.Step, key anvilwork.StepKey, count int) {
+	if step.MaxPerTarget == 0 {
+		return
+	}
+	if n.taskCounts == nil {
+		n.taskCounts = map[anvilwork.StepKey]int{}
+	}
+	n.taskCounts[key] += count
 }
 
 // need returns the resources that a task of a step occupies. Best-effort tasks run on processors
@@ -112,46 +134,61 @@
 // addNodes creates a node for each target, with the runs that are assigned to the target, and groups
 // the nodes into racks.
 func (p *planner) addNodes() {
-	racks := map[anvilid.RackName]*rack{}
-	for _, target := range p.State.Targets() {
-		n := &node{
-			planner: p, target: target, usable: !target.Leaving && p.Usable(target.ID),
-			slow: p.Avoid(target.ID), free: target.Resources, taskCounts: map[anvilwork.StepKey]int{},
+	targets := p.State.Targets()
+	nodes := make([]node, len(targets))
+	p.all = &group{nodes: make([]*node, len(targets))}
+	for i, target := range targets {
+		n := &nodes[i]
+		*n = node{
+			planner: p, target: target, index: i, usable: !target.Leaving && p.Usable(target.ID),
+			slow: p.Avoid(target.ID), free: target.Resources,
 		}
 		if n.usable {
 			p.usableAccelerators += target.Resources.GPU
 		}
-		p.nodes = append(p.nodes, n)
+		p.all.nodes[i] = n
 		p.byID[target.ID] = n
-		r := racks[target.Rack]
-		if r == nil {
-			r = &rack{name: target.Rack}
-			racks[target.Rack] = r
-			p.racks = append(p.racks, r)
-		}
-		r.nodes = append(r.nodes, n)
+		p.addToRack(n)
 		p.addRuns(n)
 	}
-	slices.SortFunc(p.racks, func(a, b *rack) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(p.racks, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
+	p.all.sortByFree()
+	for _, r := range p.racks {
+		r.sortByFree()
+	}
+}
+
+func (p *planner) addToRack(n *node) {
+	n.rack = p.rackByName[n.target.Rack]
+	if n.rack == nil {
+		n.rack = &group{name: n.target.Rack}
+		p.rackByName[n.target.Rack] = n.rack
+		p.racks = append(p.racks, n.rack)
+	}
+	n.rack.nodes = append(n.rack.nodes, n)
 }
 
 func (p *planner) addRuns(n *node) {
-	for task := range p.State.Runs(n.target.ID) {
-		job, ok := p.State.Job(task.Job)
-		if !ok {
+	runs := p.State.Runs(n.target.ID)
+	placed := make([]placedRun, 0, len(runs))
+	for task := range runs {
+		info := p.jobInfo(task.Job)
+		if info == nil {
 			continue
 		}
-		t := &placedRun{task: task, job: job, node: n, need: need(job.Spec.Steps[task.Step])}
-		t.stopping = job.Phase.Ended() || p.Stopping(n.target.ID, task)
+		t := placedRun{task: task, job: info, node: n, need: need(info.job.Spec.Steps[task.Step])}
+		t.stopping = info.job.Phase.Ended() || p.Stopping(n.target.ID, task)
 		n.free = n.free.Minus(t.need)
 		if t.stopping {
 			n.freeing = n.freeing.Plus(t.need)
 		}
-		n.placedRuns = append(n.placedRuns, t)
-		n.taskCounts[task.StepKey()]++
+		placed = append(placed, t)
+		n.countTasks(info.job.Spec.Steps[task.Step], task.StepKey(), 1)
 	}
-	slices.SortFunc(n.placedRuns, func(a, b *placedRun) int { return a.task.Compare(b.task) })
-	for _, t := range n.placedRuns {
+	slices.SortFunc(placed, func(a, b placedRun) int { return a.task.Compare(b.task) })
+	for i := range placed {
+		t := &placed[i]
+		n.placedRuns = append(n.placedRuns, t)
 		p.runsByStep[t.task.StepKey()] = append(p.runsByStep[t.task.StepKey()], runOnNode{t, n})
 	}
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -68,9 +68,15 @@
 type planner struct {
 	Input
 	decision Decision
-	nodes    []*node
+	all      *group // all nodes
 	byID     map[anvilid.TargetID]*node
-	racks    []*rack
+	racks    []*group // ordered by name
+	// rackByName has the same groups as racks.
+	rackByName map[anvilid.RackName]*group
+	// jobs has what is known about the jobs that have been looked at, see jobInfo.
+	jobs map[anvilid.JobID]*jobInfo
+	// emptyRacks has the results of largestRack that depend on no particular job.
+	emptyRacks map[emptyRackKey]int
 	// usableAccelerators is the number of accelerators of all targets that may be given new runs.
 	usableAccelerators anvilid.AcceleratorCount
 	// urgentByAccount is the number of accelerators that the unfinished urgent jobs of each account
@@ -102,10 +108,11 @@
 	p := &planner{
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
+		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
 	}
+	p.sumUrgentDemand()
 	p.addNodes()
 	p.reserveRacks()
-	p.sumUrgentDemand()
 	waitingSteps := p.waitingInOrder()
 	p.restoreClaims(waitingSteps)
 	for _, waitingStep := range waitingSteps {
@@ -115,7 +122,7 @@
 	p.currentJob, p.currentUrgent, p.deferrable = "", false, true
 	p.moveStragglers()
 	p.decision.Claims = map[anvilid.TargetID]anvilid.JobID{}
-	for _, n := range p.nodes {
+	for _, n := range p.all.nodes {
 		if n.claimedBy != "" {
 			p.decision.Claims[n.target.ID] = n.claimedBy
 		}
@@ -139,10 +146,12 @@
 // waitingStep is a step of one occurrence of a job, with its tasks that wait to be placed.
 type waitingStep struct {
 	job             *anvilwork.Job
+	info            *jobInfo
 	policy          anvilwork.QueuePolicy
 	step            anvilwork.Step
-	urgent          bool // priority 0
-	withinGuarantee bool // urgent and within the guarantee of the account
+	need            anvilwork.Resources // of one task
+	urgent          bool                // priority 0
+	withinGuarantee bool                // urgent and within the guarantee of the account
 	// from is the scheduled start of the job's occurrence, due its deadline.
 	from, due anvilclock.Millis
 	tasks     []anvilwork.Task
@@ -173,16 +182,16 @@
 func (p *planner) waitingInOrder() []*waitingStep {
 	var waitingSteps []*waitingStep
 	for _, job := range p.State.Active() {
-		policy := p.State.PolicyOf(job)
-		urgent := policy.Priority == 0
+		info := p.jobInfo(job.ID)
+		urgent := info.policy.Priority == 0
 		withinGuarantee := false
 		if account, ok := p.State.Account(job.Account); ok && urgent {
 			withinGuarantee = p.urgentByAccount[job.Account] <= account.Guaranteed
 		}
 		for k := range job.Occurrences {
 			for _, u := range p.waitingStepsOf(job, k) {
-				u.policy, u.urgent, u.withinGuarantee = policy, urgent, withinGuarantee
-				u.from, u.due = ScheduledWindow(job, policy, k)
+				u.info, u.policy, u.urgent, u.withinGuarantee = info, info.policy, urgent, withinGuarantee
+				u.from, u.due = info.window(k)
 				waitingSteps = append(waitingSteps, u)
 			}
 		}
@@ -204,7 +213,7 @@
 		if occurrence.Remaining[index] == 0 || !occurrence.Ready(step) {
 			continue
 		}
-		u := &waitingStep{job: job, step: step}
+		u := &waitingStep{job: job, step: step, need: need(step)}
 		for i := range occurrence.Tasks[index] {
 			state := &occurrence.Tasks[index][i]
 			task := anvilwork.Task{Job: job.ID, Occurrence: k, Step: index, Index: i}
@@ -221,39 +230,6 @@
 	return waitingSteps
 }
 
-// ScheduledWindow returns the scheduled start of an occurrence of a job and its deadline.
-func ScheduledWindow(job *anvilwork.Job, policy anvilwork.QueuePolicy, k int) (from, due anvilclock.Millis) {
-	from = job.Accepted
-	if job.Occurrences[k].Due > 0 {
-		from = job.Occurrences[k].Due
-	}
-	return from, from + policy.DeadlineOffset + anvilclock.Millis(policy.DeadlineFactor*float64(longestChain(job)))
-}
-
-// longestChain returns the estimated run time of the longest chain of steps of a job, each of which must
-// wait for the one before.
-func longestChain(job *anvilwork.Job) anvilclock.Millis {
-	var longest anvilclock.Millis
-	for _, span := range chainsFrom(job) {
-		longest = max(longest, span)
-	}
-	return longest
-}
-
-// chainsFrom returns, for each step, the estimated run time of the longest chain of steps that begins
-// with this step, where each step must wait for the one before.
-func chainsFrom(job *anvilwork.Job) []anvilclock.Millis {
-	steps := job.Spec.Steps
-	spans := make([]anvilclock.Millis, len(steps))
-	for i, step := range slices.Backward(steps) {
-		spans[i] += step.Estimate
-		for _, earlier := range step.After {
-			spans[earlier] = max(spans[earlier], spans[i])
-		}
-	}
-	return spans
-}
-
 // compare orders steps: urgent ones (priority 0) of accounts within their guarantee, other urgent ones,
 // then all others. Within each of these classes it orders by deadline.
 func (p *planner) compare(a, b *waitingStep) int {
@@ -284,7 +260,7 @@
 
 func (p *planner) placeGang(u *waitingStep) {
 	if !p.blocked(u) {
-		if allotments := p.fitAll(u, len(u.tasks), (*node).available); allotments != nil {
+		if allotments := p.fitAll(u, len(u.tasks), availableNow); allotments != nil {
 			p.releaseClaims(u)
 			p.assign(u, u.tasks, allotments)
 			return
@@ -299,7 +275,7 @@
 }
 
 func (p *planner) placeSingles(u *waitingStep) {
-	allotments := p.fitMost(u, len(u.tasks), (*node).available)
+	allotments := p.fitMost(u, len(u.tasks), availableNow)
 	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
 	rest := len(u.tasks) - taskCount(allotments)
 	switch {
@@ -315,6 +291,7 @@
 func (p *planner) assign(u *waitingStep, tasks []anvilwork.Task, allotments []allotment) {
 	var gang []anvilwork.Assignment
 	for _, s := range allotments {
+		s.node.allocate(u, s.count)
 		for range s.count {
 			task := tasks[0]
 			tasks = tasks[1:]
@@ -322,7 +299,6 @@
 			if u.policy.Advice.Needed() {
 				a.Ticket, _ = p.Ticket(task.StepKey(), s.node.target) // taskCapacity is 0 on nodes without a ticket
 			}
-			s.node.allocate(u, task)
 			if u.step.Gang {
 				gang = append(gang, a)
 				continue
--- a/core/anvilplace/reserve.go
+++ b/core/anvilplace/reserve.go
@@ -73,6 +73,6 @@
 // isDeferrable reports whether a step that isn't urgent would still meet its deadline if it started
 // later.
 func (p *planner) isDeferrable(u *waitingStep) bool {
-	latest := u.due - anvilclock.Millis(runtimeSafetyFactor*float64(longestChain(u.job))) - startMargin
+	latest := u.due - anvilclock.Millis(runtimeSafetyFactor*float64(u.info.longest)) - startMargin
 	return !u.urgent && p.Now < latest
 }
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -26,17 +26,17 @@
 // whole.
 func (p *planner) moveStragglers() {
 	done := map[anvilwork.StepKey]bool{}
-	for _, n := range p.nodes {
+	for _, n := range p.all.nodes {
 		for _, t := range n.placedRuns {
 			if t.stopping || done[t.task.StepKey()] {
 				continue
 			}
 			members := p.gangMembers(t)
-			if t.job.Spec.Steps[t.task.Step].Gang {
+			if t.job.job.Spec.Steps[t.task.Step].Gang {
 				done[t.task.StepKey()] = true
 			}
 			if p.straggles(t, members) && p.fitsElsewhere(t, members) {
-				p.evict(members, t.job.ID)
+				p.evict(members, t.job.job.ID)
 			}
 		}
 	}
@@ -46,8 +46,8 @@
 // restarted elsewhere. A slow run on a target that isn't slow is just a long one and isn't moved,
 // unless it makes no progress.
 func (p *planner) straggles(t *placedRun, members []runOnNode) bool {
-	step := t.job.Spec.Steps[t.task.Step]
-	if step.LongRunning || t.job.State(t.task).Run >= unmovableFromRun {
+	step := t.job.job.Spec.Steps[t.task.Step]
+	if step.LongRunning || t.job.job.State(t.task).Run >= unmovableFromRun {
 		return false
 	}
 	remaining, restarted := 0.0, 0.0
@@ -79,7 +79,10 @@
 // fitsElsewhere reports whether the tasks of a run or gang would fit in free resources if they were
 // restarted now. For a gang, the resources of its own runs on targets that aren't slow count as free.
 func (p *planner) fitsElsewhere(t *placedRun, members []runOnNode) bool {
-	u := &waitingStep{job: t.job, policy: p.State.PolicyOf(t.job), step: t.job.Spec.Steps[t.task.Step], tasks: []anvilwork.Task{t.task}}
+	u := &waitingStep{
+		job: t.job.job, info: t.job, policy: t.job.policy, step: t.job.job.Spec.Steps[t.task.Step], need: t.need,
+		tasks: []anvilwork.Task{t.task},
+	}
 	for range len(members) - 1 {
 		u.tasks = append(u.tasks, t.task)
 	}
@@ -90,10 +93,10 @@
 	if !u.step.Gang {
 		released = nil // a single run that makes no progress must not return to its target
 	}
-	return p.fitAll(u, len(members), func(n *node) anvilwork.Resources {
+	return p.fitAll(u, len(members), view{resourcesOf: func(n *node) anvilwork.Resources {
 		if n.unavailable() {
 			return anvilwork.Resources{}
 		}
 		return n.free.Plus(released[n])
-	}) != nil
+	}}) != nil
 }
--- a/core/anvilspeed/monitor.go
+++ b/core/anvilspeed/monitor.go
@@ -60,22 +60,31 @@
 
 // Monitor tracks the progress of all runs. It must be used by one goroutine only.
 type Monitor struct {
-	steps map[anvilwork.StepKey]map[int]*sample
+	steps map[anvilwork.StepKey]*step
+}
+
+// step contains the samples of the tasks of one step.
+type step struct {
+	samples map[int]*sample
+	// fastest is the highest rate of all samples. It is valid if fastestKnown is set.
+	fastest      float64
+	fastestKnown bool
 }
 
 // New returns a monitor that knows of no runs.
-func New() *Monitor { return &Monitor{steps: map[anvilwork.StepKey]map[int]*sample{}} }
+func New() *Monitor { return &Monitor{steps: map[anvilwork.StepKey]*step{}} }
 
 // Observe records a report of a run's progress in percent.
 func (m *Monitor) Observe(now anvilclock.Millis, target anvilid.TargetID, task anvilwork.Task, run anvilwork.Run, percent int) {
-	samples := m.steps[task.StepKey()]
-	if samples == nil {
-		samples = map[int]*sample{}
-		m.steps[task.StepKey()] = samples
+	known := m.steps[task.StepKey()]
+	if known == nil {
+		known = &step{samples: map[int]*sample{}}
+		m.steps[task.StepKey()] = known
 	}
-	s := samples[task.Index]
+	s := known.samples[task.Index]
 	if s == nil || s.run != run || s.target != target {
-		samples[task.Index] = &sample{target: target, run: run, percent: percent, at: now, progressedAt: now}
+		known.fastestKnown = false
+		known.samples[task.Index] = &sample{target: target, run: run, percent: percent, at: now, progressedAt: now}
 		return
 	}
 	if percent > s.percent {
@@ -88,39 +97,51 @@
 	if s.percent < 100 && percent < 100 || s.ratedAt == 0 {
 		s.rate, s.ratedAt = float64(percent-s.percent)/float64(now-s.at), now
 		s.maxRate = max(s.maxRate, s.rate)
+		known.fastestKnown = false
 	}
 	s.percent, s.at = percent, now
 }
 
 // Forget removes a task that has no run any more.
 func (m *Monitor) Forget(task anvilwork.Task) {
-	samples := m.steps[task.StepKey()]
-	delete(samples, task.Index)
-	if len(samples) == 0 {
+	known := m.steps[task.StepKey()]
+	if known == nil {
+		return
+	}
+	delete(known.samples, task.Index)
+	known.fastestKnown = false
+	if len(known.samples) == 0 {
 		delete(m.steps, task.StepKey())
 	}
 }
 
-// fastestRate returns the highest rate among the tasks of one step.
-func fastestRate(samples map[int]*sample) float64 {
-	highest := 0.0
-	for _, s := range samples {
-		if s.ratedAt > 0 {
-			highest = max(highest, s.rate)
+// fastestRate returns the highest rate among the tasks of the step. It is computed only after a change,
+// because a plan asks for it once for each run, and a step can have hundreds of runs.
+func (s *step) fastestRate() float64 {
+	if s.fastestKnown {
+		return s.fastest
+	}
+	s.fastest, s.fastestKnown = 0, true
+	for _, sample := range s.samples {
+		if sample.ratedAt > 0 {
+			s.fastest = max(s.fastest, sample.rate)
 		}
 	}
-	return highest
+	return s.fastest
 }
 
 // Progress returns the progress and speed of the latest run of a task, or false if its speed isn't
 // known.
 func (m *Monitor) Progress(now anvilclock.Millis, task anvilwork.Task) (Progress, bool) {
-	samples := m.steps[task.StepKey()]
-	s := samples[task.Index]
+	known := m.steps[task.StepKey()]
+	if known == nil {
+		return Progress{}, false
+	}
+	s := known.samples[task.Index]
 	if s == nil || s.ratedAt == 0 {
 		return Progress{}, false
 	}
-	p := Progress{Percent: float64(s.percent), Rate: s.rate, BestRate: fastestRate(samples)}
+	p := Progress{Percent: float64(s.percent), Rate: s.rate, BestRate: known.fastestRate()}
 	if s.percent < 100 {
 		p.StalledFor = now - s.progressedAt
 	}
@@ -137,12 +158,12 @@
 // targets.
 func (m *Monitor) Slow(now anvilclock.Millis, targetCount int) []anvilid.TargetID {
 	found := map[anvilid.TargetID]evidence{}
-	for _, samples := range m.steps {
-		highest := fastestRate(samples)
+	for _, step := range m.steps {
+		highest := step.fastestRate()
 		if highest == 0 {
 			continue
 		}
-		for _, s := range samples {
+		for _, s := range step.samples {
 			if s.ratedAt > 0 && now-s.ratedAt <= rateValidity {
 				found[s.target] = found[s.target].add(s, highest)
 			}
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -194,7 +194,9 @@
 	return anvilplace.Input{
 		Claims: r.reservedTargets,
 		Avoid: func(id anvilid.TargetID) bool {
-			return slices.Contains(slow, id) || slices.Contains(ejected, id)
+			_, isSlow := slices.BinarySearch(slow, id)
+			_, isEjected := slices.BinarySearch(ejected, id)
+			return isSlow || isEjected
 		},
 		Failed: r.ejector.Failed,
 		Ticket: func(step anvilwork.StepKey, target *anvilwork.Target) (anvilwork.Ticket, bool) {
