Divide the descriptors of the leader among its connections

A start, stop or poll that could not be sent was taken for unanswered; a target without a lease yet was given up at its first failed call.

Change: a budget by purpose (inbound, polls, stops, urgent starts, starts, idle); orders wait in a lane of their kind, so that stops and urgent starts wait for nothing else, and their timeout counts from when they are sent; the leadership is checked right before an order is sent; unused connections above the budget are closed, inbound ones too. An order for which no connection could be opened counts as not sent: a start is tried three times and then withdrawn; a target without a lease is given up after three failed calls.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -12,6 +12,15 @@
 // refusalPause is how long a target gets no new runs after it has rejected a start.
 const refusalPause = 2 * anvilclock.Second
 
+const (
+	// maxUnsentStarts is the number of attempts after which a run is withdrawn if no connection to its
+	// target could be opened. A single failure must not undo the start of a whole gang.
+	maxUnsentStarts = 3
+	// maxFailedFirstCalls is the number of consecutive calls that may fail before the runs of a target are
+	// given up to which this leader has sent no lease.
+	maxFailedFirstCalls = 3
+)
+
 // targetOfAnswer returns the target that sent an answer, and records the reading of its
 // clock. It returns nil if the target is unknown or has changed its incarnation since the
 // order was sent.
@@ -43,9 +52,10 @@
 		return effects
 	}
 	r.startInFlight = false
-	if answer.Verdict != StartUnanswered {
+	if answer.Verdict != StartUnanswered && answer.Verdict != StartNotSent {
 		target.recordContact(answer.Answer)
 	}
+	r.startReached = r.startReached || answer.Verdict != StartNotSent
 	switch answer.Verdict {
 	case StartAccepted:
 		r.phase, r.startUnanswered = running, false
@@ -56,6 +66,13 @@
 		r.startUnanswered, r.nextStartAt = true, now+t.timing.RetryInterval
 		r.mayStartUntil = answer.Sent + maxOrderDelay
 		target.unansweredCalls++
+	case StartNotSent:
+		target.unansweredCalls++
+		r.unsentStarts++
+		r.nextStartAt = now + t.timing.RetryInterval
+		if r.unsentStarts >= maxUnsentStarts {
+			t.withdrawRun(now, answer.Order, r, &effects)
+		}
 	case StartLeaseExpired:
 		target.pollNow, r.nextStartAt = true, now+t.timing.RetryInterval
 	case StartFenced:
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -47,6 +47,10 @@
 	// earliest time of the next start; while one is in flight, it is when that one was sent.
 	startInFlight bool
 	nextStartAt   anvilclock.Millis
+	// startReached reports that a start was sent, whether it was answered or not.
+	startReached bool
+	// unsentStarts counts the starts for which no connection to the target could be opened.
+	unsentStarts int
 	// startUnanswered reports that a start got no answer, so the target may still carry it out.
 	startUnanswered bool
 	// mayStartUntil is until when the target may carry out a start that got no answer.
@@ -244,6 +248,9 @@
 	if target.unansweredCalls == 0 || len(target.runs) == 0 || now < target.lease.certainlyEndedAt() {
 		return false
 	}
+	if !target.lease.mayBeHeld() && target.unansweredCalls < maxFailedFirstCalls {
+		return false
+	}
 	expire := &anvilwork.ExpireLease{Target: target.record.ID, Incarnation: target.record.Incarnation}
 	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
 		expire.Runs = append(expire.Runs, anvilwork.Unassign{Task: task, Run: target.runs[task].number})
@@ -255,7 +262,7 @@
 func (t *Tracker) startAndStop(now anvilclock.Millis, target *target, state *anvilwork.State, effects *Effects) {
 	for task, r := range target.runs {
 		switch {
-		case r.stopRequested && r.phase == starting && !r.startInFlight && !r.startUnanswered && r.nextStartAt == 0:
+		case r.stopRequested && r.phase == starting && !r.startInFlight && !r.startReached && now >= r.nextStartAt:
 			// The start was never sent, so the target can't know the run.
 			effects.Commands = append(effects.Commands,
 				anvilwork.Command{Unassign: &anvilwork.Unassign{Task: task, Run: r.number}})
@@ -284,6 +291,7 @@
 	effects.Starts = append(effects.Starts, Start{
 		Target: target.record, Task: task, Run: r.number, Text: job.Spec.Text,
 		Checkpoint: job.State(task).Checkpoint, Ticket: job.State(task).Ticket, Token: t.token, Deadline: deadline,
+		Urgent: state.PolicyOf(job).Priority == 0,
 	})
 }
 
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -22,6 +22,7 @@
 	Ticket     anvilwork.Ticket // empty where none is needed
 	Token      anvilid.Token
 	Deadline   TargetClock
+	Urgent     bool // the job has the highest priority
 }
 
 // Stop orders a target to stop a run.
@@ -70,6 +71,9 @@
 	StartOtherIncarnation
 	// StartTicketInvalid means that the ticket is missing or no longer valid.
 	StartTicketInvalid
+	// StartNotSent means that no connection to the target could be opened, so this call certainly
+	// has no effect.
+	StartNotSent
 )
 
 // Answer contains the fields that the answers to all orders have in common.
@@ -83,6 +87,8 @@
 	Clock TargetClock
 	// AnsweredBy is the incarnation that answered, or 0 if the answer did not contain it.
 	AnsweredBy anvilwork.Incarnation
+	// NotSent means that there is no answer because the order was certainly not sent.
+	NotSent bool
 }
 
 // StartAnswer is the outcome of the call that delivered a Start. If the target didn't answer, Verdict
--- /dev/null
+++ b/io/anvilconn/budget.go
@@ -0,0 +1,42 @@
+// Package anvilconn divides the file descriptors of a process among its connections by purpose. A process
+// that reaches its limit can neither accept calls nor make any, so each purpose has a limit of its own, and
+// the limits together stay below that of the process.
+package anvilconn
+
+const (
+	// reservedDescriptors are left to files, to the connections between instances, and to calls of other
+	// services.
+	reservedDescriptors = 500
+	// minDivided is the number of descriptors that is divided at least. It suffices for a small system,
+	// and applies if the limit of the process isn't known.
+	minDivided = 512
+)
+
+// Budget is the number of connections of a leader for each purpose.
+type Budget struct {
+	// Inbound limits the connections that others have opened to this process.
+	Inbound int
+	// Polls, Stops, UrgentStarts and Starts limit the calls to targets that are in flight. Each call
+	// occupies one connection.
+	Polls, Stops, UrgentStarts, Starts int
+	// Idle limits the connections to targets that are kept open without a call.
+	Idle int
+}
+
+// Divide returns the budget for a process that may open limit descriptors, or minDivided descriptors if
+// the limit is unknown (0).
+func Divide(limit int) Budget {
+	total := max(limit-reservedDescriptors, minDivided)
+	share := func(percent int) int { return total * percent / 100 }
+	return Budget{
+		Inbound: share(42),
+		// A poll occupies its connection nearly all the time, an order only for one round trip.
+		Polls: share(35), Stops: share(4), UrgentStarts: share(4), Starts: share(5),
+		Idle: share(10),
+	}
+}
+
+// Sum returns the largest number of connections that may be open at the same time.
+func (b Budget) Sum() int {
+	return b.Inbound + b.Polls + b.Stops + b.UrgentStarts + b.Starts + b.Idle
+}
--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilconn"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -67,20 +68,38 @@
 	draining  atomic.Bool
 	servers   []*http.Server
 	failures  chan error
+	// connState is called when the state of a connection to one of the servers changes, or nil.
+	connState func(net.Conn, http.ConnState)
+}
+
+// Option configures a Daemon.
+type Option func(*Daemon)
+
+// WithMaxConnections limits the connections that others may have open to the listeners of the process.
+func WithMaxConnections(limit int) Option {
+	return func(d *Daemon) {
+		d.connState = anvilconn.NewInbound(limit, func(closed int) {
+			d.Log.Write(anvillogs.ConnectionLimitReached, zap.Int("closed", closed), zap.Int("limit", limit))
+		}).Track
+	}
 }
 
 // New returns the daemon of an instance. It writes its log to out, and calls reload to read
 // the settings again.
-func New(instance anvilid.InstanceID, signals Signals, out io.Writer, reload func() error) (*Daemon, error) {
+func New(instance anvilid.InstanceID, signals Signals, out io.Writer, reload func() error, opts ...Option) (*Daemon, error) {
 	logWriter := anvillogs.NewAsyncWriter(out)
 	log, err := anvillogs.NewAsync(logWriter, "info")
 	if err != nil {
 		return nil, err
 	}
-	return &Daemon{
+	d := &Daemon{
 		Log: log.With(zap.String("instance", string(instance))), signals: signals, logWriter: logWriter, reload: reload,
 		failures: make(chan error, 8),
-	}, nil
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d, nil
 }
 
 // Draining reports whether the process has received the signal to stop.
@@ -96,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: d.connState}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -15,6 +15,7 @@
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilupkeep"
 	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvilconn"
 	"anvilshunt/io/anvilgroup"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilvoter"
@@ -66,6 +67,8 @@
 	// has no configuration, and only until initialVotersTimeout has passed since
 	// the start of the process. 0 means that there is no such condition.
 	InitialVoters int
+	// Connections limits the calls to targets that are in flight, by purpose.
+	Connections anvilconn.Budget
 }
 
 // Leader contains a voter's copy of the replicated state, and schedules jobs
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -35,6 +35,7 @@
 	plannedAt   anvilclock.Millis
 	planNeeded  bool
 	callResults chan func(now anvilclock.Millis) anvilorder.Effects
+	lanes       lanes
 	// pendingCommands contains commands that follow from the results of calls.
 	// The next step commits them to the replicated log.
 	pendingCommands []anvilwork.Command
@@ -66,7 +67,7 @@
 		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
-		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize),
+		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize), lanes: newLanes(l.bounds.Connections),
 	}
 }
 
@@ -292,36 +293,51 @@
 	return first - job.Accepted
 }
 
-// sendOrders sends each order to its target in a goroutine of its own. The HTTP
-// client behind OutboundCalls limits the number of connections to one target.
+// sendOrders sends each order to its target in a goroutine of its own, once the lane of the order has
+// room. Meanwhile the term may have ended, and this process may have been suspended, so that the leadership
+// is checked again right before the order is sent.
 func (r *leadership) sendOrders(effects anvilorder.Effects) {
+	for _, order := range effects.Stops {
+		go r.lanes.stops.do(func() {
+			answer := anvilorder.StopAnswer{Answer: notSent(order.Target), Order: order}
+			if r.leading() {
+				answer = r.calls.Stop(context.Background(), order)
+			}
+			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.HandleStopAnswer(now, answer) })
+		})
+	}
 	for _, order := range effects.Starts {
-		go func() {
-			answer := r.calls.Start(context.Background(), order)
+		go r.lanes.forStart(order).do(func() {
+			answer := anvilorder.StartAnswer{Answer: notSent(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
+			if r.leading() {
+				answer = r.calls.Start(context.Background(), order)
+			}
 			r.logStartFailure(answer)
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
 				r.discardRefusedTicket(answer)
 				return r.tracker.HandleStartAnswer(now, answer)
 			})
-		}()
-	}
-	for _, order := range effects.Stops {
-		go func() {
-			answer := r.calls.Stop(context.Background(), order)
-			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.HandleStopAnswer(now, answer) })
-		}()
+		})
 	}
 	for _, order := range effects.Polls {
-		go func() {
-			answer := r.calls.Poll(context.Background(), order)
+		go r.lanes.polls.do(func() {
+			answer := anvilorder.PollAnswer{Answer: notSent(order.Target), Order: order}
+			if r.leading() {
+				answer = r.calls.Poll(context.Background(), order)
+			}
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
 				r.throttleRuns(now, answer)
 				return r.tracker.HandlePollAnswer(now, answer)
 			})
-		}()
+		})
 	}
 }
 
+// notSent returns the common part of the answer to an order that was not sent.
+func notSent(target anvilwork.Target) anvilorder.Answer {
+	return anvilorder.Answer{Target: target.ID, Incarnation: target.Incarnation, NotSent: true}
+}
+
 // enqueueResult passes the result of a call to the goroutine of the term. The
 // result is dropped if the queue is full. After the end of the term nothing reads
 // the queue any more, so it stays full once it has filled up.
