Ask a leader that has been silent before it is sent a change

Callers may not offer such a request again, though it reached nobody.

Change: a call that changes something goes only to a leader that has answered within 150 ms; otherwise the instance asks first whether it leads, which costs one round trip of the seconds that a job takes. A call that only reads has no effect, so it never fails with "unknown".

Ruled out: a shorter deadline of the attempt, which would not make the answer true. TestSilentLeaderGetsNoChange and TestReadHasNoEffect fail without it.

--- a/io/anvilgate/calls.go
+++ b/io/anvilgate/calls.go
@@ -2,26 +2,33 @@
 
 import (
 	"context"
+	"errors"
 
 	"anvilshunt/io/anvilrpc"
 )
 
 // Job forwards a call about a job to the leader.
 func (f *Forwarder) Job(ctx context.Context, call *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
-	return f.job(ctx, call, f.Call)
+	return f.job(ctx, call, f.forward)
 }
 
-func (f *Forwarder) job(ctx context.Context, call *anvilrpc.JobCall, forward func(context.Context, Attempt) error) (*anvilrpc.JobReply, error) {
+// job forwards a call about a job with the given function. A call that only reads has no effect, whether a
+// voter has received it or not, so its error is always ErrNotSent.
+func (f *Forwarder) job(ctx context.Context, request *anvilrpc.JobCall, forward func(context.Context, *call) error) (*anvilrpc.JobReply, error) {
 	var reply *anvilrpc.JobReply
-	err := forward(ctx, func(ctx context.Context, fleet anvilrpc.Fleet) (*anvilrpc.Redirection, bool, error) {
+	readOnly := request.Action == anvilrpc.JobAction_JOB_ACTION_SHOW
+	err := forward(ctx, newCall(f, !readOnly, func(ctx context.Context, fleet anvilrpc.Fleet) (*anvilrpc.Redirection, bool, error) {
 		var err error
-		reply, err = fleet.Job(ctx, call)
+		reply, err = fleet.Job(ctx, request)
 		if err != nil {
 			return nil, false, err
 		}
 		// A change of a job with an unknown outcome is sent again, because it is idempotent.
 		return reply.Redirection, reply.Code != anvilrpc.JobCode_JOB_CODE_UNSPECIFIED && reply.Code != anvilrpc.JobCode_JOB_CODE_UNKNOWN, nil
-	})
+	}))
+	if readOnly && errors.Is(err, ErrUnanswered) {
+		err = ErrNotSent
+	}
 	return reply, err
 }
 
--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -36,6 +36,9 @@
 	// connectedTimeout is how long, after a leader has answered a call, this
 	// instance is considered connected to the leader.
 	connectedTimeout = 2500 * anvilclock.Millisecond
+	// recentContact is how long after its latest answer a leader is sent a change
+	// without being asked again whether it leads.
+	recentContact = 150 * anvilclock.Millisecond
 	// disconnectedTimeouts is the number of consecutive timed-out attempts after
 	// which this instance is considered disconnected from the voters.
 	disconnectedTimeouts = 2
@@ -108,7 +111,10 @@
 // ends. When ctx ends, it returns ErrNotSent or ErrUnanswered. It returns ErrNotSent
 // without waiting for the end of ctx if neither the voters nor the relays respond.
 func (f *Forwarder) Call(ctx context.Context, attempt Attempt) error {
-	c := &call{Forwarder: f, attempt: attempt}
+	return f.forward(ctx, newCall(f, false, attempt))
+}
+
+func (f *Forwarder) forward(ctx context.Context, c *call) error {
 	for {
 		if c.tryRound(ctx) {
 			return nil
@@ -127,7 +133,11 @@
 // CallVoters is like Call but never uses relays. Relays forward calls with it, so
 // that they do not forward calls to each other.
 func (f *Forwarder) CallVoters(ctx context.Context, attempt Attempt) error {
-	c := &call{Forwarder: f, attempt: attempt, relaysTried: true}
+	return f.forwardToVoters(ctx, newCall(f, false, attempt))
+}
+
+func (f *Forwarder) forwardToVoters(ctx context.Context, c *call) error {
+	c.relaysTried = true
 	for ctx.Err() == nil {
 		if c.tryVoters(ctx) {
 			return nil
@@ -144,6 +154,8 @@
 type call struct {
 	*Forwarder
 	attempt Attempt
+	// probes means that a voter must have answered lately before it is sent an attempt, see probe.
+	probes bool
 	// maybeExecuted is set once a voter may have carried out an attempt whose
 	// answer did not arrive.
 	maybeExecuted bool
@@ -152,6 +164,10 @@
 	relaysTried bool
 }
 
+func newCall(f *Forwarder, probes bool, attempt Attempt) *call {
+	return &call{Forwarder: f, probes: probes, attempt: attempt}
+}
+
 func (c *call) failure() error {
 	if c.maybeExecuted {
 		return ErrUnanswered
@@ -172,7 +188,7 @@
 // the relays too, unless they have been tried in this round.
 func (c *call) tryVoters(ctx context.Context) (done bool) {
 	for _, instance := range c.candidates() {
-		done, unanswered := c.try(ctx, instance, c.attempt)
+		done, unanswered := c.try(ctx, instance)
 		c.maybeExecuted = c.maybeExecuted || unanswered
 		if done || ctx.Err() != nil {
 			return done
@@ -200,25 +216,30 @@
 // try makes one attempt at an instance. If the instance answers that another one is
 // the leader, try makes a second attempt there. unanswered is set if an instance may
 // have carried out the call but its answer did not arrive.
-func (f *Forwarder) try(ctx context.Context, instance anvilid.InstanceID, attempt Attempt) (done, unanswered bool) {
+func (c *call) try(ctx context.Context, instance anvilid.InstanceID) (done, unanswered bool) {
 	for range 2 {
-		redirection, done, sent, err := f.attemptOnce(ctx, instance, attempt)
-		if ctx.Err() == nil {
-			f.recordResponse(err)
+		var redirection *anvilrpc.Redirection
+		var sent bool
+		var err error
+		leading := !c.probes || c.answeredLately(instance)
+		if !leading {
+			redirection, leading, _, err = c.record(ctx, instance, c.askLeading)
+		}
+		if leading && err == nil {
+			redirection, done, sent, err = c.record(ctx, instance, c.attempt)
 		}
 		switch {
 		case err != nil:
-			f.demote(instance)
-			f.log.Write(anvillogs.VoterCallFailed, zap.String("voter", string(instance)), zap.Bool("sent", sent), zap.Error(err))
+			c.demote(instance)
+			c.log.Write(anvillogs.VoterCallFailed, zap.String("voter", string(instance)), zap.Bool("sent", sent), zap.Error(err))
 			return false, sent
 		case done:
-			f.recordLeader(instance, redirection)
 			return true, false
 		case redirection == nil:
-			return false, true
+			return false, leading
 		}
 		leader := anvilid.InstanceID(redirection.Leader)
-		f.applyRedirection(redirection)
+		c.applyRedirection(redirection)
 		if leader == "" || leader == instance {
 			return false, false
 		}
@@ -227,6 +248,18 @@
 	return false, false
 }
 
+// record makes one attempt at a voter and records what it says about the voter.
+func (c *call) record(ctx context.Context, instance anvilid.InstanceID, attempt Attempt) (redirection *anvilrpc.Redirection, done, sent bool, err error) {
+	redirection, done, sent, err = c.attemptOnce(ctx, instance, attempt)
+	if ctx.Err() == nil {
+		c.recordResponse(err)
+	}
+	if done && err == nil {
+		c.recordLeader(instance, redirection)
+	}
+	return redirection, done, sent, err
+}
+
 // tryRelay makes one attempt through a relay. unanswered is set if the leader may
 // have carried out the call but its answer did not arrive.
 func (c *call) tryRelay(ctx context.Context, instance anvilid.InstanceID) (done, unanswered bool) {
--- a/io/anvilgate/forwarder_test.go
+++ b/io/anvilgate/forwarder_test.go
@@ -222,3 +222,35 @@
 	assert.NilError(t, f.locateOnce(5*time.Second))
 	assert.Assert(t, <-held < attemptTimeout/2)
 }
+
+// TestSilentLeaderGetsNoChange guards against a submission that is lost at a leader without power, after
+// which the caller is told that its job may have been accepted and can't be offered again elsewhere.
+func TestSilentLeaderGetsNoChange(t *testing.T) {
+	leader := &voter{locate: leads, job: &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE}}
+	f := newForwarder(map[anvilid.InstanceID]*voter{"a": leader})
+	submit := func(action anvilrpc.JobAction) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		_, err := f.Job(ctx, &anvilrpc.JobCall{Action: action})
+		return err
+	}
+	assert.NilError(t, submit(anvilrpc.JobAction_JOB_ACTION_SUBMIT))
+	assert.Equal(t, leader.calls, 2, "asked first, because nothing is known about it")
+	assert.NilError(t, submit(anvilrpc.JobAction_JOB_ACTION_SUBMIT))
+	assert.Equal(t, leader.calls, 3, "it has just answered")
+	time.Sleep(2 * recentContact.Duration())
+	leader.locate, leader.job = silent, nil
+	assert.ErrorIs(t, submit(anvilrpc.JobAction_JOB_ACTION_SUBMIT), ErrNotSent)
+}
+
+// TestReadHasNoEffect guards against telling a caller that a request that only reads may have been carried
+// out: it would not ask again.
+func TestReadHasNoEffect(t *testing.T) {
+	frozen := &voter{locate: leads}
+	f := newForwarder(map[anvilid.InstanceID]*voter{"a": frozen})
+	frozen.job = &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_UNKNOWN}
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := f.Job(ctx, &anvilrpc.JobCall{Action: anvilrpc.JobAction_JOB_ACTION_SHOW})
+	assert.ErrorIs(t, err, ErrNotSent)
+}
--- a/io/anvilgate/relay.go
+++ b/io/anvilgate/relay.go
@@ -32,7 +32,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	reply, err := r.forwarder.job(ctx, call, r.forwarder.CallVoters)
+	reply, err := r.forwarder.job(ctx, call, r.forwarder.forwardToVoters)
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return r.NoLeader.Job(ctx, call)
--- a/io/anvilgate/voters.go
+++ b/io/anvilgate/voters.go
@@ -140,21 +140,32 @@
 func (f *Forwarder) locateLeader(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	err := f.CallVoters(ctx, func(ctx context.Context, fleet anvilrpc.Fleet) (*anvilrpc.Redirection, bool, error) {
-		reply, err := fleet.Locate(ctx, &anvilrpc.LocateCall{Instance: string(f.self)})
-		if err != nil {
-			return nil, false, err
-		}
-		if reply.Leading {
-			f.setRelays(reply.Relays)
-		}
-		return reply.Redirection, reply.Leading, nil
-	})
-	if err != nil {
+	if err := f.CallVoters(ctx, f.askLeading); err != nil {
 		f.log.Write(anvillogs.RequestFailed, zap.String("call", "locate"), zap.Error(err))
 	}
 }
 
+// askLeading is the attempt that asks a voter whether it is the leader. It has no effect.
+func (f *Forwarder) askLeading(ctx context.Context, fleet anvilrpc.Fleet) (*anvilrpc.Redirection, bool, error) {
+	reply, err := fleet.Locate(ctx, &anvilrpc.LocateCall{Instance: string(f.self)})
+	if err != nil {
+		return nil, false, err
+	}
+	if reply.Leading {
+		f.setRelays(reply.Relays)
+	}
+	return reply.Redirection, reply.Leading, nil
+}
+
+// answeredLately reports whether an instance was the leader within recentContact. A call that changes
+// something is sent only to such an instance: if the leader has lost power, the call would be lost on a
+// connection that seems open, and the caller could not be told that it has no effect.
+func (f *Forwarder) answeredLately(instance anvilid.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastLeader == instance && f.clock.Now()-f.lastContact <= recentContact
+}
+
 // recordResponse counts consecutive attempts that timed out. A refused connection
 // is a response: the instance is up, and its process restarts soon.
 func (f *Forwarder) recordResponse(err error) {
