Look only at targets that have changed when orders are made

Cause: in each step of its loop, and there are about 30 a second, the leader compared all targets and runs twice, sorted all targets three times and all runs once, and looked at each member of a gang once for each member: milliseconds at 1,100 targets and 5,000 runs, under the lock.

Change: the state counts the changes of each target and of its runs (RevisionOf), keeps its targets ordered, and looks at a gang once; the tracker passes over targets whose revision it has seen.

No decision changes.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -69,7 +69,9 @@
 
 // target is what the tracker knows about one incarnation of a target.
 type target struct {
-	record       anvilwork.Target
+	record anvilwork.Target
+	// revision is that of the replicated state from which record and runs were last updated.
+	revision     anvilwork.Revision
 	lease        lease
 	runs         map[anvilwork.Task]*run
 	pollInFlight bool
@@ -99,6 +101,11 @@
 	timing    Timing
 	electedAt anvilclock.Millis
 	targets   map[anvilid.TargetID]*target
+	// state is the state that Sync has read last. The revisions of targets are those of this state.
+	state *anvilwork.State
+	// order has the ids of targets in the order in which Next returns orders, or is nil after targets
+	// were added or removed.
+	order []anvilid.TargetID
 	// Speeds rates the targets by the progress of their runs.
 	Speeds *anvilspeed.Monitor
 }
@@ -113,17 +120,34 @@
 // runs that were assigned or released. It must be called before Next, which reads the jobs
 // of the runs to start from the same state.
 func (t *Tracker) Sync(now anvilclock.Millis, state *anvilwork.State) {
-	present := map[anvilid.TargetID]bool{}
-	for _, record := range state.Targets() {
-		present[record.ID] = true
-		t.syncTarget(now, record, state)
+	if t.state != state {
+		t.state = state
+		for _, known := range t.targets {
+			known.revision = 0
+		}
+	}
+	records := state.Targets()
+	for _, record := range records {
+		revision := state.RevisionOf(record.ID)
+		if known := t.targets[record.ID]; known == nil || known.revision != revision {
+			t.syncTarget(now, record, state)
+			t.targets[record.ID].revision = revision
+		}
+	}
+	if len(t.targets) > len(records) {
+		t.removeGone(state)
 	}
+}
+
+// removeGone removes the targets that the replicated state doesn't have any more.
+func (t *Tracker) removeGone(state *anvilwork.State) {
 	for id, gone := range t.targets {
-		if !present[id] {
+		if _, ok := state.Target(id); !ok {
 			t.forgetUnassignedRuns(gone, nil)
 			delete(t.targets, id)
 		}
 	}
+	t.order = nil
 }
 
 func (t *Tracker) syncTarget(now anvilclock.Millis, record *anvilwork.Target, state *anvilwork.State) {
@@ -138,7 +162,10 @@
 		t.forgetUnassignedRuns(known, assigned)
 		known = t.inheritRuns(now, known, assigned)
 	}
-	t.targets[record.ID], known.record = known, *record
+	if t.targets[record.ID] != known {
+		t.targets[record.ID], t.order = known, nil
+	}
+	known.record = *record
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
 			known.runs[task] = &run{number: number, phase: adopting}
@@ -231,7 +258,10 @@
 // the same state to Sync.
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
+	if t.order == nil {
+		t.order = slices.Sorted(maps.Keys(t.targets))
+	}
+	for _, id := range t.order {
 		target := t.targets[id]
 		if t.giveUpExpiredRuns(now, target, &effects) {
 			continue
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -143,7 +143,7 @@
 		s.removePreviousAtAddress(target)
 		target.RegisteredAt = s.now
 	}
-	s.targets[target.ID] = &target
+	s.setTarget(&target)
 	s.transferRuns(&target)
 	return Applied
 }
@@ -163,7 +163,7 @@
 	for _, other := range s.Targets() {
 		if other.Address == announced.Address && other.ID != announced.ID && other.Incarnation < announced.Incarnation {
 			s.releaseAll(other.ID)
-			delete(s.targets, other.ID)
+			s.removeTarget(other.ID)
 		}
 	}
 }
@@ -179,7 +179,7 @@
 		return Unknown
 	}
 	s.releaseAll(target.ID)
-	delete(s.targets, target.ID)
+	s.removeTarget(target.ID)
 	return Applied
 }
 
@@ -220,12 +220,14 @@
 		s.runs[state.Target] = map[Task]Run{}
 	}
 	s.runs[state.Target][task] = state.Run
+	s.revisions[state.Target]++
 }
 
 // releaseTask ends the assignment of a task to its target. The members of a gang complete
 // together, so the task is done if another member of the same run is done.
 func (s *State) releaseTask(job *Job, task Task, state *TaskState) {
 	delete(s.runs[state.Target], task)
+	s.revisions[state.Target]++
 	state.Phase, state.PhaseSince = TaskWaiting, s.now
 	if !job.Spec.Steps[task.Step].Gang {
 		return
@@ -270,6 +272,7 @@
 			continue
 		}
 		target.Cursor = end.Number
+		s.revisions[target.ID]++
 		s.recordRunEnd(end, target)
 	}
 	return Applied
@@ -394,4 +397,5 @@
 		}
 	}
 	delete(s.runs, id)
+	s.revisions[id]++
 }
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,6 +26,10 @@
 	// active lists the jobs that have not ended, in the order in which they were accepted.
 	active []*Job
 	waves  map[WaveNumber]*Wave
+	// ordered has the targets ordered by id, or is nil after targets were added, replaced or removed.
+	ordered []*Target
+	// revisions counts, for each target, the changes of the target and of its assigned runs.
+	revisions map[anvilid.TargetID]Revision
 	// now is the log time: the latest time that a leader stamped on an applied log entry.
 	now anvilclock.Millis
 }
@@ -35,7 +38,7 @@
 func New() *State {
 	s := &State{
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
-		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{},
+		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -62,16 +65,42 @@
 	return target, ok
 }
 
-// Targets returns all targets, ordered by id.
+// Targets returns all targets, ordered by id. The caller must not modify the slice. It isn't changed by
+// later calls of Apply.
 func (s *State) Targets() []*Target {
+	if s.ordered != nil {
+		return s.ordered
+	}
 	targets := make([]*Target, 0, len(s.targets))
 	for _, target := range s.targets {
 		targets = append(targets, target)
 	}
 	slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	s.ordered = targets
 	return targets
 }
 
+// Revision counts changes of a target or of its assigned runs in one State. It isn't replicated.
+type Revision uint64
+
+// RevisionOf returns a number that changes whenever a target or its assigned runs change, so that a
+// reader can tell whether it has to look at them again.
+func (s *State) RevisionOf(id anvilid.TargetID) Revision { return s.revisions[id] }
+
+// setTarget adds or replaces a target.
+func (s *State) setTarget(target *Target) {
+	s.targets[target.ID] = target
+	s.revisions[target.ID]++
+	s.ordered = nil
+}
+
+// removeTarget removes a target whose runs have been released.
+func (s *State) removeTarget(id anvilid.TargetID) {
+	delete(s.targets, id)
+	s.revisions[id]++
+	s.ordered = nil
+}
+
 // Runs returns the tasks that are assigned to a target, with their run numbers. The caller
 // must not modify the map.
 func (s *State) Runs(id anvilid.TargetID) map[Task]Run { return s.runs[id] }
@@ -135,7 +164,7 @@
 		s.waves[wave.Number] = wave
 	}
 	for _, target := range image.Targets {
-		s.targets[target.ID] = target
+		s.setTarget(target)
 	}
 	for _, job := range image.Jobs {
 		s.jobs[job.ID] = job
@@ -166,22 +195,43 @@
 // run is no longer assigned.
 func (s *State) RunsToStop() []Assignment {
 	var found []Assignment
+	gangs := map[gangRun]bool{}
 	for _, target := range s.Targets() {
-		tasks := slices.SortedFunc(maps.Keys(s.runs[target.ID]), Task.Compare)
-		for _, task := range tasks {
-			run := s.runs[target.ID][task]
-			if job, ok := s.jobs[task.Job]; ok && shouldStop(job, task, run) {
+		for task, run := range s.runs[target.ID] {
+			job, ok := s.jobs[task.Job]
+			if ok && shouldStop(job, task, run, gangs) {
 				found = append(found, Assignment{Task: task, Run: run, Target: target.ID, Incarnation: target.Incarnation})
 			}
 		}
 	}
+	slices.SortFunc(found, func(a, b Assignment) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), a.Task.Compare(b.Task))
+	})
 	return found
 }
 
-func shouldStop(job *Job, task Task, run Run) bool {
+// gangRun identifies one run of a gang. All members of a gang have the same run number.
+type gangRun struct {
+	step StepKey
+	run  Run
+}
+
+// shouldStop reports whether one run should be stopped. It keeps the results for gangs in known, because
+// a gang with many members would otherwise be looked at once for each of them.
+func shouldStop(job *Job, task Task, run Run, known map[gangRun]bool) bool {
 	if !job.Spec.Steps[task.Step].Gang {
 		return job.Phase.Ended()
 	}
+	key := gangRun{task.StepKey(), run}
+	stop, ok := known[key]
+	if !ok {
+		stop = shouldStopGang(job, task, run)
+		known[key] = stop
+	}
+	return stop
+}
+
+func shouldStopGang(job *Job, task Task, run Run) bool {
 	incomplete := false
 	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
 		if member.Phase == TaskDone {
