Count a task lease from the latest renewal that was sent

Cause: the owner of a target counted the lease of a gang member from its latest answered renewal and went on sending full leases. A target that carried them out while its answers were lost kept the member for up to 14 s after the owner had given it up, and its job could be placed elsewhere. Found by reading.

Change: while a renewal is unanswered, the following ones give only the rest of the lease, and the member counts as lost when the lease of the latest call that was sent has ended. It is given up 5 s later than before at most.

--- a/io/anvilgang/owner.go
+++ b/io/anvilgang/owner.go
@@ -105,7 +105,20 @@
 	member      Member
 	running     bool
 	renewalSent anvilclock.Millis // when the latest prepare, start or successful renewal was sent
-	renewing    bool
+	// leaseUntil is when the task lease ends at the latest, counted from all calls that were sent, whether
+	// they were answered or not.
+	leaseUntil anvilclock.Millis
+	renewing   bool
+}
+
+// nextLease returns the lease to give with a renewal at a time. While the previous renewal is unanswered,
+// no call extends the lease any further, so that it ends at a known time. Otherwise a target that can be
+// reached, but whose answers are lost, would keep the member for longer than this owner waits for it.
+func (m *managedMember) nextLease(now anvilclock.Millis) anvilclock.Millis {
+	if m.leaseUntil > m.renewalSent+TaskLease {
+		return m.leaseUntil - now
+	}
+	return TaskLease
 }
 
 // fence is the highest token under which a member was stopped. Actions for the member under this or a
@@ -174,6 +187,7 @@
 		o.managed[keyOf(member)] = known
 	}
 	known.renewalSent = o.clock.Now()
+	known.leaseUntil = known.renewalSent + TaskLease
 	o.mu.Unlock()
 	if _, err := o.calls.CallTask(ctx, member.Target, string(action), member, TaskLease); err != nil {
 		return err
@@ -185,14 +199,14 @@
 }
 
 // stop stops a member. It returns nil once the member has certainly stopped: either the target
-// confirmed it, or the task lease has expired, counted from the latest renewal by this owner and
-// from the adoption of the target, whichever is later.
+// confirmed it, or the task lease has expired, counted from the latest call by this owner that extended
+// it and from the adoption of the target, whichever is later.
 func (o *Owner) stop(ctx context.Context, member Member) error {
 	since, _ := o.calls.AdoptedSince(member.Target)
 	o.mu.Lock()
-	lastRenewal := since
+	leaseUntil := since + TaskLease
 	if known, ok := o.managed[keyOf(member)]; ok && known.member.Token <= member.Token {
-		lastRenewal = max(lastRenewal, known.renewalSent)
+		leaseUntil = max(leaseUntil, known.leaseUntil)
 		delete(o.managed, keyOf(member))
 	}
 	o.fences[keyOf(member)] = fence{max(o.fences[keyOf(member)].token, member.Token), o.clock.Now()}
@@ -201,7 +215,7 @@
 	if err == nil || errors.Is(err, ErrUnknownMember) {
 		return nil
 	}
-	if o.clock.Now() >= lastRenewal+TaskLease+leaseMargin {
+	if o.clock.Now() >= leaseUntil+leaseMargin {
 		return nil
 	}
 	return err
@@ -230,28 +244,31 @@
 		}
 		switch {
 		case known.renewing:
-		case now >= known.renewalSent+TaskLease+leaseMargin:
+		case now >= known.leaseUntil+leaseMargin:
 			delete(o.managed, memberKey)
 			go o.reportEnd(ctx, known.member, anvilstate.MemberLost, "its task lease expired because no renewal succeeded")
 		case now >= known.renewalSent+renewPeriod:
 			known.renewing = true
-			go o.renew(ctx, known)
+			go o.renew(ctx, known, known.nextLease(now))
 		}
 	}
 }
 
-// renew renews the task lease of one member. A failed renewal does not extend the lease and is
-// retried at the next check.
-func (o *Owner) renew(ctx context.Context, known *managedMember) {
+// renew renews the task lease of one member. A renewal without an answer is retried at the next check.
+func (o *Owner) renew(ctx context.Context, known *managedMember, lease anvilclock.Millis) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	o.mu.Lock()
 	sent := o.clock.Now()
-	_, err := o.calls.CallTask(callCtx, known.member.Target, "renew", known.member, TaskLease)
+	known.leaseUntil = max(known.leaseUntil, sent+lease)
+	o.mu.Unlock()
+	_, err := o.calls.CallTask(callCtx, known.member.Target, "renew", known.member, lease)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known.renewing = false
 	if err == nil {
-		known.renewalSent = max(known.renewalSent, sent)
+		// A shorter lease than TaskLease is renewed as much earlier.
+		known.renewalSent = max(known.renewalSent, sent+lease-TaskLease)
 	}
 }
 
@@ -336,7 +353,8 @@
 		defer o.mu.Unlock()
 		if _, known := o.managed[keyOf(member)]; !known && o.fences[keyOf(member)].token < member.Token {
 			// renewalSent lies renewPeriod in the past, so that the next check renews the lease.
-			o.managed[keyOf(member)] = &managedMember{member: member, running: true, renewalSent: o.clock.Now() - renewPeriod}
+			now := o.clock.Now()
+			o.managed[keyOf(member)] = &managedMember{member: member, running: true, renewalSent: now - renewPeriod, leaseUntil: now - renewPeriod + TaskLease}
 		}
 	}
 }
