Let the client choose the id of a job that comes without one

Cause: the client asks another instance when the first one doesn't answer, and each chose another id, so that a job without an id could be submitted twice. TestJobWithoutIDIsSubmittedOnce fails on the former code.

--- a/io/anvilclient/client.go
+++ b/io/anvilclient/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -73,8 +74,7 @@
 // call sends a call to one instance after another until one gives a definite answer. It asks the
 // next instance when one fails or doesn't answer within fallbackDelay, and still accepts a late
 // answer. Sending a call to several instances is safe, because the calls of this client are
-// idempotent: changes have ids, so that a repeated change takes effect once. The exception is Submit
-// of a job without an id, which may submit the job more than once.
+// idempotent: changes and jobs have ids, so that a repeated call takes effect once.
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
 	var data []byte
 	if body != nil {
@@ -210,10 +210,13 @@
 }
 
 // Submit sends a job to an instance with POST /v1/jobs, and returns the job as the system stored it.
-// If job.ID is empty, the instance chooses the id. A job without an id may be submitted more than
-// once, because each instance that the client tries chooses another id.
+// If job.ID is empty, the client chooses an id: if the instances chose it, each instance that the client
+// tries would submit another job.
 func (c *Client) Submit(ctx context.Context, job Job) (anvilstate.Job, error) {
 	var reply anvilstate.Job
+	if job.ID == "" {
+		job.ID = anvilid.JobID("job-" + rand.Text())
+	}
 	err := c.call(ctx, http.MethodPost, "/v1/jobs", job, &reply)
 	return reply, err
 }
--- a/io/anvilclient/client_test.go
+++ b/io/anvilclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -66,3 +67,28 @@
 	assert.ErrorIs(t, err, ErrRefused)
 	assert.Error(t, err, "stale")
 }
+
+// TestJobWithoutIDIsSubmittedOnce guards against a job that runs twice: the first server accepts it, but
+// its answer is lost, and the second server is asked with another id or none.
+func TestJobWithoutIDIsSubmittedOnce(t *testing.T) {
+	ids := make(chan string, 2)
+	server := func(status int) anvilid.Address {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var job Job
+			assert.Check(t, json.NewDecoder(r.Body).Decode(&job))
+			ids <- string(job.ID)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(`{}`))
+		}))
+		t.Cleanup(server.Close)
+		return anvilid.Address(strings.TrimPrefix(server.URL, "http://"))
+	}
+	client := New(&http.Client{}, []anvilid.Address{server(http.StatusServiceUnavailable), server(http.StatusOK)})
+	for range 2 {
+		_, err := client.Submit(t.Context(), Job{Account: "a"})
+		assert.NilError(t, err)
+		first, second := <-ids, <-ids
+		assert.Assert(t, first != "")
+		assert.Equal(t, first, second)
+	}
+}
