Don't join the control group again at the end of a drain

Cause: after an instance had left the group, its next renewal was refused as unknown, and it joined again under a higher incarnation while it waited for callers to close their connections. TestDrainedInstanceStaysAway fails on the former code.

--- a/io/anvilserver/fault_test.go
+++ b/io/anvilserver/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -424,3 +425,19 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, after.Incarnation, before.Incarnation, "the instance had to join again under a new incarnation")
 }
+
+// Guards against a draining instance that joins the control group again after it has left: the group would
+// give it targets, and they would be out of use until its session expired.
+func TestDrainedInstanceStaysAway(t *testing.T) {
+	t.Parallel()
+	s := startThree(t)
+	drained := s.others(s.leader())[0]
+	// An open connection of a caller keeps the instance running after it has left.
+	conn, err := net.Dial("tcp", string(s.instances[drained].settings.Public))
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, s.drain(drained))
+	_, after, found := strings.Cut(s.instances[drained].log.String(), "instance is draining")
+	assert.Assert(t, found)
+	assert.Assert(t, !strings.Contains(after, "instance joined the control group"), after)
+}
--- a/io/anvilserver/renew.go
+++ b/io/anvilserver/renew.go
@@ -25,10 +25,11 @@
 
 // maintainLease is the background task that keeps the lease of the instance valid. It joins the control
 // group and then renews the lease by long polls. The replies also update the view, which is the
-// instance's copy of a part of the replicated state.
+// instance's copy of a part of the replicated state. It ends when the instance leaves the group at the
+// end of its drain: an instance that joined again would be given targets and then be lost with them.
 func (s *Server) maintainLease(ctx context.Context) error {
 	joined := false
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !s.left() {
 		if !joined {
 			if joined = s.join(ctx); !joined {
 				sleep(ctx, joinRetryInterval)
@@ -79,7 +80,7 @@
 // session of this instance, so that the instance must join again.
 func (s *Server) renewOnce(ctx context.Context) bool {
 	known, answered := s.poll(ctx)
-	if answered && !known {
+	if answered && !known && !s.left() {
 		s.rejoin()
 	}
 	return known || !answered
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -23,6 +23,7 @@
 const (
 	serving int32 = iota
 	drainingPhase
+	leftPhase // has left the control group for good
 )
 
 // balancerInterval is the longest interval between two readiness checks of the load balancer.
@@ -51,7 +52,9 @@
 // size are answered with an error that names the configured limit.
 const hardHeaderFactor = 4
 
-func (s *Server) draining() bool { return s.state.Load() == drainingPhase }
+func (s *Server) draining() bool { return s.state.Load() >= drainingPhase }
+
+func (s *Server) left() bool { return s.state.Load() == leftPhase }
 
 // Ready reports whether the load balancer should send requests to this instance.
 func (s *Server) Ready() bool { return !s.draining() && s.isLeased() }
@@ -178,6 +181,7 @@
 	s.mu.Unlock()
 	s.fleet.ForgetAllTargets()
 	s.proposeCounts(ctx, true)
+	s.state.Store(leftPhase)
 	s.leave(ctx, false)
 	for ctx.Err() == nil && s.publicConnections.count() > 0 && s.clock.Now() < keepAliveUntil {
 		sleep(ctx, leaseCheckInterval)
