Tell accounts without a guarantee what helps them

Cause: the refusal of a gang that may not be preempted told an account without a guarantee to wait for a release that can't come. TestRefusals has the case, which failed.

--- a/core/anvilplan/plan_test.go
+++ b/core/anvilplan/plan_test.go
@@ -106,12 +106,15 @@
 	place(t, p, 0, newRequest("j2", "x", single))
 	notPreemptible := newRequest("j3", "a", eight)
 	notPreemptible.Preemptible = false
+	withoutGuarantee := newRequest("j9", "x", eight)
+	withoutGuarantee.Preemptible = false
 	for _, test := range []struct {
 		request Request
 		reason  error
 		text    string
 	}{
 		{notPreemptible, ErrNotPreemptible, "uses 1 of 1 guaranteed gangs of 8 accelerators"},
+		{withoutGuarantee, ErrNotPreemptible, "has no guarantee for gangs of 8 accelerators within one worker in service"},
 		{newRequest("j4", "x", eight), ErrNoCapacity, "free is 4 within a worker, 7 within a rack and 7 within a zone, of 7 free in all"},
 		{newRequest("j5", "x", rackGang), ErrUnsatisfiable, "can hold is 8 within a worker, 16 within a rack and 16 within a zone"},
 		{Request{Job: "j6", Service: "other", Shape: single}, ErrUnsatisfiable, "0 within a worker"},
--- a/core/anvilplan/refusal.go
+++ b/core/anvilplan/refusal.go
@@ -47,6 +47,8 @@
 	switch {
 	case errors.Is(r.Reason, ErrUnsatisfiable):
 		return fmt.Sprintf("%v: %s in service %q; the largest that its targets can hold is %s; ask for less or add targets", r.Reason, shape, r.Service, r.Present)
+	case errors.Is(r.Reason, ErrNotPreemptible) && r.Guaranteed == 0:
+		return fmt.Sprintf("%v: account %q has no guarantee for gangs of %s in service %q; allow preemption or add a guarantee", r.Reason, r.Account, shape, r.Service)
 	case errors.Is(r.Reason, ErrNotPreemptible):
 		return fmt.Sprintf("%v: account %q uses %d of %d guaranteed gangs of %s in service %q (%d have no reservation at the moment); allow preemption, wait for a release or raise the guarantee", r.Reason, r.Account, r.InUse, r.Guaranteed, shape, r.Service, r.Unmet)
 	}
