--- a/io/anvilconn/budget.go
+++ b/io/anvilconn/budget.go
@@ -4,12 +4,12 @@
 package anvilconn
 
 const (
-	// reservedDescriptors are left to files, to the connections between instances, and to calls of other
+	// reservedDescriptors are left to files, to the connections between voters, and to calls of other
 	// services.
-	reservedDescriptors = 500
+	reservedDescriptors = 300
 	// minDivided is the number of descriptors that is divided at least. It suffices for a small system,
 	// and applies if the limit of the process isn't known.
-	minDivided = 512
+	minDivided = 600
 )
 
 // Budget is the number of connections of a leader for each purpose.
@@ -29,10 +29,11 @@
 	total := max(limit-reservedDescriptors, minDivided)
 	share := func(percent int) int { return total * percent / 100 }
 	return Budget{
-		Inbound: share(42),
+		Inbound: share(38),
 		// A poll occupies its connection nearly all the time, an order only for one round trip.
-		Polls: share(35), Stops: share(4), UrgentStarts: share(4), Starts: share(5),
-		Idle: share(10),
+		Polls: share(31), Stops: share(3), UrgentStarts: share(3), Starts: share(4),
+		// Most orders find an open connection if one can be kept for nearly each target.
+		Idle: share(21),
 	}
 }
 
