Stamp log entries with a time that never stands still

Entries were stamped with the wall clock, and the state kept the highest stamp. After the wall clock of a leader was set back by 2.4 s, the log time stood still that long, and the plan compared it with a wall clock behind it: urgent jobs seemed to have waited for less than nothing, and nothing was stopped for them until the clock had caught up, longer than they may wait.

Change: a voter's log time starts with the wall clock and the entries it has applied, and advances with the monotonic clock. The plan and the losses use the same time; due times of scheduled jobs still use the wall clock.

--- a/io/anvilvoter/apply.go
+++ b/io/anvilvoter/apply.go
@@ -64,6 +64,7 @@
 	if entry.Kind == anvilraft.KindCommand {
 		result = v.stateMachine.Apply(*entry)
 	}
+	v.logTime.now(v.clock.Now(), entry.At) // the next entry of this voter is not stamped with an earlier time
 	v.applied.Store(uint64(entry.Index))
 	if r := waiters[entry.Index]; r != nil {
 		r.finish(entry.Index, result, nil)
--- a/io/anvilvoter/step.go
+++ b/io/anvilvoter/step.go
@@ -106,7 +106,7 @@
 		}
 	}
 	if len(proposals) > 0 {
-		s.step(anvilraft.Propose{Key: s.register(proposals), Commands: commands, At: s.wall.Now()})
+		s.step(anvilraft.Propose{Key: s.register(proposals), Commands: commands, At: s.LogTime()})
 	}
 	if len(barriers) > 0 {
 		s.step(anvilraft.ReadBarrier{Key: s.register(barriers)})
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -76,6 +76,7 @@
 	stateMachine   StateMachine
 	send           Send
 	clock, wall    anvilclock.Clock
+	logTime        logTime
 	tick           anvilclock.Millis
 	compactAfter   int
 	log            *anvillogs.Logger
