Log what a leader does, every ten seconds

The leader writes one line (event 625) with the runs it placed and stopped by reason, the work lost by each, and histograms of plan, commit and time to the first start. Questions like "who is stopped, and for whom" could not be answered from the log, whose lines of single runs are folded under load. The plan and the losses use the log time of the previous commit. The orders are sent by a type of its own, which checks the leadership again after an order has waited for its lane; TestPausedSender fails without the check.

--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -290,16 +290,21 @@
 // all members of its gang. A run that saves checkpoints is assumed to lose at most one second of work.
 // Now is the time of the replicated log's clock.
 func Loss(job *anvilwork.Job, task anvilwork.Task, now anvilclock.Millis) float64 {
+	lost := RunLoss(job, task, now)
+	if step := job.Spec.Steps[task.Step]; step.Gang {
+		lost *= float64(step.Count)
+	}
+	return lost
+}
+
+// RunLoss is like Loss, but without the work of the other members of a gang.
+func RunLoss(job *anvilwork.Job, task anvilwork.Task, now anvilclock.Millis) float64 {
 	span := now - job.State(task).PhaseSince
 	step := job.Spec.Steps[task.Step]
 	if step.Checkpoints {
 		span = min(span, anvilclock.Second)
 	}
-	lost := coreEquivalents(step) * float64(span)
-	if step.Gang {
-		lost *= float64(step.Count)
-	}
-	return lost
+	return coreEquivalents(step) * float64(span)
 }
 
 // lossOf returns the result of computeLoss for a run, which decides which runs are stopped first. It is
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -209,6 +209,10 @@
 	return status.Term == term && status.HasQuorum
 }
 
+// logTime returns the time with which the replicated log would be stamped now. The times in the replicated
+// state are compared with it, because the wall clock may jump.
+func (l *Leader) logTime() anvilclock.Millis { return l.group.Voter.LogTime() }
+
 // commit proposes commands as one log entry and returns their results.
 func (l *Leader) commit(ctx context.Context, commands ...anvilwork.Command) ([]anvilwork.Result, error) {
 	data, err := anvilwork.Encode(anvilwork.Batch{Commands: commands})
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -35,7 +35,7 @@
 	plannedAt   anvilclock.Millis
 	planNeeded  bool
 	callResults chan func(now anvilclock.Millis) anvilorder.Effects
-	lanes       lanes
+	sender      sender
 	// pendingCommands contains commands that follow from the results of calls.
 	// The next step commits them to the replicated log.
 	pendingCommands []anvilwork.Command
@@ -55,7 +55,8 @@
 	// reservedTargets maps each target that the latest plan reserves to the
 	// waiting job for which it is reserved.
 	reservedTargets map[anvilid.TargetID]anvilid.JobID
-	// firstRunAt maps each job that had not ended at the last plan to the wall
+	summary         *summary
+	// firstRunAt maps each job that had not ended at the last plan to the log
 	// time of its first run, or to 0 if it had none.
 	firstRunAt map[anvilid.JobID]anvilclock.Millis
 }
@@ -67,7 +68,9 @@
 		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
-		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize), lanes: newLanes(l.bounds.Connections),
+		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize),
+		sender:      sender{lanes: newLanes(l.bounds.Connections), calls: l.calls, leading: l.leading},
+		summary:     newSummary(now),
 	}
 }
 
@@ -127,7 +130,9 @@
 	now := r.clock.Now()
 	commands, placementCount := r.decide(now)
 	if len(commands) > 0 {
+		sent := r.clock.Now()
 		results, err := r.commit(ctx, commands...)
+		record(r.summary.commit, r.clock.Now()-sent)
 		if err != nil {
 			r.log.Write(anvillogs.CommitFailed, zap.Int("commands", len(commands)), zap.Error(err))
 			r.tracker.ResetUncommittedEnds()
@@ -136,6 +141,7 @@
 		r.handleCommitted(commands, results, placementCount)
 	}
 	now = r.clock.Now()
+	r.logSummary(now)
 	if !r.leading() {
 		return
 	}
@@ -165,10 +171,16 @@
 	r.demand.Observe(now, anvilplace.UrgentDemand(input))
 	input.Reserve = r.demand.Reserve()
 	decision := anvilplace.Plan(input)
+	record(r.summary.plan, r.clock.Now()-now)
+	r.summary.placed += len(decision.Placements)
 	r.reservedTargets = decision.Claims
 	r.requestAdvice(now, decision.TicketCandidates)
 	for _, eviction := range decision.Evictions {
-		r.tracker.StopRun(eviction.Target, eviction.Task)
+		reason := stoppedForUrgent
+		if eviction.Preemptor == eviction.Task.Job {
+			reason = stoppedAsStraggler
+		}
+		r.stopRun(eviction.Target, eviction.Task, reason)
 		r.log.Write(anvillogs.RunEvicted, zap.Stringer("task", eviction.Task),
 			zap.String("target", string(eviction.Target)), zap.String("for", string(eviction.Preemptor)))
 	}
@@ -182,10 +194,22 @@
 // gangs that have lost a member.
 func (r *leadership) stopObsoleteRuns() {
 	for _, run := range r.state.RunsToStop() {
-		r.tracker.StopRun(run.Target, run.Task)
+		reason := stoppedAsTornGang
+		if job, ok := r.state.Job(run.Task.Job); ok && job.Phase.Ended() {
+			reason = stoppedAfterJob
+		}
+		r.stopRun(run.Target, run.Task, reason)
 	}
 }
 
+// stopRun requests a stop of a run, and records it in the summary unless the run is being stopped already.
+func (r *leadership) stopRun(target anvilid.TargetID, task anvilwork.Task, reason stopReason) {
+	if job, ok := r.state.Job(task.Job); ok && !r.tracker.Stopping(target, task) {
+		r.summary.recordStop(reason, job, task, r.logTime())
+	}
+	r.tracker.StopRun(target, task)
+}
+
 func (r *leadership) planInput(now anvilclock.Millis) anvilplace.Input {
 	// Targets announce themselves once per interval, and after an election an
 	// announcement may first have to be redirected to the new leader.
@@ -209,7 +233,7 @@
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
 		},
-		State: r.state, Now: r.wallClock.Now(), Wall: r.wallClock.Now(),
+		State: r.state, Now: r.logTime(), Wall: r.wallClock.Now(),
 		Usable: func(id anvilid.TargetID) bool {
 			return r.tracker.Usable(now, id, announceTimeout) && !r.upkeep.unavailable[id]
 		},
@@ -258,7 +282,7 @@
 
 // logEndedJobs logs each job that ended since the last plan.
 func (r *leadership) logEndedJobs() {
-	now := r.wallClock.Now()
+	now := r.logTime()
 	for id, first := range r.firstRunAt {
 		job, ok := r.state.Job(id)
 		if !ok || !job.Phase.Ended() {
@@ -278,10 +302,23 @@
 			first = 0
 			if job.Phase == anvilwork.JobRunning {
 				first = now
+				r.summary.recordStart(now-job.Accepted, r.state.PolicyOf(job).Priority == 0)
 			}
 			r.firstRunAt[job.ID] = first
 		}
 	}
+	r.summary.waiting = r.countWaiting()
+}
+
+// countWaiting returns the number of jobs that have had no run since they were first seen.
+func (r *leadership) countWaiting() int {
+	waiting := 0
+	for _, first := range r.firstRunAt {
+		if first == 0 {
+			waiting++
+		}
+	}
+	return waiting
 }
 
 // waited returns the time from a job's acceptance to its first run, or to its
@@ -293,51 +330,35 @@
 	return first - job.Accepted
 }
 
-// sendOrders sends each order to its target in a goroutine of its own, once the lane of the order has
-// room. Meanwhile the term may have ended, and this process may have been suspended, so that the leadership
-// is checked again right before the order is sent.
+// sendOrders sends each order in a goroutine of its own. The sender limits how many of them are in flight.
 func (r *leadership) sendOrders(effects anvilorder.Effects) {
 	for _, order := range effects.Stops {
-		go r.lanes.stops.do(func() {
-			answer := anvilorder.StopAnswer{Answer: notSent(order.Target), Order: order}
-			if r.leading() {
-				answer = r.calls.Stop(context.Background(), order)
-			}
+		go func() {
+			answer := r.sender.stop(order)
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects { return r.tracker.HandleStopAnswer(now, answer) })
-		})
+		}()
 	}
 	for _, order := range effects.Starts {
-		go r.lanes.forStart(order).do(func() {
-			answer := anvilorder.StartAnswer{Answer: notSent(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
-			if r.leading() {
-				answer = r.calls.Start(context.Background(), order)
-			}
+		go func() {
+			answer := r.sender.start(order)
 			r.logStartFailure(answer)
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
 				r.discardRefusedTicket(answer)
 				return r.tracker.HandleStartAnswer(now, answer)
 			})
-		})
+		}()
 	}
 	for _, order := range effects.Polls {
-		go r.lanes.polls.do(func() {
-			answer := anvilorder.PollAnswer{Answer: notSent(order.Target), Order: order}
-			if r.leading() {
-				answer = r.calls.Poll(context.Background(), order)
-			}
+		go func() {
+			answer := r.sender.poll(order)
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
 				r.throttleRuns(now, answer)
 				return r.tracker.HandlePollAnswer(now, answer)
 			})
-		})
+		}()
 	}
 }
 
-// notSent returns the common part of the answer to an order that was not sent.
-func notSent(target anvilwork.Target) anvilorder.Answer {
-	return anvilorder.Answer{Target: target.ID, Incarnation: target.Incarnation, NotSent: true}
-}
-
 // enqueueResult passes the result of a call to the goroutine of the term. The
 // result is dropped if the queue is full. After the end of the term nothing reads
 // the queue any more, so it stays full once it has filled up.
--- /dev/null
+++ b/io/anvillead/sender_test.go
@@ -0,0 +1,73 @@
+package anvillead
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilorder"
+	"anvilshunt/io/anvilconn"
+)
+
+// TestUrgentOrdersDoNotWait guards against stops and starts of urgent jobs that wait behind the starts of a
+// crest, and against more calls in flight than there are connections for them.
+func TestUrgentOrdersDoNotWait(t *testing.T) {
+	const limit = 3
+	l := newLanes(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: limit})
+	finish, begun := make(chan struct{}), make(chan struct{})
+	var inFlight, most atomic.Int64
+	for range 4 * limit {
+		go l.forStart(anvilorder.Start{}).do(func() {
+			most.Store(max(most.Load(), inFlight.Add(1)))
+			begun <- struct{}{}
+			<-finish
+			inFlight.Add(-1)
+		})
+	}
+	for range limit {
+		<-begun
+	}
+	urgent, stopped := false, false
+	l.forStart(anvilorder.Start{Urgent: true}).do(func() { urgent = true })
+	l.stops.do(func() { stopped = true })
+	assert.Assert(t, urgent && stopped)
+	close(finish)
+	for range 3 * limit {
+		<-begun
+	}
+	assert.Assert(t, most.Load() <= limit, "%d calls were in flight", most.Load())
+}
+
+// TestPausedSender guards against a leader that was suspended while an order waited, and sends it after
+// another leader was elected: both would give orders for the same target.
+func TestPausedSender(t *testing.T) {
+	var leads atomic.Bool
+	leads.Store(true)
+	sent := 0
+	s := sender{lanes: newLanes(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}), leading: leads.Load, calls: OutboundCalls{
+		Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
+			sent++
+			return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
+		},
+		Stop: func(context.Context, anvilorder.Stop) anvilorder.StopAnswer {
+			sent++
+			return anvilorder.StopAnswer{Done: true}
+		},
+		Poll: func(context.Context, anvilorder.Poll) anvilorder.PollAnswer {
+			sent++
+			return anvilorder.PollAnswer{Done: true}
+		},
+	}}
+	assert.Equal(t, s.start(anvilorder.Start{}).Verdict, anvilorder.StartAccepted)
+	s.lanes.starts <- struct{}{} // the lane is full, so that the next start waits
+	answer := make(chan anvilorder.StartAnswer)
+	go func() { answer <- s.start(anvilorder.Start{}) }()
+	leads.Store(false)
+	<-s.lanes.starts
+	assert.Equal(t, (<-answer).Verdict, anvilorder.StartNotSent)
+	stopped, polled := s.stop(anvilorder.Stop{}), s.poll(anvilorder.Poll{})
+	assert.Assert(t, stopped.NotSent && !stopped.Done && polled.NotSent && !polled.Done)
+	assert.Equal(t, sent, 1)
+}
--- a/io/anvillead/upkeep.go
+++ b/io/anvillead/upkeep.go
@@ -92,7 +92,7 @@
 		load.Runs++
 		load.Protected = load.Protected || !r.state.MayStop(task)
 		if job, ok := r.state.Job(task.Job); ok {
-			load.Loss += anvilplace.Loss(job, task, r.wallClock.Now())
+			load.Loss += anvilplace.Loss(job, task, r.logTime())
 		}
 	}
 	return load
