Record the last ends of a target before it is removed

A draining target sent DELETE 0 to 100 ms after its last run was done. The leader had the list with the end, but recorded it only in the next step of its loop; the removal, committed at once, released the run, and the task was started again elsewhere (run 1 done at 35.951 s, run 4 begun at 36.165 s).

Change: before a target is removed at its own request, the leader asks it for its list once more and records the ends in the same log entry. A done end of a released run whose task has not been placed again completes the task.

--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -265,6 +265,9 @@
 func (s *State) recordRunEnds(batch RecordRunEnds) Result {
 	target, ok := s.targets[batch.Target]
 	if !ok || target.Incarnation != batch.Incarnation {
+		for _, end := range batch.Ends {
+			s.completeReleased(end)
+		}
 		return Unknown
 	}
 	for _, end := range batch.Ends {
@@ -281,6 +284,7 @@
 func (s *State) recordRunEnd(end RunEnd, target *Target) {
 	job, state := s.assignedTask(end.Task, end.Run)
 	if job == nil || state.Target != target.ID || state.Incarnation != target.Incarnation {
+		s.completeReleased(end)
 		return
 	}
 	if end.Checkpoint != "" {
@@ -295,6 +299,20 @@
 	}
 }
 
+// completeReleased marks a task as done whose latest run is no longer assigned to a target, if that run
+// was done all the same. Its end may be recorded after the target has left, and work that was done must
+// not be started again.
+func (s *State) completeReleased(end RunEnd) {
+	job, ok := s.jobs[end.Task.Job]
+	if !ok || end.Outcome != RunDone {
+		return
+	}
+	state := job.State(end.Task)
+	if state != nil && state.Phase == TaskWaiting && state.Run == end.Run {
+		s.completeTask(job, end, state)
+	}
+}
+
 // storeCheckpoint records the checkpoint of an ended run. The checkpoint of one gang
 // member is valid for all members of the run.
 func (s *State) storeCheckpoint(job *Job, end RunEnd) {
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -1,8 +1,10 @@
 package anvillead
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +12,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -253,7 +256,11 @@
 		}
 		return reply, nil
 	}
-	if _, err := l.commit(ctx, command); err != nil {
+	commands := []anvilwork.Command{command}
+	if command.Leave != nil {
+		commands = append(l.lastEnds(ctx, command.Leave.Target), command)
+	}
+	if _, err := l.commit(ctx, commands...); err != nil {
 		l.log.Write(anvillogs.CommitFailed, zap.String("target", string(target.ID)), zap.Error(err))
 		return &anvilrpc.AnnounceReply{}, nil
 	}
@@ -261,6 +268,31 @@
 	return reply, nil
 }
 
+// lastEnds asks a target that is about to end for its list of runs, and returns the commands that record
+// the ends in it. The leader may have received them without recording them yet; if the target were removed
+// first, tasks that are done would be started again. If the target doesn't answer, there are no commands.
+func (l *Leader) lastEnds(ctx context.Context, id anvilid.TargetID) []anvilwork.Command {
+	l.mu.Lock()
+	known, ok := l.state.Target(id)
+	poll := anvilorder.Poll{Token: anvilid.Token(l.term)}
+	if ok {
+		poll.Target, poll.Cursor = *known, known.Cursor
+	}
+	idle := len(l.state.Runs(id)) == 0
+	l.mu.Unlock()
+	if !ok || idle || !l.leading() {
+		return nil
+	}
+	answer := l.calls.Poll(ctx, poll)
+	if !answer.Done || len(answer.Ended) == 0 {
+		return nil
+	}
+	slices.SortFunc(answer.Ended, func(a, b anvilwork.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
+	return []anvilwork.Command{{RecordRunEnds: &anvilwork.RecordRunEnds{
+		Target: id, Incarnation: poll.Target.Incarnation, Ends: answer.Ended,
+	}}}
+}
+
 // announceCommand returns the command for an announcement, and whether the
 // announcement changes the replicated state.
 func (l *Leader) announceCommand(target anvilwork.Target, left bool) (anvilwork.Command, bool) {
