Move slow runs when that pays, and empty targets that leave

Change: a run on a slow target is moved once it has lost as much time as the move costs (the time to stop and start, and the work to do again), since nobody knows how long a target stays slow. A run that can't end before its target leaves is stopped at once if it fits elsewhere, with its gang.

TestSlowTargets asked for a move at the first sign; it now asks that none comes before the time lost equals the cost and that it comes then.

--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -278,6 +278,11 @@
 	first, second := anvilwork.Task{Job: "g"}, anvilwork.Task{Job: "g", Index: 1}
 	w.progress[first] = anvilspeed.Progress{Percent: 80, Rate: 0.04, BestRate: 0.04}
 	w.progress[second] = anvilspeed.Progress{Percent: 45, Rate: 0.005, BestRate: 0.04}
+	// 45% take 1125 ms on a target that isn't slow, and are lost by a move. The gang has lost as much time
+	// as the move costs when it has taken this time twice, and stopLatency.
+	w.now += 2*1125 + stopLatency - 1
+	assert.Equal(t, len(w.plan().Evictions), 0, "the target may be as fast as before at any moment")
+	w.now++
 	assert.DeepEqual(t, evicted(w.plan()), []anvilid.JobID{"g"})
 	w.endStopping()
 	w.plan()
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilwork"
@@ -16,6 +17,8 @@
 	// take about a minute and progress is reported in whole percent, which is
 	// one percent per 0.6 s.
 	standstillTimeout = 2500 * anvilclock.Millisecond
+	// leaveMargin is how much longer than announced a leaving target is expected to work.
+	leaveMargin = anvilclock.Second
 	// unmovableFromRun is the number of the first run of a task that is no longer moved, so that a task
 	// that makes no progress on any target isn't moved forever.
 	unmovableFromRun = 3
@@ -50,7 +53,7 @@
 	if step.LongRunning || t.job.job.State(t.task).Run >= unmovableFromRun {
 		return false
 	}
-	remaining, restarted := 0.0, 0.0
+	remaining, restarted, progressed := 0.0, 0.0, math.Inf(1)
 	for _, m := range members {
 		progress, known := p.Progress(m.placedRun.task)
 		if m.placedRun.stopping || !known {
@@ -65,6 +68,7 @@
 			done = progress.Percent / 100
 		}
 		restarted = max(restarted, fullTime*(1-done))
+		progressed = min(progressed, fullTime*progress.Percent/100)
 		switch {
 		case progress.Percent >= 100:
 		case progress.Rate > 0 && m.node.slow:
@@ -73,7 +77,50 @@
 			remaining = math.Inf(1)
 		}
 	}
-	return remaining > minMoveGain*(restarted+float64(stopLatency))
+	if remaining <= minMoveGain*(restarted+float64(stopLatency)) {
+		return false
+	}
+	return math.IsInf(remaining, 1) || p.delayOf(t, progressed) >= p.moveCost(t, progressed)
+}
+
+// delayOf returns the time that a run has lost so far, in milliseconds: the time since it was assigned
+// less the time that it would have needed for its progress on targets that aren't slow.
+func (p *planner) delayOf(t *placedRun, progressed float64) float64 {
+	return float64(p.Now-t.job.job.State(t.task).PhaseSince) - progressed
+}
+
+// moveCost returns the time that a move takes and the work that it loses, in milliseconds. Targets turn slow
+// for some seconds, and nobody knows for how long. A run that is moved only when it has lost as much time
+// as the move costs never loses more than twice what the better choice would have lost.
+func (p *planner) moveCost(t *placedRun, progressed float64) float64 {
+	if t.job.job.Spec.Steps[t.task.Step].Checkpoints {
+		return float64(stopLatency)
+	}
+	return float64(stopLatency) + progressed
+}
+
+// leaveTargets evicts runs from targets that leave before the runs can end, if they fit elsewhere. Their
+// work is lost when the target ends, and a gang loses that of all its members; the earlier they start
+// again, the less.
+func (p *planner) leaveTargets() {
+	for _, n := range p.all.nodes {
+		if !n.target.Leaving || n.target.LeavesAt == 0 {
+			continue
+		}
+		left := max(0, n.target.LeavesAt-p.Wall) + leaveMargin
+		for _, t := range n.placedRuns {
+			if t.stopping || p.remainingTime(t) <= left {
+				continue
+			}
+			if members := p.gangMembers(t); !anyStopping(members) && p.fitsElsewhere(t, members) {
+				p.evict(members, t.job.job.ID)
+			}
+		}
+	}
+}
+
+func anyStopping(members []runOnNode) bool {
+	return slices.ContainsFunc(members, func(m runOnNode) bool { return m.placedRun.stopping })
 }
 
 // fitsElsewhere reports whether the tasks of a run or gang would fit in free resources if they were
