Remember which targets have left

A target that had left, and whose removal was acknowledged, became a target again when an announcement that had been delayed on its way arrived, also after a restart of all voters, and was given work.

--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -118,6 +118,8 @@
 func (s *State) AnnouncementHasEffect(target Target) bool {
 	known, ok := s.targets[target.ID]
 	switch {
+	case s.hasDeparted(target):
+		return false
 	case !ok:
 		return true
 	case known.Incarnation != target.Incarnation:
@@ -164,6 +166,7 @@
 		if other.Address == announced.Address && other.ID != announced.ID && other.Incarnation < announced.Incarnation {
 			s.releaseAll(other.ID)
 			s.removeTarget(other.ID)
+			s.remember(other)
 		}
 	}
 }
@@ -180,6 +183,9 @@
 	}
 	s.releaseAll(target.ID)
 	s.removeTarget(target.ID)
+	if leave.Final {
+		s.remember(target)
+	}
 	return Applied
 }
 
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -55,6 +55,9 @@
 type Leave struct {
 	Target      anvilid.TargetID `cbor:"1,keyasint"`
 	Incarnation Incarnation      `cbor:"2,keyasint"`
+	// Final means that the target itself has said that it ends, so that a late announcement of this
+	// incarnation is ignored.
+	Final bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Assignment assigns one run of a task to a target.
--- /dev/null
+++ b/core/anvilwork/departure.go
@@ -0,0 +1,35 @@
+package anvilwork
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// departureRetention is how long a target that has left is remembered. An announcement that was delayed on
+// its way arrives within seconds.
+const departureRetention = 5 * anvilclock.Minute
+
+// departure records that an incarnation of a target has left, or that another target has taken its address.
+// A late announcement of this incarnation must not make it a target again: it would be given work. A later
+// incarnation under the same id is another process and may come.
+type departure struct {
+	Target      anvilid.TargetID  `cbor:"1,keyasint"`
+	Incarnation Incarnation       `cbor:"2,keyasint"`
+	At          anvilclock.Millis `cbor:"3,keyasint"` // in log time
+}
+
+// remember records the departure of a target, and forgets old ones.
+func (s *State) remember(target *Target) {
+	for id, d := range s.departed {
+		if s.now-d.At > departureRetention {
+			delete(s.departed, id)
+		}
+	}
+	s.departed[target.ID] = departure{target.ID, target.Incarnation, s.now}
+}
+
+// hasDeparted reports whether this incarnation of a target, or a later one, has left.
+func (s *State) hasDeparted(target Target) bool {
+	d, ok := s.departed[target.ID]
+	return ok && target.Incarnation <= d.Incarnation
+}
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -123,7 +123,7 @@
 	case "target":
 		return Command{Announce: &Announce{Target: s.target(words)}}
 	case "leave":
-		return Command{Leave: &Leave{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2]))}}
+		return Command{Leave: &Leave{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Final: len(words) > 3}}
 	case "submit":
 		return Command{Submit: s.submit(words)}
 	case "cancel":
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,8 @@
 	// active lists the jobs that have not ended, in the order in which they were accepted.
 	active []*Job
 	waves  map[WaveNumber]*Wave
+	// departed has the targets that have left for good, see departure.
+	departed map[anvilid.TargetID]departure
 	// ordered has the targets ordered by id, or is nil after targets were added, replaced or removed.
 	ordered []*Target
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
@@ -39,6 +42,7 @@
 	s := &State{
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
+		departed: map[anvilid.TargetID]departure{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -124,6 +128,8 @@
 	Targets []*Target         `cbor:"3,keyasint"`
 	Now     anvilclock.Millis `cbor:"4,keyasint"`
 	Waves   []*Wave           `cbor:"5,keyasint,omitempty"`
+	// Departed is ordered by id.
+	Departed []departure `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state.
@@ -137,6 +143,9 @@
 		image.Waves = append(image.Waves, wave)
 	}
 	slices.SortFunc(image.Waves, func(a, b *Wave) int { return cmp.Compare(a.Number, b.Number) })
+	for _, id := range slices.Sorted(maps.Keys(s.departed)) {
+		image.Departed = append(image.Departed, s.departed[id])
+	}
 	return cbor.Marshal(image)
 }
 
@@ -166,6 +175,9 @@
 	for _, target := range image.Targets {
 		s.setTarget(target)
 	}
+	for _, d := range image.Departed {
+		s.departed[d.Target] = d
+	}
 	for _, job := range image.Jobs {
 		s.jobs[job.ID] = job
 		if !job.Phase.Ended() {
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -306,7 +306,7 @@
 		if !ok || !known.Leaving {
 			return anvilwork.Command{}, false
 		}
-		return anvilwork.Command{Leave: &anvilwork.Leave{Target: known.ID, Incarnation: known.Incarnation}}, true
+		return anvilwork.Command{Leave: &anvilwork.Leave{Target: known.ID, Incarnation: known.Incarnation, Final: true}}, true
 	}
 	return anvilwork.Command{Announce: &anvilwork.Announce{Target: target}}, l.state.AnnouncementHasEffect(target)
 }
