Bound the starts that are in flight

Everything that fits is placed in one step, thousands of starts are sent at once by a process with one core, its heartbeats wait behind them, and the next leader finds gangs of which only some members were started.

Change: no further tasks are placed while 400 starts are unanswered at targets that answer; urgent jobs may use twice as many; a gang is placed whole if any start is left.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -103,6 +103,8 @@
 	targets   map[anvilid.TargetID]*target
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
 	state *anvilwork.State
+	// startsInFlight is the result of StartsInFlight.
+	startsInFlight int
 	// order has the ids of targets in the order in which Next returns orders, or is nil after targets
 	// were added or removed.
 	order []anvilid.TargetID
@@ -258,6 +260,7 @@
 // the same state to Sync.
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
+	t.startsInFlight = 0
 	if t.order == nil {
 		t.order = slices.Sorted(maps.Keys(t.targets))
 	}
@@ -289,8 +292,15 @@
 	return true
 }
 
+// StartsInFlight returns the number of runs, at the latest call of Next, that were placed by this leader and
+// that their targets have not confirmed yet. It leaves out the targets that don't answer.
+func (t *Tracker) StartsInFlight() int { return t.startsInFlight }
+
 func (t *Tracker) startAndStop(now anvilclock.Millis, target *target, state *anvilwork.State, effects *Effects) {
 	for task, r := range target.runs {
+		if r.phase == starting && !r.startUnanswered && !r.stopRequested && target.unansweredCalls == 0 {
+			t.startsInFlight++
+		}
 		switch {
 		case r.stopRequested && r.phase == starting && !r.startInFlight && !r.startReached && now >= r.nextStartAt:
 			// The start was never sent, so the target can't know the run.
--- a/core/anvilorder/unsent_test.go
+++ b/core/anvilorder/unsent_test.go
@@ -66,3 +66,14 @@
 	assert.Equal(t, len(commands), 1)
 	assert.Equal(t, len(commands[0].ExpireLease.Runs), 1)
 }
+
+// TestStartsInFlight guards against a leader that places nothing more because starts at targets that don't
+// answer are counted, and against counting none.
+func TestStartsInFlight(t *testing.T) {
+	w := newWorld(t)
+	order := w.placeAndStart(taskA, 1)
+	assert.Equal(t, w.tracker.StartsInFlight(), 1)
+	w.answerStart(order, StartUnanswered)
+	w.advance(testRetry)
+	assert.Equal(t, w.tracker.StartsInFlight(), 0)
+}
--- a/core/anvilplace/cluster_test.go
+++ b/core/anvilplace/cluster_test.go
@@ -24,7 +24,9 @@
 	failed   map[anvilid.TargetID]bool // targets on which all steps have failed
 	claimed  map[anvilid.TargetID]anvilid.JobID
 	reserve  anvilid.AcceleratorCount
-	progress map[anvilwork.Task]anvilspeed.Progress
+	// starts and maxStarts are Input.StartsInFlight and Input.MaxStartsInFlight.
+	starts, maxStarts int
+	progress          map[anvilwork.Task]anvilspeed.Progress
 	// tickets has the ticket of each target, which is valid for all steps. An empty ticket means that
 	// the advice service has denied the target.
 	tickets map[anvilid.TargetID]anvilwork.Ticket
@@ -97,7 +99,7 @@
 // input returns the input that the leader would give to Plan.
 func (w *testCluster) input() Input {
 	return Input{
-		State: w.state, Now: w.now, Wall: w.now, Claims: w.claimed, Reserve: w.reserve,
+		State: w.state, Now: w.now, Wall: w.now, Claims: w.claimed, Reserve: w.reserve, StartsInFlight: w.starts, MaxStartsInFlight: w.maxStarts,
 		Usable:   func(anvilid.TargetID) bool { return true },
 		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
 		Avoid:    func(id anvilid.TargetID) bool { return w.slow[id] },
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"anvilshunt/core/anviladvice"
@@ -35,6 +36,9 @@
 	// a ticket can still be obtained, which isn't the case once the service has denied it.
 	Ticket  func(anvilwork.StepKey, *anvilwork.Target) (anvilwork.Ticket, bool)
 	Allowed func(anvilwork.StepKey, *anvilwork.Target) bool
+	// StartsInFlight is the number of runs whose start is not yet answered, and MaxStartsInFlight its limit,
+	// or 0 if there is none. See startsLeft.
+	StartsInFlight, MaxStartsInFlight int
 	// Claims is Decision.Claims of the previous call of Plan: the targets that it claimed for waiting
 	// jobs, which other jobs may not use.
 	Claims map[anvilid.TargetID]anvilid.JobID
@@ -77,6 +81,8 @@
 	jobs map[anvilid.JobID]*jobInfo
 	// emptyRacks has the results of largestRack that depend on no particular job.
 	emptyRacks map[emptyRackKey]int
+	// placed is the number of tasks that have been placed.
+	placed int
 	// usableAccelerators is the number of accelerators of all targets that may be given new runs.
 	usableAccelerators anvilid.AcceleratorCount
 	// urgentByAccount is the number of accelerators that the unfinished urgent jobs of each account
@@ -116,6 +122,9 @@
 	waitingSteps := p.waitingInOrder()
 	p.restoreClaims(waitingSteps)
 	for _, waitingStep := range waitingSteps {
+		if p.startsLeft(waitingStep.urgent) <= 0 {
+			continue
+		}
 		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
 		p.placeStep(waitingStep)
 	}
@@ -131,6 +140,21 @@
 	return p.decision
 }
 
+// startsLeft returns how many further tasks may be placed. When everything waits at once, as after all voters
+// were down, the starts would otherwise delay each other until gangs miss some of their members, and the
+// leader would be too busy to remain the leader. A gang is placed as a whole if any start is left for it.
+// Urgent jobs may use twice the limit, so that they don't wait for the starts of others.
+func (p *planner) startsLeft(urgent bool) int {
+	if p.MaxStartsInFlight == 0 {
+		return math.MaxInt
+	}
+	limit := p.MaxStartsInFlight
+	if urgent {
+		limit *= 2
+	}
+	return limit - p.StartsInFlight - p.placed
+}
+
 // restoreClaims claims the same targets as the previous call of Plan for those jobs that still wait.
 func (p *planner) restoreClaims(waitingSteps []*waitingStep) {
 	waiting := map[anvilid.JobID]*waitingStep{}
@@ -276,9 +300,10 @@
 }
 
 func (p *planner) placeSingles(u *waitingStep) {
-	allotments := p.fitMost(u, len(u.tasks), availableNow)
+	count := min(len(u.tasks), p.startsLeft(u.urgent))
+	allotments := p.fitMost(u, count, availableNow)
 	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
-	rest := len(u.tasks) - taskCount(allotments)
+	rest := count - taskCount(allotments)
 	switch {
 	case rest == 0:
 		p.releaseClaims(u)
@@ -292,6 +317,7 @@
 func (p *planner) assign(u *waitingStep, tasks []anvilwork.Task, allotments []allotment) {
 	var gang []anvilwork.Assignment
 	for _, s := range allotments {
+		p.placed += s.count
 		s.node.allocate(u, s.count)
 		for range s.count {
 			task := tasks[0]
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -26,6 +26,10 @@
 // earliest start time of a job can be reached.
 const planInterval = 200 * anvilclock.Millisecond
 
+// maxStartsInFlight is the number of starts that may be unanswered before no further tasks are placed. A
+// leader with one core sends so many in about a tenth of a second.
+const maxStartsInFlight = 400
+
 // leadership is the scheduling state of one leader term. Its fields are used
 // only by the goroutine of that term.
 type leadership struct {
@@ -217,7 +221,7 @@
 	known := len(r.state.Targets())
 	slow, ejected := r.tracker.Speeds.Slow(now, known), r.ejector.Ejected(now, known)
 	return anvilplace.Input{
-		Claims: r.reservedTargets,
+		Claims: r.reservedTargets, StartsInFlight: r.tracker.StartsInFlight(), MaxStartsInFlight: maxStartsInFlight,
 		Avoid: func(id anvilid.TargetID) bool {
 			_, isSlow := slices.BinarySearch(slow, id)
 			_, isEjected := slices.BinarySearch(ejected, id)
