Don't take targets for silent when their orders were withheld

Cause: found by reading. An order that is not sent because the leader has no quorum at that moment counted as a failed call of its target, so that all targets seemed silent for a moment. Change: such an answer says nothing about the target; the order is made again. TestWithheldOrders is new.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -52,6 +52,10 @@
 		return effects
 	}
 	r.startInFlight = false
+	if answer.Withheld {
+		r.nextStartAt = now + t.timing.RetryInterval
+		return effects
+	}
 	if answer.Verdict != StartUnanswered && answer.Verdict != StartNotSent {
 		target.recordContact(answer.Answer)
 	}
@@ -139,6 +143,9 @@
 		return effects
 	}
 	r.stopInFlight, r.nextStopAt = false, now+t.timing.RetryInterval
+	if answer.Withheld {
+		return effects
+	}
 	if !answer.Done {
 		target.unansweredCalls++
 		return effects
@@ -160,6 +167,10 @@
 		return effects
 	}
 	target.pollInFlight = false
+	if answer.Withheld {
+		target.nextPollAt = now + t.timing.RetryInterval
+		return effects
+	}
 	if answer.FromOtherIncarnation {
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 		return effects
--- /dev/null
+++ b/core/anvilorder/sync.go
@@ -0,0 +1,103 @@
+package anvilorder
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilwork"
+)
+
+// Sync updates the tracker from the replicated state: targets that were added or removed,
+// runs that were assigned or released. It must be called before Next, which reads the jobs
+// of the runs to start from the same state.
+func (t *Tracker) Sync(now anvilclock.Millis, state *anvilwork.State) {
+	if t.state != state {
+		t.state = state
+		for _, known := range t.targets {
+			known.revision = 0
+		}
+	}
+	records := state.Targets()
+	for _, record := range records {
+		revision := state.RevisionOf(record.ID)
+		if known := t.targets[record.ID]; known == nil || known.revision != revision {
+			t.syncTarget(now, record, state)
+			t.targets[record.ID].revision = revision
+		}
+	}
+	if len(t.targets) > len(records) {
+		t.removeGone(state)
+	}
+}
+
+// removeGone removes the targets that the replicated state doesn't have any more.
+func (t *Tracker) removeGone(state *anvilwork.State) {
+	for id, gone := range t.targets {
+		if _, ok := state.Target(id); !ok {
+			t.forgetUnassignedRuns(gone, nil)
+			delete(t.targets, id)
+		}
+	}
+	t.order = nil
+}
+
+func (t *Tracker) syncTarget(now anvilclock.Millis, record *anvilwork.Target, state *anvilwork.State) {
+	known, assigned := t.targets[record.ID], state.Runs(record.ID)
+	switch {
+	case known == nil:
+		known = &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
+		if record.RegisteredAt == 0 || len(assigned) > 0 {
+			known.lease.untrackedUntil = t.electedAt + t.longestLease()
+		}
+	case known.record.Incarnation != record.Incarnation:
+		t.forgetUnassignedRuns(known, assigned)
+		known = t.inheritRuns(now, known, assigned)
+	}
+	if t.targets[record.ID] != known {
+		t.targets[record.ID], t.order = known, nil
+	}
+	known.record = *record
+	for task, number := range assigned {
+		if known.runs[task] == nil || known.runs[task].number != number {
+			known.runs[task] = &run{number: number, phase: adopting}
+		}
+	}
+	t.forgetUnassignedRuns(known, assigned)
+}
+
+// forgetUnassignedRuns drops the runs of a target that are no longer assigned to it.
+func (t *Tracker) forgetUnassignedRuns(target *target, assigned map[anvilwork.Task]anvilwork.Run) {
+	for task := range target.runs {
+		if _, ok := assigned[task]; !ok {
+			delete(target.runs, task)
+			t.Speeds.Forget(task)
+		}
+	}
+}
+
+// inheritRuns returns the record of a new incarnation of a target, with the runs that were
+// assigned to the former one. The new incarnation may still carry out starts that this
+// leader sent to the former one: it has seen no higher fencing token that would make it
+// refuse them. Therefore each run is stopped there before it is unassigned.
+func (t *Tracker) inheritRuns(now anvilclock.Millis, former *target, assigned map[anvilwork.Task]anvilwork.Run) *target {
+	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
+	successor.lease.untrackedUntil = now
+	for task, number := range assigned {
+		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true}
+		if before := former.runs[task]; before != nil && before.number == number {
+			r.mayStartUntil = before.mayStartUntil
+			if before.startInFlight {
+				r.mayStartUntil = max(r.mayStartUntil, before.nextStartAt+maxOrderDelay)
+			}
+		}
+		if r.mayStartUntil > 0 {
+			successor.lease.untrackedUntil = max(successor.lease.untrackedUntil, r.mayStartUntil+t.longestLease())
+		}
+		successor.runs[task] = r
+	}
+	return successor
+}
+
+// longestLease returns how long a lease may last by the leader's clock if the target's clock
+// runs as slowly as maxClockSlowness allows.
+func (t *Tracker) longestLease() anvilclock.Millis {
+	return anvilclock.Millis(float64(t.timing.MaxLease) / (1 - maxClockSlowness))
+}
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -89,6 +89,9 @@
 	AnsweredBy anvilwork.Incarnation
 	// NotSent means that there is no answer because the order was certainly not sent.
 	NotSent bool
+	// Withheld means that the order was not sent because this process isn't certainly the leader any more.
+	// It says nothing about the target.
+	Withheld bool
 }
 
 // StartAnswer is the outcome of the call that delivered a Start. If the target didn't answer, Verdict
--- a/core/anvilorder/unsent_test.go
+++ b/core/anvilorder/unsent_test.go
@@ -77,3 +77,30 @@
 	w.advance(testRetry)
 	assert.Equal(t, w.tracker.StartsInFlight(), 0)
 }
+
+// TestWithheldOrders guards against a leader that loses its quorum for a moment, and then takes all targets for
+// silent because it has sent them nothing.
+func TestWithheldOrders(t *testing.T) {
+	w := newWorld(t)
+	order := w.placeAndStart(taskA, 1)
+	answer := Answer{Target: "t", Incarnation: 1, NotSent: true, Withheld: true}
+	for range 2 * maxUnsentStarts {
+		effects := w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: answer, Order: order, Verdict: StartNotSent})
+		assert.Equal(t, len(effects.Commands), 0)
+		starts := w.advance(testRetry).Starts
+		assert.Equal(t, len(starts), 1)
+		order = starts[0]
+	}
+	w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: w.takePoll()})
+	assert.Assert(t, w.tracker.Usable(w.now, "t", 5000))
+	assert.Equal(t, len(w.advance(testRetry-1).Polls), 0)
+	assert.Equal(t, len(w.advance(1).Polls), 1)
+
+	w.answerStart(order, StartAccepted)
+	w.tracker.StopRun("t", taskA)
+	stops := w.advance(1).Stops
+	assert.Equal(t, len(stops), 1)
+	w.tracker.HandleStopAnswer(w.now, StopAnswer{Answer: answer, Order: stops[0]})
+	assert.Assert(t, w.tracker.Usable(w.now, "t", 5000))
+	assert.Equal(t, len(w.advance(testRetry).Stops), 1, "the stop is sent again")
+}
--- /dev/null
+++ b/core/anvilwork/ends.go
@@ -0,0 +1,203 @@
+package anvilwork
+
+import (
+	"maps"
+	"slices"
+
+	"anvilshunt/core/anvilid"
+)
+
+func (s *State) recordRunEnds(batch RecordRunEnds) Result {
+	target, ok := s.targets[batch.Target]
+	if !ok || target.Incarnation != batch.Incarnation {
+		for _, end := range batch.Ends {
+			s.completeReleased(end)
+		}
+		return Unknown
+	}
+	for _, end := range batch.Ends {
+		if end.Number <= target.Cursor {
+			continue
+		}
+		target.Cursor = end.Number
+		s.revisions[target.ID]++
+		s.recordRunEnd(end, target)
+	}
+	return Applied
+}
+
+func (s *State) recordRunEnd(end RunEnd, target *Target) {
+	job, state := s.assignedTask(end.Task, end.Run)
+	if job == nil || state.Target != target.ID || state.Incarnation != target.Incarnation {
+		s.completeReleased(end)
+		return
+	}
+	if end.Checkpoint != "" {
+		s.storeCheckpoint(job, end)
+	}
+	s.releaseTask(job, end.Task, state)
+	switch end.Outcome {
+	case RunDone:
+		s.completeTask(job, end, state)
+	case RunFailed:
+		s.countFailure(job, end)
+	}
+}
+
+// completeReleased marks a task as done whose latest run is no longer assigned to a target, if that run
+// was done all the same. Its end may be recorded after the target has left, and work that was done must
+// not be started again.
+func (s *State) completeReleased(end RunEnd) {
+	job, ok := s.jobs[end.Task.Job]
+	if !ok || end.Outcome != RunDone {
+		return
+	}
+	state := job.State(end.Task)
+	if state != nil && state.Phase == TaskWaiting && state.Run == end.Run {
+		s.completeTask(job, end, state)
+	}
+}
+
+// storeCheckpoint records the checkpoint of an ended run. The checkpoint of one gang
+// member is valid for all members of the run.
+func (s *State) storeCheckpoint(job *Job, end RunEnd) {
+	tasks := job.Occurrences[end.Task.Occurrence].Tasks[end.Task.Step]
+	if !job.Spec.Steps[end.Task.Step].Gang {
+		tasks[end.Task.Index].Checkpoint = end.Checkpoint
+		return
+	}
+	for i := range tasks {
+		if tasks[i].Run == end.Run {
+			tasks[i].Checkpoint = end.Checkpoint
+		}
+	}
+}
+
+// completeTask marks a task as done, and with it the members of its gang that are no longer
+// assigned to a target. A member that is still assigned is marked when its own run ends.
+func (s *State) completeTask(job *Job, end RunEnd, state *TaskState) {
+	step := job.Spec.Steps[end.Task.Step]
+	if step.LongRunning || state.Phase == TaskDone {
+		return
+	}
+	s.markTaskDone(job, end.Task, state)
+	if !step.Gang {
+		return
+	}
+	members := job.Occurrences[end.Task.Occurrence].Tasks[end.Task.Step]
+	for i := range members {
+		if members[i].Phase == TaskWaiting && members[i].Run == end.Run {
+			task := end.Task
+			task.Index = i
+			s.markTaskDone(job, task, &members[i])
+		}
+	}
+}
+
+func (s *State) completeJobIfDone(job *Job) {
+	if job.Phase.Ended() {
+		return
+	}
+	for k := range job.Occurrences {
+		if slices.ContainsFunc(job.Occurrences[k].Remaining, func(open int) bool { return open > 0 }) {
+			return
+		}
+	}
+	s.endJob(job, JobDone)
+}
+
+// countFailure counts a failed run. For a gang, a run counts as one failure no matter
+// which and how many of its members fail. Long-running tasks may fail any number of times.
+func (s *State) countFailure(job *Job, end RunEnd) {
+	step := job.Spec.Steps[end.Task.Step]
+	tasks := job.Occurrences[end.Task.Occurrence].Tasks[end.Task.Step]
+	failures := 0
+	for i := range tasks {
+		if i != end.Task.Index && !step.Gang || tasks[i].FailedRun == end.Run {
+			continue
+		}
+		tasks[i].Failed++
+		tasks[i].FailedRun = end.Run
+		failures = max(failures, tasks[i].Failed)
+	}
+	if !job.Phase.Ended() && !step.LongRunning && failures >= max(1, s.PolicyOf(job).Attempts) {
+		s.endJob(job, JobFailed)
+	}
+}
+
+func (s *State) unassign(command Unassign) Result {
+	job, state := s.assignedTask(command.Task, command.Run)
+	if job == nil {
+		return Unknown
+	}
+	s.releaseTask(job, command.Task, state)
+	return Applied
+}
+
+func (s *State) expireLease(command ExpireLease) Result {
+	target, ok := s.targets[command.Target]
+	if !ok || target.Incarnation != command.Incarnation {
+		return Unknown
+	}
+	if len(command.Runs) == 0 {
+		s.releaseAll(target.ID)
+		return Applied
+	}
+	for _, run := range command.Runs {
+		if job, state := s.assignedTask(run.Task, run.Run); job != nil && state.Target == target.ID {
+			s.releaseTask(job, run.Task, state)
+		}
+	}
+	return Applied
+}
+
+// releaseAll ends the assignment of all tasks to a target, as releaseTask does for one.
+func (s *State) releaseAll(id anvilid.TargetID) {
+	tasks := slices.SortedFunc(maps.Keys(s.runs[id]), Task.Compare)
+	for _, task := range tasks {
+		if job, state := s.assignedTask(task, s.runs[id][task]); job != nil {
+			s.releaseTask(job, task, state)
+		}
+	}
+	delete(s.runs, id)
+	s.revisions[id]++
+}
+
+// releaseTask ends the assignment of a task to its target. The members of a gang complete
+// together, so the task is done if another member of the same run is done.
+func (s *State) releaseTask(job *Job, task Task, state *TaskState) {
+	delete(s.runs[state.Target], task)
+	s.revisions[state.Target]++
+	state.Phase, state.PhaseSince = TaskWaiting, s.now
+	if !job.Spec.Steps[task.Step].Gang {
+		return
+	}
+	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
+		if member.Phase == TaskDone && member.Run == state.Run {
+			s.markTaskDone(job, task, state)
+			return
+		}
+	}
+}
+
+// markTaskDone marks a task as done whose assignment to a target has ended, and completes
+// the job if this was its last task.
+func (s *State) markTaskDone(job *Job, task Task, state *TaskState) {
+	state.Phase, state.PhaseSince = TaskDone, s.now
+	job.Occurrences[task.Occurrence].Remaining[task.Step]--
+	s.completeJobIfDone(job)
+}
+
+// assignedTask returns the job and the state of a task if the run is the task's latest one
+// and is still assigned to a target, else nil.
+func (s *State) assignedTask(task Task, run Run) (*Job, *TaskState) {
+	job, ok := s.jobs[task.Job]
+	if !ok {
+		return nil, nil
+	}
+	state := job.State(task)
+	if state == nil || state.Phase != TaskAssigned || state.Run != run {
+		return nil, nil
+	}
+	return job, state
+}
--- a/io/anvillead/sender.go
+++ b/io/anvillead/sender.go
@@ -48,7 +48,7 @@
 }
 
 func (s *sender) stop(order anvilorder.Stop) (answer anvilorder.StopAnswer) {
-	answer = anvilorder.StopAnswer{Answer: notSent(order.Target), Order: order}
+	answer = anvilorder.StopAnswer{Answer: withheld(order.Target), Order: order}
 	s.lanes.stops.do(func() {
 		if s.leading() {
 			answer = s.calls.Stop(context.Background(), order)
@@ -58,7 +58,7 @@
 }
 
 func (s *sender) start(order anvilorder.Start) (answer anvilorder.StartAnswer) {
-	answer = anvilorder.StartAnswer{Answer: notSent(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
+	answer = anvilorder.StartAnswer{Answer: withheld(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
 	s.lanes.forStart(order).do(func() {
 		if s.leading() {
 			answer = s.calls.Start(context.Background(), order)
@@ -68,7 +68,7 @@
 }
 
 func (s *sender) poll(order anvilorder.Poll) (answer anvilorder.PollAnswer) {
-	answer = anvilorder.PollAnswer{Answer: notSent(order.Target), Order: order}
+	answer = anvilorder.PollAnswer{Answer: withheld(order.Target), Order: order}
 	s.lanes.polls.do(func() {
 		if s.leading() {
 			answer = s.calls.Poll(context.Background(), order)
@@ -77,7 +77,8 @@
 	return answer
 }
 
-// notSent returns the common part of the answer to an order that was not sent.
-func notSent(target anvilwork.Target) anvilorder.Answer {
-	return anvilorder.Answer{Target: target.ID, Incarnation: target.Incarnation, NotSent: true}
+// withheld returns the common part of the answer to an order that was not sent because this process doesn't
+// lead any more.
+func withheld(target anvilwork.Target) anvilorder.Answer {
+	return anvilorder.Answer{Target: target.ID, Incarnation: target.Incarnation, NotSent: true, Withheld: true}
 }
--- a/io/anvillead/sender_test.go
+++ b/io/anvillead/sender_test.go
@@ -66,8 +66,9 @@
 	go func() { answer <- s.start(anvilorder.Start{}) }()
 	leads.Store(false)
 	<-s.lanes.starts
-	assert.Equal(t, (<-answer).Verdict, anvilorder.StartNotSent)
+	withheld := <-answer
+	assert.Assert(t, withheld.Verdict == anvilorder.StartNotSent && withheld.Withheld)
 	stopped, polled := s.stop(anvilorder.Stop{}), s.poll(anvilorder.Poll{})
-	assert.Assert(t, stopped.NotSent && !stopped.Done && polled.NotSent && !polled.Done)
+	assert.Assert(t, stopped.Withheld && !stopped.Done && polled.Withheld && !polled.Done)
 	assert.Equal(t, sent, 1)
 }
