--- a/core/anvilplace/starts_test.go
+++ b/core/anvilplace/starts_test.go
@@ -10,7 +10,7 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// TestEverythingWaitsAtOnce answers the load after a dark period, when all jobs wait at once and all targets
+// TestEverythingWaitsAtOnce answers the load after all voters were down, when all jobs wait at once and all targets
 // are empty. It guards against placing everything in one step: the starts delay each other, and gangs wait in
 // vain for members whose starts have not been sent yet.
 func TestEverythingWaitsAtOnce(t *testing.T) {
--- a/io/anvillead/sender.go
+++ b/io/anvillead/sender.go
@@ -8,48 +8,48 @@
 	"anvilshunt/io/anvilconn"
 )
 
-// lane limits the calls of one kind that are in flight. A call waits until its lane has room, so that
-// the orders of a crest neither exhaust the connections nor delay each other beyond their timeouts.
-type lane chan struct{}
+// semaphore limits the calls of one kind that are in flight. Further calls wait, so that many orders at a
+// time neither exhaust the connections nor delay each other beyond their timeouts.
+type semaphore chan struct{}
 
-// do runs a call once the lane has room.
-func (l lane) do(call func()) {
-	l <- struct{}{}
-	defer func() { <-l }()
+// do runs a call once fewer than the limit are in flight.
+func (s semaphore) do(call func()) {
+	s <- struct{}{}
+	defer func() { <-s }()
 	call()
 }
 
-// lanes are separate, so that stops and the starts of urgent jobs never wait for other orders.
-type lanes struct {
-	polls, stops, urgentStarts, starts lane
+// callLimits are separate, so that stops and the starts of urgent jobs never wait for other orders.
+type callLimits struct {
+	polls, stops, urgentStarts, starts semaphore
 }
 
-func newLanes(budget anvilconn.Budget) lanes {
-	return lanes{
-		polls: make(lane, budget.Polls), stops: make(lane, budget.Stops),
-		urgentStarts: make(lane, budget.UrgentStarts), starts: make(lane, budget.Starts),
+func newCallLimits(budget anvilconn.Budget) callLimits {
+	return callLimits{
+		polls: make(semaphore, budget.Polls), stops: make(semaphore, budget.Stops),
+		urgentStarts: make(semaphore, budget.UrgentStarts), starts: make(semaphore, budget.Starts),
 	}
 }
 
-func (l *lanes) forStart(order anvilorder.Start) lane {
+func (l *callLimits) forStart(order anvilorder.Start) semaphore {
 	if order.Urgent {
 		return l.urgentStarts
 	}
 	return l.starts
 }
 
-// sender sends the orders of one term. Each call waits until the lane of the order has room. Meanwhile the
+// sender sends the orders of one term. An order may have to wait for others. Meanwhile the
 // term may have ended, and this process may have been suspended, so that the leadership is checked again
 // right before the order is sent.
 type sender struct {
-	lanes   lanes
+	limits  callLimits
 	calls   OutboundCalls
 	leading func() bool
 }
 
 func (s *sender) stop(order anvilorder.Stop) (answer anvilorder.StopAnswer) {
 	answer = anvilorder.StopAnswer{Answer: withheld(order.Target), Order: order}
-	s.lanes.stops.do(func() {
+	s.limits.stops.do(func() {
 		if s.leading() {
 			answer = s.calls.Stop(context.Background(), order)
 		}
@@ -59,7 +59,7 @@
 
 func (s *sender) start(order anvilorder.Start) (answer anvilorder.StartAnswer) {
 	answer = anvilorder.StartAnswer{Answer: withheld(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
-	s.lanes.forStart(order).do(func() {
+	s.limits.forStart(order).do(func() {
 		if s.leading() {
 			answer = s.calls.Start(context.Background(), order)
 		}
@@ -69,7 +69,7 @@
 
 func (s *sender) poll(order anvilorder.Poll) (answer anvilorder.PollAnswer) {
 	answer = anvilorder.PollAnswer{Answer: withheld(order.Target), Order: order}
-	s.lanes.polls.do(func() {
+	s.limits.polls.do(func() {
 		if s.leading() {
 			answer = s.calls.Poll(context.Background(), order)
 		}
