--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -238,7 +238,7 @@
 	if !n.evictableKnown {
 		n.evictableKnown = true
 		for _, t := range n.placedRuns {
-			if t.job.evictable && !t.stopping {
+			if t.info.evictable && !t.stopping {
 				n.evictable = append(n.evictable, t)
 			}
 		}
@@ -263,7 +263,7 @@
 // gangMembers returns the runs of all members of a run's gang, or only the run itself if it belongs to
 // no gang.
 func (p *planner) gangMembers(t *placedRun) []runOnNode {
-	if !t.job.job.Spec.Steps[t.task.Step].Gang {
+	if !t.info.job.Spec.Steps[t.task.Step].Gang {
 		return []runOnNode{{t, t.node}}
 	}
 	return p.runsByStep[t.task.StepKey()]
@@ -274,7 +274,7 @@
 // stopped at the same time, because the replicated state counts the first one as unavailable only
 // once it has ended.
 func (p *planner) mayStop(t *placedRun) bool {
-	step := t.job.job.Spec.Steps[t.task.Step]
+	step := t.info.job.Spec.Steps[t.task.Step]
 	if !step.LongRunning || step.MaxUnavailable == 0 {
 		return true
 	}
@@ -319,9 +319,9 @@
 // computeLoss returns the work that is lost if a run is stopped, in core-milliseconds, with an addition
 // for urgent jobs and a factor for jobs that would miss their deadline.
 func (p *planner) computeLoss(t *placedRun) float64 {
-	lost := Loss(t.job.job, t.task, p.Now)
+	lost := Loss(t.info.job, t.task, p.Now)
 	switch {
-	case t.job.policy.Priority == 0:
+	case t.info.policy.Priority == 0:
 		lost += urgentLossPenalty
 	case p.lateIfRestarted(t):
 		lost *= lateLossFactor
@@ -331,6 +331,6 @@
 
 // lateIfRestarted reports whether a job would miss its deadline if a run of the job started over now.
 func (p *planner) lateIfRestarted(t *placedRun) bool {
-	_, due := t.job.window(t.task.Occurrence)
-	return p.Now+anvilclock.Millis(runtimeSafetyFactor*float64(t.job.chains[t.task.Step])) > due
+	_, due := t.info.window(t.task.Occurrence)
+	return p.Now+anvilclock.Millis(runtimeSafetyFactor*float64(t.info.chains[t.task.Step])) > due
 }
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -117,7 +117,7 @@
 // remainingTime estimates how much longer a run takes, from its speed or else from the estimated run
 // time of its step. It returns an hour for runs that continue until they are cancelled.
 func (p *planner) remainingTime(t *placedRun) anvilclock.Millis {
-	step := t.job.job.Spec.Steps[t.task.Step]
+	step := t.info.job.Spec.Steps[t.task.Step]
 	progress, known := p.Progress(t.task)
 	switch {
 	case step.LongRunning:
@@ -125,5 +125,5 @@
 	case known && progress.Rate > 0:
 		return anvilclock.Millis((100 - progress.Percent) / progress.Rate)
 	}
-	return max(minRemainingTime, step.Estimate-(p.Now-t.job.job.State(t.task).PhaseSince))
+	return max(minRemainingTime, step.Estimate-(p.Now-t.info.job.State(t.task).PhaseSince))
 }
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -11,7 +11,7 @@
 // placedRun is a run that is assigned to a node and occupies resources there.
 type placedRun struct {
 	task     anvilwork.Task
-	job      *jobInfo
+	info     *jobInfo
 	node     *node
 	need     anvilwork.Resources
 	stopping bool // was asked to stop, or its job has ended
@@ -176,7 +176,7 @@
 		if info == nil {
 			continue
 		}
-		t := placedRun{task: task, job: info, node: n, need: need(info.job.Spec.Steps[task.Step])}
+		t := placedRun{task: task, info: info, node: n, need: need(info.job.Spec.Steps[task.Step])}
 		t.stopping = info.job.Phase.Ended() || p.Stopping(n.target.ID, task)
 		n.free = n.free.Minus(t.need)
 		if t.stopping {
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -35,11 +35,11 @@
 				continue
 			}
 			members := p.gangMembers(t)
-			if t.job.job.Spec.Steps[t.task.Step].Gang {
+			if t.info.job.Spec.Steps[t.task.Step].Gang {
 				done[t.task.StepKey()] = true
 			}
 			if p.straggles(t, members) && p.fitsElsewhere(t, members) {
-				p.evict(members, t.job.job.ID)
+				p.evict(members, t.info.job.ID)
 			}
 		}
 	}
@@ -49,8 +49,8 @@
 // restarted elsewhere. A slow run on a target that isn't slow is just a long one and isn't moved,
 // unless it makes no progress.
 func (p *planner) straggles(t *placedRun, members []runOnNode) bool {
-	step := t.job.job.Spec.Steps[t.task.Step]
-	if step.LongRunning || t.job.job.State(t.task).Run >= unmovableFromRun {
+	step := t.info.job.Spec.Steps[t.task.Step]
+	if step.LongRunning || t.info.job.State(t.task).Run >= unmovableFromRun {
 		return false
 	}
 	remaining, restarted, progressed := 0.0, 0.0, math.Inf(1)
@@ -86,14 +86,14 @@
 // delayOf returns the time that a run has lost so far, in milliseconds: the time since it was assigned
 // less the time that it would have needed for its progress on targets that aren't slow.
 func (p *planner) delayOf(t *placedRun, progressed float64) float64 {
-	return float64(p.Now-t.job.job.State(t.task).PhaseSince) - progressed
+	return float64(p.Now-t.info.job.State(t.task).PhaseSince) - progressed
 }
 
 // moveCost returns the time that a move takes and the work that it loses, in milliseconds. Targets turn slow
 // for some seconds, and nobody knows for how long. A run that is moved only when it has lost as much time
 // as the move costs never loses more than twice what the better choice would have lost.
 func (p *planner) moveCost(t *placedRun, progressed float64) float64 {
-	if t.job.job.Spec.Steps[t.task.Step].Checkpoints {
+	if t.info.job.Spec.Steps[t.task.Step].Checkpoints {
 		return float64(stopLatency)
 	}
 	return float64(stopLatency) + progressed
@@ -113,7 +113,7 @@
 				continue
 			}
 			if members := p.gangMembers(t); !anyStopping(members) && p.fitsElsewhere(t, members) {
-				p.evict(members, t.job.job.ID)
+				p.evict(members, t.info.job.ID)
 			}
 		}
 	}
@@ -127,7 +127,7 @@
 // restarted now. For a gang, the resources of its own runs on targets that aren't slow count as free.
 func (p *planner) fitsElsewhere(t *placedRun, members []runOnNode) bool {
 	u := &waitingStep{
-		job: t.job.job, info: t.job, policy: t.job.policy, step: t.job.job.Spec.Steps[t.task.Step], need: t.need,
+		job: t.info.job, info: t.info, policy: t.info.policy, step: t.info.job.Spec.Steps[t.task.Step], need: t.need,
 		tasks: []anvilwork.Task{t.task},
 	}
 	for range len(members) - 1 {
--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -154,7 +154,7 @@
 type call struct {
 	*Forwarder
 	attempt Attempt
-	// probes means that a voter must have answered lately before it is sent an attempt, see probe.
+	// probes means that a voter must have answered lately before it is sent an attempt, see answeredLately.
 	probes bool
 	// maybeExecuted is set once a voter may have carried out an attempt whose
 	// answer did not arrive.
