--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -191,17 +191,23 @@
 // commitEnds returns a command that records the run ends listed in a poll answer, except
 // those that are already committed or were returned in an earlier command.
 func (t *Tracker) commitEnds(target *target, answer PollAnswer, effects *Effects) {
-	ends := slices.DeleteFunc(slices.Clone(answer.Ended), func(end anvilwork.RunEnd) bool {
-		return end.Number <= max(target.record.Cursor, target.committingEnd)
-	})
-	if len(ends) == 0 {
+	record := RecordEnds(target.record, answer.Ended, max(target.record.Cursor, target.committingEnd))
+	if record == nil {
 		return
 	}
+	target.committingEnd = record.Ends[len(record.Ends)-1].Number
+	effects.Commands = append(effects.Commands, anvilwork.Command{RecordRunEnds: record})
+}
+
+// RecordEnds returns the command that records those ends in a target's list whose numbers are above cursor,
+// in the order of their numbers, or nil if there are none.
+func RecordEnds(target anvilwork.Target, listed []anvilwork.RunEnd, cursor uint64) *anvilwork.RecordRunEnds {
+	ends := slices.DeleteFunc(slices.Clone(listed), func(end anvilwork.RunEnd) bool { return end.Number <= cursor })
+	if len(ends) == 0 {
+		return nil
+	}
 	slices.SortFunc(ends, func(a, b anvilwork.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
-	target.committingEnd = ends[len(ends)-1].Number
-	effects.Commands = append(effects.Commands, anvilwork.Command{RecordRunEnds: &anvilwork.RecordRunEnds{
-		Target: target.record.ID, Incarnation: target.record.Incarnation, Ends: ends,
-	}})
+	return &anvilwork.RecordRunEnds{Target: target.ID, Incarnation: target.Incarnation, Ends: ends}
 }
 
 // ResetUncommittedEnds is called when commands of this term were not committed. The run ends
--- a/core/anvilorder/lease.go
+++ b/core/anvilorder/lease.go
@@ -64,9 +64,9 @@
 	return l.latestDeadline
 }
 
-// mayBeHeld reports whether any order so far may have given the target a lease, whether it has expired or
+// everGranted reports whether any order so far may have given the target a lease, whether it has expired or
 // not.
-func (l *lease) mayBeHeld() bool { return l.latestDeadline > 0 || l.untrackedUntil > 0 }
+func (l *lease) everGranted() bool { return l.latestDeadline > 0 || l.untrackedUntil > 0 }
 
 // certainlyEndedAt returns the time from which on no run that was started or extended by
 // any order so far can still be running, by the leader's clock.
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -184,7 +184,7 @@
 	if target.unansweredCalls == 0 || len(target.runs) == 0 || now < target.lease.certainlyEndedAt() {
 		return false
 	}
-	if !target.lease.mayBeHeld() && target.unansweredCalls < maxFailedFirstCalls {
+	if !target.lease.everGranted() && target.unansweredCalls < maxFailedFirstCalls {
 		return false
 	}
 	expire := &anvilwork.ExpireLease{Target: target.record.ID, Incarnation: target.record.Incarnation}
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -104,31 +104,30 @@
 
 // fitsEmptyRack reports whether count tasks would fit in some rack if no runs were assigned to it.
 func (p *planner) fitsEmptyRack(u *waitingStep, count int) bool {
-	cacheable := u.step.MaxPerTarget == 0 && !u.policy.Advice.Needed() && !u.hasFailed()
-	if !cacheable {
-		return p.largestRack(u, count) >= count
+	if u.step.MaxPerTarget > 0 || u.policy.Advice.Needed() || u.hasFailed() {
+		return p.largestRack(u) >= count
 	}
 	key := emptyRackKey{need: u.need, service: u.policy.Service, label: u.step.Label}
 	largest, known := p.emptyRacks[key]
 	if !known {
-		largest = p.largestRack(u, maxRackTasks)
+		largest = p.largestRack(u)
 		p.emptyRacks[key] = largest
 	}
 	return largest >= count
 }
 
-// maxRackTasks is above the number of tasks of any step that fit on one target.
-const maxRackTasks = 1 << 20
+// maxTargetTasks is above the number of tasks of any step that fit on one target.
+const maxTargetTasks = 1 << 20
 
 // largestRack returns how many tasks of a step would fit in the largest rack if no runs were assigned to
-// it, at most limit on each target.
-func (p *planner) largestRack(u *waitingStep, limit int) int {
+// it.
+func (p *planner) largestRack(u *waitingStep) int {
 	largest := 0
 	for _, r := range p.racks {
 		sum := 0
 		for _, n := range r.nodes {
 			if n.usable {
-				sum += u.taskCapacity(n, limit, n.target.Resources)
+				sum += u.taskCapacity(n, maxTargetTasks, n.target.Resources)
 			}
 		}
 		largest = max(largest, sum)
--- a/core/anvilplace/job.go
+++ b/core/anvilplace/job.go
@@ -58,10 +58,7 @@
 	return newJobInfo(job, policy).window(k)
 }
 
-// longestChain returns the estimated run time of the longest chain of steps of a job, each of which must
-// wait for the one before.
-func longestChain(job *anvilwork.Job) anvilclock.Millis { return longestOf(chainsFrom(job)) }
-
+// longestOf returns the longest of some chains of steps.
 func longestOf(chains []anvilclock.Millis) anvilclock.Millis {
 	var longest anvilclock.Millis
 	for _, span := range chains {
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -127,7 +127,7 @@
 		p.placeStep(waitingStep)
 	}
 	p.currentJob, p.currentUrgent, p.deferrable = "", false, true
-	p.leaveTargets()
+	p.vacateLeavingTargets()
 	p.moveStragglers()
 	p.decision.Claims = map[anvilid.TargetID]anvilid.JobID{}
 	for _, n := range p.all.nodes {
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -57,7 +57,7 @@
 		{Estimate: 1000}, {Estimate: 500, After: []int{0}}, {Estimate: 700}, {Estimate: 200, After: []int{1, 2}},
 	}}}
 	assert.DeepEqual(t, chainsFrom(job), []anvilclock.Millis{1700, 700, 900, 200})
-	assert.Equal(t, longestChain(job), anvilclock.Millis(1700))
+	assert.Equal(t, longestOf(chainsFrom(job)), anvilclock.Millis(1700))
 }
 
 // TestUrgentJobWaitsWithinDeadline guards against evicting a run for an urgent job that would meet its deadline even if
--- a/io/anvillead/sender.go
+++ b/io/anvillead/sender.go
@@ -47,33 +47,30 @@
 	leading func() bool
 }
 
-func (s *sender) stop(order anvilorder.Stop) (answer anvilorder.StopAnswer) {
-	answer = anvilorder.StopAnswer{Answer: withheld(order.Target), Order: order}
-	s.limits.stops.do(func() {
+// send makes a call once fewer than the limit are in flight, unless this process doesn't lead any more.
+func (s *sender) send(limit semaphore, call func()) {
+	limit.do(func() {
 		if s.leading() {
-			answer = s.calls.Stop(context.Background(), order)
+			call()
 		}
 	})
+}
+
+func (s *sender) stop(order anvilorder.Stop) (answer anvilorder.StopAnswer) {
+	answer = anvilorder.StopAnswer{Answer: withheld(order.Target), Order: order}
+	s.send(s.limits.stops, func() { answer = s.calls.Stop(context.Background(), order) })
 	return answer
 }
 
 func (s *sender) start(order anvilorder.Start) (answer anvilorder.StartAnswer) {
 	answer = anvilorder.StartAnswer{Answer: withheld(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
-	s.limits.forStart(order).do(func() {
-		if s.leading() {
-			answer = s.calls.Start(context.Background(), order)
-		}
-	})
+	s.send(s.limits.forStart(order), func() { answer = s.calls.Start(context.Background(), order) })
 	return answer
 }
 
 func (s *sender) poll(order anvilorder.Poll) (answer anvilorder.PollAnswer) {
 	answer = anvilorder.PollAnswer{Answer: withheld(order.Target), Order: order}
-	s.limits.polls.do(func() {
-		if s.leading() {
-			answer = s.calls.Poll(context.Background(), order)
-		}
-	})
+	s.send(s.limits.polls, func() { answer = s.calls.Poll(context.Background(), order) })
 	return answer
 }
 
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -1,10 +1,8 @@
 package anvillead
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -284,13 +282,14 @@
 		return nil
 	}
 	answer := l.calls.Poll(ctx, poll)
-	if !answer.Done || len(answer.Ended) == 0 {
+	if !answer.Done {
 		return nil
 	}
-	slices.SortFunc(answer.Ended, func(a, b anvilwork.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
-	return []anvilwork.Command{{RecordRunEnds: &anvilwork.RecordRunEnds{
-		Target: id, Incarnation: poll.Target.Incarnation, Ends: answer.Ended,
-	}}}
+	record := anvilorder.RecordEnds(poll.Target, answer.Ended, poll.Cursor)
+	if record == nil {
+		return nil
+	}
+	return []anvilwork.Command{{RecordRunEnds: record}}
 }
 
 // announceCommand returns the command for an announcement, and whether the
