--- a/core/anvilplace/advice.go
+++ b/core/anvilplace/advice.go
@@ -32,7 +32,7 @@
 	}
 	capacity := func(n *node) int { return n.free.FitCount(u.need, len(u.tasks)) }
 	slices.SortStableFunc(nodes, func(a, b *node) int { return cmp.Compare(capacity(b), capacity(a)) })
-	want := anviladvice.Candidates{Step: step, Advice: u.policy.Advice}
+	want := anviladvice.Candidates{Step: step, Advice: u.info.policy.Advice}
 	covered := 0
 	for _, n := range nodes {
 		if covered >= ticketSurplus*len(u.tasks) {
--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -37,7 +37,7 @@
 // with the least work to lose and claims their nodes at once, but stops the runs only from evictAfter
 // on: each run that ends by itself until then is one less to stop.
 func (p *planner) freeResources(u *waitingStep, count int) {
-	if len(p.nodesClaimedBy[u.job.ID]) > 0 && p.fitAll(u, count, claimedOnly) != nil {
+	if len(p.nodesClaimedBy[u.info.job.ID]) > 0 && p.fitAll(u, count, claimedOnly) != nil {
 		return // the step will fit on the targets that are already claimed for it
 	}
 	if allotments := p.fitAll(u, count, availableOrFreeing); allotments != nil {
@@ -52,7 +52,7 @@
 		p.claimTargets(u, best.allotments)
 		return
 	}
-	p.evict(best.evictions, u.job.ID)
+	p.evict(best.evictions, u.info.job.ID)
 	p.claimTargets(u, best.allotments)
 }
 
@@ -97,19 +97,19 @@
 
 // releaseClaims releases all targets that are claimed for the job of a step.
 func (p *planner) releaseClaims(u *waitingStep) {
-	for _, n := range p.nodesClaimedBy[u.job.ID] {
-		if n.claimedBy == u.job.ID {
+	for _, n := range p.nodesClaimedBy[u.info.job.ID] {
+		if n.claimedBy == u.info.job.ID {
 			n.claimedBy = ""
 		}
 	}
-	delete(p.nodesClaimedBy, u.job.ID)
+	delete(p.nodesClaimedBy, u.info.job.ID)
 }
 
 // claimNode claims a node for the job of a step. If the node was claimed for another job, it no longer
 // is.
 func (p *planner) claimNode(n *node, u *waitingStep) {
-	n.claimedBy, n.yieldsToUrgent = u.job.ID, !u.urgent
-	p.nodesClaimedBy[u.job.ID] = append(p.nodesClaimedBy[u.job.ID], n)
+	n.claimedBy, n.yieldsToUrgent = u.info.job.ID, !u.urgent
+	p.nodesClaimedBy[u.info.job.ID] = append(p.nodesClaimedBy[u.info.job.ID], n)
 }
 
 // runOnNode is a run together with its node.
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -45,7 +45,7 @@
 		limit = min(limit, u.step.MaxPerTarget-n.taskCounts[u.tasks[0].StepKey()])
 	}
 	limit = resources.FitCount(u.need, limit)
-	if limit <= 0 || !u.eligible(n) || u.policy.Advice.Needed() && !u.hasTicket(n) {
+	if limit <= 0 || !u.eligible(n) || u.info.policy.Advice.Needed() && !u.hasTicket(n) {
 		return 0
 	}
 	return limit
@@ -54,7 +54,7 @@
 // eligible reports whether the service and labels of a node suit the step and the step hasn't failed
 // there. Tickets and resources are checked elsewhere.
 func (u *waitingStep) eligible(n *node) bool {
-	return n.target.Service == u.policy.Service && u.hasLabel(n.target) && !n.planner.Failed(u.tasks[0], n.target.ID)
+	return n.target.Service == u.info.policy.Service && u.hasLabel(n.target) && !n.planner.Failed(u.tasks[0], n.target.ID)
 }
 
 func (u *waitingStep) hasLabel(target *anvilwork.Target) bool {
@@ -104,10 +104,10 @@
 
 // fitsEmptyRack reports whether count tasks would fit in some rack if no runs were assigned to it.
 func (p *planner) fitsEmptyRack(u *waitingStep, count int) bool {
-	if u.step.MaxPerTarget > 0 || u.policy.Advice.Needed() || u.hasFailed() {
+	if u.step.MaxPerTarget > 0 || u.info.policy.Advice.Needed() || u.hasFailed() {
 		return p.largestRack(u) >= count
 	}
-	key := emptyRackKey{need: u.need, service: u.policy.Service, label: u.step.Label}
+	key := emptyRackKey{need: u.need, service: u.info.policy.Service, label: u.step.Label}
 	largest, known := p.emptyRacks[key]
 	if !known {
 		largest = p.largestRack(u)
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -55,11 +55,11 @@
 // the gang will fit on them within the longest horizon, and gangClaimLimit isn't exceeded. If so, it
 // counts the accelerators of these targets towards the limit.
 func (p *planner) keepsGangClaim(u *waitingStep) bool {
-	if len(p.nodesClaimedBy[u.job.ID]) == 0 {
+	if len(p.nodesClaimedBy[u.info.job.ID]) == 0 {
 		return false
 	}
 	claimed := p.fitAll(u, len(u.tasks), view{resourcesOf: func(n *node) anvilwork.Resources {
-		if n.claimedBy != u.job.ID {
+		if n.claimedBy != u.info.job.ID {
 			return anvilwork.Resources{}
 		}
 		return n.availableWithin(len(gangClaimHorizons) - 1)
--- a/core/anvilplace/gang_shape.go
+++ b/core/anvilplace/gang_shape.go
@@ -30,7 +30,7 @@
 // shape returns the shape of a gang. It is meaningful only if dependsOnShapeOnly reports true.
 func (p *planner) shape(u *waitingStep) gangShape {
 	return gangShape{
-		need: u.need, service: u.policy.Service, label: u.step.Label, dataRack: u.step.PreferredRack,
+		need: u.need, service: u.info.policy.Service, label: u.step.Label, dataRack: u.step.PreferredRack,
 		maxPerTarget: u.step.MaxPerTarget, preferOneRack: u.step.PreferOneRack, deferrable: p.deferrable,
 	}
 }
@@ -38,7 +38,7 @@
 // dependsOnShapeOnly reports whether a gang fits exactly where other gangs of its shape and size do:
 // it isn't urgent, has no claimed targets, needs no ticket and has failed nowhere.
 func (p *planner) dependsOnShapeOnly(u *waitingStep) bool {
-	if u.urgent || u.policy.Advice.Needed() || len(p.nodesClaimedBy[u.job.ID]) > 0 {
+	if u.urgent || u.info.policy.Advice.Needed() || len(p.nodesClaimedBy[u.info.job.ID]) > 0 {
 		return false
 	}
 	return !u.hasFailed()
@@ -46,7 +46,7 @@
 
 // hasFailed reports whether a waiting task of the step has failed before.
 func (u *waitingStep) hasFailed() bool {
-	return slices.ContainsFunc(u.tasks, func(task anvilwork.Task) bool { return u.job.State(task).Failed > 0 })
+	return slices.ContainsFunc(u.tasks, func(task anvilwork.Task) bool { return u.info.job.State(task).Failed > 0 })
 }
 
 // blocked reports whether it is already known that a gang doesn't fit, because a gang of the same shape
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -123,7 +123,7 @@
 		if p.startsLeft(waitingStep.urgent) <= 0 {
 			continue
 		}
-		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
+		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.info.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
 		p.placeStep(waitingStep)
 	}
 	p.currentJob, p.currentUrgent, p.deferrable = "", false, true
@@ -157,7 +157,7 @@
 func (p *planner) restoreClaims(waitingSteps []*waitingStep) {
 	waiting := map[anvilid.JobID]*waitingStep{}
 	for _, u := range waitingSteps {
-		waiting[u.job.ID] = u
+		waiting[u.info.job.ID] = u
 	}
 	for id, job := range p.Claims {
 		if n, u := p.byID[id], waiting[job]; n != nil && u != nil {
@@ -168,7 +168,7 @@
 
 // placeStep places as many tasks of a step as fit, or a gang if all of its tasks fit.
 func (p *planner) placeStep(u *waitingStep) {
-	if u.policy.Advice.Needed() {
+	if u.info.policy.Advice.Needed() {
 		p.requestTickets(u)
 	}
 	if u.step.Gang {
@@ -218,7 +218,7 @@
 			task := tasks[0]
 			tasks = tasks[1:]
 			a := anvilwork.Assignment{Task: task, Run: u.run, Target: s.node.target.ID, Incarnation: s.node.target.Incarnation}
-			if u.policy.Advice.Needed() {
+			if u.info.policy.Advice.Needed() {
 				a.Ticket, _ = p.Ticket(task.StepKey(), s.node.target) // taskCapacity is 0 on nodes without a ticket
 			}
 			if u.step.Gang {
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -127,7 +127,7 @@
 // restarted now. For a gang, the resources of its own runs on targets that aren't slow count as free.
 func (p *planner) fitsElsewhere(t *placedRun, members []runOnNode) bool {
 	u := &waitingStep{
-		job: t.info.job, info: t.info, policy: t.info.policy, step: t.info.job.Spec.Steps[t.task.Step], need: t.need,
+		info: t.info, step: t.info.job.Spec.Steps[t.task.Step], need: t.need,
 		tasks: []anvilwork.Task{t.task},
 	}
 	for range len(members) - 1 {
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -11,9 +11,7 @@
 
 // waitingStep is a step of one occurrence of a job, with its tasks that wait to be placed.
 type waitingStep struct {
-	job             *anvilwork.Job
 	info            *jobInfo
-	policy          anvilwork.QueuePolicy
 	step            anvilwork.Step
 	need            anvilwork.Resources // of one task
 	urgent          bool                // priority 0
@@ -37,8 +35,8 @@
 			withinGuarantee = p.urgentByAccount[job.Account] <= account.Guaranteed
 		}
 		for k := range job.Occurrences {
-			for _, u := range p.waitingStepsOf(job, k) {
-				u.info, u.policy, u.urgent, u.withinGuarantee = info, info.policy, urgent, withinGuarantee
+			for _, u := range p.waitingStepsOf(info, k) {
+				u.urgent, u.withinGuarantee = urgent, withinGuarantee
 				u.from, u.due = info.window(k)
 				waitingSteps = append(waitingSteps, u)
 			}
@@ -51,7 +49,8 @@
 // waitingStepsOf returns the waiting steps of one occurrence (one scheduled execution) of a job: those
 // whose earlier steps are done and that have tasks to place. It returns none before the scheduled
 // start.
-func (p *planner) waitingStepsOf(job *anvilwork.Job, k int) []*waitingStep {
+func (p *planner) waitingStepsOf(info *jobInfo, k int) []*waitingStep {
+	job := info.job
 	occurrence := &job.Occurrences[k]
 	if occurrence.Due > p.Wall {
 		return nil
@@ -61,7 +60,7 @@
 		if occurrence.Remaining[index] == 0 || !occurrence.Ready(step) {
 			continue
 		}
-		u := &waitingStep{job: job, step: step, need: need(step)}
+		u := &waitingStep{info: info, step: step, need: need(step)}
 		for i := range occurrence.Tasks[index] {
 			state := &occurrence.Tasks[index][i]
 			task := anvilwork.Task{Job: job.ID, Occurrence: k, Step: index, Index: i}
