Log runs that a target lists without being assigned, lost ones and inherited ones

- 626: a target lists a run that isn't assigned to it, with its incarnation (a late start that was carried out, or a run that was given up although it went on);
- 627: a run that was confirmed and then missing from two lists, before it is placed again;
- 628: a run of a former incarnation that is stopped at the present one;
- 614 now has the incarnation and the number of runs that were assigned before the change.

No decision changes: the tracker reports findings beside its orders, and the leader writes them.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -269,6 +269,7 @@
 		if r.missingLists < 2 {
 			return
 		}
+		effects.Findings = append(effects.Findings, target.finding(RunMissing, task, r.number))
 	default:
 		return
 	}
@@ -276,6 +277,10 @@
 		anvilwork.Command{Unassign: &anvilwork.Unassign{Task: task, Run: r.number}})
 }
 
+func (target *target) finding(kind FindingKind, task anvilwork.Task, run anvilwork.Run) Finding {
+	return Finding{Kind: kind, Target: target.record.ID, Incarnation: target.record.Incarnation, Task: task, Run: run}
+}
+
 // stopUnassignedRuns stops the runs that a target lists as running although the replicated
 // state doesn't assign them to it.
 func (t *Tracker) stopUnassignedRuns(target *target, listed map[anvilwork.Task]Running, effects *Effects) {
@@ -283,6 +288,7 @@
 		if r := target.runs[task]; r == nil || r.number < listed[task].Run {
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: listed[task].Run, Token: t.token})
+			effects.Findings = append(effects.Findings, target.finding(RunNotAssigned, task, listed[task].Run))
 		}
 	}
 }
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -93,6 +93,7 @@
 		}
 		successor.runs[task] = r
 	}
+	successor.inherited = len(successor.runs) > 0
 	return successor
 }
 
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -91,6 +91,9 @@
 	ackedCursor uint64
 	// pollNow requests a poll that the target answers at once.
 	pollNow bool
+	// inherited reports that the runs were assigned to a former incarnation, and that Next has not
+	// reported this yet.
+	inherited bool
 	// pausedUntil excludes a target that rejected a start from placement until this time.
 	pausedUntil anvilclock.Millis
 }
@@ -172,6 +175,10 @@
 		if t.giveUpExpiredRuns(now, target, &effects) {
 			continue
 		}
+		if target.inherited {
+			target.inherited = false
+			target.reportInherited(&effects)
+		}
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
@@ -258,6 +265,13 @@
 	})
 }
 
+// reportInherited adds a finding for each run that was assigned to a former incarnation of the target.
+func (target *target) reportInherited(effects *Effects) {
+	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
+		effects.Findings = append(effects.Findings, target.finding(RunInherited, task, target.runs[task].number))
+	}
+}
+
 // leaseDeadline returns the lease deadline to send with an order. The lease of a target that
 // doesn't answer isn't extended: the target might carry out the order late and keep its runs
 // longer than the leader waits for them.
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -141,4 +141,29 @@
 	Stops    []Stop
 	Polls    []Poll
 	Commands []anvilwork.Command
+	Findings []Finding
+}
+
+// FindingKind says what a Finding is about.
+type FindingKind uint8
+
+// Kinds of findings.
+const (
+	// RunNotAssigned means that a target lists a run that isn't assigned to it.
+	RunNotAssigned FindingKind = iota + 1
+	// RunMissing means that a target has confirmed a run, and that its lists show neither the run nor its
+	// end any more.
+	RunMissing
+	// RunInherited means that a run was assigned to a former incarnation of the target and is stopped at
+	// the present one.
+	RunInherited
+)
+
+// Finding is a difference between the replicated state and what a target says. It is for the log only.
+type Finding struct {
+	Kind        FindingKind
+	Target      anvilid.TargetID
+	Incarnation anvilwork.Incarnation
+	Task        anvilwork.Task
+	Run         anvilwork.Run
 }
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -121,6 +121,7 @@
 
 func (r *leadership) handleResult(result func(anvilclock.Millis) anvilorder.Effects) {
 	effects := result(r.clock.Now())
+	r.logFindings(effects.Findings)
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
 	r.sendOrders(effects)
 }
@@ -151,10 +152,24 @@
 	r.tracker.Sync(now, r.state)
 	effects := r.tracker.Next(now, r.state)
 	r.mu.Unlock()
+	r.logFindings(effects.Findings)
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
 	r.sendOrders(effects)
 }
 
+// findingEvents maps what the tracker finds to the events of the log.
+var findingEvents = map[anvilorder.FindingKind]anvillogs.Event{
+	anvilorder.RunNotAssigned: anvillogs.RunNotAssigned, anvilorder.RunMissing: anvillogs.RunMissing,
+	anvilorder.RunInherited: anvillogs.RunInherited,
+}
+
+func (r *leadership) logFindings(findings []anvilorder.Finding) {
+	for _, f := range findings {
+		r.log.Write(findingEvents[f.Kind], zap.Stringer("task", f.Task), zap.Uint64("run", uint64(f.Run)),
+			zap.String("target", string(f.Target)), zap.Int64("incarnation", int64(f.Incarnation)))
+	}
+}
+
 // sendOrders sends each order in a goroutine of its own. The sender limits how many of them are in flight.
 func (r *leadership) sendOrders(effects anvilorder.Effects) {
 	for _, order := range effects.Stops {
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -247,6 +247,7 @@
 	}
 	reply := &anvilrpc.AnnounceReply{Done: true, Leader: string(l.group.ID().Instance)}
 	command, changes := l.announceCommand(target, call.Left)
+	assigned := l.assignedRuns(target.ID)
 	if !changes {
 		select {
 		case l.keepalives <- keepalive{target.ID, target.Incarnation}:
@@ -262,10 +263,18 @@
 		l.log.Write(anvillogs.CommitFailed, zap.String("target", string(target.ID)), zap.Error(err))
 		return &anvilrpc.AnnounceReply{}, nil
 	}
-	l.log.Write(anvillogs.TargetUpdated, zap.String("target", string(target.ID)), zap.Bool("leaving", target.Leaving), zap.Bool("left", call.Left))
+	l.log.Write(anvillogs.TargetUpdated, zap.String("target", string(target.ID)), zap.Int64("incarnation", int64(target.Incarnation)),
+		zap.Bool("leaving", target.Leaving), zap.Bool("left", call.Left), zap.Int("runs", assigned))
 	return reply, nil
 }
 
+// assignedRuns returns the number of runs that are assigned to a target.
+func (l *Leader) assignedRuns(id anvilid.TargetID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.state.Runs(id))
+}
+
 // lastEnds asks a target that is about to end for its list of runs, and returns the commands that record
 // the ends in it. The leader may have received them without recording them yet; if the target were removed
 // first, tasks that are done would be started again. If the target doesn't answer, there are no commands.
