Add failing tests of two runs of one task at a time

- anvilorder.TestIncarnationIsFenced: nothing makes a new incarnation refuse the orders to the former one;
- anvilorder.TestClockOfOtherIncarnation: a lease counts as over after a reading of another incarnation's clock;

--- /dev/null
+++ b/core/anvilorder/incarnation_test.go
@@ -0,0 +1,72 @@
+package anvilorder
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilwork"
+)
+
+// beginIncarnation announces a new incarnation of target t under the same id.
+func (w *world) beginIncarnation(number anvilwork.Incarnation) {
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "t", Incarnation: number, Service: "s", Address: "a:1", Resources: anvilwork.Resources{GPU: 8},
+	}}})
+	w.pendingPoll = nil
+}
+
+// TestInheritedFromFormerLeader guards against placing a run again while a start of the former leader may
+// still be carried out by a new incarnation of its target that doesn't answer: this leader doesn't know
+// when that start was sent.
+func TestInheritedFromFormerLeader(t *testing.T) {
+	for _, order := range []string{"elected first", "born first"} {
+		w := newWorld(t)
+		w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
+		if order == "elected first" {
+			w.elect(2)
+			w.beginIncarnation(2)
+		} else {
+			w.now += 10
+			w.beginIncarnation(2)
+			w.elect(2)
+		}
+		w.pendingPoll = nil
+		silence := Answer{Target: "t", Incarnation: 2}
+		w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: silence, Order: w.takePoll()})
+		for span := testRetry; span < maxOrderDelay+testLease; span += testRetry {
+			assert.Equal(t, len(w.advance(testRetry).Commands), 0, "%s, after %d ms", order, span)
+		}
+		assert.Equal(t, len(w.advance(testLease/10).Commands), 1, order)
+	}
+}
+
+// TestIncarnationIsFenced guards against a late start that is carried out by a new incarnation of its target:
+// it has seen no fencing token, and the run was given up or done at the former one.
+func TestIncarnationIsFenced(t *testing.T) {
+	w := newWorld(t)
+	order := w.placeAndStart(taskA, 1)
+	w.answerStart(order, StartAccepted)
+	end := anvilwork.RunEnd{Number: 1, Task: taskA, Run: 1, Outcome: anvilwork.RunDone}
+	w.apply(w.answerPoll(w.takePoll(), 1, nil, end).Commands...)
+	w.beginIncarnation(2)
+	poll := w.takePoll()
+	assert.Equal(t, poll.Target.Incarnation, anvilwork.Incarnation(2))
+	assert.Assert(t, poll.Token > order.Token, "the new incarnation must refuse orders to the former one")
+	assert.Equal(t, poll.Wait, anvilclock.Millis(0))
+	w.elect(2)
+	assert.Assert(t, w.placeAndStart(taskB, 1).Token > poll.Token, "a later leader has a higher token")
+}
+
+// TestClockOfOtherIncarnation guards against a lease that counts as expired because another incarnation
+// answered, whose clock is ahead of the former one's.
+func TestClockOfOtherIncarnation(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	answer := w.answer(w.now-1, w.now)
+	answer.Clock, answer.AnsweredBy = 1_000_000, 2
+	w.tracker.HandleStopAnswer(w.now, StopAnswer{Answer: answer, Order: Stop{Target: anvilwork.Target{ID: "t", Incarnation: 1}}, FromOtherIncarnation: true})
+	// The announcement of the other incarnation was not committed.
+	assert.Equal(t, len(w.advance(testRetry).Commands), 0)
+}
