Keep the runs of a target that says that it ends until they have ended

What callers saw: a task at work on two targets at a time (TWICE). A target that ends sends its DELETE and goes on until it receives the acknowledgement, or for some seconds without one. The leader released all its runs when it committed the removal, so that the next plan started them elsewhere; a leader that was lost, slow or cut off before the acknowledgement, or a lost answer, left the first runs at work beside the second.

Cause: State.leave took a statement of the target about its future for evidence that its runs have ended.

Evidence: platform.TestTargetLeavesWhileItRuns and TestTargetLeavesAfterItsRuns failed before ('task runs twice'; one run still at work when the end was acknowledged) and pass now.

Change: a target that ends is marked as departed in the replicated state. It gets no work; the tracker stops its runs and extends its lease no more; it is removed when its last run has ended in the books, by a listed end, by a list without it after a stop, or by the end of its lease. Its end is acknowledged when no run is assigned any more, or after two seconds. The extra call for the last ends (lastEnds) isn't needed any more: the ends are recorded before the target is removed.

Why it works: runs are released by evidence only. If the acknowledgement is lost, the lease of the target still bounds its runs.

--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -61,6 +61,18 @@
 		}
 	}
 	t.forgetUnassignedRuns(known, assigned)
+	known.stopIfDeparted()
+}
+
+// stopIfDeparted requests a stop of all runs of a target that has said that it ends. They are placed again
+// once they have ended, or once its lease has certainly expired.
+func (target *target) stopIfDeparted() {
+	if !target.record.Departed() {
+		return
+	}
+	for _, r := range target.runs {
+		r.stopRequested = true
+	}
 }
 
 // forgetUnassignedRuns drops the runs of a target that are no longer assigned to it.
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -27,6 +27,7 @@
 	for i, command := range batch.Commands {
 		results[i] = s.apply(command)
 	}
+	s.removeDeparted()
 	s.purgeEndedJobs()
 	return results
 }
@@ -138,7 +139,7 @@
 	}
 	known, ok := s.targets[target.ID]
 	if ok && known.Incarnation == target.Incarnation {
-		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
+		target.Cursor, target.RegisteredAt, target.DepartedAt = known.Cursor, known.RegisteredAt, known.DepartedAt
 		target.Leaving = target.Leaving || known.Leaving
 	} else {
 		s.removePreviousAtAddress(target)
@@ -180,10 +181,13 @@
 	if !ok || target.Incarnation != leave.Incarnation {
 		return Unknown
 	}
-	s.releaseAll(target.ID)
-	s.removeTarget(target.ID)
 	if leave.Final {
-		s.remember(target)
+		s.depart(target)
+		return Applied
+	}
+	s.releaseAll(target.ID)
+	if !target.Departed() {
+		s.removeTarget(target.ID)
 	}
 	return Applied
 }
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -56,7 +56,8 @@
 	Target      anvilid.TargetID `cbor:"1,keyasint"`
 	Incarnation Incarnation      `cbor:"2,keyasint"`
 	// Final means that the target itself has said that it ends, so that a late announcement of this
-	// incarnation is ignored.
+	// incarnation is ignored. It may go on until it receives the acknowledgement, so its runs stay assigned
+	// (see Target.DepartedAt).
 	Final bool `cbor:"3,keyasint,omitempty"`
 }
 
@@ -146,8 +147,14 @@
 	Machine anvilid.MachineID `cbor:"13,keyasint,omitempty"`
 	// RegisteredAt is when this incarnation was first announced.
 	RegisteredAt anvilclock.Millis `cbor:"12,keyasint,omitempty"`
+	// DepartedAt is when the target said that it ends, or when another target announced its address, in log
+	// time; or 0. Such a target is removed once all its runs have certainly ended.
+	DepartedAt anvilclock.Millis `cbor:"20,keyasint,omitempty"`
 }
 
+// Departed reports whether the target is only kept until its runs have certainly ended.
+func (t *Target) Departed() bool { return t.DepartedAt > 0 }
+
 // Result says whether one command took effect and, if not, why.
 type Result uint8
 
--- a/core/anvilwork/departure.go
+++ b/core/anvilwork/departure.go
@@ -18,6 +18,32 @@
 	At          anvilclock.Millis `cbor:"3,keyasint"` // in log time
 }
 
+// depart marks a target as departed. It gets no new runs, and removeDeparted removes it once it has none.
+func (s *State) depart(target *Target) {
+	if target.Departed() {
+		return
+	}
+	departed := *target
+	departed.Leaving, departed.DepartedAt = true, max(s.now, 1)
+	s.setTarget(&departed)
+	s.departing[departed.ID] = true
+}
+
+// removeDeparted removes the departed targets whose runs have all ended.
+func (s *State) removeDeparted() {
+	for id := range s.departing {
+		target := s.targets[id]
+		if target != nil && target.Departed() && len(s.runs[id]) > 0 {
+			continue
+		}
+		delete(s.departing, id)
+		if target != nil && target.Departed() {
+			s.removeTarget(id)
+			s.remember(target)
+		}
+	}
+}
+
 // remember records the departure of a target, and forgets old ones.
 func (s *State) remember(target *Target) {
 	for id, d := range s.departed {
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -29,6 +29,8 @@
 	waves  map[WaveNumber]*Wave
 	// departed has the targets that have left for good, see departure.
 	departed map[anvilid.TargetID]departure
+	// departing has the targets that are departed and not yet removed.
+	departing map[anvilid.TargetID]bool
 	// ordered has the targets ordered by id, or is nil after targets were added, replaced or removed.
 	ordered []*Target
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
@@ -42,7 +44,7 @@
 	s := &State{
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
-		departed: map[anvilid.TargetID]departure{},
+		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -174,6 +176,9 @@
 	}
 	for _, target := range image.Targets {
 		s.setTarget(target)
+		if target.Departed() {
+			s.departing[target.ID] = true
+		}
 	}
 	for _, d := range image.Departed {
 		s.departed[d.Target] = d
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -10,7 +10,6 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
-	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -246,8 +245,13 @@
 		return nil, err
 	}
 	reply := &anvilrpc.AnnounceReply{Done: true, Leader: string(l.group.ID().Instance)}
-	command, changes := l.announceCommand(target, call.Left)
-	assigned := l.assignedRuns(target.ID)
+	if call.Left {
+		reply.Done = l.depart(ctx, target.ID)
+		return reply, nil
+	}
+	l.mu.Lock()
+	changes, assigned := l.state.AnnouncementHasEffect(target), len(l.state.Runs(target.ID))
+	l.mu.Unlock()
 	if !changes {
 		select {
 		case l.keepalives <- keepalive{target.ID, target.Incarnation}:
@@ -255,66 +259,18 @@
 		}
 		return reply, nil
 	}
-	commands := []anvilwork.Command{command}
-	if command.Leave != nil {
-		commands = append(l.lastEnds(ctx, command.Leave.Target), command)
-	}
-	if _, err := l.commit(ctx, commands...); err != nil {
-		l.log.Write(anvillogs.CommitFailed, zap.String("target", string(target.ID)), zap.Error(err))
-		return &anvilrpc.AnnounceReply{}, nil
-	}
-	l.log.Write(anvillogs.TargetUpdated, zap.String("target", string(target.ID)), zap.Int64("incarnation", int64(target.Incarnation)),
-		zap.Bool("leaving", target.Leaving), zap.Bool("left", call.Left), zap.Int("runs", assigned))
+	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: target}})
 	return reply, nil
 }
 
-// assignedRuns returns the number of runs that are assigned to a target.
-func (l *Leader) assignedRuns(id anvilid.TargetID) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.state.Runs(id))
-}
-
-// lastEnds asks a target that is about to end for its list of runs, and returns the commands that record
-// the ends in it. The leader may have received them without recording them yet; if the target were removed
-// first, tasks that are done would be started again. If the target doesn't answer, there are no commands.
-func (l *Leader) lastEnds(ctx context.Context, id anvilid.TargetID) []anvilwork.Command {
-	l.mu.Lock()
-	known, ok := l.state.Target(id)
-	poll := anvilorder.Poll{Token: anvilid.Token(l.term)}
-	if ok {
-		poll.Target, poll.Cursor = *known, known.Cursor
-	}
-	idle := len(l.state.Runs(id)) == 0
-	l.mu.Unlock()
-	if !ok || idle || !l.leading() {
-		return nil
-	}
-	answer := l.calls.Poll(ctx, poll)
-	if !answer.Done {
-		return nil
-	}
-	record := anvilorder.RecordEnds(poll.Target, answer.Ended, poll.Cursor)
-	if record == nil {
-		return nil
-	}
-	return []anvilwork.Command{{RecordRunEnds: record}}
-}
-
-// announceCommand returns the command for an announcement, and whether the
-// announcement changes the replicated state.
-func (l *Leader) announceCommand(target anvilwork.Target, left bool) (anvilwork.Command, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if left {
-		known, ok := l.state.Target(target.ID)
-		// A target is removed only if its known incarnation has announced that
-		// it is leaving. A late call of an earlier incarnation must not end the
-		// runs of the next one.
-		if !ok || !known.Leaving {
-			return anvilwork.Command{}, false
-		}
-		return anvilwork.Command{Leave: &anvilwork.Leave{Target: known.ID, Incarnation: known.Incarnation, Final: true}}, true
+// commitTarget commits a command that changes a target, to which runs are assigned before the change. It
+// reports whether the command was committed.
+func (l *Leader) commitTarget(ctx context.Context, target anvilwork.Target, runs int, command anvilwork.Command) bool {
+	if _, err := l.commit(ctx, command); err != nil {
+		l.log.Write(anvillogs.CommitFailed, zap.String("target", string(target.ID)), zap.Error(err))
+		return false
 	}
-	return anvilwork.Command{Announce: &anvilwork.Announce{Target: target}}, l.state.AnnouncementHasEffect(target)
+	l.log.Write(anvillogs.TargetUpdated, zap.String("target", string(target.ID)), zap.Int64("incarnation", int64(target.Incarnation)),
+		zap.Bool("leaving", target.Leaving), zap.Bool("left", command.Leave != nil), zap.Int("runs", runs))
+	return true
 }
