Don't give up the runs of a target because another one announces its address

What callers would see: a task at work on two targets (TWICE). An announcement with the address of a target that is alive, and with a later start time, released all runs of that target at once.

An entry of another writer, with a service that the configuration doesn't name, was enough.

Change: the earlier target is marked as departed: it gets no work, its runs are stopped, and they are released once the process at the address has answered that it has another id (status 421), or their ends are listed, or the lease has ended. An announcement whose service isn't configured has no effect on other targets. An answer of a target with another id no longer passes for a new incarnation of the called one; it shows that the called one has ended.

--- a/core/anvilorder/tracker_test.go
+++ b/core/anvilorder/tracker_test.go
@@ -345,10 +345,13 @@
 	}
 	_, known := w.tracker.Speeds.Progress(w.now, taskA)
 	assert.Assert(t, known)
-	// Another target has taken its address.
+	// Another target has taken its address, and the process there has answered that it is another one.
 	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
 		ID: "u", Incarnation: 2, Service: "s", Address: "a:1", Resources: anvilwork.Resources{GPU: 8},
 	}}})
 	_, known = w.tracker.Speeds.Progress(w.now, taskA)
+	assert.Assert(t, known, "the run may still be at work")
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "t", Incarnation: 1}})
+	_, known = w.tracker.Speeds.Progress(w.now, taskA)
 	assert.Assert(t, !known)
 }
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -85,7 +85,8 @@
 	Sent, Received anvilclock.Millis
 	// Clock is the target's clock when it answered, or 0 if the answer didn't contain it.
 	Clock TargetClock
-	// AnsweredBy is the incarnation that answered, or 0 if the answer did not contain it.
+	// AnsweredBy is the incarnation that answered, or 0 if the answer did not contain it or a target with
+	// another id answered.
 	AnsweredBy anvilwork.Incarnation
 	// NotSent means that there is no answer because the order was certainly not sent.
 	NotSent bool
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -142,7 +142,7 @@
 		target.Cursor, target.RegisteredAt, target.DepartedAt = known.Cursor, known.RegisteredAt, known.DepartedAt
 		target.Leaving = target.Leaving || known.Leaving
 	} else {
-		s.removePreviousAtAddress(target)
+		s.departPreviousAtAddress(target)
 		target.RegisteredAt = s.now
 	}
 	s.setTarget(&target)
@@ -159,14 +159,16 @@
 	}
 }
 
-// removePreviousAtAddress removes an earlier target that has the address of a new one. An
-// address belongs to one incarnation at a time: the one that started last.
-func (s *State) removePreviousAtAddress(announced Target) {
+// departPreviousAtAddress marks an earlier target as departed that has the address of a new one. An address
+// belongs to one incarnation at a time: the one that started last. The announcement doesn't show that the runs
+// of the earlier target have ended, and it doesn't count if the configuration doesn't name its service.
+func (s *State) departPreviousAtAddress(announced Target) {
+	if s.config.Version > 0 && !s.config.hasService(announced.Service) {
+		return
+	}
 	for _, other := range s.Targets() {
 		if other.Address == announced.Address && other.ID != announced.ID && other.Incarnation < announced.Incarnation {
-			s.releaseAll(other.ID)
-			s.removeTarget(other.ID)
-			s.remember(other)
+			s.depart(other)
 		}
 	}
 }
--- a/core/anvilwork/config.go
+++ b/core/anvilwork/config.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"anvilshunt/core/anvilclock"
@@ -113,6 +114,10 @@
 	return c.checkKeys()
 }
 
+func (c *Config) hasService(name anvilid.ServiceName) bool {
+	return slices.ContainsFunc(c.Services, func(service Service) bool { return service.Name == name })
+}
+
 func (c *Config) checkKeys() error {
 	keyOwners := map[string]anvilid.AccountID{}
 	for _, account := range c.Accounts {
