Keep a run that a list has confirmed when a repeated start is rejected

What callers saw: a task at work on two targets (TWICE). A start got no answer in time but was carried out; a list of the target showed the run at work; then the repeated start, sent before, was rejected (429 or 503 of an unhealthy target) or couldn't be sent. The leader withdrew the run and placed it elsewhere, while the first one went on until the next list of its target stopped it.

Cause: HandleStartAnswer didn't look at the phase of the run: the list had cleared the mark that an earlier copy is unanswered, so that a verdict on a later copy counted for the run as a whole.

Ruled out: a rejection that was right about an earlier copy. The verdicts say what this call did, as their comments state.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -60,6 +60,9 @@
 		target.recordContact(answer.Answer)
 	}
 	r.startReached = r.startReached || answer.Verdict != StartNotSent
+	if r.phase == running && answer.Verdict != StartOtherIncarnation && answer.Verdict != StartUnanswered {
+		return effects // a list has confirmed the run since this copy of the start was sent
+	}
 	switch answer.Verdict {
 	case StartAccepted:
 		r.phase, r.startUnanswered = running, false
@@ -67,7 +70,7 @@
 			r.confirmedAt = answer.Received
 		}
 	case StartUnanswered:
-		r.startUnanswered, r.nextStartAt = true, now+t.timing.RetryInterval
+		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
 		r.mayStartUntil = answer.Sent + maxOrderDelay
 		target.unansweredCalls++
 	case StartNotSent:
--- /dev/null
+++ b/core/anvilorder/confirmed_test.go
@@ -0,0 +1,28 @@
+package anvilorder
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRepeatedStartOfRunningRun guards against placing a run again because the target rejected a repeated
+// start of it, or the repetition couldn't be sent, after a list had shown that the run is at work.
+func TestRepeatedStartOfRunningRun(t *testing.T) {
+	for _, verdict := range []Verdict{StartRejected, StartNotSent, StartTicketInvalid, StartUnanswered, StartFenced, StartLeaseExpired, StartRunEnded} {
+		w := newWorld(t)
+		order := w.placeAndStart(taskA, 1)
+		w.answerStart(order, StartUnanswered)
+		for range maxUnsentStarts {
+			starts := w.advance(testRetry).Starts
+			if len(starts) > 0 {
+				order = starts[0]
+			}
+			w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}})
+			assert.Equal(t, len(w.answerStart(order, verdict).Commands), 0, "verdict %d", verdict)
+		}
+		assert.Equal(t, len(w.advance(testRetry).Starts), 0, "verdict %d", verdict)
+		assert.Assert(t, w.tracker.targets["t"].runs[taskA].phase == running)
+		assert.Assert(t, !w.tracker.Stopping("t", taskA))
+	}
+}
