Count on an unnoticed incarnation when a silent target's runs are given up

What callers would see: a task at work on two targets (TWICE). A start gets no answer because answers are cut off (one way); the target crashes behind the cut and is back under its id, which nobody hears. The repeated starts, addressed to the former incarnation, reach the new one, whose clock restarts: there the deadline in the order lies in the future, and the run begins. The leader counted the lease by the former clock, gave the run up 6 s after its last contact and placed it elsewhere.

Cause: a deadline bounds a run only on the clock of the incarnation that it was computed for.

Change: a run of a silent target is given up when its lease has expired and, if a start of it got no answer, the longest delay of an order plus the longest lease have passed since. No start is repeated after more than three unanswered calls until a poll is answered, so that the wait isn't extended for ever. Confirmed runs without an unanswered start are given up as early as before.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -93,7 +93,7 @@
 		// The answer to the next poll shows how the run ended, or that the target never had it.
 		r.phase, r.confirmedAt, target.pollNow = running, answer.Received, true
 	case StartOtherIncarnation:
-		r.mayStartUntil = answer.Received
+		r.mayStartUntil = max(r.mayStartUntil, answer.Received)
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 	}
 	return effects
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -70,3 +70,25 @@
 	// The announcement of the other incarnation was not committed.
 	assert.Equal(t, len(w.advance(testRetry).Commands), 0)
 }
+
+// TestSilentTargetBornAnew guards against placing a run again when the lease of a target that doesn't answer
+// has expired, although the target may have been born anew unnoticed: the new incarnation carries out the
+// repeated starts, and its clock restarts, so that their deadline doesn't bound the run there.
+func TestSilentTargetBornAnew(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
+	latest := w.now
+	for w.now < latest+maxOrderDelay+testLease {
+		effects := w.advance(testRetry)
+		assert.Equal(t, len(effects.Commands), 0, "%d ms after the last start", w.now-latest)
+		for _, start := range effects.Starts {
+			latest = w.now
+			w.answerStart(start, StartUnanswered)
+		}
+		if w.pendingPoll != nil {
+			w.failPoll(w.takePoll())
+		}
+	}
+	assert.Assert(t, latest < 1000+testLease, "a start isn't repeated for ever to a target that doesn't answer")
+	assert.Equal(t, len(w.advance(testLease/10).Commands), 1)
+}
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -95,13 +95,7 @@
 	for task, number := range assigned {
 		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true}
 		if before := former.runs[task]; before != nil && before.number == number {
-			r.mayStartUntil = before.mayStartUntil
-			if before.startInFlight {
-				r.mayStartUntil = max(r.mayStartUntil, before.nextStartAt+maxOrderDelay)
-			}
-		}
-		if r.mayStartUntil > 0 {
-			successor.lease.untrackedUntil = max(successor.lease.untrackedUntil, r.mayStartUntil+t.longestLease())
+			r.mayStartUntil = before.lateStartUntil()
 		}
 		successor.runs[task] = r
 	}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -22,6 +22,11 @@
 	RetryInterval anvilclock.Millis
 }
 
+// maxRepeatedStarts is the number of consecutive unanswered calls after which no start is sent to a target until
+// a poll is answered. Each copy may be carried out up to maxOrderDelay later, which delays the next run of the
+// task.
+const maxRepeatedStarts = 3
+
 // maxOrderDelay is the longest time after sending an order in which a target may still carry
 // it out, if the order got no answer.
 const maxOrderDelay = 12 * anvilclock.Second
@@ -53,7 +58,8 @@
 	unsentStarts int
 	// startUnanswered reports that a start got no answer, so the target may still carry it out.
 	startUnanswered bool
-	// mayStartUntil is until when the target may carry out a start that got no answer.
+	// mayStartUntil is until when the target, or a later incarnation of it, may carry out a start that got no
+	// answer, or 0.
 	mayStartUntil anvilclock.Millis
 	// confirmedAt is when the first answer that confirmed the run arrived, or 0 before that.
 	confirmedAt anvilclock.Millis
@@ -185,8 +191,8 @@
 	return effects
 }
 
-// giveUpExpiredRuns adds a command that unassigns all runs of a target if the target doesn't
-// answer and its lease has certainly expired. It reports whether it added the command.
+// giveUpExpiredRuns adds a command that unassigns the runs of a target that have certainly ended because the
+// target doesn't answer and its lease has expired. It reports whether it added the command.
 func (t *Tracker) giveUpExpiredRuns(now anvilclock.Millis, target *target, effects *Effects) bool {
 	if target.unansweredCalls == 0 || len(target.runs) == 0 || now < target.lease.certainlyEndedAt() {
 		return false
@@ -196,12 +202,36 @@
 	}
 	expire := &anvilwork.ExpireLease{Target: target.record.ID, Incarnation: target.record.Incarnation}
 	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
-		expire.Runs = append(expire.Runs, anvilwork.Unassign{Task: task, Run: target.runs[task].number})
+		if r := target.runs[task]; now >= t.lateStartEndedAt(r) {
+			expire.Runs = append(expire.Runs, anvilwork.Unassign{Task: task, Run: r.number})
+		}
+	}
+	if len(expire.Runs) == 0 {
+		return false
 	}
 	effects.Commands = append(effects.Commands, anvilwork.Command{ExpireLease: expire})
 	return true
 }
 
+// lateStartUntil returns until when a start of the run that got no answer yet may be carried out, or 0.
+func (r *run) lateStartUntil() anvilclock.Millis {
+	if !r.startInFlight {
+		return r.mayStartUntil
+	}
+	return max(r.mayStartUntil, r.nextStartAt+maxOrderDelay)
+}
+
+// lateStartEndedAt returns from when on a run can't be at work any more because of a start that got no answer. A
+// target that doesn't answer may have begun a new incarnation, whose clock restarts, so that the deadline in
+// the start doesn't bound the run there.
+func (t *Tracker) lateStartEndedAt(r *run) anvilclock.Millis {
+	until := r.lateStartUntil()
+	if until == 0 {
+		return 0
+	}
+	return until + t.longestLease() + leaseMargin
+}
+
 // StartsInFlight returns the number of runs, at the latest call of Next, that were placed by this leader and
 // that their targets have not confirmed yet. It leaves out the targets that don't answer.
 func (t *Tracker) StartsInFlight() int { return t.startsInFlight }
@@ -221,7 +251,7 @@
 			r.stopInFlight = true
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: r.number, Token: t.token})
-		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt:
+		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && target.unansweredCalls <= maxRepeatedStarts:
 			t.start(now, target, task, r, state, effects)
 		}
 	}
