Wait for late starts of a former leader at a new incarnation

What callers would see: a task at work on two targets (TWICE). A leader sends a start that gets no answer; another leader is elected; the target crashes and is back under its id. The new leader stops the run there; if its first call gets no answer, it gave the run up 200 ms later and placed it elsewhere, while the start of the former leader could still be carried out for up to 12 s, by an incarnation that has seen no token of the new leader.

Cause: inheritRuns knew the time of late starts only for starts that this leader had sent. For all others it took 'unknown' for 'none'.

Change: a run that a former leader started counts as possibly late until the election plus the longest delay of an order, if it was placed on an earlier incarnation than the present one, or once the incarnation changes. Left: a run that a former leader placed on an incarnation that ended unnoticed before the election, and whose start is carried out after that; waiting for it would delay every run of a silent target by 12 s after each election.

--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -57,7 +57,7 @@
 	known.record = *record
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
-			known.runs[task] = &run{number: number, phase: adopting}
+			known.runs[task] = &run{number: number, phase: adopting, byFormerLeader: true, mayStartUntil: t.inheritedStartUntil(state, record, task)}
 		}
 	}
 	t.forgetUnassignedRuns(known, assigned)
@@ -93,9 +93,12 @@
 	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
 	successor.lease.untrackedUntil = now
 	for task, number := range assigned {
-		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true}
+		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true, byFormerLeader: true}
 		if before := former.runs[task]; before != nil && before.number == number {
-			r.mayStartUntil = before.lateStartUntil()
+			r.mayStartUntil, r.byFormerLeader = before.lateStartUntil(), before.byFormerLeader
+		}
+		if r.byFormerLeader {
+			r.mayStartUntil = max(r.mayStartUntil, t.electedAt+maxOrderDelay)
 		}
 		successor.runs[task] = r
 	}
@@ -103,6 +106,17 @@
 	return successor
 }
 
+// inheritedStartUntil returns until when a start of a former leader may be carried out by a later incarnation of
+// the target than the one that it was sent to, whose clock restarts, or 0 if this can't happen: the run was
+// placed on the present incarnation, so that the deadline in the start bounds it.
+func (t *Tracker) inheritedStartUntil(state *anvilwork.State, record *anvilwork.Target, task anvilwork.Task) anvilclock.Millis {
+	job, ok := state.Job(task.Job)
+	if !ok || job.State(task).PhaseSince >= record.RegisteredAt {
+		return 0
+	}
+	return t.electedAt + maxOrderDelay
+}
+
 // longestLease returns how long a lease may last by the leader's clock if the target's clock
 // runs as slowly as maxClockSlowness allows.
 func (t *Tracker) longestLease() anvilclock.Millis {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -61,6 +61,8 @@
 	// mayStartUntil is until when the target, or a later incarnation of it, may carry out a start that got no
 	// answer, or 0.
 	mayStartUntil anvilclock.Millis
+	// byFormerLeader reports that a former leader sent the start, at a time that isn't known.
+	byFormerLeader bool
 	// confirmedAt is when the first answer that confirmed the run arrived, or 0 before that.
 	confirmedAt anvilclock.Millis
 	// stopRequested reports that the run is to be stopped.
