Don't read the lease of a target from the clock of another incarnation

What callers would see: a task at work on two targets (TWICE). An answer of another incarnation counted as a reading of the called one's clock. Each incarnation has a clock of its own; one that is ahead made the lease of the former incarnation count as over, and if the announcement of the new incarnation wasn't committed, its runs were given up in the next step without being stopped at the new one.

Cause: targetOfAnswer recorded the reading before it was known who had answered.

Needs a commit that fails in the same step, so it is unlikely to be what the users saw.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -22,14 +22,16 @@
 )
 
 // targetOfAnswer returns the target that sent an answer, and records the reading of its
-// clock. It returns nil if the target is unknown or has changed its incarnation since the
-// order was sent.
-func (t *Tracker) targetOfAnswer(answer Answer, incarnation anvilwork.Incarnation) *target {
+// clock unless another incarnation (other) has answered. It returns nil if the target is unknown or has
+// changed its incarnation since the order was sent.
+func (t *Tracker) targetOfAnswer(answer Answer, incarnation anvilwork.Incarnation, other bool) *target {
 	target := t.targets[answer.Target]
 	if target == nil || target.record.Incarnation != incarnation {
 		return nil
 	}
-	target.lease.recordReading(answer)
+	if !other {
+		target.lease.recordReading(answer)
+	}
 	return target
 }
 
@@ -43,7 +45,7 @@
 // send and the commands to commit because of it.
 func (t *Tracker) HandleStartAnswer(now anvilclock.Millis, answer StartAnswer) Effects {
 	var effects Effects
-	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation)
+	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.Verdict == StartOtherIncarnation)
 	if target == nil {
 		return effects
 	}
@@ -133,7 +135,7 @@
 // send and the commands to commit because of it.
 func (t *Tracker) HandleStopAnswer(now anvilclock.Millis, answer StopAnswer) Effects {
 	var effects Effects
-	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation)
+	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.FromOtherIncarnation)
 	if target == nil {
 		return effects
 	}
@@ -165,7 +167,7 @@
 // send and the commands to commit because of it.
 func (t *Tracker) HandlePollAnswer(now anvilclock.Millis, answer PollAnswer) Effects {
 	var effects Effects
-	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation)
+	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.FromOtherIncarnation)
 	if target == nil {
 		return effects
 	}
