Acknowledge no ends at a target that doesn't answer

What callers would see: a task that runs again after it was done (TWICE). A poll acknowledges the ends up to a number of the incarnation that it is addressed to. Repeated to a target that doesn't answer, it reached a new incarnation under the same id, which numbers its ends from 1 and dropped the end of a run that no leader had recorded.

Cause: the number of an end means something to one incarnation only, and a poll can't name the incarnation.

Left: a poll that is on its way when the target is born anew; the new incarnation has no ends then, unless a late start was carried out at once.

Change: while calls to a target go unanswered, its polls acknowledge nothing. The first answer brings the cursor back.

--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -92,3 +92,18 @@
 	assert.Assert(t, latest < 1000+testLease, "a start isn't repeated for ever to a target that doesn't answer")
 	assert.Equal(t, len(w.advance(testLease/10).Commands), 1)
 }
+
+// TestSilentTargetKeepsItsEnds guards against acknowledging ends of an incarnation that the leader doesn't know
+// yet: a task that is done there would run again.
+func TestSilentTargetKeepsItsEnds(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.apply(w.answerPoll(w.takePoll(), 1, nil, anvilwork.RunEnd{Number: 4, Task: taskA, Run: 1, Outcome: anvilwork.RunDone}).Commands...)
+	w.placeAndStart(taskB, 1)
+	w.failPoll(w.takePoll())
+	w.now += testRetry
+	poll := w.takePoll()
+	assert.Equal(t, poll.Cursor, uint64(0), "the target may be another incarnation now")
+	w.answerPoll(poll, 1, nil)
+	assert.Equal(t, w.takePoll().Cursor, uint64(4), "it has answered")
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -292,11 +292,20 @@
 	}
 	target.pollNow = false
 	effects.Polls = append(effects.Polls, Poll{
-		Target: target.record, Token: t.token, Cursor: target.record.Cursor,
+		Target: target.record, Token: t.token, Cursor: target.cursor(),
 		Deadline: target.leaseDeadline(now, t.timing.MaxLease), Wait: wait,
 	})
 }
 
+// cursor returns the number of the latest end to acknowledge, or 0 for none. A target that doesn't answer may
+// have begun a new incarnation, which numbers its ends from 1 and would drop those up to the number of the former one.
+func (target *target) cursor() uint64 {
+	if target.unansweredCalls > 0 {
+		return 0
+	}
+	return target.record.Cursor
+}
+
 // reportInherited adds a finding for each run that was assigned to a former incarnation of the target.
 func (target *target) reportInherited(effects *Effects) {
 	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
