Use a target again after it has left a call unanswered

What callers saw: less capacity, and in the worst case accepted jobs that never run (LOST). A target that left a call unanswered and lost its runs because its lease expired got no work for the rest of the leader's term, although it announced itself every second: it isn't usable until it answers a call, and nothing calls a target that has no runs.

Cause: an announcement counted as a contact, but didn't lead to a call. Class: a state that only an action leaves which the state itself prevents.

Change: an announcement of a target with unanswered calls asks for one poll, once per announcement.

--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -26,3 +26,23 @@
 		assert.Assert(t, !w.tracker.Stopping("t", taskA))
 	}
 }
+
+// TestSilentTargetIsUsedAgain guards against a target that gets no work for the rest of the term because it has
+// once left a call unanswered and has no runs, for which it would be polled.
+func TestSilentTargetIsUsedAgain(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	for len(w.state.Runs("t")) > 0 {
+		w.failPoll(w.takePoll())
+		for range 5 {
+			w.apply(w.advance(testRetry).Commands...)
+		}
+	}
+	assert.Assert(t, !w.tracker.Usable(w.now, "t", 5000))
+	w.pendingPoll = nil
+	assert.Equal(t, len(w.advance(testLease).Polls), 0, "a target that is silent and has no runs isn't polled")
+	w.tracker.RecordAnnouncement(w.now, "t", 1)
+	assert.Assert(t, !w.tracker.Usable(w.now, "t", 5000), "it may still not be reached")
+	w.answerPoll(w.takePoll(), 1, nil)
+	assert.Assert(t, w.tracker.Usable(w.now, "t", 5000))
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -155,10 +155,12 @@
 }
 
 // RecordAnnouncement records that a target has announced itself, which counts as a contact with the
-// target (see Usable). An announcement of another incarnation has no effect.
+// target (see Usable). A target that has left calls unanswered is polled then, because it isn't usable until it
+// answers. An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
 	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
 		target.lastContact = now
+		target.pollNow = target.pollNow || target.unansweredCalls > 0
 	}
 }
 
