Bar late starts at each new incarnation of a target

What callers would see: a task at work on two targets, or again after it was done (TWICE). A start that got no answer may be carried out up to 12 s later. The leader made the target refuse it (by a stop, by the end of the run, by a list under its token) and gave the run up. Then the target crashed and was back under its id, knowing neither stop, end nor token, and carried the start out.

Cause: what a target remembers protects only as long as its incarnation lasts, and the tracker forgot the start with the run.

The test that landed failing asked for a higher token within the same term. That way was dropped: a leader of the former build, with its plain terms as tokens, would be refused by all targets after the new build has led once. The test now asks for a stop of that very run at each incarnation until it is answered, and for the poll at once, which is as strict.

Change: the tracker remembers each unanswered start for 12 s, beyond its run, and stops that run at any later incarnation of the target before the start can arrive; a new incarnation is polled at once, so that it refuses the orders of former leaders.

Left: a start that is carried out between the birth of the incarnation and the first answer of it to this leader.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -74,6 +74,7 @@
 	case StartUnanswered:
 		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
 		r.mayStartUntil = answer.Sent + maxOrderDelay
+		t.lateStarts.add(answer.Order, r.mayStartUntil)
 		target.unansweredCalls++
 	case StartNotSent:
 		target.unansweredCalls++
@@ -135,6 +136,7 @@
 // send and the commands to commit because of it.
 func (t *Tracker) HandleStopAnswer(now anvilclock.Millis, answer StopAnswer) Effects {
 	var effects Effects
+	t.handleBarAnswer(now, answer)
 	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.FromOtherIncarnation)
 	if target == nil {
 		return effects
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -43,20 +43,33 @@
 }
 
 // TestIncarnationIsFenced guards against a late start that is carried out by a new incarnation of its target:
-// it has seen no fencing token, and the run was given up or done at the former one.
+// it has seen neither a fencing token, nor the stop or the end of the run at the former one.
 func TestIncarnationIsFenced(t *testing.T) {
 	w := newWorld(t)
-	order := w.placeAndStart(taskA, 1)
-	w.answerStart(order, StartAccepted)
+	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
+	w.answerStart(w.advance(testRetry).Starts[0], StartAccepted)
 	end := anvilwork.RunEnd{Number: 1, Task: taskA, Run: 1, Outcome: anvilwork.RunDone}
 	w.apply(w.answerPoll(w.takePoll(), 1, nil, end).Commands...)
-	w.beginIncarnation(2)
-	poll := w.takePoll()
-	assert.Equal(t, poll.Target.Incarnation, anvilwork.Incarnation(2))
-	assert.Assert(t, poll.Token > order.Token, "the new incarnation must refuse orders to the former one")
-	assert.Equal(t, poll.Wait, anvilclock.Millis(0))
-	w.elect(2)
-	assert.Assert(t, w.placeAndStart(taskB, 1).Token > poll.Token, "a later leader has a higher token")
+	for incarnation := anvilwork.Incarnation(2); incarnation < 4; incarnation++ {
+		w.beginIncarnation(incarnation)
+		stops := w.advance(1).Stops
+		poll := w.takePoll()
+		assert.Equal(t, poll.Target.Incarnation, incarnation)
+		assert.Equal(t, poll.Wait, anvilclock.Millis(0), "the poll makes it refuse the orders of former leaders")
+		for range 2 {
+			assert.Equal(t, len(stops), 1)
+			assert.Equal(t, stops[0].Target.Incarnation, incarnation)
+			assert.Equal(t, stops[0].Task, taskA)
+			w.tracker.HandleStopAnswer(w.now, StopAnswer{Answer: Answer{Target: "t", Incarnation: incarnation}, Order: stops[0]})
+			assert.Equal(t, len(w.advance(1).Stops), 0)
+			stops = w.advance(testRetry).Stops // the first one got no answer
+		}
+		w.tracker.HandleStopAnswer(w.now, StopAnswer{Answer: Answer{Target: "t", Incarnation: incarnation}, Order: stops[0], Done: true})
+		assert.Equal(t, len(w.advance(testRetry).Stops), 0)
+	}
+	w.now += maxOrderDelay
+	w.beginIncarnation(4)
+	assert.Equal(t, len(w.advance(1).Stops), 0, "no start can be carried out any more")
 }
 
 // TestClockOfOtherIncarnation guards against a lease that counts as expired because another incarnation
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -90,7 +90,8 @@
 // leader sent to the former one: it has seen no higher fencing token that would make it
 // refuse them. Therefore each run is stopped there before it is unassigned.
 func (t *Tracker) inheritRuns(now anvilclock.Millis, former *target, assigned map[anvilwork.Task]anvilwork.Run) *target {
-	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
+	// The poll makes the new incarnation refuse what former leaders sent.
+	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now, pollNow: true}
 	successor.lease.untrackedUntil = now
 	for task, number := range assigned {
 		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true, byFormerLeader: true}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -113,7 +113,8 @@
 	electedAt anvilclock.Millis
 	targets   map[anvilid.TargetID]*target
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
-	state *anvilwork.State
+	state      *anvilwork.State
+	lateStarts lateStarts
 	// startsInFlight is the result of StartsInFlight.
 	startsInFlight int
 	// order has the ids of targets in the order in which Next returns orders, or is nil after targets
@@ -126,7 +127,7 @@
 // New returns a Tracker for a leader that was elected at the given time and uses this
 // fencing token.
 func New(token anvilid.Token, elected anvilclock.Millis, timing Timing) *Tracker {
-	return &Tracker{token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, Speeds: anvilspeed.New()}
+	return &Tracker{token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, lateStarts: lateStarts{}, Speeds: anvilspeed.New()}
 }
 
 // AddPlacements adds runs whose assignment by this leader was committed. The next call of
@@ -177,6 +178,7 @@
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
 	t.startsInFlight = 0
+	t.lateStarts.expire(now)
 	if t.order == nil {
 		t.order = slices.Sorted(maps.Keys(t.targets))
 	}
@@ -189,6 +191,7 @@
 			target.inherited = false
 			target.reportInherited(&effects)
 		}
+		t.barLateStarts(now, target, &effects)
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
