Send the cursor of ends only until it is acknowledged

A poll repeated the cursor of a target although an answer had shown that the target has it.

TestSilentTargetKeepsItsEnds now also asks that an end is acknowledged once.

--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -112,11 +112,16 @@
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
 	w.apply(w.answerPoll(w.takePoll(), 1, nil, anvilwork.RunEnd{Number: 4, Task: taskA, Run: 1, Outcome: anvilwork.RunDone}).Commands...)
-	w.placeAndStart(taskB, 1)
-	w.failPoll(w.takePoll())
-	w.now += testRetry
 	poll := w.takePoll()
+	assert.Equal(t, poll.Cursor, uint64(4))
+	w.failPoll(poll)
+	w.now += testRetry
+	poll = w.takePoll()
 	assert.Equal(t, poll.Cursor, uint64(0), "the target may be another incarnation now")
 	w.answerPoll(poll, 1, nil)
-	assert.Equal(t, w.takePoll().Cursor, uint64(4), "it has answered")
+	poll = w.takePoll()
+	assert.Equal(t, poll.Cursor, uint64(4), "it has answered")
+	w.answerPoll(poll, 1, nil)
+	w.tracker.targets["t"].pollNow = true
+	assert.Equal(t, w.takePoll().Cursor, uint64(0), "an end is acknowledged once")
 }
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -302,10 +302,11 @@
 	})
 }
 
-// cursor returns the number of the latest end to acknowledge, or 0 for none. A target that doesn't answer, or
-// has not answered this leader yet, may have begun a new incarnation, which numbers its ends from 1 and would drop those up to the number of the former one.
+// cursor returns the number of the latest end to acknowledge, or 0 if there is none that the target hasn't
+// received. A target that doesn't answer, or has not answered this leader yet, may have begun a new incarnation,
+// which numbers its ends from 1 and would drop those up to the number of the former one.
 func (target *target) cursor() uint64 {
-	if target.unansweredCalls > 0 || !target.adopted {
+	if target.unansweredCalls > 0 || !target.adopted || target.record.Cursor <= target.ackedCursor {
 		return 0
 	}
 	return target.record.Cursor
