Release the runs of a target that has ended once its address refuses connections

Change: a target that has said that it ends, or whose address another target has announced, is polled at once and again after 50 ms. A refused connection is evidence that its process has ended, and releases its runs.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -49,6 +49,9 @@
 	if target == nil {
 		return effects
 	}
+	if target.leaveIfEnded(answer.Answer, &effects) {
+		return effects
+	}
 	r := target.runs[answer.Order.Task]
 	if r == nil || r.number != answer.Order.Run {
 		return effects
@@ -132,6 +135,18 @@
 	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
 }
 
+// leaveIfEnded adds a command that removes a target which has said that it ends, or whose address another one
+// has, if no process accepts connections at its address any more. It reports whether it added the command.
+func (target *target) leaveIfEnded(answer Answer, effects *Effects) bool {
+	if !answer.Refused || !target.record.Departed() {
+		return false
+	}
+	target.unansweredCalls++
+	effects.Commands = append(effects.Commands,
+		anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
+	return true
+}
+
 // HandleStopAnswer processes the answer to a Stop, or the lack of one, and returns the orders to
 // send and the commands to commit because of it.
 func (t *Tracker) HandleStopAnswer(now anvilclock.Millis, answer StopAnswer) Effects {
@@ -145,6 +160,9 @@
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 		return effects
 	}
+	if target.leaveIfEnded(answer.Answer, &effects) {
+		return effects
+	}
 	r := target.runs[answer.Order.Task]
 	if r == nil || r.number != answer.Order.Run {
 		return effects
@@ -182,9 +200,12 @@
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 		return effects
 	}
+	if target.leaveIfEnded(answer.Answer, &effects) {
+		return effects
+	}
 	if !answer.Done {
 		target.unansweredCalls++
-		target.nextPollAt = now + t.timing.RetryInterval*anvilclock.Millis(min(target.unansweredCalls, 4))
+		target.nextPollAt = now + t.pollRetryPause(target)
 		return effects
 	}
 	target.recordContact(answer.Answer)
@@ -195,6 +216,15 @@
 	return effects
 }
 
+// pollRetryPause returns the pause after an unanswered poll. A target that has said that it ends is asked again
+// sooner, because its runs can be placed again as soon as it has ended.
+func (t *Tracker) pollRetryPause(target *target) anvilclock.Millis {
+	if target.record.Departed() {
+		return t.timing.RetryInterval / 4
+	}
+	return t.timing.RetryInterval * anvilclock.Millis(min(target.unansweredCalls, 4))
+}
+
 // commitEnds returns a command that records the run ends listed in a poll answer, except
 // those that are already committed or were returned in an earlier command.
 func (t *Tracker) commitEnds(target *target, answer PollAnswer, effects *Effects) {
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -125,3 +125,21 @@
 	w.tracker.targets["t"].pollNow = true
 	assert.Equal(t, w.takePoll().Cursor, uint64(0), "an end is acknowledged once")
 }
+
+// TestRefusedConnectionAfterDeparture guards against waiting for the end of the lease of a target that has said that it
+// ends and accepts no connections any more, and against taking a refused connection for the end of any other target.
+func TestRefusedConnectionAfterDeparture(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	refused := func() Effects {
+		answer := Answer{Target: "t", Incarnation: 1, NotSent: true, Refused: true}
+		return w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: w.takePoll()})
+	}
+	assert.Equal(t, len(refused().Commands), 0, "the link may refuse it while the target goes on")
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "t", Incarnation: 1, Final: true}})
+	assert.Equal(t, w.state.Runs("t")[taskA], anvilwork.Run(1))
+	commands := refused().Commands
+	assert.Equal(t, len(commands), 1)
+	w.apply(commands...)
+	assert.Equal(t, len(w.state.Runs("t")), 0)
+}
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -54,6 +54,9 @@
 	if t.targets[record.ID] != known {
 		t.targets[record.ID], t.order = known, nil
 	}
+	if record.Departed() && !known.record.Departed() {
+		known.nextPollAt, known.pollNow = now, true // whether it has ended decides when its runs are placed again
+	}
 	known.record = *record
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -90,6 +90,8 @@
 	AnsweredBy anvilwork.Incarnation
 	// NotSent means that there is no answer because the order was certainly not sent.
 	NotSent bool
+	// Refused means that there is no answer because no process accepts connections at the target's address.
+	Refused bool
 	// Withheld means that the order was not sent because this process isn't certainly the leader any more.
 	// It says nothing about the target.
 	Withheld bool
