Keep the runs of a target whose incarnation was announced with too high a number

An announcement with a higher start time under the id of a live target (of another writer, or from before the target's clock was set back) made that number the known incarnation. The target's next answer, with its own lower number, passed for the answer of another target at the same address, and all runs were released while they went on.

Cause: a start time is compared although two of them need not come from one clock, and an answer was weighed less than an announcement.

Change: an answer of the called target's own process names the incarnation that is there, whether its number is higher or lower. It takes over the runs, which are stopped before they are placed again.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -121,18 +121,18 @@
 // handleOtherIncarnation handles an answer that did not come from the incarnation to which
 // the order was sent. A later incarnation of the same target (answeredBy) may have carried
 // out orders for the former one. The runs of the former one are therefore assigned to it, and
-// stopped there before they are placed again. If answeredBy isn't later than the former
-// incarnation, another target has the address now, and the former incarnation has ended.
+// stopped there before they are placed again. The same holds for an earlier one, whose number shows that the known
+// one was announced wrongly. If answeredBy is 0, another target has the address now, and the former incarnation has ended.
 func (t *Tracker) handleOtherIncarnation(target *target, answeredBy anvilwork.Incarnation, effects *Effects) {
 	target.unansweredCalls++
-	if answeredBy <= target.record.Incarnation {
+	if answeredBy == 0 || answeredBy == target.record.Incarnation {
 		effects.Commands = append(effects.Commands,
 			anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
 		return
 	}
 	successor := target.record
-	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt = answeredBy, 0, false, 0
-	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
+	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt, successor.DepartedAt = answeredBy, 0, false, 0, 0
+	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor, Answered: true}})
 }
 
 // leaveIfEnded adds a command that removes a target which has said that it ends, or whose address another one
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -143,3 +143,18 @@
 	w.apply(commands...)
 	assert.Equal(t, len(w.state.Runs("t")), 0)
 }
+
+// TestAnswerOfLowerIncarnation guards against releasing the runs of a target that is alive, because its incarnation was
+// announced with too high a number: by another writer, or before its clock was set back.
+func TestAnswerOfLowerIncarnation(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.beginIncarnation(9)
+	answer := Answer{Target: "t", Incarnation: 9, Sent: w.now - 1, Received: w.now, Clock: 5, AnsweredBy: 1}
+	commands := w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: w.takePoll(), FromOtherIncarnation: true}).Commands
+	w.apply(commands...)
+	record, _ := w.state.Target("t")
+	assert.Equal(t, record.Incarnation, anvilwork.Incarnation(1))
+	assert.Equal(t, w.state.Runs("t")[taskA], anvilwork.Run(1), "the run may still be at work")
+	assert.Equal(t, len(w.advance(1).Stops), 1)
+}
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -41,7 +41,7 @@
 	case command.Configure != nil:
 		return s.configure(*command.Configure)
 	case command.Announce != nil:
-		return s.announce(command.Announce.Target)
+		return s.announce(*command.Announce)
 	case command.Leave != nil:
 		return s.leave(*command.Leave)
 	case command.Place != nil:
@@ -133,11 +133,13 @@
 // of the older one have ended. A start request that was sent to the older incarnation may
 // still be executed by the newer one, however, so its runs stay assigned until the target
 // has rejected or ended them.
-func (s *State) announce(target Target) Result {
-	if !s.AnnouncementHasEffect(target) {
+func (s *State) announce(command Announce) Result {
+	target := command.Target
+	known, ok := s.targets[target.ID]
+	answered := ok && command.Answered && known.Incarnation != target.Incarnation
+	if !answered && !s.AnnouncementHasEffect(target) {
 		return Unchanged
 	}
-	known, ok := s.targets[target.ID]
 	if ok && known.Incarnation == target.Incarnation {
 		target.Cursor, target.RegisteredAt, target.DepartedAt = known.Cursor, known.RegisteredAt, known.DepartedAt
 		target.Leaving = target.Leaving || known.Leaving
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -48,6 +48,9 @@
 // Announce registers a target or updates its attributes.
 type Announce struct {
 	Target Target `cbor:"1,keyasint"`
+	// Answered means that the target's own process has answered that this is its incarnation. It then replaces the
+	// known one even if that has a higher number, which a wrong announcement or a clock that was set back explains.
+	Answered bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Leave reports that an incarnation of a target has ended, together with everything that
