Place a task again whose target has ended the run and dropped the end

What callers would see: a job that never finishes (LOST). A start got no answer; its repetition was refused because the run had ended or was barred; the target listed no end. The mark of the unanswered start stayed, so that the missing run was never given up.

Cause: 'old' answers for all copies of a start, but only the phase of the run was updated.

Evidence: by reading a trace of the random schedules; TestEndedRunThatIsNotListed failed before and passes now.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -97,7 +97,7 @@
 		t.withdrawRun(now, answer.Order, r, &effects)
 	case StartRunEnded:
 		// The answer to the next poll shows how the run ended, or that the target never had it.
-		r.phase, r.confirmedAt, target.pollNow = running, answer.Received, true
+		r.phase, r.confirmedAt, r.startUnanswered, target.pollNow = running, answer.Received, false, true
 	case StartOtherIncarnation:
 		r.mayStartUntil = max(r.mayStartUntil, answer.Received)
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -46,3 +46,16 @@
 	w.answerPoll(w.takePoll(), 1, nil)
 	assert.Assert(t, w.tracker.Usable(w.now, "t", 5000))
 }
+
+// TestEndedRunThatIsNotListed guards against a task that is never placed again, because its target has ended the run
+// and dropped the end, while a copy of the start got no answer.
+func TestEndedRunThatIsNotListed(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
+	w.answerStart(w.advance(testRetry).Starts[0], StartRunEnded)
+	for range 2 {
+		w.now += 10
+		w.apply(w.answerPoll(w.takePoll(), 1, nil).Commands...)
+	}
+	assert.Equal(t, len(w.state.Runs("t")), 0)
+}
