Send no orders while the outcome of a commit is unknown

What callers would see: a task at work on two targets (TWICE). A start was rejected (429, 503); the command that releases the run took more than two seconds to commit and counted as failed; the next step had nothing to commit and sent the start again, which was accepted; then the command was applied after all, and the task was placed elsewhere.

Cause: a commit that isn't confirmed in time was taken for one that has no effect. The same holds for the end of a lease and for a run withdrawn after three unsent starts.

Change: after a failed commit the tracker returns no orders until a later entry of the term was committed, an empty one if need be. The log is applied in order, so that the earlier commands have been applied or never will be.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -247,14 +247,22 @@
 	return &anvilwork.RecordRunEnds{Target: target.ID, Incarnation: target.Incarnation, Ends: ends}
 }
 
-// ResetUncommittedEnds is called when commands of this term were not committed. The run ends
-// in those commands are then returned again when the next poll answer lists them.
-func (t *Tracker) ResetUncommittedEnds() {
+// CommitFailed is called when commands of this term were not committed, or not in time. They may still be applied, such
+// as one that unassigns a run, so Next returns nothing until CommitSucceeded is called. The run ends in those
+// commands are returned again when the next poll answer lists them.
+func (t *Tracker) CommitFailed() {
+	t.commitUncertain = true
 	for _, target := range t.targets {
 		target.committingEnd = target.record.Cursor
 	}
 }
 
+// CommitSucceeded is called when an entry of this term was committed and applied, and with it all earlier ones.
+func (t *Tracker) CommitSucceeded() { t.commitUncertain = false }
+
+// CommitUncertain reports whether an entry, if only an empty one, must be committed before Next returns anything.
+func (t *Tracker) CommitUncertain() bool { return t.commitUncertain }
+
 // reconcileRuns compares the runs that the target lists with those that are assigned to it.
 func (t *Tracker) reconcileRuns(now anvilclock.Millis, target *target, answer PollAnswer, effects *Effects) {
 	listed := map[anvilwork.Task]Running{}
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -59,3 +59,17 @@
 	}
 	assert.Equal(t, len(w.state.Runs("t")), 0)
 }
+
+// TestStartAfterFailedCommit guards against a start that is sent again although the command that releases its run, whose
+// commit failed by timeout, may still be applied.
+func TestStartAfterFailedCommit(t *testing.T) {
+	w := newWorld(t)
+	commands := w.answerStart(w.placeAndStart(taskA, 1), StartRejected).Commands
+	assert.Equal(t, len(commands), 1)
+	w.tracker.CommitFailed()
+	assert.Equal(t, len(w.advance(2000).Starts), 0)
+	assert.Assert(t, w.tracker.CommitUncertain())
+	w.apply(commands...)
+	w.tracker.CommitSucceeded()
+	assert.Equal(t, len(w.advance(1).Starts), 0, "the run was released")
+}
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -44,7 +44,7 @@
 	}
 	commands := slices.Concat(l.pending, l.placements())
 	l.pending = nil
-	if len(commands) == 0 {
+	if len(commands) == 0 && !l.tracker.CommitUncertain() {
 		l.sendDue()
 		return
 	}
@@ -58,9 +58,10 @@
 	case l.gone:
 		return
 	case !ok:
-		l.tracker.ResetUncommittedEnds()
+		l.tracker.CommitFailed()
 		return
 	}
+	l.tracker.CommitSucceeded()
 	for i, command := range commands {
 		if command.Place != nil && results[i] == anvilwork.Applied {
 			l.tracker.AddPlacements(command.Place.Assignments)
--- a/core/anvilorder/schedule_target_test.go
+++ b/core/anvilorder/schedule_target_test.go
@@ -266,6 +266,11 @@
 		answer(p.stamp(reply))
 		return
 	}
+	if r.start != nil && s.chance(rejections, 0.1) { // an unhealthy target has done nothing
+		reply.verdict = StartRejected
+		answer(p.stamp(reply))
+		return
+	}
 	p.token = r.token
 	if r.deadline > 0 {
 		p.extendLease(r.deadline)
--- a/core/anvilorder/schedule_test.go
+++ b/core/anvilorder/schedule_test.go
@@ -60,6 +60,7 @@
 	lateDepartures    fault = "late-departures" // the acknowledgement of a departure is late or lost
 	failedCommits     fault = "failed-commits"
 	evictions         fault = "evictions" // the leader stops a run
+	rejections        fault = "rejections"
 	slowClocks        fault = "slow-clocks"
 	lateAnnouncements fault = "late-announcements"
 )
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -115,6 +115,8 @@
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
 	state      *anvilwork.State
 	lateStarts lateStarts
+	// commitUncertain reports that the latest commit failed, see CommitFailed.
+	commitUncertain bool
 	// startsInFlight is the result of StartsInFlight.
 	startsInFlight int
 	// order has the ids of targets in the order in which Next returns orders, or is nil after targets
@@ -177,6 +179,9 @@
 // the same state to Sync.
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
+	if t.commitUncertain {
+		return effects
+	}
 	t.startsInFlight = 0
 	t.lateStarts.expire(now)
 	if t.order == nil {
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -132,15 +132,16 @@
 func (r *leadership) step(ctx context.Context) {
 	now := r.clock.Now()
 	commands, placementCount := r.decide(now)
-	if len(commands) > 0 {
+	if len(commands) > 0 || r.tracker.CommitUncertain() {
 		sent := r.clock.Now()
 		results, err := r.commit(ctx, commands...)
 		record(r.summary.commit, r.clock.Now()-sent)
 		if err != nil {
 			r.log.Write(anvillogs.CommitFailed, zap.Int("commands", len(commands)), zap.Error(err))
-			r.tracker.ResetUncommittedEnds()
+			r.tracker.CommitFailed()
 			return
 		}
+		r.tracker.CommitSucceeded()
 		r.handleCommitted(commands, results, placementCount)
 	}
 	now = r.clock.Now()
