Tell the runs of one task in a list apart

What callers would see: a task at work on two targets (TWICE). If a target listed two runs of a task, the later row hid the other: the assigned run counted as missing and was placed elsewhere. And an older run beside the assigned one was never stopped.

Cause: a list was indexed by task, and 'not assigned' meant 'newer than the assigned run'.

It needs a target that has two runs of a task, which late starts can bring about.

Change: lists and late starts are indexed by task and run.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -265,9 +265,9 @@
 
 // reconcileRuns compares the runs that the target lists with those that are assigned to it.
 func (t *Tracker) reconcileRuns(now anvilclock.Millis, target *target, answer PollAnswer, effects *Effects) {
-	listed := map[anvilwork.Task]Running{}
+	listed := map[runKey]Running{}
 	for _, entry := range answer.Running {
-		listed[entry.Task] = entry
+		listed[runKey{entry.Task, entry.Run}] = entry
 	}
 	ended := map[anvilwork.Task]anvilwork.Run{}
 	for _, end := range answer.Ended {
@@ -275,9 +275,9 @@
 	}
 	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
 		r := target.runs[task]
-		entry, ok := listed[task]
+		entry, ok := listed[runKey{task, r.number}]
 		switch {
-		case ok && entry.Run == r.number:
+		case ok:
 			r.confirm(now)
 			t.Speeds.Observe(answer.Received, target.record.ID, task, r.number, entry.Percent)
 		case ended[task] >= r.number:
@@ -328,12 +328,11 @@
 
 // stopUnassignedRuns stops the runs that a target lists as running although the replicated
 // state doesn't assign them to it.
-func (t *Tracker) stopUnassignedRuns(target *target, listed map[anvilwork.Task]Running, effects *Effects) {
-	for _, task := range slices.SortedFunc(maps.Keys(listed), anvilwork.Task.Compare) {
-		if r := target.runs[task]; r == nil || r.number < listed[task].Run {
-			effects.Stops = append(effects.Stops,
-				Stop{Target: target.record, Task: task, Run: listed[task].Run, Token: t.token})
-			effects.Findings = append(effects.Findings, target.finding(RunNotAssigned, task, listed[task].Run))
+func (t *Tracker) stopUnassignedRuns(target *target, listed map[runKey]Running, effects *Effects) {
+	for _, key := range slices.SortedFunc(maps.Keys(listed), runKey.compare) {
+		if r := target.runs[key.task]; r == nil || r.number != key.run {
+			effects.Stops = append(effects.Stops, Stop{Target: target.record, Task: key.task, Run: key.run, Token: t.token})
+			effects.Findings = append(effects.Findings, target.finding(RunNotAssigned, key.task, key.run))
 		}
 	}
 }
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilwork"
 )
 
 // TestRepeatedStartOfRunningRun guards against placing a run again because the target rejected a repeated
@@ -73,3 +75,25 @@
 	w.tracker.CommitSucceeded()
 	assert.Equal(t, len(w.advance(1).Starts), 0, "the run was released")
 }
+
+// TestOlderRunIsStopped guards against an earlier run of a task that goes on beside the assigned one, because a late
+// start of it was carried out at the same target.
+func TestOlderRunIsStopped(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 2), StartUnanswered)
+	effects := w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}})
+	assert.Equal(t, len(effects.Stops), 1)
+	assert.Equal(t, effects.Stops[0].Run, anvilwork.Run(1))
+}
+
+// TestTwoRowsOfOneTask guards against an assigned run that counts as missing, because the list has a row of another
+// run of its task.
+func TestTwoRowsOfOneTask(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 2), StartAccepted)
+	for range 3 {
+		w.now += testRetry
+		effects := w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 2}, {Task: taskA, Run: 1}})
+		assert.Equal(t, len(effects.Commands), 0)
+	}
+}
