Count late calls to a former incarnation into the lease of the next one

What callers would see: a task at work on two targets, or again after it was done (TWICE). A poll that got no answer is carried out late, by a later incarnation of its target. Its deadline is a time on the former clock and extends the lease there by up to the longest lease, while the leader counts the lease that it has granted to the new incarnation itself.

Cause: inheritRuns counted the late starts of the inherited runs, but a deadline holds for everything on a target, whichever call carried it.

Change: a target remembers until when its unanswered calls may be carried out; the next incarnation inherits that into its lease. It costs a longer wait only if a target comes back and falls silent again within 18 s.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -78,6 +78,7 @@
 		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
 		r.mayStartUntil = answer.Sent + maxOrderDelay
 		t.lateStarts.add(answer.Order, r.mayStartUntil)
+		target.lateUntil = max(target.lateUntil, r.mayStartUntil)
 		target.unansweredCalls++
 	case StartNotSent:
 		target.unansweredCalls++
@@ -205,6 +206,9 @@
 	}
 	if !answer.Done {
 		target.unansweredCalls++
+		if !answer.NotSent {
+			target.lateUntil = max(target.lateUntil, answer.Sent+maxOrderDelay)
+		}
 		target.nextPollAt = now + t.pollRetryPause(target)
 		return effects
 	}
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -158,3 +158,51 @@
 	assert.Equal(t, w.state.Runs("t")[taskA], anvilwork.Run(1), "the run may still be at work")
 	assert.Equal(t, len(w.advance(1).Stops), 1)
 }
+
+// TestLatePollOfFormerIncarnation guards against a lease of a new incarnation that is extended by a poll which was
+// sent while the former one was believed to be there. Its deadline is a time on the former clock.
+func TestLatePollOfFormerIncarnation(t *testing.T) {
+	w := newWorld(t)
+	w.now = 100_000
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted) // the clock of incarnation 1 shows 100 s
+	poll := w.takePoll()
+	sent := w.now
+	assert.Assert(t, poll.Deadline > 100_000)
+	w.now += 600
+	// The new process got it, and carries it out up to 12 s after it was sent.
+	w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: Answer{Target: "t", Incarnation: 1, Sent: sent, Received: w.now}, Order: poll})
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "t", Incarnation: 2, Service: "s", Address: "a:1", Resources: anvilwork.Resources{GPU: 8},
+	}}})
+	answer := func() Answer {
+		return Answer{Target: "t", Incarnation: 2, AnsweredBy: 2, Sent: w.now - 1, Received: w.now, Clock: TargetClock(w.now - 100_000)}
+	}
+	for range 4 { // incarnation 2 refuses run 1, which is released
+		effects := w.advance(10)
+		for _, s := range effects.Stops {
+			w.tracker.HandleStopAnswer(w.now, StopAnswer{Answer: answer(), Order: s, Done: true})
+		}
+		w.now += 2
+		for _, p := range effects.Polls {
+			w.apply(w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer(), Order: p, Done: true}).Commands...)
+		}
+	}
+	assert.Equal(t, len(w.state.Runs("t")), 0)
+	a := []anvilwork.Assignment{{Task: taskA, Run: 2, Target: "t", Incarnation: 2}}
+	w.apply(anvilwork.Command{Place: &anvilwork.Place{Assignments: a}})
+	w.tracker.AddPlacements(a)
+	effects := w.advance(200)
+	assert.Equal(t, len(effects.Starts), 1)
+	w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: answer(), Order: effects.Starts[0], Verdict: StartAccepted})
+	polls := effects.Polls
+	for w.now < sent+maxOrderDelay+testLease { // the target is cut off
+		for _, p := range polls {
+			w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: Answer{Target: "t", Incarnation: 2}, Order: p})
+		}
+		effects = w.advance(500)
+		polls = effects.Polls
+		for _, c := range effects.Commands {
+			assert.Assert(t, c.ExpireLease == nil || w.now >= sent+maxOrderDelay+testLease, "run 2 is given up %d ms after the late poll was sent, which may extend it until 18 s", w.now-sent)
+		}
+	}
+}
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -96,6 +96,9 @@
 	// The poll makes the new incarnation refuse what former leaders sent.
 	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now, pollNow: true}
 	successor.lease.untrackedUntil = now
+	if until := former.lateCallsUntil(); until > now {
+		successor.lease.untrackedUntil = until + t.longestLease()
+	}
 	for task, number := range assigned {
 		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true, byFormerLeader: true}
 		if before := former.runs[task]; before != nil && before.number == number {
@@ -121,6 +124,22 @@
 	return t.electedAt + maxOrderDelay
 }
 
+// lateCallsUntil returns until when a call with a lease deadline that this leader has sent may be carried out without an
+// answer. A deadline extends the lease of all runs of a target; at a later incarnation, whose clock restarts, up to
+// the longest lease from then on.
+func (target *target) lateCallsUntil() anvilclock.Millis {
+	until := target.lateUntil
+	if target.pollInFlight {
+		until = max(until, target.pollSentAt+maxOrderDelay)
+	}
+	for _, r := range target.runs {
+		if r.startInFlight {
+			until = max(until, r.nextStartAt+maxOrderDelay)
+		}
+	}
+	return until
+}
+
 // longestLease returns how long a lease may last by the leader's clock if the target's clock
 // runs as slowly as maxClockSlowness allows.
 func (t *Tracker) longestLease() anvilclock.Millis {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -87,6 +87,9 @@
 	// adopted reports that the target has answered a poll of this leader, and so has listed the
 	// runs that it has from former leaders.
 	adopted bool
+	// lateUntil is until when a call that got no answer and has a lease deadline may be carried out, or 0.
+	// pollSentAt is when the latest poll was sent.
+	lateUntil, pollSentAt anvilclock.Millis
 	// lastContact is when the latest answer or announcement of this incarnation arrived, by the leader's
 	// clock.
 	lastContact anvilclock.Millis
@@ -295,7 +298,7 @@
 	if target.pollInFlight || !needed || now < target.nextPollAt {
 		return
 	}
-	target.pollInFlight = true
+	target.pollInFlight, target.pollSentAt = true, now
 	wait := t.timing.PollWait
 	if target.pollNow || len(target.runs) == 0 || !target.adopted && t.hasAdoptingRuns(target) || target.unansweredCalls > 0 {
 		wait = 0
