Take a refused connection for an end only after the target's own statement

A cut link refused a poll, then the target's DELETE was committed, then the answer to that poll was handled and released the runs. And a target that only had its address announced by another one was released by any refused connection.

Cause: the answer was weighed by the state at the time of its handling, not of its sending.

Evidence: found in the review of this incident; TestRefusalBeforeDeparture failed before and passes now.

Change: only calls that were sent after the departure was seen count, and only if the target has said itself that it ends. Left: a link that is cut, and refuses connections, between a target's DELETE and its end.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -132,14 +132,16 @@
 		return
 	}
 	successor := target.record
-	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt, successor.DepartedAt = answeredBy, 0, false, 0, 0
+	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt = answeredBy, 0, false, 0
+	successor.DepartedAt, successor.Displaced = 0, false
 	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor, Answered: true}})
 }
 
-// leaveIfEnded adds a command that removes a target which has said that it ends, or whose address another one
-// has, if no process accepts connections at its address any more. It reports whether it added the command.
+// leaveIfEnded adds a command that removes a target which has said that it ends, if no process accepts connections at
+// its address any more. It reports whether it added the command. A cut link may refuse connections too, so a call
+// from before the departure, or to a target that hasn't said so itself, shows nothing.
 func (target *target) leaveIfEnded(answer Answer, effects *Effects) bool {
-	if !answer.Refused || !target.record.Departed() {
+	if !answer.Refused || !target.record.Departed() || target.record.Displaced || answer.Sent < target.departureSeenAt {
 		return false
 	}
 	target.unansweredCalls++
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -132,7 +132,7 @@
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
 	refused := func() Effects {
-		answer := Answer{Target: "t", Incarnation: 1, NotSent: true, Refused: true}
+		answer := Answer{Target: "t", Incarnation: 1, Sent: w.now, Received: w.now, NotSent: true, Refused: true}
 		return w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: w.takePoll()})
 	}
 	assert.Equal(t, len(refused().Commands), 0, "the link may refuse it while the target goes on")
@@ -206,3 +206,16 @@
 		}
 	}
 }
+
+// TestRefusalBeforeDeparture guards against runs that are released because a connection was refused before the
+// target said that it ends.
+func TestRefusalBeforeDeparture(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	poll := w.takePoll()
+	answer := Answer{Target: "t", Incarnation: 1, Sent: w.now, Received: w.now + 5, NotSent: true, Refused: true} // a cut link
+	w.now += 100
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "t", Incarnation: 1, Final: true}})
+	commands := w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: poll}).Commands
+	assert.Equal(t, len(commands), 0, "the refusal says nothing about the time since the departure")
+}
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -54,8 +54,9 @@
 	if t.targets[record.ID] != known {
 		t.targets[record.ID], t.order = known, nil
 	}
-	if record.Departed() && !known.record.Departed() {
-		known.nextPollAt, known.pollNow = now, true // whether it has ended decides when its runs are placed again
+	if record.Departed() && record.DepartedAt != known.record.DepartedAt {
+		// Whether the target has ended decides when its runs are placed again.
+		known.departureSeenAt, known.nextPollAt, known.pollNow = now, now, true
 	}
 	known.record = *record
 	for task, number := range assigned {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -87,6 +87,8 @@
 	// adopted reports that the target has answered a poll of this leader, and so has listed the
 	// runs that it has from former leaders.
 	adopted bool
+	// departureSeenAt is when this leader first saw that the target has departed.
+	departureSeenAt anvilclock.Millis
 	// lateUntil is until when a call that got no answer and has a lease deadline may be carried out, or 0.
 	// pollSentAt is when the latest poll was sent.
 	lateUntil, pollSentAt anvilclock.Millis
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -141,7 +141,8 @@
 		return Unchanged
 	}
 	if ok && known.Incarnation == target.Incarnation {
-		target.Cursor, target.RegisteredAt, target.DepartedAt = known.Cursor, known.RegisteredAt, known.DepartedAt
+		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
+		target.DepartedAt, target.Displaced = known.DepartedAt, known.Displaced
 		target.Leaving = target.Leaving || known.Leaving
 	} else {
 		s.departPreviousAtAddress(target)
@@ -170,7 +171,7 @@
 	}
 	for _, other := range s.Targets() {
 		if other.Address == announced.Address && other.ID != announced.ID && other.Incarnation < announced.Incarnation {
-			s.depart(other)
+			s.depart(other, true)
 		}
 	}
 }
@@ -186,7 +187,7 @@
 		return Unknown
 	}
 	if leave.Final {
-		s.depart(target)
+		s.depart(target, false)
 		return Applied
 	}
 	s.releaseAll(target.ID)
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -153,6 +153,8 @@
 	// DepartedAt is when the target said that it ends, or when another target announced its address, in log
 	// time; or 0. Such a target is removed once all its runs have certainly ended.
 	DepartedAt anvilclock.Millis `cbor:"20,keyasint,omitempty"`
+	// Displaced means that the target counts as departed because another one has announced its address. It may go on.
+	Displaced bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Departed reports whether the target is only kept until its runs have certainly ended.
--- a/core/anvilwork/departure.go
+++ b/core/anvilwork/departure.go
@@ -18,13 +18,14 @@
 	At          anvilclock.Millis `cbor:"3,keyasint"` // in log time
 }
 
-// depart marks a target as departed. It gets no new runs, and removeDeparted removes it once it has none.
-func (s *State) depart(target *Target) {
-	if target.Departed() {
+// depart marks a target as departed, because another one has announced its address (displaced) or because it has said
+// so itself. It gets no new runs, and removeDeparted removes it once it has none.
+func (s *State) depart(target *Target, displaced bool) {
+	if target.Departed() && (displaced || !target.Displaced) {
 		return
 	}
 	departed := *target
-	departed.Leaving, departed.DepartedAt = true, max(s.now, 1)
+	departed.Leaving, departed.DepartedAt, departed.Displaced = true, max(s.now, 1), displaced
 	s.setTarget(&departed)
 	s.departing[departed.ID] = true
 }
