--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -75,6 +75,7 @@
 			r.confirmedAt = answer.Received
 		}
 	case StartUnanswered:
+		r.unansweredStarts++
 		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
 		r.mayStartUntil = answer.Sent + maxOrderDelay
 		t.lateStarts.add(answer.Order, r.mayStartUntil)
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -97,3 +97,30 @@
 		assert.Equal(t, len(effects.Commands), 0)
 	}
 }
+
+// TestStartsAfterOneBurst guards against the starts of a gang that wait for a poll of their target, because one start of
+// each of its members got no answer at the same time.
+func TestStartsAfterOneBurst(t *testing.T) {
+	w := newWorld(t)
+	w.apply(anvilwork.Command{Submit: &anvilwork.Submit{
+		Job: "g", Policy: anvilwork.QueuePolicy{Service: "s", Attempts: 3},
+		Spec: anvilwork.Spec{Steps: []anvilwork.Step{{Count: 4, Need: anvilwork.Resources{GPU: 1}, Gang: true}}},
+	}})
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}})
+	w.advance(1) // a poll with a wait of 2 s is in flight
+	var a []anvilwork.Assignment
+	for i := range 4 {
+		a = append(a, anvilwork.Assignment{Task: anvilwork.Task{Job: "g", Index: i}, Run: 1, Target: "t", Incarnation: 1})
+	}
+	w.apply(anvilwork.Command{Place: &anvilwork.Place{Assignments: a}})
+	w.tracker.AddPlacements(a)
+	starts := w.advance(1).Starts
+	assert.Equal(t, len(starts), 4)
+	sent := w.now
+	w.now += 600 // orderCallTimeout
+	for _, s := range starts {
+		w.answerStart(s, StartUnanswered)
+	}
+	assert.Equal(t, len(w.advance(testRetry).Starts), 4, "%d ms after the first ones", w.now-sent)
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -22,9 +22,8 @@
 	RetryInterval anvilclock.Millis
 }
 
-// maxRepeatedStarts is the number of consecutive unanswered calls after which no start is sent to a target until
-// a poll is answered. Each copy may be carried out up to maxOrderDelay later, which delays the next run of the
-// task.
+// maxRepeatedStarts is the number of unanswered copies of a start after which no further one is sent until the target
+// answers a call. Each copy may be carried out up to maxOrderDelay later, which delays the next run of the task.
 const maxRepeatedStarts = 3
 
 // maxOrderDelay is the longest time after sending an order in which a target may still carry
@@ -56,6 +55,8 @@
 	startReached bool
 	// unsentStarts counts the starts for which no connection to the target could be opened.
 	unsentStarts int
+	// unansweredStarts counts the starts that got no answer.
+	unansweredStarts int
 	// startUnanswered reports that a start got no answer, so the target may still carry it out.
 	startUnanswered bool
 	// mayStartUntil is until when the target, or a later incarnation of it, may carry out a start that got no
@@ -230,6 +231,11 @@
 	return true
 }
 
+// mayRepeat reports whether a start of the run may be sent now.
+func (r *run) mayRepeat(target *target) bool {
+	return target.unansweredCalls == 0 || r.unansweredStarts < maxRepeatedStarts
+}
+
 // lateStartUntil returns until when a start of the run that got no answer yet may be carried out, or 0.
 func (r *run) lateStartUntil() anvilclock.Millis {
 	if !r.startInFlight {
@@ -268,7 +274,7 @@
 			r.stopInFlight = true
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: r.number, Token: t.token})
-		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && target.unansweredCalls <= maxRepeatedStarts:
+		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && r.mayRepeat(target):
 			t.start(now, target, task, r, state, effects)
 		}
 	}
