Don't repeat a start at a target that leaves

What callers would see: new work on a target that leaves, later than promised (DRAIN). A start without an answer was sent again while its target had said that it leaves.

Cause: Tracker.start looked at the run only; the notice was checked when the run was placed.

TestStartIsNotRepeatedAtLeavingTarget failed before and passes now.

--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -124,3 +124,17 @@
 	}
 	assert.Equal(t, len(w.advance(testRetry).Starts), 4, "%d ms after the first ones", w.now-sent)
 }
+
+// TestStartIsNotRepeatedAtLeavingTarget guards against new work on a target seconds after it has said that it leaves, because an
+// unanswered start is sent again.
+func TestStartIsNotRepeatedAtLeavingTarget(t *testing.T) {
+	w := newWorld(t)
+	order := w.placeAndStart(taskA, 1)
+	record := order.Target
+	record.Leaving = true
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: record}})
+	w.answerStart(order, StartUnanswered)
+	effects := w.advance(testRetry)
+	assert.Equal(t, len(effects.Starts), 0)
+	assert.Equal(t, len(effects.Stops), 1)
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -261,6 +261,10 @@
 
 func (t *Tracker) startAndStop(now anvilclock.Millis, target *target, state *anvilwork.State, effects *Effects) {
 	for task, r := range target.runs {
+		if target.record.Leaving && r.phase == starting && r.startReached && !r.startInFlight {
+			// The target accepts no new work, and the start may arrive late.
+			r.stopRequested = true
+		}
 		if r.phase == starting && !r.startUnanswered && !r.stopRequested && target.unansweredCalls == 0 {
 			t.startsInFlight++
 		}
