Log the runs that are lost with a crashed target

The replicated state recognizes a crash when a later incarnation replaces a target that had not said that it leaves and wasn't in maintenance. Event 626 has the target, 627 each lost run: how long ago it was placed, whether that was recent, and how many crashes may be due to its task. The summary of the leader (625) counts both. No decision depends on them yet.

--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -141,6 +141,7 @@
 		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
 		target.Leaving = target.Leaving || known.Leaving
 	} else {
+		s.recordCrashes(target)
 		s.removePreviousAtAddress(target)
 		target.RegisteredAt = s.now
 	}
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -33,6 +33,8 @@
 	ordered []*Target
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
 	revisions map[anvilid.TargetID]Revision
+	// crashes has the result of TakeCrashes.
+	crashes []Crash
 	// now is the log time: the latest time that a leader stamped on an applied log entry.
 	now anvilclock.Millis
 }
--- /dev/null
+++ b/io/anvillead/crashes.go
@@ -0,0 +1,44 @@
+package anvillead
+
+import (
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvillogs"
+)
+
+// maxPendingCrashes bounds the crashes that wait to be logged. On a voter that doesn't lead they are dropped.
+const maxPendingCrashes = 1000
+
+// collectCrashes moves the crashes that the replicated state has recorded to pendingCrashes if this voter
+// leads. The caller must have locked mu.
+func (l *Leader) collectCrashes() {
+	crashes := l.state.TakeCrashes()
+	if l.term == 0 {
+		l.pendingCrashes = nil
+		return
+	}
+	if len(l.pendingCrashes) < maxPendingCrashes {
+		l.pendingCrashes = append(l.pendingCrashes, crashes...)
+	}
+}
+
+// logCrashes logs the targets that have crashed since the last step, with the runs that were lost. The caller
+// must have locked mu.
+func (r *leadership) logCrashes() {
+	for _, crash := range r.pendingCrashes {
+		r.summary.crashes++
+		r.summary.lostRuns += len(crash.Lost)
+		r.log.Write(anvillogs.TargetCrashed, zap.String("target", string(crash.Target)), zap.Int("runs", len(crash.Lost)))
+		for _, lost := range crash.Lost {
+			r.logLostRun(crash, lost)
+		}
+	}
+	r.pendingCrashes = nil
+}
+
+func (r *leadership) logLostRun(crash anvilwork.Crash, lost anvilwork.LostRun) {
+	r.log.Write(anvillogs.RunLost, zap.Stringer("task", lost.Task), zap.Uint64("run", uint64(lost.Run)),
+		zap.String("target", string(crash.Target)), zap.Int64("placed", int64(lost.Placed)),
+		zap.Bool("recent", lost.Recent), zap.Int("crashes", lost.Crashes))
+}
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -21,6 +21,7 @@
 	defer r.mu.Unlock()
 	commands, r.pendingCommands = r.pendingCommands, nil
 	r.tracker.Sync(now, r.state)
+	r.logCrashes()
 	if !r.planNeeded && now-r.plannedAt < planInterval {
 		return commands, 0
 	}
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -87,6 +87,8 @@
 
 	mu    sync.Mutex
 	state *anvilwork.State
+	// pendingCrashes has the crashes of targets that the leader has not logged yet.
+	pendingCrashes []anvilwork.Crash
 	// term is the term in which this voter acts as leader, or 0.
 	term anvilid.Term
 	// startedAt is when this process started, on the monotonic clock.
@@ -126,6 +128,7 @@
 	}
 	l.mu.Lock()
 	results := l.state.Apply(entry.At, batch)
+	l.collectCrashes()
 	l.mu.Unlock()
 	l.signalChange()
 	return results
--- a/io/anvillead/summary.go
+++ b/io/anvillead/summary.go
@@ -43,6 +43,8 @@
 	// placed counts the runs that were placed, and waiting is the number of jobs without a run at the
 	// latest plan.
 	placed, waiting int
+	// crashes counts the targets that crashed, and lostRuns the runs that were lost with them.
+	crashes, lostRuns int
 }
 
 func newSummary(now anvilclock.Millis) *summary {
@@ -77,7 +79,7 @@
 		zap.Int("urgent", s.stops[stoppedForUrgent]), zap.Int("straggler", s.stops[stoppedAsStraggler]),
 		zap.Int("torn", s.stops[stoppedAsTornGang]), zap.Int("ended", s.stops[stoppedAfterJob]),
 		zap.Int("lostUrgent", int(s.lost[stoppedForUrgent])), zap.Int("lostStraggler", int(s.lost[stoppedAsStraggler])),
-		zap.Int("lostTorn", int(s.lost[stoppedAsTornGang])),
+		zap.Int("lostTorn", int(s.lost[stoppedAsTornGang])), zap.Int("crashes", s.crashes), zap.Int("lostRuns", s.lostRuns),
 	}
 	for _, h := range []struct {
 		name      string
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -90,6 +90,8 @@
 	MachineListFailed  = define(623, zapcore.WarnLevel, "machines could not be listed; the maintenance wave waits")
 	RunThrottled       = define(624, zapcore.InfoLevel, "throttle percentage of a run was set")
 	LeaderSummary      = define(625, zapcore.InfoLevel, "what the leader has done since the last summary")
+	TargetCrashed      = define(626, zapcore.WarnLevel, "target has crashed and a later incarnation has replaced it")
+	RunLost            = define(627, zapcore.InfoLevel, "run was lost in the crash of its target")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
 	ConfigRefused      = define(616, zapcore.InfoLevel, "configuration refused")
 )
