--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -20,8 +20,15 @@
 // failure that it guards against. A line is a command with its expected result after "=>"
 // (default: applied), or a check of the state. After each command the state is restored from
 // a snapshot, and a snapshot of the restored state must have the same bytes.
-func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.txt")
+func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
+
+// TestCrashingTaskIsGivenUp guards against starting a task again and again that crashes each target that
+// starts it, and against giving up a task that lost its runs in crashes that another one caused.
+func TestCrashingTaskIsGivenUp(t *testing.T) { runScripts(t, "testdata/crash/*.txt") }
+
+// runScripts runs the scripts whose paths match a pattern.
+func runScripts(t *testing.T, pattern string) {
+	paths, err := filepath.Glob(pattern)
 	assert.NilError(t, err)
 	assert.Assert(t, len(paths) > 0)
 	for _, path := range paths {
