Give up jobs whose tasks crash the targets that start them

Callers saw target after target crash, with the work of all others on it, for as long as the job of such a task existed.

Cause: a run that is lost with its target counted as no attempt. Failed counts only the ends that a target lists, and a target that has crashed lists none; the run was released and placed again at once, on the next target.

Change: - Each task counts the crashes that may be due to it. A target that leaves or is in maintenance has not crashed; a run that has worked for 3 s clears its task. - The planner starts a task under which a target has crashed on a target without other jobs, one target at a time for each job, until it has worked for 3 s or has waited for 4 s. So the second crash accuses it alone. - A job is given up after two crashes if the later one hit only its own runs, else after three; after four if calls timed out before connections were closed, because the target was cut off then and may have been restarted for other reasons.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -30,13 +30,14 @@
 		return nil
 	}
 	target.lease.recordReading(answer)
+	target.recordClosed(answer)
 	return target
 }
 
 // recordContact records that the target has answered a call: it sets the time of the last
 // contact and resets the count of unanswered calls. It must not be called for a failed call.
 func (target *target) recordContact(answer Answer) {
-	target.lastContact, target.unansweredCalls = max(target.lastContact, answer.Received), 0
+	target.lastContact, target.unansweredCalls, target.closedAt = max(target.lastContact, answer.Received), 0, 0
 }
 
 // HandleStartAnswer processes the answer to a Start, or the lack of one, and returns the orders to
--- /dev/null
+++ b/core/anvilorder/silence.go
@@ -0,0 +1,90 @@
+package anvilorder
+
+import (
+	"maps"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilwork"
+)
+
+const (
+	// silentAfterCalls is the number of consecutive calls without an answer after which a target is silent.
+	silentAfterCalls = 2
+	// crashDelay is the longest time from the beginning of a run to a crash of the target that the run is
+	// suspected of.
+	crashDelay = 500 * anvilclock.Millisecond
+)
+
+// NoteSilences returns the commands that record which runs had just begun on each target that has fallen
+// silent, and which targets answer again. If a target has crashed, a run that had just begun there may be the
+// cause. The caller must have called Sync.
+func (t *Tracker) NoteSilences(now anvilclock.Millis) []anvilwork.Command {
+	var commands []anvilwork.Command
+	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
+		target := t.targets[id]
+		note := target.silenceNote()
+		if note == nil || now < target.nextSilenceNoteAt {
+			continue
+		}
+		target.nextSilenceNoteAt = now + t.timing.RetryInterval
+		for _, r := range target.runs {
+			r.silenceNoted = !note.Answers
+		}
+		commands = append(commands, anvilwork.Command{NoteSilence: note})
+	}
+	return commands
+}
+
+// silenceNote returns what has to be recorded about the silence of a target, or nil if there is nothing new.
+func (target *target) silenceNote() *anvilwork.NoteSilence {
+	noted := target.record.Silence != nil
+	note := &anvilwork.NoteSilence{Target: target.record.ID, Incarnation: target.record.Incarnation}
+	switch {
+	case target.unansweredCalls == 0 && noted:
+		note.Answers = true
+		return note
+	case target.unansweredCalls < silentAfterCalls || len(target.runs) == 0:
+		return nil
+	}
+	note.Begun, note.Unknown = target.suspects()
+	note.Closed = target.closedAt > 0
+	if noted && (target.record.Silence.Closed || !note.Closed) && !slices.ContainsFunc(note.Begun, target.isNew) {
+		return nil
+	}
+	return note
+}
+
+// isNew reports whether a run has not been part of a note on the present silence of its target.
+func (target *target) isNew(run anvilwork.Unassign) bool { return !target.runs[run.Task].silenceNoted }
+
+// recordClosed records when the process of a target seems to have ended. If calls timed out before, the target was
+// cut off first, and its connections may have been closed for that reason.
+func (target *target) recordClosed(answer Answer) {
+	if answer.Closed && target.unansweredCalls == 0 {
+		target.closedAt = answer.Received
+	}
+}
+
+// suspects returns the runs that began shortly before the target fell silent or may have begun since, and
+// those of a former leader of which that isn't known. If the connections were closed, it was silent from then
+// on, and else since the latest contact.
+func (target *target) suspects() (begun, unknown []anvilwork.Unassign) {
+	silentSince := target.lastContact
+	if target.closedAt > 0 {
+		silentSince = target.closedAt
+	}
+	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
+		r := target.runs[task]
+		run := anvilwork.Unassign{Task: task, Run: r.number}
+		switch {
+		case r.phase == adopting:
+			unknown = append(unknown, run)
+		case r.phase == starting && (r.startReached || r.startInFlight):
+			begun = append(begun, run)
+		case r.phase == running && r.confirmedAt+crashDelay >= silentSince:
+			begun = append(begun, run)
+		}
+	}
+	return begun, unknown
+}
--- /dev/null
+++ b/core/anvilorder/silence_test.go
@@ -0,0 +1,89 @@
+package anvilorder
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilwork"
+)
+
+// fallSilent lets the calls to the target fail until the tracker notes that it doesn't answer.
+func (w *world) fallSilent() {
+	for range silentAfterCalls {
+		assert.Equal(w.t, len(w.tracker.NoteSilences(w.now)), 0)
+		w.failPoll(w.takePoll())
+		w.now += 4 * testRetry
+	}
+}
+
+// TestSilenceNamesNewRuns guards against accusing a run of a crash that had worked for long before, against
+// missing one that had just begun, and against committing the same note again and again.
+func TestSilenceNamesNewRuns(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.now += crashDelay + 1
+	w.answerStart(w.placeAndStart(taskB, 1), StartAccepted)
+	w.fallSilent()
+	commands := w.tracker.NoteSilences(w.now)
+	assert.Equal(t, len(commands), 1)
+	assert.DeepEqual(t, commands[0].NoteSilence.Begun, []anvilwork.Unassign{{Task: taskB, Run: 1}})
+	w.apply(commands...)
+	w.now += 2 * testRetry
+	assert.Equal(t, len(w.tracker.NoteSilences(w.now)), 0)
+
+	w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}, {Task: taskB, Run: 1}})
+	commands = w.tracker.NoteSilences(w.now)
+	assert.Equal(t, len(commands), 1)
+	assert.Assert(t, commands[0].NoteSilence.Answers)
+	w.apply(commands...)
+	w.now += 2 * testRetry
+	assert.Equal(t, len(w.tracker.NoteSilences(w.now)), 0)
+}
+
+// TestClosedConnections guards against taking a target that was cut off, and whose connections are refused once
+// it is in touch again, for one whose process ended under a run, and against missing the moment of a true end.
+func TestClosedConnections(t *testing.T) {
+	for _, closedFirst := range []bool{true, false} {
+		w := newWorld(t)
+		w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+		for i := range silentAfterCalls {
+			answer := Answer{Target: "t", Incarnation: 1, Sent: w.now, Received: w.now, Closed: closedFirst || i > 0}
+			w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: w.takePoll()})
+			w.pendingPoll = nil
+			w.tracker.RecordAnnouncement(w.now+2*crashDelay, "t", 1)
+			w.now += 4 * testRetry
+		}
+		commands := w.tracker.NoteSilences(w.now)
+		assert.Equal(t, len(commands), 1)
+		assert.Equal(t, commands[0].NoteSilence.Closed, closedFirst)
+		assert.Equal(t, len(commands[0].NoteSilence.Begun) == 1, closedFirst, "a late announcement must not clear the run")
+	}
+}
+
+// TestSilenceNamesUnansweredStart guards against missing a run whose start got no answer because it crashed the
+// target, and against a note that is lost with its commit.
+func TestSilenceNamesUnansweredStart(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
+	w.failPoll(w.takePoll())
+	for range 2 {
+		commands := w.tracker.NoteSilences(w.now)
+		assert.Equal(t, len(commands), 1)
+		assert.DeepEqual(t, commands[0].NoteSilence.Begun, []anvilwork.Unassign{{Task: taskA, Run: 1}})
+		w.now += testRetry
+	}
+}
+
+// TestSilenceAfterElection guards against a new leader that accuses each run of its predecessor, or none.
+func TestSilenceAfterElection(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.now += 30_000
+	w.place(taskB, 1)
+	w.elect(2)
+	w.fallSilent()
+	w.apply(w.tracker.NoteSilences(w.now)...)
+	target, _ := w.state.Target("t")
+	assert.DeepEqual(t, target.Silence.Suspects, []anvilwork.Unassign{{Task: taskB, Run: 1}})
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -55,6 +55,8 @@
 	startUnanswered bool
 	// mayStartUntil is until when the target may carry out a start that got no answer.
 	mayStartUntil anvilclock.Millis
+	// silenceNoted reports that NoteSilences has returned the run for the present silence of its target.
+	silenceNoted bool
 	// confirmedAt is when the first answer that confirmed the run arrived, or 0 before that.
 	confirmedAt anvilclock.Millis
 	// stopRequested reports that the run is to be stopped.
@@ -89,6 +91,11 @@
 	// ackedCursor is the highest Poll.Cursor that the target is known to have received. The
 	// cursor acknowledges run ends.
 	ackedCursor uint64
+	// closedAt is when the first call that failed since the last answer did so, if its connection was refused or
+	// closed, and else 0.
+	closedAt anvilclock.Millis
+	// nextSilenceNoteAt is the earliest time of the next anvilwork.NoteSilence.
+	nextSilenceNoteAt anvilclock.Millis
 	// pollNow requests a poll that the target answers at once.
 	pollNow bool
 	// pausedUntil excludes a target that rejected a start from placement until this time.
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -89,6 +89,9 @@
 	AnsweredBy anvilwork.Incarnation
 	// NotSent means that there is no answer because the order was certainly not sent.
 	NotSent bool
+	// Closed means that there is no answer because the target's machine refused or closed the connection, as
+	// it does when the process of the target has ended.
+	Closed bool
 	// Withheld means that the order was not sent because this process isn't certainly the leader any more.
 	// It says nothing about the target.
 	Withheld bool
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -40,8 +40,12 @@
 	// claimed target, except that urgent jobs may if yieldsToUrgent is set.
 	claimedBy      anvilid.JobID
 	yieldsToUrgent bool
-	planner        *planner
-	placedRuns     []*placedRun
+	// probation is the job whose suspects run here and are still on probation, or empty, see excluded.
+	probation anvilid.JobID
+	// newJobs has the jobs of the tasks that this call of Plan has placed here.
+	newJobs    []*jobInfo
+	planner    *planner
+	placedRuns []*placedRun
 	// taskCounts is the number of runs on this node of each step that Step.MaxPerTarget limits.
 	taskCounts map[anvilwork.StepKey]int
 	// evictable has those of placedRuns that may be stopped for an urgent job, with the least loss first.
@@ -67,7 +71,7 @@
 // unavailable reports whether no task of the current job may be placed on the node, whatever its free
 // resources are.
 func (n *node) unavailable() bool {
-	return !n.usable || n.slow && !n.claimedForCurrentUrgent() || n.reserved && n.planner.deferrable || n.claimedByOther()
+	return !n.usable || n.slow && !n.claimedForCurrentUrgent() || n.reserved && n.planner.deferrable || n.claimedByOther() || n.excluded()
 }
 
 // claimedForCurrentUrgent reports whether the node is claimed for the current job and that job is
@@ -110,6 +114,10 @@
 		}
 	})
 	n.countTasks(u.step, u.tasks[0].StepKey(), count)
+	n.newJobs = append(n.newJobs, u.info)
+	if u.suspect {
+		n.planner.setProbation(n, u.info.job.ID)
+	}
 }
 
 func (n *node) countTasks(step anvilwork.Step, key anvilwork.StepKey, count int) {
@@ -189,6 +197,9 @@
 	for i := range placed {
 		t := &placed[i]
 		n.placedRuns = append(n.placedRuns, t)
+		if p.onProbation(t) {
+			p.setProbation(n, t.task.Job)
+		}
 		p.runsByStep[t.task.StepKey()] = append(p.runsByStep[t.task.StepKey()], runOnNode{t, n})
 	}
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -89,6 +89,10 @@
 	// currentJob is the job that is being placed, and currentUrgent tells whether it is urgent.
 	currentJob    anvilid.JobID
 	currentUrgent bool
+	// currentSuspects is the step that is being placed if it consists of suspects, or nil.
+	currentSuspects *waitingStep
+	// probationNodes has the nodes on which suspects of each job are on probation.
+	probationNodes map[anvilid.JobID][]*node
 	// runsByStep has the assigned runs of all tasks of each step; if the step is a gang, these are the
 	// runs of its members.
 	runsByStep map[anvilwork.StepKey][]runOnNode
@@ -113,6 +117,7 @@
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
 		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
+		probationNodes: map[anvilid.JobID][]*node{},
 	}
 	p.sumUrgentDemand()
 	p.addNodes()
@@ -124,9 +129,13 @@
 			continue
 		}
 		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.info.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
+		p.currentSuspects = nil
+		if waitingStep.suspect {
+			p.currentSuspects = waitingStep
+		}
 		p.placeStep(waitingStep)
 	}
-	p.currentJob, p.currentUrgent, p.deferrable = "", false, true
+	p.currentJob, p.currentUrgent, p.deferrable, p.currentSuspects = "", false, true, nil
 	p.vacateLeavingTargets()
 	p.moveStragglers()
 	p.decision.Claims = map[anvilid.TargetID]anvilid.JobID{}
@@ -175,17 +184,23 @@
 		p.placeGang(u)
 		return
 	}
+	if u.mustRunAlone(p.Now) {
+		p.placeSuspects(u)
+		return
+	}
 	p.placeSingles(u)
 }
 
 func (p *planner) placeGang(u *waitingStep) {
-	if !p.blocked(u) {
+	if u.suspect || !p.blocked(u) {
 		if allotments := p.fitAll(u, len(u.tasks), availableNow); allotments != nil {
 			p.releaseClaims(u)
 			p.assign(u, u.tasks, allotments)
 			return
 		}
-		p.recordBlocked(u)
+		if !u.suspect { // suspects fit on fewer targets than other gangs of the same shape
+			p.recordBlocked(u)
+		}
 	}
 	if u.urgent {
 		p.freeResources(u, len(u.tasks))
--- /dev/null
+++ b/core/anvilplace/suspect.go
@@ -0,0 +1,151 @@
+package anvilplace
+
+import (
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// A task under which a target has crashed is a suspect, see anvilwork.TaskState.Suspect. Suspects run on
+// targets of their own at first: if the next target crashes too, no other job can be the cause and none loses
+// its work.
+
+const (
+	// maxAloneWait is how long suspects wait for an empty target before they may start beside runs that aren't
+	// urgent. A job that could run must not wait for long.
+	maxAloneWait = 4 * anvilclock.Second
+	// maxProbation is how long nothing is placed beside the run of a suspect if its target doesn't list the run.
+	// It covers a start that is carried out late.
+	maxProbation = 15 * anvilclock.Second
+)
+
+// splitSuspects returns the waiting tasks of a step as one waiting step for those that aren't suspects and one
+// for those that are. A gang starts as a whole and is a suspect if one of its members is.
+func splitSuspects(u *waitingStep) []*waitingStep {
+	suspects := *u
+	suspects.suspect, suspects.tasks = true, nil
+	var others []anvilwork.Task
+	for _, task := range u.tasks {
+		if u.info.job.State(task).Suspect() {
+			suspects.tasks = append(suspects.tasks, task)
+		} else {
+			others = append(others, task)
+		}
+	}
+	switch {
+	case len(suspects.tasks) == 0:
+		return []*waitingStep{u}
+	case len(others) == 0 || u.step.Gang:
+		u.suspect = true
+		return []*waitingStep{u}
+	}
+	u.tasks = others
+	return []*waitingStep{u, &suspects}
+}
+
+// mustRunAlone reports whether the tasks of a step are suspects that still wait for a target of their own.
+func (u *waitingStep) mustRunAlone(now anvilclock.Millis) bool {
+	if !u.suspect {
+		return false
+	}
+	var since anvilclock.Millis
+	for _, task := range u.tasks {
+		since = max(since, u.info.job.State(task).PhaseSince)
+	}
+	return now-since < maxAloneWait
+}
+
+// onProbation reports whether a run is that of a suspect and hasn't worked for long enough yet.
+func (p *planner) onProbation(t *placedRun) bool {
+	state := t.info.job.State(t.task)
+	if !state.Suspect() || t.info.job.Phase.Ended() {
+		return false
+	}
+	age := p.Now - state.PhaseSince
+	_, listed := p.Progress(t.task)
+	return age < anvilwork.ProvenAfter || !listed && age < maxProbation
+}
+
+// setProbation excludes all other work from a node while suspects of a job are on probation there.
+func (p *planner) setProbation(n *node, job anvilid.JobID) {
+	n.probation = job
+	if !slices.Contains(p.probationNodes[job], n) {
+		p.probationNodes[job] = append(p.probationNodes[job], n)
+	}
+}
+
+// excluded reports whether the current step must not run on a node because of suspects: it has suspects on
+// probation, or the current step consists of suspects and the node has runs that they must not endanger.
+func (n *node) excluded() bool {
+	u := n.planner.currentSuspects
+	switch {
+	case u == nil:
+		return n.probation != ""
+	case n.probation != "" && n.probation != u.info.job.ID:
+		return true
+	case !u.mustRunAlone(n.planner.Now):
+		return n.hasRun(func(info *jobInfo) bool { return info.policy.Priority == 0 && info != u.info })
+	case !u.step.Gang && len(n.planner.probationNodes[u.info.job.ID]) > 0 && n.probation == "":
+		return true // one target at a time, so that a job with many such tasks doesn't crash many targets
+	}
+	return n.hasRun(func(info *jobInfo) bool { return info != u.info })
+}
+
+// hasRun reports whether a run that is assigned to the node, or that this call of Plan has placed there,
+// belongs to a job of which condition is true.
+func (n *node) hasRun(condition func(*jobInfo) bool) bool {
+	return slices.ContainsFunc(n.placedRuns, func(t *placedRun) bool { return condition(t.info) }) ||
+		slices.ContainsFunc(n.newJobs, condition)
+}
+
+// placeSuspects places as many tasks of a step as fit on one target without other jobs. If there is none, it
+// claims the target that will be empty soonest.
+func (p *planner) placeSuspects(u *waitingStep) {
+	count := min(len(u.tasks), p.startsLeft(u.urgent))
+	allotments := p.fitMost(u, count, availableNow)
+	if len(allotments) > 0 {
+		p.releaseClaims(u)
+		p.assign(u, u.tasks[:allotments[0].count], allotments[:1])
+		return
+	}
+	p.claimForSuspects(u)
+}
+
+// claimForSuspects claims the target that will be empty soonest for suspects that found none. The claims count
+// towards the limit of those for gangs, but one target may always be claimed.
+func (p *planner) claimForSuspects(u *waitingStep) {
+	job := u.info.job.ID
+	for _, n := range p.nodesClaimedBy[job] {
+		p.gangClaimed += n.target.Resources.GPU
+	}
+	if len(p.probationNodes[job]) > 0 || len(p.nodesClaimedBy[job]) > 0 {
+		return
+	}
+	var best *node
+	soonest := maxAloneWait
+	for _, n := range p.all.nodes {
+		free := n.usable && !n.slow && n.probation == "" && n.claimedBy == "" && !(n.reserved && p.deferrable)
+		if !free || u.taskCapacity(n, 1, n.target.Resources) == 0 {
+			continue
+		}
+		if at := p.emptyIn(n); at < soonest {
+			best, soonest = n, at
+		}
+	}
+	if best == nil || p.gangClaimed > 0 && p.gangClaimed+best.target.Resources.GPU > p.gangClaimLimit() {
+		return
+	}
+	p.gangClaimed += best.target.Resources.GPU
+	p.claimNode(best, u)
+}
+
+// emptyIn returns the time until all runs on a node are expected to have ended.
+func (p *planner) emptyIn(n *node) anvilclock.Millis {
+	var longest anvilclock.Millis
+	for _, t := range n.placedRuns {
+		longest = max(longest, p.remainingTime(t))
+	}
+	return longest
+}
--- /dev/null
+++ b/core/anvilplace/suspect_test.go
@@ -0,0 +1,160 @@
+package anvilplace
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// crash replaces a target by a later incarnation with another id. All of its runs are suspected.
+func (w *testCluster) crash(id anvilid.TargetID) {
+	target, ok := w.state.Target(id)
+	assert.Assert(w.t, ok)
+	note := &anvilwork.NoteSilence{Target: id, Incarnation: target.Incarnation, Closed: true}
+	for task, run := range w.state.Runs(id) {
+		note.Begun = append(note.Begun, anvilwork.Unassign{Task: task, Run: run})
+	}
+	w.apply(anvilwork.Command{NoteSilence: note})
+	successor := *target
+	successor.ID, successor.Incarnation = id+"x", target.Incarnation+1
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
+}
+
+// workFor lets time pass, after which all assigned runs report progress.
+func (w *testCluster) workFor(span anvilclock.Millis) {
+	w.now += span
+	for _, target := range w.state.Targets() {
+		for task := range w.state.Runs(target.ID) {
+			progress := w.progress[task]
+			progress.Percent++
+			w.progress[task] = progress
+		}
+	}
+}
+
+func (w *testCluster) crashesOf(id anvilid.JobID) int {
+	job, ok := w.state.Job(id)
+	assert.Assert(w.t, ok)
+	return job.Occurrences[0].Tasks[0][0].Crashes
+}
+
+// TestSuspectRunsAlone guards against starting a task that may have crashed a target beside other work, which
+// would lose its runs in the next crash and be accused with it, and against sparing its target for longer than
+// it takes to clear the task.
+func TestSuspectRunsAlone(t *testing.T) {
+	w := newTestCluster(t, 1, 3, 8)
+	w.submit("c", "common", "b", anvilwork.Step{Count: 2, Need: gpus(1)})
+	w.submit("d", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1)})
+	w.plan()
+	w.now += 500
+	w.crash(w.assigned("d")[0])
+	assert.Equal(t, w.crashesOf("c"), 1)
+	w.plan()
+	own := w.assigned("d")
+	assert.Equal(t, len(own), 1)
+	assert.Assert(t, own[0] != w.assigned("c")[0], "suspects of two jobs run on one target")
+	assert.Equal(t, w.assigned("c")[0], w.assigned("c")[1], "the suspects of one job may share a target")
+
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 8, Need: gpus(1)})
+	w.submit("e", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1)})
+	w.workFor(1000)
+	w.plan()
+	for _, id := range append(w.assigned("u"), w.assigned("e")...) {
+		assert.Assert(t, id != own[0] && id != w.assigned("c")[0], "a run was placed beside a suspect on probation")
+	}
+	w.workFor(anvilwork.ProvenAfter - 1000)
+	w.plan()
+	assert.Equal(t, len(w.assigned("u"))+len(w.assigned("e")), 9, "the suspects have worked for long enough")
+}
+
+// TestSuspectsOfOneJobCrashOneTarget guards against a job with many crashing tasks that crashes many targets at
+// the same time.
+func TestSuspectsOfOneJobCrashOneTarget(t *testing.T) {
+	w := newTestCluster(t, 2, 3, 8)
+	w.submit("c", "common", "b", anvilwork.Step{Count: 24, Need: gpus(1)})
+	w.plan()
+	w.now += 500
+	hit := w.assigned("c")
+	for _, id := range []anvilid.TargetID{hit[0], hit[8], hit[16]} {
+		w.crash(id)
+	}
+	for range 3 {
+		w.plan()
+		own := w.assigned("c")
+		assert.Equal(t, len(own), 8)
+		assert.Equal(t, own[0], own[7])
+		w.now += 100
+	}
+	w.crash(w.assigned("c")[0])
+	job, _ := w.state.Job("c")
+	assert.Equal(t, job.Phase, anvilwork.JobFailed)
+}
+
+// TestSuspectGangRunsAlone guards against starting a gang with a suspect among its members beside other work.
+func TestSuspectGangRunsAlone(t *testing.T) {
+	w := newTestCluster(t, 1, 4, 8)
+	w.submit("g", "common", "b", anvilwork.Step{Count: 2, Need: gpus(5), Gang: true})
+	w.plan()
+	w.now += 500
+	crashed, torn := w.assigned("g")[0], w.assigned("g")[1]
+	w.crash(crashed)
+	w.submit("d", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1)})
+	w.end(anvilwork.Task{Job: "g", Index: 1}, anvilwork.RunGangEnded)
+	w.plan()
+	members := w.assigned("g")
+	assert.Equal(t, len(members), 2, "torn from %s", torn)
+	for _, id := range w.assigned("d") {
+		assert.Assert(t, id != members[0] && id != members[1])
+	}
+}
+
+// newBusyCluster returns a cluster of three targets, none of which is empty, and a waiting job "s" that is
+// suspected of a crash: job "urgent" runs on r0-01, "soon" on r0-02 for another 1.5 s, and "long" on r0-03.
+func newBusyCluster(t *testing.T) *testCluster {
+	w := newTestCluster(t, 1, 4, 32)
+	for i, id := range []anvilid.JobID{"s", "urgent", "soon", "long"} {
+		queue := anvilwork.QueueName("common")
+		if id == "urgent" {
+			queue = "urgent"
+		}
+		w.submit(id, queue, "a", anvilwork.Step{Count: 1, Need: gpus(2), Estimate: map[anvilid.JobID]anvilclock.Millis{"soon": 2000}[id] + 60_000*anvilclock.Millis(i%2)})
+		w.apply(anvilwork.Command{Place: &anvilwork.Place{Assignments: []anvilwork.Assignment{
+			{Task: anvilwork.Task{Job: id}, Run: 1, Target: anvilid.TargetID(fmt.Sprintf("r0-%02d", i)), Incarnation: 1},
+		}}})
+	}
+	w.now += 500
+	w.crash("r0-00")
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-00x", Incarnation: 2}})
+	return w
+}
+
+// TestSuspectClaimsTarget guards against suspects that never find an empty target because other work takes
+// each place that becomes free.
+func TestSuspectClaimsTarget(t *testing.T) {
+	w := newBusyCluster(t)
+	w.submit("d", "common", "b", anvilwork.Step{Count: 8, Need: gpus(2)})
+	assert.DeepEqual(t, w.plan().Claims, map[anvilid.TargetID]anvilid.JobID{"r0-02": "s"})
+	assert.Equal(t, len(w.assigned("d")), 6)
+	w.end(anvilwork.Task{Job: "soon"}, anvilwork.RunDone)
+	w.plan()
+	assert.DeepEqual(t, w.assigned("s"), []anvilid.TargetID{"r0-02"})
+	assert.Equal(t, len(w.assigned("d")), 6)
+}
+
+// TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
+// against placing it beside urgent work then.
+func TestSuspectWaitsNotForever(t *testing.T) {
+	w := newBusyCluster(t)
+	w.now += maxAloneWait - 1
+	w.plan()
+	assert.Equal(t, len(w.assigned("s")), 0)
+	w.now++
+	w.plan()
+	assert.Equal(t, len(w.assigned("s")), 1)
+	assert.Assert(t, w.assigned("s")[0] != "r0-01", "urgent work runs there")
+}
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -19,6 +19,8 @@
 	// from is the scheduled start of the job's occurrence, due its deadline.
 	from, due anvilclock.Millis
 	tasks     []anvilwork.Task
+	// suspect means that targets have crashed under these tasks.
+	suspect bool
 	// run is the number of the run that starts next. All tasks that are placed get the same number, as
 	// the members of a gang must have.
 	run anvilwork.Run
@@ -71,7 +73,7 @@
 		}
 		// A gang starts with all of its members or not at all, so it isn't placed while some still run.
 		if len(u.tasks) > 0 && (!step.Gang || len(u.tasks) == step.Count) {
-			waitingSteps = append(waitingSteps, u)
+			waitingSteps = append(waitingSteps, splitSuspects(u)...)
 		}
 	}
 	return waitingSteps
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -51,6 +51,8 @@
 		return s.unassign(*command.Unassign)
 	case command.ExpireLease != nil:
 		return s.expireLease(*command.ExpireLease)
+	case command.NoteSilence != nil:
+		return s.noteSilence(*command.NoteSilence)
 	case command.StartWave != nil:
 		return s.startWave(*command.StartWave)
 	case command.AdvanceWave != nil:
@@ -138,12 +140,12 @@
 	}
 	known, ok := s.targets[target.ID]
 	if ok && known.Incarnation == target.Incarnation {
-		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
+		target.Cursor, target.RegisteredAt, target.Silence = known.Cursor, known.RegisteredAt, known.Silence
 		target.Leaving = target.Leaving || known.Leaving
 	} else {
 		s.recordCrashes(target)
 		s.removePreviousAtAddress(target)
-		target.RegisteredAt = s.now
+		target.RegisteredAt, target.Silence = s.now, nil
 	}
 	s.setTarget(&target)
 	s.transferRuns(&target)
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -26,6 +26,8 @@
 	Unassign      *Unassign      `cbor:"8,keyasint,omitempty"`
 	ExpireLease   *ExpireLease   `cbor:"9,keyasint,omitempty"`
 
+	NoteSilence *NoteSilence `cbor:"20,keyasint,omitempty"`
+
 	StartWave   *Wave        `cbor:"10,keyasint,omitempty"`
 	AdvanceWave *AdvanceWave `cbor:"11,keyasint,omitempty"`
 }
@@ -144,6 +146,8 @@
 	// Machine is the machine that the target runs on, or empty if unknown. It stays the
 	// same when the incarnation or the id of the target changes.
 	Machine anvilid.MachineID `cbor:"13,keyasint,omitempty"`
+	// Silence is set while the target doesn't answer, see NoteSilence.
+	Silence *Silence `cbor:"20,keyasint,omitempty"`
 	// RegisteredAt is when this incarnation was first announced.
 	RegisteredAt anvilclock.Millis `cbor:"12,keyasint,omitempty"`
 }
--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -8,10 +8,18 @@
 	"anvilshunt/core/anvilid"
 )
 
-// recentPlacement is the time before a crash became known within which a run must have been placed to count
-// as its possible cause. It covers the time from the placement to the start, and the time for which a target
-// that has crashed is away.
-const recentPlacement = 10 * anvilclock.Second
+const (
+	// ProvenAfter is how long a run must have worked to show that its task doesn't crash the targets that
+	// start it.
+	ProvenAfter = 3 * anvilclock.Second
+	// maxCrashes is the number of crashes after which the job of a task is given up. maxCrashesAlone is the
+	// number if the latest crash hit a target on which only tasks of this job ran, because other tasks on a
+	// target that crashes lose their runs without being the cause. maxCrashesUnseen is the number if nobody
+	// saw when the process of the target ended: it may have been cut off and restarted for other reasons.
+	maxCrashes       = 3
+	maxCrashesAlone  = 2
+	maxCrashesUnseen = 4
+)
 
 // Crash describes an incarnation of a target that ended without notice, as a later incarnation shows.
 type Crash struct {
@@ -19,18 +27,25 @@
 	Lost   []LostRun
 }
 
-// LostRun is a run that was assigned to an incarnation of a target that has crashed.
+// LostRun is a run that was assigned to an incarnation of a target when it crashed.
 type LostRun struct {
 	Task Task
 	Run  Run
-	// Placed is the time from the placement of the run until the crash became known.
+	// Placed is the time from the placement of the run until the target fell silent, or zero if the run was
+	// released before the crash was known.
 	Placed anvilclock.Millis
-	// Recent means that the run had begun so shortly before the crash that it may be the cause.
-	Recent bool
-	// Crashes is TaskState.Crashes of the task after this crash.
+	// Suspect means that the run had begun so shortly before the crash that it may be the cause.
+	Suspect bool
+	// Crashes is TaskState.Crashes of the task after this crash, and GivenUp means that its job has failed
+	// because of this crash.
 	Crashes int
+	GivenUp bool
 }
 
+// Suspect reports whether a task may have crashed a target and has not worked since. It should not run beside
+// tasks of other jobs.
+func (t *TaskState) Suspect() bool { return t.Crashes > 0 }
+
 // TakeCrashes returns the crashes that were recorded since the last call. They aren't part of the replicated
 // state.
 func (s *State) TakeCrashes() []Crash {
@@ -51,14 +66,14 @@
 	}
 }
 
-// endsAsPlanned reports whether a target has said that it leaves or its machine is or was in maintenance.
+// endsAsPlanned reports whether a target has said that it leaves, or its machine is or just was in maintenance.
 func (s *State) endsAsPlanned(target *Target) bool {
 	if target.Leaving {
 		return true
 	}
 	for _, wave := range s.waves {
 		for _, m := range wave.Machines {
-			recent := m.Phase != WaveDone || s.now-m.Since < recentPlacement
+			recent := m.Phase != WaveDone || s.now-m.Since < maxStartDelay
 			if m.Machine == target.Machine && m.Phase != WaveWaiting && recent {
 				return true
 			}
@@ -67,22 +82,72 @@
 	return false
 }
 
-// recordCrash counts a crash for each task whose run may be its cause: the run had begun shortly before.
+// recordCrash counts a crash for each task whose run may be its cause, and clears the tasks whose runs had
+// worked for long.
 func (s *State) recordCrash(target *Target) {
+	silence := target.Silence
+	if silence == nil {
+		silence = s.unnotedSilence(target.ID)
+	}
 	crash := Crash{Target: target.ID}
+	for _, suspect := range silence.Suspects {
+		if lost, ok := s.blame(suspect, silence); ok {
+			crash.Lost = append(crash.Lost, lost)
+		}
+	}
 	for _, task := range slices.SortedFunc(maps.Keys(s.runs[target.ID]), Task.Compare) {
-		_, state := s.assignedTask(task, s.runs[target.ID][task])
-		if state == nil || state.Run <= state.JudgedRun {
+		run := Unassign{Task: task, Run: s.runs[target.ID][task]}
+		_, state := s.assignedTask(run.Task, run.Run)
+		if state == nil || run.Run <= state.JudgedRun {
 			continue
 		}
-		lost := LostRun{Task: task, Run: state.Run, Placed: s.now - state.PhaseSince}
-		lost.Recent = lost.Placed <= recentPlacement
-		state.JudgedRun = state.Run
-		if lost.Recent {
-			state.Crashes++
-		}
-		lost.Crashes = state.Crashes
-		crash.Lost = append(crash.Lost, lost)
+		s.clearIfProven(state, silence.Since, RunLeaseExpired)
+		crash.Lost = append(crash.Lost, LostRun{Task: task, Run: run.Run, Placed: silence.Since - state.PhaseSince, Crashes: state.Crashes})
 	}
+	target.Silence = nil
 	s.crashes = append(s.crashes, crash)
 }
+
+// blame counts a crash for the task of a run that may be its cause, and gives its job up if there were too
+// many. It returns false if the run has been judged before or its task has ended.
+func (s *State) blame(run Unassign, silence *Silence) (LostRun, bool) {
+	job, ok := s.jobs[run.Task.Job]
+	if !ok || job.Phase.Ended() {
+		return LostRun{}, false
+	}
+	state := job.State(run.Task)
+	if state == nil || state.Phase == TaskDone || run.Run <= state.JudgedRun {
+		return LostRun{}, false
+	}
+	lost := LostRun{Task: run.Task, Run: run.Run, Suspect: true}
+	if state.Phase == TaskAssigned && state.Run == run.Run {
+		lost.Placed = silence.Since - state.PhaseSince
+	}
+	state.JudgedRun = run.Run
+	state.Crashes++
+	if state.Crashes >= silence.maxCrashes() {
+		s.endJob(job, JobFailed)
+		lost.GivenUp = true
+	}
+	lost.Crashes = state.Crashes
+	return lost, true
+}
+
+// maxCrashes returns the number of crashes after which a job is given up, for the crash that followed a silence.
+func (silence *Silence) maxCrashes() int {
+	switch {
+	case !silence.Closed:
+		return maxCrashesUnseen
+	case silence.OneJob:
+		return maxCrashesAlone
+	}
+	return maxCrashes
+}
+
+// clearIfProven clears a task of all suspicion if its present run had worked for ProvenAfter at the given
+// time. A gang member that waited for the others has not worked.
+func (s *State) clearIfProven(state *TaskState, at anvilclock.Millis, outcome Outcome) {
+	if state.Crashes > 0 && outcome != RunGangIncomplete && at-state.PhaseSince >= ProvenAfter {
+		state.Crashes, state.JudgedRun = 0, state.Run
+	}
+}
--- a/core/anvilwork/ends.go
+++ b/core/anvilwork/ends.go
@@ -35,6 +35,7 @@
 	if end.Checkpoint != "" {
 		s.storeCheckpoint(job, end)
 	}
+	s.clearIfProven(state, s.now, end.Outcome)
 	s.releaseTask(job, end.Task, state)
 	switch end.Outcome {
 	case RunDone:
@@ -139,6 +140,7 @@
 	if !ok || target.Incarnation != command.Incarnation {
 		return Unknown
 	}
+	s.rememberSilence(target)
 	if len(command.Runs) == 0 {
 		s.releaseAll(target.ID)
 		return Applied
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -208,8 +208,8 @@
 	Failed int `cbor:"5,keyasint,omitempty"`
 	// FailedRun is the latest run that was counted in Failed.
 	FailedRun Run `cbor:"8,keyasint,omitempty"`
-	// Crashes counts the crashes of targets that may be due to the task, and JudgedRun is the latest run that
-	// was considered for it, see State.recordCrash.
+	// Crashes counts the crashes of targets that may be due to the task, since its latest run that worked for
+	// ProvenAfter. JudgedRun is the latest run that is accounted for in Crashes.
 	Crashes   int `cbor:"20,keyasint,omitempty"`
 	JudgedRun Run `cbor:"21,keyasint,omitempty"`
 	// Checkpoint is the latest checkpoint of the task, from which its next run continues, or empty if
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -155,6 +155,17 @@
 		return Command{AdvanceWave: &AdvanceWave{
 			Wave: WaveNumber(s.number(words[1])), Machine: anvilid.MachineID(words[2]), Phase: WavePhase(phase),
 		}}
+	case "silent", "answers":
+		note := &NoteSilence{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Answers: words[0] == "answers"}
+		for _, word := range words[3:] {
+			if word == "closed" {
+				note.Closed = true
+				continue
+			}
+			task, run := s.run(word)
+			note.Begun = append(note.Begun, Unassign{Task: task, Run: run})
+		}
+		return Command{NoteSilence: note}
 	case "lapse":
 		return Command{ExpireLease: &ExpireLease{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2]))}}
 	}
@@ -202,13 +213,14 @@
 	return config
 }
 
-// target parses "target ID INCARNATION [at=ADDRESS] [leaving]".
+// target parses "target ID INCARNATION [at=ADDRESS] [machine=MACHINE] [leaving]".
 func (s *script) target(words []string) Target {
 	o := options(words[3:])
 	_, leaving := o["leaving"]
 	return Target{
 		ID: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Service: "s", Address: anvilid.Address(o["at"] + ":80"),
 		Resources: Resources{CPU: 32000, Memory: 64000, GPU: 8}, Leaving: leaving,
+		Machine: anvilid.MachineID(o["machine"]),
 	}
 }
 
@@ -280,7 +292,7 @@
 	return &RecordRunEnds{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Ends: []RunEnd{end}}
 }
 
-// check parses and checks "task TASK PHASE [run=N] [failed=N] [saved=CHECKPOINT]".
+// check parses and checks "task TASK PHASE [run=N] [failed=N] [crashes=N] [saved=CHECKPOINT]".
 func (s *script) check(words []string) {
 	task, _ := s.run(words[1])
 	job, ok := s.state.Job(task.Job)
@@ -293,6 +305,8 @@
 			assert.Equal(s.t, uint64(state.Run), s.number(value), s.where)
 		case "failed":
 			assert.Equal(s.t, uint64(state.Failed), s.number(value), s.where)
+		case "crashes":
+			assert.Equal(s.t, uint64(state.Crashes), s.number(value), s.where)
 		case "saved":
 			assert.Equal(s.t, state.Checkpoint, value, s.where)
 		}
--- a/io/anvillead/crashes.go
+++ b/io/anvillead/crashes.go
@@ -40,5 +40,8 @@
 func (r *leadership) logLostRun(crash anvilwork.Crash, lost anvilwork.LostRun) {
 	r.log.Write(anvillogs.RunLost, zap.Stringer("task", lost.Task), zap.Uint64("run", uint64(lost.Run)),
 		zap.String("target", string(crash.Target)), zap.Int64("placed", int64(lost.Placed)),
-		zap.Bool("recent", lost.Recent), zap.Int("crashes", lost.Crashes))
+		zap.Bool("suspect", lost.Suspect), zap.Int("crashes", lost.Crashes))
+	if lost.GivenUp {
+		r.log.Write(anvillogs.JobGivenUp, zap.String("job", string(lost.Task.Job)), zap.Stringer("task", lost.Task), zap.Int("crashes", lost.Crashes))
+	}
 }
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -149,6 +149,7 @@
 	}
 	r.mu.Lock()
 	r.tracker.Sync(now, r.state)
+	r.pendingCommands = append(r.pendingCommands, r.tracker.NoteSilences(now)...)
 	effects := r.tracker.Next(now, r.state)
 	r.mu.Unlock()
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -92,6 +92,7 @@
 	LeaderSummary      = define(625, zapcore.InfoLevel, "what the leader has done since the last summary")
 	TargetCrashed      = define(626, zapcore.WarnLevel, "target has crashed and a later incarnation has replaced it")
 	RunLost            = define(627, zapcore.InfoLevel, "run was lost in the crash of its target")
+	JobGivenUp         = define(628, zapcore.WarnLevel, "job given up: one of its tasks crashes the targets that start it")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
 	ConfigRefused      = define(616, zapcore.InfoLevel, "configuration refused")
 )
