--- a/core/anvilorder/silence.go
+++ b/core/anvilorder/silence.go
@@ -1,6 +1,7 @@
 package anvilorder
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -21,8 +22,7 @@
 // cause. The caller must have called Sync.
 func (t *Tracker) NoteSilences(now anvilclock.Millis) []anvilwork.Command {
 	var commands []anvilwork.Command
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
-		target := t.targets[id]
+	for _, target := range t.targets {
 		note := target.silenceNote()
 		if note == nil || now < target.nextSilenceNoteAt {
 			continue
@@ -33,6 +33,7 @@
 		}
 		commands = append(commands, anvilwork.Command{NoteSilence: note})
 	}
+	slices.SortFunc(commands, func(a, b anvilwork.Command) int { return cmp.Compare(a.NoteSilence.Target, b.NoteSilence.Target) })
 	return commands
 }
 
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -184,7 +184,7 @@
 		p.placeGang(u)
 		return
 	}
-	if u.mustRunAlone(p.Now) {
+	if u.alone {
 		p.placeSuspects(u)
 		return
 	}
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -45,8 +45,8 @@
 	return []*waitingStep{u, &suspects}
 }
 
-// mustRunAlone reports whether the tasks of a step are suspects that still wait for a target of their own.
-func (u *waitingStep) mustRunAlone(now anvilclock.Millis) bool {
+// waitsForOwnTarget reports whether the tasks of a step are suspects that haven't waited for maxAloneWait yet.
+func (u *waitingStep) waitsForOwnTarget(now anvilclock.Millis) bool {
 	if !u.suspect {
 		return false
 	}
@@ -85,7 +85,7 @@
 		return n.probation != ""
 	case n.probation != "" && n.probation != u.info.job.ID:
 		return true
-	case !u.mustRunAlone(n.planner.Now):
+	case !u.alone:
 		return n.hasRun(func(info *jobInfo) bool { return info.policy.Priority == 0 && info != u.info })
 	case !u.step.Gang && len(n.planner.probationNodes[u.info.job.ID]) > 0 && n.probation == "":
 		return true // one target at a time, so that a job with many such tasks doesn't crash many targets
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -21,6 +21,8 @@
 	tasks     []anvilwork.Task
 	// suspect means that targets have crashed under these tasks.
 	suspect bool
+	// alone means that they may start only on targets without other jobs.
+	alone bool
 	// run is the number of the run that starts next. All tasks that are placed get the same number, as
 	// the members of a gang must have.
 	run anvilwork.Run
@@ -40,6 +42,7 @@
 			for _, u := range p.waitingStepsOf(info, k) {
 				u.urgent, u.withinGuarantee = urgent, withinGuarantee
 				u.from, u.due = info.window(k)
+				u.alone = u.waitsForOwnTarget(p.Now)
 				waitingSteps = append(waitingSteps, u)
 			}
 		}
