Don't give up jobs for targets that were cut off for a moment

Suspected cause, the log has gaps at that moment: after a cut that is shorter than the time-out of a list call, the first sign of it is a connection that is refused, which counted as the end of a process under the run that had just begun.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -38,6 +38,7 @@
 // contact and resets the count of unanswered calls. It must not be called for a failed call.
 func (target *target) recordContact(answer Answer) {
 	target.lastContact, target.unansweredCalls, target.closedAt = max(target.lastContact, answer.Received), 0, 0
+	target.answeredAt = max(target.answeredAt, answer.Received)
 }
 
 // HandleStartAnswer processes the answer to a Start, or the lack of one, and returns the orders to
--- a/core/anvilorder/silence.go
+++ b/core/anvilorder/silence.go
@@ -12,8 +12,8 @@
 const (
 	// silentAfterCalls is the number of consecutive calls without an answer after which a target is silent.
 	silentAfterCalls = 2
-	// crashDelay is the longest time from the beginning of a run to a crash of the target that the run is
-	// suspected of.
+	// crashDelay is the longest time from the beginning of a run, which the target confirms, to a crash of the
+	// target that the run is suspected of.
 	crashDelay = 500 * anvilclock.Millisecond
 )
 
@@ -59,10 +59,10 @@
 // isNew reports whether a run has not been part of a note on the present silence of its target.
 func (target *target) isNew(run anvilwork.Unassign) bool { return !target.runs[run.Task].silenceNoted }
 
-// recordClosed records when the process of a target seems to have ended. If calls timed out before, the target was
-// cut off first, and its connections may have been closed for that reason.
+// recordClosed records when the process of a target has ended, if a call shows that. If calls timed out before,
+// or the latest answer isn't recent, the target may have been cut off first and restarted for that reason.
 func (target *target) recordClosed(answer Answer) {
-	if answer.Closed && target.unansweredCalls == 0 {
+	if answer.Closed && target.unansweredCalls == 0 && answer.Received <= target.answeredAt+crashDelay {
 		target.closedAt = answer.Received
 	}
 }
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -91,8 +91,9 @@
 	// ackedCursor is the highest Poll.Cursor that the target is known to have received. The
 	// cursor acknowledges run ends.
 	ackedCursor uint64
-	// closedAt is when the first call that failed since the last answer did so, if its connection was refused or
-	// closed, and else 0.
+	// answeredAt is when the latest answer of this incarnation arrived, by the leader's clock.
+	answeredAt anvilclock.Millis
+	// closedAt is when the process of the target has ended, see recordClosed, or 0.
 	closedAt anvilclock.Millis
 	// nextSilenceNoteAt is the earliest time of the next anvilwork.NoteSilence.
 	nextSilenceNoteAt anvilclock.Millis
--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -12,13 +12,13 @@
 	// ProvenAfter is how long a run must have worked to show that its task doesn't crash the targets that
 	// start it.
 	ProvenAfter = 3 * anvilclock.Second
-	// maxCrashes is the number of crashes after which the job of a task is given up. maxCrashesAlone is the
-	// number if the latest crash hit a target on which only tasks of this job ran, because other tasks on a
-	// target that crashes lose their runs without being the cause. maxCrashesUnseen is the number if nobody
-	// saw when the process of the target ended: it may have been cut off and restarted for other reasons.
-	maxCrashes       = 3
-	maxCrashesAlone  = 2
-	maxCrashesUnseen = 4
+	// maxSeenCrashes is the number of crashes after which the job of a task is given up, if the leader saw the
+	// process of the target end each time. maxCrashesAlone is the number if the latest of them hit a target on
+	// which only tasks of this job ran: beside other tasks, nobody knows which one is the cause. maxCrashes is
+	// the number that includes the targets that may have been cut off and restarted for other reasons.
+	maxSeenCrashes  = 3
+	maxCrashesAlone = 2
+	maxCrashes      = 5
 )
 
 // Crash describes an incarnation of a target that ended without notice, as a later incarnation shows.
@@ -125,7 +125,10 @@
 	}
 	state.JudgedRun = run.Run
 	state.Crashes++
-	if state.Crashes >= silence.maxCrashes() {
+	if silence.Closed {
+		state.SeenCrashes++
+	}
+	if tooManyCrashes(state, silence) {
 		s.endJob(job, JobFailed)
 		lost.GivenUp = true
 	}
@@ -133,21 +136,16 @@
 	return lost, true
 }
 
-// maxCrashes returns the number of crashes after which a job is given up, for the crash that followed a silence.
-func (silence *Silence) maxCrashes() int {
-	switch {
-	case !silence.Closed:
-		return maxCrashesUnseen
-	case silence.OneJob:
-		return maxCrashesAlone
-	}
-	return maxCrashes
+// tooManyCrashes reports whether the job of a task has to be given up after the crash that followed a silence.
+func tooManyCrashes(state *TaskState, silence *Silence) bool {
+	alone := silence.Closed && silence.OneJob && state.SeenCrashes >= maxCrashesAlone
+	return alone || state.SeenCrashes >= maxSeenCrashes || state.Crashes >= maxCrashes
 }
 
 // clearIfProven clears a task of all suspicion if its present run had worked for ProvenAfter at the given
 // time. A gang member that waited for the others has not worked.
 func (s *State) clearIfProven(state *TaskState, at anvilclock.Millis, outcome Outcome) {
 	if state.Crashes > 0 && outcome != RunGangIncomplete && at-state.PhaseSince >= ProvenAfter {
-		state.Crashes, state.JudgedRun = 0, state.Run
+		state.Crashes, state.SeenCrashes, state.JudgedRun = 0, 0, state.Run
 	}
 }
