--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -22,14 +22,16 @@
 )
 
 // targetOfAnswer returns the target that sent an answer, and records the reading of its
-// clock. It returns nil if the target is unknown or has changed its incarnation since the
-// order was sent.
-func (t *Tracker) targetOfAnswer(answer Answer, incarnation anvilwork.Incarnation) *target {
+// clock unless another incarnation (other) has answered. It returns nil if the target is unknown or has
+// changed its incarnation since the order was sent.
+func (t *Tracker) targetOfAnswer(answer Answer, incarnation anvilwork.Incarnation, other bool) *target {
 	target := t.targets[answer.Target]
 	if target == nil || target.record.Incarnation != incarnation {
 		return nil
 	}
-	target.lease.recordReading(answer)
+	if !other {
+		target.lease.recordReading(answer)
+	}
 	target.recordClosed(answer)
 	return target
 }
@@ -45,10 +47,13 @@
 // send and the commands to commit because of it.
 func (t *Tracker) HandleStartAnswer(now anvilclock.Millis, answer StartAnswer) Effects {
 	var effects Effects
-	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation)
+	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.Verdict == StartOtherIncarnation)
 	if target == nil {
 		return effects
 	}
+	if target.leaveIfEnded(answer.Answer, &effects) {
+		return effects
+	}
 	r := target.runs[answer.Order.Task]
 	if r == nil || r.number != answer.Order.Run {
 		return effects
@@ -62,6 +67,9 @@
 		target.recordContact(answer.Answer)
 	}
 	r.startReached = r.startReached || answer.Verdict != StartNotSent
+	if r.phase == running && answer.Verdict != StartOtherIncarnation && answer.Verdict != StartUnanswered {
+		return effects // a list has confirmed the run since this copy of the start was sent
+	}
 	switch answer.Verdict {
 	case StartAccepted:
 		r.phase, r.startUnanswered = running, false
@@ -69,8 +77,9 @@
 			r.confirmedAt = answer.Received
 		}
 	case StartUnanswered:
-		r.startUnanswered, r.nextStartAt = true, now+t.timing.RetryInterval
+		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
 		r.mayStartUntil = answer.Sent + maxOrderDelay
+		t.lateStarts.add(answer.Order, r.mayStartUntil)
 		target.unansweredCalls++
 	case StartNotSent:
 		target.unansweredCalls++
@@ -90,9 +99,9 @@
 		t.withdrawRun(now, answer.Order, r, &effects)
 	case StartRunEnded:
 		// The answer to the next poll shows how the run ended, or that the target never had it.
-		r.phase, r.confirmedAt, target.pollNow = running, answer.Received, true
+		r.phase, r.confirmedAt, r.startUnanswered, target.pollNow = running, answer.Received, false, true
 	case StartOtherIncarnation:
-		r.mayStartUntil = answer.Received
+		r.mayStartUntil = max(r.mayStartUntil, answer.Received)
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 	}
 	return effects
@@ -114,25 +123,38 @@
 // handleOtherIncarnation handles an answer that did not come from the incarnation to which
 // the order was sent. A later incarnation of the same target (answeredBy) may have carried
 // out orders for the former one. The runs of the former one are therefore assigned to it, and
-// stopped there before they are placed again. If answeredBy isn't later than the former
-// incarnation, another target has the address now, and the former incarnation has ended.
+// stopped there before they are placed again. The same holds for an earlier one, whose number shows that the known
+// one was announced wrongly. If answeredBy is 0, another target has the address now, and the former incarnation has ended.
 func (t *Tracker) handleOtherIncarnation(target *target, answeredBy anvilwork.Incarnation, effects *Effects) {
 	target.unansweredCalls++
-	if answeredBy <= target.record.Incarnation {
+	if answeredBy == 0 || answeredBy == target.record.Incarnation {
 		effects.Commands = append(effects.Commands,
 			anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
 		return
 	}
 	successor := target.record
-	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt = answeredBy, 0, false, 0
-	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
+	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt, successor.DepartedAt = answeredBy, 0, false, 0, 0
+	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor, Answered: true}})
+}
+
+// leaveIfEnded adds a command that removes a target which has said that it ends, or whose address another one
+// has, if no process accepts connections at its address any more. It reports whether it added the command.
+func (target *target) leaveIfEnded(answer Answer, effects *Effects) bool {
+	if !answer.Refused || !target.record.Departed() {
+		return false
+	}
+	target.unansweredCalls++
+	effects.Commands = append(effects.Commands,
+		anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
+	return true
 }
 
 // HandleStopAnswer processes the answer to a Stop, or the lack of one, and returns the orders to
 // send and the commands to commit because of it.
 func (t *Tracker) HandleStopAnswer(now anvilclock.Millis, answer StopAnswer) Effects {
 	var effects Effects
-	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation)
+	t.handleBarAnswer(now, answer)
+	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.FromOtherIncarnation)
 	if target == nil {
 		return effects
 	}
@@ -140,6 +162,9 @@
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 		return effects
 	}
+	if target.leaveIfEnded(answer.Answer, &effects) {
+		return effects
+	}
 	r := target.runs[answer.Order.Task]
 	if r == nil || r.number != answer.Order.Run {
 		return effects
@@ -164,7 +189,7 @@
 // send and the commands to commit because of it.
 func (t *Tracker) HandlePollAnswer(now anvilclock.Millis, answer PollAnswer) Effects {
 	var effects Effects
-	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation)
+	target := t.targetOfAnswer(answer.Answer, answer.Order.Target.Incarnation, answer.FromOtherIncarnation)
 	if target == nil {
 		return effects
 	}
@@ -177,9 +202,12 @@
 		t.handleOtherIncarnation(target, answer.AnsweredBy, &effects)
 		return effects
 	}
+	if target.leaveIfEnded(answer.Answer, &effects) {
+		return effects
+	}
 	if !answer.Done {
 		target.unansweredCalls++
-		target.nextPollAt = now + t.timing.RetryInterval*anvilclock.Millis(min(target.unansweredCalls, 4))
+		target.nextPollAt = now + t.pollRetryPause(target)
 		return effects
 	}
 	target.recordContact(answer.Answer)
@@ -190,6 +218,15 @@
 	return effects
 }
 
+// pollRetryPause returns the pause after an unanswered poll. A target that has said that it ends is asked again
+// sooner, because its runs can be placed again as soon as it has ended.
+func (t *Tracker) pollRetryPause(target *target) anvilclock.Millis {
+	if target.record.Departed() {
+		return t.timing.RetryInterval / 4
+	}
+	return t.timing.RetryInterval * anvilclock.Millis(min(target.unansweredCalls, 4))
+}
+
 // commitEnds returns a command that records the run ends listed in a poll answer, except
 // those that are already committed or were returned in an earlier command.
 func (t *Tracker) commitEnds(target *target, answer PollAnswer, effects *Effects) {
@@ -271,6 +308,7 @@
 		if r.missingLists < 2 {
 			return
 		}
+		effects.Findings = append(effects.Findings, target.finding(RunMissing, task, r.number))
 	default:
 		return
 	}
@@ -278,6 +316,10 @@
 		anvilwork.Command{Unassign: &anvilwork.Unassign{Task: task, Run: r.number}})
 }
 
+func (target *target) finding(kind FindingKind, task anvilwork.Task, run anvilwork.Run) Finding {
+	return Finding{Kind: kind, Target: target.record.ID, Incarnation: target.record.Incarnation, Task: task, Run: run}
+}
+
 // stopUnassignedRuns stops the runs that a target lists as running although the replicated
 // state doesn't assign them to it.
 func (t *Tracker) stopUnassignedRuns(target *target, listed map[anvilwork.Task]Running, effects *Effects) {
@@ -285,6 +327,7 @@
 		if r := target.runs[task]; r == nil || r.number < listed[task].Run {
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: listed[task].Run, Token: t.token})
+			effects.Findings = append(effects.Findings, target.finding(RunNotAssigned, task, listed[task].Run))
 		}
 	}
 }
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -54,13 +54,28 @@
 	if t.targets[record.ID] != known {
 		t.targets[record.ID], t.order = known, nil
 	}
+	if record.Departed() && !known.record.Departed() {
+		known.nextPollAt, known.pollNow = now, true // whether it has ended decides when its runs are placed again
+	}
 	known.record = *record
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
-			known.runs[task] = &run{number: number, phase: adopting}
+			known.runs[task] = &run{number: number, phase: adopting, byFormerLeader: true, mayStartUntil: t.inheritedStartUntil(state, record, task)}
 		}
 	}
 	t.forgetUnassignedRuns(known, assigned)
+	known.stopIfDeparted()
+}
+
+// stopIfDeparted requests a stop of all runs of a target that has said that it ends. They are placed again
+// once they have ended, or once its lease has certainly expired.
+func (target *target) stopIfDeparted() {
+	if !target.record.Departed() {
+		return
+	}
+	for _, r := range target.runs {
+		r.stopRequested = true
+	}
 }
 
 // forgetUnassignedRuns drops the runs of a target that are no longer assigned to it.
@@ -78,24 +93,34 @@
 // leader sent to the former one: it has seen no higher fencing token that would make it
 // refuse them. Therefore each run is stopped there before it is unassigned.
 func (t *Tracker) inheritRuns(now anvilclock.Millis, former *target, assigned map[anvilwork.Task]anvilwork.Run) *target {
-	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
+	// The poll makes the new incarnation refuse what former leaders sent.
+	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now, pollNow: true}
 	successor.lease.untrackedUntil = now
 	for task, number := range assigned {
-		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true}
+		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true, byFormerLeader: true}
 		if before := former.runs[task]; before != nil && before.number == number {
-			r.mayStartUntil = before.mayStartUntil
-			if before.startInFlight {
-				r.mayStartUntil = max(r.mayStartUntil, before.nextStartAt+maxOrderDelay)
-			}
+			r.mayStartUntil, r.byFormerLeader = before.lateStartUntil(), before.byFormerLeader
 		}
-		if r.mayStartUntil > 0 {
-			successor.lease.untrackedUntil = max(successor.lease.untrackedUntil, r.mayStartUntil+t.longestLease())
+		if r.byFormerLeader {
+			r.mayStartUntil = max(r.mayStartUntil, t.electedAt+maxOrderDelay)
 		}
 		successor.runs[task] = r
 	}
+	successor.inherited = len(successor.runs) > 0
 	return successor
 }
 
+// inheritedStartUntil returns until when a start of a former leader may be carried out by a later incarnation of
+// the target than the one that it was sent to, whose clock restarts, or 0 if this can't happen: the run was
+// placed on the present incarnation, so that the deadline in the start bounds it.
+func (t *Tracker) inheritedStartUntil(state *anvilwork.State, record *anvilwork.Target, task anvilwork.Task) anvilclock.Millis {
+	job, ok := state.Job(task.Job)
+	if !ok || job.State(task).PhaseSince >= record.RegisteredAt {
+		return 0
+	}
+	return t.electedAt + maxOrderDelay
+}
+
 // longestLease returns how long a lease may last by the leader's clock if the target's clock
 // runs as slowly as maxClockSlowness allows.
 func (t *Tracker) longestLease() anvilclock.Millis {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -22,6 +22,11 @@
 	RetryInterval anvilclock.Millis
 }
 
+// maxRepeatedStarts is the number of consecutive unanswered calls after which no start is sent to a target until
+// a poll is answered. Each copy may be carried out up to maxOrderDelay later, which delays the next run of the
+// task.
+const maxRepeatedStarts = 3
+
 // maxOrderDelay is the longest time after sending an order in which a target may still carry
 // it out, if the order got no answer.
 const maxOrderDelay = 12 * anvilclock.Second
@@ -53,10 +58,13 @@
 	unsentStarts int
 	// startUnanswered reports that a start got no answer, so the target may still carry it out.
 	startUnanswered bool
-	// mayStartUntil is until when the target may carry out a start that got no answer.
+	// mayStartUntil is until when the target, or a later incarnation of it, may carry out a start that got no
+	// answer, or 0.
 	mayStartUntil anvilclock.Millis
 	// silenceNoted reports that NoteSilences has returned the run for the present silence of its target.
 	silenceNoted bool
+	// byFormerLeader reports that a former leader sent the start, at a time that isn't known.
+	byFormerLeader bool
 	// confirmedAt is when the first answer that confirmed the run arrived, or 0 before that.
 	confirmedAt anvilclock.Millis
 	// stopRequested reports that the run is to be stopped.
@@ -99,6 +107,9 @@
 	nextSilenceNoteAt anvilclock.Millis
 	// pollNow requests a poll that the target answers at once.
 	pollNow bool
+	// inherited reports that the runs were assigned to a former incarnation, and that Next has not
+	// reported this yet.
+	inherited bool
 	// pausedUntil excludes a target that rejected a start from placement until this time.
 	pausedUntil anvilclock.Millis
 }
@@ -110,7 +121,8 @@
 	electedAt anvilclock.Millis
 	targets   map[anvilid.TargetID]*target
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
-	state *anvilwork.State
+	state      *anvilwork.State
+	lateStarts lateStarts
 	// startsInFlight is the result of StartsInFlight.
 	startsInFlight int
 	// order has the ids of targets in the order in which Next returns orders, or is nil after targets
@@ -123,7 +135,7 @@
 // New returns a Tracker for a leader that was elected at the given time and uses this
 // fencing token.
 func New(token anvilid.Token, elected anvilclock.Millis, timing Timing) *Tracker {
-	return &Tracker{token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, Speeds: anvilspeed.New()}
+	return &Tracker{token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, lateStarts: lateStarts{}, Speeds: anvilspeed.New()}
 }
 
 // AddPlacements adds runs whose assignment by this leader was committed. The next call of
@@ -152,10 +164,12 @@
 }
 
 // RecordAnnouncement records that a target has announced itself, which counts as a contact with the
-// target (see Usable). An announcement of another incarnation has no effect.
+// target (see Usable). A target that has left calls unanswered is polled then, because it isn't usable until it
+// answers. An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
 	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
 		target.lastContact = now
+		target.pollNow = target.pollNow || target.unansweredCalls > 0
 	}
 }
 
@@ -172,6 +186,7 @@
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
 	t.startsInFlight = 0
+	t.lateStarts.expire(now)
 	if t.order == nil {
 		t.order = slices.Sorted(maps.Keys(t.targets))
 	}
@@ -180,14 +195,19 @@
 		if t.giveUpExpiredRuns(now, target, &effects) {
 			continue
 		}
+		if target.inherited {
+			target.inherited = false
+			target.reportInherited(&effects)
+		}
+		t.barLateStarts(now, target, &effects)
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
 	return effects
 }
 
-// giveUpExpiredRuns adds a command that unassigns all runs of a target if the target doesn't
-// answer and its lease has certainly expired. It reports whether it added the command.
+// giveUpExpiredRuns adds a command that unassigns the runs of a target that have certainly ended because the
+// target doesn't answer and its lease has expired. It reports whether it added the command.
 func (t *Tracker) giveUpExpiredRuns(now anvilclock.Millis, target *target, effects *Effects) bool {
 	if target.unansweredCalls == 0 || len(target.runs) == 0 || now < target.lease.certainlyEndedAt() {
 		return false
@@ -197,12 +217,36 @@
 	}
 	expire := &anvilwork.ExpireLease{Target: target.record.ID, Incarnation: target.record.Incarnation}
 	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
-		expire.Runs = append(expire.Runs, anvilwork.Unassign{Task: task, Run: target.runs[task].number})
+		if r := target.runs[task]; now >= t.lateStartEndedAt(r) {
+			expire.Runs = append(expire.Runs, anvilwork.Unassign{Task: task, Run: r.number})
+		}
+	}
+	if len(expire.Runs) == 0 {
+		return false
 	}
 	effects.Commands = append(effects.Commands, anvilwork.Command{ExpireLease: expire})
 	return true
 }
 
+// lateStartUntil returns until when a start of the run that got no answer yet may be carried out, or 0.
+func (r *run) lateStartUntil() anvilclock.Millis {
+	if !r.startInFlight {
+		return r.mayStartUntil
+	}
+	return max(r.mayStartUntil, r.nextStartAt+maxOrderDelay)
+}
+
+// lateStartEndedAt returns from when on a run can't be at work any more because of a start that got no answer. A
+// target that doesn't answer may have begun a new incarnation, whose clock restarts, so that the deadline in
+// the start doesn't bound the run there.
+func (t *Tracker) lateStartEndedAt(r *run) anvilclock.Millis {
+	until := r.lateStartUntil()
+	if until == 0 {
+		return 0
+	}
+	return until + t.longestLease() + leaseMargin
+}
+
 // StartsInFlight returns the number of runs, at the latest call of Next, that were placed by this leader and
 // that their targets have not confirmed yet. It leaves out the targets that don't answer.
 func (t *Tracker) StartsInFlight() int { return t.startsInFlight }
@@ -222,7 +266,7 @@
 			r.stopInFlight = true
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: r.number, Token: t.token})
-		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt:
+		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && target.unansweredCalls <= maxRepeatedStarts:
 			t.start(now, target, task, r, state, effects)
 		}
 	}
@@ -261,16 +305,33 @@
 	}
 	target.pollNow = false
 	effects.Polls = append(effects.Polls, Poll{
-		Target: target.record, Token: t.token, Cursor: target.record.Cursor,
+		Target: target.record, Token: t.token, Cursor: target.cursor(),
 		Deadline: target.leaseDeadline(now, t.timing.MaxLease), Wait: wait,
 	})
 }
 
+// cursor returns the number of the latest end to acknowledge, or 0 if there is none that the target hasn't
+// received. A target that doesn't answer, or has not answered this leader yet, may have begun a new incarnation,
+// which numbers its ends from 1 and would drop those up to the number of the former one.
+func (target *target) cursor() uint64 {
+	if target.unansweredCalls > 0 || !target.adopted || target.record.Cursor <= target.ackedCursor {
+		return 0
+	}
+	return target.record.Cursor
+}
+
+// reportInherited adds a finding for each run that was assigned to a former incarnation of the target.
+func (target *target) reportInherited(effects *Effects) {
+	for _, task := range slices.SortedFunc(maps.Keys(target.runs), anvilwork.Task.Compare) {
+		effects.Findings = append(effects.Findings, target.finding(RunInherited, task, target.runs[task].number))
+	}
+}
+
 // leaseDeadline returns the lease deadline to send with an order. The lease of a target that
 // doesn't answer isn't extended: the target might carry out the order late and keep its runs
-// longer than the leader waits for them.
+// longer than the leader waits for them. Nor is that of a target that ends.
 func (target *target) leaseDeadline(now, span anvilclock.Millis) TargetClock {
-	if target.unansweredCalls > 0 {
+	if target.unansweredCalls > 0 || target.record.Departed() {
 		return target.lease.latestDeadline
 	}
 	return target.lease.grant(now, span)
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -85,10 +85,13 @@
 	Sent, Received anvilclock.Millis
 	// Clock is the target's clock when it answered, or 0 if the answer didn't contain it.
 	Clock TargetClock
-	// AnsweredBy is the incarnation that answered, or 0 if the answer did not contain it.
+	// AnsweredBy is the incarnation that answered, or 0 if the answer did not contain it or a target with
+	// another id answered.
 	AnsweredBy anvilwork.Incarnation
 	// NotSent means that there is no answer because the order was certainly not sent.
 	NotSent bool
+	// Refused means that there is no answer because no process accepts connections at the target's address.
+	Refused bool
 	// Closed means that there is no answer because the target's machine refused or closed the connection, as
 	// it does when the process of the target has ended.
 	Closed bool
@@ -144,4 +147,29 @@
 	Stops    []Stop
 	Polls    []Poll
 	Commands []anvilwork.Command
+	Findings []Finding
+}
+
+// FindingKind says what a Finding is about.
+type FindingKind uint8
+
+// Kinds of findings.
+const (
+	// RunNotAssigned means that a target lists a run that isn't assigned to it.
+	RunNotAssigned FindingKind = iota + 1
+	// RunMissing means that a target has confirmed a run, and that its lists show neither the run nor its
+	// end any more.
+	RunMissing
+	// RunInherited means that a run was assigned to a former incarnation of the target and is stopped at
+	// the present one.
+	RunInherited
+)
+
+// Finding is a difference between the replicated state and what a target says. It is for the log only.
+type Finding struct {
+	Kind        FindingKind
+	Target      anvilid.TargetID
+	Incarnation anvilwork.Incarnation
+	Task        anvilwork.Task
+	Run         anvilwork.Run
 }
--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -23,6 +23,7 @@
 	successor := *target
 	successor.ID, successor.Incarnation = id+"x", target.Incarnation+1
 	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: id, Incarnation: target.Incarnation}})
 }
 
 // workFor lets time pass, after which all assigned runs report progress.
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -27,6 +27,7 @@
 	for i, command := range batch.Commands {
 		results[i] = s.apply(command)
 	}
+	s.removeDeparted()
 	s.purgeEndedJobs()
 	return results
 }
@@ -40,7 +41,7 @@
 	case command.Configure != nil:
 		return s.configure(*command.Configure)
 	case command.Announce != nil:
-		return s.announce(command.Announce.Target)
+		return s.announce(*command.Announce)
 	case command.Leave != nil:
 		return s.leave(*command.Leave)
 	case command.Place != nil:
@@ -134,17 +135,19 @@
 // of the older one have ended. A start request that was sent to the older incarnation may
 // still be executed by the newer one, however, so its runs stay assigned until the target
 // has rejected or ended them.
-func (s *State) announce(target Target) Result {
-	if !s.AnnouncementHasEffect(target) {
+func (s *State) announce(command Announce) Result {
+	target := command.Target
+	known, ok := s.targets[target.ID]
+	answered := ok && command.Answered && known.Incarnation != target.Incarnation
+	if !answered && !s.AnnouncementHasEffect(target) {
 		return Unchanged
 	}
-	known, ok := s.targets[target.ID]
 	if ok && known.Incarnation == target.Incarnation {
-		target.Cursor, target.RegisteredAt, target.Silence = known.Cursor, known.RegisteredAt, known.Silence
-		target.Leaving = target.Leaving || known.Leaving
+		target.Cursor, target.RegisteredAt, target.DepartedAt = known.Cursor, known.RegisteredAt, known.DepartedAt
+		target.Leaving, target.Silence = target.Leaving || known.Leaving, known.Silence
 	} else {
 		s.recordCrashes(target)
-		s.removePreviousAtAddress(target)
+		s.departPreviousAtAddress(target)
 		target.RegisteredAt, target.Silence = s.now, nil
 	}
 	s.setTarget(&target)
@@ -161,14 +164,16 @@
 	}
 }
 
-// removePreviousAtAddress removes an earlier target that has the address of a new one. An
-// address belongs to one incarnation at a time: the one that started last.
-func (s *State) removePreviousAtAddress(announced Target) {
+// departPreviousAtAddress marks an earlier target as departed that has the address of a new one. An address
+// belongs to one incarnation at a time: the one that started last. The announcement doesn't show that the runs
+// of the earlier target have ended, and it doesn't count if the configuration doesn't name its service.
+func (s *State) departPreviousAtAddress(announced Target) {
+	if s.config.Version > 0 && !s.config.hasService(announced.Service) {
+		return
+	}
 	for _, other := range s.Targets() {
 		if other.Address == announced.Address && other.ID != announced.ID && other.Incarnation < announced.Incarnation {
-			s.releaseAll(other.ID)
-			s.removeTarget(other.ID)
-			s.remember(other)
+			s.depart(other)
 		}
 	}
 }
@@ -183,10 +188,13 @@
 	if !ok || target.Incarnation != leave.Incarnation {
 		return Unknown
 	}
-	s.releaseAll(target.ID)
-	s.removeTarget(target.ID)
 	if leave.Final {
-		s.remember(target)
+		s.depart(target)
+		return Applied
+	}
+	s.releaseAll(target.ID)
+	if !target.Departed() {
+		s.removeTarget(target.ID)
 	}
 	return Applied
 }
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -50,6 +50,9 @@
 // Announce registers a target or updates its attributes.
 type Announce struct {
 	Target Target `cbor:"1,keyasint"`
+	// Answered means that the target's own process has answered that this is its incarnation. It then replaces the
+	// known one even if that has a higher number, which a wrong announcement or a clock that was set back explains.
+	Answered bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Leave reports that an incarnation of a target has ended, together with everything that
@@ -58,7 +61,8 @@
 	Target      anvilid.TargetID `cbor:"1,keyasint"`
 	Incarnation Incarnation      `cbor:"2,keyasint"`
 	// Final means that the target itself has said that it ends, so that a late announcement of this
-	// incarnation is ignored.
+	// incarnation is ignored. It may go on until it receives the acknowledgement, so its runs stay assigned
+	// (see Target.DepartedAt).
 	Final bool `cbor:"3,keyasint,omitempty"`
 }
 
@@ -147,11 +151,17 @@
 	// same when the incarnation or the id of the target changes.
 	Machine anvilid.MachineID `cbor:"13,keyasint,omitempty"`
 	// Silence is set while the target doesn't answer, see NoteSilence.
-	Silence *Silence `cbor:"20,keyasint,omitempty"`
+	Silence *Silence `cbor:"22,keyasint,omitempty"`
 	// RegisteredAt is when this incarnation was first announced.
 	RegisteredAt anvilclock.Millis `cbor:"12,keyasint,omitempty"`
+	// DepartedAt is when the target said that it ends, or when another target announced its address, in log
+	// time; or 0. Such a target is removed once all its runs have certainly ended.
+	DepartedAt anvilclock.Millis `cbor:"20,keyasint,omitempty"`
 }
 
+// Departed reports whether the target is only kept until its runs have certainly ended.
+func (t *Target) Departed() bool { return t.DepartedAt > 0 }
+
 // Result says whether one command took effect and, if not, why.
 type Result uint8
 
--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -55,11 +55,12 @@
 }
 
 // recordCrashes records the crashes that the announcement of a new incarnation shows: of the former
-// incarnation under the same id, and of earlier targets at the same address or on the same machine.
+// incarnation under the same id, and of earlier targets at the same address or on the same machine that don't
+// answer. An announcement with the address of a target that answers is wrong.
 func (s *State) recordCrashes(announced Target) {
 	for _, known := range s.Targets() {
 		sameMachine := known.Machine != "" && known.Machine == announced.Machine
-		replaced := known.ID == announced.ID || known.Address == announced.Address || sameMachine
+		replaced := known.ID == announced.ID || known.Silence != nil && (known.Address == announced.Address || sameMachine)
 		if replaced && known.Incarnation < announced.Incarnation && !s.endsAsPlanned(known) {
 			s.recordCrash(known)
 		}
