--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -62,6 +62,8 @@
 	// mayStartUntil is until when the target, or a later incarnation of it, may carry out a start that got no
 	// answer, or 0.
 	mayStartUntil anvilclock.Millis
+	// silenceNoted reports that NoteSilences has returned the run for the present silence of its target.
+	silenceNoted bool
 	// byFormerLeader reports that a former leader sent the start, at a time that isn't known.
 	byFormerLeader bool
 	// confirmedAt is when the first answer that confirmed the run arrived, or 0 before that.
@@ -103,6 +105,12 @@
 	// ackedCursor is the highest Poll.Cursor that the target is known to have received. The
 	// cursor acknowledges run ends.
 	ackedCursor uint64
+	// answeredAt is when the latest answer of this incarnation arrived, by the leader's clock.
+	answeredAt anvilclock.Millis
+	// closedAt is when the process of the target has ended, see recordClosed, or 0.
+	closedAt anvilclock.Millis
+	// nextSilenceNoteAt is the earliest time of the next anvilwork.NoteSilence.
+	nextSilenceNoteAt anvilclock.Millis
 	// pollNow requests a poll that the target answers at once.
 	pollNow bool
 	// inherited reports that the runs were assigned to a former incarnation, and that Next has not
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -52,6 +52,8 @@
 		return s.unassign(*command.Unassign)
 	case command.ExpireLease != nil:
 		return s.expireLease(*command.ExpireLease)
+	case command.NoteSilence != nil:
+		return s.noteSilence(*command.NoteSilence)
 	case command.StartWave != nil:
 		return s.startWave(*command.StartWave)
 	case command.AdvanceWave != nil:
@@ -143,10 +145,11 @@
 	if ok && known.Incarnation == target.Incarnation {
 		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
 		target.DepartedAt, target.Displaced = known.DepartedAt, known.Displaced
-		target.Leaving = target.Leaving || known.Leaving
+		target.Leaving, target.Silence = target.Leaving || known.Leaving, known.Silence
 	} else {
+		s.recordCrashes(target)
 		s.departPreviousAtAddress(target)
-		target.RegisteredAt = s.now
+		target.RegisteredAt, target.Silence = s.now, nil
 	}
 	s.setTarget(&target)
 	s.transferRuns(&target)
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -20,8 +20,15 @@
 // failure that it guards against. A line is a command with its expected result after "=>"
 // (default: applied), or a check of the state. After each command the state is restored from
 // a snapshot, and a snapshot of the restored state must have the same bytes.
-func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.txt")
+func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txt") }
+
+// TestCrashingTaskIsGivenUp guards against starting a task again and again that crashes each target that
+// starts it, and against giving up a task that lost its runs in crashes that another one caused.
+func TestCrashingTaskIsGivenUp(t *testing.T) { runScripts(t, "testdata/crash/*.txt") }
+
+// runScripts runs the scripts whose paths match a pattern.
+func runScripts(t *testing.T, pattern string) {
+	paths, err := filepath.Glob(pattern)
 	assert.NilError(t, err)
 	assert.Assert(t, len(paths) > 0)
 	for _, path := range paths {
@@ -148,6 +155,17 @@
 		return Command{AdvanceWave: &AdvanceWave{
 			Wave: WaveNumber(s.number(words[1])), Machine: anvilid.MachineID(words[2]), Phase: WavePhase(phase),
 		}}
+	case "silent", "answers":
+		note := &NoteSilence{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Answers: words[0] == "answers"}
+		for _, word := range words[3:] {
+			if word == "closed" {
+				note.Closed = true
+				continue
+			}
+			task, run := s.run(word)
+			note.Begun = append(note.Begun, Unassign{Task: task, Run: run})
+		}
+		return Command{NoteSilence: note}
 	case "lapse":
 		return Command{ExpireLease: &ExpireLease{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2]))}}
 	}
@@ -195,13 +213,14 @@
 	return config
 }
 
-// target parses "target ID INCARNATION [at=ADDRESS] [leaving]".
+// target parses "target ID INCARNATION [at=ADDRESS] [machine=MACHINE] [leaving]".
 func (s *script) target(words []string) Target {
 	o := options(words[3:])
 	_, leaving := o["leaving"]
 	return Target{
 		ID: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Service: "s", Address: anvilid.Address(o["at"] + ":80"),
 		Resources: Resources{CPU: 32000, Memory: 64000, GPU: 8}, Leaving: leaving,
+		Machine: anvilid.MachineID(o["machine"]),
 	}
 }
 
@@ -273,7 +292,7 @@
 	return &RecordRunEnds{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Ends: []RunEnd{end}}
 }
 
-// check parses and checks "task TASK PHASE [run=N] [failed=N] [saved=CHECKPOINT]".
+// check parses and checks "task TASK PHASE [run=N] [failed=N] [crashes=N] [saved=CHECKPOINT]".
 func (s *script) check(words []string) {
 	task, _ := s.run(words[1])
 	job, ok := s.state.Job(task.Job)
@@ -286,6 +305,8 @@
 			assert.Equal(s.t, uint64(state.Run), s.number(value), s.where)
 		case "failed":
 			assert.Equal(s.t, uint64(state.Failed), s.number(value), s.where)
+		case "crashes":
+			assert.Equal(s.t, uint64(state.Crashes), s.number(value), s.where)
 		case "saved":
 			assert.Equal(s.t, state.Checkpoint, value, s.where)
 		}
