Log when the capacity of a target changes

The log couldn't tell the hypotheses of docs/incidents/shrinking-capacity.md apart: event 614 says that a target has changed, not what. Event 628 has the capacity before and after, what the runs of the target need, and the sequence number of the announcement, which is decoded and kept with the target for that (field 14; records without it decode to 0). Nothing else uses the number yet.

What a task occupies moves from anvilplace to Step.Occupies, because the log line sums it up as well.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -122,15 +122,6 @@
 	n.taskCounts[key] += count
 }
 
-// need returns the resources that a task of a step occupies. Best-effort tasks run on processors
-// that other tasks leave idle, so they occupy no processor time of their own.
-func need(step anvilwork.Step) anvilwork.Resources {
-	if step.BestEffort {
-		return anvilwork.Resources{Memory: step.Need.Memory, GPU: step.Need.GPU}
-	}
-	return step.Need
-}
-
 // addNodes creates a node for each target, with the runs that are assigned to the target, and groups
 // the nodes into racks.
 func (p *planner) addNodes() {
@@ -176,7 +167,7 @@
 		if info == nil {
 			continue
 		}
-		t := placedRun{task: task, info: info, node: n, need: need(info.job.Spec.Steps[task.Step])}
+		t := placedRun{task: task, info: info, node: n, need: info.job.Spec.Steps[task.Step].Occupies()}
 		t.stopping = info.job.Phase.Ended() || p.Stopping(n.target.ID, task)
 		n.free = n.free.Minus(t.need)
 		if t.stopping {
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -60,7 +60,7 @@
 		if occurrence.Remaining[index] == 0 || !occurrence.Ready(step) {
 			continue
 		}
-		u := &waitingStep{info: info, step: step, need: need(step)}
+		u := &waitingStep{info: info, step: step, need: step.Occupies()}
 		for i := range occurrence.Tasks[index] {
 			state := &occurrence.Tasks[index][i]
 			task := anvilwork.Task{Job: job.ID, Occurrence: k, Step: index, Index: i}
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -141,6 +141,9 @@
 	// Cursor is the number (RunEnd.Number) of the target's latest run end that has been
 	// recorded.
 	Cursor uint64 `cbor:"11,keyasint,omitempty"`
+	// Sequence is the number of the announcement that the record is from. It rises with each
+	// announcement of one incarnation.
+	Sequence uint64 `cbor:"14,keyasint,omitempty"`
 	// Machine is the machine that the target runs on, or empty if unknown. It stays the
 	// same when the incarnation or the id of the target changes.
 	Machine anvilid.MachineID `cbor:"13,keyasint,omitempty"`
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -255,6 +255,9 @@
 		return reply, nil
 	}
 	commands := []anvilwork.Command{command}
+	if command.Announce != nil {
+		l.logCapacityChange(command.Announce.Target)
+	}
 	if command.Leave != nil {
 		commands = append(l.lastEnds(ctx, command.Leave.Target), command)
 	}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -90,6 +90,7 @@
 	MachineListFailed  = define(623, zapcore.WarnLevel, "machines could not be listed; the maintenance wave waits")
 	RunThrottled       = define(624, zapcore.InfoLevel, "throttle percentage of a run was set")
 	LeaderSummary      = define(625, zapcore.InfoLevel, "what the leader has done since the last summary")
+	CapacityChanged    = define(628, zapcore.InfoLevel, "capacity of a target has changed")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
 	ConfigRefused      = define(616, zapcore.InfoLevel, "configuration refused")
 )
