--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -69,6 +69,10 @@
 		assert.Equal(s.t, uint64(s.state.Config().Version), s.number(words[1]), s.where)
 	case "machine":
 		assert.Equal(s.t, MachinesInMaintenance(s.state.Waves())[anvilid.MachineID(words[1])], words[2] == "upkeep", s.where)
+	case "capacity":
+		target, ok := s.state.Target(anvilid.TargetID(words[1]))
+		assert.Assert(s.t, ok, s.where)
+		assert.Equal(s.t, uint64(target.Resources.GPU), s.number(words[2]), s.where)
 	case "completed":
 		wave, ok := s.state.Wave(WaveNumber(s.number(words[1])))
 		assert.Assert(s.t, ok, s.where)
@@ -195,14 +199,21 @@
 	return config
 }
 
-// target parses "target ID INCARNATION [at=ADDRESS] [leaving]".
+// target parses "target ID INCARNATION [at=ADDRESS] [seq=NUMBER] [gpu=COUNT] [leaving]".
 func (s *script) target(words []string) Target {
 	o := options(words[3:])
 	_, leaving := o["leaving"]
-	return Target{
+	target := Target{
 		ID: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Service: "s", Address: anvilid.Address(o["at"] + ":80"),
 		Resources: Resources{CPU: 32000, Memory: 64000, GPU: 8}, Leaving: leaving,
 	}
+	if number, ok := o["seq"]; ok {
+		target.Sequence = s.number(number)
+	}
+	if count, ok := o["gpu"]; ok {
+		target.Resources.GPU = anvilid.AcceleratorCount(s.number(count))
+	}
+	return target
 }
 
 // wave parses "limit=N MACHINE...".
