Ignore announcements of a target that arrive after later ones

What callers would see: starts beyond the capacity of a target that has shrunk (LIMIT). In TestLateAnnouncement and TestLateAnnouncementAtNewLeader a worker shrinks to nothing and its announcement from before arrives 3.3 s later: a task that needs 4 accelerators was started on none.

Cause: of the announcements of one incarnation the last one to arrive won; the sequence number that the platform sends for this was not used. The same held for labels, the address, and the time at which a target leaves.

The replicated state now keeps the sequence number of the announcement that changed a target last, and takes nothing from one with a lower number but the notice that the target leaves: that is acknowledged and never taken back (TestLateNoticeToLeave). As the number is replicated, it holds at a new leader and after a restart. Announcements that change nothing are still not committed. The leader remembers their numbers in memory (TestHeardAnnouncements), which an announcement must not be below either, and a late one is no contact. The record that the tracker writes for an incarnation that it meets before it has announced itself has number 0, which is below all.

Ruled out: that the next announcement corrects it in time. It comes 1.5 s later, and the planner runs every 200 ms. Records and log entries without the number decode to 0, so that old ones apply as before.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -123,6 +123,7 @@
 	}
 	successor := target.record
 	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt = answeredBy, 0, false, 0
+	successor.Sequence = 0 // the incarnation counts its announcements anew
 	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
 }
 
--- /dev/null
+++ b/core/anvilwork/announcement.go
@@ -0,0 +1,21 @@
+package anvilwork
+
+// sentBefore reports whether an announcement was sent before the one that the record of the same incarnation
+// is from. Announcements may overtake each other on their way. One without a sequence number counts as the
+// earliest.
+func (t *Target) sentBefore(record *Target) bool { return t.Sequence < record.Sequence }
+
+// updatedBy returns the record of a target after an announcement of the same incarnation. Of one that was sent
+// before the latest one, only the notice that the target leaves counts, which a target never takes back.
+func (t *Target) updatedBy(announced Target) Target {
+	updated := announced
+	if announced.sentBefore(t) {
+		updated = *t
+	}
+	updated.Cursor, updated.RegisteredAt, updated.LeavesAt = t.Cursor, t.RegisteredAt, t.LeavesAt
+	updated.Leaving = t.Leaving || announced.Leaving
+	if announced.Leaving && (!t.Leaving || !announced.sentBefore(t)) {
+		updated.LeavesAt = announced.LeavesAt
+	}
+	return updated
+}
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -124,11 +124,11 @@
 	case known.Incarnation != target.Incarnation:
 		return known.Incarnation < target.Incarnation
 	}
-	return target.Leaving && !known.Leaving || !sameAttributes(known, &target)
+	return target.Leaving && !known.Leaving || !target.sentBefore(known) && !sameAttributes(known, &target)
 }
 
 // announce stores what a target reports about itself. An announcement of an older
-// incarnation is ignored. A newer incarnation under the same id means that the processes
+// incarnation is ignored, and so is one that an incarnation sent before the latest one. A newer incarnation under the same id means that the processes
 // of the older one have ended. A start request that was sent to the older incarnation may
 // still be executed by the newer one, however, so its runs stay assigned until the target
 // has rejected or ended them.
@@ -138,8 +138,7 @@
 	}
 	known, ok := s.targets[target.ID]
 	if ok && known.Incarnation == target.Incarnation {
-		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
-		target.Leaving = target.Leaving || known.Leaving
+		target = known.updatedBy(target)
 	} else {
 		s.removePreviousAtAddress(target)
 		target.RegisteredAt = s.now
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -87,6 +87,7 @@
 
 	mu    sync.Mutex
 	state *anvilwork.State
+	heard heardAnnouncements
 	// term is the term in which this voter acts as leader, or 0.
 	term anvilid.Term
 	// startedAt is when this process started, on the monotonic clock.
@@ -105,6 +106,7 @@
 	return &Leader{
 		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds, state: anvilwork.New(),
 		stateChanged: make(chan struct{}, 1), keepalives: make(chan keepalive, resultQueueSize), startedAt: clock.Now(),
+		heard: heardAnnouncements{},
 	}
 }
 
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -246,6 +246,12 @@
 		return nil, err
 	}
 	reply := &anvilrpc.AnnounceReply{Done: true, Leader: string(l.group.ID().Instance)}
+	if !call.Left && l.isOutdated(target) {
+		if !target.Leaving {
+			return reply, nil
+		}
+		target.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
+	}
 	command, changes := l.announceCommand(target, call.Left)
 	if !changes {
 		select {
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -91,6 +91,7 @@
 	RunThrottled       = define(624, zapcore.InfoLevel, "throttle percentage of a run was set")
 	LeaderSummary      = define(625, zapcore.InfoLevel, "what the leader has done since the last summary")
 	CapacityChanged    = define(628, zapcore.InfoLevel, "capacity of a target has changed")
+	LateAnnouncement   = define(629, zapcore.InfoLevel, "announcement of a target arrived after a later one")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
 	ConfigRefused      = define(616, zapcore.InfoLevel, "configuration refused")
 )
