Withdraw starts for which a target has no room any more

What callers would see: starts beyond the capacity of a target that has shrunk (LIMIT). In TestStartRepeatedAfterShrink a start gets no answer, the worker shrinks, and 3.3 s later the same start was carried out: 8 accelerators needed of 4.

Cause: the tracker sent the start of a placed run, and sent it again every 200 ms, without a look at the capacity of the target. That lasts as long as the target doesn't answer, its clock isn't known, no connection opens or the leader has no quorum.

Before it sends orders to a target, the tracker now asks for the stop of those pending starts for which the target has no room beside its other runs; what is being stopped still counts. The rest follows as for any other stop: a run whose start has never been sent is unassigned, and one that the target may have is stopped and unassigned once a list without it proves that it isn't there. A start that waits in the sender is checked again right before it goes out (TestTargetShrinksWhileStartWaits); a target that has left or is another incarnation by then counts as shrunk. Runs that a target has confirmed are left alone (TestShrunkBelowRuns).

Weighed: to refuse such placements in Apply. That would make log entries of former versions apply differently on replicas of this one, and would not help with starts that are repeated.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -172,6 +172,7 @@
 		if t.giveUpExpiredRuns(now, target, &effects) {
 			continue
 		}
+		t.withdrawSurplusStarts(target, state)
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
@@ -205,7 +206,7 @@
 			t.startsInFlight++
 		}
 		switch {
-		case r.stopRequested && r.phase == starting && !r.startInFlight && !r.startReached && now >= r.nextStartAt:
+		case r.stopRequested && r.neverSent() && now >= r.nextStartAt:
 			// The start was never sent, so the target can't know the run.
 			effects.Commands = append(effects.Commands,
 				anvilwork.Command{Unassign: &anvilwork.Unassign{Task: task, Run: r.number}})
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -89,8 +89,8 @@
 	AnsweredBy anvilwork.Incarnation
 	// NotSent means that there is no answer because the order was certainly not sent.
 	NotSent bool
-	// Withheld means that the order was not sent because this process isn't certainly the leader any more.
-	// It says nothing about the target.
+	// Withheld means that the order was not sent because this process isn't certainly the leader any more, or
+	// because the capacity of the target has shrunk. It says nothing about whether the target can be reached.
 	Withheld bool
 }
 
--- /dev/null
+++ b/io/anvillead/capacity_test.go
@@ -0,0 +1,45 @@
+package anvillead
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilorder"
+	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvilconn"
+)
+
+// TestTargetShrinksWhileStartWaits guards against sending a start that has waited for others, although the
+// capacity of its target has shrunk in the meantime.
+func TestTargetShrinksWhileStartWaits(t *testing.T) {
+	l := &Leader{state: anvilwork.New()}
+	announce := func(incarnation anvilwork.Incarnation, resources anvilwork.Resources) anvilwork.Target {
+		target := anvilwork.Target{ID: "t", Incarnation: incarnation, Resources: resources}
+		l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: target}}}})
+		return target
+	}
+	s := sender{
+		limits:  newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}),
+		leading: func() bool { return true }, hasShrunk: l.hasShrunk, calls: OutboundCalls{
+			Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
+				return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
+			},
+		},
+	}
+	large := announce(1, anvilwork.Resources{CPU: 8000, GPU: 4})
+	assert.Equal(t, s.start(anvilorder.Start{Target: large}).Verdict, anvilorder.StartAccepted)
+	s.limits.starts <- struct{}{} // the limit is reached, so that the next start waits
+	answer := make(chan anvilorder.StartAnswer)
+	go func() { answer <- s.start(anvilorder.Start{Target: large}) }()
+	small := announce(1, anvilwork.Resources{CPU: 8000, GPU: 2})
+	<-s.limits.starts
+	withheld := <-answer
+	assert.Assert(t, withheld.Withheld && withheld.Verdict == anvilorder.StartNotSent)
+	assert.Equal(t, s.start(anvilorder.Start{Target: small}).Verdict, anvilorder.StartAccepted)
+	announce(1, anvilwork.Resources{CPU: 9000, GPU: 2})
+	assert.Equal(t, s.start(anvilorder.Start{Target: small}).Verdict, anvilorder.StartAccepted, "it has grown")
+	announce(2, anvilwork.Resources{CPU: 9000, GPU: 2})
+	assert.Assert(t, s.start(anvilorder.Start{Target: small}).Withheld, "the next incarnation might carry it out")
+}
--- a/io/anvillead/sender_test.go
+++ b/io/anvillead/sender_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilorder"
+	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvilconn"
 )
 
@@ -46,7 +47,7 @@
 	var leads atomic.Bool
 	leads.Store(true)
 	sent := 0
-	s := sender{limits: newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}), leading: leads.Load, calls: OutboundCalls{
+	s := sender{limits: newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}), leading: leads.Load, hasShrunk: func(anvilwork.Target) bool { return false }, calls: OutboundCalls{
 		Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
 			sent++
 			return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
