Place nothing on a target that is over its capacity

TestOverloadedTarget: a target of 4 accelerators with runs that need 8 got a task that needs a processor and none of the accelerators, and a best-effort one.

Cause: FitCount looked only at the resources that a task needs, and so disagreed with Holds when another one is negative. Until capacities shrank, none ever was: free resources are the capacity less the needs of the assigned runs. With the fix all views of the planner agree, also those with which it counts on runs that are being stopped: it doesn't evict for a job that the target could not take afterwards.

--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -37,8 +37,12 @@
 	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.GPU <= r.GPU
 }
 
-// FitCount returns how many times need fits into r, at most limit.
+// FitCount returns how many times need fits into r, at most limit. Nothing fits if some resource is negative,
+// even if it isn't needed.
 func (r Resources) FitCount(need Resources, limit int) int {
+	if !r.Holds(Resources{}) {
+		return 0
+	}
 	if need.CPU > 0 {
 		limit = min(limit, int(r.CPU/need.CPU))
 	}
