Place nothing that occupies no resources on unavailable targets

What callers would see: a best-effort task that asks for processors only is started on a target that doesn't answer, that is slow or that is claimed for another job.

Found by the random test of capacities; the same cause acted wherever a view returned empty resources.

--- a/core/anvilplace/capacity_test.go
+++ b/core/anvilplace/capacity_test.go
@@ -118,3 +118,19 @@
 		}
 	})
 }
+
+// TestUnavailableTarget guards against placing tasks that occupy no resources on a target that may get none,
+// because it doesn't answer or is claimed for another job.
+func TestUnavailableTarget(t *testing.T) {
+	w := newTestCluster(t, 1, 1, 8)
+	w.submit("fills", "common", "b", anvilwork.Step{Count: 1, Need: anvilwork.Resources{CPU: 1000}, BestEffort: true})
+	input := w.input()
+	input.Usable = func(anvilid.TargetID) bool { return false }
+	assert.Equal(t, len(Plan(input).Placements), 0)
+	w.claimed = map[anvilid.TargetID]anvilid.JobID{"r0-00": "u"}
+	w.submit("u", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true})
+	assert.Equal(t, len(Plan(w.input()).Placements), 0)
+	assert.Equal(t, len(Plan(w.input()).Claims), 1)
+	w.claimed = nil
+	assert.Equal(t, len(Plan(w.input()).Placements), 1)
+}
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -60,7 +60,7 @@
 	}
 	claimed := p.fitAll(u, len(u.tasks), view{resourcesOf: func(n *node) anvilwork.Resources {
 		if n.claimedBy != u.info.job.ID {
-			return anvilwork.Resources{}
+			return noRoom
 		}
 		return n.availableWithin(len(gangClaimHorizons) - 1)
 	}})
@@ -86,10 +86,10 @@
 }
 
 // availableWithin returns the resources that the current job can use on a node once a horizon has passed,
-// if nothing else is placed there until then. horizon is an index of gangClaimHorizons.
+// if nothing else is placed there until then, or noRoom. horizon is an index of gangClaimHorizons.
 func (n *node) availableWithin(horizon int) anvilwork.Resources {
 	if n.unavailable() {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.free.Plus(n.freeing).Plus(n.endingWithin(horizon))
 }
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -56,10 +56,13 @@
 	repricing bool
 }
 
-// available returns the resources that the current job can use now.
+// noRoom are resources in which no task fits, not even one that occupies none (see Resources.FitCount).
+var noRoom = anvilwork.Resources{CPU: -1, Memory: -1, GPU: -1}
+
+// available returns the resources that the current job can use now, or noRoom.
 func (n *node) available() anvilwork.Resources {
 	if n.unavailable() {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.free
 }
@@ -84,19 +87,19 @@
 }
 
 // claimedResources returns the result of freeOrFreeing if the node is claimed for the current job, and
-// no resources otherwise.
+// noRoom otherwise.
 func (n *node) claimedResources() anvilwork.Resources {
 	if n.claimedBy != n.planner.currentJob {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.freeOrFreeing()
 }
 
 // freeOrFreeing returns the resources that the current job can use now or once the runs that are being
-// stopped have ended.
+// stopped have ended, or noRoom.
 func (n *node) freeOrFreeing() anvilwork.Resources {
 	if n.unavailable() {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.free.Plus(n.freeing)
 }
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -142,7 +142,7 @@
 	}
 	return p.fitAll(u, len(members), view{resourcesOf: func(n *node) anvilwork.Resources {
 		if n.unavailable() {
-			return anvilwork.Resources{}
+			return noRoom
 		}
 		return n.free.Plus(released[n])
 	}}) != nil
