Place nothing on an incarnation that hasn't announced itself

Cause: when a call was answered by a later incarnation, the tracker announced that one with the whole record of the former one. Until it announced itself, which may take a beat, it was given work by the capacity, labels and service of the former one.

The record of such an incarnation now has only what stays with the place: id, address, zone, rack and machine. Without a service it is given no work. Its own announcement fills in the rest, and one that was committed before isn't overwritten, because the record has sequence number 0 (TestScripts/capacity).

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -121,10 +121,7 @@
 			anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
 		return
 	}
-	successor := target.record
-	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt = answeredBy, 0, false, 0
-	successor.Sequence = 0 // the incarnation counts its announcements anew
-	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor}})
+	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successorOf(target.record, answeredBy)}})
 }
 
 // HandleStopAnswer processes the answer to a Stop, or the lack of one, and returns the orders to
--- a/core/anvilorder/capacity_test.go
+++ b/core/anvilorder/capacity_test.go
@@ -106,5 +106,6 @@
 	target, _ := w.state.Target("t")
 	assert.Equal(t, target.Incarnation, anvilwork.Incarnation(2))
 	assert.Equal(t, target.Resources, anvilwork.Resources{})
+	assert.Equal(t, target.Service, anvilid.ServiceName(""), "nor is it known to be of the same service")
 	assert.Equal(t, target.Sequence, uint64(0), "its announcements begin to count anew")
 }
