Start nothing by a capacity that was announced too long ago

Cause: a target counted as usable as long as it answered a call or announced itself, and only announcements have the capacity. A target that was cut off for some seconds answers the next poll before its next announcement, which comes up to 1.5 s later; by then its runs have lapsed, and the planner fills it. A new leader trusted the capacities of its predecessor however long ago that had stopped.

Pending starts of other targets are withdrawn as if there were no room (TestStaleCapacity). The time of an announcement is taken on arrival, no longer when the leader's loop gets to it.

--- a/core/anvilorder/capacity.go
+++ b/core/anvilorder/capacity.go
@@ -3,25 +3,26 @@
 import (
 	"slices"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilwork"
 )
 
 // withdrawSurplusStarts requests the stop of runs that are still to be started on a target, or to be started
 // again because a start got no answer, if the target has no room for them any more: its capacity may have
-// shrunk since they were placed. Runs that the target may already have are the first to keep their room. A
-// start that is in flight is looked at once it is answered.
-func (t *Tracker) withdrawSurplusStarts(target *target, state *anvilwork.State) {
+// shrunk since they were placed, or nothing may have been heard of it for too long. Runs that the target may
+// already have are the first to keep their room. A start that is in flight is looked at once it is answered.
+func (t *Tracker) withdrawSurplusStarts(now anvilclock.Millis, target *target, state *anvilwork.State) {
 	reached, unsent := target.pendingStarts()
 	if len(reached)+len(unsent) == 0 {
 		return
 	}
-	load := target.loadWithout(append(reached, unsent...), state)
+	load, known := target.loadWithout(append(reached, unsent...), state), t.knowsCapacity(now, target)
 	for _, task := range reached {
 		load = load.Plus(state.NeedOf(task))
-		target.runs[task].stopRequested = !target.record.Resources.Holds(load)
+		target.runs[task].stopRequested = !known || !target.record.Resources.Holds(load)
 	}
 	for _, task := range unsent {
-		if needed := load.Plus(state.NeedOf(task)); target.record.Resources.Holds(needed) {
+		if needed := load.Plus(state.NeedOf(task)); known && target.record.Resources.Holds(needed) {
 			load = needed
 			continue
 		}
@@ -70,3 +71,19 @@
 		Zone: former.Zone, Rack: former.Rack, Machine: former.Machine,
 	}
 }
+
+// SetStateAge tells the Tracker of a new leader how long ago a former leader made the latest change of the
+// state. What targets have announced since then may have been lost. It must be called before Sync.
+func (t *Tracker) SetStateAge(age anvilclock.Millis) { t.stateAge = max(0, age) }
+
+// ageAnnouncements makes the announcements of all targets as old as the state that this leader took over.
+func (t *Tracker) ageAnnouncements() {
+	for _, target := range t.targets {
+		target.lastAnnounced = t.electedAt - t.stateAge
+	}
+}
+
+// knowsCapacity reports whether the latest announcement of a target is recent enough to start runs there.
+func (t *Tracker) knowsCapacity(now anvilclock.Millis, target *target) bool {
+	return t.timing.MaxAnnouncementAge == 0 || now-target.lastAnnounced <= t.timing.MaxAnnouncementAge
+}
--- a/core/anvilorder/capacity_test.go
+++ b/core/anvilorder/capacity_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
@@ -109,3 +110,39 @@
 	assert.Equal(t, target.Service, anvilid.ServiceName(""), "nor is it known to be of the same service")
 	assert.Equal(t, target.Sequence, uint64(0), "its announcements begin to count anew")
 }
+
+const testAnnouncementAge = 3000 * anvilclock.Millisecond
+
+// TestStaleCapacity guards against starts on a target that answers polls, but whose announcements don't arrive, so
+// that its capacity may have shrunk long ago.
+func TestStaleCapacity(t *testing.T) {
+	w := newWorld(t)
+	w.tracker.timing.MaxAnnouncementAge = testAnnouncementAge
+	w.startBoth(StartUnanswered)
+	w.tracker.RecordAnnouncement(w.now, "t", 1)
+	w.now += testAnnouncementAge
+	w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}})
+	assert.Assert(t, w.tracker.Usable(w.now, "t", testLease))
+	w.now += 2
+	assert.Assert(t, !w.tracker.Usable(w.now, "t", testLease))
+	effects := w.advance(0)
+	assert.Equal(t, len(effects.Starts), 0)
+	assert.Equal(t, len(effects.Stops), 1)
+	assert.Equal(t, effects.Stops[0].Task, taskB)
+	w.tracker.RecordAnnouncement(w.now, "t", 1)
+	assert.Assert(t, w.tracker.Usable(w.now, "t", testLease))
+}
+
+// TestCapacityAtNewLeader guards against a leader that is elected long after the former one was lost, and places
+// runs by capacities that the former one knew.
+func TestCapacityAtNewLeader(t *testing.T) {
+	for _, age := range []anvilclock.Millis{500, testAnnouncementAge + 1} {
+		w := newWorld(t)
+		w.tracker = New(2, w.now, Timing{MaxLease: testLease, PollWait: 2000, RetryInterval: testRetry, MaxAnnouncementAge: testAnnouncementAge})
+		w.tracker.SetStateAge(age)
+		w.tracker.Sync(w.now, w.state)
+		assert.Equal(t, w.tracker.Usable(w.now, "t", testLease), age <= testAnnouncementAge)
+		w.resize(6)
+		assert.Assert(t, w.tracker.Usable(w.now, "t", testLease), "it has announced itself")
+	}
+}
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -9,6 +9,9 @@
 // runs that were assigned or released. It must be called before Next, which reads the jobs
 // of the runs to start from the same state.
 func (t *Tracker) Sync(now anvilclock.Millis, state *anvilwork.State) {
+	if t.state == nil {
+		defer t.ageAnnouncements()
+	}
 	if t.state != state {
 		t.state = state
 		for _, known := range t.targets {
@@ -54,6 +57,9 @@
 	if t.targets[record.ID] != known {
 		t.targets[record.ID], t.order = known, nil
 	}
+	if known.record.Incarnation != record.Incarnation || known.record.Sequence != record.Sequence {
+		known.lastAnnounced = now
+	}
 	known.record = *record
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -20,6 +20,9 @@
 	PollWait anvilclock.Millis
 	// RetryInterval is the pause before an unanswered order is sent again.
 	RetryInterval anvilclock.Millis
+	// MaxAnnouncementAge is how old the latest announcement of a target may be when a run is started
+	// there, because its capacity may have shrunk since. 0 means that there is no such limit.
+	MaxAnnouncementAge anvilclock.Millis
 }
 
 // maxOrderDelay is the longest time after sending an order in which a target may still carry
@@ -82,6 +85,8 @@
 	// lastContact is when the latest answer or announcement of this incarnation arrived, by the leader's
 	// clock.
 	lastContact anvilclock.Millis
+	// lastAnnounced is when the latest announcement of this incarnation arrived, by the leader's clock.
+	lastAnnounced anvilclock.Millis
 	// unansweredCalls counts the consecutive calls without an answer from this incarnation.
 	unansweredCalls int
 	// committingEnd is the number of the latest run end for which a commit was requested.
@@ -100,7 +105,9 @@
 	token     anvilid.Token
 	timing    Timing
 	electedAt anvilclock.Millis
-	targets   map[anvilid.TargetID]*target
+	// stateAge is how old the state was that this leader took over, see SetStateAge.
+	stateAge anvilclock.Millis
+	targets  map[anvilid.TargetID]*target
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
 	state *anvilwork.State
 	// startsInFlight is the result of StartsInFlight.
@@ -147,16 +154,17 @@
 // target (see Usable). An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
 	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
-		target.lastContact = now
+		target.lastContact, target.lastAnnounced = max(target.lastContact, now), max(target.lastAnnounced, now)
 	}
 }
 
 // Usable reports whether a target may be given new work: it answered a call or announced itself
-// within the last span, it answered the latest call, and it hasn't rejected a start within
-// refusalPause.
+// within the last span, its capacity is known well enough, it answered the latest call, and it hasn't
+// rejected a start within refusalPause.
 func (t *Tracker) Usable(now anvilclock.Millis, id anvilid.TargetID, span anvilclock.Millis) bool {
 	target := t.targets[id]
-	return target != nil && target.unansweredCalls == 0 && now-target.lastContact <= span && now >= target.pausedUntil
+	return target != nil && target.unansweredCalls == 0 && now-target.lastContact <= span && now >= target.pausedUntil &&
+		t.knowsCapacity(now, target)
 }
 
 // Next returns the orders that are due now and the commands to commit. The caller must have passed
@@ -172,7 +180,7 @@
 		if t.giveUpExpiredRuns(now, target, &effects) {
 			continue
 		}
-		t.withdrawSurplusStarts(target, state)
+		t.withdrawSurplusStarts(now, target, state)
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -99,6 +99,7 @@
 type keepalive struct {
 	target      anvilid.TargetID
 	incarnation anvilwork.Incarnation
+	at          anvilclock.Millis // when it arrived, by the monotonic clock
 }
 
 // New returns the scheduler of a voter. Call Attach before Run.
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -65,9 +65,12 @@
 
 func newLeadership(l *Leader, term anvilid.Term) *leadership {
 	now := l.clock.Now()
+	tracker := anvilorder.New(anvilid.Token(term), now, l.bounds.Orders)
+	l.mu.Lock()
+	tracker.SetStateAge(l.logTime() - l.state.LatestChange())
+	l.mu.Unlock()
 	return &leadership{
-		Leader: l, term: term, planNeeded: true,
-		tracker: anvilorder.New(anvilid.Token(term), now, l.bounds.Orders),
+		Leader: l, term: term, planNeeded: true, tracker: tracker,
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
 		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize),
@@ -103,7 +106,7 @@
 	case result := <-r.callResults:
 		r.handleResult(result)
 	case keepalive := <-r.keepalives:
-		r.tracker.RecordAnnouncement(r.clock.Now(), keepalive.target, keepalive.incarnation)
+		r.tracker.RecordAnnouncement(keepalive.at, keepalive.target, keepalive.incarnation)
 	}
 	for {
 		select {
@@ -112,7 +115,7 @@
 		case result := <-r.callResults:
 			r.handleResult(result)
 		case keepalive := <-r.keepalives:
-			r.tracker.RecordAnnouncement(r.clock.Now(), keepalive.target, keepalive.incarnation)
+			r.tracker.RecordAnnouncement(keepalive.at, keepalive.target, keepalive.incarnation)
 		default:
 			return
 		}
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -255,7 +255,7 @@
 	command, changes := l.announceCommand(target, call.Left)
 	if !changes {
 		select {
-		case l.keepalives <- keepalive{target.ID, target.Incarnation}:
+		case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
 		default: // the channel is full; the target announces itself again soon
 		}
 		return reply, nil
