--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -134,9 +134,7 @@
 			anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
 		return
 	}
-	successor := target.record
-	successor.Incarnation, successor.Cursor, successor.Leaving, successor.LeavesAt = answeredBy, 0, false, 0
-	successor.DepartedAt, successor.Displaced = 0, false
+	successor := successorOf(target.record, answeredBy)
 	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor, Answered: true}})
 }
 
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -9,6 +9,9 @@
 // runs that were assigned or released. It must be called before Next, which reads the jobs
 // of the runs to start from the same state.
 func (t *Tracker) Sync(now anvilclock.Millis, state *anvilwork.State) {
+	if t.state == nil {
+		defer t.ageAnnouncements()
+	}
 	if t.state != state {
 		t.state = state
 		for _, known := range t.targets {
@@ -58,6 +61,9 @@
 		// Whether the target has ended decides when its runs are placed again.
 		known.departureSeenAt, known.nextPollAt, known.pollNow = now, now, true
 	}
+	if known.record.Incarnation != record.Incarnation || known.record.Sequence != record.Sequence {
+		known.lastAnnounced = now
+	}
 	known.record = *record
 	for task, number := range assigned {
 		if known.runs[task] == nil || known.runs[task].number != number {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -20,6 +20,9 @@
 	PollWait anvilclock.Millis
 	// RetryInterval is the pause before an unanswered order is sent again.
 	RetryInterval anvilclock.Millis
+	// MaxAnnouncementAge is how old the latest announcement of a target may be when a run is started
+	// there, because its capacity may have shrunk since. 0 means that there is no such limit.
+	MaxAnnouncementAge anvilclock.Millis
 }
 
 // maxRepeatedStarts is the number of unanswered copies of a start after which no further one is sent until the target
@@ -98,6 +101,8 @@
 	// lastContact is when the latest answer or announcement of this incarnation arrived, by the leader's
 	// clock.
 	lastContact anvilclock.Millis
+	// lastAnnounced is when the latest announcement of this incarnation arrived, by the leader's clock.
+	lastAnnounced anvilclock.Millis
 	// unansweredCalls counts the consecutive calls without an answer from this incarnation.
 	unansweredCalls int
 	// committingEnd is the number of the latest run end for which a commit was requested.
@@ -125,7 +130,9 @@
 	token     anvilid.Token
 	timing    Timing
 	electedAt anvilclock.Millis
-	targets   map[anvilid.TargetID]*target
+	// stateAge is how old the state was that this leader took over, see SetStateAge.
+	stateAge anvilclock.Millis
+	targets  map[anvilid.TargetID]*target
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
 	state      *anvilwork.State
 	lateStarts lateStarts
@@ -176,17 +183,18 @@
 // answers. An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
 	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
-		target.lastContact = now
+		target.lastContact, target.lastAnnounced = max(target.lastContact, now), max(target.lastAnnounced, now)
 		target.pollNow = target.pollNow || target.unansweredCalls > 0
 	}
 }
 
 // Usable reports whether a target may be given new work: it answered a call or announced itself
-// within the last span, it answered the latest call, and it hasn't rejected a start within
-// refusalPause.
+// within the last span, its capacity is known well enough, it answered the latest call, and it hasn't
+// rejected a start within refusalPause.
 func (t *Tracker) Usable(now anvilclock.Millis, id anvilid.TargetID, span anvilclock.Millis) bool {
 	target := t.targets[id]
-	return target != nil && target.unansweredCalls == 0 && now-target.lastContact <= span && now >= target.pausedUntil
+	return target != nil && target.unansweredCalls == 0 && now-target.lastContact <= span && now >= target.pausedUntil &&
+		t.knowsCapacity(now, target)
 }
 
 // Next returns the orders that are due now and the commands to commit. The caller must have passed
@@ -211,6 +219,7 @@
 			target.reportInherited(&effects)
 		}
 		t.barLateStarts(now, target, &effects)
+		t.withdrawSurplusStarts(now, target, state)
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
@@ -277,7 +286,7 @@
 			t.startsInFlight++
 		}
 		switch {
-		case r.stopRequested && r.phase == starting && !r.startInFlight && !r.startReached && now >= r.nextStartAt:
+		case r.stopRequested && r.neverSent() && now >= r.nextStartAt:
 			// The start was never sent, so the target can't know the run.
 			effects.Commands = append(effects.Commands,
 				anvilwork.Command{Unassign: &anvilwork.Unassign{Task: task, Run: r.number}})
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -60,10 +60,13 @@
 	repricing bool
 }
 
-// available returns the resources that the current job can use now.
+// noRoom are resources in which no task fits, not even one that occupies none (see Resources.FitCount).
+var noRoom = anvilwork.Resources{CPU: -1, Memory: -1, GPU: -1}
+
+// available returns the resources that the current job can use now, or noRoom.
 func (n *node) available() anvilwork.Resources {
 	if n.unavailable() {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.free
 }
@@ -88,19 +91,19 @@
 }
 
 // claimedResources returns the result of freeOrFreeing if the node is claimed for the current job, and
-// no resources otherwise.
+// noRoom otherwise.
 func (n *node) claimedResources() anvilwork.Resources {
 	if n.claimedBy != n.planner.currentJob {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.freeOrFreeing()
 }
 
 // freeOrFreeing returns the resources that the current job can use now or once the runs that are being
-// stopped have ended.
+// stopped have ended, or noRoom.
 func (n *node) freeOrFreeing() anvilwork.Resources {
 	if n.unavailable() {
-		return anvilwork.Resources{}
+		return noRoom
 	}
 	return n.free.Plus(n.freeing)
 }
@@ -130,15 +133,6 @@
 	n.taskCounts[key] += count
 }
 
-// need returns the resources that a task of a step occupies. Best-effort tasks run on processors
-// that other tasks leave idle, so they occupy no processor time of their own.
-func need(step anvilwork.Step) anvilwork.Resources {
-	if step.BestEffort {
-		return anvilwork.Resources{Memory: step.Need.Memory, GPU: step.Need.GPU}
-	}
-	return step.Need
-}
-
 // addNodes creates a node for each target, with the runs that are assigned to the target, and groups
 // the nodes into racks.
 func (p *planner) addNodes() {
@@ -184,7 +178,7 @@
 		if info == nil {
 			continue
 		}
-		t := placedRun{task: task, info: info, node: n, need: need(info.job.Spec.Steps[task.Step])}
+		t := placedRun{task: task, info: info, node: n, need: info.job.Spec.Steps[task.Step].Occupies()}
 		t.stopping = info.job.Phase.Ended() || p.Stopping(n.target.ID, task)
 		n.free = n.free.Minus(t.need)
 		if t.stopping {
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -127,11 +127,11 @@
 	case known.Incarnation != target.Incarnation:
 		return known.Incarnation < target.Incarnation
 	}
-	return target.Leaving && !known.Leaving || !sameAttributes(known, &target)
+	return target.Leaving && !known.Leaving || !target.sentBefore(known) && !sameAttributes(known, &target)
 }
 
 // announce stores what a target reports about itself. An announcement of an older
-// incarnation is ignored. A newer incarnation under the same id means that the processes
+// incarnation is ignored, and so is one that an incarnation sent before the latest one. A newer incarnation under the same id means that the processes
 // of the older one have ended. A start request that was sent to the older incarnation may
 // still be executed by the newer one, however, so its runs stay assigned until the target
 // has rejected or ended them.
@@ -143,9 +143,7 @@
 		return Unchanged
 	}
 	if ok && known.Incarnation == target.Incarnation {
-		target.Cursor, target.RegisteredAt = known.Cursor, known.RegisteredAt
-		target.DepartedAt, target.Displaced = known.DepartedAt, known.Displaced
-		target.Leaving, target.Silence = target.Leaving || known.Leaving, known.Silence
+		target = known.updatedBy(target)
 	} else {
 		s.recordCrashes(target)
 		s.departPreviousAtAddress(target)
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -89,6 +89,7 @@
 	state *anvilwork.State
 	// pendingCrashes has the crashes of targets that the leader has not logged yet.
 	pendingCrashes []anvilwork.Crash
+	heard          heardAnnouncements
 	// term is the term in which this voter acts as leader, or 0.
 	term anvilid.Term
 	// startedAt is when this process started, on the monotonic clock.
@@ -100,6 +101,7 @@
 type keepalive struct {
 	target      anvilid.TargetID
 	incarnation anvilwork.Incarnation
+	at          anvilclock.Millis // when it arrived, by the monotonic clock
 }
 
 // New returns the scheduler of a voter. Call Attach before Run.
@@ -107,6 +109,7 @@
 	return &Leader{
 		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds, state: anvilwork.New(),
 		stateChanged: make(chan struct{}, 1), keepalives: make(chan keepalive, resultQueueSize), startedAt: clock.Now(),
+		heard: heardAnnouncements{},
 	}
 }
 
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -249,12 +249,18 @@
 		reply.Done = l.depart(ctx, target.ID)
 		return reply, nil
 	}
+	if l.isOutdated(target) {
+		if !target.Leaving {
+			return reply, nil
+		}
+		target.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
+	}
 	l.mu.Lock()
 	changes, assigned := l.state.AnnouncementHasEffect(target), len(l.state.Runs(target.ID))
 	l.mu.Unlock()
 	if !changes {
 		select {
-		case l.keepalives <- keepalive{target.ID, target.Incarnation}:
+		case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
 		default: // the channel is full; the target announces itself again soon
 		}
 		return reply, nil
@@ -266,6 +272,9 @@
 // commitTarget commits a command that changes a target, to which runs are assigned before the change. It
 // reports whether the command was committed.
 func (l *Leader) commitTarget(ctx context.Context, target anvilwork.Target, runs int, command anvilwork.Command) bool {
+	if command.Announce != nil {
+		l.logCapacityChange(target)
+	}
 	if _, err := l.commit(ctx, command); err != nil {
 		l.log.Write(anvillogs.CommitFailed, zap.String("target", string(target.ID)), zap.Error(err))
 		return false
