--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -50,6 +50,9 @@
 	ListMachines func(context.Context) (map[anvilid.MachineID]anvilupkeep.Machine, error)
 	// OrderUpkeep requests the maintenance (upkeep) of one host machine.
 	OrderUpkeep func(context.Context, anvilupkeep.Order, anvilid.Token) (anvilupkeep.OrderResult, error)
+	// Ignored returns the number of entries in answers, and of announcements, that could not be used
+	// and were ignored since the start of the process.
+	Ignored func() uint64
 }
 
 // Bounds contains the times and numbers that the leader takes from the platform's
--- a/io/anvillead/summary.go
+++ b/io/anvillead/summary.go
@@ -43,11 +43,13 @@
 	// placed counts the runs that were placed, and waiting is the number of jobs without a run at the
 	// latest plan.
 	placed, waiting int
+	// ignoredBefore is OutboundCalls.Ignored when the summary was begun.
+	ignoredBefore uint64
 }
 
-func newSummary(now anvilclock.Millis) *summary {
+func newSummary(now anvilclock.Millis, ignored uint64) *summary {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(maxMeasured), 2) }
-	return &summary{since: now, plan: histogram(), commit: histogram(), start: histogram(), urgentStart: histogram()}
+	return &summary{since: now, ignoredBefore: ignored, plan: histogram(), commit: histogram(), start: histogram(), urgentStart: histogram()}
 }
 
 // record adds a duration to a histogram. Longer ones than maxMeasured count as maxMeasured.
@@ -95,6 +97,7 @@
 	if now-r.summary.since < summaryInterval {
 		return
 	}
-	r.log.Write(anvillogs.LeaderSummary, r.summary.fields()...)
-	r.summary = newSummary(now)
+	ignored := r.calls.Ignored()
+	r.log.Write(anvillogs.LeaderSummary, append(r.summary.fields(), zap.Uint64("ignored", ignored-r.summary.ignoredBefore))...)
+	r.summary = newSummary(now, ignored)
 }
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -82,7 +82,7 @@
 	TargetLeaseExpired = define(613, zapcore.WarnLevel, "target does not answer and its lease has expired; its runs are placed again")
 	TargetUpdated      = define(614, zapcore.InfoLevel, "target was added, changed or removed")
 	TargetUnanswered   = define(617, zapcore.WarnLevel, "call to a target got no answer")
-	ListEntryInvalid   = define(618, zapcore.ErrorLevel, "invalid entry in a target's list of runs was ignored")
+	EntryIgnored       = define(618, zapcore.WarnLevel, "entry of a list, or announcement, that can't be used was ignored")
 	JobEndRecorded     = define(619, zapcore.InfoLevel, "end of a job recorded by the leader")
 	AdviceRequested    = define(620, zapcore.InfoLevel, "asked the advice service which targets may run a step")
 	WaveStarted        = define(621, zapcore.InfoLevel, "maintenance wave accepted")
