Acknowledge no end whose number is out of range

What callers saw: after one entry numbered 2^63 in a target's list of ended runs, no later end of that target counted until it started anew. It was told that all its ends are known and forgot them, so that work that was done was started again.

Cause: the cursor of a target moved to the highest number listed, whatever it was, in the replicated state as well.

Evidence: anvilorder.TestOddEndNumber failed (cursor after an end of an unknown task) and passes now for 2^63, 2^64-1 and 2^40. Ends without an entry out of range are recorded as before (the other tests of anvilorder).

Fix: an end counts only if its number is at most 65,536 above the one before it; the later ones of the list wait until it is gone. A wrong number within that range can't be told from a right one.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -19,6 +19,9 @@
 	// maxFailedFirstCalls is the number of consecutive calls that may fail before the runs of a target are
 	// given up to which this leader has sent no lease.
 	maxFailedFirstCalls = 3
+	// maxEndGap is the largest difference between the numbers of two ends that follow each other. Targets
+	// number their ends upwards by one and list 500 at a time, so a larger one is no number of an end.
+	maxEndGap = 1 << 16
 )
 
 // targetOfAnswer returns the target that sent an answer, and records the reading of its
@@ -199,14 +202,27 @@
 	effects.Commands = append(effects.Commands, anvilwork.Command{RecordRunEnds: record})
 }
 
+// EndInRange reports whether an end with this number may follow the one at cursor.
+func EndInRange(cursor, number uint64) bool { return number > cursor && number-cursor <= maxEndGap }
+
 // RecordEnds returns the command that records those ends in a target's list whose numbers are above cursor,
-// in the order of their numbers, or nil if there are none.
+// in the order of their numbers, or nil if there are none. It leaves out the ends from the first one on that
+// isn't in range: once its number is acknowledged, the target forgets all ends below.
 func RecordEnds(target anvilwork.Target, listed []anvilwork.RunEnd, cursor uint64) *anvilwork.RecordRunEnds {
-	ends := slices.DeleteFunc(slices.Clone(listed), func(end anvilwork.RunEnd) bool { return end.Number <= cursor })
+	sorted := slices.SortedFunc(slices.Values(listed), func(a, b anvilwork.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
+	var ends []anvilwork.RunEnd
+	for _, end := range sorted {
+		if end.Number <= cursor {
+			continue
+		}
+		if !EndInRange(cursor, end.Number) {
+			break
+		}
+		ends, cursor = append(ends, end), end.Number
+	}
 	if len(ends) == 0 {
 		return nil
 	}
-	slices.SortFunc(ends, func(a, b anvilwork.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
 	return &anvilwork.RecordRunEnds{Target: target.ID, Incarnation: target.Incarnation, Ends: ends}
 }
 
