Poll a target with an unusable end at intervals

What callers saw: one end that can't be used in a target's list (a task name or an outcome that isn't known, a number that can't be read) made the leader poll that target without a pause, because a target answers at once for as long as its list has an end that isn't acknowledged.

Cause: such an end was left out before its number was looked at, so that the cursor never passed it, and the next poll was due at once after an answer.

If the number can't be read either, the target is polled at the interval of retries.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -185,6 +185,10 @@
 	}
 	target.recordContact(answer.Answer)
 	target.adopted, target.nextPollAt = true, now
+	if answer.UnusableEnds > 0 {
+		// The target answers without waiting as long as its list has an end that isn't acknowledged.
+		target.nextPollAt = now + t.timing.RetryInterval
+	}
 	target.ackedCursor = max(target.ackedCursor, answer.Order.Cursor)
 	t.commitEnds(target, answer, &effects)
 	t.reconcileRuns(now, target, answer, &effects)
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -132,6 +132,9 @@
 	FromOtherIncarnation bool // another incarnation answered
 	Running              []Running
 	Ended                []anvilwork.RunEnd
+	// UnusableEnds is the number of listed ends that can't be used and have no number that could be
+	// acknowledged. They stay in the target's list.
+	UnusableEnds int
 }
 
 // Effects are what the caller must do after a call of a Tracker: send the orders and commit
