Refuse a job whose id can't be part of a task's name

What callers saw: a job with a dot in its id was accepted, and its task was started again and again, each time after it was done (more than 20 times in 3 s in the test), on capacity that others needed.

Cause: the leader took any rest of the path as the id. The name of a task is the id and three numbers, separated by dots; a name with more parts is no name to the reader of a target's list, so that neither the run nor its end was ever found there.

Evidence: platform.TestOddJobID failed with 200 for each of its ids and with "runs again after it was done", and passes now. Ids with a slash, a line end or 10,000 bytes ran once, but are refused too: targets get them in headers and log lines.

Fix: ids are 1 to 256 visible ASCII characters without slash, percent sign and dot; 400 says so. A job that was accepted earlier is acknowledged as before.

--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"strings"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
@@ -139,6 +140,16 @@
 	return nil
 }
 
+// CheckJobID returns an error that wraps ErrSpec if a job can't have this id: it becomes a part of its tasks' names,
+// whose parts are separated by dots.
+func CheckJobID(id anvilid.JobID) error {
+	if !anvilid.ValidID(string(id)) || strings.Contains(string(id), ".") {
+		return fmt.Errorf("%w: the id of the job is empty, too long or has characters other than visible ASCII without slash, percent sign and dot",
+			ErrSpec)
+	}
+	return nil
+}
+
 func (s *Step) check(index int) error {
 	need := s.Need
 	if s.Count < 1 || s.Count > maxTasks || need.CPU < 0 || need.Memory < 0 || need.GPU < 0 || s.MaxPerTarget < 0 || s.Estimate < 0 || s.MaxUnavailable < 0 {
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -141,6 +141,9 @@
 	if known {
 		return &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE}
 	}
+	if err := anvilwork.CheckJobID(id); err != nil {
+		return refusalReply(anvilrpc.JobCode_JOB_CODE_INVALID, err.Error())
+	}
 	_, err := l.commit(ctx, anvilwork.Command{Submit: &anvilwork.Submit{
 		Job: id, Account: account, Queue: queue.Name, Policy: queue.Policy, Spec: spec,
 	}})
