Bound the numbers of configurations and jobs

What callers saw: a time of 1e300 ms in a configuration or a job became 2^63-1 ms (on arm64; Go leaves the result to the processor, and amd64 gives the smallest number). Added to a time of day it is below zero, so that a deadline is long past; voters of two kinds would plan differently. A task that needs 2^63-1 of a resource made sums over waiting tasks overflow.

Cause: floats were converted to whole milliseconds without a look at their range, and amounts were checked for negative values only.

Evidence: platform.TestNumbersOutOfRange failed for each number and passes now; on arm64 only, amd64 wasn't run.

Fix: anvilclock.FromFloat ends at 2^42 ms either way (the year 2109), so that sums and products stay in range. A task that needs more than 2^30 of a resource is refused, as one that needs less than 0 is.

--- a/core/anvilclock/clock.go
+++ b/core/anvilclock/clock.go
@@ -24,6 +24,16 @@
 // FromDuration converts a time.Duration, rounding towards zero.
 func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
 
+// maxMillis limits what FromFloat returns: times until the year 2109, which can be added up and converted to
+// the type of package time without an overflow.
+const maxMillis Millis = 1 << 42
+
+// FromFloat converts a number of milliseconds from a document, rounding towards zero. Numbers out of range become
+// the nearest one in range; without that, the result would depend on the processor.
+func FromFloat(ms float64) Millis {
+	return Millis(max(-float64(maxMillis), min(ms, float64(maxMillis))))
+}
+
 // Clock reads the current time. Tests replace Now.
 type Clock struct {
 	Now func() Millis
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -23,6 +23,16 @@
 	GPU    anvilid.AcceleratorCount `cbor:"3,keyasint,omitempty"`
 }
 
+// maxResource is the largest amount of one resource that a target can have or a task can need. The sums over all
+// targets and tasks stay far from an overflow.
+const maxResource = 1 << 30
+
+// InRange reports whether no amount is below zero or above the largest one that can be used.
+func (r Resources) InRange() bool {
+	lowest, highest := min(int64(r.CPU), int64(r.Memory), int64(r.GPU)), max(int64(r.CPU), int64(r.Memory), int64(r.GPU))
+	return lowest >= 0 && highest <= maxResource
+}
+
 // Plus returns r plus other, separately for each resource.
 func (r Resources) Plus(other Resources) Resources {
 	return Resources{CPU: r.CPU + other.CPU, Memory: r.Memory + other.Memory, GPU: r.GPU + other.GPU}
@@ -152,7 +162,7 @@
 
 func (s *Step) check(index int) error {
 	need := s.Need
-	if s.Count < 1 || s.Count > maxTasks || need.CPU < 0 || need.Memory < 0 || need.GPU < 0 || s.MaxPerTarget < 0 || s.Estimate < 0 || s.MaxUnavailable < 0 {
+	if s.Count < 1 || s.Count > maxTasks || !need.InRange() || s.MaxPerTarget < 0 || s.Estimate < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("%w: the task count, resources, estimate or a limit of step %d is out of range", ErrSpec, index)
 	}
 	for _, earlier := range s.After {
