--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -3,19 +3,18 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilcodec"
 	"anvilshunt/core/anvilid"
 )
 
 // Encode returns the CBOR encoding of a batch as it is stored in the replicated log.
-func Encode(batch Batch) ([]byte, error) { return cbor.Marshal(batch) }
+func Encode(batch Batch) ([]byte, error) { return anvilcodec.Encode(batch) }
 
 // Decode parses a batch that Encode wrote.
 func Decode(data []byte) (Batch, error) {
 	var batch Batch
-	err := cbor.Unmarshal(data, &batch)
+	err := anvilcodec.Decode(data, &batch)
 	return batch, err
 }
 
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -5,9 +5,8 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilcodec"
 	"anvilshunt/core/anvilid"
 )
 
@@ -146,7 +145,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.departed)) {
 		image.Departed = append(image.Departed, s.departed[id])
 	}
-	return cbor.Marshal(image)
+	return anvilcodec.Encode(image)
 }
 
 // compareJobs orders jobs by time of acceptance, and by id if these are equal.
@@ -163,7 +162,7 @@
 // Restore returns the state that Snapshot encoded.
 func Restore(data []byte) (*State, error) {
 	var image snapshot
-	if err := cbor.Unmarshal(data, &image); err != nil {
+	if err := anvilcodec.Decode(data, &image); err != nil {
 		return nil, err
 	}
 	s := New()
