Refuse reports of targets that can't be used

What callers saw: on the own interface, a target that announces port 99999 or none, an id with a slash or a line end, or 2^63-1 slots was stored in the replicated log. Its owner can't adopt it, and the sums over a service (free slots) and over a rack (accelerators) overflow, by which the requests of others are admitted and their jobs checked (found by reading).

Cause: only the presence and the sign of the fields were checked.

Fix: Report.Check asks for an IP address with a port, an id that a path can carry, names of at most 1,024 bytes, numbers up to 2^20 and an age of at most an hour. What is refused counts in the metric ignored and is logged as event 618, folded while it repeats. The state machine itself stays as it is, so that a log that has such targets gives the same state as before.

--- a/core/anvilreport/report.go
+++ b/core/anvilreport/report.go
@@ -68,13 +68,24 @@
 	Tasks           []Task                  `json:"tasks,omitempty"`
 }
 
+// maxCount is the largest number of slots, connections or accelerators of a target. The sums over all targets
+// stay far from an overflow.
+const maxCount = 1 << 20
+
+// maxUsageAge is the largest age of a usage that can be reported.
+const maxUsageAge = anvilclock.Hour
+
 // Check returns an error that wraps ErrInvalid and names the first invalid field, or nil.
 func (r *Report) Check() error {
 	switch {
 	case r.Target == "":
 		return fmt.Errorf("%w: field \"target\" is missing", ErrInvalid)
+	case !anvilid.ValidID(string(r.Target)):
+		return fmt.Errorf("%w: the target's id %.100q is too long or has characters that no path can carry", ErrInvalid, r.Target)
 	case r.Address == "":
 		return fmt.Errorf("%w: target %q has no field \"address\"", ErrInvalid, r.Target)
+	case !r.Address.Valid():
+		return fmt.Errorf("%w: target %q has the address %.100q; use an IP address and a port from 1 to 65535", ErrInvalid, r.Target, r.Address)
 	case r.Service == "":
 		return fmt.Errorf("%w: target %q has no field \"service\"", ErrInvalid, r.Target)
 	case r.Slots <= 0:
@@ -85,6 +96,22 @@
 		return fmt.Errorf("%w: target %q has %d accelerators; use 0 or more", ErrInvalid, r.Target, r.Accelerators)
 	case r.UsedSlots < 0 || r.OpenConnections < 0 || r.UsageAge < 0:
 		return fmt.Errorf("%w: target %q reports negative usage", ErrInvalid, r.Target)
+	case max(int(r.Slots), int(r.Connections), int(r.Accelerators), int(r.UsedSlots), int(r.OpenConnections)) > maxCount || r.UsageAge > maxUsageAge:
+		return fmt.Errorf("%w: target %q reports a number above %d, or an age above %d ms", ErrInvalid, r.Target, maxCount, maxUsageAge)
+	}
+	for _, name := range []string{string(r.Service), string(r.Region), string(r.Zone), string(r.Rack)} {
+		if !anvilid.ValidText(name) {
+			return fmt.Errorf("%w: a name in the report of target %q is too long or not valid UTF-8", ErrInvalid, r.Target)
+		}
+	}
+	return r.checkTasks()
+}
+
+func (r *Report) checkTasks() error {
+	for _, task := range r.Tasks {
+		if task.Member < 0 || task.Accelerators < 0 || task.Accelerators > maxCount {
+			return fmt.Errorf("%w: target %q reports a task with a member or accelerators out of range", ErrInvalid, r.Target)
+		}
 	}
 	return nil
 }
--- a/io/anvilhttp/api.go
+++ b/io/anvilhttp/api.go
@@ -36,7 +36,9 @@
 	Run     func(*anvilrequest.Request) anvilrequest.Answer
 	// Announce processes the announcement of a target and returns the address of its owner.
 	Announce func(context.Context, *Report) (anvilid.Address, error)
-	Ready    func() bool
+	// IgnoreAnnouncement counts and logs the body of an announcement that can't be used.
+	IgnoreAnnouncement func(body []byte, err error)
+	Ready              func() bool
 	// Draining reports whether the instance is shutting down. If it is, each answer closes its
 	// connection. Draining may be nil.
 	Draining func() bool
--- a/io/anvilhttp/jobs.go
+++ b/io/anvilhttp/jobs.go
@@ -125,9 +125,11 @@
 	}
 	report := &Report{}
 	if err := json.Unmarshal(data, report); err != nil {
+		s.api.IgnoreAnnouncement(data, err)
 		return writeError(c, http.StatusBadRequest, "bad_request", "the announcement can't be decoded: "+err.Error())
 	}
 	if err := report.Check(); err != nil {
+		s.api.IgnoreAnnouncement(data, err)
 		return writeError(c, http.StatusBadRequest, "bad_request", err.Error())
 	}
 	owner, err := s.api.Announce(c.Request().Context(), report)
--- a/io/anvilserver/api.go
+++ b/io/anvilserver/api.go
@@ -27,6 +27,8 @@
 			owner, err := s.Announce(ctx, report)
 			return owner, announceError(err)
 		},
+		IgnoreAnnouncement: func(body []byte, err error) { s.ignored.Add("announcements", "", body, err) },
+
 		Ready:           s.Ready,
 		Draining:        s.draining,
 		Status:          s.status,
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -43,6 +43,7 @@
 	clock    anvilclock.Clock
 	wall     anvilclock.Clock
 	log      *anvillogs.Logger
+	ignored  *anvillogs.Ignored
 	listen   func(network, address string) (net.Listener, error)
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	disk     []anvildisk.Option
@@ -102,6 +103,7 @@
 		opt(s)
 	}
 	s.log = s.log.With(zap.String("instance", string(settings.Instance)))
+	s.ignored = anvillogs.NewIgnored(s.clock, s.log, anvillogs.EntryIgnored)
 	s.incarnation.Store(uint64(s.wall.Now()))
 	s.metrics = newMetrics()
 	linkOptions := []anvillink.Option{anvillink.WithByteCounters(s.metrics.linkBytes)}
