Give machines missing from a partial list their maintenance

What callers would see: a wave that is reported as completed although a machine of it had no maintenance. Since an entry that can't be used is left out of the list of machines, and a list without an end is cut off, a machine may be missing because of that, and the coordinator took it for gone.

Cause: a list of which a part could not be read looked like a complete one.

Fix: the list says that it is partial. Missing machines are then taken from the announcements of the targets, so that they are drained as usual, and one that no target has announced is ordered: the platform answers 400 if there is no such machine, by which it is done.

--- a/core/anvilupkeep/coordinator.go
+++ b/core/anvilupkeep/coordinator.go
@@ -41,6 +41,17 @@
 	// Sent is when the list was requested from the platform. It is zero until a list is known.
 	Sent     anvilclock.Millis
 	Machines map[anvilid.MachineID]Machine
+	// Partial means that a part of the list could not be read, so that machines that aren't in Machines may
+	// exist all the same.
+	Partial bool
+}
+
+// AddAnnounced adds a machine that a target has announced, if a part of the list could not be read and the machine
+// isn't in the rest.
+func (l *MachineList) AddAnnounced(id anvilid.MachineID, target anvilid.TargetID) {
+	if _, listed := l.Machines[id]; l.Partial && !listed && id != "" {
+		l.Machines[id] = Machine{Up: true, Target: target}
+	}
 }
 
 // Load describes the runs on a target: their number (Runs), and what stopping them would mean.
@@ -143,7 +154,7 @@
 
 // candidates returns the waiting machines that can be drained now, ordered by the work that is lost
 // if their runs are stopped, the least first. Machines that the platform no longer lists are marked
-// as done.
+// as done. If a part of the list could not be read, the order for such a machine shows whether it exists.
 func (c *Coordinator) candidates(wave *anvilwork.Wave, list MachineList, load func(anvilid.TargetID) Load, effects *Effects) []anvilid.MachineID {
 	var found []anvilid.MachineID
 	for _, m := range wave.Machines {
@@ -152,9 +163,9 @@
 		}
 		machine, known := list.Machines[m.Machine]
 		switch {
-		case !known:
+		case !known && !list.Partial:
 			addPhaseChange(effects, wave, m.Machine, anvilwork.WaveDone)
-		case machine.Up && !load(machine.Target).Protected:
+		case (machine.Up || !known) && !load(machine.Target).Protected:
 			found = append(found, m.Machine)
 		}
 	}
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -46,8 +46,8 @@
 	Throttle func(context.Context, anvilpace.ThrottleOrder) bool
 	// Advise asks the advice service which targets may run a step of a job.
 	Advise func(context.Context, anviladvice.Question) (anviladvice.Answer, error)
-	// ListMachines returns the host machines of the targets.
-	ListMachines func(context.Context) (map[anvilid.MachineID]anvilupkeep.Machine, error)
+	// ListMachines returns the host machines of the targets. The caller sets MachineList.Sent.
+	ListMachines func(context.Context) (anvilupkeep.MachineList, error)
 	// OrderUpkeep requests the maintenance (upkeep) of one host machine.
 	OrderUpkeep func(context.Context, anvilupkeep.Order, anvilid.Token) (anvilupkeep.OrderResult, error)
 	// Ignored returns the number of entries in answers, and of announcements, that could not be used
--- a/io/anvillead/upkeep.go
+++ b/io/anvillead/upkeep.go
@@ -106,20 +106,31 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), machineCallTimeout)
 		defer cancel()
-		machines, err := r.calls.ListMachines(ctx)
+		list, err := r.calls.ListMachines(ctx)
 		if err != nil {
 			r.log.Write(anvillogs.MachineListFailed, zap.Error(err))
 		}
 		r.enqueueResult(func(after anvilclock.Millis) anvilorder.Effects {
 			r.upkeep.listPending, r.upkeep.nextListAt = false, after+machineListInterval
 			if err == nil {
-				r.upkeep.list = anvilupkeep.MachineList{Sent: now, Machines: machines}
+				list.Sent = now
+				r.upkeep.list = r.withAnnounced(list)
 			}
 			return anvilorder.Effects{}
 		})
 	}()
 }
 
+// withAnnounced adds the machines that the targets have announced to a list of which a part could not be read.
+func (r *leadership) withAnnounced(list anvilupkeep.MachineList) anvilupkeep.MachineList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, target := range r.state.Targets() {
+		list.AddAnnounced(target.Machine, target.ID)
+	}
+	return list
+}
+
 func (r *leadership) orderUpkeep(order anvilupkeep.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), machineCallTimeout)
 	defer cancel()
