Hold the limit of a maintenance wave where it is applied

What callers see: two machines of a wave in maintenance at a time where one is allowed.

Cause (by reading; the lines agree): the choice of a machine is committed one step later than it is made, and the coordinator chooses again in between. It takes the machine with the least to lose, which may be another one by then.

Fix: the replicated state refuses a further machine while as many as allowed are drained or in maintenance, whoever chooses it and when.

--- a/core/anvilwork/wave.go
+++ b/core/anvilwork/wave.go
@@ -119,6 +119,17 @@
 	return Applied
 }
 
+// unavailable returns the number of machines that are drained or in maintenance.
+func (w *Wave) unavailable() int {
+	count := 0
+	for _, m := range w.Machines {
+		if m.Phase == WaveDraining || m.Phase == WaveRequested {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *State) advanceWave(advance AdvanceWave) Result {
 	wave, ok := s.waves[advance.Wave]
 	if !ok {
@@ -129,6 +140,9 @@
 			if advance.Phase <= m.Phase {
 				return Unchanged
 			}
+			if m.Phase == WaveWaiting && advance.Phase != WaveDone && wave.unavailable() >= wave.MaxDown {
+				return Refused
+			}
 			m.Phase, m.Since = advance.Phase, s.now
 			return Applied
 		}
