Record ejections, so that the next owner knows them

Cause: the health of a target is in the memory of its owner alone, and the next owner took every target for healthy.

Ruled out: the number of outcomes that a new owner needs to eject, since the test shows it without an instance that is slow.

Fix: the owner records in the replicated log that it ejected a target, and that it uses it without a limit again; two commands for each ejection, and none while all targets are healthy. The next owner begins with probes. The rule that at most half of an owner's targets of a service are ejected holds, since an owner without another target could send no probe. The test no longer writes its table of fleets while they run.

--- a/core/anvilhealth/monitor.go
+++ b/core/anvilhealth/monitor.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -86,6 +87,8 @@
 	random   *rand.Rand
 	targets  map[anvilid.TargetID]*target
 	services map[anvilid.ServiceName]*service
+	// inherited has the targets for which Inherit was called and that were not ejected since.
+	inherited map[anvilid.TargetID]*target
 }
 
 // service has the number of targets of one service, and the outcomes of all of them together.
@@ -126,6 +129,8 @@
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		targets:  map[anvilid.TargetID]*target{},
 		services: map[anvilid.ServiceName]*service{},
+
+		inherited: map[anvilid.TargetID]*target{},
 	}
 }
 
@@ -144,6 +149,35 @@
 	m.targets[id] = &target{id: id, service: s, name: name, slots: slots, state: Healthy, nextProbeInterval: firstProbeInterval}
 }
 
+// Inherit records that the former owner of a monitored target has ejected it. The target is ejected by the next call
+// of EjectInherited that may do so, and may get one request at a time until then.
+func (m *Monitor) Inherit(id anvilid.TargetID) {
+	if t, ok := m.targets[id]; ok && t.state == Healthy {
+		t.startReturning()
+		m.inherited[id] = t
+	}
+}
+
+// EjectInherited ejects the targets for which Inherit was called, unless more than half of the targets of their
+// service would then be ejected. An owner learns of its targets one by one, so it is called after each of them. It
+// returns the targets that it has ejected, ordered by id.
+func (m *Monitor) EjectInherited(now anvilclock.Millis) []anvilid.TargetID {
+	var ejected []anvilid.TargetID
+	for _, id := range slices.Sorted(maps.Keys(m.inherited)) {
+		t := m.inherited[id]
+		if t.state == Returning {
+			m.eject(now, t)
+		}
+		if t.state == Ejected {
+			ejected = append(ejected, id)
+		}
+		if t.state != Returning {
+			delete(m.inherited, id)
+		}
+	}
+	return ejected
+}
+
 // Remove stops monitoring a target. If more than half of the remaining targets of the service would
 // then be ejected, it lets the one that was ejected first return and returns its id and true.
 func (m *Monitor) Remove(id anvilid.TargetID) (returned anvilid.TargetID, changed bool) {
@@ -152,6 +186,7 @@
 		return "", false
 	}
 	delete(m.targets, id)
+	delete(m.inherited, id)
 	s := t.service
 	s.targets--
 	s.removeEjected(t)
--- a/core/anvilstate/command.go
+++ b/core/anvilstate/command.go
@@ -41,7 +41,8 @@
 	Rebalance *Rebalance `cbor:"16,keyasint,omitempty"`
 	EndMember *EndMember `cbor:"17,keyasint,omitempty"`
 	// Burn adds the counts of one instance for the service-level objectives (anvilburn.History).
-	Burn *anvilburn.Batch `cbor:"18,keyasint,omitempty"`
+	Burn  *anvilburn.Batch `cbor:"18,keyasint,omitempty"`
+	Eject *EjectTarget     `cbor:"19,keyasint,omitempty"`
 }
 
 // Instance is the record of one instance of the system, which dispatches short requests to
@@ -101,6 +102,9 @@
 	// Reserved is the number of slots that placed jobs use. The owner does not give them
 	// to short requests.
 	Reserved anvilid.SlotCount `cbor:"15,keyasint,omitempty" json:"reserved,omitempty"`
+	// Ejected means that an owner has ejected the target for its failed requests, and that it hasn't
+	// worked up to its full number of slots since. The next owner begins with probes.
+	Ejected bool `cbor:"16,keyasint,omitempty" json:"ejected,omitempty"`
 }
 
 // RegisterTarget adds a target, or a new incarnation of a known one.
@@ -128,6 +132,14 @@
 	Epoch anvilid.Epoch      `cbor:"3,keyasint"`
 }
 
+// EjectTarget is sent by an owner that has ejected a target, or that uses an ejected one without a limit again.
+type EjectTarget struct {
+	ID      anvilid.TargetID   `cbor:"1,keyasint"`
+	Owner   anvilid.InstanceID `cbor:"2,keyasint"`
+	Epoch   anvilid.Epoch      `cbor:"3,keyasint"`
+	Ejected bool               `cbor:"4,keyasint,omitempty"`
+}
+
 // Rebalance hands over targets from the instances that own the most to those that own the
 // fewest. Limit is the maximum number of targets that one command hands over; zero means
 // defaultMoves.
--- a/core/anvilstate/machine.go
+++ b/core/anvilstate/machine.go
@@ -84,7 +84,7 @@
 
 // affectsPlanning reports whether a command may change jobs, targets or guarantees.
 func (c *Command) affectsPlanning() bool {
-	return c.Claim == nil && c.Complete == nil && c.Abandon == nil && c.Burn == nil
+	return c.Claim == nil && c.Complete == nil && c.Abandon == nil && c.Burn == nil && c.Eject == nil
 }
 
 func (m *Machine) refuse(err error) Result {
@@ -107,6 +107,8 @@
 		return m.remove(c.Remove.ID, c.Remove.Incarnation)
 	case c.Release != nil:
 		return m.release(*c.Release)
+	case c.Eject != nil:
+		return m.eject(*c.Eject)
 	case c.Rebalance != nil:
 		result.Moved, err = m.rebalance(*c.Rebalance)
 	case c.Claim != nil:
--- a/core/anvilstate/target.go
+++ b/core/anvilstate/target.go
@@ -11,7 +11,7 @@
 		return fmt.Errorf("%w: target %q needs an id, a service and 0 or more accelerators to register",
 			ErrInvalid, target.ID)
 	}
-	target.Owner, target.Epoch, target.NextOwner, target.Reserved = "", 0, "", 0
+	target.Owner, target.Epoch, target.NextOwner, target.Reserved, target.Ejected = "", 0, "", 0, false
 	known, ok := m.targets[target.ID]
 	if ok && known.Incarnation > target.Incarnation {
 		return fmt.Errorf("%w: target %q registered with incarnation %d, which is older than its current incarnation %d", ErrStale,
@@ -79,13 +79,34 @@
 	return nil
 }
 
-func (m *Machine) release(command ReleaseTarget) error {
-	target, ok := m.targets[command.ID]
+// ownedTarget returns a target if the instance owns it since the epoch.
+func (m *Machine) ownedTarget(id anvilid.TargetID, owner anvilid.InstanceID, epoch anvilid.Epoch) (*Target, error) {
+	target, ok := m.targets[id]
 	if !ok {
-		return fmt.Errorf("%w: target %q", ErrUnknown, command.ID)
+		return nil, fmt.Errorf("%w: target %q", ErrUnknown, id)
 	}
-	if command.Owner == "" || target.Owner != command.Owner || target.Epoch != command.Epoch {
-		return fmt.Errorf("%w: target %q is owned by %q since epoch %d", ErrStale, command.ID, target.Owner, target.Epoch)
+	if owner == "" || target.Owner != owner || target.Epoch != epoch {
+		return nil, fmt.Errorf("%w: target %q is owned by %q since epoch %d", ErrStale, id, target.Owner, target.Epoch)
+	}
+	return target, nil
+}
+
+func (m *Machine) eject(command EjectTarget) error {
+	target, err := m.ownedTarget(command.ID, command.Owner, command.Epoch)
+	if err != nil {
+		return err
+	}
+	if target.Ejected != command.Ejected {
+		target.Ejected = command.Ejected
+		m.recordTargetChange(target.ID)
+	}
+	return nil
+}
+
+func (m *Machine) release(command ReleaseTarget) error {
+	target, err := m.ownedTarget(command.ID, command.Owner, command.Epoch)
+	if err != nil {
+		return err
 	}
 	m.setOwner(target, "")
 	m.assign(target)
--- a/io/anvilfleet/eject_test.go
+++ b/io/anvilfleet/eject_test.go
@@ -80,6 +80,8 @@
 	})
 	for _, id := range []anvilid.InstanceID{"a", "b"} {
 		g.fleets[id] = anvilfleet.New(id, g.clock, anvillogs.Discard(), 1, anvilfleet.WithPropose(g.propose))
+	}
+	for id := range g.fleets {
 		running.Go(func() { assert.Check(t, g.fleets[id].Run(ctx)) })
 		g.apply(anvilstate.Command{Join: &anvilstate.JoinInstance{Instance: anvilstate.Instance{ID: id, Incarnation: 1, Region: "r", Zone: "z"}}})
 	}
--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -36,6 +36,10 @@
 // target.
 const proposeTimeout = 2 * time.Second
 
+// reportEjectionInterval is the pause between commands that record the ejection of the same target or its end. It is
+// longer than a commit takes.
+const reportEjectionInterval = 500 * anvilclock.Millisecond
+
 // slowRatio is the multiple of the average duration of its service above which a
 // request is considered slow.
 const slowRatio = 20
@@ -77,7 +81,9 @@
 	// being committed.
 	proposing bool
 	retryAt   anvilclock.Millis // earliest time of the next adopt call after one failed
-	adoptedAt anvilclock.Millis
+	// reportEjectionAt is the earliest time of the next command that records an ejection or its end.
+	reportEjectionAt anvilclock.Millis
+	adoptedAt        anvilclock.Millis
 }
 
 // Counts contains totals since the start of the process.
@@ -150,6 +156,9 @@
 		entry = &ownedTarget{caller: newCaller(target)}
 		f.targets[target.ID] = entry
 		f.health.Add(target.ID, target.Service, target.Slots)
+		if target.Ejected {
+			f.health.Inherit(target.ID)
+		}
 	}
 	entry.state = target
 	f.ledger.Own(f.clock.Now(), target.ID, target.Epoch, anvilslot.Limits{
@@ -162,6 +171,10 @@
 	if target.NextOwner != "" {
 		f.ledger.Drain(target.ID)
 	}
+	f.applyHealthLimit(target.ID)
+	for _, id := range f.health.EjectInherited(f.clock.Now()) {
+		f.applyHealthLimit(id)
+	}
 }
 
 // ForgetTarget forgets a target that was removed from the replicated state.
@@ -272,6 +285,8 @@
 			f.call(ctx, entry)
 		case view.State == anvilslot.Draining && f.ledger.Drained(id):
 			f.release(ctx, entry)
+		case view.State == anvilslot.Adopted && now >= entry.reportEjectionAt:
+			f.reportEjection(ctx, now, entry)
 		}
 	}
 	for _, id := range f.ledger.DuePolls(now) {
@@ -345,6 +360,20 @@
 	}, anvillogs.TargetReleased)
 }
 
+// reportEjection proposes to record that a target is ejected, or that it no longer is, if that has changed. Without
+// the record, the next owner would take an ejected target for healthy.
+func (f *Fleet) reportEjection(ctx context.Context, now anvilclock.Millis, entry *ownedTarget) {
+	target := entry.state
+	ejected := f.health.State(target.ID) != anvilhealth.Healthy
+	if ejected == target.Ejected {
+		return
+	}
+	entry.reportEjectionAt = now + reportEjectionInterval
+	f.proposeOnce(ctx, entry, &anvilstate.Command{
+		Eject: &anvilstate.EjectTarget{ID: target.ID, Owner: f.self, Epoch: target.Epoch, Ejected: ejected},
+	}, anvillogs.EjectionRecorded)
+}
+
 // remove stops using a target that no longer reports, and proposes its removal
 // from the replicated state.
 func (f *Fleet) remove(ctx context.Context, entry *ownedTarget) {
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -44,6 +44,7 @@
 	TargetLeaving     = define(306, zapcore.InfoLevel, "target is leaving: no new work is sent to it")
 	TargetEjected     = define(307, zapcore.WarnLevel, "target ejected because of failed requests")
 	TargetReadmitted  = define(308, zapcore.InfoLevel, "ejected target receives work again after successful probes")
+	EjectionRecorded  = define(309, zapcore.InfoLevel, "ejection of a target, or its end, was recorded for its next owners")
 )
 
 // Events about requests.
