Don't wait for late starts whose connection was closed

Cause: each missing answer counted as an order that may be carried out up to 12 s later. An order that is carried out late leaves its connection open; if the connection was closed, the target had got the order by then or never gets it, and a process that ends takes it along.

Change: such a start counts as possible until its connection was closed, and the longest lease from then on. TestClosedConnectionBoundsLateStart holds both bounds.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -39,6 +39,15 @@
 	return target
 }
 
+// lateUntil returns until when a call that got no answer may be carried out. If the connection was closed, the
+// target has got the call by then or never will, and what a process has got ends with it.
+func (a Answer) lateUntil() anvilclock.Millis {
+	if a.Closed {
+		return a.Received
+	}
+	return a.Sent + maxOrderDelay
+}
+
 // recordContact records that the target has answered a call: it sets the time of the last
 // contact and resets the count of unanswered calls. It must not be called for a failed call.
 func (target *target) recordContact(answer Answer) {
@@ -82,9 +91,10 @@
 	case StartUnanswered:
 		r.unansweredStarts++
 		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
-		r.mayStartUntil = answer.Sent + maxOrderDelay
-		t.lateStarts.add(answer.Order, r.mayStartUntil)
-		target.lateUntil = max(target.lateUntil, r.mayStartUntil)
+		until := answer.lateUntil()
+		r.mayStartUntil = max(r.mayStartUntil, until)
+		t.lateStarts.add(answer.Order, until)
+		target.lateUntil = max(target.lateUntil, until)
 		target.unansweredCalls++
 	case StartNotSent:
 		target.unansweredCalls++
@@ -213,7 +223,7 @@
 	if !answer.Done {
 		target.unansweredCalls++
 		if !answer.NotSent {
-			target.lateUntil = max(target.lateUntil, answer.Sent+maxOrderDelay)
+			target.lateUntil = max(target.lateUntil, answer.lateUntil())
 		}
 		target.nextPollAt = now + t.pollRetryPause(target)
 		return effects
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -219,3 +219,26 @@
 	commands := w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: poll}).Commands
 	assert.Equal(t, len(commands), 0, "the refusal says nothing about the time since the departure")
 }
+
+// TestClosedConnectionBoundsLateStart guards against a run that waits for 18 s to be placed again although its target has
+// crashed: a start whose connection was closed isn't carried out later.
+func TestClosedConnectionBoundsLateStart(t *testing.T) {
+	w := newWorld(t)
+	order := w.placeAndStart(taskA, 1)
+	began := w.now
+	answer := w.answer(w.now, w.now)
+	answer.Clock, answer.Closed = 0, true
+	w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: answer, Order: order, Verdict: StartUnanswered})
+	for len(w.state.Runs("t")) > 0 && w.now < began+maxOrderDelay {
+		effects := w.advance(testRetry)
+		w.apply(effects.Commands...)
+		for _, start := range effects.Starts {
+			answer := w.answer(w.now, w.now)
+			answer.Clock, answer.NotSent, answer.Closed = 0, true, true
+			w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: answer, Order: start, Verdict: StartNotSent})
+		}
+	}
+	assert.Equal(t, len(w.state.Runs("t")), 0)
+	assert.Assert(t, w.now >= began+testLease, "the target may have been reset and run on until its lease ends")
+	assert.Assert(t, w.now < began+testLease+testLease/10, "%d ms", w.now-began)
+}
--- a/core/anvilorder/late.go
+++ b/core/anvilorder/late.go
@@ -40,7 +40,11 @@
 		byRun = map[runKey]*lateStart{}
 		l[order.Target.ID] = byRun
 	}
-	byRun[runKey{order.Task, order.Run}] = &lateStart{until: until, barredAt: order.Target.Incarnation}
+	key := runKey{order.Task, order.Run}
+	if earlier := byRun[key]; earlier != nil {
+		until = max(until, earlier.until)
+	}
+	byRun[key] = &lateStart{until: until, barredAt: order.Target.Incarnation}
 }
 
 // expire drops the starts that can't be carried out any more.
