Let suspects start beside urgent runs when nothing else is left

A task under which a target had crashed waited without end if each usable target had an urgent run or other suspects, although resources were free there: the wait for a target of its own had a limit, sparing urgent runs had none. Callers saw a job that could run and didn't (LOST).

A second bound, maxSpareWait, ends that as well. From then on the tasks start beside the fewest urgent runs that let all of them fit, and beside other suspects only if nothing else fits.

TestSuspectStartsBesideUrgentAtLast found no run on the code before.

--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -184,7 +184,7 @@
 		p.placeGang(u)
 		return
 	}
-	if u.alone {
+	if u.stage == stageAlone {
 		p.placeSuspects(u)
 		return
 	}
@@ -193,7 +193,7 @@
 
 func (p *planner) placeGang(u *waitingStep) {
 	if u.suspect || !p.blocked(u) {
-		if allotments := p.fitAll(u, len(u.tasks), availableNow); allotments != nil {
+		if allotments := p.fitSuspects(u, len(u.tasks), p.fitAll); len(allotments) > 0 {
 			p.releaseClaims(u)
 			p.assign(u, u.tasks, allotments)
 			return
@@ -211,7 +211,7 @@
 
 func (p *planner) placeSingles(u *waitingStep) {
 	count := min(len(u.tasks), p.startsLeft(u.urgent))
-	allotments := p.fitMost(u, count, availableNow)
+	allotments := p.fitSuspects(u, count, p.fitMost)
 	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
 	rest := count - taskCount(allotments)
 	switch {
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -14,8 +14,11 @@
 
 const (
 	// maxAloneWait is how long suspects wait for an empty target before they may start beside runs that aren't
-	// urgent. A job that could run must not wait for long.
+	// urgent.
 	maxAloneWait = 4 * anvilclock.Second
+	// maxSpareWait is how much longer they spare the targets with urgent runs and with other suspects. A job
+	// that could run must not wait for long.
+	maxSpareWait = 1 * anvilclock.Second
 	// maxProbation is how long nothing is placed beside the run of a suspect if its target doesn't list the run.
 	// It covers a start that is carried out late.
 	maxProbation = 15 * anvilclock.Second
@@ -45,16 +48,33 @@
 	return []*waitingStep{u, &suspects}
 }
 
-// waitsForOwnTarget reports whether the tasks of a step are suspects that haven't waited for maxAloneWait yet.
-func (u *waitingStep) waitsForOwnTarget(now anvilclock.Millis) bool {
+// suspectStage says beside which runs of other jobs a step with suspects may start. The longer it has waited,
+// the more it may endanger.
+type suspectStage int
+
+const (
+	stageNone      suspectStage = iota // the tasks aren't suspects
+	stageAlone                         // beside no other job
+	stageNotUrgent                     // beside jobs that aren't urgent
+	stageAnywhere                      // beside all jobs, see fitSuspects
+)
+
+// suspectStage returns the stage of a step at the given time.
+func (u *waitingStep) suspectStage(now anvilclock.Millis) suspectStage {
 	if !u.suspect {
-		return false
+		return stageNone
 	}
 	var since anvilclock.Millis
 	for _, task := range u.tasks {
 		since = max(since, u.info.job.State(task).PhaseSince)
 	}
-	return now-since < maxAloneWait
+	switch wait := now - since; {
+	case wait < maxAloneWait:
+		return stageAlone
+	case wait < maxAloneWait+maxSpareWait:
+		return stageNotUrgent
+	}
+	return stageAnywhere
 }
 
 // onProbation reports whether a run is that of a suspect and hasn't worked for long enough yet.
@@ -83,16 +103,65 @@
 	switch {
 	case u == nil:
 		return n.probation != ""
-	case n.probation != "" && n.probation != u.info.job.ID:
+	case n.probation != "" && n.probation != u.info.job.ID && !u.joinsProbation:
 		return true
-	case !u.alone:
-		return n.hasRun(func(info *jobInfo) bool { return info.policy.Priority == 0 && info != u.info })
+	case u.stage != stageAlone:
+		return n.urgentRuns(u.info) > u.urgentLimit
 	case !u.step.Gang && len(n.planner.probationNodes[u.info.job.ID]) > 0 && n.probation == "":
 		return true // one target at a time, so that a job with many such tasks doesn't crash many targets
 	}
 	return n.hasRun(func(info *jobInfo) bool { return info != u.info })
 }
 
+// urgentRuns returns the number of urgent runs on the node that don't belong to the given job. The tasks that
+// this call of Plan has placed there count once for each step.
+func (n *node) urgentRuns(except *jobInfo) int {
+	count := 0
+	for _, t := range n.placedRuns {
+		if t.info.policy.Priority == 0 && t.info != except {
+			count++
+		}
+	}
+	for _, info := range n.newJobs {
+		if info.policy.Priority == 0 && info != except {
+			count++
+		}
+	}
+	return count
+}
+
+// fitSuspects returns the result of fit, which is fitAll or fitMost, for count tasks of a step on the
+// resources that are available now. Suspects that may start anywhere start beside the fewest urgent runs that
+// let all tasks fit, and beside other suspects only if they fit nowhere else.
+func (p *planner) fitSuspects(u *waitingStep, count int, fit func(*waitingStep, int, view) []allotment) []allotment {
+	allotments := fit(u, count, availableNow)
+	if u.stage != stageAnywhere || count <= 0 || taskCount(allotments) == count {
+		return allotments
+	}
+	for _, u.urgentLimit = range p.urgentLoads(u) {
+		if allotments = fit(u, count, availableNow); taskCount(allotments) == count {
+			return allotments
+		}
+	}
+	if len(allotments) > 0 {
+		return allotments
+	}
+	u.joinsProbation = true
+	return fit(u, count, availableNow)
+}
+
+// urgentLoads returns the different numbers of urgent runs of other jobs on the nodes, the smallest first.
+func (p *planner) urgentLoads(u *waitingStep) []int {
+	var loads []int
+	for _, n := range p.all.nodes {
+		if load := n.urgentRuns(u.info); n.usable && load > 0 {
+			loads = append(loads, load)
+		}
+	}
+	slices.Sort(loads)
+	return slices.Compact(loads)
+}
+
 // hasRun reports whether a run that is assigned to the node, or that this call of Plan has placed there,
 // belongs to a job of which condition is true.
 func (n *node) hasRun(condition func(*jobInfo) bool) bool {
--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -26,6 +26,15 @@
 	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: id, Incarnation: target.Incarnation}})
 }
 
+// place assigns a run of a task to a target.
+func (w *testCluster) place(task anvilwork.Task, run anvilwork.Run, id anvilid.TargetID) {
+	target, ok := w.state.Target(id)
+	assert.Assert(w.t, ok)
+	w.apply(anvilwork.Command{Place: &anvilwork.Place{Assignments: []anvilwork.Assignment{
+		{Task: task, Run: run, Target: id, Incarnation: target.Incarnation},
+	}}})
+}
+
 // workFor lets time pass, after which all assigned runs report progress.
 func (w *testCluster) workFor(span anvilclock.Millis) {
 	w.now += span
@@ -147,6 +156,35 @@
 	assert.Equal(t, len(w.assigned("d")), 6)
 }
 
+// TestSuspectStartsBesideUrgentAtLast guards against a suspect that waits without end because each target has an
+// urgent run, and against placing it where more urgent runs are than elsewhere.
+func TestSuspectStartsBesideUrgentAtLast(t *testing.T) {
+	w := newTestCluster(t, 1, 4, 32)
+	for i, id := range []anvilid.JobID{"s", "u1", "u2", "u3"} {
+		queue := anvilwork.QueueName("urgent")
+		if id == "s" {
+			queue = "common"
+		}
+		count := 2
+		if id == "u2" {
+			count = 1
+		}
+		w.submit(id, queue, "a", anvilwork.Step{Count: count, Need: gpus(1), Estimate: 600_000})
+		for index := range count {
+			w.place(anvilwork.Task{Job: id, Index: index}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", i)))
+		}
+	}
+	w.now += 500
+	w.crash("r0-00")
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-00x", Incarnation: 2}})
+	w.workFor(maxAloneWait + maxSpareWait - 1)
+	w.plan()
+	assert.Equal(t, len(w.assigned("s")), 0, "urgent work is spared at first")
+	w.workFor(1)
+	w.plan()
+	assert.DeepEqual(t, w.assigned("s"), []anvilid.TargetID{"r0-02", "r0-02"})
+}
+
 // TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
 // against placing it beside urgent work then.
 func TestSuspectWaitsNotForever(t *testing.T) {
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -21,8 +21,12 @@
 	tasks     []anvilwork.Task
 	// suspect means that targets have crashed under these tasks.
 	suspect bool
-	// alone means that they may start only on targets without other jobs.
-	alone bool
+	// stage says beside which other runs suspects may start, see suspectStage.
+	stage suspectStage
+	// urgentLimit and joinsProbation apply to suspects in stageAnywhere, see fitSuspects: the number of urgent
+	// runs of other jobs beside which they may start, and whether they may start beside other suspects.
+	urgentLimit    int
+	joinsProbation bool
 	// run is the number of the run that starts next. All tasks that are placed get the same number, as
 	// the members of a gang must have.
 	run anvilwork.Run
@@ -42,7 +46,7 @@
 			for _, u := range p.waitingStepsOf(info, k) {
 				u.urgent, u.withinGuarantee = urgent, withinGuarantee
 				u.from, u.due = info.window(k)
-				u.alone = u.waitsForOwnTarget(p.Now)
+				u.stage = u.suspectStage(p.Now)
 				waitingSteps = append(waitingSteps, u)
 			}
 		}
