Count the wait of suspects for each task, 2.5 s in all

A suspect waited 4 s for a target of its own, longer than the 3 s for which a job that could run may have nothing running, and the wait of a step counted from the latest release of its tasks, so that each sibling that was released prolonged it for all others. Callers saw jobs that waited too long.

The tasks of a step are now split by how long each of them has waited: 1.5 s for a target without other jobs, one more second sparing urgent work. Only a gang waits as a whole; it can be placed since its last member was released.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -118,7 +118,7 @@
 	})
 	n.countTasks(u.step, u.tasks[0].StepKey(), count)
 	n.newJobs = append(n.newJobs, u.info)
-	if u.suspect {
+	if u.suspect() {
 		n.planner.setProbation(n, u.info.job.ID)
 	}
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -130,7 +130,7 @@
 		}
 		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.info.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
 		p.currentSuspects = nil
-		if waitingStep.suspect {
+		if waitingStep.suspect() {
 			p.currentSuspects = waitingStep
 		}
 		p.placeStep(waitingStep)
@@ -192,13 +192,13 @@
 }
 
 func (p *planner) placeGang(u *waitingStep) {
-	if u.suspect || !p.blocked(u) {
+	if u.suspect() || !p.blocked(u) {
 		if allotments := p.fitSuspects(u, len(u.tasks), p.fitAll); len(allotments) > 0 {
 			p.releaseClaims(u)
 			p.assign(u, u.tasks, allotments)
 			return
 		}
-		if !u.suspect { // suspects fit on fewer targets than other gangs of the same shape
+		if !u.suspect() { // suspects fit on fewer targets than other gangs of the same shape
 			p.recordBlocked(u)
 		}
 	}
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -15,37 +15,37 @@
 const (
 	// maxAloneWait is how long suspects wait for an empty target before they may start beside runs that aren't
 	// urgent.
-	maxAloneWait = 4 * anvilclock.Second
+	maxAloneWait = 1500 * anvilclock.Millisecond
 	// maxSpareWait is how much longer they spare the targets with urgent runs and with other suspects. A job
 	// that could run must not wait for long.
 	maxSpareWait = 1 * anvilclock.Second
+	// maxClaimedTime is how long the runs on a target may take that is claimed for suspects. Its idle
+	// resources are wasted if the suspects start elsewhere before it is empty.
+	maxClaimedTime = maxAloneWait
 	// maxProbation is how long nothing is placed beside the run of a suspect if its target doesn't list the run.
 	// It covers a start that is carried out late.
 	maxProbation = 15 * anvilclock.Second
 )
 
 // splitSuspects returns the waiting tasks of a step as one waiting step for those that aren't suspects and one
-// for those that are. A gang starts as a whole and is a suspect if one of its members is.
-func splitSuspects(u *waitingStep) []*waitingStep {
-	suspects := *u
-	suspects.suspect, suspects.tasks = true, nil
-	var others []anvilwork.Task
-	for _, task := range u.tasks {
-		if u.info.job.State(task).Suspect() {
-			suspects.tasks = append(suspects.tasks, task)
-		} else {
-			others = append(others, task)
+// for the suspects in each stage. A gang starts as a whole and is a suspect if one of its members is.
+func (p *planner) splitSuspects(u *waitingStep) []*waitingStep {
+	var parts [stageAnywhere + 1]*waitingStep
+	if u.step.Gang {
+		u.stage = p.gangStage(u)
+		parts[u.stage] = u
+	} else {
+		for _, task := range u.tasks {
+			stage := p.suspectStage(u.info.job.State(task))
+			if parts[stage] == nil {
+				part := *u
+				part.stage, part.tasks = stage, nil
+				parts[stage] = &part
+			}
+			parts[stage].tasks = append(parts[stage].tasks, task)
 		}
 	}
-	switch {
-	case len(suspects.tasks) == 0:
-		return []*waitingStep{u}
-	case len(others) == 0 || u.step.Gang:
-		u.suspect = true
-		return []*waitingStep{u}
-	}
-	u.tasks = others
-	return []*waitingStep{u, &suspects}
+	return slices.DeleteFunc(parts[:], func(part *waitingStep) bool { return part == nil })
 }
 
 // suspectStage says beside which runs of other jobs a step with suspects may start. The longer it has waited,
@@ -59,16 +59,16 @@
 	stageAnywhere                      // beside all jobs, see fitSuspects
 )
 
-// suspectStage returns the stage of a step at the given time.
-func (u *waitingStep) suspectStage(now anvilclock.Millis) suspectStage {
-	if !u.suspect {
+// suspect reports whether targets have crashed under the tasks of a step.
+func (u *waitingStep) suspect() bool { return u.stage != stageNone }
+
+// suspectStage returns the stage of a waiting task. Each task has its own wait: otherwise the release of one
+// task would prolong the wait of all others of its step.
+func (p *planner) suspectStage(state *anvilwork.TaskState) suspectStage {
+	wait := p.Now - state.PhaseSince
+	switch {
+	case !state.Suspect():
 		return stageNone
-	}
-	var since anvilclock.Millis
-	for _, task := range u.tasks {
-		since = max(since, u.info.job.State(task).PhaseSince)
-	}
-	switch wait := now - since; {
 	case wait < maxAloneWait:
 		return stageAlone
 	case wait < maxAloneWait+maxSpareWait:
@@ -77,6 +77,17 @@
 	return stageAnywhere
 }
 
+// gangStage returns the stage of a gang, which can be placed since its last member was released.
+func (p *planner) gangStage(u *waitingStep) suspectStage {
+	latest := anvilwork.TaskState{}
+	for _, task := range u.tasks {
+		state := u.info.job.State(task)
+		latest.PhaseSince = max(latest.PhaseSince, state.PhaseSince)
+		latest.Crashes = max(latest.Crashes, state.Crashes)
+	}
+	return p.suspectStage(&latest)
+}
+
 // onProbation reports whether a run is that of a suspect and hasn't worked for long enough yet.
 func (p *planner) onProbation(t *placedRun) bool {
 	state := t.info.job.State(t.task)
@@ -193,7 +204,7 @@
 		return
 	}
 	var best *node
-	soonest := maxAloneWait
+	soonest := maxClaimedTime
 	for _, n := range p.all.nodes {
 		free := n.usable && !n.slow && n.probation == "" && n.claimedBy == "" && !(n.reserved && p.deferrable)
 		if !free || u.taskCapacity(n, 1, n.target.Resources) == 0 {
--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -124,7 +124,7 @@
 }
 
 // newBusyCluster returns a cluster of three targets, none of which is empty, and a waiting job "s" that is
-// suspected of a crash: job "urgent" runs on r0-01, "soon" on r0-02 for another 1.5 s, and "long" on r0-03.
+// suspected of a crash: job "urgent" runs on r0-01, "soon" on r0-02 for another second, and "long" on r0-03.
 func newBusyCluster(t *testing.T) *testCluster {
 	w := newTestCluster(t, 1, 4, 32)
 	for i, id := range []anvilid.JobID{"s", "urgent", "soon", "long"} {
@@ -132,7 +132,7 @@
 		if id == "urgent" {
 			queue = "urgent"
 		}
-		w.submit(id, queue, "a", anvilwork.Step{Count: 1, Need: gpus(2), Estimate: map[anvilid.JobID]anvilclock.Millis{"soon": 2000}[id] + 60_000*anvilclock.Millis(i%2)})
+		w.submit(id, queue, "a", anvilwork.Step{Count: 1, Need: gpus(2), Estimate: map[anvilid.JobID]anvilclock.Millis{"soon": 1500}[id] + 60_000*anvilclock.Millis(i%2)})
 		w.apply(anvilwork.Command{Place: &anvilwork.Place{Assignments: []anvilwork.Assignment{
 			{Task: anvilwork.Task{Job: id}, Run: 1, Target: anvilid.TargetID(fmt.Sprintf("r0-%02d", i)), Incarnation: 1},
 		}}})
@@ -185,6 +185,29 @@
 	assert.DeepEqual(t, w.assigned("s"), []anvilid.TargetID{"r0-02", "r0-02"})
 }
 
+// TestSuspectTasksWaitEach guards against suspects whose wait starts anew whenever another task of the step is
+// released, so that their job has nothing running for longer than the 3 s that are allowed.
+func TestSuspectTasksWaitEach(t *testing.T) {
+	w := newTestCluster(t, 1, 5, 32)
+	for i, id := range []anvilid.JobID{"x", "y", "z"} {
+		w.submit(id, "common", "a", anvilwork.Step{Count: 1, Need: gpus(2), Estimate: 600_000})
+		w.place(anvilwork.Task{Job: id}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", i+2)))
+	}
+	w.submit("s", "common", "a", anvilwork.Step{Count: 2, Need: gpus(2), Estimate: 600_000})
+	w.place(anvilwork.Task{Job: "s"}, 1, "r0-00")
+	w.place(anvilwork.Task{Job: "s", Index: 1}, 1, "r0-01")
+	w.now += 400
+	w.crash("r0-00")
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-00x", Incarnation: 2}})
+	w.workFor(1000)
+	w.crash("r0-01")
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-01x", Incarnation: 2}})
+	w.workFor(maxAloneWait - 1000)
+	w.plan()
+	assert.Equal(t, len(w.assigned("s")), 1, "the task that has waited for longer")
+	assert.Assert(t, maxAloneWait+maxSpareWait < 3*anvilclock.Second)
+}
+
 // TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
 // against placing it beside urgent work then.
 func TestSuspectWaitsNotForever(t *testing.T) {
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -19,9 +19,7 @@
 	// from is the scheduled start of the job's occurrence, due its deadline.
 	from, due anvilclock.Millis
 	tasks     []anvilwork.Task
-	// suspect means that targets have crashed under these tasks.
-	suspect bool
-	// stage says beside which other runs suspects may start, see suspectStage.
+	// stage says whether these tasks are suspects, and beside which other runs they may start.
 	stage suspectStage
 	// urgentLimit and joinsProbation apply to suspects in stageAnywhere, see fitSuspects: the number of urgent
 	// runs of other jobs beside which they may start, and whether they may start beside other suspects.
@@ -46,7 +44,6 @@
 			for _, u := range p.waitingStepsOf(info, k) {
 				u.urgent, u.withinGuarantee = urgent, withinGuarantee
 				u.from, u.due = info.window(k)
-				u.stage = u.suspectStage(p.Now)
 				waitingSteps = append(waitingSteps, u)
 			}
 		}
@@ -80,7 +77,7 @@
 		}
 		// A gang starts with all of its members or not at all, so it isn't placed while some still run.
 		if len(u.tasks) > 0 && (!step.Gang || len(u.tasks) == step.Count) {
-			waitingSteps = append(waitingSteps, splitSuspects(u)...)
+			waitingSteps = append(waitingSteps, p.splitSuspects(u)...)
 		}
 	}
 	return waitingSteps
