Isolate tasks after the second crash, not the first

A first crash no longer changes the plan. With two crashes or more a task is a suspect as before. The price is one more target with other work for each task that does crash its targets; its job is still given up after three starts, or five if the leader saw no process end.

TestFirstCrashIsolatesNothing failed before. The test of five starts, TestCrashingTaskStartsAtMostFiveTimes, passed before and now. The fixtures of the other tests give their suspects one earlier crash; what they check is unchanged.

--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -8,11 +8,14 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// A task under which a target has crashed is a suspect, see anvilwork.TaskState.Suspect. Suspects run on
-// targets of their own at first: if the next target crashes too, no other job can be the cause and none loses
-// its work.
+// A task under which targets have crashed repeatedly is a suspect here. Suspects run on targets of their own at
+// first: if the next target crashes too, no other job can be the cause and none loses its work.
 
 const (
+	// minIsolatedCrashes is the number of crashes from which on a task is a suspect. Most tasks that were hit by
+	// one crash are innocent, and a target of their own costs others more than the second crash of the few
+	// that aren't.
+	minIsolatedCrashes = 2
 	// maxAloneWait is how long suspects wait for an empty target before they may start beside runs that aren't
 	// urgent.
 	maxAloneWait = 1500 * anvilclock.Millisecond
@@ -59,7 +62,10 @@
 	stageAnywhere                      // beside all jobs, see fitSuspects
 )
 
-// suspect reports whether targets have crashed under the tasks of a step.
+// isolated reports whether a task is a suspect.
+func isolated(state *anvilwork.TaskState) bool { return state.Crashes >= minIsolatedCrashes }
+
+// suspect reports whether the tasks of a step are suspects.
 func (u *waitingStep) suspect() bool { return u.stage != stageNone }
 
 // suspectStage returns the stage of a waiting task. Each task has its own wait: otherwise the release of one
@@ -67,7 +73,7 @@
 func (p *planner) suspectStage(state *anvilwork.TaskState) suspectStage {
 	wait := p.Now - state.PhaseSince
 	switch {
-	case !state.Suspect():
+	case !isolated(state):
 		return stageNone
 	case wait < maxAloneWait:
 		return stageAlone
@@ -91,7 +97,7 @@
 // onProbation reports whether a run is that of a suspect and hasn't worked for long enough yet.
 func (p *planner) onProbation(t *placedRun) bool {
 	state := t.info.job.State(t.task)
-	if !state.Suspect() || t.info.job.Phase.Ended() {
+	if !isolated(state) || t.info.job.Phase.Ended() {
 		return false
 	}
 	age := p.Now - state.PhaseSince
