Keep suspects away from targets that have restarted

One bad machine could get an innocent job given up: the target that has just crashed is the empty one, so a suspect that looked for a target without other jobs returned to it and was accused again when it crashed by itself.

Suspects avoid targets that have registered within the last 30 s, and those on the same machine, unless nothing else fits. While they wait for a target of their own they don't use them at all; after that, such a target comes after all others, those with urgent runs included.

TestSuspectAvoidsRestartedTargets failed before: the suspect was placed at once on the machine that had just crashed.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -46,6 +46,8 @@
 	newJobs    []*jobInfo
 	planner    *planner
 	placedRuns []*placedRun
+	// restarted means that this target or one on the same machine may have crashed recently, see markRestarted.
+	restarted bool
 	// taskCounts is the number of runs on this node of each step that Step.MaxPerTarget limits.
 	taskCounts map[anvilwork.StepKey]int
 	// evictable has those of placedRuns that may be stopped for an urgent job, with the least loss first.
@@ -153,6 +155,7 @@
 		p.addToRack(n)
 		p.addRuns(n)
 	}
+	p.markRestarted()
 	slices.SortFunc(p.racks, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
 	p.all.sortByFree()
 	for _, r := range p.racks {
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -22,6 +22,11 @@
 	// maxSpareWait is how much longer they spare the targets with urgent runs and with other suspects. A job
 	// that could run must not wait for long.
 	maxSpareWait = 1 * anvilclock.Second
+	// restartMemory is how long suspects avoid targets that have restarted. A machine that crashes by itself
+	// often does so again soon, and its target is empty then, so that it would attract the next suspect.
+	restartMemory = 30 * anvilclock.Second
+	// startupSpread is the time within which the targets of a deployment are expected to register first.
+	startupSpread = 5 * anvilclock.Second
 	// maxClaimedTime is how long the runs on a target may take that is claimed for suspects. Its idle
 	// resources are wasted if the suspects start elsewhere before it is empty.
 	maxClaimedTime = maxAloneWait
@@ -36,13 +41,14 @@
 	var parts [stageAnywhere + 1]*waitingStep
 	if u.step.Gang {
 		u.stage = p.gangStage(u)
+		u.avoidsRestarted = u.suspect()
 		parts[u.stage] = u
 	} else {
 		for _, task := range u.tasks {
 			stage := p.suspectStage(u.info.job.State(task))
 			if parts[stage] == nil {
 				part := *u
-				part.stage, part.tasks = stage, nil
+				part.stage, part.tasks, part.avoidsRestarted = stage, nil, stage != stageNone
 				parts[stage] = &part
 			}
 			parts[stage].tasks = append(parts[stage].tasks, task)
@@ -122,6 +128,8 @@
 		return n.probation != ""
 	case n.probation != "" && n.probation != u.info.job.ID && !u.joinsProbation:
 		return true
+	case n.restarted && u.avoidsRestarted:
+		return true
 	case u.stage != stageAlone:
 		return n.urgentRuns(u.info) > u.urgentLimit
 	case !u.step.Gang && len(n.planner.probationNodes[u.info.job.ID]) > 0 && n.probation == "":
@@ -148,25 +156,52 @@
 }
 
 // fitSuspects returns the result of fit, which is fitAll or fitMost, for count tasks of a step on the
-// resources that are available now. Suspects that may start anywhere start beside the fewest urgent runs that
-// let all tasks fit, and beside other suspects only if they fit nowhere else.
+// resources that are available now. Suspects that don't need a target of their own avoid targets that have
+// restarted. Those that may start anywhere start beside the fewest urgent runs that let any of them fit, and beside
+// other suspects only if they fit nowhere else.
 func (p *planner) fitSuspects(u *waitingStep, count int, fit func(*waitingStep, int, view) []allotment) []allotment {
 	allotments := fit(u, count, availableNow)
-	if u.stage != stageAnywhere || count <= 0 || taskCount(allotments) == count {
+	if u.stage <= stageAlone || count <= 0 || len(allotments) > 0 {
 		return allotments
 	}
-	for _, u.urgentLimit = range p.urgentLoads(u) {
-		if allotments = fit(u, count, availableNow); taskCount(allotments) == count {
-			return allotments
+	if u.stage == stageAnywhere {
+		for _, u.urgentLimit = range p.urgentLoads(u) {
+			if allotments = fit(u, count, availableNow); len(allotments) > 0 {
+				return allotments
+			}
 		}
 	}
-	if len(allotments) > 0 {
+	u.avoidsRestarted = false
+	allotments = fit(u, count, availableNow)
+	if u.stage == stageNotUrgent || len(allotments) > 0 {
 		return allotments
 	}
 	u.joinsProbation = true
 	return fit(u, count, availableNow)
 }
 
+// markRestarted sets node.restarted. The replicated state has no time of the latest crash of an address or a
+// machine, so that a target counts as restarted if it has registered within restartMemory, unless the whole
+// deployment has just started.
+func (p *planner) markRestarted() {
+	var earliest anvilclock.Millis
+	for i, n := range p.all.nodes {
+		if i == 0 || n.target.RegisteredAt < earliest {
+			earliest = n.target.RegisteredAt
+		}
+	}
+	machines := map[anvilid.MachineID]bool{}
+	for _, n := range p.all.nodes {
+		n.restarted = n.target.RegisteredAt > max(earliest+startupSpread, p.Now-restartMemory)
+		if n.restarted && n.target.Machine != "" {
+			machines[n.target.Machine] = true
+		}
+	}
+	for _, n := range p.all.nodes {
+		n.restarted = n.restarted || machines[n.target.Machine]
+	}
+}
+
 // urgentLoads returns the different numbers of urgent runs of other jobs on the nodes, the smallest first.
 func (p *planner) urgentLoads(u *waitingStep) []int {
 	var loads []int
@@ -212,7 +247,7 @@
 	var best *node
 	soonest := maxClaimedTime
 	for _, n := range p.all.nodes {
-		free := n.usable && !n.slow && n.probation == "" && n.claimedBy == "" && !(n.reserved && p.deferrable)
+		free := n.usable && !n.slow && n.probation == "" && n.claimedBy == "" && !n.restarted && !(n.reserved && p.deferrable)
 		if !free || u.taskCapacity(n, 1, n.target.Resources) == 0 {
 			continue
 		}
--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -281,6 +281,39 @@
 	assert.Assert(t, maxAloneWait+maxSpareWait < 3*anvilclock.Second)
 }
 
+// TestSuspectAvoidsRestartedTargets guards against innocent jobs that are given up because of one bad machine: its
+// targets have lost their runs in the last crash, and would attract the next suspect because they are empty. If all
+// others are full, the suspects must start there after all.
+func TestSuspectAvoidsRestartedTargets(t *testing.T) {
+	for _, c := range []struct {
+		load int // accelerators in use on each other target
+		want []anvilid.TargetID
+	}{{load: 6, want: []anvilid.TargetID{"r0-02"}}, {load: 8, want: []anvilid.TargetID{"r0-00x"}}} {
+		w := newTestCluster(t, 1, 4, 32)
+		for _, id := range []anvilid.TargetID{"r0-00", "r0-01"} {
+			target, _ := w.state.Target(id)
+			updated := *target
+			updated.Sequence, updated.Machine = 1, "bad"
+			w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: updated}})
+		}
+		w.now += 10_000
+		w.submit("s", "common", "a", anvilwork.Step{Count: 1, Need: gpus(2), Estimate: 600_000})
+		w.submit("x", "common", "a", anvilwork.Step{Count: 2, Need: gpus(c.load), Estimate: 600_000})
+		w.place(anvilwork.Task{Job: "s"}, 1, "r0-00")
+		w.place(anvilwork.Task{Job: "x"}, 1, "r0-02")
+		w.place(anvilwork.Task{Job: "x", Index: 1}, 1, "r0-03")
+		w.accuse("s")
+		w.now += 400
+		w.crash("r0-00")
+		w.workFor(100)
+		w.plan()
+		assert.Equal(t, len(w.assigned("s")), 0, "r0-01 and r0-00x are on the machine that has just crashed")
+		w.workFor(maxAloneWait)
+		w.plan()
+		assert.DeepEqual(t, w.assigned("s"), c.want)
+	}
+}
+
 // TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
 // against placing it beside urgent work then.
 func TestSuspectWaitsNotForever(t *testing.T) {
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -25,6 +25,8 @@
 	// runs of other jobs beside which they may start, and whether they may start beside other suspects.
 	urgentLimit    int
 	joinsProbation bool
+	// avoidsRestarted means that they don't start on nodes that have restarted, see node.restarted.
+	avoidsRestarted bool
 	// run is the number of the run that starts next. All tasks that are placed get the same number, as
 	// the members of a gang must have.
 	run anvilwork.Run
