Limit the targets that are claimed for suspects

Suspects claimed each target of a deployment without accelerators, since the limit counted accelerators only, and their claims were kept after the wait for a target of their own, when nothing counted them any more. Callers saw targets that nobody could use.

Claims of suspects are now limited to a quarter of the usable targets, one at least, and are counted where the claims of the previous plan are restored. A step may keep its claims only while it waits for a target of its own, is urgent or is a gang.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -148,6 +148,7 @@
 			slow: p.Avoid(target.ID), free: target.Resources,
 		}
 		if n.usable {
+			p.usableTargets++
 			p.usableAccelerators += target.Resources.GPU
 		}
 		p.all.nodes[i] = n
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -81,6 +81,8 @@
 	emptyRacks map[emptyRackKey]int
 	// placed is the number of tasks that have been placed.
 	placed int
+	// usableTargets is the number of targets that may be given new runs.
+	usableTargets int
 	// usableAccelerators is the number of accelerators of all targets that may be given new runs.
 	usableAccelerators anvilid.AcceleratorCount
 	// urgentByAccount is the number of accelerators that the unfinished urgent jobs of each account
@@ -106,6 +108,8 @@
 	// gangClaimed is the number of accelerators of all targets that are claimed for gangs that aren't
 	// urgent.
 	gangClaimed anvilid.AcceleratorCount
+	// suspectClaims is the number of targets that are claimed for suspects.
+	suspectClaims int
 	// deferrable means that the current job would still end by its deadline if it started later. It may
 	// then not use nodes that are reserved for urgent jobs.
 	deferrable bool
@@ -166,15 +170,24 @@
 func (p *planner) restoreClaims(waitingSteps []*waitingStep) {
 	waiting := map[anvilid.JobID]*waitingStep{}
 	for _, u := range waitingSteps {
-		waiting[u.info.job.ID] = u
+		if u.mayClaim() {
+			waiting[u.info.job.ID] = u
+		}
 	}
 	for id, job := range p.Claims {
 		if n, u := p.byID[id], waiting[job]; n != nil && u != nil {
 			p.claimNode(n, u)
+			if u.stage == stageAlone && !u.step.Gang {
+				p.countSuspectClaim(n)
+			}
 		}
 	}
 }
 
+// mayClaim reports whether targets may stay claimed for a step. Suspects drop their claims at the end of their
+// wait for a target of their own.
+func (u *waitingStep) mayClaim() bool { return u.urgent || u.step.Gang || u.stage == stageAlone }
+
 // placeStep places as many tasks of a step as fit, or a gang if all of its tasks fit.
 func (p *planner) placeStep(u *waitingStep) {
 	if u.info.policy.Advice.Needed() {
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -30,6 +30,9 @@
 	// maxClaimedTime is how long the runs on a target may take that is claimed for suspects. Its idle
 	// resources are wasted if the suspects start elsewhere before it is empty.
 	maxClaimedTime = maxAloneWait
+	// maxSuspectClaimShare limits the share of the usable targets that is claimed for suspects. One target may
+	// always be claimed.
+	maxSuspectClaimShare = 0.25
 	// maxProbation is how long nothing is placed beside the run of a suspect if its target doesn't list the run.
 	// It covers a start that is carried out late.
 	maxProbation = 15 * anvilclock.Second
@@ -234,14 +237,12 @@
 	p.claimForSuspects(u)
 }
 
-// claimForSuspects claims the target that will be empty soonest for suspects that found none. The claims count
-// towards the limit of those for gangs, but one target may always be claimed.
+// claimForSuspects claims the target that will be empty soonest for suspects that found none, see
+// maxSuspectClaimShare. The claims also count towards the limit of those for gangs.
 func (p *planner) claimForSuspects(u *waitingStep) {
 	job := u.info.job.ID
-	for _, n := range p.nodesClaimedBy[job] {
-		p.gangClaimed += n.target.Resources.GPU
-	}
-	if len(p.probationNodes[job]) > 0 || len(p.nodesClaimedBy[job]) > 0 {
+	limit := max(1, int(maxSuspectClaimShare*float64(p.usableTargets)))
+	if p.suspectClaims >= limit || len(p.probationNodes[job]) > 0 || len(p.nodesClaimedBy[job]) > 0 {
 		return
 	}
 	var best *node
@@ -258,8 +259,14 @@
 	if best == nil || p.gangClaimed > 0 && p.gangClaimed+best.target.Resources.GPU > p.gangClaimLimit() {
 		return
 	}
-	p.gangClaimed += best.target.Resources.GPU
 	p.claimNode(best, u)
+	p.countSuspectClaim(best)
+}
+
+// countSuspectClaim counts a target that is claimed for suspects.
+func (p *planner) countSuspectClaim(n *node) {
+	p.suspectClaims++
+	p.gangClaimed += n.target.Resources.GPU
 }
 
 // emptyIn returns the time until all runs on a node are expected to have ended.
--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -314,6 +314,37 @@
 	}
 }
 
+// TestSuspectClaimsWithoutAccelerators guards against suspects that claim all targets of a deployment without
+// accelerators, because only accelerators were counted, and against claims that outlast their wait.
+func TestSuspectClaimsWithoutAccelerators(t *testing.T) {
+	const half = 10
+	w := newTestCluster(t, 1, 2*half, 0)
+	for _, target := range w.state.Targets() {
+		without := *target
+		without.Sequence, without.Resources.GPU = 1, 0
+		w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: without}})
+	}
+	for i := range half {
+		suspect, other := anvilid.JobID(fmt.Sprintf("s%02d", i)), anvilid.JobID(fmt.Sprintf("b%02d", i))
+		w.submit(suspect, "common", "a", anvilwork.Step{Count: 1, Need: testResources.Minus(gpus(8)), Estimate: 1500})
+		w.submit(other, "common", "a", anvilwork.Step{Count: 1, Need: anvilwork.Resources{CPU: 2000}, Estimate: 1500})
+		w.place(anvilwork.Task{Job: suspect}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", i)))
+		w.place(anvilwork.Task{Job: other}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", half+i)))
+		w.accuse(suspect)
+	}
+	w.now += 500
+	for i := range half {
+		id := anvilid.TargetID(fmt.Sprintf("r0-%02d", i))
+		w.crash(id)
+		w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: id + "x", Incarnation: 2}})
+	}
+	const limit = 2 // maxSuspectClaimShare of the targets that are left
+	assert.Equal(t, len(w.plan().Claims), limit)
+	assert.Equal(t, len(w.plan().Claims), limit, "the claims of the first plan are counted again")
+	w.now += maxAloneWait
+	assert.Equal(t, len(w.plan().Claims), 0)
+}
+
 // TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
 // against placing it beside urgent work then.
 func TestSuspectWaitsNotForever(t *testing.T) {
