Test that suspects start beside other suspects at last

The last resort of a suspect, a target on which a suspect of another job is on probation, had no test: without it, a job could wait as long as one suspect follows the other on the only targets on which it fits.

TestSuspectJoinsOtherSuspectsAtLast fails if that case is taken out of fitSuspects.

--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -374,6 +374,27 @@
 	assert.Assert(t, estimates <= 3*runs, "%d estimates for %d runs", estimates, runs)
 }
 
+// TestSuspectJoinsOtherSuspectsAtLast guards against a suspect that waits without end because the only targets on
+// which it fits have suspects of other jobs, one after the other.
+func TestSuspectJoinsOtherSuspectsAtLast(t *testing.T) {
+	w := newTestCluster(t, 1, 1, 0)
+	for _, id := range []anvilid.JobID{"c", "d"} {
+		w.submit(id, "common", "b", anvilwork.Step{Count: 1, Need: gpus(1), Estimate: 600_000})
+		w.place(anvilwork.Task{Job: id}, 1, "r0-00")
+		w.accuse(id)
+	}
+	w.now += 500
+	w.crash("r0-00")
+	w.plan()
+	assert.Equal(t, len(w.assigned("c"))+len(w.assigned("d")), 1)
+	w.workFor(maxAloneWait + maxSpareWait - 1)
+	w.plan()
+	assert.Equal(t, len(w.assigned("c"))+len(w.assigned("d")), 1)
+	w.workFor(1)
+	w.plan()
+	assert.Equal(t, len(w.assigned("c"))+len(w.assigned("d")), 2)
+}
+
 // TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
 // against placing it beside urgent work then.
 func TestSuspectWaitsNotForever(t *testing.T) {
