Count a crash whose successor answers before it is announced

A target crashes; the process of its successor answers a call with its own id (421) before its announcement is committed; the target was removed with the silence that was noted for it, and the crash didn't count. Together with crashes that nobody saw, a sixth start was possible.

Evidence: found in the review of the incident; the script crash/replaced-first.txt failed before (crashes=0) and passes now.

--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -190,6 +190,9 @@
 		s.depart(target, false)
 		return Applied
 	}
+	if target.Silence != nil && !s.endsAsPlanned(target) {
+		s.recordCrash(target)
+	}
 	s.releaseAll(target.ID)
 	if !target.Departed() {
 		s.removeTarget(target.ID)
