Report a silence that a crash has ended only once

A silence that was cleared by a crash, inferred from the machine, didn't raise the target's revision. If the target answered after all, the leader committed 'answers' every 200 ms without end.

--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -105,7 +105,7 @@
 		s.clearIfProven(state, silence.Since, RunLeaseExpired)
 		crash.Lost = append(crash.Lost, LostRun{Task: task, Run: run.Run, Placed: silence.Since - state.PhaseSince, Crashes: state.Crashes})
 	}
-	target.Silence = nil
+	s.setSilence(target, nil)
 	s.crashes = append(s.crashes, crash)
 }
 
