Count crashes whose targets come back out of order

If the target of a later run was back before that of an earlier one (a target that is away longer than its lease), the earlier crash was dropped, because a run at or below the one that was judged last didn't count.

The run that was counted last and the latest run that has worked are two fields now.

--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -99,7 +99,7 @@
 	for _, task := range slices.SortedFunc(maps.Keys(s.runs[target.ID]), Task.Compare) {
 		run := Unassign{Task: task, Run: s.runs[target.ID][task]}
 		_, state := s.assignedTask(run.Task, run.Run)
-		if state == nil || run.Run <= state.JudgedRun {
+		if state == nil || slices.Contains(silence.Suspects, run) {
 			continue
 		}
 		s.clearIfProven(state, silence.Since, RunLeaseExpired)
@@ -117,7 +117,7 @@
 		return LostRun{}, false
 	}
 	state := job.State(run.Task)
-	if state == nil || state.Phase == TaskDone || run.Run <= state.JudgedRun {
+	if state == nil || state.Phase == TaskDone || run.Run == state.JudgedRun || run.Run <= state.ClearedRun {
 		return LostRun{}, false
 	}
 	lost := LostRun{Task: run.Task, Run: run.Run, Suspect: true}
@@ -147,6 +147,6 @@
 // time. A gang member that waited for the others has not worked.
 func (s *State) clearIfProven(state *TaskState, at anvilclock.Millis, outcome Outcome) {
 	if state.Crashes > 0 && outcome != RunGangIncomplete && at-state.PhaseSince >= ProvenAfter {
-		state.Crashes, state.SeenCrashes, state.JudgedRun = 0, 0, state.Run
+		state.Crashes, state.SeenCrashes, state.ClearedRun = 0, 0, state.Run
 	}
 }
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -234,11 +234,12 @@
 	// FailedRun is the latest run that was counted in Failed.
 	FailedRun Run `cbor:"8,keyasint,omitempty"`
 	// Crashes counts the crashes of targets that may be due to the task, since its latest run that worked for
-	// ProvenAfter. SeenCrashes counts those of them with Silence.Closed, and JudgedRun is the latest run that is
-	// accounted for in Crashes.
+	// ProvenAfter. SeenCrashes counts those of them with Silence.Closed, and JudgedRun is the run that was
+	// counted last, and ClearedRun the latest run that has worked for that long.
 	Crashes     int `cbor:"20,keyasint,omitempty"`
 	JudgedRun   Run `cbor:"21,keyasint,omitempty"`
 	SeenCrashes int `cbor:"22,keyasint,omitempty"`
+	ClearedRun  Run `cbor:"23,keyasint,omitempty"`
 	// Checkpoint is the latest checkpoint of the task, from which its next run continues, or empty if
 	// there is none.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
