Don't clear a suspect that nobody has seen at work

A late start and a change of leader left nobody who knew when a run had begun; as it had been placed over ten seconds before, it wasn't suspected, and its task was cleared of earlier crashes.

Evidence: found in the review; the script crash/late-start.txt failed before (crashes=0 in place of 2) and passes now.

--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -166,6 +166,11 @@
 				note.Closed = true
 				continue
 			}
+			if run, ok := strings.CutPrefix(word, "unknown="); ok {
+				task, number := s.run(run)
+				note.Unknown = append(note.Unknown, Unassign{Task: task, Run: number})
+				continue
+			}
 			task, run := s.run(word)
 			note.Begun = append(note.Begun, Unassign{Task: task, Run: run})
 		}
--- a/core/anvilwork/silence.go
+++ b/core/anvilwork/silence.go
@@ -64,6 +64,9 @@
 	}
 	silence.add(s.placedWithin(note.Begun, maxStartDelay))
 	silence.add(s.placedWithin(note.Unknown, recentPlacement))
+	silence.add(slices.DeleteFunc(s.placedWithin(note.Unknown, maxStartDelay), func(run Unassign) bool {
+		return !s.jobs[run.Task.Job].State(run.Task).Suspect()
+	}))
 	s.setSilence(target, silence)
 	return Applied
 }
