Note the runs of a silence again after a failed commit

The runs of a second note on a silence counted as noted although its commit had failed, and were never noted again. Found in the review, by reading.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -289,11 +289,14 @@
 
 // CommitFailed is called when commands of this term were not committed, or not in time. They may still be applied, such
 // as one that unassigns a run, so Next returns nothing until CommitSucceeded is called. The run ends in those
-// commands are returned again when the next poll answer lists them.
+// commands are returned again when the next poll answer lists them, and silences are noted again.
 func (t *Tracker) CommitFailed() {
 	t.commitUncertain = true
 	for _, target := range t.targets {
 		target.committingEnd = target.record.Cursor
+		for _, r := range target.runs {
+			r.silenceNoted = false
+		}
 	}
 }
 
