Keep a noted silence until the new leader has had an answer

A new leader has no unanswered calls, which it took for an answer of each target: it erased all silences that its predecessor had noted, so that the crashes didn't count, or not as seen.

Change: a silence is taken back only after an answer to this leader; an announcement of such a target asks for a poll.

--- a/core/anvilorder/silence.go
+++ b/core/anvilorder/silence.go
@@ -42,7 +42,9 @@
 	noted := target.record.Silence != nil
 	note := &anvilwork.NoteSilence{Target: target.record.ID, Incarnation: target.record.Incarnation}
 	switch {
-	case target.unansweredCalls == 0 && noted:
+	case noted && target.unansweredCalls == 0 && target.answeredAt == 0:
+		return nil // noted by a former leader, and no call of this one has been answered yet
+	case noted && target.unansweredCalls == 0:
 		note.Answers = true
 		return note
 	case target.unansweredCalls < silentAfterCalls || len(target.runs) == 0:
--- a/core/anvilorder/silence_test.go
+++ b/core/anvilorder/silence_test.go
@@ -98,3 +98,91 @@
 	target, _ := w.state.Target("t")
 	assert.DeepEqual(t, target.Silence.Suspects, []anvilwork.Unassign{{Task: taskB, Run: 1}})
 }
+
+// TestSilenceOutlivesElection guards against a new leader that reports that a silent target answers, although no call of
+// its own has been answered.
+func TestSilenceOutlivesElection(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.fallSilent()
+	w.apply(w.tracker.NoteSilences(w.now)...)
+	target, _ := w.state.Target("t")
+	assert.Assert(t, target.Silence != nil)
+	w.elect(2)
+	for _, c := range w.tracker.NoteSilences(w.now) {
+		assert.Assert(t, !c.NoteSilence.Answers, "nothing has answered this leader")
+	}
+}
+
+// TestSilenceOutlivesElectionAndLease guards against a crash that isn't counted because the leader changed and the lease
+// expired before the target was back.
+func TestSilenceOutlivesElectionAndLease(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.fallSilent()
+	w.apply(w.tracker.NoteSilences(w.now)...)
+	w.apply(anvilwork.Command{ExpireLease: &anvilwork.ExpireLease{Target: "t", Incarnation: 1}})
+	w.elect(2)
+	w.apply(w.tracker.NoteSilences(w.now)...)
+	known, _ := w.state.Target("t")
+	next := *known
+	next.ID, next.Incarnation = "t2", 2
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: next}})
+	job, _ := w.state.Job(taskA.Job)
+	assert.Equal(t, job.State(taskA).Crashes, 1)
+}
+
+// TestClearedSilenceIsNotReported guards against a commit every 200 ms, because a silence that a crash has ended is
+// reported as ended again and again.
+func TestClearedSilenceIsNotReported(t *testing.T) {
+	w := newWorld(t)
+	known, _ := w.state.Target("t")
+	onMachine := *known
+	onMachine.Machine, onMachine.Sequence = "m", 5
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: onMachine}})
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.fallSilent()
+	w.apply(w.tracker.NoteSilences(w.now)...)
+	other := onMachine
+	other.ID, other.Address, other.Incarnation = "t2", "elsewhere:1", 2
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: other}})
+	w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}})
+	for range 3 {
+		w.now += 2 * testRetry
+		commands := w.tracker.NoteSilences(w.now)
+		w.state.Apply(w.now, anvilwork.Batch{Commands: commands})
+		w.tracker.Sync(w.now, w.state)
+	}
+	w.now += 2 * testRetry
+	assert.Equal(t, len(w.tracker.NoteSilences(w.now)), 0)
+}
+
+// TestSuspectStartsAfterAnswer guards against a crash of an idle target that isn't seen, because its latest answer was too
+// long ago to tell a process that ended on the start from one that had been cut off.
+func TestSuspectStartsAfterAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.fallSilent()
+	w.apply(w.tracker.NoteSilences(w.now)...)
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{ID: "u", Incarnation: 2, Service: "s", Address: "a:1"}}})
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "t", Incarnation: 1}})
+	job, _ := w.state.Job("j")
+	assert.Assert(t, job.State(taskA).Suspect())
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "t", Incarnation: 3, Service: "s", Address: "b:1", Resources: anvilwork.Resources{GPU: 8}, Sequence: 1,
+	}}})
+	answer := func() Answer {
+		return Answer{Target: "t", Incarnation: 3, AnsweredBy: 3, Sent: w.now - 1, Received: w.now, Clock: TargetClock(w.now)}
+	}
+	w.pendingPoll = nil
+	w.tracker.targets["t"].pollNow = true
+	w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer(), Order: w.takePoll(), Done: true})
+	w.now += 2 * crashDelay // a target without runs isn't polled
+	a := []anvilwork.Assignment{{Task: taskA, Run: 2, Target: "t", Incarnation: 3}}
+	w.apply(anvilwork.Command{Place: &anvilwork.Place{Assignments: a}})
+	w.tracker.AddPlacements(a)
+	w.pendingPoll = nil
+	assert.Equal(t, len(w.advance(1).Starts), 0)
+	w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer(), Order: w.takePoll(), Done: true})
+	assert.Equal(t, len(w.advance(1).Starts), 1)
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -180,11 +180,11 @@
 
 // RecordAnnouncement records that a target has announced itself, which counts as a contact with the
 // target (see Usable). A target that has left calls unanswered is polled then, because it isn't usable until it
-// answers. An announcement of another incarnation has no effect.
+// answers, and so is one whose silence is noted. An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
 	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
 		target.lastContact, target.lastAnnounced = max(target.lastContact, now), max(target.lastAnnounced, now)
-		target.pollNow = target.pollNow || target.unansweredCalls > 0
+		target.pollNow = target.pollNow || target.unansweredCalls > 0 || target.record.Silence != nil
 	}
 }
 
