Start a suspect only on a target that has just answered

A target without runs isn't polled, so that the crash of an idle target couldn't be told from a cut that ended in a restart, and counted as unseen: five such crashes are needed to give a job up, and suspects are sent to exactly these targets.

Evidence: found in the review; TestSuspectStartsAfterAnswer failed before and passes now.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -311,6 +311,9 @@
 		target.pollNow = true // the answer to the poll contains the clock
 		return
 	}
+	if target.awaitsAnswer(now, job.State(task)) {
+		return
+	}
 	r.startInFlight, r.nextStartAt = true, now // the time of sending, until the answer arrives
 	effects.Starts = append(effects.Starts, Start{
 		Target: target.record, Task: task, Run: r.number, Text: job.Spec.Text,
