Extend leases while the outcome of a commit is unknown

Change: only starts are withheld. A poll or a stop can't bring back a run that a pending command releases. TestStartAfterFailedCommit asks for both.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -288,7 +288,7 @@
 }
 
 // CommitFailed is called when commands of this term were not committed, or not in time. They may still be applied, such
-// as one that unassigns a run, so Next returns nothing until CommitSucceeded is called. The run ends in those
+// as one that unassigns a run, so Next returns no starts until CommitSucceeded is called. The run ends in those
 // commands are returned again when the next poll answer lists them, and silences are noted again.
 func (t *Tracker) CommitFailed() {
 	t.commitUncertain = true
@@ -303,7 +303,7 @@
 // CommitSucceeded is called when an entry of this term was committed and applied, and with it all earlier ones.
 func (t *Tracker) CommitSucceeded() { t.commitUncertain = false }
 
-// CommitUncertain reports whether an entry, if only an empty one, must be committed before Next returns anything.
+// CommitUncertain reports whether an entry, if only an empty one, must be committed before Next returns any start.
 func (t *Tracker) CommitUncertain() bool { return t.commitUncertain }
 
 // reconcileRuns compares the runs that the target lists with those that are assigned to it.
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -70,6 +70,7 @@
 	assert.Equal(t, len(commands), 1)
 	w.tracker.CommitFailed()
 	assert.Equal(t, len(w.advance(2000).Starts), 0)
+	assert.Assert(t, w.takePoll().Deadline > 0, "the lease is extended all the same")
 	assert.Assert(t, w.tracker.CommitUncertain())
 	w.apply(commands...)
 	w.tracker.CommitSucceeded()
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -59,6 +59,7 @@
 		return
 	case !ok:
 		l.tracker.CommitFailed()
+		l.sendDue()
 		return
 	}
 	l.tracker.CommitSucceeded()
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -201,9 +201,6 @@
 // the same state to Sync.
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
-	if t.commitUncertain {
-		return effects
-	}
 	t.startsInFlight = 0
 	t.lateStarts.expire(now)
 	if t.order == nil {
@@ -295,7 +292,7 @@
 			r.stopInFlight = true
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: r.number, Token: t.token})
-		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && r.mayRepeat(target):
+		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && r.mayRepeat(target) && !t.commitUncertain:
 			t.start(now, target, task, r, state, effects)
 		}
 	}
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -140,12 +140,13 @@
 		results, err := r.commit(ctx, commands...)
 		record(r.summary.commit, r.clock.Now()-sent)
 		if err != nil {
+			// Leases are extended all the same, or all work would be lost while disks are slow.
 			r.log.Write(anvillogs.CommitFailed, zap.Int("commands", len(commands)), zap.Error(err))
 			r.tracker.CommitFailed()
-			return
+		} else {
+			r.tracker.CommitSucceeded()
+			r.handleCommitted(commands, results, placementCount)
 		}
-		r.tracker.CommitSucceeded()
-		r.handleCommitted(commands, results, placementCount)
 	}
 	now = r.clock.Now()
 	r.logSummary(now)
