--- a/core/anvilorder/silence.go
+++ b/core/anvilorder/silence.go
@@ -42,7 +42,9 @@
 	noted := target.record.Silence != nil
 	note := &anvilwork.NoteSilence{Target: target.record.ID, Incarnation: target.record.Incarnation}
 	switch {
-	case target.unansweredCalls == 0 && noted:
+	case noted && target.unansweredCalls == 0 && target.answeredAt == 0:
+		return nil // noted by a former leader, and no call of this one has been answered yet
+	case noted && target.unansweredCalls == 0:
 		note.Answers = true
 		return note
 	case target.unansweredCalls < silentAfterCalls || len(target.runs) == 0:
@@ -89,3 +91,14 @@
 	}
 	return begun, unknown
 }
+
+// awaitsAnswer reports whether a start has to wait for an answer of its target to a poll, which it requests: a target
+// without runs isn't polled, and only if the target has just answered does a closed connection show that its process
+// ended on this start.
+func (target *target) awaitsAnswer(now anvilclock.Millis, state *anvilwork.TaskState) bool {
+	if !state.Suspect() || target.closedAt > 0 || now <= target.answeredAt+crashDelay/2 {
+		return false
+	}
+	target.pollNow = true
+	return true
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -180,11 +180,11 @@
 
 // RecordAnnouncement records that a target has announced itself, which counts as a contact with the
 // target (see Usable). A target that has left calls unanswered is polled then, because it isn't usable until it
-// answers. An announcement of another incarnation has no effect.
+// answers, and so is one whose silence is noted. An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
 	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
 		target.lastContact, target.lastAnnounced = max(target.lastContact, now), max(target.lastAnnounced, now)
-		target.pollNow = target.pollNow || target.unansweredCalls > 0
+		target.pollNow = target.pollNow || target.unansweredCalls > 0 || target.record.Silence != nil
 	}
 }
 
@@ -201,9 +201,6 @@
 // the same state to Sync.
 func (t *Tracker) Next(now anvilclock.Millis, state *anvilwork.State) Effects {
 	var effects Effects
-	if t.commitUncertain {
-		return effects
-	}
 	t.startsInFlight = 0
 	t.lateStarts.expire(now)
 	if t.order == nil {
@@ -295,7 +292,7 @@
 			r.stopInFlight = true
 			effects.Stops = append(effects.Stops,
 				Stop{Target: target.record, Task: task, Run: r.number, Token: t.token})
-		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && r.mayRepeat(target):
+		case !r.stopRequested && r.phase == starting && !r.startInFlight && now >= r.nextStartAt && r.mayRepeat(target) && !t.commitUncertain:
 			t.start(now, target, task, r, state, effects)
 		}
 	}
@@ -311,6 +308,9 @@
 		target.pollNow = true // the answer to the poll contains the clock
 		return
 	}
+	if target.awaitsAnswer(now, job.State(task)) {
+		return
+	}
 	r.startInFlight, r.nextStartAt = true, now // the time of sending, until the answer arrives
 	effects.Starts = append(effects.Starts, Start{
 		Target: target.record, Task: task, Run: r.number, Text: job.Spec.Text,
