--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -81,6 +81,8 @@
 	emptyRacks map[emptyRackKey]int
 	// placed is the number of tasks that have been placed.
 	placed int
+	// usableTargets is the number of targets that may be given new runs.
+	usableTargets int
 	// usableAccelerators is the number of accelerators of all targets that may be given new runs.
 	usableAccelerators anvilid.AcceleratorCount
 	// urgentByAccount is the number of accelerators that the unfinished urgent jobs of each account
@@ -93,6 +95,13 @@
 	currentSuspects *waitingStep
 	// probationNodes has the nodes on which suspects of each job are on probation.
 	probationNodes map[anvilid.JobID][]*node
+	// emptyNodes is the number of usable nodes without runs, and ownNodes, for each job, that of usable nodes with
+	// runs of this job only. Suspects that wait for a target of their own fit on no other node.
+	emptyNodes int
+	ownNodes   map[anvilid.JobID]int
+	// emptying is the result of emptyingNodes, which is valid if emptyingKnown is set.
+	emptying      []*node
+	emptyingKnown bool
 	// runsByStep has the assigned runs of all tasks of each step; if the step is a gang, these are the
 	// runs of its members.
 	runsByStep map[anvilwork.StepKey][]runOnNode
@@ -106,6 +115,8 @@
 	// gangClaimed is the number of accelerators of all targets that are claimed for gangs that aren't
 	// urgent.
 	gangClaimed anvilid.AcceleratorCount
+	// suspectClaims is the number of targets that are claimed for suspects.
+	suspectClaims int
 	// deferrable means that the current job would still end by its deadline if it started later. It may
 	// then not use nodes that are reserved for urgent jobs.
 	deferrable bool
@@ -117,7 +128,7 @@
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
 		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
-		probationNodes: map[anvilid.JobID][]*node{},
+		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{},
 	}
 	p.sumUrgentDemand()
 	p.addNodes()
@@ -130,7 +141,7 @@
 		}
 		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.info.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
 		p.currentSuspects = nil
-		if waitingStep.suspect {
+		if waitingStep.suspect() {
 			p.currentSuspects = waitingStep
 		}
 		p.placeStep(waitingStep)
@@ -166,15 +177,24 @@
 func (p *planner) restoreClaims(waitingSteps []*waitingStep) {
 	waiting := map[anvilid.JobID]*waitingStep{}
 	for _, u := range waitingSteps {
-		waiting[u.info.job.ID] = u
+		if u.mayClaim() {
+			waiting[u.info.job.ID] = u
+		}
 	}
 	for id, job := range p.Claims {
 		if n, u := p.byID[id], waiting[job]; n != nil && u != nil {
 			p.claimNode(n, u)
+			if u.stage == stageAlone && !u.step.Gang {
+				p.countSuspectClaim(n)
+			}
 		}
 	}
 }
 
+// mayClaim reports whether targets may stay claimed for a step. Suspects drop their claims at the end of their
+// wait for a target of their own.
+func (u *waitingStep) mayClaim() bool { return u.urgent || u.step.Gang || u.stage == stageAlone }
+
 // placeStep places as many tasks of a step as fit, or a gang if all of its tasks fit.
 func (p *planner) placeStep(u *waitingStep) {
 	if u.info.policy.Advice.Needed() {
@@ -184,7 +204,7 @@
 		p.placeGang(u)
 		return
 	}
-	if u.alone {
+	if u.stage == stageAlone {
 		p.placeSuspects(u)
 		return
 	}
@@ -192,13 +212,13 @@
 }
 
 func (p *planner) placeGang(u *waitingStep) {
-	if u.suspect || !p.blocked(u) {
-		if allotments := p.fitAll(u, len(u.tasks), availableNow); allotments != nil {
+	if u.suspect() || !p.blocked(u) {
+		if allotments := p.fitSuspects(u, len(u.tasks), p.fitAll); len(allotments) > 0 {
 			p.releaseClaims(u)
 			p.assign(u, u.tasks, allotments)
 			return
 		}
-		if !u.suspect { // suspects fit on fewer targets than other gangs of the same shape
+		if !u.suspect() { // suspects fit on fewer targets than other gangs of the same shape
 			p.recordBlocked(u)
 		}
 	}
@@ -211,7 +231,7 @@
 
 func (p *planner) placeSingles(u *waitingStep) {
 	count := min(len(u.tasks), p.startsLeft(u.urgent))
-	allotments := p.fitMost(u, count, availableNow)
+	allotments := p.fitSuspects(u, count, p.fitMost)
 	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
 	rest := count - taskCount(allotments)
 	switch {
