Don't take outdated announcements for a fresh capacity

After one announcement of another writer with a very high sequence number under a target's id, a new leader kept starting runs by the foreign capacity, for as long as the target announced itself.

The state doesn't take an announcement that was sent before the one on record. The leader then counted it as a keepalive, which marks the capacity on record as recently known, though the announcement says nothing about it.

TestOutdatedKeepalive failed without the check: "2 (int) != 1 (int): the state has 8 accelerators, the target 4".

An announcement that is older than the record isn't passed on, so that the capacity on record ages and gets no starts.

--- a/core/anvilwork/announcement.go
+++ b/core/anvilwork/announcement.go
@@ -20,3 +20,9 @@
 	}
 	return updated
 }
+
+// IsOutdated reports whether the record of a target is from a later announcement of the same incarnation.
+func (s *State) IsOutdated(announced Target) bool {
+	known, ok := s.targets[announced.ID]
+	return ok && known.Incarnation == announced.Incarnation && announced.sentBefore(known)
+}
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
@@ -37,3 +38,18 @@
 	assert.Assert(t, len(h) <= 2*len(state.Targets())+maxForgotten+1, "%d are left", len(h))
 	assert.Assert(t, h.record(anvilwork.Target{ID: "t0", Sequence: 6}), "a known target isn't forgotten")
 }
+
+// TestOutdatedKeepalive guards against a foreign capacity with a very high sequence number that counts as fresh
+// because the announcements of the target itself, which the state doesn't take, are keepalives.
+func TestOutdatedKeepalive(t *testing.T) {
+	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan keepalive, 4)}
+	own, foreign := anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 7}, anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 1 << 50}
+	own.Resources.GPU, foreign.Resources.GPU = 4, 8
+	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: own}}}})
+	l.keepAlive(own)
+	assert.Equal(t, len(l.keepalives), 1, "it confirms the record")
+	l.state.Apply(2, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: foreign}}}})
+	own.Sequence++
+	l.keepAlive(own)
+	assert.Equal(t, len(l.keepalives), 1, "the state has 8 accelerators, the target 4")
+}
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -262,16 +262,28 @@
 	changes, assigned := l.state.AnnouncementHasEffect(target), len(l.state.Runs(target.ID))
 	l.mu.Unlock()
 	if !changes {
-		select {
-		case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
-		default: // the channel is full; the target announces itself again soon
-		}
+		l.keepAlive(target)
 		return reply, nil
 	}
 	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: target}})
 	return reply, nil
 }
 
+// keepAlive passes an announcement that changes nothing to the goroutine of the term. One that was sent before
+// the record of the target says nothing about that record, so that it doesn't confirm its capacity.
+func (l *Leader) keepAlive(target anvilwork.Target) {
+	l.mu.Lock()
+	outdated := l.state.IsOutdated(target)
+	l.mu.Unlock()
+	if outdated {
+		return
+	}
+	select {
+	case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
+	default: // the channel is full; the target announces itself again soon
+	}
+}
+
 // commitTarget commits a command that changes a target, to which runs are assigned before the change. It
 // reports whether the command was committed.
 func (l *Leader) commitTarget(ctx context.Context, target anvilwork.Target, runs int, command anvilwork.Command) bool {
