Refuse sequence numbers that no target can reach

An announcement with a sequence number above 2^53 is refused like any other that describes no usable target.

A broken writer may send the highest number there is. All later announcements of that incarnation then count as older ones.

TestSequenceOutOfRange failed without the check: `error is nil, not "invalid target" (ErrTarget)`.

A target sends about one announcement a second, and numbers above 2^53 aren't exact in programs that keep JSON numbers as floats, so that no target comes near the bound.

--- a/core/anvilwork/target.go
+++ b/core/anvilwork/target.go
@@ -17,6 +17,9 @@
 	// maxIncarnation is the latest start time that a target may report, in the year 2109. An incarnation in
 	// the far future would never be replaced by the next one under the same id.
 	maxIncarnation Incarnation = 1 << 42
+	// maxSequence is the highest sequence number of an announcement. Higher ones aren't exact in programs that
+	// keep JSON numbers as 64-bit floats, and no target sends that many announcements.
+	maxSequence = 1 << 53
 )
 
 // Check returns an error that wraps ErrTarget if no work could be sent to the target, or if its numbers could make
@@ -29,6 +32,8 @@
 		return fmt.Errorf("%w: the address %.100q is no IP address with a port from 1 to 65535", ErrTarget, t.Address)
 	case t.Incarnation <= 0 || t.Incarnation > maxIncarnation:
 		return fmt.Errorf("%w: the start time %d is out of range", ErrTarget, t.Incarnation)
+	case t.Sequence > maxSequence:
+		return fmt.Errorf("%w: the sequence number %d is above %d", ErrTarget, t.Sequence, uint64(maxSequence))
 	case !t.Resources.InRange():
 		return fmt.Errorf("%w: an amount of the capacity is below 0 or above %d", ErrTarget, maxResource)
 	case t.Service == "" || len(t.Labels) > maxLabels:
