Let lower sequence numbers count again after a while

After one announcement with a very high sequence number, of another writer or a broken one, a target got no starts for as long as it lived; after a change of leader its record kept the foreign capacity.

The highest number of an incarnation counted without limit, in the leader's memory and in the replicated state.

The leader takes lower numbers again once no announcement with as high a number has come for contact_ms and seven beats, less the timeout of an order. A new leader starts from the replicated number, when it first hears the target.

--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -2,21 +2,27 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvillogs"
 )
 
+// testSpan is how long a sequence number counts in these tests.
+const testSpan = 10 * anvilclock.Second
+
 // TestHeardAnnouncements guards against an old announcement that counts because the later ones changed nothing
 // and were not committed: the target would have grown again for the time until its next one.
 func TestHeardAnnouncements(t *testing.T) {
 	h := heardAnnouncements{}
 	hear := func(incarnation anvilwork.Incarnation, sequence uint64) bool {
-		return h.record(anvilwork.Target{ID: "t", Incarnation: incarnation, Sequence: sequence})
+		return h.record(0, testSpan, anvilwork.Target{ID: "t", Incarnation: incarnation, Sequence: sequence}, nil)
 	}
 	assert.Assert(t, !hear(1, 3))
 	assert.Assert(t, !hear(1, 9))
@@ -33,10 +39,10 @@
 	state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: anvilwork.Target{ID: "t0", Sequence: 7}}}}})
 	for i := range 10_000 {
 		h.prune(state)
-		h.record(anvilwork.Target{ID: anvilid.TargetID(fmt.Sprint("t", i)), Sequence: 7})
+		h.record(0, testSpan, anvilwork.Target{ID: anvilid.TargetID(fmt.Sprint("t", i)), Sequence: 7}, nil)
 	}
 	assert.Assert(t, len(h) <= 2*len(state.Targets())+maxForgotten+1, "%d are left", len(h))
-	assert.Assert(t, h.record(anvilwork.Target{ID: "t0", Sequence: 6}), "a known target isn't forgotten")
+	assert.Assert(t, h.record(0, testSpan, anvilwork.Target{ID: "t0", Sequence: 6}, nil), "a known target isn't forgotten")
 }
 
 // TestOutdatedKeepalive guards against a foreign capacity with a very high sequence number that counts as fresh
@@ -53,3 +59,95 @@
 	l.keepAlive(own)
 	assert.Equal(t, len(l.keepalives), 1, "the state has 8 accelerators, the target 4")
 }
+
+// announcer hands the announcements of a target to a Leader, which applies them at once.
+type announcer struct {
+	leader *Leader
+	clock  anvilclock.Manual
+}
+
+func newAnnouncer(t *testing.T) *announcer {
+	log, err := anvillogs.New(io.Discard, "error")
+	assert.NilError(t, err)
+	a := &announcer{}
+	a.leader = &Leader{
+		state: anvilwork.New(), clock: a.clock.Clock(), log: log, heard: heardAnnouncements{},
+		keepalives: make(chan keepalive, resultQueueSize),
+		bounds:     Bounds{AnnounceInterval: 1000, Orders: anvilorder.Timing{MaxAnnouncementAge: testSpan - sequenceIntervals*1000}},
+	}
+	return a
+}
+
+func (a *announcer) announce(sequence uint64, gpu anvilid.AcceleratorCount) {
+	l := a.leader
+	ordered, outdated := l.hear(anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: sequence, Resources: anvilwork.Resources{GPU: gpu}})
+	switch {
+	case outdated:
+	case l.state.AnnouncementHasEffect(ordered):
+		l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: ordered}}}})
+	default:
+		l.keepAlive(ordered)
+	}
+}
+
+func (a *announcer) capacity() anvilid.AcceleratorCount {
+	target, _ := a.leader.state.Target("t")
+	return target.Resources.GPU
+}
+
+// TestHighestSequence guards against one announcement of another writer with a very high sequence number that
+// makes all later ones of the target count as outdated: it would get no starts for as long as it lives, and after
+// a change of leader starts by the capacity of the other writer.
+func TestHighestSequence(t *testing.T) {
+	for _, foreign := range []anvilid.AcceleratorCount{8, 4} {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("foreign %d, new leader %t", foreign, newLeader), func(t *testing.T) {
+				a := newAnnouncer(t)
+				a.announce(7, 4)
+				a.announce(1<<50, foreign)
+				if newLeader {
+					a.leader.heard = heardAnnouncements{}
+				}
+				sequence := uint64(8)
+				for ; a.clock.Now() <= testSpan; sequence++ {
+					a.announce(sequence, 4)
+					a.clock.Advance(1000)
+				}
+				a.announce(sequence, 4)
+				assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(4))
+				before := len(a.leader.keepalives)
+				a.announce(sequence+1, 4)
+				assert.Equal(t, len(a.leader.keepalives), before+1, "its announcements keep its capacity fresh")
+				a.announce(sequence+3, 2)
+				a.announce(sequence+2, 4)
+				assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2), "delayed ones are outdated again")
+				known, _ := a.leader.state.Target("t")
+				if foreign == 8 { // the foreign number was replicated and overruled
+					a.announce(sequence+4, 3)
+					known, _ = a.leader.state.Target("t")
+				}
+				assert.Assert(t, known.Sequence == sequence+3 || known.Sequence == sequence+4, "a new leader knows the order again: %d", known.Sequence)
+				a.announce(1<<50, 8)
+				a.announce(sequence+5, 2)
+				assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(8), "the other writer is heard again")
+				a.clock.Advance(testSpan + 1)
+				a.announce(sequence+6, 2)
+				assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2))
+			})
+		}
+	}
+}
+
+// TestDelayedAnnouncementAtNewLeader guards against a new leader that takes a delayed announcement for the latest
+// one before a sequence number stops to count.
+func TestDelayedAnnouncementAtNewLeader(t *testing.T) {
+	a := newAnnouncer(t)
+	a.announce(3, 8)
+	a.announce(5, 2)
+	a.leader.heard = heardAnnouncements{}
+	a.announce(4, 8)
+	a.clock.Advance(testSpan)
+	a.announce(4, 8)
+	assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2))
+	assert.Equal(t, len(a.leader.keepalives), 0)
+}
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -252,20 +252,18 @@
 		reply.Done = l.depart(ctx, target.ID)
 		return reply, nil
 	}
-	if l.isOutdated(target) {
-		if !target.Leaving {
-			return reply, nil
-		}
-		target.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
+	ordered, outdated := l.hear(target)
+	if outdated && !target.Leaving {
+		return reply, nil
 	}
 	l.mu.Lock()
-	changes, assigned := l.state.AnnouncementHasEffect(target), len(l.state.Runs(target.ID))
+	changes, assigned := l.state.AnnouncementHasEffect(ordered), len(l.state.Runs(target.ID))
 	l.mu.Unlock()
 	if !changes {
-		l.keepAlive(target)
+		l.keepAlive(ordered)
 		return reply, nil
 	}
-	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: target}})
+	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: ordered}})
 	return reply, nil
 }
 
