Withhold waiting starts from targets that fell silent

A start that waited in the sender could be sent by a capacity older than contact_ms and a beat, although the target may have shrunk meanwhile without being heard.

The tracker looks at the age of the latest announcement before it hands the start over; the sender, right before it sends, looked only for a capacity that is known to have shrunk.

TestTargetFallsSilentWhileStartWaits failed without the check: "withheld.Withheld && withheld.Verdict == anvilorder.StartNotSent".

The sender also looks at when the leader heard the target last. A target that this process hasn't heard is left to the tracker. A leader that led before and heard the target then withholds starts until the target announces itself again, about one beat.

--- a/io/anvillead/capacity_test.go
+++ b/io/anvillead/capacity_test.go
@@ -43,3 +43,33 @@
 	announce(2, anvilwork.Resources{CPU: 9000, GPU: 2})
 	assert.Assert(t, s.start(anvilorder.Start{Target: small}).Withheld, "the next incarnation might carry it out")
 }
+
+// TestTargetFallsSilentWhileStartWaits guards against sending a start that has waited for others for so long that
+// the target may have shrunk without being heard.
+func TestTargetFallsSilentWhileStartWaits(t *testing.T) {
+	a := newAnnouncer(t)
+	a.announce(1, 4)
+	target, _ := a.leader.state.Target("t")
+	s := sender{
+		limits:  newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}),
+		leading: func() bool { return true }, hasShrunk: a.leader.hasShrunk, calls: OutboundCalls{
+			Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
+				return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
+			},
+		},
+	}
+	a.clock.Advance(a.leader.bounds.Orders.MaxAnnouncementAge)
+	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted)
+	s.limits.starts <- struct{}{} // the limit is reached, so that the next start waits
+	answer := make(chan anvilorder.StartAnswer)
+	go func() { answer <- s.start(anvilorder.Start{Target: *target}) }()
+	a.clock.Advance(1)
+	<-s.limits.starts
+	withheld := <-answer
+	assert.Assert(t, withheld.Withheld && withheld.Verdict == anvilorder.StartNotSent)
+	a.announce(2, 4)
+	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted)
+	a.clock.Advance(a.leader.bounds.Orders.MaxAnnouncementAge + 1)
+	a.leader.heard = heardAnnouncements{}
+	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted, "a new leader goes by the age of the state")
+}
--- a/io/anvillead/sender.go
+++ b/io/anvillead/sender.go
@@ -45,7 +45,8 @@
 	limits  callLimits
 	calls   OutboundCalls
 	leading func() bool
-	// hasShrunk reports whether the capacity of a target has shrunk since it was as in the given record.
+	// hasShrunk reports whether the capacity of a target has shrunk since it was as in the given record, or may
+	// have, because the target hasn't announced itself for too long.
 	hasShrunk func(anvilwork.Target) bool
 }
 
