--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -252,26 +252,36 @@
 		reply.Done = l.depart(ctx, target.ID)
 		return reply, nil
 	}
-	if l.isOutdated(target) {
-		if !target.Leaving {
-			return reply, nil
-		}
-		target.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
+	ordered, outdated := l.hear(target)
+	if outdated && !target.Leaving {
+		return reply, nil
 	}
 	l.mu.Lock()
-	changes, assigned := l.state.AnnouncementHasEffect(target), len(l.state.Runs(target.ID))
+	changes, assigned := l.state.AnnouncementHasEffect(ordered), len(l.state.Runs(target.ID))
 	l.mu.Unlock()
 	if !changes {
-		select {
-		case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
-		default: // the channel is full; the target announces itself again soon
-		}
+		l.keepAlive(ordered)
 		return reply, nil
 	}
-	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: target}})
+	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: ordered}})
 	return reply, nil
 }
 
+// keepAlive passes an announcement that changes nothing to the goroutine of the term. One that was sent before
+// the record of the target says nothing about that record, so that it doesn't confirm its capacity.
+func (l *Leader) keepAlive(target anvilwork.Target) {
+	l.mu.Lock()
+	outdated := l.state.IsOutdated(target)
+	l.mu.Unlock()
+	if outdated {
+		return
+	}
+	select {
+	case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
+	default: // the channel is full; the target announces itself again soon
+	}
+}
+
 // commitTarget commits a command that changes a target, to which runs are assigned before the change. It
 // reports whether the command was committed.
 func (l *Leader) commitTarget(ctx context.Context, target anvilwork.Target, runs int, command anvilwork.Command) bool {
