--- a/core/anvilclock/clock.go
+++ b/core/anvilclock/clock.go
@@ -28,8 +28,8 @@
 // the type of package time without an overflow.
 const maxMillis Millis = 1 << 42
 
-// FromFloat converts a number of milliseconds from a document, rounding towards zero. Numbers out of range become
-// the nearest one in range; without that, the result would depend on the processor.
+// FromFloat converts a number of milliseconds from a document, rounding towards zero. Numbers out of range
+// become the nearest one in range; without that, the result would depend on the processor.
 func FromFloat(ms float64) Millis {
 	return Millis(max(-float64(maxMillis), min(ms, float64(maxMillis))))
 }
--- a/core/anvilhealth/inherit_test.go
+++ b/core/anvilhealth/inherit_test.go
@@ -9,8 +9,8 @@
 	"anvilshunt/core/anvilid"
 )
 
-// TestInherit guards against an ejected target that its next owner takes for healthy, and against an owner whose
-// targets are all ejected: it would have no request that could be a probe.
+// TestInherit guards against an ejected target that its next owner takes for healthy, and against an owner
+// whose targets are all ejected: it would have no request that could be a probe.
 func TestInherit(t *testing.T) {
 	m := New(1)
 	m.Add(name(0), "s", 8)
--- a/core/anvilhealth/monitor.go
+++ b/core/anvilhealth/monitor.go
@@ -149,8 +149,8 @@
 	m.targets[id] = &target{id: id, service: s, name: name, slots: slots, state: Healthy, nextProbeInterval: firstProbeInterval}
 }
 
-// Inherit records that the former owner of a monitored target has ejected it. The target is ejected by the next call
-// of EjectInherited that may do so, and may get one request at a time until then.
+// Inherit records that the former owner of a monitored target has ejected it. The target is ejected by the
+// next call of EjectInherited that may do so, and may get one request at a time until then.
 func (m *Monitor) Inherit(id anvilid.TargetID) {
 	if t, ok := m.targets[id]; ok && t.state == Healthy {
 		t.startReturning()
@@ -158,9 +158,9 @@
 	}
 }
 
-// EjectInherited ejects the targets for which Inherit was called, unless more than half of the targets of their
-// service would then be ejected. An owner learns of its targets one by one, so it is called after each of them. It
-// returns the targets that it has ejected, ordered by id.
+// EjectInherited ejects the targets for which Inherit was called, unless more than half of the targets of
+// their service would then be ejected. An owner learns of its targets one by one, so it is called after each
+// of them. It returns the targets that it has ejected, ordered by id.
 func (m *Monitor) EjectInherited(now anvilclock.Millis) []anvilid.TargetID {
 	var ejected []anvilid.TargetID
 	for _, id := range slices.Sorted(maps.Keys(m.inherited)) {
--- a/core/anvilid/valid.go
+++ b/core/anvilid/valid.go
@@ -19,8 +19,8 @@
 	return err == nil && parsed.Port() > 0 && !parsed.Addr().IsUnspecified()
 }
 
-// ValidID reports whether an identifier that others have chosen can be used in headers, paths and log lines: 1 to
-// 256 visible ASCII characters without the slash and the percent sign, and not the name of a directory.
+// ValidID reports whether an identifier that others have chosen can be used in headers, paths and log lines:
+// 1 to 256 visible ASCII characters without the slash and the percent sign, and not the name of a directory.
 func ValidID(id string) bool {
 	if id == "" || len(id) > maxID || id == "." || id == ".." {
 		return false
--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -135,11 +135,11 @@
 		anvilwork.Command{Unassign: &anvilwork.Unassign{Task: order.Task, Run: order.Run}})
 }
 
-// handleOtherIncarnation handles an answer that did not come from the incarnation to which
-// the order was sent. A later incarnation of the same target (answeredBy) may have carried
-// out orders for the former one. The runs of the former one are therefore assigned to it, and
-// stopped there before they are placed again. The same holds for an earlier one, whose number shows that the known
-// one was announced wrongly. If answeredBy is 0, another target has the address now, and the former incarnation has ended.
+// handleOtherIncarnation handles an answer that did not come from the incarnation to which the order was
+// sent. A later incarnation of the same target (answeredBy) may have carried out orders for the former one.
+// The runs of the former one are therefore assigned to it, and stopped there before they are placed again.
+// The same holds for an earlier one, whose number shows that the known one was announced wrongly. If
+// answeredBy is 0, another target has the address now, and the former incarnation has ended.
 func (t *Tracker) handleOtherIncarnation(target *target, answeredBy anvilwork.Incarnation, effects *Effects) {
 	target.unansweredCalls++
 	if answeredBy == 0 || answeredBy == target.record.Incarnation {
@@ -151,9 +151,10 @@
 	effects.Commands = append(effects.Commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: successor, Answered: true}})
 }
 
-// leaveIfEnded adds a command that removes a target which has said that it ends, if no process accepts connections at
-// its address any more. It reports whether it added the command. A cut link may refuse connections too, so a call
-// from before the departure, or to a target that hasn't said so itself, shows nothing.
+// leaveIfEnded adds a command that removes a target which has said that it ends, if no process accepts
+// connections at its address any more. It reports whether it added the command. A cut link may refuse
+// connections too, so a call from before the departure, or to a target that hasn't said so itself, shows
+// nothing.
 func (target *target) leaveIfEnded(answer Answer, effects *Effects) bool {
 	if !answer.Refused || !target.record.Departed() || target.record.Displaced || answer.Sent < target.departureSeenAt {
 		return false
@@ -287,9 +288,10 @@
 	return &anvilwork.RecordRunEnds{Target: target.ID, Incarnation: target.Incarnation, Ends: ends}
 }
 
-// CommitFailed is called when commands of this term were not committed, or not in time. They may still be applied, such
-// as one that unassigns a run, so Next returns no starts until CommitSucceeded is called. The run ends in those
-// commands are returned again when the next poll answer lists them, and silences are noted again.
+// CommitFailed is called when commands of this term were not committed, or not in time. They may still be
+// applied, such as one that unassigns a run, so Next returns no starts until CommitSucceeded is called. The
+// run ends in those commands are returned again when the next poll answer lists them, and silences are noted
+// again.
 func (t *Tracker) CommitFailed() {
 	t.commitUncertain = true
 	for _, target := range t.targets {
@@ -303,7 +305,8 @@
 // CommitSucceeded is called when an entry of this term was committed and applied, and with it all earlier ones.
 func (t *Tracker) CommitSucceeded() { t.commitUncertain = false }
 
-// CommitUncertain reports whether an entry, if only an empty one, must be committed before Next returns any start.
+// CommitUncertain reports whether an entry, if only an empty one, must be committed before Next returns any
+// start.
 func (t *Tracker) CommitUncertain() bool { return t.commitUncertain }
 
 // reconcileRuns compares the runs that the target lists with those that are assigned to it.
--- a/core/anvilorder/capacity.go
+++ b/core/anvilorder/capacity.go
@@ -62,9 +62,9 @@
 // neverSent reports whether the target can't have the run, because no start has left this process.
 func (r *run) neverSent() bool { return r.phase == starting && !r.startInFlight && !r.startReached }
 
-// successorOf returns the record of an incarnation of a target that hasn't announced itself yet. It is at the same
-// place as the former one, but may be of another service and kind, so that nothing is placed there until its
-// first announcement. Any sequence number of that is higher than 0.
+// successorOf returns the record of an incarnation of a target that hasn't announced itself yet. It is at the
+// same place as the former one, but may be of another service and kind, so that nothing is placed there until
+// its first announcement. Any sequence number of that is higher than 0.
 func successorOf(former anvilwork.Target, incarnation anvilwork.Incarnation) anvilwork.Target {
 	return anvilwork.Target{
 		ID: former.ID, Incarnation: incarnation, Address: former.Address,
--- a/core/anvilorder/capacity_test.go
+++ b/core/anvilorder/capacity_test.go
@@ -113,8 +113,8 @@
 
 const testAnnouncementAge = 3000 * anvilclock.Millisecond
 
-// TestStaleCapacity guards against starts on a target that answers polls, but whose announcements don't arrive, so
-// that its capacity may have shrunk long ago.
+// TestStaleCapacity guards against starts on a target that answers polls, but whose announcements don't
+// arrive, so that its capacity may have shrunk long ago.
 func TestStaleCapacity(t *testing.T) {
 	w := newWorld(t)
 	w.tracker.timing.MaxAnnouncementAge = testAnnouncementAge
@@ -133,8 +133,8 @@
 	assert.Assert(t, w.tracker.Usable(w.now, "t", testLease))
 }
 
-// TestCapacityAtNewLeader guards against a leader that is elected long after the former one was lost, and places
-// runs by capacities that the former one knew.
+// TestCapacityAtNewLeader guards against a leader that is elected long after the former one was lost, and
+// places runs by capacities that the former one knew.
 func TestCapacityAtNewLeader(t *testing.T) {
 	for _, age := range []anvilclock.Millis{500, testAnnouncementAge + 1} {
 		w := newWorld(t)
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -49,8 +49,8 @@
 	assert.Assert(t, w.tracker.Usable(w.now, "t", 5000))
 }
 
-// TestEndedRunThatIsNotListed guards against a task that is never placed again, because its target has ended the run
-// and dropped the end, while a copy of the start got no answer.
+// TestEndedRunThatIsNotListed guards against a task that is never placed again, because its target has ended
+// the run and dropped the end, while a copy of the start got no answer.
 func TestEndedRunThatIsNotListed(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
@@ -62,8 +62,8 @@
 	assert.Equal(t, len(w.state.Runs("t")), 0)
 }
 
-// TestStartAfterFailedCommit guards against a start that is sent again although the command that releases its run, whose
-// commit failed by timeout, may still be applied.
+// TestStartAfterFailedCommit guards against a start that is sent again although the command that releases its
+// run, whose commit failed by timeout, may still be applied.
 func TestStartAfterFailedCommit(t *testing.T) {
 	w := newWorld(t)
 	commands := w.answerStart(w.placeAndStart(taskA, 1), StartRejected).Commands
@@ -77,8 +77,8 @@
 	assert.Equal(t, len(w.advance(1).Starts), 0, "the run was released")
 }
 
-// TestOlderRunIsStopped guards against an earlier run of a task that goes on beside the assigned one, because a late
-// start of it was carried out at the same target.
+// TestOlderRunIsStopped guards against an earlier run of a task that goes on beside the assigned one, because
+// a late start of it was carried out at the same target.
 func TestOlderRunIsStopped(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 2), StartUnanswered)
@@ -87,8 +87,8 @@
 	assert.Equal(t, effects.Stops[0].Run, anvilwork.Run(1))
 }
 
-// TestTwoRowsOfOneTask guards against an assigned run that counts as missing, because the list has a row of another
-// run of its task.
+// TestTwoRowsOfOneTask guards against an assigned run that counts as missing, because the list has a row of
+// another run of its task.
 func TestTwoRowsOfOneTask(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 2), StartAccepted)
@@ -99,8 +99,8 @@
 	}
 }
 
-// TestStartsAfterOneBurst guards against the starts of a gang that wait for a poll of their target, because one start of
-// each of its members got no answer at the same time.
+// TestStartsAfterOneBurst guards against the starts of a gang that wait for a poll of their target, because
+// one start of each of its members got no answer at the same time.
 func TestStartsAfterOneBurst(t *testing.T) {
 	w := newWorld(t)
 	w.apply(anvilwork.Command{Submit: &anvilwork.Submit{
@@ -126,8 +126,8 @@
 	assert.Equal(t, len(w.advance(testRetry).Starts), 4, "%d ms after the first ones", w.now-sent)
 }
 
-// TestStartIsNotRepeatedAtLeavingTarget guards against new work on a target seconds after it has said that it leaves, because an
-// unanswered start is sent again.
+// TestStartIsNotRepeatedAtLeavingTarget guards against new work on a target seconds after it has said that it
+// leaves, because an unanswered start is sent again.
 func TestStartIsNotRepeatedAtLeavingTarget(t *testing.T) {
 	w := newWorld(t)
 	order := w.placeAndStart(taskA, 1)
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -84,10 +84,10 @@
 	assert.Equal(t, len(w.advance(testRetry).Commands), 0)
 }
 
-// TestSilentTargetBornAnew guards against placing a run again when the lease of a target that doesn't answer
-// has expired, although the target may have been born anew unnoticed: the new incarnation carries out the
+// TestSilentTargetRestarts guards against placing a run again when the lease of a target that doesn't answer
+// has expired, although the target may have been restarted unnoticed: the new incarnation carries out the
 // repeated starts, and its clock restarts, so that their deadline doesn't bound the run there.
-func TestSilentTargetBornAnew(t *testing.T) {
+func TestSilentTargetRestarts(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
 	latest := w.now
@@ -126,8 +126,9 @@
 	assert.Equal(t, w.takePoll().Cursor, uint64(0), "an end is acknowledged once")
 }
 
-// TestRefusedConnectionAfterDeparture guards against waiting for the end of the lease of a target that has said that it
-// ends and accepts no connections any more, and against taking a refused connection for the end of any other target.
+// TestRefusedConnectionAfterDeparture guards against waiting for the end of the lease of a target that has
+// said that it ends and accepts no connections any more, and against taking a refused connection for the end
+// of any other target.
 func TestRefusedConnectionAfterDeparture(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
@@ -144,8 +145,8 @@
 	assert.Equal(t, len(w.state.Runs("t")), 0)
 }
 
-// TestAnswerOfLowerIncarnation guards against releasing the runs of a target that is alive, because its incarnation was
-// announced with too high a number: by another writer, or before its clock was set back.
+// TestAnswerOfLowerIncarnation guards against releasing the runs of a target that is alive, because its
+// incarnation was announced with too high a number: by another writer, or before its clock was set back.
 func TestAnswerOfLowerIncarnation(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
@@ -159,8 +160,8 @@
 	assert.Equal(t, len(w.advance(1).Stops), 1)
 }
 
-// TestLatePollOfFormerIncarnation guards against a lease of a new incarnation that is extended by a poll which was
-// sent while the former one was believed to be there. Its deadline is a time on the former clock.
+// TestLatePollOfFormerIncarnation guards against a lease of a new incarnation that is extended by a poll
+// which was sent while the former one was believed to be there. Its deadline is a time on the former clock.
 func TestLatePollOfFormerIncarnation(t *testing.T) {
 	w := newWorld(t)
 	w.now = 100_000
@@ -220,8 +221,8 @@
 	assert.Equal(t, len(commands), 0, "the refusal says nothing about the time since the departure")
 }
 
-// TestClosedConnectionBoundsLateStart guards against a run that waits for 18 s to be placed again although its target has
-// crashed: a start whose connection was closed isn't carried out later.
+// TestClosedConnectionBoundsLateStart guards against a run that waits for 18 s to be placed again although
+// its target has crashed: a start whose connection was closed isn't carried out later.
 func TestClosedConnectionBoundsLateStart(t *testing.T) {
 	w := newWorld(t)
 	order := w.placeAndStart(taskA, 1)
--- a/core/anvilorder/odd_end_test.go
+++ b/core/anvilorder/odd_end_test.go
@@ -8,8 +8,8 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// TestOddEndNumber guards against one end with a number out of range that is acknowledged: the target then forgets
-// all its ends, and the leader ignores them, so that work that is done is started again.
+// TestOddEndNumber guards against one end with a number out of range that is acknowledged: the target then
+// forgets all its ends, and the leader ignores them, so that work that is done is started again.
 func TestOddEndNumber(t *testing.T) {
 	for _, number := range []uint64{1 << 63, 1<<64 - 1, 1 << 40} {
 		w := newWorld(t)
--- a/core/anvilorder/schedule_test.go
+++ b/core/anvilorder/schedule_test.go
@@ -169,7 +169,8 @@
 	}
 }
 
-// after calls fire after a delay. Functions that are due at the same time are called in the order of these calls.
+// after calls fire after a delay. Functions that are due at the same time are called in the order of these
+// calls.
 func (s *schedule) after(delay anvilclock.Millis, fire func()) {
 	at := s.now + delay
 	i, _ := slices.BinarySearchFunc(s.timers, at+1, func(t timer, at anvilclock.Millis) int { return cmp.Compare(t.at, at) })
--- a/core/anvilorder/silence.go
+++ b/core/anvilorder/silence.go
@@ -92,9 +92,9 @@
 	return begun, unknown
 }
 
-// awaitsAnswer reports whether a start has to wait for an answer of its target to a poll, which it requests: a target
-// without runs isn't polled, and only if the target has just answered does a closed connection show that its process
-// ended on this start.
+// awaitsAnswer reports whether a start has to wait for an answer of its target to a poll, which it requests:
+// a target without runs isn't polled, and only if the target has just answered does a closed connection show
+// that its process ended on this start.
 func (target *target) awaitsAnswer(now anvilclock.Millis, state *anvilwork.TaskState) bool {
 	if !state.Suspect() || target.closedAt > 0 || now <= target.answeredAt+crashDelay/2 {
 		return false
--- a/core/anvilorder/silence_test.go
+++ b/core/anvilorder/silence_test.go
@@ -18,7 +18,7 @@
 	}
 }
 
-// TestSilenceNamesNewRuns guards against accusing a run of a crash that had worked for long before, against
+// TestSilenceNamesNewRuns guards against suspecting a run of a crash that had worked for long before, against
 // missing one that had just begun, and against committing the same note again and again.
 func TestSilenceNamesNewRuns(t *testing.T) {
 	w := newWorld(t)
@@ -86,7 +86,7 @@
 	}
 }
 
-// TestSilenceAfterElection guards against a new leader that accuses each run of its predecessor, or none.
+// TestSilenceAfterElection guards against a new leader that suspects each run of its predecessor, or none.
 func TestSilenceAfterElection(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
@@ -99,8 +99,8 @@
 	assert.DeepEqual(t, target.Silence.Suspects, []anvilwork.Unassign{{Task: taskB, Run: 1}})
 }
 
-// TestSilenceOutlivesElection guards against a new leader that reports that a silent target answers, although no call of
-// its own has been answered.
+// TestSilenceOutlivesElection guards against a new leader that reports that a silent target answers, although
+// no call of its own has been answered.
 func TestSilenceOutlivesElection(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
@@ -114,8 +114,8 @@
 	}
 }
 
-// TestSilenceOutlivesElectionAndLease guards against a crash that isn't counted because the leader changed and the lease
-// expired before the target was back.
+// TestSilenceOutlivesElectionAndLease guards against a crash that isn't counted because the leader changed
+// and the lease expired before the target was back.
 func TestSilenceOutlivesElectionAndLease(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
@@ -132,8 +132,8 @@
 	assert.Equal(t, job.State(taskA).Crashes, 1)
 }
 
-// TestClearedSilenceIsNotReported guards against a commit every 200 ms, because a silence that a crash has ended is
-// reported as ended again and again.
+// TestClearedSilenceIsNotReported guards against a commit every 200 ms, because a silence that a crash has
+// ended is reported as ended again and again.
 func TestClearedSilenceIsNotReported(t *testing.T) {
 	w := newWorld(t)
 	known, _ := w.state.Target("t")
@@ -157,8 +157,8 @@
 	assert.Equal(t, len(w.tracker.NoteSilences(w.now)), 0)
 }
 
-// TestSuspectStartsAfterAnswer guards against a crash of an idle target that isn't seen, because its latest answer was too
-// long ago to tell a process that ended on the start from one that had been cut off.
+// TestSuspectStartsAfterAnswer guards against a crash of an idle target that isn't seen, because its latest
+// answer was too long ago to tell a process that ended on the start from one that had been cut off.
 func TestSuspectStartsAfterAnswer(t *testing.T) {
 	w := newWorld(t)
 	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -120,9 +120,9 @@
 	return successor
 }
 
-// inheritedStartUntil returns until when a start of a former leader may be carried out by a later incarnation of
-// the target than the one that it was sent to, whose clock restarts, or 0 if this can't happen: the run was
-// placed on the present incarnation, so that the deadline in the start bounds it.
+// inheritedStartUntil returns until when a start of a former leader may be carried out by a later incarnation
+// of the target than the one that it was sent to, whose clock restarts, or 0 if this can't happen: the run
+// was placed on the present incarnation, so that the deadline in the start bounds it.
 func (t *Tracker) inheritedStartUntil(state *anvilwork.State, record *anvilwork.Target, task anvilwork.Task) anvilclock.Millis {
 	job, ok := state.Job(task.Job)
 	if !ok || job.State(task).PhaseSince >= record.RegisteredAt {
@@ -131,9 +131,9 @@
 	return t.electedAt + maxOrderDelay
 }
 
-// lateCallsUntil returns until when a call with a lease deadline that this leader has sent may be carried out without an
-// answer. A deadline extends the lease of all runs of a target; at a later incarnation, whose clock restarts, up to
-// the longest lease from then on.
+// lateCallsUntil returns until when a call with a lease deadline that this leader has sent may be carried out
+// without an answer. A deadline extends the lease of all runs of a target; at a later incarnation, whose
+// clock restarts, up to the longest lease from then on.
 func (target *target) lateCallsUntil() anvilclock.Millis {
 	until := target.lateUntil
 	if target.pollInFlight {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -25,8 +25,9 @@
 	MaxAnnouncementAge anvilclock.Millis
 }
 
-// maxRepeatedStarts is the number of unanswered copies of a start after which no further one is sent until the target
-// answers a call. Each copy may be carried out up to maxOrderDelay later, which delays the next run of the task.
+// maxRepeatedStarts is the number of unanswered copies of a start after which no further one is sent until
+// the target answers a call. Each copy may be carried out up to maxOrderDelay later, which delays the next
+// run of the task.
 const maxRepeatedStarts = 3
 
 // maxOrderDelay is the longest time after sending an order in which a target may still carry
@@ -258,9 +259,9 @@
 	return max(r.mayStartUntil, r.nextStartAt+maxOrderDelay)
 }
 
-// lateStartEndedAt returns from when on a run can't be at work any more because of a start that got no answer. A
-// target that doesn't answer may have begun a new incarnation, whose clock restarts, so that the deadline in
-// the start doesn't bound the run there.
+// lateStartEndedAt returns from when on a run can't be at work any more because of a start that got no
+// answer. A target that doesn't answer may have begun a new incarnation, whose clock restarts, so that the
+// deadline in the start doesn't bound the run there.
 func (t *Tracker) lateStartEndedAt(r *run) anvilclock.Millis {
 	until := r.lateStartUntil()
 	if until == 0 {
@@ -340,8 +341,8 @@
 }
 
 // cursor returns the number of the latest end to acknowledge, or 0 if there is none that the target hasn't
-// received. A target that doesn't answer, or has not answered this leader yet, may have begun a new incarnation,
-// which numbers its ends from 1 and would drop those up to the number of the former one.
+// received. A target that doesn't answer, or has not answered this leader yet, may have begun a new
+// incarnation, which numbers its ends from 1 and would drop those up to the number of the former one.
 func (target *target) cursor() uint64 {
 	if target.unansweredCalls > 0 || !target.adopted || target.record.Cursor <= target.ackedCursor {
 		return 0
--- a/core/anvilplace/capacity_test.go
+++ b/core/anvilplace/capacity_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestRandomCapacities guards against placements beyond the capacity of a target while capacities shrink and grow at
-// random among jobs of all kinds, urgent ones that evict others included.
+// TestRandomCapacities guards against placements beyond the capacity of a target while capacities shrink and
+// grow at random among jobs of all kinds, urgent ones that evict others included.
 func TestRandomCapacities(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newTestCluster(t, 2, 2, 8)
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -42,8 +42,8 @@
 	yieldsToUrgent bool
 	// probation is the job whose suspects run here and are still on probation, or empty, see excluded.
 	probation anvilid.JobID
-	// soleJob is the job of all runs here, those included that this call of Plan has placed, or nil if there are
-	// none. It is invalid if several jobs have runs here, which is when mixed is set. addRun sets both.
+	// soleJob is the job of all runs here, those included that this call of Plan has placed, or nil if there
+	// are none. It is invalid if several jobs have runs here, which is when mixed is set. addRun sets both.
 	soleJob *jobInfo
 	mixed   bool
 	// urgentByJob is the number of urgent runs here of each job, and urgentRuns their sum.
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -95,8 +95,8 @@
 	currentSuspects *waitingStep
 	// probationNodes has the nodes on which suspects of each job are on probation.
 	probationNodes map[anvilid.JobID][]*node
-	// emptyNodes is the number of usable nodes without runs, and ownNodes, for each job, that of usable nodes with
-	// runs of this job only. Suspects that wait for a target of their own fit on no other node.
+	// emptyNodes is the number of usable nodes without runs, and ownNodes, for each job, that of usable nodes
+	// with runs of this job only. Suspects that wait for a target of their own fit on no other node.
 	emptyNodes int
 	ownNodes   map[anvilid.JobID]int
 	// emptying is the result of emptyingNodes, which is valid if emptyingKnown is set.
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -99,8 +99,8 @@
 	return float64(stopLatency) + progressed
 }
 
-// vacateLeavingTargets evicts runs from targets that leave before the runs can end, if they fit elsewhere. Their
-// work is lost when the target ends, and a gang loses that of all its members; the earlier they start
+// vacateLeavingTargets evicts runs from targets that leave before the runs can end, if they fit elsewhere.
+// Their work is lost when the target ends, and a gang loses that of all its members; the earlier they start
 // again, the less.
 func (p *planner) vacateLeavingTargets() {
 	for _, n := range p.all.nodes {
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -13,8 +13,8 @@
 // first: if the next target crashes too, no other job can be the cause and none loses its work.
 
 const (
-	// minIsolatedCrashes is the number of crashes from which on a task is a suspect. Most tasks that were hit by
-	// one crash are innocent, and a target of their own costs others more than the second crash of the few
+	// minIsolatedCrashes is the number of crashes from which on a task is a suspect. Most tasks that were hit
+	// by one crash are innocent, and a target of their own costs others more than the second crash of the few
 	// that aren't.
 	minIsolatedCrashes = 2
 	// maxAloneWait is how long suspects wait for an empty target before they may start beside runs that aren't
@@ -34,8 +34,8 @@
 	// maxSuspectClaimShare limits the share of the usable targets that is claimed for suspects. One target may
 	// always be claimed.
 	maxSuspectClaimShare = 0.25
-	// maxProbation is how long nothing is placed beside the run of a suspect if its target doesn't list the run.
-	// It covers a start that is carried out late.
+	// maxProbation is how long nothing is placed beside the run of a suspect if its target doesn't list the
+	// run. It covers a start that is carried out late.
 	maxProbation = 15 * anvilclock.Second
 )
 
@@ -144,8 +144,8 @@
 
 // fitSuspects returns the result of fit, which is fitAll or fitMost, for count tasks of a step on the
 // resources that are available now. Suspects that don't need a target of their own avoid targets that have
-// restarted. Those that may start anywhere start beside the fewest urgent runs that let any of them fit, and beside
-// other suspects only if they fit nowhere else.
+// restarted. Those that may start anywhere start beside the fewest urgent runs that let any of them fit, and
+// beside other suspects only if they fit nowhere else.
 func (p *planner) fitSuspects(u *waitingStep, count int, fit func(*waitingStep, int, view) []allotment) []allotment {
 	allotments := fit(u, count, availableNow)
 	if u.stage <= stageAlone || count <= 0 || len(allotments) > 0 {
--- a/core/anvilplace/suspect_test.go
+++ b/core/anvilplace/suspect_test.go
@@ -32,8 +32,8 @@
 	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: id, Incarnation: target.Incarnation}})
 }
 
-// accuse counts an earlier crash for each task of a job, so that the next one makes them suspects.
-func (w *testCluster) accuse(id anvilid.JobID) {
+// countEarlierCrash counts an earlier crash for each task of a job, so that the next one makes them suspects.
+func (w *testCluster) countEarlierCrash(id anvilid.JobID) {
 	job, ok := w.state.Job(id)
 	assert.Assert(w.t, ok)
 	for i := range job.Occurrences[0].Tasks[0] {
@@ -69,15 +69,15 @@
 }
 
 // TestSuspectRunsAlone guards against starting a task that may have crashed a target beside other work, which
-// would lose its runs in the next crash and be accused with it, and against sparing its target for longer than
-// it takes to clear the task.
+// would lose its runs in the next crash and be suspected with it, and against excluding others from its
+// target for longer than it takes to clear the task.
 func TestSuspectRunsAlone(t *testing.T) {
 	w := newTestCluster(t, 1, 3, 8)
 	w.submit("c", "common", "b", anvilwork.Step{Count: 2, Need: gpus(1)})
 	w.submit("d", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1)})
 	w.plan()
-	w.accuse("c")
-	w.accuse("d")
+	w.countEarlierCrash("c")
+	w.countEarlierCrash("d")
 	w.now += 500
 	w.crash(w.assigned("d")[0])
 	assert.Equal(t, w.crashesOf("c"), minIsolatedCrashes)
@@ -122,9 +122,9 @@
 	}
 }
 
-// TestCrashingTaskStartsAtMostFiveTimes guards against a task that crashes each target and whose job is given up
-// too late because the planner isolates it too late: three crashes and then at most two more starts are allowed.
-// A job that shares its targets must not be given up with it.
+// TestCrashingTaskStartsAtMostFiveTimes guards against a task that crashes each target and whose job is given
+// up too late because the planner isolates it too late: three crashes and then at most two more starts are
+// allowed. A job that shares its targets must not be given up with it.
 func TestCrashingTaskStartsAtMostFiveTimes(t *testing.T) {
 	for _, c := range []struct {
 		seen      bool
@@ -157,7 +157,7 @@
 	w := newTestCluster(t, 2, 3, 8)
 	w.submit("c", "common", "b", anvilwork.Step{Count: 24, Need: gpus(1)})
 	w.plan()
-	w.accuse("c")
+	w.countEarlierCrash("c")
 	w.now += 500
 	hit := w.assigned("c")
 	for _, id := range []anvilid.TargetID{hit[0], hit[8], hit[16]} {
@@ -180,7 +180,7 @@
 	w := newTestCluster(t, 1, 4, 8)
 	w.submit("g", "common", "b", anvilwork.Step{Count: 2, Need: gpus(5), Gang: true})
 	w.plan()
-	w.accuse("g")
+	w.countEarlierCrash("g")
 	w.now += 500
 	crashed, torn := w.assigned("g")[0], w.assigned("g")[1]
 	w.crash(crashed)
@@ -209,7 +209,7 @@
 		}}})
 	}
 	w.now += 500
-	w.accuse("s")
+	w.countEarlierCrash("s")
 	w.crash("r0-00")
 	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-00x", Incarnation: 2}})
 	return w
@@ -228,8 +228,8 @@
 	assert.Equal(t, len(w.assigned("d")), 6)
 }
 
-// TestSuspectStartsBesideUrgentAtLast guards against a suspect that waits without end because each target has an
-// urgent run, and against placing it where more urgent runs are than elsewhere.
+// TestSuspectStartsBesideUrgentAtLast guards against a suspect that waits without end because each target has
+// an urgent run, and against placing it where more urgent runs are than elsewhere.
 func TestSuspectStartsBesideUrgentAtLast(t *testing.T) {
 	w := newTestCluster(t, 1, 4, 32)
 	for i, id := range []anvilid.JobID{"s", "u1", "u2", "u3"} {
@@ -247,7 +247,7 @@
 		}
 	}
 	w.now += 500
-	w.accuse("s")
+	w.countEarlierCrash("s")
 	w.crash("r0-00")
 	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-00x", Incarnation: 2}})
 	w.workFor(maxAloneWait + maxSpareWait - 1)
@@ -270,7 +270,7 @@
 	w.place(anvilwork.Task{Job: "s"}, 1, "r0-00")
 	w.place(anvilwork.Task{Job: "s", Index: 1}, 1, "r0-01")
 	w.now += 400
-	w.accuse("s")
+	w.countEarlierCrash("s")
 	w.crash("r0-00")
 	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "r0-00x", Incarnation: 2}})
 	w.workFor(1000)
@@ -282,9 +282,9 @@
 	assert.Assert(t, maxAloneWait+maxSpareWait < 3*anvilclock.Second)
 }
 
-// TestSuspectAvoidsRestartedTargets guards against innocent jobs that are given up because of one bad machine: its
-// targets have lost their runs in the last crash, and would attract the next suspect because they are empty. If all
-// others are full, the suspects must start there after all.
+// TestSuspectAvoidsRestartedTargets guards against innocent jobs that are given up because of one bad
+// machine: its targets have lost their runs in the last crash, and would attract the next suspect because
+// they are empty. If all others are full, the suspects must start there after all.
 func TestSuspectAvoidsRestartedTargets(t *testing.T) {
 	for _, c := range []struct {
 		load int // accelerators in use on each other target
@@ -303,7 +303,7 @@
 		w.place(anvilwork.Task{Job: "s"}, 1, "r0-00")
 		w.place(anvilwork.Task{Job: "x"}, 1, "r0-02")
 		w.place(anvilwork.Task{Job: "x", Index: 1}, 1, "r0-03")
-		w.accuse("s")
+		w.countEarlierCrash("s")
 		w.now += 400
 		w.crash("r0-00")
 		w.workFor(100)
@@ -331,7 +331,7 @@
 		w.submit(other, "common", "a", anvilwork.Step{Count: 1, Need: anvilwork.Resources{CPU: 2000}, Estimate: 1500})
 		w.place(anvilwork.Task{Job: suspect}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", i)))
 		w.place(anvilwork.Task{Job: other}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", half+i)))
-		w.accuse(suspect)
+		w.countEarlierCrash(suspect)
 	}
 	w.now += 500
 	for i := range half {
@@ -346,8 +346,8 @@
 	assert.Equal(t, len(w.plan().Claims), 0)
 }
 
-// TestSuspectPlanCost guards against estimating for each suspect anew when each target will be empty: with hundreds
-// of suspects and targets, one plan took 0.2 s. It counts the estimates, not the time.
+// TestSuspectPlanCost guards against estimating for each suspect anew when each target will be empty: with
+// hundreds of suspects and targets, one plan took 0.2 s. It counts the estimates, not the time.
 func TestSuspectPlanCost(t *testing.T) {
 	const targets, crashes, runsPerTarget = 20, 5, 4
 	w := newTestCluster(t, 1, targets, 0)
@@ -355,7 +355,7 @@
 		id := anvilid.JobID(fmt.Sprintf("j%02d", i))
 		w.submit(id, "common", "a", anvilwork.Step{Count: 1, Need: gpus(1), Estimate: 60_000})
 		w.place(anvilwork.Task{Job: id}, 1, anvilid.TargetID(fmt.Sprintf("r0-%02d", i/runsPerTarget)))
-		w.accuse(id)
+		w.countEarlierCrash(id)
 	}
 	w.now += 500
 	for i := range crashes {
@@ -374,14 +374,14 @@
 	assert.Assert(t, estimates <= 3*runs, "%d estimates for %d runs", estimates, runs)
 }
 
-// TestSuspectJoinsOtherSuspectsAtLast guards against a suspect that waits without end because the only targets on
-// which it fits have suspects of other jobs, one after the other.
+// TestSuspectJoinsOtherSuspectsAtLast guards against a suspect that waits without end because the only
+// targets on which it fits have suspects of other jobs, one after the other.
 func TestSuspectJoinsOtherSuspectsAtLast(t *testing.T) {
 	w := newTestCluster(t, 1, 1, 0)
 	for _, id := range []anvilid.JobID{"c", "d"} {
 		w.submit(id, "common", "b", anvilwork.Step{Count: 1, Need: gpus(1), Estimate: 600_000})
 		w.place(anvilwork.Task{Job: id}, 1, "r0-00")
-		w.accuse(id)
+		w.countEarlierCrash(id)
 	}
 	w.now += 500
 	w.crash("r0-00")
@@ -395,9 +395,9 @@
 	assert.Equal(t, len(w.assigned("c"))+len(w.assigned("d")), 2)
 }
 
-// TestSuspectWaitsNotForever guards against a suspect that waits for an empty target although it could run, and
+// TestSuspectWaitIsBounded guards against a suspect that waits for an empty target although it could run, and
 // against placing it beside urgent work then.
-func TestSuspectWaitsNotForever(t *testing.T) {
+func TestSuspectWaitIsBounded(t *testing.T) {
 	w := newBusyCluster(t)
 	w.now += maxAloneWait - 1
 	w.plan()
--- a/core/anvilreport/report_test.go
+++ b/core/anvilreport/report_test.go
@@ -11,8 +11,8 @@
 	"anvilshunt/core/anvilid"
 )
 
-// TestOddReport guards against an announcement that is stored in the replicated state although no instance can use
-// the target, or whose numbers make the sums over all targets of a service overflow.
+// TestOddReport guards against an announcement that is stored in the replicated state although no instance
+// can use the target, or whose numbers make the sums over all targets of a service overflow.
 func TestOddReport(t *testing.T) {
 	valid := Report{
 		Target: "t-1", Incarnation: 17, Address: "127.0.0.1:9001", Service: "planner", Slots: 8, Connections: 64,
--- a/core/anvilrows/rows.go
+++ b/core/anvilrows/rows.go
@@ -22,8 +22,8 @@
 // List is a list in a document whose entries are decoded one by one.
 type List []json.RawMessage
 
-// Unmarshal is like json.Unmarshal, but an entry of a list that is no JSON value, or that is nested too deep for
-// the decoder, doesn't fail the document. Such an entry is replaced by a string with its first bytes. The
+// Unmarshal is like json.Unmarshal, but an entry of a list that is no JSON value, or that is nested too deep
+// for the decoder, doesn't fail the document. Such an entry is replaced by a string with its first bytes. The
 // lists are those that are direct fields of the document.
 func Unmarshal(document []byte, value any) error {
 	err := json.Unmarshal(document, value)
--- a/core/anvilrows/rows_test.go
+++ b/core/anvilrows/rows_test.go
@@ -44,8 +44,8 @@
 	})
 }
 
-// TestDocumentsThatEnd guards against a document that is cut off, or isn't an object, and is taken for a valid one or
-// ends the process.
+// TestDocumentsThatEnd guards against a document that is cut off, or isn't an object, and is taken for a
+// valid one or ends the process.
 func TestDocumentsThatEnd(t *testing.T) {
 	whole := `{"rows":[{"a":"b\"c"},[1]],"name":"n"}`
 	for end := range len(whole) {
--- a/core/anvilstate/eject_test.go
+++ b/core/anvilstate/eject_test.go
@@ -8,8 +8,8 @@
 	"anvilshunt/core/anvilid"
 )
 
-// TestEject guards against an ejection that is lost with its owner or with a snapshot, that a former owner records, or
-// that a new incarnation of the target inherits.
+// TestEject guards against an ejection that is lost with its owner or with a snapshot, that a former owner
+// records, or that a new incarnation of the target inherits.
 func TestEject(t *testing.T) {
 	m := New()
 	apply := func(command Command) Result { return m.Apply(m.Index()+1, 0, command) }
--- a/core/anvilupkeep/coordinator.go
+++ b/core/anvilupkeep/coordinator.go
@@ -46,8 +46,8 @@
 	Partial bool
 }
 
-// AddAnnounced adds a machine that a target has announced, if a part of the list could not be read and the machine
-// isn't in the rest.
+// AddAnnounced adds a machine that a target has announced, if a part of the list could not be read and the
+// machine isn't in the rest.
 func (l *MachineList) AddAnnounced(id anvilid.MachineID, target anvilid.TargetID) {
 	if _, listed := l.Machines[id]; l.Partial && !listed && id != "" {
 		l.Machines[id] = Machine{Up: true, Target: target}
--- a/core/anvilupkeep/partial_test.go
+++ b/core/anvilupkeep/partial_test.go
@@ -10,8 +10,8 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// TestPartialList guards against a machine that is taken for gone, and gets no maintenance, because its entry in the
-// list could not be read, and against a wave that never ends because a machine of it really is gone.
+// TestPartialList guards against a machine that is taken for gone, and gets no maintenance, because its entry
+// in the list could not be read, and against a wave that never ends because a machine of it really is gone.
 func TestPartialList(t *testing.T) {
 	coordinator, orders := New(testDowntime), map[anvilid.MachineID]int{}
 	state := anvilwork.New()
@@ -41,8 +41,8 @@
 	assert.Equal(t, len(state.Waves()), 0)
 }
 
-// TestAddAnnounced guards against an announced machine that takes the place of a listed one, or is added to a list
-// that was read completely.
+// TestAddAnnounced guards against an announced machine that takes the place of a listed one, or is added to a
+// list that was read completely.
 func TestAddAnnounced(t *testing.T) {
 	list := MachineList{Machines: map[anvilid.MachineID]Machine{"m": {Target: "t"}}}
 	list.AddAnnounced("n", "u")
--- a/core/anvilwork/announcement.go
+++ b/core/anvilwork/announcement.go
@@ -3,7 +3,8 @@
 import "math"
 
 // UnorderedSequence marks an announcement that counts whatever number the record has, and that any later one
-// replaces. The leader sets it if the number of the record doesn't count any more; Check refuses it from targets.
+// replaces. The leader sets it if the number of the record doesn't count any more; Check refuses it from
+// targets.
 const UnorderedSequence uint64 = math.MaxUint64
 
 // sentBefore reports whether an announcement was sent before the one that the record of the same incarnation
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -129,11 +129,11 @@
 	return target.Leaving && !known.Leaving || !target.sentBefore(known) && !sameAttributes(known, &target)
 }
 
-// announce stores what a target reports about itself. An announcement of an older
-// incarnation is ignored, and so is one that an incarnation sent before the latest one. A newer incarnation under the same id means that the processes
-// of the older one have ended. A start request that was sent to the older incarnation may
-// still be executed by the newer one, however, so its runs stay assigned until the target
-// has rejected or ended them.
+// announce stores what a target reports about itself. An announcement of an older incarnation is ignored, and
+// so is one that an incarnation sent before the latest one. A newer incarnation under the same id means that
+// the processes of the older one have ended. A start request that was sent to the older incarnation may still
+// be executed by the newer one, however, so its runs stay assigned until the target has rejected or ended
+// them.
 func (s *State) announce(command Announce) Result {
 	target := command.Target
 	known, ok := s.targets[target.ID]
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -50,8 +50,9 @@
 // Announce registers a target or updates its attributes.
 type Announce struct {
 	Target Target `cbor:"1,keyasint"`
-	// Answered means that the target's own process has answered that this is its incarnation. It then replaces the
-	// known one even if that has a higher number, which a wrong announcement or a clock that was set back explains.
+	// Answered means that the target's own process has answered that this is its incarnation. It then
+	// replaces the known one even if that has a higher number, which a wrong announcement or a clock that was
+	// set back explains.
 	Answered bool `cbor:"2,keyasint,omitempty"`
 }
 
@@ -160,7 +161,8 @@
 	// DepartedAt is when the target said that it ends, or when another target announced its address, in log
 	// time; or 0. Such a target is removed once all its runs have certainly ended.
 	DepartedAt anvilclock.Millis `cbor:"20,keyasint,omitempty"`
-	// Displaced means that the target counts as departed because another one has announced its address. It may go on.
+	// Displaced means that the target counts as departed because another one has announced its address. It
+	// may go on.
 	Displaced bool `cbor:"21,keyasint,omitempty"`
 }
 
--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -92,7 +92,7 @@
 	}
 	crash := Crash{Target: target.ID}
 	for _, suspect := range silence.Suspects {
-		if lost, ok := s.blame(suspect, silence); ok {
+		if lost, ok := s.countCrash(suspect, silence); ok {
 			crash.Lost = append(crash.Lost, lost)
 		}
 	}
@@ -109,9 +109,9 @@
 	s.crashes = append(s.crashes, crash)
 }
 
-// blame counts a crash for the task of a run that may be its cause, and gives its job up if there were too
+// countCrash counts a crash for the task of a run that may be its cause, and gives its job up if there were too
 // many. It returns false if the run has been judged before or its task has ended.
-func (s *State) blame(run Unassign, silence *Silence) (LostRun, bool) {
+func (s *State) countCrash(run Unassign, silence *Silence) (LostRun, bool) {
 	job, ok := s.jobs[run.Task.Job]
 	if !ok || job.Phase.Ended() {
 		return LostRun{}, false
--- a/core/anvilwork/departure.go
+++ b/core/anvilwork/departure.go
@@ -18,8 +18,8 @@
 	At          anvilclock.Millis `cbor:"3,keyasint"` // in log time
 }
 
-// depart marks a target as departed, because another one has announced its address (displaced) or because it has said
-// so itself. It gets no new runs, and removeDeparted removes it once it has none.
+// depart marks a target as departed, because another one has announced its address (displaced) or because it
+// has said so itself. It gets no new runs, and removeDeparted removes it once it has none.
 func (s *State) depart(target *Target, displaced bool) {
 	if target.Departed() && (displaced || !target.Displaced) {
 		return
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -23,8 +23,8 @@
 	GPU    anvilid.AcceleratorCount `cbor:"3,keyasint,omitempty"`
 }
 
-// maxResource is the largest amount of one resource that a target can have or a task can need. The sums over all
-// targets and tasks stay far from an overflow.
+// maxResource is the largest amount of one resource that a target can have or a task can need. The sums over
+// all targets and tasks stay far from an overflow.
 const maxResource = 1 << 30
 
 // InRange reports whether no amount is below zero or above the largest one that can be used.
@@ -154,8 +154,8 @@
 	return nil
 }
 
-// CheckJobID returns an error that wraps ErrSpec if a job can't have this id: it becomes a part of its tasks' names,
-// whose parts are separated by dots.
+// CheckJobID returns an error that wraps ErrSpec if a job can't have this id: it becomes a part of its tasks'
+// names, whose parts are separated by dots.
 func CheckJobID(id anvilid.JobID) error {
 	if !anvilid.ValidID(string(id)) || strings.Contains(string(id), ".") {
 		return fmt.Errorf("%w: the id of the job is empty, too long or has characters other than visible ASCII without slash, percent sign and dot",
--- a/core/anvilwork/target.go
+++ b/core/anvilwork/target.go
@@ -22,8 +22,8 @@
 	maxSequence = 1 << 53
 )
 
-// Check returns an error that wraps ErrTarget if no work could be sent to the target, or if its numbers could make
-// sums over all targets overflow.
+// Check returns an error that wraps ErrTarget if no work could be sent to the target, or if its numbers could
+// make sums over all targets overflow.
 func (t *Target) Check() error {
 	switch {
 	case !anvilid.ValidID(string(t.ID)):
--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -36,8 +36,8 @@
 // target.
 const proposeTimeout = 2 * time.Second
 
-// reportEjectionInterval is the pause between commands that record the ejection of the same target or its end. It is
-// longer than a commit takes.
+// reportEjectionInterval is the pause between commands that record the ejection of the same target or its
+// end. It is longer than a commit takes.
 const reportEjectionInterval = 500 * anvilclock.Millisecond
 
 // slowRatio is the multiple of the average duration of its service above which a
@@ -360,8 +360,8 @@
 	}, anvillogs.TargetReleased)
 }
 
-// reportEjection proposes to record that a target is ejected, or that it no longer is, if that has changed. Without
-// the record, the next owner would take an ejected target for healthy.
+// reportEjection proposes to record that a target is ejected, or that it no longer is, if that has changed.
+// Without the record, the next owner would take an ejected target for healthy.
 func (f *Fleet) reportEjection(ctx context.Context, now anvilclock.Millis, entry *ownedTarget) {
 	target := entry.state
 	ejected := f.health.State(target.ID) != anvilhealth.Healthy
--- a/io/anvilhttp/announce_test.go
+++ b/io/anvilhttp/announce_test.go
@@ -14,8 +14,8 @@
 	"anvilshunt/io/anvilhttp"
 )
 
-// TestOddAnnouncement guards against an announcement that can't be used and is processed all the same, or that is
-// refused without being counted.
+// TestOddAnnouncement guards against an announcement that can't be used and is processed all the same, or
+// that is refused without being counted.
 func TestOddAnnouncement(t *testing.T) {
 	ignored, processed := 0, 0
 	handler := anvilhttp.New(anvilhttp.API{
--- a/io/anvillead/capacity.go
+++ b/io/anvillead/capacity.go
@@ -31,9 +31,9 @@
 	return !ok || known.Incarnation != earlier.Incarnation || !known.Resources.Holds(earlier.Resources) || l.isSilent(earlier)
 }
 
-// isSilent reports whether the latest announcement of a target is too old to start runs there. A target that this
-// process hasn't heard counts as heard in time, as the Tracker knows the age of what a former leader knew. l.mu
-// must be held.
+// isSilent reports whether the latest announcement of a target is too old to start runs there. A target that
+// this process hasn't heard counts as heard in time, as the Tracker knows the age of what a former leader
+// knew. l.mu must be held.
 func (l *Leader) isSilent(target anvilwork.Target) bool {
 	limit, latest := l.bounds.Orders.MaxAnnouncementAge, l.heard[target.ID]
 	return limit > 0 && latest.incarnation == target.Incarnation && l.clock.Now()-latest.at > limit
--- a/io/anvillead/capacity_test.go
+++ b/io/anvillead/capacity_test.go
@@ -44,8 +44,8 @@
 	assert.Assert(t, s.start(anvilorder.Start{Target: small}).Withheld, "the next incarnation might carry it out")
 }
 
-// TestTargetFallsSilentWhileStartWaits guards against sending a start that has waited for others for so long that
-// the target may have shrunk without being heard.
+// TestTargetFallsSilentWhileStartWaits guards against sending a start that has waited for others for so long
+// that the target may have shrunk without being heard.
 func TestTargetFallsSilentWhileStartWaits(t *testing.T) {
 	a := newAnnouncer(t)
 	a.announce(1, 4)
--- a/io/anvillead/heard.go
+++ b/io/anvillead/heard.go
@@ -23,17 +23,17 @@
 	overruled uint64
 }
 
-// sequenceIntervals is the number of announce intervals, beyond the greatest age of a usable announcement, after
-// which a sequence number doesn't count any more. Delayed announcements arrive sooner, while a very high number
-// of another writer would count as the latest for as long as the target lives.
+// sequenceIntervals is the number of announce intervals, beyond the greatest age of a usable announcement,
+// after which a sequence number doesn't count any more. Delayed announcements arrive sooner, while a very
+// high number of another writer would count as the latest for as long as the target lives.
 const sequenceIntervals = 6
 
 // maxForgotten is the number of targets that may be remembered beyond twice the known ones.
 const maxForgotten = 64
 
 // record remembers an announcement, unless the target has sent it before one that was heard or replicated
-// already. It reports whether that is so. The argument known is the replicated record, or nil. Lower numbers count
-// again once no announcement with as high a number has come for the given span.
+// already. It reports whether that is so. The argument known is the replicated record, or nil. Lower numbers
+// count again once no announcement with as high a number has come for the given span.
 func (h heardAnnouncements) record(now, span anvilclock.Millis, target anvilwork.Target, known *anvilwork.Target) (outdated bool) {
 	latest, ok := h.latest(now, target.ID, known)
 	next := heardAnnouncement{incarnation: target.Incarnation, sequence: target.Sequence, at: now}
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -33,7 +33,8 @@
 	assert.Assert(t, !hear(2, 2))
 }
 
-// TestHeardAnnouncementsOfGoneTargets guards against a leader whose memory grows with each target that was ever there.
+// TestHeardAnnouncementsOfGoneTargets guards against a leader whose memory grows with each target that was
+// ever there.
 func TestHeardAnnouncementsOfGoneTargets(t *testing.T) {
 	h, state := heardAnnouncements{}, anvilwork.New()
 	state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: anvilwork.Target{ID: "t0", Sequence: 7}}}}})
@@ -96,8 +97,8 @@
 }
 
 // TestHighestSequence guards against one announcement of another writer with a very high sequence number that
-// makes all later ones of the target count as outdated: it would get no starts for as long as it lives, and after
-// a change of leader starts by the capacity of the other writer.
+// makes all later ones of the target count as outdated: it would get no starts for as long as it lives, and
+// after a change of leader starts by the capacity of the other writer.
 func TestHighestSequence(t *testing.T) {
 	for _, foreign := range []anvilid.AcceleratorCount{8, 4} {
 		for _, newLeader := range []bool{false, true} {
@@ -138,8 +139,8 @@
 	}
 }
 
-// TestDelayedAnnouncementAtNewLeader guards against a new leader that takes a delayed announcement for the latest
-// one before a sequence number stops to count.
+// TestDelayedAnnouncementAtNewLeader guards against a new leader that takes a delayed announcement for the
+// latest one before a sequence number stops to count.
 func TestDelayedAnnouncementAtNewLeader(t *testing.T) {
 	a := newAnnouncer(t)
 	a.announce(3, 8)
--- a/io/anvillogs/ignored.go
+++ b/io/anvillogs/ignored.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// fold reports whether a line about a kind of entry is due, and how many entries were ignored since the last one.
+// fold reports whether a line about a kind of entry is due, and how many entries were ignored since the last
+// one.
 func (i *Ignored) fold(kind ignoredKind) (folded int, write bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/io/anvillogs/ignored_test.go
+++ b/io/anvillogs/ignored_test.go
@@ -12,8 +12,8 @@
 	"anvilshunt/core/anvilclock"
 )
 
-// TestIgnored guards against an ignored entry without a line or a count, and against one line for each time that a
-// list is read, or a line as large as the entry.
+// TestIgnored guards against an ignored entry without a line or a count, and against one line for each time
+// that a list is read, or a line as large as the entry.
 func TestIgnored(t *testing.T) {
 	var out bytes.Buffer
 	log, err := New(&out, "debug")
