Preempt a job until the replicated state shows that it stops

Cause: the plan names the victims of a placement once. If the command that stops one was lost or refused, nothing named it again until the leader changed, and event 506 was written all the same.

Evidence: TestPreemptionIsRepeated failed before (no victims in the second step) and passes now.

--- a/io/anvilgang/driver.go
+++ b/io/anvilgang/driver.go
@@ -173,8 +173,9 @@
 func (d *Driver) preempt(ctx context.Context, state State, victim, by anvilid.JobID) {
 	for _, job := range state.Jobs {
 		if job.ID == victim {
-			d.advance(ctx, job, anvilstate.JobStopping, fmt.Sprintf("preempted for job %q, which uses a guarantee", by))
-			d.log.Write(anvillogs.JobPreempted, zap.String("job", string(victim)), zap.String("by", string(by)))
+			if d.advance(ctx, job, anvilstate.JobStopping, fmt.Sprintf("preempted for job %q, which uses a guarantee", by)) {
+				d.log.Write(anvillogs.JobPreempted, zap.String("job", string(victim)), zap.String("by", string(by)))
+			}
 		}
 	}
 }
--- a/io/anvilgang/planner.go
+++ b/io/anvilgang/planner.go
@@ -46,15 +46,17 @@
 	// planned contains the jobs in the plan. The value is true for jobs that are placed in the
 	// replicated state, and false for those that wait until other jobs release the accelerators.
 	planned map[anvilid.JobID]bool
-	reasons map[anvilid.JobID]string // why each waiting job could not be placed
-	unmet   []anvilplan.Unmet        // see Decision.Unmet
+	// preempting maps each job that has to stop, and doesn't do so yet, to the job that needs its accelerators.
+	preempting map[anvilid.JobID]anvilid.JobID
+	reasons    map[anvilid.JobID]string // why each waiting job could not be placed
+	unmet      []anvilplan.Unmet        // see Decision.Unmet
 }
 
 // NewPlanner returns a Planner with an empty plan.
 func NewPlanner() *Planner {
 	return &Planner{
 		plan: anvilplan.New(), targets: map[anvilid.TargetID]anvilstate.Target{}, cordoned: map[anvilid.TargetID]bool{},
-		planned: map[anvilid.JobID]bool{}, reasons: map[anvilid.JobID]string{},
+		planned: map[anvilid.JobID]bool{}, preempting: map[anvilid.JobID]anvilid.JobID{}, reasons: map[anvilid.JobID]string{},
 	}
 }
 
@@ -68,7 +70,8 @@
 	p.syncGuarantees(state.Config)
 	p.releaseEnded(state.Jobs)
 	p.restorePlaced(now, state.Jobs)
-	p.placeWaiting(now, state.Jobs, &decision)
+	p.placeWaiting(now, state.Jobs)
+	p.addVictims(state.Jobs, &decision)
 	p.addReadyJobs(state, &decision)
 	decision.Unmet = p.unmet
 	return decision
@@ -224,7 +227,7 @@
 
 // placeWaiting adds waiting jobs to the plan in the order of submission. After one job could not be
 // placed, other jobs of the same account, service and shape are not tried in this step.
-func (p *Planner) placeWaiting(now anvilclock.Millis, jobs []anvilstate.Job, decision *Decision) {
+func (p *Planner) placeWaiting(now anvilclock.Millis, jobs []anvilstate.Job) {
 	refused := map[refusalKey]string{}
 	for _, job := range jobs {
 		if _, known := p.planned[job.ID]; known || job.State != anvilstate.JobSubmitted {
@@ -248,11 +251,24 @@
 		}
 		p.planned[job.ID] = false
 		for _, victim := range placement.Victims {
-			decision.Preempt[victim] = job.ID
+			p.preempting[victim] = job.ID
 		}
 	}
 }
 
+// addVictims adds to the decision the jobs that have to stop for others. The plan names the victims of a placement
+// once, but the command that stops one may be lost or refused, so each is added until the replicated state shows that
+// it stops or has ended.
+func (p *Planner) addVictims(jobs []anvilstate.Job, decision *Decision) {
+	for _, job := range jobs {
+		by, ok := p.preempting[job.ID]
+		if ok && holdsAccelerators(job) && job.State != anvilstate.JobStopping {
+			decision.Preempt[job.ID] = by
+		}
+	}
+	p.preempting = maps.Clone(decision.Preempt)
+}
+
 // addReadyJobs adds to the decision the planned jobs whose accelerators no other job occupies.
 func (p *Planner) addReadyJobs(state State, decision *Decision) {
 	incarnations := map[anvilid.TargetID]anvilid.Incarnation{}
--- a/io/anvilgang/planner_test.go
+++ b/io/anvilgang/planner_test.go
@@ -83,3 +83,29 @@
 		})
 	}
 }
+
+// TestPreemptionIsRepeated guards against a guaranteed gang that never starts: the victims of its placement were named
+// in one step only, so that nothing stopped them any more when that command was lost or refused.
+func TestPreemptionIsRepeated(t *testing.T) {
+	state := plannerState(1, 8)
+	for i := range state.Jobs {
+		state.Jobs[i].Accelerators, state.Jobs[i].Account = 1, "borrower"
+	}
+	planner := NewPlanner()
+	applyDecision(&state, planner.Step(0, state))
+	state.Config = anvilconfig.NewSnapshot(2,
+		anvilconfig.Object{Key: anvilconfig.Key{Kind: anvilconfig.KindShape, Name: "worker"}, Shape: &anvilconfig.Shape{Accelerators: 8, Within: anvilconfig.WithinWorker}},
+		anvilconfig.Object{Key: anvilconfig.Key{Kind: anvilconfig.KindGuarantee, Name: "g"}, Guarantee: &anvilconfig.Guarantee{Account: "owner", Service: "planner", Shape: "worker", Count: 1}})
+	state.Jobs = append(state.Jobs, anvilstate.Job{
+		ID: "storm", Account: "owner", Service: "planner", Accelerators: 8, Within: anvilconfig.WithinWorker, State: anvilstate.JobSubmitted, Submitted: 100,
+	})
+	first := planner.Step(1, state).Preempt
+	assert.Equal(t, len(first), 8)
+	assert.DeepEqual(t, planner.Step(2, state).Preempt, first) // the commands were lost
+	state.Jobs[0].State = anvilstate.JobStopping
+	assert.Equal(t, len(planner.Step(3, state).Preempt), 7)
+	state.Jobs = state.Jobs[8:] // all victims have stopped
+	decision := planner.Step(4, state)
+	assert.Equal(t, len(decision.Preempt), 0)
+	assert.Equal(t, len(decision.Place), 1)
+}
