Read the age of the state before a new leader changes it

What callers would see: a start on a target whose capacity had shrunk 3 s before. A new leader trusts a capacity only as far as the state that it takes over is recent. It read the age of the state after it had begun to accept calls: jobs that waited for a leader were committed first, the state counted as new, and runs were placed by a capacity from before the time without a leader.

The log of the new leader: configuration and jobs accepted at 40.2397, runs placed on w6 at 40.2497, its announcement of the smaller capacity handled at 40.2578.

Change: the scheduling state of the term, with the age, is made before calls are accepted.

--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -194,11 +194,14 @@
 func (l *Leader) leadTerm(parent context.Context, term anvilid.Term) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	// The age of the state that this leader takes over is read before its first change of it, which may come as
+	// soon as the term is set.
+	leadership := newLeadership(l, term)
 	l.mu.Lock()
 	l.term = term
 	l.mu.Unlock()
 	l.log.Write(anvillogs.LeadershipGained, zap.Uint64("term", uint64(term)))
-	newLeadership(l, term).run(ctx)
+	leadership.run(ctx)
 	l.mu.Lock()
 	l.term = 0
 	l.mu.Unlock()
