Compute assigned runs and late starts in one place each

The sorted list of the runs on a target was built in three places of anvilwork (releaseAll, and the two that the record of crashes added), and the time until which a start in flight may be carried out in two places of anvilorder. Each is one method now.

Leader.depart no longer asks whether a departed target has runs: one without runs is removed from the state by the command that ends its last run, so the answer was always that it has some.

--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -140,9 +140,7 @@
 		until = max(until, target.pollSentAt+maxOrderDelay)
 	}
 	for _, r := range target.runs {
-		if r.startInFlight {
-			until = max(until, r.nextStartAt+maxOrderDelay)
-		}
+		until = max(until, r.inFlightUntil())
 	}
 	return until
 }
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -252,11 +252,14 @@
 }
 
 // lateStartUntil returns until when a start of the run that got no answer yet may be carried out, or 0.
-func (r *run) lateStartUntil() anvilclock.Millis {
+func (r *run) lateStartUntil() anvilclock.Millis { return max(r.mayStartUntil, r.inFlightUntil()) }
+
+// inFlightUntil returns until when the start that is in flight may be carried out, or 0 if there is none.
+func (r *run) inFlightUntil() anvilclock.Millis {
 	if !r.startInFlight {
-		return r.mayStartUntil
+		return 0
 	}
-	return max(r.mayStartUntil, r.nextStartAt+maxOrderDelay)
+	return r.nextStartAt + maxOrderDelay
 }
 
 // lateStartEndedAt returns from when on a run can't be at work any more because of a start that got no
--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -1,7 +1,6 @@
 package anvilwork
 
 import (
-	"maps"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -96,14 +95,13 @@
 			crash.Lost = append(crash.Lost, lost)
 		}
 	}
-	for _, task := range slices.SortedFunc(maps.Keys(s.runs[target.ID]), Task.Compare) {
-		run := Unassign{Task: task, Run: s.runs[target.ID][task]}
+	for _, run := range s.assignedRuns(target.ID) {
 		_, state := s.assignedTask(run.Task, run.Run)
 		if state == nil || slices.Contains(silence.Suspects, run) {
 			continue
 		}
 		s.clearIfProven(state, silence.Since, RunLeaseExpired)
-		crash.Lost = append(crash.Lost, LostRun{Task: task, Run: run.Run, Placed: silence.Since - state.PhaseSince, Crashes: state.Crashes})
+		crash.Lost = append(crash.Lost, LostRun{Task: run.Task, Run: run.Run, Placed: silence.Since - state.PhaseSince, Crashes: state.Crashes})
 	}
 	s.setSilence(target, nil)
 	s.crashes = append(s.crashes, crash)
--- a/core/anvilwork/ends.go
+++ b/core/anvilwork/ends.go
@@ -1,7 +1,6 @@
 package anvilwork
 
 import (
-	"maps"
 	"slices"
 
 	"anvilshunt/core/anvilid"
@@ -155,10 +154,9 @@
 
 // releaseAll ends the assignment of all tasks to a target, as releaseTask does for one.
 func (s *State) releaseAll(id anvilid.TargetID) {
-	tasks := slices.SortedFunc(maps.Keys(s.runs[id]), Task.Compare)
-	for _, task := range tasks {
-		if job, state := s.assignedTask(task, s.runs[id][task]); job != nil {
-			s.releaseTask(job, task, state)
+	for _, run := range s.assignedRuns(id) {
+		if job, state := s.assignedTask(run.Task, run.Run); job != nil {
+			s.releaseTask(job, run.Task, state)
 		}
 	}
 	delete(s.runs, id)
--- a/core/anvilwork/silence.go
+++ b/core/anvilwork/silence.go
@@ -1,7 +1,6 @@
 package anvilwork
 
 import (
-	"maps"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -81,12 +80,8 @@
 // unnotedSilence returns the silence of a target that no leader has noted. Nobody knows when the runs began,
 // so those that were placed recently are suspected.
 func (s *State) unnotedSilence(id anvilid.TargetID) *Silence {
-	silence := &Silence{Since: s.now, OneJob: s.oneJob(id)}
-	for _, task := range slices.SortedFunc(maps.Keys(s.runs[id]), Task.Compare) {
-		silence.Suspects = append(silence.Suspects, Unassign{Task: task, Run: s.runs[id][task]})
-	}
-	silence.Suspects = s.placedWithin(silence.Suspects, recentPlacement)
-	return silence
+	recent := s.placedWithin(s.assignedRuns(id), recentPlacement)
+	return &Silence{Since: s.now, OneJob: s.oneJob(id), Suspects: recent}
 }
 
 func (s *State) setSilence(target *Target, silence *Silence) {
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -112,6 +112,15 @@
 // must not modify the map.
 func (s *State) Runs(id anvilid.TargetID) map[Task]Run { return s.runs[id] }
 
+// assignedRuns returns the runs that are assigned to a target, in the order of their tasks.
+func (s *State) assignedRuns(id anvilid.TargetID) []Unassign {
+	var runs []Unassign
+	for _, task := range slices.SortedFunc(maps.Keys(s.runs[id]), Task.Compare) {
+		runs = append(runs, Unassign{Task: task, Run: s.runs[id][task]})
+	}
+	return runs
+}
+
 // CountWaiting returns the number of jobs of a queue of which no task has started. A job
 // whose first occurrence is due later than wall, the wall-clock time, is not counted.
 func (s *State) CountWaiting(queue QueueName, wall anvilclock.Millis) int {
--- a/io/anvillead/departure.go
+++ b/io/anvillead/departure.go
@@ -30,7 +30,8 @@
 		// runs of the present one.
 		return true
 	case target.Departed():
-		return runs == 0 || l.logTime()-target.DepartedAt >= departurePatience
+		// Only a target with runs stays in the state after its departure.
+		return l.logTime()-target.DepartedAt >= departurePatience
 	}
 	leave := &anvilwork.Leave{Target: id, Incarnation: target.Incarnation, Final: true}
 	return l.commitTarget(ctx, target, runs, anvilwork.Command{Leave: leave}) && runs == 0
