Correct comments on departed targets and suspects

A target also counts as departed when another one has taken its address, not only when it has said that it ends. The comment on Crashes, JudgedRun, SeenCrashes and ClearedRun described four fields in one sentence. Only comments change.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -244,8 +244,8 @@
 	return effects
 }
 
-// pollRetryPause returns the pause after an unanswered poll. A target that has said that it ends is asked again
-// sooner, because its runs can be placed again as soon as it has ended.
+// pollRetryPause returns the pause after an unanswered poll. A target that has departed is asked again sooner,
+// because its runs can be placed again as soon as it has ended.
 func (t *Tracker) pollRetryPause(target *target) anvilclock.Millis {
 	if target.record.Departed() {
 		return t.timing.RetryInterval / 4
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -74,8 +74,8 @@
 	known.stopIfDeparted()
 }
 
-// stopIfDeparted requests a stop of all runs of a target that has said that it ends. They are placed again
-// once they have ended, or once its lease has certainly expired.
+// stopIfDeparted requests a stop of all runs of a target that has departed: it has said that it ends, or another
+// target has its address. They are placed again once they have ended, or once its lease has certainly expired.
 func (target *target) stopIfDeparted() {
 	if !target.record.Departed() {
 		return
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -362,7 +362,8 @@
 
 // leaseDeadline returns the lease deadline to send with an order. The lease of a target that
 // doesn't answer isn't extended: the target might carry out the order late and keep its runs
-// longer than the leader waits for them. Nor is that of a target that ends.
+// longer than the leader waits for them. Nor is that of a target that has departed, so that its runs can be
+// placed again soon.
 func (target *target) leaseDeadline(now, span anvilclock.Millis) TargetClock {
 	if target.unansweredCalls > 0 || target.record.Departed() {
 		return target.lease.latestDeadline
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -9,8 +9,9 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// A task under which targets have crashed repeatedly is a suspect here. Suspects run on targets of their own at
-// first: if the next target crashes too, no other job can be the cause and none loses its work.
+// In this package only a task under which targets have crashed repeatedly is a suspect, unlike in anvilwork,
+// where one crash is enough. Suspects run on targets of their own at first: if the next target crashes too, no
+// other job can be the cause and none loses its work.
 
 const (
 	// minIsolatedCrashes is the number of crashes from which on a task is a suspect. Most tasks that were hit
@@ -72,7 +73,7 @@
 	stageAnywhere                      // beside all jobs, see fitSuspects
 )
 
-// isolated reports whether a task is a suspect.
+// isolated reports whether targets have crashed under a task repeatedly, so that it is placed apart from others.
 func isolated(state *anvilwork.TaskState) bool { return state.Crashes >= minIsolatedCrashes }
 
 // suspect reports whether the tasks of a step are suspects.
--- a/core/anvilwork/crash.go
+++ b/core/anvilwork/crash.go
@@ -41,8 +41,7 @@
 	GivenUp bool
 }
 
-// Suspect reports whether a task may have crashed a target and has not worked since. It should not run beside
-// tasks of other jobs.
+// Suspect reports whether a task may have crashed a target and has not worked since.
 func (t *TaskState) Suspect() bool { return t.Crashes > 0 }
 
 // TakeCrashes returns the crashes that were recorded since the last call. They aren't part of the replicated
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -233,13 +233,15 @@
 	Failed int `cbor:"5,keyasint,omitempty"`
 	// FailedRun is the latest run that was counted in Failed.
 	FailedRun Run `cbor:"8,keyasint,omitempty"`
-	// Crashes counts the crashes of targets that may be due to the task, since its latest run that worked for
-	// ProvenAfter. SeenCrashes counts those of them with Silence.Closed, and JudgedRun is the run that was
-	// counted last, and ClearedRun the latest run that has worked for that long.
-	Crashes     int `cbor:"20,keyasint,omitempty"`
-	JudgedRun   Run `cbor:"21,keyasint,omitempty"`
+	// Crashes counts the crashes of targets that may be due to the task. It starts again from 0 after a run that
+	// worked for ProvenAfter.
+	Crashes int `cbor:"20,keyasint,omitempty"`
+	// JudgedRun is the run for which a crash was counted last, so that it isn't counted twice.
+	JudgedRun Run `cbor:"21,keyasint,omitempty"`
+	// SeenCrashes counts those of Crashes with Silence.Closed.
 	SeenCrashes int `cbor:"22,keyasint,omitempty"`
-	ClearedRun  Run `cbor:"23,keyasint,omitempty"`
+	// ClearedRun is the latest run that is known to have worked for ProvenAfter after a crash was counted.
+	ClearedRun Run `cbor:"23,keyasint,omitempty"`
 	// Checkpoint is the latest checkpoint of the task, from which its next run continues, or empty if
 	// there is none.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
