Let the simulated leader depart targets as the real one does

It now does what Leader.depart does: it commits the departure, and acknowledges it once the runs of the target have ended or 2 s have passed.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -256,7 +256,7 @@
 // commitEnds returns a command that records the run ends listed in a poll answer, except
 // those that are already committed or were returned in an earlier command.
 func (t *Tracker) commitEnds(target *target, answer PollAnswer, effects *Effects) {
-	record := RecordEnds(target.record, answer.Ended, max(target.record.Cursor, target.committingEnd))
+	record := recordEnds(target.record, answer.Ended, max(target.record.Cursor, target.committingEnd))
 	if record == nil {
 		return
 	}
@@ -267,10 +267,10 @@
 // EndInRange reports whether an end with this number may follow the one at cursor.
 func EndInRange(cursor, number uint64) bool { return number > cursor && number-cursor <= maxEndGap }
 
-// RecordEnds returns the command that records those ends in a target's list whose numbers are above cursor,
+// recordEnds returns the command that records those ends in a target's list whose numbers are above cursor,
 // in the order of their numbers, or nil if there are none. It leaves out the ends from the first one on that
 // isn't in range: once its number is acknowledged, the target forgets all ends below.
-func RecordEnds(target anvilwork.Target, listed []anvilwork.RunEnd, cursor uint64) *anvilwork.RecordRunEnds {
+func recordEnds(target anvilwork.Target, listed []anvilwork.RunEnd, cursor uint64) *anvilwork.RecordRunEnds {
 	sorted := slices.SortedFunc(slices.Values(listed), func(a, b anvilwork.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
 	var ends []anvilwork.RunEnd
 	for _, end := range sorted {
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -187,49 +187,56 @@
 	l.transmit(r, func(answer response) { l.enqueue(func() Effects { return handle(answer) }) })
 }
 
-// handleAnnouncement is Leader.Announce: it calls acknowledge once the announcement is committed.
+// departurePatience is the constant of io/anvillead.
+const departurePatience = 2 * anvilclock.Second
+
+// handleAnnouncement is Leader.Announce: it calls acknowledge once the announcement is committed, or once the
+// target may end.
 func (l *simLeader) handleAnnouncement(target anvilwork.Target, left bool, acknowledge func()) {
-	known, ok := l.state.Target(target.ID)
 	switch {
-	case left && (!ok || !known.Leaving), !left && !l.state.AnnouncementHasEffect(target):
+	case left:
+		l.depart(target.ID, acknowledge)
+	case !l.state.AnnouncementHasEffect(target):
 		l.enqueue(func() Effects {
 			l.tracker.RecordAnnouncement(l.now, target.ID, target.Incarnation)
 			return Effects{}
 		})
 		acknowledge()
-	case left:
-		leave := anvilwork.Command{Leave: &anvilwork.Leave{Target: known.ID, Incarnation: known.Incarnation, Final: true}}
-		l.lastEnds(*known, func(ends []anvilwork.Command) { l.commitAnnouncement(append(ends, leave), acknowledge) })
 	default:
-		l.commitAnnouncement([]anvilwork.Command{{Announce: &anvilwork.Announce{Target: target}}}, acknowledge)
+		announce := anvilwork.Command{Announce: &anvilwork.Announce{Target: target}}
+		l.propose([]anvilwork.Command{announce}, func(_ []anvilwork.Result, ok bool) {
+			if ok {
+				acknowledge()
+			}
+		})
 	}
 }
 
-func (l *simLeader) commitAnnouncement(commands []anvilwork.Command, acknowledge func()) {
-	if l.gone {
-		return
+// depart is Leader.depart, which is called again, at the leader of that time, until the target may end.
+func (l *simLeader) depart(id anvilid.TargetID, acknowledge func()) {
+	retry := func() {
+		l.after(60, func() {
+			if l.leader != nil {
+				l.leader.depart(id, acknowledge)
+			}
+		})
 	}
-	l.propose(commands, func(_ []anvilwork.Result, ok bool) {
-		if ok {
-			acknowledge()
-		}
-	})
-}
-
-// lastEnds is Leader.lastEnds.
-func (l *simLeader) lastEnds(target anvilwork.Target, then func([]anvilwork.Command)) {
-	if len(l.state.Runs(target.ID)) == 0 {
-		then(nil)
-		return
+	known, ok := l.state.Target(id)
+	switch {
+	case !ok || !known.Leaving, known.Departed() && l.now-known.DepartedAt >= departurePatience:
+		acknowledge()
+	case known.Departed():
+		retry()
+	default:
+		leave := anvilwork.Command{Leave: &anvilwork.Leave{Target: id, Incarnation: known.Incarnation, Final: true}}
+		l.propose([]anvilwork.Command{leave}, func(_ []anvilwork.Result, ok bool) {
+			if _, kept := l.state.Target(id); ok && !kept {
+				acknowledge()
+				return
+			}
+			retry()
+		})
 	}
-	poll := Poll{Target: target, Token: l.tracker.token, Cursor: target.Cursor}
-	l.transmit(&request{target: target, token: poll.Token, poll: &poll}, func(r response) {
-		if record := RecordEnds(target, r.ended, poll.Cursor); r.done && record != nil {
-			then([]anvilwork.Command{{RecordRunEnds: record}})
-			return
-		}
-		then(nil)
-	})
 }
 
 // request is one call to a target: a start, a stop or a poll.
--- a/core/anvilorder/schedule_target_test.go
+++ b/core/anvilorder/schedule_target_test.go
@@ -223,7 +223,7 @@
 	late, lost := s.chance(lateOrders, 0.06), s.chance(lostOrders, 0.04)
 	switch {
 	case m.process == nil && s.random.IntN(2) == 0 && !late:
-		s.after(s.upTo(20), func() { finish(response{Answer: Answer{NotSent: true}}) })
+		s.after(s.upTo(20), func() { finish(response{Answer: Answer{NotSent: true, Refused: true}}) })
 	case m.cutIn && s.random.IntN(3) == 0:
 		s.after(timeout-1, func() { finish(response{Answer: Answer{NotSent: true}}) })
 	case late, m.cutIn && s.chance(lateOrders, 0.5):
