Test refusals at a taken address and the lease after a departure

Trials showed that no test fails if leaveIfEnded also believes refused connections of a target whose address another one has taken, or if polls extend the lease of a target that has said that it ends. Each of the two tests fails when the one condition is left out, and passes as it is.

--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -221,6 +221,34 @@
 	assert.Equal(t, len(commands), 0, "the refusal says nothing about the time since the departure")
 }
 
+// TestRefusalAtAddressOfAnother guards against runs that are released because a connection was refused at an
+// address that another target has taken: the refusal says nothing about the one that had it before.
+func TestRefusalAtAddressOfAnother(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
+		ID: "t2", Incarnation: 2, Service: "s", Address: "a:1", Resources: anvilwork.Resources{GPU: 8},
+	}}})
+	record, _ := w.state.Target("t")
+	assert.Assert(t, record.Departed())
+	poll := w.takePoll()
+	answer := Answer{Target: "t", Incarnation: 1, Sent: w.now, Received: w.now + 5, NotSent: true, Refused: true}
+	commands := w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: poll}).Commands
+	assert.Equal(t, len(commands), 0)
+}
+
+// TestDepartureEndsLeaseExtension guards against a target that has said that it ends and whose lease goes on
+// being extended: if it is cut off then, its runs are placed again later than necessary.
+func TestDepartureEndsLeaseExtension(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	before := w.takePoll()
+	w.answerPoll(before, 1, []Running{{Task: taskA, Run: 1}})
+	w.apply(anvilwork.Command{Leave: &anvilwork.Leave{Target: "t", Incarnation: 1, Final: true}})
+	w.now += 200
+	assert.Equal(t, w.takePoll().Deadline, before.Deadline)
+}
+
 // TestClosedConnectionBoundsLateStart guards against a run that waits for 18 s to be placed again although
 // its target has crashed: a start whose connection was closed isn't carried out later.
 func TestClosedConnectionBoundsLateStart(t *testing.T) {
