--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -56,6 +56,7 @@
 	born       int64
 	sequence   uint64
 	registered bool
+	cut        bool // no call reaches the worker, and none of its calls arrives
 	token      uint64
 	deadline   int64
 	highest    map[string]uint64 // the highest run of each task that ended or was stopped here
@@ -113,6 +114,20 @@
 	}
 }
 
+// setCut cuts the worker off from all machines of the system, or ends the cut. Its runs go on meanwhile.
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+	w.rig.recordf("worker %s: cut off: %v", w.id, cut)
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
 func (w *worker) isRegistered() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -140,11 +155,15 @@
 	time.Sleep(w.firstBeat)
 	for voter := w.index; ; {
 		w.mu.Lock()
-		alive := w.born == born
+		alive, cut := w.born == born, w.cut
 		w.mu.Unlock()
 		if !alive {
 			return
 		}
+		if cut {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		var status int
 		if status, _, voter = w.rig.control(voter, http.MethodPut, "/anvilshunt/instances/"+w.id, w.announcement()); status == http.StatusOK {
 			w.mu.Lock()
@@ -189,6 +208,10 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.isCut() {
+		<-request.Context().Done()
+		return
+	}
 	path := strings.TrimPrefix(request.URL.Path, "/anvilshunt/")
 	if path == "hold" && o.Wait > 0 {
 		w.awaitEnd(request, o)
