--- a/review/standin/case_waiting.go
+++ b/review/standin/case_waiting.go
@@ -14,11 +14,12 @@
 	waitingWorkers = 8
 	// waitingJobs is the number of jobs that need the worker that is cut off.
 	waitingJobs = 4
-	// cutSpan is how long the worker is cut off.
-	cutSpan = 10 * time.Second
+	// cutSpan is how long the worker is cut off, and waitingPlay how long the case is watched from then on.
+	cutSpan     = 6 * time.Second
+	waitingPlay = 6 * time.Second
 	// countedAfter is the time from the acceptance of a job that hasn't begun from which on it has to be among
 	// the waiting jobs: visible_ms and 2 s, and a margin.
-	countedAfter = 3*time.Second + 2*time.Second + 500*time.Millisecond
+	countedAfter = 3*time.Second + 2*time.Second + 100*time.Millisecond
 )
 
 // playWaiting submits jobs that need a worker of kind b, of which there is one, right after this worker was cut
@@ -35,7 +36,7 @@
 	}
 	if trouble {
 		workers[0].setCut(true)
-		defer workers[0].setCut(false)
+		time.AfterFunc(cutSpan, func() { workers[0].setCut(false) })
 	}
 	began := time.Now()
 	const body = `{"task_spec":"rake","steps":[{"count":1,"cpu":1000,"task_memory_mb":1000,"gpu":1,"estimated_ms":1000,"required_label":"b"}]}`
@@ -49,8 +50,8 @@
 	}
 	accepted := time.Now()
 	var v verdict
-	for time.Since(began) < cutSpan {
-		time.Sleep(500 * time.Millisecond)
+	for time.Since(began) < cutSpan+waitingPlay {
+		time.Sleep(100 * time.Millisecond)
 		if time.Since(accepted) < countedAfter {
 			continue
 		}
