--- a/review/standin/calls.go
+++ b/review/standin/calls.go
@@ -115,7 +115,7 @@
 func (r *rig) leader() (int, error) {
 	found := -1
 	err := r.await("a leader is known", func() bool {
-		w := r.workers[0]
+		w := r.allWorkers()[0]
 		status, reply, _ := r.control(0, http.MethodPut, "/anvilshunt/instances/"+w.id, w.announcement())
 		var document struct {
 			Address string `json:"heartbeat_address"`
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,13 +28,14 @@
 
 // rig is a small deployment on loopback addresses.
 type rig struct {
-	began   time.Time
-	network string // the first three numbers of all addresses
-	dir     string // the temporary folder
-	ports   struct{ internal, control, front, readiness, worker, cloud int }
-	voters  []*process
-	entries []*process
-	workers []*worker
+	began     time.Time
+	network   string // the first three numbers of all addresses
+	dir       string // the temporary folder
+	ports     struct{ internal, control, front, readiness, worker, cloud int }
+	voters    []*process
+	entries   []*process
+	workersMu sync.Mutex
+	workers   []*worker
 
 	recordMu sync.Mutex
 	record   *os.File
@@ -113,19 +115,29 @@
 		return err
 	}
 	for _, w := range workers {
-		if err := w.startServer(); err != nil {
+		if err := r.addWorker(w); err != nil {
 			return err
 		}
-		r.workers = append(r.workers, w)
 	}
-	return r.await("each worker is registered", func() bool {
-		for _, w := range r.workers {
-			if !w.isRegistered() {
-				return false
-			}
-		}
-		return true
-	})
+	return nil
+}
+
+// addWorker starts a worker and waits until it is registered.
+func (r *rig) addWorker(w *worker) error {
+	if err := w.startServer(); err != nil {
+		return err
+	}
+	r.workersMu.Lock()
+	r.workers = append(r.workers, w)
+	r.workersMu.Unlock()
+	return r.await("the worker is registered", w.isRegistered)
+}
+
+// allWorkers returns the workers that were started.
+func (r *rig) allWorkers() []*worker {
+	r.workersMu.Lock()
+	defer r.workersMu.Unlock()
+	return slices.Clone(r.workers)
 }
 
 // await waits until a condition that the case needs is met.
@@ -141,7 +153,7 @@
 // close ends all processes and workers and removes the temporary folder.
 func (r *rig) close() {
 	close(r.closed)
-	for _, w := range r.workers {
+	for _, w := range r.allWorkers() {
 		w.stopServer()
 	}
 	for _, p := range append(r.voters, r.entries...) {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -371,7 +371,7 @@
 // runs returns copies of all runs of a task on all workers, in the order in which they began.
 func (r *rig) runs(task string) []run {
 	var found []run
-	for _, w := range r.workers {
+	for _, w := range r.allWorkers() {
 		w.mu.Lock()
 		for _, one := range w.history {
 			if one.task == task {
@@ -387,7 +387,7 @@
 // busy returns the number of runs that are at work on all workers.
 func (r *rig) busy() int {
 	count := 0
-	for _, w := range r.workers {
+	for _, w := range r.allWorkers() {
 		w.mu.Lock()
 		count += len(w.running)
 		w.mu.Unlock()
