--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -31,6 +31,7 @@
 	ended      time.Time // zero while it runs
 	outcome    string
 	incarnated int64 // the incarnation of the worker
+	noted      bool  // its end was acknowledged by a cursor
 }
 
 // end is a row of the list of ended runs.
@@ -217,6 +218,10 @@
 		w.awaitEnd(request, o)
 	}
 	status, answer := w.execute(path, o)
+	if w.isCut() { // since the call has arrived
+		<-request.Context().Done()
+		return
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
 	_ = json.NewEncoder(rw).Encode(answer) // the caller may have gone
@@ -329,6 +334,7 @@
 		if e.number > o.Cursor {
 			return false
 		}
+		e.run.noted = true
 		w.rig.recordf("worker %s: the end of run %d of %s is taken note of", w.id, e.run.number, e.run.task)
 		return true
 	})
@@ -350,6 +356,9 @@
 	})
 }
 
+// maxListedEnds is the number of ends that one answer lists.
+const maxListedEnds = 500
+
 // startupTime is the time after which a task that lasts is at work.
 const startupTime = 200 * time.Millisecond
 
@@ -362,7 +371,7 @@
 		}
 		running = append(running, []any{r.task, r.number, "", percent, 1000})
 	}
-	for _, e := range w.ends {
+	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.run.task, e.run.number, e.run.outcome, ""})
 	}
 	return running, ended
