--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -170,6 +170,7 @@
 			w.mu.Lock()
 			w.registered = true
 			w.mu.Unlock()
+			w.rig.recordf("worker %s: heartbeat acknowledged", w.id)
 		}
 		select {
 		case <-w.rig.closed:
