--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -61,9 +63,13 @@
 		v, err := cases[name](r, os.Getenv("TROUBLE") != "0")
 		done <- outcome{v, err}
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	select {
 	case result := <-done:
 		return r.report(result.verdict, result.err)
+	case <-interrupted:
+		return r.report(verdict{}, fmt.Errorf("%w: it was interrupted", errCase))
 	case <-time.After(maxPlayTime):
 		return r.report(verdict{}, fmt.Errorf("%w: it took longer than %v", errCase, maxPlayTime))
 	}
