Conclude nothing from lists of runs that are cut short

Cause: a target lists 500 ends at a time, and the leader took each run for lost that was in neither list of two answers (of one answer after a change of the leader, or after a stop), although its end was beyond the list.

The simulated targets draw how many ends they list at a time.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -344,11 +344,14 @@
 }
 
 // handleUnlistedRun handles an assigned run that the poll answer lists neither as running
-// nor as ended. The target certainly doesn't have a run that it confirmed, or that a stop
+// nor as ended. If the lists aren't complete, the run may have ended or go on, which a later answer
+// will show. Otherwise the target certainly doesn't have a run that it confirmed, or that a stop
 // barred, before the poll was sent. Nor can it still carry out a start by a former leader,
 // because the poll had a higher fencing token.
 func (t *Tracker) handleUnlistedRun(target *target, task anvilwork.Task, r *run, answer PollAnswer, effects *Effects) {
 	switch {
+	case !answer.Complete:
+		return
 	case r.phase == adopting:
 	case r.stopped && answer.Sent > r.stoppedAt:
 	case r.phase == running && !r.stopRequested && answer.Sent > r.confirmedAt && !r.startUnanswered:
--- a/core/anvilorder/incarnation_test.go
+++ b/core/anvilorder/incarnation_test.go
@@ -185,7 +185,7 @@
 		}
 		w.now += 2
 		for _, p := range effects.Polls {
-			w.apply(w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer(), Order: p, Done: true}).Commands...)
+			w.apply(w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer(), Order: p, Done: true, Complete: true}).Commands...)
 		}
 	}
 	assert.Equal(t, len(w.state.Runs("t")), 0)
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -177,7 +177,8 @@
 	for _, order := range effects.Polls {
 		l.call(&request{target: order.Target, token: order.Token, poll: &order, deadline: order.Deadline}, func(r response) Effects {
 			return l.tracker.HandlePollAnswer(l.now, PollAnswer{
-				Answer: r.Answer, Order: order, Done: r.done, FromOtherIncarnation: r.fromOther(), Running: r.running, Ended: r.ended,
+				Answer: r.Answer, Order: order, Done: r.done, FromOtherIncarnation: r.fromOther(),
+				Running: r.running, Ended: r.ended, Complete: r.complete,
 			})
 		})
 	}
@@ -259,6 +260,8 @@
 	verdict Verdict
 	running []Running
 	ended   []anvilwork.RunEnd
+	// complete means that ended has fewer ends than a target lists at a time.
+	complete bool
 }
 
 // fromOther reports whether another incarnation or another target has answered.
--- a/core/anvilorder/schedule_target_test.go
+++ b/core/anvilorder/schedule_target_test.go
@@ -387,9 +387,10 @@
 		for _, task := range slices.SortedFunc(maps.Keys(p.running), anvilwork.Task.Compare) {
 			r.running = append(r.running, Running{Task: task, Run: p.running[task].run})
 		}
-		for _, end := range p.ends {
+		for _, end := range p.ends[:min(len(p.ends), p.s.endsPerList)] {
 			r.ended = append(r.ended, end.RunEnd)
 		}
+		r.complete = len(p.ends) < p.s.endsPerList
 		answer(p.stamp(r))
 	}
 	if len(p.ends) > 0 || order.Wait == 0 {
--- a/core/anvilorder/schedule_test.go
+++ b/core/anvilorder/schedule_test.go
@@ -76,6 +76,9 @@
 	slots        = 3                     // of each target
 )
 
+// listLimits are the numbers of ends that targets may list at a time. The lower ones cut most lists short.
+var listLimits = []int{1, 2, 500}
+
 // rule is a rule that a schedule may break.
 type rule string
 
@@ -111,9 +114,11 @@
 type schedule struct {
 	random  *rand.Rand
 	without map[fault]bool
-	now     anvilclock.Millis
-	timers  []timer // in the order in which they fire
-	state   *anvilwork.State
+	// endsPerList is the number of ends that a target lists at a time.
+	endsPerList int
+	now         anvilclock.Millis
+	timers      []timer // in the order in which they fire
+	state       *anvilwork.State
 	// leader is nil between two terms.
 	leader *simLeader
 	term   anvilid.Token
@@ -136,6 +141,8 @@
 	for _, kind := range without {
 		s.without[fault(kind)] = true
 	}
+	// A source of its own keeps what else a seed draws independent of the number.
+	s.endsPerList = listLimits[rand.New(rand.NewPCG(seed, 29)).IntN(len(listLimits))]
 	for i := range 3 + s.random.IntN(3) {
 		m := &machine{address: anvilid.Address(fmt.Sprintf("host%d:1", i))}
 		s.machines = append(s.machines, m)
--- a/core/anvilorder/tracker_test.go
+++ b/core/anvilorder/tracker_test.go
@@ -99,10 +99,17 @@
 	return Answer{Target: "t", Incarnation: 1, Sent: sent, Received: received, Clock: TargetClock(received)}
 }
 
-// answerPoll answers a poll now that was sent a number of milliseconds ago.
+// answerPoll answers a poll now that was sent a number of milliseconds ago, with a list of all ends.
 func (w *world) answerPoll(order Poll, ago anvilclock.Millis, running []Running, ended ...anvilwork.RunEnd) Effects {
 	return w.tracker.HandlePollAnswer(w.now, PollAnswer{
-		Answer: w.answer(w.now-ago, w.now), Order: order, Done: true, Running: running, Ended: ended,
+		Answer: w.answer(w.now-ago, w.now), Order: order, Done: true, Running: running, Ended: ended, Complete: true,
+	})
+}
+
+// answerPollInPart answers a poll now with a list of ends that is cut short.
+func (w *world) answerPollInPart(order Poll, running []Running, ended ...anvilwork.RunEnd) Effects {
+	return w.tracker.HandlePollAnswer(w.now, PollAnswer{
+		Answer: w.answer(w.now-1, w.now), Order: order, Done: true, Running: running, Ended: ended,
 	})
 }
 
@@ -295,12 +302,12 @@
 	}
 	// A poll answer without the run proves nothing before the stop was answered.
 	poll := w.takePoll()
-	effects = w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: reply(), Order: poll, Done: true})
+	effects = w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: reply(), Order: poll, Done: true, Complete: true})
 	assert.Equal(t, len(effects.Commands), 0)
 	w.now += 10
 	w.tracker.HandleStopAnswer(w.now, StopAnswer{Answer: reply(), Order: stop, Done: true})
 	w.now += 10
-	effects = w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: reply(), Order: w.takePoll(), Done: true})
+	effects = w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: reply(), Order: w.takePoll(), Done: true, Complete: true})
 	assert.Equal(t, len(effects.Commands), 1)
 	assert.DeepEqual(t, effects.Commands[0].Unassign, &anvilwork.Unassign{Task: taskA, Run: 1})
 }
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -138,6 +138,9 @@
 	FromOtherIncarnation bool // another incarnation answered
 	Running              []Running
 	Ended                []anvilwork.RunEnd
+	// Complete means that the lists have all runs of the target and all ends that it keeps. Targets list a
+	// limited number of ends at a time, so that without it a run that is in neither list may have ended.
+	Complete bool
 	// UnusableEnds is the number of listed ends that can't be used and have no number that could be
 	// acknowledged. They stay in the target's list.
 	UnusableEnds int
