Carry a wave out only by lists of machines that were requested after it

Cause: the leader keeps the list of machines of the former wave, and the coordinator took a machine that isn't in it for gone.

Change: the coordinator remembers when it first saw a wave, and waits for a list that was requested then or later.

--- a/core/anvilupkeep/coordinator.go
+++ b/core/anvilupkeep/coordinator.go
@@ -104,11 +104,14 @@
 	// downtime is how long a machine is down for maintenance.
 	downtime anvilclock.Millis
 	orders   map[Order]*orderState
+	// seenAt is when each wave that isn't completed was first seen in this term. An earlier list of machines may
+	// lack machines of the wave.
+	seenAt map[anvilwork.WaveNumber]anvilclock.Millis
 }
 
 // New returns a coordinator. downtime is how long a machine is down for maintenance.
 func New(downtime anvilclock.Millis) *Coordinator {
-	return &Coordinator{downtime: downtime, orders: map[Order]*orderState{}}
+	return &Coordinator{downtime: downtime, orders: map[Order]*orderState{}, seenAt: map[anvilwork.WaveNumber]anvilclock.Millis{}}
 }
 
 // Step returns what is to be done now. now is the time of the leader's local clock, and wall the time
@@ -116,15 +119,27 @@
 // next step are sent, so that a new leader knows which machines are down.
 func (c *Coordinator) Step(now, wall anvilclock.Millis, waves []*anvilwork.Wave, list MachineList, load func(anvilid.TargetID) Load) Effects {
 	var effects Effects
-	if list.Sent == 0 {
-		return effects
-	}
+	c.noteWaves(now, waves)
 	for _, wave := range waves {
-		c.stepWave(now, wall, wave, list, load, &effects)
+		if list.Sent >= c.seenAt[wave.Number] {
+			c.stepWave(now, wall, wave, list, load, &effects)
+		}
 	}
 	return effects
 }
 
+// noteWaves records which waves are seen for the first time, and forgets those that are completed.
+func (c *Coordinator) noteWaves(now anvilclock.Millis, waves []*anvilwork.Wave) {
+	seenAt := map[anvilwork.WaveNumber]anvilclock.Millis{}
+	for _, wave := range waves {
+		seenAt[wave.Number] = now
+		if earlier, ok := c.seenAt[wave.Number]; ok {
+			seenAt[wave.Number] = earlier
+		}
+	}
+	c.seenAt = seenAt
+}
+
 func (c *Coordinator) stepWave(now, wall anvilclock.Millis, wave *anvilwork.Wave, list MachineList, load func(anvilid.TargetID) Load, effects *Effects) {
 	unavailable := 0
 	for _, m := range wave.Machines {
