Place a task again once it has failed on each target

A step with a label could wait in the same way, and one whose only targets are ejected for up to 16 s at a time.

Cause: the planner excluded each target on which a task of the step had failed, for as long as the job and the term lasted.

Change: the ejector counts failures, and the planner takes the targets with the fewest that have room; slow and ejected ones if no others suit the step.

--- a/core/anvileject/ejector.go
+++ b/core/anvileject/ejector.go
@@ -34,16 +34,17 @@
 // Ejector tracks the failures of targets. It must be used by one goroutine only.
 type Ejector struct {
 	targets map[anvilid.TargetID]*record
-	steps   map[anvilwork.StepKey][]anvilid.TargetID // targets on which a task of the step has failed
+	// steps has, for each step, how often its tasks have failed on each target where any of them has.
+	steps map[anvilwork.StepKey]map[anvilid.TargetID]int
 }
 
 // New returns an ejector that knows of no failures.
 func New() *Ejector {
-	return &Ejector{targets: map[anvilid.TargetID]*record{}, steps: map[anvilwork.StepKey][]anvilid.TargetID{}}
+	return &Ejector{targets: map[anvilid.TargetID]*record{}, steps: map[anvilwork.StepKey]map[anvilid.TargetID]int{}}
 }
 
 // Ended records the outcome of a task's run on a target. A success ends the target's ejection and
-// clears its failures, but does not change what Failed reports.
+// clears its failures, but does not change what Failures returns.
 func (e *Ejector) Ended(now anvilclock.Millis, target anvilid.TargetID, task anvilwork.Task, outcome anvilwork.Outcome) {
 	switch outcome {
 	case anvilwork.RunDone:
@@ -54,9 +55,11 @@
 }
 
 func (e *Ejector) failed(now anvilclock.Millis, target anvilid.TargetID, task anvilwork.Task) {
-	if key := task.StepKey(); !slices.Contains(e.steps[key], target) {
-		e.steps[key] = append(e.steps[key], target)
+	key := task.StepKey()
+	if e.steps[key] == nil {
+		e.steps[key] = map[anvilid.TargetID]int{}
 	}
+	e.steps[key][target]++
 	r := e.targets[target]
 	if r == nil {
 		r = &record{nextSpan: firstEjection}
@@ -87,12 +90,11 @@
 	return ejected
 }
 
-// Failed reports whether any task of the same step as the given task has failed on a target.
-func (e *Ejector) Failed(task anvilwork.Task, target anvilid.TargetID) bool {
-	return slices.Contains(e.steps[task.StepKey()], target)
-}
+// Failures returns how often tasks of a step have failed on each target where any of them has. The caller must
+// not change the result.
+func (e *Ejector) Failures(step anvilwork.StepKey) map[anvilid.TargetID]int { return e.steps[step] }
 
-// Forget removes the information about a job that Failed uses. Targets on which the job failed stay
+// Forget removes the information about a job that Failures uses. Targets on which the job failed stay
 // ejected, and its failures still count towards their next ejection.
 func (e *Ejector) Forget(job anvilid.JobID) {
 	for key := range e.steps {
--- a/core/anvilplace/advice.go
+++ b/core/anvilplace/advice.go
@@ -26,7 +26,7 @@
 	step := u.tasks[0].StepKey()
 	var nodes []*node
 	for _, n := range p.all.nodes {
-		if n.usable && !n.slow && u.eligible(n) && p.Allowed(step, n.target) && n.target.Resources.Holds(u.need) {
+		if n.usable && (!n.slow || u.usesSlow) && u.eligible(n) && p.Allowed(step, n.target) && n.target.Resources.Holds(u.need) {
 			nodes = append(nodes, n)
 		}
 	}
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -51,10 +51,10 @@
 	return limit
 }
 
-// eligible reports whether the service and labels of a node suit the step and the step hasn't failed
-// there. Tickets and resources are checked elsewhere.
+// eligible reports whether the service and labels of a node suit the step and the step doesn't avoid it
+// because of its failures there. Tickets and resources are checked elsewhere.
 func (u *waitingStep) eligible(n *node) bool {
-	return n.target.Service == u.info.policy.Service && u.hasLabel(n.target) && !n.planner.Failed(u.tasks[0], n.target.ID)
+	return n.target.Service == u.info.policy.Service && u.hasLabel(n.target) && !u.avoids(n.target.ID)
 }
 
 func (u *waitingStep) hasLabel(target *anvilwork.Target) bool {
--- a/core/anvilplace/gang_shape.go
+++ b/core/anvilplace/gang_shape.go
@@ -1,8 +1,6 @@
 package anvilplace
 
 import (
-	"slices"
-
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
@@ -41,13 +39,11 @@
 	if u.urgent || u.info.policy.Advice.Needed() || len(p.nodesClaimedBy[u.info.job.ID]) > 0 {
 		return false
 	}
-	return !u.hasFailed()
+	return !u.hasFailed() && !u.usesSlow
 }
 
-// hasFailed reports whether a waiting task of the step has failed before.
-func (u *waitingStep) hasFailed() bool {
-	return slices.ContainsFunc(u.tasks, func(task anvilwork.Task) bool { return u.info.job.State(task).Failed > 0 })
-}
+// hasFailed reports whether a task of the step is known to have failed on a target.
+func (u *waitingStep) hasFailed() bool { return len(u.failures) > 0 }
 
 // blocked reports whether it is already known that a gang doesn't fit, because a gang of the same shape
 // with as many or fewer tasks didn't fit earlier in this call of Plan, and free resources only shrink
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -80,8 +80,11 @@
 
 // unavailable reports whether no task of the current job may be placed on the node, whatever its free
 // resources are.
-func (n *node) unavailable() bool {
-	return !n.usable || n.slow && !n.claimedForCurrentUrgent() || n.reserved && n.planner.deferrable || n.claimedByOther() || n.excluded()
+func (n *node) unavailable() bool { return n.unavailableTo(n.planner.currentUsesSlow) }
+
+// unavailableTo is unavailable for a step that may use slow nodes or not.
+func (n *node) unavailableTo(usesSlow bool) bool {
+	return !n.usable || n.slow && !usesSlow && !n.claimedForCurrentUrgent() || n.reserved && n.planner.deferrable || n.claimedByOther() || n.excluded()
 }
 
 // claimedForCurrentUrgent reports whether the node is claimed for the current job and that job is
@@ -159,6 +162,9 @@
 			p.emptyNodes++
 			p.usableAccelerators += target.Resources.GPU
 		}
+		if n.slow {
+			p.slowNodes++
+		}
 		p.all.nodes[i] = n
 		p.byID[target.ID] = n
 		p.addToRack(n)
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -23,8 +23,8 @@
 	// Avoid reports whether a target works much slower than others at present, or fails the tasks
 	// that it starts.
 	Avoid func(anvilid.TargetID) bool
-	// Failed reports whether a task of the same step as the given one has failed on a target.
-	Failed func(anvilwork.Task, anvilid.TargetID) bool
+	// Failures returns how often tasks of a step have failed on each target where any of them has.
+	Failures func(anvilwork.StepKey) map[anvilid.TargetID]int
 	// Progress returns the progress and speed of a run, if known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
 	// Reserve is the number of accelerators to keep free for urgent jobs, see Demand.
@@ -91,6 +91,10 @@
 	// currentJob is the job that is being placed, and currentUrgent tells whether it is urgent.
 	currentJob    anvilid.JobID
 	currentUrgent bool
+	// currentUsesSlow tells whether the step that is being placed may use slow nodes, see tolerate.
+	currentUsesSlow bool
+	// slowNodes is the number of slow nodes.
+	slowNodes int
 	// currentSuspects is the step that is being placed if it consists of suspects, or nil.
 	currentSuspects *waitingStep
 	// probationNodes has the nodes on which suspects of each job are on probation.
@@ -144,9 +148,11 @@
 		if waitingStep.suspect() {
 			p.currentSuspects = waitingStep
 		}
+		p.tolerate(waitingStep)
+		p.currentUsesSlow = waitingStep.usesSlow
 		p.placeStep(waitingStep)
 	}
-	p.currentJob, p.currentUrgent, p.deferrable, p.currentSuspects = "", false, true, nil
+	p.currentJob, p.currentUrgent, p.currentUsesSlow, p.deferrable, p.currentSuspects = "", false, false, true, nil
 	p.vacateLeavingTargets()
 	p.moveStragglers()
 	p.decision.Claims = map[anvilid.TargetID]anvilid.JobID{}
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -128,7 +128,7 @@
 func (p *planner) fitsElsewhere(t *placedRun, members []runOnNode) bool {
 	u := &waitingStep{
 		info: t.info, step: t.info.job.Spec.Steps[t.task.Step], need: t.need,
-		tasks: []anvilwork.Task{t.task},
+		tasks: []anvilwork.Task{t.task}, failures: p.Failures(t.task.StepKey()),
 	}
 	for range len(members) - 1 {
 		u.tasks = append(u.tasks, t.task)
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -27,6 +27,11 @@
 	joinsProbation bool
 	// avoidsRestarted means that they don't start on nodes that have restarted, see node.restarted.
 	avoidsRestarted bool
+	// failures is how often the step has failed on each target, and tolerated how many failures don't keep it from
+	// a target. usesSlow means that it may use slow nodes. The last two are set by tolerate.
+	failures  map[anvilid.TargetID]int
+	tolerated int
+	usesSlow  bool
 	// run is the number of the run that starts next. All tasks that are placed get the same number, as
 	// the members of a gang must have.
 	run anvilwork.Run
@@ -79,6 +84,7 @@
 		}
 		// A gang starts with all of its members or not at all, so it isn't placed while some still run.
 		if len(u.tasks) > 0 && (!step.Gang || len(u.tasks) == step.Count) {
+			u.failures = p.Failures(u.tasks[0].StepKey())
 			waitingSteps = append(waitingSteps, p.splitSuspects(u)...)
 		}
 	}
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -85,7 +85,7 @@
 			_, isEjected := slices.BinarySearch(ejected, id)
 			return isSlow || isEjected
 		},
-		Failed: r.ejector.Failed,
+		Failures: r.ejector.Failures,
 		Ticket: func(step anvilwork.StepKey, target *anvilwork.Target) (anvilwork.Ticket, bool) {
 			return r.advisor.Ticket(now, step, anviladvice.Target{ID: target.ID, Incarnation: target.Incarnation})
 		},
