Ignore announcements that name a service which isn't in the configuration

Cause: a later start time replaced the record of a target whatever service was named, and the leader then took the target's own announcements for late ones without a limit of time.

Change: the leader ignores an announcement of an unknown service; a record of one from before the first configuration gives way; a later start time counts only while announcements with it come.

--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -124,13 +124,20 @@
 	case !ok:
 		return true
 	case known.Incarnation != target.Incarnation:
-		return known.Incarnation < target.Incarnation
+		return known.Incarnation < target.Incarnation || s.isForeign(known) && s.config.HasService(target.Service)
 	}
 	return target.Leaving && !known.Leaving || !target.sentBefore(known) && !sameAttributes(known, &target)
 }
 
+// isForeign reports whether a record was made by an announcement of another writer before there was a
+// configuration: it names a service that the configuration doesn't have. A record without a service is of a
+// target that hasn't announced itself yet.
+func (s *State) isForeign(record *Target) bool {
+	return s.config.Version > 0 && record.Service != "" && !s.config.HasService(record.Service)
+}
+
 // announce stores what a target reports about itself. An announcement of an older incarnation is ignored, and
-// so is one that an incarnation sent before the latest one. A newer incarnation under the same id means that
+// so is one that an incarnation sent before the latest one, unless the record is foreign. A newer incarnation under the same id means that
 // the processes of the older one have ended. A start request that was sent to the older incarnation may still
 // be executed by the newer one, however, so its runs stay assigned until the target has rejected or ended
 // them.
@@ -166,7 +173,7 @@
 // belongs to one incarnation at a time: the one that started last. The announcement doesn't show that the runs
 // of the earlier target have ended, and it doesn't count if the configuration doesn't name its service.
 func (s *State) departPreviousAtAddress(announced Target) {
-	if s.config.Version > 0 && !s.config.hasService(announced.Service) {
+	if s.config.Version > 0 && !s.config.HasService(announced.Service) {
 		return
 	}
 	for _, other := range s.Targets() {
--- a/core/anvilwork/config.go
+++ b/core/anvilwork/config.go
@@ -114,7 +114,8 @@
 	return c.checkKeys()
 }
 
-func (c *Config) hasService(name anvilid.ServiceName) bool {
+// HasService reports whether the configuration has a service with this name.
+func (c *Config) HasService(name anvilid.ServiceName) bool {
 	return slices.ContainsFunc(c.Services, func(service Service) bool { return service.Name == name })
 }
 
--- a/core/anvilwork/target_test.go
+++ b/core/anvilwork/target_test.go
@@ -20,3 +20,21 @@
 		assert.ErrorIs(t, target.Check(), ErrTarget)
 	}
 }
+
+// TestForeignRecord guards against a target that is never used, because another writer announced a later
+// incarnation of an unknown service before there was a configuration.
+func TestForeignRecord(t *testing.T) {
+	state := New()
+	announce := func(target Target) Result {
+		return state.Apply(1, Batch{Commands: []Command{{Announce: &Announce{Target: target}}}})[0]
+	}
+	own := Target{ID: "t", Incarnation: 1, Service: "s", Address: "127.0.0.1:1", Sequence: 9}
+	assert.Equal(t, announce(Target{ID: "t", Incarnation: 2, Service: "odd", Address: "127.0.0.1:1", Sequence: 1}), Applied)
+	assert.Equal(t, announce(own), Unchanged, "nothing tells yet which one is foreign")
+	state.Apply(1, Batch{Commands: []Command{{Configure: &Config{Version: 1, Services: []Service{{Name: "s"}}}}}})
+	assert.Equal(t, announce(own), Applied)
+	record, _ := state.Target("t")
+	assert.Equal(t, record.Incarnation, Incarnation(1))
+	assert.Equal(t, announce(Target{ID: "t", Incarnation: 2, Service: "s", Address: "127.0.0.1:1"}), Applied)
+	assert.Equal(t, announce(own), Unchanged)
+}
--- a/io/anvillead/heard.go
+++ b/io/anvillead/heard.go
@@ -1,6 +1,8 @@
 package anvillead
 
 import (
+	"errors"
+
 	"go.uber.org/zap"
 
 	"anvilshunt/core/anvilclock"
@@ -9,6 +11,9 @@
 	"anvilshunt/io/anvillogs"
 )
 
+// errUnknownService means that an announcement names a service that the configuration doesn't have.
+var errUnknownService = errors.New("the configuration has no such service")
+
 // heardAnnouncements has the latest announcement of each target that this process has handled. Most
 // announcements change nothing and aren't committed, so that the sequence number in the replicated state is
 // only that of the last change.
@@ -32,13 +37,14 @@
 const maxForgotten = 64
 
 // record remembers an announcement, unless the target has sent it before one that was heard or replicated
-// already. It reports whether that is so. The argument known is the replicated record, or nil. Lower numbers
-// count again once no announcement with as high a number has come for the given span.
+// already. It reports whether that is so. The argument known is the replicated record, or nil. An earlier
+// incarnation and lower numbers count again once no later announcement has come for the given span: a later one
+// that isn't repeated was of another writer.
 func (h heardAnnouncements) record(now, span anvilclock.Millis, target anvilwork.Target, known *anvilwork.Target) (outdated bool) {
 	latest, ok := h.latest(now, target.ID, known)
 	next := heardAnnouncement{incarnation: target.Incarnation, sequence: target.Sequence, at: now}
 	switch {
-	case ok && target.Incarnation < latest.incarnation:
+	case ok && target.Incarnation < latest.incarnation && now-latest.at <= span:
 		return true
 	case ok && target.Incarnation == latest.incarnation:
 		if target.Sequence < latest.sequence {
@@ -93,6 +99,22 @@
 	}
 }
 
+// namesUnknownService reports whether an announcement names a service that the configuration doesn't have, so that
+// it is of another writer. A target goes on announcing a service that was removed from the configuration.
+func (l *Leader) namesUnknownService(target anvilwork.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	config := l.state.Config()
+	if config.Version == 0 || config.HasService(target.Service) {
+		return false
+	}
+	known, ok := l.state.Target(target.ID)
+	return !ok || known.Incarnation != target.Incarnation || known.Service != target.Service
+}
+
+// ignoredEntries returns the number of entries of lists and of announcements that this process has ignored.
+func (l *Leader) ignoredEntries() uint64 { return l.calls.Ignored() + l.ignored.Total() }
+
 // hear records an announcement in l.heard, and reports whether a later one was heard before. It returns the
 // announcement with the sequence number that it has for the replicated state.
 func (l *Leader) hear(target anvilwork.Target) (ordered anvilwork.Target, outdated bool) {
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -33,6 +33,40 @@
 	assert.Assert(t, !hear(2, 2))
 }
 
+// TestLaterIncarnationFallsSilent guards against a target whose announcements never count again, because one of
+// another writer named a later incarnation.
+func TestLaterIncarnationFallsSilent(t *testing.T) {
+	h := heardAnnouncements{}
+	hear := func(now anvilclock.Millis, incarnation anvilwork.Incarnation, sequence uint64) bool {
+		return h.record(now, testSpan, anvilwork.Target{ID: "t", Incarnation: incarnation, Sequence: sequence}, nil)
+	}
+	assert.Assert(t, !hear(0, 1, 3))
+	assert.Assert(t, !hear(10, 2, 1))
+	assert.Assert(t, hear(10+testSpan, 1, 4))
+	assert.Assert(t, !hear(11+testSpan, 1, 5))
+	assert.Assert(t, !hear(12+testSpan, 2, 2), "the later incarnation is there after all")
+	assert.Assert(t, hear(13+testSpan, 1, 6))
+}
+
+// TestUnknownService guards against an announcement of another writer that takes the place of a target, because
+// it names a later incarnation beside a service that the configuration doesn't have.
+func TestUnknownService(t *testing.T) {
+	l := &Leader{state: anvilwork.New()}
+	target := anvilwork.Target{ID: "t", Incarnation: 1, Service: "removed", Sequence: 7}
+	assert.Assert(t, !l.namesUnknownService(target), "there is no configuration yet")
+	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{
+		{Announce: &anvilwork.Announce{Target: target}},
+		{Configure: &anvilwork.Config{Version: 1, Services: []anvilwork.Service{{Name: "s"}}}},
+	}})
+	assert.Assert(t, !l.namesUnknownService(target), "a target goes on with a service that was removed")
+	for _, foreign := range []anvilwork.Target{
+		{ID: "t", Incarnation: 2, Service: "removed"}, {ID: "t", Incarnation: 1, Service: "odd"}, {ID: "u", Incarnation: 1, Service: "odd"},
+	} {
+		assert.Assert(t, l.namesUnknownService(foreign), "%v", foreign)
+	}
+	assert.Assert(t, !l.namesUnknownService(anvilwork.Target{ID: "t", Incarnation: 2, Service: "s"}))
+}
+
 // TestHeardAnnouncementsOfGoneTargets guards against a leader whose memory grows with each target that was
 // ever there.
 func TestHeardAnnouncementsOfGoneTargets(t *testing.T) {
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -84,6 +84,7 @@
 	calls     OutboundCalls
 	bounds    Bounds
 
+	ignored      *anvillogs.Ignored // announcements that can't be used
 	relays       relays
 	stateChanged chan struct{} // capacity 1; contains a value when the replicated state has changed
 	keepalives   chan keepalive
@@ -112,7 +113,7 @@
 	return &Leader{
 		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds, state: anvilwork.New(),
 		stateChanged: make(chan struct{}, 1), keepalives: make(chan keepalive, resultQueueSize), startedAt: clock.Now(),
-		heard: heardAnnouncements{},
+		heard: heardAnnouncements{}, ignored: anvillogs.NewIgnored(clock, log, anvillogs.EntryIgnored),
 	}
 }
 
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -75,7 +75,7 @@
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
 		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize),
 		sender:      sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk},
-		summary:     newSummary(now, l.calls.Ignored()),
+		summary:     newSummary(now, l.ignoredEntries()),
 	}
 }
 
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -252,6 +252,10 @@
 		reply.Done = l.depart(ctx, target.ID)
 		return reply, nil
 	}
+	if l.namesUnknownService(target) {
+		l.ignored.Add("announcements", string(target.ID), []byte(target.Service), errUnknownService)
+		return reply, nil
+	}
 	ordered, outdated := l.hear(target)
 	if outdated && !target.Leaving {
 		return reply, nil
--- a/io/anvillead/summary.go
+++ b/io/anvillead/summary.go
@@ -45,7 +45,7 @@
 	placed, waiting int
 	// crashes counts the targets that crashed, and lostRuns the runs that were lost with them.
 	crashes, lostRuns int
-	// ignoredBefore is OutboundCalls.Ignored when the summary was begun.
+	// ignoredBefore is Leader.ignoredEntries when the summary was begun.
 	ignoredBefore uint64
 }
 
@@ -99,7 +99,7 @@
 	if now-r.summary.since < summaryInterval {
 		return
 	}
-	ignored := r.calls.Ignored()
+	ignored := r.ignoredEntries()
 	r.log.Write(anvillogs.LeaderSummary, append(r.summary.fields(), zap.Uint64("ignored", ignored-r.summary.ignoredBefore))...)
 	r.summary = newSummary(now, ignored)
 }
