Send a large log entry in parts

Cause: an entry was sent in one message, whose delivery is limited to 350 ms, so that one of more than about 1.3 MB never reached the voters behind a link of 30 Mbit/s.

--- a/core/anvilraft/codec.go
+++ b/core/anvilraft/codec.go
@@ -32,6 +32,21 @@
 	return data
 }
 
+// encodeEntry encodes an entry. This cannot fail, because Entry contains only numbers and bytes.
+func encodeEntry(entry Entry) []byte {
+	data, err := Encode(entry)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decodeEntry(data []byte) (Entry, error) {
+	var entry Entry
+	err := Decode(data, &entry)
+	return entry, err
+}
+
 func decodeMembers(data []byte) (Members, error) {
 	var members Members
 	err := Decode(data, &members)
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -101,7 +101,7 @@
 	n.broadcastHeartbeat()
 	for _, p := range n.leading.peers {
 		if p.transfer != nil {
-			n.resumeSnapshotTransfer(p)
+			n.resumeTransfer(p)
 		}
 	}
 }
--- a/core/anvilraft/message.go
+++ b/core/anvilraft/message.go
@@ -26,6 +26,10 @@
 	MessageSnapshot MessageType = 7
 	// MessageSnapshotResponse acknowledges or rejects a chunk.
 	MessageSnapshotResponse MessageType = 8
+	// MessageEntryPart carries one part of an entry that is too large for one message.
+	MessageEntryPart MessageType = 9
+	// MessageEntryPartResponse acknowledges or rejects a part of an entry.
+	MessageEntryPartResponse MessageType = 10
 )
 
 // Message is sent from one member to another. Messages may be lost, delayed,
@@ -38,8 +42,9 @@
 	Term  anvilid.Term `cbor:"5,keyasint"`
 
 	// Index and LogTerm identify an entry: the candidate's last entry in vote requests, the
-	// entry before Entries in MessageAppend (repeated in its response), and the entry up to
-	// which the snapshot reaches in MessageSnapshot and its response.
+	// entry before Entries in MessageAppend and before the entry in MessageEntryPart (repeated
+	// in the responses), and the entry up to which the snapshot reaches in MessageSnapshot and
+	// its response.
 	Index   anvilid.Index `cbor:"6,keyasint,omitempty"`
 	LogTerm anvilid.Term  `cbor:"7,keyasint,omitempty"`
 	Entries []Entry       `cbor:"8,keyasint,omitempty"`
@@ -62,14 +67,20 @@
 	Hint     anvilid.Index `cbor:"14,keyasint,omitempty"`
 	HintTerm anvilid.Term  `cbor:"15,keyasint,omitempty"`
 
-	// Offset is the position of Chunk in the snapshot, or in a response the number of bytes
-	// received.
+	// Offset is the position of Chunk in the snapshot or the encoded entry, or in a response the
+	// number of bytes received.
 	Offset anvilid.ByteCount `cbor:"16,keyasint,omitempty"`
 	Chunk  *Chunk            `cbor:"17,keyasint,omitempty"`
 }
 
-// Chunk is one part of a snapshot. Every chunk repeats the fields other than Data, which
-// describe the whole snapshot; Size is the total size of its data.
+// fromLeader reports whether only a leader sends messages of this type.
+func (m Message) fromLeader() bool {
+	return m.Type == MessageAppend || m.Type == MessageSnapshot || m.Type == MessageEntryPart
+}
+
+// Chunk is one part of a snapshot or of an encoded entry. Every chunk repeats the fields other
+// than Data, which describe the whole; Size is the total size of its data. At and Members are
+// those of a snapshot.
 type Chunk struct {
 	At      anvilclock.Millis `cbor:"1,keyasint"`
 	Members Members           `cbor:"2,keyasint"`
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -34,7 +34,7 @@
 	campaignsSinceLeader int
 
 	follower  followerState
-	incoming  *incomingSnapshot
+	incoming  *incomingTransfer
 	leading   leaderState
 	persisted persistence
 	effects   Effects
@@ -128,7 +128,7 @@
 	case MessagePreVote, MessageVote:
 		n.receiveVoteRequest(m)
 		return
-	case MessageAppend, MessageSnapshot:
+	case MessageAppend, MessageSnapshot, MessageEntryPart: // of a leader
 	default:
 		// A response of a node that is no longer a member must not raise the term.
 		if !n.expectsResponseFrom(m.From) {
@@ -157,15 +157,17 @@
 		n.receiveAppendResponse(m)
 	case MessageSnapshot:
 		n.receiveSnapshot(m)
-	case MessageSnapshotResponse:
-		n.receiveSnapshotResponse(m)
+	case MessageEntryPart:
+		n.receiveEntryPart(m)
+	case MessageSnapshotResponse, MessageEntryPartResponse:
+		n.receivePartResponse(m)
 	}
 }
 
 // acceptGroup reports whether m belongs to the group of this node. A node with an empty
 // disk joins the group of the first leader that sends to it.
 func (n *Node) acceptGroup(m Message) bool {
-	if n.hardState.Group == 0 && m.Group != 0 && (m.Type == MessageAppend || m.Type == MessageSnapshot) {
+	if n.hardState.Group == 0 && m.Group != 0 && m.fromLeader() {
 		n.hardState.Group = m.Group
 		n.scheduleHardStateSave()
 	}
@@ -181,7 +183,7 @@
 // leader adopts the higher term, and the next election takes place in a term that this node
 // accepts.
 func (n *Node) rejectStaleLeader(m Message) {
-	if m.Type == MessageAppend || m.Type == MessageSnapshot {
+	if m.fromLeader() {
 		n.send(Message{Type: MessageAppendResponse, To: m.From, Reject: true})
 	}
 }
--- a/core/anvilraft/options.go
+++ b/core/anvilraft/options.go
@@ -12,6 +12,7 @@
 	clockRateError      float64
 	seed                uint64
 	maxMessageBytes     anvilid.ByteCount
+	maxEntryBytes       anvilid.ByteCount
 	maxInflightBytes    anvilid.ByteCount
 	maxInflightEntries  int
 	maxUncommittedBytes anvilid.ByteCount
@@ -32,6 +33,7 @@
 		heartbeatInterval:   75,
 		clockRateError:      0.01,
 		maxMessageBytes:     32 << 10,
+		maxEntryBytes:       128 << 10,
 		maxInflightBytes:    128 << 10,
 		maxInflightEntries:  4096,
 		maxUncommittedBytes: 16 << 20,
@@ -65,11 +67,17 @@
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
 // WithMessageBytes sets the size above which an append or a snapshot is split into several
-// messages. A single entry larger than that is still sent in one message.
+// messages. A single entry larger than that is still sent in one message, see WithEntryBytes.
 func WithMessageBytes(size anvilid.ByteCount) Option {
 	return func(o *options) { o.maxMessageBytes = size }
 }
 
+// WithEntryBytes sets the size above which a single entry is sent in several messages. They
+// have WithMessageBytes each.
+func WithEntryBytes(size anvilid.ByteCount) Option {
+	return func(o *options) { o.maxEntryBytes = size }
+}
+
 // WithMaxInflight limits the bytes and entries that may be sent to one member before it
 // acknowledges them. The last message may exceed the byte limit by one entry.
 func WithMaxInflight(size anvilid.ByteCount, entries int) Option {
--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -23,8 +23,12 @@
 			names := []string{"a", "b", "c", "d", "e"}[:3+2*(seed%2)]
 			// Election timeouts from a narrow range make elections start close to the end of a
 			// leader's quorum lease.
-			s := newSchedule(newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMessageBytes(120),
-				WithMaxInflight(500, 8), WithUncommittedBytes(2000), WithMaxLearnerLag(3)))
+			options := []Option{WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMessageBytes(120),
+				WithMaxInflight(500, 8), WithUncommittedBytes(2000), WithMaxLearnerLag(3)}
+			if seed%3 == 1 { // the longer commands are sent in parts
+				options = append(options, WithEntryBytes(40), WithMessageBytes(30))
+			}
+			s := newSchedule(newCluster(t, seed, names, options...))
 			s.run(16 * anvilclock.Second)
 			s.recoverFromFaults()
 			s.checkHistory()
--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -18,8 +18,8 @@
 	// inflightBytes and inflightEntries are the totals of inflight.
 	inflightBytes   anvilid.ByteCount
 	inflightEntries int
-	// transfer is not nil while a snapshot is being sent to the member.
-	transfer *snapshotTransfer
+	// transfer is not nil while a snapshot or a large entry is being sent to the member in parts.
+	transfer *transfer
 
 	lastResponseAt anvilclock.Millis // when the latest response arrived
 	answeredSentAt anvilclock.Millis // highest Sent among the answered messages
@@ -52,17 +52,20 @@
 	return nil
 }
 
-// replicate sends as many entries as flow control permits, or chunks of a snapshot if the
-// member needs entries that are no longer in memory.
+// replicate sends as many entries as flow control permits, parts of a large entry, or parts of a
+// snapshot if the member needs entries that are no longer in memory.
 func (n *Node) replicate(p *peer) {
 	if p.transfer == nil && p.next <= n.log.base {
 		n.startSnapshotTransfer(p)
 	}
-	if p.transfer != nil {
-		n.sendChunks(p, n.options.maxInflightBytes)
-		return
-	}
-	for !p.probing && p.next <= n.log.last() {
+	for !p.probing && p.transfer == nil && p.next <= n.log.last() {
+		if n.needsTransfer(p) {
+			if p.inflightEntries > 0 {
+				return
+			}
+			n.startEntryTransfer(p)
+			break
+		}
 		bytes := n.options.maxInflightBytes - p.inflightBytes
 		entries := n.options.maxInflightEntries - p.inflightEntries
 		if bytes <= 0 || entries <= 0 {
@@ -70,6 +73,9 @@
 		}
 		n.sendBatch(p, min(bytes, n.options.maxMessageBytes), entries)
 	}
+	if p.transfer != nil {
+		n.sendParts(p, n.options.maxInflightBytes)
+	}
 }
 
 // sendBatch sends at most count entries and limit bytes from p.next on, but at least one
@@ -91,7 +97,7 @@
 		Type: MessageAppend, To: p.id, Entries: entries, Commit: n.commit,
 		Sent: n.now, Round: n.leading.barrierRound,
 	}
-	// During a snapshot transfer the heartbeat carries index 0, which always matches.
+	// During a transfer the heartbeat carries index 0, which always matches.
 	if term, ok := n.log.term(p.next - 1); ok && p.transfer == nil {
 		m.Index, m.LogTerm = p.next-1, term
 	}
@@ -140,7 +146,7 @@
 		p.inflightEntries -= p.inflight[done].entries
 	}
 	p.inflight = p.inflight[done:]
-	if p.transfer != nil && match >= p.transfer.snapshot.Index {
+	if p.transfer != nil && match >= p.transfer.completeAt {
 		p.transfer = nil
 		p.next = match + 1
 	}
@@ -153,10 +159,14 @@
 // the logs may be equal. It compares the terms of both logs, and so skips all entries of a
 // term in one round trip.
 func (n *Node) backOffNext(p *peer, m Message) {
+	if p.transfer != nil && !p.transfer.lost(m) {
+		return
+	}
 	stale := m.Index <= p.match || p.probing && m.Index != p.next-1 || m.Index >= p.next
-	if stale || p.transfer != nil {
+	if stale {
 		return
 	}
+	p.transfer = nil
 	hint, term := n.log.lastAtOrBelow(m.Hint, m.HintTerm)
 	if m.Hint < n.log.base || term > m.HintTerm {
 		// None of the leader's entries in memory can be in the member's log. With p.next at or below
--- /dev/null
+++ b/core/anvilraft/transfer.go
@@ -0,0 +1,184 @@
+package anvilraft
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// transfer is the state of sending data in parts to one member: a snapshot, or one entry that is too large for a
+// single message. On a slow link a large message would arrive too late each time, and would keep heartbeats back
+// for as long as it takes.
+type transfer struct {
+	// part returns a message without the fields that are about the part: Offset and the data.
+	part func() Message
+	// position is Message.Index of the parts, and completeAt the index up to which the log of the member
+	// matches once it has the data.
+	position, completeAt anvilid.Index
+	// entry means that the data is an encoded entry, not a snapshot.
+	entry          bool
+	data           []byte
+	ackedBytes     anvilid.ByteCount // bytes received by the member
+	nextOffset     anvilid.ByteCount // offset of the next byte to send
+	partSent       bool              // at least one part was sent; an empty snapshot has one
+	lastProgressAt anvilclock.Millis // when ackedBytes last changed, or parts were sent again
+}
+
+// incomingTransfer collects the parts of a transfer that this node receives.
+type incomingTransfer struct {
+	kind MessageType
+	// leaderTerm is the term of the sender: leaders of two terms may have different entries after the same one.
+	leaderTerm anvilid.Term
+	index      anvilid.Index
+	term       anvilid.Term
+	size       anvilid.ByteCount
+	data       []byte
+}
+
+// startTransfer begins to send data in parts to a member.
+func (n *Node) startTransfer(p *peer, t transfer) {
+	p.probing = false
+	p.inflight, p.inflightBytes, p.inflightEntries = nil, 0, 0
+	t.lastProgressAt = n.now
+	p.transfer = &t
+}
+
+// startSnapshotTransfer prepares to send the latest snapshot to a member that needs entries
+// that are no longer in memory.
+func (n *Node) startSnapshotTransfer(p *peer) {
+	snapshot := n.snapshot
+	n.startTransfer(p, transfer{
+		data: snapshot.Data, position: snapshot.Index, completeAt: snapshot.Index,
+		part: func() Message {
+			return Message{
+				Type: MessageSnapshot, Index: snapshot.Index, LogTerm: snapshot.Term,
+				Chunk: &Chunk{At: snapshot.At, Members: snapshot.Members},
+			}
+		},
+	})
+}
+
+// needsTransfer reports whether the next entry for a member is sent in parts. The entries before it must have
+// arrived, as nothing is sent beside it.
+func (n *Node) needsTransfer(p *peer) bool {
+	return n.log.entryAt(p.next).size() > n.options.maxEntryBytes
+}
+
+// startEntryTransfer prepares to send the next entry to a member in parts. The parts name the entry before it, as
+// MessageAppend does.
+func (n *Node) startEntryTransfer(p *peer) {
+	before := p.next - 1
+	term, _ := n.log.term(before) // in memory, or the last entry that is not, because p.next is in memory
+	n.startTransfer(p, transfer{
+		entry: true, data: encodeEntry(n.log.entryAt(p.next)), position: before, completeAt: p.next,
+		part: func() Message {
+			return Message{Type: MessageEntryPart, Index: before, LogTerm: term, Chunk: &Chunk{}}
+		},
+	})
+	p.next++
+}
+
+// lost reports whether a rejection shows that the member has the whole entry and lacks one before it, which it
+// lost when it was restarted.
+func (t *transfer) lost(m Message) bool { return t.entry && m.Index == t.position }
+
+// sendParts sends parts while fewer than window bytes are unacknowledged.
+func (n *Node) sendParts(p *peer, window anvilid.ByteCount) {
+	t := p.transfer
+	size := anvilid.ByteCount(len(t.data))
+	for (t.nextOffset < size || !t.partSent) && t.nextOffset-t.ackedBytes < window {
+		end := min(size, t.nextOffset+n.options.maxMessageBytes)
+		m := t.part()
+		m.To, m.Sent, m.Round, m.Offset = p.id, n.now, n.leading.barrierRound, t.nextOffset
+		m.Chunk.Size, m.Chunk.Data = size, t.data[t.nextOffset:end:end]
+		n.send(m)
+		t.nextOffset, t.partSent = end, true
+	}
+}
+
+// resumeTransfer sends one part again when the member has acknowledged nothing for the minimum
+// election timeout. If all parts were acknowledged, it repeats the last one; the member's answer
+// shows whether it has used the data or lost it. One part is enough to learn that the member is
+// reachable again, and puts little load on the link while it is not.
+func (n *Node) resumeTransfer(p *peer) {
+	t := p.transfer
+	if n.now-t.lastProgressAt < n.options.minElectionTimeout {
+		return
+	}
+	size := anvilid.ByteCount(len(t.data))
+	t.nextOffset, t.partSent, t.lastProgressAt = t.ackedBytes, false, n.now
+	if t.ackedBytes == size {
+		t.nextOffset = max(0, size-n.options.maxMessageBytes)
+	}
+	n.sendParts(p, t.nextOffset-t.ackedBytes+1)
+}
+
+// receivePartResponse handles a member's answer to a part: it records how many bytes the member
+// has received and sends further parts, after a rejection from the offset in the answer on.
+func (n *Node) receivePartResponse(m Message) {
+	p := n.peer(m.From)
+	if p == nil || n.role != Leader {
+		return
+	}
+	n.recordResponse(p, m)
+	n.confirmBarriers()
+	t := p.transfer
+	if t == nil || t.entry != (m.Type == MessageEntryPartResponse) || m.Index != t.position || m.Offset > anvilid.ByteCount(len(t.data)) {
+		return
+	}
+	switch {
+	case m.Reject && m.Offset != t.nextOffset:
+		t.ackedBytes, t.nextOffset, t.lastProgressAt = m.Offset, m.Offset, n.now
+	case m.Offset > t.ackedBytes:
+		t.ackedBytes, t.nextOffset, t.lastProgressAt = m.Offset, max(t.nextOffset, m.Offset), n.now
+	}
+	n.sendParts(p, n.options.maxInflightBytes)
+}
+
+// addPart adds a part to the incoming transfer, answers the leader, and reports whether
+// the data is complete. It ignores a part that doesn't start where the received data
+// ends; the Offset of the answer tells the leader where to continue.
+func (n *Node) addPart(m Message, response MessageType) bool {
+	in := n.incoming
+	if in == nil || in.kind != m.Type || in.leaderTerm != m.Term || in.index != m.Index || in.term != m.LogTerm || in.size != m.Chunk.Size {
+		in = &incomingTransfer{kind: m.Type, leaderTerm: m.Term, index: m.Index, term: m.LogTerm, size: m.Chunk.Size}
+		n.incoming = in
+	}
+	received := anvilid.ByteCount(len(in.data))
+	if m.Offset == received {
+		in.data = append(in.data, m.Chunk.Data...)
+	}
+	n.send(Message{
+		Type: response, To: m.From, Index: m.Index,
+		Offset: anvilid.ByteCount(len(in.data)), Reject: m.Offset > received,
+		Sent: n.follower.leaderSentAt, Round: n.follower.barrierRound,
+	})
+	return anvilid.ByteCount(len(in.data)) >= in.size
+}
+
+// receiveEntryPart handles a part of a large entry. Once all have arrived, the entry is handled as one that
+// arrives in MessageAppend.
+func (n *Node) receiveEntryPart(m Message) {
+	if m.Chunk == nil {
+		return
+	}
+	n.recordLeaderContact(m)
+	if n.follower.verified > m.Index && m.Index >= n.log.base {
+		// The entry after m.Index is the leader's already.
+		n.incoming = nil
+		n.acknowledge(0)
+		return
+	}
+	if !n.addPart(m, MessageEntryPartResponse) {
+		return
+	}
+	data := n.incoming.data
+	n.incoming = nil
+	entry, err := decodeEntry(data)
+	if err != nil {
+		return // the leader sends the entry again
+	}
+	n.receiveAppend(Message{
+		Type: MessageAppend, Group: m.Group, From: m.From, To: m.To, Term: m.Term, Index: m.Index, LogTerm: m.LogTerm,
+		Entries: []Entry{entry}, Sent: m.Sent, Round: m.Round,
+	})
+}
