Take the rest of a part that overlaps with what was received

What callers would see: a voter that stays behind for good, and doesn't count for the tolerance of lost disks, until the leader changes.

Cause: a part that is delivered twice may begin a transfer anew at a member that has completed it. The leader, to which all parts are acknowledged, repeats only the last one, which starts inside the received data; the member neither took it nor rejected it.

Change: the rest of such a part is appended.

--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -17,14 +17,22 @@
 // invariants of the log (see cluster) and that the registers are linearizable. Seeds are
 // fixed; a failure prints its seed as the name of the subtest.
 func TestRandomSchedules(t *testing.T) {
+	seeds := []uint64{
+		277, // a part that was delivered twice began the transfer of an entry anew, and the rest never came
+	}
 	for seed := range uint64(64) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			names := []string{"a", "b", "c", "d", "e"}[:3+2*(seed%2)]
 			// Election timeouts from a narrow range make elections start close to the end of a
 			// leader's quorum lease.
-			options := []Option{WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMessageBytes(120),
-				WithMaxInflight(500, 8), WithUncommittedBytes(2000), WithMaxLearnerLag(3)}
+			options := []Option{
+				WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMessageBytes(120),
+				WithMaxInflight(500, 8), WithUncommittedBytes(2000), WithMaxLearnerLag(3),
+			}
 			if seed%3 == 1 { // the longer commands are sent in parts
 				options = append(options, WithEntryBytes(40), WithMessageBytes(30))
 			}
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -135,8 +135,10 @@
 }
 
 // addPart adds a part to the incoming transfer, answers the leader, and reports whether
-// the data is complete. It ignores a part that doesn't start where the received data
-// ends; the Offset of the answer tells the leader where to continue.
+// the data is complete. It ignores a part that starts after the received data; the Offset of
+// the answer tells the leader where to continue. Of a part that overlaps with that data, the
+// rest counts: the leader repeats the last part, and earlier ones that were delivered twice may
+// have begun the transfer anew.
 func (n *Node) addPart(m Message, response MessageType) bool {
 	in := n.incoming
 	if in == nil || in.kind != m.Type || in.leaderTerm != m.Term || in.index != m.Index || in.term != m.LogTerm || in.size != m.Chunk.Size {
@@ -144,8 +146,8 @@
 		n.incoming = in
 	}
 	received := anvilid.ByteCount(len(in.data))
-	if m.Offset == received {
-		in.data = append(in.data, m.Chunk.Data...)
+	if m.Offset <= received && received < m.Offset+anvilid.ByteCount(len(m.Chunk.Data)) {
+		in.data = append(in.data, m.Chunk.Data[received-m.Offset:]...)
 	}
 	n.send(Message{
 		Type: response, To: m.From, Index: m.Index,
