--- a/core/anvilraft/log.go
+++ b/core/anvilraft/log.go
@@ -95,6 +95,20 @@
 	l.entries = l.entries[:keep:keep]
 }
 
+// firstTrailing returns the index of the first of the entries up to last that stay in memory: the latest ones, at
+// most count of them with at most limit bytes. It is last+1 if none does.
+func (l *entryLog) firstTrailing(last anvilid.Index, count int, limit anvilid.ByteCount) anvilid.Index {
+	first := last + 1
+	for ; first > l.base+1 && count > 0; first-- {
+		limit -= l.entryAt(first - 1).size()
+		count--
+		if limit < 0 {
+			break
+		}
+	}
+	return first
+}
+
 // compact removes the entries up to index from memory.
 func (l *entryLog) compact(index anvilid.Index) {
 	if index <= l.base {
--- a/core/anvilraft/options.go
+++ b/core/anvilraft/options.go
@@ -17,6 +17,7 @@
 	maxInflightEntries  int
 	maxUncommittedBytes anvilid.ByteCount
 	trailingEntries     int
+	trailingBytes       anvilid.ByteCount
 	maxLearnerLag       int
 }
 
@@ -38,6 +39,7 @@
 		maxInflightEntries:  4096,
 		maxUncommittedBytes: 16 << 20,
 		trailingEntries:     1000,
+		trailingBytes:       4 << 20,
 		maxLearnerLag:       100,
 	}
 }
@@ -95,5 +97,10 @@
 // memory, so that a member that lags only slightly does not need the snapshot.
 func WithTrailingEntries(entries int) Option { return func(o *options) { o.trailingEntries = entries } }
 
+// WithTrailingBytes limits the total size of those entries.
+func WithTrailingBytes(size anvilid.ByteCount) Option {
+	return func(o *options) { o.trailingBytes = size }
+}
+
 // WithMaxLearnerLag sets how many entries a learner may still lack when it is made a voter.
 func WithMaxLearnerLag(entries int) Option { return func(o *options) { o.maxLearnerLag = entries } }
--- a/core/anvilraft/snapshot.go
+++ b/core/anvilraft/snapshot.go
@@ -1,11 +1,8 @@
 package anvilraft
 
-import (
-	"anvilshunt/core/anvilid"
-)
-
 // compact handles a Compact event: it replaces the snapshot, and drops the entries that the
-// new one covers from memory, except for the trailing ones (WithTrailingEntries).
+// new one covers from memory, except for the trailing ones (WithTrailingEntries and
+// WithTrailingBytes).
 func (n *Node) compact(event Compact) {
 	if event.Index > n.commit || event.Index <= n.snapshot.Index {
 		n.reject(uint64(event.Index), ErrInvalidCompact)
@@ -18,9 +15,7 @@
 	}
 	n.persisted.snapshotChanged = true
 	n.members.discardBefore(entry.Index)
-	if trailing := anvilid.Index(n.options.trailingEntries); entry.Index > trailing {
-		n.log.compact(entry.Index - trailing)
-	}
+	n.log.compact(n.log.firstTrailing(entry.Index, n.options.trailingEntries, n.options.trailingBytes) - 1)
 }
 
 // receiveSnapshot handles a snapshot chunk from the leader. It installs the snapshot once all chunks
--- a/core/anvilraft/transfer_test.go
+++ b/core/anvilraft/transfer_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
 )
 
 // TestLargeEntryOnNarrowLink guards against an entry that never reaches a member, because one delivery of a
@@ -67,3 +68,19 @@
 		}
 	}
 }
+
+// TestTrailingEntries guards against entries that stay in memory after a snapshot without a limit of their size.
+func TestTrailingEntries(t *testing.T) {
+	log := entryLog{base: 10}
+	for i := range anvilid.Index(20) {
+		log.append(Entry{Index: 11 + i, Data: make([]byte, 68)}) // 100 bytes with overhead
+	}
+	for _, c := range []struct {
+		count int
+		limit anvilid.ByteCount
+		first anvilid.Index
+	}{{5, 10_000, 21}, {50, 10_000, 11}, {50, 450, 22}, {50, 500, 21}, {50, 99, 26}, {0, 10_000, 26}} {
+		assert.Equal(t, log.firstTrailing(25, c.count, c.limit), c.first, "%+v", c)
+	}
+	assert.Equal(t, log.firstTrailing(10, 5, 10_000), anvilid.Index(11), "nothing is in memory")
+}
--- a/io/anvilvoter/apply.go
+++ b/io/anvilvoter/apply.go
@@ -26,6 +26,7 @@
 // argument snapshotIndex is the index of the last entry that the stored snapshot
 // includes.
 func (v *Voter) applyLoop(ctx context.Context, snapshotIndex anvilid.Index) error {
+	var appliedBytes anvilid.ByteCount // of the commands since the latest snapshot
 	for {
 		var item applyItem
 		select {
@@ -38,16 +39,19 @@
 				return eris.Wrapf(err, "restore snapshot %d", item.restore.Index)
 			}
 			snapshotIndex = item.restore.Index
+			appliedBytes = 0
 			v.applied.Store(uint64(snapshotIndex))
 		}
 		for i := range item.entries {
 			v.applyEntry(&item.entries[i], item.waiters)
+			appliedBytes += anvilid.ByteCount(len(item.entries[i].Data))
 		}
 		for _, r := range item.barriers {
 			r.finish(0, nil, nil)
 		}
 		applied := anvilid.Index(v.applied.Load())
-		if applied < snapshotIndex+anvilid.Index(v.compactAfter) || len(v.compactions) > 0 {
+		due := applied >= snapshotIndex+anvilid.Index(v.compactAfter) || appliedBytes >= v.compactBytes
+		if !due || len(v.compactions) > 0 {
 			continue
 		}
 		data, err := v.stateMachine.Snapshot()
@@ -55,7 +59,7 @@
 			return eris.Wrapf(err, "create a snapshot at entry %d", applied)
 		}
 		v.compactions <- anvilraft.Compact{Index: applied, Snapshot: data} // never blocks: only this loop sends, and len was 0
-		snapshotIndex = applied
+		snapshotIndex, appliedBytes = applied, 0
 	}
 }
 
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -48,6 +48,9 @@
 	// is compacted. It bounds the log that a restart reads: 100,000 entries of
 	// 200 bytes are read in about 50 ms.
 	defaultCompactAfter = 50_000
+	// defaultCompactBytes is the total size of the commands of applied entries after
+	// which the log is compacted, however few they are.
+	defaultCompactBytes = 16 << 20
 	// sendTimeout bounds one call of Send, so that the sender does not stay
 	// blocked when the network of a peer hangs.
 	sendTimeout = 2 * time.Second
@@ -79,6 +82,7 @@
 	logTime        logTime
 	tick           anvilclock.Millis
 	compactAfter   int
+	compactBytes   anvilid.ByteCount
 	log            *anvillogs.Logger
 	slowWriteLimit anvilclock.Millis
 
@@ -132,6 +136,12 @@
 // resolution of its timeouts.
 func WithTick(interval anvilclock.Millis) Option { return func(v *Voter) { v.tick = interval } }
 
+// WithCompactBytes sets the total size of the commands of applied entries after which a snapshot is created, if
+// compactAfter isn't reached before. The log stays in memory and on disk until then.
+func WithCompactBytes(size anvilid.ByteCount) Option {
+	return func(v *Voter) { v.compactBytes = size }
+}
+
 // WithCompactAfter sets the number of applied entries after which a snapshot is
 // created and the log is compacted.
 func WithCompactAfter(entries int) Option { return func(v *Voter) { v.compactAfter = entries } }
@@ -153,7 +163,7 @@
 		},
 		send:  func(context.Context, anvilraft.VoterID, [][]byte) error { return nil },
 		clock: anvilclock.Monotonic(), wall: anvilclock.Wall(),
-		tick: defaultTick, compactAfter: defaultCompactAfter,
+		tick: defaultTick, compactAfter: defaultCompactAfter, compactBytes: defaultCompactBytes,
 		log: anvillogs.Discard(),
 
 		inbox:       make(chan anvilraft.Message, inboxQueueSize),
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -85,6 +85,30 @@
 	assert.Assert(t, voters.IsVoter(fresh.id) && !voters.Contains(lost.id), "%v", voters)
 }
 
+// Guards against a log of few large entries that outgrows memory and disk, because only the number of entries counts.
+func TestCompactionOfLargeEntries(t *testing.T) {
+	t.Parallel()
+	const size, limit = 20_000, 100_000
+	g, members := newGroup(t, 3, WithCompactBytes(limit), WithNode(anvilraft.WithTrailingBytes(limit/2)))
+	for i := range 30 {
+		propose(t, members, fmt.Sprint(i, strings.Repeat("x", size)))
+	}
+	m := members[0]
+	eventually(t, "the member has applied the commands", func() bool { return m.Status().Commit >= 30 })
+	m.stop()
+	assert.NilError(t, <-m.done)
+	storage, restored, err := anvildisk.Open(m.dir)
+	assert.NilError(t, err)
+	assert.NilError(t, storage.Close())
+	stored := 0
+	for _, entry := range restored.Entries {
+		stored += len(entry.Data)
+	}
+	assert.Assert(t, stored <= 2*limit, "%d entries with %d bytes are stored", len(restored.Entries), stored)
+	again := g.start(m.id.Instance, m.dir)
+	eventually(t, "the member has all commands", func() bool { return again.Status().Commit >= 30 })
+}
+
 // Guards against a log that grows without bound, and against a restarted or
 // lagging voter that cannot continue from a snapshot.
 func TestCompaction(t *testing.T) {
