Remove replaced voters from a group that has more than it is meant to

Cause: a silent voter was removed only from a group with an even number of voters. Both successors join before either former voter is removed, and of seven voters, two of which never return, four are a majority.

Change: the group knows how many voters it is meant to have, and above that removes a voter that has sent nothing for 1.5 s. Event 217 says how many voters are silent and how many losses the group still bears.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -40,6 +40,13 @@
 	// silentTimeout is how long a surplus voter (see RemoveSilentVoters) must have
 	// sent nothing before it is removed. A process restarts well within this time.
 	silentTimeout = 3 * anvilclock.Second
+	// replacedTimeout is the same for a group with more voters than it was meant to
+	// have. The others have probably replaced the silent one, and as long as it
+	// counts, the group tolerates fewer further losses than it is meant to.
+	replacedTimeout = 1500 * anvilclock.Millisecond
+	// minLargeGroup is the smallest number of voters that is taken for more than the
+	// group was meant to have. A smaller group would not bear two losses.
+	minLargeGroup = 6
 	// joinInterval is the delay between attempts to join the group, and between
 	// checks for surplus voters.
 	joinInterval = 300 * time.Millisecond
@@ -58,6 +65,9 @@
 	// FirstStart means that the whole system starts for the first time, so that
 	// the seeds bootstrap the group.
 	FirstStart bool
+	// Voters is the number of voters that the group is meant to have at least, or 0 if that
+	// isn't known.
+	Voters int
 	// Seeds returns the voters that the settings file names at present. The group
 	// may have other voters too.
 	Seeds func() []anvilid.InstanceID
@@ -297,11 +307,14 @@
 
 // RemoveSilentVoters removes surplus voters while this voter is the leader, until
 // ctx is done. A group with an even number of voters, n, tolerates no more failures
-// than one with n-1 voters, so it has one surplus voter. If a voter of such a group
-// has sent nothing for silentTimeout, it is removed: either its machine was
-// replaced, or it joins again when it returns.
+// than one with n-1 voters, so it has one surplus voter. A group with more voters than
+// it is meant to have may have several: if two voters are replaced at the same time, both
+// of their successors have joined before either of them is removed, and the number is odd
+// again. If a voter of such a group has sent nothing for silentTimeout or replacedTimeout,
+// it is removed: either its machine was replaced, or it joins again when it returns.
 func (g *Group) RemoveSilentVoters(ctx context.Context) error {
 	leadingSince := anvilclock.Millis(-1) // when this voter was first seen as the leader, or -1
+	silentBefore := 0
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -316,6 +329,11 @@
 		if leadingSince < 0 {
 			leadingSince = g.clock.Now()
 		}
+		if silent := g.countSilent(status.Members, leadingSince); silent != silentBefore {
+			silentBefore = silent
+			voters := len(status.Members.Voters)
+			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", (voters-1)/2-silent))
+		}
 		if silent, ok := g.surplusVoter(status.Members, leadingSince); ok {
 			g.remove(ctx, silent)
 		}
@@ -324,16 +342,22 @@
 }
 
 // surplusVoter returns the voter to remove, if there is one: the number of voters
-// must be even and at least four, and the voter must have sent nothing for at least
-// silentTimeout and for longer than the others.
+// must be even and at least four, or above the one that the group is meant to have, and
+// the voter must have sent nothing for at least silentTimeout or replacedTimeout and for
+// longer than the others.
 func (g *Group) surplusVoter(members anvilraft.Members, leadingSince anvilclock.Millis) (anvilraft.VoterID, bool) {
-	if len(members.Voters) < 4 || len(members.Voters)%2 == 1 {
+	count := len(members.Voters)
+	large := g.settings.Voters > 0 && count > g.settings.Voters && count >= minLargeGroup
+	if !large && (count < 4 || count%2 == 1) {
 		return anvilraft.VoterID{}, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var silent anvilraft.VoterID
 	oldest := g.clock.Now() - silentTimeout
+	if large {
+		oldest = g.clock.Now() - replacedTimeout
+	}
 	for _, voter := range members.Voters {
 		heard := max(g.lastHeard[voter.Instance], leadingSince)
 		if voter != g.id && heard <= oldest {
@@ -343,6 +367,19 @@
 	return silent, !silent.IsZero()
 }
 
+// countSilent returns the number of voters that have sent nothing for replacedTimeout. They count for the quorum.
+func (g *Group) countSilent(members anvilraft.Members, leadingSince anvilclock.Millis) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	silent := 0
+	for _, voter := range members.Voters {
+		if voter != g.id && g.clock.Now()-max(g.lastHeard[voter.Instance], leadingSince) >= replacedTimeout {
+			silent++
+		}
+	}
+	return silent
+}
+
 func (g *Group) remove(ctx context.Context, silent anvilraft.VoterID) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- /dev/null
+++ b/io/anvilgroup/surplus_test.go
@@ -0,0 +1,55 @@
+package anvilgroup
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
+)
+
+// TestSurplusVoter guards against replaced voters that count towards the quorum for good, so that the group is lost
+// with fewer further losses than it is meant to bear, and against the removal of a voter that the group needs.
+func TestSurplusVoter(t *testing.T) {
+	const now = 100 * anvilclock.Second
+	for _, c := range []struct {
+		name          string
+		count, wanted int
+		silent        map[int]anvilclock.Millis // how long voters have sent nothing, by position
+		leading       anvilclock.Millis         // how long this voter has been the leader
+		removed       int                       // position, or 0
+	}{
+		{name: "all are there", count: 7, wanted: 5, leading: 50_000},
+		{name: "two of seven were replaced", count: 7, wanted: 5, leading: 50_000, silent: map[int]anvilclock.Millis{1: 1600, 2: 1700}, removed: 2},
+		{name: "the second of them", count: 6, wanted: 5, leading: 50_000, silent: map[int]anvilclock.Millis{1: 1900}, removed: 1},
+		{name: "one of seven is restarted", count: 7, wanted: 5, leading: 50_000, silent: map[int]anvilclock.Millis{1: 1000}},
+		{name: "the leader is new", count: 7, wanted: 5, leading: 1000, silent: map[int]anvilclock.Millis{1: 40_000}},
+		{name: "two of five are down", count: 5, wanted: 5, leading: 50_000, silent: map[int]anvilclock.Millis{1: 40_000, 2: 40_000}},
+		{name: "one of four is down", count: 4, wanted: 5, leading: 50_000, silent: map[int]anvilclock.Millis{1: 3100}, removed: 1},
+		{name: "one of four is restarted", count: 4, wanted: 5, leading: 50_000, silent: map[int]anvilclock.Millis{1: 2900}},
+		{name: "two of five, one meant", count: 5, wanted: 1, leading: 50_000, silent: map[int]anvilclock.Millis{1: 40_000, 2: 40_000}},
+		{name: "number not known", count: 7, leading: 50_000, silent: map[int]anvilclock.Millis{1: 40_000, 2: 40_000}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var members anvilraft.Members
+			heard := map[anvilid.InstanceID]anvilclock.Millis{}
+			for n := range c.count {
+				id := anvilraft.VoterID{Instance: anvilid.InstanceID(fmt.Sprint("v", n)), Storage: "1"}
+				members.Voters = append(members.Voters, id)
+				heard[id.Instance] = now - c.silent[n]
+			}
+			g := &Group{
+				settings: Settings{Voters: c.wanted}, clock: anvilclock.Clock{Now: func() anvilclock.Millis { return now }},
+				id: members.Voters[0], lastHeard: heard,
+			}
+			removed, ok := g.surplusVoter(members, now-c.leading)
+			assert.Equal(t, ok, c.removed > 0, "%v", removed)
+			if ok {
+				assert.Equal(t, removed, members.Voters[c.removed])
+			}
+		})
+	}
+}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -31,6 +31,7 @@
 	DataDirectoryCorrupt = define(214, zapcore.ErrorLevel, "data directory is corrupt and was emptied; the voter joins as a new member")
 	MembersChanged       = define(215, zapcore.InfoLevel, "members of the control group changed")
 	DiskSlow             = define(216, zapcore.WarnLevel, "write to the data directory took longer than the election timeout")
+	VotersSilent         = define(217, zapcore.WarnLevel, "number of voters that send nothing has changed")
 	EntryUnreadable      = define(207, zapcore.ErrorLevel, "committed log entry can't be decoded")
 )
 
