Tell the age of an announcement by the clock of its target

Cause: an announcement that arrives seconds late at a new leader, which has heard no later one, counted as sent when it arrived.

Change: the target's clock in the announcement is compared with its answers, which each start needs before it is sent. An unreadable clock counts as none.

--- a/core/anvilorder/capacity.go
+++ b/core/anvilorder/capacity.go
@@ -79,11 +79,11 @@
 // ageAnnouncements makes the announcements of all targets as old as the state that this leader took over.
 func (t *Tracker) ageAnnouncements() {
 	for _, target := range t.targets {
-		target.lastAnnounced = t.electedAt - t.stateAge
+		target.lastAnnounced, target.undated = t.electedAt-t.stateAge, nil
 	}
 }
 
 // knowsCapacity reports whether the latest announcement of a target is recent enough to start runs there.
 func (t *Tracker) knowsCapacity(now anvilclock.Millis, target *target) bool {
-	return t.timing.MaxAnnouncementAge == 0 || now-target.lastAnnounced <= t.timing.MaxAnnouncementAge
+	return t.timing.MaxAnnouncementAge == 0 || now-target.announcedAt() <= t.timing.MaxAnnouncementAge
 }
--- a/core/anvilorder/capacity_test.go
+++ b/core/anvilorder/capacity_test.go
@@ -119,7 +119,7 @@
 	w := newWorld(t)
 	w.tracker.timing.MaxAnnouncementAge = testAnnouncementAge
 	w.startBoth(StartUnanswered)
-	w.tracker.RecordAnnouncement(w.now, "t", 1)
+	w.announced(w.now, 0)
 	w.now += testAnnouncementAge
 	w.answerPoll(w.takePoll(), 1, []Running{{Task: taskA, Run: 1}})
 	assert.Assert(t, w.tracker.Usable(w.now, "t", testLease))
@@ -129,7 +129,7 @@
 	assert.Equal(t, len(effects.Starts), 0)
 	assert.Equal(t, len(effects.Stops), 1)
 	assert.Equal(t, effects.Stops[0].Task, taskB)
-	w.tracker.RecordAnnouncement(w.now, "t", 1)
+	w.announced(w.now, 0)
 	assert.Assert(t, w.tracker.Usable(w.now, "t", testLease))
 }
 
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -43,7 +43,7 @@
 	assert.Assert(t, !w.tracker.Usable(w.now, "t", 5000))
 	w.pendingPoll = nil
 	assert.Equal(t, len(w.advance(testLease).Polls), 0, "a target that is silent and has no runs isn't polled")
-	w.tracker.RecordAnnouncement(w.now, "t", 1)
+	w.announced(w.now, 0)
 	assert.Assert(t, !w.tracker.Usable(w.now, "t", 5000), "it may still not be reached")
 	w.answerPoll(w.takePoll(), 1, nil)
 	assert.Assert(t, w.tracker.Usable(w.now, "t", 5000))
--- a/core/anvilorder/lease.go
+++ b/core/anvilorder/lease.go
@@ -26,6 +26,11 @@
 	return r.clock + TargetClock(float64(max(0, at-r.received))*(1-maxClockSlowness))
 }
 
+// lowestAt is minAt for any time, also one before the reading. A target's clock isn't fast.
+func (r reading) lowestAt(at anvilclock.Millis) TargetClock {
+	return r.minAt(at) - TargetClock(max(0, r.received-at))
+}
+
 // certainlyReaches returns the time, by the leader's clock, from which on the target's clock
 // is certain to show value or more, even if it runs as slowly as maxClockSlowness allows.
 func (r reading) certainlyReaches(value TargetClock) anvilclock.Millis {
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -199,7 +199,7 @@
 		l.depart(target.ID, acknowledge)
 	case !l.state.AnnouncementHasEffect(target):
 		l.enqueue(func() Effects {
-			l.tracker.RecordAnnouncement(l.now, target.ID, target.Incarnation)
+			l.tracker.RecordAnnouncement(Announcement{Target: target.ID, Incarnation: target.Incarnation, Clock: target.Clock, Received: l.now})
 			return Effects{}
 		})
 		acknowledge()
--- a/core/anvilorder/schedule_target_test.go
+++ b/core/anvilorder/schedule_target_test.go
@@ -149,7 +149,7 @@
 	s := p.s
 	target := anvilwork.Target{
 		ID: p.id, Incarnation: p.incarnation, Service: "s", Address: p.machine.address,
-		Resources: anvilwork.Resources{GPU: slots}, Leaving: p.leaving,
+		Resources: anvilwork.Resources{GPU: slots}, Leaving: p.leaving, Clock: p.clock(),
 	}
 	delay := s.between(1, 10)
 	if s.chance(lateAnnouncements, 0.03) {
--- a/core/anvilorder/silence_test.go
+++ b/core/anvilorder/silence_test.go
@@ -62,7 +62,7 @@
 			answer := Answer{Target: "t", Incarnation: 1, Sent: w.now, Received: w.now, Closed: c.closedFirst || i > 0}
 			w.tracker.HandlePollAnswer(w.now, PollAnswer{Answer: answer, Order: w.takePoll()})
 			w.pendingPoll = nil
-			w.tracker.RecordAnnouncement(w.now+2*crashDelay, "t", 1)
+			w.announced(w.now+2*crashDelay, 0)
 			w.now += 4 * testRetry
 		}
 		commands := w.tracker.NoteSilences(w.now)
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -62,7 +62,7 @@
 		known.departureSeenAt, known.nextPollAt, known.pollNow = now, now, true
 	}
 	if known.record.Incarnation != record.Incarnation || known.record.Sequence != record.Sequence {
-		known.lastAnnounced = now
+		known.date(Announcement{Clock: record.Clock, Received: now})
 	}
 	known.record = *record
 	for task, number := range assigned {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -102,8 +102,10 @@
 	// lastContact is when the latest answer or announcement of this incarnation arrived, by the leader's
 	// clock.
 	lastContact anvilclock.Millis
-	// lastAnnounced is when the latest announcement of this incarnation arrived, by the leader's clock.
+	// lastAnnounced is when the latest announcement of this incarnation was sent, as far as that is known.
 	lastAnnounced anvilclock.Millis
+	// undated is the latest announcement that arrived before the target's clock was known, or nil.
+	undated *Announcement
 	// unansweredCalls counts the consecutive calls without an answer from this incarnation.
 	unansweredCalls int
 	// committingEnd is the number of the latest run end for which a commit was requested.
@@ -182,9 +184,10 @@
 // RecordAnnouncement records that a target has announced itself, which counts as a contact with the
 // target (see Usable). A target that has left calls unanswered is polled then, because it isn't usable until it
 // answers, and so is one whose silence is noted. An announcement of another incarnation has no effect.
-func (t *Tracker) RecordAnnouncement(now anvilclock.Millis, id anvilid.TargetID, incarnation anvilwork.Incarnation) {
-	if target := t.targets[id]; target != nil && target.record.Incarnation == incarnation {
-		target.lastContact, target.lastAnnounced = max(target.lastContact, now), max(target.lastAnnounced, now)
+func (t *Tracker) RecordAnnouncement(announced Announcement) {
+	if target := t.targets[announced.Target]; target != nil && target.record.Incarnation == announced.Incarnation {
+		target.lastContact = max(target.lastContact, announced.Received)
+		target.date(announced)
 		target.pollNow = target.pollNow || target.unansweredCalls > 0 || target.record.Silence != nil
 	}
 }
--- a/core/anvilorder/tracker_test.go
+++ b/core/anvilorder/tracker_test.go
@@ -77,6 +77,11 @@
 	return effects
 }
 
+// announced records an announcement that changes nothing of the target's record.
+func (w *world) announced(received anvilclock.Millis, clock TargetClock) {
+	w.tracker.RecordAnnouncement(Announcement{Target: "t", Incarnation: 1, Clock: clock, Received: received})
+}
+
 // takePoll returns the pending poll, or the next one if none is pending.
 func (w *world) takePoll() Poll {
 	if w.pendingPoll == nil {
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -6,9 +6,19 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// TargetClock is a time in milliseconds on a target's own clock, which restarts with each
-// incarnation of the target.
-type TargetClock int64
+// TargetClock is a time on a target's own clock.
+type TargetClock = anvilwork.TargetClock
+
+// Announcement is an announcement of a target that changes nothing of its record: it only shows that this
+// incarnation of the target is still running.
+type Announcement struct {
+	Target      anvilid.TargetID
+	Incarnation anvilwork.Incarnation
+	// Clock is what the target's clock showed when it sent the announcement, or 0.
+	Clock TargetClock
+	// Received is when it arrived, by the leader's clock.
+	Received anvilclock.Millis
+}
 
 // Start orders a target to start a run.
 type Start struct {
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -156,6 +156,8 @@
 	Machine anvilid.MachineID `cbor:"13,keyasint,omitempty"`
 	// Silence is set while the target doesn't answer, see NoteSilence.
 	Silence *Silence `cbor:"22,keyasint,omitempty"`
+	// Clock is what the target's clock showed when it sent the announcement that the record is from, or 0.
+	Clock TargetClock `cbor:"23,keyasint,omitempty"`
 	// RegisteredAt is when this incarnation was first announced.
 	RegisteredAt anvilclock.Millis `cbor:"12,keyasint,omitempty"`
 	// DepartedAt is when the target said that it ends, or when another target announced its address, in log
--- a/core/anvilwork/target.go
+++ b/core/anvilwork/target.go
@@ -22,6 +22,10 @@
 	maxSequence = 1 << 53
 )
 
+// TargetClock is a time in milliseconds on a target's own clock, which restarts with each
+// incarnation of the target.
+type TargetClock int64
+
 // Check returns an error that wraps ErrTarget if no work could be sent to the target, or if its numbers could
 // make sums over all targets overflow.
 func (t *Target) Check() error {
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -83,7 +83,7 @@
 // TestOutdatedKeepalive guards against a foreign capacity with a very high sequence number that counts as fresh
 // because the announcements of the target itself, which the state doesn't take, are keepalives.
 func TestOutdatedKeepalive(t *testing.T) {
-	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan keepalive, 4)}
+	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan anvilorder.Announcement, 4)}
 	own, foreign := anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 7}, anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 1 << 50}
 	own.Resources.GPU, foreign.Resources.GPU = 4, 8
 	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: own}}}})
@@ -107,7 +107,7 @@
 	a := &announcer{}
 	a.leader = &Leader{
 		state: anvilwork.New(), clock: a.clock.Clock(), log: log, heard: heardAnnouncements{},
-		keepalives: make(chan keepalive, resultQueueSize),
+		keepalives: make(chan anvilorder.Announcement, resultQueueSize),
 		bounds:     Bounds{AnnounceInterval: 1000, Orders: anvilorder.Timing{MaxAnnouncementAge: testSpan - sequenceIntervals*1000}},
 	}
 	return a
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -86,8 +86,8 @@
 
 	ignored      *anvillogs.Ignored // announcements that can't be used
 	relays       relays
-	stateChanged chan struct{} // capacity 1; contains a value when the replicated state has changed
-	keepalives   chan keepalive
+	stateChanged chan struct{}                // capacity 1; contains a value when the replicated state has changed
+	keepalives   chan anvilorder.Announcement // announcements that change no replicated state
 
 	mu    sync.Mutex
 	state *anvilwork.State
@@ -100,19 +100,11 @@
 	startedAt anvilclock.Millis
 }
 
-// keepalive is an announcement of a target that changes no replicated state. It
-// only shows that this incarnation of the target is still running.
-type keepalive struct {
-	target      anvilid.TargetID
-	incarnation anvilwork.Incarnation
-	at          anvilclock.Millis // when it arrived, by the monotonic clock
-}
-
 // New returns the scheduler of a voter. Call Attach before Run.
 func New(clock, wall anvilclock.Clock, log *anvillogs.Logger, calls OutboundCalls, bounds Bounds) *Leader {
 	return &Leader{
 		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds, state: anvilwork.New(),
-		stateChanged: make(chan struct{}, 1), keepalives: make(chan keepalive, resultQueueSize), startedAt: clock.Now(),
+		stateChanged: make(chan struct{}, 1), keepalives: make(chan anvilorder.Announcement, resultQueueSize), startedAt: clock.Now(),
 		heard: heardAnnouncements{}, ignored: anvillogs.NewIgnored(clock, log, anvillogs.EntryIgnored),
 	}
 }
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -106,7 +106,7 @@
 	case result := <-r.callResults:
 		r.handleResult(result)
 	case keepalive := <-r.keepalives:
-		r.tracker.RecordAnnouncement(keepalive.at, keepalive.target, keepalive.incarnation)
+		r.tracker.RecordAnnouncement(keepalive)
 	}
 	for {
 		select {
@@ -115,7 +115,7 @@
 		case result := <-r.callResults:
 			r.handleResult(result)
 		case keepalive := <-r.keepalives:
-			r.tracker.RecordAnnouncement(keepalive.at, keepalive.target, keepalive.incarnation)
+			r.tracker.RecordAnnouncement(keepalive)
 		default:
 			return
 		}
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -10,6 +10,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -281,7 +282,7 @@
 		return
 	}
 	select {
-	case l.keepalives <- keepalive{target.ID, target.Incarnation, l.clock.Now()}:
+	case l.keepalives <- anvilorder.Announcement{Target: target.ID, Incarnation: target.Incarnation, Clock: target.Clock, Received: l.clock.Now()}:
 	default: // the channel is full; the target announces itself again soon
 	}
 }
