Don't say that a call in progress had no effect when its voter stops

Cause: the error of such a call matched both ErrLost and ErrStopped, and the leader asks for the latter first.

Change: the error matches ErrLost only.

--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -153,8 +153,12 @@
 	case out := <-r.answer: // the outcome arrived at the same time
 		return out
 	default:
-		return outcome{err: eris.Wrapf(fmt.Errorf("%w: %w", ErrLost, cause), "voter %s", v.instance)}
 	}
+	if errors.Is(cause, ErrStopped) {
+		// ErrStopped says that a call had no effect, so the error must not match it.
+		return outcome{err: eris.Wrapf(ErrLost, "voter %s has stopped", v.instance)}
+	}
+	return outcome{err: eris.Wrapf(fmt.Errorf("%w: %w", ErrLost, cause), "voter %s", v.instance)}
 }
 
 // rejection converts the reason for which the anvilraft.Node rejected a request to
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// Guards against a command that is said to have had no effect, because the voter stopped while it was in progress. A
+// caller that relies on that sends it again, though it may be committed.
+func TestStopWithCallInProgress(t *testing.T) {
+	t.Parallel()
+	g, members := newGroup(t, 3, WithNode(anvilraft.WithElectionTimeout(1500, 2000)))
+	propose(t, members, "command 0")
+	first := leader(t, members...)
+	g.setPartitioned(first, true)
+	before, answer := first.last(), make(chan error, 1)
+	go func() {
+		_, _, err := first.Propose(context.Background(), []byte("in progress"))
+		answer <- err
+	}()
+	eventually(t, "the command is accepted", func() bool { return first.last() == before+1 })
+	first.stop()
+	err := <-answer
+	assert.ErrorIs(t, err, ErrLost)
+	assert.Assert(t, !errors.Is(err, ErrStopped) && !errors.Is(err, ErrNotLeader), "%v", err)
+}
+
 func testOutcomes(t *testing.T, g *group, members []*member, want error) {
 	propose(t, members, "command 0")
 	first := leader(t, members...)
