Count announcements as heard only by leaders that led for two intervals

What callers would see: a start on a target that has shrunk, at a leader that was elected soon after another one that led for a moment (LIMIT).

Cause: a new leader takes the announcements of all targets to be as old as the latest change of the state, whoever made it. A leader that led for less than an announce interval may have heard no target. Change: each replica notes, from the terms and times of the entries, until when a leader certainly heard the targets. Result: TestTermEvidence is new; the tests of capacities pass.

--- a/core/anvilorder/capacity.go
+++ b/core/anvilorder/capacity.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// SetStateAge tells the Tracker of a new leader how long ago a former leader made the latest change of the
-// state. What targets have announced since then may have been lost. It must be called before Sync.
+// SetStateAge tells the Tracker of a new leader for how long no leader may have heard the announcements of targets.
+// What they have announced in that time may have been lost. It must be called before Sync.
 func (t *Tracker) SetStateAge(age anvilclock.Millis) { t.stateAge = max(0, age) }
 
 // ageAnnouncements makes the announcements of all targets as old as the state that this leader took over.
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -133,7 +133,7 @@
 	token     anvilid.Token
 	timing    Timing
 	electedAt anvilclock.Millis
-	// stateAge is how old the state was that this leader took over, see SetStateAge.
+	// stateAge is for how long no leader may have heard the targets, see SetStateAge.
 	stateAge anvilclock.Millis
 	targets  map[anvilid.TargetID]*target
 	// state is the state that Sync has read last. The revisions of targets are those of this state.
--- a/core/anvilwork/load.go
+++ b/core/anvilwork/load.go
@@ -1,13 +1,9 @@
 package anvilwork
 
 import (
-	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 )
 
-// LatestChange returns the log time of the latest entry that was applied.
-func (s *State) LatestChange() anvilclock.Millis { return s.now }
-
 // Occupies returns the resources that a task of the step occupies. Best-effort tasks run on processors
 // that other tasks leave idle, so they occupy no processor time of their own.
 func (s *Step) Occupies() Resources {
--- a/io/anvillead/capacity.go
+++ b/io/anvillead/capacity.go
@@ -3,6 +3,8 @@
 import (
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
 )
@@ -39,5 +41,30 @@
 	return limit > 0 && latest.incarnation == target.Incarnation && l.clock.Now()-latest.at > limit
 }
 
+// termEvidence tells, from the entries of the log, until when a leader certainly knew the announcements of all
+// targets that it could hear. A leader that led for a moment only may have changed the state without having
+// heard a target that has shrunk.
+type termEvidence struct {
+	term anvilid.Term
+	// first is the log time of the first entry of the term that this replica has applied.
+	first anvilclock.Millis
+	// heardAt is the log time until which announcements were heard, or 0 if that isn't known.
+	heardAt anvilclock.Millis
+}
+
+// minHeardIntervals is the number of announce intervals that a leader must have led before it counts as having
+// heard each target: one until the announcement, and one more until it reaches the new leader.
+const minHeardIntervals = 2
+
+// applied records an entry of the log. The latest announcement of a target may be one interval older than it.
+func (e *termEvidence) applied(term anvilid.Term, at, interval anvilclock.Millis) {
+	if term != e.term {
+		e.term, e.first = term, at
+	}
+	if at-e.first >= minHeardIntervals*interval {
+		e.heardAt = at - interval
+	}
+}
+
 // amounts returns resources as thousandths of cores, megabytes of memory and accelerators.
 func amounts(r anvilwork.Resources) []int { return []int{int(r.CPU), int(r.Memory), int(r.GPU)} }
--- a/io/anvillead/capacity_test.go
+++ b/io/anvillead/capacity_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvilconn"
@@ -73,3 +74,20 @@
 	a.leader.heard = heardAnnouncements{}
 	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted, "a new leader goes by the age of the state")
 }
+
+// TestTermEvidence guards against a new leader that takes the changes of a leader which led for a moment for a sign
+// that the announcements of all targets were heard until then, and starts a run on a target that has shrunk.
+func TestTermEvidence(t *testing.T) {
+	const interval = 1500 * anvilclock.Millisecond
+	var e termEvidence
+	e.applied(1, 10_000, interval)
+	assert.Equal(t, e.heardAt, anvilclock.Millis(0), "nothing is known of the time before")
+	e.applied(1, 10_000+minHeardIntervals*interval, interval)
+	assert.Equal(t, e.heardAt, 10_000+(minHeardIntervals-1)*interval)
+	e.applied(1, 20_000, interval)
+	assert.Equal(t, e.heardAt, 20_000-interval)
+	e.applied(2, 24_000, interval)
+	e.applied(2, 24_500, interval)
+	e.applied(3, 25_000, interval)
+	assert.Equal(t, e.heardAt, 20_000-interval, "the leaders of terms 2 and 3 may have heard no target")
+}
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -94,6 +94,7 @@
 	// pendingCrashes has the crashes of targets that the leader has not logged yet.
 	pendingCrashes []anvilwork.Crash
 	heard          heardAnnouncements
+	evidence       termEvidence
 	// term is the term in which this voter acts as leader, or 0.
 	term anvilid.Term
 	// startedAt is when this process started, on the monotonic clock.
@@ -127,6 +128,7 @@
 	}
 	l.mu.Lock()
 	results := l.state.Apply(entry.At, batch)
+	l.evidence.applied(entry.Term, entry.At, l.bounds.AnnounceInterval)
 	l.collectCrashes()
 	l.mu.Unlock()
 	l.signalChange()
@@ -139,7 +141,7 @@
 		return err
 	}
 	l.mu.Lock()
-	l.state = state
+	l.state, l.evidence = state, termEvidence{}
 	l.mu.Unlock()
 	l.signalChange()
 	return nil
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -67,7 +67,7 @@
 	now := l.clock.Now()
 	tracker := anvilorder.New(anvilid.Token(term), now, l.bounds.Orders)
 	l.mu.Lock()
-	tracker.SetStateAge(l.logTime() - l.state.LatestChange())
+	tracker.SetStateAge(l.logTime() - l.evidence.heardAt)
 	l.mu.Unlock()
 	return &leadership{
 		Leader: l, term: term, planNeeded: true, tracker: tracker,
