Count the runs that one plan stops towards the limit of their step

Cause: the replicated state counts a task as away once its run has ended, and the runs that a plan has chosen didn't see each other.

Change: State.MayStop takes the runs that are stopped together and those that are being stopped already; eviction plans, drains and orders of maintenance use it.

--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -222,7 +222,7 @@
 		if resources.FitCount(u.need, wanted) >= wanted {
 			break
 		}
-		if t.stopping || t.evictedBy == c || !c.planner.mayStop(t) {
+		if t.stopping || t.evictedBy == c || !c.mayStop(t) {
 			continue
 		}
 		resources = resources.Plus(t.need)
@@ -233,7 +233,7 @@
 }
 
 // evictionOrder returns the runs on a node that may be stopped for an urgent job, with the least loss
-// first. mayStop and placedRun.stopping can still forbid to stop them.
+// first. evictionPlan.mayStop and placedRun.stopping can still forbid to stop them.
 func (n *node) evictionOrder() []*placedRun {
 	if !n.evictableKnown {
 		n.evictableKnown = true
@@ -269,21 +269,19 @@
 	return p.runsByStep[t.task.StepKey()]
 }
 
-// mayStop reports whether a run may be stopped without violating Step.MaxUnavailable, the number of
-// tasks of a long-running step that may be down at the same time. Two runs of such a step are never
-// stopped at the same time, because the replicated state counts the first one as unavailable only
-// once it has ended.
-func (p *planner) mayStop(t *placedRun) bool {
+// mayStop reports whether a run may be stopped, beside those that the plan stops already and those that
+// are being stopped, without violating Step.MaxUnavailable, the number of tasks of a long-running step
+// that may be down at the same time.
+func (c *evictionPlan) mayStop(t *placedRun) bool {
 	step := t.info.job.Spec.Steps[t.task.Step]
 	if !step.LongRunning || step.MaxUnavailable == 0 {
 		return true
 	}
-	for _, other := range p.runsByStep[t.task.StepKey()] {
-		if other.placedRun.stopping {
-			return false
-		}
+	stopping := map[anvilwork.Task]bool{}
+	for _, other := range c.planner.runsByStep[t.task.StepKey()] {
+		stopping[other.placedRun.task] = other.placedRun.stopping || other.placedRun.evictedBy == c || slices.Contains(c.victims, other.placedRun)
 	}
-	return p.State.MayStop(t.task)
+	return c.planner.State.MayStop(func(task anvilwork.Task) bool { return stopping[task] }, t.task)
 }
 
 // Loss returns the work in core-milliseconds that is lost if a run is stopped, including the work of
--- a/core/anvilplace/plan_test.go
+++ b/core/anvilplace/plan_test.go
@@ -391,3 +391,30 @@
 	w.plan()
 	assert.Assert(t, w.assigned("x")[0] != first)
 }
+
+// TestTwoTasksOfOneStep guards against an urgent job for which two tasks of a step are stopped at the same time, of
+// which one may be unavailable.
+func TestTwoTasksOfOneStep(t *testing.T) {
+	for name, size := range map[string]int{"on two targets": 8, "on one target": 4} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCluster(t, 1, 4, 16)
+			w.submit("batch", "common", "b", anvilwork.Step{Count: 2, Need: gpus(8), Estimate: 60_000})
+			w.plan()
+			w.now += 10_000
+			w.submit("lasting", "common", "b", anvilwork.Step{Count: 16 / size, Need: gpus(size), LongRunning: true, MaxUnavailable: 1, Estimate: 60_000})
+			w.plan()
+			w.now += 10_000
+			w.submit("urgent", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8)})
+			stopped := 0
+			for range 20 {
+				w.now += 100
+				for _, e := range w.plan().Evictions {
+					if e.Task.Job == "lasting" {
+						stopped++
+					}
+				}
+			}
+			assert.Assert(t, stopped <= 1, "%d tasks of the step are stopped at a time", stopped)
+		})
+	}
+}
--- a/core/anvilupkeep/coordinator.go
+++ b/core/anvilupkeep/coordinator.go
@@ -62,6 +62,8 @@
 	// Protected means that one of the runs must not be stopped now, because too many tasks of its step
 	// would be unavailable at the same time.
 	Protected bool
+	// ProtectedTogether means that the runs must not be stopped all at once, though one after the other.
+	ProtectedTogether bool
 }
 
 // Order identifies an order: a request to the platform to start the maintenance of a machine.
@@ -193,13 +195,13 @@
 // drain waits until nothing runs on a machine, and then moves the machine to the phase in which its
 // maintenance is ordered. Runs that have not ended after drainTimeout are stopped. If they have still
 // not ended stopGracePeriod later, the maintenance is ordered all the same, unless one of them is
-// protected (see Load).
+// protected, or all together are (see Load).
 func (c *Coordinator) drain(wall anvilclock.Millis, wave *anvilwork.Wave, m anvilwork.WaveMachine, list MachineList, load func(anvilid.TargetID) Load, effects *Effects) {
 	target := list.Machines[m.Machine].Target
 	timeout := c.drainTimeout(wave)
 	current := load(target)
 	switch waited := wall - m.Since; {
-	case current.Runs == 0 || waited > timeout+stopGracePeriod && !current.Protected:
+	case current.Runs == 0 || waited > timeout+stopGracePeriod && !current.Protected && !current.ProtectedTogether:
 		addPhaseChange(effects, wave, m.Machine, anvilwork.WaveRequested)
 	case waited > timeout:
 		effects.Stop = append(effects.Stop, target)
--- a/core/anvilupkeep/coordinator_test.go
+++ b/core/anvilupkeep/coordinator_test.go
@@ -171,3 +171,16 @@
 	assert.Assert(t, w.completed())
 	assert.Equal(t, orders, 1)
 }
+
+// Guards against the maintenance of a machine with two tasks of a step of which one may be unavailable: each may
+// be stopped, but not both at once.
+func TestTasksOfOneStep(t *testing.T) {
+	w := newSimulation(t, 1, 1, 6000)
+	w.loads["t-m0"] = Load{Runs: 2, ProtectedTogether: true}
+	w.run(10_000)
+	assert.Equal(t, len(w.started), 0)
+	assert.Assert(t, w.stopped["t-m0"])
+	w.loads["t-m0"] = Load{Runs: 1}
+	w.run(10_000)
+	assert.Assert(t, w.completed())
+}
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -86,7 +86,7 @@
 		assert.Equal(s.t, wave.Completed(), words[2] == "yes", s.where)
 	case "maystop":
 		task, _ := s.run(words[1])
-		assert.Equal(s.t, s.state.MayStop(task), words[2] == "yes", s.where)
+		assert.Equal(s.t, s.state.MayStop(func(Task) bool { return false }, task), words[2] == "yes", s.where)
 	case "unfit-wave":
 		wave := s.wave(words[1:])
 		assert.ErrorIs(s.t, wave.Check(), ErrWave, s.where)
--- a/core/anvilwork/wave.go
+++ b/core/anvilwork/wave.go
@@ -150,25 +150,31 @@
 	return Unknown
 }
 
-// MayStop reports whether the scheduler may stop the run of a task. The limit is the step's
-// MaxUnavailable: a long-running step must not have more tasks unavailable at a time than
-// the caller allows.
-func (s *State) MayStop(task Task) bool {
-	job, ok := s.jobs[task.Job]
-	if !ok || job.Phase.Ended() {
-		return true
-	}
-	step := job.Spec.Steps[task.Step]
-	if !step.LongRunning || step.MaxUnavailable == 0 {
-		return true
-	}
+// MayStop reports whether the scheduler may stop the runs of tasks at the same time. The limit
+// is each step's MaxUnavailable: a long-running step must not have more tasks unavailable at a
+// time than the caller allows. The function stopping reports whether a run is being stopped
+// already, which the state shows only once it has ended.
+func (s *State) MayStop(stopping func(Task) bool, tasks ...Task) bool {
+	return !slices.ContainsFunc(tasks, func(task Task) bool {
+		job, ok := s.jobs[task.Job]
+		if !ok || job.Phase.Ended() {
+			return false
+		}
+		step := job.Spec.Steps[task.Step]
+		return step.LongRunning && step.MaxUnavailable > 0 && s.countUnavailable(stopping, job, task, tasks) > step.MaxUnavailable
+	})
+}
+
+// countUnavailable returns how many tasks of the step of a task are unavailable once the given tasks are stopped.
+func (s *State) countUnavailable(stopping func(Task) bool, job *Job, task Task, stopped []Task) int {
 	unavailable := 0
 	for i, state := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
-		if i != task.Index && (state.Phase != TaskAssigned || s.now-state.PhaseSince < startupTime) {
+		task.Index = i
+		if state.Phase != TaskAssigned || s.now-state.PhaseSince < startupTime || slices.Contains(stopped, task) || stopping(task) {
 			unavailable++
 		}
 	}
-	return unavailable < step.MaxUnavailable
+	return unavailable
 }
 
 // startupTime is the time after its placement for which a long-running task still counts as
--- a/io/anvillead/upkeep.go
+++ b/io/anvillead/upkeep.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -51,7 +53,7 @@
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
 	for _, id := range effects.Stop {
 		for task := range r.state.Runs(id) {
-			if r.state.MayStop(task) {
+			if r.state.MayStop(r.stopping, task) {
 				r.tracker.StopRun(id, task)
 			}
 		}
@@ -88,9 +90,11 @@
 // would be lost.
 func (r *leadership) load(id anvilid.TargetID) anvilupkeep.Load {
 	load := anvilupkeep.Load{}
-	for task := range r.state.Runs(id) {
+	runs := slices.Collect(maps.Keys(r.state.Runs(id)))
+	load.ProtectedTogether = !r.state.MayStop(r.stopping, runs...)
+	for _, task := range runs {
 		load.Runs++
-		load.Protected = load.Protected || !r.state.MayStop(task)
+		load.Protected = load.Protected || !r.state.MayStop(r.stopping, task)
 		if job, ok := r.state.Job(task.Job); ok {
 			load.Loss += anvilplace.Loss(job, task, r.logTime())
 		}
@@ -98,6 +102,12 @@
 	return load
 }
 
+// stopping reports whether the run of a task is being stopped.
+func (r *leadership) stopping(task anvilwork.Task) bool {
+	job, ok := r.state.Job(task.Job)
+	return ok && r.tracker.Stopping(job.State(task).Target, task)
+}
+
 func (r *leadership) listMachines(now anvilclock.Millis) {
 	if r.upkeep.listPending || now < r.upkeep.nextListAt {
 		return
