--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -79,7 +79,7 @@
 	StartNotConfirmed  = define(608, zapcore.WarnLevel, "start of a run was not confirmed by the target")
 	StartUnanswered    = define(609, zapcore.WarnLevel, "target did not answer the start of a run; it is sent again")
 	RunEnded           = define(610, zapcore.InfoLevel, "run ended")
-	RunUnassigned      = define(611, zapcore.InfoLevel, "run withdrawn from its target: it never started")
+	RunUnassigned      = define(611, zapcore.InfoLevel, "run withdrawn from its target, which does not have it")
 	RunEvicted         = define(612, zapcore.InfoLevel, "run stopped to free capacity for an urgent job")
 	TargetLeaseExpired = define(613, zapcore.WarnLevel, "target does not answer and its lease has expired; its runs are placed again")
 	TargetUpdated      = define(614, zapcore.InfoLevel, "target was added, changed or removed")
