Count a job as waiting until a target has begun a run of it

Cause: a job counted as begun with its placement.

Change: the tracker reports jobs whose runs targets confirm, the state notes ended runs, and both end the waiting.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -84,9 +84,8 @@
 	}
 	switch answer.Verdict {
 	case StartAccepted:
-		r.phase, r.startUnanswered = running, false
-		if r.confirmedAt == 0 {
-			r.confirmedAt = answer.Received
+		if r.confirm(answer.Received) {
+			effects.Begun = append(effects.Begun, answer.Order.Task.Job)
 		}
 	case StartUnanswered:
 		r.unansweredStarts++
@@ -324,7 +323,9 @@
 		entry, ok := listed[runKey{task, r.number}]
 		switch {
 		case ok:
-			r.confirm(now)
+			if r.confirm(now) {
+				effects.Begun = append(effects.Begun, task.Job)
+			}
 			t.Speeds.Observe(answer.Received, target.record.ID, task, r.number, entry.Percent)
 		case ended[task] >= r.number:
 			// the answer lists the end of this run, and commitEnds takes care of it
@@ -335,12 +336,15 @@
 	t.stopUnassignedRuns(target, listed, effects)
 }
 
-// confirm records that the target has listed the run as running.
-func (r *run) confirm(now anvilclock.Millis) {
+// confirm records that the target runs the run, or has said so at the given time. It reports whether that wasn't
+// known.
+func (r *run) confirm(at anvilclock.Millis) (first bool) {
 	r.phase, r.startUnanswered, r.missingLists = running, false, 0
-	if r.confirmedAt == 0 {
-		r.confirmedAt = now
+	if r.confirmedAt > 0 {
+		return false
 	}
+	r.confirmedAt = at
+	return true
 }
 
 // handleUnlistedRun handles an assigned run that the poll answer lists neither as running
--- a/core/anvilorder/confirmed_test.go
+++ b/core/anvilorder/confirmed_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -139,3 +140,18 @@
 	assert.Equal(t, len(effects.Starts), 0)
 	assert.Equal(t, len(effects.Stops), 1)
 }
+
+// TestBegunIsReportedOnce guards against a job that isn't known to have begun, whether the answer to the start or a
+// list shows it, and against one that counts as begun when a start got no answer.
+func TestBegunIsReportedOnce(t *testing.T) {
+	w := newWorld(t)
+	order := w.placeAndStart(taskA, 1)
+	assert.Equal(t, len(w.answerStart(order, StartUnanswered).Begun), 0)
+	list := []Running{{Task: taskA, Run: 1}}
+	assert.DeepEqual(t, w.answerPoll(w.takePoll(), 1, list).Begun, []anvilid.JobID{"j"})
+	assert.Equal(t, len(w.answerPoll(w.takePoll(), 1, list).Begun), 0)
+	assert.DeepEqual(t, w.answerStart(w.placeAndStart(taskB, 1), StartAccepted).Begun, []anvilid.JobID{"j"})
+	w.pendingPoll = nil
+	w.elect(2)
+	assert.Equal(t, len(w.answerPoll(w.takePoll(), 1, list).Begun), 1, "a new leader learns it again")
+}
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -164,6 +164,8 @@
 	Polls    []Poll
 	Commands []anvilwork.Command
 	Findings []Finding
+	// Begun has the jobs of the runs that are known to have begun since the effects before.
+	Begun []anvilid.JobID
 }
 
 // FindingKind says what a Finding is about.
--- a/core/anvilwork/ends.go
+++ b/core/anvilwork/ends.go
@@ -31,6 +31,7 @@
 		s.completeReleased(end)
 		return
 	}
+	job.Begun = true
 	if end.Checkpoint != "" {
 		s.storeCheckpoint(job, end)
 	}
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -307,6 +307,8 @@
 	// Policy is the policy that the queue had when the job was accepted. It applies only if
 	// the queue has been removed since; see State.PolicyOf.
 	Policy QueuePolicy `cbor:"9,keyasint"`
+	// Begun means that a run of the job has ended, so that one has begun.
+	Begun bool `cbor:"10,keyasint,omitempty"`
 }
 
 // State returns the state of a task, or nil if the job has no such task.
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -122,11 +122,13 @@
 }
 
 // CountWaiting returns the number of jobs of a queue of which no task has started. A job
-// whose first occurrence is due later than wall, the wall-clock time, is not counted.
-func (s *State) CountWaiting(queue QueueName, wall anvilclock.Millis) int {
+// whose first occurrence is due later than wall, the wall-clock time, is not counted. The
+// function begun reports whether a run of a job is known to have begun, which the state shows
+// only once it has ended.
+func (s *State) CountWaiting(queue QueueName, wall anvilclock.Millis, begun func(anvilid.JobID) bool) int {
 	count := 0
 	for _, job := range s.active {
-		if job.Queue == queue && job.Phase == JobQueued && job.Occurrences[0].Due <= wall {
+		if job.Queue == queue && job.Occurrences[0].Due <= wall && !job.Begun && (job.Phase == JobQueued || !begun(job.ID)) {
 			count++
 		}
 	}
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -151,6 +151,7 @@
 			continue
 		}
 		delete(r.firstRunAt, id)
+		delete(r.begun, id)
 		r.ejector.Forget(id)
 		r.advisor.Forget(id)
 		_, due := anvilplace.ScheduledWindow(job, r.state.PolicyOf(job), 0)
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -95,6 +95,8 @@
 	pendingCrashes []anvilwork.Crash
 	heard          heardAnnouncements
 	evidence       termEvidence
+	// begun has the jobs of which a target has confirmed a run in this term.
+	begun map[anvilid.JobID]bool
 	// term is the term in which this voter acts as leader, or 0.
 	term anvilid.Term
 	// startedAt is when this process started, on the monotonic clock.
@@ -193,7 +195,7 @@
 	// soon as the term is set.
 	leadership := newLeadership(l, term)
 	l.mu.Lock()
-	l.term = term
+	l.term, l.begun = term, map[anvilid.JobID]bool{}
 	l.mu.Unlock()
 	l.log.Write(anvillogs.LeadershipGained, zap.Uint64("term", uint64(term)))
 	leadership.run(ctx)
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -125,10 +125,22 @@
 func (r *leadership) handleResult(result func(anvilclock.Millis) anvilorder.Effects) {
 	effects := result(r.clock.Now())
 	r.logFindings(effects.Findings)
+	r.noteBegun(effects.Begun)
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
 	r.sendOrders(effects)
 }
 
+func (r *leadership) noteBegun(jobs []anvilid.JobID) {
+	if len(jobs) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, job := range jobs {
+		r.begun[job] = true
+	}
+}
+
 // step is one iteration of the leader's loop. It commits the pending commands and
 // new placements to the replicated log, and then sends the resulting orders to
 // the targets.
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -175,7 +175,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if id == "" {
-		waiting := l.state.CountWaiting(queue, l.wallClock.Now())
+		waiting := l.state.CountWaiting(queue, l.wallClock.Now(), func(job anvilid.JobID) bool { return l.begun[job] })
 		return &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE, Waiting: int64(waiting)}
 	}
 	job, ok := l.state.Job(id)
