Remove a replaced voter before its successor gets a vote

Cause: a new voter at another address got its vote while the one that it replaces still had one. Of six voters four are a majority.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -87,7 +87,11 @@
 
 	mu        sync.Mutex
 	lastHeard map[anvilid.InstanceID]anvilclock.Millis
-	peers     map[anvilid.InstanceID]anvilrpc.Raft
+	// leadingSince is when this voter was first seen as the leader of its term, or -1.
+	leadingSince anvilclock.Millis
+	// joiningSince is when this leader was first asked to add each voter that isn't one yet.
+	joiningSince map[anvilraft.VoterID]anvilclock.Millis
+	peers        map[anvilid.InstanceID]anvilrpc.Raft
 }
 
 // Address returns the network address of a port of an instance. The id of an
@@ -102,7 +106,7 @@
 func Open(settings Settings, clock, wall anvilclock.Clock, links *anvillink.Links, log *anvillogs.Logger, machine anvilvoter.StateMachine) (*Group, error) {
 	g := &Group{
 		settings: settings, clock: clock, links: links, log: log,
-		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, peers: map[anvilid.InstanceID]anvilrpc.Raft{},
+		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{}, peers: map[anvilid.InstanceID]anvilrpc.Raft{},
 	}
 	id, empty, err := anvilvoter.Inspect(settings.Instance, settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
@@ -298,7 +302,7 @@
 // Enroll makes the voter with the given id a voting member of the group. It
 // succeeds only on the leader.
 func (g *Group) Enroll(ctx context.Context, id anvilraft.VoterID) error {
-	err := g.Voter.Enroll(ctx, id, func(change anvilraft.ChangeVoters) {
+	err := g.Voter.EnrollInPlace(ctx, id, g.replacedBy(id), func(change anvilraft.ChangeVoters) {
 		g.log.Write(anvillogs.MembersChanged, zap.String("learn", change.AddLearner.String()),
 			zap.String("add", change.AddVoter.String()), zap.String("remove", change.Remove.String()))
 	})
@@ -313,7 +317,6 @@
 // again. If a voter of such a group has sent nothing for silentTimeout or replacedTimeout,
 // it is removed: either its machine was replaced, or it joins again when it returns.
 func (g *Group) RemoveSilentVoters(ctx context.Context) error {
-	leadingSince := anvilclock.Millis(-1) // when this voter was first seen as the leader, or -1
 	silentBefore := 0
 	for ctx.Err() == nil {
 		select {
@@ -322,19 +325,15 @@
 		case <-time.After(joinInterval):
 		}
 		status := g.Voter.Status()
-		if status.Role != anvilraft.Leader || !status.HasQuorum {
-			leadingSince = -1
+		if !g.noteLeading(status.Role == anvilraft.Leader && status.HasQuorum) {
 			continue
 		}
-		if leadingSince < 0 {
-			leadingSince = g.clock.Now()
-		}
-		if silent := g.countSilent(status.Members, leadingSince); silent != silentBefore {
+		if silent := g.countSilent(status.Members); silent != silentBefore {
 			silentBefore = silent
 			voters := len(status.Members.Voters)
 			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", (voters-1)/2-silent))
 		}
-		if silent, ok := g.surplusVoter(status.Members, leadingSince); ok {
+		if silent, ok := g.surplusVoter(status.Members); ok {
 			g.remove(ctx, silent)
 		}
 	}
@@ -345,35 +344,84 @@
 // must be even and at least four, or above the one that the group is meant to have, and
 // the voter must have sent nothing for at least silentTimeout or replacedTimeout and for
 // longer than the others.
-func (g *Group) surplusVoter(members anvilraft.Members, leadingSince anvilclock.Millis) (anvilraft.VoterID, bool) {
+func (g *Group) surplusVoter(members anvilraft.Members) (anvilraft.VoterID, bool) {
 	count := len(members.Voters)
 	large := g.settings.Voters > 0 && count > g.settings.Voters && count >= minLargeGroup
 	if !large && (count < 4 || count%2 == 1) {
 		return anvilraft.VoterID{}, false
 	}
+	if large {
+		return g.mostSilent(members, replacedTimeout)
+	}
+	return g.mostSilent(members, silentTimeout)
+}
+
+// mostSilent returns the voter that has sent nothing for the longest time, if that is at least the given one.
+func (g *Group) mostSilent(members anvilraft.Members, span anvilclock.Millis) (anvilraft.VoterID, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var silent anvilraft.VoterID
-	oldest := g.clock.Now() - silentTimeout
-	if large {
-		oldest = g.clock.Now() - replacedTimeout
-	}
+	longest := span
 	for _, voter := range members.Voters {
-		heard := max(g.lastHeard[voter.Instance], leadingSince)
-		if voter != g.id && heard <= oldest {
-			silent, oldest = voter, heard
+		if quiet := g.silentFor(voter); quiet >= longest {
+			silent, longest = voter, quiet
 		}
 	}
 	return silent, !silent.IsZero()
 }
 
+// silentFor returns how long a voter has sent nothing to this leader. g.mu must be held.
+func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
+	if voter == g.id {
+		return 0
+	}
+	return g.clock.Now() - max(g.lastHeard[voter.Instance], g.leadingSince)
+}
+
+// noteLeading records whether this voter leads now, and returns that.
+func (g *Group) noteLeading(leads bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case !leads:
+		g.leadingSince = -1
+		clear(g.joiningSince)
+	case g.leadingSince < 0:
+		g.leadingSince = g.clock.Now()
+	}
+	return leads
+}
+
+// replacedBy returns the function that tells which voter a joining one replaces. If the group already has as many
+// voters as it is meant to have, that is the one that has sent nothing for replacedTimeout. It is removed before
+// the new one gets its vote: with both of them in the group, the voters that have lost nothing may be no majority
+// if the new one is lost, too. The new voter waits as long, because the former one may have been lost just now.
+func (g *Group) replacedBy(id anvilraft.VoterID) anvilvoter.Replaced {
+	g.mu.Lock()
+	if _, known := g.joiningSince[id]; !known {
+		g.joiningSince[id] = g.clock.Now()
+	}
+	since := g.joiningSince[id]
+	g.mu.Unlock()
+	return func(members anvilraft.Members) (anvilraft.VoterID, error) {
+		if g.settings.Voters == 0 || len(members.Voters) < g.settings.Voters {
+			return anvilraft.VoterID{}, nil
+		}
+		silent, ok := g.mostSilent(members, replacedTimeout)
+		if !ok && g.clock.Now()-since < replacedTimeout {
+			return anvilraft.VoterID{}, anvilraft.ErrChangePending
+		}
+		return silent, nil
+	}
+}
+
 // countSilent returns the number of voters that have sent nothing for replacedTimeout. They count for the quorum.
-func (g *Group) countSilent(members anvilraft.Members, leadingSince anvilclock.Millis) int {
+func (g *Group) countSilent(members anvilraft.Members) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	silent := 0
 	for _, voter := range members.Voters {
-		if voter != g.id && g.clock.Now()-max(g.lastHeard[voter.Instance], leadingSince) >= replacedTimeout {
+		if g.silentFor(voter) >= replacedTimeout {
 			silent++
 		}
 	}
--- a/io/anvilgroup/surplus_test.go
+++ b/io/anvilgroup/surplus_test.go
@@ -43,9 +43,9 @@
 			}
 			g := &Group{
 				settings: Settings{Voters: c.wanted}, clock: anvilclock.Clock{Now: func() anvilclock.Millis { return now }},
-				id: members.Voters[0], lastHeard: heard,
+				id: members.Voters[0], lastHeard: heard, leadingSince: now - c.leading,
 			}
-			removed, ok := g.surplusVoter(members, now-c.leading)
+			removed, ok := g.surplusVoter(members)
 			assert.Equal(t, ok, c.removed > 0, "%v", removed)
 			if ok {
 				assert.Equal(t, removed, members.Voters[c.removed])
--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -82,6 +82,16 @@
 // leader: it continues with the next missing change. The function changed is called
 // after each change.
 func (v *Voter) Enroll(ctx context.Context, newVoter anvilraft.VoterID, changed func(anvilraft.ChangeVoters)) error {
+	none := func(anvilraft.Members) (anvilraft.VoterID, error) { return anvilraft.VoterID{}, nil }
+	return v.EnrollInPlace(ctx, newVoter, none, changed)
+}
+
+// Replaced returns the voter that is removed before a new one gets its vote, or the zero value if there is none. It
+// returns anvilraft.ErrChangePending if that isn't known yet.
+type Replaced func(anvilraft.Members) (anvilraft.VoterID, error)
+
+// EnrollInPlace is Enroll for a voter that may replace another one, whose instance is lost.
+func (v *Voter) EnrollInPlace(ctx context.Context, newVoter anvilraft.VoterID, replaced Replaced, changed func(anvilraft.ChangeVoters)) error {
 	retry := time.NewTicker(changeRetryInterval)
 	defer retry.Stop()
 	for {
@@ -89,10 +99,9 @@
 		if done {
 			return nil
 		}
-		err := v.ChangeVoters(ctx, step)
+		err := v.enrollStep(ctx, step, replaced, changed)
 		switch {
 		case err == nil:
-			changed(step)
 		case errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp):
 			select {
 			case <-retry.C:
@@ -105,6 +114,25 @@
 	}
 }
 
+// enrollStep makes one change for EnrollInPlace. In place of a change that gives a vote, it first removes the voter that
+// is replaced.
+func (v *Voter) enrollStep(ctx context.Context, step anvilraft.ChangeVoters, replaced Replaced, changed func(anvilraft.ChangeVoters)) error {
+	if !step.AddVoter.IsZero() {
+		former, err := replaced(v.Status().Members)
+		if err != nil {
+			return err
+		}
+		if !former.IsZero() {
+			step = anvilraft.ChangeVoters{Remove: former}
+		}
+	}
+	err := v.ChangeVoters(ctx, step)
+	if err == nil {
+		changed(step)
+	}
+	return err
+}
+
 // nextEnrollChange returns the next membership change that is needed to make
 // newVoter a voter. done is set if it is a voter already.
 func nextEnrollChange(members anvilraft.Members, newVoter anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
