Log steps that have nothing at work and why

No line said why: which targets were left out for which reason, whether tasks were assigned and not confirmed, and since when. Callers saw the job wait.

The leader now looks once a second for jobs of which no task is at work, and writes event 634 for each step whose turn came over 2 s ago, again every 5 s, 20 lines a second at most, with the number of those left out. The plan that fails to place a step says which targets it left out by reason; the tracker tells how far each assigned run has got, when the lease has certainly ended and until when a late start may be at work. Tracker.Usable is the same check as before, split by cause. No decision changes.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -339,7 +339,7 @@
 // confirm records that the target runs the run, or has said so at the given time. It reports whether that wasn't
 // known.
 func (r *run) confirm(at anvilclock.Millis) (first bool) {
-	r.phase, r.startUnanswered, r.missingLists = running, false, 0
+	r.phase, r.startUnanswered, r.missingLists, r.shownAt = running, false, 0, at
 	if r.confirmedAt > 0 {
 		return false
 	}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -72,6 +72,8 @@
 	byFormerLeader bool
 	// confirmedAt is when the first answer that confirmed the run arrived, or 0 before that.
 	confirmedAt anvilclock.Millis
+	// shownAt is when the latest answer arrived that shows the run at work, or 0 before that. It is for the log only.
+	shownAt anvilclock.Millis
 	// stopRequested reports that the run is to be stopped.
 	stopRequested         bool
 	stopInFlight          bool
@@ -196,9 +198,7 @@
 // within the last span, its capacity is known well enough, it answered the latest call, and it hasn't
 // rejected a start within refusalPause.
 func (t *Tracker) Usable(now anvilclock.Millis, id anvilid.TargetID, span anvilclock.Millis) bool {
-	target := t.targets[id]
-	return target != nil && target.unansweredCalls == 0 && now-target.lastContact <= span && now >= target.pausedUntil &&
-		t.knowsCapacity(now, target)
+	return t.Obstacle(now, id, span) == NoObstacle
 }
 
 // Next returns the orders that are due now and the commands to commit. The caller must have passed
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -40,6 +40,10 @@
 	// Claims is Decision.Claims of the previous call of Plan: the targets that it claimed for waiting
 	// jobs, which other jobs may not use.
 	Claims map[anvilid.TargetID]anvilid.JobID
+	// Explain has the steps for which Decision.Unplaced says why their waiting tasks were not placed.
+	Explain map[anvilwork.StepKey]bool
+	// WhyNotUsable returns why Usable excludes a target. It may be nil and is called only to explain steps.
+	WhyNotUsable func(anvilid.TargetID) Reason
 }
 
 // Eviction is a run that must be stopped before it ends by itself.
@@ -64,6 +68,9 @@
 	// TicketCandidates are the steps that wait for tickets, each with the targets for which to
 	// request them.
 	TicketCandidates []anviladvice.Candidates
+	// Unplaced has those of Input.Explain of which no task was placed. A step whose tasks are placed in several
+	// parts, see splitSuspects, has one entry for each part.
+	Unplaced []Unplaced
 }
 
 // planner is the working state of one call of Plan.
@@ -141,6 +148,7 @@
 	p.restoreClaims(waitingSteps)
 	for _, waitingStep := range waitingSteps {
 		if p.startsLeft(waitingStep.urgent) <= 0 {
+			p.explain(waitingStep, true)
 			continue
 		}
 		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.info.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
@@ -150,7 +158,11 @@
 		}
 		p.tolerate(waitingStep)
 		p.currentUsesSlow = waitingStep.usesSlow
+		placedBefore := p.placed
 		p.placeStep(waitingStep)
+		if p.placed == placedBefore {
+			p.explain(waitingStep, false)
+		}
 	}
 	p.currentJob, p.currentUrgent, p.currentUsesSlow, p.deferrable, p.currentSuspects = "", false, false, true, nil
 	p.vacateLeavingTargets()
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -204,6 +204,9 @@
 	Occurrence, Step int
 }
 
+// String returns "job.occurrence.step".
+func (k StepKey) String() string { return fmt.Sprintf("%s.%d.%d", k.Job, k.Occurrence, k.Step) }
+
 // StepKey returns the key of the step that the task belongs to.
 func (t Task) StepKey() StepKey { return StepKey{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
 
--- a/io/anvillead/advice.go
+++ b/io/anvillead/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"go.uber.org/zap"
 
@@ -24,8 +23,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), (question.Limit - now).Duration())
 		defer cancel()
 		answer, err := r.calls.Advise(ctx, question)
-		step := fmt.Sprintf("%s.%d.%d", question.Step.Job, question.Step.Occurrence, question.Step.Step)
-		r.log.Write(anvillogs.AdviceRequested, zap.String("step", step), zap.Int("asked", len(question.Targets)),
+		r.log.Write(anvillogs.AdviceRequested, zap.Stringer("step", question.Step), zap.Int("asked", len(question.Targets)),
 			zap.Int("eligible", len(answer.Tickets)), zap.Error(err))
 		r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
 			if err != nil {
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -32,7 +32,9 @@
 	input := r.planInput(now)
 	r.demand.Observe(now, anvilplace.UrgentDemand(input))
 	input.Reserve = r.demand.Reserve()
+	idle, omitted := r.findIdleSteps(now, &input)
 	decision := anvilplace.Plan(input)
+	r.logIdleSteps(now, input.Now, idle, omitted, decision.Unplaced)
 	record(r.summary.plan, r.clock.Now()-now)
 	r.summary.placed += len(decision.Placements)
 	r.reservedTargets = decision.Claims
@@ -99,6 +101,7 @@
 		Usable: func(id anvilid.TargetID) bool {
 			return r.tracker.Usable(now, id, announceTimeout) && !r.upkeep.unavailable[id]
 		},
+		WhyNotUsable: func(id anvilid.TargetID) anvilplace.Reason { return r.whyNotUsable(now, id, announceTimeout) },
 		Stopping: func(id anvilid.TargetID, task anvilwork.Task) bool {
 			return r.tracker.Stopping(id, task)
 		},
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -58,6 +58,7 @@
 	// waiting job for which it is reserved.
 	reservedTargets map[anvilid.TargetID]anvilid.JobID
 	summary         *summary
+	idle            idleWatch
 	// firstRunAt maps each job that had not ended at the last plan to the log
 	// time of its first run, or to 0 if it had none.
 	firstRunAt map[anvilid.JobID]anvilclock.Millis
