--- a/io/anvillead/idle.go
+++ b/io/anvillead/idle.go
@@ -110,18 +110,21 @@
 	for _, step := range due {
 		runs := r.idleRuns(now, logTime, step)
 		fields := []zap.Field{zap.Stringer("step", step.Step), zap.Int64("idle", int64(logTime-step.since))}
+		var parts []unplacedFields
 		for _, u := range unplaced {
 			if u.Step == step.Step {
-				fields = append(fields, zap.Object("unplaced", unplacedFields(u)))
+				parts = append(parts, unplacedFields(u))
 			}
 		}
-		explained := len(fields) > 2
+		if len(parts) == 0 && len(runs) == 0 && step.Unready == 0 {
+			continue
+		}
+		if len(parts) > 0 {
+			fields = append(fields, zap.Objects("unplaced", parts))
+		}
 		if len(runs) > 0 {
 			fields = append(fields, zap.Objects("runs", runs))
 		}
-		if !explained && len(runs) == 0 && step.Unready == 0 {
-			continue
-		}
 		r.idle.written(step.Step)
 		r.log.Write(anvillogs.StepIdle, append(fields, zap.Int("waiting", step.Waiting), zap.Int("assigned", step.Assigned),
 			zap.Int("unready", step.Unready), zap.Int("omitted", omitted))...)
--- a/io/anvillead/idle_test.go
+++ b/io/anvillead/idle_test.go
@@ -107,13 +107,14 @@
 	var waiting struct {
 		Idle, Waiting int
 		Step          string
-		Unplaced      map[string]any
+		Unplaced      []map[string]any
 	}
 	assert.NilError(t, json.Unmarshal([]byte(lines[1]), &waiting))
 	assert.Equal(t, waiting.Step, "waiting.0.0")
 	assert.Equal(t, waiting.Waiting, 3)
-	assert.Equal(t, waiting.Unplaced["full"], 1.0)
-	assert.Equal(t, waiting.Unplaced["targets"], 1.0)
+	assert.Equal(t, len(waiting.Unplaced), 1)
+	assert.Equal(t, waiting.Unplaced[0]["full"], 1.0)
+	assert.Equal(t, waiting.Unplaced[0]["targets"], 1.0)
 	assert.Assert(t, waiting.Idle >= int(idleAfter))
 	assert.Equal(t, len(w.lines(2*idleRepeat)), 4, "again as long as it lasts")
 
@@ -127,6 +128,29 @@
 	}
 }
 
+// TestPartsOfIdleStep guards against a line that shows the reasons of only one of the parts in which the tasks of a step
+// are placed.
+func TestPartsOfIdleStep(t *testing.T) {
+	w := newIdleTest(t, 1)
+	w.submit("j", 2, 1)
+	due := []idleStep{{IdleStep: anvilplace.IdleStep{Step: anvilwork.StepKey{Job: "j"}, Waiting: 2}}}
+	w.idle.check(w.state, w.now, w.now, func(anvilwork.Task, *anvilwork.TaskState) bool { return false })
+	w.logIdleSteps(w.now, w.now, due, 0, []anvilplace.Unplaced{
+		{Step: due[0].Step, Waiting: 1, Throttled: true}, {Step: due[0].Step, Waiting: 1, Considered: 1},
+	})
+	w.writer.Flush()
+	var line struct {
+		Unplaced []struct {
+			Targets   int
+			Throttled bool
+		}
+	}
+	assert.NilError(t, json.Unmarshal(w.out.Bytes(), &line))
+	assert.Equal(t, len(line.Unplaced), 2)
+	assert.Assert(t, line.Unplaced[0].Throttled)
+	assert.Equal(t, line.Unplaced[1].Targets, 1)
+}
+
 // TestIdleLinesAreBounded guards against a log that is full of these lines while thousands of jobs wait, and against
 // a job that never gets a line because others do each time.
 func TestIdleLinesAreBounded(t *testing.T) {
