Show steps with nothing at work in the summary and in explain

Event 634 tells about single steps. An operator saw neither how many there are nor, from "anvilshunt explain", why a job waits: it said "there was not enough free capacity, or no target fits it" in every case. The platform's page has `state` only, so its replies stay as they are, and the processes of the platform have no interface for metrics.

The leader's summary (625) has the number of such steps, `idle`, and the longest such time since the last one, `longestIdle`. explain takes the reasons from the line with the longest time; without such a line its sentences are as before.

--- a/core/anvilexplain/explain.go
+++ b/core/anvilexplain/explain.go
@@ -50,6 +50,7 @@
 	eventPlacementRevoked  = 611
 	eventRunEvicted        = 612
 	eventJobEnded          = 619
+	eventStepIdle          = 634
 	eventLeaderUnreachable = 701
 )
 
@@ -136,10 +137,14 @@
 	last        map[int]Line // latest line with each event number
 	failedRuns  int
 	evictedRuns int
+	// idle is the longest time in ms for which no task was at work, and idleLine the line with it.
+	idle     float64
+	idleLine Line
 }
 
 func countEvents(id string, lines []Line) eventCounts {
 	t := eventCounts{events: map[int]int{}, last: map[int]Line{}}
+	t.idle, t.idleLine = longestIdle(lines)
 	for _, line := range lines {
 		t.events[line.Event]++
 		t.last[line.Event] = line
@@ -168,6 +173,8 @@
 		return "No line shows that the job was accepted or refused: the log of the instance that was the leader at that time is missing."
 	case t.events[eventJobCancelled] > 0:
 		return "The job was cancelled by its caller."
+	case t.events[eventRunPlaced] == 0 && t.idle > 0:
+		return fmt.Sprintf("The job was accepted but never placed: %s.", t.causes())
 	case t.events[eventRunPlaced] == 0:
 		return "The job was accepted but never placed: there was not enough free capacity, or no target fits it."
 	}
@@ -203,6 +210,9 @@
 	add(t.events[eventStartUnanswered], "%d starts got no answer from the target")
 	add(t.events[eventStartUnconfirmed], "%d starts were not confirmed by the target")
 	add(t.events[eventPlacementRevoked], "%d placements were revoked")
+	if t.idle > 0 {
+		causes = append(causes, fmt.Sprintf("none of its tasks was at work for %.0f ms (%s)", t.idle, idleCauses(t.idleLine)))
+	}
 	if len(causes) == 0 {
 		return "its runs took that long, and the logs show no other cause"
 	}
--- a/io/anvillead/idle.go
+++ b/io/anvillead/idle.go
@@ -90,6 +90,13 @@
 	w.steps[step] = idleState{since: w.steps[step].since, writtenAt: w.checkedAt}
 }
 
+// takeSummary returns how many steps had no task at work for idleAfter at the latest check, and the longest such time
+// since the previous call.
+func (w *idleWatch) takeSummary() (count int, longest anvilclock.Millis) {
+	longest, w.longest = w.longest, 0
+	return w.count, longest
+}
+
 // findIdleSteps returns the steps about which lines are to be written, and requests their explanation from the plan.
 func (r *leadership) findIdleSteps(now anvilclock.Millis, input *anvilplace.Input) (due []idleStep, omitted int) {
 	due, omitted = r.idle.check(r.state, input.Now, input.Wall, func(task anvilwork.Task, state *anvilwork.TaskState) bool {
--- a/io/anvillead/idle_test.go
+++ b/io/anvillead/idle_test.go
@@ -128,6 +128,33 @@
 	}
 }
 
+// TestSummaryOfIdleSteps guards against steps without any task at work that nobody sees unless a line about each of them
+// is read, and against a summary that still shows the longest time of an earlier one.
+func TestSummaryOfIdleSteps(t *testing.T) {
+	w := newIdleTest(t, 1)
+	w.summary = newSummary(w.now, 0)
+	w.calls.Ignored = func() uint64 { return 0 }
+	w.ignored = anvillogs.NewIgnored(anvilclock.Clock{}, w.leadership.log, anvillogs.EntryIgnored)
+	w.submit("a", 1, 2)
+	w.submit("b", 1, 2)
+	w.lines(5 * anvilclock.Second)
+	for _, c := range []struct{ idle, longest int }{{2, 4000}, {2, 14_000}, {0, 0}} {
+		w.out.Reset()
+		w.now = w.summary.since + summaryInterval
+		w.logSummary(w.now)
+		w.writer.Flush()
+		var line struct{ Idle, LongestIdle int }
+		assert.NilError(t, json.Unmarshal(w.out.Bytes(), &line))
+		assert.Equal(t, line.Idle, c.idle)
+		assert.Equal(t, line.LongestIdle, c.longest)
+		if c.longest > 4000 {
+			w.apply(anvilwork.Command{Cancel: &anvilwork.Cancel{Job: "a"}})
+			w.apply(anvilwork.Command{Cancel: &anvilwork.Cancel{Job: "b"}})
+		}
+		w.lines(5 * anvilclock.Second)
+	}
+}
+
 // TestPartsOfIdleStep guards against a line that shows the reasons of only one of the parts in which the tasks of a step
 // are placed.
 func TestPartsOfIdleStep(t *testing.T) {
--- a/io/anvillead/summary.go
+++ b/io/anvillead/summary.go
@@ -100,6 +100,8 @@
 		return
 	}
 	ignored := r.ignoredEntries()
-	r.log.Write(anvillogs.LeaderSummary, append(r.summary.fields(), zap.Uint64("ignored", ignored-r.summary.ignoredBefore))...)
+	idle, longest := r.idle.takeSummary()
+	r.log.Write(anvillogs.LeaderSummary, append(r.summary.fields(), zap.Uint64("ignored", ignored-r.summary.ignoredBefore),
+		zap.Int("idle", idle), zap.Int64("longestIdle", int64(longest)))...)
 	r.summary = newSummary(now, ignored)
 }
