Don't wait for a later incarnation that can't have got a start

Cause: a start that got no answer may have been carried out by a later incarnation of its target that nobody has noticed. Its clock restarts, so that the deadline in the start doesn't bound the run there, and the next run waited for 12 s and a lease, also where the target had died for good.

Change: the client of the targets knows which process each connection leads to: an incarnation has answered on it, or has answered before and after the connection was opened. A start on such a connection can't reach a later incarnation, so its run is given up with the lease. Later incarnations still bar the start, which delays nothing. The simulated targets and the stand-in worker close their connections when they end; the schedules draw which calls use a kept connection.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -48,6 +48,15 @@
 	return a.Sent + maxOrderDelay
 }
 
+// lateElsewhereUntil is lateUntil for a later incarnation than the one that the call was sent to, or 0 if none can
+// get it.
+func (a Answer) lateElsewhereUntil() anvilclock.Millis {
+	if a.Bound {
+		return 0
+	}
+	return a.lateUntil()
+}
+
 // recordContact records that the target has answered a call: it sets the time of the last
 // contact and resets the count of unanswered calls. It must not be called for a failed call.
 func (target *target) recordContact(answer Answer) {
@@ -90,10 +99,10 @@
 	case StartUnanswered:
 		r.unansweredStarts++
 		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
-		until := answer.lateUntil()
+		until := answer.lateElsewhereUntil()
 		r.mayStartUntil = max(r.mayStartUntil, until)
-		t.lateStarts.add(answer.Order, until)
 		target.lateUntil = max(target.lateUntil, until)
+		t.lateStarts.add(answer.Order, answer.lateUntil()) // a stop delays nothing, so bound starts are barred too
 		target.unansweredCalls++
 	case StartNotSent:
 		target.unansweredCalls++
@@ -223,7 +232,7 @@
 	if !answer.Done {
 		target.unansweredCalls++
 		if !answer.NotSent {
-			target.lateUntil = max(target.lateUntil, answer.lateUntil())
+			target.lateUntil = max(target.lateUntil, answer.lateElsewhereUntil())
 		}
 		target.nextPollAt = now + t.pollRetryPause(target)
 		return effects
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -249,12 +249,15 @@
 	stop     *Stop
 	poll     *Poll
 	sent     anvilclock.Millis
+	// connectedTo is the process to which the connection of the request was opened, or nil if it is a new one.
+	connectedTo *process
 }
 
 // response is the outcome of a request. Its Answer is filled in as by the client of the targets.
 type response struct {
 	Answer
 	answered bool
+	from     *process
 	// done means that the target has carried the call out; verdict is that on a start.
 	done    bool
 	verdict Verdict
--- a/core/anvilorder/schedule_target_test.go
+++ b/core/anvilorder/schedule_target_test.go
@@ -205,11 +205,19 @@
 // one after a time.
 func (s *schedule) transmit(r *request, answered func(response)) {
 	r.sent = s.now
+	m := s.machines[slices.IndexFunc(s.machines, func(m *machine) bool { return m.address == r.target.Address })]
+	if kept := s.connections[m]; kept != nil && s.connectionChoice.IntN(4) > 0 {
+		r.connectedTo = kept
+	}
 	once := false
 	finish := func(answer response) {
 		if !once {
 			once = true
 			answer.Target, answer.Incarnation, answer.Sent, answer.Received = r.target.ID, r.target.Incarnation, r.sent, s.now
+			answer.Bound = r.connectedTo != nil && r.connectedTo.incarnation == r.target.Incarnation
+			if answer.answered {
+				s.connections[m] = answer.from
+			}
 			answered(answer)
 		}
 	}
@@ -218,10 +226,11 @@
 		timeout += r.poll.Wait
 	}
 	s.after(timeout, func() { finish(response{}) })
-	m := s.machines[slices.IndexFunc(s.machines, func(m *machine) bool { return m.address == r.target.Address })]
 	sentTo := m.process
 	late, lost := s.chance(lateOrders, 0.06), s.chance(lostOrders, 0.04)
 	switch {
+	case r.connectedTo != nil && r.connectedTo != m.process && !m.cutIn && !late:
+		s.after(s.upTo(20), func() { finish(response{Answer: Answer{Closed: true}}) })
 	case m.process == nil && s.random.IntN(2) == 0 && !late:
 		s.after(s.upTo(20), func() { finish(response{Answer: Answer{NotSent: true, Refused: true}}) })
 	case m.cutIn && s.random.IntN(3) == 0:
@@ -253,10 +262,10 @@
 func (s *schedule) deliver(m *machine, r *request, late bool, answer func(response)) {
 	p := m.process
 	switch {
-	case p == nil:
+	case p == nil, r.connectedTo != nil && r.connectedTo != p && (!late || s.without[nextIncarnation]):
 		return
 	case p.id != r.target.ID:
-		answer(response{answered: true})
+		answer(response{answered: true, from: p})
 		return
 	}
 	note := fmt.Sprintf("token %d, sent at %d to incarnation %d, late %t", r.token, r.sent, r.target.Incarnation, late)
@@ -295,7 +304,7 @@
 
 // stamp adds what each answer with a body has.
 func (p *process) stamp(r response) response {
-	r.Clock, r.AnsweredBy = p.clock(), p.incarnation
+	r.Clock, r.AnsweredBy, r.from = p.clock(), p.incarnation, p
 	return r
 }
 
--- a/core/anvilorder/schedule_test.go
+++ b/core/anvilorder/schedule_test.go
@@ -125,7 +125,11 @@
 	// appliedUntil is when the latest proposal is applied. Proposals are applied in order.
 	appliedUntil anvilclock.Millis
 	machines     []*machine
-	gangs        map[gangID]*gang
+	// connections has, for each machine, the process that has answered the present leader last.
+	connections map[*machine]*process
+	// connectionChoice decides which requests use a kept connection.
+	connectionChoice *rand.Rand
+	gangs            map[gangID]*gang
 	// lastStart is when a run of a task was last started; doneAcked has the tasks with an acknowledged end.
 	lastStart  map[anvilwork.Task]anvilclock.Millis
 	doneAcked  map[anvilwork.Task]bool
@@ -141,7 +145,8 @@
 	for _, kind := range without {
 		s.without[fault(kind)] = true
 	}
-	// A source of its own keeps what else a seed draws independent of the number.
+	// Sources of their own keep what else a seed draws independent of them.
+	s.connectionChoice = rand.New(rand.NewPCG(seed, 31))
 	s.endsPerList = listLimits[rand.New(rand.NewPCG(seed, 29)).IntN(len(listLimits))]
 	for i := range 3 + s.random.IntN(3) {
 		m := &machine{address: anvilid.Address(fmt.Sprintf("host%d:1", i))}
@@ -275,6 +280,7 @@
 
 func (s *schedule) elect() {
 	s.term++
+	s.connections = map[*machine]*process{}
 	s.leader = &simLeader{schedule: s, tracker: New(s.term, s.now, Timing{MaxLease: testLease, PollWait: 1000, RetryInterval: testRetry})}
 	s.record("", anvilwork.Task{}, "leader of term %d elected", s.term)
 }
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -63,8 +63,8 @@
 	unansweredStarts int
 	// startUnanswered reports that a start got no answer, so the target may still carry it out.
 	startUnanswered bool
-	// mayStartUntil is until when the target, or a later incarnation of it, may carry out a start that got no
-	// answer, or 0.
+	// mayStartUntil is until when a later incarnation of the target may carry out a start that got no answer, or 0.
+	// The incarnation that it was sent to may carry it out within its lease.
 	mayStartUntil anvilclock.Millis
 	// silenceNoted reports that NoteSilences has returned the run for the present silence of its target.
 	silenceNoted bool
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -105,6 +105,9 @@
 	// Closed means that there is no answer because the target's machine refused or closed the connection, as
 	// it does when the process of the target has ended.
 	Closed bool
+	// Bound means that the order was sent on a connection that certainly leads to the process of the incarnation that
+	// it was sent to, so that no later incarnation can get it.
+	Bound bool
 	// Withheld means that the order was not sent because this process isn't certainly the leader any more, or
 	// because the capacity of the target has shrunk. It says nothing about whether the target can be reached.
 	Withheld bool
