Start runs only on targets that have answered lately

Cause: a target without runs isn't polled, and counts as usable for two announce intervals and a second after its latest announcement. A start that is sent there in this time gets no answer, and its run waits for the end of a lease.

Change: the first copy of a start waits for an answer that is no older than a poll may take; a poll that is answered at once is requested if none is in flight. After three calls without an answer the run, which certainly never began, is placed elsewhere. Until now only suspects waited for an answer.

TestStartAwaitsAnswer failed before (the start was sent at once).

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -14,7 +14,8 @@
 
 const (
 	// maxUnsentStarts is the number of attempts after which a run is withdrawn if no connection to its
-	// target could be opened. A single failure must not undo the start of a whole gang.
+	// target could be opened, and the number of consecutive calls that may fail before a run is withdrawn whose
+	// start waits for an answer of the target. A single failure must not undo the start of a whole gang.
 	maxUnsentStarts = 3
 	// maxFailedFirstCalls is the number of consecutive calls that may fail before the runs of a target are
 	// given up to which this leader has sent no lease.
--- a/core/anvilorder/silence.go
+++ b/core/anvilorder/silence.go
@@ -92,13 +92,19 @@
 	return begun, unknown
 }
 
-// awaitsAnswer reports whether a start has to wait for an answer of its target to a poll, which it requests:
-// a target without runs isn't polled, and only if the target has just answered does a closed connection show
-// that its process ended on this start.
-func (target *target) awaitsAnswer(now anvilclock.Millis, state *anvilwork.TaskState) bool {
-	if !state.Suspect() || target.closedAt > 0 || now <= target.answeredAt+crashDelay/2 {
-		return false
+// awaitsAnswer reports whether a start has to wait for an answer of its target to a poll, which it requests if none
+// is in flight: a target without runs isn't polled and may have ended since it announced itself, and the next run of
+// the task would have to wait for the lease of a start that got no answer. For a suspect the answer has to be newer,
+// because only then does a closed connection show that the process of the target ended on this start.
+func (t *Tracker) awaitsAnswer(now anvilclock.Millis, target *target, r *run, state *anvilwork.TaskState) bool {
+	recent := now <= target.answeredAt+t.answerAge() || r.startReached
+	if state.Suspect() && target.closedAt == 0 {
+		recent = now <= target.answeredAt+crashDelay/2
 	}
-	target.pollNow = true
-	return true
+	target.pollNow = target.pollNow || !recent && !target.pollInFlight
+	return !recent
 }
+
+// answerAge is how old the latest answer of a target may be when a run is started there. A target with runs answers
+// a poll in less time.
+func (t *Tracker) answerAge() anvilclock.Millis { return t.timing.PollWait + t.timing.RetryInterval }
--- /dev/null
+++ b/core/anvilorder/start_answer_test.go
@@ -0,0 +1,36 @@
+package anvilorder
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+)
+
+// TestStartAwaitsAnswer guards against a start at a target that has died since its latest announcement: without an
+// answer, the next run of the task waits for the lease of the first one.
+func TestStartAwaitsAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.learnClock()
+	w.now += 2000 + testRetry + 1
+	w.announced(w.now, TargetClock(w.now))
+	w.place(taskA, 1)
+	placed := w.now
+	assert.Equal(t, len(w.advance(0).Starts), 0)
+	assert.Equal(t, w.pendingPoll.Wait, anvilclock.Millis(0), "the target has to answer at once")
+	idle := w.restartedBy(placed)
+	assert.Assert(t, idle <= 2*anvilclock.Second, "withdrawn after %d ms", idle)
+}
+
+// TestStartAfterAnswer guards against a start that is never sent, because it waits for an answer.
+func TestStartAfterAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.learnClock()
+	w.now += 2000 + testRetry + 1
+	w.announced(w.now, TargetClock(w.now))
+	w.place(taskA, 1)
+	w.advance(0)
+	w.answerPoll(w.takePoll(), 1, nil)
+	assert.Equal(t, len(w.advance(0).Starts), 1)
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -286,6 +286,9 @@
 			// The target accepts no new work, and the start may arrive late.
 			r.stopRequested = true
 		}
+		if target.unansweredCalls >= maxUnsentStarts && r.neverSent() {
+			r.stopRequested = true // to be placed elsewhere
+		}
 		if r.phase == starting && !r.startUnanswered && !r.stopRequested && target.unansweredCalls == 0 {
 			t.startsInFlight++
 		}
@@ -315,7 +318,7 @@
 		target.pollNow = true // the answer to the poll contains the clock
 		return
 	}
-	if target.awaitsAnswer(now, job.State(task)) {
+	if t.awaitsAnswer(now, target, r, job.State(task)) {
 		return
 	}
 	r.startInFlight, r.nextStartAt = true, now // the time of sending, until the answer arrives
