Log who each voter takes for the voters of the group

Event 213 said that its writer is no member, although a voter with a vote writes it too while it knows no leader, so that the record was read wrongly.

Change: event 218, by each voter, at its start, after changes (at most once a second) and once a minute: its vote, the voters, the learners, the leader or how long none has been known, the silent voters and the losses that the group still bears. Result: TestLogView.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -278,7 +278,7 @@
 		reply, err := g.requestMembershipFrom(ctx, instance)
 		switch {
 		case err != nil:
-			g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Error(err))
+			g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Error(err))
 		case reply.Done:
 			return
 		case reply.Redirection != nil:
@@ -331,7 +331,7 @@
 		if silent := g.countSilent(status.Members); silent != silentBefore {
 			silentBefore = silent
 			voters := len(status.Members.Voters)
-			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", (voters-1)/2-silent))
+			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
 		}
 		if silent, ok := g.surplusVoter(status.Members); ok {
 			g.remove(ctx, silent)
--- /dev/null
+++ b/io/anvilgroup/view.go
@@ -0,0 +1,135 @@
+package anvilgroup
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilvoter"
+)
+
+const (
+	// viewInterval is the time after which a voter logs again who it takes for the voters, although nothing has
+	// changed. An operator who has only the end of a log finds a line there.
+	viewInterval = anvilclock.Minute
+	// viewChangeInterval is the shortest time between two such lines, however often the leader changes.
+	viewChangeInterval = anvilclock.Second
+)
+
+// view is what a voter knows about the voters of its group.
+type view struct {
+	vote     bool // whether this voter has one, by its own log
+	leader   anvilid.InstanceID
+	voters   []anvilid.InstanceID
+	learners []anvilid.InstanceID
+	// silent are the voters that have sent nothing to this voter for silentTimeout (replacedTimeout if it leads), and
+	// since when. A follower hears only its leader, so it can't tell.
+	silent map[anvilid.InstanceID]anvilclock.Millis
+}
+
+// view returns what this voter knows now. leaderlessSince is when it was first seen to know no leader, or -1.
+func (g *Group) view(status anvilvoter.Status, leaderlessSince anvilclock.Millis) view {
+	v := view{vote: status.Members.IsVoter(g.id), leader: status.Leader.Instance, learners: instances(status.Members.Learners), voters: instances(status.Members.Voters)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	since, span := leaderlessSince, silentTimeout
+	if status.Role == anvilraft.Leader {
+		since, span = g.leadingSince, replacedTimeout
+	}
+	if since < 0 {
+		return v
+	}
+	v.silent = map[anvilid.InstanceID]anvilclock.Millis{}
+	for _, voter := range v.voters {
+		heard := max(g.lastHeard[voter], since)
+		if voter != g.settings.Instance && g.clock.Now()-heard >= span {
+			v.silent[voter] = heard
+		}
+	}
+	return v
+}
+
+func instances(voters []anvilraft.VoterID) []anvilid.InstanceID {
+	list := make([]anvilid.InstanceID, 0, len(voters))
+	for _, voter := range voters {
+		list = append(list, voter.Instance)
+	}
+	return list
+}
+
+// equal reports whether two views are of the same group. A silent voter stays the same however long it is silent.
+func (v view) equal(other view) bool {
+	return v.vote == other.vote && v.leader == other.leader && slices.Equal(v.voters, other.voters) && slices.Equal(v.learners, other.learners) &&
+		(v.silent == nil) == (other.silent == nil) && maps.EqualFunc(v.silent, other.silent, func(_, _ anvilclock.Millis) bool { return true })
+}
+
+// fields returns the fields of the log line at a time.
+func (v view) fields(now, leaderlessSince anvilclock.Millis) []zap.Field {
+	fields := []zap.Field{zap.Bool("vote", v.vote), zap.Any("voters", v.voters), zap.Any("learners", v.learners), zap.String("leader", string(v.leader))}
+	if leaderlessSince >= 0 {
+		fields = append(fields, zap.Int64("leaderless", int64(now-leaderlessSince)))
+	}
+	if v.silent == nil {
+		return fields
+	}
+	var silent []zap.Field
+	for _, voter := range slices.Sorted(maps.Keys(v.silent)) {
+		silent = append(silent, zap.Int64(string(voter), int64(now-v.silent[voter])))
+	}
+	return append(fields, zap.Dict("silent", silent...), zap.Int("spare", spare(len(v.voters), len(v.silent))))
+}
+
+// spare returns how many further losses of voters a group bears.
+func spare(voters, silent int) int { return (voters-1)/2 - silent }
+
+// LogView logs who this voter takes for the voters of the group, at the start, after changes and every
+// viewInterval, until ctx is done.
+func (g *Group) LogView(ctx context.Context) error {
+	select {
+	case <-g.Voter.Ready():
+	case <-ctx.Done():
+		return nil
+	}
+	log := viewLog{group: g, leaderlessSince: -1}
+	for ctx.Err() == nil {
+		log.update(g.Voter.Status())
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinInterval):
+		}
+	}
+	return nil
+}
+
+// viewLog decides when a line is written.
+type viewLog struct {
+	group           *Group
+	leaderlessSince anvilclock.Millis
+	written         bool
+	writtenAt       anvilclock.Millis
+	last            view
+}
+
+func (l *viewLog) update(status anvilvoter.Status) {
+	now := l.group.clock.Now()
+	switch {
+	case !status.Leader.IsZero():
+		l.leaderlessSince = -1
+	case l.leaderlessSince < 0:
+		l.leaderlessSince = now
+	}
+	v := l.group.view(status, l.leaderlessSince)
+	age := now - l.writtenAt
+	if l.written && age < viewInterval && (age < viewChangeInterval || v.equal(l.last)) {
+		return
+	}
+	l.written, l.writtenAt, l.last = true, now, v
+	l.group.log.Write(anvillogs.VotersKnown, v.fields(now, l.leaderlessSince)...)
+}
--- /dev/null
+++ b/io/anvilgroup/view_test.go
@@ -0,0 +1,95 @@
+package anvilgroup
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilvoter"
+)
+
+// loggedView is the line of anvillogs.VotersKnown.
+type loggedView struct {
+	Event      int
+	Vote       bool
+	Voters     []string
+	Learners   []string
+	Leader     string
+	Leaderless int64
+	Silent     map[string]int64
+	Spare      *int
+}
+
+// TestLogView guards against a group without a leader of whose voters the log doesn't tell which ones count, which are
+// silent and since when, and against a line for each change of a leader that changes all the time.
+func TestLogView(t *testing.T) {
+	ids := make([]anvilraft.VoterID, 5)
+	for n := range ids {
+		ids[n] = anvilraft.VoterID{Instance: anvilid.InstanceID("v" + string(rune('0'+n))), Storage: "1"}
+	}
+	now := 100 * anvilclock.Second
+	var out bytes.Buffer
+	log, err := anvillogs.New(&out, "info")
+	assert.NilError(t, err)
+	g := &Group{
+		settings: Settings{Instance: "v0"}, clock: anvilclock.Clock{Now: func() anvilclock.Millis { return now }}, log: log,
+		id: ids[0], lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1,
+	}
+	view := viewLog{group: g, leaderlessSince: -1}
+	leader, none := ids[1], anvilraft.VoterID{}
+	// after updates the view in steps of joinInterval for a span in which some voters send messages, and returns the lines.
+	after := func(span anvilclock.Millis, status anvilvoter.Status, heard ...int) []loggedView {
+		out.Reset()
+		for end := now + span; now < end; now += anvilclock.Millis(joinInterval.Milliseconds()) {
+			for _, n := range heard {
+				g.lastHeard[ids[n].Instance] = now
+			}
+			view.update(status)
+		}
+		var lines []loggedView
+		for decoder := json.NewDecoder(&out); decoder.More(); {
+			var line loggedView
+			assert.NilError(t, decoder.Decode(&line))
+			assert.Equal(t, line.Event, anvillogs.VotersKnown.Number)
+			lines = append(lines, line)
+		}
+		return lines
+	}
+	follows := anvilvoter.Status{Leader: leader, Members: anvilraft.Members{Voters: ids}}
+	lines := after(59*anvilclock.Second, follows, 1)
+	assert.Equal(t, len(lines), 1, "one line at the start: %v", lines)
+	assert.DeepEqual(t, lines[0], loggedView{Event: 218, Vote: true, Voters: []string{"v0", "v1", "v2", "v3", "v4"}, Learners: []string{}, Leader: "v1"})
+	assert.Equal(t, len(after(2*anvilclock.Second, follows, 1)), 1, "one line a minute")
+
+	lost := anvilvoter.Status{Leader: none, Members: anvilraft.Members{Voters: ids}}
+	lines = after(10*anvilclock.Second, lost, 2)
+	assert.Equal(t, len(lines), 2, "one that the leader is gone, one that three are silent: %v", lines)
+	assert.Equal(t, *lines[0].Spare, 2)
+	assert.Equal(t, *lines[1].Spare, -1)
+	assert.DeepEqual(t, lines[1].Silent, map[string]int64{"v1": 3000, "v3": 3000, "v4": 3000})
+	assert.Equal(t, lines[1].Leaderless, int64(3000))
+
+	leads := anvilvoter.Status{Role: anvilraft.Leader, Leader: ids[0], Members: anvilraft.Members{Voters: ids[:4], Learners: ids[4:]}}
+	g.leadingSince = now
+	lines = after(3*anvilclock.Second, leads, 1, 2)
+	assert.DeepEqual(t, lines[len(lines)-1].Silent, map[string]int64{"v3": 1500})
+	assert.DeepEqual(t, lines[len(lines)-1].Learners, []string{"v4"})
+	assert.Equal(t, *lines[len(lines)-1].Spare, 0)
+	g.leadingSince = -1
+
+	removed := anvilvoter.Status{Leader: leader, Members: anvilraft.Members{Voters: slices.Clone(ids[1:])}}
+	lines = after(anvilclock.Second, removed, 1)
+	assert.Assert(t, !lines[0].Vote, "%v", lines)
+	written := 0
+	for n := range 100 {
+		written += len(after(1, []anvilvoter.Status{lost, follows}[n%2], 1))
+	}
+	assert.Assert(t, written <= 30, "%d lines in 30 s", written)
+}
