Ask the senders of messages for membership when the seeds are gone

A voter with a new disk whose three seeds have been replaced or lost asks nobody that exists, and gets no vote back for as long as its settings don't change: the group bears one loss less than it is meant to.

Cause: it knows only the seeds, as its log is empty. But the leader keeps sending it messages for the vote of its former disk.

Change: it asks those that have sent it messages, too.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -263,11 +264,13 @@
 	return nil
 }
 
-// requestMembership sends a join request to the known voters and seeds, and to the
-// voters that their replies name, until the leader grants it.
+// requestMembership sends a join request to the known voters and seeds, to the instances
+// that have sent this one messages, and to the voters that their replies name, until the
+// leader grants it. A voter with a new disk knows no voters, and its seeds may be gone. The
+// others still send it messages for the vote of its former disk.
 func (g *Group) requestMembership(ctx context.Context) {
 	asked := map[anvilid.InstanceID]bool{g.settings.Instance: true}
-	next := slices.Concat(g.settings.Seeds(), g.Members())
+	next := slices.Concat(g.settings.Seeds(), g.Members(), g.senders())
 	for len(next) > 0 && ctx.Err() == nil {
 		instance := next[0]
 		next = next[1:]
@@ -292,6 +295,13 @@
 	}
 }
 
+// senders returns the instances that have sent this one messages.
+func (g *Group) senders() []anvilid.InstanceID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.lastHeard))
+}
+
 func (g *Group) requestMembershipFrom(ctx context.Context, instance anvilid.InstanceID) (*anvilrpc.JoinReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
