Take no voter for silent before a new leader has heard the others

Cause: until RemoveSilentVoters has noticed the leadership, each voter counted as silent since it last sent something, and followers send to the leader only.

Change: until then nobody is silent, so that the joining voter waits. Result: TestReplacedByNewLeader, which removed a voter at once before.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -380,9 +380,10 @@
 	return silent, !silent.IsZero()
 }
 
-// silentFor returns how long a voter has sent nothing to this leader. g.mu must be held.
+// silentFor returns how long a voter has sent nothing to this leader. That isn't known before noteLeading has been
+// called, as followers send messages to the leader only. g.mu must be held.
 func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
-	if voter == g.id {
+	if voter == g.id || g.leadingSince < 0 {
 		return 0
 	}
 	return g.clock.Now() - max(g.lastHeard[voter.Instance], g.leadingSince)
--- a/io/anvilgroup/surplus_test.go
+++ b/io/anvilgroup/surplus_test.go
@@ -53,3 +53,28 @@
 		})
 	}
 }
+
+// TestReplacedByNewLeader guards against a leader that, right after its election, takes voters that were never meant
+// to send it anything for silent ones, and removes one of them in the place of the voter that was replaced.
+func TestReplacedByNewLeader(t *testing.T) {
+	now := 100 * anvilclock.Second
+	var members anvilraft.Members
+	for n := range 5 {
+		members.Voters = append(members.Voters, anvilraft.VoterID{Instance: anvilid.InstanceID(fmt.Sprint("v", n)), Storage: "1"})
+	}
+	g := &Group{
+		settings: Settings{Voters: 5}, clock: anvilclock.Clock{Now: func() anvilclock.Millis { return now }},
+		id: members.Voters[0], lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
+	}
+	replaced := g.replacedBy(anvilraft.VoterID{Instance: "v9", Storage: "1"})
+	_, err := replaced(members)
+	assert.ErrorIs(t, err, anvilraft.ErrChangePending)
+	g.noteLeading(true)
+	now += replacedTimeout
+	for n := range 4 {
+		g.lastHeard[members.Voters[n].Instance] = now
+	}
+	removed, err := replaced(members)
+	assert.NilError(t, err)
+	assert.Equal(t, removed, members.Voters[4])
+}
