Keep a silent voter in a group with fewer voters than it is meant to have

A group of five loses one disk for some seconds while another voter is down with its disk. Once the lost one is back, two other disks are lost, and the voter that was down comes back: no leader is ever elected again, although no more than two disks were lost at a time.

Cause: while the group has four voters, because the emptied one has no vote yet, the silent one was removed after 3 s as surplus. With the emptied one there are four voters again, and the two that have lost nothing of them are no majority; the third that has lost nothing isn't a member.

Change: below the number that the group is meant to have, a silent voter is removed after 30 s only. Keeping it costs nothing that the group is meant to bear: with the joining voter, four of four and four of five present voters bear one further loss alike.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -45,6 +45,9 @@
 	// have. The others have probably replaced the silent one, and as long as it
 	// counts, the group tolerates fewer further losses than it is meant to.
 	replacedTimeout = 1500 * anvilclock.Millisecond
+	// incompleteTimeout is the same for a group with fewer voters than it was meant to have. The silent voter may still
+	// have its disk, and the group needs its vote after the loss of others. It is removed only if nobody joins.
+	incompleteTimeout = 30 * anvilclock.Second
 	// minLargeGroup is the smallest number of voters that is taken for more than the
 	// group was meant to have. A smaller group would not bear two losses.
 	minLargeGroup = 6
@@ -324,8 +327,9 @@
 // than one with n-1 voters, so it has one surplus voter. A group with more voters than
 // it is meant to have may have several: if two voters are replaced at the same time, both
 // of their successors have joined before either of them is removed, and the number is odd
-// again. If a voter of such a group has sent nothing for silentTimeout or replacedTimeout,
-// it is removed: either its machine was replaced, or it joins again when it returns.
+// again. If a voter of such a group has sent nothing for silentTimeout, replacedTimeout or
+// incompleteTimeout, it is removed: either its machine was replaced, or it joins again when
+// it returns.
 func (g *Group) RemoveSilentVoters(ctx context.Context) error {
 	silentBefore := 0
 	for ctx.Err() == nil {
@@ -352,16 +356,19 @@
 
 // surplusVoter returns the voter to remove, if there is one: the number of voters
 // must be even and at least four, or above the one that the group is meant to have, and
-// the voter must have sent nothing for at least silentTimeout or replacedTimeout and for
-// longer than the others.
+// the voter must have sent nothing for at least silentTimeout, replacedTimeout or
+// incompleteTimeout and for longer than the others.
 func (g *Group) surplusVoter(members anvilraft.Members) (anvilraft.VoterID, bool) {
 	count := len(members.Voters)
 	large := g.settings.Voters > 0 && count > g.settings.Voters && count >= minLargeGroup
 	if !large && (count < 4 || count%2 == 1) {
 		return anvilraft.VoterID{}, false
 	}
-	if large {
+	switch {
+	case large:
 		return g.mostSilent(members, replacedTimeout)
+	case count < g.settings.Voters:
+		return g.mostSilent(members, incompleteTimeout)
 	}
 	return g.mostSilent(members, silentTimeout)
 }
