Give no vote to a learner that has acknowledged nothing

While the log has fewer than 100 entries, a voter with a new disk that is lost again right after it has asked gets a vote, although it has received nothing. The vote counts for the majority.

Cause: a learner may lag by 100 entries when it gets its vote, and one that hasn't answered counted as lagging by the length of the log.

Change: it must have acknowledged an entry.

--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -117,14 +117,15 @@
 }
 
 // withPromotedLearner returns the members with a learner turned into a voter. It refuses a
-// second voter of the same instance, since the loss of that instance would cost two votes.
+// second voter of the same instance, since the loss of that instance would cost two votes,
+// and a learner that has acknowledged no entry yet, which may be gone.
 func (n *Node) withPromotedLearner(old Members, id VoterID) (Members, error) {
 	sameInstance := func(voter VoterID) bool { return voter.Instance == id.Instance }
 	if !old.IsLearner(id) || slices.ContainsFunc(old.Voters, sameInstance) {
 		return Members{}, ErrInvalidChange
 	}
 	p := n.peer(id)
-	if p == nil || p.match+anvilid.Index(n.options.maxLearnerLag) < n.log.last() {
+	if p == nil || p.match == 0 || p.match+anvilid.Index(n.options.maxLearnerLag) < n.log.last() {
 		return Members{}, ErrNotCaughtUp
 	}
 	return Members{Voters: withID(old.Voters, id), Learners: withoutID(old.Learners, id)}, nil
