--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -44,6 +45,9 @@
 	// have. The others have probably replaced the silent one, and as long as it
 	// counts, the group tolerates fewer further losses than it is meant to.
 	replacedTimeout = 1500 * anvilclock.Millisecond
+	// incompleteTimeout is the same for a group with fewer voters than it was meant to have. The silent voter may still
+	// have its disk, and the group needs its vote after the loss of others. It is removed only if nobody joins.
+	incompleteTimeout = 30 * anvilclock.Second
 	// minLargeGroup is the smallest number of voters that is taken for more than the
 	// group was meant to have. A smaller group would not bear two losses.
 	minLargeGroup = 6
@@ -263,11 +267,13 @@
 	return nil
 }
 
-// requestMembership sends a join request to the known voters and seeds, and to the
-// voters that their replies name, until the leader grants it.
+// requestMembership sends a join request to the known voters and seeds, to the instances
+// that have sent this one messages, and to the voters that their replies name, until the
+// leader grants it. A voter with a new disk knows no voters, and its seeds may be gone. The
+// others still send it messages for the vote of its former disk.
 func (g *Group) requestMembership(ctx context.Context) {
 	asked := map[anvilid.InstanceID]bool{g.settings.Instance: true}
-	next := slices.Concat(g.settings.Seeds(), g.Members())
+	next := slices.Concat(g.settings.Seeds(), g.Members(), g.senders())
 	for len(next) > 0 && ctx.Err() == nil {
 		instance := next[0]
 		next = next[1:]
@@ -278,7 +284,7 @@
 		reply, err := g.requestMembershipFrom(ctx, instance)
 		switch {
 		case err != nil:
-			g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Error(err))
+			g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Error(err))
 		case reply.Done:
 			return
 		case reply.Redirection != nil:
@@ -292,6 +298,13 @@
 	}
 }
 
+// senders returns the instances that have sent this one messages.
+func (g *Group) senders() []anvilid.InstanceID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.lastHeard))
+}
+
 func (g *Group) requestMembershipFrom(ctx context.Context, instance anvilid.InstanceID) (*anvilrpc.JoinReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -314,8 +327,9 @@
 // than one with n-1 voters, so it has one surplus voter. A group with more voters than
 // it is meant to have may have several: if two voters are replaced at the same time, both
 // of their successors have joined before either of them is removed, and the number is odd
-// again. If a voter of such a group has sent nothing for silentTimeout or replacedTimeout,
-// it is removed: either its machine was replaced, or it joins again when it returns.
+// again. If a voter of such a group has sent nothing for silentTimeout, replacedTimeout or
+// incompleteTimeout, it is removed: either its machine was replaced, or it joins again when
+// it returns.
 func (g *Group) RemoveSilentVoters(ctx context.Context) error {
 	silentBefore := 0
 	for ctx.Err() == nil {
@@ -331,7 +345,7 @@
 		if silent := g.countSilent(status.Members); silent != silentBefore {
 			silentBefore = silent
 			voters := len(status.Members.Voters)
-			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", (voters-1)/2-silent))
+			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
 		}
 		if silent, ok := g.surplusVoter(status.Members); ok {
 			g.remove(ctx, silent)
@@ -342,16 +356,19 @@
 
 // surplusVoter returns the voter to remove, if there is one: the number of voters
 // must be even and at least four, or above the one that the group is meant to have, and
-// the voter must have sent nothing for at least silentTimeout or replacedTimeout and for
-// longer than the others.
+// the voter must have sent nothing for at least silentTimeout, replacedTimeout or
+// incompleteTimeout and for longer than the others.
 func (g *Group) surplusVoter(members anvilraft.Members) (anvilraft.VoterID, bool) {
 	count := len(members.Voters)
 	large := g.settings.Voters > 0 && count > g.settings.Voters && count >= minLargeGroup
 	if !large && (count < 4 || count%2 == 1) {
 		return anvilraft.VoterID{}, false
 	}
-	if large {
+	switch {
+	case large:
 		return g.mostSilent(members, replacedTimeout)
+	case count < g.settings.Voters:
+		return g.mostSilent(members, incompleteTimeout)
 	}
 	return g.mostSilent(members, silentTimeout)
 }
@@ -370,9 +387,10 @@
 	return silent, !silent.IsZero()
 }
 
-// silentFor returns how long a voter has sent nothing to this leader. g.mu must be held.
+// silentFor returns how long a voter has sent nothing to this leader. That isn't known before noteLeading has been
+// called, as followers send messages to the leader only. g.mu must be held.
 func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
-	if voter == g.id {
+	if voter == g.id || g.leadingSince < 0 {
 		return 0
 	}
 	return g.clock.Now() - max(g.lastHeard[voter.Instance], g.leadingSince)
