Record the checkpoints that targets list for runs at work

Callers saw jobs that began again far behind the work that they had saved when a target crashed: a task of 18 s that had saved 88 % began again at 15 % and ended 18 s later than it had to.

Cause: a checkpoint was recorded only with the end of a run. A target that crashes, leaves or is cut off lists no end, so the next run began at the checkpoint of the latest end, or at none, although each list had shown a newer one every second.

The tracker now keeps the latest listed checkpoint of each run. It is committed before the runs of a target are released without their ends, and when two calls in a row got no answer, so that the next leader has it too. A member of a gang doesn't replace the checkpoint that came with the end of another one.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -141,6 +141,7 @@
 // answeredBy is 0, another target has the address now, and the former incarnation has ended.
 func (t *Tracker) handleOtherIncarnation(target *target, answeredBy anvilwork.Incarnation, effects *Effects) {
 	target.unansweredCalls++
+	target.recordCheckpoints(effects)
 	if answeredBy == 0 || answeredBy == target.record.Incarnation {
 		effects.Commands = append(effects.Commands,
 			anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
@@ -159,6 +160,7 @@
 		return false
 	}
 	target.unansweredCalls++
+	target.recordCheckpoints(effects)
 	effects.Commands = append(effects.Commands,
 		anvilwork.Command{Leave: &anvilwork.Leave{Target: target.record.ID, Incarnation: target.record.Incarnation}})
 	return true
@@ -296,7 +298,7 @@
 	for _, target := range t.targets {
 		target.committingEnd = target.record.Cursor
 		for _, r := range target.runs {
-			r.silenceNoted = false
+			r.silenceNoted, r.recordedCheckpoint = false, ""
 		}
 	}
 }
@@ -326,6 +328,7 @@
 			if r.confirm(now) {
 				effects.Begun = append(effects.Begun, task.Job)
 			}
+			r.observeCheckpoint(entry.Checkpoint)
 			t.Speeds.Observe(answer.Received, target.record.ID, task, r.number, entry.Percent)
 		case ended[task] >= r.number:
 			// the answer lists the end of this run, and commitEnds takes care of it
@@ -371,6 +374,7 @@
 	default:
 		return
 	}
+	target.recordCheckpoints(effects)
 	effects.Commands = append(effects.Commands,
 		anvilwork.Command{Unassign: &anvilwork.Unassign{Task: task, Run: r.number}})
 }
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -110,6 +110,7 @@
 		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true, byFormerLeader: true}
 		if before := former.runs[task]; before != nil && before.number == number {
 			r.mayStartUntil, r.byFormerLeader = before.lateStartUntil(), before.byFormerLeader
+			r.checkpoint, r.recordedCheckpoint = before.checkpoint, before.recordedCheckpoint
 		}
 		if r.byFormerLeader {
 			r.mayStartUntil = max(r.mayStartUntil, t.electedAt+maxOrderDelay)
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -77,6 +77,9 @@
 	stopInFlight          bool
 	nextStopAt, stoppedAt anvilclock.Millis
 	stopped               bool
+	// checkpoint is the latest checkpoint that the target has listed for the run while it was at work, and
+	// recordedCheckpoint the latest one for which a commit was requested.
+	checkpoint, recordedCheckpoint string
 	// missingLists counts the poll answers that don't list this run although an earlier answer
 	// confirmed it.
 	missingLists int
@@ -212,6 +215,9 @@
 	}
 	for _, id := range t.order {
 		target := t.targets[id]
+		if target.inherited || target.unansweredCalls >= silentAfterCalls {
+			target.recordCheckpoints(&effects)
+		}
 		if t.giveUpExpiredRuns(now, target, &effects) {
 			continue
 		}
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -53,6 +53,8 @@
 		return s.expireLease(*command.ExpireLease)
 	case command.NoteSilence != nil:
 		return s.noteSilence(*command.NoteSilence)
+	case command.RecordCheckpoints != nil:
+		return s.recordCheckpoints(*command.RecordCheckpoints)
 	case command.StartWave != nil:
 		return s.startWave(*command.StartWave)
 	case command.AdvanceWave != nil:
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -26,7 +26,8 @@
 	Unassign      *Unassign      `cbor:"8,keyasint,omitempty"`
 	ExpireLease   *ExpireLease   `cbor:"9,keyasint,omitempty"`
 
-	NoteSilence *NoteSilence `cbor:"20,keyasint,omitempty"`
+	NoteSilence       *NoteSilence       `cbor:"20,keyasint,omitempty"`
+	RecordCheckpoints *RecordCheckpoints `cbor:"21,keyasint,omitempty"`
 
 	StartWave   *Wave        `cbor:"10,keyasint,omitempty"`
 	AdvanceWave *AdvanceWave `cbor:"11,keyasint,omitempty"`
@@ -112,6 +113,19 @@
 	Ends        []RunEnd         `cbor:"3,keyasint"`
 }
 
+// RecordCheckpoints records the checkpoints of runs that are still at work as far as is known, but whose ends
+// may never be listed, because their target doesn't answer or has ended.
+type RecordCheckpoints struct {
+	Runs []RunCheckpoint `cbor:"1,keyasint"`
+}
+
+// RunCheckpoint is a checkpoint that a run has written.
+type RunCheckpoint struct {
+	Task       Task   `cbor:"1,keyasint"`
+	Run        Run    `cbor:"2,keyasint"`
+	Checkpoint string `cbor:"3,keyasint"`
+}
+
 // Unassign ends the assignment of a run that certainly isn't executing at its target and
 // will not start there any more.
 type Unassign struct {
--- a/core/anvilwork/ends.go
+++ b/core/anvilwork/ends.go
@@ -33,7 +33,7 @@
 	}
 	job.Begun = true
 	if end.Checkpoint != "" {
-		s.storeCheckpoint(job, end)
+		storeCheckpoint(job, RunCheckpoint{end.Task, end.Run, end.Checkpoint}, end.Run)
 	}
 	s.clearIfProven(state, s.now, end.Outcome)
 	s.releaseTask(job, end.Task, state)
@@ -59,21 +59,6 @@
 	}
 }
 
-// storeCheckpoint records the checkpoint of an ended run. The checkpoint of one gang
-// member is valid for all members of the run.
-func (s *State) storeCheckpoint(job *Job, end RunEnd) {
-	tasks := job.Occurrences[end.Task.Occurrence].Tasks[end.Task.Step]
-	if !job.Spec.Steps[end.Task.Step].Gang {
-		tasks[end.Task.Index].Checkpoint = end.Checkpoint
-		return
-	}
-	for i := range tasks {
-		if tasks[i].Run == end.Run {
-			tasks[i].Checkpoint = end.Checkpoint
-		}
-	}
-}
-
 // completeTask marks a task as done, and with it the members of its gang that are no longer
 // assigned to a target. A member that is still assigned is marked when its own run ends.
 func (s *State) completeTask(job *Job, end RunEnd, state *TaskState) {
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -245,6 +245,8 @@
 	// Checkpoint is the latest checkpoint of the task, from which its next run continues, or empty if
 	// there is none.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
+	// CheckpointRun is the run whose end came with Checkpoint, or 0 if the run hadn't ended when it was recorded.
+	CheckpointRun Run `cbor:"24,keyasint,omitempty"`
 	// Ticket authorizes the latest run, if the policy of the queue requires a ticket.
 	Ticket Ticket `cbor:"9,keyasint,omitempty"`
 	// PhaseSince is when the current phase began, in log time (State.now).
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -150,6 +150,9 @@
 	case "void":
 		task, run := s.run(words[1])
 		return Command{Unassign: &Unassign{Task: task, Run: run}}
+	case "saved":
+		task, run := s.run(words[1])
+		return Command{RecordCheckpoints: &RecordCheckpoints{Runs: []RunCheckpoint{{Task: task, Run: run, Checkpoint: words[2]}}}}
 	case "wave":
 		wave := s.wave(words[2:])
 		wave.Number = WaveNumber(s.number(words[1]))
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -137,6 +137,8 @@
 		}
 	case command.Unassign != nil:
 		r.log.Write(anvillogs.RunUnassigned, zap.Stringer("task", command.Unassign.Task), zap.Uint64("run", uint64(command.Unassign.Run)))
+	case command.RecordCheckpoints != nil:
+		r.log.Write(anvillogs.CheckpointsKept, zap.Stringers("runs", command.RecordCheckpoints.Runs))
 	case command.ExpireLease != nil:
 		r.log.Write(anvillogs.TargetLeaseExpired, zap.String("target", string(command.ExpireLease.Target)), zap.Int("runs", len(command.ExpireLease.Runs)))
 	}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -99,6 +99,7 @@
 	RunLost            = define(631, zapcore.InfoLevel, "run was lost in the crash of its target")
 	JobGivenUp         = define(632, zapcore.WarnLevel, "job given up: one of its tasks crashes the targets that start it")
 	CapacityChanged    = define(633, zapcore.InfoLevel, "capacity of a target has changed")
+	CheckpointsKept    = define(639, zapcore.InfoLevel, "checkpoints of runs on an unreachable target recorded")
 	LateAnnouncement   = define(629, zapcore.InfoLevel, "announcement of a target arrived after a later one")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
 	ConfigRefused      = define(616, zapcore.InfoLevel, "configuration refused")
