Spread a gang over racks that has waited for one in vain

Cause: a gang that prefers one rack was spread over several only if no rack could hold it if it were empty. A rack with a task that lasts is never empty.

Result: TestGangBesideTasksThatLast, which waited for 20 s before, passes.

--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -240,6 +240,11 @@
 			p.recordBlocked(u)
 		}
 	}
+	if allotments := p.fitSuspects(u, len(u.tasks), p.fitSpread); len(allotments) > 0 {
+		p.releaseClaims(u)
+		p.assign(u, u.tasks, allotments)
+		return
+	}
 	if u.urgent {
 		p.freeResources(u, len(u.tasks))
 		return
