Repeat an unanswered start only where it can't outlive its target

Cause: a start without an answer is repeated up to three times. The copies go on new connections, since the former one was given up, and nobody knows which process accepts those. So each copy makes the next run wait for 12 s and a lease, even if the first one was bound to its incarnation.

Change: as long as the target has answered nothing since the former copy, a further one isn't sent on a new connection. Beside it, a poll that follows a start leaves that the connection on which the target has just answered.

--- a/core/anvilorder/schedule_target_test.go
+++ b/core/anvilorder/schedule_target_test.go
@@ -221,6 +221,10 @@
 			answered(answer)
 		}
 	}
+	if r.start != nil && r.start.OnlyBound && r.connectedTo == nil {
+		s.after(1, func() { finish(response{Answer: Answer{NotSent: true, Withheld: true}}) })
+		return
+	}
 	timeout := callTimeout
 	if r.poll != nil {
 		timeout += r.poll.Wait
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -33,6 +33,9 @@
 	Token      anvilid.Token
 	Deadline   TargetClock
 	Urgent     bool // the job has the highest priority
+	// OnlyBound means that the order must not be sent on a new connection, see Answer.Bound. It is set for a further
+	// copy of a start if the target has answered nothing since the former one.
+	OnlyBound bool
 }
 
 // Stop orders a target to stop a run.
@@ -108,8 +111,9 @@
 	// Bound means that the order was sent on a connection that certainly leads to the process of the incarnation that
 	// it was sent to, so that no later incarnation can get it.
 	Bound bool
-	// Withheld means that the order was not sent because this process isn't certainly the leader any more, or
-	// because the capacity of the target has shrunk. It says nothing about whether the target can be reached.
+	// Withheld means that the order was not sent because this process isn't certainly the leader any more, because
+	// the capacity of the target has shrunk, or because of Start.OnlyBound. It says nothing about whether the target
+	// can be reached.
 	Withheld bool
 }
 
--- a/io/anvilconn/peer.go
+++ b/io/anvilconn/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 
@@ -44,8 +45,21 @@
 	return &Peers{clock: clock, dialer: dialer, addresses: map[string]*peerAddress{}}
 }
 
+// ErrNewConnection means that a call would have needed a new connection, see WithoutDial.
+var ErrNewConnection = errors.New("no open connection is free, and the call must not open one")
+
+type withoutDial struct{}
+
+// WithoutDial returns a context for calls that must not open a connection.
+func WithoutDial(ctx context.Context) context.Context {
+	return context.WithValue(ctx, withoutDial{}, true)
+}
+
 // Dial opens a connection, which is a *Peer.
 func (p *Peers) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if ctx.Value(withoutDial{}) != nil {
+		return nil, ErrNewConnection
+	}
 	dialing := p.clock.Now()
 	conn, err := p.dialer.DialContext(ctx, network, address)
 	if err != nil {
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -189,8 +189,14 @@
 	}
 }
 
+// pollDelay is the time by which a poll is sent later than a start at the same target. The start then uses the
+// connection on which the target has just answered. One without an answer on a new connection holds its task for
+// longer, as it isn't known which process has accepted that.
+const pollDelay = 50 * time.Millisecond
+
 // sendOrders sends each order in a goroutine of its own. The sender limits how many of them are in flight.
 func (r *leadership) sendOrders(effects anvilorder.Effects) {
+	started := map[anvilid.TargetID]bool{}
 	for _, order := range effects.Stops {
 		go func() {
 			answer := r.sender.stop(order)
@@ -198,6 +204,7 @@
 		}()
 	}
 	for _, order := range effects.Starts {
+		started[order.Target.ID] = true
 		go func() {
 			answer := r.sender.start(order)
 			r.logStartFailure(answer)
@@ -209,6 +216,9 @@
 	}
 	for _, order := range effects.Polls {
 		go func() {
+			if started[order.Target.ID] {
+				time.Sleep(pollDelay)
+			}
 			answer := r.sender.poll(order)
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
 				r.throttleRuns(now, answer)
