Use only targets that a new leader has heard itself

Cause: a new leader took all targets of the replicated state for heard at its election. Which of them had left the calls of its predecessor unanswered isn't replicated for targets without runs.

Change: a target that a new leader has found in the state is usable once it has answered or announced itself to this leader, which polls all of them at once.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -62,7 +62,7 @@
 // contact and resets the count of unanswered calls. It must not be called for a failed call.
 func (target *target) recordContact(answer Answer) {
 	target.lastContact, target.unansweredCalls, target.closedAt = max(target.lastContact, answer.Received), 0, 0
-	target.answeredAt = max(target.answeredAt, answer.Received)
+	target.answeredAt, target.unheard = max(target.answeredAt, answer.Received), false
 }
 
 // HandleStartAnswer processes the answer to a Start, or the lack of one, and returns the orders to
--- a/core/anvilorder/capacity_test.go
+++ b/core/anvilorder/capacity_test.go
@@ -141,6 +141,8 @@
 		w.tracker = New(2, w.now, Timing{MaxLease: testLease, PollWait: 2000, RetryInterval: testRetry, MaxAnnouncementAge: testAnnouncementAge})
 		w.tracker.SetStateAge(age)
 		w.tracker.Sync(w.now, w.state)
+		assert.Assert(t, !w.tracker.Usable(w.now, "t", testLease), "this leader has heard nothing of it")
+		w.learnClock()
 		assert.Equal(t, w.tracker.Usable(w.now, "t", testLease), age <= testAnnouncementAge)
 		w.resize(6)
 		assert.Assert(t, w.tracker.Usable(w.now, "t", testLease), "it has announced itself")
--- a/core/anvilorder/start_answer_test.go
+++ b/core/anvilorder/start_answer_test.go
@@ -34,3 +34,22 @@
 	w.answerPoll(w.takePoll(), 1, nil)
 	assert.Equal(t, len(w.advance(0).Starts), 1)
 }
+
+// TestNewLeaderHearsTargetsFirst guards against a leader that places runs on targets which have died before its
+// election: it asks all targets at once, and uses those that answer or announce themselves.
+func TestNewLeaderHearsTargetsFirst(t *testing.T) {
+	for name, hear := range map[string]func(*world){
+		"answer":       func(w *world) { w.answerPoll(w.takePoll(), 1, nil) },
+		"announcement": func(w *world) { w.announced(w.now, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.elect(2)
+			assert.Assert(t, !w.tracker.Usable(w.now, "t", testLease))
+			assert.Equal(t, len(w.advance(0).Polls), 1)
+			assert.Equal(t, w.pendingPoll.Wait, anvilclock.Millis(0))
+			hear(w)
+			assert.Assert(t, w.tracker.Usable(w.now, "t", testLease))
+		})
+	}
+}
--- a/core/anvilorder/status.go
+++ b/core/anvilorder/status.go
@@ -32,7 +32,7 @@
 		return TargetUnknown
 	case target.unansweredCalls > 0:
 		return CallUnanswered
-	case now-target.lastContact > span:
+	case target.unheard, now-target.lastContact > span:
 		return NoContact
 	case now < target.pausedUntil:
 		return StartRefused
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -9,7 +9,8 @@
 // runs that were assigned or released. It must be called before Next, which reads the jobs
 // of the runs to start from the same state.
 func (t *Tracker) Sync(now anvilclock.Millis, state *anvilwork.State) {
-	if t.state == nil {
+	first := t.state == nil
+	if first {
 		defer t.ageAnnouncements()
 	}
 	if t.state != state {
@@ -22,7 +23,7 @@
 	for _, record := range records {
 		revision := state.RevisionOf(record.ID)
 		if known := t.targets[record.ID]; known == nil || known.revision != revision {
-			t.syncTarget(now, record, state)
+			t.syncTarget(now, record, state, first)
 			t.targets[record.ID].revision = revision
 		}
 	}
@@ -42,11 +43,12 @@
 	t.order = nil
 }
 
-func (t *Tracker) syncTarget(now anvilclock.Millis, record *anvilwork.Target, state *anvilwork.State) {
+// syncTarget updates the tracker from the record of a target. first means that this is the first call of Sync.
+func (t *Tracker) syncTarget(now anvilclock.Millis, record *anvilwork.Target, state *anvilwork.State, first bool) {
 	known, assigned := t.targets[record.ID], state.Runs(record.ID)
 	switch {
 	case known == nil:
-		known = &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
+		known = &target{runs: map[anvilwork.Task]*run{}, lastContact: now, unheard: first, pollNow: first}
 		if record.RegisteredAt == 0 || len(assigned) > 0 {
 			known.lease.untrackedUntil = t.electedAt + t.longestLease()
 		}
@@ -63,6 +65,7 @@
 	}
 	if known.record.Incarnation != record.Incarnation || known.record.Sequence != record.Sequence {
 		known.date(Announcement{Clock: record.Clock, Received: now})
+		known.unheard = known.unheard && first
 	}
 	known.record = *record
 	for task, number := range assigned {
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -109,6 +109,9 @@
 	// lastContact is when the latest answer or announcement of this incarnation arrived, by the leader's
 	// clock.
 	lastContact anvilclock.Millis
+	// unheard reports that this leader has found the target in the state of its predecessor, and that the target has
+	// neither answered nor announced itself since. It may have fallen silent long before.
+	unheard bool
 	// lastAnnounced is when the latest announcement of this incarnation was sent, as far as that is known.
 	lastAnnounced anvilclock.Millis
 	// undated is the latest announcement that arrived before the target's clock was known, or nil.
@@ -193,7 +196,7 @@
 // answers, and so is one whose silence is noted. An announcement of another incarnation has no effect.
 func (t *Tracker) RecordAnnouncement(announced Announcement) {
 	if target := t.targets[announced.Target]; target != nil && target.record.Incarnation == announced.Incarnation {
-		target.lastContact = max(target.lastContact, announced.Received)
+		target.lastContact, target.unheard = max(target.lastContact, announced.Received), false
 		target.date(announced)
 		target.pollNow = target.pollNow || target.unansweredCalls > 0 || target.record.Silence != nil
 	}
--- a/io/anvillead/idle_test.go
+++ b/io/anvillead/idle_test.go
@@ -32,6 +32,7 @@
 	log, err := anvillogs.NewAsync(w.writer, "info")
 	assert.NilError(t, err)
 	w.leadership = leadership{Leader: &Leader{state: anvilwork.New(), log: log}, tracker: anvilorder.New(1, w.now, anvilorder.Timing{MaxLease: 6000, PollWait: 1000, RetryInterval: 200})}
+	w.tracker.Sync(w.now, w.state) // the targets announce themselves to this leader
 	for n := range targets {
 		w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
 			ID: anvilid.TargetID(fmt.Sprint("t", n)), Incarnation: 1, Service: "s", Address: anvilid.Address(fmt.Sprint("a", n)), Resources: anvilwork.Resources{GPU: 2},
