Count the lines that the log leaves out by event

The users ask for one line for each decision that touches a request, bounded. Beyond 500 lines of one text a second the log of a process keeps one of 50, and the loggers of single instances one of 1000 beyond 20. Event 107 had one total, or, for the latter, wasn't written at all, so that a missing placement in a record looked like one that never was.

All loggers now count what they leave out by event number, whether the bound or the full buffer is the cause, and 107 has the counts in `events`, every 2 s and at the end of the process. Placements and ends keep one line each: explain and the lines that users filter by task read these, and records that cut lines short would lose most tasks of a batch.

--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -158,6 +158,7 @@
 	}
 	cancel()
 	group.Wait()
+	d.Log.WriteLost(anvillogs.LogLinesDropped)
 	d.Log.Write(anvillogs.InstanceStopped, zap.Error(err))
 	d.logWriter.Flush()
 	return err
@@ -175,9 +176,7 @@
 		case <-d.signals.Hangup:
 		case <-ticker.C:
 		}
-		if dropped, folded := d.logWriter.TakeLost(); dropped > 0 || folded > 0 {
-			d.Log.Write(anvillogs.LogLinesDropped, zap.Int64("dropped", dropped), zap.Int64("folded", folded))
-		}
+		d.Log.WriteLost(anvillogs.LogLinesDropped)
 		if err := d.reload(); err != nil {
 			d.Log.Write(anvillogs.SettingsReloadFailed, zap.Error(err))
 		}
--- a/io/anvillogs/async.go
+++ b/io/anvillogs/async.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +36,7 @@
 	buffered []byte
 	reusable []byte
 
-	dropped, folded atomic.Int64
+	lost lostLines
 }
 
 // NewAsyncWriter returns a writer that writes to out while Run runs.
@@ -74,19 +73,18 @@
 	w.mu.Unlock()
 }
 
-// TakeLost returns how many lines were dropped because the buffer was full, and how many
-// were left out (folded) because their event was repeated too often. It resets both counts.
-func (w *AsyncWriter) TakeLost() (dropped, folded int64) { return w.dropped.Swap(0), w.folded.Swap(0) }
+// TakeLost returns how many lines were lost, and resets the counts.
+func (w *AsyncWriter) TakeLost() Lost { return w.lost.take() }
 
-// addLine buffers one line, or drops it if more than limit bytes would then be buffered.
-func (w *AsyncWriter) addLine(line []byte, limit int) {
+// addLine buffers one line, or returns errBufferFull if more than limit bytes would then be buffered.
+func (w *AsyncWriter) addLine(line []byte, limit int) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.buffered)+len(line) > limit {
-		w.dropped.Add(1)
-		return
+		return errBufferFull
 	}
 	w.buffered = append(w.buffered, line...)
+	return nil
 }
 
 // limitedWriter writes lines to an AsyncWriter, but drops a line if more than limit bytes would
@@ -97,7 +95,9 @@
 }
 
 func (w limitedWriter) Write(line []byte) (int, error) {
-	w.writer.addLine(line, w.limit)
+	if err := w.writer.addLine(line, w.limit); err != nil {
+		return 0, err
+	}
 	return len(line), nil
 }
 
@@ -114,13 +114,7 @@
 	common := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= lowest && l < zapcore.WarnLevel })
 	severe := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= lowest && l >= zapcore.WarnLevel })
 	core := zapcore.NewTee(
-		zapcore.NewCore(encoder, limitedWriter{writer, maxBelowWarnBytes}, common),
-		zapcore.NewCore(encoder, limitedWriter{writer, maxBufferedBytes}, severe))
-	count := func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
-		if decision&zapcore.LogDropped != 0 {
-			writer.folded.Add(1)
-		}
-	}
-	sampled := zapcore.NewSamplerWithOptions(core, time.Second, asyncSampleFirst, asyncSampleThereafter, zapcore.SamplerHook(count))
-	return &Logger{zap: zap.New(sampled)}, nil
+		droppingCore{zapcore.NewCore(encoder, limitedWriter{writer, maxBelowWarnBytes}, common), &writer.lost},
+		droppingCore{zapcore.NewCore(encoder, limitedWriter{writer, maxBufferedBytes}, severe), &writer.lost})
+	return newLogger(core, asyncSampleFirst, asyncSampleThereafter, &writer.lost), nil
 }
--- a/io/anvillogs/async_test.go
+++ b/io/anvillogs/async_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -25,10 +26,10 @@
 	writer.Flush()
 	assert.Assert(t, out.Len() <= maxBufferedBytes)
 	assert.Assert(t, strings.Contains(out.String(), `"kept"`))
-	dropped, _ := writer.TakeLost()
-	assert.Assert(t, dropped > 0)
-	dropped, _ = writer.TakeLost()
-	assert.Equal(t, dropped, int64(0))
+	lost := writer.TakeLost()
+	assert.Assert(t, lost.Dropped > 0)
+	assert.DeepEqual(t, lost.ByEvent, map[int]int64{JobAccepted.Number: lost.Dropped})
+	assert.DeepEqual(t, writer.TakeLost(), Lost{})
 }
 
 // TestAsyncWriterSamples guards against an event that is repeated so often that its lines
@@ -42,12 +43,53 @@
 		log.Write(TargetLeaseExpired)
 	}
 	writer.Flush()
-	_, folded := writer.TakeLost()
+	folded := writer.TakeLost().Folded
 	written := strings.Count(out.String(), "\n")
 	assert.Assert(t, folded > 0)
 	assert.Equal(t, int64(written)+folded, int64(3*asyncSampleFirst))
 }
 
+// TestLostLinesByEvent guards against a line 107 from which it can't be told which decisions have no lines: the record of
+// an incident lacked the placements of runs, and nothing said so.
+func TestLostLinesByEvent(t *testing.T) {
+	var direct bytes.Buffer
+	log, err := New(&direct, "info")
+	assert.NilError(t, err)
+	var buffered bytes.Buffer
+	writer := NewAsyncWriter(&buffered)
+	async, err := NewAsync(writer, "info")
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		log *Logger
+		out *bytes.Buffer
+	}{{log, &direct}, {async.With(zap.String("instance", "i")), &buffered}} {
+		const placed, ended = 3 * asyncSampleFirst, 2 * asyncSampleFirst
+		for n := range placed {
+			c.log.Write(RunPlaced, zap.Int("n", n))
+			if n < ended {
+				c.log.Write(RunEnded, zap.Int("n", n))
+			}
+		}
+		c.log.WriteLost(LogLinesDropped)
+		c.log.WriteLost(LogLinesDropped)
+		writer.Flush()
+		written := map[int]int64{}
+		var omitted []map[string]int64
+		for line := range strings.Lines(c.out.String()) {
+			var fields struct {
+				Event  int
+				Events map[string]int64
+			}
+			assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+			written[fields.Event]++
+			if fields.Event == LogLinesDropped.Number {
+				omitted = append(omitted, fields.Events)
+			}
+		}
+		assert.DeepEqual(t, omitted, []map[string]int64{{"607": placed - written[RunPlaced.Number], "610": ended - written[RunEnded.Number]}})
+	}
+}
+
 func BenchmarkAsyncWriter(b *testing.B) {
 	writer := NewAsyncWriter(&bytes.Buffer{})
 	log, err := NewAsync(writer, "info")
--- a/io/anvillogs/logs.go
+++ b/io/anvillogs/logs.go
@@ -28,13 +28,20 @@
 	Text   string
 }
 
-// catalogue contains all events by number.
-var catalogue = map[int]Event{}
+// catalogue contains all events by number, and numberByText the number of each event by its text.
+var (
+	catalogue    = map[int]Event{}
+	numberByText = map[string]int{}
+)
 
 func define(number int, level zapcore.Level, text string) Event {
 	if _, ok := catalogue[number]; ok {
 		panic(fmt.Sprintf("log event %d is defined twice", number))
 	}
+	if other, ok := numberByText[text]; ok {
+		panic(fmt.Sprintf("log events %d and %d have the same text", other, number))
+	}
+	numberByText[text] = number
 	event := Event{Number: number, Level: level, Text: text}
 	catalogue[number] = event
 	return event
@@ -45,7 +52,8 @@
 
 // Logger writes events.
 type Logger struct {
-	zap *zap.Logger
+	zap  *zap.Logger
+	lost *lostLines
 }
 
 // New returns a logger that writes JSON lines of at least the given level.
@@ -55,8 +63,14 @@
 		return nil, fmt.Errorf("log level: %w", err)
 	}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), zapcore.Lock(zapcore.AddSync(out)), lowest)
-	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter)
-	return &Logger{zap: zap.New(sampled)}, nil
+	return newLogger(core, sampleFirst, sampleThereafter, &lostLines{}), nil
+}
+
+// newLogger returns a logger that writes the first lines with the same text in each second, and then one of every
+// thereafter.
+func newLogger(core zapcore.Core, first, thereafter int, lost *lostLines) *Logger {
+	sampled := zapcore.NewSamplerWithOptions(core, time.Second, first, thereafter, zapcore.SamplerHook(lost.sampled))
+	return &Logger{zap: zap.New(sampled), lost: lost}
 }
 
 // encoding returns the format of all log lines.
@@ -68,10 +82,12 @@
 }
 
 // Discard returns a logger that writes nothing.
-func Discard() *Logger { return &Logger{zap: zap.NewNop()} }
+func Discard() *Logger { return &Logger{zap: zap.NewNop(), lost: &lostLines{}} }
 
 // With returns a logger that adds fields to each line.
-func (l *Logger) With(fields ...zap.Field) *Logger { return &Logger{zap: l.zap.With(fields...)} }
+func (l *Logger) With(fields ...zap.Field) *Logger {
+	return &Logger{zap: l.zap.With(fields...), lost: l.lost}
+}
 
 // Write writes a line about an event.
 func (l *Logger) Write(event Event, fields ...zap.Field) {
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -14,6 +14,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilduty"
 	"anvilshunt/io/anvilhttp"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
@@ -26,6 +27,9 @@
 	leftPhase // has left the control group for good
 )
 
+// lostLinesInterval is the interval between two lines about lines that were left out of the log.
+const lostLinesInterval = 2 * time.Second
+
 // balancerInterval is the longest interval between two readiness checks of the load balancer.
 // Requests may arrive for this long after the instance stopped being ready; they are refused with
 // the outcome "not-run".
@@ -83,6 +87,7 @@
 		{"desk", s.dispatcher.Serve},
 		{"gang members", s.owner.Run},
 		{"burn", s.reportCounts},
+		{"log", s.reportLostLines},
 		{"public", s.serve(public, s.publicHandler(), &s.publicConnections)},
 		{"peer", s.serve(peer, s.peerHandler(), &connections{})},
 		{"signals", func(ctx context.Context) error { return s.handleSignals(ctx, signals, cancel) }},
@@ -92,6 +97,7 @@
 	}
 	err = s.runBackgroundTasks(ctx, tasks)
 	s.links.Close()
+	s.log.WriteLost(anvillogs.LogLinesDropped)
 	s.log.Write(anvillogs.InstanceStopped, zap.Int64("left", s.dispatcher.Admitted()))
 	s.log.Sync()
 	if left := s.dispatcher.Admitted(); err == nil && left > 0 {
@@ -100,6 +106,11 @@
 	return err
 }
 
+// reportLostLines is the background task that logs how many lines the bound of the log has left out.
+func (s *Server) reportLostLines(ctx context.Context) error {
+	return anvilduty.Every(ctx, lostLinesInterval, func(context.Context) { s.log.WriteLost(anvillogs.LogLinesDropped) })
+}
+
 // serve returns the background task that serves HTTP on a listener. When ctx ends, connections are
 // closed after their current requests.
 func (s *Server) serve(listener net.Listener, handler http.Handler, connections *connections) func(context.Context) error {
