Extend no lease by a start that waits for an answer

Cause: a start took a new lease deadline before it was decided whether it waits for an answer. As long as it waited, each step counted a deadline that was never sent, so that the runs of a dead target, and of the next start there, were given up too late.

Change: the deadline is taken after that decision.

--- a/core/anvilorder/start_answer_test.go
+++ b/core/anvilorder/start_answer_test.go
@@ -34,3 +34,17 @@
 	w.answerPoll(w.takePoll(), 1, nil)
 	assert.Equal(t, len(w.advance(0).Starts), 1)
 }
+
+// TestWaitingStartExtendsNoLease guards against runs on a dead target that are given up too late, because starts that
+// waited for an answer and were never sent counted as extensions of its lease.
+func TestWaitingStartExtendsNoLease(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
+	w.advance(1)
+	poll := w.takePoll() // in flight; the target has died
+	ended := w.tracker.targets["t"].lease.certainlyEndedAt()
+	w.now += poll.Wait + testRetry + 1
+	w.place(taskB, 1)
+	assert.Equal(t, len(w.advance(0).Starts), 0)
+	assert.Equal(t, w.tracker.targets["t"].lease.certainlyEndedAt(), ended)
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -321,14 +321,14 @@
 	if !ok {
 		return
 	}
+	if t.awaitsAnswer(now, target, r, job.State(task)) {
+		return
+	}
 	deadline := target.leaseDeadline(now, t.timing.MaxLease)
 	if deadline == 0 {
 		target.pollNow = true // the answer to the poll contains the clock
 		return
 	}
-	if t.awaitsAnswer(now, target, r, job.State(task)) {
-		return
-	}
 	onlyBound := r.startUnanswered && target.answeredAt <= r.latestStartAt
 	r.startInFlight, r.nextStartAt, r.latestStartAt = true, now, now // nextStartAt is the time of sending, until the answer arrives
 	effects.Starts = append(effects.Starts, Start{
