Wait for the longest lease that a late call may give

What callers saw: nothing yet. On sites where a lease may last 10 s, a run could be placed again up to 4 s too early, while a later incarnation of its target works on it (TWICE), where ids are used again.

Cause: the limit of 6 s replaced the longest lease that targets accept. A start or a poll that a later incarnation carries out late isn't bounded by the granted lease: the clock restarts there, so that the deadline in the call is far ahead, and the target shortens it to its own maximum, 10 s.

Change: the granted lease and the longest one are two values. Runs on a silent target and those of a former leader wait for the granted one, late calls at a later incarnation for the longest one.

--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -48,7 +48,7 @@
 	case known == nil:
 		known = &target{runs: map[anvilwork.Task]*run{}, lastContact: now}
 		if record.RegisteredAt == 0 || len(assigned) > 0 {
-			known.lease.untrackedUntil = t.electedAt + t.longestLease()
+			known.lease.untrackedUntil = t.electedAt + longestSpan(t.timing.grantedLease())
 		}
 	case known.record.Incarnation != record.Incarnation:
 		t.forgetUnassignedRuns(known, assigned)
@@ -104,7 +104,7 @@
 	successor := &target{runs: map[anvilwork.Task]*run{}, lastContact: now, pollNow: true}
 	successor.lease.untrackedUntil = now
 	if until := former.lateCallsUntil(); until > now {
-		successor.lease.untrackedUntil = until + t.longestLease()
+		successor.lease.untrackedUntil = until + longestSpan(t.timing.MaxLease)
 	}
 	for task, number := range assigned {
 		r := &run{number: number, phase: running, confirmedAt: now, stopRequested: true, byFormerLeader: true}
@@ -146,8 +146,9 @@
 	return until
 }
 
-// longestLease returns how long a lease may last by the leader's clock if the target's clock
-// runs as slowly as maxClockSlowness allows.
-func (t *Tracker) longestLease() anvilclock.Millis {
-	return anvilclock.Millis(float64(t.timing.MaxLease) / (1 - maxClockSlowness))
+// longestSpan returns how long a lease of this span may last by the leader's clock if the target's clock
+// runs as slowly as maxClockSlowness allows. At a later incarnation than the one that a call was sent to, whose clock
+// restarts, the deadline in the call may give a lease of Timing.MaxLease, however short the granted one was.
+func longestSpan(span anvilclock.Millis) anvilclock.Millis {
+	return anvilclock.Millis(float64(span) / (1 - maxClockSlowness))
 }
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -14,6 +14,8 @@
 type Timing struct {
 	// MaxLease is the longest lease that a target accepts.
 	MaxLease anvilclock.Millis
+	// GrantedLease is how long the leases last that leaders grant, at most MaxLease. 0 means MaxLease.
+	GrantedLease anvilclock.Millis
 	// PollWait is how long a target may delay the answer to a poll while no run ends. It must
 	// be well below a third of the lease, so that the lease doesn't expire when two polls are
 	// lost.
@@ -25,6 +27,13 @@
 	MaxAnnouncementAge anvilclock.Millis
 }
 
+func (t Timing) grantedLease() anvilclock.Millis {
+	if t.GrantedLease == 0 {
+		return t.MaxLease
+	}
+	return min(t.GrantedLease, t.MaxLease)
+}
+
 // maxRepeatedStarts is the number of unanswered copies of a start after which no further one is sent until
 // the target answers a call. Each copy may be carried out up to maxOrderDelay later, which delays the next
 // run of the task.
@@ -281,7 +290,7 @@
 	if until == 0 {
 		return 0
 	}
-	return until + t.longestLease() + leaseMargin
+	return until + longestSpan(t.timing.MaxLease) + leaseMargin
 }
 
 // StartsInFlight returns the number of runs, at the latest call of Next, that were placed by this leader and
@@ -324,7 +333,7 @@
 	if t.awaitsAnswer(now, target, r, job.State(task)) {
 		return
 	}
-	deadline := target.leaseDeadline(now, t.timing.MaxLease)
+	deadline := target.leaseDeadline(now, t.timing.grantedLease())
 	if deadline == 0 {
 		target.pollNow = true // the answer to the poll contains the clock
 		return
@@ -354,7 +363,7 @@
 	target.pollNow = false
 	effects.Polls = append(effects.Polls, Poll{
 		Target: target.record, Token: t.token, Cursor: target.cursor(),
-		Deadline: target.leaseDeadline(now, t.timing.MaxLease), Wait: wait,
+		Deadline: target.leaseDeadline(now, t.timing.grantedLease()), Wait: wait,
 	})
 }
 
