Extend leases by polls only

What callers saw: a job of which nothing runs for 7.4 s after its target has died, on sites with leases of 6 s (LOST bears 7 s after the fault).

Cause: each start took a new lease deadline. A dead target is noticed when a poll gets no answer, up to 1.6 s after its end; until 1.2 s after it starts are sent there. They extended the lease of all that ran there.

Change: a start carries the latest deadline as long as half of the lease is left. Polls, which are sent about once a second, extend it.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -333,7 +333,7 @@
 	if t.awaitsAnswer(now, target, r, job.State(task)) {
 		return
 	}
-	deadline := target.leaseDeadline(now, t.timing.grantedLease())
+	deadline := target.startDeadline(now, t.timing.grantedLease())
 	if deadline == 0 {
 		target.pollNow = true // the answer to the poll contains the clock
 		return
@@ -395,6 +395,16 @@
 	return target.lease.grant(now, span)
 }
 
+// startDeadline returns the lease deadline to send with a start: the latest one as long as half of the span is left of
+// it. Polls extend the lease in time. If starts did, those that are sent between the end of a target and the first call
+// without an answer would delay the next runs of all that it had.
+func (target *target) startDeadline(now, span anvilclock.Millis) TargetClock {
+	if latest := target.lease.latestDeadline; latest-target.lease.latestReading.minAt(now) >= TargetClock(span/2) {
+		return latest
+	}
+	return target.leaseDeadline(now, span)
+}
+
 // hasAdoptingRuns reports whether the target has runs of a former leader that are not yet
 // confirmed.
 func (t *Tracker) hasAdoptingRuns(target *target) bool {
