--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -14,6 +14,8 @@
 type Timing struct {
 	// MaxLease is the longest lease that a target accepts.
 	MaxLease anvilclock.Millis
+	// GrantedLease is how long the leases last that leaders grant, at most MaxLease. 0 means MaxLease.
+	GrantedLease anvilclock.Millis
 	// PollWait is how long a target may delay the answer to a poll while no run ends. It must
 	// be well below a third of the lease, so that the lease doesn't expire when two polls are
 	// lost.
@@ -25,6 +27,13 @@
 	MaxAnnouncementAge anvilclock.Millis
 }
 
+func (t Timing) grantedLease() anvilclock.Millis {
+	if t.GrantedLease == 0 {
+		return t.MaxLease
+	}
+	return min(t.GrantedLease, t.MaxLease)
+}
+
 // maxRepeatedStarts is the number of unanswered copies of a start after which no further one is sent until
 // the target answers a call. Each copy may be carried out up to maxOrderDelay later, which delays the next
 // run of the task.
@@ -284,7 +293,7 @@
 	if until == 0 {
 		return 0
 	}
-	return until + t.longestLease() + leaseMargin
+	return until + longestSpan(t.timing.MaxLease) + leaseMargin
 }
 
 // StartsInFlight returns the number of runs, at the latest call of Next, that were placed by this leader and
@@ -324,12 +333,12 @@
 	if !ok {
 		return
 	}
-	deadline := target.leaseDeadline(now, t.timing.MaxLease)
-	if deadline == 0 {
-		target.pollNow = true // the answer to the poll contains the clock
+	if t.awaitsAnswer(now, target, r, job.State(task)) {
 		return
 	}
-	if t.awaitsAnswer(now, target, r, job.State(task)) {
+	deadline := target.startDeadline(now, t.timing.grantedLease())
+	if deadline == 0 {
+		target.pollNow = true // the answer to the poll contains the clock
 		return
 	}
 	onlyBound := r.startUnanswered && target.answeredAt <= r.latestStartAt
@@ -357,7 +366,7 @@
 	target.pollNow = false
 	effects.Polls = append(effects.Polls, Poll{
 		Target: target.record, Token: t.token, Cursor: target.cursor(),
-		Deadline: target.leaseDeadline(now, t.timing.MaxLease), Wait: wait,
+		Deadline: target.leaseDeadline(now, t.timing.grantedLease()), Wait: wait,
 	})
 }
 
@@ -389,6 +398,16 @@
 	return target.lease.grant(now, span)
 }
 
+// startDeadline returns the lease deadline to send with a start: the latest one as long as half of the span is left of
+// it. Polls extend the lease in time. If starts did, those that are sent between the end of a target and the first call
+// without an answer would delay the next runs of all that it had.
+func (target *target) startDeadline(now, span anvilclock.Millis) TargetClock {
+	if latest := target.lease.latestDeadline; latest-target.lease.latestReading.minAt(now) >= TargetClock(span/2) {
+		return latest
+	}
+	return target.leaseDeadline(now, span)
+}
+
 // hasAdoptingRuns reports whether the target has runs of a former leader that are not yet
 // confirmed.
 func (t *Tracker) hasAdoptingRuns(target *target) bool {
