Count only starts that were sent as copies that may be carried out

What callers saw: nothing; by a test, a start at a sound target that waits for up to a second more after a lost answer.

Cause: a copy of a start that isn't sent, for want of an open connection, counted as the former copy. If an answer of the target had arrived just before, it seemed to be older than that copy, and the next one again wasn't sent on a new connection.

Change: an answer is compared with the time of the latest start that got no answer.

Figures: TestWithheldStartAfterAnswer failed before: the copy after the answer was still bound to open connections.

--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -100,6 +100,7 @@
 	case StartUnanswered:
 		r.unansweredStarts++
 		r.startUnanswered, r.nextStartAt = r.phase != running, now+t.timing.RetryInterval
+		r.latestUnansweredAt = max(r.latestUnansweredAt, answer.Sent)
 		until := answer.lateElsewhereUntil()
 		r.mayStartUntil = max(r.mayStartUntil, until)
 		target.lateUntil = max(target.lateUntil, until)
--- a/core/anvilorder/start_answer_test.go
+++ b/core/anvilorder/start_answer_test.go
@@ -67,3 +67,22 @@
 	assert.Equal(t, len(w.advance(0).Starts), 0)
 	assert.Equal(t, w.tracker.targets["t"].lease.certainlyEndedAt(), ended)
 }
+
+// TestWithheldStartAfterAnswer guards against a start that waits for one more answer of a sound target, because a copy
+// of it that wasn't sent, for want of a connection, counts as sent after the answer.
+func TestWithheldStartAfterAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.answerStart(w.placeAndStart(taskA, 1), StartUnanswered)
+	poll := w.takePoll()
+	starts := w.advance(testRetry).Starts
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].OnlyBound, "the target has answered nothing since the first copy")
+	w.now += 10
+	answer := PollAnswer{Answer: w.answer(w.now-50, w.now-20), Order: poll, Done: true, Complete: true}
+	w.tracker.HandlePollAnswer(w.now, answer) // it arrived before the second copy, and is handled only now
+	withheld := Answer{Target: "t", Incarnation: 1, Sent: w.now, Received: w.now, NotSent: true, Withheld: true}
+	w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: withheld, Order: starts[0], Verdict: StartNotSent})
+	starts = w.advance(testRetry).Starts
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, !starts[0].OnlyBound)
+}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -64,8 +64,8 @@
 	// earliest time of the next start; while one is in flight, it is when that one was sent.
 	startInFlight bool
 	nextStartAt   anvilclock.Millis
-	// latestStartAt is when the latest start was sent.
-	latestStartAt anvilclock.Millis
+	// latestUnansweredAt is when the latest start was sent that got no answer.
+	latestUnansweredAt anvilclock.Millis
 	// startReached reports that a start was sent, whether it was answered or not.
 	startReached bool
 	// unsentStarts counts the starts for which no connection to the target could be opened.
@@ -341,8 +341,8 @@
 		target.pollNow = true // the answer to the poll contains the clock
 		return
 	}
-	onlyBound := r.startUnanswered && target.answeredAt <= r.latestStartAt
-	r.startInFlight, r.nextStartAt, r.latestStartAt = true, now, now // nextStartAt is the time of sending, until the answer arrives
+	onlyBound := r.startUnanswered && target.answeredAt <= r.latestUnansweredAt
+	r.startInFlight, r.nextStartAt = true, now // the time of sending, until the answer arrives
 	effects.Starts = append(effects.Starts, Start{
 		Target: target.record, Task: task, Run: r.number, Text: job.Spec.Text,
 		Checkpoint: job.State(task).Checkpoint, Ticket: job.State(task).Ticket, Token: t.token, Deadline: deadline,
