Send no copy of a start on an open connection that may lead to another process

Cause: copies of an unanswered start opened no new connection, but took an open one on which no incarnation had answered yet, or none since it was opened.

Change: the connection refuses the first write then, before anything is sent, so that the client tries another one or the copy waits for the next answer of the target.

--- a/io/anvilconn/peer.go
+++ b/io/anvilconn/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"anvilshunt/core/anvilclock"
 )
@@ -36,6 +37,7 @@
 	// The connection was opened between these times.
 	dialing, open anvilclock.Millis
 	closed        sync.Once
+	refused       atomic.Bool
 	// incarnation is that of the latest answer on this connection that names one, or 0. peers.mu must be held.
 	incarnation int64
 }
@@ -45,8 +47,9 @@
 	return &Peers{clock: clock, dialer: dialer, addresses: map[string]*peerAddress{}}
 }
 
-// ErrNewConnection means that a call would have needed a new connection, see WithoutDial.
-var ErrNewConnection = errors.New("no open connection is free, and the call must not open one")
+// ErrNewConnection means that a call would have needed a new connection or one that may lead to another process, see
+// WithoutDial and Refuse.
+var ErrNewConnection = errors.New("no open connection to the process is free, and the call must not open one")
 
 type withoutDial struct{}
 
@@ -74,6 +77,18 @@
 	return &Peer{Conn: conn, peers: p, address: address, dialing: dialing, open: p.clock.Now()}, nil
 }
 
+// Refuse makes the next write fail with ErrNewConnection, before anything is sent. An HTTP client that has just chosen the
+// connection for a call then tries another one.
+func (c *Peer) Refuse() { c.refused.Store(true) }
+
+// Write writes to the connection.
+func (c *Peer) Write(data []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, ErrNewConnection
+	}
+	return c.Conn.Write(data)
+}
+
 // Close closes the connection.
 func (c *Peer) Close() error {
 	c.closed.Do(func() {
