--- a/core/anvilorder/granted_lease_test.go
+++ b/core/anvilorder/granted_lease_test.go
@@ -26,7 +26,7 @@
 		assert.Assert(t, order.Deadline <= TargetClock(sent+testLease))
 		answer := Answer{Target: "t", Incarnation: 1, Sent: sent, Received: w.now}
 		w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: answer, Order: order, Verdict: StartUnanswered})
-		idle := w.restartedBy(sent)
+		idle := w.givenUpAfter(sent)
 		assert.Assert(t, idle >= maxOrderDelay+longest, "%d ms: a later incarnation may still run it", idle)
 	})
 	t.Run("poll", func(t *testing.T) {
@@ -41,7 +41,7 @@
 	t.Run("run of a target that has died", func(t *testing.T) {
 		w := begin()
 		w.answerStart(w.placeAndStart(taskA, 1), StartAccepted)
-		idle := w.restartedBy(w.now)
+		idle := w.givenUpAfter(w.now)
 		assert.Assert(t, idle <= testLease+2*anvilclock.Second, "%d ms: the granted lease bounds it", idle)
 	})
 }
--- a/core/anvilorder/silent_target_test.go
+++ b/core/anvilorder/silent_target_test.go
@@ -8,8 +8,8 @@
 	"anvilshunt/core/anvilclock"
 )
 
-// restartedBy returns how long after the given time the run of taskA is given up, while its target answers nothing.
-func (w *world) restartedBy(since anvilclock.Millis) anvilclock.Millis {
+// givenUpAfter returns how long after the given time the run of taskA is given up, while its target answers nothing.
+func (w *world) givenUpAfter(since anvilclock.Millis) anvilclock.Millis {
 	for w.now < since+2*(maxOrderDelay+testLease) {
 		effects := w.advance(testRetry / 4)
 		for _, start := range effects.Starts {
@@ -46,7 +46,7 @@
 			w.now += 600
 			answer := Answer{Target: "t", Incarnation: 1, Sent: sent, Received: w.now, Bound: c.bound}
 			w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: answer, Order: order, Verdict: StartUnanswered})
-			idle := w.restartedBy(sent)
+			idle := w.givenUpAfter(sent)
 			assert.Assert(t, idle >= c.least, "%d ms: the target may still run it", idle)
 			assert.Assert(t, idle <= c.least+500, "%d ms", idle)
 		})
--- a/core/anvilorder/start_answer_test.go
+++ b/core/anvilorder/start_answer_test.go
@@ -19,7 +19,7 @@
 	placed := w.now
 	assert.Equal(t, len(w.advance(0).Starts), 0)
 	assert.Equal(t, w.pendingPoll.Wait, anvilclock.Millis(0), "the target has to answer at once")
-	idle := w.restartedBy(placed)
+	idle := w.givenUpAfter(placed)
 	assert.Assert(t, idle <= 2*anvilclock.Second, "withdrawn after %d ms", idle)
 }
 
--- a/core/anvilorder/start_lease_test.go
+++ b/core/anvilorder/start_lease_test.go
@@ -27,6 +27,6 @@
 	w.failPoll(poll)
 	w.now = died + 1750
 	w.tracker.HandleStartAnswer(w.now, StartAnswer{Answer: Answer{Target: "t", Incarnation: 1, Sent: died + 1150, Received: w.now, Bound: true}, Order: starts[0], Verdict: StartUnanswered})
-	idle := w.restartedBy(died)
+	idle := w.givenUpAfter(died)
 	assert.Assert(t, idle <= 7*anvilclock.Second, "%d ms", idle)
 }
