Build the list and view commands of all nouns from one place

The commands `list` and `view` of instances, targets and jobs repeated the same 20 lines of flags, argument check, error text and output. Package anvilverb has them once; each noun says what it fetches and which columns it shows. Help texts and output are unchanged.

--- a/io/anvilcmd/anvilinstancecmd/view.go
+++ b/io/anvilcmd/anvilinstancecmd/view.go
@@ -7,38 +7,30 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilclient"
 	"anvilshunt/io/anvilcmd/anvilfactory"
-	"anvilshunt/io/anvilcmd/anviltable"
+	"anvilshunt/io/anvilcmd/anvilverb"
 )
 
 func newView(factory *anvilfactory.Factory) *ff.Command {
-	flags := ff.NewFlagSet("view")
-	opts := &options{ClientFlags: factory.AddClientFlags(flags), Streams: factory.Streams}
-	return &ff.Command{
-		Name:      "view",
-		Usage:     "anvilshunt instance view ID",
-		ShortHelp: "show an instance as JSON",
-		LongHelp:  "Example:\n  anvilshunt instance view palermo-1",
-		Flags:     flags,
-		Exec: func(ctx context.Context, args []string) error {
-			id, err := anvilfactory.OneArgument(args, "the id of the instance")
-			if err != nil {
-				return err
-			}
-			return runView(ctx, opts, anvilid.InstanceID(id))
-		},
+	help := anvilverb.Help{
+		Usage:   "anvilshunt instance view ID",
+		Short:   "show an instance as JSON",
+		Example: "anvilshunt instance view palermo-1",
 	}
+	return anvilverb.NewView(factory, help, "the id of the instance", find)
 }
 
-func runView(ctx context.Context, opts *options, id anvilid.InstanceID) error {
-	status, err := opts.ClientFlags.NewClient().Status(ctx)
+func find(ctx context.Context, client *anvilclient.Client, id string) (anvilstate.Instance, error) {
+	status, err := client.Status(ctx)
 	if err != nil {
-		return anvilfactory.ExplainError(err)
+		return anvilstate.Instance{}, err
 	}
 	for _, instance := range status.Instances {
-		if instance.ID == id {
-			return anviltable.WriteJSON(opts.Streams.Out, instance)
+		if instance.ID == anvilid.InstanceID(id) {
+			return instance, nil
 		}
 	}
-	return fmt.Errorf("instance %q isn't registered; list instances with `anvilshunt instance list`", id)
+	return anvilstate.Instance{}, fmt.Errorf("instance %q isn't registered; list instances with `anvilshunt instance list`", id)
 }
--- a/io/anvilcmd/anviljobcmd/list.go
+++ b/io/anvilcmd/anviljobcmd/list.go
@@ -5,39 +5,20 @@
 
 	"github.com/peterbourgon/ff/v4"
 
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilclient"
 	"anvilshunt/io/anvilcmd/anvilfactory"
-	"anvilshunt/io/anvilcmd/anviltable"
+	"anvilshunt/io/anvilcmd/anvilverb"
 )
 
 func newList(factory *anvilfactory.Factory) *ff.Command {
-	flags := ff.NewFlagSet("list")
-	opts := &options{ClientFlags: factory.AddClientFlags(flags), Streams: factory.Streams}
-	return &ff.Command{
-		Name:      "list",
-		Usage:     "anvilshunt job list [--json]",
-		ShortHelp: "list the jobs in the order of submission",
-		LongHelp:  "Example:\n  anvilshunt job list | awk -F'\\t' '$6 == \"submitted\"'",
-		Flags:     flags,
-		Exec: func(ctx context.Context, args []string) error {
-			if err := anvilfactory.NoArguments(args); err != nil {
-				return err
-			}
-			return runList(ctx, opts)
-		},
+	help := anvilverb.Help{
+		Usage:   "anvilshunt job list [--json]",
+		Short:   "list the jobs in the order of submission",
+		Example: "anvilshunt job list | awk -F'\\t' '$6 == \"submitted\"'",
 	}
-}
-
-func runList(ctx context.Context, opts *options) error {
-	jobs, err := opts.ClientFlags.NewClient().Jobs(ctx)
-	if err != nil {
-		return anvilfactory.ExplainError(err)
-	}
-	if opts.ClientFlags.JSON {
-		return anviltable.WriteJSON(opts.Streams.Out, jobs)
-	}
-	table := anviltable.Table{Heading: heading}
-	for _, job := range jobs {
-		addRow(&table, job)
-	}
-	return table.Write(opts.Streams)
+	rows := anvilverb.Rows[anvilstate.Job]{Heading: heading, Add: addRow}
+	return anvilverb.NewList(factory, help, rows, func(ctx context.Context, client *anvilclient.Client) ([]anvilstate.Job, error) {
+		return client.Jobs(ctx)
+	})
 }
--- a/io/anvilcmd/anvilobjectcmd/view.go
+++ b/io/anvilcmd/anvilobjectcmd/view.go
@@ -8,39 +8,31 @@
 
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilclient"
 	"anvilshunt/io/anvilcmd/anvilfactory"
-	"anvilshunt/io/anvilcmd/anviltable"
+	"anvilshunt/io/anvilcmd/anvilverb"
 )
 
 func newView(factory *anvilfactory.Factory, kind anvilconfig.Kind) *ff.Command {
-	flags := ff.NewFlagSet("view")
-	opts := &options{Kind: kind, ClientFlags: factory.AddClientFlags(flags), Streams: factory.Streams}
-	return &ff.Command{
-		Name:      "view",
-		Usage:     fmt.Sprintf("anvilshunt %s view NAME", kind),
-		ShortHelp: fmt.Sprintf("show one object of kind %s as JSON", kind),
-		LongHelp:  fmt.Sprintf("Example:\n  anvilshunt %s view NAME", kind),
-		Flags:     flags,
-		Exec: func(ctx context.Context, args []string) error {
-			name, err := anvilfactory.OneArgument(args, "the name of the object")
-			if err != nil {
-				return err
-			}
-			return runView(ctx, opts, anvilid.ObjectName(name))
-		},
+	help := anvilverb.Help{
+		Usage:   fmt.Sprintf("anvilshunt %s view NAME", kind),
+		Short:   fmt.Sprintf("show one object of kind %s as JSON", kind),
+		Example: fmt.Sprintf("anvilshunt %s view NAME", kind),
 	}
+	return anvilverb.NewView(factory, help, "the name of the object", func(ctx context.Context, client *anvilclient.Client, name string) (anvilconfig.Object, error) {
+		return find(ctx, client, anvilconfig.Key{Kind: kind, Name: anvilid.ObjectName(name)})
+	})
 }
 
-func runView(ctx context.Context, opts *options, name anvilid.ObjectName) error {
-	config, err := opts.ClientFlags.NewClient().Config(ctx)
+func find(ctx context.Context, client *anvilclient.Client, key anvilconfig.Key) (anvilconfig.Object, error) {
+	config, err := client.Config(ctx)
 	if err != nil {
-		return anvilfactory.ExplainError(err)
+		return anvilconfig.Object{}, err
 	}
-	key := anvilconfig.Key{Kind: opts.Kind, Name: name}
 	for _, object := range config.Objects {
 		if object.Key == key {
-			return anviltable.WriteJSON(opts.Streams.Out, object)
+			return object, nil
 		}
 	}
-	return fmt.Errorf("%s %q isn't configured; list them with `anvilshunt %s list`", opts.Kind, name, opts.Kind)
+	return anvilconfig.Object{}, fmt.Errorf("%s %q isn't configured; list them with `anvilshunt %s list`", key.Kind, key.Name, key.Kind)
 }
--- a/io/anvilcmd/anviltargetcmd/list.go
+++ b/io/anvilcmd/anviltargetcmd/list.go
@@ -5,39 +5,27 @@
 
 	"github.com/peterbourgon/ff/v4"
 
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilclient"
 	"anvilshunt/io/anvilcmd/anvilfactory"
 	"anvilshunt/io/anvilcmd/anviltable"
+	"anvilshunt/io/anvilcmd/anvilverb"
 )
 
 func newList(factory *anvilfactory.Factory) *ff.Command {
-	flags := ff.NewFlagSet("list")
-	opts := &options{ClientFlags: factory.AddClientFlags(flags), Streams: factory.Streams}
-	return &ff.Command{
-		Name:      "list",
-		Usage:     "anvilshunt target list [--json]",
-		ShortHelp: "list the targets and their owners",
-		LongHelp:  "Example:\n  anvilshunt target list",
-		Flags:     flags,
-		Exec: func(ctx context.Context, args []string) error {
-			if err := anvilfactory.NoArguments(args); err != nil {
-				return err
-			}
-			return runList(ctx, opts)
-		},
-	}
-}
-
-func runList(ctx context.Context, opts *options) error {
-	status, err := opts.ClientFlags.NewClient().Status(ctx)
-	if err != nil {
-		return anvilfactory.ExplainError(err)
-	}
-	if opts.ClientFlags.JSON {
-		return anviltable.WriteJSON(opts.Streams.Out, status.Targets)
+	help := anvilverb.Help{
+		Usage:   "anvilshunt target list [--json]",
+		Short:   "list the targets and their owners",
+		Example: "anvilshunt target list",
 	}
-	table := anviltable.Table{Heading: []string{"id", "service", "zone", "rack", "owner", "epoch", "reserved", "leaving"}}
-	for _, target := range status.Targets {
-		table.Add(target.ID, target.Service, target.Zone, target.Rack, target.Owner, target.Epoch, target.Reserved, target.Leaving)
+	rows := anvilverb.Rows[anvilstate.Target]{
+		Heading: []string{"id", "service", "zone", "rack", "owner", "epoch", "reserved", "leaving"},
+		Add: func(table *anviltable.Table, target anvilstate.Target) {
+			table.Add(target.ID, target.Service, target.Zone, target.Rack, target.Owner, target.Epoch, target.Reserved, target.Leaving)
+		},
 	}
-	return table.Write(opts.Streams)
+	return anvilverb.NewList(factory, help, rows, func(ctx context.Context, client *anvilclient.Client) ([]anvilstate.Target, error) {
+		status, err := client.Status(ctx)
+		return status.Targets, err
+	})
 }
--- a/io/anvilcmd/anviltargetcmd/view.go
+++ b/io/anvilcmd/anviltargetcmd/view.go
@@ -7,38 +7,30 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilclient"
 	"anvilshunt/io/anvilcmd/anvilfactory"
-	"anvilshunt/io/anvilcmd/anviltable"
+	"anvilshunt/io/anvilcmd/anvilverb"
 )
 
 func newView(factory *anvilfactory.Factory) *ff.Command {
-	flags := ff.NewFlagSet("view")
-	opts := &options{ClientFlags: factory.AddClientFlags(flags), Streams: factory.Streams}
-	return &ff.Command{
-		Name:      "view",
-		Usage:     "anvilshunt target view ID",
-		ShortHelp: "show a target as JSON",
-		LongHelp:  "Example:\n  anvilshunt target view t-17",
-		Flags:     flags,
-		Exec: func(ctx context.Context, args []string) error {
-			id, err := anvilfactory.OneArgument(args, "the id of the target")
-			if err != nil {
-				return err
-			}
-			return runView(ctx, opts, anvilid.TargetID(id))
-		},
+	help := anvilverb.Help{
+		Usage:   "anvilshunt target view ID",
+		Short:   "show a target as JSON",
+		Example: "anvilshunt target view t-17",
 	}
+	return anvilverb.NewView(factory, help, "the id of the target", find)
 }
 
-func runView(ctx context.Context, opts *options, id anvilid.TargetID) error {
-	status, err := opts.ClientFlags.NewClient().Status(ctx)
+func find(ctx context.Context, client *anvilclient.Client, id string) (anvilstate.Target, error) {
+	status, err := client.Status(ctx)
 	if err != nil {
-		return anvilfactory.ExplainError(err)
+		return anvilstate.Target{}, err
 	}
 	for _, target := range status.Targets {
-		if target.ID == id {
-			return anviltable.WriteJSON(opts.Streams.Out, target)
+		if target.ID == anvilid.TargetID(id) {
+			return target, nil
 		}
 	}
-	return fmt.Errorf("target %q isn't registered; list targets with `anvilshunt target list`", id)
+	return anvilstate.Target{}, fmt.Errorf("target %q isn't registered; list targets with `anvilshunt target list`", id)
 }
