--- a/io/anvilcmd/anvilinstancecmd/instance.go
+++ b/io/anvilcmd/anvilinstancecmd/instance.go
@@ -16,8 +16,3 @@
 		Subcommands: []*ff.Command{newList(factory), newView(factory), newRecover(factory)},
 	}
 }
-
-type options struct {
-	ClientFlags *anvilfactory.ClientFlags
-	Streams     anvilfactory.Streams
-}
