--- a/core/anvilexplain/explain.go
+++ b/core/anvilexplain/explain.go
@@ -101,17 +101,13 @@
 // it.
 func (l Line) isAbout(id string) bool {
 	for name, value := range l.Fields {
-		text, ok := value.(string)
-		if !ok {
-			continue
-		}
-		switch name {
-		case "path":
-			if strings.HasSuffix(text, "/"+id) {
+		switch value := value.(type) {
+		case string:
+			if name == "path" && endsPath(value, id) || value == id || strings.HasPrefix(value, id+".") {
 				return true
 			}
-		default:
-			if text == id || strings.HasPrefix(text, id+".") {
+		case []any:
+			if name == "paths" && slices.ContainsFunc(value, func(path any) bool { return endsPath(path, id) }) {
 				return true
 			}
 		}
@@ -119,6 +115,12 @@
 	return false
 }
 
+// endsPath reports whether a path names an id.
+func endsPath(path any, id string) bool {
+	text, ok := path.(string)
+	return ok && strings.HasSuffix(text, "/"+id)
+}
+
 // Explain sorts the log lines about a request or job by time and summarizes in one sentence what
 // happened to it.
 func Explain(id string, lines []Line) (Explanation, error) {
--- a/core/anvilexplain/explain_test.go
+++ b/core/anvilexplain/explain_test.go
@@ -54,3 +54,13 @@
 	assert.Equal(t, len(explanation.Lines), 2)
 	assert.Equal(t, explanation.Lines[0].Event, 604)
 }
+
+// TestFoldedRequest guards against a request that can't be found because its line was folded into that of a later one.
+func TestFoldedRequest(t *testing.T) {
+	log := `{"time":"2026-12-04T10:00:01Z","event":701,"msg":"request could not be forwarded","path":"/q/i","folded":2,"paths":["/q/jj","/q/j"],"error":"no leader"}`
+	for id, found := range map[string]int{"i": 1, "j": 1, "jj": 1, "q": 0} {
+		lines, err := Read(strings.NewReader(log), id)
+		assert.NilError(t, err)
+		assert.Equal(t, len(lines), found, id)
+	}
+}
--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -64,8 +64,10 @@
 type Forwarder struct {
 	clock anvilclock.Clock
 	log   *anvillogs.Logger
-	dial  func(anvilid.InstanceID) anvilrpc.Fleet
-	seeds func() []anvilid.InstanceID
+	// failures writes the lines about calls that fail.
+	failures *failureLog
+	dial     func(anvilid.InstanceID) anvilrpc.Fleet
+	seeds    func() []anvilid.InstanceID
 	// self is the id of this instance if other instances may use it as a relay, and
 	// otherwise empty.
 	self anvilid.InstanceID
@@ -92,7 +94,7 @@
 // settings name at present, and dial returns a client for one instance.
 func New(clock anvilclock.Clock, log *anvillogs.Logger, seeds func() []anvilid.InstanceID, dial func(anvilid.InstanceID) anvilrpc.Fleet, opts ...Option) *Forwarder {
 	f := &Forwarder{
-		clock: clock, log: log, dial: dial, seeds: seeds,
+		clock: clock, log: log, failures: newFailureLog(clock, log), dial: dial, seeds: seeds,
 		clients: map[anvilid.InstanceID]anvilrpc.Fleet{}, lastContact: -connectedTimeout, leaderChanged: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -228,10 +230,13 @@
 		if leading && err == nil {
 			redirection, done, sent, err = c.record(ctx, instance, c.attempt)
 		}
+		if err == nil {
+			c.failures.voterAnswered(instance)
+		}
 		switch {
 		case err != nil:
 			c.demote(instance)
-			c.log.Write(anvillogs.VoterCallFailed, zap.String("voter", string(instance)), zap.Bool("sent", sent), zap.Error(err))
+			c.failures.voterFailed(instance, sent, err)
 			return false, sent
 		case done:
 			return true, false
--- a/io/anvilgate/voters.go
+++ b/io/anvilgate/voters.go
@@ -7,11 +7,8 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
-	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
 )
 
@@ -129,6 +126,7 @@
 func (f *Forwarder) Monitor(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.locateLeader(ctx)
+		f.failures.flush()
 		select {
 		case <-ctx.Done():
 		case <-time.After(monitorInterval):
@@ -140,9 +138,13 @@
 func (f *Forwarder) locateLeader(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	if err := f.CallVoters(ctx, f.askLeading); err != nil {
-		f.log.Write(anvillogs.RequestFailed, zap.String("call", "locate"), zap.Error(err))
-	}
+	f.failures.located(f.CallVoters(ctx, f.askLeading))
+}
+
+// LogFailure logs that a request of a caller could not be forwarded, with the error of the call. Of the requests that fail
+// with the same error in one second, the first one gets a line, and the next line lists others. Monitor writes what is left.
+func (f *Forwarder) LogFailure(method, path string, err error) {
+	f.failures.requestFailed(method, path, err)
 }
 
 // askLeading is the attempt that asks a voter whether it is the leader. It has no effect.
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -113,4 +113,5 @@
 	VoterCallFailed      = define(702, zapcore.InfoLevel, "call to a voter failed; trying the next voter")
 	SettingsReloadFailed = define(703, zapcore.WarnLevel, "settings could not be reloaded; the previous ones stay in force")
 	RelayTried           = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
+	CallsAnswered        = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
 )
