Log what instances answer to requests for membership (part 1)

A voter that was asking instances that know no leader logged nothing, and one that asked an address without an answer logged a line every 0.3 s. Event 213 is now one line for the first round without success, for changes and every 3 s, and names who failed, who knows no leader and who redirects.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -96,6 +96,8 @@
 	// joiningSince is when this leader was first asked to add each voter that isn't one yet.
 	joiningSince map[anvilraft.VoterID]anvilclock.Millis
 	peers        map[anvilid.InstanceID]anvilrpc.Raft
+
+	joinLog joinLog // used only by Join
 }
 
 // Address returns the network address of a port of an instance. The id of an
@@ -258,6 +260,8 @@
 		status := g.Voter.Status()
 		if !status.Members.IsVoter(g.id) || status.Leader.IsZero() {
 			g.requestMembership(ctx)
+		} else {
+			g.joinLog.succeeded()
 		}
 		select {
 		case <-ctx.Done():
@@ -273,6 +277,8 @@
 // others still send it messages for the vote of its former disk.
 func (g *Group) requestMembership(ctx context.Context) {
 	asked := map[anvilid.InstanceID]bool{g.settings.Instance: true}
+	round := &joinRound{}
+	g.joinLog.begin(g.clock.Now())
 	next := slices.Concat(g.settings.Seeds(), g.Members(), g.senders())
 	for len(next) > 0 && ctx.Err() == nil {
 		instance := next[0]
@@ -282,10 +288,12 @@
 		}
 		asked[instance] = true
 		reply, err := g.requestMembershipFrom(ctx, instance)
+		round.add(instance, reply, err)
 		switch {
 		case err != nil:
-			g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Error(err))
+			g.logJoin(round, false)
 		case reply.Done:
+			g.joinLog.succeeded()
 			return
 		case reply.Redirection != nil:
 			for _, voter := range reply.Redirection.Voters {
@@ -296,6 +304,7 @@
 			}
 		}
 	}
+	g.logJoin(round, true)
 }
 
 // senders returns the instances that have sent this one messages.
--- /dev/null
+++ b/io/anvilgroup/joinlog.go
@@ -0,0 +1,115 @@
+package anvilgroup
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+)
+
+const (
+	// joinLogInterval is the time after which a line is written again about requests for membership that fail
+	// in the same way.
+	joinLogInterval = 3 * anvilclock.Second
+	// joinLogChangeInterval is the shortest time between two such lines, however often the answers change.
+	joinLogChangeInterval = anvilclock.Second
+)
+
+// joinRound is what one round of requests for membership has got from each instance that was asked.
+type joinRound struct {
+	failed map[anvilid.InstanceID]error
+	// refused are leaders that can't give a vote yet, and leaderless the instances that know no leader. redirected
+	// named another instance as the leader.
+	refused, leaderless, redirected []anvilid.InstanceID
+}
+
+// add records the result of one request.
+func (r *joinRound) add(instance anvilid.InstanceID, reply *anvilrpc.JoinReply, err error) {
+	switch {
+	case err != nil:
+		if r.failed == nil {
+			r.failed = map[anvilid.InstanceID]error{}
+		}
+		r.failed[instance] = err
+	case reply.Done:
+	case reply.Redirection == nil:
+		r.refused = append(r.refused, instance)
+	case reply.Redirection.Leader == "":
+		r.leaderless = append(r.leaderless, instance)
+	default:
+		r.redirected = append(r.redirected, instance)
+	}
+}
+
+// equal reports whether the same instances have answered in the same way. Errors may differ.
+func (r *joinRound) equal(other *joinRound) bool {
+	return sameInstances(r.refused, other.refused) && sameInstances(r.leaderless, other.leaderless) && sameInstances(r.redirected, other.redirected) &&
+		maps.EqualFunc(r.failed, other.failed, func(_, _ error) bool { return true })
+}
+
+// sameInstances compares two lists regardless of their order, which depends on the answers.
+func sameInstances(a, b []anvilid.InstanceID) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// fields returns the fields of the log line.
+func (r *joinRound) fields() []zap.Field {
+	failed := make([]zap.Field, 0, len(r.failed))
+	for _, instance := range slices.Sorted(maps.Keys(r.failed)) {
+		failed = append(failed, zap.String(string(instance), r.failed[instance].Error()))
+	}
+	return []zap.Field{
+		zap.Dict("failed", failed...), zap.Any("refused", r.refused), zap.Any("leaderless", r.leaderless), zap.Any("redirected", r.redirected),
+	}
+}
+
+// joinLog decides when a line about requests for membership that had no success is written.
+type joinLog struct {
+	// since is when the first of the rounds without success began, and rounds their number.
+	since  anvilclock.Millis
+	rounds int
+	// last is the round of the latest line about them, or nil before the first one. writtenAt is when the latest
+	// line of all was written.
+	last      *joinRound
+	writtenAt anvilclock.Millis
+}
+
+// begin begins a round at a time.
+func (l *joinLog) begin(now anvilclock.Millis) {
+	if l.rounds == 0 {
+		l.since = now
+	}
+	l.rounds++
+}
+
+// succeeded ends the rounds without success.
+func (l *joinLog) succeeded() { l.rounds, l.last = 0, nil }
+
+// due reports whether a line about a round is due. Before the round is over, one is due only if no line was written
+// for joinLogInterval: an instance that doesn't answer holds up the round for joinTimeout.
+func (l *joinLog) due(now anvilclock.Millis, round *joinRound, over bool) bool {
+	if now-max(l.writtenAt, l.since) >= joinLogInterval {
+		return true
+	}
+	changed := l.last == nil || !round.equal(l.last)
+	return over && changed && (l.writtenAt == 0 || now-l.writtenAt >= joinLogChangeInterval)
+}
+
+// logJoin writes a line about a round of requests for membership if one is due.
+func (g *Group) logJoin(round *joinRound, over bool) {
+	now, l := g.clock.Now(), &g.joinLog
+	if !l.due(now, round, over) {
+		return
+	}
+	l.last, l.writtenAt = round, now
+	fields := []zap.Field{
+		zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Bool("over", over),
+		zap.Int("rounds", l.rounds), zap.Int64("for", int64(now-l.since)),
+	}
+	g.log.Write(anvillogs.EnrollFailed, append(fields, round.fields()...)...)
+}
--- /dev/null
+++ b/io/anvilgroup/joinlog_test.go
@@ -0,0 +1,87 @@
+package anvilgroup
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+	"anvilshunt/io/anvilvoter"
+)
+
+// loggedJoin is the line of anvillogs.EnrollFailed.
+type loggedJoin struct {
+	Event                           int
+	Over                            bool
+	Failed                          map[string]string
+	Refused, Leaderless, Redirected []string
+	Rounds, For                     int
+}
+
+// TestLogJoin guards against a voter that asks for membership for seconds and logs nothing because the instances that it
+// asks answer that they know no leader, as in an incident, and against a line for each round of requests.
+func TestLogJoin(t *testing.T) {
+	var out bytes.Buffer
+	log, err := anvillogs.New(&out, "info")
+	assert.NilError(t, err)
+	clock := anvilclock.Manual{}
+	clock.Advance(anvilclock.Minute)
+	g := &Group{clock: clock.Clock(), log: log, Voter: anvilvoter.New("v0")}
+	refused := errors.New("connection refused")
+	none := &anvilrpc.JoinReply{Redirection: &anvilrpc.Redirection{}}
+	names := &anvilrpc.JoinReply{Redirection: &anvilrpc.Redirection{Leader: "v3"}}
+	// rounds carries out a number of rounds in which v1 doesn't answer after a delay, and v2 gives a reply.
+	rounds := func(count int, delay anvilclock.Millis, reply *anvilrpc.JoinReply) {
+		for range count {
+			round := &joinRound{}
+			g.joinLog.begin(clock.Now())
+			clock.Advance(delay)
+			round.add("v1", nil, refused)
+			g.logJoin(round, false)
+			round.add("v2", reply, nil)
+			g.logJoin(round, true)
+			clock.Advance(300)
+		}
+	}
+	lines := func() (lines []loggedJoin) {
+		for decoder := json.NewDecoder(&out); decoder.More(); {
+			var line loggedJoin
+			assert.NilError(t, decoder.Decode(&line))
+			lines = append(lines, line)
+		}
+		return lines
+	}
+	failed := map[string]string{"v1": "connection refused"}
+	rounds(30, 0, none)
+	assert.DeepEqual(t, lines(), []loggedJoin{
+		{Event: 213, Over: true, Failed: failed, Leaderless: []string{"v2"}, Rounds: 1},
+		{Event: 213, Failed: failed, Rounds: 11, For: 3000},
+		{Event: 213, Failed: failed, Rounds: 21, For: 6000},
+	})
+	for range 30 {
+		rounds(1, 0, names)
+		rounds(1, 0, &anvilrpc.JoinReply{})
+	}
+	changes := lines()
+	assert.Assert(t, len(changes) >= 6 && len(changes) <= 18, "%d lines in 18 s in which the answers change all the time", len(changes))
+	g.joinLog.succeeded()
+	clock.Advance(anvilclock.Second)
+	rounds(1, 0, none)
+	assert.Equal(t, len(lines()), 1, "a line at the first round after a success")
+	g.joinLog.succeeded()
+	clock.Advance(anvilclock.Minute)
+	round := &joinRound{}
+	g.joinLog.begin(clock.Now())
+	for _, voter := range []anvilid.InstanceID{"v1", "v2", "v3"} {
+		clock.Advance(2000)
+		round.add(voter, nil, refused)
+		g.logJoin(round, false)
+	}
+	assert.Equal(t, len(lines()), 1, "a line about a round that waits for instances that don't answer")
+}
