--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -19,10 +19,16 @@
 	// viewInterval is the time after which a voter logs again who it takes for the voters, although nothing has
 	// changed. An operator who has only the end of a log finds a line there.
 	viewInterval = anvilclock.Minute
+	// urgentViewInterval is the same while a voter has no vote or knows no leader, so that the lines of the last seconds
+	// tell whether it was running, and whether it was started again.
+	urgentViewInterval = 3 * anvilclock.Second
 	// viewChangeInterval is the shortest time between two such lines, however often the leader changes.
 	viewChangeInterval = anvilclock.Second
 )
 
+// processStarted is when this process started, by the wall clock. It is only logged.
+var processStarted = time.Now()
+
 // view is what a voter knows about the voters of its group.
 type view struct {
 	vote     bool // whether this voter has one, by its own log
@@ -89,14 +95,18 @@
 // spare returns how many further losses of voters a group bears.
 func spare(voters, silent int) int { return (voters-1)/2 - silent }
 
+// interval returns the time after which the view is logged again although it is still the same.
+func (v view) interval() anvilclock.Millis {
+	if v.leader == "" || !v.vote {
+		return urgentViewInterval
+	}
+	return viewInterval
+}
+
 // LogView logs who this voter takes for the voters of the group, at the start, after changes and every
-// viewInterval, until ctx is done.
+// viewInterval or urgentViewInterval, until ctx is done.
 func (g *Group) LogView(ctx context.Context) error {
-	select {
-	case <-g.Voter.Ready():
-	case <-ctx.Done():
-		return nil
-	}
+	g.awaitReady(ctx, urgentViewInterval)
 	log := viewLog{group: g, leaderlessSince: -1}
 	for ctx.Err() == nil {
 		log.update(g.Voter.Status())
@@ -108,6 +118,20 @@
 	return nil
 }
 
+// awaitReady waits until the voter has opened its data directory or ctx is done, and logs every interval that it hasn't yet.
+func (g *Group) awaitReady(ctx context.Context, interval anvilclock.Millis) {
+	for {
+		select {
+		case <-g.Voter.Ready():
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(interval.Duration()):
+			g.log.Write(anvillogs.VotersKnown, zap.Bool("opened", false), zap.Time("started", processStarted))
+		}
+	}
+}
+
 // viewLog decides when a line is written.
 type viewLog struct {
 	group           *Group
@@ -127,9 +151,10 @@
 	}
 	v := l.group.view(status, l.leaderlessSince)
 	age := now - l.writtenAt
-	if l.written && age < viewInterval && (age < viewChangeInterval || v.equal(l.last)) {
+	if l.written && age < v.interval() && (age < viewChangeInterval || v.equal(l.last)) {
 		return
 	}
 	l.written, l.writtenAt, l.last = true, now, v
-	l.group.log.Write(anvillogs.VotersKnown, v.fields(now, l.leaderlessSince)...)
+	l.group.log.Write(anvillogs.VotersKnown, append(v.fields(now, l.leaderlessSince),
+		zap.Uint64("term", uint64(status.Term)), zap.Uint64("last", uint64(status.Last)), zap.Time("started", processStarted))...)
 }
--- a/io/anvilgroup/view_test.go
+++ b/io/anvilgroup/view_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -25,10 +28,13 @@
 	Leaderless int64
 	Silent     map[string]int64
 	Spare      *int
+	Term, Last uint64
+	Started    *time.Time
 }
 
 // TestLogView guards against a group without a leader of whose voters the log doesn't tell which ones count, which are
-// silent and since when, and against a line for each change of a leader that changes all the time.
+// silent and since when, against seconds without a leader or a vote in which the log doesn't tell whether the voter was
+// running or was started again, and against a line for each change of a leader that changes all the time.
 func TestLogView(t *testing.T) {
 	ids := make([]anvilraft.VoterID, 5)
 	for n := range ids {
@@ -65,12 +71,16 @@
 	follows := anvilvoter.Status{Leader: leader, Members: anvilraft.Members{Voters: ids}}
 	lines := after(59*anvilclock.Second, follows, 1)
 	assert.Equal(t, len(lines), 1, "one line at the start: %v", lines)
+	assert.Assert(t, lines[0].Started != nil && time.Since(*lines[0].Started) < time.Hour)
+	lines[0].Started = nil
 	assert.DeepEqual(t, lines[0], loggedView{Event: 218, Vote: true, Voters: []string{"v0", "v1", "v2", "v3", "v4"}, Learners: []string{}, Leader: "v1"})
 	assert.Equal(t, len(after(2*anvilclock.Second, follows, 1)), 1, "one line a minute")
 
-	lost := anvilvoter.Status{Leader: none, Members: anvilraft.Members{Voters: ids}}
+	lost := anvilvoter.Status{Leader: none, Term: 7, Last: 80, Members: anvilraft.Members{Voters: ids}}
 	lines = after(10*anvilclock.Second, lost, 2)
-	assert.Equal(t, len(lines), 2, "one that the leader is gone, one that three are silent: %v", lines)
+	assert.Equal(t, len(lines), 4, "one that the leader is gone, one that three are silent, and one every 3 s: %v", lines)
+	assert.Equal(t, lines[1].Term, uint64(7))
+	assert.Equal(t, lines[1].Last, uint64(80))
 	assert.Equal(t, *lines[0].Spare, 2)
 	assert.Equal(t, *lines[1].Spare, -1)
 	assert.DeepEqual(t, lines[1].Silent, map[string]int64{"v1": 3000, "v3": 3000, "v4": 3000})
@@ -87,9 +97,23 @@
 	removed := anvilvoter.Status{Leader: leader, Members: anvilraft.Members{Voters: slices.Clone(ids[1:])}}
 	lines = after(anvilclock.Second, removed, 1)
 	assert.Assert(t, !lines[0].Vote, "%v", lines)
+	assert.Equal(t, len(after(12*anvilclock.Second, removed, 1)), 4, "one every 3 s without a vote")
 	written := 0
 	for n := range 100 {
 		written += len(after(1, []anvilvoter.Status{lost, follows}[n%2], 1))
 	}
 	assert.Assert(t, written <= 30, "%d lines in 30 s", written)
 }
+
+// TestLogViewBeforeReady guards against a voter whose log doesn't tell that it has started and is still opening its data
+// directory.
+func TestLogViewBeforeReady(t *testing.T) {
+	var out bytes.Buffer
+	log, err := anvillogs.New(&out, "info")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	g := &Group{log: log, Voter: anvilvoter.New("v0")}
+	g.awaitReady(ctx, 20)
+	assert.Assert(t, strings.Contains(out.String(), `"event":218,"opened":false,"started":`), out.String())
+}
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -249,6 +249,7 @@
 	Leader  anvilraft.VoterID
 	Commit  anvilid.Index
 	Applied anvilid.Index
+	Last    anvilid.Index // of the log, whether synced or not
 	// HasQuorum means that this voter is the leader, and that no other voter can
 	// have been elected up to the time of the call of Status.
 	HasQuorum bool
@@ -277,7 +278,7 @@
 	}
 	node := v.node.Status()
 	status.ID, status.Role, status.Term, status.Leader = node.ID, node.Role, node.Term, node.Leader
-	status.Commit, status.Members = node.Commit, node.Members
+	status.Commit, status.Last, status.Members = node.Commit, node.Last, node.Members
 	status.Created, status.Truncated = v.created, v.truncated
 	select {
 	case <-v.stopped:
