--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -99,6 +99,8 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	watch := &pauseWatch{log: d.Log, read: readInstant()}
+	logWriter.OnTick(watch.tick)
 	return d, nil
 }
 
--- a/io/anvillogs/async.go
+++ b/io/anvillogs/async.go
@@ -31,6 +31,8 @@
 // of its own, writes them. Lines that don't fit in the buffer are dropped and counted.
 type AsyncWriter struct {
 	out io.Writer
+	// tick is called before the buffered lines are written, every flushInterval.
+	tick func()
 
 	mu       sync.Mutex
 	buffered []byte
@@ -40,7 +42,10 @@
 }
 
 // NewAsyncWriter returns a writer that writes to out while Run runs.
-func NewAsyncWriter(out io.Writer) *AsyncWriter { return &AsyncWriter{out: out} }
+func NewAsyncWriter(out io.Writer) *AsyncWriter { return &AsyncWriter{out: out, tick: func() {}} }
+
+// OnTick makes Run call a function every flushInterval, before it writes the buffered lines. It must be called before Run.
+func (w *AsyncWriter) OnTick(tick func()) { w.tick = tick }
 
 // Run writes the buffered lines every flushInterval until ctx is done, and then those that are
 // left.
@@ -53,6 +58,7 @@
 			w.Flush()
 			return nil
 		case <-ticker.C:
+			w.tick()
 			w.Flush()
 		}
 	}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -11,6 +11,7 @@
 	InstanceKilled         = define(105, zapcore.WarnLevel, "second stop signal: instance stops without waiting for its requests")
 	LogLinesDropped        = define(107, zapcore.WarnLevel, "log lines omitted: log buffer full or event repeated too often")
 	ConnectionLimitReached = define(108, zapcore.WarnLevel, "too many connections to this process; the one that was unused for longest is closed")
+	ProcessPaused          = define(109, zapcore.WarnLevel, "process did not run for longer than an election timeout")
 	BackgroundTaskFailed   = define(106, zapcore.ErrorLevel, "background task of the instance failed; the instance stops")
 )
 
--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -5,11 +5,15 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvildisk"
 	"anvilshunt/io/anvillogs"
 )
 
+// slowWriteInterval is the shortest time between two lines about slow writes.
+const slowWriteInterval = anvilclock.Second
+
 // maxSavesPerSync is the maximum number of anvilraft.Saves (changes of the persistent
 // state) that share one disk sync.
 const maxSavesPerSync = 256
@@ -17,6 +21,7 @@
 // diskLoop writes the queued anvilraft.Saves to the data directory and reports them
 // to the step loop as persisted. Up to maxSavesPerSync of them share one disk sync.
 func (v *Voter) diskLoop(ctx context.Context, storage *anvildisk.Storage) error {
+	slow := slowWrites{log: v.log, limit: v.slowWriteLimit}
 	batch := make([]anvilraft.Save, 0, maxSavesPerSync)
 	for {
 		select {
@@ -37,14 +42,36 @@
 		if err := storage.Save(batch...); err != nil {
 			return err
 		}
-		if took := v.clock.Now() - began; took > v.slowWriteLimit {
-			v.log.Write(anvillogs.DiskSlow, zap.Int64("took", int64(took)), zap.Int64("limit", int64(v.slowWriteLimit)))
-		}
+		slow.add(v.clock.Now(), began)
 		reportPersisted(v.persisted, batch[len(batch)-1].Sequence)
 		clear(batch) // releases the memory of the entries
 	}
 }
 
+// slowWrites logs writes that take longer than a limit.
+type slowWrites struct {
+	log   *anvillogs.Logger
+	limit anvilclock.Millis
+	// longest is the longest of the count slow writes since the latest line, which was written at writtenAt.
+	longest   anvilclock.Millis
+	count     int
+	written   bool
+	writtenAt anvilclock.Millis
+}
+
+// add records a write that is over, and writes a line if there were slow ones and a line is due.
+func (s *slowWrites) add(now, began anvilclock.Millis) {
+	if took := now - began; took > s.limit {
+		s.longest = max(s.longest, took)
+		s.count++
+	}
+	if s.count == 0 || s.written && now-s.writtenAt < slowWriteInterval {
+		return
+	}
+	s.log.Write(anvillogs.DiskSlow, zap.Int64("took", int64(s.longest)), zap.Int64("limit", int64(s.limit)), zap.Int("writes", s.count))
+	s.longest, s.count, s.written, s.writtenAt = 0, 0, true, now
+}
+
 // reportPersisted reports the latest persisted sequence number to the step loop.
 // It replaces a report that has not been read yet, because a sequence number
 // includes all earlier ones. So the disk loop never waits for the step loop.
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -1,7 +1,9 @@
 package anvilvoter
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -390,3 +392,30 @@
 	propose(t, members, "slow")
 	assert.Assert(t, strings.Contains(tail.String(), `"event":216`), tail.String())
 }
+
+// Guards against a line for each write of a disk that stays slow, and against slow writes that are counted nowhere.
+func TestSlowWritesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	log, err := anvillogs.New(&out, "info")
+	assert.NilError(t, err)
+	slow := slowWrites{log: log, limit: 50}
+	now, writes := anvilclock.Millis(0), 0
+	write := func(took anvilclock.Millis) {
+		now += took
+		slow.add(now, now-took)
+	}
+	for n := range anvilclock.Millis(50) {
+		write(60 + n)
+		write(10)
+	}
+	write(1000)
+	lines := 0
+	for decoder := json.NewDecoder(&out); decoder.More(); lines++ {
+		var line struct{ Took, Writes int }
+		assert.NilError(t, decoder.Decode(&line))
+		writes += line.Writes
+		assert.Assert(t, line.Took >= 60, "the longest one: %v", line)
+	}
+	assert.Equal(t, writes, 51)
+	assert.Assert(t, lines <= 7, "%d lines in 6 s", lines)
+}
