--- a/io/anvillogs/async.go
+++ b/io/anvillogs/async.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
@@ -18,6 +17,9 @@
 	// maxBelowWarnBytes is the part of the buffer that lines below the level "warn" may use, so
 	// that space is left for warnings and errors, for example about failed requests.
 	maxBelowWarnBytes = maxBufferedBytes / 2
+	// maxWarnBytes is the part that lines of the level "warn" and above may use. The rest is left for lines about
+	// changes of state: they are rare, and without them nobody can tell why requests failed.
+	maxWarnBytes = maxBufferedBytes - maxBufferedBytes/8
 	// flushInterval is the interval between two writes of the buffered lines. It limits the
 	// cost of writing, because each write needs a system call and wakes a goroutine.
 	flushInterval = 100 * time.Millisecond
@@ -82,32 +84,67 @@
 // TakeLost returns how many lines were lost, and resets the counts.
 func (w *AsyncWriter) TakeLost() Lost { return w.lost.take() }
 
-// addLine buffers one line, or returns errBufferFull if more than limit bytes would then be buffered.
-func (w *AsyncWriter) addLine(line []byte, limit int) error {
+// addLine buffers one line, unless more than limit bytes would then be buffered. It reports whether it did.
+func (w *AsyncWriter) addLine(line []byte, limit int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.buffered)+len(line) > limit {
-		return errBufferFull
+		return false
 	}
 	w.buffered = append(w.buffered, line...)
-	return nil
+	return true
+}
+
+// bufferCore encodes lines and adds them to the buffer of an AsyncWriter. It counts those that don't fit.
+type bufferCore struct {
+	zapcore.LevelEnabler
+	encoder zapcore.Encoder
+	writer  *AsyncWriter
 }
 
-// limitedWriter writes lines to an AsyncWriter, but drops a line if more than limit bytes would
-// then be buffered. Lines below the level "warn" have a lower limit than warnings and errors.
-type limitedWriter struct {
-	writer *AsyncWriter
-	limit  int
+// With implements zapcore.Core.
+func (c bufferCore) With(fields []zapcore.Field) zapcore.Core {
+	c.encoder = c.encoder.Clone()
+	for _, field := range fields {
+		field.AddTo(c.encoder)
+	}
+	return c
 }
 
-func (w limitedWriter) Write(line []byte) (int, error) {
-	if err := w.writer.addLine(line, w.limit); err != nil {
-		return 0, err
+// Check implements zapcore.Core.
+func (c bufferCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(entry.Level) {
+		return checked.AddCore(entry, c)
 	}
-	return len(line), nil
+	return checked
 }
 
-func (limitedWriter) Sync() error { return nil }
+// Write implements zapcore.Core.
+func (c bufferCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	line, err := c.encoder.EncodeEntry(entry, fields)
+	if err != nil {
+		return err
+	}
+	defer line.Free()
+	if !c.writer.addLine(line.Bytes(), bufferLimit(entry)) {
+		c.writer.lost.drop(entry)
+	}
+	return nil
+}
+
+// Sync implements zapcore.Core.
+func (bufferCore) Sync() error { return nil }
+
+// bufferLimit returns how many bytes may be buffered after the line of an entry.
+func bufferLimit(entry zapcore.Entry) int {
+	switch {
+	case stateChanges[entry.Message]:
+		return maxBufferedBytes
+	case entry.Level >= zapcore.WarnLevel:
+		return maxWarnBytes
+	}
+	return maxBelowWarnBytes
+}
 
 // NewAsync returns a logger that writes JSON lines of at least the given level to an
 // AsyncWriter.
@@ -116,11 +153,6 @@
 	if err != nil {
 		return nil, err
 	}
-	encoder := zapcore.NewJSONEncoder(encoding())
-	common := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= lowest && l < zapcore.WarnLevel })
-	severe := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= lowest && l >= zapcore.WarnLevel })
-	core := zapcore.NewTee(
-		droppingCore{zapcore.NewCore(encoder, limitedWriter{writer, maxBelowWarnBytes}, common), &writer.lost},
-		droppingCore{zapcore.NewCore(encoder, limitedWriter{writer, maxBufferedBytes}, severe), &writer.lost})
+	core := bufferCore{lowest, zapcore.NewJSONEncoder(encoding()), writer}
 	return newLogger(core, asyncSampleFirst, asyncSampleThereafter, &writer.lost), nil
 }
--- a/io/anvillogs/async_test.go
+++ b/io/anvillogs/async_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -49,6 +50,38 @@
 	assert.Equal(t, int64(written)+folded, int64(3*asyncSampleFirst))
 }
 
+// TestStateChangesAreKept guards against lines about requests and targets that displace those about changes of state, in
+// the buffer or in the sampler, which uses one counter for texts with the same hash.
+func TestStateChangesAreKept(t *testing.T) {
+	var out bytes.Buffer
+	writer := NewAsyncWriter(&out)
+	log, err := NewAsync(writer, "debug")
+	assert.NilError(t, err)
+	log = log.With(zap.String("instance", "i"))
+	for _, event := range Catalogue() {
+		for range 2 * asyncSampleFirst {
+			if !stateChanges[event.Text] {
+				log.Write(event, zap.String("path", strings.Repeat("x", 100)))
+			}
+		}
+	}
+	for _, event := range Catalogue() {
+		if stateChanges[event.Text] {
+			log.Write(event)
+		}
+	}
+	writer.Flush()
+	for _, number := range []int{203, 213, 215, 216, 217, 218, 601, 602} {
+		assert.Assert(t, stateChanges[Catalogue()[number].Text], "event %d", number)
+	}
+	for number, event := range Catalogue() {
+		if stateChanges[event.Text] {
+			assert.Equal(t, strings.Count(out.String(), fmt.Sprintf(`"instance":"i","event":%d}`, number)), 1, "event %d", number)
+		}
+	}
+	assert.Assert(t, writer.TakeLost().Dropped > 0)
+}
+
 // TestLostLinesByEvent guards against a line 107 from which it can't be told which decisions have no lines: the record of
 // an incident lacked the placements of runs, and nothing said so.
 func TestLostLinesByEvent(t *testing.T) {
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -116,3 +116,18 @@
 	RelayTried           = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
 	CallsAnswered        = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
 )
+
+// stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
+var stateChanges = textsOf(
+	InstanceStarted, InstanceDraining, InstanceStopped, BackgroundTaskFailed, LogLinesDropped, ProcessPaused,
+	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown,
+	LeadershipGained, LeadershipEnded,
+)
+
+func textsOf(events ...Event) map[string]bool {
+	texts := map[string]bool{}
+	for _, event := range events {
+		texts[event.Text] = true
+	}
+	return texts
+}
--- a/io/anvillogs/lost.go
+++ b/io/anvillogs/lost.go
@@ -1,7 +1,6 @@
 package anvillogs
 
 import (
-	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -78,35 +77,3 @@
 	}
 	return nil
 }
-
-// errBufferFull means that a line was dropped because the buffer is full.
-var errBufferFull = errors.New("the buffer for log lines is full")
-
-// droppingCore counts the lines that its core fails to write because the buffer is full.
-type droppingCore struct {
-	zapcore.Core
-	lost *lostLines
-}
-
-// With implements zapcore.Core.
-func (c droppingCore) With(fields []zapcore.Field) zapcore.Core {
-	return droppingCore{c.Core.With(fields), c.lost}
-}
-
-// Check implements zapcore.Core.
-func (c droppingCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if c.Enabled(entry.Level) {
-		return checked.AddCore(entry, c)
-	}
-	return checked
-}
-
-// Write implements zapcore.Core.
-func (c droppingCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
-	err := c.Core.Write(entry, fields)
-	if !errors.Is(err, errBufferFull) {
-		return err
-	}
-	c.lost.drop(entry)
-	return nil
-}
