--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -11,6 +11,7 @@
 	InstanceKilled         = define(105, zapcore.WarnLevel, "second stop signal: instance stops without waiting for its requests")
 	LogLinesDropped        = define(107, zapcore.WarnLevel, "log lines omitted: log buffer full or event repeated too often")
 	ConnectionLimitReached = define(108, zapcore.WarnLevel, "too many connections to this process; the one that was unused for longest is closed")
+	ProcessPaused          = define(109, zapcore.WarnLevel, "process did not run for longer than an election timeout")
 	BackgroundTaskFailed   = define(106, zapcore.ErrorLevel, "background task of the instance failed; the instance stops")
 )
 
@@ -113,4 +114,20 @@
 	VoterCallFailed      = define(702, zapcore.InfoLevel, "call to a voter failed; trying the next voter")
 	SettingsReloadFailed = define(703, zapcore.WarnLevel, "settings could not be reloaded; the previous ones stay in force")
 	RelayTried           = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
+	CallsAnswered        = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
 )
+
+// stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
+var stateChanges = textsOf(
+	InstanceStarted, InstanceDraining, InstanceStopped, BackgroundTaskFailed, LogLinesDropped, ProcessPaused,
+	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown,
+	LeadershipGained, LeadershipEnded,
+)
+
+func textsOf(events ...Event) map[string]bool {
+	texts := map[string]bool{}
+	for _, event := range events {
+		texts[event.Text] = true
+	}
+	return texts
+}
