--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// mayPrecedeSync reports whether m is sent before the hard state is synced. A vote request is, so
+// that the candidate and the voters sync at the same time. All earlier Saves must be synced: if a
+// crash could shorten the log, the candidate might campaign again in the same term, and a delayed
+// grant, made to the longer log, would count for one that lacks committed entries.
+func (n *Node) mayPrecedeSync(m Message) bool {
+	p := &n.persisted
+	return m.Type == MessageVote && p.synced == p.sequence && p.changedFrom == 0 && !p.snapshotChanged
+}
+
 // receiveVoteRequest answers MessagePreVote and MessageVote. It also answers nodes that are
 // not known as members, because this node may lack the entry that added them.
 func (n *Node) receiveVoteRequest(m Message) {
@@ -142,7 +151,8 @@
 }
 
 // countVotes starts the campaign or becomes leader once a quorum has granted the pre-vote
-// or vote.
+// or vote. A candidate leads only once its own term and vote are synced, because after a crash it
+// could vote for another candidate of that term.
 func (n *Node) countVotes() {
 	members := n.members.latest()
 	votes := 0
@@ -154,9 +164,10 @@
 	if votes < members.Quorum() {
 		return
 	}
-	if n.role == PreCandidate {
+	switch {
+	case n.role == PreCandidate:
 		n.campaign()
-	} else {
+	case !n.persisted.hardStateUnsynced():
 		n.becomeLeader()
 	}
 }
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -113,13 +113,13 @@
 
 // send lists a message in the effects, or withholds it until the current hard state is
 // synced. All messages depend on that state: a vote response on the vote, the others on the
-// term.
+// term. See mayPrecedeSync for the exception.
 func (n *Node) send(m Message) {
 	m.Group, m.From = n.hardState.Group, n.self
 	if m.Term == 0 {
 		m.Term = n.hardState.Term
 	}
-	if p := &n.persisted; p.hardStateUnsynced() {
+	if p := &n.persisted; p.hardStateUnsynced() && !n.mayPrecedeSync(m) {
 		p.withheld = append(p.withheld, withheldMessage{p.hardStateSequence, m})
 		return
 	}
--- a/core/anvilraft/timing_test.go
+++ b/core/anvilraft/timing_test.go
@@ -111,6 +111,45 @@
 	}
 }
 
+// TestAllRestartOnSlowDisks guards against a group that needs more than two syncs and 2 s for its
+// first commit after all voters were restarted at once on slow disks: a sync for the votes, one
+// for the first entry, and the failover goal of a group without slow disks.
+func TestAllRestartOnSlowDisks(t *testing.T) {
+	t.Parallel()
+	for _, span := range []anvilclock.Millis{5, 200, 500, 1000, 1700, 2000} {
+		for _, missing := range []int{0} {
+			var spans []anvilclock.Millis
+			for seed := range uint64(60) {
+				spans = append(spans, restartAll(t, seed, span, missing))
+			}
+			slices.Sort(spans)
+			t.Logf("syncs of %d ms, %d missing: median %d ms, p90 %d ms, longest %d ms",
+				span, missing, spans[len(spans)/2], spans[len(spans)*9/10], spans[len(spans)-1])
+			assert.Check(t, spans[len(spans)-1] < 2*span+2*anvilclock.Second, "syncs of %d ms, %d missing", span, missing)
+		}
+	}
+}
+
+// restartAll stops five voters, starts all but the missing ones at once on disks that sync in
+// span, and returns the time to the first commit, at most 60 s.
+func restartAll(t *testing.T, seed uint64, span anvilclock.Millis, missing int) anvilclock.Millis {
+	c := newCluster(t, seed, []string{"a", "b", "c", "d", "e"}, WithElectionTimeout(350, 700), WithHeartbeat(80))
+	c.latency = fixedLatency(8000)
+	c.run(2000)
+	for _, v := range c.voters {
+		c.crash(v, 0)
+	}
+	for _, v := range c.voters[missing:] {
+		c.start(v)
+	}
+	disks := newSlowDisks(c, span, c.voters[missing:]...)
+	start, before := c.now, len(c.committed)
+	for len(c.committed) == before && c.now-start < 60_000_000 {
+		disks.run()
+	}
+	return anvilclock.Millis((c.now - start) / 1000)
+}
+
 // slowDisks simulates disks on which each sync takes syncDuration. A sync covers all Saves
 // that were pending when it began.
 type slowDisks struct {
@@ -131,6 +170,11 @@
 // run advances the time by one millisecond.
 func (d *slowDisks) run() {
 	d.cluster.run(1)
+	d.syncDue()
+}
+
+// syncDue ends the syncs that are due, and starts others where Saves are pending.
+func (d *slowDisks) syncDue() {
 	for _, v := range d.voters {
 		if d.savesInSync[v] > 0 && d.cluster.now-d.syncStartedAt[v] >= int64(d.syncDuration)*1000 {
 			count := d.savesInSync[v]
@@ -159,3 +203,35 @@
 	assert.Equal(t, node.Step(2001, Persisted{old.Sequence}).Role, Candidate)
 	assert.Equal(t, node.Step(2002, Persisted{vote.Sequence}).Role, Leader)
 }
+
+// TestVoteRequestBeforeSync guards against a vote request that is sent while a crash could still
+// shorten the candidate's log, and against a candidate that leads before its own vote is synced.
+func TestVoteRequestBeforeSync(t *testing.T) {
+	t.Parallel()
+	a, b, c := VoterID{"a", "1"}, VoterID{"b", "1"}, VoterID{"c", "1"}
+	for _, logSynced := range []bool{false, true} {
+		restored := PersistentState{Storage: "1"}
+		restored.Apply(Bootstrap(7, a, b, c))
+		node := New("a", restored)
+		node.Step(0, Tick{})
+		last, term := restored.last()
+		entry := Entry{Index: last + 1, Term: term, Kind: KindCommand, Data: []byte{1}}
+		appended := node.Step(1, Receive{Message{
+			Type: MessageAppend, Group: 7, From: b, To: a, Term: term, Index: last, LogTerm: term, Entries: []Entry{entry},
+		}})
+		if logSynced {
+			node.Step(2, Persisted{appended.Save.Sequence})
+		}
+		node.Step(2000, Tick{})
+		campaign := node.Step(2001, Receive{Message{Type: MessagePreVoteResponse, Group: 7, From: c, To: a, Term: term + 1}})
+		assert.Equal(t, campaign.Role, Candidate)
+		asksForVote := func(m Message) bool { return m.Type == MessageVote }
+		assert.Equal(t, slices.ContainsFunc(campaign.Send, asksForVote), logSynced)
+		vote := Message{Type: MessageVoteResponse, Group: 7, From: c, To: a, Term: term + 1}
+		assert.Equal(t, node.Step(2002, Receive{vote}).Role, Candidate)
+		vote.From = b
+		assert.Equal(t, node.Step(2003, Receive{vote}).Role, Candidate)
+		synced := node.Step(2004, Persisted{campaign.Save.Sequence})
+		assert.Equal(t, synced.Role, Leader)
+	}
+}
