--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -112,6 +112,7 @@
 	response.Reject = !granted
 	if granted && m.Type == MessagePreVote {
 		response.Term = m.Term
+		n.deferElection(m)
 	}
 	if granted && m.Type == MessageVote {
 		n.resetElectionTimeout()
@@ -123,6 +124,21 @@
 	n.send(response)
 }
 
+// deferElection puts the election timeout off when this node has granted a pre-vote, so that the
+// voters don't campaign in parallel and split their votes. Of two nodes that ask for pre-votes at
+// the same time, the one with the lower id gives up its attempt. It does so once per term, because
+// a node that hears no answers would otherwise keep all others from campaigning.
+func (n *Node) deferElection(m Message) {
+	if n.deferredForTerm >= m.Term || n.role == PreCandidate && n.self.Compare(m.From) > 0 {
+		return
+	}
+	n.deferredForTerm = m.Term
+	if n.role == PreCandidate {
+		n.role, n.grantedVotes = Follower, nil
+	}
+	n.electionDeadline = max(n.electionDeadline, n.now) + n.options.minElectionTimeout
+}
+
 // receivePreVoteGrant counts a granted pre-vote for the term after the current one.
 func (n *Node) receivePreVoteGrant(m Message) {
 	if n.role == PreCandidate && m.Term == n.hardState.Term+1 {
--- a/core/anvilraft/follower.go
+++ b/core/anvilraft/follower.go
@@ -23,7 +23,7 @@
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.leaderContactAt, n.campaignsSinceLeader = n.now, 0
+	n.leaderContactAt, n.campaignsSinceLeader, n.deferredForTerm = n.now, 0, 0
 	n.resetElectionTimeout()
 	n.follower.leaderSentAt = max(n.follower.leaderSentAt, m.Sent)
 	n.follower.barrierRound = max(n.follower.barrierRound, m.Round)
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -32,6 +32,9 @@
 	grantedVotes     []votingMember
 	// campaignsSinceLeader counts the campaigns of this node since it last knew a leader.
 	campaignsSinceLeader int
+	// deferredForTerm is the highest term for whose candidate this node has put off its own
+	// campaign since it last heard from a leader.
+	deferredForTerm anvilid.Term
 
 	follower  followerState
 	incoming  *incomingTransfer
