Count the votes of a campaign while asking for pre-votes again

A candidate whose votes were delayed by slow disks asked for pre-votes again, and from then on dropped the votes that came in for its term. A voter that was syncing its vote also granted the next pre-vote with it, so that a voter on a fast disk campaigned again in the moment in which the first candidate won. The votes of the current term now count until the term or the leader changes, and a node that is syncing its term or vote answers no pre-vote.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -58,16 +58,16 @@
 // preCampaign asks the voters whether an election could succeed, without raising the term.
 func (n *Node) preCampaign() {
 	n.role, n.leader = PreCandidate, VoterID{}
-	n.grantedVotes = []votingMember{n.self}
+	n.grantedPreVotes = []votingMember{n.self}
 	n.scheduleElectionRetry()
 	n.requestVotes(MessagePreVote, n.hardState.Term+1)
-	n.countVotes()
+	n.countPreVotes()
 }
 
 // campaign enters a new term as a candidate.
 func (n *Node) campaign() {
 	n.becomeFollower(n.hardState.Term+1, VoterID{})
-	n.role = Candidate
+	n.role, n.campaignTerm = Candidate, n.hardState.Term
 	n.hardState.Vote = n.self
 	n.scheduleElectionRetry()
 	n.campaignsSinceLeader++
@@ -97,6 +97,11 @@
 	if n.hasRecentLeader() {
 		return
 	}
+	// A node that is still syncing its vote supports no other candidate: with that vote, the first
+	// one may become leader.
+	if m.Type == MessagePreVote && n.persisted.hardStateUnsynced() {
+		return
+	}
 	var canVote bool
 	response := Message{Type: MessagePreVoteResponse, To: m.From}
 	if m.Type == MessagePreVote {
@@ -134,20 +139,30 @@
 	}
 	n.deferredForTerm = m.Term
 	if n.role == PreCandidate {
-		n.role, n.grantedVotes = Follower, nil
+		n.role, n.grantedPreVotes = Follower, nil
 	}
 	n.electionDeadline = max(n.electionDeadline, n.now) + n.options.minElectionTimeout
 }
 
-// receivePreVoteGrant counts a granted pre-vote for the term after the current one.
+// receivePreVoteGrant counts a granted pre-vote for the term after the current one, and starts the
+// campaign once a quorum has granted it.
 func (n *Node) receivePreVoteGrant(m Message) {
 	if n.role == PreCandidate && m.Term == n.hardState.Term+1 {
-		n.addGrantedVote(m.From)
+		n.grantedPreVotes = withVote(n.grantedPreVotes, m.From)
+		n.countPreVotes()
 	}
 }
 
+func (n *Node) countPreVotes() {
+	if n.isQuorum(n.grantedPreVotes) {
+		n.campaign()
+	}
+}
+
+// receiveVoteResponse counts a vote of the current term. It counts as well while this node asks for
+// pre-votes again, because a slow disk may delay a vote for longer than that.
 func (n *Node) receiveVoteResponse(m Message) {
-	if n.role == Candidate && m.Type == MessageVoteResponse && !m.Reject {
+	if m.Type == MessageVoteResponse && !m.Reject {
 		n.addGrantedVote(m.From)
 	}
 }
@@ -159,31 +174,34 @@
 	}
 }
 
+// addGrantedVote counts a vote for the campaign of the current term, if this node has one, and
+// makes it the leader once a quorum has voted for it. It leads only once its own term and vote
+// are synced, because after a crash it could vote for another candidate of that term.
 func (n *Node) addGrantedVote(from VoterID) {
-	if !slices.Contains(n.grantedVotes, from) {
-		n.grantedVotes = append(n.grantedVotes, from)
+	if n.campaignTerm != n.hardState.Term {
+		return
+	}
+	n.grantedVotes = withVote(n.grantedVotes, from)
+	if n.isQuorum(n.grantedVotes) && !n.persisted.hardStateUnsynced() {
+		n.becomeLeader()
 	}
-	n.countVotes()
 }
 
-// countVotes starts the campaign or becomes leader once a quorum has granted the pre-vote
-// or vote. A candidate leads only once its own term and vote are synced, because after a crash it
-// could vote for another candidate of that term.
-func (n *Node) countVotes() {
+func withVote(votes []votingMember, from VoterID) []votingMember {
+	if slices.Contains(votes, from) {
+		return votes
+	}
+	return append(votes, from)
+}
+
+// isQuorum reports whether a quorum of the voters is among the members.
+func (n *Node) isQuorum(granted []votingMember) bool {
 	members := n.members.latest()
 	votes := 0
 	for _, voter := range members.Voters {
-		if slices.Contains(n.grantedVotes, voter) {
+		if slices.Contains(granted, voter) {
 			votes++
 		}
 	}
-	if votes < members.Quorum() {
-		return
-	}
-	switch {
-	case n.role == PreCandidate:
-		n.campaign()
-	case !n.persisted.hardStateUnsynced():
-		n.becomeLeader()
-	}
+	return votes >= members.Quorum()
 }
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -22,7 +22,8 @@
 // becomeLeader makes this node the leader and appends an empty entry, because entries of
 // earlier terms are committed only when a later entry of this term is committed.
 func (n *Node) becomeLeader() {
-	n.role, n.leader, n.grantedVotes, n.campaignsSinceLeader = Leader, n.self, nil, 0
+	n.role, n.leader, n.campaignsSinceLeader = Leader, n.self, 0
+	n.campaignTerm, n.grantedVotes, n.grantedPreVotes = 0, nil, nil
 	n.leading = leaderState{nextHeartbeatAt: n.now + n.options.heartbeatInterval}
 	for _, entry := range n.log.between(n.commit+1, n.log.last()) {
 		n.leading.uncommittedBytes += entry.size()
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -29,7 +29,11 @@
 	leaderContactAt anvilclock.Millis
 	// electionDeadline is when the election timeout expires.
 	electionDeadline anvilclock.Millis
-	grantedVotes     []votingMember
+	// campaignTerm is the term in which this node is or was a candidate, or 0 if it has known a
+	// leader or another term since. grantedVotes are the votes for that campaign.
+	campaignTerm    anvilid.Term
+	grantedVotes    []votingMember
+	grantedPreVotes []votingMember
 	// campaignsSinceLeader counts the campaigns of this node since it last knew a leader.
 	campaignsSinceLeader int
 	// deferredForTerm is the highest term for whose candidate this node has put off its own
@@ -204,7 +208,8 @@
 		n.stopLeading()
 		n.resetElectionTimeout()
 	}
-	n.role, n.leader, n.grantedVotes = Follower, leader, nil
+	n.role, n.leader = Follower, leader
+	n.campaignTerm, n.grantedVotes, n.grantedPreVotes = 0, nil, nil
 }
 
 // reject adds the Rejection of the event with this key to the effects.
--- a/core/anvilraft/timing_test.go
+++ b/core/anvilraft/timing_test.go
@@ -150,6 +150,58 @@
 	return anvilclock.Millis((c.now - start) / 1000)
 }
 
+// TestUnequalDisksElect guards against voters on faster disks that ask for votes again and again
+// before those on slower disks have answered, so that no vote ever counts: all five voters are
+// restarted within 500 ms, each with syncs between 0.2 and 2 s.
+func TestUnequalDisksElect(t *testing.T) {
+	t.Parallel()
+	for _, missing := range []int{0, 1, 2} {
+		var spans []anvilclock.Millis
+		for seed := range uint64(60) {
+			spans = append(spans, restartUnequal(t, seed, missing))
+		}
+		slices.Sort(spans)
+		t.Logf("%d missing: median %d ms, p90 %d ms, longest %d ms",
+			missing, spans[len(spans)/2], spans[len(spans)*9/10], spans[len(spans)-1])
+		// Two of the longest syncs and 2 s, after the latest start, and twice that for the few
+		// elections that fail once.
+		const bound = 500*anvilclock.Millisecond + 2*2000*anvilclock.Millisecond + 2*anvilclock.Second
+		assert.Check(t, spans[len(spans)*9/10] < bound, "%d missing", missing)
+		assert.Check(t, spans[len(spans)-1] < 2*bound, "%d missing", missing)
+	}
+}
+
+// restartUnequal stops five voters, restarts all but the missing ones, and returns the time to the
+// first commit, at most 60 s.
+func restartUnequal(t *testing.T, seed uint64, missing int) anvilclock.Millis {
+	c := newCluster(t, seed, []string{"a", "b", "c", "d", "e"}, WithElectionTimeout(350, 700), WithHeartbeat(80))
+	c.latency = fixedLatency(8000)
+	c.run(2000)
+	for _, v := range c.voters {
+		c.crash(v, 0)
+	}
+	c.latency = func(*voter, Message) int64 { return 1000 + c.random.Int64N(16_000) }
+	var disks []*slowDisks
+	startAt := map[*voter]int64{}
+	for _, v := range c.voters[missing:] {
+		disks = append(disks, newSlowDisks(c, 200+anvilclock.Millis(c.random.IntN(1800)), v))
+		startAt[v] = c.now + c.random.Int64N(500_000)
+	}
+	start, before := c.now, len(c.committed)
+	for len(c.committed) == before && c.now-start < 60_000_000 {
+		for _, v := range c.voters[missing:] {
+			if v.node == nil && c.now >= startAt[v] {
+				c.start(v)
+			}
+		}
+		c.run(1)
+		for _, d := range disks {
+			d.syncDue()
+		}
+	}
+	return anvilclock.Millis((c.now - start) / 1000)
+}
+
 // TestUnhearingCandidate guards against a voter that receives nothing and therefore asks for
 // pre-votes again and again: it must not keep the others from electing a leader.
 func TestUnhearingCandidate(t *testing.T) {
