Don't count the time in which a voter did not run as silence

A voter that is starved or frozen took messages that waited for it for silence: followers campaigned and leaders gave up their role, although all were there. The driver now reports how late a tick is, and the time is added to the election timeout and to the quorum check, up to six minimum election timeouts. HasQuorum and the stickiness of votes count it as before.

--- a/core/anvilraft/cluster_test.go
+++ b/core/anvilraft/cluster_test.go
@@ -22,6 +22,7 @@
 	diskStalled    bool // the disk does not sync
 	electionForced bool // the election timeout expires at every tick
 	frozen         bool
+	lastTickAt     int64
 	sendDelay      int64   // in microseconds, for all messages that this instance sends
 	clockRate      float64 // rate of the clock relative to the cluster's time
 	clockOffset    int64
@@ -102,6 +103,7 @@
 	v.state, v.applied, v.undelivered, v.role, v.frozen = [registers]byte{}, v.disk.Snapshot.Index, nil, Follower, false
 	copy(v.state[:], v.disk.Snapshot.Data)
 	v.node = New(v.id.Instance, v.disk, c.options...)
+	v.lastTickAt = c.now
 	c.step(v, Tick{})
 }
 
@@ -248,12 +250,22 @@
 				v.clockOffset += 700_000
 			}
 			if v.node != nil && !v.frozen {
-				c.step(v, Tick{})
+				c.tick(v)
 			}
 		}
 	}
 }
 
+// tick passes a Tick, which is late if the process was frozen.
+func (c *cluster) tick(v *voter) {
+	late := anvilclock.Millis((c.now-v.lastTickAt)/1000) - 1
+	if late < 50 {
+		late = 0
+	}
+	v.lastTickAt = c.now
+	c.step(v, Tick{Late: late})
+}
+
 // cutLink drops everything that one instance sends to another.
 func (c *cluster) cutLink(from, to *voter) {
 	c.cut[[2]anvilid.InstanceID{from.id.Instance, to.id.Instance}] = true
--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -11,12 +11,31 @@
 // timeouts. It is as high as 16 because a sync to disk may take several election timeouts.
 const maxBackoffDoublings = 4
 
+// maxLateExtension limits the time by which late ticks extend an election timeout or the quorum
+// check of a leader: a starved leader and a starved follower may each miss 1 s in a row at a minimum
+// election timeout of 350 ms.
+func (o options) maxLateExtension() anvilclock.Millis { return 6 * o.minElectionTimeout }
+
 // votingMember is the id of a voter that has granted its vote or pre-vote to this node.
 type votingMember = VoterID
 
 // resetElectionTimeout starts a new random election timeout.
 func (n *Node) resetElectionTimeout() {
-	n.electionDeadline = n.now + n.randomBetween(n.options.minElectionTimeout, n.options.maxElectionTimeout)
+	n.setElectionTimer(n.randomBetween(n.options.minElectionTimeout, n.options.maxElectionTimeout))
+}
+
+func (n *Node) setElectionTimer(span anvilclock.Millis) {
+	n.electionDeadline = n.now + span
+	n.electionTimerSetAt, n.electionExtension = n.now, 0
+}
+
+// extendElectionTimeout adds the time in which this process did not run to the election timeout,
+// because it can't judge the silence of the leader by it. Only the decision to campaign depends on
+// this: hasRecentLeader and HasQuorum count that time.
+func (n *Node) extendElectionTimeout(late anvilclock.Millis) {
+	missed := min(late, n.now-n.electionTimerSetAt, n.options.maxLateExtension()-n.electionExtension)
+	n.electionExtension += missed
+	n.electionDeadline += missed
 }
 
 // scheduleElectionRetry sets when this node asks for votes again if the current attempt
@@ -27,7 +46,7 @@
 // random part doubles with each failed campaign.
 func (n *Node) scheduleElectionRetry() {
 	span := n.randomBetween(n.options.minElectionTimeout/2, n.options.minElectionTimeout)
-	n.electionDeadline = n.now + span<<min(n.campaignsSinceLeader, maxBackoffDoublings) + 2*n.persisted.hardStateSyncDuration
+	n.setElectionTimer(span<<min(n.campaignsSinceLeader, maxBackoffDoublings) + 2*n.persisted.hardStateSyncDuration)
 }
 
 // rescheduleElectionAfterSync restarts the election timer when the term or the vote of this
--- a/core/anvilraft/event.go
+++ b/core/anvilraft/event.go
@@ -11,7 +11,11 @@
 
 // Tick tells the node the current time, so that timeouts can expire. The driver passes one
 // every few milliseconds.
-type Tick struct{}
+type Tick struct {
+	// Late is how much later than due this tick comes, because the process was starved or
+	// frozen. Messages that arrived in that time may still wait to be passed to the node.
+	Late anvilclock.Millis
+}
 
 // Receive delivers a message from another member.
 type Receive struct{ Message Message }
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -29,6 +29,9 @@
 	leaderContactAt anvilclock.Millis
 	// electionDeadline is when the election timeout expires.
 	electionDeadline anvilclock.Millis
+	// electionTimerSetAt is when electionDeadline was set, and electionExtension how far late
+	// ticks have moved it since.
+	electionTimerSetAt, electionExtension anvilclock.Millis
 	// campaignTerm is the term in which this node is or was a candidate, or 0 if it has known a
 	// leader or another term since. grantedVotes are the votes for that campaign.
 	campaignTerm    anvilid.Term
@@ -80,7 +83,7 @@
 	n.setTime(now)
 	switch event := event.(type) {
 	case Tick:
-		n.tick()
+		n.tick(event.Late)
 	case Receive:
 		n.receive(event.Message)
 	case Propose:
@@ -110,14 +113,15 @@
 	n.resetElectionTimeout()
 }
 
-func (n *Node) tick() {
+func (n *Node) tick(late anvilclock.Millis) {
 	if n.role == Leader {
-		n.checkQuorum()
+		n.checkQuorum(late)
 		if n.role == Leader {
 			n.sendDueHeartbeats()
 		}
 		return
 	}
+	n.extendElectionTimeout(late)
 	// A node whose disk has not yet synced the latest hard state does not campaign: another
 	// election would only add writes for the slow disk.
 	if n.now >= n.electionDeadline && !n.persisted.hardStateUnsynced() && n.members.latest().IsVoter(n.self) {
--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -144,7 +144,7 @@
 		for _, v := range s.c.voters {
 			s.injectFault(v)
 			if v.node != nil && !v.frozen && s.chance(200) {
-				s.c.step(v, Tick{})
+				s.c.tick(v)
 			}
 			if n := len(v.unsynced); n > 0 && s.chance(150) && !v.diskStalled {
 				s.c.sync(v, 1+s.c.random.IntN(n))
--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -22,6 +22,7 @@
 	transfer *transfer
 
 	lastResponseAt anvilclock.Millis // when the latest response arrived
+	missed         anvilclock.Millis // time since then in which this process did not run
 	answeredSentAt anvilclock.Millis // highest Sent among the answered messages
 	answeredRound  uint64            // highest barrier round among the answered messages
 }
@@ -128,7 +129,7 @@
 // recordResponse records the arrival of a response, for the quorum check and for read
 // barriers.
 func (n *Node) recordResponse(p *peer, m Message) {
-	p.lastResponseAt = n.now
+	p.lastResponseAt, p.missed = n.now, 0
 	p.answeredSentAt = max(p.answeredSentAt, m.Sent)
 	p.answeredRound = max(p.answeredRound, m.Round)
 }
--- a/core/anvilraft/timing_test.go
+++ b/core/anvilraft/timing_test.go
@@ -254,6 +254,9 @@
 // syncDue ends the syncs that are due, and starts others where Saves are pending.
 func (d *slowDisks) syncDue() {
 	for _, v := range d.voters {
+		if v.frozen {
+			continue // the process neither starts a sync nor learns that one has ended
+		}
 		if d.savesInSync[v] > 0 && d.cluster.now-d.syncStartedAt[v] >= int64(d.syncDuration)*1000 {
 			count := d.savesInSync[v]
 			d.savesInSync[v] = 0
--- a/io/anvilvoter/step.go
+++ b/io/anvilvoter/step.go
@@ -16,6 +16,10 @@
 	// of stepRequests handles, and the total size of their commands in bytes.
 	maxStepRequests = 256
 	maxStepBytes    = 1 << 20
+	// lateTickFactor is the number of tick intervals from which on the gap between two ticks
+	// means that this process was starved or frozen. Smaller gaps are short compared to an
+	// election timeout.
+	lateTickFactor = 5
 	// firstRequestKey is the first key of an event that carries requests to the
 	// anvilraft.Node. Compact events use log indexes as keys. All log indexes are
 	// below firstRequestKey, so the two kinds of keys never collide.
@@ -57,6 +61,7 @@
 	defer s.senders.loops.Wait()
 	ticker := time.NewTicker(s.tick.Duration())
 	defer ticker.Stop()
+	lastTickAt := s.clock.Now()
 	for {
 		requests := s.requests
 		if len(s.saves) > lagLimit || len(s.applyItems) > lagLimit {
@@ -66,7 +71,9 @@
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
-			s.step(anvilraft.Tick{})
+			now := s.clock.Now()
+			s.step(anvilraft.Tick{Late: s.lateness(now - lastTickAt)})
+			lastTickAt = now
 			s.senders.prune(s.clock.Now())
 		case message := <-s.inbox:
 			s.step(anvilraft.Receive{Message: message})
@@ -80,6 +87,15 @@
 	}
 }
 
+// lateness returns how much later than due a tick comes that follows the one before by gap, or 0 if
+// that is within the usual delays.
+func (s *stepper) lateness(gap anvilclock.Millis) anvilclock.Millis {
+	if gap < lateTickFactor*s.tick {
+		return 0
+	}
+	return gap - s.tick
+}
+
 // stepRequests passes the queued requests to the node together: all proposals share
 // one event, and all barriers share one round of messages.
 func (s *stepper) stepRequests(first *request) {
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -390,3 +390,13 @@
 	propose(t, members, "slow")
 	assert.Assert(t, strings.Contains(tail.String(), `"event":216`), tail.String())
 }
+
+// TestLateness guards against a voter that takes the time in which it was starved or frozen for
+// silence of the others: a late tick must say so, and the usual delays must not count.
+func TestLateness(t *testing.T) {
+	t.Parallel()
+	s := newStepper(t.Context(), New("a", WithTick(10)))
+	for gap, want := range map[anvilclock.Millis]anvilclock.Millis{0: 0, 10: 0, 49: 0, 50: 40, 1000: 990} {
+		assert.Equal(t, s.lateness(gap), want, "gap of %d ms", gap)
+	}
+}
