--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -11,12 +11,31 @@
 // timeouts. It is as high as 16 because a sync to disk may take several election timeouts.
 const maxBackoffDoublings = 4
 
+// maxLateExtension limits the time by which late ticks extend an election timeout or the quorum
+// check of a leader: a starved leader and a starved follower may each miss 1 s in a row at a minimum
+// election timeout of 350 ms.
+func (o options) maxLateExtension() anvilclock.Millis { return 6 * o.minElectionTimeout }
+
 // votingMember is the id of a voter that has granted its vote or pre-vote to this node.
 type votingMember = VoterID
 
 // resetElectionTimeout starts a new random election timeout.
 func (n *Node) resetElectionTimeout() {
-	n.electionDeadline = n.now + n.randomBetween(n.options.minElectionTimeout, n.options.maxElectionTimeout)
+	n.setElectionTimer(n.randomBetween(n.options.minElectionTimeout, n.options.maxElectionTimeout))
+}
+
+func (n *Node) setElectionTimer(span anvilclock.Millis) {
+	n.electionDeadline = n.now + span
+	n.electionTimerSetAt, n.electionExtension = n.now, 0
+}
+
+// extendElectionTimeout adds the time in which this process did not run to the election timeout,
+// because it can't judge the silence of the leader by it. Only the decision to campaign depends on
+// this: hasRecentLeader and HasQuorum count that time.
+func (n *Node) extendElectionTimeout(late anvilclock.Millis) {
+	missed := min(late, n.now-n.electionTimerSetAt, n.options.maxLateExtension()-n.electionExtension)
+	n.electionExtension += missed
+	n.electionDeadline += missed
 }
 
 // scheduleElectionRetry sets when this node asks for votes again if the current attempt
@@ -27,7 +46,7 @@
 // random part doubles with each failed campaign.
 func (n *Node) scheduleElectionRetry() {
 	span := n.randomBetween(n.options.minElectionTimeout/2, n.options.minElectionTimeout)
-	n.electionDeadline = n.now + span<<min(n.campaignsSinceLeader, maxBackoffDoublings) + 2*n.persisted.hardStateSyncDuration
+	n.setElectionTimer(span<<min(n.campaignsSinceLeader, maxBackoffDoublings) + 2*n.persisted.hardStateSyncDuration)
 }
 
 // rescheduleElectionAfterSync restarts the election timer when the term or the vote of this
@@ -58,16 +77,16 @@
 // preCampaign asks the voters whether an election could succeed, without raising the term.
 func (n *Node) preCampaign() {
 	n.role, n.leader = PreCandidate, VoterID{}
-	n.grantedVotes = []votingMember{n.self}
+	n.grantedPreVotes = []votingMember{n.self}
 	n.scheduleElectionRetry()
 	n.requestVotes(MessagePreVote, n.hardState.Term+1)
-	n.countVotes()
+	n.countPreVotes()
 }
 
 // campaign enters a new term as a candidate.
 func (n *Node) campaign() {
 	n.becomeFollower(n.hardState.Term+1, VoterID{})
-	n.role = Candidate
+	n.role, n.campaignTerm = Candidate, n.hardState.Term
 	n.hardState.Vote = n.self
 	n.scheduleElectionRetry()
 	n.campaignsSinceLeader++
@@ -82,12 +101,26 @@
 	}
 }
 
+// mayPrecedeSync reports whether m is sent before the hard state is synced. A vote request is, so
+// that the candidate and the voters sync at the same time. All earlier Saves must be synced: if a
+// crash could shorten the log, the candidate might campaign again in the same term, and a delayed
+// grant, made to the longer log, would count for one that lacks committed entries.
+func (n *Node) mayPrecedeSync(m Message) bool {
+	p := &n.persisted
+	return m.Type == MessageVote && p.synced == p.sequence && p.changedFrom == 0 && !p.snapshotChanged
+}
+
 // receiveVoteRequest answers MessagePreVote and MessageVote. It also answers nodes that are
 // not known as members, because this node may lack the entry that added them.
 func (n *Node) receiveVoteRequest(m Message) {
 	if n.hasRecentLeader() {
 		return
 	}
+	// A node that is still syncing its vote supports no other candidate: with that vote, the first
+	// one may become leader.
+	if m.Type == MessagePreVote && n.persisted.hardStateUnsynced() {
+		return
+	}
 	var canVote bool
 	response := Message{Type: MessagePreVoteResponse, To: m.From}
 	if m.Type == MessagePreVote {
@@ -103,6 +136,7 @@
 	response.Reject = !granted
 	if granted && m.Type == MessagePreVote {
 		response.Term = m.Term
+		n.deferElection(m)
 	}
 	if granted && m.Type == MessageVote {
 		n.resetElectionTimeout()
@@ -114,15 +148,40 @@
 	n.send(response)
 }
 
-// receivePreVoteGrant counts a granted pre-vote for the term after the current one.
+// deferElection puts the election timeout off when this node has granted a pre-vote, so that the
+// voters don't campaign in parallel and split their votes. Of two nodes that ask for pre-votes at
+// the same time, the one with the lower id gives up its attempt. It does so once per term, because
+// a node that hears no answers would otherwise keep all others from campaigning.
+func (n *Node) deferElection(m Message) {
+	if n.deferredForTerm >= m.Term || n.role == PreCandidate && n.self.Compare(m.From) > 0 {
+		return
+	}
+	n.deferredForTerm = m.Term
+	if n.role == PreCandidate {
+		n.role, n.grantedPreVotes = Follower, nil
+	}
+	n.electionDeadline = max(n.electionDeadline, n.now) + n.options.minElectionTimeout
+}
+
+// receivePreVoteGrant counts a granted pre-vote for the term after the current one, and starts the
+// campaign once a quorum has granted it.
 func (n *Node) receivePreVoteGrant(m Message) {
 	if n.role == PreCandidate && m.Term == n.hardState.Term+1 {
-		n.addGrantedVote(m.From)
+		n.grantedPreVotes = withVote(n.grantedPreVotes, m.From)
+		n.countPreVotes()
 	}
 }
 
+func (n *Node) countPreVotes() {
+	if n.isQuorum(n.grantedPreVotes) {
+		n.campaign()
+	}
+}
+
+// receiveVoteResponse counts a vote of the current term. It counts as well while this node asks for
+// pre-votes again, because a slow disk may delay a vote for longer than that.
 func (n *Node) receiveVoteResponse(m Message) {
-	if n.role == Candidate && m.Type == MessageVoteResponse && !m.Reject {
+	if m.Type == MessageVoteResponse && !m.Reject {
 		n.addGrantedVote(m.From)
 	}
 }
@@ -134,29 +193,34 @@
 	}
 }
 
+// addGrantedVote counts a vote for the campaign of the current term, if this node has one, and
+// makes it the leader once a quorum has voted for it. It leads only once its own term and vote
+// are synced, because after a crash it could vote for another candidate of that term.
 func (n *Node) addGrantedVote(from VoterID) {
-	if !slices.Contains(n.grantedVotes, from) {
-		n.grantedVotes = append(n.grantedVotes, from)
+	if n.campaignTerm != n.hardState.Term {
+		return
+	}
+	n.grantedVotes = withVote(n.grantedVotes, from)
+	if n.isQuorum(n.grantedVotes) && !n.persisted.hardStateUnsynced() {
+		n.becomeLeader()
+	}
+}
+
+func withVote(votes []votingMember, from VoterID) []votingMember {
+	if slices.Contains(votes, from) {
+		return votes
 	}
-	n.countVotes()
+	return append(votes, from)
 }
 
-// countVotes starts the campaign or becomes leader once a quorum has granted the pre-vote
-// or vote.
-func (n *Node) countVotes() {
+// isQuorum reports whether a quorum of the voters is among the members.
+func (n *Node) isQuorum(granted []votingMember) bool {
 	members := n.members.latest()
 	votes := 0
 	for _, voter := range members.Voters {
-		if slices.Contains(n.grantedVotes, voter) {
+		if slices.Contains(granted, voter) {
 			votes++
 		}
 	}
-	if votes < members.Quorum() {
-		return
-	}
-	if n.role == PreCandidate {
-		n.campaign()
-	} else {
-		n.becomeLeader()
-	}
+	return votes >= members.Quorum()
 }
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -29,9 +29,19 @@
 	leaderContactAt anvilclock.Millis
 	// electionDeadline is when the election timeout expires.
 	electionDeadline anvilclock.Millis
-	grantedVotes     []votingMember
+	// electionTimerSetAt is when electionDeadline was set, and electionExtension how far late
+	// ticks have moved it since.
+	electionTimerSetAt, electionExtension anvilclock.Millis
+	// campaignTerm is the term in which this node is or was a candidate, or 0 if it has known a
+	// leader or another term since. grantedVotes are the votes for that campaign.
+	campaignTerm    anvilid.Term
+	grantedVotes    []votingMember
+	grantedPreVotes []votingMember
 	// campaignsSinceLeader counts the campaigns of this node since it last knew a leader.
 	campaignsSinceLeader int
+	// deferredForTerm is the highest term for whose candidate this node has put off its own
+	// campaign since it last heard from a leader.
+	deferredForTerm anvilid.Term
 
 	follower  followerState
 	incoming  *incomingTransfer
@@ -73,7 +83,7 @@
 	n.setTime(now)
 	switch event := event.(type) {
 	case Tick:
-		n.tick()
+		n.tick(event.Late)
 	case Receive:
 		n.receive(event.Message)
 	case Propose:
@@ -103,14 +113,15 @@
 	n.resetElectionTimeout()
 }
 
-func (n *Node) tick() {
+func (n *Node) tick(late anvilclock.Millis) {
 	if n.role == Leader {
-		n.checkQuorum()
+		n.checkQuorum(late)
 		if n.role == Leader {
 			n.sendDueHeartbeats()
 		}
 		return
 	}
+	n.extendElectionTimeout(late)
 	// A node whose disk has not yet synced the latest hard state does not campaign: another
 	// election would only add writes for the slow disk.
 	if n.now >= n.electionDeadline && !n.persisted.hardStateUnsynced() && n.members.latest().IsVoter(n.self) {
@@ -201,7 +212,8 @@
 		n.stopLeading()
 		n.resetElectionTimeout()
 	}
-	n.role, n.leader, n.grantedVotes = Follower, leader, nil
+	n.role, n.leader = Follower, leader
+	n.campaignTerm, n.grantedVotes, n.grantedPreVotes = 0, nil, nil
 }
 
 // reject adds the Rejection of the event with this key to the effects.
