Locate the leader at all known instances at once when a voter joins

A voter without a vote, or without a leader, asked the seeds, the members and the senders for membership one after the other. An instance that accepts connections and doesn't answer (frozen, or without power behind a kept connection) held each round up for joinTimeout, 2 s; two of them cost the 4 s in which a successor has to be a voter. An address that drops the opening packets costs 250 ms, the limit of a dial, as it did before.

The instances are now asked at the same time who leads, for 500 ms at most and up to 32, and only the leader is asked for membership. The number of calls and connections is that of before, as each instance was asked anyway.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -57,6 +57,11 @@
 	// joinTimeout bounds one request to join the group, and one attempt to remove
 	// a voter.
 	joinTimeout = 2 * time.Second
+	// locateTimeout bounds one question who leads. An instance that takes longer isn't a leader that could enroll a
+	// voter in time.
+	locateTimeout = 500 * time.Millisecond
+	// maxLocated bounds the instances that are asked at the same time who leads.
+	maxLocated = 32
 )
 
 // Settings are the settings of one voter.
@@ -267,35 +272,19 @@
 	return nil
 }
 
-// requestMembership sends a join request to the known voters and seeds, to the instances
-// that have sent this one messages, and to the voters that their replies name, until the
-// leader grants it. A voter with a new disk knows no voters, and its seeds may be gone. The
-// others still send it messages for the vote of its former disk.
+// requestMembership finds the leader and asks it for membership.
 func (g *Group) requestMembership(ctx context.Context) {
-	asked := map[anvilid.InstanceID]bool{g.settings.Instance: true}
-	next := slices.Concat(g.settings.Seeds(), g.Members(), g.senders())
-	for len(next) > 0 && ctx.Err() == nil {
-		instance := next[0]
-		next = next[1:]
-		if asked[instance] {
-			continue
-		}
-		asked[instance] = true
-		reply, err := g.requestMembershipFrom(ctx, instance)
-		switch {
-		case err != nil:
-			g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Error(err))
-		case reply.Done:
-			return
-		case reply.Redirection != nil:
-			for _, voter := range reply.Redirection.Voters {
-				next = append(next, anvilid.InstanceID(voter))
-			}
-			if leader := reply.Redirection.Leader; leader != "" {
-				next = append([]anvilid.InstanceID{anvilid.InstanceID(leader)}, next...)
-			}
-		}
+	leader := g.locateLeader(ctx)
+	if leader == "" {
+		return
 	}
+	if _, err := g.requestMembershipFrom(ctx, leader); err != nil {
+		g.logUnanswered(leader, err)
+	}
+}
+
+func (g *Group) logUnanswered(instance anvilid.InstanceID, err error) {
+	g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(instance)), zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Error(err))
 }
 
 // senders returns the instances that have sent this one messages.
