Let the leader complete the enrollment of a voter by itself

A voter that joins got its changes only while one of its calls was running. Learner, removal of the former voter and vote need a commit each; where a sync takes 0.5 s or more they don't fit into one call, and the enrollment stood still between calls, and for good after a change of leader until the voter had found the new one.

A call lasts 1 s in place of 2 s, as the leader doesn't need it any more.

Two faults that were found by reading: a leader that lost its term and won another one while a change was pending counted silence from its first term on, in which it heard nothing as a follower; and a silent voter was removed in favour of a learner that had sent nothing, and so may be gone as well.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -54,9 +54,9 @@
 	// joinInterval is the delay between attempts to join the group, and between
 	// checks for surplus voters.
 	joinInterval = 300 * time.Millisecond
-	// joinTimeout bounds one request to join the group, and one attempt to remove
-	// a voter.
-	joinTimeout = 2 * time.Second
+	// joinTimeout bounds one request to join the group. The leader goes on when it ends, and a later request finds
+	// out whether there is another leader.
+	joinTimeout = time.Second
 	// locateTimeout bounds one question who leads. An instance that takes longer isn't a leader that could enroll a
 	// voter in time.
 	locateTimeout = 500 * time.Millisecond
@@ -96,11 +96,17 @@
 
 	mu        sync.Mutex
 	lastHeard map[anvilid.InstanceID]anvilclock.Millis
+	// term is the term in which this voter was last seen.
+	term anvilid.Term
 	// leadingSince is when this voter was first seen as the leader of its term, or -1.
 	leadingSince anvilclock.Millis
 	// joiningSince is when this leader was first asked to add each voter that isn't one yet.
 	joiningSince map[anvilraft.VoterID]anvilclock.Millis
-	peers        map[anvilid.InstanceID]anvilrpc.Raft
+	// joinErrors is why the last change for each of them was not made.
+	joinErrors map[anvilraft.VoterID]error
+	// joined has a value when ManageMembers has a voter to add.
+	joined chan struct{}
+	peers  map[anvilid.InstanceID]anvilrpc.Raft
 }
 
 // Address returns the network address of a port of an instance. The id of an
@@ -115,7 +121,8 @@
 func Open(settings Settings, clock, wall anvilclock.Clock, links *anvillink.Links, log *anvillogs.Logger, machine anvilvoter.StateMachine) (*Group, error) {
 	g := &Group{
 		settings: settings, clock: clock, links: links, log: log,
-		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{}, peers: map[anvilid.InstanceID]anvilrpc.Raft{},
+		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
+		joinErrors: map[anvilraft.VoterID]error{}, joined: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
 	}
 	id, empty, err := anvilvoter.Inspect(settings.Instance, settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
@@ -300,144 +307,3 @@
 	fleet := g.links.FleetAt(Address(instance, g.settings.Port))
 	return fleet.Join(ctx, &anvilrpc.JoinCall{Instance: string(g.id.Instance), Storage: string(g.id.Storage)})
 }
-
-// Enroll makes the voter with the given id a voting member of the group. It
-// succeeds only on the leader.
-func (g *Group) Enroll(ctx context.Context, id anvilraft.VoterID) error {
-	err := g.Voter.EnrollInPlace(ctx, id, g.replacedBy(id), func(change anvilraft.ChangeVoters) {
-		g.log.Write(anvillogs.MembersChanged, zap.String("learn", change.AddLearner.String()),
-			zap.String("add", change.AddVoter.String()), zap.String("remove", change.Remove.String()))
-	})
-	return err
-}
-
-// RemoveSilentVoters removes surplus voters while this voter is the leader, until
-// ctx is done. A group with an even number of voters, n, tolerates no more failures
-// than one with n-1 voters, so it has one surplus voter. A group with more voters than
-// it is meant to have may have several: if two voters are replaced at the same time, both
-// of their successors have joined before either of them is removed, and the number is odd
-// again. If a voter of such a group has sent nothing for silentTimeout, replacedTimeout or
-// incompleteTimeout, it is removed: either its machine was replaced, or it joins again when
-// it returns.
-func (g *Group) RemoveSilentVoters(ctx context.Context) error {
-	silentBefore := 0
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(joinInterval):
-		}
-		status := g.Voter.Status()
-		if !g.noteLeading(status.Role == anvilraft.Leader && status.HasQuorum) {
-			continue
-		}
-		if silent := g.countSilent(status.Members); silent != silentBefore {
-			silentBefore = silent
-			voters := len(status.Members.Voters)
-			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
-		}
-		if silent, ok := g.surplusVoter(status.Members); ok {
-			g.remove(ctx, silent)
-		}
-	}
-	return nil
-}
-
-// surplusVoter returns the voter to remove, if there is one: the number of voters
-// must be even and at least four, or above the one that the group is meant to have, and
-// the voter must have sent nothing for at least silentTimeout, replacedTimeout or
-// incompleteTimeout and for longer than the others.
-func (g *Group) surplusVoter(members anvilraft.Members) (anvilraft.VoterID, bool) {
-	count := len(members.Voters)
-	large := g.settings.Voters > 0 && count > g.settings.Voters && count >= minLargeGroup
-	if !large && (count < 4 || count%2 == 1) {
-		return anvilraft.VoterID{}, false
-	}
-	switch {
-	case large:
-		return g.mostSilent(members, replacedTimeout)
-	case count < g.settings.Voters:
-		return g.mostSilent(members, incompleteTimeout)
-	}
-	return g.mostSilent(members, silentTimeout)
-}
-
-// mostSilent returns the voter that has sent nothing for the longest time, if that is at least the given one.
-func (g *Group) mostSilent(members anvilraft.Members, span anvilclock.Millis) (anvilraft.VoterID, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var silent anvilraft.VoterID
-	longest := span
-	for _, voter := range members.Voters {
-		if quiet := g.silentFor(voter); quiet >= longest {
-			silent, longest = voter, quiet
-		}
-	}
-	return silent, !silent.IsZero()
-}
-
-// silentFor returns how long a voter has sent nothing to this leader. That isn't known before noteLeading has been
-// called, as followers send messages to the leader only. g.mu must be held.
-func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
-	if voter == g.id || g.leadingSince < 0 {
-		return 0
-	}
-	return g.clock.Now() - max(g.lastHeard[voter.Instance], g.leadingSince)
-}
-
-// noteLeading records whether this voter leads now, and returns that.
-func (g *Group) noteLeading(leads bool) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case !leads:
-		g.leadingSince = -1
-		clear(g.joiningSince)
-	case g.leadingSince < 0:
-		g.leadingSince = g.clock.Now()
-	}
-	return leads
-}
-
-// replacedBy returns the function that tells which voter a joining one replaces. If the group already has as many
-// voters as it is meant to have, that is the one that has sent nothing for replacedTimeout. It is removed before
-// the new one gets its vote: with both of them in the group, the voters that have lost nothing may be no majority
-// if the new one is lost, too. The new voter waits as long, because the former one may have been lost just now.
-func (g *Group) replacedBy(id anvilraft.VoterID) anvilvoter.Replaced {
-	g.mu.Lock()
-	if _, known := g.joiningSince[id]; !known {
-		g.joiningSince[id] = g.clock.Now()
-	}
-	since := g.joiningSince[id]
-	g.mu.Unlock()
-	return func(members anvilraft.Members) (anvilraft.VoterID, error) {
-		if g.settings.Voters == 0 || len(members.Voters) < g.settings.Voters {
-			return anvilraft.VoterID{}, nil
-		}
-		silent, ok := g.mostSilent(members, replacedTimeout)
-		if !ok && g.clock.Now()-since < replacedTimeout {
-			return anvilraft.VoterID{}, anvilraft.ErrChangePending
-		}
-		return silent, nil
-	}
-}
-
-// countSilent returns the number of voters that have sent nothing for replacedTimeout. They count for the quorum.
-func (g *Group) countSilent(members anvilraft.Members) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	silent := 0
-	for _, voter := range members.Voters {
-		if g.silentFor(voter) >= replacedTimeout {
-			silent++
-		}
-	}
-	return silent
-}
-
-func (g *Group) remove(ctx context.Context, silent anvilraft.VoterID) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	err := g.Voter.ChangeVoters(ctx, anvilraft.ChangeVoters{Remove: silent})
-	g.log.Write(anvillogs.MembersChanged, zap.String("remove", silent.String()), zap.Error(err))
-}
--- /dev/null
+++ b/io/anvilgroup/manage.go
@@ -0,0 +1,53 @@
+package anvilgroup
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvillogs"
+)
+
+// ManageMembers enrolls voters that join and removes surplus voters while this voter is the leader, until ctx is done.
+// It makes one change at a time, as the log takes no other one before it is committed. A group with an even number of
+// voters, n, tolerates no more failures than one with n-1 voters, so it has one surplus voter. A group with more voters
+// than it is meant to have may have several: if two voters are replaced at the same time, both of their successors have
+// joined before either of them is removed, and the number is odd again. If a voter of such a group has sent nothing for
+// silentTimeout, replacedTimeout or incompleteTimeout, it is removed: either its machine was replaced, or it joins again
+// when it returns.
+func (g *Group) ManageMembers(ctx context.Context) error {
+	silentBefore := 0
+	for interval := joinInterval; ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.joined:
+		case <-time.After(interval):
+		}
+		status := g.Voter.Status()
+		interval = joinInterval
+		g.noteTerm(status.Term)
+		if !g.noteLeading(status.Role == anvilraft.Leader && status.HasQuorum) {
+			continue
+		}
+		if silent := g.countSilent(status.Members); silent != silentBefore {
+			silentBefore = silent
+			voters := len(status.Members.Voters)
+			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
+		}
+		if silent, ok := g.surplusVoter(status.Members); ok {
+			g.remove(ctx, silent)
+		}
+		interval = g.enrollJoining(ctx, status.Members)
+	}
+	return nil
+}
+
+func (g *Group) remove(parent context.Context, voter anvilraft.VoterID) {
+	ctx, cancel := context.WithTimeout(parent, changeTimeout)
+	defer cancel()
+	change := anvilraft.ChangeVoters{Remove: voter}
+	g.logChange(change, g.Voter.ChangeVoters(ctx, change))
+}
--- /dev/null
+++ b/io/anvilgroup/silence.go
@@ -0,0 +1,95 @@
+package anvilgroup
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilraft"
+)
+
+// surplusVoter returns the voter to remove, if there is one: the number of voters
+// must be even and at least four, or above the one that the group is meant to have, and
+// the voter must have sent nothing for at least silentTimeout, replacedTimeout or
+// incompleteTimeout and for longer than the others.
+func (g *Group) surplusVoter(members anvilraft.Members) (anvilraft.VoterID, bool) {
+	count := len(members.Voters)
+	large := g.settings.Voters > 0 && count > g.settings.Voters && count >= minLargeGroup
+	if !large && (count < 4 || count%2 == 1) {
+		return anvilraft.VoterID{}, false
+	}
+	switch {
+	case large:
+		return g.mostSilent(members, replacedTimeout)
+	case count < g.settings.Voters:
+		return g.mostSilent(members, incompleteTimeout)
+	}
+	return g.mostSilent(members, silentTimeout)
+}
+
+// mostSilent returns the voter that has sent nothing for the longest time, if that is at least the given one.
+func (g *Group) mostSilent(members anvilraft.Members, span anvilclock.Millis) (anvilraft.VoterID, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var silent anvilraft.VoterID
+	longest := span
+	for _, voter := range members.Voters {
+		if quiet := g.silentFor(voter); quiet >= longest {
+			silent, longest = voter, quiet
+		}
+	}
+	return silent, !silent.IsZero()
+}
+
+// silentFor returns how long a voter has sent nothing to this leader. That isn't known before noteLeading has been
+// called, as followers send messages to the leader only. g.mu must be held.
+func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
+	if voter == g.id || g.leadingSince < 0 {
+		return 0
+	}
+	return g.clock.Now() - max(g.lastHeard[voter.Instance], g.leadingSince)
+}
+
+// noteTerm forgets since when this voter leads if its term is another one. It may have lost the leadership and won it
+// again since the last call, and heard nothing of the others in between.
+func (g *Group) noteTerm(term anvilid.Term) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term != g.term {
+		g.term, g.leadingSince = term, -1
+	}
+}
+
+// noteLeading records whether this voter leads now, and returns that.
+func (g *Group) noteLeading(leads bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case !leads:
+		g.leadingSince = -1
+		clear(g.joiningSince)
+		clear(g.joinErrors)
+	case g.leadingSince < 0:
+		g.leadingSince = g.clock.Now()
+	}
+	return leads
+}
+
+// countSilent returns the number of voters that have sent nothing for replacedTimeout. They count for the quorum.
+func (g *Group) countSilent(members anvilraft.Members) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	silent := 0
+	for _, voter := range members.Voters {
+		if g.silentFor(voter) >= replacedTimeout {
+			silent++
+		}
+	}
+	return silent
+}
+
+// isSilent reports whether a voter that joins has sent nothing for replacedTimeout. It sends messages once it is a learner.
+func (g *Group) isSilent(id anvilraft.VoterID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard, ok := g.lastHeard[id.Instance]
+	return !ok || g.clock.Now()-heard >= replacedTimeout
+}
--- a/io/anvillead/supervisor.go
+++ b/io/anvillead/supervisor.go
@@ -57,7 +57,7 @@
 	s.current.Store(leader)
 	defer s.current.Store(nil)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context) error{leader.group.Join, leader.group.RemoveSilentVoters, leader.group.LogView, leader.Run} {
+	for _, loop := range []func(context.Context) error{leader.group.Join, leader.group.ManageMembers, leader.group.LogView, leader.Run} {
 		loops.Go(func() { _ = loop(ctx) }) // they return only when ctx ends
 	}
 	err := leader.group.Voter.Run(ctx)
--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -83,25 +83,15 @@
 // after each change.
 func (v *Voter) Enroll(ctx context.Context, newVoter anvilraft.VoterID, changed func(anvilraft.ChangeVoters)) error {
 	none := func(anvilraft.Members) (anvilraft.VoterID, error) { return anvilraft.VoterID{}, nil }
-	return v.EnrollInPlace(ctx, newVoter, none, changed)
-}
-
-// Replaced returns the voter that is removed before a new one gets its vote, or the zero value if there is none. It
-// returns anvilraft.ErrChangePending if that isn't known yet.
-type Replaced func(anvilraft.Members) (anvilraft.VoterID, error)
-
-// EnrollInPlace is Enroll for a voter that may replace another one, whose instance is lost.
-func (v *Voter) EnrollInPlace(ctx context.Context, newVoter anvilraft.VoterID, replaced Replaced, changed func(anvilraft.ChangeVoters)) error {
 	retry := time.NewTicker(changeRetryInterval)
 	defer retry.Stop()
 	for {
-		step, done := nextEnrollChange(v.Status().Members, newVoter)
-		if done {
-			return nil
-		}
-		err := v.enrollStep(ctx, step, replaced, changed)
+		step, done, err := v.EnrollStep(ctx, newVoter, none)
 		switch {
+		case done:
+			return nil
 		case err == nil:
+			changed(step)
 		case errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp):
 			select {
 			case <-retry.C:
@@ -114,23 +104,29 @@
 	}
 }
 
-// enrollStep makes one change for EnrollInPlace. In place of a change that gives a vote, it first removes the voter that
-// is replaced.
-func (v *Voter) enrollStep(ctx context.Context, step anvilraft.ChangeVoters, replaced Replaced, changed func(anvilraft.ChangeVoters)) error {
+// Replaced returns the voter that is removed before a new one gets its vote, or the zero value if there is none. It
+// returns anvilraft.ErrChangePending if that isn't known yet.
+type Replaced func(anvilraft.Members) (anvilraft.VoterID, error)
+
+// EnrollStep makes the next change that is needed to make the voter with a data directory a voting member, and returns
+// it. done is set if it is one already. In place of a change that gives a vote, it first removes the voter that is
+// replaced. Its errors are those of ChangeVoters and of replaced.
+func (v *Voter) EnrollStep(ctx context.Context, newVoter anvilraft.VoterID, replaced Replaced) (step anvilraft.ChangeVoters, done bool, err error) {
+	members := v.Status().Members
+	step, done = nextEnrollChange(members, newVoter)
+	if done {
+		return step, true, nil
+	}
 	if !step.AddVoter.IsZero() {
-		former, err := replaced(v.Status().Members)
+		former, err := replaced(members)
 		if err != nil {
-			return err
+			return step, false, err
 		}
 		if !former.IsZero() {
 			step = anvilraft.ChangeVoters{Remove: former}
 		}
 	}
-	err := v.ChangeVoters(ctx, step)
-	if err == nil {
-		changed(step)
-	}
-	return err
+	return step, false, v.ChangeVoters(ctx, step)
 }
 
 // nextEnrollChange returns the next membership change that is needed to make
