Keep what leaders know about silent voters when the leader changes

A voter counted as silent only by what the present leader had not heard since its own election, because voters send messages to the leader alone. Where leaders change every 1 to 2 s no voter was ever silent for the 1.5 s after which it is removed, so that a replaced one counted on and its successor got no vote in its place.

A leader now adds to its deliveries which voters it and the leaders before it have not reached, and for how long (DeliverRequest.term and .silent, empty when all are well). Its successor adds its own silence to that after it has led for 0.7 s, in which it has tried twice. Only time with a leader counts, and only for a voter whose process has not even answered a delivery: one that waits for a slow sync sends no message, but its process answers. What a leader knows by itself counts as before.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -96,6 +96,11 @@
 
 	mu        sync.Mutex
 	lastHeard map[anvilid.InstanceID]anvilclock.Millis
+	// lastReached is when the process of each instance last answered a delivery.
+	lastReached map[anvilid.InstanceID]anvilclock.Millis
+	// report is what this leader tells the others, or nil. inherited is what the last leader has told.
+	report    *silenceReport
+	inherited silenceReport
 	// term is the term in which this voter was last seen.
 	term anvilid.Term
 	// leadingSince is when this voter was first seen as the leader of its term, or -1.
@@ -121,7 +126,8 @@
 func Open(settings Settings, clock, wall anvilclock.Clock, links *anvillink.Links, log *anvillogs.Logger, machine anvilvoter.StateMachine) (*Group, error) {
 	g := &Group{
 		settings: settings, clock: clock, links: links, log: log,
-		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
+		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
+		leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
 		joinErrors: map[anvilraft.VoterID]error{}, joined: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
 	}
 	id, empty, err := anvilvoter.Inspect(settings.Instance, settings.Dir, g.diskOptions()...)
@@ -216,6 +222,7 @@
 func (g *Group) Deliver(_ context.Context, request *anvilrpc.DeliverRequest) (*anvilrpc.DeliverReply, error) {
 	g.mu.Lock()
 	g.lastHeard[anvilid.InstanceID(request.From)] = g.clock.Now()
+	g.receiveReport(request)
 	g.mu.Unlock()
 	g.Voter.Deliver(request.Messages)
 	return &anvilrpc.DeliverReply{}, nil
@@ -231,9 +238,12 @@
 func (g *Group) send(ctx context.Context, to anvilraft.VoterID, messages [][]byte) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	_, err := g.peer(to.Instance).Deliver(ctx, &anvilrpc.DeliverRequest{
-		From: string(g.id.Instance), Messages: messages,
-	})
+	request := &anvilrpc.DeliverRequest{From: string(g.id.Instance), Messages: messages}
+	g.addReport(request)
+	_, err := g.peer(to.Instance).Deliver(ctx, request)
+	if err == nil {
+		g.noteReached(to.Instance)
+	}
 	return err
 }
 
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -32,6 +32,7 @@
 		if !g.noteLeading(status.Role == anvilraft.Leader && status.HasQuorum) {
 			continue
 		}
+		g.updateReport(status.Members)
 		if silent := g.countSilent(status.Members); silent != silentBefore {
 			silentBefore = silent
 			voters := len(status.Members.Voters)
--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -40,12 +40,18 @@
 }
 
 // silentFor returns how long a voter has sent nothing to this leader. That isn't known before noteLeading has been
-// called, as followers send messages to the leader only. g.mu must be held.
+// called, as followers send messages to the leader only. After confirmTimeout, what the leaders before have told counts
+// as well, for a voter that this leader has not reached either. g.mu must be held.
 func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
 	if voter == g.id || g.leadingSince < 0 {
 		return 0
 	}
-	return g.clock.Now() - max(g.lastHeard[voter.Instance], g.leadingSince)
+	now := g.clock.Now()
+	quiet := now - max(g.lastHeard[voter.Instance], g.leadingSince)
+	if now-g.leadingSince >= confirmTimeout {
+		quiet = max(quiet, g.unreachableFor(voter.Instance))
+	}
+	return quiet
 }
 
 // noteTerm forgets since when this voter leads if its term is another one. It may have lost the leadership and won it
@@ -54,7 +60,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if term != g.term {
-		g.term, g.leadingSince = term, -1
+		g.stopLeading()
+		g.term = term
 	}
 }
 
@@ -64,7 +71,7 @@
 	defer g.mu.Unlock()
 	switch {
 	case !leads:
-		g.leadingSince = -1
+		g.stopLeading()
 		clear(g.joiningSince)
 		clear(g.joinErrors)
 	case g.leadingSince < 0:
