Remove a voter from a larger group before its process ends

Where the successor starts before the former voter ends, the group has six voters, of which four are a majority, and the former one counted until it had been silent for 1.5 s.

A voter that gets SIGTERM in a group that is larger than it is meant to be now asks the leader to remove it before its process ends, for 2 s at most. The leader removes itself in the same way. It makes the removals one after the other, with the number of voters checked for each, so that voters that end at the same time don't make the group smaller than it is meant to be. A voter of a group that isn't larger ends as before.

--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -70,6 +70,8 @@
 	failures  chan error
 	// connState is called when the state of a connection to one of the servers changes, or nil.
 	connState func(net.Conn, http.ConnState)
+	// beforeShutdown is called after a signal to stop, while the listeners and tasks still run, or nil.
+	beforeShutdown func(context.Context)
 }
 
 // Option configures a Daemon.
@@ -105,6 +107,10 @@
 // Draining reports whether the process has received the signal to stop.
 func (d *Daemon) Draining() bool { return d.draining.Load() }
 
+// BeforeShutdown sets a function that is called after a signal to stop, while the listeners and tasks still run. It must
+// return well within the grace period. Call it before Serve.
+func (d *Daemon) BeforeShutdown(f func(context.Context)) { d.beforeShutdown = f }
+
 // Fail makes Serve stop the process and return the error.
 func (d *Daemon) Fail(err error) { d.failures <- err }
 
@@ -152,7 +158,11 @@
 	var err error
 	select {
 	case <-d.signals.Stop:
-		d.shutDown(drainDuration, gracePeriod)
+		signalled := time.Now()
+		if d.beforeShutdown != nil {
+			d.beforeShutdown(ctx)
+		}
+		d.shutDown(drainDuration, gracePeriod-time.Since(signalled))
 	case err = <-d.failures:
 		d.Log.Write(anvillogs.BackgroundTaskFailed, zap.Error(err))
 	}
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -62,8 +62,13 @@
 		g.joiningSince[id] = g.clock.Now()
 	}
 	g.mu.Unlock()
+	g.wake()
+}
+
+// wake lets ManageMembers act at once.
+func (g *Group) wake() {
 	select {
-	case g.joined <- struct{}{}:
+	case g.requested <- struct{}{}:
 	default:
 	}
 }
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -109,9 +110,13 @@
 	joiningSince map[anvilraft.VoterID]anvilclock.Millis
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
-	// joined has a value when ManageMembers has a voter to add.
-	joined chan struct{}
-	peers  map[anvilid.InstanceID]anvilrpc.Raft
+	// releases are the voters that have asked this leader to remove them.
+	releases map[anvilraft.VoterID]bool
+	// requested has a value when ManageMembers has a voter to add or remove.
+	requested chan struct{}
+	peers     map[anvilid.InstanceID]anvilrpc.Raft
+	// leaving means that the process ends, so that Join asks no more.
+	leaving atomic.Bool
 }
 
 // Address returns the network address of a port of an instance. The id of an
@@ -128,7 +133,7 @@
 		settings: settings, clock: clock, links: links, log: log,
 		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
 		leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
-		joinErrors: map[anvilraft.VoterID]error{}, joined: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
+		joinErrors: map[anvilraft.VoterID]error{}, releases: map[anvilraft.VoterID]bool{}, requested: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
 	}
 	id, empty, err := anvilvoter.Inspect(settings.Instance, settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
@@ -278,7 +283,7 @@
 	}
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
-		if !status.Members.IsVoter(g.id) || status.Leader.IsZero() {
+		if !g.leaving.Load() && (!status.Members.IsVoter(g.id) || status.Leader.IsZero()) {
 			g.requestMembership(ctx)
 		}
 		select {
--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -90,9 +90,12 @@
 	<-n.ended
 }
 
-// Join lets the node enroll voters as the leader does.
+// Join lets the node enroll and remove voters as the leader does.
 func (n *testNode) Join(ctx context.Context, call *anvilrpc.JoinCall) (*anvilrpc.JoinReply, error) {
 	id := anvilraft.VoterID{Instance: anvilid.InstanceID(call.Instance), Storage: anvilraft.StorageID(call.Storage)}
+	if call.Leave {
+		return &anvilrpc.JoinReply{Done: n.Release(ctx, id) == nil}, nil
+	}
 	return &anvilrpc.JoinReply{Done: n.Enroll(ctx, id) == nil}, nil
 }
 
--- /dev/null
+++ b/io/anvilgroup/leave.go
@@ -0,0 +1,112 @@
+package anvilgroup
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
+	"anvilshunt/io/anvilvoter"
+)
+
+// leaveTimeout bounds the time for which the end of a voter waits for its removal. It is well below the grace period of
+// a process.
+const leaveTimeout = 2 * time.Second
+
+// Leave removes this voter from a group that is larger than it is meant to be, before its process ends. Its successor
+// has joined already, and until the leader noticed the silence, the voters that have lost nothing might be no majority
+// after further losses. In a group that isn't larger, it does nothing: the voter is probably restarted.
+func (g *Group) Leave(parent context.Context) {
+	status := g.Voter.Status()
+	if !g.isLarger(status.Members) || !status.Members.IsVoter(g.id) {
+		return
+	}
+	g.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(parent, leaveTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if g.requestRemoval(ctx) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(enrollInterval):
+		}
+	}
+	g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(g.id.Instance)), zap.Bool("leave", true), zap.Error(ctx.Err()))
+}
+
+// requestRemoval asks the leader, which may be this voter, to remove this voter, and reports whether it has done so.
+func (g *Group) requestRemoval(ctx context.Context) bool {
+	if g.Voter.Status().HasQuorum {
+		return g.Release(ctx, g.id) == nil
+	}
+	leader := g.locateLeader(ctx)
+	if leader == "" {
+		return false
+	}
+	fleet := g.links.FleetAt(Address(leader, g.settings.Port))
+	reply, err := fleet.Join(ctx, &anvilrpc.JoinCall{Instance: string(g.id.Instance), Storage: string(g.id.Storage), Leave: true})
+	return err == nil && reply.Done // an error is retried, and logged at last
+}
+
+// Release removes a voter that ends, as long as the group is larger than it is meant to be. It succeeds only on the
+// leader.
+func (g *Group) Release(ctx context.Context, id anvilraft.VoterID) error {
+	g.mu.Lock()
+	g.releases[id] = true
+	g.mu.Unlock()
+	g.wake()
+	retry := time.NewTicker(enrollInterval)
+	defer retry.Stop()
+	for {
+		g.mu.Lock()
+		waiting := g.releases[id]
+		g.mu.Unlock()
+		status := g.Voter.Status()
+		switch {
+		case !waiting && !(g.isLarger(status.Members) && status.Members.IsVoter(id)):
+			return nil
+		case !waiting || status.Role != anvilraft.Leader:
+			return eris.Wrapf(&anvilvoter.NotLeaderError{Leader: status.Leader}, "remove voter %s", id)
+		}
+		select {
+		case <-retry.C:
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "remove voter %s", id)
+		}
+	}
+}
+
+// isLarger reports whether the group has more voters than it is meant to have.
+func (g *Group) isLarger(members anvilraft.Members) bool {
+	return g.settings.Voters > 0 && len(members.Voters) > g.settings.Voters
+}
+
+// releaseNext removes the voters that have asked for it. The members are read again for each of them, as the group must
+// not become smaller than it is meant to be. It reports whether one of them has to wait.
+func (g *Group) releaseNext(ctx context.Context) (wait bool) {
+	g.mu.Lock()
+	var ids []anvilraft.VoterID
+	for id := range g.releases {
+		ids = append(ids, id)
+	}
+	g.mu.Unlock()
+	for _, id := range ids {
+		members := g.Voter.Status().Members
+		if g.isLarger(members) && members.IsVoter(id) {
+			if err := g.remove(ctx, id); err != nil {
+				wait = true
+				continue
+			}
+		}
+		g.mu.Lock()
+		delete(g.releases, id)
+		g.mu.Unlock()
+	}
+	return wait
+}
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -10,7 +10,7 @@
 	"anvilshunt/io/anvillogs"
 )
 
-// ManageMembers enrolls voters that join and removes surplus voters while this voter is the leader, until ctx is done.
+// ManageMembers enrolls voters that join, and removes those that leave and surplus voters, while this voter is the leader, until ctx is done.
 // It makes one change at a time, as the log takes no other one before it is committed. A group with an even number of
 // voters, n, tolerates no more failures than one with n-1 voters, so it has one surplus voter. A group with more voters
 // than it is meant to have may have several: if two voters are replaced at the same time, both of their successors have
@@ -23,7 +23,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-g.joined:
+		case <-g.requested:
 		case <-time.After(interval):
 		}
 		status := g.Voter.Status()
@@ -38,17 +38,26 @@
 			voters := len(status.Members.Voters)
 			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
 		}
-		if silent, ok := g.surplusVoter(status.Members); ok {
-			g.remove(ctx, silent)
+		wait := g.releaseNext(ctx)
+		if silent, ok := g.surplusVoter(g.Voter.Status().Members); ok {
+			_ = g.remove(ctx, silent) // it is logged, and retried with the next check
+		}
+		interval = g.enrollJoining(ctx, g.Voter.Status().Members)
+		if wait {
+			interval = enrollInterval
 		}
-		interval = g.enrollJoining(ctx, status.Members)
 	}
 	return nil
 }
 
-func (g *Group) remove(parent context.Context, voter anvilraft.VoterID) {
+// remove removes a voter. While another change isn't committed yet it fails, and nothing is logged.
+func (g *Group) remove(parent context.Context, voter anvilraft.VoterID) error {
 	ctx, cancel := context.WithTimeout(parent, changeTimeout)
 	defer cancel()
 	change := anvilraft.ChangeVoters{Remove: voter}
-	g.logChange(change, g.Voter.ChangeVoters(ctx, change))
+	err := g.Voter.ChangeVoters(ctx, change)
+	if !isPending(err) {
+		g.logChange(change, err)
+	}
+	return err
 }
--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -74,6 +74,7 @@
 		g.stopLeading()
 		clear(g.joiningSince)
 		clear(g.joinErrors)
+		clear(g.releases)
 	case g.leadingSince < 0:
 		g.leadingSince = g.clock.Now()
 	}
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -60,14 +60,18 @@
 	return reply, nil
 }
 
-// Join adds the voter with the given data directory to the group.
+// Join adds the voter with the given data directory to the group, or removes it if it leaves.
 func (l *Leader) Join(ctx context.Context, call *anvilrpc.JoinCall) (*anvilrpc.JoinReply, error) {
 	if r := l.redirection(); r != nil {
 		return &anvilrpc.JoinReply{Redirection: r}, nil
 	}
 	id := anvilraft.VoterID{Instance: anvilid.InstanceID(call.Instance), Storage: anvilraft.StorageID(call.Storage)}
-	if err := l.group.Enroll(ctx, id); err != nil {
-		l.log.Write(anvillogs.EnrollFailed, zap.Stringer("voter", id), zap.Error(err))
+	change := l.group.Enroll
+	if call.Leave {
+		change = l.group.Release
+	}
+	if err := change(ctx, id); err != nil {
+		l.log.Write(anvillogs.EnrollFailed, zap.Stringer("voter", id), zap.Bool("leave", call.Leave), zap.Error(err))
 		return &anvilrpc.JoinReply{}, nil
 	}
 	return &anvilrpc.JoinReply{Done: true}, nil
--- a/io/anvillead/supervisor.go
+++ b/io/anvillead/supervisor.go
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// Leave removes the running voter from a group that is larger than it is meant to be (see anvilgroup.Group.Leave).
+func (s *VoterSupervisor) Leave(ctx context.Context) {
+	if group := s.group(); group != nil {
+		group.Leave(ctx)
+	}
+}
+
 // group returns the group of the running voter, or nil if none is running.
 func (s *VoterSupervisor) group() *anvilgroup.Group {
 	if leader := s.current.Load(); leader != nil {
