--- a/io/anvilgroup/joinlog.go
+++ b/io/anvilgroup/joinlog.go
@@ -28,18 +28,17 @@
 	refused, leaderless, redirected []anvilid.InstanceID
 }
 
-// add records the result of one request.
-func (r *joinRound) add(instance anvilid.InstanceID, reply *anvilrpc.JoinReply, err error) {
+// add records the answer of an instance that has granted nothing: an error, a redirection, or neither if it leads.
+func (r *joinRound) add(instance anvilid.InstanceID, redirection *anvilrpc.Redirection, err error) {
 	switch {
 	case err != nil:
 		if r.failed == nil {
 			r.failed = map[anvilid.InstanceID]error{}
 		}
 		r.failed[instance] = err
-	case reply.Done:
-	case reply.Redirection == nil:
+	case redirection == nil:
 		r.refused = append(r.refused, instance)
-	case reply.Redirection.Leader == "":
+	case redirection.Leader == "":
 		r.leaderless = append(r.leaderless, instance)
 	default:
 		r.redirected = append(r.redirected, instance)
@@ -90,25 +89,24 @@
 // succeeded ends the rounds without success.
 func (l *joinLog) succeeded() { l.rounds, l.last = 0, nil }
 
-// due reports whether a line about a round is due. Before the round is over, one is due only if no line was written
-// for joinLogInterval: an instance that doesn't answer holds up the round for joinTimeout.
-func (l *joinLog) due(now anvilclock.Millis, round *joinRound, over bool) bool {
+// due reports whether a line about a round is due.
+func (l *joinLog) due(now anvilclock.Millis, round *joinRound) bool {
 	if now-max(l.writtenAt, l.since) >= joinLogInterval {
 		return true
 	}
 	changed := l.last == nil || !round.equal(l.last)
-	return over && changed && (l.writtenAt == 0 || now-l.writtenAt >= joinLogChangeInterval)
+	return changed && (l.writtenAt == 0 || now-l.writtenAt >= joinLogChangeInterval)
 }
 
 // logJoin writes a line about a round of requests for membership if one is due.
-func (g *Group) logJoin(round *joinRound, over bool) {
+func (g *Group) logJoin(round *joinRound) {
 	now, l := g.clock.Now(), &g.joinLog
-	if !l.due(now, round, over) {
+	if !l.due(now, round) {
 		return
 	}
 	l.last, l.writtenAt = round, now
 	fields := []zap.Field{
-		zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)), zap.Bool("over", over),
+		zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)),
 		zap.Int("rounds", l.rounds), zap.Int64("for", int64(now-l.since)),
 	}
 	g.log.Write(anvillogs.EnrollFailed, append(fields, round.fields()...)...)
--- a/io/anvillead/supervisor.go
+++ b/io/anvillead/supervisor.go
@@ -57,7 +57,7 @@
 	s.current.Store(leader)
 	defer s.current.Store(nil)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context) error{leader.group.Join, leader.group.RemoveSilentVoters, leader.group.LogView, leader.Run} {
+	for _, loop := range []func(context.Context) error{leader.group.Join, leader.group.ManageMembers, leader.group.LogView, leader.Run} {
 		loops.Go(func() { _ = loop(ctx) }) // they return only when ctx ends
 	}
 	err := leader.group.Voter.Run(ctx)
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// Leave removes the running voter from a group that is larger than it is meant to be (see anvilgroup.Group.Leave).
+func (s *VoterSupervisor) Leave(ctx context.Context) {
+	if group := s.group(); group != nil {
+		group.Leave(ctx)
+	}
+}
+
 // group returns the group of the running voter, or nil if none is running.
 func (s *VoterSupervisor) group() *anvilgroup.Group {
 	if leader := s.current.Load(); leader != nil {
