Bound the wait of a job beside targets reserved for urgent jobs

Cause: a job that isn't urgent and could still end in time could not use reserved targets until its latest start.

Change: a step is overdue once it has waited for 2 s (maxIdleWait) while nothing of its job is at work and it fits twice into what is free with the precaution lifted. It may then use reserved targets: a gang as a whole, of other steps one task, of those that last as many as leave as much room. Urgent jobs stop these runs as any others that aren't within a guarantee.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -34,7 +34,7 @@
 	// freeing has the resources of those runs on this node that are being stopped.
 	freeing anvilwork.Resources
 	// reserved means that the node is kept free for urgent jobs. Other jobs may use it only if they
-	// can't start later, see planner.deferrable.
+	// can't start later, see planner.deferrable, or are overdue, see fitOverdue.
 	reserved bool
 	// claimedBy is the waiting job that this target is claimed for, or empty. Other jobs may not use a
 	// claimed target, except that urgent jobs may if yieldsToUrgent is set.
@@ -84,7 +84,12 @@
 
 // unavailableTo is unavailable for a step that may use slow nodes or not.
 func (n *node) unavailableTo(usesSlow bool) bool {
-	return !n.usable || n.slow && !usesSlow && !n.claimedForCurrentUrgent() || n.reserved && n.planner.deferrable || n.claimedByOther() || n.excluded()
+	return !n.usable || n.slow && !usesSlow && !n.claimedForCurrentUrgent() || n.keptForUrgent() || n.claimedByOther() || n.excluded()
+}
+
+// keptForUrgent reports whether the current job may not use the node because it is reserved for urgent jobs.
+func (n *node) keptForUrgent() bool {
+	return n.reserved && n.planner.deferrable && !n.planner.lifts(reserveForUrgent)
 }
 
 // claimedForCurrentUrgent reports whether the node is claimed for the current job and that job is
--- /dev/null
+++ b/core/anvilplace/overdue.go
@@ -0,0 +1,111 @@
+package anvilplace
+
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// Precautions keep steps from targets that have room, for the benefit of other jobs. The wait that they cause is
+// bounded: a step is overdue if nothing of its job is at work, it has waited for maxIdleWait, and there would be
+// spare room for it without the precautions. They are lifted for it then, as few of them as possible.
+
+const (
+	// maxIdleWait is how long a step waits because of precautions while nothing of its job is at work. Together
+	// with the time that a start takes it stays below the 3 s for which a job that could run may stand still.
+	maxIdleWait = 2 * anvilclock.Second
+	// minSpareRoom is how often the tasks that must be placed together have to fit into what is free. With less
+	// room it is better left to the jobs for which it is kept.
+	minSpareRoom = 2
+)
+
+// precaution is a reason for which a step is kept from targets that have room. The precautions are in the order in
+// which they are lifted, and lifting one lifts those before it too.
+type precaution int
+
+const (
+	noPrecaution precaution = iota
+	reserveForUrgent
+	lastPrecaution = reserveForUrgent
+)
+
+// lifts reports whether a precaution is lifted for the step that is being placed.
+func (p *planner) lifts(reason precaution) bool { return p.lifted >= reason }
+
+// fitOverdue finds allotments for tasks of a step that doesn't fit otherwise, with precautions lifted, or returns nil
+// if the step isn't overdue. These are all tasks of a gang, or one task, which is enough for the job to be at work. As
+// each task that lasts counts for itself, all of them are placed for which there is spare room.
+func (p *planner) fitOverdue(u *waitingStep, waiting int) []allotment {
+	if !p.standsStill(u) {
+		return nil
+	}
+	defer func(tolerated int) { p.lifted, u.tolerated = noPrecaution, tolerated }(u.tolerated)
+	p.lifted = lastPrecaution
+	count := p.spareRoom(u, waiting)
+	if count == 0 {
+		return nil
+	}
+	for p.lifted = noPrecaution + 1; p.lifted <= lastPrecaution; p.lifted++ {
+		if len(u.failures) > 0 {
+			u.tolerated = p.toleratedFailures(u, u.together())
+		}
+		allotments := p.fitMost(u, count, availableNow)
+		if u.step.Gang {
+			allotments = p.fitAll(u, count, availableNow)
+		}
+		if len(allotments) > 0 {
+			return allotments
+		}
+	}
+	return nil
+}
+
+// standsStill reports whether a step has waited for maxIdleWait and nothing of its job is at work. A task that lasts
+// must be at work whether others of its job are or not.
+func (p *planner) standsStill(u *waitingStep) bool {
+	return p.Now-u.readySince() >= maxIdleWait && (u.step.LongRunning || !p.atWork(u.info.job))
+}
+
+// atWork reports whether a job has runs, among them those that this call of Plan has placed. A run on a target that
+// can't be used may have been lost with it.
+func (p *planner) atWork(job *anvilwork.Job) bool {
+	if p.placedJobs[job.ID] {
+		return true
+	}
+	for k := range job.Occurrences {
+		for index := range job.Spec.Steps {
+			for _, run := range p.runsByStep[anvilwork.StepKey{Job: job.ID, Occurrence: k, Step: index}] {
+				if run.node.usable {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// spareRoom returns how many of the waiting tasks of a step may be placed in the available resources so that these
+// have room for minSpareRoom as many: all or none of a gang, and at most one task unless the tasks last.
+func (p *planner) spareRoom(u *waitingStep, waiting int) int {
+	most := u.together()
+	if u.step.LongRunning && !u.step.Gang {
+		most = waiting
+	}
+	wanted := minSpareRoom * most
+	if p.all.freeAccelerators < u.need.GPU*anvilid.AcceleratorCount(minSpareRoom*u.together()) {
+		return 0
+	}
+	if len(u.failures) > 0 {
+		u.tolerated = p.toleratedFailures(u, minSpareRoom*u.together())
+	}
+	room := 0
+	for _, n := range p.all.withFreeAccelerators(u.need.GPU) {
+		if room += u.taskCapacity(n, wanted-room, n.available()); room >= wanted {
+			break
+		}
+	}
+	if u.step.Gang && room < wanted {
+		return 0
+	}
+	return room / minSpareRoom
+}
--- /dev/null
+++ b/core/anvilplace/overdue_test.go
@@ -0,0 +1,92 @@
+package anvilplace
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+// longestWait is how long a job may wait beside spare room. It must be clearly below the 3 s for which a job that could
+// run may stand still.
+const longestWait = 2200 * anvilclock.Millisecond
+
+// waitFor plans every 100 ms until a job has a number of runs, and returns how long that took, at most a minute.
+func (w *testCluster) waitFor(id anvilid.JobID, runs int) anvilclock.Millis {
+	began := w.now
+	for w.plan(); len(w.assigned(id)) < runs && w.now < began+anvilclock.Minute; w.plan() {
+		w.now += 100
+	}
+	return w.now - began
+}
+
+// newClusterWithRoom returns a cluster of four racks with two targets each, and a guarantee of 16 accelerators. Runs that
+// take long occupy a number of targets of the first racks, and all accelerators of the others are free.
+func newClusterWithRoom(t assert.TestingT, busy int) *testCluster {
+	w := newTestCluster(t, 4, 2, 16)
+	w.submit("busy", "common", "b", anvilwork.Step{Count: busy, Need: gpus(8), Estimate: 600_000})
+	w.plan()
+	assert.Equal(t, len(w.assigned("busy")), busy)
+	return w
+}
+
+// TestWaitBesideReservedTargets guards against a job that waits until its latest start beside targets that are reserved
+// for urgent jobs, although there is room for it twice. An urgent job must still get its guarantee in time afterwards.
+func TestWaitBesideReservedTargets(t *testing.T) {
+	for name, step := range map[string]anvilwork.Step{
+		"a task":                     {Count: 1, Need: gpus(8)},
+		"a gang":                     {Count: 4, Need: gpus(2), Gang: true},
+		"a gang that needs one rack": {Count: 8, Need: gpus(1), Gang: true, PreferOneRack: true},
+		"a task that lasts":          {Count: 1, Need: gpus(4), LongRunning: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newClusterWithRoom(t, 6)
+			w.reserve = 16
+			step.Estimate = 20_000
+			w.submit("waits", "common", "b", step)
+			wait := w.waitFor("waits", step.Count)
+			assert.Assert(t, wait <= longestWait, "the job waits for %d ms", wait)
+
+			w.submit("u", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, PreferOneRack: true})
+			assert.DeepEqual(t, evicted(w.plan()), []anvilid.JobID{"waits"})
+			w.endStopping()
+			w.plan()
+			assert.Equal(t, len(w.assigned("u")), 2)
+		})
+	}
+}
+
+// TestReserveIsKept guards against jobs that use up the targets that are reserved for urgent jobs although they
+// needn't: because some of their tasks are at work, or because there is room for them only once.
+func TestReserveIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		step anvilwork.Step
+		want int
+	}{
+		"one task is enough":          {anvilwork.Step{Count: 20, Need: gpus(1)}, 1},
+		"room for one task":           {anvilwork.Step{Count: 1, Need: gpus(8), Label: "only"}, 0},
+		"room for one gang":           {anvilwork.Step{Count: 9, Need: gpus(1), Gang: true}, 0},
+		"tasks that last, room twice": {anvilwork.Step{Count: 20, Need: gpus(1), LongRunning: true}, 15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newClusterWithRoom(t, 6)
+			w.reserve = 16
+			if c.step.Label != "" {
+				target, _ := w.state.Target("r3-01")
+				labelled := *target
+				labelled.Labels = []string{c.step.Label}
+				w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: labelled}})
+			}
+			c.step.Estimate = 20_000
+			w.submit("waits", "common", "b", c.step)
+			for range 100 {
+				w.now += 100
+				w.plan()
+			}
+			assert.Equal(t, len(w.assigned("waits")), c.want)
+		})
+	}
+}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -131,6 +131,10 @@
 	// deferrable means that the current job would still end by its deadline if it started later. It may
 	// then not use nodes that are reserved for urgent jobs.
 	deferrable bool
+	// lifted is the last precaution that is lifted for the current step, see fitOverdue.
+	lifted precaution
+	// placedJobs has the jobs of which this call of Plan has placed tasks.
+	placedJobs map[anvilid.JobID]bool
 }
 
 // Plan returns which tasks to start and which runs to stop now.
@@ -139,7 +143,7 @@
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
 		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
-		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{},
+		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{}, placedJobs: map[anvilid.JobID]bool{},
 	}
 	p.sumUrgentDemand()
 	p.addNodes()
@@ -240,6 +244,11 @@
 			p.recordBlocked(u)
 		}
 	}
+	if allotments := p.fitOverdue(u, len(u.tasks)); len(allotments) > 0 {
+		p.releaseClaims(u)
+		p.assign(u, u.tasks, allotments)
+		return
+	}
 	if allotments := p.fitSuspects(u, len(u.tasks), p.fitSpread); len(allotments) > 0 {
 		p.releaseClaims(u)
 		p.assign(u, u.tasks, allotments)
@@ -253,24 +262,27 @@
 }
 
 func (p *planner) placeSingles(u *waitingStep) {
-	count := min(len(u.tasks), p.startsLeft(u.urgent))
-	allotments := p.fitSuspects(u, count, p.fitMost)
-	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
-	rest := count - taskCount(allotments)
+	tasks := u.tasks[:min(len(u.tasks), p.startsLeft(u.urgent))]
+	allotments := p.fitSuspects(u, len(tasks), p.fitMost)
+	tasks = p.assign(u, tasks, allotments)
+	if len(tasks) > 0 {
+		tasks = p.assign(u, tasks, p.fitOverdue(u, len(tasks)))
+	}
 	switch {
-	case rest == 0:
+	case len(tasks) == 0:
 		p.releaseClaims(u)
 	case u.urgent:
-		p.freeResources(u, rest)
+		p.freeResources(u, len(tasks))
 	}
 }
 
 // assign adds the assignments of tasks to Decision.Placements: one set for all tasks of a gang, or one
-// set for each single task.
-func (p *planner) assign(u *waitingStep, tasks []anvilwork.Task, allotments []allotment) {
+// set for each single task. It returns the tasks for which there is no allotment.
+func (p *planner) assign(u *waitingStep, tasks []anvilwork.Task, allotments []allotment) []anvilwork.Task {
 	var gang []anvilwork.Assignment
 	for _, s := range allotments {
 		p.placed += s.count
+		p.placedJobs[u.info.job.ID] = true
 		s.node.allocate(u, s.count)
 		for range s.count {
 			task := tasks[0]
@@ -289,4 +301,5 @@
 	if len(gang) > 0 {
 		p.decision.Placements = append(p.decision.Placements, anvilwork.Place{Assignments: gang})
 	}
+	return tasks
 }
--- a/core/anvilplace/reason.go
+++ b/core/anvilplace/reason.go
@@ -114,7 +114,7 @@
 		return p.whyNotUsable(n)
 	case n.slow && !p.currentUsesSlow && !n.claimedForCurrentUrgent():
 		return Avoided
-	case n.reserved && p.deferrable:
+	case n.keptForUrgent():
 		return ReservedForUrgent
 	case n.claimedByOther():
 		return ClaimedForOther
