Bound the wait of a job beside targets claimed for a gang

Cause: claims keep all jobs that aren't urgent from their targets for as long as the gang is expected to start there soon, which can be wrong for ever.

Change: an overdue step, as for reserved targets, may use claimed ones too, but not those claimed for urgent jobs. Claims hold if more than half of all resources are in use and there isn't room twice for all that waits: otherwise a stream of small tasks takes all that becomes free.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -37,7 +37,7 @@
 	// can't start later, see planner.deferrable, or are overdue, see fitOverdue.
 	reserved bool
 	// claimedBy is the waiting job that this target is claimed for, or empty. Other jobs may not use a
-	// claimed target, except that urgent jobs may if yieldsToUrgent is set.
+	// claimed target, except that urgent jobs and overdue steps may if yieldsToUrgent is set.
 	claimedBy      anvilid.JobID
 	yieldsToUrgent bool
 	// probation is the job whose suspects run here and are still on probation, or empty, see excluded.
@@ -100,9 +100,12 @@
 }
 
 // claimedByOther reports whether the current job may not use the node because the node is claimed for
-// another job. An urgent job may use a claimed node if yieldsToUrgent is set.
+// another job. An urgent job or an overdue step may use a claimed node if yieldsToUrgent is set.
 func (n *node) claimedByOther() bool {
-	return n.claimedBy != "" && n.claimedBy != n.planner.currentJob && !(n.yieldsToUrgent && n.planner.currentUrgent)
+	if n.claimedBy == "" || n.claimedBy == n.planner.currentJob {
+		return false
+	}
+	return !n.yieldsToUrgent || !n.planner.currentUrgent && !n.planner.lifts(claimForWaiting)
 }
 
 // claimedResources returns the result of freeOrFreeing if the node is claimed for the current job, and
--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -26,11 +26,14 @@
 const (
 	noPrecaution precaution = iota
 	reserveForUrgent
-	lastPrecaution = reserveForUrgent
+	claimForWaiting
+	lastPrecaution = claimForWaiting
 )
 
 // lifts reports whether a precaution is lifted for the step that is being placed.
-func (p *planner) lifts(reason precaution) bool { return p.lifted >= reason }
+func (p *planner) lifts(reason precaution) bool {
+	return p.lifted >= reason && !(reason == claimForWaiting && p.keepsClaims)
+}
 
 // fitOverdue finds allotments for tasks of a step that doesn't fit otherwise, with precautions lifted, or returns nil
 // if the step isn't overdue. These are all tasks of a gang, or one task, which is enough for the job to be at work. As
@@ -40,7 +43,7 @@
 		return nil
 	}
 	defer func(tolerated int) { p.lifted, u.tolerated = noPrecaution, tolerated }(u.tolerated)
-	p.lifted = lastPrecaution
+	p.lifted, p.keepsClaims = lastPrecaution, !u.step.LongRunning && p.overloaded()
 	count := p.spareRoom(u, waiting)
 	if count == 0 {
 		return nil
@@ -60,6 +63,30 @@
 	return nil
 }
 
+// overloaded reports whether more than half of all usable resources are in use and there is no spare room for all that
+// waits. Claimed targets are then kept from overdue steps: a stream of small tasks would otherwise take all that
+// becomes free, and gangs would never start. Tasks that last come in no such stream.
+func (p *planner) overloaded() bool {
+	if p.overloadKnown {
+		return p.overload
+	}
+	p.overloadKnown = true
+	total, free, waiting := 0.0, 0.0, 0.0
+	for _, n := range p.all.nodes {
+		if n.usable {
+			total += coreEquivalents(n.target.Resources)
+			free += max(0, coreEquivalents(n.free))
+		}
+	}
+	for _, u := range p.waitingSteps {
+		if len(p.nodesClaimedBy[u.info.job.ID]) == 0 {
+			waiting += coreEquivalents(u.need) * float64(len(u.tasks))
+		}
+	}
+	p.overload = free < total/2 && free < minSpareRoom*waiting
+	return p.overload
+}
+
 // standsStill reports whether a step has waited for maxIdleWait and nothing of its job is at work. A task that lasts
 // must be at work whether others of its job are or not.
 func (p *planner) standsStill(u *waitingStep) bool {
--- a/core/anvilplace/overdue_test.go
+++ b/core/anvilplace/overdue_test.go
@@ -90,3 +90,38 @@
 		})
 	}
 }
+
+// newClusterWithClaim returns a cluster in which the only targets with free accelerators are claimed for a gang. The
+// run there has exceeded its estimate, but doesn't end.
+func newClusterWithClaim(t assert.TestingT) *testCluster {
+	w := newClusterWithRoom(t, 6)
+	w.submit("exceeds", "common", "b", anvilwork.Step{Count: 1, Need: gpus(1), Estimate: 1000})
+	w.plan()
+	w.submit("claims", "common", "b", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true, PreferOneRack: true})
+	w.now += gangClaimDelay
+	w.plan()
+	assert.Equal(t, len(w.claimed), 2)
+	return w
+}
+
+// TestWaitBesideClaimedTargets guards against a job that waits without end beside targets that are claimed for a gang,
+// because a run there has exceeded its estimate and is expected to end at any moment.
+func TestWaitBesideClaimedTargets(t *testing.T) {
+	for name, step := range map[string]anvilwork.Step{
+		"a task":            {Count: 1, Need: gpus(4)},
+		"a gang":            {Count: 2, Need: gpus(2), Gang: true},
+		"a task that lasts": {Count: 1, Need: gpus(1), LongRunning: true},
+		"an urgent task":    {Count: 1, Need: gpus(4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newClusterWithClaim(t)
+			queue := anvilwork.QueueName("common")
+			if name == "an urgent task" {
+				queue = "urgent"
+			}
+			w.submit("waits", queue, "b", step)
+			wait := w.waitFor("waits", step.Count)
+			assert.Assert(t, wait <= longestWait, "the job waits for %d ms", wait)
+		})
+	}
+}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -133,6 +133,12 @@
 	deferrable bool
 	// lifted is the last precaution that is lifted for the current step, see fitOverdue.
 	lifted precaution
+	// keepsClaims means that targets that are claimed for others are kept from the current step even if it is overdue.
+	keepsClaims bool
+	// overload is the result of overloaded, which is valid if overloadKnown is set.
+	overload, overloadKnown bool
+	// waitingSteps are all steps with waiting tasks, in the order in which to place them.
+	waitingSteps []*waitingStep
 	// placedJobs has the jobs of which this call of Plan has placed tasks.
 	placedJobs map[anvilid.JobID]bool
 }
@@ -148,9 +154,9 @@
 	p.sumUrgentDemand()
 	p.addNodes()
 	p.reserveRacks()
-	waitingSteps := p.waitingInOrder()
-	p.restoreClaims(waitingSteps)
-	for _, waitingStep := range waitingSteps {
+	p.waitingSteps = p.waitingInOrder()
+	p.restoreClaims(p.waitingSteps)
+	for _, waitingStep := range p.waitingSteps {
 		if p.startsLeft(waitingStep.urgent) <= 0 {
 			p.explain(waitingStep, true)
 			continue
