--- a/core/anvilplace/overdue_test.go
+++ b/core/anvilplace/overdue_test.go
@@ -125,3 +125,13 @@
 		})
 	}
 }
+
+// TestClaimEndsUnderOverload guards against the same while more jobs wait than fit, so that the claim is kept from a
+// stream of small tasks: it must end once the run has exceeded its estimate by the longest horizon.
+func TestClaimEndsUnderOverload(t *testing.T) {
+	w := newClusterWithClaim(t)
+	w.submit("queue", "common", "b", anvilwork.Step{Count: 20, Need: gpus(8)})
+	w.submit("waits", "common", "b", anvilwork.Step{Count: 1, Need: gpus(4)})
+	wait := w.waitFor("waits", 1)
+	assert.Assert(t, wait > longestWait && wait <= gangClaimHorizons[len(gangClaimHorizons)-1], "the job waits for %d ms", wait)
+}
