Bound the wait of a job beside slow targets

Cause: slow targets were used only if all others would have no room even if nothing ran there, however long something did.

Change: an overdue step may use slow targets, after reserved and claimed ones, and is asked about for them where it needs tickets. Under overload they are avoided as before: an ejected target is idle because it fails what it gets, and a long queue would be spent on it.

--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -84,7 +84,13 @@
 
 // unavailableTo is unavailable for a step that may use slow nodes or not.
 func (n *node) unavailableTo(usesSlow bool) bool {
-	return !n.usable || n.slow && !usesSlow && !n.claimedForCurrentUrgent() || n.keptForUrgent() || n.claimedByOther() || n.excluded()
+	return !n.usable || n.avoidedBy(usesSlow) || n.keptForUrgent() || n.claimedByOther() || n.excluded()
+}
+
+// avoidedBy reports whether the node is slow and the current job may therefore not use it, given whether its step may
+// use slow nodes.
+func (n *node) avoidedBy(usesSlow bool) bool {
+	return n.slow && !usesSlow && !n.planner.lifts(avoidSlow) && !n.claimedForCurrentUrgent()
 }
 
 // keptForUrgent reports whether the current job may not use the node because it is reserved for urgent jobs.
--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -27,12 +27,13 @@
 	noPrecaution precaution = iota
 	reserveForUrgent
 	claimForWaiting
-	lastPrecaution = claimForWaiting
+	avoidSlow
+	lastPrecaution = avoidSlow
 )
 
 // lifts reports whether a precaution is lifted for the step that is being placed.
 func (p *planner) lifts(reason precaution) bool {
-	return p.lifted >= reason && !(reason == claimForWaiting && p.keepsClaims)
+	return p.lifted >= reason && (reason == reserveForUrgent || !p.onlyReserve)
 }
 
 // fitOverdue finds allotments for tasks of a step that doesn't fit otherwise, with precautions lifted, or returns nil
@@ -43,7 +44,7 @@
 		return nil
 	}
 	defer func(tolerated int) { p.lifted, u.tolerated = noPrecaution, tolerated }(u.tolerated)
-	p.lifted, p.keepsClaims = lastPrecaution, !u.step.LongRunning && p.overloaded()
+	p.lifted, p.onlyReserve = lastPrecaution, !u.step.LongRunning && p.overloaded()
 	count := p.spareRoom(u, waiting)
 	if count == 0 {
 		return nil
@@ -64,8 +65,9 @@
 }
 
 // overloaded reports whether more than half of all usable resources are in use and there is no spare room for all that
-// waits. Claimed targets are then kept from overdue steps: a stream of small tasks would otherwise take all that
-// becomes free, and gangs would never start. Tasks that last come in no such stream.
+// waits. Claimed and slow targets are then kept from overdue steps, except tasks that last, which come in no stream: a
+// stream of small tasks would otherwise take all that becomes free, so that gangs never start, and one after the other
+// would fail on a target that is ejected and therefore idle.
 func (p *planner) overloaded() bool {
 	if p.overloadKnown {
 		return p.overload
--- a/core/anvilplace/overdue_test.go
+++ b/core/anvilplace/overdue_test.go
@@ -1,10 +1,12 @@
 package anvilplace
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anviladvice"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
@@ -14,13 +16,30 @@
 // run may stand still.
 const longestWait = 2200 * anvilclock.Millisecond
 
-// waitFor plans every 100 ms until a job has a number of runs, and returns how long that took, at most a minute.
+// waitFor plans every 100 ms until a job has a number of runs, and returns how long that took, at most a minute. It
+// grants all tickets that are requested.
 func (w *testCluster) waitFor(id anvilid.JobID, runs int) anvilclock.Millis {
 	began := w.now
-	for w.plan(); len(w.assigned(id)) < runs && w.now < began+anvilclock.Minute; w.plan() {
+	for {
+		candidates := w.plan().TicketCandidates
+		if len(w.assigned(id)) >= runs || w.now >= began+anvilclock.Minute {
+			return w.now - began
+		}
+		w.grant(candidates)
 		w.now += 100
 	}
-	return w.now - began
+}
+
+// grant gives the planner a ticket for each candidate.
+func (w *testCluster) grant(candidates []anviladvice.Candidates) {
+	for _, step := range candidates {
+		for _, target := range step.Targets {
+			if w.tickets == nil {
+				w.tickets = map[anvilid.TargetID]anvilwork.Ticket{}
+			}
+			w.tickets[target.ID] = "ticket"
+		}
+	}
 }
 
 // newClusterWithRoom returns a cluster of four racks with two targets each, and a guarantee of 16 accelerators. Runs that
@@ -135,3 +154,54 @@
 	wait := w.waitFor("waits", 1)
 	assert.Assert(t, wait > longestWait && wait <= gangClaimHorizons[len(gangClaimHorizons)-1], "the job waits for %d ms", wait)
 }
+
+// TestWaitBesideSlowTargets guards against a job that waits without end beside slow targets that have room, because
+// the others would have room if nothing else ran there.
+func TestWaitBesideSlowTargets(t *testing.T) {
+	for name, c := range map[string]struct {
+		queue anvilwork.QueueName
+		step  anvilwork.Step
+	}{
+		"a task":                     {"common", anvilwork.Step{Count: 1, Need: gpus(8)}},
+		"a gang":                     {"common", anvilwork.Step{Count: 2, Need: gpus(4), Gang: true}},
+		"a gang that needs one rack": {"common", anvilwork.Step{Count: 2, Need: gpus(4), Gang: true, PreferOneRack: true}},
+		"a task that lasts":          {"common", anvilwork.Step{Count: 1, Need: gpus(1), LongRunning: true}},
+		"an urgent task":             {"urgent", anvilwork.Step{Count: 1, Need: gpus(4)}},
+		"a task that needs tickets":  {"advised", anvilwork.Step{Count: 1, Need: gpus(4)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newClusterWithRoom(t, 6)
+			w.slow = map[anvilid.TargetID]bool{"r3-00": true, "r3-01": true}
+			w.submit("waits", c.queue, "b", c.step)
+			wait := w.waitFor("waits", c.step.Count)
+			assert.Assert(t, wait <= longestWait, "the job waits for %d ms", wait)
+			for _, target := range w.assigned("waits") {
+				assert.Assert(t, w.slow[target])
+			}
+		})
+	}
+}
+
+// TestSlowTargetsComeLast guards against an overdue step that is placed on a slow target although there is room on one
+// that is reserved or claimed.
+func TestSlowTargetsComeLast(t *testing.T) {
+	w := newClusterWithRoom(t, 5)
+	w.reserve = 8
+	w.slow = map[anvilid.TargetID]bool{"r2-01": true, "r3-01": true}
+	w.submit("waits", "common", "b", anvilwork.Step{Count: 1, Need: gpus(8), Estimate: 20_000})
+	wait := w.waitFor("waits", 1)
+	assert.Assert(t, wait > 0 && wait <= longestWait, "the job waits for %d ms", wait)
+	assert.DeepEqual(t, w.assigned("waits"), []anvilid.TargetID{"r3-00"})
+}
+
+// TestOverloadSparesSlowTargets guards against a long queue of tasks of which one after the other fails on a target that
+// is ejected because it fails all tasks, and idle for that reason.
+func TestOverloadSparesSlowTargets(t *testing.T) {
+	w := newClusterWithRoom(t, 7)
+	w.slow = map[anvilid.TargetID]bool{"r3-01": true}
+	for n := range 20 {
+		w.submit(anvilid.JobID(fmt.Sprint("waits-", n)), "common", "b", anvilwork.Step{Count: 1, Need: gpus(1)})
+	}
+	wait := w.waitFor("waits-0", 1)
+	assert.Equal(t, wait, anvilclock.Minute)
+}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -133,8 +133,8 @@
 	deferrable bool
 	// lifted is the last precaution that is lifted for the current step, see fitOverdue.
 	lifted precaution
-	// keepsClaims means that targets that are claimed for others are kept from the current step even if it is overdue.
-	keepsClaims bool
+	// onlyReserve means that reserveForUrgent is the only precaution that can be lifted for the current step.
+	onlyReserve bool
 	// overload is the result of overloaded, which is valid if overloadKnown is set.
 	overload, overloadKnown bool
 	// waitingSteps are all steps with waiting tasks, in the order in which to place them.
--- a/core/anvilplace/reason.go
+++ b/core/anvilplace/reason.go
@@ -112,7 +112,7 @@
 		return Leaving
 	case !n.usable:
 		return p.whyNotUsable(n)
-	case n.slow && !p.currentUsesSlow && !n.claimedForCurrentUrgent():
+	case n.avoidedBy(p.currentUsesSlow):
 		return Avoided
 	case n.keptForUrgent():
 		return ReservedForUrgent
