Spread a gang over racks before it has stood still for too long

Cause: a gang that prefers one rack was spread after 3 s, which is the time that a job may stand still, without the time of its start. Where several racks together had room for it only with reserved targets, it waited for 35 s.

Change: the wait is that of overdue steps, 2 s, and an overdue gang that fits in no rack is spread with the precautions lifted.

--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -53,17 +53,25 @@
 		if len(u.failures) > 0 {
 			u.tolerated = p.toleratedFailures(u, u.together())
 		}
-		allotments := p.fitMost(u, count, availableNow)
-		if u.step.Gang {
-			allotments = p.fitAll(u, count, availableNow)
-		}
-		if len(allotments) > 0 {
+		if allotments := p.fitAvailable(u, count); len(allotments) > 0 {
 			return allotments
 		}
 	}
 	return nil
 }
 
+// fitAvailable finds allotments for tasks of an overdue step in the available resources: for a gang as a whole, over
+// several racks if it doesn't fit in one, or for as many tasks as fit.
+func (p *planner) fitAvailable(u *waitingStep, count int) []allotment {
+	if !u.step.Gang {
+		return p.fitMost(u, count, availableNow)
+	}
+	if allotments := p.fitAll(u, count, availableNow); len(allotments) > 0 {
+		return allotments
+	}
+	return p.fitSpread(u, count, availableNow)
+}
+
 // overloaded reports whether more than half of all usable resources are in use and there is no spare room for all that
 // waits. Claimed and slow targets are then kept from overdue steps, except tasks that last, which come in no stream: a
 // stream of small tasks would otherwise take all that becomes free, so that gangs never start, and one after the other
--- a/core/anvilplace/overdue_test.go
+++ b/core/anvilplace/overdue_test.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// TestSpreadOverReservedTargets guards against a gang that prefers one rack and waits without a bound, because it fits
+// into no rack and the targets without precautions have no room for it in several.
+func TestSpreadOverReservedTargets(t *testing.T) {
+	w := newClusterWithRoom(t, 2)
+	w.reserve = 32
+	for _, rack := range []anvilid.RackName{"r1", "r2", "r3"} {
+		w.submit("lasts-"+anvilid.JobID(rack), "urgent", "a", anvilwork.Step{Count: 1, Need: gpus(4), LongRunning: true, PreferredRack: rack})
+	}
+	w.plan()
+	w.submit("waits", "common", "b", anvilwork.Step{Count: 16, Need: gpus(1), Gang: true, PreferOneRack: true, Estimate: 20_000})
+	wait := w.waitFor("waits", 16)
+	assert.Assert(t, wait <= longestWait, "the job waits for %d ms", wait)
+}
+
 // TestReserveIsKept guards against jobs that use up the targets that are reserved for urgent jobs although they
 // needn't: because some of their tasks are at work, or because there is room for them only once.
 func TestReserveIsKept(t *testing.T) {
--- a/core/anvilplace/spread.go
+++ b/core/anvilplace/spread.go
@@ -5,27 +5,20 @@
 	"anvilshunt/core/anvilid"
 )
 
-const (
-	// maxRackWait is how long a gang that prefers one rack waits for one with room. Tasks that last may keep each rack
-	// from ever becoming free, and a job that could run elsewhere must not stand still.
-	maxRackWait = 3 * anvilclock.Second
-	// minSpreadRoom is how often a gang must fit into the free resources to be spread over several racks, where it
-	// takes longer. With less room, the resources are better used for others until a rack is free.
-	minSpreadRoom = 2
-)
-
-// fitSpread finds allotments for a gang over several racks that prefers one and has waited for maxRackWait, or returns
-// nil.
+// fitSpread finds allotments for a gang over several racks that prefers one and has waited for maxIdleWait, or returns
+// nil. Tasks that last may keep each rack from ever becoming free, and a job that could run elsewhere must not stand
+// still. With less room than minSpareRoom, the resources are better used for others until a rack is free, as a gang
+// takes longer in several racks.
 func (p *planner) fitSpread(u *waitingStep, count int, v view) []allotment {
-	if !u.step.PreferOneRack || p.Now-u.readySince() < maxRackWait ||
-		p.all.freeAccelerators < minSpreadRoom*anvilid.AcceleratorCount(count)*u.need.GPU {
+	if !u.step.PreferOneRack || p.Now-u.readySince() < maxIdleWait ||
+		p.all.freeAccelerators < minSpareRoom*anvilid.AcceleratorCount(count)*u.need.GPU {
 		return nil
 	}
 	room := 0
 	for _, r := range p.racks {
 		room += r.capacity(u, 1, v)
 	}
-	if room < minSpreadRoom*count {
+	if room < minSpareRoom*count {
 		return nil
 	}
 	return p.fitAcrossRacks(u, count, v)
