Keep the results of calls while the leader is busy

Cause: a result was dropped if the queue of the term's goroutine was full, and a poll without its result counts as in flight for the rest of the term. Starts wait for a recent answer of their target.

Change: a call waits until there is room or the term ends. Each has a goroutine of its own, of which there is one for each order in flight.

--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -37,7 +37,9 @@
 	plannedAt   anvilclock.Millis
 	planNeeded  bool
 	callResults chan func(now anvilclock.Millis) anvilorder.Effects
-	sender      sender
+	// ended is closed at the end of the term.
+	ended  chan struct{}
+	sender sender
 	// pendingCommands contains commands that follow from the results of calls.
 	// The next step commits them to the replicated log.
 	pendingCommands []anvilwork.Command
@@ -74,13 +76,14 @@
 		Leader: l, term: term, planNeeded: true, tracker: tracker,
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
-		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize),
-		sender:      sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk},
-		summary:     newSummary(now, l.ignoredEntries()),
+		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize), ended: make(chan struct{}),
+		sender:  sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk},
+		summary: newSummary(now, l.ignoredEntries()),
 	}
 }
 
 func (r *leadership) run(ctx context.Context) {
+	defer close(r.ended)
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -228,13 +231,15 @@
 	}
 }
 
-// enqueueResult passes the result of a call to the goroutine of the term. The
-// result is dropped if the queue is full. After the end of the term nothing reads
-// the queue any more, so it stays full once it has filled up.
+// enqueueResult passes the result of a call to the goroutine of the term. It waits
+// while the queue is full: a call whose result is lost counts as in flight for the
+// rest of the term, and what depends on it waits for as long. Results that come
+// after the end of the term are dropped. It must not be called by the goroutine of
+// the term, which would wait for itself.
 func (r *leadership) enqueueResult(f func(anvilclock.Millis) anvilorder.Effects) {
 	select {
 	case r.callResults <- f:
-	default:
+	case <-r.ended:
 	}
 }
 
