Release claims for evictions that don't come

Cause: such a job claims targets before it stops runs there, as some may end by themselves. If they have too much work to lose by then, nothing is stopped, but the claim stayed until the job started.

Change: the claim is released then, unless runs are being stopped there.

--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -45,7 +45,13 @@
 		return
 	}
 	best := p.cheapestEvictions(u, count)
-	if best == nil || !u.withinGuarantee && best.loss > u.plannedWork(count) {
+	if best == nil {
+		return
+	}
+	if !u.withinGuarantee && best.loss > u.plannedWork(count) {
+		if !p.awaitsStops(u) {
+			p.releaseClaims(u) // they are for runs that won't be stopped any more
+		}
 		return
 	}
 	if p.Now < u.evictAfter() {
@@ -56,6 +62,13 @@
 	p.claimTargets(u, best.allotments)
 }
 
+// awaitsStops reports whether runs are being stopped on the targets that are claimed for the job of a step.
+func (p *planner) awaitsStops(u *waitingStep) bool {
+	return slices.ContainsFunc(p.nodesClaimedBy[u.info.job.ID], func(n *node) bool {
+		return n.claimedBy == u.info.job.ID && slices.ContainsFunc(n.placedRuns, func(t *placedRun) bool { return t.stopping })
+	})
+}
+
 // evict adds runs to Decision.Evictions, to be stopped for a job.
 func (p *planner) evict(victims []runOnNode, job anvilid.JobID) {
 	for _, v := range victims {
