Check the leases of a request again once it has a connection

An instance checked its lease and the slot before it obtained a connection, and sent the request whenever the connection was open, up to 1 s later. Two faults followed. After the instance had lost its lease meanwhile, a target without fencing ran the request although its next owner had counted the slots. And the request that was still connecting was taken for one that the target runs, so that a request of a former owner that does run there was forgotten: 9 requests on 8 slots, with or without fencing. TestKillUnderLoad showed 9 requests on 8 slots at a load of 35; whether for these reasons isn't shown.

The test now says whether the request is repeatable, and also fails if a request that must not be repeated ran twice after its caller had looked.

--- a/cmd/anvilshunt/process_test.go
+++ b/cmd/anvilshunt/process_test.go
@@ -45,6 +45,9 @@
 // attempts last longer than an instance lease of 900 ms.
 const resendInterval = 300 * time.Millisecond
 
+// isRepeatable reports whether the request with the number i of a caller may run more than once.
+func isRepeatable(caller, i int) bool { return (caller+i)%2 != 0 }
+
 // sendOne sends a request and resends it to the other instances until it is done, at most six times
 // in total. It then compares the answers with the number of times that the request ran.
 func (l *loadGenerator) sendOne(caller, i int) {
@@ -53,7 +56,7 @@
 	if i%4 == 0 {
 		r.work = "2000" // longer than an instance lease, so the owner of the target may change during the run
 	}
-	if (caller+i)%2 == 0 {
+	if !isRepeatable(caller, i) {
 		r.repeatable = "no"
 	}
 	refused := true
@@ -93,20 +96,36 @@
 	l.s.eventually("more requests are done", func() bool { return l.done.Load() >= from+count })
 }
 
-// stopAndCheck stops the callers and fails the test if they found violations or if a target was
-// overloaded. It logs the requests that ran more than once.
+// stopAndCheck stops the callers and fails the test if they found violations, if a target was overloaded, or if a
+// request that must not be repeated ran twice, even after its caller had looked. It logs the repeatable requests that
+// ran more than once.
 func (l *loadGenerator) stopAndCheck() {
 	l.s.t.Helper()
 	l.stop.Store(true)
 	l.group.Wait()
 	l.s.eventually("all requests have ended", func() bool { return l.s.runningRequests() == 0 })
+	l.checkRepeated()
 	assert.DeepEqual(l.s.t, l.failures, []string(nil))
-	for name, target := range l.s.targets {
-		for _, count := range target.Requests(2) {
-			l.s.t.Logf("%s ran %s %d times", name, count.ID, count.Count)
+	l.s.checkLimits()
+}
+
+// checkRepeated checks the number of times that each request ran on all targets together.
+func (l *loadGenerator) checkRepeated() {
+	l.s.t.Helper()
+	runs := map[anvilid.RequestID]int{}
+	for _, target := range l.s.targets {
+		for _, count := range target.Requests(1) {
+			runs[count.ID] += count.Count
 		}
 	}
-	l.s.checkLimits()
+	for id, count := range runs {
+		var caller, i int
+		if _, err := fmt.Sscanf(string(id), "r-%d-%d", &caller, &i); err != nil || count < 2 {
+			continue // not a request of the load generator, or not repeated
+		}
+		l.check(isRepeatable(caller, i), "request %s must not be repeated, but it ran %d times", id, count)
+		l.s.t.Logf("request %s ran %d times; repeatable: %t", id, count, isRepeatable(caller, i))
+	}
 }
 
 // Kills the owner of a target and then the leader while requests are in flight, and restarts them.
--- a/core/anvilslot/foreign.go
+++ b/core/anvilslot/foreign.go
@@ -241,7 +241,7 @@
 	certainOwn := anvilid.SlotCount(0)
 	if now >= read.latest+MaxPacketDelay {
 		for i := range t.ownLeases {
-			if t.ownLeases[i].acquired <= read.earliest-maxStartDelay {
+			if !t.ownLeases[i].connecting && t.ownLeases[i].acquired <= read.earliest-maxStartDelay {
 				certainOwn++
 			}
 		}
@@ -379,7 +379,7 @@
 // that still run must be long (see longRequestAfter).
 func (t *target) readingConclusive(now anvilclock.Millis) bool {
 	for i := range t.ownLeases {
-		if t.ownLeases[i].acquired > now-maxStartDelay {
+		if t.ownLeases[i].connecting || t.ownLeases[i].acquired > now-maxStartDelay {
 			return false
 		}
 	}
--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -77,7 +77,10 @@
 	Epoch  anvilid.Epoch
 
 	sequence uint64
+	// acquired is when the lease was acquired, or when its request was sent if Send was called.
 	acquired anvilclock.Millis
+	// connecting means that BeginSend was called, but not Send yet.
+	connecting bool
 }
 
 // Load summarizes the targets of one service that this instance owns.
@@ -288,12 +291,38 @@
 }
 
 // Valid reports whether a lease still allows its request to be sent. Call it immediately before
-// sending the request.
+// sending the request, or BeginSend if it has no connection yet.
 func (l *Ledger) Valid(now anvilclock.Millis, lease Lease) bool {
 	t, ok := l.targets[lease.Target]
 	return ok && t.epoch == lease.Epoch && t.leaseIndex(lease) >= 0 && now-lease.acquired < MaxDispatchDelay
 }
 
+// BeginSend is like Valid, for a request for which a connection must be obtained before it is sent. Until
+// Send, the request isn't taken for one that the target runs, however long the connection takes.
+func (l *Ledger) BeginSend(now anvilclock.Millis, lease Lease) bool {
+	if !l.Valid(now, lease) {
+		return false
+	}
+	t := l.targets[lease.Target]
+	t.ownLeases[t.leaseIndex(lease)].connecting = true
+	return true
+}
+
+// Send reports whether the request of a lease may be sent now that it has a connection: its target is still owned in
+// the same epoch.
+func (l *Ledger) Send(now anvilclock.Millis, lease Lease) bool {
+	t, ok := l.targets[lease.Target]
+	if !ok || t.epoch != lease.Epoch {
+		return false
+	}
+	i := t.leaseIndex(lease)
+	if i < 0 {
+		return false
+	}
+	t.ownLeases[i].acquired, t.ownLeases[i].connecting = now, false
+	return true
+}
+
 // Release ends a lease whose request has certainly ended at the target or was never sent. It does
 // nothing if the lease was already released, or if the target got a new epoch or was disowned.
 func (l *Ledger) Release(now anvilclock.Millis, lease Lease) {
--- a/core/anvilslot/ledger_test.go
+++ b/core/anvilslot/ledger_test.go
@@ -147,3 +147,35 @@
 		i++
 	}
 }
+
+// TestConnectingLeaseIsNotRunning guards against a request that waits for its connection and is taken for the one of a
+// former owner that a reading shows, and against a send after the target got another owner. The pattern is a target that
+// is slow to connect to after a change of its owner: it got nine requests on eight slots.
+func TestConnectingLeaseIsNotRunning(t *testing.T) {
+	l := New()
+	l.Own(0, targetID, 1, Limits{Service: "s", Incarnation: 1, Slots: 8, Connections: 64}, 0)
+	sequence := uint64(0)
+	report := func() *anvilreport.Report {
+		sequence++
+		return &anvilreport.Report{Target: targetID, Incarnation: 1, Slots: 8, Connections: 64, Epoch: 1, Sequence: sequence, UsedSlots: 1}
+	}
+	assert.NilError(t, l.HandleAdoption(1, 0, targetID, 1, report()))
+	lease, ok := l.Acquire(10, "s")
+	assert.Assert(t, ok && l.BeginSend(11, lease))
+	assert.Assert(t, !l.BeginSend(11+MaxDispatchDelay, lease))
+	for at := anvilclock.Millis(1000); at < 2000; at += 500 {
+		assert.NilError(t, l.HandlePoll(at+10, at, targetID, 1, report()))
+		l.DuePolls(at + 10 + MaxPacketDelay)
+	}
+	view, _ := l.View(targetID)
+	assert.Equal(t, view.Foreign, anvilid.SlotCount(1), "the request of the former owner still runs")
+	assert.Assert(t, l.Send(2000, lease))
+	for at := anvilclock.Millis(3000); at < 4000; at += 500 {
+		assert.NilError(t, l.HandlePoll(at+10, at, targetID, 1, report()))
+		l.DuePolls(at + 10 + MaxPacketDelay)
+	}
+	view, _ = l.View(targetID)
+	assert.Equal(t, view.Foreign, anvilid.SlotCount(0), "the request that runs is the own one")
+	l.Own(4000, targetID, 2, Limits{Service: "s", Incarnation: 1, Slots: 8, Connections: 64}, 0)
+	assert.Assert(t, !l.Send(4001, lease))
+}
--- a/io/anvilfleet/caller.go
+++ b/io/anvilfleet/caller.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,7 +63,7 @@
 	return &caller{
 		address: target.Address, epoch: target.Epoch,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dialConn(dialer),
 			MaxConnsPerHost:     int(anvilslot.MaxOwnerConnections),
 			MaxIdleConnsPerHost: int(anvilslot.MaxOwnerConnections),
 			IdleConnTimeout:     time.Minute,
@@ -127,11 +128,26 @@
 }
 
 // run sends a request to the target and returns the complete answer. If the
-// error is nil, the answer has passed all checks.
-func (c *caller) run(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, remaining anvilclock.Millis, limit anvilid.ByteCount) (anvilrequest.Answer, error) {
+// error is nil, the answer has passed all checks. It calls maySend once a connection
+// is open, which can take long, and sends nothing if the result is false.
+func (c *caller) run(ctx context.Context, request *anvilrequest.Request, token anvilid.Token, remaining anvilclock.Millis, limit anvilid.ByteCount, maySend func() bool) (anvilrequest.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var stopped atomic.Bool
+	check := func() bool {
+		if maySend() {
+			return true
+		}
+		stopped.Store(true)
+		cancel() // or the transport would try another connection
+		return false
+	}
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected = true
+			info.Conn.(*conn).maySend.Store(&check)
+		},
 	})
 	call, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url("/v1/run"), bytes.NewReader(request.Body))
 	if err != nil {
@@ -153,7 +169,7 @@
 	// answer for the caller and must not be followed.
 	response, err := c.transport.RoundTrip(call)
 	if err != nil {
-		if !connected {
+		if !connected || stopped.Load() {
 			return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errNotSent, err)
 		}
 		return anvilrequest.Answer{}, fmt.Errorf("%w: %w", errLost, err)
--- a/io/anvilfleet/run.go
+++ b/io/anvilfleet/run.go
@@ -62,7 +62,7 @@
 		return anvilrequest.Refuse(anvilrequest.CodeNoTarget, "target %q is no longer available", lease.Target)
 	}
 	began := f.clock.Now()
-	answer, err := caller.run(ctx, request, token, request.Deadline-began, f.answerLimit)
+	answer, err := caller.run(ctx, request, token, request.Deadline-began, f.answerLimit, func() bool { return f.maySend(lease) })
 	ended := f.clock.Now()
 	f.finishDispatch(lease, request.Service, answer, err, ended)
 	if err == nil {
@@ -71,7 +71,7 @@
 	return f.answerForError(ctx, lease, request, err)
 }
 
-// beginDispatch checks, immediately before the request is sent, that the leases
+// beginDispatch checks, before a connection for the request is obtained, that the leases
 // of the instance and of the slot are still valid: the process may have been
 // suspended since they were acquired.
 func (f *Fleet) beginDispatch(lease anvilslot.Lease) (*caller, bool) {
@@ -79,7 +79,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	entry, ok := f.targets[lease.Target]
-	if !ok || !f.leased() || !f.ledger.Valid(now, lease) {
+	if !ok || !f.leased() || !f.ledger.BeginSend(now, lease) {
 		f.counts.StaleLeases++
 		f.ledger.Release(now, lease)
 		if f.probes[lease.Target] == lease {
@@ -92,6 +92,14 @@
 	return entry.caller, true
 }
 
+// maySend checks the leases again immediately before the request is sent, because
+// it may have taken long to open a connection.
+func (f *Fleet) maySend(lease anvilslot.Lease) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leased() && f.ledger.Send(f.clock.Now(), lease)
+}
+
 func (f *Fleet) finishDispatch(lease anvilslot.Lease, service anvilid.ServiceName, answer anvilrequest.Answer, err error, now anvilclock.Millis) {
 	f.mu.Lock()
 	if f.probes[lease.Target] == lease {
