Retry an election without waiting for twice the last sync

A candidate whose own term took 2 s to sync waited for another 4 s before it asked again, even if the vote that it needed was lost and no other voter could win.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -8,7 +8,7 @@
 )
 
 // maxBackoffDoublings limits the wait between two campaigns to 16 minimum election
-// timeouts. It is as high as 16 because a sync to disk may take several election timeouts.
+// timeouts.
 const maxBackoffDoublings = 4
 
 // maxLateExtension limits the time by which late ticks extend an election timeout or the quorum
@@ -40,13 +40,12 @@
 
 // scheduleElectionRetry sets when this node asks for votes again if the current attempt
 // fails, as after a split vote. The wait is shorter than an election timeout, because there
-// is no leader that an early attempt could disturb. Votes are synced to disk before they are
-// sent, and a new attempt invalidates the votes that a slow disk still delays. The wait
-// therefore includes twice the duration of the last hard state sync on this node, and its
-// random part doubles with each failed campaign.
+// is no leader that an early attempt could disturb. It does not depend on the duration of syncs:
+// asking for pre-votes again invalidates no vote, and a voter that is still syncing its vote answers
+// none. The wait doubles with each failed campaign.
 func (n *Node) scheduleElectionRetry() {
 	span := n.randomBetween(n.options.minElectionTimeout/2, n.options.minElectionTimeout)
-	n.setElectionTimer(span<<min(n.campaignsSinceLeader, maxBackoffDoublings) + 2*n.persisted.hardStateSyncDuration)
+	n.setElectionTimer(span << min(n.campaignsSinceLeader, maxBackoffDoublings))
 }
 
 // rescheduleElectionAfterSync restarts the election timer when the term or the vote of this
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -1,9 +1,6 @@
 package anvilraft
 
-import (
-	"anvilshunt/core/anvilclock"
-	"anvilshunt/core/anvilid"
-)
+import "anvilshunt/core/anvilid"
 
 // maxWithheldMessages limits the messages withheld while a disk is slow. The oldest are
 // dropped, because the protocol tolerates lost messages.
@@ -18,10 +15,7 @@
 	pendingSaves []pendingSave
 	// hardStateSequence is the sequence number of the Save with the current hard state.
 	hardStateSequence uint64
-	// hardStateSavedAt is when the Save with the current hard state was created.
-	// hardStateSyncDuration is how long the last sync of a hard state took.
-	hardStateSavedAt, hardStateSyncDuration anvilclock.Millis
-	withheld                                []withheldMessage
+	withheld          []withheldMessage
 
 	// The following fields say what the Save of the current step will contain. changedFrom is the
 	// index from which on the log has changed, or 0.
@@ -47,7 +41,6 @@
 func (n *Node) scheduleHardStateSave() {
 	n.persisted.hardStateChanged = true
 	n.persisted.hardStateSequence = n.persisted.sequence + 1
-	n.persisted.hardStateSavedAt = n.now
 }
 
 // appendToLog appends entries to the log and includes them in the Save of this step.
@@ -91,9 +84,6 @@
 	wasUnsynced := p.hardStateUnsynced()
 	p.synced = max(p.synced, min(sequence, p.sequence))
 	if wasUnsynced && !p.hardStateUnsynced() {
-		// The duration is limited because the process may have been suspended during the sync, and
-		// must not wait as long again before the next election.
-		p.hardStateSyncDuration = min(n.now-p.hardStateSavedAt, n.options.minElectionTimeout<<maxBackoffDoublings)
 		n.rescheduleElectionAfterSync()
 	}
 	done := 0
