--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -62,11 +62,11 @@
 		g.joiningSince[id] = g.clock.Now()
 	}
 	g.mu.Unlock()
-	g.wake()
+	g.Wake()
 }
 
-// wake lets ManageMembers act at once.
-func (g *Group) wake() {
+// Wake lets ManageMembers act at once, after an election or a request.
+func (g *Group) Wake() {
 	select {
 	case g.requested <- struct{}{}:
 	default:
--- a/io/anvilgroup/leave.go
+++ b/io/anvilgroup/leave.go
@@ -60,7 +60,7 @@
 	g.mu.Lock()
 	g.releases[id] = true
 	g.mu.Unlock()
-	g.wake()
+	g.Wake()
 	retry := time.NewTicker(enrollInterval)
 	defer retry.Stop()
 	for {
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -176,6 +176,7 @@
 		if status.Role != anvilraft.Leader || !status.HasQuorum {
 			continue
 		}
+		l.group.Wake()
 		// The barrier ensures that all entries of earlier terms are applied.
 		barrier, cancel := context.WithTimeout(ctx, commitTimeout)
 		err := l.group.Voter.Barrier(barrier)
