Enroll only the latest data directory of an instance

A voter that loses its disk while the leader enrolls it asks with a new data directory. A pass that had already listed the former one recorded it again, and the leader then enrolled both in turns, each of which removes the other. The former one is now skipped, and only a request or a learner without another member of its instance is recorded. Found by reading; the fault came with the enrollment by the leader.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -103,6 +103,9 @@
 func (g *Group) enrollJoining(ctx context.Context, members anvilraft.Members) time.Duration {
 	interval := joinInterval
 	for _, id := range g.joining(members) {
+		if !g.claimJoining(id) {
+			continue
+		}
 		err := g.enrollNext(ctx, id)
 		g.mu.Lock()
 		g.joinErrors[id] = err
@@ -114,6 +117,22 @@
 	return interval
 }
 
+// claimJoining records a learner that a former leader has added like a voter that this leader was asked to add. It returns
+// false if the instance has asked with another data directory meanwhile.
+func (g *Group) claimJoining(id anvilraft.VoterID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for other := range g.joiningSince {
+		if other.Instance == id.Instance && other != id {
+			return false
+		}
+	}
+	if _, known := g.joiningSince[id]; !known {
+		g.joiningSince[id] = g.clock.Now()
+	}
+	return true
+}
+
 func isPending(err error) bool {
 	return errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp)
 }
@@ -155,11 +174,11 @@
 // if the new one is lost, too. The new voter waits as long, because the former one may have been lost just now.
 func (g *Group) replacedBy(id anvilraft.VoterID) anvilvoter.Replaced {
 	g.mu.Lock()
-	if _, known := g.joiningSince[id]; !known {
-		g.joiningSince[id] = g.clock.Now()
-	}
-	since := g.joiningSince[id]
+	since, known := g.joiningSince[id]
 	g.mu.Unlock()
+	if !known {
+		since = g.clock.Now()
+	}
 	return func(members anvilraft.Members) (anvilraft.VoterID, error) {
 		if g.settings.Voters == 0 || len(members.Voters) < g.settings.Voters {
 			return anvilraft.VoterID{}, nil
