Give the answer of the former run when a retry is refused

A repeatable request whose run had an unknown outcome or failed, and whose retry found no slot before the deadline, got the answer "not-run" although it had run, and its id was forgotten, so that a resend at this instance ran it again.

--- a/io/anvildispatch/route.go
+++ b/io/anvildispatch/route.go
@@ -43,13 +43,19 @@
 
 // route runs a request on a target of this instance or of a peer. A repeatable request that fails is
 // run again, at most maxRuns times in total and within the retry budget of its service. Any other
-// request is sent at most once.
+// request is sent at most once. If a retry is refused, the answer is that of the run before it, because
+// the request may have run.
 func (d *Dispatcher) route(ctx context.Context, request *anvilrequest.Request, token anvilid.Token) anvilrequest.Answer {
+	var failed anvilrequest.Answer
 	for runs := 1; ; runs++ {
 		answer := d.queueAndSend(ctx, request, token)
+		if runs > 1 && answer.Outcome == anvilrequest.NotRun {
+			return failed
+		}
 		if !d.shouldRetry(request, answer, runs) {
 			return answer
 		}
+		failed = answer
 	}
 }
 
