Try voters that have failed last, also those of the settings

Callers saw no configuration for as long as two voters accepted connections and didn't answer, although a leader was there: such a voter costs a call 0.6 s, an operator's call ends after 0.93 s, and the next one began with the same two voters. Only voters that a redirection had named were moved to the end when they failed, and an instance that has got no answer yet, as after a restart, has no redirection. The instance that leads was no exception, as its own control server asks the same list.

Now the forwarder keeps when each candidate last failed without having answered since, and tries the candidates in that order. anvilgate.TestSilentVoters failed before (the second call isn't answered either).

--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -73,10 +73,11 @@
 	self anvilid.InstanceID
 
 	mu                  sync.Mutex
-	probableLeader      anvilid.InstanceID   // tried first; empty if not known
-	lastLeader          anvilid.InstanceID   // leader that answered the last successful call
-	voters              []anvilid.InstanceID // as the latest redirection named them
-	relays              []anvilid.InstanceID // other instances that can relay calls
+	probableLeader      anvilid.InstanceID                       // tried first; empty if not known
+	lastLeader          anvilid.InstanceID                       // leader that answered the last successful call
+	voters              []anvilid.InstanceID                     // as the latest redirection named them
+	failedAt            map[anvilid.InstanceID]anvilclock.Millis // when candidates that have not answered since failed
+	relays              []anvilid.InstanceID                     // other instances that can relay calls
 	clients             map[anvilid.InstanceID]anvilrpc.Fleet
 	lastContact         anvilclock.Millis // when a leader last answered a call
 	consecutiveTimeouts int               // attempts that timed out since a voter last responded
@@ -95,7 +96,7 @@
 func New(clock anvilclock.Clock, log *anvillogs.Logger, seeds func() []anvilid.InstanceID, dial func(anvilid.InstanceID) anvilrpc.Fleet, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		clock: clock, log: log, failures: newFailureLog(clock, log), dial: dial, seeds: seeds,
-		clients: map[anvilid.InstanceID]anvilrpc.Fleet{}, lastContact: -connectedTimeout, leaderChanged: make(chan struct{}),
+		clients: map[anvilid.InstanceID]anvilrpc.Fleet{}, failedAt: map[anvilid.InstanceID]anvilclock.Millis{}, lastContact: -connectedTimeout, leaderChanged: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -257,7 +258,7 @@
 func (c *call) record(ctx context.Context, instance anvilid.InstanceID, attempt Attempt) (redirection *anvilrpc.Redirection, done, sent bool, err error) {
 	redirection, done, sent, err = c.attemptOnce(ctx, instance, attempt)
 	if ctx.Err() == nil {
-		c.recordResponse(err)
+		c.recordResponse(instance, err)
 	}
 	if done && err == nil {
 		c.recordLeader(instance, redirection)
--- a/io/anvilgate/forwarder_test.go
+++ b/io/anvilgate/forwarder_test.go
@@ -97,6 +97,20 @@
 	assert.NilError(t, f.locateOnce(time.Second))
 }
 
+// TestSilentVoters guards against calls that never reach the leader because each of them ends before it gets past two
+// voters that don't answer: an instance that has got no answer yet began each call with the same two.
+func TestSilentVoters(t *testing.T) {
+	voters := map[anvilid.InstanceID]*voter{"a": {locate: silent}, "b": {locate: silent}, "c": {locate: leads}}
+	f := New(anvilclock.Monotonic(), anvillogs.Discard(), func() []anvilid.InstanceID { return []anvilid.InstanceID{"a", "b", "c"} },
+		func(instance anvilid.InstanceID) anvilrpc.Fleet { return voters[instance] })
+	const span = attemptTimeout + attemptTimeout/2 // as a call of an operator
+	assert.ErrorIs(t, f.locateOnce(span), ErrUnanswered)
+	assert.NilError(t, f.locateOnce(span))
+	assert.Equal(t, voters["a"].calls, 1)
+	voters["a"].locate, voters["c"].locate = leads, silent
+	assert.NilError(t, f.locateOnce(span))
+}
+
 // TestRefusalIsTrue guards against ErrNotSent, which tells a caller that its job was
 // not accepted, although a voter may have accepted the job.
 func TestRefusalIsTrue(t *testing.T) {
--- a/io/anvilgate/voters.go
+++ b/io/anvilgate/voters.go
@@ -1,8 +1,10 @@
 package anvilgate
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -12,22 +14,26 @@
 	"anvilshunt/io/anvilrpc"
 )
 
-// candidates returns the instances to try in order: the probable leader, then
-// all known voters.
+// candidates returns the instances to try in order: the probable leader, then all known voters, of which those that
+// have failed come last. A call may end before it gets past two voters that don't answer, and the next call must not
+// begin with them again.
 func (f *Forwarder) candidates() []anvilid.InstanceID {
+	seeds := f.seeds()
 	f.mu.Lock()
-	leader, voters := f.probableLeader, f.voters
-	f.mu.Unlock()
-	all := slices.Concat(voters, f.seeds())
-	if leader != "" {
-		all = append([]anvilid.InstanceID{leader}, all...)
-	}
+	defer f.mu.Unlock()
 	var unique []anvilid.InstanceID
-	for _, instance := range all {
-		if !slices.Contains(unique, instance) {
+	for _, instance := range slices.Concat(f.voters, seeds) {
+		if !slices.Contains(unique, instance) && instance != f.probableLeader {
 			unique = append(unique, instance)
 		}
 	}
+	maps.DeleteFunc(f.failedAt, func(instance anvilid.InstanceID, _ anvilclock.Millis) bool {
+		return instance != f.probableLeader && !slices.Contains(unique, instance)
+	})
+	slices.SortStableFunc(unique, func(a, b anvilid.InstanceID) int { return cmp.Compare(f.failedAt[a], f.failedAt[b]) })
+	if f.probableLeader != "" {
+		unique = append([]anvilid.InstanceID{f.probableLeader}, unique...)
+	}
 	return unique
 }
 
@@ -53,16 +59,14 @@
 	f.probableLeader, f.lastLeader, f.lastContact = instance, instance, f.clock.Now()
 }
 
+// demote makes an instance that has failed the last one to be tried, until it answers.
 func (f *Forwarder) demote(instance anvilid.InstanceID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.probableLeader == instance {
 		f.probableLeader = ""
 	}
-	// Move the voter that failed to the end, so that it is tried last the next time.
-	if i := slices.Index(f.voters, instance); i >= 0 {
-		f.voters = append(slices.Delete(slices.Clone(f.voters), i, i+1), instance)
-	}
+	f.failedAt[instance] = f.clock.Now()
 }
 
 func (f *Forwarder) applyRedirection(redirection *anvilrpc.Redirection) {
@@ -170,9 +174,12 @@
 
 // recordResponse counts consecutive attempts that timed out. A refused connection
 // is a response: the instance is up, and its process restarts soon.
-func (f *Forwarder) recordResponse(err error) {
+func (f *Forwarder) recordResponse(instance anvilid.InstanceID, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err == nil {
+		delete(f.failedAt, instance)
+	}
 	var netErr net.Error
 	if err != nil && (errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()) {
 		f.consecutiveTimeouts++
