Don't take a voter with a slow disk for one that is gone

A new leader removed a healthy voter that was still syncing its term in place of the one that was replaced: both had sent nothing since the election, and of equals the one that is listed last was removed.

A voter whose process answers deliveries now counts as silent only after 30 s without a message. anvilgroup.TestSlowDiskBesideGoneVoter failed before (the slow voter was removed after 1,500 ms).

--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -39,19 +39,23 @@
 	return silent, !silent.IsZero()
 }
 
-// silentFor returns how long a voter has sent nothing to this leader. That isn't known before noteLeading has been
-// called, as followers send messages to the leader only. After confirmTimeout, what the leaders before have told counts
-// as well, for a voter that this leader has not reached either. g.mu must be held.
+// silentFor returns how long this leader has had no sign of a voter: neither a message nor an answer of its process. That
+// isn't known before noteLeading has been called, as followers send messages to the leader only. After confirmTimeout, what
+// the former leaders have reported counts as well. A voter that sends nothing for incompleteTimeout is silent even if its
+// process answers; for a shorter time it may wait for a sync. g.mu must be held.
 func (g *Group) silentFor(voter anvilraft.VoterID) anvilclock.Millis {
 	if voter == g.id || g.leadingSince < 0 {
 		return 0
 	}
 	now := g.clock.Now()
-	quiet := now - max(g.lastHeard[voter.Instance], g.leadingSince)
+	unheard := now - max(g.lastHeard[voter.Instance], g.leadingSince)
+	if unheard >= incompleteTimeout {
+		return unheard
+	}
 	if now-g.leadingSince >= confirmTimeout {
-		quiet = max(quiet, g.unreachableFor(voter.Instance))
+		return g.unreachableFor(voter.Instance)
 	}
-	return quiet
+	return min(unheard, now-max(g.lastReached[voter.Instance], g.leadingSince))
 }
 
 // noteTerm forgets since when this voter leads if its term is another one. It may have lost the leadership and won it
