Keep the voters that join while a leader has no quorum for a moment

A starved leader has no quorum in the moment in which its process runs again, although it stays the leader. Each time, it forgot the voters that it was asked to add or remove, which then waited for their next call. The requests are kept now; silence is counted anew as before, and no voter gets a vote beside the meant number before that has been possible.

anvilgroup.TestQuorumLostForAMoment covers what is kept and what is not.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -103,6 +103,9 @@
 func (g *Group) enrollJoining(ctx context.Context, members anvilraft.Members) time.Duration {
 	interval := joinInterval
 	for _, id := range g.joining(members) {
+		if !g.leads() {
+			break
+		}
 		if !g.claimJoining(id) {
 			continue
 		}
@@ -184,7 +187,7 @@
 			return anvilraft.VoterID{}, nil
 		}
 		silent, ok := g.mostSilent(members, replacedTimeout)
-		if !ok && g.clock.Now()-since < replacedTimeout {
+		if !ok && g.clock.Now()-max(since, g.leadsSince()) < replacedTimeout {
 			return anvilraft.VoterID{}, anvilraft.ErrChangePending
 		}
 		return silent, nil
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -10,8 +10,8 @@
 	"anvilshunt/io/anvillogs"
 )
 
-// ManageMembers enrolls voters that join, and removes those that leave and surplus voters, while this voter is the leader, until ctx is done.
-// It makes one change at a time, as the log takes no other one before it is committed. A group with an even number of
+// ManageMembers enrolls voters that join, and removes those that leave and surplus voters, while this voter is the leader,
+// until ctx is done. It makes one change at a time, as the log takes no other one before it is committed. A group with an even number of
 // voters, n, tolerates no more failures than one with n-1 voters, so it has one surplus voter. A group with more voters
 // than it is meant to have may have several: if two voters are replaced at the same time, both of their successors have
 // joined before either of them is removed, and the number is odd again. If a voter of such a group has sent nothing for
@@ -26,21 +26,22 @@
 		case <-g.requested:
 		case <-time.After(interval):
 		}
-		status := g.Voter.Status()
 		interval = joinInterval
-		g.noteTerm(status.Term)
-		if !g.noteLeading(status.Role == anvilraft.Leader && status.HasQuorum) {
+		if !g.leads() {
 			continue
 		}
-		g.updateReport(status.Members)
-		if silent := g.countSilent(status.Members); silent != silentBefore {
+		members := g.Voter.Status().Members
+		g.updateReport(members)
+		if silent := g.countSilent(members); silent != silentBefore {
 			silentBefore = silent
-			voters := len(status.Members.Voters)
+			voters := len(members.Voters)
 			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
 		}
 		wait := g.releaseNext(ctx)
-		if silent, ok := g.surplusVoter(g.Voter.Status().Members); ok {
-			_ = g.remove(ctx, silent) // it is logged, and retried with the next check
+		if g.leads() {
+			if silent, ok := g.surplusVoter(g.Voter.Status().Members); ok {
+				_ = g.remove(ctx, silent) // it is logged, and retried with the next check
+			}
 		}
 		interval = g.enrollJoining(ctx, g.Voter.Status().Members)
 		if wait {
--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// leads reports whether this voter is the leader and has a quorum now. It must be called before each decision about
+// members, because a change may take long and the term may end meanwhile.
+func (g *Group) leads() bool {
+	status := g.Voter.Status()
+	g.noteTerm(status.Term)
+	if status.Role == anvilraft.Leader && !status.HasQuorum {
+		g.noteQuorumLost()
+		return false
+	}
+	return g.noteLeading(status.Role == anvilraft.Leader)
+}
+
+// noteQuorumLost counts the silence of the others anew, because this process may not have run. The voters that it was asked
+// to add or remove are kept.
+func (g *Group) noteQuorumLost() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopLeading()
+}
+
 // noteLeading records whether this voter leads now, and returns that.
 func (g *Group) noteLeading(leads bool) bool {
 	g.mu.Lock()
@@ -85,6 +105,17 @@
 	return leads
 }
 
+// leadsSince returns when this voter was first seen as the leader of its term with a quorum, or the present time if it
+// isn't.
+func (g *Group) leadsSince() anvilclock.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leadingSince < 0 {
+		return g.clock.Now()
+	}
+	return g.leadingSince
+}
+
 // countSilent returns the number of voters that have sent nothing for replacedTimeout. They count for the quorum.
 func (g *Group) countSilent(members anvilraft.Members) int {
 	g.mu.Lock()
--- a/io/anvilgroup/silence_test.go
+++ b/io/anvilgroup/silence_test.go
@@ -50,3 +50,25 @@
 		})
 	}
 }
+
+// TestQuorumLostForAMoment guards against a starved leader, whose quorum is lost each time that its process has not run,
+// that forgets the voters that wait to be added, and against one that takes its own pause for silence of the others.
+func TestQuorumLostForAMoment(t *testing.T) {
+	now := 100 * anvilclock.Second
+	clock := anvilclock.Clock{Now: func() anvilclock.Millis { return now }}
+	voters := []anvilraft.VoterID{{Instance: "v0", Storage: "1"}, {Instance: "v1", Storage: "1"}}
+	joining := anvilraft.VoterID{Instance: "v2", Storage: "1"}
+	g := &Group{
+		clock: clock, id: voters[0], leadingSince: -1, lastHeard: map[anvilid.InstanceID]anvilclock.Millis{},
+		joiningSince: map[anvilraft.VoterID]anvilclock.Millis{}, requested: make(chan struct{}, 1),
+	}
+	g.noteLeading(true)
+	g.noteJoining(joining)
+	now += 2 * anvilclock.Second
+	g.noteQuorumLost()
+	g.noteLeading(true)
+	assert.DeepEqual(t, g.joining(anvilraft.Members{Voters: voters}), []anvilraft.VoterID{joining})
+	assert.Equal(t, g.countSilent(anvilraft.Members{Voters: voters}), 0)
+	g.noteLeading(false)
+	assert.Equal(t, len(g.joining(anvilraft.Members{Voters: voters})), 0, "another leader decides")
+}
