--- a/io/anvilgroup/leave.go
+++ b/io/anvilgroup/leave.go
@@ -37,7 +37,7 @@
 		case <-time.After(enrollInterval):
 		}
 	}
-	g.log.Write(anvillogs.EnrollFailed, zap.String("voter", string(g.id.Instance)), zap.Bool("leave", true), zap.Error(ctx.Err()))
+	g.log.Write(anvillogs.LeaveFailed, zap.Stringer("voter", g.id), zap.Error(ctx.Err()))
 }
 
 // requestRemoval asks the leader, which may be this voter, to remove this voter, and reports whether it has done so.
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -66,12 +66,12 @@
 		return &anvilrpc.JoinReply{Redirection: r}, nil
 	}
 	id := anvilraft.VoterID{Instance: anvilid.InstanceID(call.Instance), Storage: anvilraft.StorageID(call.Storage)}
-	change := l.group.Enroll
+	change, failed := l.group.Enroll, anvillogs.EnrollFailed
 	if call.Leave {
-		change = l.group.Release
+		change, failed = l.group.Release, anvillogs.LeaveFailed
 	}
 	if err := change(ctx, id); err != nil {
-		l.log.Write(anvillogs.EnrollFailed, zap.Stringer("voter", id), zap.Bool("leave", call.Leave), zap.Error(err))
+		l.log.Write(failed, zap.Stringer("voter", id), zap.Error(err))
 		return &anvilrpc.JoinReply{}, nil
 	}
 	return &anvilrpc.JoinReply{Done: true}, nil
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -34,6 +34,7 @@
 	DiskSlow             = define(216, zapcore.WarnLevel, "write to the data directory took longer than the election timeout")
 	VotersSilent         = define(217, zapcore.WarnLevel, "number of voters that send nothing has changed")
 	VotersKnown          = define(218, zapcore.InfoLevel, "voters of the control group, as this voter knows them")
+	LeaveFailed          = define(219, zapcore.WarnLevel, "voter could not be removed in time from a group that is larger than it is meant to be")
 	EntryUnreadable      = define(207, zapcore.ErrorLevel, "committed log entry can't be decoded")
 )
 
