Spread the compactions of the voters over the log indexes

Each voter now compacts at its own offset within the interval, by its rank among the voters: 1,333 entries apart for three voters with 4000 entries. The intervals between compactions don't grow. Index offsets survive restarts; the offset in bytes applies to the first compaction after a start.

The test harness delays the syncs of directories as well. A group that has only just a majority left still waits for each compaction.

--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -55,6 +55,11 @@
 		time.Sleep(time.Duration(n.syncIn.Load()) * time.Millisecond)
 		return nil
 	})
+	syncDir := slow.SyncDir
+	slow.SyncDir = func(dir string) error {
+		time.Sleep(time.Duration(n.syncIn.Load()) * time.Millisecond)
+		return syncDir(dir)
+	}
 	links := anvillink.New("r", func(anvilid.Address) anvilid.RegionName { return "r" })
 	g, err := Open(Settings{
 		Instance: nodeName(number), Port: n.port, Dir: n.t.TempDir(), Disk: []anvildisk.Option{anvildisk.WithFiles(slow)},
--- a/io/anvilvoter/apply.go
+++ b/io/anvilvoter/apply.go
@@ -26,7 +26,8 @@
 // argument snapshotIndex is the index of the last entry that the stored snapshot
 // includes.
 func (v *Voter) applyLoop(ctx context.Context, snapshotIndex anvilid.Index) error {
-	var appliedBytes anvilid.ByteCount // of the commands since the latest snapshot
+	schedule := v.compactionSchedule()
+	appliedBytes := schedule.offsetBytes // of the commands since the latest snapshot; the offset applies to the first one
 	for {
 		var item applyItem
 		select {
@@ -39,18 +40,22 @@
 				return eris.Wrapf(err, "restore snapshot %d", item.restore.Index)
 			}
 			snapshotIndex = item.restore.Index
-			appliedBytes = 0
+			schedule = v.compactionSchedule()
+			appliedBytes = schedule.offsetBytes
 			v.applied.Store(uint64(snapshotIndex))
 		}
 		for i := range item.entries {
 			v.applyEntry(&item.entries[i], item.waiters)
 			appliedBytes += anvilid.ByteCount(len(item.entries[i].Data))
+			if item.entries[i].Kind == anvilraft.KindMembers {
+				schedule = v.compactionSchedule()
+			}
 		}
 		for _, r := range item.barriers {
 			r.finish(0, nil, nil)
 		}
 		applied := anvilid.Index(v.applied.Load())
-		due := applied >= snapshotIndex+anvilid.Index(v.compactAfter) || appliedBytes >= v.compactBytes
+		due := schedule.due(snapshotIndex, applied) || appliedBytes >= v.compactBytes
 		if !due || len(v.compactions) > 0 {
 			continue
 		}
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -155,7 +155,8 @@
 }
 
 // WithCompactAfter sets the number of applied entries after which a snapshot is
-// created and the log is compacted.
+// created and the log is compacted, at least 1. The voters of a group do so at different
+// log indexes; the first snapshot of a voter comes earlier.
 func WithCompactAfter(entries int) Option { return func(v *Voter) { v.compactAfter = entries } }
 
 // WithLog sets the logger. It logs each write to the data directory that takes
