Remember within a call of Plan where overdue steps have no spare room

Each overdue step searched all targets for spare room, and looked for runs of its job in all steps of all occurrences. Plan now remembers, for each shape, the smallest number of tasks without spare room until claims are released, and for each job whether it has runs on usable targets. Decisions don't change.

--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -113,6 +113,7 @@
 	for _, n := range p.nodesClaimedBy[u.info.job.ID] {
 		if n.claimedBy == u.info.job.ID {
 			n.claimedBy = ""
+			clear(p.smallestWithoutSpareRoom) // other steps may use the node now
 		}
 	}
 	delete(p.nodesClaimedBy, u.info.job.ID)
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -217,6 +217,7 @@
 			n.freeing = n.freeing.Plus(t.need)
 		}
 		placed = append(placed, t)
+		info.atWork = info.atWork || n.usable
 		n.countTasks(info.job.Spec.Steps[task.Step], task.StepKey(), 1)
 	}
 	slices.SortFunc(placed, func(a, b placedRun) int { return a.task.Compare(b.task) })
--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -45,8 +45,12 @@
 	}
 	defer func(tolerated int) { p.lifted, u.tolerated = noPrecaution, tolerated }(u.tolerated)
 	p.lifted, p.onlyReserve = lastPrecaution, !u.step.LongRunning && p.overloaded()
+	if p.knownWithoutSpareRoom(u) {
+		return nil
+	}
 	count := p.spareRoom(u, waiting)
 	if count == 0 {
+		p.recordWithoutSpareRoom(u)
 		return nil
 	}
 	for p.lifted = noPrecaution + 1; p.lifted <= lastPrecaution; p.lifted++ {
@@ -100,25 +104,7 @@
 // standsStill reports whether a step has waited for maxIdleWait and nothing of its job is at work. A task that lasts
 // must be at work whether others of its job are or not.
 func (p *planner) standsStill(u *waitingStep) bool {
-	return p.Now-u.readySince() >= maxIdleWait && (u.step.LongRunning || !p.atWork(u.info.job))
-}
-
-// atWork reports whether a job has runs, among them those that this call of Plan has placed. A run on a target that
-// can't be used may have been lost with it.
-func (p *planner) atWork(job *anvilwork.Job) bool {
-	if p.placedJobs[job.ID] {
-		return true
-	}
-	for k := range job.Occurrences {
-		for index := range job.Spec.Steps {
-			for _, run := range p.runsByStep[anvilwork.StepKey{Job: job.ID, Occurrence: k, Step: index}] {
-				if run.node.usable {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return p.Now-u.readySince() >= maxIdleWait && (u.step.LongRunning || !u.info.atWork)
 }
 
 // spareRoom returns how many of the waiting tasks of a step may be placed in the available resources so that these
@@ -146,3 +132,41 @@
 	}
 	return room / minSpareRoom
 }
+
+// spareRoomShape has the properties of a step and of the precautions on which its spare room depends, if
+// spareRoomDependsOnShapeOnly reports true.
+type spareRoomShape struct {
+	need        anvilwork.Resources
+	service     anvilid.ServiceName
+	label       string
+	onlyReserve bool
+}
+
+func (p *planner) spareRoomShape(u *waitingStep) spareRoomShape {
+	return spareRoomShape{need: u.need, service: u.info.policy.Service, label: u.step.Label, onlyReserve: p.onlyReserve}
+}
+
+// spareRoomDependsOnShapeOnly reports whether there is the same spare room for a step as for others of its shape. Of a
+// step with MaxPerTarget, the room depends on where its own tasks run, and suspects are kept from further targets.
+func (p *planner) spareRoomDependsOnShapeOnly(u *waitingStep) bool {
+	return p.dependsOnShapeOnly(u) && !u.suspect() && u.step.MaxPerTarget == 0
+}
+
+// knownWithoutSpareRoom reports whether it is already known that there is no spare room for a step, because there was
+// none for one of the same shape with as many or fewer tasks to be placed together. Spare room only shrinks during a call
+// of Plan until claims are released. Without this check, each of many overdue steps would search all targets.
+func (p *planner) knownWithoutSpareRoom(u *waitingStep) bool {
+	size, known := p.smallestWithoutSpareRoom[p.spareRoomShape(u)]
+	return known && u.together() >= size && p.spareRoomDependsOnShapeOnly(u)
+}
+
+// recordWithoutSpareRoom records that there is no spare room for a step, see knownWithoutSpareRoom.
+func (p *planner) recordWithoutSpareRoom(u *waitingStep) {
+	if !p.spareRoomDependsOnShapeOnly(u) {
+		return
+	}
+	key := p.spareRoomShape(u)
+	if size, known := p.smallestWithoutSpareRoom[key]; !known || u.together() < size {
+		p.smallestWithoutSpareRoom[key] = u.together()
+	}
+}
--- a/core/anvilplace/overdue_test.go
+++ b/core/anvilplace/overdue_test.go
@@ -219,3 +219,30 @@
 	wait := w.waitFor("waits-0", 1)
 	assert.Equal(t, wait, anvilclock.Minute)
 }
+
+// TestSpareRoomAfterReleasedClaims guards against an overdue task that isn't placed because there was no spare room for
+// an equal one earlier in the same call of Plan, although the start of a gang has released its claims since then.
+func TestSpareRoomAfterReleasedClaims(t *testing.T) {
+	w := newTestCluster(t, 2, 2, 0)
+	need := anvilwork.Resources{CPU: testResources.CPU / 8, GPU: 1}
+	w.submit("busy", "common", "b", anvilwork.Step{Count: 17, Need: need, Estimate: 600_000})
+	w.plan()
+	w.reserve = 16
+	w.claimed = map[anvilid.TargetID]anvilid.JobID{"r1-00": "gang", "r1-01": "gang"}
+	for i, job := range []struct {
+		id   anvilid.JobID
+		step anvilwork.Step
+	}{
+		{"before", anvilwork.Step{Count: 1, Need: need}},
+		{"gang", anvilwork.Step{Count: 4, Need: need, Gang: true}},
+		{"after", anvilwork.Step{Count: 20, Need: need}},
+	} {
+		job.step.Estimate = 100_000 + anvilclock.Millis(i)
+		w.submit(job.id, "common", "b", job.step)
+	}
+	w.now += maxIdleWait
+	w.plan()
+	assert.Equal(t, len(w.assigned("before")), 0)
+	assert.Equal(t, len(w.assigned("gang")), 4)
+	assert.Equal(t, len(w.assigned("after")), 1)
+}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -139,8 +139,9 @@
 	overload, overloadKnown bool
 	// waitingSteps are all steps with waiting tasks, in the order in which to place them.
 	waitingSteps []*waitingStep
-	// placedJobs has the jobs of which this call of Plan has placed tasks.
-	placedJobs map[anvilid.JobID]bool
+	// smallestWithoutSpareRoom has, for each shape, the smallest number of tasks to be placed together for which
+	// there was no spare room, see knownWithoutSpareRoom.
+	smallestWithoutSpareRoom map[spareRoomShape]int
 }
 
 // Plan returns which tasks to start and which runs to stop now.
@@ -149,7 +150,7 @@
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
 		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
-		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{}, placedJobs: map[anvilid.JobID]bool{},
+		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{}, smallestWithoutSpareRoom: map[spareRoomShape]int{},
 	}
 	p.sumUrgentDemand()
 	p.addNodes()
@@ -288,7 +289,7 @@
 	var gang []anvilwork.Assignment
 	for _, s := range allotments {
 		p.placed += s.count
-		p.placedJobs[u.info.job.ID] = true
+		u.info.atWork = true
 		s.node.allocate(u, s.count)
 		for range s.count {
 			task := tasks[0]
