--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -99,7 +99,7 @@
 	lastHeard map[anvilid.InstanceID]anvilclock.Millis
 	// lastReached is when the process of each instance last answered a delivery.
 	lastReached map[anvilid.InstanceID]anvilclock.Millis
-	// report is what this leader tells the others, or nil. inherited is what the last leader has told.
+	// report is the latest report of this leader, or nil. inherited is the report of the last leader.
 	report    *silenceReport
 	inherited silenceReport
 	// term is the term in which this voter was last seen.
--- a/io/anvilgroup/report.go
+++ b/io/anvilgroup/report.go
@@ -18,11 +18,11 @@
 	// confirmTimeout is how long a leader must have led before it counts the silence that former leaders have told it
 	// of. In that time it has tried at least twice to reach the voter.
 	confirmTimeout = anvilclock.Millis(2 * sendTimeout / time.Millisecond)
-	// minReported is the shortest silence that is reported. A voter that is well is reached more often.
+	// minReported is the shortest silence that is reported. A healthy voter is reached more often.
 	minReported = 300 * anvilclock.Millisecond
 )
 
-// silenceReport is what a leader has told about the voters that it can't reach.
+// silenceReport says which voters a leader can't reach, and for how long.
 type silenceReport struct {
 	term   anvilid.Term
 	at     anvilclock.Millis // when it was received, or made by this voter
@@ -41,7 +41,7 @@
 	return now - g.leadingSince + before
 }
 
-// updateReport renews what this leader tells the others.
+// updateReport renews the report of this leader.
 func (g *Group) updateReport(members anvilraft.Members) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/anvilgroup/report_test.go
+++ b/io/anvilgroup/report_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestSilenceOutlastsLeaders guards against a replaced voter that is never removed because leaders change every second,
-// and against the removal of one that is well, because its disk is slow or one leader can't reach it.
+// and against the removal of a healthy one, because its disk is slow or one leader can't reach it.
 func TestSilenceOutlastsLeaders(t *testing.T) {
 	for _, c := range []struct {
 		name string
