--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -45,13 +45,7 @@
 		return
 	}
 	best := p.cheapestEvictions(u, count)
-	if best == nil {
-		return
-	}
-	if !u.withinGuarantee && best.loss > u.plannedWork(count) {
-		if !p.awaitsStops(u) {
-			p.releaseClaims(u) // they are for runs that won't be stopped any more
-		}
+	if best == nil || !u.withinGuarantee && best.loss > u.plannedWork(count) {
 		return
 	}
 	if p.Now < u.evictAfter() {
@@ -62,13 +56,6 @@
 	p.claimTargets(u, best.allotments)
 }
 
-// awaitsStops reports whether runs are being stopped on the targets that are claimed for the job of a step.
-func (p *planner) awaitsStops(u *waitingStep) bool {
-	return slices.ContainsFunc(p.nodesClaimedBy[u.info.job.ID], func(n *node) bool {
-		return n.claimedBy == u.info.job.ID && slices.ContainsFunc(n.placedRuns, func(t *placedRun) bool { return t.stopping })
-	})
-}
-
 // evict adds runs to Decision.Evictions, to be stopped for a job.
 func (p *planner) evict(victims []runOnNode, job anvilid.JobID) {
 	for _, v := range victims {
@@ -82,13 +69,13 @@
 // plannedWork returns the estimated work of count tasks of the step, in core-milliseconds. An urgent
 // step beyond the guarantee of its account stops runs only if they lose no more work than this.
 func (u *waitingStep) plannedWork(count int) float64 {
-	return coreEquivalents(u.step.Need) * float64(count) * float64(u.step.Estimate)
+	return coreEquivalents(u.step) * float64(count) * float64(u.step.Estimate)
 }
 
-// coreEquivalents returns the processor cores of resources, where each accelerator counts as
+// coreEquivalents returns the processor cores of one task of a step, where each accelerator counts as
 // coresPerAccelerator cores.
-func coreEquivalents(r anvilwork.Resources) float64 {
-	return float64(r.CPU)/1000 + coresPerAccelerator*float64(r.GPU)
+func coreEquivalents(step anvilwork.Step) float64 {
+	return float64(step.Need.CPU)/1000 + coresPerAccelerator*float64(step.Need.GPU)
 }
 
 // evictAfter returns the time from which on runs may be stopped for an urgent step. Before that time,
@@ -113,7 +100,6 @@
 	for _, n := range p.nodesClaimedBy[u.info.job.ID] {
 		if n.claimedBy == u.info.job.ID {
 			n.claimedBy = ""
-			clear(p.smallestWithoutSpareRoom) // other steps may use the node now
 		}
 	}
 	delete(p.nodesClaimedBy, u.info.job.ID)
@@ -316,7 +302,7 @@
 	if step.Checkpoints {
 		span = min(span, anvilclock.Second)
 	}
-	return coreEquivalents(step.Need) * float64(span)
+	return coreEquivalents(step) * float64(span)
 }
 
 // lossOf returns the result of computeLoss for a run, which decides which runs are stopped first. It is
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -103,7 +103,7 @@
 			if t.stopping {
 				continue
 			}
-			remaining := n.planner.claimableTime(t)
+			remaining := n.planner.remainingTime(t)
 			for i, span := range gangClaimHorizons {
 				if remaining <= span {
 					n.ending[i] = n.ending[i].Plus(t.need)
@@ -117,38 +117,13 @@
 // remainingTime estimates how much longer a run takes, from its speed or else from the estimated run
 // time of its step. It returns an hour for runs that continue until they are cancelled.
 func (p *planner) remainingTime(t *placedRun) anvilclock.Millis {
-	if remaining, known := p.measuredTime(t); known {
-		return remaining
-	}
-	return max(minRemainingTime, p.untilEstimate(t))
-}
-
-// claimableTime is like remainingTime, but a run that has exceeded its estimate is expected to take as long again as
-// it has exceeded it. Otherwise it would be expected to end at any moment, for as long as it takes, and targets would
-// stay claimed because of that.
-func (p *planner) claimableTime(t *placedRun) anvilclock.Millis {
-	if remaining, known := p.measuredTime(t); known {
-		return remaining
-	}
-	left := p.untilEstimate(t)
-	return max(minRemainingTime, left, -left)
-}
-
-// measuredTime returns how much longer a run takes at its speed, if that is known, and an hour for runs that continue
-// until they are cancelled.
-func (p *planner) measuredTime(t *placedRun) (remaining anvilclock.Millis, known bool) {
-	if t.info.job.Spec.Steps[t.task.Step].LongRunning {
-		return anvilclock.Hour, true
-	}
+	step := t.info.job.Spec.Steps[t.task.Step]
 	progress, known := p.Progress(t.task)
-	if !known || progress.Rate <= 0 {
-		return 0, false
+	switch {
+	case step.LongRunning:
+		return anvilclock.Hour
+	case known && progress.Rate > 0:
+		return anvilclock.Millis((100 - progress.Percent) / progress.Rate)
 	}
-	return anvilclock.Millis((100 - progress.Percent) / progress.Rate), true
-}
-
-// untilEstimate returns how much longer a run takes by the estimated run time of its step. It is negative if the run
-// has exceeded it.
-func (p *planner) untilEstimate(t *placedRun) anvilclock.Millis {
-	return t.info.job.Spec.Steps[t.task.Step].Estimate - (p.Now - t.info.job.State(t.task).PhaseSince)
+	return max(minRemainingTime, step.Estimate-(p.Now-t.info.job.State(t.task).PhaseSince))
 }
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -131,17 +131,6 @@
 	// deferrable means that the current job would still end by its deadline if it started later. It may
 	// then not use nodes that are reserved for urgent jobs.
 	deferrable bool
-	// lifted is the last precaution that is lifted for the current step, see fitOverdue.
-	lifted precaution
-	// onlyReserve means that reserveForUrgent is the only precaution that can be lifted for the current step.
-	onlyReserve bool
-	// overload is the result of overloaded, which is valid if overloadKnown is set.
-	overload, overloadKnown bool
-	// waitingSteps are all steps with waiting tasks, in the order in which to place them.
-	waitingSteps []*waitingStep
-	// smallestWithoutSpareRoom has, for each shape, the smallest number of tasks to be placed together for which
-	// there was no spare room, see knownWithoutSpareRoom.
-	smallestWithoutSpareRoom map[spareRoomShape]int
 }
 
 // Plan returns which tasks to start and which runs to stop now.
@@ -150,14 +139,14 @@
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
 		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
-		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{}, smallestWithoutSpareRoom: map[spareRoomShape]int{},
+		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{},
 	}
 	p.sumUrgentDemand()
 	p.addNodes()
 	p.reserveRacks()
-	p.waitingSteps = p.waitingInOrder()
-	p.restoreClaims(p.waitingSteps)
-	for _, waitingStep := range p.waitingSteps {
+	waitingSteps := p.waitingInOrder()
+	p.restoreClaims(waitingSteps)
+	for _, waitingStep := range waitingSteps {
 		if p.startsLeft(waitingStep.urgent) <= 0 {
 			p.explain(waitingStep, true)
 			continue
@@ -251,11 +240,6 @@
 			p.recordBlocked(u)
 		}
 	}
-	if allotments := p.fitOverdue(u, len(u.tasks)); len(allotments) > 0 {
-		p.releaseClaims(u)
-		p.assign(u, u.tasks, allotments)
-		return
-	}
 	if allotments := p.fitSuspects(u, len(u.tasks), p.fitSpread); len(allotments) > 0 {
 		p.releaseClaims(u)
 		p.assign(u, u.tasks, allotments)
@@ -269,27 +253,24 @@
 }
 
 func (p *planner) placeSingles(u *waitingStep) {
-	tasks := u.tasks[:min(len(u.tasks), p.startsLeft(u.urgent))]
-	allotments := p.fitSuspects(u, len(tasks), p.fitMost)
-	tasks = p.assign(u, tasks, allotments)
-	if len(tasks) > 0 {
-		tasks = p.assign(u, tasks, p.fitOverdue(u, len(tasks)))
-	}
+	count := min(len(u.tasks), p.startsLeft(u.urgent))
+	allotments := p.fitSuspects(u, count, p.fitMost)
+	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
+	rest := count - taskCount(allotments)
 	switch {
-	case len(tasks) == 0:
+	case rest == 0:
 		p.releaseClaims(u)
 	case u.urgent:
-		p.freeResources(u, len(tasks))
+		p.freeResources(u, rest)
 	}
 }
 
 // assign adds the assignments of tasks to Decision.Placements: one set for all tasks of a gang, or one
-// set for each single task. It returns the tasks for which there is no allotment.
-func (p *planner) assign(u *waitingStep, tasks []anvilwork.Task, allotments []allotment) []anvilwork.Task {
+// set for each single task.
+func (p *planner) assign(u *waitingStep, tasks []anvilwork.Task, allotments []allotment) {
 	var gang []anvilwork.Assignment
 	for _, s := range allotments {
 		p.placed += s.count
-		u.info.atWork = true
 		s.node.allocate(u, s.count)
 		for range s.count {
 			task := tasks[0]
@@ -308,5 +289,4 @@
 	if len(gang) > 0 {
 		p.decision.Placements = append(p.decision.Placements, anvilwork.Place{Assignments: gang})
 	}
-	return tasks
 }
--- a/core/anvilplace/reason.go
+++ b/core/anvilplace/reason.go
@@ -112,9 +112,9 @@
 		return Leaving
 	case !n.usable:
 		return p.whyNotUsable(n)
-	case n.avoidedBy(p.currentUsesSlow):
+	case n.slow && !p.currentUsesSlow && !n.claimedForCurrentUrgent():
 		return Avoided
-	case n.keptForUrgent():
+	case n.reserved && p.deferrable:
 		return ReservedForUrgent
 	case n.claimedByOther():
 		return ClaimedForOther
--- a/core/anvilplace/tolerance.go
+++ b/core/anvilplace/tolerance.go
@@ -21,7 +21,7 @@
 func (p *planner) tolerate(u *waitingStep) {
 	u.usesSlow = p.slowNodes > 0 && !p.hasRoomWithoutSlow(u)
 	if len(u.failures) > 0 {
-		u.tolerated = p.toleratedFailures(u, u.together())
+		u.tolerated = p.toleratedFailures(u)
 	}
 }
 
@@ -41,9 +41,8 @@
 }
 
 // toleratedFailures returns the smallest number of failures of a step on a target such that the targets with at most
-// that many have room for the needed number of its tasks: if nothing else ran there or, once the step has waited for
-// failurePatience, now.
-func (p *planner) toleratedFailures(u *waitingStep, needed int) int {
+// that many have room for it: if nothing else ran there or, once the step has waited for failurePatience, now.
+func (p *planner) toleratedFailures(u *waitingStep) int {
 	var nodes []*node
 	for _, n := range p.all.nodes {
 		if !n.unavailableTo(u.usesSlow) && p.suits(u, n) {
@@ -52,7 +51,7 @@
 	}
 	slices.SortStableFunc(nodes, func(a, b *node) int { return cmp.Compare(u.failures[a.target.ID], u.failures[b.target.ID]) })
 	patient := p.Now-u.waitingSince() < failurePatience
-	tolerated := 0
+	needed, tolerated := u.together(), 0
 	for _, n := range nodes {
 		resources := n.free
 		if patient {
@@ -101,14 +100,5 @@
 	return since
 }
 
-// firstWaitingSince returns when the first of the waiting tasks began to wait.
-func (u *waitingStep) firstWaitingSince() anvilclock.Millis {
-	first := u.info.job.State(u.tasks[0]).PhaseSince
-	for _, task := range u.tasks[1:] {
-		first = min(first, u.info.job.State(task).PhaseSince)
-	}
-	return first
-}
-
 // avoids reports whether the step has failed more often on a target than is tolerated.
 func (u *waitingStep) avoids(id anvilid.TargetID) bool { return u.failures[id] > u.tolerated }
