--- a/io/anvilfault/disk.go
+++ b/io/anvilfault/disk.go
@@ -26,3 +26,16 @@
 	files.Open, files.Create = hook(files.Open), hook(files.Create)
 	return files
 }
+
+// BeforeEverySync is like BeforeSync, and calls before ahead of each sync of a directory, too.
+func BeforeEverySync(before func() error) anvildisk.Files {
+	files := BeforeSync(before)
+	syncDir := files.SyncDir
+	files.SyncDir = func(dir string) error {
+		if err := before(); err != nil {
+			return err
+		}
+		return syncDir(dir)
+	}
+	return files
+}
--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -51,15 +51,10 @@
 // start starts a voter with an empty data directory. If it joins, it asks for membership.
 func (n *testNodes) start(number int, joins bool) *testNode {
 	seeds := []anvilid.InstanceID{nodeName(0), nodeName(1), nodeName(2)}
-	slow := anvilfault.BeforeSync(func() error {
+	slow := anvilfault.BeforeEverySync(func() error {
 		time.Sleep(time.Duration(n.syncIn.Load()) * time.Millisecond)
 		return nil
 	})
-	syncDir := slow.SyncDir
-	slow.SyncDir = func(dir string) error {
-		time.Sleep(time.Duration(n.syncIn.Load()) * time.Millisecond)
-		return syncDir(dir)
-	}
 	links := anvillink.New("r", func(anvilid.Address) anvilid.RegionName { return "r" })
 	g, err := Open(Settings{
 		Instance: nodeName(number), Port: n.port, Dir: n.t.TempDir(), Disk: []anvildisk.Option{anvildisk.WithFiles(slow)},
