--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -293,8 +293,20 @@
 // Valid reports whether a lease still allows its request to be sent. Call it immediately before
 // sending the request, or BeginSend if it has no connection yet.
 func (l *Ledger) Valid(now anvilclock.Millis, lease Lease) bool {
+	return l.held(lease) != nil && now-lease.acquired < MaxDispatchDelay
+}
+
+// held returns the ledger's entry of a lease, or nil if it was released or its target is no longer owned in the
+// same epoch.
+func (l *Ledger) held(lease Lease) *Lease {
 	t, ok := l.targets[lease.Target]
-	return ok && t.epoch == lease.Epoch && t.leaseIndex(lease) >= 0 && now-lease.acquired < MaxDispatchDelay
+	if !ok || t.epoch != lease.Epoch {
+		return nil
+	}
+	if i := t.leaseIndex(lease); i >= 0 {
+		return &t.ownLeases[i]
+	}
+	return nil
 }
 
 // BeginSend is like Valid, for a request for which a connection must be obtained before it is sent. Until
@@ -303,23 +315,18 @@
 	if !l.Valid(now, lease) {
 		return false
 	}
-	t := l.targets[lease.Target]
-	t.ownLeases[t.leaseIndex(lease)].connecting = true
+	l.held(lease).connecting = true
 	return true
 }
 
 // Send reports whether the request of a lease may be sent now that it has a connection: its target is still owned in
 // the same epoch.
 func (l *Ledger) Send(now anvilclock.Millis, lease Lease) bool {
-	t, ok := l.targets[lease.Target]
-	if !ok || t.epoch != lease.Epoch {
-		return false
-	}
-	i := t.leaseIndex(lease)
-	if i < 0 {
+	held := l.held(lease)
+	if held == nil {
 		return false
 	}
-	t.ownLeases[i].acquired, t.ownLeases[i].connecting = now, false
+	held.acquired, held.connecting = now, false
 	return true
 }
 
