--- a/io/anvildisk/storage.go
+++ b/io/anvildisk/storage.go
@@ -112,6 +112,9 @@
 // ID returns the storage id, which the directory got when it was initialized.
 func (s *Storage) ID() anvilraft.StorageID { return s.id }
 
+// Dir returns the path of the directory.
+func (s *Storage) Dir() string { return s.dir }
+
 // Save writes changes of the persistent state (saves) in order; anvilraft.PersistentState.Apply
 // defines the meaning of each. When Save returns nil, all of them survive a power failure. After an
 // error that wraps ErrFailed, any part of them may be stored, and every later call returns the same
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -123,7 +123,7 @@
 
 // WithStorage sets a data directory that is open already, in place of WithDir. Run closes it.
 func WithStorage(storage *anvildisk.Storage, restored anvildisk.Restored) Option {
-	return func(v *Voter) { v.opened = &openedDir{storage, restored} }
+	return func(v *Voter) { v.dir, v.opened = storage.Dir(), &openedDir{storage, restored} }
 }
 
 // WithNode adds options of the anvilraft.Node.
