Make the call and the record of a joining voter one function each

The call Join was written for joining and for leaving, and the time from which a voter joins was recorded in two places. Some comments are shorter; releaseNext, which removes all that leave, is releaseLeaving.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -58,11 +58,16 @@
 	maps.DeleteFunc(g.joiningSince, func(other anvilraft.VoterID, _ anvilclock.Millis) bool {
 		return other.Instance == id.Instance && other != id
 	})
+	g.recordJoining(id)
+	g.mu.Unlock()
+	g.Wake()
+}
+
+// recordJoining records since when a voter is to be added. g.mu must be held.
+func (g *Group) recordJoining(id anvilraft.VoterID) {
 	if _, known := g.joiningSince[id]; !known {
 		g.joiningSince[id] = g.clock.Now()
 	}
-	g.mu.Unlock()
-	g.Wake()
 }
 
 // Wake lets ManageMembers act at once, after an election or a request.
@@ -130,9 +135,7 @@
 			return false
 		}
 	}
-	if _, known := g.joiningSince[id]; !known {
-		g.joiningSince[id] = g.clock.Now()
-	}
+	g.recordJoining(id)
 	return true
 }
 
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -324,6 +324,11 @@
 func (g *Group) requestMembershipFrom(ctx context.Context, instance anvilid.InstanceID) (*anvilrpc.JoinReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
+	return g.callJoin(ctx, instance, false)
+}
+
+// callJoin asks an instance to add this voter to the group, or to remove it if it leaves.
+func (g *Group) callJoin(ctx context.Context, instance anvilid.InstanceID, leaves bool) (*anvilrpc.JoinReply, error) {
 	fleet := g.links.FleetAt(Address(instance, g.settings.Port))
-	return fleet.Join(ctx, &anvilrpc.JoinCall{Instance: string(g.id.Instance), Storage: string(g.id.Storage)})
+	return fleet.Join(ctx, &anvilrpc.JoinCall{Instance: string(g.id.Instance), Storage: string(g.id.Storage), Leave: leaves})
 }
--- a/io/anvilgroup/leave.go
+++ b/io/anvilgroup/leave.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -9,7 +11,6 @@
 
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvillogs"
-	"anvilshunt/io/anvilrpc"
 	"anvilshunt/io/anvilvoter"
 )
 
@@ -49,8 +50,7 @@
 	if leader == "" {
 		return false
 	}
-	fleet := g.links.FleetAt(Address(leader, g.settings.Port))
-	reply, err := fleet.Join(ctx, &anvilrpc.JoinCall{Instance: string(g.id.Instance), Storage: string(g.id.Storage), Leave: true})
+	reply, err := g.callJoin(ctx, leader, true)
 	return err == nil && reply.Done // an error is retried, and logged at last
 }
 
@@ -87,14 +87,11 @@
 	return g.settings.Voters > 0 && len(members.Voters) > g.settings.Voters
 }
 
-// releaseNext removes the voters that have asked for it. The members are read again for each of them, as the group must
+// releaseLeaving removes the voters that have asked for it. The members are read again for each of them, as the group must
 // not become smaller than it is meant to be. It reports whether one of them has to wait.
-func (g *Group) releaseNext(ctx context.Context) (wait bool) {
+func (g *Group) releaseLeaving(ctx context.Context) (wait bool) {
 	g.mu.Lock()
-	var ids []anvilraft.VoterID
-	for id := range g.releases {
-		ids = append(ids, id)
-	}
+	ids := slices.Collect(maps.Keys(g.releases))
 	g.mu.Unlock()
 	for _, id := range ids {
 		members := g.Voter.Status().Members
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -11,12 +11,12 @@
 )
 
 // ManageMembers enrolls voters that join, and removes those that leave and surplus voters, while this voter is the leader,
-// until ctx is done. It makes one change at a time, as the log takes no other one before it is committed. A group with an even number of
-// voters, n, tolerates no more failures than one with n-1 voters, so it has one surplus voter. A group with more voters
-// than it is meant to have may have several: if two voters are replaced at the same time, both of their successors have
-// joined before either of them is removed, and the number is odd again. If a voter of such a group has sent nothing for
-// silentTimeout, replacedTimeout or incompleteTimeout, it is removed: either its machine was replaced, or it joins again
-// when it returns.
+// until ctx is done. It makes one change at a time, as the log takes no other one before it is committed. A group with an
+// even number of voters, n, tolerates no more failures than one with n-1 voters, so it has one surplus voter. A group with
+// more voters than it is meant to have may have several: if two voters are replaced at the same time, both of their
+// successors have joined before either of them is removed, and the number is odd again. If a voter of such a group has sent
+// nothing for silentTimeout, replacedTimeout or incompleteTimeout, it is removed: either its machine was replaced, or it
+// joins again when it returns.
 func (g *Group) ManageMembers(ctx context.Context) error {
 	silentBefore := 0
 	for interval := joinInterval; ctx.Err() == nil; {
@@ -37,7 +37,7 @@
 			voters := len(members.Voters)
 			g.log.Write(anvillogs.VotersSilent, zap.Int("voters", voters), zap.Int("silent", silent), zap.Int("spare", spare(voters, silent)))
 		}
-		wait := g.releaseNext(ctx)
+		wait := g.releaseLeaving(ctx)
 		if g.leads() {
 			if silent, ok := g.surplusVoter(g.Voter.Status().Members); ok {
 				_ = g.remove(ctx, silent) // it is logged, and retried with the next check
--- a/io/anvilgroup/report.go
+++ b/io/anvilgroup/report.go
@@ -11,12 +11,12 @@
 
 // A voter sends messages to the leader only, so that a new leader knows nothing of the silence of the others. Where
 // leaders change every second or two, no voter would ever be silent for long enough to be removed. Each leader
-// therefore tells the others which voters it and the leaders before it have not reached, and for how long. That counts
-// the time in which there was a leader that tried, and nothing of the elections between.
+// therefore reports to the others which voters it and the leaders before it have not reached, and for how long. Only time
+// with a leader counts, not that of the elections between.
 
 const (
-	// confirmTimeout is how long a leader must have led before it counts the silence that former leaders have told it
-	// of. In that time it has tried at least twice to reach the voter.
+	// confirmTimeout is how long a leader must have led before it counts the silence that former leaders have
+	// reported. In that time it has tried at least twice to reach the voter.
 	confirmTimeout = anvilclock.Millis(2 * sendTimeout / time.Millisecond)
 	// minReported is the shortest silence that is reported. A healthy voter is reached more often.
 	minReported = 300 * anvilclock.Millisecond
