--- a/io/anvilcmd/anvilinstancecmd/list.go
+++ b/io/anvilcmd/anvilinstancecmd/list.go
@@ -24,8 +24,10 @@
 			table.Add(instance.ID, instance.Region, instance.Zone, instance.Public, instance.Peer, instance.Draining)
 		},
 	}
-	return anvilverb.NewList(factory, help, rows, func(ctx context.Context, client *anvilclient.Client) ([]anvilstate.Instance, error) {
-		status, err := client.Status(ctx)
-		return status.Instances, err
-	})
+	return anvilverb.NewList(factory, help, rows, fetch)
+}
+
+func fetch(ctx context.Context, client *anvilclient.Client) ([]anvilstate.Instance, error) {
+	status, err := client.Status(ctx)
+	return status.Instances, err
 }
--- a/io/anvilcmd/anvilinstancecmd/view.go
+++ b/io/anvilcmd/anvilinstancecmd/view.go
@@ -1,14 +1,12 @@
 package anvilinstancecmd
 
 import (
-	"context"
 	"fmt"
 
 	"github.com/peterbourgon/ff/v4"
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
-	"anvilshunt/io/anvilclient"
 	"anvilshunt/io/anvilcmd/anvilfactory"
 	"anvilshunt/io/anvilcmd/anvilverb"
 )
@@ -19,18 +17,12 @@
 		Short:   "show an instance as JSON",
 		Example: "anvilshunt instance view palermo-1",
 	}
-	return anvilverb.NewView(factory, help, "the id of the instance", find)
-}
-
-func find(ctx context.Context, client *anvilclient.Client, id string) (anvilstate.Instance, error) {
-	status, err := client.Status(ctx)
-	if err != nil {
-		return anvilstate.Instance{}, err
-	}
-	for _, instance := range status.Instances {
-		if instance.ID == anvilid.InstanceID(id) {
-			return instance, nil
-		}
+	item := anvilverb.Item[anvilstate.Instance]{
+		Argument: "the id of the instance",
+		Matches:  func(instance anvilstate.Instance, id string) bool { return instance.ID == anvilid.InstanceID(id) },
+		Missing: func(id string) error {
+			return fmt.Errorf("instance %q isn't registered; list instances with `anvilshunt instance list`", id)
+		},
 	}
-	return anvilstate.Instance{}, fmt.Errorf("instance %q isn't registered; list instances with `anvilshunt instance list`", id)
+	return anvilverb.NewView(factory, help, item, fetch)
 }
--- a/io/anvilcmd/anvilobjectcmd/view.go
+++ b/io/anvilcmd/anvilobjectcmd/view.go
@@ -19,20 +19,17 @@
 		Short:   fmt.Sprintf("show one object of kind %s as JSON", kind),
 		Example: fmt.Sprintf("anvilshunt %s view NAME", kind),
 	}
-	return anvilverb.NewView(factory, help, "the name of the object", func(ctx context.Context, client *anvilclient.Client, name string) (anvilconfig.Object, error) {
-		return find(ctx, client, anvilconfig.Key{Kind: kind, Name: anvilid.ObjectName(name)})
-	})
-}
-
-func find(ctx context.Context, client *anvilclient.Client, key anvilconfig.Key) (anvilconfig.Object, error) {
-	config, err := client.Config(ctx)
-	if err != nil {
-		return anvilconfig.Object{}, err
+	item := anvilverb.Item[anvilconfig.Object]{
+		Argument: "the name of the object",
+		Matches: func(object anvilconfig.Object, name string) bool {
+			return object.Key == anvilconfig.Key{Kind: kind, Name: anvilid.ObjectName(name)}
+		},
+		Missing: func(name string) error {
+			return fmt.Errorf("%s %q isn't configured; list them with `anvilshunt %s list`", kind, name, kind)
+		},
 	}
-	for _, object := range config.Objects {
-		if object.Key == key {
-			return object, nil
-		}
-	}
-	return anvilconfig.Object{}, fmt.Errorf("%s %q isn't configured; list them with `anvilshunt %s list`", key.Kind, key.Name, key.Kind)
+	return anvilverb.NewView(factory, help, item, func(ctx context.Context, client *anvilclient.Client) ([]anvilconfig.Object, error) {
+		config, err := client.Config(ctx)
+		return config.Objects, err
+	})
 }
--- a/io/anvilcmd/anviltargetcmd/list.go
+++ b/io/anvilcmd/anviltargetcmd/list.go
@@ -24,8 +24,10 @@
 			table.Add(target.ID, target.Service, target.Zone, target.Rack, target.Owner, target.Epoch, target.Reserved, target.Leaving)
 		},
 	}
-	return anvilverb.NewList(factory, help, rows, func(ctx context.Context, client *anvilclient.Client) ([]anvilstate.Target, error) {
-		status, err := client.Status(ctx)
-		return status.Targets, err
-	})
+	return anvilverb.NewList(factory, help, rows, fetch)
+}
+
+func fetch(ctx context.Context, client *anvilclient.Client) ([]anvilstate.Target, error) {
+	status, err := client.Status(ctx)
+	return status.Targets, err
 }
--- a/io/anvilcmd/anvilverb/verb.go
+++ b/io/anvilcmd/anvilverb/verb.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -54,23 +55,35 @@
 	}
 }
 
-// NewView returns the command `view`. It prints the item that fetch returns for the argument, which the
-// text argument describes in errors, as JSON.
-func NewView[T any](factory *anvilfactory.Factory, help Help, argument string, fetch func(context.Context, *anvilclient.Client, string) (T, error)) *ff.Command {
+// Item describes how the command `view` finds one item among all.
+type Item[T any] struct {
+	// Argument describes the argument of the command in errors.
+	Argument string
+	Matches  func(item T, argument string) bool
+	// Missing returns the error for an argument that no item matches.
+	Missing func(argument string) error
+}
+
+// NewView returns the command `view`. It prints the item that matches the argument, of those that fetch returns, as JSON.
+func NewView[T any](factory *anvilfactory.Factory, help Help, item Item[T], fetch func(context.Context, *anvilclient.Client) ([]T, error)) *ff.Command {
 	flags := ff.NewFlagSet("view")
 	clientFlags := factory.AddClientFlags(flags)
 	return &ff.Command{
 		Name: "view", Usage: help.Usage, ShortHelp: help.Short, LongHelp: help.long(), Flags: flags,
 		Exec: func(ctx context.Context, args []string) error {
-			id, err := anvilfactory.OneArgument(args, argument)
+			argument, err := anvilfactory.OneArgument(args, item.Argument)
 			if err != nil {
 				return err
 			}
-			item, err := fetch(ctx, clientFlags.NewClient(), id)
+			items, err := fetch(ctx, clientFlags.NewClient())
 			if err != nil {
 				return anvilfactory.ExplainError(err)
 			}
-			return anviltable.WriteJSON(factory.Streams.Out, item)
+			i := slices.IndexFunc(items, func(candidate T) bool { return item.Matches(candidate, argument) })
+			if i < 0 {
+				return item.Missing(argument)
+			}
+			return anviltable.WriteJSON(factory.Streams.Out, items[i])
 		},
 	}
 }
