Bound the wait of a job beside targets that are held back while most are idle

Cause: three rules keep steps from targets with room: those that are reserved for urgent jobs, claimed for a gang, or slow. None has a bound, and they also apply while most targets are idle. A run past its estimate counts as half a second left, so that a claim beside it is kept for as long as it lasts. Change: while less than half of the capacity of a service is in use, a step of whose job nothing has been at work for 2 s may use these targets, the reserved ones first and the slow ones last, if what it needs fits there twice.

--- a/core/anvilplace/advice.go
+++ b/core/anvilplace/advice.go
@@ -21,12 +21,13 @@
 
 // requestTickets adds the targets for which a step needs tickets to Decision.TicketCandidates, those
 // with room for the most tasks first. A target that is full at the moment counts as room for one task,
-// because runs on it may end.
+// because runs on it may end. An overdue step needs tickets for slow targets, too.
 func (p *planner) requestTickets(u *waitingStep) {
 	step := u.tasks[0].StepKey()
+	usesSlow := u.usesSlow || p.standsStill(u)
 	var nodes []*node
 	for _, n := range p.all.nodes {
-		if n.usable && (!n.slow || u.usesSlow) && u.eligible(n) && p.Allowed(step, n.target) && n.target.Resources.Holds(u.need) {
+		if n.usable && (!n.slow || usesSlow) && u.eligible(n) && p.Allowed(step, n.target) && n.target.Resources.Holds(u.need) {
 			nodes = append(nodes, n)
 		}
 	}
--- a/core/anvilplace/doc.go
+++ b/core/anvilplace/doc.go
@@ -13,4 +13,8 @@
 // fits; urgent jobs may still use those. All tasks of a gang are placed at once, and in one rack if
 // the step prefers that. Single tasks go to targets that are already in use, so that empty targets
 // remain for gangs.
+//
+// Targets are kept from steps as a precaution: they are reserved for urgent jobs, claimed for others, or
+// slow. While a service isn't busy, a job of which nothing is at work waits for a bounded time because of that, see
+// placeOverdue.
 package anvilplace
--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -69,13 +69,13 @@
 // plannedWork returns the estimated work of count tasks of the step, in core-milliseconds. An urgent
 // step beyond the guarantee of its account stops runs only if they lose no more work than this.
 func (u *waitingStep) plannedWork(count int) float64 {
-	return coreEquivalents(u.step) * float64(count) * float64(u.step.Estimate)
+	return coreEquivalents(u.step.Need) * float64(count) * float64(u.step.Estimate)
 }
 
-// coreEquivalents returns the processor cores of one task of a step, where each accelerator counts as
+// coreEquivalents returns the processor cores of resources, where each accelerator counts as
 // coresPerAccelerator cores.
-func coreEquivalents(step anvilwork.Step) float64 {
-	return float64(step.Need.CPU)/1000 + coresPerAccelerator*float64(step.Need.GPU)
+func coreEquivalents(r anvilwork.Resources) float64 {
+	return float64(r.CPU)/1000 + coresPerAccelerator*float64(r.GPU)
 }
 
 // evictAfter returns the time from which on runs may be stopped for an urgent step. Before that time,
@@ -302,7 +302,7 @@
 	if step.Checkpoints {
 		span = min(span, anvilclock.Second)
 	}
-	return coreEquivalents(step) * float64(span)
+	return coreEquivalents(step.Need) * float64(span)
 }
 
 // lossOf returns the result of computeLoss for a run, which decides which runs are stopped first. It is
--- a/core/anvilplace/job.go
+++ b/core/anvilplace/job.go
@@ -8,8 +8,8 @@
 	"anvilshunt/core/anvilwork"
 )
 
-// jobInfo has what the planner derives from a job and the configuration. It doesn't change during a call
-// of Plan.
+// jobInfo has what the planner derives from a job and the configuration. Except for atWork, it doesn't
+// change during a call of Plan.
 type jobInfo struct {
 	job    *anvilwork.Job
 	policy anvilwork.QueuePolicy
@@ -19,6 +19,9 @@
 	// evictable means that runs of the job may be stopped for urgent jobs: the job isn't urgent, or its
 	// account has more urgent work than its guarantee covers.
 	evictable bool
+	// atWork means that the job has runs on usable targets, among them those that this call of Plan has placed.
+	// A run on a target that can't be used may have been lost with it.
+	atWork bool
 }
 
 // jobInfo returns the information about a job, or nil if there is no such job. sumUrgentDemand must have
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -31,13 +31,15 @@
 	usable bool   // may be given new runs
 	slow   bool   // much slower than other targets at present, or failing the tasks that it starts
 	free   anvilwork.Resources
+	// usedAtFirst is what was in use when this call of Plan began, see coreEquivalents.
+	usedAtFirst float64
 	// freeing has the resources of those runs on this node that are being stopped.
 	freeing anvilwork.Resources
 	// reserved means that the node is kept free for urgent jobs. Other jobs may use it only if they
-	// can't start later, see planner.deferrable.
+	// can't start later, see planner.deferrable, or are overdue, see placeOverdue.
 	reserved bool
 	// claimedBy is the waiting job that this target is claimed for, or empty. Other jobs may not use a
-	// claimed target, except that urgent jobs may if yieldsToUrgent is set.
+	// claimed target, except that urgent jobs and overdue steps may if yieldsToUrgent is set.
 	claimedBy      anvilid.JobID
 	yieldsToUrgent bool
 	// probation is the job whose suspects run here and are still on probation, or empty, see excluded.
@@ -84,7 +86,18 @@
 
 // unavailableTo is unavailable for a step that may use slow nodes or not.
 func (n *node) unavailableTo(usesSlow bool) bool {
-	return !n.usable || n.slow && !usesSlow && !n.claimedForCurrentUrgent() || n.reserved && n.planner.deferrable || n.claimedByOther() || n.excluded()
+	return !n.usable || n.avoidedBy(usesSlow) || n.keptForUrgent() || n.claimedByOther() || n.excluded()
+}
+
+// avoidedBy reports whether the node is slow and the current job may therefore not use it, given whether its step may
+// use slow nodes.
+func (n *node) avoidedBy(usesSlow bool) bool {
+	return n.slow && !usesSlow && !n.planner.lifts(avoidSlow) && !n.claimedForCurrentUrgent()
+}
+
+// keptForUrgent reports whether the current job may not use the node because it is reserved for urgent jobs.
+func (n *node) keptForUrgent() bool {
+	return n.reserved && n.planner.deferrable && !n.planner.lifts(reserveForUrgent)
 }
 
 // claimedForCurrentUrgent reports whether the node is claimed for the current job and that job is
@@ -95,9 +108,12 @@
 }
 
 // claimedByOther reports whether the current job may not use the node because the node is claimed for
-// another job. An urgent job may use a claimed node if yieldsToUrgent is set.
+// another job. An urgent job or an overdue step may use a claimed node if yieldsToUrgent is set.
 func (n *node) claimedByOther() bool {
-	return n.claimedBy != "" && n.claimedBy != n.planner.currentJob && !(n.yieldsToUrgent && n.planner.currentUrgent)
+	if n.claimedBy == "" || n.claimedBy == n.planner.currentJob {
+		return false
+	}
+	return !n.yieldsToUrgent || !n.planner.currentUrgent && !n.planner.lifts(claimForWaiting)
 }
 
 // claimedResources returns the result of freeOrFreeing if the node is claimed for the current job, and
@@ -169,6 +185,7 @@
 		p.byID[target.ID] = n
 		p.addToRack(n)
 		p.addRuns(n)
+		n.usedAtFirst = coreEquivalents(target.Resources.Minus(n.free))
 	}
 	p.markRestarted()
 	slices.SortFunc(p.racks, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
@@ -203,6 +220,7 @@
 			n.freeing = n.freeing.Plus(t.need)
 		}
 		placed = append(placed, t)
+		info.atWork = info.atWork || n.usable
 		n.countTasks(info.job.Spec.Steps[task.Step], task.StepKey(), 1)
 	}
 	slices.SortFunc(placed, func(a, b placedRun) int { return a.task.Compare(b.task) })
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -131,6 +131,10 @@
 	// deferrable means that the current job would still end by its deadline if it started later. It may
 	// then not use nodes that are reserved for urgent jobs.
 	deferrable bool
+	// lifted is the last precaution that is lifted for the current step, see placeOverdue.
+	lifted precaution
+	// busy has the results of isBusy.
+	busy map[anvilid.ServiceName]bool
 }
 
 // Plan returns which tasks to start and which runs to stop now.
@@ -139,7 +143,7 @@
 		Input: input, byID: map[anvilid.TargetID]*node{}, urgentByAccount: map[anvilid.AccountID]anvilid.AcceleratorCount{},
 		runsByStep: map[anvilwork.StepKey][]runOnNode{}, nodesClaimedBy: map[anvilid.JobID][]*node{}, smallestBlocked: map[gangShape]int{},
 		rackByName: map[anvilid.RackName]*group{}, jobs: map[anvilid.JobID]*jobInfo{}, emptyRacks: map[emptyRackKey]int{},
-		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{},
+		probationNodes: map[anvilid.JobID][]*node{}, ownNodes: map[anvilid.JobID]int{}, busy: map[anvilid.ServiceName]bool{},
 	}
 	p.sumUrgentDemand()
 	p.addNodes()
@@ -160,6 +164,7 @@
 		p.currentUsesSlow = waitingStep.usesSlow
 		placedBefore := p.placed
 		p.placeStep(waitingStep)
+		p.placeOverdue(waitingStep, p.placed-placedBefore)
 		if p.placed == placedBefore {
 			p.explain(waitingStep, false)
 		}
@@ -271,6 +276,7 @@
 	var gang []anvilwork.Assignment
 	for _, s := range allotments {
 		p.placed += s.count
+		u.info.atWork = true
 		s.node.allocate(u, s.count)
 		for range s.count {
 			task := tasks[0]
--- a/core/anvilplace/reason.go
+++ b/core/anvilplace/reason.go
@@ -112,9 +112,9 @@
 		return Leaving
 	case !n.usable:
 		return p.whyNotUsable(n)
-	case n.slow && !p.currentUsesSlow && !n.claimedForCurrentUrgent():
+	case n.avoidedBy(p.currentUsesSlow):
 		return Avoided
-	case n.reserved && p.deferrable:
+	case n.keptForUrgent():
 		return ReservedForUrgent
 	case n.claimedByOther():
 		return ClaimedForOther
--- a/core/anvilplace/spread.go
+++ b/core/anvilplace/spread.go
@@ -32,9 +32,12 @@
 }
 
 // readySince returns when the waiting tasks of a step could have begun at the earliest: its turn has come, and the
-// latest of them began to wait.
+// first of them or, for a gang, the last of them began to wait.
 func (u *waitingStep) readySince() anvilclock.Millis {
-	since := max(u.from, u.waitingSince())
+	since := max(u.from, u.firstWaitingSince())
+	if u.step.Gang {
+		since = max(u.from, u.waitingSince())
+	}
 	occurrence := &u.info.job.Occurrences[u.tasks[0].Occurrence]
 	for _, earlier := range u.step.After {
 		since = max(since, lastChange(occurrence.Tasks[earlier]))
--- a/core/anvilplace/suspect.go
+++ b/core/anvilplace/suspect.go
@@ -278,7 +278,7 @@
 // firstClaimable returns the node that will be empty soonest of those that may be claimed for suspects, or nil.
 func (p *planner) firstClaimable(u *waitingStep) *node {
 	for _, n := range p.emptyingNodes() {
-		free := n.probation == "" && n.claimedBy == "" && !(n.reserved && p.deferrable)
+		free := n.probation == "" && n.claimedBy == "" && !n.keptForUrgent()
 		if free && u.taskCapacity(n, 1, n.target.Resources) > 0 {
 			return n
 		}
--- a/core/anvilplace/tolerance.go
+++ b/core/anvilplace/tolerance.go
@@ -100,5 +100,14 @@
 	return since
 }
 
+// firstWaitingSince returns when the first of the waiting tasks began to wait.
+func (u *waitingStep) firstWaitingSince() anvilclock.Millis {
+	first := u.info.job.State(u.tasks[0]).PhaseSince
+	for _, task := range u.tasks[1:] {
+		first = min(first, u.info.job.State(task).PhaseSince)
+	}
+	return first
+}
+
 // avoids reports whether the step has failed more often on a target than is tolerated.
 func (u *waitingStep) avoids(id anvilid.TargetID) bool { return u.failures[id] > u.tolerated }
