Store that a member list is committed with the next save

Cause: the index of the latest committed list was saved at once, which cost each voter a sync of its own after each change, so that the next change waited for it. Change: it is stored with the next save that is needed anyway. Until then a restarted voter counts the list before as well, which is safe.

--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -93,10 +93,11 @@
 // committedMembersIndex returns the highest index up to which member lists are known to be committed.
 func (n *Node) committedMembersIndex() anvilid.Index { return max(n.commit, n.hardState.MembersAt) }
 
-// noteCommittedMembers stores that the latest member list is committed. No message waits for the sync.
+// noteCommittedMembers notes that the latest member list is committed. The next Save stores that; it isn't worth a sync of
+// its own, which would keep the next change waiting.
 func (n *Node) noteCommittedMembers() {
 	if index := n.members.lastChangeIndex(); n.options.useLostStorages && index <= n.commit && index > n.hardState.MembersAt {
 		n.hardState.MembersAt = index
-		n.persisted.hardStateChanged = true
+		n.persisted.membersNoted = true
 	}
 }
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -20,6 +20,7 @@
 	// The following fields say what the Save of the current step will contain. changedFrom is the
 	// index from which on the log has changed, or 0.
 	hardStateChanged bool
+	membersNoted     bool // HardState.MembersAt has changed, which alone needs no Save
 	snapshotChanged  bool
 	changedFrom      anvilid.Index
 }
@@ -135,7 +136,7 @@
 	}
 	p.sequence++
 	save := &Save{Sequence: p.sequence, From: p.changedFrom}
-	if p.hardStateChanged {
+	if p.hardStateChanged || p.membersNoted {
 		hard := n.hardState
 		save.Hard = &hard
 	}
@@ -147,7 +148,7 @@
 		save.Entries = n.log.between(p.changedFrom, n.log.last())
 	}
 	p.pendingSaves = append(p.pendingSaves, pendingSave{p.sequence, n.log.last()})
-	p.hardStateChanged, p.snapshotChanged, p.changedFrom = false, false, 0
+	p.hardStateChanged, p.membersNoted, p.snapshotChanged, p.changedFrom = false, false, false, 0
 	n.effects.Save = save
 }
 
