Let tasks that last use kept targets however busy the service is

The bound of the wait beside reserved, claimed and slow targets held for an idle service only. Change: the condition on the service doesn't hold for tasks that last. Evidence: a case of TestPrecautionsAreKept (a busy service, a task that lasts).

--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -8,7 +8,8 @@
 // Precautions keep steps from targets that have room, for the benefit of other jobs. They pay where room is scarce: a
 // target that is kept free while most of the others are free serves nobody. While the service isn't busy, the wait that
 // they cause is therefore bounded: a step is overdue if nothing of its job is at work, it has waited for maxIdleWait, and
-// there would be spare room for it without the precautions. They are lifted for it then, as few of them as possible.
+// there would be spare room for it without the precautions. They are lifted for it then, as few of them as possible. A task
+// that lasts waits no longer however busy the service is, as each of them is to be at work all the time.
 
 const (
 	// maxIdleWait is how long a step waits because of precautions while nothing of its job is at work. Together
@@ -37,7 +38,10 @@
 // tasks of the step this call of Plan has placed already.
 func (p *planner) placeOverdue(u *waitingStep, placed int) {
 	tasks := u.tasks[placed:]
-	if len(tasks) == 0 || u.stage == stageAlone || !p.standsStill(u) || p.isBusy(u.info.policy.Service) {
+	if len(tasks) == 0 || u.stage == stageAlone || !p.standsStill(u) {
+		return
+	}
+	if !u.step.LongRunning && p.isBusy(u.info.policy.Service) {
 		return
 	}
 	defer func() { p.lifted = noPrecaution }()
--- a/core/anvilplace/overdue_test.go
+++ b/core/anvilplace/overdue_test.go
@@ -154,6 +154,7 @@
 		want int
 	}{
 		"busy service":           {4, anvilwork.Step{Count: 1, Need: gpus(1)}, 0},
+		"busy, task that lasts":  {4, anvilwork.Step{Count: 1, Need: gpus(1), LongRunning: true}, 1},
 		"one task is enough":     {3, anvilwork.Step{Count: 10, Need: gpus(1)}, 1},
 		"room for one gang":      {3, anvilwork.Step{Count: 9, Need: gpus(1), Gang: true}, 0},
 		"tasks that last, twice": {2, anvilwork.Step{Count: 20, Need: gpus(1), LongRunning: true}, 15},
