Give votes to all voters that have caught up by one change of the members

Cause: an enrollment took three entries, and those of two voters ran one after the other: six commits, after two syncs for opening an empty directory. With syncs of half a second or more that takes longer than catch_up_s, so that the next two lost disks leave no majority for good. Change: the leader sends its log to an instance that asks before it is a member. One entry makes voters of all that have caught up, each in place of the former storage of its instance. As the lists before and after it may have no common majority, quorums of both are needed until it is known to be committed. The leader appends an empty entry after a change, with which the others store that. It asks a voter that joins whether its storage is the present one. TestLostStorageVotes fails if only the latest list counts. Not shown: that the users' disks were that slow.

--- a/core/anvilraft/doc.go
+++ b/core/anvilraft/doc.go
@@ -1,6 +1,6 @@
 // Package anvilraft implements one node of a replicated log. It follows the Raft algorithm
-// with pre-vote, leader stickiness, a quorum check by the leader, single-step membership
-// changes, learners and chunked snapshots.
+// with pre-vote, leader stickiness, a quorum check by the leader, membership changes of one voter
+// or, with quorums of both lists, of several, learners and chunked snapshots.
 //
 // A Node is a pure state machine: Step takes the current time and one event and returns
 // effects. It performs no I/O, starts no goroutine and reads no clock. The driver writes to
--- a/core/anvilraft/event.go
+++ b/core/anvilraft/event.go
@@ -6,7 +6,7 @@
 )
 
 // Event is an input of Node.Step: Tick, Receive, Propose, Persisted, Compact, ChangeVoters,
-// StorageLost or ReadBarrier.
+// SendLog, StorageLost or ReadBarrier.
 type Event interface{ isEvent() }
 
 // Tick tells the node the current time, so that timeouts can expire. The driver passes one
@@ -46,11 +46,19 @@
 	Snapshot []byte
 }
 
-// ChangeVoters asks the leader for one membership change. Exactly one of AddLearner,
-// AddVoter and Remove is set. The answer is an Acceptance or a Rejection. The change is
+// SendLog asks the leader to send its log to an instance that isn't a member, so that one ChangeVoters makes it a voter.
+// It must be repeated within sendLogSpan. A later one for another storage of the same instance takes its place.
+type SendLog struct {
+	To VoterID
+	// Empty means that the instance has no log yet, so that it gets everything at once.
+	Empty bool
+}
+
+// ChangeVoters asks the leader for one membership change. Exactly one of AddLearner, AddVoter and Remove is set, or
+// Seat, with Remove or without it. The answer is an Acceptance or a Rejection. The change is
 // permanent once its entry is committed.
 //
-// To replace a lost disk: AddLearner with the new id, Remove the old id, then AddVoter with
+// To replace a lost disk without WithLostStorages: AddLearner with the new id, Remove the old id, then AddVoter with
 // the new id, repeated until it is no longer rejected with ErrNotCaughtUp.
 type ChangeVoters struct {
 	Key uint64
@@ -60,6 +68,9 @@
 	AddVoter VoterID
 	// Remove removes a voter or learner.
 	Remove VoterID
+	// Seat makes instances that have caught up voters, each in place of the former member of the same instance, if there is
+	// one. It needs WithLostStorages, as the lists before and after it may differ by more than one voter.
+	Seat []VoterID
 }
 
 // StorageLost tells the node that the storage of a voter is gone for good: the instance was asked by this node,
@@ -80,4 +91,5 @@
 func (Compact) isEvent()      {}
 func (ChangeVoters) isEvent() {}
 func (StorageLost) isEvent()  {}
+func (SendLog) isEvent()      {}
 func (ReadBarrier) isEvent()  {}
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -7,7 +7,9 @@
 
 // leaderState is the part of a node's state that only a leader uses.
 type leaderState struct {
-	peers           []*peer
+	peers []*peer
+	// joining has when SendLog was last passed for each instance that isn't a member.
+	joining         map[VoterID]anvilclock.Millis
 	nextHeartbeatAt anvilclock.Millis
 	// uncommittedBytes is the total size of the entries after the commit index.
 	uncommittedBytes anvilid.ByteCount
@@ -28,7 +30,7 @@
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.campaignsSinceLeader = Leader, n.self, 0
 	n.campaignTerm, n.grantedVotes, n.grantedPreVotes = 0, nil, nil
-	n.leading = leaderState{nextHeartbeatAt: n.now + n.options.heartbeatInterval, lost: n.lost.at(n.now)}
+	n.leading = leaderState{nextHeartbeatAt: n.now + n.options.heartbeatInterval, lost: n.lost.at(n.now), joining: map[VoterID]anvilclock.Millis{}}
 	for _, entry := range n.log.between(n.commit+1, n.log.last()) {
 		n.leading.uncommittedBytes += entry.size()
 	}
@@ -103,6 +105,7 @@
 		return
 	}
 	n.leading.nextHeartbeatAt = n.now + n.options.heartbeatInterval
+	n.dropJoining()
 	n.broadcastHeartbeat()
 	for _, p := range n.leading.peers {
 		if p.transfer != nil {
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -94,7 +94,7 @@
 func (n *Node) committedMembersIndex() anvilid.Index { return max(n.commit, n.hardState.MembersAt) }
 
 // noteCommittedMembers notes that the latest member list is committed. The next Save stores that; it isn't worth a sync of
-// its own, which would keep the next change waiting.
+// its own, which would keep the next change waiting: the leader appends an entry after each change.
 func (n *Node) noteCommittedMembers() {
 	if index := n.members.lastChangeIndex(); n.options.useLostStorages && index <= n.commit && index > n.hardState.MembersAt {
 		n.hardState.MembersAt = index
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,7 +17,7 @@
 		if v.node == nil || v.frozen {
 			continue
 		}
-		for _, id := range v.node.Status().Members.Voters {
+		for _, id := range v.node.Status().Electors {
 			other := c.byInstance(id.Instance)
 			isCut := c.cut[[2]anvilid.InstanceID{v.id.Instance, id.Instance}] || c.cut[[2]anvilid.InstanceID{id.Instance, v.id.Instance}]
 			if other.node != nil && !other.frozen && other.id != id && !isCut {
@@ -28,12 +29,37 @@
 
 func (s *schedule) reportLostStorages() { s.c.reportLostStorages() }
 
-// quorumKnowsMembers reports whether a quorum knows that the members are committed. A voter counts as replaced then.
-func (s *schedule) quorumKnowsMembers(members Members) bool {
-	knowing := 0
+// repairTogether replaces all voters that have lost their disks and got the log again by one change.
+func (s *schedule) repairTogether(leader *voter) {
+	members := leader.node.Status().Members
+	known := leader.node.members.lastChangeIndex() <= leader.node.commit && s.quorumKnowsMembers(leader)
+	s.lostDisks = slices.DeleteFunc(s.lostDisks, func(v *voter) bool { return known && members.IsVoter(v.id) })
+	var seats []VoterID
+	for _, v := range s.lostDisks {
+		if members.IsVoter(v.id) {
+			continue
+		}
+		s.c.step(leader, SendLog{To: v.id, Empty: v.node != nil && v.node.hardState.Group == 0})
+		if leader.node.HasCaughtUp(v.id) {
+			seats = append(seats, v.id)
+		}
+	}
+	if len(seats) > 0 {
+		s.key++
+		s.c.step(leader, ChangeVoters{Key: s.key, Seat: seats})
+	}
+}
+
+// quorumKnowsMembers reports whether a quorum has stored that the leader's members are committed. A voter counts as
+// replaced then.
+func (s *schedule) quorumKnowsMembers(leader *voter) bool {
+	members, knowing := leader.node.Status().Members, 0
 	for _, id := range members.Voters {
 		v := s.c.byInstance(id.Instance)
-		if v.id == id && v.node != nil && v.node.members.lastChangeIndex() <= v.node.committedMembersIndex() {
+		if v.id != id || v.node == nil || !slices.Equal(v.node.Status().Members.Voters, members.Voters) {
+			continue
+		}
+		if v.disk.Hard.MembersAt >= v.node.members.lastChangeIndex() {
 			knowing++
 		}
 	}
@@ -78,8 +104,11 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			names := []string{"a", "b", "c", "d", "e", "f"}[:4+2*(seed%2)]
+			if seed%6 >= 4 {
+				names = names[:len(names)-1]
+			}
 			s := newSchedule(newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMaxLearnerLag(3), WithLostStorages()))
-			s.asksForStorages, s.maxLostDisks = true, len(names)/2
+			s.asksForStorages, s.maxLostDisks, s.seatsTogether = true, len(names)/2, seed%6 >= 2
 			s.run(16 * anvilclock.Second)
 			s.recoverFromFaults()
 			s.checkHistory()
@@ -114,6 +143,8 @@
 		{name: "uncommitted removal", lists: [][]string{all, all[:3]}, votes: []string{"b"}},
 		{name: "uncommitted removal, majority of both lists", lists: [][]string{all, all[:3]}, votes: []string{"b", "d"}, elected: true},
 		{name: "committed removal", lists: [][]string{all, all[:3]}, known: true, votes: []string{"b"}, elected: true},
+		{name: "uncommitted change of two voters", lists: [][]string{all[:3], {"a", "d", "e"}}, votes: []string{"d"}},
+		{name: "uncommitted change of two voters, majorities", lists: [][]string{all[:3], {"a", "d", "e"}}, votes: []string{"b", "d"}, elected: true},
 		{name: "uncommitted addition with a loss", lists: [][]string{all[:3], all}, lostFor: 2 * lifetime, votes: []string{"b"}},
 		{name: "committed addition with a loss", lists: [][]string{all[:3], all}, known: true, lostFor: 2 * lifetime, votes: []string{"b"}, elected: true},
 	} {
@@ -152,7 +183,7 @@
 	}
 	now := max(lostFor, 2*node.options.maxElectionTimeout)
 	node.Step(now, Tick{})
-	for _, name := range []string{"b", "c", "d"} {
+	for _, name := range []string{"b", "c", "d", "e"} {
 		node.Step(now, Receive{voteFor(node, MessagePreVoteResponse, name)})
 	}
 	node.Step(now, Persisted{node.persisted.sequence})
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -1,6 +1,7 @@
 package anvilraft
 
 import (
+	"maps"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -30,11 +31,11 @@
 // lastChangeIndex returns the index of the latest change, which may be uncommitted.
 func (m *membership) lastChangeIndex() anvilid.Index { return m.changes[len(m.changes)-1].index }
 
-// uncommittedVoters returns the lists that count while the latest change of the voters isn't known to be committed: the
-// one after the change, and the one before it if that has an even number of voters. ok is false if there is no such
-// change, so that only the latest list counts. A change is appended only when the one before it is committed, so that
-// all earlier lists are outdated. A single change leaves each majority of one list intersecting each majority of the other,
-// but not the smaller quorum of an even list (Members.quorumWithout), which is why that list counts as well.
+// uncommittedVoters returns the list that counts beside the latest one while the latest change of the voters isn't known to
+// be committed: the one before it, if that has an even number of voters or differs by more than one voter. ok is false if
+// there is no such change, so that only the latest list counts. A change is appended only when the one before it is
+// committed, so that all earlier lists are outdated. A change of one voter leaves each majority of one list intersecting
+// each majority of the other, but not the smaller quorum of an even list (quorumWithout).
 func (m *membership) uncommittedVoters(committed anvilid.Index) (before []VoterID, ok bool) {
 	last := len(m.changes) - 1
 	if last == 0 || m.changes[last].index <= committed {
@@ -44,12 +45,23 @@
 	switch {
 	case len(former) == 0, slices.Equal(latest.Voters, former): // the first list of the group, or a change of learners
 		return nil, false
-	case latest.Forced, len(former)%2 == 1:
+	case latest.Forced, len(former)%2 == 1 && differsByOne(former, latest.Voters):
 		return nil, true
 	}
 	return former, true
 }
 
+// differsByOne reports whether one voter was added to a list or removed from it.
+func differsByOne(before, after []VoterID) bool {
+	both := 0
+	for _, id := range before {
+		if slices.Contains(after, id) {
+			both++
+		}
+	}
+	return len(before)+len(after)-2*both == 1
+}
+
 // contains reports whether a voter is in one of the lists.
 func (m *membership) contains(id VoterID) bool {
 	return slices.ContainsFunc(m.changes, func(change memberChange) bool { return change.members.Contains(id) })
@@ -94,9 +106,8 @@
 }
 
 // changeVoters handles a ChangeVoters event: the leader appends the changed member list to its log.
-// It refuses a change while an earlier one is not committed. Thus two lists that may be in effect at
-// the same time differ by at most one voter, and any majority of one list intersects any majority of the
-// other. See membership.uncommittedVoters for an even number of voters.
+// It refuses a change while an earlier one is not committed. Thus at most two lists may be in effect at the same time. Either
+// any majority of one intersects any majority of the other, or quorums of both are needed (membership.uncommittedVoters).
 func (n *Node) changeVoters(event ChangeVoters) {
 	if n.role != Leader {
 		n.reject(event.Key, ErrNotLeader)
@@ -125,6 +136,8 @@
 func (n *Node) membersAfter(event ChangeVoters) (Members, error) {
 	old := n.members.latest()
 	switch {
+	case len(event.Seat) > 0:
+		return n.withSeats(old, event)
 	case event.AddVoter.IsZero() && event.Remove.IsZero():
 		return withLearner(old, event.AddLearner)
 	case event.AddLearner.IsZero() && event.Remove.IsZero():
@@ -150,8 +163,7 @@
 	if !old.IsLearner(id) || slices.ContainsFunc(old.Voters, sameInstance) {
 		return Members{}, ErrInvalidChange
 	}
-	p := n.peer(id)
-	if p == nil || p.match == 0 || p.match+anvilid.Index(n.options.maxLearnerLag) < n.log.last() {
+	if !n.HasCaughtUp(id) {
 		return Members{}, ErrNotCaughtUp
 	}
 	return Members{Voters: withID(old.Voters, id), Learners: withoutID(old.Learners, id)}, nil
@@ -174,13 +186,17 @@
 	return slices.DeleteFunc(slices.Clone(ids), func(other VoterID) bool { return other == id })
 }
 
-// updatePeers adjusts the leader's peers to the members. A removed member stays a peer
+// updatePeers adjusts the leader's peers to the members and the instances that join. A removed member stays a peer
 // until its removal is committed, so that it receives the entry that removes it.
 func (n *Node) updatePeers() {
 	members := n.members.latest()
-	isNeeded := func(p *peer) bool { return members.Contains(p.id) || n.members.lastChangeIndex() > n.commit }
+	maps.DeleteFunc(n.leading.joining, func(id VoterID, _ anvilclock.Millis) bool { return members.Contains(id) })
+	joining := slices.SortedFunc(maps.Keys(n.leading.joining), VoterID.Compare)
+	isNeeded := func(p *peer) bool {
+		return members.Contains(p.id) || slices.Contains(joining, p.id) || n.members.lastChangeIndex() > n.commit
+	}
 	n.leading.peers = slices.DeleteFunc(slices.Clone(n.leading.peers), func(p *peer) bool { return !isNeeded(p) })
-	for _, id := range slices.Concat(members.Voters, members.Learners) {
+	for _, id := range slices.Concat(members.Voters, members.Learners, joining) {
 		if id != n.self && n.peer(id) == nil {
 			n.leading.peers = append(n.leading.peers, n.newPeer(id))
 		}
@@ -197,6 +213,10 @@
 		}
 	}
 	n.updatePeers()
+	if n.options.useLostStorages {
+		// The others store that the members are committed together with this entry.
+		n.appendAsLeader(0, Entry{Kind: KindEmpty})
+	}
 	if !members.IsVoter(n.self) {
 		n.leading.removedAt = n.now
 		n.broadcastHeartbeat()
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -99,6 +99,8 @@
 		n.compact(event)
 	case ChangeVoters:
 		n.changeVoters(event)
+	case SendLog:
+		n.sendLog(event)
 	case StorageLost:
 		n.noteLostStorage(event.Voter)
 	case ReadBarrier:
@@ -237,12 +239,15 @@
 	Commit  anvilid.Index
 	Last    anvilid.Index
 	Members Members
+	// Electors are the voters of all lists that count for an election: those of Members and, while a change isn't known
+	// to be committed, of the list before.
+	Electors []VoterID
 }
 
 // Status returns the current state of the node.
 func (n *Node) Status() Status {
 	return Status{
 		ID: n.self, Role: n.role, Term: n.hardState.Term, Leader: n.leader,
-		Commit: n.commit, Last: n.log.last(), Members: n.members.latest(),
+		Commit: n.commit, Last: n.log.last(), Members: n.members.latest(), Electors: n.electors(),
 	}
 }
--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -88,6 +88,7 @@
 	lostDisks          []*voter // their disks were lost, and they are not voters again yet
 	maxLostDisks       int
 	asksForStorages    bool // voters ask each other for their storages, see reportLostStorages
+	seatsTogether      bool // all voters with a lost disk are replaced by one change, see repairTogether
 	wipedDisks         int
 	installedSnapshots int
 }
@@ -223,6 +224,10 @@
 	if len(s.lostDisks) == 0 || leader == nil {
 		return
 	}
+	if s.seatsTogether {
+		s.repairTogether(leader)
+		return
+	}
 	status, lost := leader.node.Status(), s.lostDisks[0].id
 	old := slices.IndexFunc(status.Members.Voters, func(id VoterID) bool {
 		return id.Instance == lost.Instance && id != lost
@@ -230,7 +235,7 @@
 	s.key++
 	switch {
 	case status.Members.IsVoter(lost):
-		if leader.node.members.lastChangeIndex() <= status.Commit && (!s.asksForStorages || s.quorumKnowsMembers(status.Members)) {
+		if leader.node.members.lastChangeIndex() <= status.Commit && (!s.asksForStorages || s.quorumKnowsMembers(leader)) {
 			s.lostDisks = s.lostDisks[1:]
 		}
 	case !status.Members.Contains(lost):
@@ -260,6 +265,11 @@
 	for range steps {
 		s.c.run(100)
 		s.repair()
+		if leader := s.c.leader(); s.asksForStorages && leader != nil {
+			// The group goes on to work, so that restarted voters store that the members are committed.
+			s.key++
+			s.c.step(leader, Propose{Key: s.key, Commands: [][]byte{{0, 0, 0}}})
+		}
 		if s.asksForStorages {
 			s.reportLostStorages()
 		}
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +14,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
 	"anvilshunt/io/anvilvoter"
 )
 
@@ -103,28 +105,97 @@
 	return ids
 }
 
-// enrollJoining makes one change for each voter that joins, and returns when to go on: soon if a change was made or may
-// be possible soon.
-func (g *Group) enrollJoining(ctx context.Context, members anvilraft.Members) time.Duration {
-	interval := joinInterval
-	for _, id := range g.joining(members) {
-		if !g.leads() {
-			break
-		}
-		if !g.claimJoining(id) {
-			continue
+// enrollJoining makes the next change for the voters that join, and returns when to go on: soon if a change was made or may
+// be possible soon. All that have caught up and take the seats of former storages get their votes by one change.
+func (g *Group) enrollJoining(parent context.Context, members anvilraft.Members) time.Duration {
+	ids := slices.DeleteFunc(g.joining(members), func(id anvilraft.VoterID) bool { return !g.claimJoining(id) })
+	if len(ids) == 0 || !g.leads() {
+		return joinInterval
+	}
+	ctx, cancel := context.WithTimeout(parent, changeTimeout)
+	defer cancel()
+	g.sendLogs(ctx, ids)
+	change, err := g.nextEnrollment(members, ids)
+	if err == nil {
+		if err = g.Voter.ChangeVoters(ctx, change); !isPending(err) {
+			g.logChange(change, err)
 		}
-		err := g.enrollNext(ctx, id)
-		g.mu.Lock()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	interval := joinInterval
+	for _, id := range ids {
 		g.joinErrors[id] = err
 		if (err == nil || isPending(err)) && g.clock.Now()-g.joiningSince[id] < enrollSpan {
 			interval = enrollInterval
 		}
-		g.mu.Unlock()
 	}
 	return interval
 }
 
+// sendLogs has the log sent to the voters that join. Each is asked first whether it is the present storage of its instance,
+// and whether it is empty.
+func (g *Group) sendLogs(ctx context.Context, ids []anvilraft.VoterID) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, id := range ids {
+		if g.isIntroduced(id) {
+			g.Voter.SendLog(id, false)
+			continue
+		}
+		calls.Go(func() {
+			reply, err := g.peer(id.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
+			if err != nil || anvilraft.StorageID(reply.Storage) != id.Storage {
+				return // it is asked again with the next check
+			}
+			g.mu.Lock()
+			g.introduced[id] = true
+			g.mu.Unlock()
+			g.Voter.SendLog(id, !reply.Grouped)
+		})
+	}
+	calls.Wait()
+}
+
+func (g *Group) isIntroduced(id anvilraft.VoterID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.introduced[id]
+}
+
+// nextEnrollment returns the next change for voters that join, or why there is none yet. Voters that take the seats of
+// former storages, or that the group lacks, come first and together. No voter is removed for one that may be gone: the
+// silent one may still have its disk.
+func (g *Group) nextEnrollment(members anvilraft.Members, ids []anvilraft.VoterID) (anvilraft.ChangeVoters, error) {
+	ids = slices.DeleteFunc(ids, func(id anvilraft.VoterID) bool { return !g.Voter.HasCaughtUp(id) || g.isSilent(id) })
+	if len(ids) == 0 {
+		return anvilraft.ChangeVoters{}, anvilraft.ErrNotCaughtUp
+	}
+	var change anvilraft.ChangeVoters
+	count := len(members.Voters)
+	for _, id := range ids {
+		hasSeat := slices.ContainsFunc(members.Voters, func(former anvilraft.VoterID) bool { return former.Instance == id.Instance })
+		if !hasSeat && !g.isComplete(count) {
+			count++
+			hasSeat = true
+		}
+		if hasSeat {
+			change.Seat = append(change.Seat, id)
+		}
+	}
+	if len(change.Seat) > 0 {
+		return change, nil
+	}
+	former, err := g.replacedBy(ids[0])(members)
+	return anvilraft.ChangeVoters{Seat: ids[:1], Remove: former}, err
+}
+
+// isComplete reports whether a number of voters is what the group is meant to have.
+func (g *Group) isComplete(voters int) bool {
+	return g.settings.Voters > 0 && voters >= g.settings.Voters
+}
+
 // claimJoining records a learner that a former leader has added like a voter that this leader was asked to add. It returns
 // false if the instance has asked with another data directory meanwhile.
 func (g *Group) claimJoining(id anvilraft.VoterID) bool {
@@ -143,42 +214,22 @@
 	return errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp)
 }
 
-// enrollNext makes the next change for a voter that joins. No voter is removed for one that may be gone: the silent one
-// may still have its disk.
-func (g *Group) enrollNext(parent context.Context, id anvilraft.VoterID) error {
-	ctx, cancel := context.WithTimeout(parent, changeTimeout)
-	defer cancel()
-	replaced := g.replacedBy(id)
-	step, done, err := g.Voter.EnrollStep(ctx, id, func(members anvilraft.Members) (anvilraft.VoterID, error) {
-		if g.isSilent(id) {
-			return anvilraft.VoterID{}, anvilraft.ErrNotCaughtUp
-		}
-		return replaced(members)
-	})
-	if !done && !isPending(err) {
-		g.logChange(step, err)
-	}
-	return err
-}
-
 func (g *Group) logChange(change anvilraft.ChangeVoters, err error) {
 	var fields []zap.Field
-	for _, member := range []struct {
-		key string
-		id  anvilraft.VoterID
-	}{{"learn", change.AddLearner}, {"add", change.AddVoter}, {"remove", change.Remove}} {
-		if !member.id.IsZero() {
-			fields = append(fields, zap.String(member.key, member.id.String()))
-		}
+	if len(change.Seat) > 0 {
+		fields = append(fields, zap.Stringers("add", change.Seat))
+	}
+	if !change.Remove.IsZero() {
+		fields = append(fields, zap.Stringer("remove", change.Remove))
 	}
 	g.log.Write(anvillogs.MembersChanged, append(fields, zap.Error(err))...)
 }
 
-// replacedBy returns the function that tells which voter a joining one replaces. If the group already has as many
+// replacedBy returns the function that tells which voter a joining one replaces that has no former storage in the group. If the group already has as many
 // voters as it is meant to have, that is the one that has sent nothing for replacedTimeout. It is removed before
 // the new one gets its vote: with both of them in the group, the voters that have lost nothing may be no majority
 // if the new one is lost, too. The new voter waits as long, because the former one may have been lost just now.
-func (g *Group) replacedBy(id anvilraft.VoterID) anvilvoter.Replaced {
+func (g *Group) replacedBy(id anvilraft.VoterID) func(anvilraft.Members) (anvilraft.VoterID, error) {
 	g.mu.Lock()
 	since, known := g.joiningSince[id]
 	g.mu.Unlock()
@@ -186,7 +237,7 @@
 		since = g.clock.Now()
 	}
 	return func(members anvilraft.Members) (anvilraft.VoterID, error) {
-		if g.settings.Voters == 0 || len(members.Voters) < g.settings.Voters {
+		if !g.isComplete(len(members.Voters)) {
 			return anvilraft.VoterID{}, nil
 		}
 		silent, ok := g.mostSilent(members, replacedTimeout)
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -108,6 +108,8 @@
 	leadingSince anvilclock.Millis
 	// joiningSince is when this leader was first asked to add each voter that isn't one yet.
 	joiningSince map[anvilraft.VoterID]anvilclock.Millis
+	// introduced are those of them that were found to be the present storage of their instance.
+	introduced map[anvilraft.VoterID]bool
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
 	// releases are the voters that have asked this leader to remove them.
@@ -138,7 +140,7 @@
 		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
 		leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
 		joinErrors: map[anvilraft.VoterID]error{}, releases: map[anvilraft.VoterID]bool{}, requested: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
-		lostStorages: map[anvilraft.VoterID]bool{},
+		lostStorages: map[anvilraft.VoterID]bool{}, introduced: map[anvilraft.VoterID]bool{},
 	}
 	storage, restored, err := anvildisk.Open(settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
@@ -291,7 +293,7 @@
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
 		if !g.leaving.Load() && (!status.Members.IsVoter(g.id) || status.Leader.IsZero()) {
-			g.askStorages(ctx, status.Members)
+			g.askStorages(ctx, status.Electors)
 			g.requestMembership(ctx)
 		} else {
 			g.joinLog.succeeded()
--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -50,6 +50,13 @@
 
 // start starts a voter with an empty data directory. If it joins, it asks for membership.
 func (n *testNodes) start(number int, joins bool) *testNode {
+	return n.open(number, joins, number < 3)
+}
+
+// startEmptied starts a voter that has lost its disk after the first start of the group.
+func (n *testNodes) startEmptied(number int) *testNode { return n.open(number, true, false) }
+
+func (n *testNodes) open(number int, joins, firstStart bool) *testNode {
 	seeds := []anvilid.InstanceID{nodeName(0), nodeName(1), nodeName(2)}
 	slow := anvilfault.BeforeEverySync(func() error {
 		time.Sleep(time.Duration(n.syncIn.Load()) * time.Millisecond)
@@ -58,7 +65,7 @@
 	links := anvillink.New("r", func(anvilid.Address) anvilid.RegionName { return "r" })
 	g, err := Open(Settings{
 		Instance: nodeName(number), Port: n.port, Dir: n.t.TempDir(), Disk: []anvildisk.Option{anvildisk.WithFiles(slow)},
-		FirstStart: number < 3, Voters: n.meant, Seeds: func() []anvilid.InstanceID { return seeds }, ElectionTimeout: 350, Heartbeat: 80,
+		FirstStart: firstStart, Voters: n.meant, Seeds: func() []anvilid.InstanceID { return seeds }, ElectionTimeout: 350, Heartbeat: 80,
 	}, anvilclock.Monotonic(), anvilclock.Wall(), links, anvillogs.Discard(), anvilvoter.StateMachine{
 		Apply: func(anvilraft.Entry) any { return nil }, Restore: func(anvilraft.Snapshot) error { return nil },
 		Snapshot: func() ([]byte, error) { return nil, nil },
@@ -84,6 +91,29 @@
 	return node
 }
 
+// startGroup starts a number of voters, and waits until all of them know that all have a vote.
+func (n *testNodes) startGroup(count int) []*testNode {
+	running := []*testNode{n.start(0, true), n.start(1, true), n.start(2, true)}
+	for number := 3; number < count; number++ {
+		joining := n.start(number, true)
+		eventually(n.t, "the voter has a vote", 10*time.Second, func() bool { return joining.hasVote(number + 1) })
+		running = append(running, joining)
+	}
+	for _, node := range running {
+		eventually(n.t, "the members are committed", 10*time.Second, func() bool {
+			status := node.Voter.Status()
+			return node.hasVote(count) && status.Commit == status.Last
+		})
+	}
+	return running
+}
+
+// hasVote reports whether a node is one of a number of voters.
+func (n *testNode) hasVote(voters int) bool {
+	members := n.Voter.Status().Members
+	return members.IsVoter(n.ID()) && len(members.Voters) == voters
+}
+
 func (n *testNode) stop() {
 	n.cancel()
 	_ = n.server.Close() // it may be closed already
--- a/io/anvilgroup/lost.go
+++ b/io/anvilgroup/lost.go
@@ -17,11 +17,11 @@
 // voters that are left can elect one (anvilraft.StorageLost).
 
 // askStorages asks the other voters for their storages, and reports those that are lost.
-func (g *Group) askStorages(parent context.Context, members anvilraft.Members) {
+func (g *Group) askStorages(parent context.Context, electors []anvilraft.VoterID) {
 	ctx, cancel := context.WithTimeout(parent, locateTimeout)
 	defer cancel()
 	var asked []anvilraft.VoterID
-	for _, voter := range members.Voters {
+	for _, voter := range electors {
 		if voter != g.id && !g.lostStorages[voter] {
 			asked = append(asked, voter)
 		}
--- a/io/anvilgroup/lost_test.go
+++ b/io/anvilgroup/lost_test.go
@@ -10,12 +10,7 @@
 // the six voters have their disks.
 func TestLostDisksBesideRemovedVoter(t *testing.T) {
 	nodes := newTestNodes(t, 5)
-	running := []*testNode{nodes.start(0, true), nodes.start(1, true), nodes.start(2, true)}
-	for n := 3; n < 6; n++ {
-		joining := nodes.start(n, true)
-		eventually(t, "the voter has a vote", 10*time.Second, func() bool { return joining.hasVote(n + 1) })
-		running = append(running, joining)
-	}
+	running := nodes.startGroup(6)
 	running[1].stop()
 	time.Sleep(300 * time.Millisecond)
 	for _, lost := range []int{3, 4} {
@@ -32,9 +27,3 @@
 		eventually(t, "all have a vote again", 20*time.Second, func() bool { return n.hasVote(5) })
 	}
 }
-
-// hasVote reports whether a node is one of a number of voters.
-func (n *testNode) hasVote(voters int) bool {
-	members := n.Voter.Status().Members
-	return members.IsVoter(n.ID()) && len(members.Voters) == voters
-}
--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -97,6 +97,7 @@
 	case !leads:
 		g.stopLeading()
 		clear(g.joiningSince)
+		clear(g.introduced)
 		clear(g.joinErrors)
 		clear(g.releases)
 	case g.leadingSince < 0:
--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -87,14 +87,15 @@
 // leader: it continues with the next missing change. The function changed is called
 // after each change.
 func (v *Voter) Enroll(ctx context.Context, newVoter anvilraft.VoterID, changed func(anvilraft.ChangeVoters)) error {
-	none := func(anvilraft.Members) (anvilraft.VoterID, error) { return anvilraft.VoterID{}, nil }
 	retry := time.NewTicker(changeRetryInterval)
 	defer retry.Stop()
 	for {
-		step, done, err := v.EnrollStep(ctx, newVoter, none)
-		switch {
-		case done:
+		step, done := nextEnrollChange(v.Status().Members, newVoter)
+		if done {
 			return nil
+		}
+		err := v.ChangeVoters(ctx, step)
+		switch {
 		case err == nil:
 			changed(step)
 		case errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp):
@@ -109,31 +110,6 @@
 	}
 }
 
-// Replaced returns the voter that is removed before a new one gets its vote, or the zero value if there is none. It
-// returns anvilraft.ErrChangePending if that isn't known yet.
-type Replaced func(anvilraft.Members) (anvilraft.VoterID, error)
-
-// EnrollStep makes the next change that is needed to make the voter with a data directory a voting member, and returns
-// it. done is set if it is one already. In place of a change that gives a vote, it first removes the voter that is
-// replaced. Its errors are those of ChangeVoters and of replaced.
-func (v *Voter) EnrollStep(ctx context.Context, newVoter anvilraft.VoterID, replaced Replaced) (step anvilraft.ChangeVoters, done bool, err error) {
-	members := v.Status().Members
-	step, done = nextEnrollChange(members, newVoter)
-	if done {
-		return step, true, nil
-	}
-	if !step.AddVoter.IsZero() {
-		former, err := replaced(members)
-		if err != nil {
-			return step, false, err
-		}
-		if !former.IsZero() {
-			step = anvilraft.ChangeVoters{Remove: former}
-		}
-	}
-	return step, false, v.ChangeVoters(ctx, step)
-}
-
 // nextEnrollChange returns the next membership change that is needed to make
 // newVoter a voter. done is set if it is a voter already.
 func nextEnrollChange(members anvilraft.Members, newVoter anvilraft.VoterID) (step anvilraft.ChangeVoters, done bool) {
@@ -202,16 +178,30 @@
 	return r.Reason
 }
 
-// ReportLost tells the voter that the storage of another one is gone for good, see anvilraft.StorageLost. It never blocks,
-// and drops the report if the queue is full.
-func (v *Voter) ReportLost(id anvilraft.VoterID) {
+// ReportLost tells the voter that the storage of another one is gone for good, see anvilraft.StorageLost.
+func (v *Voter) ReportLost(id anvilraft.VoterID) { v.notify(anvilraft.StorageLost{Voter: id}) }
+
+// SendLog makes this voter, if it leads, send its log to an instance that joins, see anvilraft.SendLog.
+func (v *Voter) SendLog(to anvilraft.VoterID, empty bool) {
+	v.notify(anvilraft.SendLog{To: to, Empty: empty})
+}
+
+// notify passes an event that has no answer to the node. It never blocks, and drops the event if the queue is full.
+func (v *Voter) notify(event anvilraft.Event) {
 	select {
-	case v.losses <- id:
+	case v.notices <- event:
 	default:
 		v.dropped.Add(1)
 	}
 }
 
+// HasCaughtUp reports whether this voter leads and an instance that joins has as much of the log as a voter needs.
+func (v *Voter) HasCaughtUp(id anvilraft.VoterID) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.node != nil && v.node.HasCaughtUp(id)
+}
+
 // Deliver accepts encoded messages that other members sent over the network. It
 // never blocks. It drops messages that cannot be decoded or do not fit into the
 // queue.
--- a/io/anvilvoter/step.go
+++ b/io/anvilvoter/step.go
@@ -77,8 +77,8 @@
 			s.senders.prune(s.clock.Now())
 		case message := <-s.inbox:
 			s.step(anvilraft.Receive{Message: message})
-		case id := <-s.losses:
-			s.step(anvilraft.StorageLost{Voter: id})
+		case event := <-s.notices:
+			s.step(event)
 		case sequence := <-s.persisted:
 			s.step(anvilraft.Persisted{Sequence: sequence})
 		case compact := <-s.compactions:
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -64,8 +64,8 @@
 	// follower with a slow disk does not block and still answers heartbeats.
 	diskQueueSize  = 8192
 	applyQueueSize = 8192
-	// lossQueueSize is more than the voters of a group.
-	lossQueueSize = 16
+	// noticeQueueSize is more than the voters of a group and those that join together.
+	noticeQueueSize = 64
 	// lagLimit is the length of the disk queue or the apply queue above which the
 	// step loop takes no further calls, because the disk or the state machine lags
 	// behind.
@@ -91,7 +91,7 @@
 
 	inbox       chan anvilraft.Message
 	requests    chan *request
-	losses      chan anvilraft.VoterID // voters whose storage is lost
+	notices     chan anvilraft.Event // events that have no answer
 	saves       chan anvilraft.Save
 	persisted   chan uint64 // capacity 1; contains only the latest persisted sequence number
 	applyItems  chan applyItem
@@ -184,7 +184,7 @@
 
 		inbox:       make(chan anvilraft.Message, inboxQueueSize),
 		requests:    make(chan *request, requestQueueSize),
-		losses:      make(chan anvilraft.VoterID, lossQueueSize),
+		notices:     make(chan anvilraft.Event, noticeQueueSize),
 		saves:       make(chan anvilraft.Save, diskQueueSize),
 		persisted:   make(chan uint64, 1),
 		applyItems:  make(chan applyItem, applyQueueSize),
@@ -281,6 +281,8 @@
 	// have been elected up to the time of the call of Status.
 	HasQuorum bool
 	Members   anvilraft.Members
+	// Electors are the voters that count for an election, see anvilraft.Status.
+	Electors []anvilraft.VoterID
 	// Dropped is the number of messages that did not fit into a queue or could not
 	// be encoded or decoded. SendErrors is the number of failed calls of Send.
 	Dropped, SendErrors uint64
@@ -305,7 +307,7 @@
 	}
 	node := v.node.Status()
 	status.ID, status.Role, status.Term, status.Leader = node.ID, node.Role, node.Term, node.Leader
-	status.Commit, status.Last, status.Members = node.Commit, node.Last, node.Members
+	status.Commit, status.Last, status.Members, status.Electors = node.Commit, node.Last, node.Members, node.Electors
 	status.Created, status.Truncated = v.created, v.truncated
 	select {
 	case <-v.stopped:
