Let a voter without a vote forget a leader that it hears nothing of

Cause: a member without a vote never campaigns, and only that cleared the leader. Change: it forgets the leader when its election timeout expires. Evidence: TestLearnerForgetsLeader fails without the change.

--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -197,3 +197,21 @@
 	}
 	return m
 }
+
+// TestLearnerForgetsLeader guards against a member without a vote that names a leader for good that is gone: whoever asks
+// it is sent to an instance that doesn't lead.
+func TestLearnerForgetsLeader(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages())
+	c.run(2000)
+	leader, learner := c.leader(), c.add("d")
+	c.start(learner)
+	c.step(leader, SendLog{To: learner.id, Empty: true})
+	c.run(500)
+	assert.Equal(t, learner.node.Status().Leader, leader.id)
+	for _, v := range c.voters[:3] {
+		c.crash(v, 0)
+	}
+	c.run(1000)
+	assert.Assert(t, learner.node.Status().Leader.IsZero())
+}
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -131,6 +131,7 @@
 		return
 	}
 	n.extendElectionTimeout(late)
+	n.forgetSilentLeader()
 	// A node whose disk has not yet synced the latest hard state does not campaign: another
 	// election would only add writes for the slow disk.
 	if n.now >= n.electionDeadline && !n.persisted.hardStateUnsynced() && n.members.latest().IsVoter(n.self) {
@@ -138,6 +139,13 @@
 	}
 }
 
+// forgetSilentLeader lets a node without a vote, which never campaigns, no longer name a leader that it hears nothing of.
+func (n *Node) forgetSilentLeader() {
+	if n.now >= n.electionDeadline && !n.members.latest().IsVoter(n.self) {
+		n.leader = VoterID{}
+	}
+}
+
 // receive performs the checks of group, sender and term, and passes m to the handler for its
 // type.
 func (n *Node) receive(m Message) {
