Keep the management of members going while a joining voter doesn't answer

Cause: the leader waited up to 350 ms for the answer of each voter that joins, in each round, and the list of those that join lost entries on the way, so that the next round came after 300 ms in place of 20 ms. Change: the answers are awaited in the background, and the list is copied.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,7 +30,7 @@
 )
 
 // Enroll makes the voter with the given id a voting member of the group. It succeeds only on the leader. The leader goes
-// on with an enrollment when ctx is done, and another leader goes on with a learner that it finds. A later call for
+// on with an enrollment when ctx is done; another leader knows of it once the voter asks that one. A later call for
 // another data directory of the same instance takes the place of this one.
 func (g *Group) Enroll(ctx context.Context, id anvilraft.VoterID) error {
 	g.noteJoining(id)
@@ -87,8 +86,8 @@
 	return g.joinErrors[id]
 }
 
-// joining returns the voters that this leader was asked to add, and the learners that a former leader has added: their
-// enrollment goes on, although they may not have asked this leader yet. A learner beside another member of the same
+// joining returns the voters that this leader was asked to add, and the learners that a leader of an earlier build has added:
+// their enrollment goes on, although they may not have asked this leader yet. A learner beside another member of the same
 // instance has to ask, because only a request tells which of their data directories is the present one.
 func (g *Group) joining(members anvilraft.Members) []anvilraft.VoterID {
 	g.mu.Lock()
@@ -114,7 +113,9 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, changeTimeout)
 	defer cancel()
-	g.sendLogs(ctx, ids)
+	for _, id := range ids {
+		g.sendLog(parent, id)
+	}
 	change, err := g.nextEnrollment(members, ids)
 	if err == nil {
 		if err = g.Voter.ChangeVoters(ctx, change); !isPending(err) {
@@ -133,42 +134,41 @@
 	return interval
 }
 
-// sendLogs has the log sent to the voters that join. Each is asked first whether it is the present storage of its instance,
-// and whether it is empty.
-func (g *Group) sendLogs(ctx context.Context, ids []anvilraft.VoterID) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, id := range ids {
-		if g.isIntroduced(id) {
-			g.Voter.SendLog(id, false)
-			continue
-		}
-		calls.Go(func() {
-			reply, err := g.peer(id.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
-			if err != nil || anvilraft.StorageID(reply.Storage) != id.Storage {
-				return // it is asked again with the next check
-			}
-			g.mu.Lock()
-			g.introduced[id] = true
-			g.mu.Unlock()
-			g.Voter.SendLog(id, !reply.Grouped)
-		})
-	}
-	calls.Wait()
+// sendLog has the log sent to a voter that joins. It is asked first whether this is the present storage of its instance, and
+// whether it is empty. Nothing waits for the answer, as the voter may be gone.
+func (g *Group) sendLog(ctx context.Context, id anvilraft.VoterID) {
+	g.mu.Lock()
+	introduced, asked := g.introduced[id]
+	g.introduced[id] = introduced
+	g.mu.Unlock()
+	switch {
+	case introduced:
+		g.Voter.SendLog(id, false)
+	case !asked:
+		go g.introduce(ctx, id)
+	}
 }
 
-func (g *Group) isIntroduced(id anvilraft.VoterID) bool {
+// introduce asks a voter that joins for its storage, and has the log sent to it.
+func (g *Group) introduce(parent context.Context, id anvilraft.VoterID) {
+	ctx, cancel := context.WithTimeout(parent, sendTimeout)
+	defer cancel()
+	reply, err := g.peer(id.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.introduced[id]
+	if err != nil || anvilraft.StorageID(reply.Storage) != id.Storage {
+		delete(g.introduced, id) // it is asked again with the next check
+		return
+	}
+	g.introduced[id] = true
+	g.Voter.SendLog(id, !reply.Grouped)
 }
 
 // nextEnrollment returns the next change for voters that join, or why there is none yet. Voters that take the seats of
 // former storages, or that the group lacks, come first and together. No voter is removed for one that may be gone: the
 // silent one may still have its disk.
 func (g *Group) nextEnrollment(members anvilraft.Members, ids []anvilraft.VoterID) (anvilraft.ChangeVoters, error) {
-	ids = slices.DeleteFunc(ids, func(id anvilraft.VoterID) bool { return !g.Voter.HasCaughtUp(id) || g.isSilent(id) })
+	ids = slices.DeleteFunc(slices.Clone(ids), func(id anvilraft.VoterID) bool { return !g.Voter.HasCaughtUp(id) || g.isSilent(id) })
 	if len(ids) == 0 {
 		return anvilraft.ChangeVoters{}, anvilraft.ErrNotCaughtUp
 	}
@@ -196,7 +196,7 @@
 	return g.settings.Voters > 0 && voters >= g.settings.Voters
 }
 
-// claimJoining records a learner that a former leader has added like a voter that this leader was asked to add. It returns
+// claimJoining records a learner like a voter that this leader was asked to add. It returns
 // false if the instance has asked with another data directory meanwhile.
 func (g *Group) claimJoining(id anvilraft.VoterID) bool {
 	g.mu.Lock()
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -108,7 +108,8 @@
 	leadingSince anvilclock.Millis
 	// joiningSince is when this leader was first asked to add each voter that isn't one yet.
 	joiningSince map[anvilraft.VoterID]anvilclock.Millis
-	// introduced are those of them that were found to be the present storage of their instance.
+	// introduced are those of them that were asked for their storage; the value is true if it was found to be the present
+	// one of the instance.
 	introduced map[anvilraft.VoterID]bool
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -130,7 +130,7 @@
 	return silent
 }
 
-// isSilent reports whether a voter that joins has sent nothing for replacedTimeout. It sends messages once it is a learner.
+// isSilent reports whether a voter that joins has sent nothing for replacedTimeout. It sends messages once it gets the log.
 func (g *Group) isSilent(id anvilraft.VoterID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
