Ask for the state of the service before the wait of a step

Cause: the planner computed how long each waiting step has waited, and asked for tickets of slow targets, also while the service is busy, when nothing follows from it. Change: whether the service is busy, which is known once a call, comes first.

--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -41,9 +41,6 @@
 	if len(tasks) == 0 || u.stage == stageAlone || !p.standsStill(u) {
 		return
 	}
-	if !u.step.LongRunning && p.isBusy(u.info.policy.Service) {
-		return
-	}
 	defer func() { p.lifted = noPrecaution }()
 	for p.lifted = reserveForUrgent; p.lifted <= avoidSlow; p.lifted++ {
 		count := p.spareRoom(u, len(tasks))
@@ -67,10 +64,13 @@
 // lifts reports whether a precaution is lifted for the step that is being placed.
 func (p *planner) lifts(reason precaution) bool { return p.lifted >= reason }
 
-// standsStill reports whether a step has waited for maxIdleWait and nothing of its job is at work. A task that lasts
-// must be at work whether others of its job are or not.
+// standsStill reports whether a step has waited for maxIdleWait and nothing of its job is at work, while its service
+// isn't busy. A task that lasts must be at work whether others of its job are or not, and however busy the service is.
 func (p *planner) standsStill(u *waitingStep) bool {
-	return p.Now-u.readySince() >= maxIdleWait && (u.step.LongRunning || !u.info.atWork)
+	if !u.step.LongRunning && (u.info.atWork || p.isBusy(u.info.policy.Service)) {
+		return false
+	}
+	return p.Now-u.readySince() >= maxIdleWait
 }
 
 // isBusy reports whether at least busyShare of the capacity of a service was in use when this call of Plan began.
