--- a/io/anvildaemon/pause.go
+++ b/io/anvildaemon/pause.go
@@ -55,11 +55,9 @@
 
 	ticked bool
 	last   instant
-	// longest is the longest of the count pauses since the latest line, which was written at writtenAt.
-	longest   instant
-	count     int
-	written   bool
-	writtenAt anvilclock.Millis
+	// longest is the longest pause since the latest line.
+	longest instant
+	lines   anvillogs.Spacing
 }
 
 // tick records that the process is running now.
@@ -67,16 +65,17 @@
 	now := w.read()
 	passed := now.since(w.last)
 	if w.ticked && passed.longer(instant{steady: pauseLimit}) {
-		w.count++
+		w.lines.Add()
 		if passed.longer(w.longest) {
 			w.longest = passed
 		}
 	}
 	w.ticked, w.last = true, now
-	if w.count == 0 || w.written && now.boot-w.writtenAt < pauseLogInterval {
+	pauses := w.lines.Due(now.boot, pauseLogInterval)
+	if pauses == 0 {
 		return
 	}
 	w.log.Write(anvillogs.ProcessPaused, zap.Int64("steady", int64(w.longest.steady)), zap.Int64("boot", int64(w.longest.boot)),
-		zap.Int64("processor", w.longest.processor.Milliseconds()), zap.Int("pauses", w.count), zap.Int64("limit", int64(pauseLimit)))
-	w.longest, w.count, w.written, w.writtenAt = instant{}, 0, true, now.boot
+		zap.Int64("processor", w.longest.processor.Milliseconds()), zap.Int("pauses", pauses), zap.Int64("limit", int64(pauseLimit)))
+	w.longest = instant{}
 }
--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -52,24 +52,23 @@
 type slowWrites struct {
 	log   *anvillogs.Logger
 	limit anvilclock.Millis
-	// longest is the longest of the count slow writes since the latest line, which was written at writtenAt.
-	longest   anvilclock.Millis
-	count     int
-	written   bool
-	writtenAt anvilclock.Millis
+	// longest is the longest slow write since the latest line.
+	longest anvilclock.Millis
+	lines   anvillogs.Spacing
 }
 
 // add records a write that is over, and writes a line if there were slow ones and a line is due.
 func (s *slowWrites) add(now, began anvilclock.Millis) {
 	if took := now - began; took > s.limit {
 		s.longest = max(s.longest, took)
-		s.count++
+		s.lines.Add()
 	}
-	if s.count == 0 || s.written && now-s.writtenAt < slowWriteInterval {
+	writes := s.lines.Due(now, slowWriteInterval)
+	if writes == 0 {
 		return
 	}
-	s.log.Write(anvillogs.DiskSlow, zap.Int64("took", int64(s.longest)), zap.Int64("limit", int64(s.limit)), zap.Int("writes", s.count))
-	s.longest, s.count, s.written, s.writtenAt = 0, 0, true, now
+	s.log.Write(anvillogs.DiskSlow, zap.Int64("took", int64(s.longest)), zap.Int64("limit", int64(s.limit)), zap.Int("writes", writes))
+	s.longest = 0
 }
 
 // reportPersisted reports the latest persisted sequence number to the step loop.
