Write a line of event 215 for each voter that a change adds

Cause: one change may add several voters now, and its line named them in a list, which tests and operators that look for one voter don't find (platform.TestLostDisk, TestTwoVotersReplaced and TestSeedsAreGone failed). Change: a line for each voter, in the former format. Result: the three tests pass.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -214,15 +214,14 @@
 	return errors.Is(err, anvilraft.ErrChangePending) || errors.Is(err, anvilraft.ErrNotCaughtUp)
 }
 
+// logChange writes a line for each voter that a change adds or removes.
 func (g *Group) logChange(change anvilraft.ChangeVoters, err error) {
-	var fields []zap.Field
-	if len(change.Seat) > 0 {
-		fields = append(fields, zap.Stringers("add", change.Seat))
+	for _, id := range change.Seat {
+		g.log.Write(anvillogs.MembersChanged, zap.Stringer("add", id), zap.Error(err))
 	}
 	if !change.Remove.IsZero() {
-		fields = append(fields, zap.Stringer("remove", change.Remove))
+		g.log.Write(anvillogs.MembersChanged, zap.Stringer("remove", change.Remove), zap.Error(err))
 	}
-	g.log.Write(anvillogs.MembersChanged, append(fields, zap.Error(err))...)
 }
 
 // replacedBy returns the function that tells which voter a joining one replaces that has no former storage in the group. If the group already has as many
