Place work by the time that it takes on a target

A gang is as fast as its slowest member, so that a gang on random targets of unequal speed runs at the slowest of them and misses a tight deadline. Plan now takes the lasting speed of each target, divides the targets into tiers and places a step on the slowest tier on which it ends by its deadline. Claims, evictions, latest start, reserve, remaining time and stragglers use the time on the target.

--- a/core/anvilplace/cluster_test.go
+++ b/core/anvilplace/cluster_test.go
@@ -27,6 +27,7 @@
 	// starts and maxStarts are Input.StartsInFlight and Input.MaxStartsInFlight.
 	starts, maxStarts int
 	progress          map[anvilwork.Task]anvilspeed.Progress
+	speeds            map[anvilid.TargetID]anvilspeed.Factor // none are known if it is nil
 	// tickets has the ticket of each target, which is valid for all steps. An empty ticket means that
 	// the advice service has denied the target.
 	tickets map[anvilid.TargetID]anvilwork.Ticket
@@ -104,6 +105,7 @@
 		Stopping: func(_ anvilid.TargetID, task anvilwork.Task) bool { return w.stopping[task] },
 		Avoid:    func(id anvilid.TargetID) bool { return w.slow[id] },
 		Failures: func(anvilwork.StepKey) map[anvilid.TargetID]int { return w.failed },
+		Speed:    func(target *anvilwork.Target) anvilspeed.Factor { return w.speeds[target.ID] },
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			progress, ok := w.progress[task]
 			return progress, ok
--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -32,28 +32,40 @@
 	maxReclaimWait = 1200 * anvilclock.Millisecond
 )
 
-// freeResources claims nodes for an urgent step that doesn't fit and frees resources there. If runs that
-// are already stopping will free enough, it only claims their nodes. Otherwise it chooses the runs
-// with the least work to lose and claims their nodes at once, but stops the runs only from evictAfter
-// on: each run that ends by itself until then is one less to stop.
+// freeResources claims nodes for an urgent step that doesn't fit and frees resources there, on targets where the
+// step ends in time if it can.
 func (p *planner) freeResources(u *waitingStep, count int) {
 	if len(p.nodesClaimedBy[u.info.job.ID]) > 0 && p.fitAll(u, count, claimedOnly) != nil {
 		return // the step will fit on the targets that are already claimed for it
 	}
+	frees := false
+	if required := p.requiredTier(u, p.Now); p.needsFaster(required) {
+		p.withinTiers(p.fromTier(required), func() { frees = p.claimOrEvict(u, count, false) })
+	}
+	if !frees {
+		p.claimOrEvict(u, count, false)
+	}
+}
+
+// claimOrEvict claims nodes for an urgent step. If runs that are already stopping will free enough, it only claims
+// their nodes. Otherwise it chooses the runs with the least work to lose and claims their nodes at once, but stops the
+// runs only from evictAfter on: each run that ends by itself until then is one less to stop. bounded means that these
+// runs may lose no more work than the step has to do, which also holds for steps beyond the guarantee of their account.
+// It returns false if it claims nothing.
+func (p *planner) claimOrEvict(u *waitingStep, count int, bounded bool) bool {
 	if allotments := p.fitAll(u, count, availableOrFreeing); allotments != nil {
 		p.claimTargets(u, allotments)
-		return
+		return true
 	}
 	best := p.cheapestEvictions(u, count)
-	if best == nil || !u.withinGuarantee && best.loss > u.plannedWork(count) {
-		return
+	if best == nil || (bounded || !u.withinGuarantee) && best.loss > u.plannedWork(count) {
+		return false
 	}
-	if p.Now < u.evictAfter() {
-		p.claimTargets(u, best.allotments)
-		return
+	if p.Now >= u.evictAfter() {
+		p.evict(best.evictions, u.info.job.ID)
 	}
-	p.evict(best.evictions, u.info.job.ID)
 	p.claimTargets(u, best.allotments)
+	return true
 }
 
 // evict adds runs to Decision.Evictions, to be stopped for a job.
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -38,17 +38,47 @@
 		return
 	}
 	p.gangClaimAttempts++
-	for horizon := range gangClaimHorizons {
-		allotments := p.fitAll(u, len(u.tasks), view{resourcesOf: func(n *node) anvilwork.Resources { return n.availableWithin(horizon) }})
-		if allotments == nil {
-			continue
+	allotments := p.fitSoonest(u, true)
+	if allotments == nil {
+		allotments = p.fitSoonest(u, false)
+	}
+	if allotments != nil {
+		p.claimWithinLimit(u, allotments)
+	}
+}
+
+// fitSoonest returns the allotments of a gang within the shortest horizon in which it will fit, or nil. With inTime it
+// considers only targets on which the gang ends by its deadline if it starts then, and returns nil if these are all.
+func (p *planner) fitSoonest(u *waitingStep, inTime bool) []allotment {
+	for horizon, span := range gangClaimHorizons {
+		tiers := p.allTiers()
+		if inTime {
+			required := p.requiredTier(u, p.Now+span)
+			if !p.needsFaster(required) {
+				continue
+			}
+			tiers = p.fromTier(required)
 		}
-		if p.gangClaimed+accelerators(allotments) <= p.gangClaimLimit() {
-			p.gangClaimed += accelerators(allotments)
-			p.claimTargets(u, allotments)
+		var allotments []allotment
+		p.withinTiers(tiers, func() {
+			allotments = p.fitAll(u, len(u.tasks), view{resourcesOf: func(n *node) anvilwork.Resources { return n.availableWithin(horizon) }})
+		})
+		if allotments != nil {
+			return allotments
 		}
-		return
 	}
+	return nil
+}
+
+// claimWithinLimit claims the targets of allotments for a gang that isn't urgent and returns true, unless gangClaimLimit
+// would be exceeded.
+func (p *planner) claimWithinLimit(u *waitingStep, allotments []allotment) bool {
+	if p.gangClaimed+accelerators(allotments) > p.gangClaimLimit() {
+		return false
+	}
+	p.gangClaimed += accelerators(allotments)
+	p.claimTargets(u, allotments)
+	return true
 }
 
 // keepsGangClaim reports whether the targets that the previous call of Plan claimed for a gang are kept:
@@ -115,7 +145,7 @@
 }
 
 // remainingTime estimates how much longer a run takes, from its speed or else from the estimated run
-// time of its step. It returns an hour for runs that continue until they are cancelled.
+// time of its step on its target. It returns an hour for runs that continue until they are cancelled.
 func (p *planner) remainingTime(t *placedRun) anvilclock.Millis {
 	step := t.info.job.Spec.Steps[t.task.Step]
 	progress, known := p.Progress(t.task)
@@ -125,5 +155,5 @@
 	case known && progress.Rate > 0:
 		return anvilclock.Millis((100 - progress.Percent) / progress.Rate)
 	}
-	return max(minRemainingTime, step.Estimate-(p.Now-t.info.job.State(t.task).PhaseSince))
+	return max(minRemainingTime, anvilclock.Millis(float64(step.Estimate)/t.node.speed)-(p.Now-t.info.job.State(t.task).PhaseSince))
 }
--- a/core/anvilplace/gang_shape.go
+++ b/core/anvilplace/gang_shape.go
@@ -14,7 +14,8 @@
 	dataRack      anvilid.RackName
 	maxPerTarget  int
 	preferOneRack bool
-	deferrable    bool
+	// deferrableFrom is planner.deferrableFrom.
+	deferrableFrom int
 }
 
 // emptyRackKey has the properties of a step on which the number of its tasks that fit in an empty rack
@@ -29,7 +30,7 @@
 func (p *planner) shape(u *waitingStep) gangShape {
 	return gangShape{
 		need: u.need, service: u.info.policy.Service, label: u.step.Label, dataRack: u.step.PreferredRack,
-		maxPerTarget: u.step.MaxPerTarget, preferOneRack: u.step.PreferOneRack, deferrable: p.deferrable,
+		maxPerTarget: u.step.MaxPerTarget, preferOneRack: u.step.PreferOneRack, deferrableFrom: p.deferrableFrom,
 	}
 }
 
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -26,17 +26,19 @@
 // node is a target as seen by one call of Plan.
 type node struct {
 	target *anvilwork.Target
-	index  int    // position among all nodes
-	rack   *group // nil only before addNodes returns
-	usable bool   // may be given new runs
-	slow   bool   // much slower than other targets at present, or failing the tasks that it starts
+	index  int     // position among all nodes
+	rack   *group  // nil only before addNodes returns
+	usable bool    // may be given new runs
+	slow   bool    // much slower than other targets at present, or failing the tasks that it starts
+	speed  float64 // relative to an ordinary target, or 1 if there is one tier
+	tier   int     // position of its tier, the slowest is 0
 	free   anvilwork.Resources
 	// usedAtFirst is what was in use when this call of Plan began, see coreEquivalents.
 	usedAtFirst float64
 	// freeing has the resources of those runs on this node that are being stopped.
 	freeing anvilwork.Resources
 	// reserved means that the node is kept free for urgent jobs. Other jobs may use it only if they
-	// can't start later, see planner.deferrable, or are overdue, see placeOverdue.
+	// can't start later, see planner.deferrableFrom, or are overdue, see placeOverdue.
 	reserved bool
 	// claimedBy is the waiting job that this target is claimed for, or empty. Other jobs may not use a
 	// claimed target, except that urgent jobs and overdue steps may if yieldsToUrgent is set.
@@ -86,7 +88,7 @@
 
 // unavailableTo is unavailable for a step that may use slow nodes or not.
 func (n *node) unavailableTo(usesSlow bool) bool {
-	return !n.usable || n.avoidedBy(usesSlow) || n.keptForUrgent() || n.claimedByOther() || n.excluded()
+	return !n.usable || !n.planner.tiers.contains(n.tier) || n.avoidedBy(usesSlow) || n.keptForUrgent() || n.claimedByOther() || n.excluded()
 }
 
 // avoidedBy reports whether the node is slow and the current job may therefore not use it, given whether its step may
@@ -97,7 +99,7 @@
 
 // keptForUrgent reports whether the current job may not use the node because it is reserved for urgent jobs.
 func (n *node) keptForUrgent() bool {
-	return n.reserved && n.planner.deferrable && !n.planner.lifts(reserveForUrgent)
+	return n.reserved && n.tier >= n.planner.deferrableFrom && !n.planner.lifts(reserveForUrgent)
 }
 
 // claimedForCurrentUrgent reports whether the node is claimed for the current job and that job is
@@ -171,7 +173,7 @@
 		n := &nodes[i]
 		*n = node{
 			planner: p, target: target, index: i, usable: !target.Leaving && p.Usable(target.ID),
-			slow: p.Avoid(target.ID), free: target.Resources,
+			slow: p.Avoid(target.ID), speed: 1, free: target.Resources,
 		}
 		if n.usable {
 			p.usableTargets++
@@ -187,6 +189,7 @@
 		p.addRuns(n)
 		n.usedAtFirst = coreEquivalents(target.Resources.Minus(n.free))
 	}
+	p.setTiers()
 	p.markRestarted()
 	slices.SortFunc(p.racks, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
 	p.all.sortByFree()
--- a/core/anvilplace/overdue.go
+++ b/core/anvilplace/overdue.go
@@ -47,7 +47,7 @@
 		if count == 0 {
 			continue
 		}
-		allotments := p.fitSuspects(u, count, p.fitMost)
+		allotments := p.fitSuspects(u, count, p.fitMostByTier)
 		if u.step.Gang {
 			if allotments = p.fitSuspects(u, count, p.fitAll); len(allotments) == 0 {
 				allotments = p.fitSpread(u, count, availableNow)
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -25,6 +25,9 @@
 	Avoid func(anvilid.TargetID) bool
 	// Failures returns how often tasks of a step have failed on each target where any of them has.
 	Failures func(anvilwork.StepKey) map[anvilid.TargetID]int
+	// Speed returns how fast a target works lastingly. It may be nil. If the targets differ by no more than
+	// maxTierRatio, speeds change nothing.
+	Speed func(*anvilwork.Target) anvilspeed.Factor
 	// Progress returns the progress and speed of a run, if known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
 	// Reserve is the number of accelerators to keep free for urgent jobs, see Demand.
@@ -128,9 +131,12 @@
 	gangClaimed anvilid.AcceleratorCount
 	// suspectClaims is the number of targets that are claimed for suspects.
 	suspectClaims int
-	// deferrable means that the current job would still end by its deadline if it started later. It may
-	// then not use nodes that are reserved for urgent jobs.
-	deferrable bool
+	// tierSpeeds has the speed of each tier, the slowest first, and tiers those that the current search may use.
+	tierSpeeds []float64
+	tiers      tierRange
+	// deferrableFrom is the slowest tier on which the current job would still end by its deadline if it started
+	// later. It may not use nodes from this tier on that are reserved for urgent jobs.
+	deferrableFrom int
 	// lifted is the last precaution that is lifted for the current step, see placeOverdue.
 	lifted precaution
 	// busy has the results of isBusy.
@@ -155,7 +161,7 @@
 			p.explain(waitingStep, true)
 			continue
 		}
-		p.currentJob, p.currentUrgent, p.deferrable = waitingStep.info.job.ID, waitingStep.urgent, p.isDeferrable(waitingStep)
+		p.currentJob, p.currentUrgent, p.deferrableFrom = waitingStep.info.job.ID, waitingStep.urgent, p.deferrableTier(waitingStep)
 		p.currentSuspects = nil
 		if waitingStep.suspect() {
 			p.currentSuspects = waitingStep
@@ -169,7 +175,7 @@
 			p.explain(waitingStep, false)
 		}
 	}
-	p.currentJob, p.currentUrgent, p.currentUsesSlow, p.deferrable, p.currentSuspects = "", false, false, true, nil
+	p.currentJob, p.currentUrgent, p.currentUsesSlow, p.deferrableFrom, p.currentSuspects = "", false, false, 0, nil
 	p.vacateLeavingTargets()
 	p.moveStragglers()
 	p.decision.Claims = map[anvilid.TargetID]anvilid.JobID{}
@@ -237,8 +243,7 @@
 func (p *planner) placeGang(u *waitingStep) {
 	if u.suspect() || !p.blocked(u) {
 		if allotments := p.fitSuspects(u, len(u.tasks), p.fitAll); len(allotments) > 0 {
-			p.releaseClaims(u)
-			p.assign(u, u.tasks, allotments)
+			p.placeGangAt(u, allotments, p.fitAll)
 			return
 		}
 		if !u.suspect() { // suspects fit on fewer targets than other gangs of the same shape
@@ -246,8 +251,7 @@
 		}
 	}
 	if allotments := p.fitSuspects(u, len(u.tasks), p.fitSpread); len(allotments) > 0 {
-		p.releaseClaims(u)
-		p.assign(u, u.tasks, allotments)
+		p.placeGangAt(u, allotments, p.fitSpread)
 		return
 	}
 	if u.urgent {
@@ -259,7 +263,7 @@
 
 func (p *planner) placeSingles(u *waitingStep) {
 	count := min(len(u.tasks), p.startsLeft(u.urgent))
-	allotments := p.fitSuspects(u, count, p.fitMost)
+	allotments := p.fitSuspects(u, count, p.fitMostByTier)
 	p.assign(u, u.tasks[:taskCount(allotments)], allotments)
 	rest := count - taskCount(allotments)
 	switch {
--- a/core/anvilplace/reason.go
+++ b/core/anvilplace/reason.go
@@ -31,13 +31,14 @@
 	NoTicket
 	AtTargetLimit // Step.MaxPerTarget
 	NoFreeCapacity
+	TooSlow // the step would end late there and waits for a faster target
 	reasons
 )
 
 // reasonNames are the names of the reasons in log lines.
 var reasonNames = [reasons]string{
 	"fits", "service", "label", "small", "leaving", "unusable", "silent", "unknown", "unanswered", "refused", "upkeep",
-	"avoided", "reserved", "claimed", "isolated", "failed", "ticket", "limit", "full",
+	"avoided", "reserved", "claimed", "isolated", "failed", "ticket", "limit", "full", "late",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
@@ -99,7 +100,7 @@
 }
 
 // reasonAgainst returns the first reason that keeps the tasks of the current step from a node. It is HasRoom
-// exactly if taskCapacity is above 0 for the available resources.
+// exactly if taskCapacity is above 0 for the available resources and the step doesn't wait for a faster target.
 func (p *planner) reasonAgainst(u *waitingStep, n *node) Reason {
 	switch {
 	case n.target.Service != u.info.policy.Service:
@@ -128,6 +129,8 @@
 		return AtTargetLimit
 	case n.free.FitCount(u.need, 1) <= 0:
 		return NoFreeCapacity
+	case n.tier < u.awaitedTier:
+		return TooSlow
 	}
 	return HasRoom
 }
--- a/core/anvilplace/reserve.go
+++ b/core/anvilplace/reserve.go
@@ -1,6 +1,7 @@
 package anvilplace
 
 import (
+	"math"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -58,21 +59,50 @@
 // at most maxReserveShare of all. It goes rack by rack, from the last rack backwards: a gang needs
 // targets in one rack, so reserved targets that are spread over all racks would not help it.
 func (p *planner) reserveRacks() {
+	slowest := p.urgentTier()
 	left := min(p.Reserve, anvilid.AcceleratorCount(maxReserveShare*float64(p.usableAccelerators)))
 	for _, r := range slices.Backward(p.racks) {
 		for _, n := range r.nodes {
 			if left <= 0 {
 				return
 			}
+			if n.tier < slowest {
+				continue
+			}
 			n.reserved = true
 			left -= n.target.Resources.GPU
 		}
 	}
 }
 
-// isDeferrable reports whether a step that isn't urgent would still meet its deadline if it started
-// later.
-func (p *planner) isDeferrable(u *waitingStep) bool {
-	latest := u.due - anvilclock.Millis(runtimeSafetyFactor*float64(u.info.longest)) - startMargin
-	return !u.urgent && p.Now < latest
+// deferrableTier returns the slowest tier on which a step that isn't urgent would still meet its deadline if it
+// started later, or the number of tiers if there is none.
+func (p *planner) deferrableTier(u *waitingStep) int {
+	if u.urgent {
+		return len(p.tierSpeeds)
+	}
+	for tier, speed := range p.tierSpeeds {
+		latest := u.due - anvilclock.Millis(runtimeSafetyFactor*float64(u.info.longest)/speed) - startMargin
+		if p.Now < latest {
+			return tier
+		}
+	}
+	return len(p.tierSpeeds)
+}
+
+// urgentTier returns the slowest tier on which the tightest urgent jobs can end in time, or the fastest if there is none.
+// Slower targets aren't kept free for urgent jobs.
+func (p *planner) urgentTier() int {
+	tightest := math.Inf(1)
+	for _, queue := range p.State.Config().Queues {
+		if queue.Policy.Priority == 0 && queue.Policy.DeadlineFactor > 0 {
+			tightest = min(tightest, queue.Policy.DeadlineFactor)
+		}
+	}
+	for tier, speed := range p.tierSpeeds {
+		if speed*tightest >= runtimeSafetyFactor {
+			return tier
+		}
+	}
+	return len(p.tierSpeeds) - 1
 }
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -28,6 +28,7 @@
 // end earlier when restarted elsewhere. A gang is as slow as its slowest member and is moved as a
 // whole.
 func (p *planner) moveStragglers() {
+	fastest := p.fastestSpeed()
 	done := map[anvilwork.StepKey]bool{}
 	for _, n := range p.all.nodes {
 		for _, t := range n.placedRuns {
@@ -38,7 +39,10 @@
 			if t.info.job.Spec.Steps[t.task.Step].Gang {
 				done[t.task.StepKey()] = true
 			}
-			if p.straggles(t, members) && p.fitsElsewhere(t, members) {
+			if !p.straggles(t, members, fastest) {
+				continue
+			}
+			if elsewhere := p.fitElsewhere(t, members); elsewhere != nil && p.straggles(t, members, slowestSpeed(elsewhere)) {
 				p.evict(members, t.info.job.ID)
 			}
 		}
@@ -46,9 +50,9 @@
 }
 
 // straggles reports whether a run, or its whole gang, would end sufficiently earlier (minMoveGain) when
-// restarted elsewhere. A slow run on a target that isn't slow is just a long one and isn't moved,
+// restarted on targets of the given speed. A slow run on a target that isn't slow is just a long one and isn't moved,
 // unless it makes no progress.
-func (p *planner) straggles(t *placedRun, members []runOnNode) bool {
+func (p *planner) straggles(t *placedRun, members []runOnNode, speed float64) bool {
 	step := t.info.job.Spec.Steps[t.task.Step]
 	if step.LongRunning || t.info.job.State(t.task).Run >= unmovableFromRun {
 		return false
@@ -67,8 +71,8 @@
 		if step.Checkpoints {
 			done = progress.Percent / 100
 		}
-		restarted = max(restarted, fullTime*(1-done))
-		progressed = min(progressed, fullTime*progress.Percent/100)
+		restarted = max(restarted, fullTime*(1-done)/speed)
+		progressed = min(progressed, fullTime*progress.Percent/100/m.node.speed)
 		switch {
 		case progress.Percent >= 100:
 		case progress.Rate > 0 && m.node.slow:
@@ -84,7 +88,7 @@
 }
 
 // delayOf returns the time that a run has lost so far, in milliseconds: the time since it was assigned
-// less the time that it would have needed for its progress on targets that aren't slow.
+// less the time that its progress takes on its targets while they aren't slow.
 func (p *planner) delayOf(t *placedRun, progressed float64) float64 {
 	return float64(p.Now-t.info.job.State(t.task).PhaseSince) - progressed
 }
@@ -112,7 +116,7 @@
 			if t.stopping || p.remainingTime(t) <= left {
 				continue
 			}
-			if members := p.gangMembers(t); !anyStopping(members) && p.fitsElsewhere(t, members) {
+			if members := p.gangMembers(t); !anyStopping(members) && p.fitElsewhere(t, members) != nil {
 				p.evict(members, t.info.job.ID)
 			}
 		}
@@ -123,9 +127,9 @@
 	return slices.ContainsFunc(members, func(m runOnNode) bool { return m.placedRun.stopping })
 }
 
-// fitsElsewhere reports whether the tasks of a run or gang would fit in free resources if they were
-// restarted now. For a gang, the resources of its own runs on targets that aren't slow count as free.
-func (p *planner) fitsElsewhere(t *placedRun, members []runOnNode) bool {
+// fitElsewhere returns allotments for the tasks of a run or gang in free resources if they were
+// restarted now, on the fastest targets that have room, or nil. For a gang, the resources of its own runs on targets that aren't slow count as free.
+func (p *planner) fitElsewhere(t *placedRun, members []runOnNode) []allotment {
 	u := &waitingStep{
 		info: t.info, step: t.info.job.Spec.Steps[t.task.Step], need: t.need,
 		tasks: []anvilwork.Task{t.task}, failures: p.Failures(t.task.StepKey()),
@@ -140,10 +144,33 @@
 	if !u.step.Gang {
 		released = nil // a single run that makes no progress must not return to its target
 	}
-	return p.fitAll(u, len(members), view{resourcesOf: func(n *node) anvilwork.Resources {
+	room := view{resourcesOf: func(n *node) anvilwork.Resources {
 		if n.unavailable() {
 			return noRoom
 		}
 		return n.free.Plus(released[n])
-	}}) != nil
+	}}
+	var allotments []allotment
+	for low := len(p.tierSpeeds) - 1; low >= 0 && allotments == nil; low-- {
+		p.withinTiers(p.fromTier(low), func() { allotments = p.fitAll(u, len(members), room) })
+	}
+	return allotments
+}
+
+// fastestSpeed returns the speed of the fastest node.
+func (p *planner) fastestSpeed() float64 {
+	fastest := 0.0
+	for _, n := range p.all.nodes {
+		fastest = max(fastest, n.speed)
+	}
+	return fastest
+}
+
+// slowestSpeed returns the speed of the slowest node of some allotments.
+func slowestSpeed(allotments []allotment) float64 {
+	slowest := math.Inf(1)
+	for _, s := range allotments {
+		slowest = min(slowest, s.node.speed)
+	}
+	return slowest
 }
--- a/core/anvilplace/waiting.go
+++ b/core/anvilplace/waiting.go
@@ -32,6 +32,8 @@
 	failures  map[anvilid.TargetID]int
 	tolerated int
 	usesSlow  bool
+	// awaitedTier is the slowest tier that the step waits for although slower targets are free, or 0.
+	awaitedTier int
 	// run is the number of the run that starts next. All tasks that are placed get the same number, as
 	// the members of a gang must have.
 	run anvilwork.Run
