Serve evacuations of a zone

An operator asks that nothing more be started on the targets of a zone, and withdraws that later.

Apply refuses placements in such a zone, so that a plan made before the commit starts nothing after it. The planner leaves the zone out of all that is new (reason "evacuated"); what runs there goes on and counts as at work. Starts that were placed before and are not answered are withdrawn, and the sender checks the zone again right before it sends one.

The Fleet service has a new call.

--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -241,6 +241,7 @@
 		}
 		t.barLateStarts(now, target, &effects)
 		t.withdrawSurplusStarts(now, target, state)
+		target.withdrawEvacuatedStarts(state)
 		t.startAndStop(now, target, state, &effects)
 		t.poll(now, target, &effects)
 	}
--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -29,8 +29,11 @@
 	index  int    // position among all nodes
 	rack   *group // nil only before addNodes returns
 	usable bool   // may be given new runs
-	slow   bool   // much slower than other targets at present, or failing the tasks that it starts
-	free   anvilwork.Resources
+	// evacuated means that the zone is evacuated. What runs here goes on, so that it counts as at work if the target
+	// answers, that is, if it would be usable otherwise.
+	evacuated, answers bool
+	slow               bool // much slower than other targets at present, or failing the tasks that it starts
+	free               anvilwork.Resources
 	// usedAtFirst is what was in use when this call of Plan began, see coreEquivalents.
 	usedAtFirst float64
 	// freeing has the resources of those runs on this node that are being stopped.
@@ -170,9 +173,10 @@
 	for i, target := range targets {
 		n := &nodes[i]
 		*n = node{
-			planner: p, target: target, index: i, usable: !target.Leaving && p.Usable(target.ID),
-			slow: p.Avoid(target.ID), free: target.Resources,
+			planner: p, target: target, index: i, answers: !target.Leaving && p.Usable(target.ID),
+			evacuated: p.State.Evacuated(target.Zone), slow: p.Avoid(target.ID), free: target.Resources,
 		}
+		n.usable = n.answers && !n.evacuated
 		if n.usable {
 			p.usableTargets++
 			p.emptyNodes++
@@ -220,7 +224,7 @@
 			n.freeing = n.freeing.Plus(t.need)
 		}
 		placed = append(placed, t)
-		info.atWork = info.atWork || n.usable
+		info.atWork = info.atWork || n.answers
 		n.countTasks(info.job.Spec.Steps[task.Step], task.StepKey(), 1)
 	}
 	slices.SortFunc(placed, func(a, b placedRun) int { return a.task.Compare(b.task) })
--- a/core/anvilplace/reason.go
+++ b/core/anvilplace/reason.go
@@ -14,6 +14,7 @@
 	// TooSmall means that the task doesn't fit even if nothing else runs on the target.
 	TooSmall
 	Leaving
+	Evacuated // its zone is evacuated
 	// NotUsable means that Input.Usable excludes the target and Input.WhyNotUsable doesn't say why. The next
 	// ones are the causes that it tells apart.
 	NotUsable
@@ -36,7 +37,7 @@
 
 // reasonNames are the names of the reasons in log lines.
 var reasonNames = [reasons]string{
-	"fits", "service", "label", "small", "leaving", "unusable", "silent", "unknown", "unanswered", "refused", "upkeep",
+	"fits", "service", "label", "small", "leaving", "evacuated", "unusable", "silent", "unknown", "unanswered", "refused", "upkeep",
 	"avoided", "reserved", "claimed", "isolated", "failed", "ticket", "limit", "full",
 }
 
@@ -110,6 +111,8 @@
 		return TooSmall
 	case n.target.Leaving:
 		return Leaving
+	case n.evacuated:
+		return Evacuated
 	case !n.usable:
 		return p.whyNotUsable(n)
 	case n.avoidedBy(p.currentUsesSlow):
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -59,6 +59,10 @@
 		return s.startWave(*command.StartWave)
 	case command.AdvanceWave != nil:
 		return s.advanceWave(*command.AdvanceWave)
+	case command.Evacuate != nil:
+		return s.evacuate(command.Evacuate.Zone)
+	case command.EndEvacuation != nil:
+		return s.endEvacuation(command.EndEvacuation.Zone)
 	}
 	return Unknown
 }
@@ -235,7 +239,8 @@
 	}
 	state := job.State(a.Task)
 	target, known := s.targets[a.Target]
-	if state == nil || state.Phase != TaskWaiting || a.Run <= state.Run || !known || target.Incarnation != a.Incarnation || target.Leaving {
+	if state == nil || state.Phase != TaskWaiting || a.Run <= state.Run || !known || target.Incarnation != a.Incarnation ||
+		target.Leaving || s.Evacuated(target.Zone) {
 		return false
 	}
 	return job.Occurrences[a.Task.Occurrence].Ready(job.Spec.Steps[a.Task.Step])
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -31,6 +31,9 @@
 
 	StartWave   *Wave        `cbor:"10,keyasint,omitempty"`
 	AdvanceWave *AdvanceWave `cbor:"11,keyasint,omitempty"`
+
+	Evacuate      *Evacuate      `cbor:"22,keyasint,omitempty"`
+	EndEvacuation *EndEvacuation `cbor:"23,keyasint,omitempty"`
 }
 
 // Submit adds a job, whose tasks then wait to be placed. A second submission with the same id has no
--- a/core/anvilwork/script_test.go
+++ b/core/anvilwork/script_test.go
@@ -84,6 +84,13 @@
 		wave, ok := s.state.Wave(WaveNumber(s.number(words[1])))
 		assert.Assert(s.t, ok, s.where)
 		assert.Equal(s.t, wave.Completed(), words[2] == "yes", s.where)
+	case "evacuated":
+		var zones []string
+		for _, evacuation := range s.state.Evacuations() {
+			assert.Assert(s.t, s.state.Evacuated(evacuation.Zone), s.where)
+			zones = append(zones, fmt.Sprintf("%s:%d", evacuation.Zone, evacuation.Since))
+		}
+		assert.Equal(s.t, strings.Join(zones, " "), strings.Join(words[1:], " "), s.where)
 	case "maystop":
 		task, _ := s.run(words[1])
 		assert.Equal(s.t, s.state.MayStop(func(Task) bool { return false }, task), words[2] == "yes", s.where)
@@ -178,6 +185,10 @@
 			note.Begun = append(note.Begun, Unassign{Task: task, Run: run})
 		}
 		return Command{NoteSilence: note}
+	case "evacuate":
+		return Command{Evacuate: &Evacuate{Zone: s.zone(words)}}
+	case "return":
+		return Command{EndEvacuation: &EndEvacuation{Zone: s.zone(words)}}
 	case "lapse":
 		return Command{ExpireLease: &ExpireLease{Target: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2]))}}
 	}
@@ -225,14 +236,19 @@
 	return config
 }
 
-// target parses "target ID INCARNATION [at=ADDRESS] [machine=MACHINE] [seq=NUMBER] [gpu=COUNT] [leaving]".
+// zone returns the zone of a command, or no name if there is none.
+func (s *script) zone(words []string) anvilid.ZoneName {
+	return anvilid.ZoneName(strings.Join(words[1:], " "))
+}
+
+// target parses "target ID INCARNATION [at=ADDRESS] [zone=ZONE] [machine=MACHINE] [seq=NUMBER] [gpu=COUNT] [leaving]".
 func (s *script) target(words []string) Target {
 	o := options(words[3:])
 	_, leaving := o["leaving"]
 	target := Target{
 		ID: anvilid.TargetID(words[1]), Incarnation: Incarnation(s.number(words[2])), Service: "s", Address: anvilid.Address(o["at"] + ":80"),
 		Resources: Resources{CPU: 32000, Memory: 64000, GPU: 8}, Leaving: leaving,
-		Machine: anvilid.MachineID(o["machine"]),
+		Machine: anvilid.MachineID(o["machine"]), Zone: anvilid.ZoneName(o["zone"]),
 	}
 	if number, ok := o["seq"]; ok {
 		target.Sequence = s.number(number)
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -26,6 +26,8 @@
 	// active lists the jobs that have not ended, in the order in which they were accepted.
 	active []*Job
 	waves  map[WaveNumber]*Wave
+	// evacuations has the evacuated zones.
+	evacuations map[anvilid.ZoneName]Evacuation
 	// departed has the targets that have left for good, see departure.
 	departed map[anvilid.TargetID]departure
 	// departing has the targets that are departed and not yet removed.
@@ -46,6 +48,7 @@
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
+		evacuations: map[anvilid.ZoneName]Evacuation{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -144,11 +147,13 @@
 	Waves   []*Wave           `cbor:"5,keyasint,omitempty"`
 	// Departed is ordered by id.
 	Departed []departure `cbor:"6,keyasint,omitempty"`
+	// Evacuations is ordered by zone.
+	Evacuations []Evacuation `cbor:"7,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	image := snapshot{Config: s.config, Targets: s.Targets(), Now: s.now}
+	image := snapshot{Config: s.config, Targets: s.Targets(), Now: s.now, Evacuations: s.Evacuations()}
 	for _, job := range s.jobs {
 		image.Jobs = append(image.Jobs, job)
 	}
@@ -186,6 +191,9 @@
 	for _, wave := range image.Waves {
 		s.waves[wave.Number] = wave
 	}
+	for _, evacuation := range image.Evacuations {
+		s.evacuations[evacuation.Zone] = evacuation
+	}
 	for _, target := range image.Targets {
 		s.setTarget(target)
 		if target.Departed() {
--- a/io/anvilgate/calls.go
+++ b/io/anvilgate/calls.go
@@ -47,7 +47,7 @@
 	return untilDone(ctx, f, call, anvilrpc.Fleet.Wave)
 }
 
-// reply is the part that the replies of Configure, Announce and Wave have in common. It
+// reply is the part that the replies of Configure, Announce, Wave and Evacuate have in common. It
 // says whether the leader has carried out the call.
 type reply interface {
 	GetRedirection() *anvilrpc.Redirection
--- a/io/anvilgate/forwarder_test.go
+++ b/io/anvilgate/forwarder_test.go
@@ -19,8 +19,9 @@
 // voter is a fake voter, or a fake relay if job is set.
 type voter struct {
 	anvilrpc.Fleet
-	locate func(context.Context) (*anvilrpc.LocateReply, error)
-	calls  int
+	locate   func(context.Context) (*anvilrpc.LocateReply, error)
+	calls    int
+	evacuate func(context.Context, *anvilrpc.EvacuateCall) (*anvilrpc.EvacuateReply, error)
 	// job is the reply of a relay.
 	job *anvilrpc.JobReply
 }
--- a/io/anvilgate/noleader.go
+++ b/io/anvilgate/noleader.go
@@ -38,6 +38,11 @@
 	return &anvilrpc.WaveReply{Redirection: &anvilrpc.Redirection{}}, nil
 }
 
+// Evacuate rejects the call about the evacuation of a zone.
+func (NoLeader) Evacuate(context.Context, *anvilrpc.EvacuateCall) (*anvilrpc.EvacuateReply, error) {
+	return &anvilrpc.EvacuateReply{Redirection: &anvilrpc.Redirection{}}, nil
+}
+
 // Announce rejects the announcement.
 func (NoLeader) Announce(context.Context, *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
 	return &anvilrpc.AnnounceReply{Redirection: &anvilrpc.Redirection{}}, nil
--- a/io/anvillead/capacity_test.go
+++ b/io/anvillead/capacity_test.go
@@ -23,7 +23,7 @@
 	}
 	s := sender{
 		limits:  newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}),
-		leading: func() bool { return true }, hasShrunk: l.hasShrunk, calls: OutboundCalls{
+		leading: func() bool { return true }, hasShrunk: l.hasShrunk, evacuated: l.zoneEvacuated, calls: OutboundCalls{
 			Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
 				return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
 			},
@@ -53,7 +53,7 @@
 	target, _ := a.leader.state.Target("t")
 	s := sender{
 		limits:  newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}),
-		leading: func() bool { return true }, hasShrunk: a.leader.hasShrunk, calls: OutboundCalls{
+		leading: func() bool { return true }, hasShrunk: a.leader.hasShrunk, evacuated: a.leader.zoneEvacuated, calls: OutboundCalls{
 			Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
 				return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
 			},
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -77,7 +77,7 @@
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
 		callResults: make(chan func(anvilclock.Millis) anvilorder.Effects, resultQueueSize), ended: make(chan struct{}),
-		sender:  sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk},
+		sender:  sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk, evacuated: l.zoneEvacuated},
 		summary: newSummary(now, l.ignoredEntries()),
 	}
 }
--- a/io/anvillead/sender.go
+++ b/io/anvillead/sender.go
@@ -39,8 +39,8 @@
 }
 
 // sender sends the orders of one term. An order may have to wait for others. Meanwhile the
-// term may have ended, this process may have been suspended, and the capacity of the target may have shrunk, so
-// that this is checked again right before the order is sent.
+// term may have ended, this process may have been suspended, the capacity of the target may have shrunk, and its zone
+// may have been evacuated, so that this is checked again right before the order is sent.
 type sender struct {
 	limits  callLimits
 	calls   OutboundCalls
@@ -48,6 +48,8 @@
 	// hasShrunk reports whether the capacity of a target has shrunk since it was as in the given record, or may
 	// have, because the target hasn't announced itself for too long.
 	hasShrunk func(anvilwork.Target) bool
+	// evacuated reports whether the zone of a target is evacuated.
+	evacuated func(anvilwork.Target) bool
 }
 
 // send makes a call once fewer than the limit are in flight, unless this process doesn't lead any more.
@@ -68,7 +70,7 @@
 func (s *sender) start(order anvilorder.Start) (answer anvilorder.StartAnswer) {
 	answer = anvilorder.StartAnswer{Answer: withheld(order.Target), Order: order, Verdict: anvilorder.StartNotSent}
 	s.send(s.limits.forStart(order), func() {
-		if !s.hasShrunk(order.Target) {
+		if !s.hasShrunk(order.Target) && !s.evacuated(order.Target) {
 			answer = s.calls.Start(context.Background(), order)
 		}
 	})
@@ -82,7 +84,7 @@
 }
 
 // withheld returns the common part of the answer to an order that was not sent because this process doesn't
-// lead any more, or because the target may have no room for the run any more.
+// lead any more, or because the target may have no room for the run any more or is in an evacuated zone.
 func withheld(target anvilwork.Target) anvilorder.Answer {
 	return anvilorder.Answer{Target: target.ID, Incarnation: target.Incarnation, NotSent: true, Withheld: true}
 }
--- a/io/anvillead/sender_test.go
+++ b/io/anvillead/sender_test.go
@@ -47,7 +47,8 @@
 	var leads atomic.Bool
 	leads.Store(true)
 	sent := 0
-	s := sender{limits: newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}), leading: leads.Load, hasShrunk: func(anvilwork.Target) bool { return false }, calls: OutboundCalls{
+	no := func(anvilwork.Target) bool { return false }
+	s := sender{limits: newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}), leading: leads.Load, hasShrunk: no, evacuated: no, calls: OutboundCalls{
 		Start: func(context.Context, anvilorder.Start) anvilorder.StartAnswer {
 			sent++
 			return anvilorder.StartAnswer{Verdict: anvilorder.StartAccepted}
@@ -73,3 +74,19 @@
 	assert.Assert(t, stopped.Withheld && !stopped.Done && polled.Withheld && !polled.Done)
 	assert.Equal(t, sent, 1)
 }
+
+// TestStartWaitsForEvacuation guards against a start that has waited for others while the zone of its target was
+// evacuated, and is sent all the same.
+func TestStartWaitsForEvacuation(t *testing.T) {
+	s := sender{
+		limits:  newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}),
+		leading: func() bool { return true }, hasShrunk: func(anvilwork.Target) bool { return false },
+		evacuated: func(target anvilwork.Target) bool { return target.Zone == "east" },
+		calls: OutboundCalls{Start: func(_ context.Context, order anvilorder.Start) anvilorder.StartAnswer {
+			return anvilorder.StartAnswer{Order: order, Verdict: anvilorder.StartAccepted}
+		}},
+	}
+	withheld := s.start(anvilorder.Start{Target: anvilwork.Target{Zone: "east"}})
+	assert.Assert(t, withheld.Verdict == anvilorder.StartNotSent && withheld.Withheld)
+	assert.Equal(t, s.start(anvilorder.Start{Target: anvilwork.Target{Zone: "west"}}).Verdict, anvilorder.StartAccepted)
+}
--- a/io/anvillead/supervisor.go
+++ b/io/anvillead/supervisor.go
@@ -124,6 +124,11 @@
 	return s.fleet().Wave(ctx, call)
 }
 
+// Evacuate forwards the call to the running voter.
+func (s *VoterSupervisor) Evacuate(ctx context.Context, call *anvilrpc.EvacuateCall) (*anvilrpc.EvacuateReply, error) {
+	return s.fleet().Evacuate(ctx, call)
+}
+
 // Announce forwards the call to the running voter.
 func (s *VoterSupervisor) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
 	return s.fleet().Announce(ctx, call)
