Learn the lasting speeds of targets from the progress of runs

The monitor only finds targets below half of the fastest for four seconds, so that targets that always differ in speed are alike to the planner. An estimator now compares tasks with like work on different machines and passes a factor to the planner (Input.Speed), 1 unless a machine differs by more than its error. Rates are judged as slow relative to that factor.

--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -93,7 +93,7 @@
 	for task := range target.runs {
 		if _, ok := assigned[task]; !ok {
 			delete(target.runs, task)
-			t.Speeds.Forget(task)
+			t.forgetProgress(task)
 		}
 	}
 }
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -167,12 +167,19 @@
 	order []anvilid.TargetID
 	// Speeds rates the targets by the progress of their runs.
 	Speeds *anvilspeed.Monitor
+	// Lasting learns the lasting speeds of machines from the same progress.
+	Lasting *anvilspeed.Estimator
 }
 
 // New returns a Tracker for a leader that was elected at the given time and uses this
 // fencing token.
 func New(token anvilid.Token, elected anvilclock.Millis, timing Timing) *Tracker {
-	return &Tracker{token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, lateStarts: lateStarts{}, Speeds: anvilspeed.New()}
+	t := &Tracker{
+		token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, lateStarts: lateStarts{},
+		Speeds: anvilspeed.New(), Lasting: anvilspeed.NewEstimator(),
+	}
+	t.Speeds.Factor = t.speedOf
+	return t
 }
 
 // AddPlacements adds runs whose assignment by this leader was committed. The next call of
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -27,6 +27,8 @@
 	Failures func(anvilwork.StepKey) map[anvilid.TargetID]int
 	// Progress returns the progress and speed of a run, if known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
+	// Speed returns the lasting speed of a target. nil means that all targets are ordinary.
+	Speed func(*anvilwork.Target) anvilspeed.Factor
 	// Reserve is the number of accelerators to keep free for urgent jobs, see Demand.
 	Reserve anvilid.AcceleratorCount
 	// Ticket returns a ticket, which is the permission of the advice service to run a step on a target,
--- /dev/null
+++ b/core/anvilspeed/compare.go
@@ -0,0 +1,170 @@
+package anvilspeed
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+)
+
+const (
+	// tailFreedom is the number of degrees of freedom of the distribution (Student's t) that the work of
+	// tasks is taken to have. A small number lets a few tasks that take many times as long count little.
+	tailFreedom = 4
+	// scatterLimit is the largest difference that counts in full where scatter is measured, in expected standard
+	// deviations. Single tails then don't hide what is learnt from all others.
+	scatterLimit = 3
+	// medianLoss is the variance of the median of three or more values, relative to that of their mean.
+	medianLoss = 1.4
+	// centerRounds is the number of steps in which the rate of a cohort is approached.
+	centerRounds = 3
+)
+
+// group has the runs of one machine in a cohort.
+type group struct {
+	machine *machine
+	// rate is the middle of the logarithms of the rates of the runs.
+	rate  float64
+	count int
+	// variance is that of rate, as far as rounding and the scatter of tasks explain it.
+	variance float64
+	// weight says how much the group counts in the rate of the cohort.
+	weight float64
+	// latest is when a run of the group was reported last.
+	latest anvilclock.Millis
+}
+
+// reading is the measured pace of one run.
+type reading struct {
+	machine        *machine
+	rate, variance float64
+	at             anvilclock.Millis
+}
+
+// compare compares each machine on which the cohort has run with the others.
+func (c *cohort) compare() {
+	c.results = c.results[:0]
+	groups := c.groups()
+	if len(groups) < 2 {
+		return
+	}
+	weighGroups(groups)
+	var weights, sum float64
+	for _, g := range groups {
+		weights += g.weight
+		sum += g.weight * g.workRate()
+	}
+	for _, g := range groups {
+		// The machine itself is left out of what it is compared with, or it would confirm itself.
+		others := weights - g.weight
+		reference := (sum - g.weight*g.workRate()) / others
+		c.results = append(c.results, result{g.machine, comparison{
+			at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count,
+		}})
+	}
+}
+
+// groups returns the runs whose pace is known, by machine.
+func (c *cohort) groups() []group {
+	readings := c.readings()
+	slices.SortStableFunc(readings, func(a, b reading) int { return cmp.Compare(a.machine.number, b.machine.number) })
+	var groups []group
+	scatter := scatterSum{variance: c.expected * c.expected * scatterPrior, count: scatterPrior, limit: scatterLimit * c.expected}
+	for len(readings) > 0 {
+		end := 1
+		for end < len(readings) && readings[end].machine == readings[0].machine {
+			end++
+		}
+		groups = append(groups, newGroup(readings[:end]))
+		scatter.add(readings[:end], groups[len(groups)-1].rate)
+		readings = readings[end:]
+	}
+	for i := range groups {
+		groups[i].variance += groups[i].middleVariance(scatter.mean())
+	}
+	return groups
+}
+
+func (c *cohort) readings() []reading {
+	readings := make([]reading, 0, len(c.runs))
+	for _, o := range c.runs {
+		if rate, variance, ok := o.pace.measure(); ok {
+			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.pace.latest.at})
+		}
+	}
+	return readings
+}
+
+// newGroup summarizes the readings of one machine. Its variance is that of rounding only.
+func newGroup(readings []reading) group {
+	g := group{machine: readings[0].machine, count: len(readings)}
+	rates := make([]float64, 0, len(readings))
+	for _, r := range readings {
+		rates = append(rates, r.rate)
+		g.variance += r.variance
+		g.latest = max(g.latest, r.at)
+	}
+	g.variance /= float64(g.count * g.count)
+	g.rate = median(rates)
+	return g
+}
+
+// middleVariance returns the variance of the middle of the group's rates, given that of a single one.
+func (g *group) middleVariance(single float64) float64 {
+	variance := single / float64(g.count)
+	if g.count >= 3 {
+		variance *= medianLoss
+	}
+	return variance
+}
+
+// median returns the median of the values, which it sorts.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2
+}
+
+// scatterSum measures how much the work of the runs of a cohort differs, from runs on the same machine. The
+// speeds of machines don't matter for it.
+type scatterSum struct{ variance, count, limit float64 }
+
+// add adds the runs of one machine.
+func (s *scatterSum) add(readings []reading, middle float64) {
+	for _, r := range readings {
+		difference := min(math.Abs(r.rate-middle), s.limit)
+		s.variance += difference * difference
+	}
+	s.count += float64(len(readings) - 1)
+}
+
+func (s *scatterSum) mean() float64 { return max(s.variance/s.count, minScatter*minScatter) }
+
+// workRate returns the logarithm of the rate that the group would have on an ordinary machine.
+func (g *group) workRate() float64 { return g.rate - g.machine.offset }
+
+// weighGroups sets the weights of the groups in the rate of their cohort. It begins at the median, so that
+// outliers don't decide which groups count.
+func weighGroups(groups []group) {
+	rates := make([]float64, 0, len(groups))
+	for i := range groups {
+		rates = append(rates, groups[i].workRate())
+	}
+	center := median(rates)
+	for range centerRounds {
+		var weights, sum float64
+		for i := range groups {
+			g := &groups[i]
+			g.weight = tailWeight(g.variance+g.machine.variance, g.workRate()-center)
+			weights += g.weight
+			sum += g.weight * g.workRate()
+		}
+		center = sum / weights
+	}
+}
+
+// tailWeight returns the weight of a value that differs by residual from the middle, for a distribution with
+// long tails.
+func tailWeight(variance, residual float64) float64 {
+	return (tailFreedom + 1) / (tailFreedom*variance + residual*residual)
+}
--- /dev/null
+++ b/core/anvilspeed/estimator.go
@@ -0,0 +1,220 @@
+package anvilspeed
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilwork"
+)
+
+const (
+	// fitInterval is how often the speeds are estimated.
+	fitInterval = anvilclock.Second
+	// fitRounds is the number of passes over all cohorts and machines in one estimate. Each passes what was
+	// learnt about a machine on to those that were compared with it.
+	fitRounds = 2
+	// maxMachines bounds the machines that are known. Those that were seen longest ago are removed first.
+	maxMachines = 1 << 16
+	// inheritedError is the standard error of the logarithm of a speed that was taken over from an earlier
+	// leader.
+	inheritedError = 0.15
+)
+
+// Sample is a report of the progress of a run.
+type Sample struct {
+	Machine anvilid.MachineID
+	Task    anvilwork.Task
+	Run     anvilwork.Run
+	// Percent is the share of the task's work that is done. It includes the work of earlier runs from whose
+	// checkpoint this one resumed.
+	Percent int
+	// Gang means that the task belongs to a gang.
+	Gang bool
+	// Remote means that the run isn't in the rack of its input data.
+	Remote bool
+}
+
+// Estimate is the estimated speed of a machine.
+type Estimate struct {
+	// Factor is the speed, or Ordinary if it isn't known to differ.
+	Factor Factor
+	// Measured is the speed before it is decided whether it differs from the ordinary one.
+	Measured Factor
+	// Error is the standard error of the natural logarithm of Measured.
+	Error float64
+	// Comparisons is the number of cohorts in which the machine was compared with others.
+	Comparisons int
+}
+
+// Estimator learns the lasting speeds of machines from the progress of their runs: the rate of a run is the
+// rate of its cohort (tasks with like work) times the speed of its machine. It must be used by one
+// goroutine only.
+type Estimator struct {
+	cohorts map[cohortKey]*cohort
+	// order has the cohorts in the order in which they were seen first.
+	order    []*cohort
+	byTask   map[anvilwork.Task]*cohort
+	machines map[anvilid.MachineID]*machine
+	// known has the machines in the order in which they were seen first.
+	known    []*machine
+	numbered uint64
+	fittedAt anvilclock.Millis
+}
+
+// NewEstimator returns an estimator that knows no speeds.
+func NewEstimator() *Estimator {
+	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*cohort{}, machines: map[anvilid.MachineID]*machine{}}
+}
+
+// MachineOf returns the machine of a target. A target that doesn't name one stands for itself.
+func MachineOf(target *anvilwork.Target) anvilid.MachineID {
+	if target.Machine == "" {
+		return anvilid.MachineID(target.ID)
+	}
+	return target.Machine
+}
+
+// Observe records a report of a run's progress.
+func (e *Estimator) Observe(now anvilclock.Millis, s Sample) {
+	key, expected := cohortKey{step: s.Task.StepKey(), remote: s.Remote}, taskScatter
+	if s.Gang {
+		key.run, expected = s.Run, memberScatter
+	}
+	c := e.cohorts[key]
+	if c == nil {
+		c = &cohort{key: key, expected: expected, byTask: map[anvilwork.Task]*observation{}}
+		e.cohorts[key] = c
+		e.order = append(e.order, c)
+	}
+	if former := e.byTask[s.Task]; former != c {
+		if former != nil {
+			former.end(s.Task)
+		}
+		e.byTask[s.Task] = c
+	}
+	on := e.machine(s.Machine)
+	on.seenAt = now
+	c.observe(s, now, on)
+}
+
+// Forget records that a task has no run any more.
+func (e *Estimator) Forget(task anvilwork.Task) {
+	if c := e.byTask[task]; c != nil {
+		c.end(task)
+		delete(e.byTask, task)
+	}
+}
+
+// Inherit sets the speed of a machine that an earlier leader has learnt.
+func (e *Estimator) Inherit(now anvilclock.Millis, id anvilid.MachineID, speed Factor) {
+	m := e.machine(id)
+	m.seenAt = now
+	m.keep(comparison{at: now, offset: math.Log(float64(speed.OrOrdinary())), variance: inheritedError * inheritedError, runs: 1})
+	m.update(now)
+	m.differs = speed.OrOrdinary() != Ordinary
+}
+
+// machine returns the record of a machine, which it adds if necessary.
+func (e *Estimator) machine(id anvilid.MachineID) *machine {
+	if known := e.machines[id]; known != nil {
+		return known
+	}
+	e.numbered++
+	added := &machine{id: id, number: e.numbered, variance: priorSpread * priorSpread}
+	e.machines[id] = added
+	e.known = append(e.known, added)
+	return added
+}
+
+// Fit estimates the speeds anew, at most once per fitInterval, and reports whether it did.
+func (e *Estimator) Fit(now anvilclock.Millis) bool {
+	if now-e.fittedAt < fitInterval {
+		return false
+	}
+	e.fittedAt = now
+	e.expire(now)
+	for range fitRounds {
+		e.fitOnce(now)
+	}
+	e.markDifferences()
+	return true
+}
+
+// fitOnce compares all cohorts and updates all machines from the results.
+func (e *Estimator) fitOnce(now anvilclock.Millis) {
+	for _, m := range e.known {
+		m.live = m.live[:0]
+	}
+	for _, c := range e.order {
+		c.compare()
+		for _, r := range c.results {
+			r.machine.live = append(r.machine.live, r.comparison)
+		}
+	}
+	for _, m := range e.known {
+		m.update(now)
+	}
+}
+
+// expire removes what ended long ago.
+func (e *Estimator) expire(now anvilclock.Millis) {
+	for _, c := range e.order {
+		c.expire(now)
+	}
+	e.order = slices.DeleteFunc(e.order, func(c *cohort) bool {
+		if len(c.runs) > 0 {
+			return false
+		}
+		delete(e.cohorts, c.key)
+		return true
+	})
+	if len(e.known) > maxMachines {
+		e.removeOldest()
+	}
+}
+
+// removeOldest removes the machines beyond maxMachines that were seen longest ago, except those in a cohort.
+func (e *Estimator) removeOldest() {
+	inUse := map[*machine]bool{}
+	for _, c := range e.order {
+		for _, o := range c.runs {
+			inUse[o.machine] = true
+		}
+	}
+	surplus := len(e.known) - maxMachines
+	slices.SortStableFunc(e.known, func(a, b *machine) int { return cmp.Compare(a.seenAt, b.seenAt) })
+	e.known = slices.DeleteFunc(e.known, func(m *machine) bool {
+		if surplus == 0 || inUse[m] {
+			return false
+		}
+		surplus--
+		delete(e.machines, m.id)
+		return true
+	})
+}
+
+// Estimate returns what is known about the speed of a machine.
+func (e *Estimator) Estimate(id anvilid.MachineID) Estimate {
+	m := e.machines[id]
+	if m == nil {
+		return Estimate{Factor: Ordinary, Measured: Ordinary, Error: priorSpread}
+	}
+	found := Estimate{
+		Factor: Ordinary, Measured: Factor(math.Exp(m.offset)), Error: math.Sqrt(m.variance), Comparisons: len(m.live) + len(m.kept),
+	}
+	if m.differs {
+		found.Factor = found.Measured
+	}
+	return found
+}
+
+// Speed returns the speed of a machine, or Ordinary if it isn't known to differ.
+func (e *Estimator) Speed(id anvilid.MachineID) Factor {
+	if m := e.machines[id]; m != nil && m.differs {
+		return Factor(math.Exp(m.offset))
+	}
+	return Ordinary
+}
--- a/core/anvilspeed/monitor.go
+++ b/core/anvilspeed/monitor.go
@@ -20,8 +20,9 @@
 	// become slow and recover within seconds, and a slow target that gets no work, so that no new rate
 	// is measured, must be tried again.
 	rateValidity = 4 * anvilclock.Second
-	// slowRateShare defines a slow run: its rate is below this fraction of the rate of the fastest
-	// task of the same step, or of the highest earlier rate of the run itself. The fraction is small
+	// slowRateShare defines a slow run: its rate, relative to the lasting speed of its target, is below this
+	// fraction of that of the fastest task of the same step, or its rate is below this fraction of the
+	// highest earlier rate of the run itself. The fraction is small
 	// enough to allow for tasks of a step that differ by a sixth and for kinds of targets that differ
 	// by a third.
 	slowRateShare = 0.5
@@ -40,7 +41,8 @@
 	Percent float64
 	// Rate is the speed of the run in percent per millisecond, or 0 if the run makes no progress.
 	Rate float64
-	// BestRate is the Rate of the fastest task of the same step, or 0 if none has made progress.
+	// BestRate is the highest rate of all tasks of the same step, divided by the lasting speeds of their targets:
+	// what the run would reach on an ordinary target without disruptions. It is 0 if none has made progress.
 	BestRate float64
 	// StalledFor is how long the run has made no progress, or 0 if all of its work is done.
 	StalledFor anvilclock.Millis
@@ -53,6 +55,7 @@
 	percent      int
 	at           anvilclock.Millis
 	rate         float64           // in percent per ms
+	factor       Factor            // lasting speed of the target when the rate was measured
 	maxRate      float64           // the highest rate of this run so far
 	ratedAt      anvilclock.Millis // when the rate was measured, or 0 if it was not
 	progressedAt anvilclock.Millis // when percent last rose
@@ -61,12 +64,15 @@
 // Monitor tracks the progress of all runs. It must be used by one goroutine only.
 type Monitor struct {
 	steps map[anvilwork.StepKey]*step
+	// Factor returns the lasting speed of a target, against which its rates are judged. nil means that all
+	// targets are ordinary.
+	Factor func(anvilid.TargetID) Factor
 }
 
 // step contains the samples of the tasks of one step.
 type step struct {
 	samples map[int]*sample
-	// fastest is the highest rate of all samples. It is valid if fastestKnown is set.
+	// fastest is the highest relative rate of all samples. It is valid if fastestKnown is set.
 	fastest      float64
 	fastestKnown bool
 }
@@ -96,12 +102,22 @@
 	// A task that is done but waits for the rest of its gang keeps its last rate.
 	if s.percent < 100 && percent < 100 || s.ratedAt == 0 {
 		s.rate, s.ratedAt = float64(percent-s.percent)/float64(now-s.at), now
-		s.maxRate = max(s.maxRate, s.rate)
+		s.maxRate, s.factor = max(s.maxRate, s.rate), m.factor(target)
 		known.fastestKnown = false
 	}
 	s.percent, s.at = percent, now
 }
 
+func (m *Monitor) factor(target anvilid.TargetID) Factor {
+	if m.Factor == nil {
+		return Ordinary
+	}
+	return m.Factor(target).OrOrdinary()
+}
+
+// relativeRate returns the rate that the run would have on an ordinary target.
+func (s *sample) relativeRate() float64 { return s.rate / float64(s.factor.OrOrdinary()) }
+
 // Forget removes a task that has no run any more.
 func (m *Monitor) Forget(task anvilwork.Task) {
 	known := m.steps[task.StepKey()]
@@ -115,7 +131,7 @@
 	}
 }
 
-// fastestRate returns the highest rate among the tasks of the step. It is computed only after a change,
+// fastestRate returns the highest relative rate among the tasks of the step. It is computed only after a change,
 // because a plan asks for it once for each run, and a step can have hundreds of runs.
 func (s *step) fastestRate() float64 {
 	if s.fastestKnown {
@@ -124,7 +140,7 @@
 	s.fastest, s.fastestKnown = 0, true
 	for _, sample := range s.samples {
 		if sample.ratedAt > 0 {
-			s.fastest = max(s.fastest, sample.rate)
+			s.fastest = max(s.fastest, sample.relativeRate())
 		}
 	}
 	return s.fastest
@@ -182,12 +198,12 @@
 	return slow
 }
 
-// add adds one run to the evidence about its target. highest is the highest rate of the run's step.
+// add adds one run to the evidence about its target. highest is the highest relative rate of the run's step.
 func (e evidence) add(s *sample, highest float64) evidence {
 	switch {
 	case s.rate < slowRateShare*s.maxRate:
 		e.weight += minSlowEvidence
-	case s.rate < slowRateShare*highest:
+	case s.relativeRate() < slowRateShare*highest:
 		e.weight++
 	default:
 		e.fast = true
--- /dev/null
+++ b/core/anvilspeed/pace.go
@@ -0,0 +1,98 @@
+package anvilspeed
+
+import (
+	"math"
+
+	"anvilshunt/core/anvilclock"
+)
+
+const (
+	// minPaceSpan is the shortest time over which the pace of a run is measured.
+	minPaceSpan = 700 * anvilclock.Millisecond
+	// minPacePercent is the smallest progress over which the pace is measured, as reports are in whole
+	// percent.
+	minPacePercent = 3
+	// paceSettleTime is how long a pace must last after a change in the middle of a run before it counts as
+	// lasting. Disruptions that end sooner are left to the Monitor.
+	paceSettleTime = 4 * anvilclock.Second
+	// maxPaceDrift is the difference of the logarithms of two rates of one run from which on its pace has
+	// changed, in addition to what rounding explains.
+	maxPaceDrift = 0.4
+	// roundingError is the standard error in percent of a difference of two rounded reports.
+	roundingError = 0.41
+)
+
+// point is the progress of a run at a time.
+type point struct {
+	at      anvilclock.Millis
+	percent int
+}
+
+// pace measures the lasting rate of one run.
+type pace struct {
+	// base is the first report of the present pace, and mark the one from which the next stretch is
+	// measured that is compared with it.
+	base, mark, latest point
+	// moving reports that the run has begun its work, which may be some time after its start.
+	moving bool
+	// changed reports that the run had another pace before base.
+	changed bool
+}
+
+// add adds a report. Reports from the end of the work on are left out: a member of a gang waits there for
+// the others.
+func (p *pace) add(r point) {
+	switch {
+	case r.percent >= 100:
+		return
+	case p.base.at == 0 || r.percent < p.latest.percent:
+		*p = pace{base: r, mark: r, latest: r}
+		return
+	case !p.moving:
+		p.moving = r.percent > p.base.percent
+		p.base, p.mark, p.latest = r, r, r
+		return
+	}
+	p.latest = r
+	if !measurable(p.mark, r, minPaceSpan) {
+		return
+	}
+	if measurable(p.base, p.mark, minPaceSpan) && hasDrifted(p.base, p.mark, r) {
+		p.base, p.changed = p.mark, true
+	}
+	p.mark = r
+}
+
+// measurable reports whether the two reports are far enough apart for a rate.
+func measurable(from, to point, span anvilclock.Millis) bool {
+	return to.at-from.at >= span && to.percent-from.percent >= minPacePercent
+}
+
+// hasDrifted reports whether the rate from mark to last differs from the one from base to mark.
+func hasDrifted(base, mark, last point) bool {
+	tolerance := maxPaceDrift + 2*math.Sqrt(roundingVariance(base, mark)+roundingVariance(mark, last))
+	return math.Abs(logRate(mark, last)-logRate(base, mark)) > tolerance
+}
+
+// logRate returns the natural logarithm of a rate in percent per millisecond.
+func logRate(from, to point) float64 {
+	return math.Log(float64(to.percent-from.percent) / float64(to.at-from.at))
+}
+
+// roundingVariance returns the variance of logRate that the rounding of the reports causes.
+func roundingVariance(from, to point) float64 {
+	relative := roundingError / float64(to.percent-from.percent)
+	return relative * relative
+}
+
+// measure returns the logarithm of the present rate and its variance, or false if it isn't known yet.
+func (p *pace) measure() (rate, variance float64, ok bool) {
+	span := minPaceSpan
+	if p.changed {
+		span = paceSettleTime
+	}
+	if !measurable(p.base, p.latest, span) {
+		return 0, 0, false
+	}
+	return logRate(p.base, p.latest), roundingVariance(p.base, p.latest), true
+}
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -29,6 +29,7 @@
 	r.logEndedJobs()
 	r.stopObsoleteRuns()
 	r.advanceWaves(now)
+	r.tracker.Lasting.Fit(now)
 	input := r.planInput(now)
 	r.demand.Observe(now, anvilplace.UrgentDemand(input))
 	input.Reserve = r.demand.Reserve()
@@ -97,6 +98,9 @@
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
 		},
+		Speed: func(target *anvilwork.Target) anvilspeed.Factor {
+			return r.tracker.Lasting.Speed(anvilspeed.MachineOf(target))
+		},
 		State: r.state, Now: r.logTime(), Wall: r.wallClock.Now(),
 		Usable: func(id anvilid.TargetID) bool {
 			return r.tracker.Usable(now, id, announceTimeout) && !r.upkeep.unavailable[id]
