--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -26,13 +26,16 @@
 // node is a target as seen by one call of Plan.
 type node struct {
 	target *anvilwork.Target
-	index  int     // position among all nodes
-	rack   *group  // nil only before addNodes returns
-	usable bool    // may be given new runs
-	slow   bool    // much slower than other targets at present, or failing the tasks that it starts
-	speed  float64 // relative to an ordinary target, or 1 if there is one tier
-	tier   int     // position of its tier, the slowest is 0
-	free   anvilwork.Resources
+	index  int    // position among all nodes
+	rack   *group // nil only before addNodes returns
+	usable bool   // may be given new runs
+	// evacuated means that the zone is evacuated. What runs here goes on, so that it counts as at work if the target
+	// answers, that is, if it would be usable otherwise.
+	evacuated, answers bool
+	slow               bool    // much slower than other targets at present, or failing the tasks that it starts
+	speed              float64 // relative to an ordinary target, or 1 if there is one tier
+	tier               int     // position of its tier, the slowest is 0
+	free               anvilwork.Resources
 	// usedAtFirst is what was in use when this call of Plan began, see coreEquivalents.
 	usedAtFirst float64
 	// freeing has the resources of those runs on this node that are being stopped.
@@ -172,9 +175,10 @@
 	for i, target := range targets {
 		n := &nodes[i]
 		*n = node{
-			planner: p, target: target, index: i, usable: !target.Leaving && p.Usable(target.ID),
-			slow: p.Avoid(target.ID), speed: 1, free: target.Resources,
+			planner: p, target: target, index: i, answers: !target.Leaving && p.Usable(target.ID),
+			evacuated: p.State.Evacuated(target.Zone), slow: p.Avoid(target.ID), speed: 1, free: target.Resources,
 		}
+		n.usable = n.answers && !n.evacuated
 		if n.usable {
 			p.usableTargets++
 			p.emptyNodes++
@@ -223,7 +227,7 @@
 			n.freeing = n.freeing.Plus(t.need)
 		}
 		placed = append(placed, t)
-		info.atWork = info.atWork || n.usable
+		info.atWork = info.atWork || n.answers
 		n.countTasks(info.job.Spec.Steps[task.Step], task.StepKey(), 1)
 	}
 	slices.SortFunc(placed, func(a, b placedRun) int { return a.task.Compare(b.task) })
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -25,8 +25,8 @@
 	Avoid func(anvilid.TargetID) bool
 	// Failures returns how often tasks of a step have failed on each target where any of them has.
 	Failures func(anvilwork.StepKey) map[anvilid.TargetID]int
-	// Speed returns how fast a target works lastingly. It may be nil. If the targets differ by no more than
-	// maxTierRatio, speeds change nothing.
+	// Speed returns the lasting speed of a target. nil means that all targets are ordinary. If they differ by no more
+	// than maxTierRatio, speeds change nothing.
 	Speed func(*anvilwork.Target) anvilspeed.Factor
 	// Progress returns the progress and speed of a run, if known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
