Hand learnt speeds on to the next leader and log them

A new leader planned without speeds until it had learnt them again. They are now kept in the replicated state as a level of one byte a machine, written at most every 5 s and only where they changed by more than their error, and not at all while no machine is known to differ. Event 645 names them with their evidence, event 625 has the counts.

--- a/core/anvilorder/progress.go
+++ b/core/anvilorder/progress.go
@@ -16,7 +16,7 @@
 		return
 	}
 	t.Lasting.Observe(at, anvilspeed.Sample{
-		Machine: anvilspeed.MachineOf(&target.record), Task: entry.Task, Run: entry.Run, Percent: entry.Percent, Gang: step.Gang,
+		Machine: target.record.MachineOrSelf(), Task: entry.Task, Run: entry.Run, Percent: entry.Percent, Gang: step.Gang,
 		Remote: step.PreferredRack != "" && step.PreferredRack != target.record.Rack,
 	})
 }
@@ -44,5 +44,5 @@
 	if known == nil {
 		return anvilspeed.Ordinary
 	}
-	return t.Lasting.Speed(anvilspeed.MachineOf(&known.record))
+	return t.Lasting.Speed(known.record.MachineOrSelf())
 }
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -18,9 +18,6 @@
 	fitRounds = 2
 	// maxMachines bounds the machines that are known. Those that were seen longest ago are removed first.
 	maxMachines = 1 << 16
-	// inheritedError is the standard error of the logarithm of a speed that was taken over from an earlier
-	// leader.
-	inheritedError = 0.15
 )
 
 // Sample is a report of the progress of a run.
@@ -69,14 +66,6 @@
 	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*cohort{}, machines: map[anvilid.MachineID]*machine{}}
 }
 
-// MachineOf returns the machine of a target. A target that doesn't name one stands for itself.
-func MachineOf(target *anvilwork.Target) anvilid.MachineID {
-	if target.Machine == "" {
-		return anvilid.MachineID(target.ID)
-	}
-	return target.Machine
-}
-
 // Observe records a report of a run's progress.
 func (e *Estimator) Observe(now anvilclock.Millis, s Sample) {
 	key, expected := cohortKey{step: s.Task.StepKey(), remote: s.Remote}, taskScatter
@@ -108,15 +97,6 @@
 	}
 }
 
-// Inherit sets the speed of a machine that an earlier leader has learnt.
-func (e *Estimator) Inherit(now anvilclock.Millis, id anvilid.MachineID, speed Factor) {
-	m := e.machine(id)
-	m.seenAt = now
-	m.keep(comparison{at: now, offset: math.Log(float64(speed.OrOrdinary())), variance: inheritedError * inheritedError, runs: 1})
-	m.update(now)
-	m.differs = speed.OrOrdinary() != Ordinary
-}
-
 // machine returns the record of a machine, which it adds if necessary.
 func (e *Estimator) machine(id anvilid.MachineID) *machine {
 	if known := e.machines[id]; known != nil {
@@ -202,19 +182,40 @@
 	if m == nil {
 		return Estimate{Factor: Ordinary, Measured: Ordinary, Error: priorSpread}
 	}
-	found := Estimate{
-		Factor: Ordinary, Measured: Factor(math.Exp(m.offset)), Error: math.Sqrt(m.variance), Comparisons: len(m.live) + len(m.kept),
-	}
-	if m.differs {
-		found.Factor = found.Measured
+	return Estimate{
+		Factor: m.speed(), Measured: Factor(math.Exp(m.offset)), Error: math.Sqrt(m.variance), Comparisons: len(m.live) + len(m.kept),
 	}
-	return found
 }
 
 // Speed returns the speed of a machine, or Ordinary if it isn't known to differ.
 func (e *Estimator) Speed(id anvilid.MachineID) Factor {
-	if m := e.machines[id]; m != nil && m.differs {
-		return Factor(math.Exp(m.offset))
+	if m := e.machines[id]; m != nil {
+		return m.speed()
 	}
 	return Ordinary
 }
+
+// Counts summarizes what is known about all machines.
+type Counts struct {
+	// Compared is the number of machines that were compared with others, and Unequal how many of them are
+	// known to differ from the ordinary speed.
+	Compared, Unequal int
+	// Slowest and Fastest are the lowest and the highest speed.
+	Slowest, Fastest Factor
+}
+
+// Counts returns a summary of what is known about all machines.
+func (e *Estimator) Counts() Counts {
+	counts := Counts{Slowest: Ordinary, Fastest: Ordinary}
+	for _, m := range e.known {
+		if len(m.live)+len(m.kept) == 0 {
+			continue
+		}
+		counts.Compared++
+		if m.differs {
+			counts.Unequal++
+		}
+		counts.Slowest, counts.Fastest = min(counts.Slowest, m.speed()), max(counts.Fastest, m.speed())
+	}
+	return counts
+}
--- a/core/anvilwork/apply.go
+++ b/core/anvilwork/apply.go
@@ -55,6 +55,8 @@
 		return s.noteSilence(*command.NoteSilence)
 	case command.RecordCheckpoints != nil:
 		return s.recordCheckpoints(*command.RecordCheckpoints)
+	case command.RecordSpeeds != nil:
+		return s.recordSpeeds(*command.RecordSpeeds)
 	case command.StartWave != nil:
 		return s.startWave(*command.StartWave)
 	case command.AdvanceWave != nil:
--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -29,6 +29,8 @@
 	NoteSilence       *NoteSilence       `cbor:"20,keyasint,omitempty"`
 	RecordCheckpoints *RecordCheckpoints `cbor:"21,keyasint,omitempty"`
 
+	RecordSpeeds *RecordSpeeds `cbor:"30,keyasint,omitempty"`
+
 	StartWave   *Wave        `cbor:"10,keyasint,omitempty"`
 	AdvanceWave *AdvanceWave `cbor:"11,keyasint,omitempty"`
 }
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -34,6 +34,8 @@
 	ordered []*Target
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
 	revisions map[anvilid.TargetID]Revision
+	// speeds has the speeds that leaders have learnt of machines.
+	speeds map[anvilid.MachineID]SpeedLevel
 	// crashes has the result of TakeCrashes.
 	crashes []Crash
 	// now is the log time: the latest time that a leader stamped on an applied log entry.
@@ -46,6 +48,7 @@
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
+		speeds: map[anvilid.MachineID]SpeedLevel{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -144,6 +147,8 @@
 	Waves   []*Wave           `cbor:"5,keyasint,omitempty"`
 	// Departed is ordered by id.
 	Departed []departure `cbor:"6,keyasint,omitempty"`
+	// Speeds is ordered by machine.
+	Speeds []MachineSpeed `cbor:"30,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state.
@@ -160,6 +165,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.departed)) {
 		image.Departed = append(image.Departed, s.departed[id])
 	}
+	image.Speeds = s.sortedSpeeds()
 	return anvilcodec.Encode(image)
 }
 
@@ -192,6 +198,9 @@
 			s.departing[target.ID] = true
 		}
 	}
+	for _, speed := range image.Speeds {
+		s.speeds[speed.Machine] = speed.Level
+	}
 	for _, d := range image.Departed {
 		s.departed[d.Target] = d
 	}
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -29,7 +29,7 @@
 	r.logEndedJobs()
 	r.stopObsoleteRuns()
 	r.advanceWaves(now)
-	r.tracker.Lasting.Fit(now)
+	r.learnSpeeds(now)
 	input := r.planInput(now)
 	r.demand.Observe(now, anvilplace.UrgentDemand(input))
 	input.Reserve = r.demand.Reserve()
@@ -99,7 +99,7 @@
 			return r.tracker.Speeds.Progress(now, task)
 		},
 		Speed: func(target *anvilwork.Target) anvilspeed.Factor {
-			return r.tracker.Lasting.Speed(anvilspeed.MachineOf(target))
+			return r.tracker.Lasting.Speed(target.MachineOrSelf())
 		},
 		State: r.state, Now: r.logTime(), Wall: r.wallClock.Now(),
 		Usable: func(id anvilid.TargetID) bool {
@@ -146,6 +146,8 @@
 		r.log.Write(anvillogs.RunUnassigned, zap.Stringer("task", command.Unassign.Task), zap.Uint64("run", uint64(command.Unassign.Run)))
 	case command.RecordCheckpoints != nil:
 		r.log.Write(anvillogs.CheckpointsKept, zap.Stringers("runs", command.RecordCheckpoints.Runs))
+	case command.RecordSpeeds != nil:
+		r.logSpeeds(command.RecordSpeeds.Speeds)
 	case command.ExpireLease != nil:
 		r.log.Write(anvillogs.TargetLeaseExpired, zap.String("target", string(command.ExpireLease.Target)), zap.Int("runs", len(command.ExpireLease.Runs)))
 	}
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -60,7 +60,9 @@
 	// waiting job for which it is reserved.
 	reservedTargets map[anvilid.TargetID]anvilid.JobID
 	summary         *summary
-	idle            idleWatch
+	// speedsRecordedAt is when a commit of speeds of machines was requested last.
+	speedsRecordedAt anvilclock.Millis
+	idle             idleWatch
 	// firstRunAt maps each job that had not ended at the last plan to the log
 	// time of its first run, or to 0 if it had none.
 	firstRunAt map[anvilid.JobID]anvilclock.Millis
@@ -69,10 +71,7 @@
 func newLeadership(l *Leader, term anvilid.Term) *leadership {
 	now := l.clock.Now()
 	tracker := anvilorder.New(anvilid.Token(term), now, l.bounds.Orders)
-	l.mu.Lock()
-	tracker.SetStateAge(l.logTime() - l.evidence.heardAt)
-	l.mu.Unlock()
-	return &leadership{
+	r := &leadership{
 		Leader: l, term: term, planNeeded: true, tracker: tracker,
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
 		upkeep: upkeep{coordinator: anvilupkeep.New(l.bounds.UpkeepDuration)}, firstRunAt: map[anvilid.JobID]anvilclock.Millis{},
@@ -80,6 +79,11 @@
 		sender:  sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk},
 		summary: newSummary(now, l.ignoredEntries()),
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tracker.SetStateAge(l.logTime() - l.evidence.heardAt)
+	r.inheritSpeeds(now)
+	return r
 }
 
 func (r *leadership) run(ctx context.Context) {
--- /dev/null
+++ b/io/anvillead/speeds.go
@@ -0,0 +1,68 @@
+package anvillead
+
+import (
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilspeed"
+	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvillogs"
+)
+
+const (
+	// recordSpeedsInterval is how often speeds of machines are recorded if they have changed.
+	recordSpeedsInterval = 5 * anvilclock.Second
+	// maxLoggedSpeeds is the number of machines that one line of the log names.
+	maxLoggedSpeeds = 100
+)
+
+// inheritSpeeds takes over the speeds of machines that earlier leaders have recorded. The caller must have locked mu.
+func (r *leadership) inheritSpeeds(now anvilclock.Millis) {
+	for machine, level := range r.state.Speeds() {
+		r.tracker.Lasting.Inherit(now, machine, level)
+	}
+}
+
+// learnSpeeds estimates the lasting speeds of machines anew if that is due, and requests a commit of those that have
+// changed. The caller must have locked mu.
+func (r *leadership) learnSpeeds(now anvilclock.Millis) {
+	if !r.tracker.Lasting.Fit(now) || now-r.speedsRecordedAt < recordSpeedsInterval {
+		return
+	}
+	changes := r.tracker.Lasting.Changes(r.state)
+	if len(changes) == 0 {
+		return
+	}
+	r.speedsRecordedAt = now
+	r.pendingCommands = append(r.pendingCommands, anvilwork.Command{RecordSpeeds: &anvilwork.RecordSpeeds{Speeds: changes}})
+}
+
+// logSpeeds logs recorded speeds with their evidence.
+func (r *leadership) logSpeeds(recorded []anvilwork.MachineSpeed) {
+	for len(recorded) > 0 {
+		count := min(len(recorded), maxLoggedSpeeds)
+		machines, speeds := make([]string, count), make([]float64, count)
+		errs, comparisons := make([]float64, count), make([]int, count)
+		for i, speed := range recorded[:count] {
+			estimate := r.tracker.Lasting.Estimate(speed.Machine)
+			machines[i], speeds[i] = string(speed.Machine), hundredths(float64(anvilspeed.FactorOf(speed.Level)))
+			errs[i], comparisons[i] = hundredths(estimate.Error), estimate.Comparisons
+		}
+		r.log.Write(anvillogs.SpeedsRecorded, zap.Strings("machines", machines), zap.Float64s("speeds", speeds),
+			zap.Float64s("errors", errs), zap.Ints("comparisons", comparisons))
+		recorded = recorded[count:]
+	}
+}
+
+// speedFields returns how many machines have been compared and how many differ, with the lowest and the highest
+// speed, as fields of the summary.
+func (r *leadership) speedFields() []zap.Field {
+	counts := r.tracker.Lasting.Counts()
+	return []zap.Field{
+		zap.Int("compared", counts.Compared), zap.Int("unequal", counts.Unequal),
+		zap.Float64("slowest", hundredths(float64(counts.Slowest))), zap.Float64("fastest", hundredths(float64(counts.Fastest))),
+	}
+}
+
+// hundredths rounds a figure for the log.
+func hundredths(value float64) float64 { return float64(int(value*100+0.5)) / 100 }
--- a/io/anvillead/summary.go
+++ b/io/anvillead/summary.go
@@ -101,7 +101,8 @@
 	}
 	ignored := r.ignoredEntries()
 	idle, longest := r.idle.takeSummary()
-	r.log.Write(anvillogs.LeaderSummary, append(r.summary.fields(), zap.Uint64("ignored", ignored-r.summary.ignoredBefore),
-		zap.Int("idle", idle), zap.Int64("longestIdle", int64(longest)))...)
+	fields := append(r.summary.fields(), zap.Uint64("ignored", ignored-r.summary.ignoredBefore),
+		zap.Int("idle", idle), zap.Int64("longestIdle", int64(longest)))
+	r.log.Write(anvillogs.LeaderSummary, append(fields, r.speedFields()...)...)
 	r.summary = newSummary(now, ignored)
 }
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -105,6 +105,7 @@
 	CapacityChanged    = define(633, zapcore.InfoLevel, "capacity of a target has changed")
 	StepIdle           = define(634, zapcore.InfoLevel, "step has nothing at work")
 	CheckpointsKept    = define(635, zapcore.InfoLevel, "checkpoints of runs on an unreachable target recorded")
+	SpeedsRecorded     = define(645, zapcore.InfoLevel, "lasting speeds of machines recorded")
 	LateAnnouncement   = define(629, zapcore.InfoLevel, "announcement of a target arrived after a later one")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
 	ConfigRefused      = define(616, zapcore.InfoLevel, "configuration refused")
