--- a/core/anvilplace/by_tier.go
+++ b/core/anvilplace/by_tier.go
@@ -19,13 +19,12 @@
 // A gang that would end late on the targets that are free may wait for others.
 func (p *planner) placeGangAt(u *waitingStep, allotments []allotment, fit fitFunc) {
 	if p.choosesTier(u) {
-		required := p.requiredTier(u, p.Now)
-		inTime, late := p.gangRanges(required)
-		best := p.fitInOrder(u, inTime, fit)
+		preferred := p.preferredTier(u)
+		suitable, others := p.gangRanges(preferred)
+		best := p.fitInOrder(u, suitable, fit)
 		if best == nil {
-			best = p.fitInOrder(u, late, fit)
-			if p.awaitsFaster(u, required, best) {
-				u.awaitedTier = required
+			best = p.fitInOrder(u, others, fit)
+			if p.awaitsFaster(u, best) {
 				return
 			}
 		}
@@ -47,48 +46,49 @@
 	return nil
 }
 
-// fitMostByTier finds allotments for as many of count tasks as possible. It fills the slowest tier on which they end in
-// time first, then the faster ones, then those on which they end late, the fastest of these first.
+// fitMostByTier finds allotments for as many of count tasks as possible. It fills the preferred tier first, then the
+// faster ones, then the slower ones, the fastest of these first.
 func (p *planner) fitMostByTier(u *waitingStep, count int, v view) []allotment {
 	if !p.choosesTier(u) {
 		return p.fitMost(u, count, v)
 	}
-	required := p.requiredTier(u, p.Now)
+	preferred := p.preferredTier(u)
 	var allotments []allotment
 	fill := func(tier int) {
 		if left := count - taskCount(allotments); left > 0 {
 			p.withinTiers(tierRange{tier, tier}, func() { allotments = append(allotments, p.fitMost(u, left, v)...) })
 		}
 	}
-	for tier := required; tier < len(p.tierSpeeds); tier++ {
+	for tier := preferred; tier < len(p.tierSpeeds); tier++ {
 		fill(tier)
 	}
-	for tier := required - 1; tier >= 0; tier-- {
+	for tier := preferred - 1; tier >= 0; tier-- {
 		fill(tier)
 	}
 	return allotments
 }
 
-// awaitsFaster reports whether a gang waits for targets of the required tier or faster ones, because it would end late
-// on late, the best of those that are free. It claims the targets that it waits for. An urgent gang may evict runs that
-// lose no more work than it has to do.
-func (p *planner) awaitsFaster(u *waitingStep, required int, late []allotment) bool {
+// awaitsFaster reports whether a gang waits for faster targets, because it would end late on those that are free even if
+// its estimate is right. late is the best of these. It claims the targets that it waits for. An urgent gang may evict
+// runs that lose no more work than it has to do.
+func (p *planner) awaitsFaster(u *waitingStep, late []allotment) bool {
+	required := p.requiredTier(u, p.Now, runtimeSafetyFactor)
 	if !p.needsFaster(required) || p.endsInTime(u, slowestTier(late)) {
 		return false
 	}
-	waited := p.Now - u.readySince()
-	if !u.urgent {
-		return waited < maxFasterWait && p.claimFaster(u, required)
-	}
-	if claimed := p.claimedFit(u); claimed != nil {
+	waits := false
+	switch waited := p.Now - u.readySince(); {
+	case !u.urgent:
+		waits = waited < maxFasterWait && p.claimFaster(u, required)
+	case p.claimedFit(u) != nil:
 		// The wait for evictions ends when an urgent gang that fits nowhere would start at the latest.
-		return waited < maxReclaimWait+stopLatency && slowestTier(claimed) > slowestTier(late)
+		waits = waited < maxReclaimWait+stopLatency && slowestTier(p.claimedFit(u)) > slowestTier(late)
+	case waited < maxReclaimWait:
+		p.withinTiers(p.fromTier(required), func() { waits = p.claimOrEvict(u, len(u.tasks), true) })
 	}
-	if waited >= maxReclaimWait {
-		return false
+	if waits {
+		u.awaitedTier = required
 	}
-	waits := false
-	p.withinTiers(p.fromTier(required), func() { waits = p.claimOrEvict(u, len(u.tasks), true) })
 	return waits
 }
 
--- a/core/anvilplace/eviction.go
+++ b/core/anvilplace/eviction.go
@@ -39,7 +39,7 @@
 		return // the step will fit on the targets that are already claimed for it
 	}
 	frees := false
-	if required := p.requiredTier(u, p.Now); p.needsFaster(required) {
+	if required := p.requiredTier(u, p.Now, runtimeSafetyFactor); p.needsFaster(required) {
 		p.withinTiers(p.fromTier(required), func() { frees = p.claimOrEvict(u, count, false) })
 	}
 	if !frees {
--- a/core/anvilplace/gang_claim.go
+++ b/core/anvilplace/gang_claim.go
@@ -53,7 +53,7 @@
 	for horizon, span := range gangClaimHorizons {
 		tiers := p.allTiers()
 		if inTime {
-			required := p.requiredTier(u, p.Now+span)
+			required := p.requiredTier(u, p.Now+span, runtimeSafetyFactor)
 			if !p.needsFaster(required) {
 				continue
 			}
--- a/core/anvilplace/speed_test.go
+++ b/core/anvilplace/speed_test.go
@@ -46,7 +46,9 @@
 		speeds  []anvilspeed.Factor
 		running int // tasks of a target each that run already, on the slow targets first
 	}{
-		{name: "tight gang", queue: "urgent", step: anvilwork.Step{Count: 2, Gang: true}, speeds: []anvilspeed.Factor{1}},
+		{name: "tight gang", queue: "urgent", step: anvilwork.Step{Count: 4, Gang: true}, speeds: []anvilspeed.Factor{1.6}},
+		{name: "tight gang that the fast can't hold", queue: "urgent", step: anvilwork.Step{Count: 5, Gang: true}, speeds: []anvilspeed.Factor{1, 1.6}},
+		{name: "patient gang that has waited", queue: "common", step: anvilwork.Step{Count: 4, Gang: true}, waited: 5000, speeds: []anvilspeed.Factor{1}},
 		{name: "tight gang in one rack", queue: "urgent", step: anvilwork.Step{Count: 3, Gang: true, PreferOneRack: true}, speeds: []anvilspeed.Factor{1, 1.6}},
 		{name: "tight gang that has waited", queue: "urgent", step: anvilwork.Step{Count: 2, Gang: true}, waited: 700, speeds: []anvilspeed.Factor{1.6}},
 		{name: "tight tasks", queue: "urgent", step: anvilwork.Step{Count: 6}, speeds: []anvilspeed.Factor{1, 1.6}},
@@ -120,7 +122,7 @@
 	assert.Equal(t, len(w.assigned("long")), 6)
 	w.submit("u", "urgent", "a", anvilwork.Step{Count: 2, Need: gpus(8), Gang: true})
 	w.plan()
-	assert.DeepEqual(t, w.speedsOf("u"), []anvilspeed.Factor{1})
+	assert.DeepEqual(t, w.speedsOf("u"), []anvilspeed.Factor{1.6})
 }
 
 // TestRunTimeOnTarget guards against estimates of the time that a run takes which leave out the speed of its target.
--- a/core/anvilplace/tier.go
+++ b/core/anvilplace/tier.go
@@ -13,6 +13,9 @@
 const (
 	// maxTierRatio is the largest ratio of the speeds in one tier. It is above the error of learnt speeds.
 	maxTierRatio = 1.2
+	// urgentSafetyFactor is the factor by which an urgent job is assumed to run longer than estimated where its tier is
+	// chosen. Their estimates are the least certain, and patient work leaves the fast targets to them.
+	urgentSafetyFactor = 2
 	// startDelay is the expected time from a decision to the start of the tasks: a log commit and a call.
 	startDelay = 300 * anvilclock.Millisecond
 )
@@ -83,16 +86,16 @@
 	return len(p.tierSpeeds) > 1 && !u.step.LongRunning && !u.suspect()
 }
 
-// requiredTier returns the slowest tier on which a step that starts at a given time ends by its deadline, with
-// runtimeSafetyFactor. It is the number of tiers if that is possible only without the factor, and 0 if the step ends
-// late on all tiers, because the fast ones are better used for others then.
-func (p *planner) requiredTier(u *waitingStep, start anvilclock.Millis) int {
+// requiredTier returns the slowest tier on which a step that starts at a given time ends by its deadline, if it runs for
+// longer than estimated by a factor. It is the number of tiers if that is possible only without the factor, and 0 if the
+// step ends late on all tiers, because the fast ones are better used for others then.
+func (p *planner) requiredTier(u *waitingStep, start anvilclock.Millis, factor float64) int {
 	if !p.choosesTier(u) {
 		return 0
 	}
 	work, left := u.workLeft(start)
 	for tier, speed := range p.tierSpeeds {
-		if runtimeSafetyFactor*work <= left*speed {
+		if factor*work <= left*speed {
 			return tier
 		}
 	}
@@ -102,6 +105,19 @@
 	return 0
 }
 
+// preferredTier returns the required tier of a step that starts now, from which on it looks for targets.
+func (p *planner) preferredTier(u *waitingStep) int {
+	return p.requiredTier(u, p.Now, u.safetyFactor())
+}
+
+// safetyFactor is the factor by which the step is assumed to run longer than estimated where its tier is chosen.
+func (u *waitingStep) safetyFactor() float64 {
+	if u.urgent {
+		return urgentSafetyFactor
+	}
+	return runtimeSafetyFactor
+}
+
 // workLeft returns the run time on an ordinary target of a step and those that wait for it, and the time that is left
 // for them until the deadline if the step starts at a given time. Both are in milliseconds.
 func (u *waitingStep) workLeft(start anvilclock.Millis) (work, left float64) {
@@ -120,16 +136,16 @@
 // fromTier returns the range of all tiers from a given one on.
 func (p *planner) fromTier(low int) tierRange { return tierRange{low, len(p.tierSpeeds) - 1} }
 
-// gangRanges returns ranges of tiers for a gang in the order in which to try them. In those of inTime it ends by its
-// deadline; they begin with few slow tiers, which leaves the fast targets free. Those of late begin with the fastest.
-func (p *planner) gangRanges(required int) (inTime, late []tierRange) {
-	for high := required; high < len(p.tierSpeeds); high++ {
-		inTime = append(inTime, tierRange{required, high})
+// gangRanges returns ranges of tiers for a gang in the order in which to try them. Those of suitable begin with the
+// preferred tier alone, which leaves the faster targets free. Those of others begin with the fastest tiers.
+func (p *planner) gangRanges(preferred int) (suitable, others []tierRange) {
+	for high := preferred; high < len(p.tierSpeeds); high++ {
+		suitable = append(suitable, tierRange{preferred, high})
 	}
-	for low := required - 1; low >= 0; low-- {
-		late = append(late, p.fromTier(low))
+	for low := preferred - 1; low >= 0; low-- {
+		others = append(others, p.fromTier(low))
 	}
-	return inTime, late
+	return suitable, others
 }
 
 // slowestTier returns the slowest tier of some allotments, which is what a gang is as fast as, or -1 if there are none.
