Describe evacuations, and check at the leader too that an order is still awaited

A call that was held up on a cut link reaches the leader together with the end of its connection, possibly after an order that revokes it. The leader now looks for 25 ms whether the caller has gone, as the instance does that takes the order.

--- a/io/anvilgate/evacuate.go
+++ b/io/anvilgate/evacuate.go
@@ -7,27 +7,29 @@
 	"anvilshunt/io/anvilrpc"
 )
 
-// abandonedAfter is how long an order to evacuate a zone, or to end that, waits before it is forwarded. The server
-// notices in this time that the operator has closed the connection. A process that was suspended, or cut off, reads
-// orders long after the operator has given them up and has sent them to another instance; such an order must not take
-// effect after a later one that revokes it.
+// abandonedAfter is the time in which a server certainly notices that the sender of a request has closed the
+// connection, if it closed it before the request was read.
 const abandonedAfter = 25 * time.Millisecond
 
-// Evacuate forwards a call about the evacuation of a zone to the leader. It sends nothing if ctx, the context of the
-// operator's request, ends within abandonedAfter.
-func (f *Forwarder) Evacuate(ctx context.Context, call *anvilrpc.EvacuateCall) (*anvilrpc.EvacuateReply, error) {
-	if call.Zone != "" && !stays(ctx, abandonedAfter) {
-		return nil, ErrNotSent
-	}
-	return untilDone(ctx, f, call, anvilrpc.Fleet.Evacuate)
-}
-
-// stays reports whether a context doesn't end within a time.
-func stays(ctx context.Context, span time.Duration) bool {
+// IsAwaited reports whether the sender of a request still waits for the answer. It takes 25 ms. The argument ctx is the
+// context of the request, which ends when its connection is closed.
+//
+// A process that was suspended, or behind a cut link, reads requests long after their senders have given them up and
+// have sent them elsewhere. An order without a number or version must not take effect then, as a later one may have
+// revoked it in the meantime.
+func IsAwaited(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(span):
+	case <-time.After(abandonedAfter):
 		return ctx.Err() == nil
 	}
 }
+
+// Evacuate forwards a call about the evacuation of a zone to the leader. An order is sent only if it IsAwaited.
+func (f *Forwarder) Evacuate(ctx context.Context, call *anvilrpc.EvacuateCall) (*anvilrpc.EvacuateReply, error) {
+	if call.Zone != "" && !IsAwaited(ctx) {
+		return nil, ErrNotSent
+	}
+	return untilDone(ctx, f, call, anvilrpc.Fleet.Evacuate)
+}
--- a/io/anvillead/evacuation.go
+++ b/io/anvillead/evacuation.go
@@ -7,6 +7,7 @@
 
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvilgate"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
 )
@@ -22,9 +23,9 @@
 		defer l.mu.Unlock()
 		return &anvilrpc.EvacuateReply{Done: true, Zones: evacuatedZones(l.state)}, nil
 	}
-	// The instance that sent the call may have gone while it waited here, and the operator with it.
-	if err := ctx.Err(); err != nil {
-		return nil, err
+	// The instance that sent the call may have given it up while the call was held up on a cut link.
+	if !anvilgate.IsAwaited(ctx) {
+		return &anvilrpc.EvacuateReply{}, ctx.Err()
 	}
 	zone := anvilid.ZoneName(call.Zone)
 	command := anvilwork.Command{Evacuate: &anvilwork.Evacuate{Zone: zone}}
