--- a/core/anvilplace/node.go
+++ b/core/anvilplace/node.go
@@ -32,14 +32,16 @@
 	// evacuated means that the zone is evacuated. What runs here goes on, so that it counts as at work if the target
 	// answers, that is, if it would be usable otherwise.
 	evacuated, answers bool
-	slow               bool // much slower than other targets at present, or failing the tasks that it starts
+	slow               bool    // much slower than other targets at present, or failing the tasks that it starts
+	speed              float64 // relative to an ordinary target, or 1 if there is one tier
+	tier               int     // position of its tier, the slowest is 0
 	free               anvilwork.Resources
 	// usedAtFirst is what was in use when this call of Plan began, see coreEquivalents.
 	usedAtFirst float64
 	// freeing has the resources of those runs on this node that are being stopped.
 	freeing anvilwork.Resources
 	// reserved means that the node is kept free for urgent jobs. Other jobs may use it only if they
-	// can't start later, see planner.deferrable, or are overdue, see placeOverdue.
+	// can't start later, see planner.deferrableFrom, or are overdue, see placeOverdue.
 	reserved bool
 	// claimedBy is the waiting job that this target is claimed for, or empty. Other jobs may not use a
 	// claimed target, except that urgent jobs and overdue steps may if yieldsToUrgent is set.
@@ -89,7 +91,7 @@
 
 // unavailableTo is unavailable for a step that may use slow nodes or not.
 func (n *node) unavailableTo(usesSlow bool) bool {
-	return !n.usable || n.avoidedBy(usesSlow) || n.keptForUrgent() || n.claimedByOther() || n.excluded()
+	return !n.usable || !n.planner.tiers.contains(n.tier) || n.avoidedBy(usesSlow) || n.keptForUrgent() || n.claimedByOther() || n.excluded()
 }
 
 // avoidedBy reports whether the node is slow and the current job may therefore not use it, given whether its step may
@@ -100,7 +102,7 @@
 
 // keptForUrgent reports whether the current job may not use the node because it is reserved for urgent jobs.
 func (n *node) keptForUrgent() bool {
-	return n.reserved && n.planner.deferrable && !n.planner.lifts(reserveForUrgent)
+	return n.reserved && n.tier >= n.planner.deferrableFrom && !n.planner.lifts(reserveForUrgent)
 }
 
 // claimedForCurrentUrgent reports whether the node is claimed for the current job and that job is
@@ -174,7 +176,7 @@
 		n := &nodes[i]
 		*n = node{
 			planner: p, target: target, index: i, answers: !target.Leaving && p.Usable(target.ID),
-			evacuated: p.State.Evacuated(target.Zone), slow: p.Avoid(target.ID), free: target.Resources,
+			evacuated: p.State.Evacuated(target.Zone), slow: p.Avoid(target.ID), speed: 1, free: target.Resources,
 		}
 		n.usable = n.answers && !n.evacuated
 		if n.usable {
@@ -191,6 +193,7 @@
 		p.addRuns(n)
 		n.usedAtFirst = coreEquivalents(target.Resources.Minus(n.free))
 	}
+	p.setTiers()
 	p.markRestarted()
 	slices.SortFunc(p.racks, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
 	p.all.sortByFree()
