Compare machines with what other cohorts say about the others, and keep ended runs while their step goes on

A gang on slow machines only confirmed that they were ordinary, as the estimate of each member counted in the rate that the others were compared with. And the longest tasks, which are what is left at the end of a step, made fast and slow machines alike. TestChangeOfSpeed fails on this commit: ended runs of a long step hide a change.

--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -17,7 +17,7 @@
 	minScatter = 0.1
 	// scatterPrior is the number of measured differences that the expected scatter counts for.
 	scatterPrior = 8
-	// observationLifetime is how long the rate of an ended run is compared with those of others.
+	// observationLifetime is how long the rate of an ended run is compared with those of others, at least.
 	observationLifetime = 10 * anvilclock.Second
 	// maxObservations bounds the runs that are compared in one cohort.
 	maxObservations = 2048
@@ -35,11 +35,13 @@
 
 // observation is the measured pace of one run on a machine.
 type observation struct {
-	task    anvilwork.Task
 	run     anvilwork.Run
+	cohort  *cohort
 	machine *machine
 	pace    pace
-	ended   bool
+	// since is when the run was reported first.
+	since anvilclock.Millis
+	ended bool
 }
 
 // cohort contains the runs that are compared with each other.
@@ -48,7 +50,6 @@
 	// expected is the scatter of the runs before any is measured.
 	expected float64
 	runs     []*observation
-	byTask   map[anvilwork.Task]*observation
 	// results has the comparison of each machine with the others at the latest fit.
 	results []result
 }
@@ -59,38 +60,18 @@
 	comparison comparison
 }
 
-// observe adds a report of a run.
-func (c *cohort) observe(s Sample, now anvilclock.Millis, on *machine) {
-	known := c.byTask[s.Task]
-	if known == nil || known.run != s.Run || known.machine != on {
-		if known != nil {
-			known.ended = true
-		}
-		if len(c.runs) >= maxObservations {
-			return
-		}
-		known = &observation{task: s.Task, run: s.Run, machine: on}
-		c.byTask[s.Task] = known
-		c.runs = append(c.runs, known)
-	}
-	known.pace.add(point{at: now, percent: s.Percent})
-}
-
-// end marks the run of a task as ended.
-func (c *cohort) end(task anvilwork.Task) {
-	if known := c.byTask[task]; known != nil {
-		known.ended = true
-		delete(c.byTask, task)
-	}
-}
-
-// expire removes the runs that ended some time ago. Machines without other runs in the cohort keep the result
+// expire removes the runs that ended some time ago and before all present ones began. Those that ended later are
+// needed: what is left at the end of a step are its longest tasks, on the fast machines more so than on the slow
+// ones, which would seem equal without the short tasks. Machines without other runs in the cohort keep the result
 // of their comparison.
 func (c *cohort) expire(now anvilclock.Millis) {
-	before := len(c.runs)
-	c.runs = slices.DeleteFunc(c.runs, func(o *observation) bool {
-		return o.ended && now-o.pace.latest.at > observationLifetime
-	})
+	before, oldest := len(c.runs), now-observationLifetime
+	for _, o := range c.runs {
+		if !o.ended {
+			oldest = min(oldest, o.since)
+		}
+	}
+	c.runs = slices.DeleteFunc(c.runs, func(o *observation) bool { return o.ended && o.pace.latest.at < oldest })
 	if len(c.runs) == before {
 		return
 	}
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -31,6 +31,8 @@
 	variance float64
 	// weight says how much the group counts in the rate of the cohort.
 	weight float64
+	// elsewhere is the speed of the machine according to all other cohorts, with its variance.
+	elsewhere, elsewhereVariance float64
 	// latest is when a run of the group was reported last.
 	latest anvilclock.Millis
 }
@@ -42,14 +44,23 @@
 	at             anvilclock.Millis
 }
 
+// buffers is memory that is used again for each cohort and machine.
+type buffers struct {
+	readings           []reading
+	groups             []group
+	rates              []float64
+	offsets, variances []float64
+}
+
 // compare compares each machine on which the cohort has run with the others.
-func (c *cohort) compare() {
+func (c *cohort) compare(buffer *buffers) {
+	groups := c.groups(buffer)
+	c.addElsewhere(groups)
 	c.results = c.results[:0]
-	groups := c.groups()
 	if len(groups) < 2 {
 		return
 	}
-	weighGroups(groups)
+	weighGroups(groups, buffer)
 	var weights, sum float64
 	for _, g := range groups {
 		weights += g.weight
@@ -66,47 +77,49 @@
 }
 
 // groups returns the runs whose pace is known, by machine.
-func (c *cohort) groups() []group {
-	readings := c.readings()
+func (c *cohort) groups(buffer *buffers) []group {
+	readings := c.readings(buffer)
 	slices.SortStableFunc(readings, func(a, b reading) int { return cmp.Compare(a.machine.number, b.machine.number) })
-	var groups []group
+	groups := buffer.groups[:0]
 	scatter := scatterSum{variance: c.expected * c.expected * scatterPrior, count: scatterPrior, limit: scatterLimit * c.expected}
 	for len(readings) > 0 {
 		end := 1
 		for end < len(readings) && readings[end].machine == readings[0].machine {
 			end++
 		}
-		groups = append(groups, newGroup(readings[:end]))
+		groups = append(groups, newGroup(readings[:end], buffer))
 		scatter.add(readings[:end], groups[len(groups)-1].rate)
 		readings = readings[end:]
 	}
 	for i := range groups {
 		groups[i].variance += groups[i].middleVariance(scatter.mean())
 	}
+	buffer.groups = groups
 	return groups
 }
 
-func (c *cohort) readings() []reading {
-	readings := make([]reading, 0, len(c.runs))
+func (c *cohort) readings(buffer *buffers) []reading {
+	readings := buffer.readings[:0]
 	for _, o := range c.runs {
 		if rate, variance, ok := o.pace.measure(); ok {
 			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.pace.latest.at})
 		}
 	}
+	buffer.readings = readings
 	return readings
 }
 
 // newGroup summarizes the readings of one machine. Its variance is that of rounding only.
-func newGroup(readings []reading) group {
+func newGroup(readings []reading, buffer *buffers) group {
 	g := group{machine: readings[0].machine, count: len(readings)}
-	rates := make([]float64, 0, len(readings))
+	rates := buffer.rates[:0]
 	for _, r := range readings {
 		rates = append(rates, r.rate)
 		g.variance += r.variance
 		g.latest = max(g.latest, r.at)
 	}
 	g.variance /= float64(g.count * g.count)
-	g.rate = median(rates)
+	g.rate, buffer.rates = median(rates), rates
 	return g
 }
 
@@ -140,22 +153,39 @@
 
 func (s *scatterSum) mean() float64 { return max(s.variance/s.count, minScatter*minScatter) }
 
+// addElsewhere sets what other cohorts say about the machines. What the cohort itself has said is left out: a gang
+// on slow machines only would otherwise confirm that they are all ordinary.
+func (c *cohort) addElsewhere(groups []group) {
+	next := 0
+	for i := range groups {
+		g := &groups[i]
+		g.elsewhere, g.elsewhereVariance = g.machine.offset, g.machine.variance
+		for next < len(c.results) && c.results[next].machine.number < g.machine.number {
+			next++
+		}
+		if next < len(c.results) && c.results[next].machine == g.machine {
+			g.elsewhere, g.elsewhereVariance = g.machine.without(c.results[next].comparison)
+		}
+	}
+}
+
 // workRate returns the logarithm of the rate that the group would have on an ordinary machine.
-func (g *group) workRate() float64 { return g.rate - g.machine.offset }
+func (g *group) workRate() float64 { return g.rate - g.elsewhere }
 
 // weighGroups sets the weights of the groups in the rate of their cohort. It begins at the median, so that
 // outliers don't decide which groups count.
-func weighGroups(groups []group) {
-	rates := make([]float64, 0, len(groups))
+func weighGroups(groups []group, buffer *buffers) {
+	rates := buffer.rates[:0]
 	for i := range groups {
 		rates = append(rates, groups[i].workRate())
 	}
 	center := median(rates)
+	buffer.rates = rates
 	for range centerRounds {
 		var weights, sum float64
 		for i := range groups {
 			g := &groups[i]
-			g.weight = tailWeight(g.variance+g.machine.variance, g.workRate()-center)
+			g.weight = tailWeight(g.variance+g.elsewhereVariance, g.workRate()-center)
 			weights += g.weight
 			sum += g.weight * g.workRate()
 		}
--- a/core/anvilspeed/difference.go
+++ b/core/anvilspeed/difference.go
@@ -13,32 +13,55 @@
 	minDifference = 0.1
 )
 
-// markDifferences makes the speeds relative to the median one, and finds the machines whose speed differs from
-// it by more than their error. How much more is necessary depends on how many machines differ
-// (Benjamini-Hochberg): among thousands of equal machines some seem to differ by three errors, while a clear
-// difference of many makes smaller ones credible.
-func (e *Estimator) markDifferences() {
-	var measured []*machine
+// center makes the speeds relative to the median one.
+func (e *Estimator) center() {
 	var offsets []float64
 	for _, m := range e.known {
-		m.differs = false
-		if len(m.live)+len(m.kept) > 0 {
-			measured = append(measured, m)
+		if m.compared() {
 			offsets = append(offsets, m.offset)
 		}
 	}
-	if len(measured) == 0 {
+	if len(offsets) == 0 {
+		return
+	}
+	shift := median(offsets)
+	for _, m := range e.known {
+		m.shift(shift)
+	}
+	for _, c := range e.order {
+		for i := range c.results {
+			c.results[i].comparison.offset -= shift
+		}
+	}
+}
+
+// shift makes the estimate and its evidence relative to another speed.
+func (m *machine) shift(by float64) {
+	if !m.compared() {
 		return
 	}
-	center := median(offsets)
-	scores := make([]float64, 0, len(measured))
-	for _, m := range measured {
-		m.offset -= center
-		scores = append(scores, m.score())
+	m.offset -= by
+	for i := range m.kept {
+		m.kept[i].offset -= by
+	}
+}
+
+// compared reports whether the machine was compared with others.
+func (m *machine) compared() bool { return len(m.live)+len(m.kept) > 0 }
+
+// markDifferences finds the machines whose speed differs from the ordinary one by more than their error. How much
+// more is necessary depends on how many machines differ (Benjamini-Hochberg): among thousands of equal machines some
+// seem to differ by three errors, while a clear difference of many makes smaller ones credible.
+func (e *Estimator) markDifferences() {
+	var scores []float64
+	for _, m := range e.known {
+		if m.compared() {
+			scores = append(scores, m.score())
+		}
 	}
 	limit := scoreLimit(scores)
-	for _, m := range measured {
-		m.differs = m.score() >= limit && math.Abs(m.offset) >= minDifference
+	for _, m := range e.known {
+		m.differs = m.compared() && m.score() >= limit && math.Abs(m.offset) >= minDifference
 	}
 }
 
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// fitInterval is how often the speeds are estimated.
-	fitInterval = anvilclock.Second
+	// fitInterval is the pause between two estimates of the speeds. Another second is added for every
+	// machinesPerSecond, so that estimates of a large deployment take no larger part of the processor.
+	fitInterval       = anvilclock.Second
+	machinesPerSecond = 10_000
 	// fitRounds is the number of passes over all cohorts and machines in one estimate. Each passes what was
 	// learnt about a machine on to those that were compared with it.
 	fitRounds = 2
@@ -52,47 +54,67 @@
 type Estimator struct {
 	cohorts map[cohortKey]*cohort
 	// order has the cohorts in the order in which they were seen first.
-	order    []*cohort
-	byTask   map[anvilwork.Task]*cohort
+	order []*cohort
+	// byTask has the present runs.
+	byTask   map[anvilwork.Task]*observation
 	machines map[anvilid.MachineID]*machine
 	// known has the machines in the order in which they were seen first.
 	known    []*machine
 	numbered uint64
 	fittedAt anvilclock.Millis
+	buffers  buffers
 }
 
 // NewEstimator returns an estimator that knows no speeds.
 func NewEstimator() *Estimator {
-	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*cohort{}, machines: map[anvilid.MachineID]*machine{}}
+	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{}}
 }
 
 // Observe records a report of a run's progress.
 func (e *Estimator) Observe(now anvilclock.Millis, s Sample) {
+	on := e.machine(s.Machine)
+	on.seenAt = now
+	known := e.byTask[s.Task]
+	if known == nil || known.run != s.Run || known.machine != on || known.cohort.key.remote != s.Remote {
+		e.Forget(s.Task)
+		if known = e.addRun(now, s, on); known == nil {
+			return
+		}
+	}
+	known.pace.add(point{at: now, percent: s.Percent})
+}
+
+// addRun adds a run to its cohort. It returns nil if the cohort is full.
+func (e *Estimator) addRun(now anvilclock.Millis, s Sample, on *machine) *observation {
+	c := e.cohort(s)
+	if len(c.runs) >= maxObservations {
+		return nil
+	}
+	added := &observation{run: s.Run, cohort: c, machine: on, since: now}
+	c.runs = append(c.runs, added)
+	e.byTask[s.Task] = added
+	return added
+}
+
+// cohort returns the cohort of a run, which it adds if necessary.
+func (e *Estimator) cohort(s Sample) *cohort {
 	key, expected := cohortKey{step: s.Task.StepKey(), remote: s.Remote}, taskScatter
 	if s.Gang {
 		key.run, expected = s.Run, memberScatter
 	}
-	c := e.cohorts[key]
-	if c == nil {
-		c = &cohort{key: key, expected: expected, byTask: map[anvilwork.Task]*observation{}}
-		e.cohorts[key] = c
-		e.order = append(e.order, c)
+	known := e.cohorts[key]
+	if known == nil {
+		known = &cohort{key: key, expected: expected}
+		e.cohorts[key] = known
+		e.order = append(e.order, known)
 	}
-	if former := e.byTask[s.Task]; former != c {
-		if former != nil {
-			former.end(s.Task)
-		}
-		e.byTask[s.Task] = c
-	}
-	on := e.machine(s.Machine)
-	on.seenAt = now
-	c.observe(s, now, on)
+	return known
 }
 
 // Forget records that a task has no run any more.
 func (e *Estimator) Forget(task anvilwork.Task) {
-	if c := e.byTask[task]; c != nil {
-		c.end(task)
+	if known := e.byTask[task]; known != nil {
+		known.ended = true
 		delete(e.byTask, task)
 	}
 }
@@ -109,9 +131,9 @@
 	return added
 }
 
-// Fit estimates the speeds anew, at most once per fitInterval, and reports whether it did.
+// Fit estimates the speeds anew if that is due, and reports whether it did.
 func (e *Estimator) Fit(now anvilclock.Millis) bool {
-	if now-e.fittedAt < fitInterval {
+	if now-e.fittedAt < fitInterval+anvilclock.Second*anvilclock.Millis(len(e.known))/machinesPerSecond {
 		return false
 	}
 	e.fittedAt = now
@@ -119,6 +141,7 @@
 	for range fitRounds {
 		e.fitOnce(now)
 	}
+	e.center()
 	e.markDifferences()
 	return true
 }
@@ -129,13 +152,13 @@
 		m.live = m.live[:0]
 	}
 	for _, c := range e.order {
-		c.compare()
+		c.compare(&e.buffers)
 		for _, r := range c.results {
 			r.machine.live = append(r.machine.live, r.comparison)
 		}
 	}
 	for _, m := range e.known {
-		m.update(now)
+		m.update(now, &e.buffers)
 	}
 }
 
@@ -208,7 +231,7 @@
 func (e *Estimator) Counts() Counts {
 	counts := Counts{Slowest: Ordinary, Fastest: Ordinary}
 	for _, m := range e.known {
-		if len(m.live)+len(m.kept) == 0 {
+		if !m.compared() {
 			continue
 		}
 		counts.Compared++
--- a/core/anvilspeed/handover.go
+++ b/core/anvilspeed/handover.go
@@ -43,7 +43,7 @@
 		deviation = ordinaryError
 	}
 	m.keep(comparison{at: now, offset: float64(level) / levelsPerUnit, variance: deviation * deviation, runs: 1})
-	m.update(now)
+	m.update(now, &e.buffers)
 	m.differs = level != 0
 }
 
@@ -56,7 +56,7 @@
 	}
 	var changes []anvilwork.MachineSpeed
 	for _, m := range e.known {
-		if len(m.live)+len(m.kept) == 0 {
+		if !m.compared() {
 			continue
 		}
 		recorded, known := state.SpeedOf(m.id)
--- a/core/anvilspeed/machine.go
+++ b/core/anvilspeed/machine.go
@@ -74,22 +74,37 @@
 
 // update estimates the speed from the comparisons. It starts at the ordinary speed, so that a single extreme
 // value counts as a tail and not as the speed.
-func (m *machine) update(now anvilclock.Millis) {
+func (m *machine) update(now anvilclock.Millis, buffer *buffers) {
 	m.dropContradicted(now)
 	m.offset, m.variance = 0, priorSpread*priorSpread
+	if !m.compared() {
+		return
+	}
+	buffer.offsets, buffer.variances = buffer.offsets[:0], buffer.variances[:0]
+	for _, evidence := range [2][]comparison{m.live, m.kept} {
+		for _, c := range evidence {
+			buffer.offsets = append(buffer.offsets, c.offset)
+			buffer.variances = append(buffer.variances, c.agedVariance(now))
+		}
+	}
 	for range offsetRounds {
 		weights, sum := 1/(priorSpread*priorSpread), 0.0
-		for _, evidence := range [][]comparison{m.live, m.kept} {
-			for _, c := range evidence {
-				weight := tailWeight(c.agedVariance(now), c.offset-m.offset)
-				weights += weight
-				sum += weight * c.offset
-			}
+		for i, offset := range buffer.offsets {
+			weight := tailWeight(buffer.variances[i], offset-m.offset)
+			weights += weight
+			sum += weight * offset
 		}
 		m.offset, m.variance = sum/weights, 1/weights
 	}
 }
 
+// without returns the estimate that follows from all comparisons but one, with its variance.
+func (m *machine) without(c comparison) (offset, variance float64) {
+	weight := tailWeight(c.variance, c.offset-m.offset)
+	others := max(1/m.variance-weight, 1/(priorSpread*priorSpread))
+	return (m.offset/m.variance - weight*c.offset) / others, 1 / others
+}
+
 // agedVariance returns the variance of a comparison, which grows with its age.
 func (c comparison) agedVariance(now anvilclock.Millis) float64 {
 	return c.variance * math.Exp2(float64(now-c.at)/float64(evidenceHalfLife))
@@ -97,6 +112,9 @@
 
 // dropContradicted drops the kept comparisons from before recentTime if those after it show another speed.
 func (m *machine) dropContradicted(now anvilclock.Millis) {
+	if len(m.kept) == 0 {
+		return
+	}
 	var recent, earlier mean
 	for _, c := range m.live {
 		recent.add(c, now)
