Compare with the runs of the last minute, and moved tasks with their own earlier runs

Comparisons that were frozen ten seconds after a step had ended kept the errors of what was known of the other machines then, and moved tasks, which are the longest ones, made the machines that they were moved to seem slow.

--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -13,14 +13,20 @@
 	// work is divided evenly as they end together.
 	taskScatter   = 0.3
 	memberScatter = 0.15
+	// rerunScatter is that of the runs of one task.
+	rerunScatter = 0.1
 	// minScatter bounds the scatter that is learnt, as no two runs progress exactly alike.
 	minScatter = 0.1
 	// scatterPrior is the number of measured differences that the expected scatter counts for.
 	scatterPrior = 8
-	// observationLifetime is how long the rate of an ended run is compared with those of others, at least.
-	observationLifetime = 10 * anvilclock.Second
+	// observationLifetime is how long the rate of an ended run is compared with those of others, unless there are
+	// too many. What is learnt about any of the machines later then still tells more about the others.
+	observationLifetime = anvilclock.Minute
 	// maxObservations bounds the runs that are compared in one cohort.
 	maxObservations = 2048
+	// maxEnded and endedPerMachine bound the ended runs that are still compared.
+	maxEnded        = 10_000
+	endedPerMachine = 2
 )
 
 // cohortKey identifies runs whose work is alike up to scatter.
@@ -31,11 +37,14 @@
 	run anvilwork.Run
 	// remote tells tasks in the rack of their input data from those elsewhere.
 	remote bool
+	// task is set for the runs of a single task: its index plus 1.
+	task int
 }
 
 // observation is the measured pace of one run on a machine.
 type observation struct {
 	run     anvilwork.Run
+	index   int // of the task in its step
 	cohort  *cohort
 	machine *machine
 	pace    pace
@@ -60,30 +69,39 @@
 	comparison comparison
 }
 
-// expire removes the runs that ended some time ago and before all present ones began. Those that ended later are
-// needed: what is left at the end of a step are its longest tasks, on the fast machines more so than on the slow
-// ones, which would seem equal without the short tasks. Machines without other runs in the cohort keep the result
-// of their comparison.
-func (c *cohort) expire(now anvilclock.Millis) {
-	before, oldest := len(c.runs), now-observationLifetime
+// measured returns the run of a task whose pace is known, or nil if there is none.
+func (c *cohort) measured(index int) *observation {
 	for _, o := range c.runs {
-		if !o.ended {
-			oldest = min(oldest, o.since)
+		if o.index != index {
+			continue
+		}
+		if _, _, ok := o.pace.measure(); ok {
+			return o
 		}
 	}
-	c.runs = slices.DeleteFunc(c.runs, func(o *observation) bool { return o.ended && o.pace.latest.at < oldest })
-	if len(c.runs) == before {
-		return
-	}
-	present := map[*machine]bool{}
+	return nil
+}
+
+// expire removes the runs that ended before a time and before all present ones began. Those that ended later are
+// needed: what is left at the end of a step are its longest tasks, on the fast machines more so than on the slow
+// ones, which would seem equal without the short tasks. If there are no present runs, all are removed together, and
+// the machines keep the results of their comparisons.
+func (c *cohort) expire(before anvilclock.Millis) {
+	present, latest := false, anvilclock.Millis(0)
 	for _, o := range c.runs {
-		present[o.machine] = true
+		latest = max(latest, o.pace.latest.at)
+		if !o.ended {
+			present = true
+			before = min(before, o.since)
+		}
 	}
-	c.results = slices.DeleteFunc(c.results, func(r result) bool {
-		if present[r.machine] {
-			return false
+	switch {
+	case present:
+		c.runs = slices.DeleteFunc(c.runs, func(o *observation) bool { return o.ended && o.pace.latest.at < before })
+	case latest < before:
+		c.runs = nil
+		for _, r := range c.results {
+			r.machine.keep(r.comparison)
 		}
-		r.machine.keep(r.comparison)
-		return true
-	})
+	}
 }
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -15,6 +15,9 @@
 	// scatterLimit is the largest difference that counts in full where scatter is measured, in expected standard
 	// deviations. Single tails then don't hide what is learnt from all others.
 	scatterLimit = 3
+	// maxGroupRuns is the number of runs of a machine that count in one cohort. The latest ones do, so that a change
+	// of speed shows in a step that goes on for long.
+	maxGroupRuns = 5
 	// medianLoss is the variance of the median of three or more values, relative to that of their mean.
 	medianLoss = 1.4
 	// centerRounds is the number of steps in which the rate of a cohort is approached.
@@ -101,6 +104,9 @@
 func (c *cohort) readings(buffer *buffers) []reading {
 	readings := buffer.readings[:0]
 	for _, o := range c.runs {
+		if o.pace.latest.at < o.machine.changedAt {
+			continue
+		}
 		if rate, variance, ok := o.pace.measure(); ok {
 			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.pace.latest.at})
 		}
@@ -111,6 +117,10 @@
 
 // newGroup summarizes the readings of one machine. Its variance is that of rounding only.
 func newGroup(readings []reading, buffer *buffers) group {
+	if len(readings) > maxGroupRuns {
+		slices.SortFunc(readings, func(a, b reading) int { return cmp.Compare(b.at, a.at) })
+		readings = readings[:maxGroupRuns]
+	}
 	g := group{machine: readings[0].machine, count: len(readings)}
 	rates := buffer.rates[:0]
 	for _, r := range readings {
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -62,12 +62,14 @@
 	known    []*machine
 	numbered uint64
 	fittedAt anvilclock.Millis
+	// lifetime is the observationLifetime that the number of ended runs allows.
+	lifetime anvilclock.Millis
 	buffers  buffers
 }
 
 // NewEstimator returns an estimator that knows no speeds.
 func NewEstimator() *Estimator {
-	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{}}
+	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{}, lifetime: observationLifetime}
 }
 
 // Observe records a report of a run's progress.
@@ -86,22 +88,43 @@
 
 // addRun adds a run to its cohort. It returns nil if the cohort is full.
 func (e *Estimator) addRun(now anvilclock.Millis, s Sample, on *machine) *observation {
-	c := e.cohort(s)
+	c := e.cohortOf(s)
 	if len(c.runs) >= maxObservations {
 		return nil
 	}
-	added := &observation{run: s.Run, cohort: c, machine: on, since: now}
+	added := &observation{run: s.Run, index: s.Task.Index, cohort: c, machine: on, since: now}
 	c.runs = append(c.runs, added)
 	e.byTask[s.Task] = added
 	return added
 }
 
-// cohort returns the cohort of a run, which it adds if necessary.
-func (e *Estimator) cohort(s Sample) *cohort {
-	key, expected := cohortKey{step: s.Task.StepKey(), remote: s.Remote}, taskScatter
+// cohortOf returns the cohort that a run belongs to. A task that has run before is compared with its earlier run
+// only: the two have the same work, while the tasks that are moved from one machine to another are the longest ones
+// of their step, and would make the machines that they are moved to seem slow.
+func (e *Estimator) cohortOf(s Sample) *cohort {
+	key := cohortKey{step: s.Task.StepKey(), remote: s.Remote}
 	if s.Gang {
-		key.run, expected = s.Run, memberScatter
+		key.run = s.Run
+		return e.cohort(key, memberScatter)
 	}
+	step := e.cohort(key, taskScatter)
+	if s.Run == 1 {
+		return step
+	}
+	earlier := step.measured(s.Task.Index)
+	if earlier == nil {
+		return step
+	}
+	key.task = s.Task.Index + 1
+	reruns := e.cohort(key, rerunScatter)
+	if len(reruns.runs) == 0 {
+		reruns.runs = append(reruns.runs, earlier)
+	}
+	return reruns
+}
+
+// cohort returns the cohort with a key, which it adds if necessary.
+func (e *Estimator) cohort(key cohortKey, expected float64) *cohort {
 	known := e.cohorts[key]
 	if known == nil {
 		known = &cohort{key: key, expected: expected}
@@ -162,10 +185,26 @@
 	}
 }
 
-// expire removes what ended long ago.
+// expire removes what ended long ago. If too much has ended of late, half of the time counts as long.
 func (e *Estimator) expire(now anvilclock.Millis) {
+	e.lifetime = min(2*e.lifetime, observationLifetime)
+	for e.expireBefore(now-e.lifetime) > maxEnded+endedPerMachine*len(e.known) {
+		e.lifetime /= 2
+	}
+	if len(e.known) > maxMachines {
+		e.removeOldest()
+	}
+}
+
+// expireBefore removes what ended before a time. It returns the number of ended runs that are left.
+func (e *Estimator) expireBefore(before anvilclock.Millis) (left int) {
 	for _, c := range e.order {
-		c.expire(now)
+		c.expire(before)
+		for _, o := range c.runs {
+			if o.ended {
+				left++
+			}
+		}
 	}
 	e.order = slices.DeleteFunc(e.order, func(c *cohort) bool {
 		if len(c.runs) > 0 {
@@ -174,9 +213,7 @@
 		delete(e.cohorts, c.key)
 		return true
 	})
-	if len(e.known) > maxMachines {
-		e.removeOldest()
-	}
+	return left
 }
 
 // removeOldest removes the machines beyond maxMachines that were seen longest ago, except those in a cohort.
--- a/core/anvilspeed/machine.go
+++ b/core/anvilspeed/machine.go
@@ -42,11 +42,13 @@
 	number uint64 // in the order in which the machines were seen first
 	// offset is the logarithm of the estimated speed, relative to an ordinary machine.
 	offset, variance float64
-	// live has the comparisons with runs of the present, and kept those from before.
+	// live has the comparisons in the present cohorts, and kept those in former ones.
 	live, kept []comparison
 	// differs reports that the speed differs by more than its error from the ordinary one.
 	differs bool
-	seenAt  anvilclock.Millis
+	// changedAt is when the machine changed its speed: what ended before says nothing about it.
+	changedAt anvilclock.Millis
+	seenAt    anvilclock.Millis
 }
 
 // speed returns the speed, or Ordinary if it isn't known to differ.
@@ -110,20 +112,17 @@
 	return c.variance * math.Exp2(float64(now-c.at)/float64(evidenceHalfLife))
 }
 
-// dropContradicted drops the kept comparisons from before recentTime if those after it show another speed.
+// dropContradicted drops the comparisons from before recentTime if those after it show another speed.
 func (m *machine) dropContradicted(now anvilclock.Millis) {
-	if len(m.kept) == 0 {
-		return
-	}
 	var recent, earlier mean
-	for _, c := range m.live {
-		recent.add(c, now)
-	}
-	for _, c := range m.kept {
-		if now-c.at <= recentTime {
-			recent.add(c, now)
-		} else {
-			earlier.add(c, now)
+	isEarlier := func(c comparison) bool { return now-c.at > recentTime }
+	for _, evidence := range [2][]comparison{m.live, m.kept} {
+		for _, c := range evidence {
+			if isEarlier(c) {
+				earlier.add(c, now)
+			} else {
+				recent.add(c, now)
+			}
 		}
 	}
 	if earlier.count == 0 || recent.count < minContradictions && recent.runs <= minContradictions {
@@ -133,7 +132,9 @@
 	if difference*difference <= contradiction*contradiction*(1/recent.weights+1/earlier.weights) {
 		return
 	}
-	m.kept = slices.DeleteFunc(m.kept, func(c comparison) bool { return now-c.at > recentTime })
+	m.changedAt = now - recentTime
+	m.kept = slices.DeleteFunc(m.kept, isEarlier)
+	m.live = slices.DeleteFunc(m.live, isEarlier)
 }
 
 // mean is a mean of comparisons that is weighted by their variances.
