--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// fitInterval is how often the speeds are estimated.
-	fitInterval = anvilclock.Second
+	// fitInterval is the pause between two estimates of the speeds. Another second is added for every
+	// machinesPerSecond, so that estimates of a large deployment take no larger part of the processor.
+	fitInterval       = anvilclock.Second
+	machinesPerSecond = 10_000
 	// fitRounds is the number of passes over all cohorts and machines in one estimate. Each passes what was
 	// learnt about a machine on to those that were compared with it.
 	fitRounds = 2
@@ -52,47 +54,90 @@
 type Estimator struct {
 	cohorts map[cohortKey]*cohort
 	// order has the cohorts in the order in which they were seen first.
-	order    []*cohort
-	byTask   map[anvilwork.Task]*cohort
+	order []*cohort
+	// byTask has the present runs.
+	byTask   map[anvilwork.Task]*observation
 	machines map[anvilid.MachineID]*machine
 	// known has the machines in the order in which they were seen first.
 	known    []*machine
 	numbered uint64
 	fittedAt anvilclock.Millis
+	// lifetime is the observationLifetime that the number of ended runs allows.
+	lifetime anvilclock.Millis
+	buffers  buffers
 }
 
 // NewEstimator returns an estimator that knows no speeds.
 func NewEstimator() *Estimator {
-	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*cohort{}, machines: map[anvilid.MachineID]*machine{}}
+	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{}, lifetime: observationLifetime}
 }
 
 // Observe records a report of a run's progress.
 func (e *Estimator) Observe(now anvilclock.Millis, s Sample) {
-	key, expected := cohortKey{step: s.Task.StepKey(), remote: s.Remote}, taskScatter
+	on := e.machine(s.Machine)
+	on.seenAt = now
+	known := e.byTask[s.Task]
+	if known == nil || known.run != s.Run || known.machine != on || known.cohort.key.remote != s.Remote {
+		e.Forget(s.Task)
+		if known = e.addRun(now, s, on); known == nil {
+			return
+		}
+	}
+	known.pace.add(point{at: now, percent: s.Percent})
+}
+
+// addRun adds a run to its cohort. It returns nil if the cohort is full.
+func (e *Estimator) addRun(now anvilclock.Millis, s Sample, on *machine) *observation {
+	c := e.cohortOf(s)
+	if len(c.runs) >= maxObservations {
+		return nil
+	}
+	added := &observation{run: s.Run, index: s.Task.Index, cohort: c, machine: on, since: now}
+	c.runs = append(c.runs, added)
+	e.byTask[s.Task] = added
+	return added
+}
+
+// cohortOf returns the cohort that a run belongs to. A task that has run before is compared with its earlier run
+// only: the two have the same work, while the tasks that are moved from one machine to another are the longest ones
+// of their step, and would make the machines that they are moved to seem slow.
+func (e *Estimator) cohortOf(s Sample) *cohort {
+	key := cohortKey{step: s.Task.StepKey(), remote: s.Remote}
 	if s.Gang {
-		key.run, expected = s.Run, memberScatter
+		key.run = s.Run
+		return e.cohort(key, memberScatter)
 	}
-	c := e.cohorts[key]
-	if c == nil {
-		c = &cohort{key: key, expected: expected, byTask: map[anvilwork.Task]*observation{}}
-		e.cohorts[key] = c
-		e.order = append(e.order, c)
+	step := e.cohort(key, taskScatter)
+	if s.Run == 1 {
+		return step
 	}
-	if former := e.byTask[s.Task]; former != c {
-		if former != nil {
-			former.end(s.Task)
-		}
-		e.byTask[s.Task] = c
+	earlier := step.measured(s.Task.Index)
+	if earlier == nil {
+		return step
 	}
-	on := e.machine(s.Machine)
-	on.seenAt = now
-	c.observe(s, now, on)
+	key.task = s.Task.Index + 1
+	reruns := e.cohort(key, rerunScatter)
+	if len(reruns.runs) == 0 {
+		reruns.runs = append(reruns.runs, earlier)
+	}
+	return reruns
+}
+
+// cohort returns the cohort with a key, which it adds if necessary.
+func (e *Estimator) cohort(key cohortKey, expected float64) *cohort {
+	known := e.cohorts[key]
+	if known == nil {
+		known = &cohort{key: key, expected: expected}
+		e.cohorts[key] = known
+		e.order = append(e.order, known)
+	}
+	return known
 }
 
 // Forget records that a task has no run any more.
 func (e *Estimator) Forget(task anvilwork.Task) {
-	if c := e.byTask[task]; c != nil {
-		c.end(task)
+	if known := e.byTask[task]; known != nil {
+		known.ended = true
 		delete(e.byTask, task)
 	}
 }
@@ -109,9 +154,9 @@
 	return added
 }
 
-// Fit estimates the speeds anew, at most once per fitInterval, and reports whether it did.
+// Fit estimates the speeds anew if that is due, and reports whether it did.
 func (e *Estimator) Fit(now anvilclock.Millis) bool {
-	if now-e.fittedAt < fitInterval {
+	if now-e.fittedAt < fitInterval+anvilclock.Second*anvilclock.Millis(len(e.known))/machinesPerSecond {
 		return false
 	}
 	e.fittedAt = now
@@ -119,6 +164,7 @@
 	for range fitRounds {
 		e.fitOnce(now)
 	}
+	e.center()
 	e.markDifferences()
 	return true
 }
@@ -129,20 +175,36 @@
 		m.live = m.live[:0]
 	}
 	for _, c := range e.order {
-		c.compare()
+		c.compare(&e.buffers)
 		for _, r := range c.results {
 			r.machine.live = append(r.machine.live, r.comparison)
 		}
 	}
 	for _, m := range e.known {
-		m.update(now)
+		m.update(now, &e.buffers)
 	}
 }
 
-// expire removes what ended long ago.
+// expire removes what ended long ago. If too much has ended of late, half of the time counts as long.
 func (e *Estimator) expire(now anvilclock.Millis) {
+	e.lifetime = min(2*e.lifetime, observationLifetime)
+	for e.expireBefore(now-e.lifetime) > maxEnded+endedPerMachine*len(e.known) {
+		e.lifetime /= 2
+	}
+	if len(e.known) > maxMachines {
+		e.removeOldest()
+	}
+}
+
+// expireBefore removes what ended before a time. It returns the number of ended runs that are left.
+func (e *Estimator) expireBefore(before anvilclock.Millis) (left int) {
 	for _, c := range e.order {
-		c.expire(now)
+		c.expire(before)
+		for _, o := range c.runs {
+			if o.ended {
+				left++
+			}
+		}
 	}
 	e.order = slices.DeleteFunc(e.order, func(c *cohort) bool {
 		if len(c.runs) > 0 {
@@ -151,9 +213,7 @@
 		delete(e.cohorts, c.key)
 		return true
 	})
-	if len(e.known) > maxMachines {
-		e.removeOldest()
-	}
+	return left
 }
 
 // removeOldest removes the machines beyond maxMachines that were seen longest ago, except those in a cohort.
@@ -208,7 +268,7 @@
 func (e *Estimator) Counts() Counts {
 	counts := Counts{Slowest: Ordinary, Fastest: Ordinary}
 	for _, m := range e.known {
-		if len(m.live)+len(m.kept) == 0 {
+		if !m.compared() {
 			continue
 		}
 		counts.Compared++
