Give operators of the product's own interface evacuations of zones

anvilshunt zone list, evacuate and return, with the gangs that still run in a zone. The zones are replicated in anvilstate and marked on each target, so that the owners stop short requests there, the planner cordons them and Apply refuses gangs. The order is answered once it is in force on all instances.

--- a/core/anvilslot/ledger.go
+++ b/core/anvilslot/ledger.go
@@ -88,7 +88,7 @@
 	Service anvilid.ServiceName `json:"service"`
 	Targets int                 `json:"targets"`
 	// Slots is the number of slots that this owner may use for short requests, whether they are leased
-	// now or not. It is the sum, over the adopted targets that are not leaving and have reported within
+	// now or not. It is the sum, over the adopted targets that are not leaving or evacuated and have reported within
 	// TargetLease, of max(0, min(all slots - gang slots - foreign slots, limit set by SetLimit)). Gang
 	// slots are those reserved for gangs or used by them, whichever are more. Paused targets and the
 	// limits on connections make no difference.
@@ -136,6 +136,7 @@
 	limits       Limits
 	state        State
 	leaving      bool
+	evacuated    bool              // set by SetEvacuated
 	leaseLimit   anvilid.SlotCount // upper bound on own leases, set by SetLimit
 	leaseExpired bool              // no report has arrived within TargetLease
 
@@ -233,6 +234,14 @@
 	}
 }
 
+// SetEvacuated stops dispatch to a target whose zone is evacuated, or resumes it.
+func (l *Ledger) SetEvacuated(id anvilid.TargetID, evacuated bool) {
+	if t, ok := l.targets[id]; ok && t.evacuated != evacuated {
+		t.evacuated = evacuated
+		l.updateFreeSlots(t)
+	}
+}
+
 // SetLimit limits the number of this owner's leases on a target. A limit of 0 ejects the target because it is
 // unhealthy. AcquireOn, which is used for health probes, ignores this limit.
 func (l *Ledger) SetLimit(id anvilid.TargetID, limit anvilid.SlotCount) {
@@ -458,7 +467,7 @@
 // headroom returns how many more leases the target may get if it may have at most limit leases in
 // all. It can be negative.
 func (t *target) headroom(limit anvilid.SlotCount) anvilid.SlotCount {
-	if t.state != Adopted || t.leaving || t.leaseExpired || t.paused {
+	if t.state != Adopted || t.leaving || t.evacuated || t.leaseExpired || t.paused {
 		return 0
 	}
 	own := anvilid.SlotCount(len(t.ownLeases))
@@ -475,7 +484,7 @@
 	s := t.service
 	free := max(0, t.headroom(t.leaseLimit))
 	usable := anvilid.SlotCount(0)
-	if t.state == Adopted && !t.leaving && !t.leaseExpired {
+	if t.state == Adopted && !t.leaving && !t.evacuated && !t.leaseExpired {
 		usable = max(0, min(t.limits.Slots-t.gangSlots()-t.foreign, t.leaseLimit))
 	}
 	s.free += free - t.free
--- a/core/anvilslot/ledger_test.go
+++ b/core/anvilslot/ledger_test.go
@@ -104,6 +104,25 @@
 	assert.DeepEqual(t, l.Loads(UnresponsiveAfter), []Load{{Service: "s", Targets: 2, Running: 4}})
 }
 
+// TestEvacuatedTarget guards against dispatch, probes included, to a target in an evacuated zone, against counting its
+// slots as capacity, and against a target that isn't used again after the evacuation.
+func TestEvacuatedTarget(t *testing.T) {
+	l := newAdoptedLedger(t, 0, "a", "b")
+	running, _ := l.Acquire(1, "s")
+	l.SetEvacuated(running.Target, true)
+	for range 4 {
+		lease, _ := l.Acquire(1, "s")
+		assert.Assert(t, lease.Target != running.Target)
+	}
+	_, ok := l.AcquireOn(1, running.Target)
+	assert.Assert(t, !ok)
+	loads := l.Loads(1)
+	assert.Equal(t, loads[0].Slots, loads[0].Running-1+loads[0].Free)
+	l.SetEvacuated(running.Target, false)
+	lease, _ := l.Acquire(1, "s")
+	assert.Equal(t, lease.Target, running.Target)
+}
+
 // TestStaleOwner guards against dispatch by an owner that has been replaced, and against dispatch
 // to a target that has restarted.
 func TestStaleOwner(t *testing.T) {
--- a/core/anvilstate/command.go
+++ b/core/anvilstate/command.go
@@ -43,6 +43,8 @@
 	// Burn adds the counts of one instance for the service-level objectives (anvilburn.History).
 	Burn  *anvilburn.Batch `cbor:"18,keyasint,omitempty"`
 	Eject *EjectTarget     `cbor:"19,keyasint,omitempty"`
+	// Evacuate begins or ends the evacuation of a zone.
+	Evacuate *EvacuateZone `cbor:"20,keyasint,omitempty"`
 }
 
 // Instance is the record of one instance of the system, which dispatches short requests to
@@ -105,6 +107,8 @@
 	// Ejected means that an owner has ejected the target for its failed requests, and that it hasn't
 	// worked up to its full number of slots since. The next owner begins with probes.
 	Ejected bool `cbor:"16,keyasint,omitempty" json:"ejected,omitempty"`
+	// Evacuated means that the zone of the target is evacuated, so that it gets no new work.
+	Evacuated bool `cbor:"17,keyasint,omitempty" json:"evacuated,omitempty"`
 }
 
 // RegisterTarget adds a target, or a new incarnation of a known one.
--- a/core/anvilstate/machine.go
+++ b/core/anvilstate/machine.go
@@ -23,7 +23,9 @@
 	claims    claims
 	jobs      jobs
 	burn      *anvilburn.History
-	changes   changeRing
+	// evacuations has the evacuated zones.
+	evacuations map[zoneKey]Evacuation
+	changes     changeRing
 	// planningIndex is the result of PlanningIndex. It is not part of snapshots, because a new
 	// leader computes its plan from scratch.
 	planningIndex anvilid.Index
@@ -40,6 +42,8 @@
 		config:    newConfiguration(),
 		claims:    newClaims(),
 		jobs:      newJobs(),
+
+		evacuations: map[zoneKey]Evacuation{},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -109,6 +113,8 @@
 		return m.release(*c.Release)
 	case c.Eject != nil:
 		return m.eject(*c.Eject)
+	case c.Evacuate != nil:
+		return m.evacuate(*c.Evacuate)
 	case c.Rebalance != nil:
 		result.Moved, err = m.rebalance(*c.Rebalance)
 	case c.Claim != nil:
--- a/core/anvilstate/place.go
+++ b/core/anvilstate/place.go
@@ -79,6 +79,8 @@
 	switch {
 	case target.Leaving:
 		return nil, fmt.Errorf("%w: target %q is leaving", ErrStale, target.ID)
+	case target.Evacuated:
+		return nil, fmt.Errorf("%w: the zone of target %q is evacuated", ErrStale, target.ID)
 	case target.Service != job.Service:
 		return nil, fmt.Errorf("%w: target %q serves service %q, and job %q needs service %q",
 			ErrInvalid, target.ID, target.Service, job.ID, job.Service)
--- a/core/anvilstate/script_test.go
+++ b/core/anvilstate/script_test.go
@@ -96,6 +96,9 @@
 	if target, ok := s.m.targets[anvilid.TargetID(name)]; ok {
 		return fmt.Sprintf("owner=%s epoch=%d next=%s reserved=%d leaving=%t", target.Owner, target.Epoch, target.NextOwner, target.Reserved, target.Leaving)
 	}
+	if name == "zones" {
+		return fmt.Sprintf("%+v", s.m.Zones())
+	}
 	if job, ok := s.m.Job(anvilid.JobID(name)); ok {
 		return describeJob(&job)
 	}
@@ -180,6 +183,9 @@
 		return Command{Remove: &RemoveTarget{target, incarnation()}}
 	case "release": // id owner epoch
 		return Command{Release: &ReleaseTarget{target, anvilid.InstanceID(words[2]), anvilid.Epoch(number(words[3]))}}
+	case "evacuate", "return": // region/zone
+		region, zone, _ := strings.Cut(words[1], "/")
+		return Command{Evacuate: &EvacuateZone{anvilid.RegionName(region), anvilid.ZoneName(zone), words[0] == "return"}}
 	case "rebalance":
 		return Command{Rebalance: &Rebalance{Limit: int(number(words[1]))}}
 	case "config":
--- a/core/anvilstate/snapshot.go
+++ b/core/anvilstate/snapshot.go
@@ -41,6 +41,8 @@
 	// Burn contains the encoded counts of requests and jobs for the service-level objectives
 	// (anvilburn.History).
 	Burn []byte `cbor:"17,keyasint,omitempty"`
+	// Evacuations is ordered by region and zone.
+	Evacuations []Evacuation `cbor:"18,keyasint,omitempty"`
 }
 
 type claimRecord struct {
@@ -78,6 +80,7 @@
 		Revision: m.Revision(), Objects: slices.Collect(maps.Values(m.config.current.Objects)),
 		Outcomes: slices.Clone(m.config.order), History: slices.Clone(m.config.history),
 		Held: m.claims.heldRecords(), Ended: m.claims.endedRecords(),
+		Evacuations: slices.Collect(maps.Values(m.evacuations)),
 	}
 	for _, job := range m.jobs.ended {
 		s.EndedJobs = append(s.EndedJobs, job.ID)
@@ -97,6 +100,9 @@
 	slices.SortFunc(s.Held, func(a, b claimRecord) int { return cmp.Compare(a.Token, b.Token) })
 	slices.SortFunc(s.Jobs, func(a, b Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
 	slices.SortFunc(s.Reserved, func(a, b reservationsOfTarget) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(s.Evacuations, func(a, b Evacuation) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone))
+	})
 	var err error
 	if s.Burn, err = c.burn.Encode(); err != nil {
 		return nil, fmt.Errorf("encode the history of service-level objectives: %w", err)
@@ -130,6 +136,9 @@
 		m.owners.add(&target)
 		m.capacity.add(&target, 1)
 	}
+	for _, evacuation := range s.Evacuations {
+		m.evacuations[zoneKey{evacuation.Region, evacuation.Zone}] = evacuation
+	}
 	m.config.restore(s)
 	for i := range s.Ended {
 		s.Ended[i].Key = m.intern(s.Ended[i].Key)
--- a/core/anvilstate/target.go
+++ b/core/anvilstate/target.go
@@ -12,6 +12,7 @@
 			ErrInvalid, target.ID)
 	}
 	target.Owner, target.Epoch, target.NextOwner, target.Reserved, target.Ejected = "", 0, "", 0, false
+	_, target.Evacuated = m.evacuations[zoneOf(&target)]
 	known, ok := m.targets[target.ID]
 	if ok && known.Incarnation > target.Incarnation {
 		return fmt.Errorf("%w: target %q registered with incarnation %d, which is older than its current incarnation %d", ErrStale,
--- a/io/anvilclient/client.go
+++ b/io/anvilclient/client.go
@@ -249,3 +249,24 @@
 	}
 	return c.call(ctx, http.MethodPost, "/v1/targets/"+url.PathEscape(string(id))+"/drain", nil, &reply)
 }
+
+// Zones lists the zones that have targets or are evacuated.
+func (c *Client) Zones(ctx context.Context) ([]anvilstate.ZoneStatus, error) {
+	var zones []anvilstate.ZoneStatus
+	err := c.call(ctx, http.MethodGet, "/v1/zones", nil, &zones)
+	return zones, err
+}
+
+// ChangeZone begins the evacuation of a zone, or ends it. It reports whether that is in force on all instances.
+func (c *Client) ChangeZone(ctx context.Context, region anvilid.RegionName, zone anvilid.ZoneName, end bool) (everywhere bool, err error) {
+	method := http.MethodPost
+	if end {
+		method = http.MethodDelete
+	}
+	var reply struct {
+		Everywhere bool `json:"everywhere"`
+	}
+	path := "/v1/zones/" + url.PathEscape(string(region)) + "/" + url.PathEscape(string(zone)) + "/evacuation"
+	err = c.call(ctx, method, path, nil, &reply)
+	return reply.Everywhere, err
+}
--- a/io/anvilcmd/command_test.go
+++ b/io/anvilcmd/command_test.go
@@ -132,6 +132,7 @@
 		{"job view none", 1, `job "none"`},
 		{"job submit --account a --service s --accelerators 64", 1, "the largest rack has 32"},
 		{"target view t9", 1, "list targets with `anvilshunt target list`"},
+		{"zone evacuate palermo", 2, "write REGION/ZONE"},
 		{"instance view i9", 1, "list instances with `anvilshunt instance list`"},
 		{"account view nobody", 1, "list them with `anvilshunt account list`"},
 		{"", 2, "SUBCOMMANDS"},
@@ -253,6 +254,10 @@
 		"GET /v1/config": {http.StatusOK, `{"revision": 41, "objects": [
 			{"kind": "account", "name": "agency", "spec": {"weight": 3}, "revision": 41}]}`},
 		"GET /v1/config/history": {http.StatusOK, `[]`},
+		"GET /v1/zones": {http.StatusOK, `[{"region": "west", "zone": "palermo", "evacuated": 1700000000000, "targets": 2, "reserved": 16, "jobs": ["storm-7"]},
+			{"region": "west", "zone": "trapani", "targets": 1, "reserved": 0}]`},
+		"POST /v1/zones/west/pal%25ermo/evacuation": {http.StatusOK, `{"evacuated": true, "everywhere": true}`},
+		"DELETE /v1/zones/west/palermo/evacuation":  {http.StatusOK, `{"evacuated": false, "everywhere": false}`},
 	})
 	for _, c := range []struct {
 		name     string
@@ -264,6 +269,9 @@
 		{"instances", false, "instance list", "palermo-1\twest\tpalermo\t10.1.0.1:8081\t10.1.0.1:9081\tfalse\n"},
 		{"jobs", false, "job list", "storm-7\tagency\tplanner\t16\track\trunning\t\n"},
 		{"one job", false, "job view storm-7", "storm-7\tagency\tplanner\t16\track\trunning\t\n"},
+		{"zones", false, "zone list", "west/palermo\ttrue\t2\t1\t16\nwest/trapani\tfalse\t1\t0\t0\n"},
+		{"evacuation", false, "zone evacuate west/pal%ermo", "zone west/pal%ermo receives no new work, on all instances\n"},
+		{"return", false, "zone return west/palermo", "zone west/palermo is used, not confirmed by all instances yet\n"},
 		{"accounts", false, "account list", "agency\t41\t{\"kind\":\"account\",\"name\":\"agency\",\"spec\":{\"weight\":3},\"revision\":41}\n"},
 		{"no shapes", false, "shape list", ""},
 		{"empty history", false, "config history", ""},
@@ -277,7 +285,7 @@
 			assert.Equal(t, got.out, c.want)
 		})
 	}
-	for _, args := range []string{"target list", "instance list", "job list", "job view storm-7", "status", "config view", "config history", "account list"} {
+	for _, args := range []string{"target list", "instance list", "job list", "job view storm-7", "status", "config view", "config history", "account list", "zone list"} {
 		got := run(true, i.address(), append(strings.Fields(args), "--json")...)
 		assert.Assert(t, got.code == 0 && json.Valid([]byte(got.out)), "%s --json: %s%s", args, got.out, got.err)
 	}
--- a/io/anvilcmd/root.go
+++ b/io/anvilcmd/root.go
@@ -20,6 +20,7 @@
 	"anvilshunt/io/anvilcmd/anvilservecmd"
 	"anvilshunt/io/anvilcmd/anvilstatuscmd"
 	"anvilshunt/io/anvilcmd/anviltargetcmd"
+	"anvilshunt/io/anvilcmd/anvilzonecmd"
 )
 
 // Main parses the arguments, runs the command that they select and returns its exit code.
@@ -37,6 +38,7 @@
 			anvilobjectcmd.New(factory, anvilconfig.KindService),
 			anviljobcmd.New(factory),
 			anviltargetcmd.New(factory),
+			anvilzonecmd.New(factory),
 			anvilreportcmd.New(factory),
 			anvilinstancecmd.New(factory),
 			anvilstatuscmd.New(factory),
--- a/io/anvilcontrol/query.go
+++ b/io/anvilcontrol/query.go
@@ -22,6 +22,7 @@
 	QueryHistory = "history"
 	QueryCheck   = "check"
 	QueryBurn    = "burn"
+	QueryZones   = "zones"
 )
 
 // ErrNotFound means that the queried object does not exist.
@@ -65,6 +66,8 @@
 		return job, ok, nil
 	case QueryJobs:
 		return machine.Jobs(), true, nil
+	case QueryZones:
+		return machine.Zones(), true, nil
 	case QueryHistory:
 		return append([]anvilstate.Published(nil), machine.History()...), true, nil
 	case QueryCheck:
--- a/io/anvilfleet/fleet.go
+++ b/io/anvilfleet/fleet.go
@@ -168,6 +168,7 @@
 	if target.Leaving {
 		f.ledger.SetLeaving(target.ID)
 	}
+	f.ledger.SetEvacuated(target.ID, target.Evacuated)
 	if target.NextOwner != "" {
 		f.ledger.Drain(target.ID)
 	}
--- a/io/anvilgang/planner.go
+++ b/io/anvilgang/planner.go
@@ -90,7 +90,7 @@
 			p.removeTarget(target.ID)
 			ok = false
 		}
-		usable := !target.Leaving && target.Owner != "" && !state.ShortOnlyTargets[target.ID]
+		usable := !target.Leaving && !target.Evacuated && target.Owner != "" && !state.ShortOnlyTargets[target.ID]
 		switch {
 		case usable && (!ok || p.cordoned[target.ID]):
 			p.addTarget(target)
--- a/io/anvilhttp/api.go
+++ b/io/anvilhttp/api.go
@@ -55,7 +55,10 @@
 	Jobs            func(context.Context) ([]anvilstate.Job, error)
 	CancelJob       func(context.Context, anvilid.JobID) (anvilstate.Result, error)
 	DrainTarget     func(context.Context, anvilid.TargetID) error
-	Metrics         func(io.Writer) error
+	Zones           func(context.Context) ([]anvilstate.ZoneStatus, error)
+	// EvacuateZone begins or ends the evacuation of a zone, and reports whether that is in force on all instances.
+	EvacuateZone func(context.Context, anvilstate.EvacuateZone) (result anvilstate.Result, everywhere bool, err error)
+	Metrics      func(io.Writer) error
 }
 
 // Limits bound the size of a request.
--- a/io/anvilserver/api.go
+++ b/io/anvilserver/api.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilcontrol"
 	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvillogs"
 )
 
 // operatorTimeout limits one call of an operator, and one call that submits, reads or cancels a job.
@@ -42,6 +45,8 @@
 		Jobs:            s.jobs,
 		CancelJob:       s.cancelJob,
 		DrainTarget:     s.drainTarget,
+		Zones:           s.zones,
+		EvacuateZone:    s.evacuateZone,
 		Metrics:         s.metrics.write,
 	}
 }
@@ -169,6 +174,23 @@
 	return controlError(err)
 }
 
+func (s *Server) zones(ctx context.Context) ([]anvilstate.ZoneStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	var zones []anvilstate.ZoneStatus
+	err := s.client.Query(ctx, anvilcontrol.QueryZones, "", nil, &zones)
+	return zones, controlError(err)
+}
+
+func (s *Server) evacuateZone(ctx context.Context, command anvilstate.EvacuateZone) (anvilstate.Result, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	result, everywhere, err := s.client.ProposeEverywhere(ctx, &anvilstate.Command{Evacuate: &command})
+	s.log.Write(anvillogs.ZoneEvacuated, zap.String("region", string(command.Region)), zap.String("zone", string(command.Zone)),
+		zap.Bool("end", command.End), zap.String("refused", result.Code), zap.Bool("everywhere", everywhere), zap.Error(err))
+	return result, everywhere, controlError(err)
+}
+
 func controlError(err error) error {
 	switch {
 	case errors.Is(err, anvilcontrol.ErrNotFound):
