--- a/core/anvilexplain/explain.go
+++ b/core/anvilexplain/explain.go
@@ -35,6 +35,9 @@
 // ErrUnknown is returned for an id that no log line contains.
 var ErrUnknown = errors.New("no log line contains this id")
 
+// slowSpeed is the lasting speed of a target below which its runs count as placed on a slow one.
+const slowSpeed = 0.9
+
 // maxLine is the maximum length of a log line in bytes.
 const maxLine = 1 << 20
 
@@ -139,6 +142,10 @@
 	last        map[int]Line // latest line with each event number
 	failedRuns  int
 	evictedRuns int
+	// slowRuns is the number of runs that were placed on targets of less than slowSpeed, and slowest the
+	// lowest speed of all.
+	slowRuns int
+	slowest  float64
 	// idle is the longest time in ms for which no task was at work, and idleLine the line with it.
 	idle     float64
 	idleLine Line
@@ -150,6 +157,9 @@
 	for _, line := range lines {
 		t.events[line.Event]++
 		t.last[line.Event] = line
+		if speed, known := line.Fields["speed"].(float64); line.Event == eventRunPlaced && known {
+			t.addSpeed(speed)
+		}
 		if line.Event == eventRunEnded && line.Fields["outcome"] == float64(outcomeFailed) {
 			t.failedRuns++
 		}
@@ -160,6 +170,17 @@
 	return t
 }
 
+// addSpeed counts a run that was placed on a target with the given speed.
+func (t *eventCounts) addSpeed(speed float64) {
+	if speed >= slowSpeed {
+		return
+	}
+	if t.slowRuns == 0 || speed < t.slowest {
+		t.slowest = speed
+	}
+	t.slowRuns++
+}
+
 func verdict(id string, lines []Line) string {
 	t := countEvents(id, lines)
 	ended, hasEnded := t.last[eventJobEnded]
@@ -212,6 +233,9 @@
 	add(t.events[eventStartUnanswered], "%d starts got no answer from the target")
 	add(t.events[eventStartUnconfirmed], "%d starts were not confirmed by the target")
 	add(t.events[eventPlacementRevoked], "%d placements were revoked")
+	if t.slowRuns > 0 {
+		causes = append(causes, fmt.Sprintf("%d runs were placed on slower targets than ordinary ones (the slowest has %.2f of their speed)", t.slowRuns, t.slowest))
+	}
 	if t.idle > 0 {
 		causes = append(causes, fmt.Sprintf("none of its tasks was at work for %.0f ms (%s)", t.idle, idleCauses(t.idleLine)))
 	}
--- a/core/anvilorder/progress.go
+++ b/core/anvilorder/progress.go
@@ -38,8 +38,8 @@
 	return job.Spec.Steps[task.Step], true
 }
 
-// speedOf returns the lasting speed of a target.
-func (t *Tracker) speedOf(id anvilid.TargetID) anvilspeed.Factor {
+// SpeedOf returns the lasting speed of a target.
+func (t *Tracker) SpeedOf(id anvilid.TargetID) anvilspeed.Factor {
 	known := t.targets[id]
 	if known == nil {
 		return anvilspeed.Ordinary
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -178,7 +178,7 @@
 		token: token, timing: timing, electedAt: elected, targets: map[anvilid.TargetID]*target{}, lateStarts: lateStarts{},
 		Speeds: anvilspeed.New(), Lasting: anvilspeed.NewEstimator(),
 	}
-	t.Speeds.Factor = t.speedOf
+	t.Speeds.Factor = t.SpeedOf
 	return t
 }
 
--- a/io/anvilcmd/anvilreportcmd/report.go
+++ b/io/anvilcmd/anvilreportcmd/report.go
@@ -1,5 +1,5 @@
 // Package anvilreportcmd implements the commands that report how past requests and jobs met the
-// service-level objectives.
+// service-level objectives, and what was learnt about targets.
 package anvilreportcmd
 
 import (
@@ -12,8 +12,8 @@
 func New(factory *anvilfactory.Factory) *ff.Command {
 	return &ff.Command{
 		Name:        "report",
-		Usage:       "anvilshunt report <burn> ...",
-		ShortHelp:   "report how past requests and jobs met the service-level objectives",
-		Subcommands: []*ff.Command{newBurn(factory)},
+		Usage:       "anvilshunt report <burn|speeds> ...",
+		ShortHelp:   "report how past requests and jobs met their objectives, and how fast targets are",
+		Subcommands: []*ff.Command{newBurn(factory), newSpeeds(factory)},
 	}
 }
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -133,8 +133,14 @@
 	switch {
 	case command.Place != nil:
 		for _, a := range command.Place.Assignments {
-			r.log.Write(anvillogs.RunPlaced, zap.Stringer("task", a.Task), zap.Uint64("run", uint64(a.Run)),
-				zap.String("target", string(a.Target)), zap.Uint8("result", uint8(result)))
+			fields := []zap.Field{
+				zap.Stringer("task", a.Task), zap.Uint64("run", uint64(a.Run)),
+				zap.String("target", string(a.Target)), zap.Uint8("result", uint8(result)),
+			}
+			if speed := r.tracker.SpeedOf(a.Target); speed != anvilspeed.Ordinary {
+				fields = append(fields, zap.Float64("speed", hundredths(float64(speed))))
+			}
+			r.log.Write(anvillogs.RunPlaced, fields...)
 		}
 	case command.RecordRunEnds != nil:
 		for _, end := range command.RecordRunEnds.Ends {
--- a/io/anvillead/speeds.go
+++ b/io/anvillead/speeds.go
@@ -13,7 +13,7 @@
 	// recordSpeedsInterval is how often speeds of machines are recorded if they have changed.
 	recordSpeedsInterval = 5 * anvilclock.Second
 	// maxLoggedSpeeds is the number of machines that one line of the log names.
-	maxLoggedSpeeds = 100
+	maxLoggedSpeeds = 40
 )
 
 // inheritSpeeds takes over the speeds of machines that earlier leaders have recorded. The caller must have locked mu.
