Learn how evenly the work of gangs is divided, and leave out pauses

The members of a gang were taken to differ by 0.15 of the logarithm, so that speeds of 0.77 and 1 were hardly told apart; the scatter of each kind of cohort is now learnt from how well cohorts agree. A pause in a run counted as a slow pace until the next stretch was measured.

--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -8,17 +8,6 @@
 )
 
 const (
-	// taskScatter and memberScatter are the standard deviations of the logarithms of the work of tasks that
-	// are expected before anything is known: of independent tasks of a step, and of members of a gang, whose
-	// work is divided evenly as they end together.
-	taskScatter   = 0.3
-	memberScatter = 0.15
-	// rerunScatter is that of the runs of one task.
-	rerunScatter = 0.1
-	// minScatter bounds the scatter that is learnt, as no two runs progress exactly alike.
-	minScatter = 0.1
-	// scatterPrior is the number of measured differences that the expected scatter counts for.
-	scatterPrior = 8
 	// observationLifetime is how long the rate of an ended run is compared with those of others, unless there are
 	// too many. What is learnt about any of the machines later then still tells more about the others.
 	observationLifetime = anvilclock.Minute
@@ -56,9 +45,9 @@
 // cohort contains the runs that are compared with each other.
 type cohort struct {
 	key cohortKey
-	// expected is the scatter of the runs before any is measured.
-	expected float64
-	runs     []*observation
+	// kind decides which scatter is expected of the runs.
+	kind kind
+	runs []*observation
 	// results has the comparison of each machine with the others at the latest fit.
 	results []result
 }
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -12,9 +11,6 @@
 	// tailFreedom is the number of degrees of freedom of the distribution (Student's t) that the work of
 	// tasks is taken to have. A small number lets a few tasks that take many times as long count little.
 	tailFreedom = 4
-	// scatterLimit is the largest difference that counts in full where scatter is measured, in expected standard
-	// deviations. Single tails then don't hide what is learnt from all others.
-	scatterLimit = 3
 	// maxGroupRuns is the number of runs of a machine that count in one cohort. The latest ones do, so that a change
 	// of speed shows in a step that goes on for long.
 	maxGroupRuns = 5
@@ -56,8 +52,8 @@
 }
 
 // compare compares each machine on which the cohort has run with the others.
-func (c *cohort) compare(buffer *buffers) {
-	groups := c.groups(buffer)
+func (c *cohort) compare(expected *scatters, buffer *buffers) {
+	groups := c.groups(expected[c.kind].deviation(), buffer)
 	c.addElsewhere(groups)
 	c.results = c.results[:0]
 	if len(groups) < 2 {
@@ -73,6 +69,9 @@
 		// The machine itself is left out of what it is compared with, or it would confirm itself.
 		others := weights - g.weight
 		reference := (sum - g.weight*g.workRate()) / others
+		if g.count == 1 {
+			expected[c.kind].add(g.rate-reference-g.elsewhere, g.variance+g.elsewhereVariance+1/others)
+		}
 		c.results = append(c.results, result{g.machine, comparison{
 			at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count,
 		}})
@@ -80,11 +79,11 @@
 }
 
 // groups returns the runs whose pace is known, by machine.
-func (c *cohort) groups(buffer *buffers) []group {
+func (c *cohort) groups(expected float64, buffer *buffers) []group {
 	readings := c.readings(buffer)
 	slices.SortStableFunc(readings, func(a, b reading) int { return cmp.Compare(a.machine.number, b.machine.number) })
 	groups := buffer.groups[:0]
-	scatter := scatterSum{variance: c.expected * c.expected * scatterPrior, count: scatterPrior, limit: scatterLimit * c.expected}
+	scatter := newScatterSum(expected)
 	for len(readings) > 0 {
 		end := 1
 		for end < len(readings) && readings[end].machine == readings[0].machine {
@@ -148,21 +147,6 @@
 	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2
 }
 
-// scatterSum measures how much the work of the runs of a cohort differs, from runs on the same machine. The
-// speeds of machines don't matter for it.
-type scatterSum struct{ variance, count, limit float64 }
-
-// add adds the runs of one machine.
-func (s *scatterSum) add(readings []reading, middle float64) {
-	for _, r := range readings {
-		difference := min(math.Abs(r.rate-middle), s.limit)
-		s.variance += difference * difference
-	}
-	s.count += float64(len(readings) - 1)
-}
-
-func (s *scatterSum) mean() float64 { return max(s.variance/s.count, minScatter*minScatter) }
-
 // addElsewhere sets what other cohorts say about the machines. What the cohort itself has said is left out: a gang
 // on slow machines only would otherwise confirm that they are all ordinary.
 func (c *cohort) addElsewhere(groups []group) {
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -64,12 +64,17 @@
 	fittedAt anvilclock.Millis
 	// lifetime is the observationLifetime that the number of ended runs allows.
 	lifetime anvilclock.Millis
+	// scatters has the scatter that is expected of each kind of cohort.
+	scatters scatters
 	buffers  buffers
 }
 
 // NewEstimator returns an estimator that knows no speeds.
 func NewEstimator() *Estimator {
-	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{}, lifetime: observationLifetime}
+	return &Estimator{
+		cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{},
+		lifetime: observationLifetime, scatters: newScatters(),
+	}
 }
 
 // Observe records a report of a run's progress.
@@ -105,9 +110,9 @@
 	key := cohortKey{step: s.Task.StepKey(), remote: s.Remote}
 	if s.Gang {
 		key.run = s.Run
-		return e.cohort(key, memberScatter)
+		return e.cohort(key, members)
 	}
-	step := e.cohort(key, taskScatter)
+	step := e.cohort(key, tasks)
 	if s.Run == 1 {
 		return step
 	}
@@ -116,18 +121,18 @@
 		return step
 	}
 	key.task = s.Task.Index + 1
-	reruns := e.cohort(key, rerunScatter)
-	if len(reruns.runs) == 0 {
-		reruns.runs = append(reruns.runs, earlier)
+	ofTask := e.cohort(key, reruns)
+	if len(ofTask.runs) == 0 {
+		ofTask.runs = append(ofTask.runs, earlier)
 	}
-	return reruns
+	return ofTask
 }
 
 // cohort returns the cohort with a key, which it adds if necessary.
-func (e *Estimator) cohort(key cohortKey, expected float64) *cohort {
+func (e *Estimator) cohort(key cohortKey, kind kind) *cohort {
 	known := e.cohorts[key]
 	if known == nil {
-		known = &cohort{key: key, expected: expected}
+		known = &cohort{key: key, kind: kind}
 		e.cohorts[key] = known
 		e.order = append(e.order, known)
 	}
@@ -175,11 +180,12 @@
 		m.live = m.live[:0]
 	}
 	for _, c := range e.order {
-		c.compare(&e.buffers)
+		c.compare(&e.scatters, &e.buffers)
 		for _, r := range c.results {
 			r.machine.live = append(r.machine.live, r.comparison)
 		}
 	}
+	e.scatters.learn()
 	for _, m := range e.known {
 		m.update(now, &e.buffers)
 	}
--- a/core/anvilspeed/pace.go
+++ b/core/anvilspeed/pace.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// minPaceSpan is the shortest time over which the pace of a run is measured.
+	// minPaceSpan is the shortest stretch over which the pace of a run is measured.
 	minPaceSpan = 700 * anvilclock.Millisecond
 	// minPacePercent is the smallest progress over which the pace is measured, as reports are in whole
 	// percent.
@@ -30,9 +30,11 @@
 
 // pace measures the lasting rate of one run.
 type pace struct {
-	// base is the first report of the present pace, and mark the one from which the next stretch is
-	// measured that is compared with it.
+	// base is the first report of the present pace, and mark the last one that is known to belong to it. The stretch
+	// from there to the latest report is compared with it once it is long enough.
 	base, mark, latest point
+	// stretches is the number of stretches between base and mark.
+	stretches int
 	// moving reports that the run has begun its work, which may be some time after its start.
 	moving bool
 	// changed reports that the run had another pace before base.
@@ -54,18 +56,14 @@
 		return
 	}
 	p.latest = r
-	if !measurable(p.mark, r, minPaceSpan) {
+	if r.at-p.mark.at < minPaceSpan || r.percent-p.mark.percent < minPacePercent {
 		return
 	}
-	if measurable(p.base, p.mark, minPaceSpan) && hasDrifted(p.base, p.mark, r) {
-		p.base, p.changed = p.mark, true
+	if p.stretches > 0 && hasDrifted(p.base, p.mark, r) {
+		p.base, p.stretches, p.changed = p.mark, 0, true
 	}
 	p.mark = r
-}
-
-// measurable reports whether the two reports are far enough apart for a rate.
-func measurable(from, to point, span anvilclock.Millis) bool {
-	return to.at-from.at >= span && to.percent-from.percent >= minPacePercent
+	p.stretches++
 }
 
 // hasDrifted reports whether the rate from mark to last differs from the one from base to mark.
@@ -85,14 +83,11 @@
 	return relative * relative
 }
 
-// measure returns the logarithm of the present rate and its variance, or false if it isn't known yet.
+// measure returns the logarithm of the present rate and its variance, or false if it isn't known yet. After a change,
+// a second stretch must confirm it: the first one may have been a pause.
 func (p *pace) measure() (rate, variance float64, ok bool) {
-	span := minPaceSpan
-	if p.changed {
-		span = paceSettleTime
-	}
-	if !measurable(p.base, p.latest, span) {
+	if p.stretches == 0 || p.changed && (p.stretches < 2 || p.mark.at-p.base.at < paceSettleTime) {
 		return 0, 0, false
 	}
-	return logRate(p.base, p.latest), roundingVariance(p.base, p.latest), true
+	return logRate(p.base, p.mark), roundingVariance(p.base, p.mark), true
 }
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -153,7 +153,7 @@
 	case command.RecordCheckpoints != nil:
 		r.log.Write(anvillogs.CheckpointsKept, zap.Stringers("runs", command.RecordCheckpoints.Runs))
 	case command.RecordSpeeds != nil:
-		r.logSpeeds(command.RecordSpeeds.Speeds)
+		r.unloggedSpeeds = append(r.unloggedSpeeds, command.RecordSpeeds.Speeds...)
 	case command.ExpireLease != nil:
 		r.log.Write(anvillogs.TargetLeaseExpired, zap.String("target", string(command.ExpireLease.Target)), zap.Int("runs", len(command.ExpireLease.Runs)))
 	}
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -62,7 +62,9 @@
 	summary         *summary
 	// speedsRecordedAt is when a commit of speeds of machines was requested last.
 	speedsRecordedAt anvilclock.Millis
-	idle             idleWatch
+	// unloggedSpeeds has the speeds that were recorded and not yet logged.
+	unloggedSpeeds []anvilwork.MachineSpeed
+	idle           idleWatch
 	// firstRunAt maps each job that had not ended at the last plan to the log
 	// time of its first run, or to 0 if it had none.
 	firstRunAt map[anvilid.JobID]anvilclock.Millis
--- a/io/anvillead/speeds.go
+++ b/io/anvillead/speeds.go
@@ -14,6 +14,9 @@
 	recordSpeedsInterval = 5 * anvilclock.Second
 	// maxLoggedSpeeds is the number of machines that one line of the log names.
 	maxLoggedSpeeds = 40
+	// speedLinesPerFit is the number of such lines after one estimate. More lines of one event in a short time would
+	// be folded.
+	speedLinesPerFit = 2
 )
 
 // inheritSpeeds takes over the speeds of machines that earlier leaders have recorded. The caller must have locked mu.
@@ -26,7 +29,11 @@
 // learnSpeeds estimates the lasting speeds of machines anew if that is due, and requests a commit of those that have
 // changed. The caller must have locked mu.
 func (r *leadership) learnSpeeds(now anvilclock.Millis) {
-	if !r.tracker.Lasting.Fit(now) || now-r.speedsRecordedAt < recordSpeedsInterval {
+	if !r.tracker.Lasting.Fit(now) {
+		return
+	}
+	r.logSpeeds()
+	if now-r.speedsRecordedAt < recordSpeedsInterval {
 		return
 	}
 	changes := r.tracker.Lasting.Changes(r.state)
@@ -37,21 +44,28 @@
 	r.pendingCommands = append(r.pendingCommands, anvilwork.Command{RecordSpeeds: &anvilwork.RecordSpeeds{Speeds: changes}})
 }
 
-// logSpeeds logs recorded speeds with their evidence.
-func (r *leadership) logSpeeds(recorded []anvilwork.MachineSpeed) {
-	for len(recorded) > 0 {
-		count := min(len(recorded), maxLoggedSpeeds)
-		machines, speeds := make([]string, count), make([]float64, count)
-		errs, comparisons := make([]float64, count), make([]int, count)
-		for i, speed := range recorded[:count] {
-			estimate := r.tracker.Lasting.Estimate(speed.Machine)
-			machines[i], speeds[i] = string(speed.Machine), hundredths(float64(anvilspeed.FactorOf(speed.Level)))
-			errs[i], comparisons[i] = hundredths(estimate.Error), estimate.Comparisons
+// logSpeeds logs speeds that were recorded, with their evidence, a few lines at a time.
+func (r *leadership) logSpeeds() {
+	for range speedLinesPerFit {
+		count := min(len(r.unloggedSpeeds), maxLoggedSpeeds)
+		if count == 0 {
+			return
 		}
-		r.log.Write(anvillogs.SpeedsRecorded, zap.Strings("machines", machines), zap.Float64s("speeds", speeds),
-			zap.Float64s("errors", errs), zap.Ints("comparisons", comparisons))
-		recorded = recorded[count:]
+		r.logSpeedLine(r.unloggedSpeeds[:count])
+		r.unloggedSpeeds = r.unloggedSpeeds[count:]
+	}
+}
+
+func (r *leadership) logSpeedLine(recorded []anvilwork.MachineSpeed) {
+	machines, speeds := make([]string, len(recorded)), make([]float64, len(recorded))
+	errs, comparisons := make([]float64, len(recorded)), make([]int, len(recorded))
+	for i, speed := range recorded {
+		estimate := r.tracker.Lasting.Estimate(speed.Machine)
+		machines[i], speeds[i] = string(speed.Machine), hundredths(float64(anvilspeed.FactorOf(speed.Level)))
+		errs[i], comparisons[i] = hundredths(estimate.Error), estimate.Comparisons
 	}
+	r.log.Write(anvillogs.SpeedsRecorded, zap.Strings("machines", machines), zap.Float64s("speeds", speeds),
+		zap.Float64s("errors", errs), zap.Ints("comparisons", comparisons))
 }
 
 // speedFields returns how many machines have been compared and how many differ, with the lowest and the highest
