--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -340,7 +340,7 @@
 				effects.Begun = append(effects.Begun, task.Job)
 			}
 			r.observeCheckpoint(entry.Checkpoint)
-			t.observeProgress(answer.Received, target, entry)
+			t.observeProgress(answer.Answer, target, entry)
 		case ended[task] >= r.number:
 			// the answer lists the end of this run, and commitEnds takes care of it
 		default:
--- a/core/anvilorder/progress.go
+++ b/core/anvilorder/progress.go
@@ -8,15 +8,19 @@
 )
 
 // observeProgress passes the progress of a run that a target has listed on to those that rate targets by it.
-func (t *Tracker) observeProgress(at anvilclock.Millis, target *target, entry Running) {
-	t.Speeds.Observe(at, target.record.ID, entry.Task, entry.Run, entry.Percent)
+func (t *Tracker) observeProgress(answer Answer, target *target, entry Running) {
+	t.Speeds.Observe(answer.Received, target.record.ID, entry.Task, entry.Run, entry.Percent)
 	step, ok := t.step(entry.Task)
 	if !ok || step.LongRunning || step.BestEffort {
 		// The first has no end to progress to, and the second goes at the pace that others leave it.
 		return
 	}
-	t.Lasting.Observe(at, anvilspeed.Sample{
-		Machine: target.record.MachineOrSelf(), Task: entry.Task, Run: entry.Run, Percent: entry.Percent, Gang: step.Gang,
+	at := answer.Received
+	if answer.Clock > 0 {
+		at = anvilclock.Millis(answer.Clock)
+	}
+	t.Lasting.Observe(answer.Received, anvilspeed.Sample{
+		At: at, Machine: target.record.MachineOrSelf(), Task: entry.Task, Run: entry.Run, Percent: entry.Percent, Gang: step.Gang,
 		Remote: step.PreferredRack != "" && step.PreferredRack != target.record.Rack,
 	})
 }
--- a/core/anvilspeed/bench_test.go
+++ b/core/anvilspeed/bench_test.go
@@ -37,6 +37,7 @@
 func reportAll(e *Estimator, samples []Sample, rates []float64, second int) {
 	for i := range samples {
 		samples[i].Percent = min(int(rates[i]*float64(second%10)), 99)
+		samples[i].At = anvilclock.Millis(second) * anvilclock.Second
 		e.Observe(anvilclock.Millis(second)*anvilclock.Second, samples[i])
 	}
 }
--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -37,9 +37,9 @@
 	cohort  *cohort
 	machine *machine
 	pace    pace
-	// since is when the run was reported first.
-	since anvilclock.Millis
-	ended bool
+	// since is when the run was reported first, and reportedAt when it was reported last, by the leader's clock.
+	since, reportedAt anvilclock.Millis
+	ended             bool
 }
 
 // cohort contains the runs that are compared with each other.
@@ -78,7 +78,7 @@
 func (c *cohort) expire(before anvilclock.Millis) {
 	present, latest := false, anvilclock.Millis(0)
 	for _, o := range c.runs {
-		latest = max(latest, o.pace.latest.at)
+		latest = max(latest, o.reportedAt)
 		if !o.ended {
 			present = true
 			before = min(before, o.since)
@@ -86,7 +86,7 @@
 	}
 	switch {
 	case present:
-		c.runs = slices.DeleteFunc(c.runs, func(o *observation) bool { return o.ended && o.pace.latest.at < before })
+		c.runs = slices.DeleteFunc(c.runs, func(o *observation) bool { return o.ended && o.reportedAt < before })
 	case latest < before:
 		c.runs = nil
 		for _, r := range c.results {
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -103,11 +103,11 @@
 func (c *cohort) readings(buffer *buffers) []reading {
 	readings := buffer.readings[:0]
 	for _, o := range c.runs {
-		if o.pace.latest.at < o.machine.changedAt {
+		if o.reportedAt < o.machine.changedAt {
 			continue
 		}
 		if rate, variance, ok := o.pace.measure(); ok {
-			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.pace.latest.at})
+			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.reportedAt})
 		}
 	}
 	buffer.readings = readings
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -24,6 +24,9 @@
 
 // Sample is a report of the progress of a run.
 type Sample struct {
+	// At is when the target made the report, by any clock that runs evenly while the run lasts. That of the target is the
+	// best, as the time of the arrival varies with the load of the links and of the leader.
+	At      anvilclock.Millis
 	Machine anvilid.MachineID
 	Task    anvilwork.Task
 	Run     anvilwork.Run
@@ -88,7 +91,8 @@
 			return
 		}
 	}
-	known.pace.add(point{at: now, percent: s.Percent})
+	known.reportedAt = now
+	known.pace.add(point{at: s.At, percent: s.Percent})
 }
 
 // addRun adds a run to its cohort. It returns nil if the cohort is full.
--- a/core/anvilspeed/estimator_test.go
+++ b/core/anvilspeed/estimator_test.go
@@ -71,6 +71,7 @@
 				w.estimator.Forget(run.sample.Task)
 				continue
 			}
+			run.sample.At = w.now - 5*anvilclock.Second // the clock of the target
 			w.estimator.Observe(w.now, run.sample)
 			left = append(left, run)
 		}
--- a/core/anvilspeed/pace.go
+++ b/core/anvilspeed/pace.go
@@ -35,6 +35,8 @@
 	base, mark, latest point
 	// stretches is the number of stretches between base and mark.
 	stretches int
+	// reported is set with the first report.
+	reported bool
 	// moving reports that the run has begun its work, which may be some time after its start.
 	moving bool
 	// changed reports that the run had another pace before base.
@@ -47,8 +49,8 @@
 	switch {
 	case r.percent >= 100:
 		return
-	case p.base.at == 0 || r.percent < p.latest.percent:
-		*p = pace{base: r, mark: r, latest: r}
+	case !p.reported || r.percent < p.latest.percent:
+		*p = pace{base: r, mark: r, latest: r, reported: true}
 		return
 	case !p.moving:
 		p.moving = r.percent > p.base.percent
