--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"anvilshunt/core/anvilclock"
@@ -192,6 +193,23 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// ParseTask parses "job.occurrence.step.index".
+func ParseTask(name string) (Task, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return Task{}, fmt.Errorf("task name %q does not have the 4 parts JOB.OCCURRENCE.STEP.INDEX", name)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		number, err := strconv.Atoi(part)
+		if err != nil {
+			return Task{}, fmt.Errorf("task name %q has a part that is not a number: %w", name, err)
+		}
+		numbers[i] = number
+	}
+	return Task{Job: anvilid.JobID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
 // Compare orders tasks by job, occurrence, step and index.
 func (t Task) Compare(other Task) int {
 	return cmp.Or(cmp.Compare(t.Job, other.Job), cmp.Compare(t.Occurrence, other.Occurrence),
