--- a/core/anvilwork/command.go
+++ b/core/anvilwork/command.go
@@ -29,8 +29,13 @@
 	NoteSilence       *NoteSilence       `cbor:"20,keyasint,omitempty"`
 	RecordCheckpoints *RecordCheckpoints `cbor:"21,keyasint,omitempty"`
 
+	RecordSpeeds *RecordSpeeds `cbor:"30,keyasint,omitempty"`
+
 	StartWave   *Wave        `cbor:"10,keyasint,omitempty"`
 	AdvanceWave *AdvanceWave `cbor:"11,keyasint,omitempty"`
+
+	Evacuate      *Evacuate      `cbor:"22,keyasint,omitempty"`
+	EndEvacuation *EndEvacuation `cbor:"23,keyasint,omitempty"`
 }
 
 // Submit adds a job, whose tasks then wait to be placed. A second submission with the same id has no
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -26,6 +26,8 @@
 	// active lists the jobs that have not ended, in the order in which they were accepted.
 	active []*Job
 	waves  map[WaveNumber]*Wave
+	// evacuations has the evacuated zones.
+	evacuations map[anvilid.ZoneName]Evacuation
 	// departed has the targets that have left for good, see departure.
 	departed map[anvilid.TargetID]departure
 	// departing has the targets that are departed and not yet removed.
@@ -34,6 +36,8 @@
 	ordered []*Target
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
 	revisions map[anvilid.TargetID]Revision
+	// speeds has the speeds that leaders have learnt of machines.
+	speeds map[anvilid.MachineID]SpeedLevel
 	// crashes has the result of TakeCrashes.
 	crashes []Crash
 	// now is the log time: the latest time that a leader stamped on an applied log entry.
@@ -46,6 +50,8 @@
 		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
+		evacuations: map[anvilid.ZoneName]Evacuation{},
+		speeds: map[anvilid.MachineID]SpeedLevel{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -144,11 +150,15 @@
 	Waves   []*Wave           `cbor:"5,keyasint,omitempty"`
 	// Departed is ordered by id.
 	Departed []departure `cbor:"6,keyasint,omitempty"`
+	// Evacuations is ordered by zone.
+	Evacuations []Evacuation `cbor:"7,keyasint,omitempty"`
+	// Speeds is ordered by machine.
+	Speeds []MachineSpeed `cbor:"30,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	image := snapshot{Config: s.config, Targets: s.Targets(), Now: s.now}
+	image := snapshot{Config: s.config, Targets: s.Targets(), Now: s.now, Evacuations: s.Evacuations()}
 	for _, job := range s.jobs {
 		image.Jobs = append(image.Jobs, job)
 	}
@@ -160,6 +170,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.departed)) {
 		image.Departed = append(image.Departed, s.departed[id])
 	}
+	image.Speeds = s.sortedSpeeds()
 	return anvilcodec.Encode(image)
 }
 
@@ -186,12 +197,18 @@
 	for _, wave := range image.Waves {
 		s.waves[wave.Number] = wave
 	}
+	for _, evacuation := range image.Evacuations {
+		s.evacuations[evacuation.Zone] = evacuation
+	}
 	for _, target := range image.Targets {
 		s.setTarget(target)
 		if target.Departed() {
 			s.departing[target.ID] = true
 		}
 	}
+	for _, speed := range image.Speeds {
+		s.speeds[speed.Machine] = speed.Level
+	}
 	for _, d := range image.Departed {
 		s.departed[d.Target] = d
 	}
