Use measured speeds of all machines once many are known to differ

A machine that wasn't yet known to differ counted as ordinary, though a third of them are slow on vpk, so that gangs of the ordinary tier had slow members. With fewer than a tenth found to differ nothing changes.

--- a/core/anvilspeed/difference.go
+++ b/core/anvilspeed/difference.go
@@ -11,6 +11,9 @@
 	falseFindings = 0.05
 	// minDifference is the smallest difference of the logarithm of a speed that is reported.
 	minDifference = 0.1
+	// minUnequalShare is the share of the compared machines that must be found to differ before the measured speeds of
+	// the others count too. It is above falseFindings, so that equal machines don't seem unequal.
+	minUnequalShare = 0.1
 )
 
 // center makes the speeds relative to the median one.
@@ -60,9 +63,14 @@
 		}
 	}
 	limit := scoreLimit(scores)
+	found := 0
 	for _, m := range e.known {
 		m.differs = m.compared() && m.score() >= limit && math.Abs(m.offset) >= minDifference
+		if m.differs {
+			found++
+		}
 	}
+	e.unequal = found > 0 && float64(found) >= minUnequalShare*float64(len(scores))
 }
 
 // score returns the difference of a machine from the ordinary speed in standard errors.
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -62,6 +62,8 @@
 	known    []*machine
 	numbered uint64
 	fittedAt anvilclock.Millis
+	// unequal reports that many machines differ in speed, see minUnequalShare.
+	unequal bool
 	// lifetime is the observationLifetime that the number of ended runs allows.
 	lifetime anvilclock.Millis
 	buffers  buffers
@@ -243,14 +245,23 @@
 		return Estimate{Factor: Ordinary, Measured: Ordinary, Error: priorSpread}
 	}
 	return Estimate{
-		Factor: m.speed(), Measured: Factor(math.Exp(m.offset)), Error: math.Sqrt(m.variance), Comparisons: len(m.live) + len(m.kept),
+		Factor: e.speedOf(m), Measured: Factor(math.Exp(m.offset)), Error: math.Sqrt(m.variance), Comparisons: len(m.live) + len(m.kept),
 	}
 }
 
 // Speed returns the speed of a machine, or Ordinary if it isn't known to differ.
 func (e *Estimator) Speed(id anvilid.MachineID) Factor {
 	if m := e.machines[id]; m != nil {
-		return m.speed()
+		return e.speedOf(m)
+	}
+	return Ordinary
+}
+
+// speedOf returns the speed of a machine. Once many machines are known to differ, the measured speed of any machine is
+// a better guess than the ordinary one, however uncertain it is.
+func (e *Estimator) speedOf(m *machine) Factor {
+	if m.differs || e.unequal && m.compared() {
+		return Factor(math.Exp(m.offset))
 	}
 	return Ordinary
 }
@@ -275,7 +286,7 @@
 		if m.differs {
 			counts.Unequal++
 		}
-		counts.Slowest, counts.Fastest = min(counts.Slowest, m.speed()), max(counts.Fastest, m.speed())
+		counts.Slowest, counts.Fastest = min(counts.Slowest, e.speedOf(m)), max(counts.Fastest, e.speedOf(m))
 	}
 	return counts
 }
--- a/core/anvilspeed/handover.go
+++ b/core/anvilspeed/handover.go
@@ -63,7 +63,7 @@
 		if known && !m.departsFrom(recorded) {
 			continue
 		}
-		changes = append(changes, anvilwork.MachineSpeed{Machine: m.id, Level: LevelOf(m.speed())})
+		changes = append(changes, anvilwork.MachineSpeed{Machine: m.id, Level: LevelOf(e.speedOf(m))})
 		if len(changes) == maxChanges {
 			break
 		}
--- a/core/anvilspeed/machine.go
+++ b/core/anvilspeed/machine.go
@@ -51,14 +51,6 @@
 	seenAt    anvilclock.Millis
 }
 
-// speed returns the speed, or Ordinary if it isn't known to differ.
-func (m *machine) speed() Factor {
-	if !m.differs {
-		return Ordinary
-	}
-	return Factor(math.Exp(m.offset))
-}
-
 // keep keeps a comparison whose runs have ended. The one that says least gives way to others.
 func (m *machine) keep(c comparison) {
 	m.kept = append(m.kept, c)
