--- a/core/anvilspeed/machine.go
+++ b/core/anvilspeed/machine.go
@@ -42,19 +42,13 @@
 	number uint64 // in the order in which the machines were seen first
 	// offset is the logarithm of the estimated speed, relative to an ordinary machine.
 	offset, variance float64
-	// live has the comparisons with runs of the present, and kept those from before.
+	// live has the comparisons in the present cohorts, and kept those in former ones.
 	live, kept []comparison
 	// differs reports that the speed differs by more than its error from the ordinary one.
 	differs bool
-	seenAt  anvilclock.Millis
-}
-
-// speed returns the speed, or Ordinary if it isn't known to differ.
-func (m *machine) speed() Factor {
-	if !m.differs {
-		return Ordinary
-	}
-	return Factor(math.Exp(m.offset))
+	// changedAt is when the machine changed its speed: what ended before says nothing about it.
+	changedAt anvilclock.Millis
+	seenAt    anvilclock.Millis
 }
 
 // keep keeps a comparison whose runs have ended. The one that says least gives way to others.
@@ -74,38 +68,53 @@
 
 // update estimates the speed from the comparisons. It starts at the ordinary speed, so that a single extreme
 // value counts as a tail and not as the speed.
-func (m *machine) update(now anvilclock.Millis) {
+func (m *machine) update(now anvilclock.Millis, buffer *buffers) {
 	m.dropContradicted(now)
 	m.offset, m.variance = 0, priorSpread*priorSpread
+	if !m.compared() {
+		return
+	}
+	buffer.offsets, buffer.variances = buffer.offsets[:0], buffer.variances[:0]
+	for _, evidence := range [2][]comparison{m.live, m.kept} {
+		for _, c := range evidence {
+			buffer.offsets = append(buffer.offsets, c.offset)
+			buffer.variances = append(buffer.variances, c.agedVariance(now))
+		}
+	}
 	for range offsetRounds {
 		weights, sum := 1/(priorSpread*priorSpread), 0.0
-		for _, evidence := range [][]comparison{m.live, m.kept} {
-			for _, c := range evidence {
-				weight := tailWeight(c.agedVariance(now), c.offset-m.offset)
-				weights += weight
-				sum += weight * c.offset
-			}
+		for i, offset := range buffer.offsets {
+			weight := tailWeight(buffer.variances[i], offset-m.offset)
+			weights += weight
+			sum += weight * offset
 		}
 		m.offset, m.variance = sum/weights, 1/weights
 	}
 }
 
+// without returns the estimate that follows from all comparisons but one, with its variance.
+func (m *machine) without(c comparison) (offset, variance float64) {
+	weight := tailWeight(c.variance, c.offset-m.offset)
+	others := max(1/m.variance-weight, 1/(priorSpread*priorSpread))
+	return (m.offset/m.variance - weight*c.offset) / others, 1 / others
+}
+
 // agedVariance returns the variance of a comparison, which grows with its age.
 func (c comparison) agedVariance(now anvilclock.Millis) float64 {
 	return c.variance * math.Exp2(float64(now-c.at)/float64(evidenceHalfLife))
 }
 
-// dropContradicted drops the kept comparisons from before recentTime if those after it show another speed.
+// dropContradicted drops the comparisons from before recentTime if those after it show another speed.
 func (m *machine) dropContradicted(now anvilclock.Millis) {
 	var recent, earlier mean
-	for _, c := range m.live {
-		recent.add(c, now)
-	}
-	for _, c := range m.kept {
-		if now-c.at <= recentTime {
-			recent.add(c, now)
-		} else {
-			earlier.add(c, now)
+	isEarlier := func(c comparison) bool { return now-c.at > recentTime }
+	for _, evidence := range [2][]comparison{m.live, m.kept} {
+		for _, c := range evidence {
+			if isEarlier(c) {
+				earlier.add(c, now)
+			} else {
+				recent.add(c, now)
+			}
 		}
 	}
 	if earlier.count == 0 || recent.count < minContradictions && recent.runs <= minContradictions {
@@ -115,7 +124,9 @@
 	if difference*difference <= contradiction*contradiction*(1/recent.weights+1/earlier.weights) {
 		return
 	}
-	m.kept = slices.DeleteFunc(m.kept, func(c comparison) bool { return now-c.at > recentTime })
+	m.changedAt = now - recentTime
+	m.kept = slices.DeleteFunc(m.kept, isEarlier)
+	m.live = slices.DeleteFunc(m.live, isEarlier)
 }
 
 // mean is a mean of comparisons that is weighted by their variances.
