--- a/core/anvilspeed/handover.go
+++ b/core/anvilspeed/handover.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"anvilshunt/core/anvilclock"
-	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilwork"
 )
 
@@ -15,10 +14,9 @@
 	// maxLevel is the highest level, and its negative the lowest.
 	maxLevel = 127
 	// inheritedError is the standard error of the logarithm of a speed that was taken over from an earlier
-	// leader. It is small, as only differences that were found credible are handed over. ordinaryError is that
-	// of a speed that wasn't known to differ.
+	// leader. It is small, as that has found the difference credible. uncertainError is that of other speeds.
 	inheritedError = 0.1
-	ordinaryError  = 0.3
+	uncertainError = 0.25
 	// maxChanges is the number of speeds that are recorded at a time, about 30 KB of the replicated log.
 	maxChanges = 2000
 )
@@ -30,21 +28,22 @@
 }
 
 // FactorOf returns the speed that a level stands for.
-func FactorOf(level anvilwork.SpeedLevel) Factor {
-	return Factor(math.Exp(float64(level) / levelsPerUnit))
-}
+func FactorOf(level anvilwork.SpeedLevel) Factor { return Factor(math.Exp(offsetOf(level))) }
+
+// offsetOf returns the logarithm of the speed that a level stands for.
+func offsetOf(level anvilwork.SpeedLevel) float64 { return float64(level) / levelsPerUnit }
 
-// Inherit takes over the speed of a machine that an earlier leader has recorded. It counts as one comparison.
-func (e *Estimator) Inherit(now anvilclock.Millis, id anvilid.MachineID, level anvilwork.SpeedLevel) {
-	m := e.machine(id)
+// Inherit takes over the speed of a machine that an earlier leader has recorded. It counts as one comparison, and
+// decides about the machine from the next Fit on.
+func (e *Estimator) Inherit(now anvilclock.Millis, recorded anvilwork.MachineSpeed) {
+	m := e.machine(recorded.Machine)
 	m.seenAt = now
 	deviation := inheritedError
-	if level == 0 {
-		deviation = ordinaryError
+	if recorded.Uncertain {
+		deviation = uncertainError
 	}
-	m.keep(comparison{at: now, offset: float64(level) / levelsPerUnit, variance: deviation * deviation, runs: 1})
+	m.keep(comparison{at: now, offset: offsetOf(recorded.Level), variance: deviation * deviation, runs: 1})
 	m.update(now, &e.buffers)
-	m.differs = level != 0
 }
 
 // Changes returns the speeds that differ by more than their error from the recorded ones, maxChanges at most.
@@ -63,7 +62,7 @@
 		if known && !m.departsFrom(recorded) {
 			continue
 		}
-		changes = append(changes, anvilwork.MachineSpeed{Machine: m.id, Level: LevelOf(e.speedOf(m))})
+		changes = append(changes, anvilwork.MachineSpeed{Machine: m.id, Level: LevelOf(e.speedOf(m)), Uncertain: !m.differs})
 		if len(changes) == maxChanges {
 			break
 		}
@@ -72,11 +71,11 @@
 }
 
 // departsFrom reports whether the speed of a machine differs from its recorded one by more than its error.
-func (m *machine) departsFrom(recorded anvilwork.SpeedLevel) bool {
-	if recorded == 0 {
+func (m *machine) departsFrom(recorded anvilwork.MachineSpeed) bool {
+	if recorded.Uncertain {
 		return m.differs
 	}
-	difference := math.Abs(m.offset - float64(recorded)/levelsPerUnit)
+	difference := math.Abs(m.offset - offsetOf(recorded.Level))
 	return difference > max(math.Sqrt(m.variance), minDifference)
 }
 
--- a/core/anvilwork/speed.go
+++ b/core/anvilwork/speed.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"maps"
 	"slices"
 
@@ -19,6 +18,8 @@
 type MachineSpeed struct {
 	Machine anvilid.MachineID `cbor:"1,keyasint"`
 	Level   SpeedLevel        `cbor:"2,keyasint,omitempty"`
+	// Uncertain means that the speed may be the ordinary one as well.
+	Uncertain bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RecordSpeeds records speeds of machines, so that the next leader need not learn them again. They decide nothing
@@ -28,48 +29,35 @@
 }
 
 // Speeds returns the recorded speeds of machines in the order of their ids.
-func (s *State) Speeds() iter.Seq2[anvilid.MachineID, SpeedLevel] {
-	return func(yield func(anvilid.MachineID, SpeedLevel) bool) {
-		for _, speed := range s.sortedSpeeds() {
-			if !yield(speed.Machine, speed.Level) {
-				return
-			}
-		}
-	}
+func (s *State) Speeds() []MachineSpeed {
+	speeds := slices.Collect(maps.Values(s.speeds))
+	slices.SortFunc(speeds, func(a, b MachineSpeed) int { return cmp.Compare(a.Machine, b.Machine) })
+	return speeds
 }
 
 // SpeedOf returns the recorded speed of a machine, and false if there is none.
-func (s *State) SpeedOf(machine anvilid.MachineID) (SpeedLevel, bool) {
-	level, ok := s.speeds[machine]
-	return level, ok
+func (s *State) SpeedOf(machine anvilid.MachineID) (MachineSpeed, bool) {
+	speed, ok := s.speeds[machine]
+	return speed, ok
 }
 
 // HasSpeeds reports whether any speed is recorded.
 func (s *State) HasSpeeds() bool { return len(s.speeds) > 0 }
 
-func (s *State) sortedSpeeds() []MachineSpeed {
-	var speeds []MachineSpeed
-	for machine, level := range s.speeds {
-		speeds = append(speeds, MachineSpeed{Machine: machine, Level: level})
-	}
-	slices.SortFunc(speeds, func(a, b MachineSpeed) int { return cmp.Compare(a.Machine, b.Machine) })
-	return speeds
-}
-
 // recordSpeeds records speeds. If there are too many, those of machines without a target are dropped, and if that
 // isn't enough, further machines aren't recorded.
 func (s *State) recordSpeeds(record RecordSpeeds) Result {
 	result := Unchanged
 	for _, speed := range record.Speeds {
 		known, ok := s.speeds[speed.Machine]
-		if ok && known == speed.Level {
+		if ok && known == speed {
 			continue
 		}
 		if !ok && len(s.speeds) >= maxSpeeds {
 			s.dropSpeedsOfAbsent()
 		}
 		if ok || len(s.speeds) < maxSpeeds {
-			s.speeds[speed.Machine] = speed.Level
+			s.speeds[speed.Machine] = speed
 			result = Applied
 		}
 	}
@@ -82,7 +70,7 @@
 	for _, target := range s.targets {
 		present[target.MachineOrSelf()] = true
 	}
-	maps.DeleteFunc(s.speeds, func(machine anvilid.MachineID, _ SpeedLevel) bool { return !present[machine] })
+	maps.DeleteFunc(s.speeds, func(machine anvilid.MachineID, _ MachineSpeed) bool { return !present[machine] })
 }
 
 // MachineOrSelf returns the machine of a target. A target that doesn't name one stands for itself.
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -37,7 +37,7 @@
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
 	revisions map[anvilid.TargetID]Revision
 	// speeds has the speeds that leaders have learnt of machines.
-	speeds map[anvilid.MachineID]SpeedLevel
+	speeds map[anvilid.MachineID]MachineSpeed
 	// crashes has the result of TakeCrashes.
 	crashes []Crash
 	// now is the log time: the latest time that a leader stamped on an applied log entry.
@@ -51,7 +51,7 @@
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
 		evacuations: map[anvilid.ZoneName]Evacuation{},
-		speeds:      map[anvilid.MachineID]SpeedLevel{},
+		speeds:      map[anvilid.MachineID]MachineSpeed{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -170,7 +170,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.departed)) {
 		image.Departed = append(image.Departed, s.departed[id])
 	}
-	image.Speeds = s.sortedSpeeds()
+	image.Speeds = s.Speeds()
 	return anvilcodec.Encode(image)
 }
 
@@ -207,7 +207,7 @@
 		}
 	}
 	for _, speed := range image.Speeds {
-		s.speeds[speed.Machine] = speed.Level
+		s.speeds[speed.Machine] = speed
 	}
 	for _, d := range image.Departed {
 		s.departed[d.Target] = d
--- a/io/anvillead/speeds.go
+++ b/io/anvillead/speeds.go
@@ -21,8 +21,8 @@
 
 // inheritSpeeds takes over the speeds of machines that earlier leaders have recorded. The caller must have locked mu.
 func (r *leadership) inheritSpeeds(now anvilclock.Millis) {
-	for machine, level := range r.state.Speeds() {
-		r.tracker.Lasting.Inherit(now, machine, level)
+	for _, speed := range r.state.Speeds() {
+		r.tracker.Lasting.Inherit(now, speed)
 	}
 }
 
