Count a done end of a run that a later run has superseded

A target that was cut off lists a run as done after its lease was given up and the next run of the task was placed. The task is now done as soon as the later run, which is stopped, has left its target; a gang is done as a whole.

--- a/core/anvilwork/ends.go
+++ b/core/anvilwork/ends.go
@@ -10,7 +10,7 @@
 	target, ok := s.targets[batch.Target]
 	if !ok || target.Incarnation != batch.Incarnation {
 		for _, end := range batch.Ends {
-			s.completeReleased(end)
+			s.completeSuperseded(end)
 		}
 		return Unknown
 	}
@@ -28,7 +28,7 @@
 func (s *State) recordRunEnd(end RunEnd, target *Target) {
 	job, state := s.assignedTask(end.Task, end.Run)
 	if job == nil || state.Target != target.ID || state.Incarnation != target.Incarnation {
-		s.completeReleased(end)
+		s.completeSuperseded(end)
 		return
 	}
 	job.Begun = true
@@ -41,45 +41,67 @@
 	case RunDone:
 		s.completeTask(job, end, state)
 	case RunFailed:
-		s.countFailure(job, end)
+		if state.DoneRun == 0 {
+			s.countFailure(job, end)
+		}
 	}
 }
 
-// completeReleased marks a task as done whose latest run is no longer assigned to a target, if that run
-// was done all the same. Its end may be recorded after the target has left, and work that was done must
-// not be started again.
-func (s *State) completeReleased(end RunEnd) {
+// completeSuperseded marks a task as done one of whose runs was done, although that run was no longer assigned to a
+// target when its end was recorded: the target had left, or its lease had expired while it couldn't be reached. Work
+// that was done must not be started again, and the steps that depend on it must not wait for a later run.
+func (s *State) completeSuperseded(end RunEnd) {
 	job, ok := s.jobs[end.Task.Job]
 	if !ok || end.Outcome != RunDone {
 		return
 	}
-	state := job.State(end.Task)
-	if state != nil && state.Phase == TaskWaiting && state.Run == end.Run {
+	if state := job.State(end.Task); state != nil && state.supersedes(end.Run) {
 		s.completeTask(job, end, state)
 	}
 }
 
-// completeTask marks a task as done, and with it the members of its gang that are no longer
-// assigned to a target. A member that is still assigned is marked when its own run ends.
+// supersedes reports whether a run is no longer assigned to a target, because it was released or a later one was
+// assigned.
+func (t *TaskState) supersedes(run Run) bool {
+	if t.Phase == TaskAssigned {
+		return t.Run > run
+	}
+	return t.Run >= run
+}
+
+// completeTask marks a task as done, and with it the members of its gang, but for those of which the same run is still
+// assigned: a member is marked when its own run ends.
 func (s *State) completeTask(job *Job, end RunEnd, state *TaskState) {
 	step := job.Spec.Steps[end.Task.Step]
-	if step.LongRunning || state.Phase == TaskDone {
+	if step.LongRunning {
 		return
 	}
-	s.markTaskDone(job, end.Task, state)
 	if !step.Gang {
+		s.completeRun(job, end.Task, end.Run, state)
 		return
 	}
 	members := job.Occurrences[end.Task.Occurrence].Tasks[end.Task.Step]
 	for i := range members {
-		if members[i].Phase == TaskWaiting && members[i].Run == end.Run {
+		if members[i].supersedes(end.Run) {
 			task := end.Task
 			task.Index = i
-			s.markTaskDone(job, task, &members[i])
+			s.completeRun(job, task, end.Run, &members[i])
 		}
 	}
 }
 
+// completeRun marks a task as done because of a run. If a later run is assigned, the task is marked when that is
+// released, as it occupies its target until then.
+func (s *State) completeRun(job *Job, task Task, run Run, state *TaskState) {
+	switch state.Phase {
+	case TaskWaiting:
+		s.markTaskDone(job, task, state)
+	case TaskAssigned:
+		state.DoneRun = run
+		s.revisions[state.Target]++
+	}
+}
+
 func (s *State) completeJobIfDone(job *Job) {
 	if job.Phase.Ended() {
 		return
@@ -149,12 +171,16 @@
 	s.revisions[id]++
 }
 
-// releaseTask ends the assignment of a task to its target. The members of a gang complete
-// together, so the task is done if another member of the same run is done.
+// releaseTask ends the assignment of a task to its target. The task is done if an earlier run of it was, and, as the
+// members of a gang complete together, if another member of the same run is.
 func (s *State) releaseTask(job *Job, task Task, state *TaskState) {
 	delete(s.runs[state.Target], task)
 	s.revisions[state.Target]++
 	state.Phase, state.PhaseSince = TaskWaiting, s.now
+	if state.DoneRun > 0 {
+		s.markTaskDone(job, task, state)
+		return
+	}
 	if !job.Spec.Steps[task.Step].Gang {
 		return
 	}
--- a/core/anvilwork/job.go
+++ b/core/anvilwork/job.go
@@ -268,6 +268,9 @@
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
 	// CheckpointRun is the run whose end came with Checkpoint, or 0 if the run hadn't ended when it was recorded.
 	CheckpointRun Run `cbor:"24,keyasint,omitempty"`
+	// DoneRun is an earlier run that was done, as became known while the latest one was assigned, or 0. The latest one is
+	// stopped then.
+	DoneRun Run `cbor:"25,keyasint,omitempty"`
 	// Ticket authorizes the latest run, if the policy of the queue requires a ticket.
 	Ticket Ticket `cbor:"9,keyasint,omitempty"`
 	// PhaseSince is when the current phase began, in log time (State.now).
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -237,7 +237,7 @@
 }
 
 // RunsToStop returns the assigned runs that should be stopped: runs of jobs that have
-// ended, and gang members whose gang cannot complete because another member of the same
+// ended, runs of tasks of which an earlier run was done, and gang members whose gang cannot complete because another member of the same
 // run is no longer assigned.
 func (s *State) RunsToStop() []Assignment {
 	var found []Assignment
@@ -266,7 +266,7 @@
 // a gang with many members would otherwise be looked at once for each of them.
 func shouldStop(job *Job, task Task, run Run, known map[gangRun]bool) bool {
 	if !job.Spec.Steps[task.Step].Gang {
-		return job.Phase.Ended()
+		return job.Phase.Ended() || job.State(task).DoneRun > 0
 	}
 	key := gangRun{task.StepKey(), run}
 	stop, ok := known[key]
@@ -280,6 +280,9 @@
 func shouldStopGang(job *Job, task Task, run Run) bool {
 	incomplete := false
 	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
+		if member.DoneRun > 0 {
+			return true
+		}
 		if member.Phase == TaskDone {
 			return false // the gang is done, its members are reporting their ends now
 		}
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -55,13 +55,13 @@
 	return commands, len(decision.Placements)
 }
 
-// stopObsoleteRuns requests a stop of runs that belong to ended jobs or to
-// gangs that have lost a member.
+// stopObsoleteRuns requests a stop of runs that belong to ended jobs, to tasks
+// of which an earlier run was done, or to gangs that have lost a member.
 func (r *leadership) stopObsoleteRuns() {
 	for _, run := range r.state.RunsToStop() {
 		reason := stoppedAsTornGang
-		if job, ok := r.state.Job(run.Task.Job); ok && job.Phase.Ended() {
-			reason = stoppedAfterJob
+		if job, ok := r.state.Job(run.Task.Job); ok && (job.Phase.Ended() || job.State(run.Task).DoneRun > 0) {
+			reason = stoppedAsDone
 		}
 		r.stopRun(run.Target, run.Task, reason)
 	}
--- a/io/anvillead/summary.go
+++ b/io/anvillead/summary.go
@@ -25,7 +25,7 @@
 	stoppedForUrgent stopReason = iota
 	stoppedAsStraggler
 	stoppedAsTornGang // the run of another member has ended
-	stoppedAfterJob   // the job has ended or was cancelled
+	stoppedAsDone     // the job has ended or was cancelled, or an earlier run of the task was done
 	stopReasons
 )
 
@@ -79,7 +79,7 @@
 	fields := []zap.Field{
 		zap.Int("placed", s.placed), zap.Int("waiting", s.waiting),
 		zap.Int("urgent", s.stops[stoppedForUrgent]), zap.Int("straggler", s.stops[stoppedAsStraggler]),
-		zap.Int("torn", s.stops[stoppedAsTornGang]), zap.Int("ended", s.stops[stoppedAfterJob]),
+		zap.Int("torn", s.stops[stoppedAsTornGang]), zap.Int("ended", s.stops[stoppedAsDone]),
 		zap.Int("lostUrgent", int(s.lost[stoppedForUrgent])), zap.Int("lostStraggler", int(s.lost[stoppedAsStraggler])),
 		zap.Int("lostTorn", int(s.lost[stoppedAsTornGang])), zap.Int("crashes", s.crashes), zap.Int("lostRuns", s.lostRuns),
 	}
