Spread the announcements of thousands of targets over the voters, and pass on unchanged ones in batches

At 3,000 targets the leader named itself for the announcements of all of them, against a limit of 1,442 inbound connections (event 108): each new connection closed another one. Beyond three quarters of that limit, the leader now names the other voters, divided by rendezvous hashing (core/anvilspread). A voter that holds a target acknowledges what only repeats an acknowledged announcement, and passes it on in batches of 100 ms (io/anvilrelay). Notices to leave and all changes go through to the leader as before. Below the limit nothing changes.

--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -51,7 +51,7 @@
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
 		evacuations: map[anvilid.ZoneName]Evacuation{},
-		speeds: map[anvilid.MachineID]SpeedLevel{},
+		speeds:      map[anvilid.MachineID]SpeedLevel{},
 	}
 	s.index = newIndex(&s.config)
 	return s
--- a/io/anvilgate/calls.go
+++ b/io/anvilgate/calls.go
@@ -37,9 +37,21 @@
 	return untilDone(ctx, f, call, anvilrpc.Fleet.Configure)
 }
 
-// Announce forwards the announcement of a target to the leader.
-func (f *Forwarder) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
-	return untilDone(ctx, f, call, anvilrpc.Fleet.Announce)
+// Announce forwards announcements of targets to the leader. The message is called for each attempt, right before it is
+// sent.
+func (f *Forwarder) Announce(ctx context.Context, message func() (*anvilrpc.AnnounceCall, error)) (*anvilrpc.AnnounceReply, error) {
+	var reply *anvilrpc.AnnounceReply
+	err := f.Call(ctx, func(ctx context.Context, fleet anvilrpc.Fleet) (*anvilrpc.Redirection, bool, error) {
+		call, err := message()
+		if err != nil {
+			return nil, false, err
+		}
+		if reply, err = fleet.Announce(ctx, call); err != nil {
+			return nil, false, err
+		}
+		return reply.GetRedirection(), reply.GetDone(), nil
+	})
+	return reply, err
 }
 
 // Wave forwards a call about a maintenance wave to the leader.
--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -320,6 +320,12 @@
 	}
 }
 
+// Leader returns the instance that answered the last successful call as the leader, or an empty id.
+func (f *Forwarder) Leader() anvilid.InstanceID {
+	leader, _ := f.watchLeader()
+	return leader
+}
+
 // watchLeader returns the leader that answered the last successful call, and a
 // channel that is closed when another leader answers one.
 func (f *Forwarder) watchLeader() (anvilid.InstanceID, <-chan struct{}) {
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -282,6 +282,16 @@
 	return members
 }
 
+// Reached returns the other voters that this leader has had a sign of within the given time.
+func (g *Group) Reached(within anvilclock.Millis) []anvilid.InstanceID {
+	members := g.Members()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.DeleteFunc(members, func(instance anvilid.InstanceID) bool {
+		return instance == g.id.Instance || g.unreachableFor(instance) > within
+	})
+}
+
 // Join requests membership in the group whenever this voter has no vote or knows no
 // leader, until ctx is done. A voter that was removed while it was down gets no
 // messages from the leader, so it knows no leader and joins again in this way.
--- a/io/anvillead/departure.go
+++ b/io/anvillead/departure.go
@@ -34,5 +34,6 @@
 		return l.logTime()-target.DepartedAt >= departurePatience
 	}
 	leave := &anvilwork.Leave{Target: id, Incarnation: target.Incarnation, Final: true}
-	return l.commitTarget(ctx, target, runs, anvilwork.Command{Leave: leave}) && runs == 0
+	change := changedTarget{target: target, runs: runs, command: anvilwork.Command{Leave: leave}}
+	return l.commitTargets(ctx, []changedTarget{change}) && runs == 0
 }
--- a/io/anvillead/heard.go
+++ b/io/anvillead/heard.go
@@ -115,9 +115,9 @@
 // ignoredEntries returns the number of entries of lists and of announcements that this process has ignored.
 func (l *Leader) ignoredEntries() uint64 { return l.calls.Ignored() + l.ignored.Total() }
 
-// hear records an announcement in l.heard, and reports whether a later one was heard before. It returns the
-// announcement with the sequence number that it has for the replicated state.
-func (l *Leader) hear(target anvilwork.Target) (ordered anvilwork.Target, outdated bool) {
+// hear records an announcement that arrived at the given time in l.heard, and reports whether a later one was heard
+// before. It returns the announcement with the sequence number that it has for the replicated state.
+func (l *Leader) hear(arrived anvilclock.Millis, target anvilwork.Target) (ordered anvilwork.Target, outdated bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard.prune(l.state)
@@ -125,7 +125,7 @@
 	span := l.bounds.Orders.MaxAnnouncementAge + sequenceIntervals*l.bounds.AnnounceInterval
 	ordered = target
 	switch {
-	case l.heard.record(l.clock.Now(), span, target, known):
+	case l.heard.record(arrived, span, target, known):
 		l.log.Write(anvillogs.LateAnnouncement, zap.String("target", string(target.ID)), zap.Uint64("sequence", target.Sequence),
 			zap.Uint64("latest", l.heard[target.ID].sequence))
 		ordered.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -83,15 +83,15 @@
 // TestOutdatedKeepalive guards against a foreign capacity with a very high sequence number that counts as fresh
 // because the announcements of the target itself, which the state doesn't take, are keepalives.
 func TestOutdatedKeepalive(t *testing.T) {
-	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan anvilorder.Announcement, 4)}
+	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan []anvilorder.Announcement, 4)}
 	own, foreign := anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 7}, anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 1 << 50}
 	own.Resources.GPU, foreign.Resources.GPU = 4, 8
 	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: own}}}})
-	l.keepAlive(own)
+	l.keepAlive(arrival{target: own})
 	assert.Equal(t, len(l.keepalives), 1, "it confirms the record")
 	l.state.Apply(2, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: foreign}}}})
 	own.Sequence++
-	l.keepAlive(own)
+	l.keepAlive(arrival{target: own})
 	assert.Equal(t, len(l.keepalives), 1, "the state has 8 accelerators, the target 4")
 }
 
@@ -107,7 +107,7 @@
 	a := &announcer{}
 	a.leader = &Leader{
 		state: anvilwork.New(), clock: a.clock.Clock(), log: log, heard: heardAnnouncements{},
-		keepalives: make(chan anvilorder.Announcement, resultQueueSize),
+		keepalives: make(chan []anvilorder.Announcement, resultQueueSize),
 		bounds:     Bounds{AnnounceInterval: 1000, Orders: anvilorder.Timing{MaxAnnouncementAge: testSpan - sequenceIntervals*1000}},
 	}
 	return a
@@ -115,13 +115,13 @@
 
 func (a *announcer) announce(sequence uint64, gpu anvilid.AcceleratorCount) {
 	l := a.leader
-	ordered, outdated := l.hear(anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: sequence, Resources: anvilwork.Resources{GPU: gpu}})
+	ordered, outdated := l.hear(l.clock.Now(), anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: sequence, Resources: anvilwork.Resources{GPU: gpu}})
 	switch {
 	case outdated:
 	case l.state.AnnouncementHasEffect(ordered):
 		l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: ordered}}}})
 	default:
-		l.keepAlive(ordered)
+		l.keepAlive(arrival{ordered, l.clock.Now()})
 	}
 }
 
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -86,8 +86,8 @@
 
 	ignored      *anvillogs.Ignored // announcements that can't be used
 	relays       relays
-	stateChanged chan struct{}                // capacity 1; contains a value when the replicated state has changed
-	keepalives   chan anvilorder.Announcement // announcements that change no replicated state
+	stateChanged chan struct{}                  // capacity 1; contains a value when the replicated state has changed
+	keepalives   chan []anvilorder.Announcement // announcements that change no replicated state
 
 	mu    sync.Mutex
 	state *anvilwork.State
@@ -107,7 +107,7 @@
 func New(clock, wall anvilclock.Clock, log *anvillogs.Logger, calls OutboundCalls, bounds Bounds) *Leader {
 	return &Leader{
 		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds, state: anvilwork.New(),
-		stateChanged: make(chan struct{}, 1), keepalives: make(chan anvilorder.Announcement, resultQueueSize), startedAt: clock.Now(),
+		stateChanged: make(chan struct{}, 1), keepalives: make(chan []anvilorder.Announcement, resultQueueSize), startedAt: clock.Now(),
 		heard: heardAnnouncements{}, ignored: anvillogs.NewIgnored(clock, log, anvillogs.EntryIgnored),
 	}
 }
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -113,8 +113,8 @@
 		r.planNeeded = true
 	case result := <-r.callResults:
 		r.handleResult(result)
-	case keepalive := <-r.keepalives:
-		r.tracker.RecordAnnouncement(keepalive)
+	case announced := <-r.keepalives:
+		r.recordAnnouncements(announced)
 	}
 	for {
 		select {
@@ -122,14 +122,20 @@
 			r.planNeeded = true
 		case result := <-r.callResults:
 			r.handleResult(result)
-		case keepalive := <-r.keepalives:
-			r.tracker.RecordAnnouncement(keepalive)
+		case announced := <-r.keepalives:
+			r.recordAnnouncements(announced)
 		default:
 			return
 		}
 	}
 }
 
+func (r *leadership) recordAnnouncements(announced []anvilorder.Announcement) {
+	for _, announcement := range announced {
+		r.tracker.RecordAnnouncement(announcement)
+	}
+}
+
 func (r *leadership) handleResult(result func(anvilclock.Millis) anvilorder.Effects) {
 	effects := result(r.clock.Now())
 	r.logFindings(effects.Findings)
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -10,7 +10,6 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
-	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -240,68 +239,3 @@
 func (l *Leader) awaitingInitialVoters() bool {
 	return len(l.group.Members()) < l.bounds.InitialVoters && l.clock.Now()-l.startedAt < initialVotersTimeout
 }
-
-// Announce handles the announcement of a target. An announcement that changes
-// the replicated state is committed before the reply, because a target that is
-// leaving must not get work from a new leader either.
-func (l *Leader) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
-	if r := l.redirection(); r != nil {
-		return &anvilrpc.AnnounceReply{Redirection: r}, nil
-	}
-	var target anvilwork.Target
-	if err := cbor.Unmarshal(call.Target, &target); err != nil {
-		return nil, err
-	}
-	reply := &anvilrpc.AnnounceReply{Done: true, Leader: string(l.group.ID().Instance)}
-	if call.Left {
-		reply.Done = l.depart(ctx, target.ID)
-		return reply, nil
-	}
-	if l.namesUnknownService(target) {
-		l.ignored.Add("announcements", string(target.ID), []byte(target.Service), errUnknownService)
-		return reply, nil
-	}
-	ordered, outdated := l.hear(target)
-	if outdated && !target.Leaving {
-		return reply, nil
-	}
-	l.mu.Lock()
-	changes, assigned := l.state.AnnouncementHasEffect(ordered), len(l.state.Runs(target.ID))
-	l.mu.Unlock()
-	if !changes {
-		l.keepAlive(ordered)
-		return reply, nil
-	}
-	reply.Done = l.commitTarget(ctx, target, assigned, anvilwork.Command{Announce: &anvilwork.Announce{Target: ordered}})
-	return reply, nil
-}
-
-// keepAlive passes an announcement that changes nothing to the goroutine of the term. One that was sent before
-// the record of the target says nothing about that record, so that it doesn't confirm its capacity.
-func (l *Leader) keepAlive(target anvilwork.Target) {
-	l.mu.Lock()
-	outdated := l.state.IsOutdated(target)
-	l.mu.Unlock()
-	if outdated {
-		return
-	}
-	select {
-	case l.keepalives <- anvilorder.Announcement{Target: target.ID, Incarnation: target.Incarnation, Clock: target.Clock, Received: l.clock.Now()}:
-	default: // the channel is full; the target announces itself again soon
-	}
-}
-
-// commitTarget commits a command that changes a target, to which runs are assigned before the change. It
-// reports whether the command was committed.
-func (l *Leader) commitTarget(ctx context.Context, target anvilwork.Target, runs int, command anvilwork.Command) bool {
-	if command.Announce != nil {
-		l.logCapacityChange(target)
-	}
-	if _, err := l.commit(ctx, command); err != nil {
-		l.log.Write(anvillogs.CommitFailed, zap.String("target", string(target.ID)), zap.Error(err))
-		return false
-	}
-	l.log.Write(anvillogs.TargetUpdated, zap.String("target", string(target.ID)), zap.Int64("incarnation", int64(target.Incarnation)),
-		zap.Bool("leaving", target.Leaving), zap.Bool("left", command.Leave != nil), zap.Int("runs", runs))
-	return true
-}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -114,11 +114,12 @@
 
 // Events of an instance that forwards requests to the leader.
 var (
-	RequestFailed        = define(701, zapcore.InfoLevel, "request could not be forwarded to the leader")
-	VoterCallFailed      = define(702, zapcore.InfoLevel, "call to a voter failed; trying the next voter")
-	SettingsReloadFailed = define(703, zapcore.WarnLevel, "settings could not be reloaded; the previous ones stay in force")
-	RelayTried           = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
-	CallsAnswered        = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
+	RequestFailed         = define(701, zapcore.InfoLevel, "request could not be forwarded to the leader")
+	VoterCallFailed       = define(702, zapcore.InfoLevel, "call to a voter failed; trying the next voter")
+	SettingsReloadFailed  = define(703, zapcore.WarnLevel, "settings could not be reloaded; the previous ones stay in force")
+	RelayTried            = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
+	CallsAnswered         = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
+	KeepalivesUndelivered = define(706, zapcore.InfoLevel, "announcements of targets could not be passed on to the leader; trying again")
 )
 
 // stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -26,6 +26,7 @@
 	"anvilshunt/io/anvillead"
 	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrelay"
 	"anvilshunt/io/anvilrpc"
 )
 
@@ -151,8 +152,8 @@
 }
 
 // RunVoter runs a voter until it is told to stop. The handler for operators and targets forwards calls with the given
-// forwarder, and the leader makes the given calls.
-func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder) http.Handler) error {
+// forwarder and relay, and the leader makes the given calls.
+func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder, *anvilrelay.Relay) http.Handler) error {
 	settings := n.Settings()
 	supervisor := anvillead.NewVoterSupervisor(n.Log)
 	if err := n.listenInternal(supervisor, supervisor); err != nil {
@@ -165,11 +166,13 @@
 		return n.Dial(instance)
 	}
 	knownVoters := func() []anvilid.InstanceID { return append(supervisor.Members(), n.seeds()...) }
-	if err := n.Listen(settings.ControlAddress, control(anvilgate.New(n.Clock, n.Log, knownVoters, dial))); err != nil {
+	forwarder := anvilgate.New(n.Clock, n.Log, knownVoters, dial)
+	relay := anvilrelay.New(n.Clock, n.Log, settings.Instance, forwarder.Leader, forwarder.Announce)
+	if err := n.Listen(settings.ControlAddress, control(forwarder, relay)); err != nil {
 		return err
 	}
 	n.BeforeShutdown(supervisor.Leave)
-	return n.Serve(0, settings.GracePeriod.Duration(), func(ctx context.Context) error {
+	return n.Serve(0, settings.GracePeriod.Duration(), relay.Run, func(ctx context.Context) error {
 		return supervisor.Run(ctx, func() (*anvillead.Leader, error) { return n.openVoter(calls) })
 	})
 }
