Pass first announcements on together when many are in flight, and keep the connections of instances apart

These exceeded the limit that the internal port shared with the targets, so that the connections of the replicated log were closed too and the leader changed every second.

--- a/io/anvilconn/budget.go
+++ b/io/anvilconn/budget.go
@@ -14,8 +14,10 @@
 
 // Budget is the number of connections of a leader for each purpose.
 type Budget struct {
-	// Inbound limits the connections that others have opened to this process.
-	Inbound int
+	// Inbound limits the connections that callers, targets and operators have opened to this process, and Internal
+	// those of other instances. They are separate, so that thousands of targets don't displace the connections of the
+	// replicated log.
+	Inbound, Internal int
 	// Polls, Stops, UrgentStarts and Starts limit the calls to targets that are in flight. Each call
 	// occupies one connection.
 	Polls, Stops, UrgentStarts, Starts int
@@ -29,15 +31,15 @@
 	total := max(limit-reservedDescriptors, minDivided)
 	share := func(percent int) int { return total * percent / 100 }
 	return Budget{
-		Inbound: share(38),
+		Inbound: share(34), Internal: share(12),
 		// A poll occupies its connection nearly all the time, an order only for one round trip.
-		Polls: share(31), Stops: share(3), UrgentStarts: share(3), Starts: share(4),
+		Polls: share(27), Stops: share(3), UrgentStarts: share(3), Starts: share(4),
 		// Most orders find an open connection if one can be kept for nearly each target.
-		Idle: share(21),
+		Idle: share(17),
 	}
 }
 
 // Sum returns the largest number of connections that may be open at the same time.
 func (b Budget) Sum() int {
-	return b.Inbound + b.Polls + b.Stops + b.UrgentStarts + b.Starts + b.Idle
+	return b.Inbound + b.Internal + b.Polls + b.Stops + b.UrgentStarts + b.Starts + b.Idle
 }
--- a/io/anvilconn/conn_test.go
+++ b/io/anvilconn/conn_test.go
@@ -16,7 +16,7 @@
 	for _, limit := range []int{0, 100, 1024, 4096, 4324, 65_536} {
 		b := Divide(limit)
 		assert.Assert(t, b.Sum() <= max(limit-reservedDescriptors, minDivided), "limit %d: %+v", limit, b)
-		for _, share := range []int{b.Inbound, b.Polls, b.Stops, b.UrgentStarts, b.Starts, b.Idle} {
+		for _, share := range []int{b.Inbound, b.Internal, b.Polls, b.Stops, b.UrgentStarts, b.Starts, b.Idle} {
 			assert.Assert(t, share >= 16, "limit %d: %+v", limit, b)
 		}
 	}
--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -68,8 +68,9 @@
 	draining  atomic.Bool
 	servers   []*http.Server
 	failures  chan error
-	// connState is called when the state of a connection to one of the servers changes, or nil.
-	connState func(net.Conn, http.ConnState)
+	// connState and peerState are called when the state of a connection to one of the servers changes, or nil. The
+	// latter is for connections of other instances.
+	connState, peerState func(net.Conn, http.ConnState)
 	// beforeShutdown is called after a signal to stop, while the listeners and tasks still run, or nil.
 	beforeShutdown func(context.Context)
 }
@@ -77,13 +78,17 @@
 // Option configures a Daemon.
 type Option func(*Daemon)
 
-// WithMaxConnections limits the connections that others may have open to the listeners of the process.
-func WithMaxConnections(limit int) Option {
-	return func(d *Daemon) {
-		d.connState = anvilconn.NewInbound(limit, func(closed int) {
-			d.Log.Write(anvillogs.ConnectionLimitReached, zap.Int("closed", closed), zap.Int("limit", limit))
-		}).Track
-	}
+// WithMaxConnections limits the connections that others may have open to the listeners of the process, and those that
+// other instances may have open to the listeners for them.
+func WithMaxConnections(limit, peerLimit int) Option {
+	return func(d *Daemon) { d.connState, d.peerState = d.track(limit), d.track(peerLimit) }
+}
+
+// track returns the function that limits the connections whose states it is told.
+func (d *Daemon) track(limit int) func(net.Conn, http.ConnState) {
+	return anvilconn.NewInbound(limit, func(closed int) {
+		d.Log.Write(anvillogs.ConnectionLimitReached, zap.Int("closed", closed), zap.Int("limit", limit))
+	}).Track
 }
 
 // New returns the daemon of an instance. It writes its log to out, and calls reload to read
@@ -119,11 +124,20 @@
 // Listen serves a handler on an address in the background until the process ends. The
 // listener is open when Listen returns.
 func (d *Daemon) Listen(address anvilid.Address, handler http.Handler) error {
+	return d.listen(address, handler, d.connState)
+}
+
+// ListenPeers does the same for calls from other instances, which have a limit of connections of their own.
+func (d *Daemon) ListenPeers(address anvilid.Address, handler http.Handler) error {
+	return d.listen(address, handler, d.peerState)
+}
+
+func (d *Daemon) listen(address anvilid.Address, handler http.Handler, connState func(net.Conn, http.ConnState)) error {
 	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: d.connState}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connState}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -83,7 +83,7 @@
 			n.updateSeeds(reloaded.Seeds)
 		}
 		return err
-	}, anvildaemon.WithMaxConnections(n.Connections.Inbound))
+	}, anvildaemon.WithMaxConnections(n.Connections.Inbound, n.Connections.Internal))
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +125,7 @@
 		messages := anvilrpc.NewRaftServer(raft)
 		mux.Handle(messages.PathPrefix(), messages)
 	}
-	return n.Listen(anvilgroup.Address(n.Settings().Instance, n.Settings().InternalPort), mux)
+	return n.ListenPeers(anvilgroup.Address(n.Settings().Instance, n.Settings().InternalPort), mux)
 }
 
 // EntryHandlers are the HTTP handlers of an entry instance.
--- a/io/anvilrelay/relay.go
+++ b/io/anvilrelay/relay.go
@@ -27,8 +27,8 @@
 	// flushInterval is the time between two batches. It is short beside the announce interval, which bounds how late the
 	// leader may learn that a target is silent.
 	flushInterval = 100 * time.Millisecond
-	// flushTimeout bounds the delivery of one batch.
-	flushTimeout = 900 * time.Millisecond
+	// deliveryTimeout bounds the delivery of one batch.
+	deliveryTimeout = 900 * time.Millisecond
 	// maxUndelivered is the age of the oldest keepalive that waits for delivery from which on no more are acknowledged.
 	// Announcements then go to the leader one by one, and a target whose announcement fails tries another instance.
 	maxUndelivered = anvilclock.Second
@@ -55,6 +55,9 @@
 	batched atomic.Uint64
 
 	mu sync.Mutex
+	// passing is the number of calls in flight that pass announcements on, and queued has those that wait for one.
+	passing int
+	queued  []*passage
 	// held has the targets that the leader has told to announce themselves here.
 	held map[anvilid.TargetID]holding
 	// waiting has the latest keepalive of each target that the leader doesn't know yet, and when it arrived.
@@ -90,18 +93,25 @@
 		r.batched.Add(1)
 		return r.self, nil
 	}
-	reply, err := r.pass(ctx, target, false)
+	r.drop(target.ID)
+	holder, err := r.pass(ctx, target)
 	if err != nil {
 		return "", err
 	}
-	holder := anvilid.InstanceID(reply.Leader)
 	r.hold(target, holder == r.self && r.leader() != r.self)
 	return holder, nil
 }
 
 // Depart passes on that a target has ended.
 func (r *Relay) Depart(ctx context.Context, target anvilid.TargetID) error {
-	_, err := r.pass(ctx, anvilwork.Target{ID: target}, true)
+	r.drop(target)
+	data, err := cbor.Marshal(anvilwork.Target{ID: target})
+	if err != nil {
+		return err
+	}
+	_, err = r.send(ctx, func() (*anvilrpc.AnnounceCall, error) {
+		return &anvilrpc.AnnounceCall{Target: data, Left: true}, nil
+	})
 	return err
 }
 
@@ -127,19 +137,12 @@
 	return true
 }
 
-// pass passes one announcement on. Those of the target that wait are dropped, as it is the later one.
-func (r *Relay) pass(ctx context.Context, target anvilwork.Target, left bool) (*anvilrpc.AnnounceReply, error) {
+// drop forgets what is known of a target of which something later is passed on.
+func (r *Relay) drop(target anvilid.TargetID) {
 	r.mu.Lock()
-	delete(r.held, target.ID)
-	delete(r.waiting, target.ID)
-	r.mu.Unlock()
-	data, err := cbor.Marshal(target)
-	if err != nil {
-		return nil, err
-	}
-	return r.send(ctx, func() (*anvilrpc.AnnounceCall, error) {
-		return &anvilrpc.AnnounceCall{Target: data, Left: left}, nil
-	})
+	defer r.mu.Unlock()
+	delete(r.held, target)
+	delete(r.waiting, target)
 }
 
 // hold remembers an announcement that the leader has acknowledged, if the target announces itself here from now on.
@@ -175,7 +178,7 @@
 func (r *Relay) flush(ctx context.Context) {
 	waiting := r.take()
 	for batch := range slices.Chunk(waiting, maxBatch) {
-		if err := r.deliver(ctx, batch); err != nil {
+		if _, err := r.deliver(ctx, batch); err != nil {
 			r.log.Write(anvillogs.KeepalivesUndelivered, zap.Int("targets", len(waiting)), zap.Error(err))
 			r.putBack(waiting)
 			return
@@ -206,10 +209,11 @@
 	}
 }
 
-func (r *Relay) deliver(parent context.Context, batch []arrival) error {
-	ctx, cancel := context.WithTimeout(parent, flushTimeout)
+// deliver passes a batch of announcements on. They have been acknowledged by the leader if there is no error.
+func (r *Relay) deliver(parent context.Context, batch []arrival) (*anvilrpc.AnnounceReply, error) {
+	ctx, cancel := context.WithTimeout(parent, deliveryTimeout)
 	defer cancel()
-	_, err := r.send(ctx, func() (*anvilrpc.AnnounceCall, error) {
+	return r.send(ctx, func() (*anvilrpc.AnnounceCall, error) {
 		now := r.clock.Now()
 		keepalives := make([]anvilwork.Keepalive, 0, len(batch))
 		for _, a := range batch {
@@ -218,7 +222,6 @@
 		data, err := cbor.Marshal(keepalives)
 		return &anvilrpc.AnnounceCall{Target: data}, err
 	})
-	return err
 }
 
 // delivered notes that the keepalives that were taken have arrived.
