--- a/io/anvilconn/budget.go
+++ b/io/anvilconn/budget.go
@@ -31,7 +31,7 @@
 	total := max(limit-reservedDescriptors, minDivided)
 	share := func(percent int) int { return total * percent / 100 }
 	return Budget{
-		Inbound: share(34), Internal: share(12),
+		Inbound: share(30), Internal: share(16),
 		// A poll occupies its connection nearly all the time, an order only for one round trip.
 		Polls: share(27), Stops: share(3), UrgentStarts: share(3), Starts: share(4),
 		// Most orders find an open connection if one can be kept for nearly each target.
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -186,3 +186,26 @@
 	assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2))
 	assert.Equal(t, len(a.leader.keepalives), 0)
 }
+
+// TestKeepaliveAfterChange guards against announcements that arrive over two ways: one that another voter has acknowledged
+// and passes on late must not bring back the capacity that the target had before, keep a target that leaves, or count as
+// heard when it is passed on.
+func TestKeepaliveAfterChange(t *testing.T) {
+	a := newAnnouncer(t)
+	a.announce(3, 8)
+	a.clock.Advance(1000)
+	a.announce(5, 2)
+	late := anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: 4, Resources: anvilwork.Resources{GPU: 8}}
+	_, usable := a.leader.order(a.clock.Now()-500, late)
+	assert.Assert(t, !usable)
+	assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2))
+
+	same := late
+	same.Sequence, same.Resources.GPU = 5, 2
+	a.clock.Advance(2000)
+	ordered, usable := a.leader.order(a.clock.Now()-2000, same)
+	assert.Assert(t, usable, "the same one over the other way")
+	_, changes := a.leader.changeBy(ordered)
+	assert.Assert(t, !changes)
+	assert.Equal(t, a.leader.heard["t"].at, anvilclock.Millis(1000))
+}
--- a/io/anvilrelay/pass.go
+++ b/io/anvilrelay/pass.go
@@ -32,7 +32,9 @@
 	waiting := &passage{arrival{target, r.clock.Now()}, make(chan passed, 1)}
 	if r.enqueue(waiting) {
 		holder, err := r.passAlone(ctx, target)
-		go r.passQueued(context.WithoutCancel(ctx))
+		if queued := r.dequeue(); len(queued) > 0 {
+			go r.passQueued(context.WithoutCancel(ctx), queued)
+		}
 		return holder, err
 	}
 	select {
@@ -67,13 +69,9 @@
 	return anvilid.InstanceID(reply.Leader), nil
 }
 
-// passQueued passes on what is queued in the place of a call that has ended, until nothing is.
-func (r *Relay) passQueued(ctx context.Context) {
-	for {
-		queued := r.dequeue()
-		if len(queued) == 0 {
-			return
-		}
+// passQueued passes on what was queued in the place of a call that has ended, until nothing is.
+func (r *Relay) passQueued(ctx context.Context, queued []*passage) {
+	for ; len(queued) > 0; queued = r.dequeue() {
 		batch := make([]arrival, 0, len(queued))
 		for _, waiting := range queued {
 			batch = append(batch, waiting.arrival)
