--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -24,6 +24,9 @@
 
 // Sample is a report of the progress of a run.
 type Sample struct {
+	// At is when the target made the report, by any clock that runs evenly while the run lasts. That of the target is the
+	// best, as the time of the arrival varies with the load of the links and of the leader.
+	At      anvilclock.Millis
 	Machine anvilid.MachineID
 	Task    anvilwork.Task
 	Run     anvilwork.Run
@@ -66,12 +69,17 @@
 	unequal bool
 	// lifetime is the observationLifetime that the number of ended runs allows.
 	lifetime anvilclock.Millis
+	// scatters has the scatter that is expected of each kind of cohort.
+	scatters scatters
 	buffers  buffers
 }
 
 // NewEstimator returns an estimator that knows no speeds.
 func NewEstimator() *Estimator {
-	return &Estimator{cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{}, lifetime: observationLifetime}
+	return &Estimator{
+		cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{},
+		lifetime: observationLifetime, scatters: newScatters(),
+	}
 }
 
 // Observe records a report of a run's progress.
@@ -85,7 +93,8 @@
 			return
 		}
 	}
-	known.pace.add(point{at: now, percent: s.Percent})
+	known.reportedAt = now
+	known.pace.add(point{at: s.At, percent: s.Percent})
 }
 
 // addRun adds a run to its cohort. It returns nil if the cohort is full.
@@ -107,9 +116,9 @@
 	key := cohortKey{step: s.Task.StepKey(), remote: s.Remote}
 	if s.Gang {
 		key.run = s.Run
-		return e.cohort(key, memberScatter)
+		return e.cohort(key, members)
 	}
-	step := e.cohort(key, taskScatter)
+	step := e.cohort(key, tasks)
 	if s.Run == 1 {
 		return step
 	}
@@ -118,18 +127,18 @@
 		return step
 	}
 	key.task = s.Task.Index + 1
-	reruns := e.cohort(key, rerunScatter)
-	if len(reruns.runs) == 0 {
-		reruns.runs = append(reruns.runs, earlier)
+	ofTask := e.cohort(key, reruns)
+	if len(ofTask.runs) == 0 {
+		ofTask.runs = append(ofTask.runs, earlier)
 	}
-	return reruns
+	return ofTask
 }
 
 // cohort returns the cohort with a key, which it adds if necessary.
-func (e *Estimator) cohort(key cohortKey, expected float64) *cohort {
+func (e *Estimator) cohort(key cohortKey, kind kind) *cohort {
 	known := e.cohorts[key]
 	if known == nil {
-		known = &cohort{key: key, expected: expected}
+		known = &cohort{key: key, kind: kind}
 		e.cohorts[key] = known
 		e.order = append(e.order, known)
 	}
@@ -177,11 +186,12 @@
 		m.live = m.live[:0]
 	}
 	for _, c := range e.order {
-		c.compare(&e.buffers)
+		c.compare(&e.scatters, &e.buffers)
 		for _, r := range c.results {
 			r.machine.live = append(r.machine.live, r.comparison)
 		}
 	}
+	e.scatters.learn()
 	for _, m := range e.known {
 		m.update(now, &e.buffers)
 	}
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -62,7 +62,9 @@
 	summary         *summary
 	// speedsRecordedAt is when a commit of speeds of machines was requested last.
 	speedsRecordedAt anvilclock.Millis
-	idle             idleWatch
+	// unloggedSpeeds has the speeds that were recorded and not yet logged.
+	unloggedSpeeds []anvilwork.MachineSpeed
+	idle           idleWatch
 	// firstRunAt maps each job that had not ended at the last plan to the log
 	// time of its first run, or to 0 if it had none.
 	firstRunAt map[anvilid.JobID]anvilclock.Millis
@@ -113,8 +115,8 @@
 		r.planNeeded = true
 	case result := <-r.callResults:
 		r.handleResult(result)
-	case keepalive := <-r.keepalives:
-		r.tracker.RecordAnnouncement(keepalive)
+	case announced := <-r.keepalives:
+		r.recordAnnouncements(announced)
 	}
 	for {
 		select {
@@ -122,14 +124,20 @@
 			r.planNeeded = true
 		case result := <-r.callResults:
 			r.handleResult(result)
-		case keepalive := <-r.keepalives:
-			r.tracker.RecordAnnouncement(keepalive)
+		case announced := <-r.keepalives:
+			r.recordAnnouncements(announced)
 		default:
 			return
 		}
 	}
 }
 
+func (r *leadership) recordAnnouncements(announced []anvilorder.Announcement) {
+	for _, announcement := range announced {
+		r.tracker.RecordAnnouncement(announcement)
+	}
+}
+
 func (r *leadership) handleResult(result func(anvilclock.Millis) anvilorder.Effects) {
 	effects := result(r.clock.Now())
 	r.logFindings(effects.Findings)
