Limit what clients make a process hold, and let those that stop give way

Cause: connections on the users' platform were limited by number only, and above the limit the new connection was closed, while those that waited in the middle of a body or an answer kept their places for good. Bodies were read without a time limit into buffers without a budget, up to 4 MiB for each connection on a voter, and the product's own interface had no limit of connections.

Change: core/anvilbudget accounts for connections and bytes and decides who gives way, the client that makes the least progress; io/anvilguard applies it to all listeners of a process (docs/design/client-limits.md). The budget is an eighth of the memory limit, and one under the largest legal body is an error at start. The product's own interface gets limits.connections and limits.buffers. Event 108 is written at most once a second and carries totals; /debug/vars has them as "clients".

--- /dev/null
+++ b/core/anvilbudget/budget.go
@@ -0,0 +1,279 @@
+// Package anvilbudget accounts for the connections that others have opened to a process, and for the bytes of request
+// and response bodies that the process holds for them. When a limit is reached, it decides which connection gives way:
+// the one whose client makes the least progress.
+//
+// A Table isn't safe for concurrent use.
+package anvilbudget
+
+import (
+	"container/list"
+	"math"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+// Class says who opens the connections of a listener.
+type Class int
+
+// Classes of connections. A part of the connections is reserved for peers, the other instances of the system.
+const (
+	Stranger Class = iota
+	Peer
+)
+
+// Phase is what a connection waits for.
+type Phase int
+
+// Phases of a connection. One that is Working has sent its request whole and is never chosen to give way.
+const (
+	Receiving Phase = iota // the client sends a request, or hasn't sent any
+	Working                // this process handles a request
+	Sending                // the client reads an answer
+	Idle                   // the client may send another request
+)
+
+const (
+	// initialCredit makes a client count as progressing for stalledAfter before it has sent anything.
+	initialCredit = 64 << 10
+	// sendingCredit is the initial credit of a client that has an answer to take. It falls to stalledCredit within
+	// 0.75 s: newcomers wait for that, and most answers are taken at once.
+	sendingCredit = 8 << 10
+	// creditHalfLife is the time in which the credit for bytes halves.
+	creditHalfLife = 250 * anvilclock.Millisecond
+	// stalledCredit is the credit below which a client counts as stalled. Without progress, the initial credit falls to
+	// it within 1.5 s.
+	stalledCredit = 1 << 10
+	// peerFraction is the inverse of the fraction of the connections that is reserved for peers.
+	peerFraction = 8
+	// accountFraction is the inverse of the fraction of the bytes that one account, or all callers without a key
+	// together, may hold.
+	accountFraction = 2
+)
+
+// Limits bounds what others may make a process hold.
+type Limits struct {
+	Connections int
+	// Bytes limits the bytes of bodies. It must be at least the size of the largest body.
+	Bytes anvilid.ByteCount
+}
+
+// Conn is the account of one connection.
+type Conn struct {
+	class   Class
+	phase   Phase
+	account string
+	bytes   anvilid.ByteCount
+	credit  float64
+	updated anvilclock.Millis // when credit was worked out
+	idle    *list.Element     // its place among the idle connections, or nil
+	left    bool              // gave way or was closed
+}
+
+// Counts are the totals of a Table.
+type Counts struct {
+	Connections int               `json:"connections"`
+	Bytes       anvilid.ByteCount `json:"bytes"`
+	// PeakBytes is the largest number of bytes so far.
+	PeakBytes anvilid.ByteCount `json:"peak"`
+	// Closed counts connections that gave way to others, and Refused those that found no place.
+	Closed  int64 `json:"closed"`
+	Refused int64 `json:"refused"`
+	// Yielded counts requests that gave way because of their bytes.
+	Yielded int64 `json:"yielded"`
+}
+
+// Table accounts for the connections of a process.
+type Table struct {
+	limits Limits
+	// waiting has the connections that are Receiving or Sending.
+	waiting  map[*Conn]struct{}
+	idle     *list.List // the one that has been idle for longest first
+	accounts map[string]anvilid.ByteCount
+	open     [Peer + 1]int
+	counts   Counts
+}
+
+// New returns an empty table.
+func New(limits Limits) *Table {
+	return &Table{limits: limits, waiting: map[*Conn]struct{}{}, idle: list.New(), accounts: map[string]anvilid.ByteCount{}}
+}
+
+// Counts returns the present totals.
+func (t *Table) Counts() Counts {
+	counts := t.counts
+	counts.Connections = t.open[Stranger] + t.open[Peer]
+	return counts
+}
+
+// Open adds a connection. If there are too many then, it returns the one to close, which may be the new one.
+func (t *Table) Open(class Class, now anvilclock.Millis) (opened, surplus *Conn) {
+	c := &Conn{class: class, credit: initialCredit, updated: now}
+	t.open[class]++
+	t.waiting[c] = struct{}{}
+	reserved := t.limits.Connections / peerFraction
+	strangersOver := t.open[Stranger] > t.limits.Connections-reserved
+	if !strangersOver && t.open[Stranger]+t.open[Peer] <= t.limits.Connections {
+		return c, nil
+	}
+	surplus = t.chooseSurplus(c, strangersOver || t.open[Peer] <= reserved, now)
+	if surplus != c {
+		t.counts.Closed++
+	}
+	t.Close(surplus)
+	return c, surplus
+}
+
+// Refuse counts a connection that found no place.
+func (t *Table) Refuse() { t.counts.Refused++ }
+
+// chooseSurplus returns the connection that gives way to a new one: one whose client has stalled, or else the one that has
+// been idle for longest, or else the one that receives the least, or else the new one.
+func (t *Table) chooseSurplus(opened *Conn, strangersOnly bool, now anvilclock.Millis) *Conn {
+	eligible := func(c *Conn) bool { return c != opened && (!strangersOnly || c.class == Stranger) }
+	if stalled, credit := t.slowest(eligible, now); stalled != nil && credit < stalledCredit {
+		return stalled
+	}
+	for e := t.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); eligible(c) {
+			return c
+		}
+	}
+	receiving, _ := t.slowest(func(c *Conn) bool { return eligible(c) && c.phase == Receiving }, now)
+	if receiving != nil {
+		return receiving
+	}
+	return opened
+}
+
+// slowest returns the waiting connection with the least credit among those that are eligible, and its credit.
+func (t *Table) slowest(eligible func(*Conn) bool, now anvilclock.Millis) (found *Conn, credit float64) {
+	credit = math.Inf(1)
+	for c := range t.waiting {
+		if own := c.creditAt(now); own < credit && eligible(c) {
+			found, credit = c, own
+		}
+	}
+	return found, credit
+}
+
+func (c *Conn) creditAt(now anvilclock.Millis) float64 {
+	return c.credit * math.Exp2(-float64(now-c.updated)/float64(creditHalfLife))
+}
+
+// Progress records that bytes of the client have arrived, or that the client has taken some.
+func (t *Table) Progress(c *Conn, bytes int, now anvilclock.Millis) {
+	c.credit, c.updated = c.creditAt(now)+float64(bytes), now
+}
+
+// SetPhase records what a connection waits for from now on. A client that begins to wait for something else gets the
+// credit of a new one.
+func (t *Table) SetPhase(c *Conn, phase Phase, now anvilclock.Millis) {
+	if c.left || c.phase == phase {
+		return
+	}
+	t.leavePhase(c)
+	c.phase = phase
+	initial := float64(initialCredit)
+	if phase == Sending {
+		initial = sendingCredit
+	}
+	c.credit, c.updated = initial, now
+	switch phase {
+	case Idle:
+		c.idle = t.idle.PushBack(c)
+	case Receiving, Sending:
+		t.waiting[c] = struct{}{}
+	}
+}
+
+func (t *Table) leavePhase(c *Conn) {
+	delete(t.waiting, c)
+	if c.idle != nil {
+		t.idle.Remove(c.idle)
+		c.idle = nil
+	}
+}
+
+// SetAccount names the account to which the bytes of a connection count from now on. It must not hold any.
+func (t *Table) SetAccount(c *Conn, account string) { c.account = account }
+
+// Reserve records that a connection holds more bytes. It returns the connections that have to give way for them. Their
+// bytes no longer count. If the connection itself is among them, it must not hold the bytes. That is never so for one
+// that is Sending, whose bytes exist already.
+func (t *Table) Reserve(c *Conn, bytes anvilid.ByteCount, now anvilclock.Millis) (yielding []*Conn) {
+	if c.left {
+		return []*Conn{c}
+	}
+	t.add(c, bytes)
+	for t.isOver(c) && !t.isAlone(c) {
+		slowest := t.chooseYielding(c, now)
+		if slowest == nil {
+			break
+		}
+		t.counts.Yielded++
+		t.Release(slowest)
+		t.leavePhase(slowest)
+		yielding = append(yielding, slowest)
+		if slowest == c {
+			break
+		}
+	}
+	t.counts.PeakBytes = max(t.counts.PeakBytes, t.counts.Bytes)
+	return yielding
+}
+
+func (t *Table) isOver(c *Conn) bool {
+	return t.counts.Bytes > t.limits.Bytes || t.accounts[c.account] > t.limits.Bytes/accountFraction
+}
+
+// isAlone reports whether only this connection holds bytes, and not more than the limit: a single body within the limits
+// is always taken.
+func (t *Table) isAlone(c *Conn) bool { return c.bytes == t.counts.Bytes && c.bytes <= t.limits.Bytes }
+
+// chooseYielding returns the connection that gives way because of its bytes, or nil if there is none. Connections that hold
+// no more than an equal share come last, as all of them together can't exceed the limit.
+func (t *Table) chooseYielding(c *Conn, now anvilclock.Millis) *Conn {
+	sameAccount := t.counts.Bytes <= t.limits.Bytes
+	for _, share := range []anvilid.ByteCount{t.limits.Bytes / anvilid.ByteCount(max(t.limits.Connections, 1)), 0} {
+		slowest, _ := t.slowest(func(o *Conn) bool {
+			return o.bytes > share && (!sameAccount || o.account == c.account) && (o != c || c.phase != Sending)
+		}, now)
+		if slowest != nil {
+			return slowest
+		}
+	}
+	if c.phase == Sending {
+		return nil
+	}
+	return c
+}
+
+func (t *Table) add(c *Conn, bytes anvilid.ByteCount) {
+	c.bytes += bytes
+	t.counts.Bytes += bytes
+	t.accounts[c.account] += bytes
+	if t.accounts[c.account] == 0 {
+		delete(t.accounts, c.account)
+	}
+}
+
+// Return records that a connection holds fewer bytes.
+func (t *Table) Return(c *Conn, bytes anvilid.ByteCount) { t.add(c, -min(bytes, c.bytes)) }
+
+// Release records that a connection holds no bytes.
+func (t *Table) Release(c *Conn) { t.add(c, -c.bytes) }
+
+// Close removes a connection. It does nothing for one that has been removed.
+func (t *Table) Close(c *Conn) {
+	if c.left {
+		return
+	}
+	t.Release(c)
+	t.leavePhase(c)
+	t.open[c.class]--
+	c.left = true
+}
+
+// Phase returns what a connection waits for.
+func (t *Table) Phase(c *Conn) Phase { return c.phase }
--- /dev/null
+++ b/core/anvilbudget/budget_test.go
@@ -0,0 +1,88 @@
+package anvilbudget
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilclock"
+)
+
+// samePointers compares connections by identity.
+var samePointers = cmp.Comparer(func(a, b *Conn) bool { return a == b })
+
+// Guards against a newcomer, or a request that was sent whole, that gives way to clients that have stopped halfway, and
+// against an idle connection that does.
+func TestStalledConnectionGivesWay(t *testing.T) {
+	table := New(Limits{Connections: 4, Bytes: 1 << 20})
+	working, _ := table.Open(Stranger, 0)
+	table.SetPhase(working, Working, 0)
+	idle, _ := table.Open(Stranger, 0)
+	table.SetPhase(idle, Idle, 0)
+	stalled, _ := table.Open(Stranger, 0)
+	table.Progress(stalled, 250_000, 0)
+	receiving, _ := table.Open(Stranger, 0)
+	now := 3 * anvilclock.Second
+	table.Progress(receiving, 4000, now)
+
+	for _, expected := range []*Conn{stalled, idle, receiving} {
+		opened, surplus := table.Open(Stranger, now)
+		assert.Equal(t, surplus, expected)
+		table.SetPhase(opened, Working, now)
+	}
+	last, surplus := table.Open(Stranger, now)
+	assert.Equal(t, surplus, last, "all others are working")
+	assert.Equal(t, table.Counts().Connections, 4)
+}
+
+// Guards against strangers that take the connections of other instances.
+func TestPlacesForPeers(t *testing.T) {
+	table := New(Limits{Connections: 16, Bytes: 1 << 20})
+	for range 20 {
+		c, _ := table.Open(Stranger, 0)
+		table.SetPhase(c, Working, 0)
+	}
+	assert.Equal(t, table.Counts().Connections, 14)
+	for range 2 {
+		_, surplus := table.Open(Peer, 0)
+		assert.Assert(t, surplus == nil)
+	}
+	late, _ := table.Open(Stranger, 0)
+	table.SetPhase(late, Receiving, 0)
+	assert.Equal(t, table.Counts().Connections, 16)
+	assert.Equal(t, table.open[Peer], 2)
+}
+
+// Guards against bodies that exceed the budget, and against a body that gives way though its client sends faster than others,
+// or holds no more than its share.
+func TestSlowestBodyGivesWay(t *testing.T) {
+	table := New(Limits{Connections: 10, Bytes: 1000})
+	open := func(account string, bytes int, at anvilclock.Millis) *Conn {
+		c, _ := table.Open(Stranger, at)
+		table.SetAccount(c, account)
+		assert.Equal(t, len(table.Reserve(c, 0, at)), 0)
+		table.Progress(c, bytes, at)
+		return c
+	}
+	slow, fast, small := open("a", 400, 0), open("b", 100_000, 0), open("c", 0, 0)
+	assert.Equal(t, len(table.Reserve(slow, 400, 0)), 0)
+	assert.Equal(t, len(table.Reserve(fast, 400, 0)), 0)
+	assert.Equal(t, len(table.Reserve(small, 100, 0)), 0)
+	other := open("d", 50_000, 0)
+	assert.DeepEqual(t, table.Reserve(other, 300, 0), []*Conn{slow}, samePointers)
+	assert.Equal(t, table.Counts().Bytes, fast.bytes+small.bytes+other.bytes)
+	assert.DeepEqual(t, table.Reserve(fast, 200, 0), []*Conn{fast}, samePointers)
+	assert.Equal(t, table.Counts().Yielded, int64(2))
+}
+
+// Guards against a single largest body that is refused, and against a connection whose bytes count for ever.
+func TestSingleBody(t *testing.T) {
+	table := New(Limits{Connections: 10, Bytes: 1000})
+	c, _ := table.Open(Stranger, 0)
+	assert.Equal(t, len(table.Reserve(c, 1000, 0)), 0)
+	table.Close(c)
+	table.Close(c)
+	assert.Equal(t, table.Counts(), Counts{PeakBytes: 1000})
+	assert.DeepEqual(t, table.Reserve(c, 1, 0), []*Conn{c}, samePointers)
+}
--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -18,8 +18,9 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilbudget"
 	"anvilshunt/core/anvilid"
-	"anvilshunt/io/anvilconn"
+	"anvilshunt/io/anvilguard"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -68,8 +69,8 @@
 	draining  atomic.Bool
 	servers   []*http.Server
 	failures  chan error
-	// connState is called when the state of a connection to one of the servers changes, or nil.
-	connState func(net.Conn, http.ConnState)
+	// guard limits what clients make the process hold, or is nil.
+	guard *anvilguard.Guard
 	// beforeShutdown is called after a signal to stop, while the listeners and tasks still run, or nil.
 	beforeShutdown func(context.Context)
 }
@@ -77,12 +78,13 @@
 // Option configures a Daemon.
 type Option func(*Daemon)
 
-// WithMaxConnections limits the connections that others may have open to the listeners of the process.
-func WithMaxConnections(limit int) Option {
+// WithGuard limits what others may make the process hold. The function account returns the name of the account of a
+// request, or "" for a stranger.
+func WithGuard(limits anvilbudget.Limits, account func(*http.Request) string) Option {
 	return func(d *Daemon) {
-		d.connState = anvilconn.NewInbound(limit, func(closed int) {
-			d.Log.Write(anvillogs.ConnectionLimitReached, zap.Int("closed", closed), zap.Int("limit", limit))
-		}).Track
+		d.guard = anvilguard.New(limits, account, func(counts anvilbudget.Counts) {
+			d.Log.Write(anvillogs.ClientsGaveWay, anvilguard.Fields(counts, limits)...)
+		})
 	}
 }
 
@@ -119,11 +121,24 @@
 // Listen serves a handler on an address in the background until the process ends. The
 // listener is open when Listen returns.
 func (d *Daemon) Listen(address anvilid.Address, handler http.Handler) error {
+	return d.listen(address, handler, anvilbudget.Stranger)
+}
+
+// ListenPeers does the same for calls from other instances, which have connections of their own.
+func (d *Daemon) ListenPeers(address anvilid.Address, handler http.Handler) error {
+	return d.listen(address, handler, anvilbudget.Peer)
+}
+
+func (d *Daemon) listen(address anvilid.Address, handler http.Handler, class anvilbudget.Class) error {
 	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: d.connState}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if d.guard != nil {
+		listener = d.guard.Listen(listener, class)
+		d.guard.Configure(server)
+	}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/io/anvilguard/conn.go
@@ -0,0 +1,171 @@
+package anvilguard
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"anvilshunt/core/anvilbudget"
+	"anvilshunt/core/anvilid"
+)
+
+// conn is a connection that has a place. Its account belongs to guard.mu.
+type conn struct {
+	net.Conn
+	guard   *Guard
+	class   anvilbudget.Class
+	account *anvilbudget.Conn
+	// stopped makes reads fail, so that the handler refuses the request.
+	stopped atomic.Bool
+	closed  sync.Once
+	// deadline guards the order of setReadDeadline and stop.
+	deadline sync.Mutex
+}
+
+// Read reads from the connection and records the progress of the client.
+func (c *conn) Read(data []byte) (int, error) {
+	if c.stopped.Load() {
+		return 0, errStopped
+	}
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.guard.mu.Lock()
+		c.guard.table.Progress(c.account, n, c.guard.clock.Now())
+		c.guard.mu.Unlock()
+	}
+	return n, err
+}
+
+// Write writes to the connection. It fails if the client takes nothing for stallTimeout.
+func (c *conn) Write(data []byte) (int, error) {
+	before := c.beginWrite(len(data))
+	defer c.endWrite(before, len(data))
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(data[written:min(written+writePiece, len(data))])
+		written += n
+		if err != nil || written == len(data) {
+			return written, err
+		}
+		c.guard.mu.Lock()
+		c.guard.table.Progress(c.account, n, c.guard.clock.Now())
+		c.guard.mu.Unlock()
+	}
+}
+
+// writePiece is the size of the pieces in which an answer is written, each with its own deadline.
+const writePiece = 64 << 10
+
+// beginWrite records that the client is to take an answer, whose bytes the process holds until then. It returns the phase
+// before.
+func (c *conn) beginWrite(size int) anvilbudget.Phase {
+	g := c.guard
+	g.mu.Lock()
+	before := g.table.Phase(c.account)
+	g.table.SetPhase(c.account, anvilbudget.Sending, g.clock.Now())
+	var yielding []*conn
+	if size > smallWrite {
+		yielding = g.reserve(c, anvilid.ByteCount(size))
+	}
+	g.mu.Unlock()
+	g.stopAll(yielding)
+	return before
+}
+
+func (c *conn) endWrite(before anvilbudget.Phase, size int) {
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if size > smallWrite {
+		g.table.Return(c.account, anvilid.ByteCount(size))
+	}
+	g.table.SetPhase(c.account, before, g.clock.Now())
+}
+
+// reserve records that the connection holds more bytes, and returns the connections that have to give way. The mutex of
+// the guard must be held.
+func (g *Guard) reserve(c *conn, bytes anvilid.ByteCount) (yielding []*conn) {
+	for _, account := range g.table.Reserve(c.account, bytes, g.clock.Now()) {
+		if other := g.conns[account]; other != nil {
+			yielding = append(yielding, other)
+		}
+	}
+	return yielding
+}
+
+// stopAll stops connections that have to give way.
+func (g *Guard) stopAll(yielding []*conn) {
+	for _, c := range yielding {
+		c.stop()
+	}
+	if len(yielding) > 0 {
+		g.reportCounts()
+	}
+}
+
+// stop makes the reads of a connection fail. One whose client doesn't take an answer is closed, as nothing else ends that.
+func (c *conn) stop() {
+	c.guard.mu.Lock()
+	sending := c.guard.table.Phase(c.account) == anvilbudget.Sending
+	c.guard.mu.Unlock()
+	if sending {
+		_ = c.Close() // its handler notices it
+		return
+	}
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	c.stopped.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Now()) // it fails only if the connection is closed
+}
+
+// setReadDeadline sets the deadline of reads, unless the connection has been stopped.
+func (c *conn) setReadDeadline(at time.Time) error {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	if c.stopped.Load() {
+		return errStopped
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection has been stopped.
+func (c *conn) SetReadDeadline(at time.Time) error { return c.setReadDeadline(at) }
+
+func (c *conn) setPhase(phase anvilbudget.Phase) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.SetPhase(c.account, phase, c.guard.clock.Now())
+}
+
+// release records that the request of the connection has been handled.
+func (c *conn) release() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.Release(c.account)
+}
+
+// handleState follows the state that the server gives the connection.
+func (c *conn) handleState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.setPhase(anvilbudget.Receiving)
+	case http.StateIdle:
+		c.setPhase(anvilbudget.Idle)
+	}
+}
+
+// Close closes the connection and gives up its place.
+func (c *conn) Close() error {
+	c.closed.Do(func() {
+		c.guard.mu.Lock()
+		defer c.guard.mu.Unlock()
+		c.guard.table.Close(c.account)
+		delete(c.guard.conns, c.account)
+	})
+	return c.Conn.Close()
+}
--- a/io/anvilhttp/jobs.go
+++ b/io/anvilhttp/jobs.go
@@ -31,7 +31,7 @@
 func (s *server) submitJob(c echo.Context) error {
 	data, err := readLimited(c, maxJobBytes)
 	if err != nil {
-		return writeError(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+		return writeBodyError(c, err)
 	}
 	var form struct {
 		ID           anvilid.JobID            `json:"id"`
@@ -121,7 +121,7 @@
 func (s *server) announce(c echo.Context) error {
 	data, err := readLimited(c, maxJobBytes)
 	if err != nil {
-		return writeError(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+		return writeBodyError(c, err)
 	}
 	report := &Report{}
 	if err := json.Unmarshal(data, report); err != nil {
--- a/io/anvilhttp/operator.go
+++ b/io/anvilhttp/operator.go
@@ -12,10 +12,11 @@
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilsettings"
 )
 
 // maxChangeBytes limits the body of a change set.
-const maxChangeBytes = 4 << 20
+const maxChangeBytes = anvilsettings.MaxChange
 
 // decodeStrict decodes one JSON value. It rejects unknown fields and text after the value.
 func decodeStrict(data []byte, value any) error {
@@ -52,7 +53,7 @@
 func readChange(c echo.Context) (change anvilconfig.Change, ok bool, err error) {
 	data, err := readLimited(c, maxChangeBytes)
 	if err != nil {
-		return change, false, writeError(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+		return change, false, writeBodyError(c, err)
 	}
 	change, problems := anvilconfig.ParseChange(data)
 	if len(problems) > 0 {
--- a/io/anvilhttp/request.go
+++ b/io/anvilhttp/request.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,11 +11,13 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilrequest"
+	"anvilshunt/io/anvilguard"
 )
 
 // Headers of short requests and their answers.
 const (
-	headerAccount    = "Anvilshunt-Account"
+	// AccountHeader names the account of a short request.
+	AccountHeader    = "Anvilshunt-Account"
 	headerID         = "Anvilshunt-Request-Id"
 	headerRepeatable = "Anvilshunt-Repeatable"
 	headerTimeout    = "Anvilshunt-Timeout"
@@ -66,7 +66,7 @@
 	header := c.Request().Header
 	request := &anvilrequest.Request{
 		Key: anvilrequest.Key{
-			Account: anvilid.AccountID(header.Get(headerAccount)),
+			Account: anvilid.AccountID(header.Get(AccountHeader)),
 			Service: anvilid.ServiceName(c.Param("service")),
 			ID:      anvilid.RequestID(header.Get(headerID)),
 		},
@@ -88,7 +88,7 @@
 	}
 	if request.Account == "" {
 		return request, anvilrequest.Refuse(anvilrequest.CodeBadRequest,
-			"header %s is missing; set it to the name of the client account", headerAccount)
+			"header %s is missing; set it to the name of the client account", AccountHeader)
 	}
 	if answer := s.parseOptions(c, request); answer.Outcome != "" {
 		return request, answer
@@ -130,8 +130,10 @@
 func (s *server) readBody(c echo.Context, request *anvilrequest.Request) anvilrequest.Answer {
 	body, err := readLimited(c, s.limits.BodyBytes)
 	switch {
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, anvilguard.ErrTooLarge):
 		return anvilrequest.Refuse(anvilrequest.CodeTooLarge, "%v", err)
+	case errors.Is(err, anvilguard.ErrGaveWay):
+		return anvilrequest.Refuse(anvilrequest.CodeOverloaded, "%v", err)
 	case err != nil:
 		return anvilrequest.Refuse(anvilrequest.CodeBadRequest, "the request body could not be read: %v", err)
 	}
@@ -139,25 +141,22 @@
 	return anvilrequest.Answer{}
 }
 
-var errBodyTooLarge = errors.New("the body is too large")
-
-// readLimited reads the request body. It fails if the body has more than limit bytes.
+// readLimited reads the request body. It fails if the body has more than limit bytes, or if the client is too slow or
+// holds too much, see anvilguard.ReadBody.
 func readLimited(c echo.Context, limit anvilid.ByteCount) ([]byte, error) {
-	request := c.Request()
-	if request.ContentLength > int64(limit) {
-		return nil, fmt.Errorf("%w: it has %d bytes; this instance takes at most %d",
-			errBodyTooLarge, request.ContentLength, limit)
-	}
-	if request.ContentLength >= 0 {
-		body := make([]byte, request.ContentLength)
-		_, err := io.ReadFull(request.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, int64(limit)+1))
-	if err == nil && len(body) > int(limit) {
-		err = fmt.Errorf("%w: this instance takes at most %d bytes", errBodyTooLarge, limit)
+	return anvilguard.ReadBody(c.Response(), c.Request(), limit)
+}
+
+// writeBodyError answers a request of an operator or target whose body could not be read. It was not carried out.
+func writeBodyError(c echo.Context, err error) error {
+	switch {
+	case errors.Is(err, anvilguard.ErrTooLarge):
+		return writeError(c, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	case errors.Is(err, anvilguard.ErrGaveWay):
+		c.Response().Header().Set("Retry-After", "1")
+		return writeError(c, http.StatusServiceUnavailable, "overloaded", err.Error())
 	}
-	return body, err
+	return writeError(c, http.StatusBadRequest, "bad_request", "the request body could not be read: "+err.Error())
 }
 
 // writeAnswer sends the answer of a target, or the error that replaces it, to the caller. The header
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -4,15 +4,15 @@
 
 // Events about the start, the stop and the background tasks of an instance.
 var (
-	InstanceStarted        = define(101, zapcore.InfoLevel, "instance started")
-	InstanceJoined         = define(102, zapcore.InfoLevel, "instance joined the control group")
-	InstanceDraining       = define(103, zapcore.InfoLevel, "instance is draining: it accepts no new requests")
-	InstanceStopped        = define(104, zapcore.InfoLevel, "instance stopped")
-	InstanceKilled         = define(105, zapcore.WarnLevel, "second stop signal: instance stops without waiting for its requests")
-	LogLinesDropped        = define(107, zapcore.WarnLevel, "log lines omitted: log buffer full or event repeated too often")
-	ConnectionLimitReached = define(108, zapcore.WarnLevel, "too many connections to this process; the one that was unused for longest is closed")
-	ProcessPaused          = define(109, zapcore.WarnLevel, "process did not run for longer than an election timeout")
-	BackgroundTaskFailed   = define(106, zapcore.ErrorLevel, "background task of the instance failed; the instance stops")
+	InstanceStarted      = define(101, zapcore.InfoLevel, "instance started")
+	InstanceJoined       = define(102, zapcore.InfoLevel, "instance joined the control group")
+	InstanceDraining     = define(103, zapcore.InfoLevel, "instance is draining: it accepts no new requests")
+	InstanceStopped      = define(104, zapcore.InfoLevel, "instance stopped")
+	InstanceKilled       = define(105, zapcore.WarnLevel, "second stop signal: instance stops without waiting for its requests")
+	LogLinesDropped      = define(107, zapcore.WarnLevel, "log lines omitted: log buffer full or event repeated too often")
+	ClientsGaveWay       = define(108, zapcore.WarnLevel, "clients gave way: too many connections to this process, or too many bytes of bodies")
+	ProcessPaused        = define(109, zapcore.WarnLevel, "process did not run for longer than an election timeout")
+	BackgroundTaskFailed = define(106, zapcore.ErrorLevel, "background task of the instance failed; the instance stops")
 )
 
 // Events about the instance leases and the control group, which replicates the state.
--- /dev/null
+++ b/io/anvilserver/clients.go
@@ -0,0 +1,52 @@
+package anvilserver
+
+import (
+	"math"
+	"net/http"
+	"runtime/debug"
+	"syscall"
+
+	"anvilshunt/core/anvilbudget"
+	"anvilshunt/core/anvilid"
+	"anvilshunt/io/anvilguard"
+	"anvilshunt/io/anvilhttp"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilsettings"
+)
+
+// ownDescriptors are left to files and to the connections that the instance opens.
+const ownDescriptors = 300
+
+// clientLimits returns what clients may make an instance hold, under Go's memory limit and the limit of open files of
+// the process, each of which is the largest number of its type if there is none.
+func clientLimits(l anvilsettings.Limits, memory int64, files uint64) (anvilbudget.Limits, error) {
+	limits := anvilbudget.Limits{Connections: l.Connections, Bytes: l.Buffers}
+	if files < math.MaxInt32 {
+		limits.Connections = min(limits.Connections, max(int(files)-ownDescriptors, int(files)/2))
+	}
+	if limits.Bytes > 0 {
+		return limits, nil // checked with the settings
+	}
+	if memory == math.MaxInt64 {
+		memory = 0
+	}
+	var err error
+	limits.Bytes, err = anvilbudget.BytesFor(anvilid.ByteCount(memory), max(l.Body, anvilsettings.MaxChange))
+	return limits, err
+}
+
+// newGuard returns the guard of the instance's listeners.
+func (s *Server) newGuard() (*anvilguard.Guard, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		files.Cur = math.MaxUint64 // the setting alone applies
+	}
+	limits, err := clientLimits(s.settings.Limits, debug.SetMemoryLimit(-1), files.Cur)
+	if err != nil {
+		return nil, err
+	}
+	account := func(r *http.Request) string { return r.Header.Get(anvilhttp.AccountHeader) }
+	return anvilguard.New(limits, account, func(counts anvilbudget.Counts) {
+		s.log.Write(anvillogs.ClientsGaveWay, anvilguard.Fields(counts, limits)...)
+	}), nil
+}
--- a/io/anvilserver/metrics.go
+++ b/io/anvilserver/metrics.go
@@ -31,6 +31,7 @@
 		"slots":    func() any { return s.fleet.Loads() },
 		"leased":   func() any { return s.isLeased() },
 		"memory":   memory,
+		"clients":  func() any { return s.guard.Counts() },
 		"ignored":  func() any { return s.ignored.Total() },
 		// burn_dropped is the number of requests that are missing from the history of the
 		// objectives.
--- a/io/anvilserver/run.go
+++ b/io/anvilserver/run.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilbudget"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilstate"
 	"anvilshunt/io/anvilduty"
@@ -88,8 +89,8 @@
 		{"gang members", s.owner.Run},
 		{"burn", s.reportCounts},
 		{"log", s.reportLostLines},
-		{"public", s.serve(public, s.publicHandler(), &s.publicConnections)},
-		{"peer", s.serve(peer, s.peerHandler(), &connections{})},
+		{"public", s.serve(s.guard.Listen(public, anvilbudget.Stranger), s.publicHandler(), &s.publicConnections)},
+		{"peer", s.serve(s.guard.Listen(peer, anvilbudget.Peer), s.peerHandler(), &connections{})},
 		{"signals", func(ctx context.Context) error { return s.handleSignals(ctx, signals, cancel) }},
 	}
 	if s.voter != nil {
@@ -120,6 +121,7 @@
 			MaxHeaderBytes: hardHeaderFactor * int(s.settings.Limits.Header),
 			ConnState:      connections.track,
 		}
+		s.guard.Configure(server)
 		failed := make(chan error, 1)
 		go func() { failed <- server.Serve(listener) }()
 		select {
--- a/io/anvilserver/server.go
+++ b/io/anvilserver/server.go
@@ -29,6 +29,7 @@
 	"anvilshunt/io/anvildispatch"
 	"anvilshunt/io/anvilfleet"
 	"anvilshunt/io/anvilgang"
+	"anvilshunt/io/anvilguard"
 	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilsettings"
@@ -59,6 +60,7 @@
 	burnRecorder      *burnRecorder
 	state             atomic.Int32
 	publicConnections connections // connections of callers, targets and operators
+	guard             *anvilguard.Guard
 
 	mu     sync.Mutex
 	view   *anvilview.View
@@ -104,6 +106,11 @@
 	}
 	s.log = s.log.With(zap.String("instance", string(settings.Instance)))
 	s.ignored = anvillogs.NewIgnored(s.clock, s.log, anvillogs.EntryIgnored)
+	guard, err := s.newGuard()
+	if err != nil {
+		return nil, err
+	}
+	s.guard = guard
 	s.incarnation.Store(uint64(s.wall.Now()))
 	s.metrics = newMetrics()
 	linkOptions := []anvillink.Option{anvillink.WithByteCounters(s.metrics.linkBytes)}
--- a/io/anvilsettings/check.go
+++ b/io/anvilsettings/check.go
@@ -13,6 +13,9 @@
 
 var logLevels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
 
+// MaxChange is the maximum size of a change set, the largest body of a request of an operator.
+const MaxChange anvilid.ByteCount = 4 << 20
+
 // check reports values that are missing, out of range, or inconsistent with other values.
 func (d *document) check(s Settings) []Problem {
 	d.checkName("instance", string(s.Instance))
@@ -81,6 +84,10 @@
 	d.checkRange("limits.queue", int64(l.Queue), 1, 1<<20)
 	d.checkRange("limits.ids", int64(l.IDs), 1, 10_000_000)
 	d.checkRange("limits.cache", int64(l.Cache), 0, 1<<33)
+	d.checkRange("limits.connections", int64(l.Connections), 16, 1<<20)
+	if l.Buffers != 0 {
+		d.checkRange("limits.buffers", int64(l.Buffers), int64(max(l.Body, MaxChange)), 1<<36)
+	}
 }
 
 func (d *document) checkTiming(t Timing) {
--- a/io/anvilsettings/settings.go
+++ b/io/anvilsettings/settings.go
@@ -42,6 +42,12 @@
 	IDs int `json:"ids"`
 	// Cache is the maximum total size of the answers that are stored for repeated requests.
 	Cache anvilid.ByteCount `json:"cache"`
+	// Connections is the maximum number of connections that others may have open to the instance. A lower limit of
+	// open files lowers it.
+	Connections int `json:"connections"`
+	// Buffers is the maximum total size of the bodies that the instance holds for its clients. 0 means an eighth of
+	// Go's memory limit (GOMEMLIMIT), or 64 MiB without one.
+	Buffers anvilid.ByteCount `json:"buffers"`
 }
 
 // Timing contains the durations of leases and elections, and of a graceful shutdown.
@@ -84,7 +90,7 @@
 		LogLevel: "info",
 		Limits: Limits{
 			Body: 1 << 20, Header: 16 << 10, Answer: 8 << 20,
-			Requests: 4096, Queue: 4096, IDs: 200_000, Cache: 64 << 20,
+			Requests: 4096, Queue: 4096, IDs: 200_000, Cache: 64 << 20, Connections: 4096,
 		},
 		Timing: Timing{
 			Lease: 900, RenewalHold: 300, Heartbeat: 75, Election: 300, Drain: 30 * anvilclock.Second,
