--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -29,6 +29,7 @@
 	r.logEndedJobs()
 	r.stopObsoleteRuns()
 	r.advanceWaves(now)
+	r.learnSpeeds(now)
 	input := r.planInput(now)
 	r.demand.Observe(now, anvilplace.UrgentDemand(input))
 	input.Reserve = r.demand.Reserve()
@@ -97,6 +98,9 @@
 		Progress: func(task anvilwork.Task) (anvilspeed.Progress, bool) {
 			return r.tracker.Speeds.Progress(now, task)
 		},
+		Speed: func(target *anvilwork.Target) anvilspeed.Factor {
+			return r.tracker.Lasting.Speed(target.MachineOrSelf())
+		},
 		State: r.state, Now: r.logTime(), Wall: r.wallClock.Now(),
 		Usable: func(id anvilid.TargetID) bool {
 			return r.tracker.Usable(now, id, announceTimeout) && !r.upkeep.unavailable[id]
@@ -129,8 +133,14 @@
 	switch {
 	case command.Place != nil:
 		for _, a := range command.Place.Assignments {
-			r.log.Write(anvillogs.RunPlaced, zap.Stringer("task", a.Task), zap.Uint64("run", uint64(a.Run)),
-				zap.String("target", string(a.Target)), zap.Uint8("result", uint8(result)))
+			fields := []zap.Field{
+				zap.Stringer("task", a.Task), zap.Uint64("run", uint64(a.Run)),
+				zap.String("target", string(a.Target)), zap.Uint8("result", uint8(result)),
+			}
+			if speed := r.tracker.SpeedOf(a.Target); speed != anvilspeed.Ordinary {
+				fields = append(fields, zap.Float64("speed", hundredths(float64(speed))))
+			}
+			r.log.Write(anvillogs.RunPlaced, fields...)
 		}
 	case command.RecordRunEnds != nil:
 		for _, end := range command.RecordRunEnds.Ends {
@@ -142,6 +152,8 @@
 		r.log.Write(anvillogs.RunUnassigned, zap.Stringer("task", command.Unassign.Task), zap.Uint64("run", uint64(command.Unassign.Run)))
 	case command.RecordCheckpoints != nil:
 		r.log.Write(anvillogs.CheckpointsKept, zap.Stringers("runs", command.RecordCheckpoints.Runs))
+	case command.RecordSpeeds != nil:
+		r.logSpeeds(command.RecordSpeeds.Speeds)
 	case command.ExpireLease != nil:
 		r.log.Write(anvillogs.TargetLeaseExpired, zap.String("target", string(command.ExpireLease.Target)), zap.Int("runs", len(command.ExpireLease.Runs)))
 	}
