--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -37,7 +37,7 @@
 	// revisions counts, for each target, the changes of the target and of its assigned runs.
 	revisions map[anvilid.TargetID]Revision
 	// speeds has the speeds that leaders have learnt of machines.
-	speeds map[anvilid.MachineID]SpeedLevel
+	speeds map[anvilid.MachineID]MachineSpeed
 	// crashes has the result of TakeCrashes.
 	crashes []Crash
 	// now is the log time: the latest time that a leader stamped on an applied log entry.
@@ -51,7 +51,7 @@
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
 		evacuations: map[anvilid.ZoneName]Evacuation{},
-		speeds:      map[anvilid.MachineID]SpeedLevel{},
+		speeds:      map[anvilid.MachineID]MachineSpeed{},
 	}
 	s.index = newIndex(&s.config)
 	return s
@@ -170,7 +170,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.departed)) {
 		image.Departed = append(image.Departed, s.departed[id])
 	}
-	image.Speeds = s.sortedSpeeds()
+	image.Speeds = s.Speeds()
 	return anvilcodec.Encode(image)
 }
 
@@ -207,7 +207,7 @@
 		}
 	}
 	for _, speed := range image.Speeds {
-		s.speeds[speed.Machine] = speed.Level
+		s.speeds[speed.Machine] = speed
 	}
 	for _, d := range image.Departed {
 		s.departed[d.Target] = d
@@ -237,7 +237,7 @@
 }
 
 // RunsToStop returns the assigned runs that should be stopped: runs of jobs that have
-// ended, and gang members whose gang cannot complete because another member of the same
+// ended, runs of tasks of which an earlier run was done, and gang members whose gang cannot complete because another member of the same
 // run is no longer assigned.
 func (s *State) RunsToStop() []Assignment {
 	var found []Assignment
@@ -266,7 +266,7 @@
 // a gang with many members would otherwise be looked at once for each of them.
 func shouldStop(job *Job, task Task, run Run, known map[gangRun]bool) bool {
 	if !job.Spec.Steps[task.Step].Gang {
-		return job.Phase.Ended()
+		return job.Phase.Ended() || job.State(task).DoneRun > 0
 	}
 	key := gangRun{task.StepKey(), run}
 	stop, ok := known[key]
@@ -280,6 +280,9 @@
 func shouldStopGang(job *Job, task Task, run Run) bool {
 	incomplete := false
 	for _, member := range job.Occurrences[task.Occurrence].Tasks[task.Step] {
+		if member.DoneRun > 0 {
+			return true
+		}
 		if member.Phase == TaskDone {
 			return false // the gang is done, its members are reporting their ends now
 		}
