Merge the limits for clients that the system doesn't control

The number of connections that are reserved for other instances is a limit of its own now, because the relays of announcements have divided the descriptors anew.

--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilbudget"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilorder"
@@ -70,20 +71,38 @@
 	links    *anvillink.Links
 }
 
+// Clients describes the calls of the clients of an instance.
+type Clients struct {
+	// LargestBody is the size of the largest body that the handlers read.
+	LargestBody anvilid.ByteCount
+	// Account returns the name of the account of a call, or "" for a stranger.
+	Account func(*http.Request) string
+}
+
+// limits returns what the clients may make the process hold. It fails if the memory limit leaves no room for one
+// largest body.
+func (c Clients) limits(settings Settings, connections anvilconn.Budget) (anvilbudget.Limits, error) {
+	bytes, err := anvilbudget.BytesFor(settings.MemoryLimit, c.LargestBody)
+	return anvilbudget.Limits{Connections: connections.Inbound + connections.Internal, Peers: connections.Internal, Bytes: bytes}, err
+}
+
 // New returns an instance with the given settings, which writes its log to out. The function load reads the settings
 // again when the process is told that they have changed. Only a change of the seeds takes effect without a restart.
-func New(settings Settings, signals anvildaemon.Signals, out io.Writer, load func() (Settings, error)) (*Node, error) {
+func New(settings Settings, clients Clients, signals anvildaemon.Signals, out io.Writer, load func() (Settings, error)) (*Node, error) {
 	n := &Node{Clock: anvilclock.Boot(), WallClock: anvilclock.Wall(), Connections: anvilconn.Divide(settings.DescriptorLimit)}
 	n.settings.Store(&settings)
 	n.links = anvillink.New(settings.Region, func(anvilid.Address) anvilid.RegionName { return settings.Region })
-	var err error
+	limits, err := clients.limits(settings, n.Connections)
+	if err != nil {
+		return nil, err
+	}
 	n.Daemon, err = anvildaemon.New(settings.Instance, signals, out, func() error {
 		reloaded, err := load()
 		if err == nil {
 			n.updateSeeds(reloaded.Seeds)
 		}
 		return err
-	}, anvildaemon.WithMaxConnections(n.Connections.Inbound, n.Connections.Internal))
+	}, anvildaemon.WithGuard(limits, clients.Account))
 	if err != nil {
 		return nil, err
 	}
