--- a/io/anvilmeasure/command.go
+++ b/io/anvilmeasure/command.go
@@ -49,6 +49,7 @@
 		{"once", "latency that a claim adds to a request", onceFlags},
 		{"overhead", "latency and throughput of requests through one instance", overheadFlags},
 		{"leaving", "time until a leaving target gets no new work", leavingFlags},
+		{"place", "jobs in time by policy of placement, on targets of unequal speed", placeFlags},
 		{"capacity", "resource use per instance, target, change, claim and object", capacityFlags},
 	}
 }
