Learn which queues slow each other down, and keep them apart

Runs of a queue on one machine are compared with and without runs of another queue beside them, so that neither a slow machine nor a long task passes for a bad neighbour. Among targets with equally many free accelerators the planner takes those first where nothing is disturbed; without findings its plan is the same.

--- a/core/anvilexplain/explain.go
+++ b/core/anvilexplain/explain.go
@@ -145,7 +145,11 @@
 	// slowRuns is the number of runs that were placed on targets of less than slowSpeed, and slowest the
 	// lowest speed of all.
 	slowRuns int
-	slowest  float64
+	// disturbedRuns is the number of runs that were placed beside runs of a queue that slows them down, and
+	// disturber one of these queues.
+	disturbedRuns int
+	disturber     string
+	slowest       float64
 	// idle is the longest time in ms for which no task was at work, and idleLine the line with it.
 	idle     float64
 	idleLine Line
@@ -160,6 +164,9 @@
 		if speed, known := line.Fields["speed"].(float64); line.Event == eventRunPlaced && known {
 			t.addSpeed(speed)
 		}
+		if queue, _ := line.Fields["slowedBy"].(string); line.Event == eventRunPlaced && queue != "" {
+			t.disturbedRuns, t.disturber = t.disturbedRuns+1, queue
+		}
 		if line.Event == eventRunEnded && line.Fields["outcome"] == float64(outcomeFailed) {
 			t.failedRuns++
 		}
@@ -236,6 +243,9 @@
 	if t.slowRuns > 0 {
 		causes = append(causes, fmt.Sprintf("%d runs were placed on slower targets than ordinary ones (the slowest has %.2f of their speed)", t.slowRuns, t.slowest))
 	}
+	if t.disturbedRuns > 0 {
+		causes = append(causes, fmt.Sprintf("%d runs were placed beside runs that slow them down (of queue %s)", t.disturbedRuns, t.disturber))
+	}
 	if t.idle > 0 {
 		causes = append(causes, fmt.Sprintf("none of its tasks was at work for %.0f ms (%s)", t.idle, idleCauses(t.idleLine)))
 	}
--- a/core/anvilorder/progress.go
+++ b/core/anvilorder/progress.go
@@ -1,16 +1,59 @@
 package anvilorder
 
 import (
+	"cmp"
+	"slices"
+
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 )
 
-// observeProgress passes the progress of a run that a target has listed on to those that rate targets by it.
-func (t *Tracker) observeProgress(answer Answer, target *target, entry Running) {
+// queueCount is the number of runs of a queue that a target has listed.
+type queueCount struct {
+	queue anvilwork.QueueName
+	runs  int
+}
+
+// countQueues returns the queues of the runs that a target has listed, ordered by their names.
+func (t *Tracker) countQueues(running []Running) []queueCount {
+	var counts []queueCount
+	for _, entry := range running {
+		if t.state == nil {
+			return nil
+		}
+		job, ok := t.state.Job(entry.Task.Job)
+		if !ok {
+			continue
+		}
+		at, found := slices.BinarySearchFunc(counts, job.Queue, func(c queueCount, queue anvilwork.QueueName) int {
+			return cmp.Compare(c.queue, queue)
+		})
+		if !found {
+			counts = slices.Insert(counts, at, queueCount{queue: job.Queue})
+		}
+		counts[at].runs++
+	}
+	return counts
+}
+
+// beside returns the queues of all listed runs but one.
+func beside(queue anvilwork.QueueName, listed []queueCount) []anvilwork.QueueName {
+	var others []anvilwork.QueueName
+	for _, c := range listed {
+		if c.queue != queue || c.runs > 1 {
+			others = append(others, c.queue)
+		}
+	}
+	return others
+}
+
+// observeProgress passes the progress of a run that a target has listed on to those that rate targets by it. listed has the
+// queues of all runs that it has listed.
+func (t *Tracker) observeProgress(answer Answer, target *target, entry Running, listed []queueCount) {
 	t.Speeds.Observe(answer.Received, target.record.ID, entry.Task, entry.Run, entry.Percent)
-	step, ok := t.step(entry.Task)
+	job, step, ok := t.step(entry.Task)
 	if !ok || step.LongRunning || step.BestEffort {
 		// The first has no end to progress to, and the second goes at the pace that others leave it.
 		return
@@ -20,7 +63,7 @@
 		at = anvilclock.Millis(answer.Clock)
 	}
 	t.Lasting.Observe(answer.Received, anvilspeed.Sample{
-		At: at, Machine: target.record.MachineOrSelf(), Task: entry.Task, Run: entry.Run, Percent: entry.Percent, Gang: step.Gang,
+		At: at, Queue: job.Queue, Beside: beside(job.Queue, listed), Machine: target.record.MachineOrSelf(), Task: entry.Task, Run: entry.Run, Percent: entry.Percent, Gang: step.Gang,
 		Remote: step.PreferredRack != "" && step.PreferredRack != target.record.Rack,
 	})
 }
@@ -31,15 +74,15 @@
 	t.Lasting.Forget(task)
 }
 
-func (t *Tracker) step(task anvilwork.Task) (anvilwork.Step, bool) {
+func (t *Tracker) step(task anvilwork.Task) (*anvilwork.Job, anvilwork.Step, bool) {
 	if t.state == nil {
-		return anvilwork.Step{}, false
+		return nil, anvilwork.Step{}, false
 	}
 	job, ok := t.state.Job(task.Job)
 	if !ok || task.Step >= len(job.Spec.Steps) {
-		return anvilwork.Step{}, false
+		return nil, anvilwork.Step{}, false
 	}
-	return job.Spec.Steps[task.Step], true
+	return job, job.Spec.Steps[task.Step], true
 }
 
 // SpeedOf returns the lasting speed of a target.
--- a/core/anvilorder/progress_test.go
+++ b/core/anvilorder/progress_test.go
@@ -34,7 +34,7 @@
 					record := anvilwork.Target{ID: id, Machine: anvilid.MachineID(fmt.Sprint("m", i)), Rack: anvilid.RackName(fmt.Sprint("r", min(i, 1)))}
 					answer := Answer{Target: id, Received: 10_000 + 1500*(second/2)*2, Clock: TargetClock(1 + 1000*second)}
 					entry := Running{Task: anvilwork.Task{Job: "s", Index: i}, Run: 1, Percent: int(8 * second)}
-					w.tracker.observeProgress(answer, &target{record: record}, entry)
+					w.tracker.observeProgress(answer, &target{record: record}, entry, nil)
 				}
 				w.tracker.Lasting.Fit(20_000 + 2000*second)
 			}
--- a/core/anvilplace/fit.go
+++ b/core/anvilplace/fit.go
@@ -213,7 +213,7 @@
 // packInOrder finds allotments for up to count tasks on nodes, and fills them in the given order.
 func packInOrder(u *waitingStep, nodes []*node, count int, v view, except *group) []allotment {
 	var allotments []allotment
-	for _, n := range nodes {
+	for _, n := range u.orderApart(nodes, v) {
 		if count <= 0 {
 			break
 		}
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -28,6 +28,9 @@
 	// Speed returns the lasting speed of a target. nil means that all targets are ordinary. If they differ by no more
 	// than maxTierRatio, speeds change nothing.
 	Speed func(*anvilwork.Target) anvilspeed.Factor
+	// Apart reports whether runs of one of two queues slow down those of the other on the same target, so that they are kept
+	// apart where another target is as good. nil means that no such queues are known.
+	Apart func(a, b anvilwork.QueueName) bool
 	// Progress returns the progress and speed of a run, if known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
 	// Reserve is the number of accelerators to keep free for urgent jobs, see Demand.
--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -40,6 +40,9 @@
 	// since is when the run was reported first, and reportedAt when it was reported last, by the leader's clock.
 	since, reportedAt anvilclock.Millis
 	ended             bool
+	// always has the queues that had runs on the same machine at each report of the present pace, and ever those that
+	// had any.
+	always, ever queueSet
 }
 
 // cohort contains the runs that are compared with each other.
@@ -47,7 +50,9 @@
 	key cohortKey
 	// kind decides which scatter is expected of the runs.
 	kind kind
-	runs []*observation
+	// queue is the position of the queue of the runs in the table of neighbours, or -1.
+	queue int
+	runs  []*observation
 	// results has the comparison of each machine with the others at the latest fit.
 	results []result
 }
@@ -56,6 +61,9 @@
 type result struct {
 	machine    *machine
 	comparison comparison
+	// reference is the logarithm of the rate that the machine was compared with, and single the variance of the
+	// difference of a single run from it.
+	reference, single float64
 }
 
 // measured returns the run of a task whose pace is known, or nil if there is none.
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -28,6 +28,8 @@
 	count int
 	// variance is that of rate, as far as rounding and the scatter of tasks explain it.
 	variance float64
+	// single is the variance of a single run by the scatter of tasks.
+	single float64
 	// weight says how much the group counts in the rate of the cohort.
 	weight float64
 	// elsewhere is the speed of the machine according to all other cohorts, with its variance.
@@ -49,6 +51,8 @@
 	groups             []group
 	rates              []float64
 	offsets, variances []float64
+	// neighbours corrects the rates of runs that are slowed down by others.
+	neighbours *neighbours
 }
 
 // compare compares each machine on which the cohort has run with the others.
@@ -72,9 +76,10 @@
 		if g.count == 1 {
 			expected[c.kind].add(g.rate-reference-g.elsewhere, g.variance+g.elsewhereVariance+1/others)
 		}
-		c.results = append(c.results, result{g.machine, comparison{
-			at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count,
-		}})
+		c.results = append(c.results, result{
+			machine: g.machine, reference: reference, single: g.single + 1/others,
+			comparison: comparison{at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count},
+		})
 	}
 }
 
@@ -94,7 +99,8 @@
 		readings = readings[end:]
 	}
 	for i := range groups {
-		groups[i].variance += groups[i].middleVariance(scatter.mean())
+		groups[i].single = scatter.mean()
+		groups[i].variance += groups[i].middleVariance(groups[i].single)
 	}
 	buffer.groups = groups
 	return groups
@@ -107,6 +113,7 @@
 			continue
 		}
 		if rate, variance, ok := o.pace.measure(); ok {
+			rate -= buffer.neighbours.correction(c.queue, o.always)
 			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.reportedAt})
 		}
 	}
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -28,8 +28,11 @@
 	// best, as the time of the arrival varies with the load of the links and of the leader.
 	At      anvilclock.Millis
 	Machine anvilid.MachineID
-	Task    anvilwork.Task
-	Run     anvilwork.Run
+	// Queue is the queue of the task's job, and Beside has those of the other runs on the machine.
+	Queue  anvilwork.QueueName
+	Beside []anvilwork.QueueName
+	Task   anvilwork.Task
+	Run    anvilwork.Run
 	// Percent is the share of the task's work that is done. It includes the work of earlier runs from whose
 	// checkpoint this one resumed.
 	Percent int
@@ -72,14 +75,18 @@
 	// scatters has the scatter that is expected of each kind of cohort.
 	scatters scatters
 	buffers  buffers
+	// neighbours learns which queues slow each other down.
+	neighbours neighbours
 }
 
 // NewEstimator returns an estimator that knows no speeds.
 func NewEstimator() *Estimator {
-	return &Estimator{
+	e := &Estimator{
 		cohorts: map[cohortKey]*cohort{}, byTask: map[anvilwork.Task]*observation{}, machines: map[anvilid.MachineID]*machine{},
 		lifetime: observationLifetime, scatters: newScatters(),
 	}
+	e.buffers.neighbours = &e.neighbours
+	return e
 }
 
 // Observe records a report of a run's progress.
@@ -94,12 +101,18 @@
 		}
 	}
 	known.reportedAt = now
-	known.pace.add(point{at: s.At, percent: s.Percent})
+	beside := e.neighbours.setOf(now, s.Beside)
+	if known.pace.add(point{at: s.At, percent: s.Percent}) {
+		known.always, known.ever = beside, 0
+	}
+	known.always &= beside
+	known.ever |= beside
 }
 
 // addRun adds a run to its cohort. It returns nil if the cohort is full.
 func (e *Estimator) addRun(now anvilclock.Millis, s Sample, on *machine) *observation {
 	c := e.cohortOf(s)
+	c.queue = e.neighbours.positionOf(now, s.Queue)
 	if len(c.runs) >= maxObservations {
 		return nil
 	}
@@ -176,6 +189,7 @@
 		e.fitOnce(now)
 	}
 	e.center()
+	e.neighbours.fit(now, e.order)
 	e.markDifferences()
 	return true
 }
--- a/core/anvilspeed/estimator_test.go
+++ b/core/anvilspeed/estimator_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -21,10 +23,13 @@
 	estimator *Estimator
 	random    *rand.Rand
 	speed     func(machine int) float64
-	machines  int
-	now       anvilclock.Millis
-	jobs      int
-	running   []*simulatedRun
+	// slowdown returns the speed of a run beside runs of other queues, relative to that without them. It may be nil.
+	slowdown func(queue anvilwork.QueueName, beside []anvilwork.QueueName) float64
+	queue    anvilwork.QueueName // of the jobs that start next
+	machines int
+	now      anvilclock.Millis
+	jobs     int
+	running  []*simulatedRun
 }
 
 // simulatedRun is a run with its work in milliseconds on an ordinary machine.
@@ -54,7 +59,7 @@
 		on := order[i/share%w.machines]
 		task := anvilwork.Task{Job: anvilid.JobID(fmt.Sprintf("j%d", w.jobs)), Index: i}
 		w.running = append(w.running, &simulatedRun{
-			sample: Sample{Machine: machineName(on), Task: task, Run: 1, Gang: gang}, machine: on, work: work(),
+			sample: Sample{Machine: machineName(on), Task: task, Run: 1, Gang: gang, Queue: w.queue}, machine: on, work: work(),
 		})
 	}
 }
@@ -65,7 +70,12 @@
 		w.now += reportInterval
 		var left []*simulatedRun
 		for _, run := range w.running {
-			run.done += w.speed(run.machine) * float64(reportInterval)
+			run.sample.Beside = w.beside(run)
+			speed := w.speed(run.machine)
+			if w.slowdown != nil {
+				speed *= w.slowdown(run.sample.Queue, run.sample.Beside)
+			}
+			run.done += speed * float64(reportInterval)
 			run.sample.Percent = int(100 * run.done / run.work)
 			if run.sample.Percent >= 100 {
 				w.estimator.Forget(run.sample.Task)
@@ -80,6 +90,17 @@
 	}
 }
 
+// beside returns the queues of the other runs on the machine of a run.
+func (w *workload) beside(run *simulatedRun) []anvilwork.QueueName {
+	found := map[anvilwork.QueueName]bool{}
+	for _, other := range w.running {
+		if other != run && other.machine == run.machine {
+			found[other.sample.Queue] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // unevenWork returns the work of tasks that scatter by half and of which three in a hundred take seven times as
 // long, about a mean.
 func (w *workload) unevenWork(mean float64) func() float64 {
--- a/core/anvilspeed/pace.go
+++ b/core/anvilspeed/pace.go
@@ -43,29 +43,31 @@
 	changed bool
 }
 
-// add adds a report. Reports from the end of the work on are left out: a member of a gang waits there for
-// the others.
-func (p *pace) add(r point) {
+// add adds a report, and returns whether the present pace begins with it. Reports from the end of the work on are left
+// out: a member of a gang waits there for the others.
+func (p *pace) add(r point) (begins bool) {
 	switch {
 	case r.percent >= 100:
-		return
+		return false
 	case !p.reported || r.percent < p.latest.percent:
 		*p = pace{base: r, mark: r, latest: r, reported: true}
-		return
+		return true
 	case !p.moving:
 		p.moving = r.percent > p.base.percent
 		p.base, p.mark, p.latest = r, r, r
-		return
+		return true
 	}
 	p.latest = r
 	if r.at-p.mark.at < minPaceSpan || r.percent-p.mark.percent < minPacePercent {
-		return
+		return false
 	}
 	if p.stretches > 0 && hasDrifted(p.base, p.mark, r) {
 		p.base, p.stretches, p.changed = p.mark, 0, true
+		begins = true
 	}
 	p.mark = r
 	p.stretches++
+	return begins
 }
 
 // hasDrifted reports whether the rate from mark to last differs from the one from base to mark.
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -82,6 +82,7 @@
 	known := len(r.state.Targets())
 	slow, ejected := r.tracker.Speeds.Slow(now, known), r.ejector.Ejected(now, known)
 	return anvilplace.Input{
+		Apart:  r.apart(),
 		Claims: r.reservedTargets, StartsInFlight: r.tracker.StartsInFlight(), MaxStartsInFlight: maxStartsInFlight,
 		Avoid: func(id anvilid.TargetID) bool {
 			_, isSlow := slices.BinarySearch(slow, id)
@@ -140,6 +141,9 @@
 			if speed := r.tracker.SpeedOf(a.Target); speed != anvilspeed.Ordinary {
 				fields = append(fields, zap.Float64("speed", hundredths(float64(speed))))
 			}
+			if queue := r.slowedBy(a.Target, a.Task); queue != "" {
+				fields = append(fields, zap.String("slowedBy", string(queue)))
+			}
 			r.log.Write(anvillogs.RunPlaced, fields...)
 		}
 	case command.RecordRunEnds != nil:
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -14,6 +14,7 @@
 	"anvilshunt/core/anvilpace"
 	"anvilshunt/core/anvilplace"
 	"anvilshunt/core/anvilraft"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilupkeep"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -62,6 +63,8 @@
 	summary         *summary
 	// speedsRecordedAt is when a commit of speeds of machines was requested last.
 	speedsRecordedAt anvilclock.Millis
+	// disturbed has the pairs of queues that were logged last as slowing each other down.
+	disturbed []anvilspeed.Effect
 	// unloggedSpeeds has the speeds that were recorded and not yet logged.
 	unloggedSpeeds []anvilwork.MachineSpeed
 	idle           idleWatch
--- a/io/anvillead/speeds.go
+++ b/io/anvillead/speeds.go
@@ -33,6 +33,7 @@
 		return
 	}
 	r.logSpeeds()
+	r.logDisturbed()
 	if now-r.speedsRecordedAt < recordSpeedsInterval {
 		return
 	}
@@ -74,6 +75,7 @@
 	counts := r.tracker.Lasting.Counts()
 	return []zap.Field{
 		zap.Int("compared", counts.Compared), zap.Int("unequal", counts.Unequal),
+		zap.Int("disturbed", len(r.disturbed)),
 		zap.Float64("slowest", hundredths(float64(counts.Slowest))), zap.Float64("fastest", hundredths(float64(counts.Fastest))),
 	}
 }
