--- a/core/anvilexplain/speeds.go
+++ b/core/anvilexplain/speeds.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -11,9 +12,8 @@
 )
 
 const (
-	eventSpeedsRecorded = 645
-	// speedsMark is part of each line of this event, so that other lines need not be parsed.
-	speedsMark = `"event":645`
+	eventSpeedsRecorded     = 645
+	eventNeighboursMeasured = 647
 )
 
 // Speed is the lasting speed of a machine as it was recorded last.
@@ -32,17 +32,21 @@
 type Speeds map[string]Speed
 
 // Read adds the speeds in a log. Lines of other events and ones that can't be parsed are ignored.
-func (s Speeds) Read(log io.Reader) error {
+func (s Speeds) Read(log io.Reader) error { return readEvent(log, eventSpeedsRecorded, s.add) }
+
+// readEvent calls add with the time and the JSON text of each line about an event.
+func readEvent(log io.Reader, event int, add func(time.Time, string)) error {
+	mark := fmt.Sprintf(`"event":%d`, event)
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
 	for scanner.Scan() {
 		text := scanner.Text()
 		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, speedsMark) {
+		if start < 0 || !strings.Contains(text, mark) {
 			continue
 		}
-		if line, ok := parseLine(text[start:]); ok && line.Event == eventSpeedsRecorded {
-			s.add(line.Time, text[start:])
+		if line, ok := parseLine(text[start:]); ok && line.Event == event {
+			add(line.Time, text[start:])
 		}
 	}
 	return scanner.Err()
--- a/core/anvilspeed/difference.go
+++ b/core/anvilspeed/difference.go
@@ -62,7 +62,7 @@
 			scores = append(scores, m.score())
 		}
 	}
-	limit := scoreLimit(scores)
+	limit := scoreLimit(scores, falseFindings)
 	found := 0
 	for _, m := range e.known {
 		m.differs = m.compared() && m.score() >= limit && math.Abs(m.offset) >= minDifference
@@ -76,13 +76,14 @@
 // score returns the difference of a machine from the ordinary speed in standard errors.
 func (m *machine) score() float64 { return math.Abs(m.offset) / math.Sqrt(m.variance) }
 
-// scoreLimit returns the smallest score that shows a difference, given the scores of all machines, which it sorts.
-func scoreLimit(scores []float64) float64 {
+// scoreLimit returns the smallest score that shows a difference, given all scores, which it sorts, and the share of findings that
+// may be false.
+func scoreLimit(scores []float64, falseShare float64) float64 {
 	slices.Sort(scores)
 	for i, score := range scores {
 		// The probability of a score as high as this on an ordinary machine, and the share that score so high.
 		chance, share := math.Erfc(score/math.Sqrt2), float64(len(scores)-i)/float64(len(scores))
-		if chance <= falseFindings*share {
+		if chance <= falseShare*share {
 			return score
 		}
 	}
--- a/core/anvilspeed/estimator_test.go
+++ b/core/anvilspeed/estimator_test.go
@@ -92,6 +92,9 @@
 
 // beside returns the queues of the other runs on the machine of a run.
 func (w *workload) beside(run *simulatedRun) []anvilwork.QueueName {
+	if w.queue == "" {
+		return nil
+	}
 	found := map[anvilwork.QueueName]bool{}
 	for _, other := range w.running {
 		if other != run && other.machine == run.machine {
--- a/core/anvilspeed/neighbour.go
+++ b/core/anvilspeed/neighbour.go
@@ -20,7 +20,10 @@
 	// minEffect is the smallest slowdown, as a logarithm, that counts.
 	minEffect = 0.1
 	// minEffectMachines is the number of machines on which a slowdown must have been measured.
-	minEffectMachines = 5
+	minEffectMachines = 8
+	// falseEffects is the share of pairs that may be found although they have no effect. It is smaller than that of machines,
+	// as a pair concerns many machines.
+	falseEffects = 0.01
 	// effectInterval is how often the evidence of the present runs is added to that of earlier ones. Runs that ended
 	// longer ago are left out of the present ones.
 	effectInterval = 20 * anvilclock.Second
@@ -233,7 +236,7 @@
 			}
 		}
 	}
-	limit := scoreLimit(scores)
+	limit := scoreLimit(scores, falseEffects)
 	n.slows = 0
 	keeps := now-n.keptAt >= effectInterval
 	for a := range n.queues {
--- a/core/anvilspeed/neighbour_test.go
+++ b/core/anvilspeed/neighbour_test.go
@@ -64,7 +64,7 @@
 // three speeds and tasks of which three in a hundred take seven times as long.
 func TestNoNeighbours(t *testing.T) {
 	found, looks := 0, 0
-	for seed := range uint64(10) {
+	for seed := range uint64(20) {
 		w := newWorkload(seed, 60, threeSpeeds)
 		for range 5 {
 			w.mixQueues(8 * anvilclock.Second)
@@ -73,7 +73,7 @@
 		}
 	}
 	t.Logf("%d pairs found in %d looks at 9", found, looks)
-	assert.Assert(t, float64(found) <= falseFindings*float64(looks))
+	assert.Assert(t, float64(found) <= falseEffects*float64(looks))
 }
 
 // TestNeighbourChanges guards against blaming a queue for more than half a minute after its runs have changed.
--- a/io/anvilcmd/anvilreportcmd/report.go
+++ b/io/anvilcmd/anvilreportcmd/report.go
@@ -12,8 +12,8 @@
 func New(factory *anvilfactory.Factory) *ff.Command {
 	return &ff.Command{
 		Name:        "report",
-		Usage:       "anvilshunt report <burn|speeds> ...",
+		Usage:       "anvilshunt report <burn|speeds|neighbours> ...",
 		ShortHelp:   "report how past requests and jobs met their objectives, and how fast targets are",
-		Subcommands: []*ff.Command{newBurn(factory), newSpeeds(factory)},
+		Subcommands: []*ff.Command{newBurn(factory), newSpeeds(factory), newNeighbours(factory)},
 	}
 }
--- a/io/anvilcmd/anvilreportcmd/speeds.go
+++ b/io/anvilcmd/anvilreportcmd/speeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -45,14 +46,9 @@
 }
 
 func runSpeeds(opts *speedsOptions) error {
-	if opts.Logs == "" {
-		return anvilfactory.UsageErrorf("name the log files of the voters with --logs")
-	}
 	speeds := anvilexplain.Speeds{}
-	for _, path := range strings.Split(opts.Logs, ",") {
-		if err := readSpeeds(speeds, path); err != nil {
-			return err
-		}
+	if err := readLogs(opts.Logs, speeds.Read); err != nil {
+		return err
 	}
 	if opts.JSON {
 		return anviltable.WriteJSON(opts.Streams.Out, speeds.Sorted())
@@ -64,13 +60,26 @@
 	return table.Write(opts.Streams)
 }
 
-func readSpeeds(speeds anvilexplain.Speeds, path string) (err error) {
+// readLogs calls read with each of the log files that a flag names.
+func readLogs(paths string, read func(io.Reader) error) error {
+	if paths == "" {
+		return anvilfactory.UsageErrorf("name the log files of the voters with --logs")
+	}
+	for _, path := range strings.Split(paths, ",") {
+		if err := readLog(path, read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(path string, read func(io.Reader) error) (err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return anvilfactory.UsageErrorf("%w", err)
 	}
 	defer func() { err = errors.Join(err, file.Close()) }()
-	if err := speeds.Read(file); err != nil {
+	if err := read(file); err != nil {
 		return fmt.Errorf("read %s: %w", path, err)
 	}
 	return nil
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -63,8 +63,9 @@
 	summary         *summary
 	// speedsRecordedAt is when a commit of speeds of machines was requested last.
 	speedsRecordedAt anvilclock.Millis
-	// disturbed has the pairs of queues that were logged last as slowing each other down.
-	disturbed []anvilspeed.Effect
+	// disturbed has the pairs of queues that slow each other down, and neighboursLoggedAt is when pairs were logged last.
+	disturbed          []anvilspeed.Effect
+	neighboursLoggedAt anvilclock.Millis
 	// unloggedSpeeds has the speeds that were recorded and not yet logged.
 	unloggedSpeeds []anvilwork.MachineSpeed
 	idle           idleWatch
--- a/io/anvillead/neighbours.go
+++ b/io/anvillead/neighbours.go
@@ -1,16 +1,25 @@
 package anvillead
 
 import (
+	"cmp"
 	"slices"
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
 )
 
+const (
+	// neighboursInterval is how often the effects of queues on each other are logged if nothing new was found.
+	neighboursInterval = 30 * anvilclock.Second
+	// maxLoggedPairs is the number of pairs in one line, those with the largest slowdown.
+	maxLoggedPairs = 20
+)
+
 // apart returns the function that tells the planner which queues to keep apart, or nil if there are none.
 func (r *leadership) apart() func(a, b anvilwork.QueueName) bool {
 	lasting := r.tracker.Lasting
@@ -39,25 +48,36 @@
 	return ""
 }
 
-// logDisturbed logs the pairs of queues that slow each other down, if they have changed.
-func (r *leadership) logDisturbed() {
+// logNeighbours logs how queues change each other's speeds if the pairs that slow each other down have changed, and
+// otherwise every neighboursInterval.
+func (r *leadership) logNeighbours(now anvilclock.Millis) {
+	effects := r.tracker.Lasting.Effects()
 	var found []anvilspeed.Effect
-	for _, effect := range r.tracker.Lasting.Effects() {
+	for _, effect := range effects {
 		if effect.Slows {
 			found = append(found, effect)
 		}
 	}
 	same := slices.EqualFunc(found, r.disturbed, func(a, b anvilspeed.Effect) bool { return a.Victim == b.Victim && a.Beside == b.Beside })
 	r.disturbed = found
-	if same {
+	if len(effects)+len(found) == 0 && same || same && now-r.neighboursLoggedAt < neighboursInterval {
 		return
 	}
-	victims, besides := make([]string, len(found)), make([]string, len(found))
-	factors, errs, machines := make([]float64, len(found)), make([]float64, len(found)), make([]int, len(found))
-	for i, effect := range found {
-		victims[i], besides[i] = string(effect.Victim), string(effect.Beside)
+	r.neighboursLoggedAt = now
+	slices.SortStableFunc(effects, func(a, b anvilspeed.Effect) int { return cmp.Compare(a.Factor, b.Factor) })
+	r.log.Write(anvillogs.NeighboursMeasured, neighbourFields(effects[:min(len(effects), maxLoggedPairs)])...)
+}
+
+func neighbourFields(effects []anvilspeed.Effect) []zap.Field {
+	count := len(effects)
+	victims, besides, slow := make([]string, count), make([]string, count), make([]bool, count)
+	factors, errs, machines := make([]float64, count), make([]float64, count), make([]int, count)
+	for i, effect := range effects {
+		victims[i], besides[i], slow[i] = string(effect.Victim), string(effect.Beside), effect.Slows
 		factors[i], errs[i], machines[i] = hundredths(float64(effect.Factor)), hundredths(effect.Error), effect.Machines
 	}
-	r.log.Write(anvillogs.NeighboursFound, zap.Strings("victims", victims), zap.Strings("besides", besides),
-		zap.Float64s("factors", factors), zap.Float64s("errors", errs), zap.Ints("machines", machines))
+	return []zap.Field{
+		zap.Strings("victims", victims), zap.Strings("besides", besides), zap.Bools("slows", slow), zap.Float64s("factors", factors),
+		zap.Float64s("errors", errs), zap.Ints("comparisons", machines),
+	}
 }
--- a/io/anvillead/speeds.go
+++ b/io/anvillead/speeds.go
@@ -33,7 +33,7 @@
 		return
 	}
 	r.logSpeeds()
-	r.logDisturbed()
+	r.logNeighbours(now)
 	if now-r.speedsRecordedAt < recordSpeedsInterval {
 		return
 	}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -106,7 +106,7 @@
 	StepIdle           = define(634, zapcore.InfoLevel, "step has nothing at work")
 	CheckpointsKept    = define(635, zapcore.InfoLevel, "checkpoints of runs on an unreachable target recorded")
 	ZoneEvacuated      = define(640, zapcore.InfoLevel, "evacuation of a zone begun or ended")
-	NeighboursFound    = define(647, zapcore.InfoLevel, "queues whose runs slow each other down have changed")
+	NeighboursMeasured = define(647, zapcore.InfoLevel, "effects of queues on the speed of each other")
 	SpeedsRecorded     = define(645, zapcore.InfoLevel, "lasting speeds of machines recorded")
 	LateAnnouncement   = define(629, zapcore.InfoLevel, "announcement of a target arrived after a later one")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
