--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -26,6 +26,7 @@
 	"anvilshunt/io/anvillead"
 	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrelay"
 	"anvilshunt/io/anvilrpc"
 )
 
@@ -82,7 +83,7 @@
 			n.updateSeeds(reloaded.Seeds)
 		}
 		return err
-	}, anvildaemon.WithMaxConnections(n.Connections.Inbound))
+	}, anvildaemon.WithMaxConnections(n.Connections.Inbound, n.Connections.Internal))
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +125,7 @@
 		messages := anvilrpc.NewRaftServer(raft)
 		mux.Handle(messages.PathPrefix(), messages)
 	}
-	return n.Listen(anvilgroup.Address(n.Settings().Instance, n.Settings().InternalPort), mux)
+	return n.ListenPeers(anvilgroup.Address(n.Settings().Instance, n.Settings().InternalPort), mux)
 }
 
 // EntryHandlers are the HTTP handlers of an entry instance.
@@ -151,8 +152,8 @@
 }
 
 // RunVoter runs a voter until it is told to stop. The handler for operators and targets forwards calls with the given
-// forwarder, and the leader makes the given calls.
-func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder) http.Handler) error {
+// forwarder and relay, and the leader makes the given calls.
+func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder, *anvilrelay.Relay) http.Handler) error {
 	settings := n.Settings()
 	supervisor := anvillead.NewVoterSupervisor(n.Log)
 	if err := n.listenInternal(supervisor, supervisor); err != nil {
@@ -165,11 +166,13 @@
 		return n.Dial(instance)
 	}
 	knownVoters := func() []anvilid.InstanceID { return append(supervisor.Members(), n.seeds()...) }
-	if err := n.Listen(settings.ControlAddress, control(anvilgate.New(n.Clock, n.Log, knownVoters, dial))); err != nil {
+	forwarder := anvilgate.New(n.Clock, n.Log, knownVoters, dial)
+	relay := anvilrelay.New(n.Clock, n.Log, settings.Instance, forwarder.Leader, forwarder.Announce)
+	if err := n.Listen(settings.ControlAddress, control(forwarder, relay)); err != nil {
 		return err
 	}
 	n.BeforeShutdown(supervisor.Leave)
-	return n.Serve(0, settings.GracePeriod.Duration(), func(ctx context.Context) error {
+	return n.Serve(0, settings.GracePeriod.Duration(), relay.Run, func(ctx context.Context) error {
 		return supervisor.Run(ctx, func() (*anvillead.Leader, error) { return n.openVoter(calls) })
 	})
 }
