--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -40,9 +40,8 @@
 	// since is when the run was reported first, and reportedAt when it was reported last, by the leader's clock.
 	since, reportedAt anvilclock.Millis
 	ended             bool
-	// always has the queues that had runs on the same machine at each report of the present pace, and ever those that
-	// had any.
-	always, ever queueSet
+	// beside has the queues that had other runs on the same machine during the present pace.
+	beside exposures
 }
 
 // cohort contains the runs that are compared with each other.
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		if rate, variance, ok := o.pace.measure(); ok {
-			rate -= buffer.neighbours.correction(c.queue, o.always)
+			rate -= buffer.neighbours.correction(c.queue, &o.beside)
 			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.reportedAt})
 		}
 	}
@@ -194,6 +194,12 @@
 	}
 }
 
+// cautiousWeight is tailWeight without the part by which it exceeds 1/variance for values in the middle, for sums of weights that
+// serve as a precision.
+func cautiousWeight(variance, residual float64) float64 {
+	return tailWeight(variance, residual) * tailFreedom / (tailFreedom + 1)
+}
+
 // tailWeight returns the weight of a value that differs by residual from the middle, for a distribution with
 // long tails.
 func tailWeight(variance, residual float64) float64 {
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -101,12 +101,10 @@
 		}
 	}
 	known.reportedAt = now
-	beside := e.neighbours.setOf(now, s.Beside)
 	if known.pace.add(point{at: s.At, percent: s.Percent}) {
-		known.always, known.ever = beside, 0
+		known.beside.reset(s.At)
 	}
-	known.always &= beside
-	known.ever |= beside
+	known.beside.add(s.At, e.neighbours.setOf(now, s.Beside))
 }
 
 // addRun adds a run to its cohort. It returns nil if the cohort is full.
--- a/core/anvilspeed/machine.go
+++ b/core/anvilspeed/machine.go
@@ -143,10 +143,4 @@
 	m.runs += c.runs
 }
 
-func (m *mean) addValue(value, variance float64) {
-	m.weights += 1 / variance
-	m.sum += value / variance
-	m.count++
-}
-
 func (m *mean) value() float64 { return m.sum / m.weights }
--- a/core/anvilspeed/neighbour.go
+++ b/core/anvilspeed/neighbour.go
@@ -16,7 +16,7 @@
 	// maxNeighbourRuns bounds the runs from which effects are learnt in one fit.
 	maxNeighbourRuns = 20_000
 	// effectSpread is the standard deviation of the logarithms of effects that is expected before any is measured.
-	effectSpread = 0.2
+	effectSpread = 0.3
 	// minEffect is the smallest slowdown, as a logarithm, that counts.
 	minEffect = 0.1
 	// minEffectMachines is the number of machines on which a slowdown must have been measured.
@@ -27,11 +27,12 @@
 	// effectInterval is how often the evidence of the present runs is added to that of earlier ones. Runs that ended
 	// longer ago are left out of the present ones.
 	effectInterval = 20 * anvilclock.Second
+	// effectHalfLife is the age at which evidence of earlier runs counts half. Effects change with what runs at the time.
+	effectHalfLife = 20 * anvilclock.Second
+	// effectContradiction is the difference from earlier evidence, in standard errors, from which on that is dropped.
+	effectContradiction = 2.5
 )
 
-// queueSet is a set of queues, as bits by their position in the table.
-type queueSet uint32
-
 // Effect is how the runs of a queue change the speed of runs of another one on the same machine.
 type Effect struct {
 	// Victim is the queue whose runs change their speed, and Beside the queue that has runs beside them.
@@ -73,10 +74,9 @@
 type neighbourRun struct {
 	machine uint64
 	queue   int
-	// always has the queues that had runs beside it all the time, and ever those that had any.
-	always, ever queueSet
+	beside  *exposures
 	// residual is the logarithm of its rate relative to that of its cohort.
-	residual, variance float64
+	residual, weight float64
 }
 
 // positionOf returns the position of a queue in the table, or -1 if the table is full of others.
@@ -120,15 +120,15 @@
 	return set
 }
 
-// correction returns the logarithm of the slowdown of a run of the queue at a position by those that were always beside it.
-func (n *neighbours) correction(queue int, always queueSet) float64 {
+// correction returns the logarithm of the slowdown of a run of the queue at a position by those beside it.
+func (n *neighbours) correction(queue int, beside *exposures) float64 {
 	if queue < 0 || n.slows == 0 {
 		return 0
 	}
 	sum := 0.0
 	for other := range n.queues {
-		if e := &n.effects[queue][other]; e.slows && always&(1<<other) != 0 {
-			sum += e.offset
+		if e := &n.effects[queue][other]; e.slows {
+			sum += e.offset * beside.share(other)
 		}
 	}
 	return sum
@@ -185,8 +185,8 @@
 	}
 	r := &c.results[at]
 	n.runs = append(n.runs, neighbourRun{
-		machine: o.machine.number, queue: c.queue, always: o.always, ever: o.ever,
-		residual: rate - r.reference, variance: variance + r.single,
+		machine: o.machine.number, queue: c.queue, beside: &o.beside,
+		residual: rate - r.reference, weight: cautiousWeight(variance+r.single, rate-r.reference-o.machine.offset),
 	})
 }
 
@@ -196,29 +196,24 @@
 	machines     int
 }
 
-// contrast compares the runs of one queue on one machine with and without each other queue beside them.
+// contrast relates the rates of the runs of one queue on one machine to the share of their time in which each other queue had
+// runs beside them.
 func (n *neighbours) contrast(runs []neighbourRun, sums *[maxQueues]contrastSum) {
 	if len(runs) < 2 {
 		return
 	}
 	for other := range n.queues {
-		bit := queueSet(1) << other
-		var with, without mean
-		for _, r := range runs {
-			switch {
-			case r.always&bit != 0:
-				with.addValue(r.residual, r.variance)
-			case r.ever&bit == 0:
-				without.addValue(r.residual, r.variance)
-			}
+		var line regression
+		for i := range runs {
+			line.add(runs[i].beside.share(other), runs[i].residual, runs[i].weight)
 		}
-		if with.count == 0 || without.count == 0 {
+		slope, variance, ok := line.slope()
+		if !ok {
 			continue
 		}
-		difference, variance := with.value()-without.value(), 1/with.weights+1/without.weights
-		weight := tailWeight(variance, difference-n.effects[runs[0].queue][other].offset)
+		weight := cautiousWeight(variance, slope-n.effects[runs[0].queue][other].offset)
 		sums[other].weights += weight
-		sums[other].sum += weight * difference
+		sums[other].sum += weight * slope
 		sums[other].machines++
 	}
 }
@@ -267,7 +262,7 @@
 func (e *effect) estimate(now anvilclock.Millis) {
 	if e.kept.runs > 0 && e.present.runs >= minEffectMachines {
 		difference := e.present.offset - e.kept.offset
-		if difference*difference > contradiction*contradiction*(e.present.variance+e.kept.agedVariance(now)) {
+		if difference*difference > effectContradiction*effectContradiction*(e.present.variance+e.keptVariance(now)) {
 			e.kept = comparison{}
 		}
 	}
@@ -277,8 +272,8 @@
 		sum += e.present.offset / e.present.variance
 	}
 	if e.kept.runs > 0 {
-		weights += 1 / e.kept.agedVariance(now)
-		sum += e.kept.offset / e.kept.agedVariance(now)
+		weights += 1 / e.keptVariance(now)
+		sum += e.kept.offset / e.keptVariance(now)
 	}
 	e.offset, e.variance = sum/weights, 1/weights
 }
@@ -292,7 +287,7 @@
 		e.kept = e.present
 		return
 	}
-	earlier := 1 / e.kept.agedVariance(now)
+	earlier := 1 / e.keptVariance(now)
 	present := 1 / e.present.variance
 	e.kept = comparison{
 		at: now, offset: (e.kept.offset*earlier + e.present.offset*present) / (earlier + present),
@@ -300,6 +295,11 @@
 	}
 }
 
+// keptVariance returns the variance of the kept evidence, which grows with its age.
+func (e *effect) keptVariance(now anvilclock.Millis) float64 {
+	return e.kept.variance * math.Exp2(float64(now-e.kept.at)/float64(effectHalfLife))
+}
+
 // measured reports whether the effect was measured on enough machines.
 func (e *effect) measured() bool { return max(e.present.runs, e.kept.runs) >= minEffectMachines }
 
