--- a/core/anvilexplain/neighbours.go
+++ b/core/anvilexplain/neighbours.go
@@ -12,10 +12,9 @@
 	Beside string `json:"beside"`
 	// Factor is the speed beside the other queue, relative to that without it.
 	Factor float64 `json:"factor"`
-	// Error is the standard error of the natural logarithm of the factor, and Machines the number of machines on which it
-	// was measured.
-	Error    float64 `json:"error"`
-	Machines int     `json:"machines"`
+	// Error is the standard error of the natural logarithm of the factor, and Runs the number of runs that show it.
+	Error float64 `json:"error"`
+	Runs  int     `json:"runs"`
 	// Slows means that it counts as a slowdown, so that the queues are kept apart where that costs nothing.
 	Slows bool `json:"slows"`
 }
@@ -33,22 +32,22 @@
 
 func (n *Neighbours) replace(at time.Time, text string) {
 	var fields struct {
-		Victims     []string  `json:"victims"`
-		Besides     []string  `json:"besides"`
-		Slows       []bool    `json:"slows"`
-		Factors     []float64 `json:"factors"`
-		Errors      []float64 `json:"errors"`
-		Comparisons []int     `json:"comparisons"`
+		Victims []string  `json:"victims"`
+		Besides []string  `json:"besides"`
+		Slows   []bool    `json:"slows"`
+		Factors []float64 `json:"factors"`
+		Errors  []float64 `json:"errors"`
+		Runs    []int     `json:"runs"`
 	}
 	if at.Before(n.Time) || json.Unmarshal([]byte(text), &fields) != nil {
 		return
 	}
-	count := min(len(fields.Victims), len(fields.Besides), len(fields.Slows), len(fields.Factors), len(fields.Errors), len(fields.Comparisons))
+	count := min(len(fields.Victims), len(fields.Besides), len(fields.Slows), len(fields.Factors), len(fields.Errors), len(fields.Runs))
 	n.Time, n.Pairs = at, make([]Neighbour, 0, count)
 	for i := range count {
 		n.Pairs = append(n.Pairs, Neighbour{
 			Victim: fields.Victims[i], Beside: fields.Besides[i], Factor: fields.Factors[i], Error: fields.Errors[i],
-			Machines: fields.Comparisons[i], Slows: fields.Slows[i],
+			Runs: fields.Runs[i], Slows: fields.Slows[i],
 		})
 	}
 }
--- a/core/anvilexplain/speeds_test.go
+++ b/core/anvilexplain/speeds_test.go
@@ -30,10 +30,10 @@
 
 // TestNeighbours guards against showing a table of pairs that a later one has replaced, also by an empty one.
 func TestNeighbours(t *testing.T) {
-	line := `{"time":"2026-12-04T10:00:0%d","event":647,"victims":["a"],"besides":["b"],"slows":[true],"factors":[0.8],"errors":[0.05],"comparisons":[9]}`
+	line := `{"time":"2026-12-04T10:00:0%d","event":647,"victims":["a"],"besides":["b"],"slows":[true],"factors":[0.8],"errors":[0.05],"runs":[9]}`
 	var table Neighbours
 	assert.NilError(t, table.Read(strings.NewReader(strings.Replace(line, "%d", "1Z", 1))))
-	assert.DeepEqual(t, table.Pairs, []Neighbour{{Victim: "a", Beside: "b", Factor: 0.8, Error: 0.05, Machines: 9, Slows: true}})
+	assert.DeepEqual(t, table.Pairs, []Neighbour{{Victim: "a", Beside: "b", Factor: 0.8, Error: 0.05, Runs: 9, Slows: true}})
 	assert.NilError(t, table.Read(strings.NewReader(`{"time":"2026-12-04T10:00:05Z","event":647,"victims":[],"besides":[]}`)))
 	assert.NilError(t, table.Read(strings.NewReader(strings.Replace(line, "%d", "2Z", 1))))
 	assert.Equal(t, len(table.Pairs), 0)
--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -40,7 +40,7 @@
 	// since is when the run was reported first, and reportedAt when it was reported last, by the leader's clock.
 	since, reportedAt anvilclock.Millis
 	ended             bool
-	// beside has the queues that had other runs on the same machine during the present pace.
+	// beside relates the rate of the run to the queues that had other runs on the same machine.
 	beside exposures
 }
 
@@ -60,9 +60,6 @@
 type result struct {
 	machine    *machine
 	comparison comparison
-	// reference is the logarithm of the rate that the machine was compared with, and single the variance of the
-	// difference of a single run from it.
-	reference, single float64
 }
 
 // measured returns the run of a task whose pace is known, or nil if there is none.
--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -28,8 +28,6 @@
 	count int
 	// variance is that of rate, as far as rounding and the scatter of tasks explain it.
 	variance float64
-	// single is the variance of a single run by the scatter of tasks.
-	single float64
 	// weight says how much the group counts in the rate of the cohort.
 	weight float64
 	// elsewhere is the speed of the machine according to all other cohorts, with its variance.
@@ -77,7 +75,7 @@
 			expected[c.kind].add(g.rate-reference-g.elsewhere, g.variance+g.elsewhereVariance+1/others)
 		}
 		c.results = append(c.results, result{
-			machine: g.machine, reference: reference, single: g.single + 1/others,
+			machine:    g.machine,
 			comparison: comparison{at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count},
 		})
 	}
@@ -99,8 +97,7 @@
 		readings = readings[end:]
 	}
 	for i := range groups {
-		groups[i].single = scatter.mean()
-		groups[i].variance += groups[i].middleVariance(groups[i].single)
+		groups[i].variance += groups[i].middleVariance(scatter.mean())
 	}
 	buffer.groups = groups
 	return groups
--- a/core/anvilspeed/estimator.go
+++ b/core/anvilspeed/estimator.go
@@ -101,10 +101,10 @@
 		}
 	}
 	known.reportedAt = now
-	if known.pace.add(point{at: s.At, percent: s.Percent}) {
-		known.beside.reset(s.At)
-	}
 	known.beside.add(s.At, e.neighbours.setOf(now, s.Beside))
+	if ended, ends := known.pace.add(point{at: s.At, percent: s.Percent}); ends {
+		known.beside.end(ended)
+	}
 }
 
 // addRun adds a run to its cohort. It returns nil if the cohort is full.
--- a/core/anvilspeed/neighbour.go
+++ b/core/anvilspeed/neighbour.go
@@ -1,7 +1,6 @@
 package anvilspeed
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -13,14 +12,12 @@
 	// maxQueues is the number of queues whose effects on each other are learnt. The first ones with runs count, until
 	// they have had none for evidenceHalfLife.
 	maxQueues = 32
-	// maxNeighbourRuns bounds the runs from which effects are learnt in one fit.
-	maxNeighbourRuns = 20_000
 	// effectSpread is the standard deviation of the logarithms of effects that is expected before any is measured.
 	effectSpread = 0.3
 	// minEffect is the smallest slowdown, as a logarithm, that counts.
 	minEffect = 0.1
-	// minEffectMachines is the number of machines on which a slowdown must have been measured.
-	minEffectMachines = 8
+	// minEffectRuns is the number of runs that must show an effect.
+	minEffectRuns = 12
 	// falseEffects is the share of pairs that may be found although they have no effect. It is smaller than that of machines,
 	// as a pair concerns many machines.
 	falseEffects = 0.01
@@ -41,8 +38,8 @@
 	Factor Factor
 	// Error is the standard error of the natural logarithm of Factor.
 	Error float64
-	// Machines is the number of machines on which it was measured.
-	Machines int
+	// Runs is the number of runs that show it.
+	Runs int
 	// Slows means that the effect is a slowdown by more than its error.
 	Slows bool
 }
@@ -56,8 +53,7 @@
 	slows            bool
 }
 
-// neighbours learns which queues slow each other down. Runs of a queue on one machine are compared with and without runs of
-// the other queue beside them, so that the speed of the machine cancels out. A long task is as likely in either case.
+// neighbours learns which queues slow each other down, from runs whose neighbours change while they run.
 type neighbours struct {
 	queues   []anvilwork.QueueName
 	seenAt   []anvilclock.Millis
@@ -66,17 +62,6 @@
 	keptAt   anvilclock.Millis
 	// slows is the number of pairs that are known to slow each other down.
 	slows int
-	// runs is memory that is used again in each fit.
-	runs []neighbourRun
-}
-
-// neighbourRun is a run with what its pace says about its neighbours.
-type neighbourRun struct {
-	machine uint64
-	queue   int
-	beside  *exposures
-	// residual is the logarithm of its rate relative to that of its cohort.
-	residual, weight float64
 }
 
 // positionOf returns the position of a queue in the table, or -1 if the table is full of others.
@@ -134,87 +119,39 @@
 	return sum
 }
 
-// fit estimates the effects anew from the runs of the cohorts.
-func (n *neighbours) fit(now anvilclock.Millis, cohorts []*cohort) {
-	n.collect(now, cohorts)
-	slices.SortFunc(n.runs, func(a, b neighbourRun) int {
-		return cmp.Or(cmp.Compare(a.machine, b.machine), cmp.Compare(a.queue, b.queue))
-	})
-	var sums [maxQueues][maxQueues]contrastSum
-	for runs := n.runs; len(runs) > 0; {
-		end := 1
-		for end < len(runs) && runs[end].machine == runs[0].machine && runs[end].queue == runs[0].queue {
-			end++
-		}
-		n.contrast(runs[:end], &sums[runs[0].queue])
-		runs = runs[end:]
-	}
-	n.update(now, &sums)
+// contrastSum sums the effects that runs have shown for one pair of queues.
+type contrastSum struct {
+	weights, sum float64
+	runs         int
 }
 
-// collect gathers the runs whose pace is known, of some of the machines if there are too many.
-func (n *neighbours) collect(now anvilclock.Millis, cohorts []*cohort) {
-	n.runs = n.runs[:0]
-	total := 0
-	for _, c := range cohorts {
-		total += len(c.runs)
-	}
-	every := uint64(total/maxNeighbourRuns + 1)
+// fit estimates the effects anew from the runs of the cohorts that were reported of late.
+func (n *neighbours) fit(now anvilclock.Millis, cohorts []*cohort) {
+	var sums [maxQueues][maxQueues]contrastSum
 	for _, c := range cohorts {
 		if c.kind == reruns || c.queue < 0 {
 			continue
 		}
 		for _, o := range c.runs {
-			if o.machine.number%every == 0 && o.reportedAt >= max(o.machine.changedAt, now-effectInterval) {
-				n.add(c, o)
+			if o.reportedAt >= now-effectInterval {
+				n.addRun(c.queue, &o.beside, &sums[c.queue])
 			}
 		}
 	}
+	n.update(now, &sums)
 }
 
-func (n *neighbours) add(c *cohort, o *observation) {
-	rate, variance, ok := o.pace.measure()
-	if !ok {
-		return
-	}
-	at, found := slices.BinarySearchFunc(c.results, o.machine.number, func(r result, number uint64) int {
-		return cmp.Compare(r.machine.number, number)
-	})
-	if !found {
-		return
-	}
-	r := &c.results[at]
-	n.runs = append(n.runs, neighbourRun{
-		machine: o.machine.number, queue: c.queue, beside: &o.beside,
-		residual: rate - r.reference, weight: cautiousWeight(variance+r.single, rate-r.reference-o.machine.offset),
-	})
-}
-
-// contrastSum sums the contrasts of one pair of queues.
-type contrastSum struct {
-	weights, sum float64
-	machines     int
-}
-
-// contrast relates the rates of the runs of one queue on one machine to the share of their time in which each other queue had
-// runs beside them.
-func (n *neighbours) contrast(runs []neighbourRun, sums *[maxQueues]contrastSum) {
-	if len(runs) < 2 {
-		return
-	}
-	for other := range n.queues {
-		var line regression
-		for i := range runs {
-			line.add(runs[i].beside.share(other), runs[i].residual, runs[i].weight)
-		}
-		slope, variance, ok := line.slope()
+// addRun adds the effects that one run has shown.
+func (n *neighbours) addRun(queue int, beside *exposures, sums *[maxQueues]contrastSum) {
+	for _, q := range beside.queues {
+		slope, variance, ok := beside.slope(q)
 		if !ok {
 			continue
 		}
-		weight := cautiousWeight(variance, slope-n.effects[runs[0].queue][other].offset)
-		sums[other].weights += weight
-		sums[other].sum += weight * slope
-		sums[other].machines++
+		weight := cautiousWeight(variance, slope-n.effects[queue][q.queue].offset)
+		sums[q.queue].weights += weight
+		sums[q.queue].sum += weight * slope
+		sums[q.queue].runs++
 	}
 }
 
@@ -252,15 +189,15 @@
 }
 
 func (s *contrastSum) comparison(now anvilclock.Millis) comparison {
-	if s.machines == 0 {
+	if s.runs == 0 {
 		return comparison{}
 	}
-	return comparison{at: now, offset: s.sum / s.weights, variance: 1 / s.weights, runs: s.machines}
+	return comparison{at: now, offset: s.sum / s.weights, variance: 1 / s.weights, runs: s.runs}
 }
 
 // estimate combines the evidence. What was kept is dropped if the present runs contradict it.
 func (e *effect) estimate(now anvilclock.Millis) {
-	if e.kept.runs > 0 && e.present.runs >= minEffectMachines {
+	if e.kept.runs > 0 && e.present.runs >= minEffectRuns {
 		difference := e.present.offset - e.kept.offset
 		if difference*difference > effectContradiction*effectContradiction*(e.present.variance+e.keptVariance(now)) {
 			e.kept = comparison{}
@@ -300,12 +237,12 @@
 	return e.kept.variance * math.Exp2(float64(now-e.kept.at)/float64(effectHalfLife))
 }
 
-// measured reports whether the effect was measured on enough machines.
-func (e *effect) measured() bool { return max(e.present.runs, e.kept.runs) >= minEffectMachines }
+// measured reports whether the effect was shown by enough runs.
+func (e *effect) measured() bool { return max(e.present.runs, e.kept.runs) >= minEffectRuns }
 
 func (e *effect) score() float64 { return math.Abs(e.offset) / math.Sqrt(e.variance) }
 
-// Effects returns what is known of pairs of queues that was measured on enough machines.
+// Effects returns what is known of pairs of queues that was shown by enough runs.
 func (e *Estimator) Effects() []Effect {
 	var effects []Effect
 	n := &e.neighbours
@@ -317,7 +254,7 @@
 			}
 			effects = append(effects, Effect{
 				Victim: victim, Beside: beside, Factor: Factor(math.Exp(known.offset)), Error: math.Sqrt(known.variance),
-				Machines: max(known.present.runs, known.kept.runs), Slows: known.slows,
+				Runs: max(known.present.runs, known.kept.runs), Slows: known.slows,
 			})
 		}
 	}
--- a/core/anvilspeed/pace.go
+++ b/core/anvilspeed/pace.go
@@ -43,31 +43,34 @@
 	changed bool
 }
 
-// add adds a report, and returns whether the present pace begins with it. Reports from the end of the work on are left
+// stretch is a part of a run over which its rate was measured.
+type stretch struct{ from, to point }
+
+// add adds a report, and returns the stretch that ends with it, if one does. Reports from the end of the work on are left
 // out: a member of a gang waits there for the others.
-func (p *pace) add(r point) (begins bool) {
+func (p *pace) add(r point) (ended stretch, ends bool) {
 	switch {
 	case r.percent >= 100:
-		return false
+		return stretch{}, false
 	case !p.reported || r.percent < p.latest.percent:
 		*p = pace{base: r, mark: r, latest: r, reported: true}
-		return true
+		return stretch{}, false
 	case !p.moving:
 		p.moving = r.percent > p.base.percent
 		p.base, p.mark, p.latest = r, r, r
-		return true
+		return stretch{}, false
 	}
 	p.latest = r
 	if r.at-p.mark.at < minPaceSpan || r.percent-p.mark.percent < minPacePercent {
-		return false
+		return stretch{}, false
 	}
 	if p.stretches > 0 && hasDrifted(p.base, p.mark, r) {
 		p.base, p.stretches, p.changed = p.mark, 0, true
-		begins = true
 	}
+	ended = stretch{p.mark, r}
 	p.mark = r
 	p.stretches++
-	return begins
+	return ended, true
 }
 
 // hasDrifted reports whether the rate from mark to last differs from the one from base to mark.
--- a/io/anvilcmd/anvilreportcmd/neighbours.go
+++ b/io/anvilcmd/anvilreportcmd/neighbours.go
@@ -49,9 +49,9 @@
 	if opts.JSON {
 		return anviltable.WriteJSON(opts.Streams.Out, neighbours)
 	}
-	table := anviltable.Table{Heading: []string{"queue", "beside", "factor", "error", "machines", "slows"}}
+	table := anviltable.Table{Heading: []string{"queue", "beside", "factor", "error", "runs", "slows"}}
 	for _, pair := range neighbours.Pairs {
-		table.Add(pair.Victim, pair.Beside, pair.Factor, pair.Error, pair.Machines, pair.Slows)
+		table.Add(pair.Victim, pair.Beside, pair.Factor, pair.Error, pair.Runs, pair.Slows)
 	}
 	return table.Write(opts.Streams)
 }
--- a/io/anvillead/neighbours.go
+++ b/io/anvillead/neighbours.go
@@ -71,13 +71,13 @@
 func neighbourFields(effects []anvilspeed.Effect) []zap.Field {
 	count := len(effects)
 	victims, besides, slow := make([]string, count), make([]string, count), make([]bool, count)
-	factors, errs, machines := make([]float64, count), make([]float64, count), make([]int, count)
+	factors, errs, runs := make([]float64, count), make([]float64, count), make([]int, count)
 	for i, effect := range effects {
 		victims[i], besides[i], slow[i] = string(effect.Victim), string(effect.Beside), effect.Slows
-		factors[i], errs[i], machines[i] = hundredths(float64(effect.Factor)), hundredths(effect.Error), effect.Machines
+		factors[i], errs[i], runs[i] = hundredths(float64(effect.Factor)), hundredths(effect.Error), effect.Runs
 	}
 	return []zap.Field{
 		zap.Strings("victims", victims), zap.Strings("besides", besides), zap.Bools("slows", slow), zap.Float64s("factors", factors),
-		zap.Float64s("errors", errs), zap.Ints("comparisons", machines),
+		zap.Float64s("errors", errs), zap.Ints("runs", runs),
 	}
 }
