--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -18,8 +18,9 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilbudget"
 	"anvilshunt/core/anvilid"
-	"anvilshunt/io/anvilconn"
+	"anvilshunt/io/anvilguard"
 	"anvilshunt/io/anvillogs"
 )
 
@@ -68,9 +69,8 @@
 	draining  atomic.Bool
 	servers   []*http.Server
 	failures  chan error
-	// connState and peerState are called when the state of a connection to one of the servers changes, or nil. The
-	// latter is for connections of other instances.
-	connState, peerState func(net.Conn, http.ConnState)
+	// guard limits what clients make the process hold, or is nil.
+	guard *anvilguard.Guard
 	// beforeShutdown is called after a signal to stop, while the listeners and tasks still run, or nil.
 	beforeShutdown func(context.Context)
 }
@@ -78,17 +78,14 @@
 // Option configures a Daemon.
 type Option func(*Daemon)
 
-// WithMaxConnections limits the connections that others may have open to the listeners of the process, and those that
-// other instances may have open to the listeners for them.
-func WithMaxConnections(limit, peerLimit int) Option {
-	return func(d *Daemon) { d.connState, d.peerState = d.track(limit), d.track(peerLimit) }
-}
-
-// track returns the function that limits the connections whose states it is told.
-func (d *Daemon) track(limit int) func(net.Conn, http.ConnState) {
-	return anvilconn.NewInbound(limit, func(closed int) {
-		d.Log.Write(anvillogs.ConnectionLimitReached, zap.Int("closed", closed), zap.Int("limit", limit))
-	}).Track
+// WithGuard limits what others may make the process hold. The function account returns the name of the account of a
+// request, or "" for a stranger.
+func WithGuard(limits anvilbudget.Limits, account func(*http.Request) string) Option {
+	return func(d *Daemon) {
+		d.guard = anvilguard.New(limits, account, func(counts anvilbudget.Counts) {
+			d.Log.Write(anvillogs.ClientsGaveWay, anvilguard.Fields(counts, limits)...)
+		})
+	}
 }
 
 // New returns the daemon of an instance. It writes its log to out, and calls reload to read
@@ -124,20 +121,24 @@
 // Listen serves a handler on an address in the background until the process ends. The
 // listener is open when Listen returns.
 func (d *Daemon) Listen(address anvilid.Address, handler http.Handler) error {
-	return d.listen(address, handler, d.connState)
+	return d.listen(address, handler, anvilbudget.Stranger)
 }
 
-// ListenPeers does the same for calls from other instances, which have a limit of connections of their own.
+// ListenPeers does the same for calls from other instances, which have connections of their own.
 func (d *Daemon) ListenPeers(address anvilid.Address, handler http.Handler) error {
-	return d.listen(address, handler, d.peerState)
+	return d.listen(address, handler, anvilbudget.Peer)
 }
 
-func (d *Daemon) listen(address anvilid.Address, handler http.Handler, connState func(net.Conn, http.ConnState)) error {
+func (d *Daemon) listen(address anvilid.Address, handler http.Handler, class anvilbudget.Class) error {
 	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connState}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if d.guard != nil {
+		listener = d.guard.Listen(listener, class)
+		d.guard.Configure(server)
+	}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
