--- a/core/anvilrows/line.go
+++ b/core/anvilrows/line.go
@@ -24,3 +24,13 @@
 	}
 	return fmt.Errorf("line %d: %w", 1+bytes.Count(data[:offset], []byte("\n")), err)
 }
+
+// SyntaxErrorLine returns the line of a syntax error in JSON with comments, or 1 if the error doesn't say
+// it. The text of such an error begins with "hujson: line N, column M".
+func SyntaxErrorLine(err error) int {
+	var line, column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d", &line, &column); scanErr != nil {
+		return 1
+	}
+	return line
+}
--- a/io/anvilcmd/anvilconfigcmd/apply.go
+++ b/io/anvilcmd/anvilconfigcmd/apply.go
@@ -1,7 +1,6 @@
 package anvilconfigcmd
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -13,8 +12,8 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
-	"github.com/tailscale/hujson"
 
+	"anvilshunt/core/anvilcheck"
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvilclient"
@@ -113,14 +112,11 @@
 	if err != nil {
 		return anvilconfig.Change{}, anvilfactory.UsageErrorf("read the change set: %w", err)
 	}
-	standard, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return anvilconfig.Change{}, anvilfactory.UsageErrorf("%s: %w", opts.File, err)
-	}
-	change, problems := anvilconfig.ParseChange(standard)
-	if len(problems) > 0 {
-		return change, anvilfactory.UsageErrorf("%s: %w", opts.File, problems[0])
+	document, findings := anvilcheck.Parse(data)
+	if len(findings) > 0 {
+		return anvilconfig.Change{}, anvilfactory.UsageErrorf("%s", formatFinding(opts.File, findings[0]))
 	}
+	change := document.Change
 	if change.ID == "" {
 		var id [8]byte
 		_, _ = rand.Read(id[:])
--- a/io/anvilsettings/decode.go
+++ b/io/anvilsettings/decode.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/tailscale/hujson"
+
+	"anvilshunt/core/anvilrows"
 )
 
 // document is a settings file while it is decoded and checked. It records the line of each field,
@@ -23,23 +25,13 @@
 	doc := &document{file: file, data: data, lines: map[string]int{"": 1}}
 	value, err := hujson.Parse(data)
 	if err != nil {
-		doc.problems = append(doc.problems, Problem{File: file, Line: syntaxErrorLine(err), Text: err.Error()})
+		doc.problems = append(doc.problems, Problem{File: file, Line: anvilrows.SyntaxErrorLine(err), Text: err.Error()})
 		return doc, doc.problems
 	}
 	doc.decodeValue(value, reflect.ValueOf(into).Elem(), "")
 	return doc, doc.problems
 }
 
-// syntaxErrorLine extracts the line from the text of a hujson syntax error, which begins with
-// "hujson: line N, column M".
-func syntaxErrorLine(err error) int {
-	var line, column int
-	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d", &line, &column); scanErr != nil {
-		return 1
-	}
-	return line
-}
-
 func (d *document) lineAtOffset(offset int) int {
 	return 1 + bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n"))
 }
