--- a/core/anvilplace/reserve.go
+++ b/core/anvilplace/reserve.go
@@ -76,15 +76,11 @@
 }
 
 // deferrableTier returns the slowest tier on which a step that isn't urgent would still meet its deadline if it
-// started later, or the number of tiers if there is none. It is 0 if the step ends late on all tiers: its runs on reserved
-// targets would be evicted for urgent jobs, and nothing would be gained by them.
+// started later, or the number of tiers if there is none.
 func (p *planner) deferrableTier(u *waitingStep) int {
 	if u.urgent {
 		return len(p.tierSpeeds)
 	}
-	if work, left := u.workLeft(p.Now); work > left*p.tierSpeeds[len(p.tierSpeeds)-1] {
-		return 0
-	}
 	for tier, speed := range p.tierSpeeds {
 		latest := u.due - anvilclock.Millis(runtimeSafetyFactor*float64(u.info.longest)/speed) - startMargin
 		if p.Now < latest {
