--- a/core/anvilspeed/cohort.go
+++ b/core/anvilspeed/cohort.go
@@ -40,6 +40,8 @@
 	// since is when the run was reported first, and reportedAt when it was reported last, by the leader's clock.
 	since, reportedAt anvilclock.Millis
 	ended             bool
+	// beside relates the rate of the run to the queues that had other runs on the same machine.
+	beside exposures
 }
 
 // cohort contains the runs that are compared with each other.
@@ -47,7 +49,9 @@
 	key cohortKey
 	// kind decides which scatter is expected of the runs.
 	kind kind
-	runs []*observation
+	// queue is the position of the queue of the runs in the table of neighbours, or -1.
+	queue int
+	runs  []*observation
 	// results has the comparison of each machine with the others at the latest fit.
 	results []result
 }
