--- a/core/anvilcheck/change.go
+++ b/core/anvilcheck/change.go
@@ -25,9 +25,16 @@
 }
 
 // Against checks a change set against the configuration in force and the capacity of the targets.
-// Problems are those for which an instance would refuse the change set; it knows the targets best.
+// Problems are those for which an instance would refuse the change set; it knows the targets best. That
+// the change is in force already is a warning only.
 func Against(current anvilconfig.Snapshot, change anvilconfig.Change, fleet Fleet, problems []anvilconfig.Problem) []Finding {
 	found := list(FromProblems(problems))
+	for i := range found {
+		// Scripts may check a file again after it was applied.
+		if found[i].Code == anvilconfig.CodeNoEffect && len(change.Set) > 0 {
+			found[i].Severity = SeverityWarning
+		}
+	}
 	if change.BaseRevision != 0 && change.BaseRevision != current.Revision {
 		found.warn(anvilconfig.Key{}, "base", CodeStale,
 			"the change is based on revision %d, and revision %d is in force; it is refused unless it is a repetition", change.BaseRevision, current.Revision)
