--- a/io/anvilguard/conn.go
+++ b/io/anvilguard/conn.go
@@ -110,10 +110,7 @@
 
 // stop makes the reads of a connection fail. One whose client doesn't take an answer is closed, as nothing else ends that.
 func (c *conn) stop() {
-	c.guard.mu.Lock()
-	sending := c.guard.table.Phase(c.account) == anvilbudget.Sending
-	c.guard.mu.Unlock()
-	if sending {
+	if c.phase() == anvilbudget.Sending {
 		_ = c.Close() // its handler notices it
 		return
 	}
@@ -142,6 +139,12 @@
 	c.guard.table.SetPhase(c.account, phase, c.guard.clock.Now())
 }
 
+func (c *conn) phase() anvilbudget.Phase {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.guard.table.Phase(c.account)
+}
+
 // release records that the request of the connection has been handled.
 func (c *conn) release() {
 	c.guard.mu.Lock()
--- a/io/anvilguard/guard.go
+++ b/io/anvilguard/guard.go
@@ -101,13 +101,12 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		unread := c.class == anvilbudget.Stranger && r.ContentLength != 0
-		if !unread {
+		if c.class == anvilbudget.Peer || r.ContentLength == 0 {
 			c.setPhase(anvilbudget.Working)
 		}
 		defer c.release()
 		next.ServeHTTP(w, r)
-		if unread {
+		if c.phase() == anvilbudget.Receiving {
 			// It fails only if the connection is closed.
 			_ = c.setReadDeadline(time.Now().Add(stallTimeout))
 		}
