--- a/core/anvilbudget/budget.go
+++ b/core/anvilbudget/budget.go
@@ -44,8 +44,6 @@
 	// stalledCredit is the credit below which a client counts as stalled. Without progress, the initial credit falls to
 	// it within 1.5 s.
 	stalledCredit = 1 << 10
-	// peerFraction is the inverse of the fraction of the connections that is reserved for peers.
-	peerFraction = 8
 	// leavingFactor times the limit is the number of bytes, with those that gave way and are still held, above which
 	// bodies that grow give way themselves.
 	leavingFactor = 2
@@ -57,6 +55,8 @@
 // Limits bounds what others may make a process hold.
 type Limits struct {
 	Connections int
+	// Peers is how many of Connections are reserved for peers.
+	Peers int
 	// Bytes limits the bytes of bodies. It must be at least the size of the largest body.
 	Bytes anvilid.ByteCount
 }
@@ -116,12 +116,11 @@
 	c := &Conn{class: class, credit: initialCredit, updated: now}
 	t.open[class]++
 	t.waiting[c] = struct{}{}
-	reserved := t.limits.Connections / peerFraction
-	strangersOver := t.open[Stranger] > t.limits.Connections-reserved
+	strangersOver := t.open[Stranger] > t.limits.Connections-t.limits.Peers
 	if !strangersOver && t.open[Stranger]+t.open[Peer] <= t.limits.Connections {
 		return c, nil
 	}
-	surplus = t.chooseSurplus(c, strangersOver || t.open[Peer] <= reserved, now)
+	surplus = t.chooseSurplus(c, strangersOver || t.open[Peer] <= t.limits.Peers, now)
 	if surplus != c {
 		t.counts.Closed++
 	}
--- a/core/anvilbudget/budget_test.go
+++ b/core/anvilbudget/budget_test.go
@@ -39,7 +39,7 @@
 
 // Guards against strangers that take the connections of other instances.
 func TestPlacesForPeers(t *testing.T) {
-	table := New(Limits{Connections: 16, Bytes: 1 << 20})
+	table := New(Limits{Connections: 16, Peers: 2, Bytes: 1 << 20})
 	for range 20 {
 		c, _ := table.Open(Stranger, 0)
 		table.SetPhase(c, Working, 0)
@@ -58,7 +58,7 @@
 // Guards against bodies that exceed the budget, and against a body that gives way though its client sends faster than others,
 // or holds no more than its share.
 func TestSlowestBodyGivesWay(t *testing.T) {
-	table := New(Limits{Connections: 10, Bytes: 1000})
+	table := New(Limits{Connections: 10, Peers: 1, Bytes: 1000})
 	open := func(account string, bytes int, at anvilclock.Millis) *Conn {
 		c, _ := table.Open(Stranger, at)
 		table.SetAccount(c, account)
@@ -79,7 +79,7 @@
 
 // Guards against a single largest body that is refused, and against a connection whose bytes count for ever.
 func TestSingleBody(t *testing.T) {
-	table := New(Limits{Connections: 10, Bytes: 1000})
+	table := New(Limits{Connections: 10, Peers: 1, Bytes: 1000})
 	c, _ := table.Open(Stranger, 0)
 	assert.Equal(t, len(table.Reserve(c, 1000, 0)), 0)
 	table.Close(c)
--- a/io/anvilguard/guard_test.go
+++ b/io/anvilguard/guard_test.go
@@ -95,7 +95,7 @@
 
 // Guards against bodies that are cut short or misjudged by their size, with and without an announced length.
 func TestReadBody(t *testing.T) {
-	_, server := newServer(t, anvilbudget.Limits{Connections: 10, Bytes: 1 << 17}, readHandler)
+	_, server := newServer(t, anvilbudget.Limits{Connections: 10, Peers: 1, Bytes: 1 << 17}, readHandler)
 	for _, size := range []int{0, 1, firstBuffer - 1, firstBuffer, firstBuffer + 1, 1<<16 - 1, 1 << 16, 1<<16 + 1, 1 << 22} {
 		for _, announced := range []bool{true, false} {
 			var body io.Reader = bytes.NewReader(make([]byte, size))
@@ -122,7 +122,7 @@
 // Guards against bytes that still count once their request has ended, and against a client that gives way without being
 // told that its request was not carried out.
 func TestSlowBodyGivesWay(t *testing.T) {
-	guard, server := newServer(t, anvilbudget.Limits{Connections: 10, Bytes: 3 << 15}, readHandler)
+	guard, server := newServer(t, anvilbudget.Limits{Connections: 10, Peers: 1, Bytes: 3 << 15}, readHandler)
 	stopped, err := net.Dial("tcp", server.Listener.Addr().String())
 	assert.NilError(t, err)
 	defer stopped.Close()
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -106,6 +106,7 @@
 	StepIdle           = define(634, zapcore.InfoLevel, "step has nothing at work")
 	CheckpointsKept    = define(635, zapcore.InfoLevel, "checkpoints of runs on an unreachable target recorded")
 	ZoneEvacuated      = define(640, zapcore.InfoLevel, "evacuation of a zone begun or ended")
+	NeighboursMeasured = define(647, zapcore.InfoLevel, "effects of queues on the speed of each other")
 	SpeedsRecorded     = define(645, zapcore.InfoLevel, "lasting speeds of machines recorded")
 	LateAnnouncement   = define(629, zapcore.InfoLevel, "announcement of a target arrived after a later one")
 	ConfigChanged      = define(615, zapcore.InfoLevel, "new configuration in force")
@@ -114,11 +115,12 @@
 
 // Events of an instance that forwards requests to the leader.
 var (
-	RequestFailed        = define(701, zapcore.InfoLevel, "request could not be forwarded to the leader")
-	VoterCallFailed      = define(702, zapcore.InfoLevel, "call to a voter failed; trying the next voter")
-	SettingsReloadFailed = define(703, zapcore.WarnLevel, "settings could not be reloaded; the previous ones stay in force")
-	RelayTried           = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
-	CallsAnswered        = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
+	RequestFailed         = define(701, zapcore.InfoLevel, "request could not be forwarded to the leader")
+	VoterCallFailed       = define(702, zapcore.InfoLevel, "call to a voter failed; trying the next voter")
+	SettingsReloadFailed  = define(703, zapcore.WarnLevel, "settings could not be reloaded; the previous ones stay in force")
+	RelayTried            = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
+	CallsAnswered         = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
+	KeepalivesUndelivered = define(706, zapcore.InfoLevel, "announcements of targets could not be passed on to the leader; trying again")
 )
 
 // stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -27,6 +27,7 @@
 	"anvilshunt/io/anvillead"
 	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrelay"
 	"anvilshunt/io/anvilrpc"
 )
 
@@ -80,9 +81,9 @@
 
 // limits returns what the clients may make the process hold. It fails if the memory limit leaves no room for one
 // largest body.
-func (c Clients) limits(settings Settings, connections int) (anvilbudget.Limits, error) {
+func (c Clients) limits(settings Settings, connections anvilconn.Budget) (anvilbudget.Limits, error) {
 	bytes, err := anvilbudget.BytesFor(settings.MemoryLimit, c.LargestBody)
-	return anvilbudget.Limits{Connections: connections, Bytes: bytes}, err
+	return anvilbudget.Limits{Connections: connections.Inbound + connections.Internal, Peers: connections.Internal, Bytes: bytes}, err
 }
 
 // New returns an instance with the given settings, which writes its log to out. The function load reads the settings
@@ -91,7 +92,7 @@
 	n := &Node{Clock: anvilclock.Boot(), WallClock: anvilclock.Wall(), Connections: anvilconn.Divide(settings.DescriptorLimit)}
 	n.settings.Store(&settings)
 	n.links = anvillink.New(settings.Region, func(anvilid.Address) anvilid.RegionName { return settings.Region })
-	limits, err := clients.limits(settings, n.Connections.Inbound)
+	limits, err := clients.limits(settings, n.Connections)
 	if err != nil {
 		return nil, err
 	}
@@ -170,8 +171,8 @@
 }
 
 // RunVoter runs a voter until it is told to stop. The handler for operators and targets forwards calls with the given
-// forwarder, and the leader makes the given calls.
-func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder) http.Handler) error {
+// forwarder and relay, and the leader makes the given calls.
+func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder, *anvilrelay.Relay) http.Handler) error {
 	settings := n.Settings()
 	supervisor := anvillead.NewVoterSupervisor(n.Log)
 	if err := n.listenInternal(supervisor, supervisor); err != nil {
@@ -184,11 +185,13 @@
 		return n.Dial(instance)
 	}
 	knownVoters := func() []anvilid.InstanceID { return append(supervisor.Members(), n.seeds()...) }
-	if err := n.Listen(settings.ControlAddress, control(anvilgate.New(n.Clock, n.Log, knownVoters, dial))); err != nil {
+	forwarder := anvilgate.New(n.Clock, n.Log, knownVoters, dial)
+	relay := anvilrelay.New(n.Clock, n.Log, settings.Instance, forwarder.Leader, forwarder.Announce)
+	if err := n.Listen(settings.ControlAddress, control(forwarder, relay)); err != nil {
 		return err
 	}
 	n.BeforeShutdown(supervisor.Leave)
-	return n.Serve(0, settings.GracePeriod.Duration(), func(ctx context.Context) error {
+	return n.Serve(0, settings.GracePeriod.Duration(), relay.Run, func(ctx context.Context) error {
 		return supervisor.Run(ctx, func() (*anvillead.Leader, error) { return n.openVoter(calls) })
 	})
 }
--- a/io/anvilserver/clients.go
+++ b/io/anvilserver/clients.go
@@ -14,8 +14,12 @@
 	"anvilshunt/io/anvilsettings"
 )
 
-// ownDescriptors are left to files and to the connections that the instance opens.
-const ownDescriptors = 300
+const (
+	// ownDescriptors are left to files and to the connections that the instance opens.
+	ownDescriptors = 300
+	// peerFraction is the inverse of the fraction of the connections that is reserved for other instances.
+	peerFraction = 8
+)
 
 // clientLimits returns what clients may make an instance hold, under Go's memory limit and the limit of open files of
 // the process, each of which is the largest number of its type if there is none.
@@ -24,6 +28,7 @@
 	if files < math.MaxInt32 {
 		limits.Connections = min(limits.Connections, max(int(files)-ownDescriptors, int(files)/2))
 	}
+	limits.Peers = limits.Connections / peerFraction
 	if limits.Bytes > 0 {
 		return limits, nil // checked with the settings
 	}
