--- a/core/anvilspread/spread.go
+++ b/core/anvilspread/spread.go
@@ -17,39 +17,36 @@
 // callers, other instances, operators, and targets that have just been sent elsewhere.
 const sharePercent = 75
 
-// Division is the result of Divide: which instance holds which target.
+// Division tells which instance holds which target.
 type Division struct {
-	leader  anvilid.InstanceID
-	holders []anvilid.InstanceID // sorted; empty if the leader holds all targets
+	holders []anvilid.InstanceID // not empty
 }
 
+// Among returns the division of the targets among given holders, of which there must be at least one.
+func Among(holders ...anvilid.InstanceID) Division { return Division{slices.Clone(holders)} }
+
 // Divide divides a number of targets among the leader and other voters that it reaches, each of which can hold inbound
 // connections. As long as the leader's share suffices it holds all of them, as an announcement then needs no further
 // call. Beyond that, the others hold them and leave the leader's processor to the log, and the leader joins in only if
 // their shares don't suffice.
 func Divide(leader anvilid.InstanceID, others []anvilid.InstanceID, targets, inbound int) Division {
 	share := inbound * sharePercent / 100
-	d := Division{leader: leader}
 	if targets <= share || len(others) == 0 {
-		return d
+		return Among(leader)
 	}
-	d.holders = slices.Clone(others)
+	d := Among(others...)
 	if targets > share*len(others) {
 		d.holders = append(d.holders, leader)
 	}
-	slices.Sort(d.holders)
 	return d
 }
 
-// Spread reports whether instances other than the leader hold targets.
-func (d Division) Spread() bool { return len(d.holders) > 0 }
+// Holders returns the instances that hold targets.
+func (d Division) Holders() []anvilid.InstanceID { return d.holders }
 
 // Holder returns the instance to which a target announces itself. If an instance joins or is lost, only targets that
 // it gets or had change their holder.
 func (d Division) Holder(target anvilid.TargetID) anvilid.InstanceID {
-	if !d.Spread() {
-		return d.leader
-	}
 	return slices.MaxFunc(d.holders, func(a, b anvilid.InstanceID) int {
 		return cmp.Compare(weight(a, target), weight(b, target))
 	})
--- a/io/anvillead/announce.go
+++ b/io/anvillead/announce.go
@@ -32,8 +32,8 @@
 
 // Announce handles announcements of targets: a single one, or a list of those that another voter has acknowledged because
 // they repeat what was acknowledged before. An announcement that changes the replicated state is committed before the
-// reply, because a target that is leaving must not get work from a new leader either. The reply to a list names no
-// instance if the targets may stay where they are.
+// reply, because a target that is leaving must not get work from a new leader either. The reply to a list names all
+// holders of targets.
 func (l *Leader) Announce(ctx context.Context, call *anvilrpc.AnnounceCall) (*anvilrpc.AnnounceReply, error) {
 	if r := l.redirection(); r != nil {
 		return &anvilrpc.AnnounceReply{Redirection: r}, nil
@@ -63,11 +63,12 @@
 	l.keepAlive(unchanged...)
 	reply := &anvilrpc.AnnounceReply{Done: l.commitTargets(ctx, changes)}
 	division := l.division()
-	switch {
-	case single:
+	if single {
 		reply.Leader = string(division.Holder(announced[0].Target.ID))
-	case !division.Spread():
-		reply.Leader = string(l.group.ID().Instance)
+		return reply, nil
+	}
+	for _, holder := range division.Holders() {
+		reply.Holders = append(reply.Holders, string(holder))
 	}
 	return reply, nil
 }
--- a/io/anvilrelay/pass.go
+++ b/io/anvilrelay/pass.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilspread"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvilrpc"
 )
@@ -77,16 +78,27 @@
 			batch = append(batch, waiting.arrival)
 		}
 		reply, err := r.deliver(ctx, batch)
-		result := passed{holder: r.self, err: err}
-		if err == nil && reply.Leader != "" {
-			result.holder = anvilid.InstanceID(reply.Leader)
-		}
 		for _, waiting := range queued {
-			waiting.result <- result
+			waiting.result <- r.resultOf(waiting.target.ID, reply, err)
 		}
 	}
 }
 
+// resultOf returns the answer to one of the announcements that were passed on together.
+func (r *Relay) resultOf(target anvilid.TargetID, reply *anvilrpc.AnnounceReply, err error) passed {
+	switch {
+	case err != nil:
+		return passed{err: err}
+	case len(reply.Holders) == 0:
+		return passed{holder: r.self}
+	}
+	var holders []anvilid.InstanceID
+	for _, holder := range reply.Holders {
+		holders = append(holders, anvilid.InstanceID(holder))
+	}
+	return passed{holder: anvilspread.Among(holders...).Holder(target)}
+}
+
 // dequeue takes what is queued, at most maxBatch announcements. If nothing is, the place of the call is free again.
 func (r *Relay) dequeue() []*passage {
 	r.mu.Lock()
