--- /dev/null
+++ b/core/anviladmit/pacer.go
@@ -0,0 +1,164 @@
+package anviladmit
+
+import (
+	"cmp"
+	"container/heap"
+
+	"anvilshunt/core/anvilclock"
+)
+
+const (
+	// DefaultSpacing is the time between two searches of one instance for the leader. An election
+	// takes about a second, so that it delays no call noticeably.
+	DefaultSpacing = 30 * anvilclock.Millisecond
+	// DefaultLimit is the number of calls of one instance that a leader is sent at the same time.
+	DefaultLimit = 32
+)
+
+// Call is a call that is to be sent to the leader.
+type Call struct {
+	// Change means that the call changes something. Reads come after changes, because they can be
+	// repeated at any time.
+	Change bool
+	// Deadline is when the caller stops waiting.
+	Deadline anvilclock.Millis
+
+	sequence uint64 // order of arrival
+	index    int    // in the queue
+}
+
+// compare orders calls by their urgency, the most urgent first.
+func (c *Call) compare(other *Call) int {
+	switch {
+	case c.Change && !other.Change:
+		return -1
+	case other.Change && !c.Change:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(c.Deadline, other.Deadline), cmp.Compare(c.sequence, other.sequence))
+}
+
+// Pacer decides when calls are sent. While a leader answers, up to Limit calls are in progress. From
+// the first round of attempts that finds no leader until one answers, one waiting call is sent in each
+// interval of Spacing, however many are in progress: some of them may wait for voters that don't answer.
+type Pacer struct {
+	spacing anvilclock.Millis
+	limit   int
+
+	searching  bool
+	nextSearch anvilclock.Millis // when the next call may be sent while searching
+	inProgress int
+	waiting    queue
+	arrivals   uint64
+}
+
+// Option configures a Pacer.
+type Option func(*Pacer)
+
+// WithSpacing sets the time between two searches for the leader.
+func WithSpacing(spacing anvilclock.Millis) Option { return func(p *Pacer) { p.spacing = spacing } }
+
+// WithLimit sets how many calls may be in progress while a leader answers.
+func WithLimit(limit int) Option { return func(p *Pacer) { p.limit = limit } }
+
+// NewPacer returns a pacer that assumes that a leader answers.
+func NewPacer(opts ...Option) *Pacer {
+	p := &Pacer{spacing: DefaultSpacing, limit: DefaultLimit}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Enqueue adds a call that waits to be sent. It must not be waiting already.
+func (p *Pacer) Enqueue(c *Call) {
+	p.arrivals++
+	c.sequence = p.arrivals
+	heap.Push(&p.waiting, c)
+}
+
+// Remove removes a waiting call, which has ended without being sent.
+func (p *Pacer) Remove(c *Call) {
+	if c.index < len(p.waiting) && p.waiting[c.index] == c {
+		heap.Remove(&p.waiting, c.index)
+	}
+}
+
+// Next returns the most urgent waiting call if it may be sent now, or else nil. The call is then in
+// progress, and Finish must be called when its attempts have ended.
+func (p *Pacer) Next(now anvilclock.Millis) *Call {
+	if len(p.waiting) == 0 || !p.maySend(now) {
+		return nil
+	}
+	if p.searching {
+		p.nextSearch = now + p.spacing
+	}
+	p.inProgress++
+	return heap.Pop(&p.waiting).(*Call)
+}
+
+func (p *Pacer) maySend(now anvilclock.Millis) bool {
+	if p.searching {
+		return now >= p.nextSearch
+	}
+	return p.inProgress < p.limit
+}
+
+// Delay returns how long Next returns nil at least, if nothing else happens, while calls wait for the next
+// search. Without such calls it returns false.
+func (p *Pacer) Delay(now anvilclock.Millis) (anvilclock.Millis, bool) {
+	if !p.searching || len(p.waiting) == 0 {
+		return 0, false
+	}
+	return max(p.nextSearch-now, 0), true
+}
+
+// Finish records that the attempts of a call have ended.
+func (p *Pacer) Finish() { p.inProgress-- }
+
+// NoLeader records that a round of attempts at all voters has found no leader, and reports whether the search
+// begins with it.
+func (p *Pacer) NoLeader(now anvilclock.Millis) bool {
+	if p.searching {
+		return false
+	}
+	p.searching, p.nextSearch = true, now+p.spacing
+	return true
+}
+
+// LeaderAnswered records an answer of a leader, and reports whether a search ends with it.
+func (p *Pacer) LeaderAnswered() bool {
+	ended := p.searching
+	p.searching = false
+	return ended
+}
+
+// Waiting returns the number of calls that wait to be sent.
+func (p *Pacer) Waiting() int { return len(p.waiting) }
+
+// queue is a heap of calls, the most urgent first.
+type queue []*Call
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].compare(q[j]) < 0 }
+
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push adds a call. It is called by container/heap.
+func (q *queue) Push(c any) {
+	call := c.(*Call)
+	call.index = len(*q)
+	*q = append(*q, call)
+}
+
+// Pop removes the last call. It is called by container/heap.
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	call := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	return call
+}
