--- a/core/anvilspeed/estimator_test.go
+++ b/core/anvilspeed/estimator_test.go
@@ -71,6 +71,7 @@
 				w.estimator.Forget(run.sample.Task)
 				continue
 			}
+			run.sample.At = w.now - 5*anvilclock.Second // the clock of the target
 			w.estimator.Observe(w.now, run.sample)
 			left = append(left, run)
 		}
@@ -260,7 +261,7 @@
 func TestMachineBound(t *testing.T) {
 	e := NewEstimator()
 	for i := range maxMachines + 100 {
-		e.Inherit(anvilclock.Millis(i+1), machineName(i), LevelOf(2))
+		e.Inherit(anvilclock.Millis(i+1), anvilwork.MachineSpeed{Machine: machineName(i), Level: LevelOf(2)})
 	}
 	e.Fit(maxMachines + 200)
 	assert.Equal(t, len(e.known), maxMachines)
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -83,15 +83,15 @@
 // TestOutdatedKeepalive guards against a foreign capacity with a very high sequence number that counts as fresh
 // because the announcements of the target itself, which the state doesn't take, are keepalives.
 func TestOutdatedKeepalive(t *testing.T) {
-	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan anvilorder.Announcement, 4)}
+	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan []anvilorder.Announcement, 4)}
 	own, foreign := anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 7}, anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 1 << 50}
 	own.Resources.GPU, foreign.Resources.GPU = 4, 8
 	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: own}}}})
-	l.keepAlive(own)
+	l.keepAlive(arrival{target: own})
 	assert.Equal(t, len(l.keepalives), 1, "it confirms the record")
 	l.state.Apply(2, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: foreign}}}})
 	own.Sequence++
-	l.keepAlive(own)
+	l.keepAlive(arrival{target: own})
 	assert.Equal(t, len(l.keepalives), 1, "the state has 8 accelerators, the target 4")
 }
 
@@ -107,7 +107,7 @@
 	a := &announcer{}
 	a.leader = &Leader{
 		state: anvilwork.New(), clock: a.clock.Clock(), log: log, heard: heardAnnouncements{},
-		keepalives: make(chan anvilorder.Announcement, resultQueueSize),
+		keepalives: make(chan []anvilorder.Announcement, resultQueueSize),
 		bounds:     Bounds{AnnounceInterval: 1000, Orders: anvilorder.Timing{MaxAnnouncementAge: testSpan - sequenceIntervals*1000}},
 	}
 	return a
@@ -115,13 +115,13 @@
 
 func (a *announcer) announce(sequence uint64, gpu anvilid.AcceleratorCount) {
 	l := a.leader
-	ordered, outdated := l.hear(anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: sequence, Resources: anvilwork.Resources{GPU: gpu}})
+	ordered, outdated := l.hear(l.clock.Now(), anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: sequence, Resources: anvilwork.Resources{GPU: gpu}})
 	switch {
 	case outdated:
 	case l.state.AnnouncementHasEffect(ordered):
 		l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: ordered}}}})
 	default:
-		l.keepAlive(ordered)
+		l.keepAlive(arrival{ordered, l.clock.Now()})
 	}
 }
 
@@ -186,3 +186,26 @@
 	assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2))
 	assert.Equal(t, len(a.leader.keepalives), 0)
 }
+
+// TestKeepaliveAfterChange guards against announcements that arrive over two ways: one that another voter has acknowledged
+// and passes on late must not bring back the capacity that the target had before, keep a target that leaves, or count as
+// heard when it is passed on.
+func TestKeepaliveAfterChange(t *testing.T) {
+	a := newAnnouncer(t)
+	a.announce(3, 8)
+	a.clock.Advance(1000)
+	a.announce(5, 2)
+	late := anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: 4, Resources: anvilwork.Resources{GPU: 8}}
+	_, usable := a.leader.order(a.clock.Now()-500, late)
+	assert.Assert(t, !usable)
+	assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2))
+
+	same := late
+	same.Sequence, same.Resources.GPU = 5, 2
+	a.clock.Advance(2000)
+	ordered, usable := a.leader.order(a.clock.Now()-2000, same)
+	assert.Assert(t, usable, "the same one over the other way")
+	_, changes := a.leader.changeBy(ordered)
+	assert.Assert(t, !changes)
+	assert.Equal(t, a.leader.heard["t"].at, anvilclock.Millis(1000))
+}
