--- a/io/anvilgate/calls.go
+++ b/io/anvilgate/calls.go
@@ -3,13 +3,29 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"time"
 
+	"anvilshunt/core/anviladmit"
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/io/anvilrpc"
 )
 
-// Job forwards a call about a job to the leader.
-func (f *Forwarder) Job(ctx context.Context, call *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
-	return f.job(ctx, call, f.forward)
+// Job forwards a call about a job to the leader. While none answers, and when one answers again, calls wait for their
+// turn, see anviladmit.Pacer.
+func (f *Forwarder) Job(ctx context.Context, request *anvilrpc.JobCall) (*anvilrpc.JobReply, error) {
+	return f.job(ctx, request, func(ctx context.Context, c *call) error {
+		c.turn = f.turnOf(ctx, request)
+		return f.forward(ctx, c)
+	})
+}
+
+func (f *Forwarder) turnOf(ctx context.Context, request *anvilrpc.JobCall) *anviladmit.Call {
+	turn := &anviladmit.Call{Change: request.Action != anvilrpc.JobAction_JOB_ACTION_SHOW, Deadline: math.MaxInt64}
+	if end, ok := ctx.Deadline(); ok {
+		turn.Deadline = f.clock.Now() + anvilclock.Millis(time.Until(end).Milliseconds())
+	}
+	return turn
 }
 
 // job forwards a call about a job with the given function. A call that only reads has no effect, whether a
--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anviladmit"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvillogs"
@@ -66,8 +67,10 @@
 	log   *anvillogs.Logger
 	// failures writes the lines about calls that fail.
 	failures *failureLog
-	dial     func(anvilid.InstanceID) anvilrpc.Fleet
-	seeds    func() []anvilid.InstanceID
+	// pacing decides when the calls of callers are sent.
+	pacing *pacing
+	dial   func(anvilid.InstanceID) anvilrpc.Fleet
+	seeds  func() []anvilid.InstanceID
 	// self is the id of this instance if other instances may use it as a relay, and
 	// otherwise empty.
 	self anvilid.InstanceID
@@ -95,7 +98,7 @@
 // settings name at present, and dial returns a client for one instance.
 func New(clock anvilclock.Clock, log *anvillogs.Logger, seeds func() []anvilid.InstanceID, dial func(anvilid.InstanceID) anvilrpc.Fleet, opts ...Option) *Forwarder {
 	f := &Forwarder{
-		clock: clock, log: log, failures: newFailureLog(clock, log), dial: dial, seeds: seeds,
+		clock: clock, log: log, failures: newFailureLog(clock, log), pacing: newPacing(clock, log), dial: dial, seeds: seeds,
 		clients: map[anvilid.InstanceID]anvilrpc.Fleet{}, failedAt: map[anvilid.InstanceID]anvilclock.Millis{}, lastContact: -connectedTimeout, leaderChanged: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -119,10 +122,11 @@
 
 func (f *Forwarder) forward(ctx context.Context, c *call) error {
 	for {
-		if c.tryRound(ctx) {
+		done, sent := c.tryRoundInTurn(ctx)
+		if done {
 			return nil
 		}
-		if ctx.Err() != nil || !c.maybeExecuted && f.shouldFailFast() {
+		if !sent || ctx.Err() != nil || !c.maybeExecuted && f.shouldFailFast() {
 			return c.failure()
 		}
 		select {
@@ -165,6 +169,8 @@
 	// relaysTried is set if the relays have already been tried in this round, or if
 	// relays must not be used.
 	relaysTried bool
+	// turn is the call's place in the queue of the calls of callers, or nil if the call doesn't wait for its turn.
+	turn *anviladmit.Call
 }
 
 func newCall(f *Forwarder, probes bool, attempt Attempt) *call {
@@ -178,6 +184,19 @@
 	return ErrNotSent
 }
 
+// tryRoundInTurn makes a round of attempts when it is the call's turn. sent is false if ctx has ended before.
+func (c *call) tryRoundInTurn(ctx context.Context) (done, sent bool) {
+	if c.turn == nil {
+		return c.tryRound(ctx), true
+	}
+	if !c.pacing.await(ctx, c.turn) {
+		return false, false
+	}
+	done = c.tryRound(ctx)
+	c.pacing.finish(done || ctx.Err() != nil)
+	return done, true
+}
+
 // tryRound makes one round of attempts. It tries the voters first, and the relays
 // only if the voters do not respond. If the voters are already known not to respond,
 // it tries the relays first.
--- a/io/anvilgate/voters.go
+++ b/io/anvilgate/voters.go
@@ -50,6 +50,7 @@
 
 func (f *Forwarder) recordLeader(instance anvilid.InstanceID, redirection *anvilrpc.Redirection) {
 	f.applyRedirection(redirection)
+	defer f.pacing.leaderAnswered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lastLeader != instance {
@@ -202,9 +203,11 @@
 func (f *Forwarder) shouldFailFast() bool { return f.disconnected() && !f.Connected() }
 
 // RetryAfter estimates the retry delay for a caller whose call was not sent. An
-// outage that has lasted for some time is likely to last as long again.
+// outage that has lasted for some time is likely to last as long again. The delays
+// of many callers are spread.
 func (f *Forwarder) RetryAfter() anvilclock.Millis {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return min(max(f.clock.Now()-f.lastContact, minRetryAfter), maxRetryAfter)
+	outage := f.clock.Now() - f.lastContact
+	f.mu.Unlock()
+	return f.pacing.retryAfter(min(max(outage, minRetryAfter), maxRetryAfter))
 }
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -120,6 +120,7 @@
 	RelayTried            = define(704, zapcore.InfoLevel, "no voter answers; asked another instance to forward the call")
 	CallsAnswered         = define(705, zapcore.InfoLevel, "calls that failed before are answered again")
 	KeepalivesUndelivered = define(706, zapcore.InfoLevel, "announcements of targets could not be passed on to the leader; trying again")
+	HeldCallsSent         = define(708, zapcore.InfoLevel, "a leader answers again; the calls that were held are sent")
 )
 
 // stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
