--- a/core/anviladmit/anviladmit_test.go
+++ b/core/anviladmit/anviladmit_test.go
@@ -22,8 +22,9 @@
 	p := NewPacer()
 	for now := anvilclock.Millis(0); now < anvilclock.Second; now += 10 * anvilclock.Millisecond {
 		p.Enqueue(&Call{Change: true, Deadline: now + 3*anvilclock.Second})
-		assert.Equal(t, len(sendAll(p, now)), 1)
-		p.Finish()
+		sent := sendAll(p, now)
+		assert.Equal(t, len(sent), 1)
+		p.Finish(now, sent[0])
 	}
 }
 
@@ -38,7 +39,7 @@
 		p.Enqueue(&Call{Deadline: now + 3*anvilclock.Second})
 		for _, c := range sendAll(p, now) {
 			searches++
-			p.Finish()
+			p.Finish(now, c)
 			p.Enqueue(c)
 		}
 	}
@@ -73,8 +74,9 @@
 	for p.Waiting() > 0 {
 		sent := sendAll(p, 0)
 		assert.Assert(t, len(sent) > 0 && len(sent) <= DefaultLimit)
-		for range sent {
-			p.Finish()
+		assert.Assert(t, len(order) > 0 || len(sent) == returnLimit)
+		for _, c := range sent {
+			p.Finish(0, c)
 		}
 		order = append(order, sent...)
 	}
@@ -85,6 +87,30 @@
 	assert.Assert(t, order[249].Change && !order[250].Change)
 }
 
+// Load: a leader that takes half a second for each call. Guards against so many calls in progress that they are sent again before
+// they are answered, which adds to the load, and against a limit that never grows again.
+func TestSlowLeaderIsSentLess(t *testing.T) {
+	p := NewPacer()
+	now := anvilclock.Millis(0)
+	answer := func(took anvilclock.Millis) int {
+		for p.Waiting() < DefaultLimit {
+			p.Enqueue(&Call{})
+		}
+		sent := sendAll(p, now)
+		now += took
+		for _, c := range sent {
+			p.Finish(now, c)
+		}
+		return len(sent)
+	}
+	assert.Equal(t, answer(500), DefaultLimit)
+	assert.Equal(t, answer(30), 1)
+	for range 10 {
+		answer(30)
+	}
+	assert.Equal(t, answer(30), DefaultLimit)
+}
+
 // Guards against a place that is given to a caller that has left.
 func TestRemovedCallIsNotSent(t *testing.T) {
 	p := NewPacer()
--- a/core/anviladmit/pacer.go
+++ b/core/anviladmit/pacer.go
@@ -11,8 +11,13 @@
 	// DefaultSpacing is the time between two searches of one instance for the leader. An election
 	// takes about a second, so that it delays no call noticeably.
 	DefaultSpacing = 30 * anvilclock.Millisecond
-	// DefaultLimit is the number of calls of one instance that a leader is sent at the same time.
+	// DefaultLimit is the largest number of calls of one instance that a leader is sent at the same time.
 	DefaultLimit = 32
+	// returnLimit is that number when a leader answers after a search.
+	returnLimit = 2
+	// slowCall is the duration from which on a call shows that the leader is overloaded. A call that has no answer
+	// after twice this time is sent again, which adds to the load.
+	slowCall = 300 * anvilclock.Millisecond
 )
 
 // Call is a call that is to be sent to the leader.
@@ -23,8 +28,9 @@
 	// Deadline is when the caller stops waiting.
 	Deadline anvilclock.Millis
 
-	sequence uint64 // order of arrival
-	index    int    // in the queue
+	sequence uint64            // order of arrival
+	index    int               // in the queue
+	sent     anvilclock.Millis // when it was sent last
 }
 
 // compare orders calls by their urgency, the most urgent first.
@@ -38,12 +44,14 @@
 	return cmp.Or(cmp.Compare(c.Deadline, other.Deadline), cmp.Compare(c.sequence, other.sequence))
 }
 
-// Pacer decides when calls are sent. While a leader answers, up to Limit calls are in progress. From
-// the first round of attempts that finds no leader until one answers, one waiting call is sent in each
-// interval of Spacing, however many are in progress: some of them may wait for voters that don't answer.
+// Pacer decides when calls are sent. While a leader answers, a limited number of calls are in progress: few
+// when it begins to answer, more with each call that is answered soon, and half as many after a slow one. From the
+// first round of attempts that finds no leader until one answers, one waiting call is sent in each interval of
+// the spacing, however many are in progress: some of them may wait for voters that don't answer.
 type Pacer struct {
-	spacing anvilclock.Millis
-	limit   int
+	spacing  anvilclock.Millis
+	limit    int // at present
+	maxLimit int
 
 	searching  bool
 	nextSearch anvilclock.Millis // when the next call may be sent while searching
@@ -58,12 +66,12 @@
 // WithSpacing sets the time between two searches for the leader.
 func WithSpacing(spacing anvilclock.Millis) Option { return func(p *Pacer) { p.spacing = spacing } }
 
-// WithLimit sets how many calls may be in progress while a leader answers.
-func WithLimit(limit int) Option { return func(p *Pacer) { p.limit = limit } }
+// WithLimit sets how many calls may be in progress at most while a leader answers.
+func WithLimit(limit int) Option { return func(p *Pacer) { p.limit, p.maxLimit = limit, limit } }
 
 // NewPacer returns a pacer that assumes that a leader answers.
 func NewPacer(opts ...Option) *Pacer {
-	p := &Pacer{spacing: DefaultSpacing, limit: DefaultLimit}
+	p := &Pacer{spacing: DefaultSpacing, limit: DefaultLimit, maxLimit: DefaultLimit}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -94,7 +102,9 @@
 		p.nextSearch = now + p.spacing
 	}
 	p.inProgress++
-	return heap.Pop(&p.waiting).(*Call)
+	c := heap.Pop(&p.waiting).(*Call)
+	c.sent = now
+	return c
 }
 
 func (p *Pacer) maySend(now anvilclock.Millis) bool {
@@ -113,8 +123,17 @@
 	return max(p.nextSearch-now, 0), true
 }
 
-// Finish records that the attempts of a call have ended.
-func (p *Pacer) Finish() { p.inProgress-- }
+// Finish records that the attempts of a call that was sent have ended.
+func (p *Pacer) Finish(now anvilclock.Millis, c *Call) {
+	p.inProgress--
+	switch {
+	case p.searching:
+	case now-c.sent >= slowCall:
+		p.limit = max(p.limit/2, 1)
+	default:
+		p.limit = min(p.limit+1, p.maxLimit)
+	}
+}
 
 // NoLeader records that a round of attempts at all voters has found no leader, and reports whether the search
 // begins with it.
@@ -128,9 +147,11 @@
 
 // LeaderAnswered records an answer of a leader, and reports whether a search ends with it.
 func (p *Pacer) LeaderAnswered() bool {
-	ended := p.searching
-	p.searching = false
-	return ended
+	if !p.searching {
+		return false
+	}
+	p.searching, p.limit = false, min(returnLimit, p.maxLimit)
+	return true
 }
 
 // Waiting returns the number of calls that wait to be sent.
--- a/io/anvilgate/forwarder.go
+++ b/io/anvilgate/forwarder.go
@@ -193,7 +193,7 @@
 		return false, false
 	}
 	done = c.tryRound(ctx)
-	c.pacing.finish(done || ctx.Err() != nil)
+	c.pacing.finish(c.turn, done || ctx.Err() != nil)
 	return done, true
 }
 
--- a/io/anvilgate/pacing.go
+++ b/io/anvilgate/pacing.go
@@ -65,7 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.turns[c] == nil {
-		p.pacer.Finish()
+		p.pacer.Finish(p.clock.Now(), c)
 		p.advance()
 		return
 	}
@@ -74,12 +74,13 @@
 }
 
 // finish records that a round of attempts of a call has ended. found means that it got its answer.
-func (p *pacing) finish(found bool) {
+func (p *pacing) finish(c *anviladmit.Call, found bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pacer.Finish()
-	if !found && p.pacer.NoLeader(p.clock.Now()) {
-		p.searchBegan, p.held = p.clock.Now(), 0
+	now := p.clock.Now()
+	p.pacer.Finish(now, c)
+	if !found && p.pacer.NoLeader(now) {
+		p.searchBegan, p.held = now, 0
 	}
 	p.advance()
 }
