--- a/core/anviladmit/returns.go
+++ b/core/anviladmit/returns.go
@@ -2,7 +2,7 @@
 
 import "anvilshunt/core/anvilclock"
 
-// maxReturnsPerSecond is how many callers are told to come back to one instance's zone in the same second. The
+// maxReturnsPerSecond is how many callers one instance tells to come back in the same second, unless all seconds are full. The
 // unit of the delay that callers are given is a second.
 const maxReturnsPerSecond = 20
 
