--- a/core/anvilspeed/compare.go
+++ b/core/anvilspeed/compare.go
@@ -49,6 +49,8 @@
 	groups             []group
 	rates              []float64
 	offsets, variances []float64
+	// neighbours corrects the rates of runs that are slowed down by others.
+	neighbours *neighbours
 }
 
 // compare compares each machine on which the cohort has run with the others.
@@ -72,9 +74,10 @@
 		if g.count == 1 {
 			expected[c.kind].add(g.rate-reference-g.elsewhere, g.variance+g.elsewhereVariance+1/others)
 		}
-		c.results = append(c.results, result{g.machine, comparison{
-			at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count,
-		}})
+		c.results = append(c.results, result{
+			machine:    g.machine,
+			comparison: comparison{at: g.latest, offset: g.rate - reference, variance: g.variance + 1/others, runs: g.count},
+		})
 	}
 }
 
@@ -107,6 +110,7 @@
 			continue
 		}
 		if rate, variance, ok := o.pace.measure(); ok {
+			rate -= buffer.neighbours.correction(c.queue, &o.beside)
 			readings = append(readings, reading{machine: o.machine, rate: rate, variance: variance, at: o.reportedAt})
 		}
 	}
@@ -187,6 +191,12 @@
 	}
 }
 
+// cautiousWeight is tailWeight without the part by which it exceeds 1/variance for values in the middle, for sums of weights that
+// serve as a precision.
+func cautiousWeight(variance, residual float64) float64 {
+	return tailWeight(variance, residual) * tailFreedom / (tailFreedom + 1)
+}
+
 // tailWeight returns the weight of a value that differs by residual from the middle, for a distribution with
 // long tails.
 func tailWeight(variance, residual float64) float64 {
