--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -14,6 +14,7 @@
 	"anvilshunt/core/anvilpace"
 	"anvilshunt/core/anvilplace"
 	"anvilshunt/core/anvilraft"
+	"anvilshunt/core/anvilspeed"
 	"anvilshunt/core/anvilupkeep"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -62,6 +63,9 @@
 	summary         *summary
 	// speedsRecordedAt is when a commit of speeds of machines was requested last.
 	speedsRecordedAt anvilclock.Millis
+	// disturbed has the pairs of queues that slow each other down, and neighboursLoggedAt is when pairs were logged last.
+	disturbed          []anvilspeed.Effect
+	neighboursLoggedAt anvilclock.Millis
 	// unloggedSpeeds has the speeds that were recorded and not yet logged.
 	unloggedSpeeds []anvilwork.MachineSpeed
 	idle           idleWatch
@@ -115,8 +119,8 @@
 		r.planNeeded = true
 	case result := <-r.callResults:
 		r.handleResult(result)
-	case keepalive := <-r.keepalives:
-		r.tracker.RecordAnnouncement(keepalive)
+	case announced := <-r.keepalives:
+		r.recordAnnouncements(announced)
 	}
 	for {
 		select {
@@ -124,14 +128,20 @@
 			r.planNeeded = true
 		case result := <-r.callResults:
 			r.handleResult(result)
-		case keepalive := <-r.keepalives:
-			r.tracker.RecordAnnouncement(keepalive)
+		case announced := <-r.keepalives:
+			r.recordAnnouncements(announced)
 		default:
 			return
 		}
 	}
 }
 
+func (r *leadership) recordAnnouncements(announced []anvilorder.Announcement) {
+	for _, announcement := range announced {
+		r.tracker.RecordAnnouncement(announcement)
+	}
+}
+
 func (r *leadership) handleResult(result func(anvilclock.Millis) anvilorder.Effects) {
 	effects := result(r.clock.Now())
 	r.logFindings(effects.Findings)
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"anvilshunt/core/anvilbudget"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilorder"
@@ -26,6 +27,7 @@
 	"anvilshunt/io/anvillead"
 	"anvilshunt/io/anvillink"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrelay"
 	"anvilshunt/io/anvilrpc"
 )
 
@@ -69,20 +71,38 @@
 	links    *anvillink.Links
 }
 
+// Clients describes the calls of the clients of an instance.
+type Clients struct {
+	// LargestBody is the size of the largest body that the handlers read.
+	LargestBody anvilid.ByteCount
+	// Account returns the name of the account of a call, or "" for a stranger.
+	Account func(*http.Request) string
+}
+
+// limits returns what the clients may make the process hold. It fails if the memory limit leaves no room for one
+// largest body.
+func (c Clients) limits(settings Settings, connections anvilconn.Budget) (anvilbudget.Limits, error) {
+	bytes, err := anvilbudget.BytesFor(settings.MemoryLimit, c.LargestBody)
+	return anvilbudget.Limits{Connections: connections.Inbound + connections.Internal, Peers: connections.Internal, Bytes: bytes}, err
+}
+
 // New returns an instance with the given settings, which writes its log to out. The function load reads the settings
 // again when the process is told that they have changed. Only a change of the seeds takes effect without a restart.
-func New(settings Settings, signals anvildaemon.Signals, out io.Writer, load func() (Settings, error)) (*Node, error) {
+func New(settings Settings, clients Clients, signals anvildaemon.Signals, out io.Writer, load func() (Settings, error)) (*Node, error) {
 	n := &Node{Clock: anvilclock.Boot(), WallClock: anvilclock.Wall(), Connections: anvilconn.Divide(settings.DescriptorLimit)}
 	n.settings.Store(&settings)
 	n.links = anvillink.New(settings.Region, func(anvilid.Address) anvilid.RegionName { return settings.Region })
-	var err error
+	limits, err := clients.limits(settings, n.Connections)
+	if err != nil {
+		return nil, err
+	}
 	n.Daemon, err = anvildaemon.New(settings.Instance, signals, out, func() error {
 		reloaded, err := load()
 		if err == nil {
 			n.updateSeeds(reloaded.Seeds)
 		}
 		return err
-	}, anvildaemon.WithMaxConnections(n.Connections.Inbound))
+	}, anvildaemon.WithGuard(limits, clients.Account))
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +144,7 @@
 		messages := anvilrpc.NewRaftServer(raft)
 		mux.Handle(messages.PathPrefix(), messages)
 	}
-	return n.Listen(anvilgroup.Address(n.Settings().Instance, n.Settings().InternalPort), mux)
+	return n.ListenPeers(anvilgroup.Address(n.Settings().Instance, n.Settings().InternalPort), mux)
 }
 
 // EntryHandlers are the HTTP handlers of an entry instance.
@@ -151,8 +171,8 @@
 }
 
 // RunVoter runs a voter until it is told to stop. The handler for operators and targets forwards calls with the given
-// forwarder, and the leader makes the given calls.
-func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder) http.Handler) error {
+// forwarder and relay, and the leader makes the given calls.
+func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder, *anvilrelay.Relay) http.Handler) error {
 	settings := n.Settings()
 	supervisor := anvillead.NewVoterSupervisor(n.Log)
 	if err := n.listenInternal(supervisor, supervisor); err != nil {
@@ -165,11 +185,13 @@
 		return n.Dial(instance)
 	}
 	knownVoters := func() []anvilid.InstanceID { return append(supervisor.Members(), n.seeds()...) }
-	if err := n.Listen(settings.ControlAddress, control(anvilgate.New(n.Clock, n.Log, knownVoters, dial))); err != nil {
+	forwarder := anvilgate.New(n.Clock, n.Log, knownVoters, dial)
+	relay := anvilrelay.New(n.Clock, n.Log, settings.Instance, forwarder.Leader, forwarder.Announce)
+	if err := n.Listen(settings.ControlAddress, control(forwarder, relay)); err != nil {
 		return err
 	}
 	n.BeforeShutdown(supervisor.Leave)
-	return n.Serve(0, settings.GracePeriod.Duration(), func(ctx context.Context) error {
+	return n.Serve(0, settings.GracePeriod.Duration(), relay.Run, func(ctx context.Context) error {
 		return supervisor.Run(ctx, func() (*anvillead.Leader, error) { return n.openVoter(calls) })
 	})
 }
