--- a/io/anvilcmd/anvilreportcmd/neighbours.go
+++ b/io/anvilcmd/anvilreportcmd/neighbours.go
@@ -1,8 +1,6 @@
 package anvilreportcmd
 
 import (
-	"context"
-
 	"github.com/peterbourgon/ff/v4"
 
 	"anvilshunt/core/anvilexplain"
@@ -10,38 +8,15 @@
 	"anvilshunt/io/anvilcmd/anviltable"
 )
 
-// neighboursOptions contains the flags and dependencies of `anvilshunt report neighbours`, which shows how queues change the
-// speed of each other.
-type neighboursOptions struct {
-	Streams anvilfactory.Streams
-	Logs    string
-	JSON    bool
-}
-
+// newNeighbours returns `anvilshunt report neighbours`, which shows how queues change the speed of each other.
 func newNeighbours(factory *anvilfactory.Factory) *ff.Command {
-	opts := &neighboursOptions{Streams: factory.Streams}
-	flags := ff.NewFlagSet("neighbours")
-	flags.StringVar(&opts.Logs, 0, "logs", "", "comma-separated log files of the voters")
-	flags.BoolVar(&opts.JSON, 0, "json", "print JSON")
-	return &ff.Command{
-		Name:      "neighbours",
-		Usage:     "anvilshunt report neighbours --logs FILE,FILE... [--json]",
-		ShortHelp: "show which queues slow each other down on one target",
-		LongHelp: "Lists pairs of queues as they were measured last, the largest slowdown first. A factor of 0.8 means that runs\n" +
-			"of the queue are a fifth slower beside runs of the other one. The error is the standard error of its natural\n" +
-			"logarithm. Pairs that count as a slowdown are kept apart where another target is as good.\n\n" +
-			"Example:\n  anvilshunt report neighbours --logs core-1.log,core-2.log",
-		Flags: flags,
-		Exec: func(_ context.Context, args []string) error {
-			if err := anvilfactory.NoArguments(args); err != nil {
-				return err
-			}
-			return runNeighbours(opts)
-		},
-	}
+	return newLogReport(factory, "neighbours", "show which queues slow each other down on one target",
+		"Lists pairs of queues as they were measured last, the largest slowdown first. A factor of 0.8 means that runs\n"+
+			"of the queue are a fifth slower beside runs of the other one. The error is the standard error of its natural\n"+
+			"logarithm. Pairs that count as a slowdown are kept apart where another target is as good.", runNeighbours)
 }
 
-func runNeighbours(opts *neighboursOptions) error {
+func runNeighbours(opts *logOptions) error {
 	var neighbours anvilexplain.Neighbours
 	if err := readLogs(opts.Logs, neighbours.Read); err != nil {
 		return err
