--- a/io/anvilmeasure/command.go
+++ b/io/anvilmeasure/command.go
@@ -50,6 +50,7 @@
 		{"overhead", "latency and throughput of requests through one instance", overheadFlags},
 		{"leaving", "time until a leaving target gets no new work", leavingFlags},
 		{"place", "jobs in time by policy of placement, on targets of unequal speed", placeFlags},
+		{"neighbours", "jobs in time with queues kept apart that slow each other down", neighboursFlags},
 		{"capacity", "resource use per instance, target, change, claim and object", capacityFlags},
 	}
 }
--- a/io/anvilmeasure/measure_test.go
+++ b/io/anvilmeasure/measure_test.go
@@ -35,6 +35,7 @@
 		{"overhead", "--bin", bin, "--span", "50ms", "--repeats", "1", "--targets", "1"},
 		{"leaving", "--trials", "1", "--targets", "3", "--rate", "50", "--watch", "100ms"},
 		{"place", "--targets", "24", "--span", "3s", "--seeds", "1"},
+		{"neighbours", "--targets", "12", "--span", "3s", "--seeds", "1"},
 		{"capacity", "--span", "50ms", "--instances", "3", "--targets", "1", "--changes", "2", "--claims", "50", "--states", "20"},
 	} {
 		t.Run(args[0], func(t *testing.T) {
--- a/io/anvilmeasure/place.go
+++ b/io/anvilmeasure/place.go
@@ -18,6 +18,8 @@
 	Targets int
 	Span    time.Duration // how long jobs arrive, in simulated time
 	Seeds   int           // number of workloads; the jobs of all of them are counted together
+	// EqualSpeeds gives all targets the ordinary speed.
+	EqualSpeeds bool
 }
 
 // placeKind is a kind of job of the workload. Its tasks take the same time, within placeUnevenness.
--- a/io/anvilmeasure/placerun.go
+++ b/io/anvilmeasure/placerun.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	placeStart    = anvilclock.Second            // when the first jobs arrive
 	placeInterval = 100 * anvilclock.Millisecond // between two plans
 	placeStop     = 400 * anvilclock.Millisecond // until a run that is asked to stop has ended
 	placeRackSize = 12
@@ -57,12 +58,13 @@
 	ends, stops map[anvilwork.Task]anvilclock.Millis
 	jobs        []anvilid.JobID
 	started     map[anvilid.JobID]anvilclock.Millis
+	neighbours  *neighbourRuns // nil if the speed of runs doesn't depend on those beside them
 }
 
 func newPlaceRun(o PlaceOptions, load float64, policy placePolicy, seed uint64, result *placeResult) *placeRun {
 	r := &placeRun{
 		policy: policy, result: result, random: rand.New(rand.NewPCG(seed, 1)), load: load, span: anvilclock.Millis(o.Span.Milliseconds()),
-		kinds: placeKinds(), state: anvilwork.New(), now: 1000, speeds: map[anvilid.TargetID]float64{}, numbers: map[anvilid.TargetID]uint64{},
+		kinds: placeKinds(), state: anvilwork.New(), now: placeStart, speeds: map[anvilid.TargetID]float64{}, numbers: map[anvilid.TargetID]uint64{},
 		ends: map[anvilwork.Task]anvilclock.Millis{}, stops: map[anvilwork.Task]anvilclock.Millis{}, started: map[anvilid.JobID]anvilclock.Millis{},
 	}
 	config := &anvilwork.Config{
@@ -76,6 +78,9 @@
 	for i := range o.Targets {
 		id := anvilid.TargetID(fmt.Sprintf("t%04d", i))
 		r.speeds[id] = placeSpeeds[i%len(placeSpeeds)]
+		if o.EqualSpeeds {
+			r.speeds[id] = 1
+		}
 		r.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
 			ID: id, Incarnation: 1, Service: "s", Address: anvilid.Address(id), Rack: anvilid.RackName(fmt.Sprintf("r%03d", i/placeRackSize)),
 			Resources: anvilwork.Resources{CPU: 64_000, Memory: 128_000, GPU: 8},
@@ -91,6 +96,9 @@
 // play plays the workload until the jobs that arrived have had as much time again to end.
 func (r *placeRun) play() {
 	for ; r.now < 2*r.span; r.now += placeInterval {
+		if r.neighbours != nil {
+			r.neighbours.advance(r)
+		}
 		r.endRuns()
 		if r.now < r.span {
 			r.submit()
@@ -138,15 +146,22 @@
 // start sets when runs that start together end: the members of a gang end when the slowest does.
 func (r *placeRun) start(assignments []anvilwork.Assignment) {
 	var longest anvilclock.Millis
+	var work float64
 	for _, a := range assignments {
 		job, _ := r.state.Job(a.Task.Job)
 		uneven := 1 + placeUnevenness*(2*rand.New(rand.NewPCG(uint64(job.Spec.Steps[0].Estimate), uint64(a.Task.Index))).Float64()-1)
-		longest = max(longest, anvilclock.Millis(uneven*float64(job.Spec.Steps[0].Estimate)/r.speeds[a.Target]))
+		taskWork := uneven * float64(job.Spec.Steps[0].Estimate)
+		work = max(work, taskWork)
+		longest = max(longest, anvilclock.Millis(taskWork/r.speeds[a.Target]))
 		if _, known := r.started[a.Task.Job]; !known {
 			r.started[a.Task.Job] = r.now
 			r.result.waits = append(r.result.waits, time.Duration(r.now-job.Accepted)*time.Millisecond)
 		}
 	}
+	if r.neighbours != nil {
+		r.neighbours.start(r, assignments, work)
+		return
+	}
 	for _, a := range assignments {
 		r.ends[a.Task] = r.now + longest
 	}
@@ -169,6 +184,9 @@
 		}
 		delete(r.ends, task)
 		delete(r.stops, task)
+		if r.neighbours != nil {
+			r.neighbours.estimator.Forget(task)
+		}
 		job, _ := r.state.Job(task.Job)
 		state := *job.State(task)
 		r.numbers[state.Target]++
