--- a/core/anvilspeed/neighbour.go
+++ b/core/anvilspeed/neighbour.go
@@ -62,6 +62,8 @@
 	keptAt   anvilclock.Millis
 	// slows is the number of pairs that are known to slow each other down.
 	slows int
+	// corrects is set by Estimator.CorrectNeighbours.
+	corrects bool
 }
 
 // positionOf returns the position of a queue in the table, or -1 if the table is full of others.
@@ -107,7 +109,7 @@
 
 // correction returns the logarithm of the slowdown of a run of the queue at a position by those beside it.
 func (n *neighbours) correction(queue int, beside *exposures) float64 {
-	if queue < 0 || n.slows == 0 {
+	if queue < 0 || n.slows == 0 || !n.corrects {
 		return 0
 	}
 	sum := 0.0
@@ -261,6 +263,10 @@
 	return effects
 }
 
+// CorrectNeighbours lets the effects of neighbours be taken out of the rates of runs before machines are compared. Without
+// it, pairs of queues are only found: a pair that is found falsely would also change the speeds of machines.
+func (e *Estimator) CorrectNeighbours() { e.neighbours.corrects = true }
+
 // AnySlows reports whether any queue is known to slow down another one.
 func (e *Estimator) AnySlows() bool { return e.neighbours.slows > 0 }
 
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -72,6 +72,9 @@
 	InitialVoters int
 	// Connections limits the calls to targets that are in flight, by purpose.
 	Connections anvilconn.Budget
+	// KeepApart lets the planner keep queues apart that slow each other down. Without it, they are only found and
+	// logged.
+	KeepApart bool
 }
 
 // Leader contains a voter's copy of the replicated state, and schedules jobs
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -77,6 +77,9 @@
 func newLeadership(l *Leader, term anvilid.Term) *leadership {
 	now := l.clock.Now()
 	tracker := anvilorder.New(anvilid.Token(term), now, l.bounds.Orders)
+	if l.bounds.KeepApart {
+		tracker.Lasting.CorrectNeighbours()
+	}
 	r := &leadership{
 		Leader: l, term: term, planNeeded: true, tracker: tracker,
 		ejector: anvileject.New(), advisor: anviladvice.New(), governor: anvilpace.New(anvilid.Token(term)),
--- a/io/anvillead/neighbours.go
+++ b/io/anvillead/neighbours.go
@@ -20,10 +20,11 @@
 	maxLoggedPairs = 20
 )
 
-// apart returns the function that tells the planner which queues to keep apart, or nil if there are none.
+// apart returns the function that tells the planner which queues to keep apart, or nil if there are none or
+// they are not kept apart.
 func (r *leadership) apart() func(a, b anvilwork.QueueName) bool {
 	lasting := r.tracker.Lasting
-	if !lasting.AnySlows() {
+	if !r.bounds.KeepApart || !lasting.AnySlows() {
 		return nil
 	}
 	return func(a, b anvilwork.QueueName) bool { return lasting.Slows(a, b) || lasting.Slows(b, a) }
--- a/io/anvilmeasure/neighbours.go
+++ b/io/anvilmeasure/neighbours.go
@@ -137,7 +137,9 @@
 }
 
 func newNeighbourRuns(factor float64, result *neighbourResult) *neighbourRuns {
-	return &neighbourRuns{factor: factor, result: result, estimator: anvilspeed.NewEstimator(), found: map[[2]anvilwork.QueueName]bool{}}
+	estimator := anvilspeed.NewEstimator()
+	estimator.CorrectNeighbours()
+	return &neighbourRuns{factor: factor, result: result, estimator: estimator, found: map[[2]anvilwork.QueueName]bool{}}
 }
 
 // start adds runs that start together. work is that of the longest of them at ordinary speed, in milliseconds.
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -66,6 +66,8 @@
 	Connections anvilconn.Budget
 	// Disk contains options of the data directory. Tests use them to inject disk faults.
 	Disk []anvildisk.Option
+	// KeepApart lets a voter that leads keep queues apart that slow each other down.
+	KeepApart bool
 
 	settings atomic.Pointer[Settings]
 	links    *anvillink.Links
@@ -205,7 +207,7 @@
 			MaxAnnouncementAge: settings.maxAnnouncementAge(),
 		},
 		AnnounceInterval: settings.AnnounceInterval, UpkeepDuration: settings.UpkeepDuration,
-		InitialVoters: 2*settings.MaxLostVoters + 1, Connections: n.Connections,
+		InitialVoters: 2*settings.MaxLostVoters + 1, Connections: n.Connections, KeepApart: n.KeepApart,
 	})
 	group, err := anvilgroup.Open(anvilgroup.Settings{
 		Instance: settings.Instance, Port: settings.InternalPort, Dir: filepath.Join(settings.DataDir, "log"),
