Look for claimed targets and reached voters only once, and only where they matter

A gang that waits for faster targets searched the claimed ones twice, and each announcement collected the voters that the leader reaches although the leader holds all targets in most deployments. No behaviour changes.

--- a/core/anvilorder/progress.go
+++ b/core/anvilorder/progress.go
@@ -18,11 +18,11 @@
 
 // countQueues returns the queues of the runs that a target has listed, ordered by their names.
 func (t *Tracker) countQueues(running []Running) []queueCount {
+	if t.state == nil {
+		return nil
+	}
 	var counts []queueCount
 	for _, entry := range running {
-		if t.state == nil {
-			return nil
-		}
 		job, ok := t.state.Job(entry.Task.Job)
 		if !ok {
 			continue
--- a/core/anvilplace/by_tier.go
+++ b/core/anvilplace/by_tier.go
@@ -77,14 +77,10 @@
 		return false
 	}
 	waits := false
-	switch waited := p.Now - u.readySince(); {
-	case !u.urgent:
-		waits = waited < maxFasterWait && p.claimFaster(u, required)
-	case p.claimedFit(u) != nil:
-		// The wait for evictions ends when an urgent gang that fits nowhere would start at the latest.
-		waits = waited < maxReclaimWait+stopLatency && slowestTier(p.claimedFit(u)) > slowestTier(late)
-	case waited < maxReclaimWait:
-		p.withinTiers(p.fromTier(required), func() { waits = p.claimOrEvict(u, len(u.tasks), true) })
+	if u.urgent {
+		waits = p.awaitsEvictions(u, required, late)
+	} else {
+		waits = p.Now-u.readySince() < maxFasterWait && p.claimFaster(u, required)
 	}
 	if waits {
 		u.awaitedTier = required
@@ -92,6 +88,20 @@
 	return waits
 }
 
+// awaitsEvictions reports whether an urgent gang waits for the targets that are claimed for it, or claims some. The wait
+// ends when an urgent gang that fits nowhere would start at the latest.
+func (p *planner) awaitsEvictions(u *waitingStep, required int, late []allotment) bool {
+	waited := p.Now - u.readySince()
+	if claimed := p.claimedFit(u); claimed != nil {
+		return waited < maxReclaimWait+stopLatency && slowestTier(claimed) > slowestTier(late)
+	}
+	waits := false
+	if waited < maxReclaimWait {
+		p.withinTiers(p.fromTier(required), func() { waits = p.claimOrEvict(u, len(u.tasks), true) })
+	}
+	return waits
+}
+
 // claimedFit returns allotments for a gang on the targets that are claimed for it, or nil.
 func (p *planner) claimedFit(u *waitingStep) []allotment {
 	if len(p.nodesClaimedBy[u.info.job.ID]) == 0 {
--- a/core/anvilplace/tier.go
+++ b/core/anvilplace/tier.go
@@ -1,6 +1,7 @@
 package anvilplace
 
 import (
+	"cmp"
 	"slices"
 
 	"anvilshunt/core/anvilclock"
@@ -40,15 +41,7 @@
 	for _, n := range nodes {
 		n.speed = float64(p.Speed(n.target).OrOrdinary())
 	}
-	slices.SortStableFunc(nodes, func(a, b *node) int {
-		switch {
-		case a.speed < b.speed:
-			return -1
-		case a.speed > b.speed:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(nodes, func(a, b *node) int { return cmp.Compare(a.speed, b.speed) })
 	var speeds []float64
 	for first := 0; first < len(nodes); {
 		end := first + 1
--- a/core/anvilspread/spread.go
+++ b/core/anvilspread/spread.go
@@ -30,17 +30,22 @@
 // call. Beyond that, the others hold them and leave the leader's processor to the log, and the leader joins in only if
 // their shares don't suffice.
 func Divide(leader anvilid.InstanceID, others []anvilid.InstanceID, targets, inbound int) Division {
-	share := inbound * sharePercent / 100
-	if targets <= share || len(others) == 0 {
+	if LeaderSuffices(targets, inbound) || len(others) == 0 {
 		return Among(leader)
 	}
 	d := Among(others...)
-	if targets > share*len(others) {
+	if targets > share(inbound)*len(others) {
 		d.holders = append(d.holders, leader)
 	}
 	return d
 }
 
+// LeaderSuffices reports whether the leader alone can hold a number of targets, so that the other voters don't matter.
+func LeaderSuffices(targets, inbound int) bool { return targets <= share(inbound) }
+
+// share returns the number of inbound connections of an instance that targets may hold.
+func share(inbound int) int { return inbound * sharePercent / 100 }
+
 // Holders returns the instances that hold targets.
 func (d Division) Holders() []anvilid.InstanceID { return d.holders }
 
--- a/io/anvillead/announce.go
+++ b/io/anvillead/announce.go
@@ -124,7 +124,11 @@
 	l.mu.Lock()
 	targets := len(l.state.Targets())
 	l.mu.Unlock()
-	return anvilspread.Divide(l.group.ID().Instance, l.group.Reached(maxHolderSilence), targets, l.bounds.Connections.Inbound)
+	leader, inbound := l.group.ID().Instance, l.bounds.Connections.Inbound
+	if anvilspread.LeaderSuffices(targets, inbound) {
+		return anvilspread.Among(leader)
+	}
+	return anvilspread.Divide(leader, l.group.Reached(maxHolderSilence), targets, inbound)
 }
 
 // commitTargets commits changes of targets at once, and reports whether they were committed.
