Let one function report clients that gave way and one name a checked change, and remove what nobody calls

The event that clients gave way was written by the same code in two places, and the placeholder for the id and operator of a change set stood twice. Pacer.WithSpacing and Ledger.ConnectionCap had no callers. No behaviour changes.

--- a/core/anviladmit/pacer.go
+++ b/core/anviladmit/pacer.go
@@ -49,7 +49,6 @@
 // first round of attempts that finds no leader until one answers, one waiting call is sent in each interval of
 // the spacing, however many are in progress: some of them may wait for voters that don't answer.
 type Pacer struct {
-	spacing  anvilclock.Millis
 	limit    int // at present
 	maxLimit int
 
@@ -63,15 +62,12 @@
 // Option configures a Pacer.
 type Option func(*Pacer)
 
-// WithSpacing sets the time between two searches for the leader.
-func WithSpacing(spacing anvilclock.Millis) Option { return func(p *Pacer) { p.spacing = spacing } }
-
 // WithLimit sets how many calls may be in progress at most while a leader answers.
 func WithLimit(limit int) Option { return func(p *Pacer) { p.limit, p.maxLimit = limit, limit } }
 
 // NewPacer returns a pacer that assumes that a leader answers.
 func NewPacer(opts ...Option) *Pacer {
-	p := &Pacer{spacing: DefaultSpacing, limit: DefaultLimit, maxLimit: DefaultLimit}
+	p := &Pacer{limit: DefaultLimit, maxLimit: DefaultLimit}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -99,7 +95,7 @@
 		return nil
 	}
 	if p.searching {
-		p.nextSearch = now + p.spacing
+		p.nextSearch = now + DefaultSpacing
 	}
 	p.inProgress++
 	c := heap.Pop(&p.waiting).(*Call)
@@ -141,7 +137,7 @@
 	if p.searching {
 		return false
 	}
-	p.searching, p.nextSearch = true, now+p.spacing
+	p.searching, p.nextSearch = true, now+DefaultSpacing
 	return true
 }
 
--- a/core/anvilcheck/change.go
+++ b/core/anvilcheck/change.go
@@ -11,11 +11,17 @@
 // assumedName stands in for the id and operator of a change set, which `config apply` adds.
 const assumedName = "check"
 
+// Named returns a change set with an id and an operator, which a check records nowhere.
+func Named(change anvilconfig.Change) anvilconfig.Change {
+	change.ID = cmp.Or(change.ID, assumedName)
+	change.Operator = cmp.Or(change.Operator, assumedName)
+	return change
+}
+
 // Offline checks a change set without knowledge of the configuration in force and of the targets.
 // Objects that it refers to or deletes are assumed to exist, and a warning names each of them.
 func Offline(change anvilconfig.Change) []Finding {
-	change.ID = cmp.Or(change.ID, assumedName)
-	change.Operator = cmp.Or(change.Operator, assumedName)
+	change = Named(change)
 	current, found := assume(change)
 	_, problems := anvilconfig.Check(current, change, func(anvilid.ServiceName) []anvilconfig.Zone { return nil })
 	problems = slices.DeleteFunc(problems, func(p anvilconfig.Problem) bool { return p.Code == anvilconfig.CodeNoTargets })
--- a/core/anvilcheck/lint.go
+++ b/core/anvilcheck/lint.go
@@ -1,7 +1,6 @@
 package anvilcheck
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -22,16 +21,13 @@
 func lint(current anvilconfig.Snapshot, change anvilconfig.Change, fleet Fleet) list {
 	l := linter{after: current.Clone(), fleet: fleet}
 	l.after.Apply(change, current.Revision+1)
-	stubs := map[anvilconfig.Key]bool{}
-	if fleet == nil {
-		maps.Copy(stubs, keysOf(current))
-		for _, object := range change.Set {
-			delete(stubs, object.Key)
-		}
+	set := map[anvilconfig.Key]bool{}
+	for _, object := range change.Set {
+		set[object.Key] = true
 	}
 	for _, object := range l.after.List() {
-		if stubs[object.Key] {
-			continue
+		if fleet == nil && !set[object.Key] {
+			continue // an offline check knows it as a stub only
 		}
 		switch {
 		case object.Service != nil:
@@ -47,14 +43,6 @@
 	return l.list
 }
 
-func keysOf(snapshot anvilconfig.Snapshot) map[anvilconfig.Key]bool {
-	keys := map[anvilconfig.Key]bool{}
-	for key := range snapshot.Objects {
-		keys[key] = true
-	}
-	return keys
-}
-
 func (l *linter) checkService(key anvilconfig.Key, spec *anvilconfig.Service) {
 	if o := spec.Objectives; o != nil && o.Wait != nil && o.Wait.Limit > spec.Timeout {
 		l.warn(key, "objectives.wait.limit", CodeConflict,
@@ -162,7 +150,7 @@
 				"%d accelerators are guaranteed, and its targets have %d; lower the guarantees or add targets", guaranteed[service], capacity)
 		}
 	}
-	for _, service := range slices.SortedFunc(maps.Keys(l.fleet), cmp.Compare[anvilid.ServiceName]) {
+	for _, service := range slices.Sorted(maps.Keys(l.fleet)) {
 		if l.after.Service(service) == nil {
 			l.warn(anvilconfig.Key{Kind: anvilconfig.KindService, Name: anvilid.ObjectName(service)}, "", CodeUnused,
 				"targets of it are running (%d), and it isn't configured; add the service or stop the targets", l.fleet[service].Targets)
--- a/core/anvilslot/targets.go
+++ b/core/anvilslot/targets.go
@@ -112,19 +112,12 @@
 	return ok && t.state == Draining && len(t.ownLeases) == 0
 }
 
-// ConnectionCap returns the largest number of connections, idle ones included, that this owner may
-// have open to a target. It is 0 for a target in state Waiting and for one that is not owned.
-func (l *Ledger) ConnectionCap(id anvilid.TargetID) anvilid.ConnectionCount {
-	if t, ok := l.targets[id]; ok {
-		return t.connectionCap()
-	}
-	return 0
-}
-
 // gangSlots returns the number of slots in use by or reserved for gangs, whichever is larger. A gang
 // member that still runs on the target after its placement was removed is included.
 func (t *target) gangSlots() anvilid.SlotCount { return max(t.reserved, t.taskSlots) }
 
+// connectionCap returns the largest number of connections, idle ones included, that this owner may have
+// open to the target. It is 0 in state Waiting.
 func (t *target) connectionCap() anvilid.ConnectionCount {
 	if t.state == Waiting {
 		return 0
--- a/io/anvilcmd/anvilconfigcmd/checkchange.go
+++ b/io/anvilcmd/anvilconfigcmd/checkchange.go
@@ -11,10 +11,6 @@
 	"anvilshunt/io/anvilcmd/anvilfactory"
 )
 
-// checkName is the id and operator that a change set is checked with if it has none. A check records
-// neither.
-const checkName = "check"
-
 func checkChange(ctx context.Context, opts *checkOptions, file string, data []byte) (checkedFile, error) {
 	result := checkedFile{File: file}
 	document, findings := anvilcheck.Parse(data)
@@ -54,8 +50,7 @@
 
 // refusedProblems returns the problems for which an instance would refuse the change set.
 func refusedProblems(ctx context.Context, client *anvilclient.Client, change anvilconfig.Change, config anvilclient.Config) ([]anvilconfig.Problem, error) {
-	change.ID = cmp.Or(change.ID, checkName)
-	change.Operator = cmp.Or(change.Operator, checkName)
+	change = anvilcheck.Named(change)
 	change.BaseRevision = cmp.Or(change.BaseRevision, config.Revision)
 	err := client.Check(ctx, change)
 	var refusal *anvilclient.Refusal
--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -81,11 +81,7 @@
 // WithGuard limits what others may make the process hold. The function account returns the name of the account of a
 // request, or "" for a stranger.
 func WithGuard(limits anvilbudget.Limits, account func(*http.Request) string) Option {
-	return func(d *Daemon) {
-		d.guard = anvilguard.New(limits, account, func(counts anvilbudget.Counts) {
-			d.Log.Write(anvillogs.ClientsGaveWay, anvilguard.Fields(counts, limits)...)
-		})
-	}
+	return func(d *Daemon) { d.guard = anvilguard.New(limits, account, anvilguard.LogTo(d.Log, limits)) }
 }
 
 // New returns the daemon of an instance. It writes its log to out, and calls reload to read
--- a/io/anvilserver/clients.go
+++ b/io/anvilserver/clients.go
@@ -10,7 +10,6 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvilguard"
 	"anvilshunt/io/anvilhttp"
-	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilsettings"
 )
 
@@ -51,7 +50,5 @@
 		return nil, err
 	}
 	account := func(r *http.Request) string { return r.Header.Get(anvilhttp.AccountHeader) }
-	return anvilguard.New(limits, account, func(counts anvilbudget.Counts) {
-		s.log.Write(anvillogs.ClientsGaveWay, anvilguard.Fields(counts, limits)...)
-	}), nil
+	return anvilguard.New(limits, account, anvilguard.LogTo(s.log, limits)), nil
 }
