--- a/core/anvilexplain/neighbours.go
+++ b/core/anvilexplain/neighbours.go
@@ -15,7 +15,8 @@
 	// Error is the standard error of the natural logarithm of the factor, and Runs the number of runs that show it.
 	Error float64 `json:"error"`
 	Runs  int     `json:"runs"`
-	// Slows means that it counts as a slowdown, so that the queues are kept apart where that costs nothing.
+	// Slows means that it counts as a slowdown, so that the queues are kept apart where that costs nothing if the
+	// voters are told to.
 	Slows bool `json:"slows"`
 }
 
--- a/core/anvilorder/types.go
+++ b/core/anvilorder/types.go
@@ -112,8 +112,8 @@
 	// it was sent to, so that no later incarnation can get it.
 	Bound bool
 	// Withheld means that the order was not sent because this process isn't certainly the leader any more, because
-	// the capacity of the target has shrunk or its zone is evacuated, or because of Start.OnlyBound. It says nothing about whether the target
-	// can be reached.
+	// the capacity of the target has shrunk or its zone is evacuated, or because of Start.OnlyBound. It says nothing
+	// about whether the target can be reached.
 	Withheld bool
 }
 
--- a/core/anvilplace/job.go
+++ b/core/anvilplace/job.go
@@ -19,8 +19,8 @@
 	// evictable means that runs of the job may be stopped for urgent jobs: the job isn't urgent, or its
 	// account has more urgent work than its guarantee covers.
 	evictable bool
-	// atWork means that the job has runs on usable targets or in evacuated zones, among them those that this call of Plan has placed.
-	// A run on a target that can't be used may have been lost with it.
+	// atWork means that the job has runs on usable targets or in evacuated zones, among them those that this call of
+	// Plan has placed. A run on a target that can't be used may have been lost with it.
 	atWork bool
 }
 
--- a/core/anvilplace/plan.go
+++ b/core/anvilplace/plan.go
@@ -29,7 +29,8 @@
 	// than maxTierRatio, speeds change nothing.
 	Speed func(*anvilwork.Target) anvilspeed.Factor
 	// Apart reports whether runs of one of two queues slow down those of the other on the same target, so that they are kept
-	// apart where another target is as good. nil means that no such queues are known.
+	// apart where another target is as good. nil means that no such queues are known,
+	// or that they aren't kept apart.
 	Apart func(a, b anvilwork.QueueName) bool
 	// Progress returns the progress and speed of a run, if known.
 	Progress func(anvilwork.Task) (anvilspeed.Progress, bool)
--- a/core/anvilplace/straggler.go
+++ b/core/anvilplace/straggler.go
@@ -128,7 +128,8 @@
 }
 
 // fitElsewhere returns allotments for the tasks of a run or gang in free resources if they were
-// restarted now, on the fastest targets that have room, or nil. For a gang, the resources of its own runs on targets that aren't slow count as free.
+// restarted now, on the fastest targets that have room, or nil. For a gang, the resources of its own runs on
+// targets that aren't slow count as free.
 func (p *planner) fitElsewhere(t *placedRun, members []runOnNode) []allotment {
 	u := &waitingStep{
 		info: t.info, step: t.info.job.Spec.Steps[t.task.Step], need: t.need,
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -237,8 +237,8 @@
 }
 
 // RunsToStop returns the assigned runs that should be stopped: runs of jobs that have
-// ended, runs of tasks of which an earlier run was done, and gang members whose gang cannot complete because another member of the same
-// run is no longer assigned.
+// ended, runs of tasks of which an earlier run was done, and gang members whose gang cannot complete
+// because another member of the same run is no longer assigned.
 func (s *State) RunsToStop() []Assignment {
 	var found []Assignment
 	gangs := map[gangRun]bool{}
--- a/io/anvilcmd/anvilreportcmd/neighbours.go
+++ b/io/anvilcmd/anvilreportcmd/neighbours.go
@@ -13,7 +13,8 @@
 	return newLogReport(factory, "neighbours", "show which queues slow each other down on one target",
 		"Lists pairs of queues as they were measured last, the largest slowdown first. A factor of 0.8 means that runs\n"+
 			"of the queue are a fifth slower beside runs of the other one. The error is the standard error of its natural\n"+
-			"logarithm. Pairs that count as a slowdown are kept apart where another target is as good.", runNeighbours)
+			"logarithm. Pairs that count as a slowdown are kept apart where another target is as good,\n"+
+			"if the voters run with --keep-apart.", runNeighbours)
 }
 
 func runNeighbours(opts *logOptions) error {
