--- a/io/anvilguard/body.go
+++ b/io/anvilguard/body.go
@@ -43,7 +43,11 @@
 	if c.stopped.Load() || isTimeout(err) {
 		err = ErrGaveWay
 	}
-	c.stop()
+	if !errors.Is(err, ErrTooLarge) {
+		c.stop()
+	}
+	// The server reads and drops some of a body that is too large, as a client whose connection is reset may never read
+	// the answer.
 	return nil, err
 }
 
--- a/io/anvilguard/conn.go
+++ b/io/anvilguard/conn.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// CloseWrite ends the answers on the connection. The server closes it a little later, so that the client reads the last
+// answer before a reset.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection and gives up its place.
 func (c *conn) Close() error {
 	c.closed.Do(func() {
--- a/io/anvilguard/guard_test.go
+++ b/io/anvilguard/guard_test.go
@@ -158,3 +158,17 @@
 	reader.bytes = 100
 	assert.Assert(t, reader.deadline(began.Add(14*time.Second)).Before(began.Add(16*time.Second)))
 }
+
+// Guards against a client that never reads the answer to a body over its limit, because the connection is reset while
+// the rest of the body is on its way.
+func TestTooLargeBodyIsAnswered(t *testing.T) {
+	_, server := newServer(t, anvilbudget.Limits{Connections: 10, Peers: 1, Bytes: 1 << 17}, readHandler)
+	for range 100 {
+		client := &http.Client{Transport: &http.Transport{}} // each request has a connection of its own
+		response, err := client.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat(" ", 200_000)))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
+		assert.NilError(t, response.Body.Close())
+		client.CloseIdleConnections()
+	}
+}
