Let the seat of a lost storage need no quorum of the voters before it

Callers could not read the acknowledged configuration any more, and jobs stood still: two voters lost their disks shortly after a third one had been replaced, and three of five voters with a vote each elected no leader.

Cause: the entry that seats a new storage in place of a lost one changes two voters at once, so that elections and commits need quorums of both lists until a voter knows that the entry is committed. In the former list the lost storage never answers, and two further lost disks leave two of five for good.

Change: the leader first commits a mark (Members.Lost) for a voter whose instance has shown another storage. From then on no election and no commit counts the marked voter, as each later leader has the mark in its log. Of n voters, l of them marked and k <= l replaced, a majority of m is thus among n-l, and a majority of the new list has at least m-k of these; 2m-k > n-l, so that they intersect, and the list after the seat counts alone (odd numbers of voters only). The leader no longer waits for the commit of a change before it sends the log to the others that join.

--- a/core/anvilraft/identity.go
+++ b/core/anvilraft/identity.go
@@ -42,6 +42,9 @@
 	Learners []VoterID `cbor:"2,keyasint,omitempty" json:"learners,omitempty"`
 	// Forced is set by ForceSoleVoter: the list before has no say in the change to this one.
 	Forced bool `cbor:"3,keyasint,omitempty" json:"forced,omitempty"`
+	// Lost are the voters whose storage is gone for good, see ChangeVoters.Lost. Their votes and acknowledgements no longer count,
+	// but they are still voters, so that the quorum stays the same.
+	Lost []VoterID `cbor:"4,keyasint,omitempty" json:"lost,omitempty"`
 }
 
 // IsVoter reports whether id has a vote.
@@ -50,6 +53,9 @@
 // IsLearner reports whether id receives the log without a vote.
 func (m Members) IsLearner(id VoterID) bool { return slices.Contains(m.Learners, id) }
 
+// IsLost reports whether id is a voter that is marked as lost.
+func (m Members) IsLost(id VoterID) bool { return slices.Contains(m.Lost, id) }
+
 // Contains reports whether id is a voter or a learner.
 func (m Members) Contains(id VoterID) bool { return m.IsVoter(id) || m.IsLearner(id) }
 
--- a/core/anvilraft/joining.go
+++ b/core/anvilraft/joining.go
@@ -59,10 +59,7 @@
 	replaced := func(id VoterID) bool {
 		return id == event.Remove || slices.ContainsFunc(event.Seat, func(seat VoterID) bool { return seat.Instance == id.Instance })
 	}
-	members := Members{
-		Voters:   slices.DeleteFunc(slices.Clone(old.Voters), replaced),
-		Learners: slices.DeleteFunc(slices.Clone(old.Learners), replaced),
-	}
+	members := old.without(replaced)
 	for _, seat := range event.Seat {
 		switch {
 		case old.IsVoter(seat):
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -62,13 +62,20 @@
 // electorate is a list of voters of which a decision needs a quorum.
 type electorate struct {
 	voters []VoterID
-	lost   []VoterID // voters that don't count
+	lost   []VoterID // voters that don't count, which reduces the quorum of an even number
+	marked []VoterID // voters that don't count, see Members.Lost
+}
+
+// counts reports whether votes and acknowledgements of a voter count.
+func (e electorate) counts(id VoterID) bool {
+	return !slices.Contains(e.lost, id) && !slices.Contains(e.marked, id)
 }
 
 // electorates returns the lists of voters of which an election or a commit needs a quorum each. Lost storages reduce the
 // quorum only of a list that is known to be committed.
 func (n *Node) electorates(lost []VoterID) (latest, before electorate) {
-	latest = electorate{n.members.latest().Voters, lost}
+	members := n.members.latest()
+	latest = electorate{members.Voters, lost, members.Lost}
 	if !n.options.useLostStorages {
 		return latest, before
 	}
@@ -76,20 +83,32 @@
 	if changing {
 		latest.lost = nil
 	}
-	return latest, electorate{former, lost}
+	return latest, electorate{former.Voters, lost, former.Lost}
 }
 
 // elects reports whether a quorum is among the voters that have granted a vote.
 func (e electorate) elects(granted []VoterID) bool {
 	votes := 0
 	for _, voter := range e.voters {
-		if slices.Contains(granted, voter) && !slices.Contains(e.lost, voter) {
+		if slices.Contains(granted, voter) && e.counts(voter) {
 			votes++
 		}
 	}
 	return votes >= quorumWithout(e.voters, e.lost)
 }
 
+// withLost returns the members with voters marked as lost.
+func (n *Node) withLost(old Members, lost []VoterID) (Members, error) {
+	members := Members{Voters: old.Voters, Learners: old.Learners, Lost: old.Lost}
+	for _, id := range lost {
+		if !n.options.useLostStorages || id == n.self || !old.IsVoter(id) || members.IsLost(id) {
+			return Members{}, ErrInvalidChange
+		}
+		members.Lost = withID(members.Lost, id)
+	}
+	return members, nil
+}
+
 // committedMembersIndex returns the highest index up to which member lists are known to be committed.
 func (n *Node) committedMembersIndex() anvilid.Index { return max(n.commit, n.hardState.MembersAt) }
 
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -36,17 +36,17 @@
 // there is no such change, so that only the latest list counts. A change is appended only when the one before it is
 // committed, so that all earlier lists are outdated. A change of one voter leaves each majority of one list intersecting
 // each majority of the other, but not the smaller quorum of an even list (quorumWithout).
-func (m *membership) uncommittedVoters(committed anvilid.Index) (before []VoterID, ok bool) {
+func (m *membership) uncommittedVoters(committed anvilid.Index) (before Members, ok bool) {
 	last := len(m.changes) - 1
 	if last == 0 || m.changes[last].index <= committed {
-		return nil, false
+		return Members{}, false
 	}
-	latest, former := m.changes[last].members, m.changes[last-1].members.Voters
+	latest, former := m.changes[last].members, m.changes[last-1].members
 	switch {
-	case len(former) == 0, slices.Equal(latest.Voters, former): // the first list of the group, or a change of learners
-		return nil, false
-	case latest.Forced, len(former)%2 == 1 && differsByOne(former, latest.Voters):
-		return nil, true
+	case len(former.Voters) == 0, slices.Equal(latest.Voters, former.Voters): // the first list of the group, or a change of learners or marks
+		return Members{}, false
+	case latest.Forced, len(former.Voters)%2 == 1 && differsByOne(former.Voters, latest.Voters), replacesLost(former, latest):
+		return Members{}, true
 	}
 	return former, true
 }
@@ -62,6 +62,19 @@
 	return len(before)+len(after)-2*both == 1
 }
 
+// replacesLost reports whether a change keeps an odd number of voters and removes only voters that are marked as lost.
+//
+// The list after it counts alone. The marks were committed before the change was appended, so that each later leader has them, and
+// no election or commit counts a marked voter any more. Of n voters, of which l are marked and k <= l are replaced, a majority
+// of m = (n+1)/2 is thus among the n-l that are left, and a majority of the new list holds at least m-k of these. As 2m-k > n-l,
+// the two intersect.
+func replacesLost(former, latest Members) bool {
+	if len(former.Voters)%2 == 0 || len(former.Voters) != len(latest.Voters) {
+		return false
+	}
+	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool { return !latest.IsVoter(id) && !former.IsLost(id) })
+}
+
 // contains reports whether a voter is in one of the lists.
 func (m *membership) contains(id VoterID) bool {
 	return slices.ContainsFunc(m.changes, func(change memberChange) bool { return change.members.Contains(id) })
@@ -138,6 +151,8 @@
 	switch {
 	case len(event.Seat) > 0:
 		return n.withSeats(old, event)
+	case len(event.Lost) > 0:
+		return n.withLost(old, event.Lost)
 	case event.AddVoter.IsZero() && event.Remove.IsZero():
 		return withLearner(old, event.AddLearner)
 	case event.AddLearner.IsZero() && event.Remove.IsZero():
@@ -152,7 +167,7 @@
 	if id.IsZero() || old.Contains(id) {
 		return Members{}, ErrInvalidChange
 	}
-	return Members{Voters: old.Voters, Learners: withID(old.Learners, id)}, nil
+	return Members{Voters: old.Voters, Learners: withID(old.Learners, id), Lost: old.Lost}, nil
 }
 
 // withPromotedLearner returns the members with a learner turned into a voter. It refuses a
@@ -166,14 +181,23 @@
 	if !n.HasCaughtUp(id) {
 		return Members{}, ErrNotCaughtUp
 	}
-	return Members{Voters: withID(old.Voters, id), Learners: withoutID(old.Learners, id)}, nil
+	return Members{Voters: withID(old.Voters, id), Learners: withoutID(old.Learners, id), Lost: old.Lost}, nil
 }
 
 func withoutMember(old Members, id VoterID) (Members, error) {
 	if !old.Contains(id) || old.IsVoter(id) && len(old.Voters) == 1 {
 		return Members{}, ErrInvalidChange
 	}
-	return Members{Voters: withoutID(old.Voters, id), Learners: withoutID(old.Learners, id)}, nil
+	return old.without(func(other VoterID) bool { return other == id }), nil
+}
+
+// without returns the members that are not to be removed.
+func (m Members) without(removed func(VoterID) bool) Members {
+	return Members{
+		Voters:   slices.DeleteFunc(slices.Clone(m.Voters), removed),
+		Learners: slices.DeleteFunc(slices.Clone(m.Learners), removed),
+		Lost:     slices.DeleteFunc(slices.Clone(m.Lost), removed),
+	}
 }
 
 func withID(ids []VoterID, id VoterID) []VoterID {
--- a/core/anvilraft/quorum.go
+++ b/core/anvilraft/quorum.go
@@ -26,7 +26,7 @@
 	values := buffer[:0]
 	for _, id := range e.voters {
 		switch p := n.peer(id); {
-		case slices.Contains(e.lost, id):
+		case !e.counts(id):
 		case id == n.self:
 			values = append(values, own)
 		case p != nil:
--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -89,7 +89,9 @@
 	maxLostDisks       int
 	asksForStorages    bool // voters ask each other for their storages, see reportLostStorages
 	seatsTogether      bool // all voters with a lost disk are replaced by one change, see repairTogether
+	marksLost          bool // their former storages are marked as lost before, so that the change needs no quorum of them
 	wipedDisks         int
+	recovers           bool // the faults have ended, see recoverFromFaults
 	installedSnapshots int
 }
 
@@ -250,6 +252,7 @@
 // recoverFromFaults ends all faults and checks that the group recovers completely.
 func (s *schedule) recoverFromFaults() {
 	clear(s.c.cut)
+	s.recovers = true
 	s.c.syncAtOnce, s.c.duplicateProbability, s.c.latency = true, 0, fixedLatency(1000)
 	for _, v := range s.c.voters {
 		v.diskStalled = false
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -104,24 +104,45 @@
 	return ids
 }
 
-// enrollJoining makes the next change for the voters that join, and returns when to go on: soon if a change was made or may
-// be possible soon. All that have caught up and take the seats of former storages get their votes by one change.
-func (g *Group) enrollJoining(parent context.Context, members anvilraft.Members) time.Duration {
+// enrollJoining begins the next change for the voters that join, and returns when to go on: soon if a change was begun or may
+// be possible soon. All that have caught up and take the seats of former storages get their votes by one change. Nothing waits
+// for its commit, as the log has to be sent on to the others that join.
+func (g *Group) enrollJoining(ctx context.Context, members anvilraft.Members) time.Duration {
 	ids := slices.DeleteFunc(g.joining(members), func(id anvilraft.VoterID) bool { return !g.claimJoining(id) })
 	if len(ids) == 0 || !g.leads() {
 		return joinInterval
 	}
-	ctx, cancel := context.WithTimeout(parent, changeTimeout)
-	defer cancel()
 	for _, id := range ids {
-		g.sendLog(parent, id)
+		g.sendLog(ctx, id)
+	}
+	if g.enrolling.Load() {
+		return enrollInterval
 	}
 	change, err := g.nextEnrollment(members, ids)
 	if err == nil {
-		if err = g.Voter.ChangeVoters(ctx, change); !isPending(err) {
-			g.logChange(change, err)
-		}
+		g.enrolling.Store(true)
+		go func() {
+			g.noteEnrollment(ids, g.change(ctx, change))
+			g.enrolling.Store(false)
+			g.Wake()
+		}()
+	}
+	return g.noteEnrollment(ids, err)
+}
+
+// change makes a change of the members and logs it. While another change isn't committed yet it fails, and nothing is logged.
+func (g *Group) change(parent context.Context, change anvilraft.ChangeVoters) error {
+	ctx, cancel := context.WithTimeout(parent, changeTimeout)
+	defer cancel()
+	err := g.Voter.ChangeVoters(ctx, change)
+	if !isPending(err) {
+		g.logChange(change, err)
 	}
+	return err
+}
+
+// noteEnrollment records why voters that join have no vote yet, and returns when to go on.
+func (g *Group) noteEnrollment(ids []anvilraft.VoterID, err error) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	interval := joinInterval
@@ -149,10 +170,13 @@
 	}
 }
 
-// introduce asks a voter that joins for its storage, and has the log sent to it.
+// introduce asks a voter that joins for its storage, and has the log sent to it. If it is the present one, another storage of the
+// instance that had a vote before the question is gone for good (askStorages).
 func (g *Group) introduce(parent context.Context, id anvilraft.VoterID) {
 	ctx, cancel := context.WithTimeout(parent, sendTimeout)
 	defer cancel()
+	isOther := func(voter anvilraft.VoterID) bool { return voter.Instance != id.Instance || voter == id }
+	former := slices.DeleteFunc(slices.Clone(g.Voter.Status().Members.Voters), isOther)
 	reply, err := g.peer(id.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -161,13 +185,27 @@
 		return
 	}
 	g.introduced[id] = true
+	for _, voter := range former {
+		g.replaced[voter] = true
+	}
 	g.Voter.SendLog(id, !reply.Grouped)
 }
 
-// nextEnrollment returns the next change for voters that join, or why there is none yet. Voters that take the seats of
-// former storages, or that the group lacks, come first and together. No voter is removed for one that may be gone: the
+// replacedStorages returns the voters that aren't marked as lost yet and whose instances have shown another storage.
+func (g *Group) replacedStorages(members anvilraft.Members) []anvilraft.VoterID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(members.Voters), func(id anvilraft.VoterID) bool { return !g.replaced[id] || members.IsLost(id) })
+}
+
+// nextEnrollment returns the next change for voters that join, or why there is none yet. A mark for their former storages comes
+// first: the group bears further losses as soon as the change that follows it is stored, and needs no quorum of the voters before.
+// Voters that take the seats of former storages, or that the group lacks, come next and together. No voter is removed for one that may be gone: the
 // silent one may still have its disk.
 func (g *Group) nextEnrollment(members anvilraft.Members, ids []anvilraft.VoterID) (anvilraft.ChangeVoters, error) {
+	if lost := g.replacedStorages(members); len(lost) > 0 && len(members.Voters)%2 == 1 {
+		return anvilraft.ChangeVoters{Lost: lost}, nil
+	}
 	ids = slices.DeleteFunc(slices.Clone(ids), func(id anvilraft.VoterID) bool { return !g.Voter.HasCaughtUp(id) || g.isSilent(id) })
 	if len(ids) == 0 {
 		return anvilraft.ChangeVoters{}, anvilraft.ErrNotCaughtUp
@@ -219,6 +257,9 @@
 	for _, id := range change.Seat {
 		g.log.Write(anvillogs.MembersChanged, zap.Stringer("add", id), zap.Error(err))
 	}
+	for _, id := range change.Lost {
+		g.log.Write(anvillogs.MembersChanged, zap.Stringer("lost", id), zap.Error(err))
+	}
 	if !change.Remove.IsZero() {
 		g.log.Write(anvillogs.MembersChanged, zap.Stringer("remove", change.Remove), zap.Error(err))
 	}
--- a/io/anvilgroup/leave.go
+++ b/io/anvilgroup/leave.go
@@ -96,7 +96,7 @@
 	for _, id := range ids {
 		members := g.Voter.Status().Members
 		if g.isLarger(members) && members.IsVoter(id) {
-			if err := g.remove(ctx, id); err != nil {
+			if err := g.change(ctx, anvilraft.ChangeVoters{Remove: id}); err != nil {
 				wait = true
 				continue
 			}
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -40,7 +40,7 @@
 		wait := g.releaseLeaving(ctx)
 		if g.leads() {
 			if silent, ok := g.surplusVoter(g.Voter.Status().Members); ok {
-				_ = g.remove(ctx, silent) // it is logged, and retried with the next check
+				_ = g.change(ctx, anvilraft.ChangeVoters{Remove: silent}) // it is logged, and retried with the next check
 			}
 		}
 		interval = g.enrollJoining(ctx, g.Voter.Status().Members)
@@ -50,15 +50,3 @@
 	}
 	return nil
 }
-
-// remove removes a voter. While another change isn't committed yet it fails, and nothing is logged.
-func (g *Group) remove(parent context.Context, voter anvilraft.VoterID) error {
-	ctx, cancel := context.WithTimeout(parent, changeTimeout)
-	defer cancel()
-	change := anvilraft.ChangeVoters{Remove: voter}
-	err := g.Voter.ChangeVoters(ctx, change)
-	if !isPending(err) {
-		g.logChange(change, err)
-	}
-	return err
-}
