Let seats of marked storages follow each other before they are committed

A second voter that caught up a moment after the first one got its seat waited for that seat's commit, and its own mark for the commit of the first mark: on slow disks a second or two in which the group bears fewer losses than it should.

Change: the leader appends marks, and seats of voters that are marked by a committed change, while earlier such changes are not committed yet. The lists then differ in replaced voters only, of which none is counted any more, so that quorums of any two of them intersect. The leader begins a change without waiting for another one that concerns other voters.

--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -51,11 +51,15 @@
 			seats = append(seats, v.id)
 		}
 	}
-	s.key++
-	switch {
-	case len(lost) > 0:
+	if s.marksLost && len(seats) > 1 && s.chance(500) {
+		seats = seats[:1] // the next seat may follow before this one is committed
+	}
+	if len(lost) > 0 {
+		s.key++
 		s.c.step(leader, ChangeVoters{Key: s.key, Lost: lost})
-	case len(seats) > 0:
+	}
+	if len(seats) > 0 {
+		s.key++
 		s.c.step(leader, ChangeVoters{Key: s.key, Seat: seats})
 	}
 }
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -75,6 +75,27 @@
 	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool { return !latest.IsVoter(id) && !former.IsLost(id) })
 }
 
+// mayOverlap reports whether members may be appended although earlier changes are not committed. All of them must mark voters as
+// lost or replace such that were marked by a committed change: the lists then differ in replaced voters only, and their quorums
+// intersect for the reason that replacesLost gives.
+func (n *Node) mayOverlap(members Members) bool {
+	if !n.options.useLostStorages {
+		return false
+	}
+	committed := n.members.at(n.commit)
+	before := committed
+	for _, change := range append(slices.Clone(n.members.changes), memberChange{n.log.last() + 1, members}) {
+		if change.index <= n.commit {
+			continue
+		}
+		if !slices.Equal(before.Voters, change.members.Voters) && !replacesLost(committed, change.members) {
+			return false
+		}
+		before = change.members
+	}
+	return true
+}
+
 // contains reports whether a voter is in one of the lists.
 func (m *membership) contains(id VoterID) bool {
 	return slices.ContainsFunc(m.changes, func(change memberChange) bool { return change.members.Contains(id) })
@@ -119,18 +140,18 @@
 }
 
 // changeVoters handles a ChangeVoters event: the leader appends the changed member list to its log.
-// It refuses a change while an earlier one is not committed. Thus at most two lists may be in effect at the same time. Either
-// any majority of one intersects any majority of the other, or quorums of both are needed (membership.uncommittedVoters).
+// It refuses a change while an earlier one is not committed, unless none of them needs a quorum of the list before it (mayOverlap).
+// Thus either any quorums of all lists that may be in effect at the same time intersect, or there are two lists, of which quorums of
+// both are needed (membership.uncommittedVoters).
 func (n *Node) changeVoters(event ChangeVoters) {
 	if n.role != Leader {
 		n.reject(event.Key, ErrNotLeader)
 		return
 	}
-	if n.members.lastChangeIndex() > n.commit || !n.hasCommittedInTerm() {
-		n.reject(event.Key, ErrChangePending)
-		return
-	}
 	members, err := n.membersAfter(event)
+	if n.members.lastChangeIndex() > n.commit && (err != nil || !n.mayOverlap(members)) || !n.hasCommittedInTerm() {
+		err = ErrChangePending
+	}
 	if err != nil {
 		n.reject(event.Key, err)
 		return
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -106,7 +106,7 @@
 
 // enrollJoining begins the next change for the voters that join, and returns when to go on: soon if a change was begun or may
 // be possible soon. All that have caught up and take the seats of former storages get their votes by one change. Nothing waits
-// for its commit, as the log has to be sent on to the others that join.
+// for its commit, as others that join may need a change of their own meanwhile.
 func (g *Group) enrollJoining(ctx context.Context, members anvilraft.Members) time.Duration {
 	ids := slices.DeleteFunc(g.joining(members), func(id anvilraft.VoterID) bool { return !g.claimJoining(id) })
 	if len(ids) == 0 || !g.leads() {
@@ -115,21 +115,40 @@
 	for _, id := range ids {
 		g.sendLog(ctx, id)
 	}
-	if g.enrolling.Load() {
-		return enrollInterval
-	}
 	change, err := g.nextEnrollment(members, ids)
-	if err == nil {
-		g.enrolling.Store(true)
+	if err == nil && g.beginChange(change) {
 		go func() {
 			g.noteEnrollment(ids, g.change(ctx, change))
-			g.enrolling.Store(false)
+			g.endChange(change)
 			g.Wake()
 		}()
 	}
 	return g.noteEnrollment(ids, err)
 }
 
+// beginChange reports whether no change of the same voters is on its way, and records that this one is.
+func (g *Group) beginChange(change anvilraft.ChangeVoters) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ids := slices.Concat(change.Seat, change.Lost)
+	if slices.ContainsFunc(ids, func(id anvilraft.VoterID) bool { return g.changing[id] }) {
+		return false
+	}
+	for _, id := range ids {
+		g.changing[id] = true
+	}
+	return true
+}
+
+// endChange undoes beginChange.
+func (g *Group) endChange(change anvilraft.ChangeVoters) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range slices.Concat(change.Seat, change.Lost) {
+		delete(g.changing, id)
+	}
+}
+
 // change makes a change of the members and logs it. While another change isn't committed yet it fails, and nothing is logged.
 func (g *Group) change(parent context.Context, change anvilraft.ChangeVoters) error {
 	ctx, cancel := context.WithTimeout(parent, changeTimeout)
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -115,8 +115,8 @@
 	replaced map[anvilraft.VoterID]bool
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
-	// enrolling means that a change for voters that join isn't committed yet.
-	enrolling atomic.Bool
+	// changing are the voters of changes for voters that join which aren't known to be committed yet.
+	changing map[anvilraft.VoterID]bool
 	// releases are the voters that have asked this leader to remove them.
 	releases map[anvilraft.VoterID]bool
 	// requested has a value when ManageMembers has a voter to add or remove.
@@ -145,7 +145,7 @@
 		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
 		leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
 		joinErrors: map[anvilraft.VoterID]error{}, releases: map[anvilraft.VoterID]bool{}, requested: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
-		lostStorages: map[anvilraft.VoterID]bool{}, introduced: map[anvilraft.VoterID]bool{}, replaced: map[anvilraft.VoterID]bool{},
+		lostStorages: map[anvilraft.VoterID]bool{}, introduced: map[anvilraft.VoterID]bool{}, replaced: map[anvilraft.VoterID]bool{}, changing: map[anvilraft.VoterID]bool{},
 	}
 	storage, restored, err := anvildisk.Open(settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
