Store a new data directory with one round of syncs

An emptied voter made two syncs one after the other to create its directory (the temporary file of the first segment, then the directory after the rename) before it could do anything else, and a third one for its first save.

Change: the first segment is created under its final name, and its sync, that of the directory and that of its parent begin together. Nothing was acknowledged before, so that a first segment without a valid header may be the result of a crash: Open then begins anew, with another storage id. An empty file, created.tmp, marks that the first segment was stored, so that a damaged header is still refused; earlier builds remove it. With the option WithDeferredCreation the first Save creates the directory together with its content, and Open makes no sync. Clear empties a damaged directory and syncs that.

Evidence: TestFirstSaveWaitsForOneSync (does not exist before; a first save took 3 syncs in a row, now one round), TestUnstoredStorage with the first segment cut at each byte, and TestFaultAtEveryCall with directories that are created by Open and by Save.

--- a/io/anvildisk/open_test.go
+++ b/io/anvildisk/open_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
@@ -21,7 +22,65 @@
 	assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 3, 1), Hard: hardState(1)}))
 	assert.NilError(t, storage.Close())
 
-	const syncs = 3 // of the last segment, of the directory and of its parent
+	files, begun := together(3) // of the last segment, of the directory and of its parent
+	storage, restored, err := Open(dir, WithFiles(files))
+	assert.NilError(t, err)
+	assert.Equal(t, len(restored.Entries), 3)
+	assert.Equal(t, begun.Load(), int64(3))
+	assert.NilError(t, storage.Close())
+}
+
+// TestFirstSaveWaitsForOneSync guards against a voter with a lost disk that makes several syncs one after another before it has
+// stored its copy of the log. With syncs of a second it had no vote yet when further disks were lost.
+func TestFirstSaveWaitsForOneSync(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "log")
+	files, begun := together(3)
+	storage, created, err := Open(dir, WithFiles(files), WithDeferredCreation())
+	assert.NilError(t, err)
+	assert.Equal(t, begun.Load(), int64(0), "syncs before the first save")
+	assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 3, 1), Hard: hardState(1)}))
+	assert.Equal(t, begun.Load(), int64(3))
+	assert.NilError(t, storage.Close())
+	storage, restored, err := Open(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, restored.Storage, created.Storage)
+	assert.Equal(t, len(restored.Entries), 3)
+	assert.NilError(t, storage.Close())
+}
+
+// TestUnstoredStorage guards against a storage id that is seen again although nothing of the directory was stored, or only a
+// part of its first segment: another directory may have been announced meanwhile. A process that died while it wrote must not
+// leave a directory that can't be opened.
+func TestUnstoredStorage(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "log")
+	open := func() (*Storage, anvilraft.StorageID, bool) {
+		storage, restored, err := Open(dir, WithDeferredCreation())
+		assert.NilError(t, err)
+		return storage, restored.Storage, restored.Created
+	}
+	storage, first, _ := open()
+	assert.NilError(t, storage.Close())
+	storage, second, created := open()
+	assert.Assert(t, created && second != first)
+	header := len(storage.header)
+	assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 3, 1), Hard: hardState(1)}))
+	assert.NilError(t, storage.Close())
+	segment := filepath.Join(dir, segmentName(1))
+	content, err := os.ReadFile(segment)
+	assert.NilError(t, err)
+	for size := range content {
+		assert.NilError(t, os.Remove(filepath.Join(dir, createdName)))
+		assert.NilError(t, os.WriteFile(segment, content[:size], fileMode))
+		storage, third, created := open()
+		assert.Equal(t, third == second, size >= header, "cut at %d", size)
+		assert.Equal(t, created, size < header, "cut at %d", size)
+		assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 1, 1), Hard: hardState(1)}))
+		assert.NilError(t, storage.Close())
+	}
+}
+
+// together returns file functions whose syncs end only once the given number of them has begun, and the number that has begun.
+func together(syncs int64) (Files, *atomic.Int64) {
 	var begun atomic.Int64
 	all := make(chan struct{})
 	wait := func() error {
@@ -36,18 +95,16 @@
 		}
 	}
 	files := OSFiles()
-	open := files.Open
-	files.Open = func(path string) (*File, error) {
-		file, err := open(path)
-		if err == nil {
-			file.Sync = wait
+	hook := func(open func(string) (*File, error)) func(string) (*File, error) {
+		return func(path string) (*File, error) {
+			file, err := open(path)
+			if err == nil {
+				file.Sync = wait
+			}
+			return file, err
 		}
-		return file, err
 	}
+	files.Open, files.Create = hook(files.Open), hook(files.Create)
 	files.SyncDir = func(string) error { return wait() }
-	storage, restored, err := Open(dir, WithFiles(files))
-	assert.NilError(t, err)
-	assert.Equal(t, len(restored.Entries), 3)
-	assert.Equal(t, begun.Load(), int64(syncs))
-	assert.NilError(t, storage.Close())
+	return files, &begun
 }
--- a/io/anvildisk/reader.go
+++ b/io/anvildisk/reader.go
@@ -18,6 +18,9 @@
 	validEnd  int    // size of the valid part of the last segment
 	tornBytes int    // size of the incomplete frame after the valid part
 	lastFrame []byte // the last valid frame of the last segment
+	// mayBeUnsynced means that several frames may have been written without a sync, as in the first write to a
+	// directory. lastFrame contains all of them.
+	mayBeUnsynced bool
 }
 
 func (r *reader) last() anvilid.Index { return r.prevIndex + anvilid.Index(len(r.entries)) }
@@ -60,6 +63,9 @@
 		r.lastFrame = data[offset:f.end]
 		offset = f.end
 	}
+	if r.mayBeUnsynced {
+		r.lastFrame = data[:offset]
+	}
 	r.validEnd = offset
 	return nil
 }
--- a/io/anvildisk/restore.go
+++ b/io/anvildisk/restore.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -43,6 +44,25 @@
 	return s, restored, nil
 }
 
+// Clear removes the content of a data directory that isn't open. It syncs the removal, so that a power failure doesn't bring the
+// former storage back after the new one was announced.
+func Clear(dir string, opts ...Option) error {
+	s := &Storage{dir: dir, files: OSFiles()}
+	for _, opt := range opts {
+		opt(s)
+	}
+	names, err := s.files.List(dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if err := os.RemoveAll(filepath.Join(dir, name)); err != nil { // an unknown file may be a directory
+			return err
+		}
+	}
+	return s.files.SyncDir(dir)
+}
+
 func isContentError(err error) bool {
 	return eris.Is(err, ErrLocked) || eris.Is(err, ErrFormat) || eris.Is(err, ErrDamaged)
 }
@@ -67,16 +87,49 @@
 		return Restored{}, err
 	}
 	if found.empty() {
-		return s.create()
+		return s.create(found)
+	}
+	if found.mayBeInterrupted() {
+		stored, err := s.hasHeader(segmentName(1))
+		if err != nil {
+			return Restored{}, err
+		}
+		if !stored {
+			return s.create(found)
+		}
 	}
 	return s.restore(found)
 }
 
+// hasHeader reports whether a segment begins with a valid frame.
+func (s *Storage) hasHeader(name string) (bool, error) {
+	data, err := s.files.Read(filepath.Join(s.dir, name))
+	f, state := readFrame(data, fileSeed("", name), 0)
+	return state == frameComplete && f.kind == frameSegment, err
+}
+
 // fileListing contains the numbers in the names of the files of the directory: N of each file
 // "segment-N" and INDEX of each file "snapshot-INDEX".
 type fileListing struct {
 	segments  []uint64
 	snapshots []anvilid.Index
+	created   bool // there is a mark that the first segment was stored
+}
+
+// mayBeInterrupted reports whether the last process may have died while it created the directory.
+func (l fileListing) mayBeInterrupted() bool {
+	return !l.created && len(l.snapshots) == 0 && len(l.segments) == 1 && l.segments[0] == 1
+}
+
+// leftovers returns the files that are in the way of a new first segment.
+func (l fileListing) leftovers() (names []string) {
+	if l.created {
+		names = append(names, createdName)
+	}
+	for _, sequence := range l.segments {
+		names = append(names, segmentName(sequence))
+	}
+	return names
 }
 
 func (l fileListing) empty() bool { return len(l.segments) == 0 && len(l.snapshots) == 0 }
@@ -93,6 +146,8 @@
 		snapshot, isSnapshot := parseFileNumber(name, snapshotPrefix)
 		switch {
 		case name == lockName:
+		case name == createdName:
+			found.created = true
 		case isTmp(name):
 			if err := s.files.Remove(filepath.Join(s.dir, name)); err != nil {
 				return fileListing{}, err
@@ -126,7 +181,8 @@
 		filepath.Join(s.dir, name), version, formatVersion)
 }
 
-func (s *Storage) create() (Restored, error) {
+// create initializes a directory without content, or in which the first segment was stored only in part.
+func (s *Storage) create(found fileListing) (Restored, error) {
 	s.id, s.terms = s.newID, newTermTable(0, 0)
 	if s.id == "" {
 		id, err := randomID()
@@ -135,17 +191,24 @@
 		}
 		s.id = id
 	}
-	if err := concurrently(s.syncParent, func() error { return s.startSegment(false) }); err != nil {
-		return Restored{}, err
+	for _, name := range found.leftovers() {
+		if err := s.files.Remove(filepath.Join(s.dir, name)); err != nil {
+			return Restored{}, err
+		}
 	}
-	return Restored{PersistentState: anvilraft.PersistentState{Storage: s.id}, Created: true}, nil
+	s.prepareFirst()
+	restored := Restored{PersistentState: anvilraft.PersistentState{Storage: s.id}, Created: true}
+	if s.deferred {
+		return restored, nil
+	}
+	return restored, s.ensureCreated()
 }
 
 func (s *Storage) restore(found fileListing) (Restored, error) {
 	if len(found.segments) == 0 {
 		return Restored{}, s.damaged(snapshotName(found.snapshots[0]), 0, "all segment files are missing")
 	}
-	r := reader{Storage: s}
+	r := reader{Storage: s, mayBeUnsynced: found.mayBeInterrupted()}
 	for i, sequence := range found.segments {
 		if err := r.readSegment(sequence, i == len(found.segments)-1); err != nil {
 			return Restored{}, err
@@ -162,6 +225,11 @@
 	if err := s.repairTail(&r); err != nil {
 		return Restored{}, err
 	}
+	if r.mayBeUnsynced {
+		if err := s.markCreated(); err != nil {
+			return Restored{}, err
+		}
+	}
 	if snap.Index > 0 && !s.terms.matches(snap.Index, snap.Term) {
 		// The process died after it wrote the snapshot and before it started the next segment.
 		if err := s.startSegmentAfterSnapshot(snap.Index, snap.Term); err != nil {
@@ -206,7 +274,7 @@
 }
 
 // repairTail removes an incomplete last write and opens the last segment for writing. It writes
-// the last frame again: after a failed sync, a process that died may have left that frame only in
+// the last frame again (reader.mayBeUnsynced: all frames): after a failed sync, a process that died may have left that frame only in
 // the page cache, marked clean, so that a later sync would not write it to disk. It syncs the directories
 // too, because a process may have died after it renamed a file and before it synced the directory.
 func (s *Storage) repairTail(r *reader) error {
--- a/io/anvildisk/storage.go
+++ b/io/anvildisk/storage.go
@@ -2,7 +2,8 @@
 // directory.
 //
 // The directory contains segment files ("segment-N"), normally at most one snapshot
-// ("snapshot-INDEX"), a lock file and, while a file is being written, temporary files ("*.tmp").
+// ("snapshot-INDEX"), a lock file, a mark that the first segment is stored ("created.tmp") and, while a
+// file is being written, temporary files ("*.tmp").
 // A segment is a part of the log: an append-only sequence of frames with checksums. When a
 // snapshot covers all log entries of a segment, the segment is removed. Each directory has a random
 // storage id, so that a voter whose directory was deleted and created again is recognized as a new
@@ -62,6 +63,10 @@
 	snapshotPrefix = "snapshot-"
 	tmpSuffix      = ".tmp"
 	lockName       = "lock"
+	// createdName is an empty file that exists once the first segment is stored, so that a first segment
+	// without a valid header is known to be damaged. Without the mark, its creation was interrupted. The mark itself is synced
+	// with the next change of the directory. Earlier builds remove it, because of its suffix.
+	createdName = "created" + tmpSuffix
 )
 
 func segmentName(sequence uint64) string { return fmt.Sprintf("%s%020d", segmentPrefix, sequence) }
@@ -83,13 +88,15 @@
 	releaseLock  func() error
 
 	newID     anvilraft.StorageID // id for a new directory; empty for a random id
+	deferred  bool                // a new directory is stored by the first Save
 	id        anvilraft.StorageID
 	hardState anvilraft.HardState
 	terms     termTable
 	snapshot  anvilid.Index // index of the stored snapshot, 0 without one
 	segments  []segment     // oldest first; new frames go to the last one
 
-	file    *File // the last segment, open for writing
+	file    *File  // the last segment, open for writing; nil before the first one is stored
+	header  []byte // the first frame of the first segment, until that is stored
 	seed    seed
 	size    int
 	buffer  []byte
@@ -109,6 +116,11 @@
 // Two directories of an instance must never have the same id.
 func WithNewID(id anvilraft.StorageID) Option { return func(s *Storage) { s.newID = id } }
 
+// WithDeferredCreation leaves the initialization of an empty directory to the first call of Save, which stores it together with
+// its own content. If the process ends before, the next Open finds an empty directory and chooses another random id. So a
+// storage id that was announced may never be seen again, but then nothing was ever acknowledged under it.
+func WithDeferredCreation() Option { return func(s *Storage) { s.deferred = true } }
+
 // ID returns the storage id, which the directory got when it was initialized.
 func (s *Storage) ID() anvilraft.StorageID { return s.id }
 
@@ -138,6 +150,9 @@
 	if err := s.flush(); err != nil {
 		return s.fail(err)
 	}
+	if err := s.ensureCreated(); err != nil {
+		return s.fail(err)
+	}
 	return nil
 }
 
@@ -197,6 +212,9 @@
 		if err := s.flush(); err != nil {
 			return err
 		}
+		if err := s.ensureCreated(); err != nil {
+			return err
+		}
 		if err := s.saveSnapshot(save.Snapshot); err != nil {
 			return err
 		}
@@ -226,10 +244,7 @@
 		return nil
 	}
 	finishFrame(s.buffer, frameBatch, s.seed, s.size)
-	if err := writeAll(s.file, s.buffer, s.size); err != nil {
-		return err
-	}
-	if err := s.file.Sync(); err != nil {
+	if err := s.store(s.buffer); err != nil {
 		return err
 	}
 	s.size += len(s.buffer)
@@ -240,14 +255,71 @@
 	return nil
 }
 
+// store writes a frame to the end of the last segment and syncs it. The first one creates the first segment.
+func (s *Storage) store(frame []byte) error {
+	if s.file == nil {
+		return s.storeFirst(append(s.header, frame...))
+	}
+	if err := writeAll(s.file, frame, s.size); err != nil {
+		return err
+	}
+	return s.file.Sync()
+}
+
+// ensureCreated stores the first segment, if that isn't done yet.
+func (s *Storage) ensureCreated() error {
+	if s.file != nil {
+		return nil
+	}
+	return s.storeFirst(s.header)
+}
+
+// prepareFirst makes the header of the first segment, which nothing has stored yet.
+func (s *Storage) prepareFirst() {
+	name := segmentName(1)
+	header := segmentHeader{version: formatVersion, storage: s.id, sequence: 1}
+	s.header = header.append(newFrame(nil))
+	finishFrame(s.header, frameSegment, fileSeed("", name), 0)
+	s.seed, s.size = fileSeed(s.id, name), len(s.header)
+	s.segments = []segment{{sequence: 1}}
+}
+
+// storeFirst creates the first segment with the given content. Nothing was acknowledged before it, so that the file can have
+// its final name from the start and all syncs are made at the same time: a slow disk takes a second for each.
+func (s *Storage) storeFirst(content []byte) error {
+	file, err := s.files.Create(filepath.Join(s.dir, segmentName(1)))
+	if err != nil {
+		return err
+	}
+	err = writeAll(file, content, 0)
+	if err == nil {
+		err = concurrently(file.Sync, func() error { return s.files.SyncDir(s.dir) }, s.syncParent)
+	}
+	if err == nil {
+		err = s.markCreated()
+	}
+	if err != nil {
+		_ = file.Close() // the first error is the one to report
+		return err
+	}
+	s.file, s.header = file, nil
+	return nil
+}
+
+// markCreated records that the first segment is stored.
+func (s *Storage) markCreated() error {
+	mark, err := s.files.Create(filepath.Join(s.dir, createdName))
+	if err != nil {
+		return err
+	}
+	return mark.Close()
+}
+
 // startSegment creates a new segment and directs further writes to it. The file gets its final
 // name only after its first frame is synced, so a segment without a valid first frame is always
-// corrupt and never the result of a crash.
+// corrupt and never the result of a crash. The first segment is stored by storeFirst.
 func (s *Storage) startSegment(reset bool) error {
-	sequence := uint64(1)
-	if len(s.segments) > 0 {
-		sequence = s.segments[len(s.segments)-1].sequence + 1
-	}
+	sequence := s.segments[len(s.segments)-1].sequence + 1
 	name := segmentName(sequence)
 	header := segmentHeader{
 		version: formatVersion, storage: s.id, sequence: sequence, hardState: s.hardState,
@@ -259,11 +331,9 @@
 	if err != nil {
 		return err
 	}
-	if s.file != nil {
-		if err := s.file.Close(); err != nil {
-			_ = file.Close() // the first error is the one to report
-			return err
-		}
+	if err := s.file.Close(); err != nil {
+		_ = file.Close() // the first error is the one to report
+		return err
 	}
 	s.file, s.seed, s.size = file, fileSeed(s.id, name), len(first)
 	s.segments = append(s.segments, segment{sequence: sequence})
--- a/io/anvildisk/storage_test.go
+++ b/io/anvildisk/storage_test.go
@@ -86,8 +86,8 @@
 
 // runScript saves the script until a call fails. It returns the states that Open may restore
 // afterwards: the acknowledged one and those that the failed call may have stored.
-func runScript(disk *simDisk) (allowed []anvilraft.PersistentState, failed error) {
-	storage, restored, err := Open("data", WithFiles(disk.files()), WithSegmentBytes(300))
+func runScript(disk *simDisk, opts ...Option) (allowed []anvilraft.PersistentState, failed error) {
+	storage, restored, err := Open("data", append(opts, WithFiles(disk.files()), WithSegmentBytes(300))...)
 	if err != nil {
 		return []anvilraft.PersistentState{{}}, err
 	}
@@ -108,8 +108,13 @@
 // saved. The test makes each single file-system call fail, in each fault mode, followed by a
 // restart, a power failure, or a restart and then a power failure.
 func TestFaultAtEveryCall(t *testing.T) {
+	t.Run("created by Open", func(t *testing.T) { checkFaults(t) })
+	t.Run("created by Save", func(t *testing.T) { checkFaults(t, WithDeferredCreation()) })
+}
+
+func checkFaults(t *testing.T, opts ...Option) {
 	clean := newSimDisk()
-	_, err := runScript(clean)
+	_, err := runScript(clean, opts...)
 	assert.NilError(t, err)
 	assert.Assert(t, len(clean.cached) <= 4, "the directory keeps more than 4 files: %v", clean.cached)
 	for mode := range modeCount {
@@ -117,7 +122,7 @@
 			for _, crash := range []string{"restart", "power", "both"} {
 				disk := newSimDisk()
 				disk.mode, disk.failAt = mode, failAt
-				allowed, err := runScript(disk)
+				allowed, err := runScript(disk, opts...)
 				label := fmt.Sprintf("mode %d, call %d, %s", mode, failAt, crash)
 				if err != nil { // nil if Save ignored the injected failure, as it may when it closes a replaced file
 					assert.Assert(t, errors.Is(err, ErrFailed) || errors.Is(err, errInjected) || errors.Is(err, syscall.ENOSPC),
