Let an emptied voter ask for membership before its directory is stored

A voter that had lost its disk had no vote yet when two others lost theirs, although catch_up_s had passed, and the group had no leader for good.

Cause: it opened its directory first (two syncs one after the other), asked then, and stored its copy of the log with a third sync. Its former storage was marked as lost only after its request, and the seat waits for that.

Change: a directory that was read and is empty gets its id at once, and is stored by the first save, which is the copy of the log. Every message of the voter waits for that save, because it adopts the group and a term, so that it doesn't vote or acknowledge anything before. A founding voter stores its directory together with the first entry. A damaged directory is cleared, and the removal synced, before another id is announced.

Evidence: TestVoteAfterOneSync fails on (the copy is not yet being stored when the first syncs are held).

--- a/io/anvilgroup/enroll_test.go
+++ b/io/anvilgroup/enroll_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,3 +41,34 @@
 	g.replacedBy(former)
 	assert.DeepEqual(t, g.joining(members), []anvilraft.VoterID{present})
 }
+
+// TestVoteAfterOneSync guards against a voter with a lost disk that makes several syncs one after another before the leader can
+// give it a vote: with syncs of a second it had none yet when two others lost their disks, and the group no leader for good. The
+// syncs of its directory and of its copy of the log must begin together, and it must count for nothing before they end.
+func TestVoteAfterOneSync(t *testing.T) {
+	nodes := newTestNodes(t, 5)
+	running := nodes.startGroup(5)
+	former := running[4].ID()
+	running[4].stop()
+	const together = 3 // the syncs of the first segment, its directory, and the parent of that
+	var begun atomic.Int64
+	release, end := make(chan struct{}), make(chan struct{})
+	nodes.hold = func() {
+		wait := release
+		if begun.Add(1) > together {
+			wait = end
+		}
+		select {
+		case <-wait:
+		case <-time.After(5 * time.Second):
+		}
+	}
+	joining := nodes.startEmptied(4)
+	t.Cleanup(func() { close(end) })
+	leader := leaderOf(t, running[:4]...)
+	eventually(t, "the former storage is marked as lost", 10*time.Second, func() bool { return leader.Voter.Status().Members.IsLost(former) })
+	eventually(t, "all syncs have begun", 10*time.Second, func() bool { return begun.Load() == together })
+	assert.Assert(t, !leader.Voter.HasCaughtUp(joining.ID()), "an acknowledgement of what isn't stored")
+	close(release)
+	eventually(t, "the voter has a vote", 10*time.Second, func() bool { return leader.Voter.Status().Members.IsVoter(joining.ID()) })
+}
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -13,7 +13,6 @@
 	"errors"
 	"maps"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -150,12 +149,11 @@
 	storage, restored, err := anvildisk.Open(settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
 		log.Write(anvillogs.DataDirectoryCorrupt, zap.Error(err))
-		if err := os.RemoveAll(settings.Dir); err != nil {
-			return nil, eris.Wrap(err, "remove the damaged data directory")
+		if err := anvildisk.Clear(settings.Dir, settings.Disk...); err != nil {
+			return nil, eris.Wrap(err, "clear the damaged data directory")
 		}
-		settings.FirstStart = false
 		g.settings.FirstStart = false
-		storage, restored, err = anvildisk.Open(settings.Dir, settings.Disk...)
+		storage, restored, err = anvildisk.Open(settings.Dir, g.diskOptions()...)
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "open the data directory")
@@ -191,10 +189,11 @@
 )
 
 func (g *Group) diskOptions() []anvildisk.Option {
-	if !g.isFounder() {
-		return g.settings.Disk
+	options := []anvildisk.Option{anvildisk.WithDeferredCreation()}
+	if g.isFounder() {
+		options = append(options, anvildisk.WithNewID(founderStorageID(g.firstSeeds())))
 	}
-	return append([]anvildisk.Option{anvildisk.WithNewID(founderStorageID(g.firstSeeds()))}, g.settings.Disk...)
+	return append(options, g.settings.Disk...)
 }
 
 // isFounder reports whether this instance is one of the founding voters, which
--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -38,6 +38,7 @@
 	port   int
 	meant  int
 	syncIn atomic.Int64 // how long a sync takes, in ms
+	hold   func()       // called before each sync of the voters that are started from then on, unless it is nil
 }
 
 func newTestNodes(t *testing.T, meant int) *testNodes {
@@ -58,7 +59,11 @@
 
 func (n *testNodes) open(number int, joins, firstStart bool) *testNode {
 	seeds := []anvilid.InstanceID{nodeName(0), nodeName(1), nodeName(2)}
+	hold := n.hold
 	slow := anvilfault.BeforeEverySync(func() error {
+		if hold != nil {
+			hold()
+		}
 		time.Sleep(time.Duration(n.syncIn.Load()) * time.Millisecond)
 		return nil
 	})
