Build the list of electors only where it is asked for

Cause: Status of a node concatenated and sorted the voters of both lists on each call. Many callers ask for the status, and only the voter that asks others for their storages needs the electors.

Change: Electors is a call of its own of anvilraft.Node and anvilvoter.Voter. No behaviour changes.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -93,7 +93,7 @@
 }
 
 func (n *Node) requestVotes(kind MessageType, term anvilid.Term) {
-	for _, voter := range n.electors() {
+	for _, voter := range n.Electors() {
 		if voter != n.self {
 			n.send(Message{Type: kind, To: voter, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
 		}
@@ -218,8 +218,9 @@
 	return latest.elects(granted) && (len(before.voters) == 0 || before.elects(granted))
 }
 
-// electors returns the voters of all lists that count.
-func (n *Node) electors() []VoterID {
+// Electors returns the voters of all lists that count for an election: those of the latest list and, while a change isn't
+// known to be committed, of the list before.
+func (n *Node) Electors() []VoterID {
 	latest, before := n.electorates(nil)
 	voters := slices.Concat(latest.voters, before.voters)
 	slices.SortFunc(voters, VoterID.Compare)
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -17,7 +17,7 @@
 		if v.node == nil || v.frozen {
 			continue
 		}
-		for _, id := range v.node.Status().Electors {
+		for _, id := range v.node.Electors() {
 			other := c.byInstance(id.Instance)
 			isCut := c.cut[[2]anvilid.InstanceID{v.id.Instance, id.Instance}] || c.cut[[2]anvilid.InstanceID{id.Instance, v.id.Instance}]
 			if other.node != nil && !other.frozen && other.id != id && !isCut {
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -203,7 +203,7 @@
 }
 
 func (n *Node) expectsResponseFrom(id VoterID) bool {
-	return n.members.latest().Contains(id) || slices.Contains(n.electors(), id) || n.peer(id) != nil
+	return n.members.latest().Contains(id) || slices.Contains(n.Electors(), id) || n.peer(id) != nil
 }
 
 // rejectStaleLeader tells the leader of an earlier term about the current term, so that it
@@ -247,15 +247,12 @@
 	Commit  anvilid.Index
 	Last    anvilid.Index
 	Members Members
-	// Electors are the voters of all lists that count for an election: those of Members and, while a change isn't known
-	// to be committed, of the list before.
-	Electors []VoterID
 }
 
 // Status returns the current state of the node.
 func (n *Node) Status() Status {
 	return Status{
 		ID: n.self, Role: n.role, Term: n.hardState.Term, Leader: n.leader,
-		Commit: n.commit, Last: n.log.last(), Members: n.members.latest(), Electors: n.electors(),
+		Commit: n.commit, Last: n.log.last(), Members: n.members.latest(),
 	}
 }
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -308,7 +308,7 @@
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
 		if !g.leaving.Load() && (!status.Members.IsVoter(g.id) || status.Leader.IsZero()) {
-			g.askStorages(ctx, status.Electors)
+			g.askStorages(ctx, g.Voter.Electors())
 			g.requestMembership(ctx)
 		} else {
 			g.joinLog.succeeded()
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -281,8 +281,6 @@
 	// have been elected up to the time of the call of Status.
 	HasQuorum bool
 	Members   anvilraft.Members
-	// Electors are the voters that count for an election, see anvilraft.Status.
-	Electors []anvilraft.VoterID
 	// Dropped is the number of messages that did not fit into a queue or could not
 	// be encoded or decoded. SendErrors is the number of failed calls of Send.
 	Dropped, SendErrors uint64
@@ -307,7 +305,7 @@
 	}
 	node := v.node.Status()
 	status.ID, status.Role, status.Term, status.Leader = node.ID, node.Role, node.Term, node.Leader
-	status.Commit, status.Last, status.Members, status.Electors = node.Commit, node.Last, node.Members, node.Electors
+	status.Commit, status.Last, status.Members = node.Commit, node.Last, node.Members
 	status.Created, status.Truncated = v.created, v.truncated
 	select {
 	case <-v.stopped:
@@ -316,3 +314,13 @@
 	}
 	return status
 }
+
+// Electors returns the voters that count for an election, see anvilraft.Node.Electors, or none before Ready is closed.
+func (v *Voter) Electors() []anvilraft.VoterID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return nil
+	}
+	return v.node.Electors()
+}
