Tell what an election needs and which voters can't vote in it

Cause: while a change of the voters isn't known to be committed, two lists need a quorum each. A voter without a leader gave nothing out that told which list lacks one, nor which of its voters are marked or known to be lost.

--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -324,3 +324,13 @@
 	}
 	return v.node.Electors()
 }
+
+// ElectionState returns what an election needs, see anvilraft.Node.ElectionState. It is empty before Ready is closed.
+func (v *Voter) ElectionState() anvilraft.ElectionState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return anvilraft.ElectionState{}
+	}
+	return v.node.ElectionState()
+}
