Log which list of voters lacks a quorum while there is no leader

While a change isn't known to be committed the list before it counts as well, and no line named it.

Change: event 221. A voter with a vote that has known no leader for 3 s logs, for the latest list and for the one before if it counts, how many votes are needed, how many voters could give one, and which are lost, marked, silent, reached only or answering. It is repeated every 3 s, and after changes at most once a second; with a leader nothing is computed.

--- /dev/null
+++ b/io/anvilgroup/quorum.go
@@ -0,0 +1,152 @@
+package anvilgroup
+
+import (
+	"strings"
+
+	"go.uber.org/zap"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilvoter"
+)
+
+// storagePrefix is how many characters of a storage id are logged. They tell the storages of one instance apart, and a record
+// that cuts its lines keeps more of the fields behind them.
+const storagePrefix = 3
+
+// shortIDs returns ids as "instance/storage", with the start of the storage. Instances after the first lack the octets of the
+// address that they have in common with it.
+func shortIDs(ids []anvilraft.VoterID) string {
+	var b strings.Builder
+	for i, id := range ids {
+		instance := string(id.Instance)
+		if i > 0 {
+			b.WriteByte(' ')
+			instance = instance[commonOctets(string(ids[0].Instance), instance):]
+		}
+		b.WriteString(instance + "/" + shortStorage(id.Storage))
+	}
+	return b.String()
+}
+
+func shortStorage(id anvilraft.StorageID) string { return string(id[:min(storagePrefix, len(id))]) }
+
+// commonOctets returns the length of the leading octets, each with its dot, that two addresses have in common.
+func commonOctets(a, b string) int {
+	common := 0
+	for i := 0; i < min(len(a), len(b)) && a[i] == b[i]; i++ {
+		if a[i] == '.' {
+			common = i + 1
+		}
+	}
+	return common
+}
+
+// tally says which voters of a list could give a vote, by what this voter has had of them in the last silentTimeout.
+type tally struct {
+	anvilraft.Electorate
+	// answering have sent messages, and of reached ones only the process has taken messages: they wait for a sync, or their
+	// directory isn't open. Of silent ones there is no sign.
+	answering, reached, silent []anvilraft.VoterID
+}
+
+// tally returns the tally of a list.
+func (g *Group) tally(electorate anvilraft.Electorate) tally {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t, now := tally{Electorate: electorate}, g.clock.Now()
+	unable := anvilraft.Members{Voters: electorate.Marked, Learners: electorate.Lost}
+	for _, id := range electorate.Voters {
+		heard, wasHeard := g.lastHeard[id.Instance]
+		reached, wasReached := g.lastReached[id.Instance]
+		switch {
+		case unable.Contains(id):
+		case id == g.id, wasHeard && now-heard < silentTimeout:
+			t.answering = append(t.answering, id)
+		case wasReached && now-reached < silentTimeout:
+			t.reached = append(t.reached, id)
+		default:
+			t.silent = append(t.silent, id)
+		}
+	}
+	return t
+}
+
+// votes returns how many voters could give a vote.
+func (t tally) votes() int { return len(t.answering) + len(t.reached) }
+
+// lacksQuorum reports whether a list that counts lacks a quorum, so that nobody can be elected.
+func (t tally) lacksQuorum() bool { return len(t.Voters) > 0 && t.votes() < t.Needed }
+
+// field returns the field of the log line about a list. The voters that can't vote come first, as the line may be cut.
+func (t tally) field(name string) zap.Field {
+	fields := []zap.Field{zap.Int("need", t.Needed), zap.Int("have", t.votes())}
+	for _, group := range []struct {
+		name string
+		ids  []anvilraft.VoterID
+	}{{"lost", t.Lost}, {"marked", t.Marked}, {"silent", t.silent}, {"reached", t.reached}, {"answer", t.answering}} {
+		if len(group.ids) > 0 {
+			fields = append(fields, zap.String(group.name, shortIDs(group.ids)))
+		}
+	}
+	return zap.Dict(name, fields...)
+}
+
+// Values of the field "lacks" of anvillogs.LeaderMissing.
+const (
+	lacksNone   = "none" // each list has a quorum, and nobody is elected
+	lacksLatest = "latest"
+	lacksBefore = "before"
+	lacksBoth   = "both"
+)
+
+// lackingLists returns which lists lack a quorum.
+func lackingLists(latest, before tally) string {
+	switch {
+	case latest.lacksQuorum() && before.lacksQuorum():
+		return lacksBoth
+	case latest.lacksQuorum():
+		return lacksLatest
+	case before.lacksQuorum():
+		return lacksBefore
+	}
+	return lacksNone
+}
+
+// quorumLog decides when a voter that has a vote logs why there is no leader: once it has known none for silentTimeout, after
+// changes, and every urgentViewInterval.
+type quorumLog struct {
+	group     *Group
+	written   bool
+	writtenAt anvilclock.Millis
+	lacks     string
+}
+
+func (l *quorumLog) update(status anvilvoter.Status, leaderlessSince anvilclock.Millis) {
+	now := l.group.clock.Now()
+	if leaderlessSince < 0 || now-leaderlessSince < silentTimeout || !status.Members.IsVoter(l.group.id) {
+		l.written = false
+		return
+	}
+	age := now - l.writtenAt
+	if l.written && age < viewChangeInterval {
+		return
+	}
+	state := l.group.Voter.ElectionState()
+	latest, before := l.group.tally(state.Latest), l.group.tally(state.Before)
+	lacks := lackingLists(latest, before)
+	if l.written && age < urgentViewInterval && lacks == l.lacks {
+		return
+	}
+	l.written, l.writtenAt, l.lacks = true, now, lacks
+	fields := []zap.Field{zap.String("lacks", lacks), zap.Int64("for", int64(now-leaderlessSince))}
+	lists := []zap.Field{latest.field("latest")}
+	switch {
+	case lacks == lacksBefore:
+		lists = []zap.Field{before.field("before"), lists[0]}
+	case len(before.Voters) > 0:
+		lists = append(lists, before.field("before"))
+	}
+	l.group.log.Write(anvillogs.LeaderMissing, append(append(fields, lists...), zap.Int("campaigns", state.Campaigns))...)
+}
--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -104,12 +104,14 @@
 }
 
 // LogView logs who this voter takes for the voters of the group, at the start, after changes and every
-// viewInterval or urgentViewInterval, until ctx is done.
+// viewInterval or urgentViewInterval, and why no leader is elected (quorumLog), until ctx is done.
 func (g *Group) LogView(ctx context.Context) error {
 	g.awaitReady(ctx, urgentViewInterval)
-	log := viewLog{group: g, leaderlessSince: -1}
+	log, quorum := viewLog{group: g, leaderlessSince: -1}, quorumLog{group: g}
 	for ctx.Err() == nil {
-		log.update(g.Voter.Status())
+		status := g.Voter.Status()
+		log.update(status)
+		quorum.update(status, log.leaderlessSince)
 		select {
 		case <-ctx.Done():
 		case <-time.After(joinInterval):
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -34,6 +34,7 @@
 	DiskSlow             = define(216, zapcore.WarnLevel, "write to the data directory took longer than the election timeout")
 	VotersSilent         = define(217, zapcore.WarnLevel, "number of voters that send nothing has changed")
 	StorageLost          = define(220, zapcore.InfoLevel, "a voter's storage is lost for good: its instance has another one")
+	LeaderMissing        = define(221, zapcore.WarnLevel, "no leader elected")
 	VotersKnown          = define(218, zapcore.InfoLevel, "voters of the control group, as this voter knows them")
 	LeaveFailed          = define(219, zapcore.WarnLevel, "voter could not be removed in time from a group that is larger than it is meant to be")
 	EntryUnreadable      = define(207, zapcore.ErrorLevel, "committed log entry can't be decoded")
@@ -127,7 +128,7 @@
 // stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
 var stateChanges = textsOf(
 	InstanceStarted, InstanceDraining, InstanceStopped, BackgroundTaskFailed, LogLinesDropped, ProcessPaused,
-	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown, LeaveFailed, StorageLost,
+	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown, LeaveFailed, StorageLost, LeaderMissing,
 	LeadershipGained, LeadershipEnded,
 )
 
