Show storages and the longest sync in event 218, and keep its telling fields from being cut

Cause: in the users' record, which cuts lines after 200 characters, 218 lost the leader and most voters behind a text of 53 characters and a list of whole addresses.

Change: the text is "voters". vote, leader or leaderless, and voters come first; a voter is its address and the first 3 characters of its storage, without the octets that the first address has, too. sync is the longest sync of this voter, and opened is true once the directory is open. A new storage of an instance counts as a change of the view.

Shows: TestLogViewCut, with five addresses of 10 characters, of which the record has all.

--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -33,8 +33,8 @@
 type view struct {
 	vote     bool // whether this voter has one, by its own log
 	leader   anvilid.InstanceID
-	voters   []anvilid.InstanceID
-	learners []anvilid.InstanceID
+	voters   []anvilraft.VoterID
+	learners []anvilraft.VoterID
 	// silent are the voters that have sent nothing to this voter for silentTimeout (replacedTimeout if it leads), and
 	// since when. A follower hears only its leader, so it can't tell.
 	silent map[anvilid.InstanceID]anvilclock.Millis
@@ -42,7 +42,7 @@
 
 // view returns what this voter knows now. leaderlessSince is when it was first seen to know no leader, or -1.
 func (g *Group) view(status anvilvoter.Status, leaderlessSince anvilclock.Millis) view {
-	v := view{vote: status.Members.IsVoter(g.id), leader: status.Leader.Instance, learners: instances(status.Members.Learners), voters: instances(status.Members.Voters)}
+	v := view{vote: status.Members.IsVoter(g.id), leader: status.Leader.Instance, voters: status.Members.Voters, learners: status.Members.Learners}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	since, span := leaderlessSince, silentTimeout
@@ -54,42 +54,45 @@
 	}
 	v.silent = map[anvilid.InstanceID]anvilclock.Millis{}
 	for _, voter := range v.voters {
-		heard := max(g.lastHeard[voter], since)
-		if voter != g.settings.Instance && g.clock.Now()-heard >= span {
-			v.silent[voter] = heard
+		heard := max(g.lastHeard[voter.Instance], since)
+		if voter.Instance != g.settings.Instance && g.clock.Now()-heard >= span {
+			v.silent[voter.Instance] = heard
 		}
 	}
 	return v
 }
 
-func instances(voters []anvilraft.VoterID) []anvilid.InstanceID {
-	list := make([]anvilid.InstanceID, 0, len(voters))
-	for _, voter := range voters {
-		list = append(list, voter.Instance)
-	}
-	return list
-}
-
 // equal reports whether two views are of the same group. A silent voter stays the same however long it is silent.
 func (v view) equal(other view) bool {
 	return v.vote == other.vote && v.leader == other.leader && slices.Equal(v.voters, other.voters) && slices.Equal(v.learners, other.learners) &&
 		(v.silent == nil) == (other.silent == nil) && maps.EqualFunc(v.silent, other.silent, func(_, _ anvilclock.Millis) bool { return true })
 }
 
-// fields returns the fields of the log line at a time.
-func (v view) fields(now, leaderlessSince anvilclock.Millis) []zap.Field {
-	fields := []zap.Field{zap.Bool("vote", v.vote), zap.Any("voters", v.voters), zap.Any("learners", v.learners), zap.String("leader", string(v.leader))}
+// fields returns the fields of the log line. The most telling ones come first, as the users' record cuts lines after 200
+// characters.
+func (v view) fields(status anvilvoter.Status, now, leaderlessSince anvilclock.Millis) []zap.Field {
+	fields := []zap.Field{zap.Bool("vote", v.vote)}
 	if leaderlessSince >= 0 {
 		fields = append(fields, zap.Int64("leaderless", int64(now-leaderlessSince)))
+	} else {
+		fields = append(fields, zap.String("leader", string(v.leader)))
 	}
-	if v.silent == nil {
-		return fields
+	fields = append(fields, zap.String("voters", shortIDs(v.voters)))
+	if v.silent != nil {
+		fields = append(fields, zap.Int("spare", spare(len(v.voters), len(v.silent))))
 	}
-	var silent []zap.Field
-	for _, voter := range slices.Sorted(maps.Keys(v.silent)) {
-		silent = append(silent, zap.Int64(string(voter), int64(now-v.silent[voter])))
+	fields = append(fields, zap.Int64("sync", int64(status.LongestSync)), zap.Bool("opened", true))
+	if len(v.learners) > 0 {
+		fields = append(fields, zap.String("learners", shortIDs(v.learners)))
+	}
+	if v.silent != nil {
+		var silent []zap.Field
+		for _, voter := range slices.Sorted(maps.Keys(v.silent)) {
+			silent = append(silent, zap.Int64(string(voter), int64(now-v.silent[voter])))
+		}
+		fields = append(fields, zap.Dict("silent", silent...))
 	}
-	return append(fields, zap.Dict("silent", silent...), zap.Int("spare", spare(len(v.voters), len(v.silent))))
+	return append(fields, zap.Uint64("term", uint64(status.Term)), zap.Uint64("last", uint64(status.Last)), zap.Time("started", processStarted))
 }
 
 // spare returns how many further losses of voters a group bears.
@@ -157,6 +160,5 @@
 		return
 	}
 	l.written, l.writtenAt, l.last = true, now, v
-	l.group.log.Write(anvillogs.VotersKnown, append(v.fields(now, l.leaderlessSince),
-		zap.Uint64("term", uint64(status.Term)), zap.Uint64("last", uint64(status.Last)), zap.Time("started", processStarted))...)
+	l.group.log.Write(anvillogs.VotersKnown, v.fields(status, now, l.leaderlessSince)...)
 }
--- a/io/anvilgroup/view_test.go
+++ b/io/anvilgroup/view_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilclock"
@@ -22,8 +23,10 @@
 type loggedView struct {
 	Event      int
 	Vote       bool
-	Voters     []string
-	Learners   []string
+	Voters     string
+	Learners   string
+	Opened     bool
+	Sync       int64
 	Leader     string
 	Leaderless int64
 	Silent     map[string]int64
@@ -68,12 +71,12 @@
 		}
 		return lines
 	}
-	follows := anvilvoter.Status{Leader: leader, Members: anvilraft.Members{Voters: ids}}
+	follows := anvilvoter.Status{Leader: leader, LongestSync: 650, Members: anvilraft.Members{Voters: ids}}
 	lines := after(59*anvilclock.Second, follows, 1)
 	assert.Equal(t, len(lines), 1, "one line at the start: %v", lines)
 	assert.Assert(t, lines[0].Started != nil && time.Since(*lines[0].Started) < time.Hour)
 	lines[0].Started = nil
-	assert.DeepEqual(t, lines[0], loggedView{Event: 218, Vote: true, Voters: []string{"v0", "v1", "v2", "v3", "v4"}, Learners: []string{}, Leader: "v1"})
+	assert.DeepEqual(t, lines[0], loggedView{Event: 218, Vote: true, Voters: "v0/1 v1/1 v2/1 v3/1 v4/1", Opened: true, Sync: 650, Leader: "v1"})
 	assert.Equal(t, len(after(2*anvilclock.Second, follows, 1)), 1, "one line a minute")
 
 	lost := anvilvoter.Status{Leader: none, Term: 7, Last: 80, Members: anvilraft.Members{Voters: ids}}
@@ -90,7 +93,7 @@
 	g.leadingSince = now
 	lines = after(3*anvilclock.Second, leads, 1, 2)
 	assert.DeepEqual(t, lines[len(lines)-1].Silent, map[string]int64{"v3": 1500})
-	assert.DeepEqual(t, lines[len(lines)-1].Learners, []string{"v4"})
+	assert.Equal(t, lines[len(lines)-1].Learners, "v4/1")
 	assert.Equal(t, *lines[len(lines)-1].Spare, 0)
 	g.leadingSince = -1
 
@@ -117,3 +120,25 @@
 	g.awaitReady(ctx, 20)
 	assert.Assert(t, strings.Contains(out.String(), `"event":218,"opened":false,"started":`), out.String())
 }
+
+// TestLogViewCut guards against a line of a voter without a leader whose record, cut after 200 characters, lacks the vote, the
+// leader or one of five voters with its storage.
+func TestLogViewCut(t *testing.T) {
+	for _, leaderlessSince := range []anvilclock.Millis{-1, 1000} {
+		var out bytes.Buffer
+		log, err := anvillogs.New(&out, "info")
+		assert.NilError(t, err)
+		v := view{vote: true, leader: "10.2.0.107", silent: map[anvilid.InstanceID]anvilclock.Millis{}}
+		for _, name := range []string{"103", "107", "111", "115", "119"} {
+			v.voters = append(v.voters, anvilraft.VoterID{Instance: anvilid.InstanceID("10.2.0." + name), Storage: "0123456789abcdef"})
+		}
+		fields := v.fields(anvilvoter.Status{}, 121_000, leaderlessSince)
+		log.With(zap.String("instance", "10.2.0.119")).Write(anvillogs.VotersKnown, fields...)
+		leader := `"leader":"10.2.0.107"`
+		if leaderlessSince >= 0 {
+			leader = `"leaderless":120000`
+		}
+		const voters = `"voters":"10.2.0.103/012 107/012 111/012 115/012 119/012"`
+		assert.Assert(t, strings.Contains(out.String()[:200], `"event":218,"vote":true,`+leader+","+voters), out.String())
+	}
+}
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -35,7 +35,7 @@
 	VotersSilent         = define(217, zapcore.WarnLevel, "number of voters that send nothing has changed")
 	StorageLost          = define(220, zapcore.InfoLevel, "a voter's storage is lost for good: its instance has another one")
 	LeaderMissing        = define(221, zapcore.WarnLevel, "no leader elected")
-	VotersKnown          = define(218, zapcore.InfoLevel, "voters of the control group, as this voter knows them")
+	VotersKnown          = define(218, zapcore.InfoLevel, "voters")
 	LeaveFailed          = define(219, zapcore.WarnLevel, "voter could not be removed in time from a group that is larger than it is meant to be")
 	EntryUnreadable      = define(207, zapcore.ErrorLevel, "committed log entry can't be decoded")
 )
--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -42,7 +42,9 @@
 		if err := storage.Save(batch...); err != nil {
 			return err
 		}
-		slow.add(v.clock.Now(), began)
+		ended := v.clock.Now()
+		v.longestSync.Store(max(v.longestSync.Load(), int64(ended-began)))
+		slow.add(ended, began)
 		reportPersisted(v.persisted, batch[len(batch)-1].Sequence)
 		clear(batch) // releases the memory of the entries
 	}
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -391,6 +391,7 @@
 	delay.Store(true)
 	propose(t, members, "slow")
 	assert.Assert(t, strings.Contains(tail.String(), `"event":216`), tail.String())
+	assert.Assert(t, members[0].Status().LongestSync >= 2*limit)
 }
 
 // Guards against a line for each write of a disk that stays slow, and against slow writes that are counted nowhere.
