Log which step of an enrollment is late at the leader

Change: event 222 of the leader for each voter that joins, when its vote is committed, and while it has none after 2 s, at bounded intervals: the step that it waits for and since when, and when each step was done. It is observed with each pass of ManageMembers, and by LogView, because ManageMembers itself may wait for a change. Without voters that join it costs a check of two maps. anvilraft tells which members are committed and how many entries a peer lacks, each by a call of its own.

Shows: TestLogEnrollment, with syncs of 0.7 s (mark 0.7 s, log 0.7 s, seat 0.7 s, commit 2.1 s after the request) and a voter that never answers.

--- a/core/anvilraft/joining.go
+++ b/core/anvilraft/joining.go
@@ -50,6 +50,15 @@
 	return p != nil && p.match > 0 && p.match+anvilid.Index(n.options.maxLearnerLag) >= n.log.last()
 }
 
+// Behind returns how many entries of the log an instance has not acknowledged yet. ok is false if this node doesn't send it the log.
+func (n *Node) Behind(id VoterID) (entries anvilid.Index, ok bool) {
+	p := n.peer(id)
+	if p == nil {
+		return 0, false
+	}
+	return n.log.last() - p.match, true
+}
+
 // withSeats returns the members with instances made voters, each in place of the former member of the same instance. It
 // refuses instances that have not caught up: they may be gone.
 func (n *Node) withSeats(old Members, event ChangeVoters) (Members, error) {
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -118,6 +118,9 @@
 	}
 }
 
+// CommittedMembers returns the members by the last change that is known to be committed.
+func (n *Node) CommittedMembers() Members { return n.members.at(n.commit) }
+
 // changeVoters handles a ChangeVoters event: the leader appends the changed member list to its log.
 // It refuses a change while an earlier one is not committed. Thus at most two lists may be in effect at the same time. Either
 // any majority of one intersects any majority of the other, or quorums of both are needed (membership.uncommittedVoters).
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -113,6 +113,8 @@
 	introduced map[anvilraft.VoterID]bool
 	// replaced are voters whose instance has shown another storage to introduce.
 	replaced map[anvilraft.VoterID]bool
+	// enrollments are the steps of the voters that join which trackEnrollments has seen.
+	enrollments map[anvilraft.VoterID]*enrollment
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
 	// enrolling means that a change for voters that join isn't committed yet.
--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -38,12 +38,13 @@
 	port   int
 	meant  int
 	syncIn atomic.Int64 // how long a sync takes, in ms
+	log    *anvillogs.Logger
 }
 
 func newTestNodes(t *testing.T, meant int) *testNodes {
 	ports, err := anvilport.Reserve(1)
 	assert.NilError(t, err)
-	return &testNodes{t: t, port: ports[0], meant: meant}
+	return &testNodes{t: t, port: ports[0], meant: meant, log: anvillogs.Discard()}
 }
 
 func nodeName(n int) anvilid.InstanceID { return anvilid.InstanceID(fmt.Sprintf("127.0.0.%d", 61+n)) }
@@ -66,7 +67,7 @@
 	g, err := Open(Settings{
 		Instance: nodeName(number), Port: n.port, Dir: n.t.TempDir(), Disk: []anvildisk.Option{anvildisk.WithFiles(slow)},
 		FirstStart: firstStart, Voters: n.meant, Seeds: func() []anvilid.InstanceID { return seeds }, ElectionTimeout: 350, Heartbeat: 80,
-	}, anvilclock.Monotonic(), anvilclock.Wall(), links, anvillogs.Discard(), anvilvoter.StateMachine{
+	}, anvilclock.Monotonic(), anvilclock.Wall(), links, n.log, anvilvoter.StateMachine{
 		Apply: func(anvilraft.Entry) any { return nil }, Restore: func(anvilraft.Snapshot) error { return nil },
 		Snapshot: func() ([]byte, error) { return nil, nil },
 	})
@@ -80,6 +81,7 @@
 	node.server = &http.Server{Addr: string(Address(nodeName(number), n.port)), Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = node.server.ListenAndServe() }() // ends when the node is stopped
 	go func() { _ = g.ManageMembers(ctx) }()
+	go func() { _ = g.LogView(ctx) }()
 	if joins {
 		go func() { _ = g.Join(ctx) }()
 	}
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -27,6 +27,7 @@
 		case <-time.After(interval):
 		}
 		interval = joinInterval
+		g.trackEnrollments(g.Voter.Status())
 		if !g.leads() {
 			continue
 		}
--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -115,6 +115,7 @@
 		status := g.Voter.Status()
 		log.update(status)
 		quorum.update(status, log.leaderlessSince)
+		g.trackEnrollments(status)
 		select {
 		case <-ctx.Done():
 		case <-time.After(joinInterval):
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -35,6 +35,7 @@
 	VotersSilent         = define(217, zapcore.WarnLevel, "number of voters that send nothing has changed")
 	StorageLost          = define(220, zapcore.InfoLevel, "a voter's storage is lost for good: its instance has another one")
 	LeaderMissing        = define(221, zapcore.WarnLevel, "no leader elected")
+	EnrollmentStep       = define(222, zapcore.InfoLevel, "join")
 	VotersKnown          = define(218, zapcore.InfoLevel, "voters")
 	LeaveFailed          = define(219, zapcore.WarnLevel, "voter could not be removed in time from a group that is larger than it is meant to be")
 	EntryUnreadable      = define(207, zapcore.ErrorLevel, "committed log entry can't be decoded")
@@ -128,7 +129,7 @@
 // stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
 var stateChanges = textsOf(
 	InstanceStarted, InstanceDraining, InstanceStopped, BackgroundTaskFailed, LogLinesDropped, ProcessPaused,
-	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown, LeaveFailed, StorageLost, LeaderMissing,
+	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown, LeaveFailed, StorageLost, LeaderMissing, EnrollmentStep,
 	LeadershipGained, LeadershipEnded,
 )
 
--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -202,6 +202,16 @@
 	return v.node != nil && v.node.HasCaughtUp(id)
 }
 
+// Behind returns how many entries of the log of this leader an instance lacks, see anvilraft.Node.Behind.
+func (v *Voter) Behind(id anvilraft.VoterID) (entries anvilid.Index, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return 0, false
+	}
+	return v.node.Behind(id)
+}
+
 // Deliver accepts encoded messages that other members sent over the network. It
 // never blocks. It drops messages that cannot be decoded or do not fit into the
 // queue.
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -338,3 +338,13 @@
 	}
 	return v.node.ElectionState()
 }
+
+// CommittedMembers returns the members by the last change that is known to be committed, or none before Ready is closed.
+func (v *Voter) CommittedMembers() anvilraft.Members {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return anvilraft.Members{}
+	}
+	return v.node.CommittedMembers()
+}
