--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -139,6 +139,9 @@
 	}
 }
 
+// CommittedMembers returns the members by the last change that is known to be committed.
+func (n *Node) CommittedMembers() Members { return n.members.at(n.commit) }
+
 // changeVoters handles a ChangeVoters event: the leader appends the changed member list to its log.
 // It refuses a change while an earlier one is not committed, unless none of them needs a quorum of the list before it (mayOverlap).
 // Thus either any quorums of all lists that may be in effect at the same time intersect, or there are two lists, of which quorums of
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -112,6 +112,8 @@
 	introduced map[anvilraft.VoterID]bool
 	// replaced are voters whose instance has shown another storage to introduce.
 	replaced map[anvilraft.VoterID]bool
+	// enrollments are the steps of the voters that join which trackEnrollments has seen.
+	enrollments map[anvilraft.VoterID]*enrollment
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
 	// changing are the voters of changes for voters that join which aren't known to be committed yet.
@@ -307,7 +309,7 @@
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
 		if !g.leaving.Load() && (!status.Members.IsVoter(g.id) || status.Leader.IsZero()) {
-			g.askStorages(ctx, status.Electors)
+			g.askStorages(ctx, g.Voter.Electors())
 			g.requestMembership(ctx)
 		} else {
 			g.joinLog.succeeded()
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -108,6 +108,8 @@
 	applied    atomic.Uint64
 	dropped    atomic.Uint64
 	sendErrors atomic.Uint64
+	// longestSync is the time of the longest write with its sync in ms. Only the disk loop changes it.
+	longestSync atomic.Int64
 }
 
 // Option configures a Voter.
@@ -281,8 +283,6 @@
 	// have been elected up to the time of the call of Status.
 	HasQuorum bool
 	Members   anvilraft.Members
-	// Electors are the voters that count for an election, see anvilraft.Status.
-	Electors []anvilraft.VoterID
 	// Dropped is the number of messages that did not fit into a queue or could not
 	// be encoded or decoded. SendErrors is the number of failed calls of Send.
 	Dropped, SendErrors uint64
@@ -291,6 +291,8 @@
 	// Truncated is the size of an incomplete last write that Run removed from the
 	// end of the log.
 	Truncated anvilid.ByteCount
+	// LongestSync is the time of the longest write to the data directory so far, with its sync.
+	LongestSync anvilclock.Millis
 }
 
 // Status returns the current state. Before Ready is closed, only the instance,
@@ -298,7 +300,7 @@
 func (v *Voter) Status() Status {
 	status := Status{
 		ID: anvilraft.VoterID{Instance: v.instance}, Applied: anvilid.Index(v.applied.Load()),
-		Dropped: v.dropped.Load(), SendErrors: v.sendErrors.Load(),
+		Dropped: v.dropped.Load(), SendErrors: v.sendErrors.Load(), LongestSync: anvilclock.Millis(v.longestSync.Load()),
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -307,7 +309,7 @@
 	}
 	node := v.node.Status()
 	status.ID, status.Role, status.Term, status.Leader = node.ID, node.Role, node.Term, node.Leader
-	status.Commit, status.Last, status.Members, status.Electors = node.Commit, node.Last, node.Members, node.Electors
+	status.Commit, status.Last, status.Members = node.Commit, node.Last, node.Members
 	status.Created, status.Truncated = v.created, v.truncated
 	select {
 	case <-v.stopped:
@@ -316,3 +318,33 @@
 	}
 	return status
 }
+
+// Electors returns the voters that count for an election, see anvilraft.Node.Electors, or none before Ready is closed.
+func (v *Voter) Electors() []anvilraft.VoterID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return nil
+	}
+	return v.node.Electors()
+}
+
+// ElectionState returns what an election needs, see anvilraft.Node.ElectionState. It is empty before Ready is closed.
+func (v *Voter) ElectionState() anvilraft.ElectionState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return anvilraft.ElectionState{}
+	}
+	return v.node.ElectionState()
+}
+
+// CommittedMembers returns the members by the last change that is known to be committed, or none before Ready is closed.
+func (v *Voter) CommittedMembers() anvilraft.Members {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return anvilraft.Members{}
+	}
+	return v.node.CommittedMembers()
+}
