--- a/io/anvilguard/guard_test.go
+++ b/io/anvilguard/guard_test.go
@@ -159,16 +159,56 @@
 	assert.Assert(t, reader.deadline(began.Add(14*time.Second)).Before(began.Add(16*time.Second)))
 }
 
-// Guards against a client that never reads the answer to a body over its limit, because the connection is reset while
-// the rest of the body is on its way.
-func TestTooLargeBodyIsAnswered(t *testing.T) {
-	_, server := newServer(t, anvilbudget.Limits{Connections: 10, Peers: 1, Bytes: 1 << 17}, readHandler)
-	for range 100 {
-		client := &http.Client{Transport: &http.Transport{}} // each request has a connection of its own
-		response, err := client.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat(" ", 200_000)))
+// Guards against a client that never reads the answer to a body that is refused, because the connection is reset while
+// the rest of the body is on its way, also if the client announces that it uses the connection only once.
+func TestRefusedBodyIsAnswered(t *testing.T) {
+	guard, server := newServer(t, anvilbudget.Limits{Connections: 10, Peers: 1, Bytes: 1 << 17}, readHandler)
+	guard.mu.Lock()
+	full, _ := guard.table.Open(anvilbudget.Stranger, 0)
+	guard.table.Reserve(full, 1<<17, 0)
+	guard.table.SetPhase(full, anvilbudget.Working, 0)
+	guard.mu.Unlock()
+	for _, test := range []struct {
+		size, status int
+		announced    bool
+	}{
+		{1 << 16, http.StatusServiceUnavailable, true}, {1 << 16, http.StatusServiceUnavailable, false},
+		{200_000, http.StatusRequestEntityTooLarge, true},
+	} {
+		for _, once := range []bool{false, true} {
+			for range 100 {
+				// Each request has a connection of its own.
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: once}}
+				var body io.Reader = strings.NewReader(strings.Repeat(" ", test.size))
+				if !test.announced {
+					body = io.MultiReader(body)
+				}
+				response, err := client.Post(server.URL, "text/plain", body)
+				assert.NilError(t, err, "%+v, once %v", test, once)
+				assert.Equal(t, response.StatusCode, test.status)
+				assert.NilError(t, response.Body.Close())
+				client.CloseIdleConnections()
+			}
+		}
+	}
+}
+
+// Guards against a refused client that keeps its connection for good, or takes the place of another.
+func TestRefusedClientIsClosed(t *testing.T) {
+	guard, server := newServer(t, anvilbudget.Limits{Connections: 4, Bytes: 1 << 17}, readHandler)
+	for range 20 {
+		refused, err := net.Dial("tcp", server.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer refused.Close()
+		_, err = fmt.Fprint(refused, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx")
 		assert.NilError(t, err)
-		assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
-		assert.NilError(t, response.Body.Close())
-		client.CloseIdleConnections()
+		status := make([]byte, len("HTTP/1.1 413"))
+		_, err = io.ReadFull(refused, status)
+		assert.NilError(t, err)
+		assert.Equal(t, string(status), "HTTP/1.1 413")
+		assert.Assert(t, guard.Counts().Connections <= 4)
+	}
+	for guard.Counts().Connections > 0 {
+		time.Sleep(time.Millisecond)
 	}
 }
