Let refused clients read their answer before the connection is closed

Callers whose body gave way to others often lost the 503, and callers that use a connection once lost a 413 too: the connection was closed with unread bytes, which resets it. A connection that was answered before its request was read whole now ends its own side, and reads and drops the rest for up to 2 s and 4 MiB. It keeps its place until then, and counts as idle, so that it gives way to others.

--- a/io/anvilguard/body.go
+++ b/io/anvilguard/body.go
@@ -43,11 +43,7 @@
 	if c.stopped.Load() || isTimeout(err) {
 		err = ErrGaveWay
 	}
-	if !errors.Is(err, ErrTooLarge) {
-		c.stop()
-	}
-	// The server reads and drops some of a body that is too large, as a client whose connection is reset may never read
-	// the answer.
+	c.stop()
 	return nil, err
 }
 
--- a/io/anvilguard/conn.go
+++ b/io/anvilguard/conn.go
@@ -1,6 +1,8 @@
 package anvilguard
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -19,7 +21,9 @@
 	account *anvilbudget.Conn
 	// stopped makes reads fail, so that the handler refuses the request.
 	stopped atomic.Bool
-	closed  sync.Once
+	// unread means that a request was answered before it was read whole, so that its rest may be on its way.
+	unread atomic.Bool
+	closed sync.Once
 	// deadline guards the order of setReadDeadline and stop.
 	deadline sync.Mutex
 }
@@ -42,6 +46,9 @@
 func (c *conn) Write(data []byte) (int, error) {
 	before := c.beginWrite(len(data))
 	defer c.endWrite(before, len(data))
+	if before == anvilbudget.Receiving {
+		c.unread.Store(true)
+	}
 	written := 0
 	for {
 		if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
@@ -108,10 +115,17 @@
 	}
 }
 
+const (
+	// discardTimeout is how long a client that was refused may take to read its answer and to close the connection.
+	discardTimeout = 2 * time.Second
+	// discardBytes limits the bytes that are read and dropped meanwhile. It is the size of the largest body.
+	discardBytes = 4 << 20
+)
+
 // stop makes the reads of a connection fail. One whose client doesn't take an answer is closed, as nothing else ends that.
 func (c *conn) stop() {
 	if c.phase() == anvilbudget.Sending {
-		_ = c.Close() // its handler notices it
+		_ = c.closeNow() // its handler notices it
 		return
 	}
 	c.deadline.Lock()
@@ -156,8 +170,10 @@
 func (c *conn) handleState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
+		c.unread.Store(false)
 		c.setPhase(anvilbudget.Receiving)
 	case http.StateIdle:
+		c.unread.Store(false)
 		c.setPhase(anvilbudget.Idle)
 	}
 }
@@ -171,8 +187,33 @@
 	return nil
 }
 
-// Close closes the connection and gives up its place.
+// Close closes the connection and gives up its place. If the client may still be sending a request that was answered, it
+// reads and drops the rest for a while first, in the background.
 func (c *conn) Close() error {
+	if !c.unread.Swap(false) {
+		return c.closeNow()
+	}
+	if err := c.CloseWrite(); err != nil {
+		return errors.Join(err, c.closeNow())
+	}
+	c.setPhase(anvilbudget.Idle) // it may still give way to others
+	go c.discard()
+	return nil
+}
+
+// discard reads what the client still sends until it closes the connection, or for discardTimeout. A connection that is
+// closed with unread bytes is reset, and a client whose connection is reset may never read its answer.
+func (c *conn) discard() {
+	if c.Conn.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+		_, _ = io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, discardBytes), make([]byte, firstBuffer))
+	}
+	_ = c.closeNow() // the client has had the time to read its answer
+}
+
+// onlyReader hides the other methods of a connection, so that io.CopyBuffer uses its buffer.
+type onlyReader struct{ io.Reader }
+
+func (c *conn) closeNow() error {
 	c.closed.Do(func() {
 		c.guard.mu.Lock()
 		defer c.guard.mu.Unlock()
