Tell the voter that joins what the leader waits for, in event 213

Cause: a request for membership ended at the deadline of the voter that asks, 1 s, so that its line only named the deadline. The leader's own line had the reason, and its log is gone when its process is.

Change: Enroll gives up after 0.8 s, goes on with the enrollment as before, and Join answers with the step of event 222 that it waits for, as an error with a code of its own (the reply message has no field for it).

Shows: TestLogEnrollment asks over HTTP for a voter that never answers, TestLogJoin reads the line.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -27,12 +27,16 @@
 	// changeTimeout bounds one change of the members. It needs a sync on a majority of the voters, and slow disks take
 	// seconds for one. No other change can be made meanwhile.
 	changeTimeout = 10 * time.Second
+	// enrollTimeout bounds one call of Enroll. It is shorter than joinTimeout, so that the voter that joins learns the reason.
+	enrollTimeout = 800 * time.Millisecond
 )
 
 // Enroll makes the voter with the given id a voting member of the group. It succeeds only on the leader. The leader goes
-// on with an enrollment when ctx is done; another leader knows of it once the voter asks that one. A later call for
+// on with an enrollment when ctx or enrollTimeout is over; another leader knows of it once the voter asks that one. A later call for
 // another data directory of the same instance takes the place of this one.
-func (g *Group) Enroll(ctx context.Context, id anvilraft.VoterID) error {
+func (g *Group) Enroll(parent context.Context, id anvilraft.VoterID) error {
+	ctx, cancel := context.WithTimeout(parent, enrollTimeout)
+	defer cancel()
 	g.noteJoining(id)
 	retry := time.NewTicker(enrollInterval)
 	defer retry.Stop()
@@ -47,7 +51,7 @@
 		select {
 		case <-retry.C:
 		case <-ctx.Done():
-			return eris.Wrapf(ctx.Err(), "enroll voter %s: %v", id, g.enrollError(id))
+			return eris.Wrapf(ctx.Err(), "%s", g.enrollmentReason(id))
 		}
 	}
 }
@@ -79,13 +83,6 @@
 	}
 }
 
-// enrollError returns why a voter has no vote yet.
-func (g *Group) enrollError(id anvilraft.VoterID) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.joinErrors[id]
-}
-
 // joining returns the voters that this leader was asked to add, and the learners that a leader of an earlier build has added:
 // their enrollment goes on, although they may not have asked this leader yet. A learner beside another member of the same
 // instance has to ask, because only a request tells which of their data directories is the present one.
--- a/io/anvilgroup/harness_test.go
+++ b/io/anvilgroup/harness_test.go
@@ -133,7 +133,10 @@
 	if call.Leave {
 		return &anvilrpc.JoinReply{Done: n.Release(ctx, id) == nil}, nil
 	}
-	return &anvilrpc.JoinReply{Done: n.Enroll(ctx, id) == nil}, nil
+	if err := n.Enroll(ctx, id); err != nil {
+		return nil, RefuseJoin(err)
+	}
+	return &anvilrpc.JoinReply{Done: true}, nil
 }
 
 // Locate tells who leads.
--- a/io/anvilgroup/joinlog.go
+++ b/io/anvilgroup/joinlog.go
@@ -1,9 +1,11 @@
 package anvilgroup
 
 import (
+	"errors"
 	"maps"
 	"slices"
 
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"anvilshunt/core/anvilclock"
@@ -26,11 +28,28 @@
 	// refused are leaders that can't give a vote yet, and leaderless the instances that know no leader. redirected
 	// named another instance as the leader.
 	refused, leaderless, redirected []anvilid.InstanceID
+	// reason is what the leader waits for that has refused.
+	reason string
+}
+
+// RefuseJoin returns the error by which a leader tells a voter why it has no vote yet.
+func RefuseJoin(reason error) error { return twirp.NewError(twirp.FailedPrecondition, reason.Error()) }
+
+// refusal returns the reason in an error of RefuseJoin.
+func refusal(err error) (reason string, ok bool) {
+	var refused twirp.Error
+	if !errors.As(err, &refused) || refused.Code() != twirp.FailedPrecondition {
+		return "", false
+	}
+	return refused.Msg(), true
 }
 
 // add records the answer of an instance that has granted nothing: an error, a redirection, or neither if it leads.
 func (r *joinRound) add(instance anvilid.InstanceID, redirection *anvilrpc.Redirection, err error) {
+	reason, isRefused := refusal(err)
 	switch {
+	case isRefused:
+		r.refused, r.reason = append(r.refused, instance), reason
 	case err != nil:
 		if r.failed == nil {
 			r.failed = map[anvilid.InstanceID]error{}
@@ -62,8 +81,12 @@
 	for _, instance := range slices.Sorted(maps.Keys(r.failed)) {
 		failed = append(failed, zap.String(string(instance), r.failed[instance].Error()))
 	}
+	reason := zap.Skip()
+	if r.reason != "" {
+		reason = zap.String("reason", r.reason)
+	}
 	return []zap.Field{
-		zap.Dict("failed", failed...), zap.Any("refused", r.refused), zap.Any("leaderless", r.leaderless), zap.Any("redirected", r.redirected),
+		reason, zap.Dict("failed", failed...), zap.Any("refused", r.refused), zap.Any("leaderless", r.leaderless), zap.Any("redirected", r.redirected),
 	}
 }
 
--- a/io/anvilgroup/joinlog_test.go
+++ b/io/anvilgroup/joinlog_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilclock"
@@ -19,11 +21,12 @@
 	Event                           int
 	Failed                          map[string]string
 	Refused, Leaderless, Redirected []string
+	Reason                          string
 	Rounds, For                     int
 }
 
 // TestLogJoin guards against a voter that asks for membership for seconds and logs nothing because the instances that it
-// asks answer that they know no leader, as in an incident, and against a line for each round of requests.
+// asks answer that they know no leader, as in an incident, against a line without the reason of a leader that refuses, and against a line for each round of requests.
 func TestLogJoin(t *testing.T) {
 	var out bytes.Buffer
 	log, err := anvillogs.New(&out, "info")
@@ -71,4 +74,14 @@
 	clock.Advance(anvilclock.Second)
 	rounds(1, 0, none)
 	assert.Equal(t, len(lines()), 1, "a line at the first round after a success")
+	clock.Advance(joinLogInterval)
+	round := &joinRound{}
+	round.add("v1", nil, RefuseJoin(errors.New("waits for mark for 7 ms")))
+	g.log = log.With(zap.String("instance", "10.2.0.119"))
+	g.joinLog.rounds, g.joinLog.since = 22, clock.Now()-10_720
+	g.logJoin(round)
+	assert.Assert(t, strings.Contains(out.String()[:200], "waits for mark"), "a record that cuts lines lacks the reason: %s", out.String())
+	last := lines()[0]
+	assert.DeepEqual(t, last.Refused, []string{"v1"})
+	assert.Equal(t, last.Reason, "waits for mark for 7 ms")
 }
--- a/io/anvilgroup/progress.go
+++ b/io/anvilgroup/progress.go
@@ -1,6 +1,7 @@
 package anvilgroup
 
 import (
+	"fmt"
 	"slices"
 
 	"go.uber.org/zap"
@@ -161,3 +162,19 @@
 	}
 	g.log.Write(anvillogs.EnrollmentStep, append(fields, zap.Error(g.joinErrors[e.id]))...)
 }
+
+// enrollmentReason returns why a voter has no vote yet.
+func (g *Group) enrollmentReason(id anvilraft.VoterID) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.enrollments[id]
+	if e == nil {
+		return "enrollment has not begun"
+	}
+	waits, since := e.next()
+	reason := fmt.Sprintf("waits for %s for %d ms", stepNames[waits], g.clock.Now()-since)
+	if err := g.joinErrors[id]; err != nil {
+		reason += ": " + err.Error()
+	}
+	return reason
+}
--- a/io/anvilgroup/progress_test.go
+++ b/io/anvilgroup/progress_test.go
@@ -11,6 +11,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvillogs"
+	"anvilshunt/io/anvilrpc"
 )
 
 // loggedEnrollment is the line of anvillogs.EnrollmentStep.
@@ -45,7 +46,10 @@
 	running := nodes.startGroup(3)
 	leader := leaderOf(t, running...)
 	gone := testID("9")
-	leader.noteJoining(gone)
+	fleet := leader.links.FleetAt(Address(leader.ID().Instance, nodes.port))
+	_, err = fleet.Join(t.Context(), &anvilrpc.JoinCall{Instance: string(gone.Instance), Storage: string(gone.Storage)})
+	reason, _ := refusal(err)
+	assert.Assert(t, strings.HasPrefix(reason, "waits for answer for "), "the voter that asks learns why it has no vote: %v", err)
 	nodes.syncIn.Store(700)
 	emptied := 0
 	if running[0] == leader {
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -12,6 +12,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/core/anvilwork"
+	"anvilshunt/io/anvilgroup"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
 	"anvilshunt/io/anvilvoter"
@@ -71,7 +72,7 @@
 	}
 	if err := change(ctx, id); err != nil {
 		l.log.Write(failed, zap.Stringer("voter", id), zap.Error(err))
-		return &anvilrpc.JoinReply{}, nil
+		return nil, anvilgroup.RefuseJoin(err)
 	}
 	return &anvilrpc.JoinReply{Done: true}, nil
 }
