--- a/io/anvilgroup/quorum.go
+++ b/io/anvilgroup/quorum.go
@@ -118,6 +118,7 @@
 // changes, and every urgentViewInterval.
 type quorumLog struct {
 	group     *Group
+	state     func() anvilraft.ElectionState
 	written   bool
 	writtenAt anvilclock.Millis
 	lacks     string
@@ -133,7 +134,7 @@
 	if l.written && age < viewChangeInterval {
 		return
 	}
-	state := l.group.Voter.ElectionState()
+	state := l.state()
 	latest, before := l.group.tally(state.Latest), l.group.tally(state.Before)
 	lacks := lackingLists(latest, before)
 	if l.written && age < urgentViewInterval && lacks == l.lacks {
--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -110,7 +110,7 @@
 // viewInterval or urgentViewInterval, and why no leader is elected (quorumLog), until ctx is done.
 func (g *Group) LogView(ctx context.Context) error {
 	g.awaitReady(ctx, urgentViewInterval)
-	log, quorum := viewLog{group: g, leaderlessSince: -1}, quorumLog{group: g}
+	log, quorum := viewLog{group: g, leaderlessSince: -1}, quorumLog{group: g, state: g.Voter.ElectionState}
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
 		log.update(status)
