--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -39,17 +40,39 @@
 			}
 		}
 		began := v.clock.Now()
+		v.syncs.begin(began)
 		if err := storage.Save(batch...); err != nil {
 			return err
 		}
 		ended := v.clock.Now()
-		v.longestSync.Store(max(v.longestSync.Load(), int64(ended-began)))
+		v.syncs.end(ended)
 		slow.add(ended, began)
 		reportPersisted(v.persisted, batch[len(batch)-1].Sequence)
 		clear(batch) // releases the memory of the entries
 	}
 }
 
+// syncTimes has the time of the longest write. Only the disk loop changes it.
+type syncTimes struct {
+	began   atomic.Int64 // when the write in progress began, or 0 if there is none
+	longest atomic.Int64
+}
+
+func (s *syncTimes) begin(now anvilclock.Millis) { s.began.Store(int64(now)) }
+
+func (s *syncTimes) end(now anvilclock.Millis) {
+	s.longest.Store(max(s.longest.Load(), int64(now)-s.began.Swap(0)))
+}
+
+// longestAt returns the time of the longest write, which may be the one in progress.
+func (s *syncTimes) longestAt(now anvilclock.Millis) anvilclock.Millis {
+	longest, began := s.longest.Load(), s.began.Load()
+	if began == 0 {
+		return anvilclock.Millis(longest)
+	}
+	return anvilclock.Millis(max(longest, int64(now)-began))
+}
+
 // slowWrites logs writes that take longer than a limit.
 type slowWrites struct {
 	log   *anvillogs.Logger
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -108,8 +108,7 @@
 	applied    atomic.Uint64
 	dropped    atomic.Uint64
 	sendErrors atomic.Uint64
-	// longestSync is the time of the longest write with its sync in ms. Only the disk loop changes it.
-	longestSync atomic.Int64
+	syncs      syncTimes
 }
 
 // Option configures a Voter.
@@ -291,7 +290,7 @@
 	// Truncated is the size of an incomplete last write that Run removed from the
 	// end of the log.
 	Truncated anvilid.ByteCount
-	// LongestSync is the time of the longest write to the data directory so far, with its sync.
+	// LongestSync is the time of the longest write to the data directory so far, with its sync. It may still be in progress.
 	LongestSync anvilclock.Millis
 }
 
@@ -300,7 +299,7 @@
 func (v *Voter) Status() Status {
 	status := Status{
 		ID: anvilraft.VoterID{Instance: v.instance}, Applied: anvilid.Index(v.applied.Load()),
-		Dropped: v.dropped.Load(), SendErrors: v.sendErrors.Load(), LongestSync: anvilclock.Millis(v.longestSync.Load()),
+		Dropped: v.dropped.Load(), SendErrors: v.sendErrors.Load(), LongestSync: v.syncs.longestAt(v.clock.Now()),
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -209,6 +209,7 @@
 		assert.NilError(t, m.Barrier(context.Background()))
 	}
 	assert.Equal(t, m.state(), lines(0, 1))
+	eventually(t, "the longest sync is the one that hangs", func() bool { return m.Status().LongestSync >= anvilclock.Second })
 	resume()
 	assert.NilError(t, <-answered)
 	assert.Equal(t, m.state(), lines(0, 2))
