Name the other storage of an instance once in io/anvilgroup

Four places compared instances and storages by hand, replacedBy returned a function that its only caller called at once, and a comment named a function that is gone.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -60,9 +60,8 @@
 // a time, so that a former one of it is forgotten.
 func (g *Group) noteJoining(id anvilraft.VoterID) {
 	g.mu.Lock()
-	maps.DeleteFunc(g.joiningSince, func(other anvilraft.VoterID, _ anvilclock.Millis) bool {
-		return other.Instance == id.Instance && other != id
-	})
+	isFormer := isOtherStorageOf(id)
+	maps.DeleteFunc(g.joiningSince, func(other anvilraft.VoterID, _ anvilclock.Millis) bool { return isFormer(other) })
 	g.recordJoining(id)
 	g.mu.Unlock()
 	g.Wake()
@@ -92,15 +91,19 @@
 	maps.DeleteFunc(g.joiningSince, func(id anvilraft.VoterID, _ anvilclock.Millis) bool { return members.IsVoter(id) })
 	ids := slices.SortedFunc(maps.Keys(g.joiningSince), anvilraft.VoterID.Compare)
 	for _, learner := range members.Learners {
-		same := func(other anvilraft.VoterID) bool { return other.Instance == learner.Instance }
 		others := slices.Concat(members.Voters, members.Learners, ids)
-		if !slices.ContainsFunc(slices.DeleteFunc(others, func(other anvilraft.VoterID) bool { return other == learner }), same) && !slices.Contains(ids, learner) {
+		if !slices.ContainsFunc(others, isOtherStorageOf(learner)) && !slices.Contains(ids, learner) {
 			ids = append(ids, learner)
 		}
 	}
 	return ids
 }
 
+// isOtherStorageOf returns a function that reports whether an id has the instance of the given one and another storage.
+func isOtherStorageOf(id anvilraft.VoterID) func(anvilraft.VoterID) bool {
+	return func(other anvilraft.VoterID) bool { return other.Instance == id.Instance && other != id }
+}
+
 // enrollJoining begins the next change for the voters that join, and returns when to go on: soon if a change was begun or may
 // be possible soon. All that have caught up and take the seats of former storages get their votes by one change. Nothing waits
 // for its commit, as others that join may need a change of their own meanwhile.
@@ -191,8 +194,8 @@
 func (g *Group) introduce(parent context.Context, id anvilraft.VoterID) {
 	ctx, cancel := context.WithTimeout(parent, sendTimeout)
 	defer cancel()
-	isOther := func(voter anvilraft.VoterID) bool { return voter.Instance != id.Instance || voter == id }
-	former := slices.DeleteFunc(slices.Clone(g.Voter.Status().Members.Voters), isOther)
+	isFormer := isOtherStorageOf(id)
+	former := slices.DeleteFunc(slices.Clone(g.Voter.Status().Members.Voters), func(voter anvilraft.VoterID) bool { return !isFormer(voter) })
 	reply, err := g.peer(id.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -216,8 +219,8 @@
 
 // nextEnrollment returns the next change for voters that join, or why there is none yet. A mark for their former storages comes
 // first: the group bears further losses as soon as the change that follows it is stored, and needs no quorum of the voters before.
-// Voters that take the seats of former storages, or that the group lacks, come next and together. No voter is removed for one that may be gone: the
-// silent one may still have its disk.
+// Voters that take the seats of former storages, or that the group lacks, come next and together. No voter is removed for one
+// that may be gone: the silent one may still have its disk.
 func (g *Group) nextEnrollment(members anvilraft.Members, ids []anvilraft.VoterID) (anvilraft.ChangeVoters, error) {
 	if lost := g.replacedStorages(members); len(lost) > 0 && len(members.Voters)%2 == 1 {
 		return anvilraft.ChangeVoters{Lost: lost}, nil
@@ -229,7 +232,7 @@
 	var change anvilraft.ChangeVoters
 	count := len(members.Voters)
 	for _, id := range ids {
-		hasSeat := slices.ContainsFunc(members.Voters, func(former anvilraft.VoterID) bool { return former.Instance == id.Instance })
+		hasSeat := slices.ContainsFunc(members.Voters, isOtherStorageOf(id))
 		if !hasSeat && !g.isComplete(count) {
 			count++
 			hasSeat = true
@@ -241,7 +244,7 @@
 	if len(change.Seat) > 0 {
 		return change, nil
 	}
-	former, err := g.replacedBy(ids[0])(members)
+	former, err := g.replacedBy(ids[0], members)
 	return anvilraft.ChangeVoters{Seat: ids[:1], Remove: former}, err
 }
 
@@ -256,7 +259,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for other := range g.joiningSince {
-		if other.Instance == id.Instance && other != id {
+		if isOtherStorageOf(id)(other) {
 			return false
 		}
 	}
@@ -281,25 +284,23 @@
 	}
 }
 
-// replacedBy returns the function that tells which voter a joining one replaces that has no former storage in the group. If the group already has as many
-// voters as it is meant to have, that is the one that has sent nothing for replacedTimeout. It is removed before
+// replacedBy returns which voter a joining one replaces that has no former storage in the group. If the group already has as
+// many voters as it is meant to have, that is the one that has sent nothing for replacedTimeout. It is removed before
 // the new one gets its vote: with both of them in the group, the voters that have lost nothing may be no majority
 // if the new one is lost, too. The new voter waits as long, because the former one may have been lost just now.
-func (g *Group) replacedBy(id anvilraft.VoterID) func(anvilraft.Members) (anvilraft.VoterID, error) {
+func (g *Group) replacedBy(id anvilraft.VoterID, members anvilraft.Members) (anvilraft.VoterID, error) {
+	if !g.isComplete(len(members.Voters)) {
+		return anvilraft.VoterID{}, nil
+	}
 	g.mu.Lock()
 	since, known := g.joiningSince[id]
 	g.mu.Unlock()
 	if !known {
 		since = g.clock.Now()
 	}
-	return func(members anvilraft.Members) (anvilraft.VoterID, error) {
-		if !g.isComplete(len(members.Voters)) {
-			return anvilraft.VoterID{}, nil
-		}
-		silent, ok := g.mostSilent(members, replacedTimeout)
-		if !ok && g.clock.Now()-max(since, g.leadsSince()) < replacedTimeout {
-			return anvilraft.VoterID{}, anvilraft.ErrChangePending
-		}
-		return silent, nil
+	silent, ok := g.mostSilent(members, replacedTimeout)
+	if !ok && g.clock.Now()-max(since, g.leadsSince()) < replacedTimeout {
+		return anvilraft.VoterID{}, anvilraft.ErrChangePending
 	}
+	return silent, nil
 }
--- a/io/anvilgroup/enroll_test.go
+++ b/io/anvilgroup/enroll_test.go
@@ -38,7 +38,7 @@
 	assert.DeepEqual(t, g.joining(members), []anvilraft.VoterID{former})
 	g.noteJoining(present)
 	assert.Assert(t, !g.claimJoining(former), "the former directory is enrolled after the request for the present one")
-	g.replacedBy(former)
+	_, _ = g.replacedBy(former, members)
 	assert.DeepEqual(t, g.joining(members), []anvilraft.VoterID{present})
 }
 
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -38,7 +38,7 @@
 	// than an election timeout, so that a connection that no longer responds is
 	// replaced before the followers start an election.
 	sendTimeout = 350 * time.Millisecond
-	// silentTimeout is how long a surplus voter (see RemoveSilentVoters) must have
+	// silentTimeout is how long a surplus voter (see surplusVoter) must have
 	// sent nothing before it is removed. A process restarts well within this time.
 	silentTimeout = 3 * anvilclock.Second
 	// replacedTimeout is the same for a group with more voters than it was meant to
--- a/io/anvilgroup/progress.go
+++ b/io/anvilgroup/progress.go
@@ -62,9 +62,8 @@
 
 // needsMark reports whether a former storage of a voter has to be marked as lost before the next step (nextEnrollment).
 func needsMark(facts enrollmentFacts, id anvilraft.VoterID) bool {
-	isOpen := func(former anvilraft.VoterID) bool {
-		return former.Instance == id.Instance && !facts.committed.IsLost(former)
-	}
+	isFormer := isOtherStorageOf(id)
+	isOpen := func(voter anvilraft.VoterID) bool { return isFormer(voter) && !facts.committed.IsLost(voter) }
 	return len(facts.latest.Voters)%2 == 1 && slices.ContainsFunc(facts.latest.Voters, isOpen)
 }
 
--- a/io/anvilgroup/surplus_test.go
+++ b/io/anvilgroup/surplus_test.go
@@ -69,15 +69,15 @@
 		settings: Settings{Voters: 5}, clock: anvilclock.Clock{Now: func() anvilclock.Millis { return now }},
 		id: members.Voters[0], lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
 	}
-	replaced := g.replacedBy(anvilraft.VoterID{Instance: "v9", Storage: "1"})
-	_, err := replaced(members)
+	joining := anvilraft.VoterID{Instance: "v9", Storage: "1"}
+	_, err := g.replacedBy(joining, members)
 	assert.ErrorIs(t, err, anvilraft.ErrChangePending)
 	g.noteLeading(true)
 	now += replacedTimeout
 	for n := range 4 {
 		g.lastHeard[members.Voters[n].Instance] = now
 	}
-	removed, err := replaced(members)
+	removed, err := g.replacedBy(joining, members)
 	assert.NilError(t, err)
 	assert.Equal(t, removed, members.Voters[4])
 }
