Split the opening of a voter in io/anvilgroup into steps

All maps are made in newGroup now, also that of enrollments, which was made on its first use. No behaviour changes, but for the text of the error when a damaged directory can't be cleared, which is also wrapped as an error of opening it.

--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -141,22 +141,8 @@
 // removed. The instance then joins the group as a new voter, as after the loss of
 // its disk.
 func Open(settings Settings, clock, wall anvilclock.Clock, links *anvillink.Links, log *anvillogs.Logger, machine anvilvoter.StateMachine) (*Group, error) {
-	g := &Group{
-		settings: settings, clock: clock, links: links, log: log,
-		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
-		leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
-		joinErrors: map[anvilraft.VoterID]error{}, releases: map[anvilraft.VoterID]bool{}, requested: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
-		lostStorages: map[anvilraft.VoterID]bool{}, introduced: map[anvilraft.VoterID]bool{}, replaced: map[anvilraft.VoterID]bool{}, changing: map[anvilraft.VoterID]bool{},
-	}
-	storage, restored, err := anvildisk.Open(settings.Dir, g.diskOptions()...)
-	if errors.Is(err, anvildisk.ErrDamaged) {
-		log.Write(anvillogs.DataDirectoryCorrupt, zap.Error(err))
-		if err := anvildisk.Clear(settings.Dir, settings.Disk...); err != nil {
-			return nil, eris.Wrap(err, "clear the damaged data directory")
-		}
-		g.settings.FirstStart = false
-		storage, restored, err = anvildisk.Open(settings.Dir, g.diskOptions()...)
-	}
+	g := newGroup(settings, clock, links, log)
+	storage, restored, err := g.openStorage()
 	if err != nil {
 		return nil, eris.Wrap(err, "open the data directory")
 	}
@@ -181,6 +167,32 @@
 	return g, nil
 }
 
+// newGroup returns a group without a data directory and a voter.
+func newGroup(settings Settings, clock anvilclock.Clock, links *anvillink.Links, log *anvillogs.Logger) *Group {
+	return &Group{
+		settings: settings, clock: clock, links: links, log: log, leadingSince: -1, requested: make(chan struct{}, 1),
+		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
+		joiningSince: map[anvilraft.VoterID]anvilclock.Millis{}, introduced: map[anvilraft.VoterID]bool{},
+		replaced: map[anvilraft.VoterID]bool{}, joinErrors: map[anvilraft.VoterID]error{}, enrollments: map[anvilraft.VoterID]*enrollment{},
+		changing: map[anvilraft.VoterID]bool{}, releases: map[anvilraft.VoterID]bool{},
+		peers: map[anvilid.InstanceID]anvilrpc.Raft{}, lostStorages: map[anvilraft.VoterID]bool{},
+	}
+}
+
+// openStorage opens the data directory. A damaged one is cleared, and the instance is no longer taken for a founder then.
+func (g *Group) openStorage() (*anvildisk.Storage, anvildisk.Restored, error) {
+	storage, restored, err := anvildisk.Open(g.settings.Dir, g.diskOptions()...)
+	if !errors.Is(err, anvildisk.ErrDamaged) {
+		return storage, restored, err
+	}
+	g.log.Write(anvillogs.DataDirectoryCorrupt, zap.Error(err))
+	if err := anvildisk.Clear(g.settings.Dir, g.settings.Disk...); err != nil {
+		return nil, anvildisk.Restored{}, eris.Wrap(err, "clear the damaged data directory")
+	}
+	g.settings.FirstStart = false
+	return anvildisk.Open(g.settings.Dir, g.diskOptions()...)
+}
+
 const (
 	// tickInterval is the resolution of the voter's timeouts. A shorter interval
 	// would wake up the process more often.
--- a/io/anvilgroup/progress.go
+++ b/io/anvilgroup/progress.go
@@ -142,9 +142,6 @@
 
 // addEnrollments adds the voters that join and have no vote. A voter asks again until it knows of its vote. g.mu must be held.
 func (g *Group) addEnrollments(committed anvilraft.Members) {
-	if g.enrollments == nil {
-		g.enrollments = map[anvilraft.VoterID]*enrollment{}
-	}
 	for id, since := range g.joiningSince {
 		if g.enrollments[id] == nil && !committed.IsVoter(id) {
 			g.enrollments[id] = &enrollment{id: id, since: since}
