--- a/io/anvilgroup/progress.go
+++ b/io/anvilgroup/progress.go
@@ -1,6 +1,7 @@
 package anvilgroup
 
 import (
+	"fmt"
 	"slices"
 
 	"go.uber.org/zap"
@@ -61,9 +62,8 @@
 
 // needsMark reports whether a former storage of a voter has to be marked as lost before the next step (nextEnrollment).
 func needsMark(facts enrollmentFacts, id anvilraft.VoterID) bool {
-	isOpen := func(former anvilraft.VoterID) bool {
-		return former.Instance == id.Instance && !facts.committed.IsLost(former)
-	}
+	isFormer := isOtherStorageOf(id)
+	isOpen := func(voter anvilraft.VoterID) bool { return isFormer(voter) && !facts.committed.IsLost(voter) }
 	return len(facts.latest.Voters)%2 == 1 && slices.ContainsFunc(facts.latest.Voters, isOpen)
 }
 
@@ -142,9 +142,6 @@
 
 // addEnrollments adds the voters that join and have no vote. A voter asks again until it knows of its vote. g.mu must be held.
 func (g *Group) addEnrollments(committed anvilraft.Members) {
-	if g.enrollments == nil {
-		g.enrollments = map[anvilraft.VoterID]*enrollment{}
-	}
 	for id, since := range g.joiningSince {
 		if g.enrollments[id] == nil && !committed.IsVoter(id) {
 			g.enrollments[id] = &enrollment{id: id, since: since}
@@ -161,3 +158,19 @@
 	}
 	g.log.Write(anvillogs.EnrollmentStep, append(fields, zap.Error(g.joinErrors[e.id]))...)
 }
+
+// enrollmentReason returns why a voter has no vote yet.
+func (g *Group) enrollmentReason(id anvilraft.VoterID) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.enrollments[id]
+	if e == nil {
+		return "enrollment has not begun"
+	}
+	waits, since := e.next()
+	reason := fmt.Sprintf("waits for %s for %d ms", stepNames[waits], g.clock.Now()-since)
+	if err := g.joinErrors[id]; err != nil {
+		reason += ": " + err.Error()
+	}
+	return reason
+}
