--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -13,7 +13,6 @@
 	"errors"
 	"maps"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -113,10 +112,12 @@
 	introduced map[anvilraft.VoterID]bool
 	// replaced are voters whose instance has shown another storage to introduce.
 	replaced map[anvilraft.VoterID]bool
+	// enrollments are the steps of the voters that join which trackEnrollments has seen.
+	enrollments map[anvilraft.VoterID]*enrollment
 	// joinErrors is why the last change for each of them was not made.
 	joinErrors map[anvilraft.VoterID]error
-	// enrolling means that a change for voters that join isn't committed yet.
-	enrolling atomic.Bool
+	// changing are the voters of changes for voters that join which aren't known to be committed yet.
+	changing map[anvilraft.VoterID]bool
 	// releases are the voters that have asked this leader to remove them.
 	releases map[anvilraft.VoterID]bool
 	// requested has a value when ManageMembers has a voter to add or remove.
@@ -145,17 +146,16 @@
 		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
 		leadingSince: -1, joiningSince: map[anvilraft.VoterID]anvilclock.Millis{},
 		joinErrors: map[anvilraft.VoterID]error{}, releases: map[anvilraft.VoterID]bool{}, requested: make(chan struct{}, 1), peers: map[anvilid.InstanceID]anvilrpc.Raft{},
-		lostStorages: map[anvilraft.VoterID]bool{}, introduced: map[anvilraft.VoterID]bool{}, replaced: map[anvilraft.VoterID]bool{},
+		lostStorages: map[anvilraft.VoterID]bool{}, introduced: map[anvilraft.VoterID]bool{}, replaced: map[anvilraft.VoterID]bool{}, changing: map[anvilraft.VoterID]bool{},
 	}
 	storage, restored, err := anvildisk.Open(settings.Dir, g.diskOptions()...)
 	if errors.Is(err, anvildisk.ErrDamaged) {
 		log.Write(anvillogs.DataDirectoryCorrupt, zap.Error(err))
-		if err := os.RemoveAll(settings.Dir); err != nil {
-			return nil, eris.Wrap(err, "remove the damaged data directory")
+		if err := anvildisk.Clear(settings.Dir, settings.Disk...); err != nil {
+			return nil, eris.Wrap(err, "clear the damaged data directory")
 		}
-		settings.FirstStart = false
 		g.settings.FirstStart = false
-		storage, restored, err = anvildisk.Open(settings.Dir, settings.Disk...)
+		storage, restored, err = anvildisk.Open(settings.Dir, g.diskOptions()...)
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "open the data directory")
@@ -191,10 +191,11 @@
 )
 
 func (g *Group) diskOptions() []anvildisk.Option {
-	if !g.isFounder() {
-		return g.settings.Disk
+	options := []anvildisk.Option{anvildisk.WithDeferredCreation()}
+	if g.isFounder() {
+		options = append(options, anvildisk.WithNewID(founderStorageID(g.firstSeeds())))
 	}
-	return append([]anvildisk.Option{anvildisk.WithNewID(founderStorageID(g.firstSeeds()))}, g.settings.Disk...)
+	return append(options, g.settings.Disk...)
 }
 
 // isFounder reports whether this instance is one of the founding voters, which
@@ -308,7 +309,7 @@
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
 		if !g.leaving.Load() && (!status.Members.IsVoter(g.id) || status.Leader.IsZero()) {
-			g.askStorages(ctx, status.Electors)
+			g.askStorages(ctx, g.Voter.Electors())
 			g.requestMembership(ctx)
 		} else {
 			g.joinLog.succeeded()
