Count large headers to the bytes that clients make a process hold

A crowd whose headers don't end took the memory of a process: the HTTP server reads up to 1 MiB of each, and one byte of very short fields takes several in memory. Headers above 4 KiB count 16 times against the budget of bytes from their arrival on, so that the client with the least progress gives way. On the users' platform a header may have 32 KiB, twice what configurations name; before it was the server's default of 1 MiB.

--- a/io/anvildaemon/daemon.go
+++ b/io/anvildaemon/daemon.go
@@ -35,7 +35,9 @@
 	// drain duration, even if nothing of the grace period is left.
 	minShutdownTimeout = 300 * time.Millisecond
 	headerTimeout      = 5 * time.Second
-	idleTimeout        = time.Minute
+	// maxHeaderBytes is the maximum size of a header. It is twice the limit that configurations name.
+	maxHeaderBytes = 32 << 10
+	idleTimeout    = time.Minute
 )
 
 // Signals contains the channels on which a process receives its signals: SIGTERM and SIGINT on
@@ -130,7 +132,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	if d.guard != nil {
 		listener = d.guard.Listen(listener, class)
 		d.guard.Configure(server)
--- a/io/anvilguard/body.go
+++ b/io/anvilguard/body.go
@@ -117,10 +117,14 @@
 }
 
 func (b *bodyReader) reserve(bytes int) error {
-	c := b.conn
-	if c == nil {
+	if b.conn == nil {
 		return nil
 	}
+	return b.conn.hold(bytes)
+}
+
+// hold records that the connection holds more bytes. The error is ErrGaveWay if it gives way because of them.
+func (c *conn) hold(bytes int) error {
 	c.guard.mu.Lock()
 	yielding := c.guard.reserve(c, anvilid.ByteCount(bytes))
 	c.guard.mu.Unlock()
--- a/io/anvilguard/conn.go
+++ b/io/anvilguard/conn.go
@@ -23,7 +23,10 @@
 	stopped atomic.Bool
 	// unread means that a request was answered before it was read whole, so that its rest may be on its way.
 	unread atomic.Bool
-	closed sync.Once
+	// handling means that the header of a request has been read and the next one hasn't begun.
+	handling atomic.Bool
+	header   int // bytes that have been read for the header
+	closed   sync.Once
 	// deadline guards the order of setReadDeadline and stop.
 	deadline sync.Mutex
 }
@@ -39,9 +42,32 @@
 		c.guard.table.Progress(c.account, n, c.guard.clock.Now())
 		c.guard.mu.Unlock()
 	}
+	if err == nil && !c.handling.Load() {
+		err = c.countHeader(n)
+	}
 	return n, err
 }
 
+// countHeader counts the memory of a large header to the connection. The HTTP server reads headers, so that nobody else
+// can.
+func (c *conn) countHeader(bytes int) error {
+	before := c.header
+	c.header += bytes
+	if c.header <= smallHeader {
+		return nil
+	}
+	c.setPhase(anvilbudget.Receiving) // it may be the header of a next request
+	return c.hold(headerFactor * (c.header - max(before, smallHeader)))
+}
+
+const (
+	// smallHeader is the size up to which headers aren't counted. It is the size of the buffer of the HTTP server, in
+	// which the beginning of a body may follow the header.
+	smallHeader = 4 << 10
+	// headerFactor is how many bytes of memory one byte of a header takes at most, if its fields are very short.
+	headerFactor = 16
+)
+
 // Write writes to the connection. It fails if the client takes nothing for stallTimeout.
 func (c *conn) Write(data []byte) (int, error) {
 	before := c.beginWrite(len(data))
@@ -174,6 +200,8 @@
 		c.setPhase(anvilbudget.Receiving)
 	case http.StateIdle:
 		c.unread.Store(false)
+		c.handling.Store(false)
+		c.header = 0
 		c.setPhase(anvilbudget.Idle)
 	}
 }
@@ -219,6 +247,9 @@
 		defer c.guard.mu.Unlock()
 		c.guard.table.Close(c.account)
 		delete(c.guard.conns, c.account)
+		if !c.handling.Load() {
+			c.guard.table.Release(c.account) // no handler does it
+		}
 	})
 	return c.Conn.Close()
 }
--- a/io/anvilguard/guard.go
+++ b/io/anvilguard/guard.go
@@ -101,10 +101,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		c.handling.Store(true)
+		defer c.release()
 		if c.class == anvilbudget.Peer || r.ContentLength == 0 {
 			c.setPhase(anvilbudget.Working)
 		}
-		defer c.release()
 		next.ServeHTTP(w, r)
 		if c.phase() == anvilbudget.Receiving {
 			// It fails only if the connection is closed.
--- a/io/anvilguard/guard_test.go
+++ b/io/anvilguard/guard_test.go
@@ -172,7 +172,8 @@
 		size, status int
 		announced    bool
 	}{
-		{1 << 16, http.StatusServiceUnavailable, true}, {1 << 16, http.StatusServiceUnavailable, false},
+		{1 << 16, http.StatusServiceUnavailable, true},
+		{1 << 16, http.StatusServiceUnavailable, false},
 		{200_000, http.StatusRequestEntityTooLarge, true},
 	} {
 		for _, once := range []bool{false, true} {
