Limit the bodies of calls between instances

A crowd that reached the port for other instances ended the process: the RPC library read bodies of any size, and their connections counted as working, so that they never gave way and had no time limit. Calls have a budget of their own, apart from that of the callers (at least 9 MiB, the largest call), and the phases and time limits of other bodies. A call that announces no length or more than 9 MiB is refused before its body.

--- a/core/anvilbudget/budget.go
+++ b/core/anvilbudget/budget.go
@@ -57,8 +57,18 @@
 	Connections int
 	// Peers is how many of Connections are reserved for peers.
 	Peers int
-	// Bytes limits the bytes of bodies. It must be at least the size of the largest body.
+	// Bytes limits the bytes of bodies of strangers. It must be at least the size of the largest body.
 	Bytes anvilid.ByteCount
+	// PeerBytes does the same for peers.
+	PeerBytes anvilid.ByteCount
+}
+
+// bytes returns the limit of the bytes of a class.
+func (l Limits) bytes(class Class) anvilid.ByteCount {
+	if class == Peer {
+		return l.PeerBytes
+	}
+	return l.Bytes
 }
 
 // Conn is the account of one connection.
@@ -94,7 +104,8 @@
 	waiting  map[*Conn]struct{}
 	idle     *list.List // the one that has been idle for longest first
 	accounts map[string]anvilid.ByteCount
-	leaving  anvilid.ByteCount // of all connections
+	held     [Peer + 1]anvilid.ByteCount
+	leaving  [Peer + 1]anvilid.ByteCount // bytes that gave way and are held until their requests have ended
 	open     [Peer + 1]int
 	counts   Counts
 }
@@ -108,6 +119,7 @@
 func (t *Table) Counts() Counts {
 	counts := t.counts
 	counts.Connections = t.open[Stranger] + t.open[Peer]
+	counts.Bytes = t.held[Stranger] + t.held[Peer]
 	return counts
 }
 
@@ -223,11 +235,12 @@
 			return yielding
 		}
 	}
-	if c.phase != Sending && t.leaving > 0 && t.counts.Bytes+t.leaving > leavingFactor*t.limits.Bytes {
+	leaving := t.leaving[c.class]
+	if c.phase != Sending && leaving > 0 && t.held[c.class]+leaving > leavingFactor*t.limits.bytes(c.class) {
 		t.Return(c, bytes)
 		return append(yielding, t.yield(c))
 	}
-	t.counts.PeakBytes = max(t.counts.PeakBytes, t.counts.Bytes+t.leaving)
+	t.counts.PeakBytes = max(t.counts.PeakBytes, t.held[Stranger]+t.leaving[Stranger]+t.held[Peer]+t.leaving[Peer])
 	return yielding
 }
 
@@ -241,26 +254,30 @@
 }
 
 func (t *Table) leave(c *Conn) {
-	t.leaving += c.bytes
+	t.leaving[c.class] += c.bytes
 	c.leaving += c.bytes
 	t.add(c, -c.bytes)
 }
 
 func (t *Table) isOver(c *Conn) bool {
-	return t.counts.Bytes > t.limits.Bytes || t.accounts[c.account] > t.limits.Bytes/accountFraction
+	return t.held[c.class] > t.limits.bytes(c.class) ||
+		c.class == Stranger && t.accounts[c.account] > t.limits.Bytes/accountFraction
 }
 
-// isAlone reports whether only this connection holds bytes, and not more than the limit: a single body within the limits
-// is always taken.
-func (t *Table) isAlone(c *Conn) bool { return c.bytes == t.counts.Bytes && c.bytes <= t.limits.Bytes }
+// isAlone reports whether only this connection of its class holds bytes, and not more than the limit: a single body within
+// the limits is always taken.
+func (t *Table) isAlone(c *Conn) bool {
+	return c.bytes == t.held[c.class] && c.bytes <= t.limits.bytes(c.class)
+}
 
 // chooseYielding returns the connection that gives way because of its bytes, or nil if there is none. Connections that hold
 // no more than an equal share come last, as all of them together can't exceed the limit.
 func (t *Table) chooseYielding(c *Conn, now anvilclock.Millis) *Conn {
-	sameAccount := t.counts.Bytes <= t.limits.Bytes
-	for _, share := range []anvilid.ByteCount{t.limits.Bytes / anvilid.ByteCount(max(t.limits.Connections, 1)), 0} {
+	limit := t.limits.bytes(c.class)
+	sameAccount := t.held[c.class] <= limit
+	for _, share := range []anvilid.ByteCount{limit / anvilid.ByteCount(max(t.limits.Connections, 1)), 0} {
 		slowest, _ := t.slowest(func(o *Conn) bool {
-			return o.bytes > share && (!sameAccount || o.account == c.account) && (o != c || c.phase != Sending)
+			return o.class == c.class && o.bytes > share && (!sameAccount || o.account == c.account) && (o != c || c.phase != Sending)
 		}, now)
 		if slowest != nil {
 			return slowest
@@ -274,7 +291,10 @@
 
 func (t *Table) add(c *Conn, bytes anvilid.ByteCount) {
 	c.bytes += bytes
-	t.counts.Bytes += bytes
+	t.held[c.class] += bytes
+	if c.class == Peer {
+		return
+	}
 	t.accounts[c.account] += bytes
 	if t.accounts[c.account] == 0 {
 		delete(t.accounts, c.account)
@@ -287,13 +307,13 @@
 	t.add(c, -counted)
 	left := min(bytes-counted, c.leaving)
 	c.leaving -= left
-	t.leaving -= left
+	t.leaving[c.class] -= left
 }
 
 // Release records that a connection holds no bytes, as its request has ended.
 func (t *Table) Release(c *Conn) {
 	t.add(c, -c.bytes)
-	t.leaving -= c.leaving
+	t.leaving[c.class] -= c.leaving
 	c.leaving = 0
 }
 
--- a/core/anvilbudget/budget_test.go
+++ b/core/anvilbudget/budget_test.go
@@ -103,5 +103,22 @@
 	for _, c := range opened {
 		table.Release(c)
 	}
-	assert.Equal(t, table.leaving+table.counts.Bytes, anvilid.ByteCount(0))
+	assert.Equal(t, table.leaving[Stranger]+table.Counts().Bytes, anvilid.ByteCount(0))
+}
+
+// Guards against bodies of strangers that make the calls of other instances give way, and against calls without a budget.
+func TestBytesOfPeers(t *testing.T) {
+	table := New(Limits{Connections: 10, Peers: 5, Bytes: 1000, PeerBytes: 500})
+	for n := range 4 {
+		c, _ := table.Open(Stranger, 0)
+		table.SetAccount(c, string(rune('a'+n)))
+		assert.Equal(t, len(table.Reserve(c, 250, 0)), 0)
+	}
+	call, _ := table.Open(Peer, 0)
+	assert.Equal(t, len(table.Reserve(call, 500, 0)), 0)
+	other, _ := table.Open(Peer, anvilclock.Second)
+	assert.DeepEqual(t, table.Reserve(other, 300, anvilclock.Second), []*Conn{call}, samePointers)
+	table.Release(call)
+	table.Release(other)
+	assert.Equal(t, table.Counts().Bytes, anvilid.ByteCount(1000))
 }
--- a/core/anvilbudget/limits.go
+++ b/core/anvilbudget/limits.go
@@ -13,6 +13,9 @@
 	bodyFraction = 8
 	// defaultBytes is the limit of the bytes of bodies if the memory limit isn't known.
 	defaultBytes = 64 << 20
+	// LargestCall is the size of the largest body of a call from another instance: a configuration of 4 MiB as it was
+	// sent, and once more as it was decoded.
+	LargestCall anvilid.ByteCount = 9 << 20
 )
 
 // ErrMemoryLimit means that the memory limit of a process doesn't leave room for one largest body.
--- a/io/anvilguard/guard.go
+++ b/io/anvilguard/guard.go
@@ -103,8 +103,14 @@
 		}
 		c.handling.Store(true)
 		defer c.release()
-		if c.class == anvilbudget.Peer || r.ContentLength == 0 {
+		switch {
+		case r.ContentLength == 0:
 			c.setPhase(anvilbudget.Working)
+		case c.class == anvilbudget.Peer:
+			if refuseCall(c, w, r) {
+				return
+			}
+			r = withCallBody(c, w, r)
 		}
 		next.ServeHTTP(w, r)
 		if c.phase() == anvilbudget.Receiving {
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -85,7 +85,10 @@
 // largest body.
 func (c Clients) limits(settings Settings, connections anvilconn.Budget) (anvilbudget.Limits, error) {
 	bytes, err := anvilbudget.BytesFor(settings.MemoryLimit, c.LargestBody)
-	return anvilbudget.Limits{Connections: connections.Inbound + connections.Internal, Peers: connections.Internal, Bytes: bytes}, err
+	return anvilbudget.Limits{
+		Connections: connections.Inbound + connections.Internal, Peers: connections.Internal, Bytes: bytes,
+		PeerBytes: max(bytes, anvilbudget.LargestCall),
+	}, err
 }
 
 // New returns an instance with the given settings, which writes its log to out. The function load reads the settings
--- a/io/anvilserver/clients.go
+++ b/io/anvilserver/clients.go
@@ -28,14 +28,14 @@
 		limits.Connections = min(limits.Connections, max(int(files)-ownDescriptors, int(files)/2))
 	}
 	limits.Peers = limits.Connections / peerFraction
-	if limits.Bytes > 0 {
-		return limits, nil // checked with the settings
-	}
-	if memory == math.MaxInt64 {
-		memory = 0
-	}
 	var err error
-	limits.Bytes, err = anvilbudget.BytesFor(anvilid.ByteCount(memory), max(l.Body, anvilsettings.MaxChange))
+	if limits.Bytes == 0 { // else checked with the settings
+		if memory == math.MaxInt64 {
+			memory = 0
+		}
+		limits.Bytes, err = anvilbudget.BytesFor(anvilid.ByteCount(memory), max(l.Body, anvilsettings.MaxChange))
+	}
+	limits.PeerBytes = max(limits.Bytes, anvilbudget.LargestCall)
 	return limits, err
 }
 
