--- a/io/anvilguard/body.go
+++ b/io/anvilguard/body.go
@@ -22,6 +22,19 @@
 // firstBuffer is the size of the buffer in which a body begins. It suffices for nearly all of them.
 const firstBuffer = 4 << 10
 
+// largeBody is the size above which bodies are decoded one after the other.
+const largeBody = 64 << 10
+
+// Decode calls a function that decodes a body of the given size. Large bodies of one process are decoded one after the
+// other, because what is decoded from them doesn't count to the bytes that clients make the process hold.
+func Decode(r *http.Request, size int, decode func()) {
+	if c := connOf(r); c != nil && size > largeBody {
+		c.guard.decoding.Lock()
+		defer c.guard.decoding.Unlock()
+	}
+	decode()
+}
+
 // ReadBody reads the body of a request, which may have limit bytes. What has arrived counts as the bytes of the client's
 // account until the request has been handled. The error is ErrTooLarge, ErrGaveWay, or that of a broken connection. After
 // an error, the connection is closed once the answer is written.
--- a/io/anvilguard/guard.go
+++ b/io/anvilguard/guard.go
@@ -46,6 +46,9 @@
 	// report is called with the totals when clients gave way, at most once per reportInterval.
 	report func(anvilbudget.Counts)
 
+	// decoding is held while a large body is decoded.
+	decoding sync.Mutex
+
 	mu       sync.Mutex
 	table    *anvilbudget.Table
 	conns    map[*anvilbudget.Conn]*conn
