Bound what is decoded from a change set

A crowd that sent change sets of 4 MiB with many values that are no objects took twice the memory limit of an instance with the product's own interface: each became a report of its own, in memory and in the answer.

--- a/core/anvilconfig/format.go
+++ b/core/anvilconfig/format.go
@@ -8,6 +8,7 @@
 	"io"
 
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvilrows"
 )
 
 // ErrFormat is returned for JSON that isn't a valid configuration object.
@@ -66,8 +67,15 @@
 	return nil
 }
 
-// ParseChange parses the JSON of a change set that an operator sends, and reports every object that
-// cannot be parsed.
+const (
+	// objectBytes is the size in memory of a small object of a change set.
+	objectBytes = 100
+	// maxFormatProblems limits the objects that are reported because they can't be parsed.
+	maxFormatProblems = 100
+)
+
+// ParseChange parses the JSON of a change set that an operator sends, and reports the objects that cannot be parsed, up to
+// maxFormatProblems of them.
 func ParseChange(data []byte) (Change, []Problem) {
 	var found problems
 	var form struct {
@@ -77,12 +85,19 @@
 		Set      []json.RawMessage  `json:"set"`
 		Delete   []json.RawMessage  `json:"delete"`
 	}
-	if err := decodeStrict(data, &form); err != nil {
+	err := anvilrows.CheckLists(data, objectBytes)
+	if err == nil {
+		err = decodeStrict(data, &form)
+	}
+	if err != nil {
 		found.add(Key{}, "", CodeBadFormat, "the change set can't be read: %v; use the fields id, operator, base, set and delete", err)
 		return Change{}, found
 	}
 	change := Change{ID: form.ID, Operator: form.Operator, BaseRevision: form.Base}
 	for i, raw := range form.Set {
+		if len(found) >= maxFormatProblems {
+			break
+		}
 		var object Object
 		if err := object.UnmarshalJSON(raw); err != nil {
 			found.add(keyOf(raw), fmt.Sprintf("set[%d]", i), CodeBadFormat, "%v", err)
@@ -92,6 +107,9 @@
 		change.Set = append(change.Set, object)
 	}
 	for i, raw := range form.Delete {
+		if len(found) >= maxFormatProblems {
+			break
+		}
 		var key Key
 		if err := decodeStrict(raw, &key); err != nil {
 			found.add(keyOf(raw), fmt.Sprintf("delete[%d]", i), CodeBadFormat, "%v; use the fields kind and name", err)
--- a/io/anvilhttp/operator.go
+++ b/io/anvilhttp/operator.go
@@ -12,6 +12,7 @@
 	"anvilshunt/core/anvilconfig"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilstate"
+	"anvilshunt/io/anvilguard"
 	"anvilshunt/io/anvilsettings"
 )
 
@@ -55,7 +56,8 @@
 	if err != nil {
 		return change, false, writeBodyError(c, err)
 	}
-	change, problems := anvilconfig.ParseChange(data)
+	var problems []anvilconfig.Problem
+	anvilguard.Decode(c.Request(), len(data), func() { change, problems = anvilconfig.ParseChange(data) })
 	if len(problems) > 0 {
 		return change, false, c.JSON(http.StatusUnprocessableEntity, invalidChange{
 			errorBody{Code: "invalid_change", Error: "the change set can't be decoded"}, problems,
