--- a/core/anvilraft/cluster_test.go
+++ b/core/anvilraft/cluster_test.go
@@ -53,6 +53,7 @@
 	duplicateProbability float64                            // probability that a message is delivered twice
 	cut                  map[[2]anvilid.InstanceID]bool
 	syncAtOnce           bool // disks sync at once, unless diskStalled
+	untimed              bool // clocks jump, so that leases aren't checked
 	options              []Option
 	leaders              map[anvilid.Term]VoterID
 	logRecords           map[[2]uint64]logRecord
@@ -376,6 +377,9 @@
 	if v.disk.Hard.Term < m.Term || v.disk.Hard.Term == m.Term && v.disk.Hard.Vote != m.To {
 		c.Fatalf("%v grants a vote for term %d that is not synced", v.id, m.Term)
 	}
+	if c.untimed {
+		return
+	}
 	// A voter must not help to elect anyone while a leader still counts its answer for
 	// HasQuorum.
 	for _, other := range c.voters {
@@ -390,6 +394,9 @@
 
 // checkQuorums fails if two nodes have a quorum, and so act as leader, at the same instant.
 func (c *cluster) checkQuorums() {
+	if c.untimed {
+		return
+	}
 	var first *voter
 	for _, v := range c.voters {
 		if v.node == nil || !v.node.HasQuorum(v.clock(c.now)) {
--- /dev/null
+++ b/core/anvilraft/untimed_test.go
@@ -0,0 +1,247 @@
+package anvilraft
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
+
+var untimedSeeds = flag.Uint64("untimed.seeds", 2000, "number of seeds of TestUntimedReplacements")
+
+// untimed drives a cluster without regard to time: messages arrive in any order or never, elections begin at any moment, and
+// leaders of earlier terms go on. The storages that were replaced go on too, which is the worst case of a lost storage whose votes
+// and acknowledgements are still under way. Leases depend on time, so they aren't checked.
+type untimed struct {
+	c    *cluster
+	size int
+	key  uint64
+	// storages is the number of storages that each instance has had.
+	storages map[anvilid.InstanceID]int
+	// seats is the number of seats that were appended.
+	seats int
+}
+
+func (u *untimed) chance(percent int) bool { return u.c.random.IntN(100) < percent }
+
+func (u *untimed) pick() *voter { return u.c.voters[u.c.random.IntN(len(u.c.voters))] }
+
+func (u *untimed) byID(id VoterID) *voter {
+	for _, v := range u.c.voters {
+		if v.id == id {
+			return v
+		}
+	}
+	return nil
+}
+
+// step passes an event to a voter and syncs its disk, mostly at once.
+func (u *untimed) step(v *voter, event Event) {
+	if v.node == nil {
+		return
+	}
+	u.c.step(v, event)
+	if u.chance(95) {
+		u.c.sync(v, len(v.unsynced))
+	}
+}
+
+// deliver passes on the messages that are chosen, and the answers to them that are chosen as well.
+func (u *untimed) deliver(chosen func(Message) bool) {
+	for range 200 {
+		found := -1
+		for i, p := range u.c.packets {
+			if chosen(p.message) {
+				found = i
+				break
+			}
+		}
+		if found < 0 {
+			return
+		}
+		u.receive(found)
+	}
+}
+
+// receive delivers one message. A voter that is asked for its vote has not heard of a leader for long.
+func (u *untimed) receive(i int) {
+	m := u.c.packets[i].message
+	u.c.packets = append(u.c.packets[:i:i], u.c.packets[i+1:]...)
+	v := u.byID(m.To)
+	if v == nil || v.node == nil {
+		return
+	}
+	if (m.Type == MessagePreVote || m.Type == MessageVote) && v.role != Leader {
+		v.clockOffset += 1_000_000
+	}
+	u.step(v, Receive{m})
+}
+
+// someOthers returns a random set of storages with the given one.
+func (u *untimed) someOthers(v *voter, percent int) map[VoterID]bool {
+	set := map[VoterID]bool{v.id: true}
+	for _, other := range u.c.voters {
+		if u.chance(percent) {
+			set[other.id] = true
+		}
+	}
+	return set
+}
+
+// campaign lets a voter ask some others for their votes. Some of the votes are delayed.
+func (u *untimed) campaign(v *voter) {
+	if v.node == nil || v.role == Leader {
+		return
+	}
+	set := u.someOthers(v, 60)
+	v.clockOffset += 1_000_000
+	u.step(v, Tick{})
+	u.c.sync(v, len(v.unsynced))
+	u.deliver(func(m Message) bool {
+		return (m.Type == MessagePreVote || m.Type == MessagePreVoteResponse) && set[m.From] && set[m.To]
+	})
+	u.deliver(func(m Message) bool { return m.Type == MessageVote && set[m.From] && set[m.To] })
+	prompt := u.someOthers(v, 70)
+	u.deliver(func(m Message) bool { return m.Type == MessageVoteResponse && m.To == v.id && prompt[m.From] })
+}
+
+// replicate delivers what a leader sends to some others, and their answers.
+func (u *untimed) replicate(v *voter, percent int) {
+	set := u.someOthers(v, percent)
+	fromOrTo := func(m Message) bool { return m.From == v.id && m.fromLeader() || m.To == v.id && m.Type == MessageAppendResponse }
+	u.deliver(func(m Message) bool { return fromOrTo(m) && set[m.From] && set[m.To] })
+}
+
+// newStorage gives an instance another storage, beside the former ones.
+func (u *untimed) newStorage(instance anvilid.InstanceID) *voter {
+	u.storages[instance]++
+	v := u.c.add(string(instance))
+	v.id.Storage = StorageID(fmt.Sprint(u.storages[instance] + 1))
+	v.disk.Storage = v.id.Storage
+	v.clockOffset = 1_000_000
+	u.c.start(v)
+	return v
+}
+
+// mark lets a leader mark voters, as many as leave it a quorum.
+func (u *untimed) mark(v *voter) {
+	members := v.node.Status().Members
+	change := ChangeVoters{Key: u.nextKey()}
+	for _, i := range u.c.random.Perm(len(members.Voters)) {
+		id := members.Voters[i]
+		room := len(members.Voters) - members.Quorum() - len(members.Lost) - len(change.Lost)
+		if id != v.id && !members.IsLost(id) && room > 0 && (len(change.Lost) == 0 || u.chance(40)) {
+			change.Lost = append(change.Lost, id)
+		}
+	}
+	if len(change.Lost) > 0 {
+		u.step(v, change)
+	}
+}
+
+// seat lets a leader replace voters, which are mostly marked.
+func (u *untimed) seat(v *voter) {
+	members := v.node.Status().Members
+	change := ChangeVoters{Key: u.nextKey()}
+	unmarked := u.chance(30)
+	for _, id := range members.Voters {
+		if id == v.id || len(change.Seat) == (u.size-1)/2 || !members.IsLost(id) && !unmarked || !u.chance(60) {
+			continue
+		}
+		joining := u.newStorage(id.Instance)
+		u.step(v, SendLog{To: joining.id, Empty: true})
+		u.deliver(func(m Message) bool { return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id })
+		change.Seat = append(change.Seat, joining.id)
+	}
+	if len(change.Seat) == 0 {
+		return
+	}
+	before := v.node.log.last()
+	u.step(v, change)
+	if v.node.log.last() > before {
+		u.seats++
+		for _, id := range change.Seat {
+			if u.chance(70) {
+				u.deliver(func(m Message) bool { return m.From == v.id && m.To == id })
+			}
+		}
+	}
+}
+
+func (u *untimed) nextKey() uint64 {
+	u.key++
+	return u.key
+}
+
+// act performs one random action.
+func (u *untimed) act() {
+	v := u.pick()
+	if u.chance(60) { // storages that are no voters any more have less to do
+		members := v.disk
+		if latest, err := members.Members(); err == nil && len(latest.Voters) > 0 {
+			if other := u.byID(latest.Voters[u.c.random.IntN(len(latest.Voters))]); other != nil {
+				v = other
+			}
+		}
+	}
+	if v.node == nil {
+		u.c.start(v)
+		return
+	}
+	if v.role != Leader {
+		switch r := u.c.random.IntN(100); {
+		case r < 40:
+			u.campaign(v)
+		case r < 44:
+			u.c.crash(v, u.c.random.IntN(2))
+		default:
+			u.c.sync(v, len(v.unsynced))
+			if n := len(u.c.packets); n > 0 {
+				u.receive(u.c.random.IntN(n))
+			}
+		}
+		return
+	}
+	switch r := u.c.random.IntN(100); {
+	case r < 25:
+		u.mark(v)
+	case r < 55:
+		u.seat(v)
+	case r < 60:
+		u.step(v, Propose{Key: u.nextKey(), Commands: [][]byte{{0, byte(u.key)}}})
+	case r < 63:
+		u.step(v, Compact{v.applied, snapshotData(v.state, 10)})
+	case r < 75:
+		v.clockOffset += int64(100 * anvilclock.Millisecond * 1000)
+		u.step(v, Tick{})
+	}
+	if u.chance(70) {
+		u.replicate(v, []int{30, 60, 95}[u.c.random.IntN(3)])
+	}
+}
+
+// TestUntimedReplacements guards against two leaders in a term, and against committed entries that get lost, where the seat of a
+// marked storage needs no quorum of the voters before it. The schedules find variants in which marked voters count, in which
+// unmarked ones are replaced alone, and in which a seat follows a mark that isn't committed.
+func TestUntimedReplacements(t *testing.T) {
+	for seed := range *untimedSeeds {
+		seed += *scheduleFirst
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			names := []string{"a", "b", "c", "d", "e"}[:3+2*(seed%2)]
+			c := newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMaxLearnerLag(100), WithLostStorages())
+			c.syncAtOnce, c.untimed, c.duplicateProbability = false, true, 0.02
+			c.latency = fixedLatency(0)
+			u := &untimed{c: c, size: len(names), storages: map[anvilid.InstanceID]int{}}
+			for range 120 {
+				u.act()
+				for len(c.packets) > 300 {
+					i := c.random.IntN(len(c.packets))
+					c.packets = append(c.packets[:i:i], c.packets[i+1:]...)
+				}
+			}
+			t.Logf("%d leaders, %d entries committed, %d seats", len(c.leaders), len(c.committed), u.seats)
+		})
+	}
+}
