--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -20,6 +20,8 @@
 	key  uint64
 	// storages is the number of storages that each instance has had.
 	storages map[anvilid.InstanceID]int
+	// changesSize means that voters are also added and removed, so that their number is even at times.
+	changesSize bool
 	// seats is the number of seats that were appended.
 	seats int
 }
@@ -146,7 +148,8 @@
 	members := v.node.Status().Members
 	change := ChangeVoters{Key: u.nextKey()}
 	unmarked := u.chance(30)
-	for _, id := range members.Voters {
+	for _, i := range u.c.random.Perm(len(members.Voters)) {
+		id := members.Voters[i]
 		if id == v.id || len(change.Seat) == (u.size-1)/2 || !members.IsLost(id) && !unmarked || !u.chance(60) {
 			continue
 		}
@@ -158,6 +161,9 @@
 	if len(change.Seat) == 0 {
 		return
 	}
+	if u.changesSize && len(members.Voters) > 3 && u.chance(20) {
+		change.Remove = members.Voters[u.c.random.IntN(len(members.Voters))]
+	}
 	before := v.node.log.last()
 	u.step(v, change)
 	if v.node.log.last() > before {
@@ -170,6 +176,22 @@
 	}
 }
 
+// changeSize lets a leader add a voter of another instance or remove one.
+func (u *untimed) changeSize(v *voter) {
+	members := v.node.Status().Members
+	if len(members.Voters) >= u.size {
+		id := members.Voters[u.c.random.IntN(len(members.Voters))]
+		if id != v.id {
+			u.step(v, ChangeVoters{Key: u.nextKey(), Remove: id})
+		}
+		return
+	}
+	joining := u.newStorage(anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
+	u.step(v, SendLog{To: joining.id, Empty: true})
+	u.deliver(func(m Message) bool { return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id })
+	u.step(v, ChangeVoters{Key: u.nextKey(), Seat: []VoterID{joining.id}})
+}
+
 func (u *untimed) nextKey() uint64 {
 	u.key++
 	return u.key
@@ -213,6 +235,10 @@
 		u.step(v, Propose{Key: u.nextKey(), Commands: [][]byte{{0, byte(u.key)}}})
 	case r < 63:
 		u.step(v, Compact{v.applied, snapshotData(v.state, 10)})
+	case r < 68:
+		if u.changesSize {
+			u.changeSize(v)
+		}
 	case r < 75:
 		v.clockOffset += int64(100 * anvilclock.Millisecond * 1000)
 		u.step(v, Tick{})
@@ -229,11 +255,12 @@
 	for seed := range *untimedSeeds {
 		seed += *scheduleFirst
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			names := []string{"a", "b", "c", "d", "e"}[:3+2*(seed%2)]
+			t.Parallel()
+			names := []string{"a", "b", "c", "d", "e", "f", "g"}[:[]int{5, 3, 5, 4, 5, 6, 5, 7}[seed%8]]
 			c := newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMaxLearnerLag(100), WithLostStorages())
 			c.syncAtOnce, c.untimed, c.duplicateProbability = false, true, 0.02
 			c.latency = fixedLatency(0)
-			u := &untimed{c: c, size: len(names), storages: map[anvilid.InstanceID]int{}}
+			u := &untimed{c: c, size: len(names), changesSize: seed%8 >= 4, storages: map[anvilid.InstanceID]int{}}
 			for range 120 {
 				u.act()
 				for len(c.packets) > 300 {
