--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -112,7 +112,9 @@
 // replicate delivers what a leader sends to some others, and their answers.
 func (u *untimed) replicate(v *voter, percent int) {
 	set := u.someOthers(v, percent)
-	fromOrTo := func(m Message) bool { return m.From == v.id && m.fromLeader() || m.To == v.id && m.Type == MessageAppendResponse }
+	fromOrTo := func(m Message) bool {
+		return m.From == v.id && m.fromLeader() || m.To == v.id && m.Type == MessageAppendResponse
+	}
 	u.deliver(func(m Message) bool { return fromOrTo(m) && set[m.From] && set[m.To] })
 }
 
@@ -155,7 +157,9 @@
 		}
 		joining := u.newStorage(id.Instance)
 		u.step(v, SendLog{To: joining.id, Empty: true})
-		u.deliver(func(m Message) bool { return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id })
+		u.deliver(func(m Message) bool {
+			return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id
+		})
 		change.Seat = append(change.Seat, joining.id)
 	}
 	if len(change.Seat) == 0 {
@@ -188,7 +192,9 @@
 	}
 	joining := u.newStorage(anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
 	u.step(v, SendLog{To: joining.id, Empty: true})
-	u.deliver(func(m Message) bool { return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id })
+	u.deliver(func(m Message) bool {
+		return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id
+	})
 	u.step(v, ChangeVoters{Key: u.nextKey(), Seat: []VoterID{joining.id}})
 }
 
