--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -22,6 +22,7 @@
 	storages map[anvilid.InstanceID]int
 	// changesSize means that voters are also added and removed, so that their number is even at times.
 	changesSize bool
+	contesting  bool // within contest
 	// seats is the number of seats that were appended.
 	seats int
 }
@@ -97,7 +98,14 @@
 	if v.node == nil || v.role == Leader {
 		return
 	}
-	set := u.someOthers(v, 60)
+	u.campaignAmong(v, u.someOthers(v, 60), 70)
+}
+
+// campaignAmong lets a voter ask a set of others for their votes. The given part of the votes isn't delayed.
+func (u *untimed) campaignAmong(v *voter, set map[VoterID]bool, percent int) {
+	if v.node == nil || v.role == Leader {
+		return
+	}
 	v.clockOffset += 1_000_000
 	u.step(v, Tick{})
 	u.c.sync(v, len(v.unsynced))
@@ -105,10 +113,45 @@
 		return (m.Type == MessagePreVote || m.Type == MessagePreVoteResponse) && set[m.From] && set[m.To]
 	})
 	u.deliver(func(m Message) bool { return m.Type == MessageVote && set[m.From] && set[m.To] })
-	prompt := u.someOthers(v, 70)
+	prompt := u.someOthers(v, percent)
 	u.deliver(func(m Message) bool { return m.Type == MessageVoteResponse && m.To == v.id && prompt[m.From] })
 }
 
+// contest lets one of the voters that lack the last entry of a leader be elected without those that have it, and replicate entries of
+// its own to few. The first leader then asks those that have its entry, and some others, for their votes.
+func (u *untimed) contest(first *voter) {
+	last, term := first.node.log.last(), first.node.log.lastTerm()
+	have, lack := map[VoterID]bool{first.id: true}, map[VoterID]bool{}
+	for _, other := range u.c.voters {
+		has := other.node != nil && other.node.log.matches(last, term)
+		have[other.id], lack[other.id] = has || u.chance(40), !has
+	}
+	for _, i := range u.c.random.Perm(len(u.c.voters)) {
+		second := u.c.voters[i]
+		if !lack[second.id] || second.node == nil {
+			continue
+		}
+		u.campaignAmong(second, lack, 100)
+		if second.role != Leader {
+			continue
+		}
+		for range 1 + u.c.random.IntN(4) {
+			u.replicate(second, []int{10, 30, 60}[u.c.random.IntN(3)])
+			if second.node != nil && second.role == Leader && u.chance(60) {
+				u.seat(second)
+			}
+		}
+		break
+	}
+	if first.node != nil && first.role == Leader { // it loses its quorum
+		first.clockOffset += 1_000_000
+		u.step(first, Tick{})
+	}
+	for range 1 + u.c.random.IntN(3) {
+		u.campaignAmong(first, have, 90)
+	}
+}
+
 // replicate delivers what a leader sends to some others, and their answers.
 func (u *untimed) replicate(v *voter, percent int) {
 	set := u.someOthers(v, percent)
@@ -177,6 +220,11 @@
 				u.deliver(func(m Message) bool { return m.From == v.id && m.To == id })
 			}
 		}
+		if !u.contesting && u.chance(40) {
+			u.contesting = true
+			u.contest(v)
+			u.contesting = false
+		}
 	}
 }
 
