Refuse overlapping changes by which one storage would have two successors

Quorums of the lists with the first and with the second successor need not intersect.

Change: a change may follow uncommitted ones only if it differs from the committed list and from all lists since in voters that the committed one marks.

--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -287,3 +288,36 @@
 	c.run(1000)
 	assert.Assert(t, learner.node.Status().Leader.IsZero())
 }
+
+// TestOverlappingChanges guards against changes that follow each other before they are committed although quorums of their lists
+// don't intersect, as of two successors of one storage: a leader lacked a committed entry then.
+func TestOverlappingChanges(t *testing.T) {
+	t.Parallel()
+	list := func(voters, lost string) (m Members) {
+		for name := range strings.FieldsSeq(voters) {
+			m.Voters = append(m.Voters, VoterID{anvilid.InstanceID(name[:1]), StorageID(name[1:])})
+		}
+		for _, id := range m.Voters {
+			if strings.Contains(lost, id.String()) {
+				m.Lost = append(m.Lost, id)
+			}
+		}
+		return m
+	}
+	for _, test := range []struct {
+		name                       string
+		committed, pending, change Members
+		overlaps                   bool
+	}{
+		{"mark after a mark", list("a1 b1 c1", ""), list("a1 b1 c1", "b/1"), list("a1 b1 c1", "b/1 c/1"), true},
+		{"mark after a seat", list("a1 b1 c1", "b/1"), list("a1 b2 c1", ""), list("a1 b2 c1", "c/1"), true},
+		{"seat after a seat", list("a1 b1 c1 d1 e1", "b/1 c/1"), list("a1 b2 c1 d1 e1", "c/1"), list("a1 b2 c2 d1 e1", ""), true},
+		{"seat after its mark", list("a1 b1 c1", ""), list("a1 b1 c1", "b/1"), list("a1 b2 c1", ""), false},
+		{"second successor of a storage", list("a1 b1 c1", "b/1"), list("a1 b2 c1", "b/2"), list("a1 b3 c1", ""), false},
+		{"mark after an unmarked seat", list("a1 b1 c1", ""), list("a1 b2 c1", ""), list("a1 b2 c1", "c/1"), false},
+		{"even number", list("a1 b1 c1 d1", "b/1"), list("a1 b2 c1 d1", ""), list("a1 b2 c1 d1", "c/1"), false},
+	} {
+		node := &Node{options: options{useLostStorages: true}, commit: 1, members: membership{[]memberChange{{1, test.committed}, {2, test.pending}}}}
+		assert.Equal(t, node.mayOverlap(test.change), test.overlaps, test.name)
+	}
+}
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -62,36 +62,38 @@
 	return len(before)+len(after)-2*both == 1
 }
 
-// replacesLost reports whether a change keeps an odd number of voters and removes only voters that are marked as lost.
+// replacesLost reports whether a change keeps an odd number of voters and removes only voters that are marked as lost in the list
+// before it.
 //
 // The list after it counts alone. The marks were committed before the change was appended, so that each later leader has them, and
 // no election or commit counts a marked voter any more. Of n voters, of which l are marked and k <= l are replaced, a majority
 // of m = (n+1)/2 is thus among the n-l that are left, and a majority of the new list holds at least m-k of these. As 2m-k > n-l,
 // the two intersect.
-func replacesLost(former, latest Members) bool {
+func replacesLost(former, latest Members) bool { return replacesMarked(former, latest, former.Lost) }
+
+// replacesMarked is replacesLost with other marks.
+func replacesMarked(former, latest Members, marked []VoterID) bool {
 	if len(former.Voters)%2 == 0 || len(former.Voters) != len(latest.Voters) {
 		return false
 	}
-	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool { return !latest.IsVoter(id) && !former.IsLost(id) })
+	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool { return !latest.IsVoter(id) && !slices.Contains(marked, id) })
 }
 
-// mayOverlap reports whether members may be appended although earlier changes are not committed. All of them must mark voters as
-// lost or replace such that were marked by a committed change: the lists then differ in replaced voters only, and their quorums
-// intersect for the reason that replacesLost gives.
+// mayOverlap reports whether members may be appended although earlier changes are not committed. The latest committed list and
+// all lists since may differ from them only in voters that the committed one marks as lost. A storage that took a seat since then
+// must keep it: two successors of one storage could each be in a quorum that lacks the other.
 func (n *Node) mayOverlap(members Members) bool {
 	if !n.options.useLostStorages {
 		return false
 	}
-	committed := n.members.at(n.commit)
-	before := committed
-	for _, change := range append(slices.Clone(n.members.changes), memberChange{n.log.last() + 1, members}) {
-		if change.index <= n.commit {
-			continue
-		}
-		if !slices.Equal(before.Voters, change.members.Voters) && !replacesLost(committed, change.members) {
+	marked := n.members.at(n.commit).Lost
+	for _, change := range slices.Backward(n.members.changes) {
+		if !replacesMarked(change.members, members, marked) {
 			return false
 		}
-		before = change.members
+		if change.index <= n.commit {
+			break
+		}
 	}
 	return true
 }
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -118,9 +118,12 @@
 	change, err := g.nextEnrollment(members, ids)
 	if err == nil && g.beginChange(change) {
 		go func() {
-			g.noteEnrollment(ids, g.change(ctx, change))
+			err := g.change(ctx, change)
+			g.noteEnrollment(ids, err)
 			g.endChange(change)
-			g.Wake()
+			if err == nil { // a rejected change is retried after the interval
+				g.Wake()
+			}
 		}()
 	}
 	return g.noteEnrollment(ids, err)
