--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -78,7 +78,7 @@
 		fields = append(fields, zap.String("leader", string(v.leader)))
 	}
 	fields = append(fields, zap.String("voters", shortIDs(v.voters)))
-	if v.silent != nil {
+	if v.silent != nil && len(v.voters) > 0 {
 		fields = append(fields, zap.Int("spare", spare(len(v.voters), len(v.silent))))
 	}
 	fields = append(fields, zap.Int64("sync", int64(status.LongestSync)), zap.Bool("opened", true))
--- a/io/anvilgroup/view_test.go
+++ b/io/anvilgroup/view_test.go
@@ -101,6 +101,8 @@
 	lines = after(anvilclock.Second, removed, 1)
 	assert.Assert(t, !lines[0].Vote, "%v", lines)
 	assert.Equal(t, len(after(12*anvilclock.Second, removed, 1)), 4, "one every 3 s without a vote")
+	lines = after(2*anvilclock.Second, anvilvoter.Status{})
+	assert.Assert(t, lines[len(lines)-1].Spare == nil, "a voter that knows no voters can't tell")
 	written := 0
 	for n := range 100 {
 		written += len(after(1, []anvilvoter.Status{lost, follows}[n%2], 1))
