--- a/io/anvilgroup/view_test.go
+++ b/io/anvilgroup/view_test.go
@@ -128,11 +128,8 @@
 	var out bytes.Buffer
 	log, err := anvillogs.New(&out, "info")
 	assert.NilError(t, err)
-	v := view{vote: true, leader: "10.2.0.107"}
-	for _, name := range []string{"103", "107", "111", "115", "119"} {
-		v.voters = append(v.voters, anvilraft.VoterID{Instance: anvilid.InstanceID("10.2.0." + name), Storage: "0123456789abcdef"})
-	}
+	v := view{vote: true, leader: "10.0.0.107", voters: testIDs("103 107 111 115 119")}
 	log.With(zap.String("instance", "10.2.0.119")).Write(anvillogs.VotersKnown, v.fields(anvilvoter.Status{}, 0, -1)...)
-	const want = `"event":218,"vote":true,"leader":"10.2.0.107","voters":"10.2.0.103/012 107/012 111/012 115/012 119/012"`
+	const want = `"event":218,"vote":true,"leader":"10.0.0.107","voters":"10.0.0.103/103 107/107 111/111 115/115 119/119"`
 	assert.Assert(t, strings.Contains(out.String()[:200], want), out.String())
 }
