--- a/io/anvilguard/guard.go
+++ b/io/anvilguard/guard.go
@@ -46,6 +46,9 @@
 	// report is called with the totals when clients gave way, at most once per reportInterval.
 	report func(anvilbudget.Counts)
 
+	// decoding is held while a large body is decoded.
+	decoding sync.Mutex
+
 	mu       sync.Mutex
 	table    *anvilbudget.Table
 	conns    map[*anvilbudget.Conn]*conn
@@ -101,10 +104,17 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if c.class == anvilbudget.Peer || r.ContentLength == 0 {
+		c.handling.Store(true)
+		defer c.release()
+		switch {
+		case r.ContentLength == 0:
 			c.setPhase(anvilbudget.Working)
+		case c.class == anvilbudget.Peer:
+			if refuseCall(c, w, r) {
+				return
+			}
+			r = withCallBody(c, w, r)
 		}
-		defer c.release()
 		next.ServeHTTP(w, r)
 		if c.phase() == anvilbudget.Receiving {
 			// It fails only if the connection is closed.
