Mark a silent voter as lost before another instance takes its place

Found by the review: two voters lose their disks after the successor of a removed instance has started at another address. Both lists of the change that seats it need a quorum until a voter knows that it is committed, and the former one has two of five left for good.

Cause: as for the seats of lost storages, but a removed instance never shows another storage, so that it got no mark.

The proof that the list after the seat counts alone doesn't need a marked storage to be gone; a voter that is there after all counts for nothing until the leader, which asks it, has taken the mark back (ChangeVoters.Found). A leader can't mark more voters than leave a quorum. A late request of a former storage is dropped once its instance has shown another one.

--- a/core/anvilraft/event.go
+++ b/core/anvilraft/event.go
@@ -54,7 +54,7 @@
 	Empty bool
 }
 
-// ChangeVoters asks the leader for one membership change. Exactly one of AddLearner, AddVoter, Remove and Lost is set, or
+// ChangeVoters asks the leader for one membership change. Exactly one of AddLearner, AddVoter, Remove, Lost and Found is set, or
 // Seat, with Remove or without it. The answer is an Acceptance or a Rejection. The change is
 // permanent once its entry is committed.
 //
@@ -71,9 +71,11 @@
 	// Seat makes instances that have caught up voters, each in place of the former member of the same instance, if there is
 	// one. It needs WithLostStorages, as the lists before and after it may differ by more than one voter.
 	Seat []VoterID
-	// Lost marks voters whose storage is gone for good, on the terms of StorageLost. Where an odd number of voters is kept, a
-	// Seat for a marked voter needs no quorum of the list before it. It needs WithLostStorages.
+	// Lost marks voters that are probably gone for good, at most as many as leave a quorum. Where an odd number of voters is kept,
+	// a Seat in place of marked voters needs no quorum of the list before it. It needs WithLostStorages.
 	Lost []VoterID
+	// Found takes marks back, of voters that are there after all.
+	Found []VoterID
 }
 
 // StorageLost tells the node that the storage of a voter is gone for good: the instance was asked by this node,
--- a/core/anvilraft/identity.go
+++ b/core/anvilraft/identity.go
@@ -42,8 +42,8 @@
 	Learners []VoterID `cbor:"2,keyasint,omitempty" json:"learners,omitempty"`
 	// Forced is set by ForceSoleVoter: the list before has no say in the change to this one.
 	Forced bool `cbor:"3,keyasint,omitempty" json:"forced,omitempty"`
-	// Lost are the voters whose storage is gone for good, see ChangeVoters.Lost. Their votes and acknowledgements no longer count,
-	// but they are still voters, so that the quorum stays the same.
+	// Lost are the voters that are marked as lost, see ChangeVoters.Lost. Their votes and acknowledgements don't count, but they
+	// are still voters, so that the quorum stays the same.
 	Lost []VoterID `cbor:"4,keyasint,omitempty" json:"lost,omitempty"`
 }
 
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -106,6 +106,21 @@
 		}
 		members.Lost = withID(members.Lost, id)
 	}
+	if len(members.Lost)+members.Quorum() > len(members.Voters) {
+		return Members{}, ErrInvalidChange
+	}
+	return members, nil
+}
+
+// withFound returns the members with marks taken back. Each quorum of the others still meets each quorum of all voters.
+func withFound(old Members, found []VoterID) (Members, error) {
+	members := Members{Voters: old.Voters, Learners: old.Learners, Lost: old.Lost}
+	for _, id := range found {
+		if !members.IsLost(id) {
+			return Members{}, ErrInvalidChange
+		}
+		members.Lost = withoutID(members.Lost, id)
+	}
 	return members, nil
 }
 
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -330,6 +330,8 @@
 		{"seat after its mark", list("a1 b1 c1", ""), list("a1 b1 c1", "b/1"), list("a1 b2 c1", ""), false},
 		{"second successor of a storage", list("a1 b1 c1", "b/1"), list("a1 b2 c1", "b/2"), list("a1 b3 c1", ""), false},
 		{"mark after an unmarked seat", list("a1 b1 c1", ""), list("a1 b2 c1", ""), list("a1 b2 c1", "c/1"), false},
+		{"mark taken back", list("a1 b1 c1", "b/1"), list("a1 b1 c1", "b/1 c/1"), list("a1 b1 c1", "c/1"), false},
+		{"seat after a mark was taken back", list("a1 b1 c1 d1 e1", "b/1 c/1"), list("a1 b1 c1 d1 e1", "c/1"), list("a1 b1 c2 d1 e1", ""), false},
 		{"even number", list("a1 b1 c1 d1", "b/1"), list("a1 b2 c1 d1", ""), list("a1 b2 c1 d1", "c/1"), false},
 	} {
 		node := &Node{options: options{useLostStorages: true}, commit: 1, members: membership{[]memberChange{{1, test.committed}, {2, test.pending}}}}
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -88,14 +88,19 @@
 	}
 	marked := n.members.at(n.commit).Lost
 	for _, change := range slices.Backward(n.members.changes) {
-		if !replacesMarked(change.members, members, marked) {
+		if !replacesMarked(change.members, members, marked) || takesMarkBack(marked, change.members) {
 			return false
 		}
 		if change.index <= n.commit {
 			break
 		}
 	}
-	return true
+	return !takesMarkBack(marked, members)
+}
+
+// takesMarkBack reports whether a voter of a list was marked and isn't any more.
+func takesMarkBack(marked []VoterID, members Members) bool {
+	return slices.ContainsFunc(marked, func(id VoterID) bool { return members.IsVoter(id) && !members.IsLost(id) })
 }
 
 // contains reports whether a voter is in one of the lists.
@@ -179,6 +184,8 @@
 		return n.withSeats(old, event)
 	case len(event.Lost) > 0:
 		return n.withLost(old, event.Lost)
+	case len(event.Found) > 0:
+		return withFound(old, event.Found)
 	case event.AddVoter.IsZero() && event.Remove.IsZero():
 		return withLearner(old, event.AddLearner)
 	case event.AddLearner.IsZero() && event.Remove.IsZero():
--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 
 	"anvilshunt/core/anvilclock"
@@ -188,6 +189,13 @@
 	}
 }
 
+// takeMarkBack lets a leader take back the mark of a voter, which was alive all the time.
+func (u *untimed) takeMarkBack(v *voter) {
+	if lost := v.node.Status().Members.Lost; len(lost) > 0 {
+		u.step(v, ChangeVoters{Key: u.nextKey(), Found: []VoterID{lost[u.c.random.IntN(len(lost))]}})
+	}
+}
+
 // seat lets a leader replace voters, which are mostly marked.
 func (u *untimed) seat(v *voter) {
 	members := v.node.Status().Members
@@ -211,6 +219,18 @@
 	if u.changesSize && len(members.Voters) > 3 && u.chance(20) {
 		change.Remove = members.Voters[u.c.random.IntN(len(members.Voters))]
 	}
+	if u.chance(20) { // an instance at another address takes the place of a marked voter
+		for _, id := range members.Lost {
+			if change.Remove.IsZero() && !slices.ContainsFunc(change.Seat, func(seat VoterID) bool { return seat.Instance == id.Instance }) {
+				joining := u.newStorage(anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
+				u.step(v, SendLog{To: joining.id, Empty: true})
+				u.deliver(func(m Message) bool {
+					return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id
+				})
+				change.Seat, change.Remove = append(change.Seat, joining.id), id
+			}
+		}
+	}
 	before := v.node.log.last()
 	u.step(v, change)
 	if v.node.log.last() > before {
@@ -293,7 +313,9 @@
 		if u.changesSize {
 			u.changeSize(v)
 		}
-	case r < 75:
+	case r < 73:
+		u.takeMarkBack(v)
+	case r < 80:
 		v.clockOffset += int64(100 * anvilclock.Millisecond * 1000)
 		u.step(v, Tick{})
 	}
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -133,7 +133,7 @@
 func (g *Group) beginChange(change anvilraft.ChangeVoters) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ids := slices.Concat(change.Seat, change.Lost)
+	ids := slices.Concat(change.Seat, change.Lost, change.Found)
 	if slices.ContainsFunc(ids, func(id anvilraft.VoterID) bool { return g.changing[id] }) {
 		return false
 	}
@@ -147,7 +147,7 @@
 func (g *Group) endChange(change anvilraft.ChangeVoters) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, id := range slices.Concat(change.Seat, change.Lost) {
+	for _, id := range slices.Concat(change.Seat, change.Lost, change.Found) {
 		delete(g.changing, id)
 	}
 }
@@ -202,9 +202,14 @@
 	reply, err := g.peer(id.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err != nil || anvilraft.StorageID(reply.Storage) != id.Storage {
+	switch {
+	case err != nil:
 		delete(g.introduced, id) // it is asked again with the next check
 		return
+	case anvilraft.StorageID(reply.Storage) != id.Storage:
+		delete(g.introduced, id)
+		delete(g.joiningSince, id) // a late request of a former storage
+		return
 	}
 	g.introduced[id] = true
 	for _, voter := range former {
@@ -213,19 +218,49 @@
 	g.Voter.SendLog(id, !reply.Grouped)
 }
 
-// replacedStorages returns the voters that aren't marked as lost yet and whose instances have shown another storage.
+// probablyLost returns the voters to be marked as lost, at most as many as leave a quorum: first those whose instances have shown
+// another storage, then the silent one whose place an instance takes that joins at another address.
+func (g *Group) probablyLost(members anvilraft.Members, ids []anvilraft.VoterID) []anvilraft.VoterID {
+	if len(members.Voters)%2 == 0 {
+		return nil
+	}
+	lost := g.replacedStorages(members)
+	if silent, ok := g.mostSilent(g.withoutReplaced(members), replacedTimeout); ok && g.isComplete(len(members.Voters)) && g.hasNewInstance(members, ids) {
+		lost = append(lost, silent)
+	}
+	lost = slices.DeleteFunc(lost, members.IsLost)
+	return lost[:min(len(lost), max(0, len(members.Voters)-members.Quorum()-len(members.Lost)))]
+}
+
+// replacedStorages returns the voters whose instances have shown another storage.
 func (g *Group) replacedStorages(members anvilraft.Members) []anvilraft.VoterID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(members.Voters), func(id anvilraft.VoterID) bool { return !g.replaced[id] || members.IsLost(id) })
+	return slices.DeleteFunc(slices.Clone(members.Voters), func(id anvilraft.VoterID) bool { return !g.replaced[id] })
+}
+
+// withoutReplaced returns the members without those voters. Their places are for the storages that their instances have now.
+func (g *Group) withoutReplaced(members anvilraft.Members) anvilraft.Members {
+	replaced := g.replacedStorages(members)
+	isReplaced := func(id anvilraft.VoterID) bool { return slices.Contains(replaced, id) }
+	return anvilraft.Members{Voters: slices.DeleteFunc(slices.Clone(members.Voters), isReplaced)}
 }
 
-// nextEnrollment returns the next change for voters that join, or why there is none yet. A mark for their former storages comes
-// first: the group bears further losses as soon as the change that follows it is stored, and needs no quorum of the voters before.
+// hasNewInstance reports whether an instance without a voter is among those that join and have shown their storage.
+func (g *Group) hasNewInstance(members anvilraft.Members, ids []anvilraft.VoterID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(ids, func(id anvilraft.VoterID) bool {
+		return g.introduced[id] && !slices.ContainsFunc(members.Voters, isOtherStorageOf(id))
+	})
+}
+
+// nextEnrollment returns the next change for voters that join, or why there is none yet. Marks for the voters that they replace come
+// first: the group bears further losses as soon as the change that follows them is stored, and needs no quorum of the voters before.
 // Voters that take the seats of former storages, or that the group lacks, come next and together. No voter is removed for one
 // that may be gone: the silent one may still have its disk.
 func (g *Group) nextEnrollment(members anvilraft.Members, ids []anvilraft.VoterID) (anvilraft.ChangeVoters, error) {
-	if lost := g.replacedStorages(members); len(lost) > 0 && len(members.Voters)%2 == 1 {
+	if lost := g.probablyLost(members, ids); len(lost) > 0 {
 		return anvilraft.ChangeVoters{Lost: lost}, nil
 	}
 	ids = slices.DeleteFunc(slices.Clone(ids), func(id anvilraft.VoterID) bool { return !g.Voter.HasCaughtUp(id) || g.isSilent(id) })
@@ -233,6 +268,7 @@
 		return anvilraft.ChangeVoters{}, anvilraft.ErrNotCaughtUp
 	}
 	var change anvilraft.ChangeVoters
+	var others []anvilraft.VoterID
 	count := len(members.Voters)
 	for _, id := range ids {
 		hasSeat := slices.ContainsFunc(members.Voters, isOtherStorageOf(id))
@@ -242,13 +278,21 @@
 		}
 		if hasSeat {
 			change.Seat = append(change.Seat, id)
+		} else {
+			others = append(others, id)
 		}
 	}
-	if len(change.Seat) > 0 {
+	if len(others) == 0 {
 		return change, nil
 	}
-	former, err := g.replacedBy(ids[0], members)
-	return anvilraft.ChangeVoters{Seat: ids[:1], Remove: former}, err
+	former, err := g.replacedBy(others[0], members)
+	switch {
+	case len(change.Seat) == 0:
+		return anvilraft.ChangeVoters{Seat: others[:1], Remove: former}, err
+	case err == nil && members.IsLost(former):
+		change.Seat, change.Remove = append(change.Seat, others[0]), former
+	}
+	return change, nil
 }
 
 // isComplete reports whether a number of voters is what the group is meant to have.
@@ -282,6 +326,9 @@
 	for _, id := range change.Lost {
 		g.log.Write(anvillogs.MembersChanged, zap.Stringer("lost", id), zap.Error(err))
 	}
+	for _, id := range change.Found {
+		g.log.Write(anvillogs.MembersChanged, zap.Stringer("found", id), zap.Error(err))
+	}
 	if !change.Remove.IsZero() {
 		g.log.Write(anvillogs.MembersChanged, zap.Stringer("remove", change.Remove), zap.Error(err))
 	}
@@ -301,7 +348,7 @@
 	if !known {
 		since = g.clock.Now()
 	}
-	silent, ok := g.mostSilent(members, replacedTimeout)
+	silent, ok := g.mostSilent(g.withoutReplaced(members), replacedTimeout)
 	if !ok && g.clock.Now()-max(since, g.leadsSince()) < replacedTimeout {
 		return anvilraft.VoterID{}, anvilraft.ErrChangePending
 	}
--- a/io/anvilgroup/lost.go
+++ b/io/anvilgroup/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -39,6 +40,45 @@
 	}
 }
 
+// checkMarked asks the instances of marked voters that can be reached for their storages. The mark of a voter that was only silent is
+// taken back, as its vote would never count again.
+func (g *Group) checkMarked(ctx context.Context, members anvilraft.Members) {
+	for _, voter := range slices.DeleteFunc(slices.Clone(members.Lost), g.isUnreachable) {
+		if change := (anvilraft.ChangeVoters{Found: []anvilraft.VoterID{voter}}); g.beginChange(change) {
+			go func() {
+				defer g.endChange(change)
+				if g.isPresent(ctx, voter) {
+					_ = g.change(ctx, change) // it is logged, and retried with the next check
+				}
+			}()
+		}
+	}
+}
+
+// isUnreachable reports whether a marked voter is known to be replaced, or has been silent for too long to be asked.
+func (g *Group) isUnreachable(voter anvilraft.VoterID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replaced[voter] || g.unreachableFor(voter.Instance) >= replacedTimeout
+}
+
+// isPresent asks the instance of a voter for its storage, and reports whether it is still that of the voter.
+func (g *Group) isPresent(parent context.Context, voter anvilraft.VoterID) bool {
+	ctx, cancel := context.WithTimeout(parent, sendTimeout)
+	defer cancel()
+	reply, err := g.peer(voter.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
+	if err != nil || anvilid.InstanceID(reply.Instance) != voter.Instance {
+		return false
+	}
+	if anvilraft.StorageID(reply.Storage) == voter.Storage {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replaced[voter] = true
+	return false
+}
+
 // askStorage returns the voter if its storage is lost, and the zero value if it isn't or the instance doesn't answer.
 func (g *Group) askStorage(ctx context.Context, voter anvilraft.VoterID) anvilraft.VoterID {
 	reply, err := g.peer(voter.Instance).Introduce(ctx, &anvilrpc.IntroduceRequest{})
--- a/io/anvilgroup/manage.go
+++ b/io/anvilgroup/manage.go
@@ -44,7 +44,9 @@
 				_ = g.change(ctx, anvilraft.ChangeVoters{Remove: silent}) // it is logged, and retried with the next check
 			}
 		}
-		interval = g.enrollJoining(ctx, g.Voter.Status().Members)
+		members = g.Voter.Status().Members
+		g.checkMarked(ctx, members)
+		interval = g.enrollJoining(ctx, members)
 		if wait {
 			interval = enrollInterval
 		}
--- a/io/anvilgroup/successor_test.go
+++ b/io/anvilgroup/successor_test.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilraft"
 )
 
 // TestLossWhileSuccessorJoins guards against a group that has no leader for good when two voters lose their disks while the change is open by
@@ -69,3 +73,18 @@
 		}
 	}
 }
+
+// TestMarkIsTakenBack guards against a voter that never counts again because it was marked as lost while it was only silent.
+func TestMarkIsTakenBack(t *testing.T) {
+	t.Parallel()
+	nodes := newTestNodes(t, 5)
+	running := nodes.startGroup(5)
+	leader := leaderOf(t, running...)
+	silent := running[0]
+	if silent == leader {
+		silent = running[1]
+	}
+	assert.NilError(t, leader.Voter.ChangeVoters(t.Context(), anvilraft.ChangeVoters{Lost: []anvilraft.VoterID{silent.ID()}}))
+	eventually(t, "the voter counts again", 10*time.Second, func() bool { return !leader.Voter.Status().Members.IsLost(silent.ID()) })
+	assert.Assert(t, leader.Voter.Status().Members.IsVoter(silent.ID()))
+}
