--- a/io/anvilserver/clients.go
+++ b/io/anvilserver/clients.go
@@ -18,6 +18,10 @@
 	ownDescriptors = 300
 	// peerFraction is the inverse of the fraction of the connections that is reserved for other instances.
 	peerFraction = 8
+	// softMemoryFraction is the fraction of the memory limit near which the garbage collector runs more often. The rest is
+	// left to what Go doesn't count, such as the pages of the program, and to garbage that is made faster than it is
+	// collected.
+	softMemoryFraction = 0.6
 )
 
 // clientLimits returns what clients may make an instance hold, under Go's memory limit and the limit of open files of
@@ -45,10 +49,14 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		files.Cur = math.MaxUint64 // the setting alone applies
 	}
-	limits, err := clientLimits(s.settings.Limits, debug.SetMemoryLimit(-1), files.Cur)
+	memory := debug.SetMemoryLimit(-1)
+	limits, err := clientLimits(s.settings.Limits, memory, files.Cur)
 	if err != nil {
 		return nil, err
 	}
+	if memory < math.MaxInt64 {
+		debug.SetMemoryLimit(int64(float64(memory) * softMemoryFraction))
+	}
 	account := func(r *http.Request) string { return r.Header.Get(anvilhttp.AccountHeader) }
 	return anvilguard.New(limits, account, anvilguard.LogTo(s.log, limits)), nil
 }
