Report the connections and bytes of other instances when clients give way

Event 108 and the metric clients told nothing of the port for other instances: a crowd there looked like one of callers. They now also have peers of reserved (connections) and calls of callbudget (bytes). The field bytes counts callers alone.

--- a/core/anvilbudget/budget.go
+++ b/core/anvilbudget/budget.go
@@ -86,8 +86,11 @@
 
 // Counts are the totals of a Table.
 type Counts struct {
-	Connections int               `json:"connections"`
-	Bytes       anvilid.ByteCount `json:"bytes"`
+	Connections int `json:"connections"`
+	// Peers is how many of Connections are those of peers.
+	Peers int               `json:"peers"`
+	Bytes anvilid.ByteCount `json:"bytes"` // of strangers
+	Calls anvilid.ByteCount `json:"calls"` // the bytes of peers
 	// PeakBytes is the largest number of bytes so far.
 	PeakBytes anvilid.ByteCount `json:"peak"`
 	// Closed counts connections that gave way to others, and Refused those that found no place.
@@ -119,7 +122,7 @@
 func (t *Table) Counts() Counts {
 	counts := t.counts
 	counts.Connections = t.open[Stranger] + t.open[Peer]
-	counts.Bytes = t.held[Stranger] + t.held[Peer]
+	counts.Peers, counts.Bytes, counts.Calls = t.open[Peer], t.held[Stranger], t.held[Peer]
 	return counts
 }
 
--- a/io/anvilguard/report.go
+++ b/io/anvilguard/report.go
@@ -13,6 +13,8 @@
 		log.Write(anvillogs.ClientsGaveWay,
 			zap.Int64("closed", counts.Closed), zap.Int64("refused", counts.Refused), zap.Int64("yielded", counts.Yielded),
 			zap.Int("connections", counts.Connections), zap.Int("limit", limits.Connections),
-			zap.Int64("bytes", int64(counts.Bytes)), zap.Int64("budget", int64(limits.Bytes)))
+			zap.Int("peers", counts.Peers), zap.Int("reserved", limits.Peers),
+			zap.Int64("bytes", int64(counts.Bytes)), zap.Int64("budget", int64(limits.Bytes)),
+			zap.Int64("calls", int64(counts.Calls)), zap.Int64("callbudget", int64(limits.PeerBytes)))
 	}
 }
