Move the bytes that a connection holds to its account

They were taken from the new account at the end of the request, and counted to callers without a key for good, until all of those gave way. Found by reading; TestAccountIsKnownLate failed before and passes now.

--- a/core/anvilbudget/budget.go
+++ b/core/anvilbudget/budget.go
@@ -214,8 +214,13 @@
 	}
 }
 
-// SetAccount names the account to which the bytes of a connection count from now on. It must not hold any.
-func (t *Table) SetAccount(c *Conn, account string) { c.account = account }
+// SetAccount names the account to which the bytes of a connection count, also those that it holds.
+func (t *Table) SetAccount(c *Conn, account string) {
+	held := c.bytes
+	t.add(c, -held)
+	c.account = account
+	t.add(c, held)
+}
 
 // Reserve records that a connection holds more bytes. It returns the connections that have to give way for them. Their
 // bytes no longer count. If the connection itself is among them, it must not hold the bytes. That is never so for one
--- a/core/anvilbudget/budget_test.go
+++ b/core/anvilbudget/budget_test.go
@@ -122,3 +122,17 @@
 	table.Release(other)
 	assert.Equal(t, table.Counts().Bytes, anvilid.ByteCount(1000))
 }
+
+// Guards against bytes of a header that count to an account for good, because the account of a connection is known only
+// once its header has been read.
+func TestAccountIsKnownLate(t *testing.T) {
+	table := New(Limits{Connections: 10, Bytes: 1000})
+	for range 10 {
+		c, _ := table.Open(Stranger, 0)
+		assert.Equal(t, len(table.Reserve(c, 400, 0)), 0)
+		table.SetAccount(c, "a")
+		assert.Equal(t, len(table.Reserve(c, 100, 0)), 0)
+		table.Release(c)
+	}
+	assert.Equal(t, len(table.accounts), 0, "%v", table.accounts)
+}
