Let clients whose requests were carried out lately give way last

A crowd that sends faster than an operator or a target on the control port took its place: operators and targets have no keys, so that all of them counted to the account of strangers, and the one with the least progress gave way. On the control port the account of a client is its address now. An address whose change or announcement was accepted, and a key whose call was carried out on an entry instance, is trusted for a minute: it gives way after others, in places and in bytes. Nothing is refused or served because of it, so that it needs no key to be judged and may be out of date.

--- a/core/anvilbudget/budget.go
+++ b/core/anvilbudget/budget.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"math"
 
 	"anvilshunt/core/anvilclock"
@@ -50,6 +51,11 @@
 	// accountFraction is the inverse of the fraction of the bytes that one account, or all callers without a key
 	// together, may hold.
 	accountFraction = 2
+	// trustDuration is how long clients give way last once a request of theirs was carried out. It is longer than the
+	// pauses of operators and targets.
+	trustDuration = anvilclock.Minute
+	// maxTrusted limits the accounts that are remembered for that.
+	maxTrusted = 4096
 )
 
 // Limits bounds what others may make a process hold.
@@ -76,6 +82,7 @@
 	class   Class
 	phase   Phase
 	account string
+	trusted bool // requests of the account were carried out lately
 	bytes   anvilid.ByteCount
 	leaving anvilid.ByteCount // bytes that gave way and are held until the request has ended
 	credit  float64
@@ -107,6 +114,7 @@
 	waiting  map[*Conn]struct{}
 	idle     *list.List // the one that has been idle for longest first
 	accounts map[string]anvilid.ByteCount
+	trusted  map[string]anvilclock.Millis // when a request of an account was carried out last
 	held     [Peer + 1]anvilid.ByteCount
 	leaving  [Peer + 1]anvilid.ByteCount // bytes that gave way and are held until their requests have ended
 	open     [Peer + 1]int
@@ -115,7 +123,10 @@
 
 // New returns an empty table.
 func New(limits Limits) *Table {
-	return &Table{limits: limits, waiting: map[*Conn]struct{}{}, idle: list.New(), accounts: map[string]anvilid.ByteCount{}}
+	return &Table{
+		limits: limits, waiting: map[*Conn]struct{}{}, idle: list.New(), accounts: map[string]anvilid.ByteCount{},
+		trusted: map[string]anvilclock.Millis{},
+	}
 }
 
 // Counts returns the present totals.
@@ -165,11 +176,14 @@
 	return opened
 }
 
-// slowest returns the waiting connection with the least credit among those that are eligible, and its credit.
+// slowest returns the waiting connection with the least credit among those that are eligible, and its credit. Trusted ones
+// come last.
 func (t *Table) slowest(eligible func(*Conn) bool, now anvilclock.Millis) (found *Conn, credit float64) {
 	credit = math.Inf(1)
 	for c := range t.waiting {
-		if own := c.creditAt(now); own < credit && eligible(c) {
+		own := c.creditAt(now)
+		sooner := found == nil || found.trusted && !c.trusted || found.trusted == c.trusted && own < credit
+		if sooner && eligible(c) {
 			found, credit = c, own
 		}
 	}
@@ -215,11 +229,28 @@
 }
 
 // SetAccount names the account to which the bytes of a connection count, also those that it holds.
-func (t *Table) SetAccount(c *Conn, account string) {
+func (t *Table) SetAccount(c *Conn, account string, now anvilclock.Millis) {
 	held := c.bytes
 	t.add(c, -held)
 	c.account = account
 	t.add(c, held)
+	since, known := t.trusted[account]
+	c.trusted = known && now < since+trustDuration
+}
+
+// Trust records that a request of an account was carried out. Its connections give way after those of others for
+// trustDuration. Only what gives way first depends on it, so that a key which has been taken since gains nothing else.
+func (t *Table) Trust(account string, now anvilclock.Millis) {
+	if account == "" {
+		return
+	}
+	if _, known := t.trusted[account]; !known && len(t.trusted) >= maxTrusted {
+		maps.DeleteFunc(t.trusted, func(_ string, since anvilclock.Millis) bool { return now >= since+trustDuration })
+		if len(t.trusted) >= maxTrusted {
+			return
+		}
+	}
+	t.trusted[account] = now
 }
 
 // Reserve records that a connection holds more bytes. It returns the connections that have to give way for them. Their
--- a/core/anvilbudget/budget_test.go
+++ b/core/anvilbudget/budget_test.go
@@ -1,6 +1,7 @@
 package anvilbudget
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -61,7 +62,7 @@
 	table := New(Limits{Connections: 10, Peers: 1, Bytes: 1000})
 	open := func(account string, bytes int, at anvilclock.Millis) *Conn {
 		c, _ := table.Open(Stranger, at)
-		table.SetAccount(c, account)
+		table.SetAccount(c, account, 0)
 		assert.Equal(t, len(table.Reserve(c, 0, at)), 0)
 		table.Progress(c, bytes, at)
 		return c
@@ -111,7 +112,7 @@
 	table := New(Limits{Connections: 10, Peers: 5, Bytes: 1000, PeerBytes: 500})
 	for n := range 4 {
 		c, _ := table.Open(Stranger, 0)
-		table.SetAccount(c, string(rune('a'+n)))
+		table.SetAccount(c, string(rune('a'+n)), 0)
 		assert.Equal(t, len(table.Reserve(c, 250, 0)), 0)
 	}
 	call, _ := table.Open(Peer, 0)
@@ -130,9 +131,46 @@
 	for range 10 {
 		c, _ := table.Open(Stranger, 0)
 		assert.Equal(t, len(table.Reserve(c, 400, 0)), 0)
-		table.SetAccount(c, "a")
+		table.SetAccount(c, "a", 0)
 		assert.Equal(t, len(table.Reserve(c, 100, 0)), 0)
 		table.Release(c)
 	}
 	assert.Equal(t, len(table.accounts), 0, "%v", table.accounts)
 }
+
+// Guards against clients whose requests were carried out lately, such as operators and targets, and that give way to a crowd
+// that sends faster.
+func TestTrustedClientsGiveWayLast(t *testing.T) {
+	table := New(Limits{Connections: 4, Bytes: 1000})
+	table.Trust("target", 0)
+	open := func(account string, bytes anvilid.ByteCount) *Conn {
+		c, _ := table.Open(Stranger, 0)
+		table.SetAccount(c, account, 0)
+		assert.Equal(t, len(table.Reserve(c, bytes, 0)), 0)
+		return c
+	}
+	target, first, second := open("target", 400), open("a", 400), open("b", 100)
+	now := anvilclock.Second
+	table.Progress(first, 400_000, now)
+	table.Progress(second, 200_000, now)
+	assert.DeepEqual(t, table.Reserve(second, 200, now), []*Conn{second}, samePointers)
+	assert.Assert(t, !target.left && !first.left)
+	for range 4 {
+		opened, surplus := table.Open(Stranger, now)
+		assert.Assert(t, surplus != target)
+		table.Progress(opened, 200_000, now)
+	}
+	later := now + 2*trustDuration
+	forgotten, _ := table.Open(Stranger, later)
+	table.SetAccount(forgotten, "target", later)
+	assert.Assert(t, !forgotten.trusted)
+}
+
+// Guards against a table of accounts that a crowd lets grow.
+func TestTrustedAccountsAreLimited(t *testing.T) {
+	table := New(Limits{Connections: 4, Bytes: 1000})
+	for n := range 3 * maxTrusted {
+		table.Trust(strconv.Itoa(n), anvilclock.Millis(n))
+	}
+	assert.Assert(t, len(table.trusted) <= maxTrusted)
+}
--- a/core/anvilrows/lists_test.go
+++ b/core/anvilrows/lists_test.go
@@ -20,7 +20,7 @@
 		{`{"steps":[` + many("0", 100_000) + `]}`, true},
 		{`{"a":{"b":[1]},"steps":[` + many("{}", 10_000) + `,` + many("[]", 10_000) + `]}`, true},
 		{`{"a":"\\\"","steps":[` + many("0", 50_000) + `],"steps":[` + many("0", 50_000) + `]}`, true},
-		{`{"steps":[` + many(`{"count":1,"cpu":500,"task_memory_mb":256}`, 10_000) + `]}`, false},
+		{`{"steps":[` + many(`{"count":1,"cpu":500,"memory":256,"gpu":0}`, 10_000) + `]}`, false},
 		{`{"steps":[` + many("0", 300) + `]}`, false},
 		{`{"text":"` + many("0", 100_000) + `"}`, false},
 		{`{"steps":[{"after":[` + many("0", 100_000) + `]}]}`, false},
--- a/io/anvilguard/body.go
+++ b/io/anvilguard/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -100,6 +101,26 @@
 	}
 }
 
+// Host returns the address of the client of a request without its port.
+func Host(r *http.Request) string { return host(r.RemoteAddr) }
+
+func host(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// Trust records that a request was carried out, so that its client gives way after others from now on.
+func Trust(r *http.Request) {
+	if c := connOf(r); c != nil {
+		c.guard.mu.Lock()
+		defer c.guard.mu.Unlock()
+		c.guard.table.Trust(c.guard.account(r), c.guard.clock.Now())
+	}
+}
+
 // bodyReader reads a body in the time that a client may take.
 type bodyReader struct {
 	conn   *conn // nil if the request has no guarded connection
@@ -151,5 +172,5 @@
 func (c *conn) setAccount(account string) {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	c.guard.table.SetAccount(c.account, account)
+	c.guard.table.SetAccount(c.account, account, c.guard.clock.Now())
 }
--- a/io/anvilguard/guard.go
+++ b/io/anvilguard/guard.go
@@ -165,7 +165,12 @@
 // open gives a connection a place, or returns nil if there is none.
 func (g *Guard) open(accepted net.Conn, class anvilbudget.Class) *conn {
 	g.mu.Lock()
-	account, surplus := g.table.Open(class, g.clock.Now())
+	now := g.clock.Now()
+	account, surplus := g.table.Open(class, now)
+	if surplus != account && class == anvilbudget.Stranger {
+		// It is all that is known of the client until it has sent a header.
+		g.table.SetAccount(account, host(accepted.RemoteAddr().String()), now)
+	}
 	closing := g.conns[surplus]
 	delete(g.conns, surplus)
 	var opened *conn
