Refuse calls between instances that decode to far more than they are

Whoever reached the port for other instances could send a message of empty fields: two bytes each, and 24 or more in memory. The fields of a call are counted as it arrives; above 4,096 they need 32 bytes each on average, which all messages of instances have. Calls as JSON, which the RPC library also takes and no instance sends, are refused.

--- a/io/anvilguard/call.go
+++ b/io/anvilguard/call.go
@@ -9,11 +9,16 @@
 	"anvilshunt/core/anvilbudget"
 )
 
-// refuseCall refuses a call from another instance that is too large, or that doesn't announce its length, as all calls of
-// instances do. It reports whether it has answered the call.
+// callType is the content type of the calls of instances.
+const callType = "application/protobuf"
+
+// refuseCall refuses a call from another instance that is too large, or that has another type or doesn't announce its
+// length, as all calls of instances do. It reports whether it has answered the call.
 func refuseCall(c *conn, w http.ResponseWriter, r *http.Request) bool {
 	status := http.StatusRequestEntityTooLarge
 	switch {
+	case r.Header.Get("Content-Type") != callType:
+		status = http.StatusUnsupportedMediaType
 	case r.ContentLength < 0:
 		status = http.StatusLengthRequired
 	case r.ContentLength <= int64(anvilbudget.LargestCall):
@@ -30,6 +35,7 @@
 type callBody struct {
 	io.Closer
 	reader bodyReader
+	fields fieldCounter
 	header http.Header
 }
 
@@ -44,19 +50,26 @@
 func (b *callBody) Read(into []byte) (int, error) {
 	n, err := b.reader.read(into)
 	c := b.reader.conn
-	if errors.Is(err, io.EOF) {
+	if counted := b.count(into[:n]); counted != nil {
+		err = counted
+	}
+	switch {
+	case errors.Is(err, io.EOF):
 		c.setPhase(anvilbudget.Working)
 		if err := c.setReadDeadline(time.Time{}); err != nil {
 			return n, err
 		}
-		return n, io.EOF
-	}
-	if err == nil {
-		err = c.hold(n)
-	}
-	if err != nil {
+	case err != nil:
 		b.header.Set("Connection", "close")
 		c.stop()
 	}
 	return n, err
 }
+
+// count counts the bytes and fields of the next piece.
+func (b *callBody) count(piece []byte) error {
+	if err := b.reader.conn.hold(len(piece)); err != nil {
+		return err
+	}
+	return b.fields.count(piece)
+}
