Send an instance that joins its whole log without waiting for syncs

An emptied voter of a group with a long log had no vote for many seconds on a slow disk.

Cause: the leader sends at most 128 KiB of entries that aren't acknowledged, and each acknowledgement waits for a sync of the voter.

Change: an instance that joins and isn't a member yet may be sent 32 such windows. The first save of a new directory waits until no further part of the copy has come for 30 ms, 250 ms at most, so that one sync stores it.

--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -66,18 +66,32 @@
 			n.startEntryTransfer(p)
 			break
 		}
-		bytes := n.options.maxInflightBytes - p.inflightBytes
-		entries := n.options.maxInflightEntries - p.inflightEntries
+		windows := n.windows(p)
+		bytes := anvilid.ByteCount(windows)*n.options.maxInflightBytes - p.inflightBytes
+		entries := windows*n.options.maxInflightEntries - p.inflightEntries
 		if bytes <= 0 || entries <= 0 {
 			return
 		}
 		n.sendBatch(p, min(bytes, n.options.maxMessageBytes), entries)
 	}
 	if p.transfer != nil {
-		n.sendParts(p, n.options.maxInflightBytes)
+		n.sendParts(p, anvilid.ByteCount(n.windows(p))*n.options.maxInflightBytes)
 	}
 }
 
+// joiningWindows is how many windows of entries an instance is sent that joins, without an acknowledgement. Each acknowledgement
+// waits for a sync, and an instance that needs one sync for each window of a long log has no vote for seconds.
+// No election and no commit waits for heartbeats behind these windows.
+const joiningWindows = 32
+
+// windows returns how many windows (maxInflightBytes, maxInflightEntries) may be unacknowledged.
+func (n *Node) windows(p *peer) int {
+	if _, joins := n.leading.joining[p.id]; joins {
+		return joiningWindows
+	}
+	return 1
+}
+
 // sendBatch sends at most count entries and limit bytes from p.next on, but at least one
 // entry.
 func (n *Node) sendBatch(p *peer, limit anvilid.ByteCount, count int) {
--- a/io/anvildisk/storage.go
+++ b/io/anvildisk/storage.go
@@ -124,6 +124,9 @@
 // ID returns the storage id, which the directory got when it was initialized.
 func (s *Storage) ID() anvilraft.StorageID { return s.id }
 
+// Created reports whether the directory contains its first segment, see WithDeferredCreation.
+func (s *Storage) Created() bool { return s.file != nil }
+
 // Dir returns the path of the directory.
 func (s *Storage) Dir() string { return s.dir }
 
--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,6 +19,14 @@
 // state) that share one disk sync.
 const maxSavesPerSync = 256
 
+const (
+	// copyGap is the time without a further save after which the copy of the log for a new data directory is taken
+	// to be complete, and copyWait bounds the wait for that. A save that comes later waits for a second sync, which takes
+	// a second on a slow disk.
+	copyGap  = 30 * time.Millisecond
+	copyWait = 250 * time.Millisecond
+)
+
 // diskLoop writes the queued anvilraft.Saves to the data directory and reports them
 // to the step loop as persisted. Up to maxSavesPerSync of them share one disk sync.
 func (v *Voter) diskLoop(ctx context.Context, storage *anvildisk.Storage) error {
@@ -30,6 +39,9 @@
 		case save := <-v.saves:
 			batch = append(batch[:0], save)
 		}
+		if !storage.Created() {
+			batch = v.gatherCopy(ctx, batch)
+		}
 		for more := true; more && len(batch) < maxSavesPerSync; {
 			select {
 			case save := <-v.saves:
@@ -48,6 +60,25 @@
 	}
 }
 
+// gatherCopy adds the saves that follow the first one of a new data directory.
+func (v *Voter) gatherCopy(ctx context.Context, batch []anvilraft.Save) []anvilraft.Save {
+	bound := time.NewTimer(copyWait)
+	defer bound.Stop()
+	for len(batch) < maxSavesPerSync {
+		select {
+		case <-ctx.Done():
+			return batch
+		case <-bound.C:
+			return batch
+		case <-time.After(copyGap):
+			return batch
+		case save := <-v.saves:
+			batch = append(batch, save)
+		}
+	}
+	return batch
+}
+
 // slowWrites logs writes that take longer than a limit.
 type slowWrites struct {
 	log   *anvillogs.Logger
