Don't wait for the rest of a body that was read after an interim answer

An answer of 100 (Continue) goes out before the body has been read, and left its mark until the connection was closed, which then kept its place for up to 2 s.

--- a/io/anvilguard/conn.go
+++ b/io/anvilguard/conn.go
@@ -72,9 +72,7 @@
 func (c *conn) Write(data []byte) (int, error) {
 	before := c.beginWrite(len(data))
 	defer c.endWrite(before, len(data))
-	if before == anvilbudget.Receiving {
-		c.unread.Store(true)
-	}
+	c.unread.Store(before == anvilbudget.Receiving)
 	written := 0
 	for {
 		if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
