--- a/io/anvildisk/open_test.go
+++ b/io/anvildisk/open_test.go
@@ -33,19 +33,49 @@
 // TestFirstSaveWaitsForOneSync guards against a voter with a lost disk that makes several syncs one after another before it has
 // stored its copy of the log. With syncs of a second it had no vote yet when further disks were lost.
 func TestFirstSaveWaitsForOneSync(t *testing.T) {
-	dir := filepath.Join(t.TempDir(), "log")
-	files, begun := together(3)
-	storage, created, err := Open(dir, WithFiles(files), WithDeferredCreation())
-	assert.NilError(t, err)
-	assert.Equal(t, begun.Load(), int64(0), "syncs before the first save")
-	assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 3, 1), Hard: hardState(1)}))
-	assert.Equal(t, begun.Load(), int64(3))
-	assert.NilError(t, storage.Close())
-	storage, restored, err := Open(dir)
-	assert.NilError(t, err)
-	assert.Equal(t, restored.Storage, created.Storage)
-	assert.Equal(t, len(restored.Entries), 3)
-	assert.NilError(t, storage.Close())
+	for name, test := range map[string]struct {
+		syncs int64
+		saves []anvilraft.Save
+	}{
+		"entries":  {3, []anvilraft.Save{{From: 1, Entries: entries(1, 3, 1), Hard: hardState(1)}}},
+		"snapshot": {4, []anvilraft.Save{{Hard: hardState(1)}, {Snapshot: snapshot(20, 1)}, {From: 21, Entries: entries(21, 23, 1)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := filepath.Join(t.TempDir(), "log")
+			files, begun := together(test.syncs)
+			storage, created, err := Open(dir, WithFiles(files), WithDeferredCreation())
+			assert.NilError(t, err)
+			assert.Equal(t, begun.Load(), int64(0), "syncs before the first save")
+			assert.NilError(t, storage.Save(test.saves...))
+			assert.Equal(t, begun.Load(), test.syncs)
+			assert.NilError(t, storage.Close())
+			storage, restored, err := Open(dir)
+			assert.NilError(t, err)
+			assert.Equal(t, restored.Storage, created.Storage)
+			assert.Equal(t, len(restored.Entries), 3)
+			assert.NilError(t, storage.Close())
+		})
+	}
+}
+
+// TestFirstSaveLosesNames guards against a directory that can't be opened any more, or that is restored without its snapshot,
+// after a power failure that has kept some of the names of the first save and lost others.
+func TestFirstSaveLosesNames(t *testing.T) {
+	for _, lost := range []string{segmentName(1), snapshotName(20)} {
+		dir := filepath.Join(t.TempDir(), "log")
+		storage, first, err := Open(dir, WithDeferredCreation())
+		assert.NilError(t, err)
+		saves := []anvilraft.Save{{Hard: hardState(1)}, {Snapshot: snapshot(20, 1)}}
+		assert.NilError(t, storage.Save(saves...))
+		assert.NilError(t, storage.Close())
+		assert.NilError(t, os.Remove(filepath.Join(dir, createdName)))
+		assert.NilError(t, os.Remove(filepath.Join(dir, lost)))
+		storage, second, err := Open(dir, WithDeferredCreation())
+		assert.NilError(t, err, lost)
+		assert.Assert(t, second.Created && second.Storage != first.Storage)
+		assert.NilError(t, storage.Save(saves...))
+		assert.NilError(t, storage.Close())
+	}
 }
 
 // TestUnstoredStorage guards against a storage id that is seen again although nothing of the directory was stored, or only a
--- a/io/anvildisk/restore.go
+++ b/io/anvildisk/restore.go
@@ -90,22 +90,43 @@
 		return s.create(found)
 	}
 	if found.mayBeInterrupted() {
-		stored, err := s.hasHeader(segmentName(1))
+		complete, err := s.isComplete(found)
 		if err != nil {
 			return Restored{}, err
 		}
-		if !stored {
+		if !complete {
 			return s.create(found)
 		}
 	}
 	return s.restore(found)
 }
 
-// hasHeader reports whether a segment begins with a valid frame.
-func (s *Storage) hasHeader(name string) (bool, error) {
+// isComplete reports whether the first write to a directory has stored all that the rest is read with: the header of the first
+// segment, and the snapshot if the segment begins after one.
+func (s *Storage) isComplete(found fileListing) (bool, error) {
+	if len(found.segments) == 0 {
+		return false, nil
+	}
+	name := segmentName(1)
 	data, err := s.files.Read(filepath.Join(s.dir, name))
+	if err != nil {
+		return false, err
+	}
 	f, state := readFrame(data, fileSeed("", name), 0)
-	return state == frameComplete && f.kind == frameSegment, err
+	if state != frameComplete || f.kind != frameSegment {
+		return false, nil
+	}
+	header, ok := decodeSegmentHeader(f.payload)
+	if !ok || header.version != formatVersion || header.prevIndex == 0 {
+		return true, nil // restore reports what can't be read
+	}
+	if len(found.snapshots) == 0 {
+		return false, nil
+	}
+	name = snapshotName(found.snapshots[0])
+	data, err = s.files.Read(filepath.Join(s.dir, name))
+	f, state = readFrame(data, fileSeed(header.storage, name), 0)
+	return state == frameComplete && f.kind == frameSnapshot && f.end == len(data), err
 }
 
 // fileListing contains the numbers in the names of the files of the directory: N of each file
@@ -118,7 +139,7 @@
 
 // mayBeInterrupted reports whether the last process may have died while it created the directory.
 func (l fileListing) mayBeInterrupted() bool {
-	return !l.created && len(l.snapshots) == 0 && len(l.segments) == 1 && l.segments[0] == 1
+	return !l.created && len(l.snapshots) <= 1 && (len(l.segments) == 0 || len(l.segments) == 1 && l.segments[0] == 1)
 }
 
 // leftovers returns the files that are in the way of a new first segment.
@@ -129,6 +150,9 @@
 	for _, sequence := range l.segments {
 		names = append(names, segmentName(sequence))
 	}
+	for _, index := range l.snapshots {
+		names = append(names, snapshotName(index))
+	}
 	return names
 }
 
@@ -292,7 +316,26 @@
 	if err := writeAll(file, r.lastFrame, r.validEnd-len(r.lastFrame)); err != nil {
 		return err
 	}
-	return concurrently(file.Sync, func() error { return s.files.SyncDir(s.dir) }, s.syncParent)
+	syncs := []func() error{file.Sync, func() error { return s.files.SyncDir(s.dir) }, s.syncParent}
+	if r.mayBeUnsynced && s.snapshot > 0 {
+		snapshot, err := s.rewriteSnapshot()
+		if err != nil {
+			return err
+		}
+		defer func() { _ = snapshot.Close() }() // it is synced
+		syncs = append(syncs, snapshot.Sync)
+	}
+	return concurrently(syncs...)
+}
+
+// rewriteSnapshot writes the snapshot again, with the same content, and returns the open file.
+func (s *Storage) rewriteSnapshot() (*File, error) {
+	name := snapshotName(s.snapshot)
+	content, err := s.files.Read(filepath.Join(s.dir, name))
+	if err != nil {
+		return nil, err
+	}
+	return s.write(name, content, s.files.Open)
 }
 
 func (s *Storage) syncParent() error { return s.files.SyncDir(filepath.Dir(s.dir)) }
--- a/io/anvildisk/storage.go
+++ b/io/anvildisk/storage.go
@@ -97,6 +97,7 @@
 
 	file    *File  // the last segment, open for writing; nil before the first one is stored
 	header  []byte // the first frame of the first segment, until that is stored
+	copied  []byte // the content of a snapshot that is stored together with the first segment, or nil
 	seed    seed
 	size    int
 	buffer  []byte
@@ -209,7 +210,13 @@
 			s.buffer = binary.AppendUvarint(append(s.buffer, recordMembersAt), uint64(s.hardState.MembersAt))
 		}
 	}
-	if save.Snapshot != nil {
+	switch {
+	case save.Snapshot == nil:
+	case s.file == nil && s.snapshot == 0 && s.terms.last == 0:
+		if err := s.beginWith(save.Snapshot); err != nil {
+			return err
+		}
+	default:
 		// Write the hard state before the snapshot, so that a restored term is never lower than
 		// the term of the snapshot.
 		if err := s.flush(); err != nil {
@@ -277,27 +284,54 @@
 	return s.storeFirst(s.header)
 }
 
+// beginWith lets a new directory begin with a snapshot. The hard state that was saved before goes into the segment header.
+func (s *Storage) beginWith(snap *anvilraft.Snapshot) error {
+	content, err := appendSnapshot(newFrame(nil), snap)
+	if err != nil {
+		return err
+	}
+	finishFrame(content, frameSnapshot, fileSeed(s.id, snapshotName(snap.Index)), 0)
+	s.copied, s.snapshot, s.terms = content, snap.Index, newTermTable(snap.Index, snap.Term)
+	s.prepareFirst()
+	s.buffer = newFrame(s.buffer)
+	return nil
+}
+
 // prepareFirst makes the header of the first segment, which nothing has stored yet.
 func (s *Storage) prepareFirst() {
 	name := segmentName(1)
-	header := segmentHeader{version: formatVersion, storage: s.id, sequence: 1}
+	header := segmentHeader{
+		version: formatVersion, storage: s.id, sequence: 1, hardState: s.hardState,
+		prevIndex: s.terms.last, prevTerm: s.terms.lastTerm(),
+	}
 	s.header = header.append(newFrame(nil))
 	finishFrame(s.header, frameSegment, fileSeed("", name), 0)
 	s.seed, s.size = fileSeed(s.id, name), len(s.header)
 	s.segments = []segment{{sequence: 1}}
 }
 
-// storeFirst creates the first segment with the given content. Nothing was acknowledged before it, so that the file can have
-// its final name from the start and all syncs are made at the same time: a slow disk takes a second for each.
+// storeFirst creates the first segment with the given content, and the snapshot before it, if there is one. Nothing was
+// acknowledged before, so that the files can have their final names from the start and all syncs are made at the same time: a slow
+// disk takes a second for each.
 func (s *Storage) storeFirst(content []byte) error {
-	file, err := s.files.Create(filepath.Join(s.dir, segmentName(1)))
+	if s.copied != nil {
+		snapshot, err := s.write(snapshotName(s.snapshot), s.copied, s.files.Create)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = snapshot.Close() }() // it is synced
+		return s.storeSegment(content, snapshot.Sync)
+	}
+	return s.storeSegment(content)
+}
+
+// storeSegment creates the first segment. The given further syncs are made together with those of the segment.
+func (s *Storage) storeSegment(content []byte, syncs ...func() error) error {
+	file, err := s.write(segmentName(1), content, s.files.Create)
 	if err != nil {
 		return err
 	}
-	err = writeAll(file, content, 0)
-	if err == nil {
-		err = concurrently(file.Sync, func() error { return s.files.SyncDir(s.dir) }, s.syncParent)
-	}
+	err = concurrently(append(syncs, file.Sync, func() error { return s.files.SyncDir(s.dir) }, s.syncParent)...)
 	if err == nil {
 		err = s.markCreated()
 	}
@@ -305,10 +339,23 @@
 		_ = file.Close() // the first error is the one to report
 		return err
 	}
-	s.file, s.header = file, nil
+	s.file, s.header, s.copied = file, nil, nil
 	return nil
 }
 
+// write opens a file and writes its content.
+func (s *Storage) write(name string, content []byte, open func(string) (*File, error)) (*File, error) {
+	file, err := open(filepath.Join(s.dir, name))
+	if err != nil {
+		return nil, err
+	}
+	if err := writeAll(file, content, 0); err != nil {
+		_ = file.Close() // the first error is the one to report
+		return nil, err
+	}
+	return file, nil
+}
+
 // markCreated records that the first segment is stored.
 func (s *Storage) markCreated() error {
 	mark, err := s.files.Create(filepath.Join(s.dir, createdName))
--- a/io/anvildisk/storage_test.go
+++ b/io/anvildisk/storage_test.go
@@ -86,13 +86,13 @@
 
 // runScript saves the script until a call fails. It returns the states that Open may restore
 // afterwards: the acknowledged one and those that the failed call may have stored.
-func runScript(disk *simDisk, opts ...Option) (allowed []anvilraft.PersistentState, failed error) {
+func runScript(disk *simDisk, saves []anvilraft.Save, opts ...Option) (allowed []anvilraft.PersistentState, failed error) {
 	storage, restored, err := Open("data", append(opts, WithFiles(disk.files()), WithSegmentBytes(300))...)
 	if err != nil {
 		return []anvilraft.PersistentState{{}}, err
 	}
 	state := restored.PersistentState
-	for _, save := range script {
+	for _, save := range saves {
 		if err := storage.Save(save); err != nil {
 			if again := storage.Save(anvilraft.Save{Hard: hardState(99)}); again != err {
 				return nil, fmt.Errorf("a call after the failure returned %v, want %v", again, err)
@@ -108,13 +108,14 @@
 // saved. The test makes each single file-system call fail, in each fault mode, followed by a
 // restart, a power failure, or a restart and then a power failure.
 func TestFaultAtEveryCall(t *testing.T) {
-	t.Run("created by Open", func(t *testing.T) { checkFaults(t) })
-	t.Run("created by Save", func(t *testing.T) { checkFaults(t, WithDeferredCreation()) })
+	t.Run("created by Open", func(t *testing.T) { checkFaults(t, script) })
+	t.Run("created by Save", func(t *testing.T) { checkFaults(t, script, WithDeferredCreation()) })
+	t.Run("created with a snapshot", func(t *testing.T) { checkFaults(t, script[8:], WithDeferredCreation()) })
 }
 
-func checkFaults(t *testing.T, opts ...Option) {
+func checkFaults(t *testing.T, script []anvilraft.Save, opts ...Option) {
 	clean := newSimDisk()
-	_, err := runScript(clean, opts...)
+	_, err := runScript(clean, script, opts...)
 	assert.NilError(t, err)
 	assert.Assert(t, len(clean.cached) <= 4, "the directory keeps more than 4 files: %v", clean.cached)
 	for mode := range modeCount {
@@ -122,7 +123,7 @@
 			for _, crash := range []string{"restart", "power", "both"} {
 				disk := newSimDisk()
 				disk.mode, disk.failAt = mode, failAt
-				allowed, err := runScript(disk, opts...)
+				allowed, err := runScript(disk, script, opts...)
 				label := fmt.Sprintf("mode %d, call %d, %s", mode, failAt, crash)
 				if err != nil { // nil if Save ignored the injected failure, as it may when it closes a replaced file
 					assert.Assert(t, errors.Is(err, ErrFailed) || errors.Is(err, errInjected) || errors.Is(err, syscall.ENOSPC),
