--- a/io/anvilvoter/compaction.go
+++ b/io/anvilvoter/compaction.go
@@ -22,9 +22,14 @@
 	return newCompactionSchedule(status.ID, status.Members.Voters, v.compactAfter, v.compactBytes)
 }
 
+// joiningIntervals is the interval of a member without a vote, in intervals of a voter. While it stores a snapshot it acknowledges nothing,
+// and on a slow disk the several syncs of that would keep an instance that joins from its vote for seconds.
+const joiningIntervals = 4
+
 func newCompactionSchedule(id anvilraft.VoterID, voters []anvilraft.VoterID, after int, size anvilid.ByteCount) compactionSchedule {
 	schedule := compactionSchedule{interval: anvilid.Index(after)}
 	if !slices.Contains(voters, id) {
+		schedule.interval *= joiningIntervals
 		return schedule
 	}
 	rank := 0
--- a/io/anvilvoter/compaction_test.go
+++ b/io/anvilvoter/compaction_test.go
@@ -42,3 +42,12 @@
 		}
 	}
 }
+
+// TestJoiningCompactsLater guards against an instance that joins and stores a snapshot of its own, of a log that it has just got, before it
+// acknowledges that log: with slow syncs that took 5 s, in which it got no vote.
+func TestJoiningCompactsLater(t *testing.T) {
+	voters := []anvilraft.VoterID{{Instance: "v0", Storage: "s"}}
+	joining := newCompactionSchedule(anvilraft.VoterID{Instance: "v0", Storage: "t"}, voters, 4000, 16<<20)
+	assert.Assert(t, !joining.due(3200, 6000))
+	assert.Assert(t, joining.due(3200, 16000), "the log must not grow for good")
+}
--- a/io/anvilvoter/disk.go
+++ b/io/anvilvoter/disk.go
@@ -22,7 +22,7 @@
 const (
 	// copyGap is the time without a further save after which the copy of the log for a new data directory is taken
 	// to be complete, and copyWait bounds the wait for that. A save that comes later waits for a second sync, which takes
-	// a second on a slow disk.
+	// a second on a slow disk, and several of them if it is a snapshot.
 	copyGap  = 30 * time.Millisecond
 	copyWait = 250 * time.Millisecond
 )
@@ -32,12 +32,17 @@
 func (v *Voter) diskLoop(ctx context.Context, storage *anvildisk.Storage) error {
 	slow := slowWrites{log: v.log, limit: v.slowWriteLimit}
 	batch := make([]anvilraft.Save, 0, maxSavesPerSync)
+	var snapshot *anvilraft.Save // begins the next batch, so that the saves before it are reported without its syncs
 	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case save := <-v.saves:
-			batch = append(batch[:0], save)
+		if snapshot != nil {
+			batch, snapshot = append(batch[:0], *snapshot), nil
+		} else {
+			select {
+			case <-ctx.Done():
+				return nil
+			case save := <-v.saves:
+				batch = append(batch[:0], save)
+			}
 		}
 		if !storage.Created() {
 			batch = v.gatherCopy(ctx, batch)
@@ -45,7 +50,11 @@
 		for more := true; more && len(batch) < maxSavesPerSync; {
 			select {
 			case save := <-v.saves:
-				batch = append(batch, save)
+				if save.Snapshot != nil {
+					snapshot, more = &save, false
+				} else {
+					batch = append(batch, save)
+				}
 			default:
 				more = false
 			}
@@ -60,17 +69,22 @@
 	}
 }
 
-// gatherCopy adds the saves that follow the first one of a new data directory.
+// gatherCopy adds the saves that follow the first one of a new data directory. The parts of a snapshot come without saves, so that
+// a first save without content says nothing about the time until the next one.
 func (v *Voter) gatherCopy(ctx context.Context, batch []anvilraft.Save) []anvilraft.Save {
 	bound := time.NewTimer(copyWait)
 	defer bound.Stop()
+	var gap <-chan time.Time
 	for len(batch) < maxSavesPerSync {
+		if last := batch[len(batch)-1]; last.Snapshot != nil || len(last.Entries) > 0 {
+			gap = time.After(copyGap)
+		}
 		select {
 		case <-ctx.Done():
 			return batch
 		case <-bound.C:
 			return batch
-		case <-time.After(copyGap):
+		case <-gap:
 			return batch
 		case save := <-v.saves:
 			batch = append(batch, save)
