--- a/core/anvilraft/overlap_test.go
+++ b/core/anvilraft/overlap_test.go
@@ -152,3 +152,20 @@
 		}
 	}
 }
+
+// TestRemovalLeavesQuorum guards against a removal after which the voters that aren't marked are no quorum: it can never be
+// committed, and the marks can't be taken back before it is.
+func TestRemovalLeavesQuorum(t *testing.T) {
+	t.Parallel()
+	o := &overlap{}
+	var members Members
+	for range 5 {
+		members.Voters = withID(members.Voters, o.newID())
+	}
+	members.Lost = slices.Clone(members.Voters[3:])
+	node := &Node{options: options{useLostStorages: true}, commit: 1, members: membership{[]memberChange{{1, members}}}}
+	after, err := node.membersAfter(ChangeVoters{Remove: members.Voters[0]})
+	if err == nil && len(after.Voters)-len(after.Lost) < after.Quorum() {
+		t.Errorf("%d of %d voters are marked", len(after.Lost), len(after.Voters))
+	}
+}
