Let a leader send its log to the voters of both lists that count

Cause: a new leader made peers for the latest list only. Change: it makes them for all voters that count.

--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -252,11 +252,12 @@
 	members := n.members.latest()
 	maps.DeleteFunc(n.leading.joining, func(id VoterID, _ anvilclock.Millis) bool { return members.Contains(id) })
 	joining := slices.SortedFunc(maps.Keys(n.leading.joining), VoterID.Compare)
+	electors := n.Electors()
 	isNeeded := func(p *peer) bool {
-		return members.Contains(p.id) || slices.Contains(joining, p.id) || n.members.lastChangeIndex() > n.commit
+		return members.Contains(p.id) || slices.Contains(joining, p.id) || slices.Contains(electors, p.id) || n.members.lastChangeIndex() > n.commit
 	}
 	n.leading.peers = slices.DeleteFunc(slices.Clone(n.leading.peers), func(p *peer) bool { return !isNeeded(p) })
-	for _, id := range slices.Concat(members.Voters, members.Learners, joining) {
+	for _, id := range slices.Concat(electors, members.Learners, joining) {
 		if id != n.self && n.peer(id) == nil {
 			n.leading.peers = append(n.leading.peers, n.newPeer(id))
 		}
