Refuse changes that leave fewer voters than a quorum without marks

The removal of a voter from five of which two are marked left two of four that count, where three are needed: the entry could never be committed, and no mark could be taken back while it was open. All changes are checked now, not only new marks.

--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -106,9 +106,6 @@
 		}
 		members.Lost = withID(members.Lost, id)
 	}
-	if len(members.Lost)+members.Quorum() > len(members.Voters) {
-		return Members{}, ErrInvalidChange
-	}
 	return members, nil
 }
 
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -179,8 +179,17 @@
 	n.advanceCommit()
 }
 
-// membersAfter returns the members after a change, or the reason to reject it.
+// membersAfter returns the members after a change, or the reason to reject it. A change that leaves fewer voters without marks than
+// a quorum could never be committed.
 func (n *Node) membersAfter(event ChangeVoters) (Members, error) {
+	members, err := n.changedMembers(event)
+	if err == nil && len(members.Voters)-len(members.Lost) < members.Quorum() {
+		return Members{}, ErrInvalidChange
+	}
+	return members, err
+}
+
+func (n *Node) changedMembers(event ChangeVoters) (Members, error) {
 	old := n.members.latest()
 	switch {
 	case len(event.Seat) > 0:
