Mark a silent voter only when its successor can take its place at once

Change: the mark waits until the successor has caught up, so that the seat follows it after one commit. A leader that is marked itself takes its mark back, and a voter whose instance has shown another storage that is gone again may be replaced by another instance.

Left: the commit between mark and seat.

--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -219,13 +219,14 @@
 }
 
 // probablyLost returns the voters to be marked as lost, at most as many as leave a quorum: first those whose instances have shown
-// another storage, then the silent one whose place an instance takes that joins at another address.
+// another storage, then the silent one whose place an instance takes that joins at another address. That one may still have its disk,
+// and wouldn't count if further disks were lost before the seat is stored, so that its mark waits until the seat can follow.
 func (g *Group) probablyLost(members anvilraft.Members, ids []anvilraft.VoterID) []anvilraft.VoterID {
 	if len(members.Voters)%2 == 0 {
 		return nil
 	}
 	lost := g.replacedStorages(members)
-	if silent, ok := g.mostSilent(g.withoutReplaced(members), replacedTimeout); ok && g.isComplete(len(members.Voters)) && g.hasNewInstance(members, ids) {
+	if silent, ok := g.mostSilent(members, replacedTimeout); ok && g.isComplete(len(members.Voters)) && g.hasNewInstance(members, ids) {
 		lost = append(lost, silent)
 	}
 	lost = slices.DeleteFunc(lost, members.IsLost)
@@ -239,19 +240,10 @@
 	return slices.DeleteFunc(slices.Clone(members.Voters), func(id anvilraft.VoterID) bool { return !g.replaced[id] })
 }
 
-// withoutReplaced returns the members without those voters. Their places are for the storages that their instances have now.
-func (g *Group) withoutReplaced(members anvilraft.Members) anvilraft.Members {
-	replaced := g.replacedStorages(members)
-	isReplaced := func(id anvilraft.VoterID) bool { return slices.Contains(replaced, id) }
-	return anvilraft.Members{Voters: slices.DeleteFunc(slices.Clone(members.Voters), isReplaced)}
-}
-
-// hasNewInstance reports whether an instance without a voter is among those that join and have shown their storage.
+// hasNewInstance reports whether an instance without a voter is among those that join and have caught up.
 func (g *Group) hasNewInstance(members anvilraft.Members, ids []anvilraft.VoterID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	return slices.ContainsFunc(ids, func(id anvilraft.VoterID) bool {
-		return g.introduced[id] && !slices.ContainsFunc(members.Voters, isOtherStorageOf(id))
+		return !slices.ContainsFunc(members.Voters, isOtherStorageOf(id)) && g.Voter.HasCaughtUp(id) && !g.isSilent(id)
 	})
 }
 
@@ -348,7 +340,7 @@
 	if !known {
 		since = g.clock.Now()
 	}
-	silent, ok := g.mostSilent(g.withoutReplaced(members), replacedTimeout)
+	silent, ok := g.mostSilent(members, replacedTimeout)
 	if !ok && g.clock.Now()-max(since, g.leadsSince()) < replacedTimeout {
 		return anvilraft.VoterID{}, anvilraft.ErrChangePending
 	}
--- a/io/anvilgroup/lost.go
+++ b/io/anvilgroup/lost.go
@@ -59,7 +59,7 @@
 func (g *Group) isUnreachable(voter anvilraft.VoterID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.replaced[voter] || g.unreachableFor(voter.Instance) >= replacedTimeout
+	return g.replaced[voter] || voter != g.id && g.unreachableFor(voter.Instance) >= replacedTimeout
 }
 
 // isPresent asks the instance of a voter for its storage, and reports whether it is still that of the voter.
