Let a change of the members follow the one before it at once

Two voters that lost their disks at the same time had their votes later than catch_up_s after their start, with slow syncs.

Cause: once a change is committed the leader appended an empty entry, with which the others store that. Each disk began to sync it, and the change that follows (a second mark, the seat after a mark, a second seat) waited for that sync and then for its own.

Change: the empty entry comes with the next heartbeat, and not at all if another entry was appended meanwhile. It only spreads that the members are committed (HardState.MembersAt); nothing that was acknowledged depends on it.

Evidence: anvilraft.TestChangesFollowAtOnce fails before.

--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -18,6 +18,8 @@
 	lost []VoterID
 	// removedAt is when the removal of this leader was committed, or 0.
 	removedAt anvilclock.Millis
+	// membersUnannounced means that the latest members are committed, and that no entry was appended since.
+	membersUnannounced bool
 	// barrierRound is the number of the latest round of read barriers.
 	barrierRound    uint64
 	pendingBarriers []pendingBarrier
@@ -106,6 +108,7 @@
 	}
 	n.leading.nextHeartbeatAt = n.now + n.options.heartbeatInterval
 	n.dropJoining()
+	n.announceMembers()
 	n.broadcastHeartbeat()
 	for _, p := range n.leading.peers {
 		if p.transfer != nil {
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -238,8 +238,7 @@
 	}
 	n.updatePeers()
 	if n.options.useLostStorages {
-		// The others store that the members are committed together with this entry.
-		n.appendAsLeader(0, Entry{Kind: KindEmpty})
+		n.leading.membersUnannounced = true
 	}
 	if !members.IsVoter(n.self) {
 		n.leading.removedAt = n.now
@@ -247,6 +246,22 @@
 	}
 }
 
+// announceMembers appends an entry with which the others store that the members are committed, unless another one does. It comes with a heartbeat
+// and not with the commit: a change that follows at once would otherwise wait on each slow disk for the sync of this entry.
+func (n *Node) announceMembers() {
+	if !n.leading.membersUnannounced {
+		return
+	}
+	n.leading.membersUnannounced = false
+	if n.log.last() > n.members.lastChangeIndex() || n.members.lastChangeIndex() > n.commit {
+		return
+	}
+	n.appendAsLeader(0, Entry{Kind: KindEmpty})
+	for _, p := range n.leading.peers {
+		n.replicate(p)
+	}
+}
+
 // stepDownIfRemoved ends the leadership of a node that was removed, once a quorum of the others has answered a message
 // that told them that the removal is committed. Until they know, the list with this node counts for them as well.
 func (n *Node) stepDownIfRemoved() {
