--- a/io/anvilgroup/open_change_test.go
+++ b/io/anvilgroup/open_change_test.go
@@ -1,6 +1,7 @@
 package anvilgroup
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,15 +15,14 @@
 	nodes.syncIn.Store(100)
 	nodes.loseDisks(running, []int{4})
 	eventually(t, "the emptied voter has its vote in its own log", 10*time.Second, func() bool { return running[4].hasVote(5) })
-	leader := leaderOf(t, running...)
-	lost := []int{}
-	for number := range 4 {
-		if running[number] == leader {
-			lost = append(lost, number)
-		}
-	}
-	lost = append(lost, (lost[0]+1)%4)
-	nodes.loseDisks(running, lost)
+	nodes.loseLeader(running)
+}
+
+// loseLeader lets the leader and another of the first four voters lose their disks, and waits for a leader. If the fifth one leads, the
+// first two lose theirs.
+func (n *testNodes) loseLeader(running []*testNode) {
+	first := max(0, slices.Index(running[:4], leaderOf(n.t, running...)))
+	n.loseDisks(running, []int{first, (first + 1) % 4})
 	time.Sleep(time.Second)
-	leaderOf(t, running...)
+	leaderOf(n.t, running...)
 }
--- a/io/anvilgroup/successor_test.go
+++ b/io/anvilgroup/successor_test.go
@@ -20,17 +20,7 @@
 	running[4].stop()
 	running[4] = nodes.start(5, true)
 	eventually(t, "the successor has its vote in its own log", 20*time.Second, func() bool { return running[4].hasVote(5) })
-	leader := leaderOf(t, running...)
-	lost := []int{}
-	for number := range 4 {
-		if running[number] == leader {
-			lost = append(lost, number)
-		}
-	}
-	lost = append(lost, (lost[0]+1)%4)
-	nodes.loseDisks(running, lost)
-	time.Sleep(time.Second)
-	leaderOf(t, running...)
+	nodes.loseLeader(running)
 }
 
 // TestLossAfterSuccessorAndDisk guards against a group that has no leader for good when two voters lose their disks catchUp after the successor
