Let the lines of a group without a leader tell how far its enrollments had come

What the enrollments waited for was in the log of the leader only, which lost its disk, and where the logs of the joining voters ended was behind the cut.

- 213: the text is shorter ("join failed"), and the line has `log` (the index after which the log in memory begins, and its last one) and the latest reason that a leader gave, also when that leader is gone (`ago`).
- 218: while there is no leader or no vote, `log`, `list` (the index of the latest change of members, and whether this voter knows that it is committed) and `marks` (committed ones of all in that list) come before the voters.
Otherwise they come at the end, in place of `last`.
- 218 and 221: of several voters, only the octets that tell them apart are written, so that more of them fit.
- All lines: times have milliseconds, which leaves 6 more characters before the cut.

--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -240,19 +240,24 @@
 
 // Status is the state of a node as shown to operators.
 type Status struct {
-	ID      VoterID
-	Role    Role
-	Term    anvilid.Term
-	Leader  VoterID
-	Commit  anvilid.Index
-	Last    anvilid.Index
-	Members Members
+	ID     VoterID
+	Role   Role
+	Term   anvilid.Term
+	Leader VoterID
+	Commit anvilid.Index
+	// Base is the index after which the log in memory begins, and Last that of its last entry.
+	Base, Last anvilid.Index
+	// Members are those of the latest change, which MembersAt is the index of, and Committed those of the latest change that is
+	// known to be committed.
+	Members, Committed Members
+	MembersAt          anvilid.Index
 }
 
 // Status returns the current state of the node.
 func (n *Node) Status() Status {
 	return Status{
 		ID: n.self, Role: n.role, Term: n.hardState.Term, Leader: n.leader,
-		Commit: n.commit, Last: n.log.last(), Members: n.members.latest(),
+		Commit: n.commit, Base: n.log.base, Last: n.log.last(),
+		Members: n.members.latest(), Committed: n.CommittedMembers(), MembersAt: n.members.lastChangeIndex(),
 	}
 }
--- a/io/anvilgroup/joinlog.go
+++ b/io/anvilgroup/joinlog.go
@@ -81,12 +81,8 @@
 	for _, instance := range slices.Sorted(maps.Keys(r.failed)) {
 		failed = append(failed, zap.String(string(instance), r.failed[instance].Error()))
 	}
-	reason := zap.Skip()
-	if r.reason != "" {
-		reason = zap.String("reason", r.reason)
-	}
 	return []zap.Field{
-		reason, zap.Dict("failed", failed...), zap.Any("refused", r.refused), zap.Any("leaderless", r.leaderless), zap.Any("redirected", r.redirected),
+		zap.Dict("failed", failed...), zap.Any("refused", r.refused), zap.Any("leaderless", r.leaderless), zap.Any("redirected", r.redirected),
 	}
 }
 
@@ -99,6 +95,10 @@
 	// line of all was written.
 	last      *joinRound
 	writtenAt anvilclock.Millis
+	// refusal is the latest reason of a leader to refuse the vote, and refusedAt when it gave that. It outlives the leader, whose own
+	// log may be gone.
+	refusal   string
+	refusedAt anvilclock.Millis
 }
 
 // begin begins a round at a time.
@@ -110,7 +110,22 @@
 }
 
 // succeeded ends the rounds without success.
-func (l *joinLog) succeeded() { l.rounds, l.last = 0, nil }
+func (l *joinLog) succeeded() { l.rounds, l.last, l.refusal = 0, nil, "" }
+
+// ended notes the reason of a leader to refuse the vote in a round that is over.
+func (l *joinLog) ended(now anvilclock.Millis, round *joinRound) {
+	if round.reason != "" {
+		l.refusal, l.refusedAt = round.reason, now
+	}
+}
+
+// refusalFields returns the fields about the latest refusal, if there is one: how long ago it was, and its reason.
+func (l *joinLog) refusalFields(now anvilclock.Millis) []zap.Field {
+	if l.refusal == "" {
+		return nil
+	}
+	return []zap.Field{zap.Int64("ago", int64(now-l.refusedAt)), zap.String("reason", l.refusal)}
+}
 
 // due reports whether a line about a round is due.
 func (l *joinLog) due(now anvilclock.Millis, round *joinRound) bool {
@@ -124,13 +139,13 @@
 // logJoin writes a line about a round of requests for membership if one is due.
 func (g *Group) logJoin(round *joinRound) {
 	now, l := g.clock.Now(), &g.joinLog
+	l.ended(now, round)
 	if !l.due(now, round) {
 		return
 	}
 	l.last, l.writtenAt = round, now
-	fields := []zap.Field{
-		zap.Bool("vote", g.Voter.Status().Members.IsVoter(g.id)),
-		zap.Int("rounds", l.rounds), zap.Int64("for", int64(now-l.since)),
-	}
+	status := g.Voter.Status()
+	fields := []zap.Field{zap.Bool("vote", status.Members.IsVoter(g.id)), zap.Int64("for", int64(now-l.since)), logRange(status)}
+	fields = append(append(fields, l.refusalFields(now)...), zap.Int("rounds", l.rounds))
 	g.log.Write(anvillogs.EnrollFailed, append(fields, round.fields()...)...)
 }
--- a/io/anvilgroup/joinlog_test.go
+++ b/io/anvilgroup/joinlog_test.go
@@ -22,7 +22,8 @@
 	Failed                          map[string]string
 	Refused, Leaderless, Redirected []string
 	Reason                          string
-	Rounds, For                     int
+	Rounds, For, Ago                int
+	Log                             string
 }
 
 // TestLogJoin guards against a voter that asks for membership for seconds and logs nothing because the instances that it
@@ -60,9 +61,9 @@
 	failed := map[string]string{"v1": "connection refused"}
 	rounds(30, 0, none)
 	assert.DeepEqual(t, lines(), []loggedJoin{
-		{Event: 213, Failed: failed, Leaderless: []string{"v2"}, Rounds: 1},
-		{Event: 213, Failed: failed, Leaderless: []string{"v2"}, Rounds: 11, For: 3000},
-		{Event: 213, Failed: failed, Leaderless: []string{"v2"}, Rounds: 21, For: 6000},
+		{Event: 213, Log: "0..0", Failed: failed, Leaderless: []string{"v2"}, Rounds: 1},
+		{Event: 213, Log: "0..0", Failed: failed, Leaderless: []string{"v2"}, Rounds: 11, For: 3000},
+		{Event: 213, Log: "0..0", Failed: failed, Leaderless: []string{"v2"}, Rounds: 21, For: 6000},
 	})
 	for range 30 {
 		rounds(1, 0, names)
@@ -80,8 +81,16 @@
 	g.log = log.With(zap.String("instance", "10.2.0.119"))
 	g.joinLog.rounds, g.joinLog.since = 22, clock.Now()-10_720
 	g.logJoin(round)
-	assert.Assert(t, strings.Contains(out.String()[:200], "waits for mark"), "a record that cuts lines lacks the reason: %s", out.String())
 	last := lines()[0]
 	assert.DeepEqual(t, last.Refused, []string{"v1"})
 	assert.Equal(t, last.Reason, "waits for mark for 7 ms")
+
+	clock.Advance(69_100)
+	round = &joinRound{}
+	round.add("v2", none, nil)
+	g.logJoin(round)
+	const cut = `"event":213,"vote":false,"for":79820,"log":"0..0","ago":69100,"reason":"waits for mark for 7 ms`
+	assert.Assert(t, strings.Contains(out.String()[:200], cut), "a record that cuts lines lacks what a leader that is gone waited for: %s", out.String())
+	g.joinLog.succeeded()
+	assert.Equal(t, len(g.joinLog.refusalFields(clock.Now())), 0)
 }
--- a/io/anvilgroup/quorum.go
+++ b/io/anvilgroup/quorum.go
@@ -1,11 +1,13 @@
 package anvilgroup
 
 import (
+	"slices"
 	"strings"
 
 	"go.uber.org/zap"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilvoter"
@@ -15,34 +17,35 @@
 // that cuts its lines keeps more of the fields behind them.
 const storagePrefix = 3
 
-// shortIDs returns ids as "instance/storage", with the start of the storage. Instances after the first lack the octets of the
-// address that they have in common with it.
+// shortIDs returns ids as "instance/storage", with the start of the storage. Of several ids, the instances have only the last octets
+// of their addresses that tell them apart.
 func shortIDs(ids []anvilraft.VoterID) string {
-	var b strings.Builder
+	names := make([]string, len(ids))
 	for i, id := range ids {
-		instance := string(id.Instance)
-		if i > 0 {
-			b.WriteByte(' ')
-			instance = instance[commonOctets(string(ids[0].Instance), instance):]
-		}
-		b.WriteString(instance + "/" + shortStorage(id.Storage))
+		names[i] = shortInstance(id.Instance, ids) + "/" + shortStorage(id.Storage)
 	}
-	return b.String()
+	return strings.Join(names, " ")
 }
 
-func shortStorage(id anvilraft.StorageID) string { return string(id[:min(storagePrefix, len(id))]) }
-
-// commonOctets returns the length of the leading octets, each with its dot, that two addresses have in common.
-func commonOctets(a, b string) int {
-	common := 0
-	for i := 0; i < min(len(a), len(b)) && a[i] == b[i]; i++ {
-		if a[i] == '.' {
-			common = i + 1
+// shortInstance returns as many of the last octets of an address as none of the other instances among ids ends with.
+func shortInstance(instance anvilid.InstanceID, ids []anvilraft.VoterID) string {
+	if len(ids) == 1 {
+		return string(instance)
+	}
+	suffix := string(instance)
+	for start := strings.LastIndexByte(suffix, '.'); start >= 0; start = strings.LastIndexByte(suffix[:start], '.') {
+		end := suffix[start:]
+		if !slices.ContainsFunc(ids, func(id anvilraft.VoterID) bool {
+			return id.Instance != instance && strings.HasSuffix(string(id.Instance), end)
+		}) {
+			return end[1:]
 		}
 	}
-	return common
+	return suffix
 }
 
+func shortStorage(id anvilraft.StorageID) string { return string(id[:min(storagePrefix, len(id))]) }
+
 // tally says which voters of a list could give a vote, by what this voter has had of them in the last silentTimeout.
 type tally struct {
 	anvilraft.Electorate
--- a/io/anvilgroup/quorum_test.go
+++ b/io/anvilgroup/quorum_test.go
@@ -52,7 +52,9 @@
 	lines := after(5*anvilclock.Second, "2 7")
 	assert.Equal(t, len(lines), 2, "one after 3 s, and one 3 s after the last sign of the third voter: %v", lines)
 	const before = `"before":{"need":3,"have":2,"lost":"10.0.0.5/5ab","marked":"10.0.0.4/4ab","silent":"10.0.0.3/3ab","reached":"10.0.0.2/2ab","answer":"10.0.0.1/1ab"}`
-	const latest = `"latest":{"need":3,"have":4,"silent":"10.0.0.3/3ab","reached":"10.0.0.2/2ab 7/7ab","answer":"10.0.0.1/1ab 6/6ab"}`
+	const latest = `"latest":{"need":3,"have":4,"silent":"10.0.0.3/3ab","reached":"2/2ab 7/7ab","answer":"1/1ab 6/6ab"}`
 	assert.Assert(t, strings.Contains(lines[1], `"event":221,"lacks":"before","for":5800,`+before+","+latest), lines[1])
+	same := []anvilraft.VoterID{{Instance: "10.1.0.5", Storage: "a"}, {Instance: "10.2.0.5", Storage: "b"}, {Instance: "10.2.0.15", Storage: "c"}}
+	assert.Equal(t, shortIDs(same), "1.0.5/a 2.0.5/b 15/c")
 	assert.Assert(t, strings.Contains(after(4*anvilclock.Second, "2 3 7")[0], `"lacks":"none"`), "both lists wait for disks")
 }
--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,7 +71,7 @@
 }
 
 // fields returns the fields of the log line. The most telling ones come first, as the users' record cuts lines after 200
-// characters.
+// characters. While there is no leader or vote, these are how much of the log the voter has.
 func (v view) fields(status anvilvoter.Status, now, leaderlessSince anvilclock.Millis) []zap.Field {
 	fields := []zap.Field{zap.Bool("vote", v.vote)}
 	if leaderlessSince >= 0 {
@@ -77,6 +79,10 @@
 	} else {
 		fields = append(fields, zap.String("leader", string(v.leader)))
 	}
+	log := logFields(status)
+	if leaderlessSince >= 0 || !v.vote {
+		fields, log = append(fields, log...), nil
+	}
 	fields = append(fields, zap.String("voters", shortIDs(v.voters)))
 	if v.silent != nil && len(v.voters) > 0 {
 		fields = append(fields, zap.Int("spare", spare(len(v.voters), len(v.silent))))
@@ -92,7 +98,28 @@
 		}
 		fields = append(fields, zap.Dict("silent", silent...))
 	}
-	return append(fields, zap.Uint64("term", uint64(status.Term)), zap.Uint64("last", uint64(status.Last)), zap.Time("started", processStarted))
+	return append(append(fields, log...), zap.Uint64("term", uint64(status.Term)), zap.Time("started", processStarted))
+}
+
+// logFields returns the fields about what a voter has of the log: after which index it begins and with which it ends, the index of
+// its latest list of members, and how many of the marks in that are committed.
+func logFields(status anvilvoter.Status) []zap.Field {
+	list := strconv.FormatUint(uint64(status.MembersAt), 10)
+	if status.MembersAt > status.Commit {
+		list += " open"
+	}
+	fields := []zap.Field{logRange(status), zap.String("list", list)}
+	if marked := status.Members.Lost; len(marked) > 0 {
+		isOpen := func(id anvilraft.VoterID) bool { return !status.Committed.IsLost(id) }
+		committed := len(slices.DeleteFunc(slices.Clone(marked), isOpen))
+		fields = append(fields, zap.String("marks", fmt.Sprintf("%d/%d", committed, len(marked))))
+	}
+	return fields
+}
+
+// logRange returns the field about where the log of a voter begins and ends. Both are the same if it has a snapshot only.
+func logRange(status anvilvoter.Status) zap.Field {
+	return zap.String("log", fmt.Sprintf("%d..%d", status.Base, status.Last))
 }
 
 // spare returns how many further losses of voters a group bears.
--- a/io/anvilgroup/view_test.go
+++ b/io/anvilgroup/view_test.go
@@ -31,7 +31,9 @@
 	Leaderless int64
 	Silent     map[string]int64
 	Spare      *int
-	Term, Last uint64
+	Term       uint64
+	Log, List  string
+	Marks      string
 	Started    *time.Time
 }
 
@@ -76,14 +78,14 @@
 	assert.Equal(t, len(lines), 1, "one line at the start: %v", lines)
 	assert.Assert(t, lines[0].Started != nil && time.Since(*lines[0].Started) < time.Hour)
 	lines[0].Started = nil
-	assert.DeepEqual(t, lines[0], loggedView{Event: 218, Vote: true, Voters: "v0/1 v1/1 v2/1 v3/1 v4/1", Opened: true, Sync: 650, Leader: "v1"})
+	assert.DeepEqual(t, lines[0], loggedView{Event: 218, Vote: true, Voters: "v0/1 v1/1 v2/1 v3/1 v4/1", Opened: true, Sync: 650, Leader: "v1", Log: "0..0", List: "0"})
 	assert.Equal(t, len(after(2*anvilclock.Second, follows, 1)), 1, "one line a minute")
 
-	lost := anvilvoter.Status{Leader: none, Term: 7, Last: 80, Members: anvilraft.Members{Voters: ids}}
+	lost := anvilvoter.Status{Leader: none, Term: 7, Base: 20, Last: 80, Members: anvilraft.Members{Voters: ids}}
 	lines = after(10*anvilclock.Second, lost, 2)
 	assert.Equal(t, len(lines), 4, "one that the leader is gone, one that three are silent, and one every 3 s: %v", lines)
 	assert.Equal(t, lines[1].Term, uint64(7))
-	assert.Equal(t, lines[1].Last, uint64(80))
+	assert.Equal(t, lines[1].Log, "20..80")
 	assert.Equal(t, *lines[0].Spare, 2)
 	assert.Equal(t, *lines[1].Spare, -1)
 	assert.DeepEqual(t, lines[1].Silent, map[string]int64{"v1": 3000, "v3": 3000, "v4": 3000})
@@ -123,13 +125,22 @@
 	assert.Assert(t, strings.Contains(out.String(), `"event":218,"opened":false,"started":`), out.String())
 }
 
-// TestLogViewCut guards against a line of which a record that is cut after 200 characters lacks the vote, the leader or a voter.
+// TestLogViewCut guards against a line of which a record that is cut after 200 characters lacks the vote, the leader or a voter, and
+// while there is no leader, against one that lacks where the log and the latest list stand and whether the marks are committed: in
+// an incident, it couldn't be told whether joining voters had a snapshot only.
 func TestLogViewCut(t *testing.T) {
 	var out bytes.Buffer
 	log, err := anvillogs.New(&out, "info")
 	assert.NilError(t, err)
 	v := view{vote: true, leader: "10.0.0.107", voters: testIDs("103 107 111 115 119")}
 	log.With(zap.String("instance", "10.2.0.119")).Write(anvillogs.VotersKnown, v.fields(anvilvoter.Status{}, 0, -1)...)
-	const want = `"event":218,"vote":true,"leader":"10.0.0.107","voters":"10.0.0.103/103 107/107 111/111 115/115 119/119"`
+	const want = `"event":218,"vote":true,"leader":"10.0.0.107","voters":"103/103 107/107 111/111 115/115 119/119"`
 	assert.Assert(t, strings.Contains(out.String()[:200], want), out.String())
+
+	out.Reset()
+	status := anvilvoter.Status{Base: 4000, Last: 5340, MembersAt: 5338, Commit: 5337, Members: anvilraft.Members{Lost: v.voters[:2]}}
+	status.Committed.Lost = v.voters[:1]
+	log.With(zap.String("instance", "10.2.0.119")).Write(anvillogs.VotersKnown, v.fields(status, 69_100, 0)...)
+	const leaderless = `"event":218,"vote":true,"leaderless":69100,"log":"4000..5340","list":"5338 open","marks":"1/2","voters":"1`
+	assert.Assert(t, strings.Contains(out.String()[:200], leaderless), out.String())
 }
--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -28,7 +28,7 @@
 	VoterFailed          = define(210, zapcore.ErrorLevel, "voter stopped; this instance continues to serve without a vote")
 	GroupCreated         = define(211, zapcore.InfoLevel, "new control group created")
 	InitialVotersAwaited = define(212, zapcore.InfoLevel, "waiting for the other initial voters before the control group is created")
-	EnrollFailed         = define(213, zapcore.InfoLevel, "request for membership failed")
+	EnrollFailed         = define(213, zapcore.InfoLevel, "join failed")
 	DataDirectoryCorrupt = define(214, zapcore.ErrorLevel, "data directory is corrupt and was emptied; the voter joins as a new member")
 	MembersChanged       = define(215, zapcore.InfoLevel, "members of the control group changed")
 	DiskSlow             = define(216, zapcore.WarnLevel, "write to the data directory took longer than the election timeout")
--- a/io/anvillogs/logs.go
+++ b/io/anvillogs/logs.go
@@ -77,7 +77,8 @@
 func encoding() zapcore.EncoderConfig {
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	// Milliseconds, as records that cut lines then keep more of the fields.
+	config.EncodeTime = zapcore.TimeEncoderOfLayout("2006-01-02T15:04:05.000Z07:00")
 	return config
 }
 
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -277,11 +277,15 @@
 	Leader  anvilraft.VoterID
 	Commit  anvilid.Index
 	Applied anvilid.Index
-	Last    anvilid.Index // of the log, whether synced or not
+	// Base is the index after which the log in memory begins, and Last that of its last entry, whether synced or not.
+	Base, Last anvilid.Index
 	// HasQuorum means that this voter is the leader, and that no other voter can
 	// have been elected up to the time of the call of Status.
 	HasQuorum bool
-	Members   anvilraft.Members
+	// Members are those of the latest change, which MembersAt is the index of, and Committed those of the latest change that is
+	// known to be committed.
+	Members, Committed anvilraft.Members
+	MembersAt          anvilid.Index
 	// Dropped is the number of messages that did not fit into a queue or could not
 	// be encoded or decoded. SendErrors is the number of failed calls of Send.
 	Dropped, SendErrors uint64
@@ -308,7 +312,8 @@
 	}
 	node := v.node.Status()
 	status.ID, status.Role, status.Term, status.Leader = node.ID, node.Role, node.Term, node.Leader
-	status.Commit, status.Last, status.Members = node.Commit, node.Last, node.Members
+	status.Commit, status.Base, status.Last = node.Commit, node.Base, node.Last
+	status.Members, status.Committed, status.MembersAt = node.Members, node.Committed, node.MembersAt
 	status.Created, status.Truncated = v.created, v.truncated
 	select {
 	case <-v.stopped:
