--- a/core/anvilorder/answers.go
+++ b/core/anvilorder/answers.go
@@ -327,7 +327,6 @@
 	for _, entry := range answer.Running {
 		listed[runKey{entry.Task, entry.Run}] = entry
 	}
-	queues := t.countQueues(answer.Running)
 	ended := map[anvilwork.Task]anvilwork.Run{}
 	for _, end := range answer.Ended {
 		ended[end.Task] = max(ended[end.Task], end.Run)
@@ -341,7 +340,6 @@
 				effects.Begun = append(effects.Begun, task.Job)
 			}
 			r.observeCheckpoint(entry.Checkpoint)
-			t.observeProgress(answer.Answer, target, entry, queues)
 		case ended[task] >= r.number:
 			// the answer lists the end of this run, and commitEnds takes care of it
 		default:
--- a/core/anvilorder/progress.go
+++ b/core/anvilorder/progress.go
@@ -17,13 +17,10 @@
 }
 
 // countQueues returns the queues of the runs that a target has listed, ordered by their names.
-func (t *Tracker) countQueues(running []Running) []queueCount {
-	if t.state == nil {
-		return nil
-	}
+func countQueues(state *anvilwork.State, running []Running) []queueCount {
 	var counts []queueCount
 	for _, entry := range running {
-		job, ok := t.state.Job(entry.Task.Job)
+		job, ok := state.Job(entry.Task.Job)
 		if !ok {
 			continue
 		}
@@ -49,11 +46,25 @@
 	return others
 }
 
-// observeProgress passes the progress of a run that a target has listed on to those that rate targets by it. listed has the
-// queues of all runs that it has listed.
-func (t *Tracker) observeProgress(answer Answer, target *target, entry Running, listed []queueCount) {
+// ObserveProgress passes the progress of the assigned runs that a target has listed on to those that rate targets by it.
+// The lock of the state must be held.
+func (t *Tracker) ObserveProgress(state *anvilwork.State, answer PollAnswer) {
+	target := t.targets[answer.Target]
+	if target == nil || target.record.Incarnation != answer.Order.Target.Incarnation || !answer.Done || answer.FromOtherIncarnation {
+		return
+	}
+	queues := countQueues(state, answer.Running)
+	for _, entry := range answer.Running {
+		if r := target.runs[entry.Task]; r != nil && r.number == entry.Run {
+			t.observeRun(state, answer.Answer, target, entry, queues)
+		}
+	}
+}
+
+// observeRun passes on the progress of one run. listed has the queues of all runs that the target has listed.
+func (t *Tracker) observeRun(state *anvilwork.State, answer Answer, target *target, entry Running, listed []queueCount) {
 	t.Speeds.Observe(answer.Received, target.record.ID, entry.Task, entry.Run, entry.Percent)
-	job, step, ok := t.step(entry.Task)
+	job, step, ok := stepOf(state, entry.Task)
 	if !ok || step.LongRunning || step.BestEffort {
 		// The first has no end to progress to, and the second goes at the pace that others leave it.
 		return
@@ -74,11 +85,8 @@
 	t.Lasting.Forget(task)
 }
 
-func (t *Tracker) step(task anvilwork.Task) (*anvilwork.Job, anvilwork.Step, bool) {
-	if t.state == nil {
-		return nil, anvilwork.Step{}, false
-	}
-	job, ok := t.state.Job(task.Job)
+func stepOf(state *anvilwork.State, task anvilwork.Task) (*anvilwork.Job, anvilwork.Step, bool) {
+	job, ok := state.Job(task.Job)
 	if !ok || task.Step >= len(job.Spec.Steps) {
 		return nil, anvilwork.Step{}, false
 	}
--- a/core/anvilorder/progress_test.go
+++ b/core/anvilorder/progress_test.go
@@ -34,7 +34,7 @@
 					record := anvilwork.Target{ID: id, Machine: anvilid.MachineID(fmt.Sprint("m", i)), Rack: anvilid.RackName(fmt.Sprint("r", min(i, 1)))}
 					answer := Answer{Target: id, Received: 10_000 + 1500*(second/2)*2, Clock: TargetClock(1 + 1000*second)}
 					entry := Running{Task: anvilwork.Task{Job: "s", Index: i}, Run: 1, Percent: int(8 * second)}
-					w.tracker.observeProgress(answer, &target{record: record}, entry, nil)
+					w.tracker.observeRun(w.state, answer, &target{record: record}, entry, nil)
 				}
 				w.tracker.Lasting.Fit(20_000 + 2000*second)
 			}
@@ -44,3 +44,34 @@
 		})
 	}
 }
+
+// TestProgressOfOddLists guards against entries of a poll answer that end the leader, or that rate a target by runs that
+// aren't assigned to it: those of unknown jobs, of steps that the job doesn't have, and of other runs and incarnations.
+func TestProgressOfOddLists(t *testing.T) {
+	w := newWorld(t)
+	w.place(taskA, 2)
+	odd := []Running{
+		{Task: anvilwork.Task{Job: "unknown"}, Run: 1},
+		{Task: anvilwork.Task{Job: "j", Step: 7}, Run: 2},
+		{Task: anvilwork.Task{Job: "j", Step: -1}, Run: 2},
+		{Task: taskA, Run: 1},
+		{Task: taskB, Run: 1},
+		{Task: anvilwork.Task{Job: "j", Occurrence: 9}, Run: 1},
+	}
+	answer := PollAnswer{Answer: w.answer(w.now, w.now), Order: Poll{Target: anvilwork.Target{ID: "t", Incarnation: 1}}, Done: true}
+	for _, test := range []struct {
+		incarnation anvilwork.Incarnation
+		entries     []Running
+		known       bool
+	}{{1, odd, false}, {2, []Running{{Task: taskA, Run: 2}}, false}, {1, append(odd, Running{Task: taskA, Run: 2}), true}} {
+		answer.Order.Target.Incarnation, answer.Running = test.incarnation, test.entries
+		for range 2 {
+			answer.Received += 1000
+			w.tracker.ObserveProgress(w.state, answer)
+		}
+		_, known := w.tracker.Speeds.Progress(answer.Received, taskA)
+		assert.Equal(t, known, test.known)
+		_, known = w.tracker.Speeds.Progress(answer.Received, taskB)
+		assert.Assert(t, !known)
+	}
+}
--- a/core/anvilorder/schedule_leader_test.go
+++ b/core/anvilorder/schedule_leader_test.go
@@ -176,10 +176,12 @@
 	}
 	for _, order := range effects.Polls {
 		l.call(&request{target: order.Target, token: order.Token, poll: &order, deadline: order.Deadline}, func(r response) Effects {
-			return l.tracker.HandlePollAnswer(l.now, PollAnswer{
+			answer := PollAnswer{
 				Answer: r.Answer, Order: order, Done: r.done, FromOtherIncarnation: r.fromOther(),
 				Running: r.running, Ended: r.ended, Complete: r.complete,
-			})
+			}
+			l.tracker.ObserveProgress(l.state, answer)
+			return l.tracker.HandlePollAnswer(l.now, answer)
 		})
 	}
 }
--- a/core/anvilorder/sync.go
+++ b/core/anvilorder/sync.go
@@ -9,12 +9,12 @@
 // runs that were assigned or released. It must be called before Next, which reads the jobs
 // of the runs to start from the same state.
 func (t *Tracker) Sync(now anvilclock.Millis, state *anvilwork.State) {
-	first := t.state == nil
+	first := t.synced == anvilwork.Identity{}
 	if first {
 		defer t.ageAnnouncements()
 	}
-	if t.state != state {
-		t.state = state
+	if t.synced != state.Identity() {
+		t.synced = state.Identity()
 		for _, known := range t.targets {
 			known.revision = 0
 		}
--- a/core/anvilorder/tracker.go
+++ b/core/anvilorder/tracker.go
@@ -147,7 +147,8 @@
 	pausedUntil anvilclock.Millis
 }
 
-// Tracker tracks the orders to all targets during one term of the leader.
+// Tracker tracks the orders to all targets during one term of the leader. It reads the replicated state only in calls
+// that are given it.
 type Tracker struct {
 	token     anvilid.Token
 	timing    Timing
@@ -155,8 +156,9 @@
 	// stateAge is for how long no leader may have heard the targets, see SetStateAge.
 	stateAge anvilclock.Millis
 	targets  map[anvilid.TargetID]*target
-	// state is the state that Sync has read last. The revisions of targets are those of this state.
-	state      *anvilwork.State
+	// synced identifies the state that Sync has read last. The revisions of targets are those of this state. The Tracker
+	// keeps no pointer to the state, which other goroutines change between two calls.
+	synced     anvilwork.Identity
 	lateStarts lateStarts
 	// commitUncertain reports that the latest commit failed, see CommitFailed.
 	commitUncertain bool
--- a/core/anvilorder/tracker_test.go
+++ b/core/anvilorder/tracker_test.go
@@ -106,9 +106,11 @@
 
 // answerPoll answers a poll now that was sent a number of milliseconds ago, with a list of all ends.
 func (w *world) answerPoll(order Poll, ago anvilclock.Millis, running []Running, ended ...anvilwork.RunEnd) Effects {
-	return w.tracker.HandlePollAnswer(w.now, PollAnswer{
+	answer := PollAnswer{
 		Answer: w.answer(w.now-ago, w.now), Order: order, Done: true, Running: running, Ended: ended, Complete: true,
-	})
+	}
+	w.tracker.ObserveProgress(w.state, answer)
+	return w.tracker.HandlePollAnswer(w.now, answer)
 }
 
 // answerPollInPart answers a poll now with a list of ends that is cut short.
--- a/core/anvilwork/state.go
+++ b/core/anvilwork/state.go
@@ -17,10 +17,11 @@
 // State is the replicated state of jobs, targets and configuration. It is not safe for
 // concurrent use.
 type State struct {
-	config  Config
-	index   *index
-	jobs    map[anvilid.JobID]*Job
-	targets map[anvilid.TargetID]*Target
+	identity Identity
+	config   Config
+	index    *index
+	jobs     map[anvilid.JobID]*Job
+	targets  map[anvilid.TargetID]*Target
 	// runs maps each target to the tasks that are assigned to it, with their run numbers.
 	runs map[anvilid.TargetID]map[Task]Run
 	// active lists the jobs that have not ended, in the order in which they were accepted.
@@ -44,10 +45,18 @@
 	now anvilclock.Millis
 }
 
+// Identity tells one State from another, such as the one that a snapshot was restored to. It gives no access to the State.
+// The zero value identifies none.
+type Identity struct{ of *byte }
+
+// Identity returns the identity of the state.
+func (s *State) Identity() Identity { return s.identity }
+
 // New returns the state before the first log entry.
 func New() *State {
 	s := &State{
-		jobs: map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
+		identity: Identity{new(byte)},
+		jobs:     map[anvilid.JobID]*Job{}, targets: map[anvilid.TargetID]*Target{},
 		runs: map[anvilid.TargetID]map[Task]Run{}, waves: map[WaveNumber]*Wave{}, revisions: map[anvilid.TargetID]Revision{},
 		departed: map[anvilid.TargetID]departure{}, departing: map[anvilid.TargetID]bool{},
 		evacuations: map[anvilid.ZoneName]Evacuation{},
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -243,7 +243,7 @@
 			}
 			answer := r.sender.poll(order)
 			r.enqueueResult(func(now anvilclock.Millis) anvilorder.Effects {
-				r.throttleRuns(now, answer)
+				r.observeRuns(now, answer)
 				return r.tracker.HandlePollAnswer(now, answer)
 			})
 		}()
--- a/io/anvillead/pace.go
+++ b/io/anvillead/pace.go
@@ -8,17 +8,28 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilpace"
+	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
 )
 
-// throttleRuns passes a target's list of running runs to the governor, which
-// decides which best-effort runs must be slowed down or may speed up, and sends
-// the resulting throttle orders.
-func (r *leadership) throttleRuns(now anvilclock.Millis, answer anvilorder.PollAnswer) {
+// observeRuns passes a target's list of running runs on to those that rate targets by
+// the progress of runs, and to the governor.
+func (r *leadership) observeRuns(now anvilclock.Millis, answer anvilorder.PollAnswer) {
 	if !answer.Done || answer.FromOtherIncarnation {
 		return
 	}
-	for _, order := range r.governor.Observe(now, answer.Order.Target, r.runReports(answer.Running)) {
+	r.mu.Lock()
+	r.tracker.ObserveProgress(r.state, answer)
+	reports := runReports(r.state, answer.Running)
+	r.mu.Unlock()
+	r.throttleRuns(now, answer.Order.Target, reports)
+}
+
+// throttleRuns passes the runs of a target to the governor, which decides which
+// best-effort runs must be slowed down or may speed up, and sends the resulting
+// throttle orders.
+func (r *leadership) throttleRuns(now anvilclock.Millis, target anvilwork.Target, reports []anvilpace.RunReport) {
+	for _, order := range r.governor.Observe(now, target, reports) {
 		go func() {
 			done := r.calls.Throttle(context.Background(), order)
 			r.log.Write(anvillogs.RunThrottled, zap.Stringer("task", order.Task), zap.String("target", string(order.Target.ID)),
@@ -37,12 +48,10 @@
 // runReports returns the governor's input for the runs that a target lists. It
 // combines each run with two settings of its step in the job: the limit of its
 // tail latency, and whether it is a best-effort run.
-func (r *leadership) runReports(running []anvilorder.Running) []anvilpace.RunReport {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func runReports(state *anvilwork.State, running []anvilorder.Running) []anvilpace.RunReport {
 	var reports []anvilpace.RunReport
 	for _, entry := range running {
-		job, ok := r.state.Job(entry.Task.Job)
+		job, ok := state.Job(entry.Task.Job)
 		if !ok || job.State(entry.Task) == nil {
 			continue
 		}
