Ask for votes before the candidate has synced its entries

While commands go on a sync always runs, so that it first ended that sync and then made the one for its own vote, and only then the voters began theirs.

The rule guarded against one case: a crash shortens the log of the candidate, it campaigns again in the same term, and a delayed vote that was granted to the longer log elects it although it lacks committed entries. Now a vote names the last entry of the log to which it was granted, and the candidate counts it only if its log still has that entry. Logs with the same entry are equal up to there, so that a vote that counts was granted to a part of the present log. The candidate still counts its own vote, and leads, only once that is synced. Requests thus never wait.

TestVoteRequestBeforeSync asked for the former rule and now asks for the new one; it fails if either the request waits or the check of the vote is left out.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -101,13 +101,10 @@
 }
 
 // mayPrecedeSync reports whether m is sent before the hard state is synced. A vote request is, so
-// that the candidate and the voters sync at the same time. All earlier Saves must be synced: if a
-// crash could shorten the log, the candidate might campaign again in the same term, and a delayed
-// grant, made to the longer log, would count for one that lacks committed entries.
-func (n *Node) mayPrecedeSync(m Message) bool {
-	p := &n.persisted
-	return m.Type == MessageVote && p.synced == p.sequence && p.changedFrom == 0 && !p.snapshotChanged
-}
+// that the candidate and the voters sync at the same time, also while the disk of the candidate still
+// syncs entries. If a crash shortens its log and it campaigns again in the same term, a delayed grant doesn't
+// count any more (receiveVoteResponse).
+func (n *Node) mayPrecedeSync(m Message) bool { return m.Type == MessageVote }
 
 // receiveVoteRequest answers MessagePreVote and MessageVote. It also answers nodes that are
 // not known as members, because this node may lack the entry that added them.
@@ -128,7 +125,7 @@
 		if m.Term > n.hardState.Term {
 			n.becomeFollower(m.Term, VoterID{})
 		}
-		response.Type = MessageVoteResponse
+		response.Type, response.Index, response.LogTerm = MessageVoteResponse, m.Index, m.LogTerm
 		canVote = m.Term == n.hardState.Term && (n.hardState.Vote.IsZero() || n.hardState.Vote == m.From)
 	}
 	granted := canVote && n.log.upToDate(m.Index, m.LogTerm)
@@ -178,9 +175,11 @@
 }
 
 // receiveVoteResponse counts a vote of the current term. It counts as well while this node asks for
-// pre-votes again, because a slow disk may delay a vote for longer than that.
+// pre-votes again, because a slow disk may delay a vote for longer than that. The log must still contain the entry
+// with which the request described it: a vote that was granted to a longer log, before a crash, could elect a leader
+// that lacks committed entries.
 func (n *Node) receiveVoteResponse(m Message) {
-	if m.Type == MessageVoteResponse && !m.Reject {
+	if m.Type == MessageVoteResponse && !m.Reject && n.log.matches(m.Index, m.LogTerm) {
 		n.addGrantedVote(m.From)
 	}
 }
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -264,7 +264,10 @@
 }
 
 func voteFor(node *Node, kind MessageType, name string) Message {
-	m := Message{Type: kind, Group: 7, From: VoterID{anvilid.InstanceID(name), "1"}, To: node.self, Term: node.hardState.Term}
+	m := Message{
+		Type: kind, Group: 7, From: VoterID{anvilid.InstanceID(name), "1"}, To: node.self, Term: node.hardState.Term,
+		Index: node.log.last(), LogTerm: node.log.lastTerm(),
+	}
 	if kind == MessagePreVoteResponse {
 		m.Term++
 	}
--- a/core/anvilraft/message.go
+++ b/core/anvilraft/message.go
@@ -41,8 +41,8 @@
 	To    VoterID      `cbor:"4,keyasint"`
 	Term  anvilid.Term `cbor:"5,keyasint"`
 
-	// Index and LogTerm identify an entry: the candidate's last entry in vote requests, the
-	// entry before Entries in MessageAppend and before the entry in MessageEntryPart (repeated
+	// Index and LogTerm identify an entry: the candidate's last entry in vote requests (repeated in
+	// MessageVoteResponse), the entry before Entries in MessageAppend and before the entry in MessageEntryPart (repeated
 	// in the responses), and the entry up to which the snapshot reaches in MessageSnapshot and
 	// its response.
 	Index   anvilid.Index `cbor:"6,keyasint,omitempty"`
--- a/core/anvilraft/timing_test.go
+++ b/core/anvilraft/timing_test.go
@@ -285,34 +285,43 @@
 	assert.Equal(t, node.Step(2002, Persisted{vote.Sequence}).Role, Leader)
 }
 
-// TestVoteRequestBeforeSync guards against a vote request that is sent while a crash could still
-// shorten the candidate's log, and against a candidate that leads before its own vote is synced.
+// TestVoteRequestBeforeSync guards against a vote request that waits for syncs of the candidate, which costs a group with
+// slow disks up to two more syncs; against a candidate that leads before its own vote is synced; and against a vote
+// that was granted to a longer log before a crash, and counts for a later campaign of the same term.
 func TestVoteRequestBeforeSync(t *testing.T) {
 	t.Parallel()
 	a, b, c := VoterID{"a", "1"}, VoterID{"b", "1"}, VoterID{"c", "1"}
-	for _, logSynced := range []bool{false, true} {
-		restored := PersistentState{Storage: "1"}
-		restored.Apply(Bootstrap(7, a, b, c))
-		node := New("a", restored)
-		node.Step(0, Tick{})
-		last, term := restored.last()
-		entry := Entry{Index: last + 1, Term: term, Kind: KindCommand, Data: []byte{1}}
-		appended := node.Step(1, Receive{Message{
-			Type: MessageAppend, Group: 7, From: b, To: a, Term: term, Index: last, LogTerm: term, Entries: []Entry{entry},
-		}})
-		if logSynced {
-			node.Step(2, Persisted{appended.Save.Sequence})
-		}
+	restored := PersistentState{Storage: "1"}
+	restored.Apply(Bootstrap(7, a, b, c))
+	last, term := restored.last()
+	campaign := func(node *Node) (uint64, []Message) {
 		node.Step(2000, Tick{})
-		campaign := node.Step(2001, Receive{Message{Type: MessagePreVoteResponse, Group: 7, From: c, To: a, Term: term + 1}})
-		assert.Equal(t, campaign.Role, Candidate)
-		asksForVote := func(m Message) bool { return m.Type == MessageVote }
-		assert.Equal(t, slices.ContainsFunc(campaign.Send, asksForVote), logSynced)
-		vote := Message{Type: MessageVoteResponse, Group: 7, From: c, To: a, Term: term + 1}
-		assert.Equal(t, node.Step(2002, Receive{vote}).Role, Candidate)
-		vote.From = b
-		assert.Equal(t, node.Step(2003, Receive{vote}).Role, Candidate)
-		synced := node.Step(2004, Persisted{campaign.Save.Sequence})
-		assert.Equal(t, synced.Role, Leader)
+		effects := node.Step(2001, Receive{voteFor(node, MessagePreVoteResponse, "c")})
+		assert.Equal(t, effects.Role, Candidate)
+		return effects.Save.Sequence, effects.Send
 	}
+	node := New("a", restored)
+	node.Step(0, Tick{})
+	entry := Entry{Index: last + 1, Term: term, Kind: KindCommand, Data: []byte{1}}
+	node.Step(1, Receive{Message{
+		Type: MessageAppend, Group: 7, From: b, To: a, Term: term, Index: last, LogTerm: term, Entries: []Entry{entry},
+	}})
+	_, requests := campaign(node)
+	isRequest := func(m Message) bool { return m.Type == MessageVote && m.Index == last+1 }
+	assert.Assert(t, slices.ContainsFunc(requests, isRequest))
+	vote := voteFor(node, MessageVoteResponse, "b")
+
+	restarted := New("a", restored) // without the entry
+	restarted.Step(0, Tick{})
+	save, _ := campaign(restarted)
+	assert.Equal(t, restarted.hardState.Term, node.hardState.Term)
+	restarted.Step(2002, Persisted{save})
+	assert.Equal(t, restarted.Step(2003, Receive{vote}).Role, Candidate)
+	assert.Equal(t, restarted.Step(2004, Receive{voteFor(restarted, MessageVoteResponse, "b")}).Role, Leader)
+
+	early := New("a", restored)
+	early.Step(0, Tick{})
+	save, _ = campaign(early)
+	assert.Equal(t, early.Step(2002, Receive{voteFor(early, MessageVoteResponse, "b")}).Role, Candidate)
+	assert.Equal(t, early.Step(2003, Persisted{save}).Role, Leader)
 }
