Mark the storages known to be lost in the first write of a leader

A leader now appends the mark together with its first entry. What it marks is what StorageLost has told it: the instance has answered with another storage after the vote was known, which is the proof that introduce asks for, too. If another change is on its way, the group layer marks later, as before.

TestMarkInFirstSave.

--- a/core/anvilraft/enrollment_timing_test.go
+++ b/core/anvilraft/enrollment_timing_test.go
@@ -13,7 +13,7 @@
 // The leader and another voter lose their disks while commands go on.
 func TestVotesAfterLossOfLeader(t *testing.T) {
 	t.Parallel()
-	for _, test := range []struct{ span, bound anvilclock.Millis }{{10, 600}, {500, 2600}, {800, 4500}, {1000, 5800}} {
+	for _, test := range []struct{ span, bound anvilclock.Millis }{{10, 600}, {500, 2400}, {800, 3700}, {1000, 4800}} {
 		var elected, seated []anvilclock.Millis
 		for seed := range uint64(20) {
 			e := newEnrollmentRun(t, seed, test.span)
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -28,7 +28,8 @@
 }
 
 // becomeLeader makes this node the leader and appends an empty entry, because entries of
-// earlier terms are committed only when a later entry of this term is committed.
+// earlier terms are committed only when a later entry of this term is committed. The voters whose storages are known
+// to be lost are marked at the same time: a mark that came later would wait on each disk for the sync of that entry.
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.campaignsSinceLeader = Leader, n.self, 0
 	n.campaignTerm, n.grantedVotes, n.grantedPreVotes = 0, nil, nil
@@ -37,7 +38,11 @@
 		n.leading.uncommittedBytes += entry.size()
 	}
 	n.updatePeers()
-	n.appendAsLeader(0, Entry{Kind: KindEmpty})
+	first := []Entry{{Kind: KindEmpty}}
+	if members, ok := n.withKnownLosses(); ok {
+		first = append(first, Entry{Kind: KindMembers, Data: encodeMembers(members)})
+	}
+	n.appendAsLeader(0, first...)
 }
 
 // stopLeading discards the leader's state and rejects the barriers that are still pending.
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -109,6 +109,22 @@
 	return members, nil
 }
 
+// withKnownLosses returns the members with marks for the voters whose storages this node knows to be lost, at most as many as leave a
+// quorum. ok is false if there are none or another change is on its way. In a group of an even number, marks don't help.
+func (n *Node) withKnownLosses() (members Members, ok bool) {
+	old := n.members.latest()
+	lost := slices.DeleteFunc(slices.Clone(old.Voters), func(id VoterID) bool {
+		_, isLost := n.lost[id]
+		return !isLost || old.IsLost(id)
+	})
+	lost = lost[:min(len(lost), max(0, len(old.Voters)-old.Quorum()-len(old.Lost)))]
+	if len(lost) == 0 || len(old.Voters)%2 == 0 {
+		return Members{}, false
+	}
+	members, err := n.membersAfter(ChangeVoters{Lost: lost})
+	return members, err == nil && !n.mustWait(members)
+}
+
 // withFound returns the members with marks taken back. Each quorum of the others still meets each quorum of all voters.
 func withFound(old Members, found []VoterID) (Members, error) {
 	members := Members{Voters: old.Voters, Learners: old.Learners, Lost: old.Lost}
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -169,6 +169,7 @@
 			names := []string{"a", "b", "c", "d", "e", "f", "g"}[:3+2*(seed%3)]
 			s := newSchedule(newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMaxLearnerLag(3), WithLostStorages()))
 			s.maxLostDisks, s.seatsTogether, s.marksLost = len(names)/2, true, true
+			s.asksForStorages = seed%2 == 1 // new leaders mark what they know to be lost
 			s.run(16 * anvilclock.Second)
 			s.recoverFromFaults()
 			s.checkHistory()
@@ -357,3 +358,40 @@
 	rejected = node.Step(now, ChangeVoters{Remove: lost}).Rejected
 	assert.ErrorIs(t, rejected[0].Reason, ErrChangePending)
 }
+
+// TestMarkInFirstSave guards against a leader whose mark of a storage that it knows to be lost comes after its first entry: on slow
+// disks that takes up to two more syncs. It also guards against such marks where they must not be.
+func TestMarkInFirstSave(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		lists  [][]string // the first one is committed
+		lost   string
+		marked string
+	}{
+		{"one storage", [][]string{{"a", "b", "c"}}, "c", "c"},
+		{"as many as leave a quorum", [][]string{{"a", "b", "c", "d", "e"}}, "cde", "cd"},
+		{"even number", [][]string{{"a", "b", "c", "d"}}, "d", ""},
+		{"another change isn't committed", [][]string{{"a", "b", "c"}, {"a", "b", "d"}}, "d", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			node, now := newCandidate(test.lists, false, 0, "")
+			node.commit = 1
+			for _, name := range test.lost {
+				node.Step(now, StorageLost{VoterID{anvilid.InstanceID(string(name)), "1"}})
+			}
+			var save *Save
+			for _, name := range []string{"b", "c", "d"} {
+				if effects := node.Step(now, Receive{voteFor(node, MessageVoteResponse, name)}); effects.Save != nil {
+					save = effects.Save
+				}
+			}
+			marked := ""
+			for _, id := range node.Status().Members.Lost {
+				marked += string(id.Instance)
+			}
+			assert.Equal(t, marked, test.marked)
+			assert.Equal(t, len(save.Entries), 1+min(1, len(marked)))
+		})
+	}
+}
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -159,10 +159,9 @@
 		return
 	}
 	members, err := n.membersAfter(event)
-	isPending := n.members.lastChangeIndex() > n.commit && (err != nil || !n.mayOverlap(members))
 	// A mark only takes quorums away. So it doesn't matter that former leaders may have appended other changes, and it is committed
 	// together with the first entry of the term.
-	if isPending || len(event.Lost) == 0 && !n.hasCommittedInTerm() {
+	if n.mustWait(members) || len(event.Lost) == 0 && !n.hasCommittedInTerm() {
 		err = ErrChangePending
 	}
 	if err != nil {
@@ -179,6 +178,11 @@
 	n.advanceCommit()
 }
 
+// mustWait reports whether an earlier change isn't committed and the change to the given members can't follow it at once.
+func (n *Node) mustWait(members Members) bool {
+	return n.members.lastChangeIndex() > n.commit && !n.mayOverlap(members)
+}
+
 // membersAfter returns the members after a change, or the reason to reject it. A change that leaves fewer voters without marks than
 // a quorum could never be committed.
 func (n *Node) membersAfter(event ChangeVoters) (Members, error) {
--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -94,11 +94,17 @@
 	return set
 }
 
-// campaign lets a voter ask some others for their votes. Some of the votes are delayed.
+// campaign lets a voter ask some others for their votes. Some of the votes are delayed. It may take some of them for lost
+// although they go on, which only makes it mark them: in odd numbers of voters a loss itself changes no quorum.
 func (u *untimed) campaign(v *voter) {
 	if v.node == nil || v.role == Leader {
 		return
 	}
+	for _, id := range v.node.Electors() {
+		if !u.changesSize && u.size%2 == 1 && u.chance(10) {
+			u.step(v, StorageLost{Voter: id})
+		}
+	}
 	u.campaignAmong(v, u.someOthers(v, 60), 70)
 }
 
