--- a/core/anvilraft/joining_test.go
+++ b/core/anvilraft/joining_test.go
@@ -1,6 +1,7 @@
 package anvilraft
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -8,28 +9,62 @@
 	"anvilshunt/core/anvilid"
 )
 
-// TestJoiningGetsWholeLog guards against an instance with a new disk that needs a sync for each window of a long log before it
-// has caught up: with 600 kB of commands that took 7 s with syncs of up to 1.5 s, and further disks were lost meanwhile.
+// TestJoiningGetsWholeLog guards against an instance with a new disk that needs a sync for each window of a long log, or one for a snapshot
+// and another for the entries after it, before it has caught up: with syncs of up to 1.5 s that took 7 s, and further disks were lost meanwhile.
+// What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered.
 func TestJoiningGetsWholeLog(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithMessageBytes(400), WithMaxInflight(1000, 10))
-	c.run(2000)
-	leader, joining := c.leader(), c.add("d")
-	commands := make([][]byte, 200)
-	for i := range commands {
-		commands[i] = make([]byte, 50)
+	for _, test := range []struct {
+		name       string
+		compacted  bool
+		lost, late int // the numbers of a message that is lost and of one that comes 20 ms late
+	}{
+		{name: "entries"},
+		{name: "snapshot", compacted: true},
+		{name: "a lost part", compacted: true, lost: 3},
+		{name: "a late part", compacted: true, late: 5},
+		{name: "a lost batch", compacted: true, lost: 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0), WithMessageBytes(400), WithMaxInflight(1000, 10))
+			c.run(2000)
+			leader, joining := c.leader(), c.add("d")
+			commands := slices.Repeat([][]byte{make([]byte, 50)}, 100)
+			c.step(leader, Propose{Key: 1, Commands: commands})
+			c.run(2000)
+			if test.compacted {
+				c.step(leader, Compact{leader.applied, snapshotData(leader.state, 5000)})
+			}
+			c.step(leader, Propose{Key: 2, Commands: commands})
+			c.run(2000)
+			sent := 0
+			c.latency = func(_ *voter, m Message) int64 {
+				if m.To != joining.id || m.Chunk == nil && len(m.Entries) == 0 {
+					return 1000
+				}
+				switch sent++; sent {
+				case test.lost:
+					return -1
+				case test.late:
+					return 20_000
+				}
+				return 1000
+			}
+			c.start(joining)
+			joining.diskStalled = true
+			c.step(leader, SendLog{To: joining.id, Empty: true})
+			c.run(500)
+			if test.lost+test.late == 0 {
+				assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
+			}
+			assert.Assert(t, !leader.node.HasCaughtUp(joining.id))
+			joining.diskStalled = false
+			c.step(joining, Tick{})
+			c.run(200)
+			assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
+			assert.Assert(t, leader.node.HasCaughtUp(joining.id))
+		})
 	}
-	c.step(leader, Propose{Key: 1, Commands: commands})
-	c.run(2000)
-	c.start(joining)
-	joining.diskStalled = true
-	c.step(leader, SendLog{To: joining.id, Empty: true})
-	c.run(500)
-	assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
-	assert.Assert(t, !leader.node.HasCaughtUp(joining.id))
-	joining.diskStalled = false
-	c.run(500)
-	assert.Assert(t, leader.node.HasCaughtUp(joining.id))
 }
 
 // TestChangesFollowAtOnce guards against a change of the members that waits on each slow disk for the sync of the empty entry after the change
--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -52,30 +52,35 @@
 	return nil
 }
 
-// replicate sends as many entries as flow control permits, parts of a large entry, or parts of a
-// snapshot if the member needs entries that are no longer in memory.
+// replicate sends parts of a snapshot if the member needs entries that are no longer in memory, and as many entries as
+// flow control permits, or parts of a large entry.
 func (n *Node) replicate(p *peer) {
 	if p.transfer == nil && p.next <= n.log.base {
 		n.startSnapshotTransfer(p)
 	}
-	for !p.probing && p.transfer == nil && p.next <= n.log.last() {
+	if p.transfer != nil {
+		n.sendParts(p, n.maxInflightBytes(p))
+	}
+	for p.takesEntries() && n.log.base < p.next && p.next <= n.log.last() {
 		if n.needsTransfer(p) {
-			if p.inflightEntries > 0 {
-				return
+			if p.transfer == nil && p.inflightEntries == 0 {
+				n.startEntryTransfer(p)
+				n.sendParts(p, n.maxInflightBytes(p))
 			}
-			n.startEntryTransfer(p)
-			break
+			return
 		}
-		bytes := n.maxInflightBytes(p) - p.inflightBytes
+		bytes := n.maxInflightBytes(p) - p.inflightBytes - p.transfer.unacknowledged()
 		entries := n.windows(p)*n.options.maxInflightEntries - p.inflightEntries
 		if bytes <= 0 || entries <= 0 {
 			return
 		}
 		n.sendBatch(p, min(bytes, n.options.maxMessageBytes), entries)
 	}
-	if p.transfer != nil {
-		n.sendParts(p, n.maxInflightBytes(p))
-	}
+}
+
+// takesEntries reports whether entries may be sent to a member now.
+func (p *peer) takesEntries() bool {
+	return !p.probing && (p.transfer == nil || p.transfer.precedesEntries())
 }
 
 // joiningWindows is how many windows of entries an instance is sent that joins, without an acknowledgement. Each acknowledgement
@@ -115,8 +120,8 @@
 		Type: MessageAppend, To: p.id, Entries: entries, Commit: n.commit,
 		Sent: n.now, Round: n.leading.barrierRound,
 	}
-	// During a transfer the heartbeat carries index 0, which always matches.
-	if term, ok := n.log.term(p.next - 1); ok && p.transfer == nil {
+	// While parts are being sent, the heartbeat carries index 0, which always matches.
+	if term, ok := n.log.term(p.next - 1); ok && (p.transfer == nil || p.transfer.precedesEntries()) {
 		m.Index, m.LogTerm = p.next-1, term
 	}
 	n.send(m)
@@ -167,9 +172,8 @@
 	p.inflight = p.inflight[done:]
 	if p.transfer != nil && match >= p.transfer.completeAt {
 		p.transfer = nil
-		p.next = match + 1
 	}
-	if match >= p.next {
+	if match+1 >= p.next {
 		p.next, p.probing = match+1, false
 	}
 }
@@ -178,6 +182,10 @@
 // the logs may be equal. It compares the terms of both logs, and so skips all entries of a
 // term in one round trip.
 func (n *Node) backOffNext(p *peer, m Message) {
+	if p.transfer != nil && p.transfer.precedesEntries() {
+		n.holdBackEntries(p, m)
+		return
+	}
 	if p.transfer != nil && !p.transfer.lost(m) {
 		return
 	}
@@ -194,8 +202,30 @@
 	}
 	p.next = max(hint, p.match) + 1
 	p.probing = p.next > n.log.base
-	p.inflight, p.inflightBytes, p.inflightEntries = nil, 0, 0
+	p.clearInflight()
 	if p.probing {
 		n.sendAppend(p, nil)
 	}
 }
+
+// holdBackEntries lowers p.next after a rejection of entries that were sent behind a snapshot. If the member lacks the snapshot
+// itself, they are sent again once it has all parts, which the answer to the last part or to a heartbeat shows.
+func (n *Node) holdBackEntries(p *peer, m Message) {
+	first := p.transfer.completeAt + 1
+	if p.probing && m.Index != p.next-1 || m.Index >= p.next || m.Index+1 < first {
+		return
+	}
+	next := first
+	if m.Hint >= first {
+		hint, _ := n.log.lastAtOrBelow(m.Hint, m.HintTerm)
+		next = max(hint+1, first)
+	}
+	probes := m.Hint+1 >= first && next < p.next // a member that lacks the snapshot would reject each message at once
+	p.next, p.probing = next, true
+	p.clearInflight()
+	if probes {
+		n.sendAppend(p, nil)
+	}
+}
+
+func (p *peer) clearInflight() { p.inflight, p.inflightBytes, p.inflightEntries = nil, 0, 0 }
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -20,6 +20,7 @@
 	ackedBytes     anvilid.ByteCount // bytes received by the member
 	nextOffset     anvilid.ByteCount // offset of the next byte to send
 	partSent       bool              // at least one part was sent; an empty snapshot has one
+	allSent        bool              // each part was sent at least once
 	lastProgressAt anvilclock.Millis // when ackedBytes last changed, or parts were sent again
 }
 
@@ -37,15 +38,16 @@
 // startTransfer begins to send data in parts to a member.
 func (n *Node) startTransfer(p *peer, t transfer) {
 	p.probing = false
-	p.inflight, p.inflightBytes, p.inflightEntries = nil, 0, 0
+	p.clearInflight()
 	t.lastProgressAt = n.now
 	p.transfer = &t
 }
 
 // startSnapshotTransfer prepares to send the latest snapshot to a member that needs entries
-// that are no longer in memory.
+// that are no longer in memory. The entries after it follow its last part, so that the member stores both by the same sync.
 func (n *Node) startSnapshotTransfer(p *peer) {
 	snapshot := n.snapshot
+	p.next = snapshot.Index + 1
 	n.startTransfer(p, transfer{
 		data: snapshot.Data, position: snapshot.Index, completeAt: snapshot.Index,
 		part: func() Message {
@@ -77,6 +79,17 @@
 	p.next++
 }
 
+// precedesEntries reports whether entries may be sent behind the transfer before it is acknowledged.
+func (t *transfer) precedesEntries() bool { return !t.entry && t.allSent }
+
+// unacknowledged returns how many bytes the member has not acknowledged. t may be nil.
+func (t *transfer) unacknowledged() anvilid.ByteCount {
+	if t == nil {
+		return 0
+	}
+	return anvilid.ByteCount(len(t.data)) - t.ackedBytes
+}
+
 // lost reports whether a rejection shows that the member has the whole entry and lacks one before it, which it
 // lost when it was restarted.
 func (t *transfer) lost(m Message) bool { return t.entry && m.Index == t.position }
@@ -92,6 +105,7 @@
 		m.Chunk.Size, m.Chunk.Data = size, t.data[t.nextOffset:end:end]
 		n.send(m)
 		t.nextOffset, t.partSent = end, true
+		t.allSent = t.allSent || end == size
 	}
 }
 
@@ -131,7 +145,10 @@
 	case m.Offset > t.ackedBytes:
 		t.ackedBytes, t.nextOffset, t.lastProgressAt = m.Offset, max(t.nextOffset, m.Offset), n.now
 	}
-	n.sendParts(p, n.maxInflightBytes(p))
+	if !t.entry && t.unacknowledged() == 0 {
+		p.probing = false // the member has the snapshot in memory, and takes what follows
+	}
+	n.replicate(p)
 }
 
 // addPart adds a part to the incoming transfer, answers the leader, and reports whether
