Log the fatal error that ended the former process of a voter

A fatal error of the Go runtime, such as a map that is read and written at the same time, is written to standard error only, which the users' record doesn't show.

A voter now has the runtime write it to crash.txt in its data directory as well (debug.SetCrashOutput), and the next process logs what it finds there (event 110). Nothing is synced, and the file is opened by a goroutine of its own, as a disk that hangs must not delay the start. It costs a descriptor. A marker that is written at a clean end was weighed: it would need a sync to be trusted after a loss of power, and wouldn't tell a kill from an error.

The file has the stack of the goroutine that failed, and not the message that the runtime prints before it.

--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -12,6 +12,7 @@
 	LogLinesDropped      = define(107, zapcore.WarnLevel, "log lines omitted: log buffer full or event repeated too often")
 	ClientsGaveWay       = define(108, zapcore.WarnLevel, "clients gave way: too many connections to this process, or too many bytes of bodies")
 	ProcessPaused        = define(109, zapcore.WarnLevel, "process did not run for longer than an election timeout")
+	ProcessCrashed       = define(110, zapcore.ErrorLevel, "former process ended by a fatal error")
 	BackgroundTaskFailed = define(106, zapcore.ErrorLevel, "background task of the instance failed; the instance stops")
 )
 
@@ -128,7 +129,7 @@
 
 // stateChanges are the texts of the events about the state of the process and of the control group, see maxWarnBytes.
 var stateChanges = textsOf(
-	InstanceStarted, InstanceDraining, InstanceStopped, BackgroundTaskFailed, LogLinesDropped, ProcessPaused,
+	InstanceStarted, InstanceDraining, InstanceStopped, BackgroundTaskFailed, LogLinesDropped, ProcessPaused, ProcessCrashed,
 	LeaderChanged, VoterFailed, EnrollFailed, DataDirectoryCorrupt, MembersChanged, DiskSlow, VotersSilent, VotersKnown, LeaveFailed, StorageLost, LeaderMissing, EnrollmentStep,
 	LeadershipGained, LeadershipEnded,
 )
--- a/io/anvilnode/node.go
+++ b/io/anvilnode/node.go
@@ -179,6 +179,7 @@
 // forwarder and relay, and the leader makes the given calls.
 func (n *Node) RunVoter(calls anvillead.OutboundCalls, control func(*anvilgate.Forwarder, *anvilrelay.Relay) http.Handler) error {
 	settings := n.Settings()
+	go n.watchCrashes(settings.DataDir) // a disk that hangs must not delay the start
 	supervisor := anvillead.NewVoterSupervisor(n.Log)
 	if err := n.listenInternal(supervisor, supervisor); err != nil {
 		return err
