Let the goroutines of a voter reach what they share only under its lock

What the lock guards (the state, crashes to be logged, announcements heard, evidence of terms, begun jobs, the term) is now the struct shared inside an anvillock.Value, whose fields are private to that package and whose only access is With, which calls a function while the lock is held. Methods that need the state have it as a parameter, so that one without the lock doesn't compile unless a pointer is carried out of With on purpose.

--- a/io/anvillead/announce.go
+++ b/io/anvillead/announce.go
@@ -85,31 +85,32 @@
 }
 
 // changeBy returns the change of the replicated state that an announcement makes, if there is one.
-func (l *Leader) changeBy(ordered anvilwork.Target) (changedTarget, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.state.AnnouncementHasEffect(ordered) {
-		return changedTarget{}, false
-	}
-	return changedTarget{
-		target: ordered, runs: len(l.state.Runs(ordered.ID)),
-		command: anvilwork.Command{Announce: &anvilwork.Announce{Target: ordered}},
-	}, true
+func (l *Leader) changeBy(ordered anvilwork.Target) (change changedTarget, ok bool) {
+	l.shared.With(func(s *shared) {
+		if ok = s.state.AnnouncementHasEffect(ordered); !ok {
+			return
+		}
+		change = changedTarget{
+			target: ordered, runs: len(s.state.Runs(ordered.ID)),
+			command: anvilwork.Command{Announce: &anvilwork.Announce{Target: ordered}},
+		}
+	})
+	return change, ok
 }
 
 // keepAlive passes announcements that change nothing to the goroutine of the term. One that was sent before the record of
 // the target says nothing about that record, so that it doesn't confirm its capacity.
 func (l *Leader) keepAlive(arrivals ...arrival) {
 	var announced []anvilorder.Announcement
-	l.mu.Lock()
-	for _, a := range arrivals {
-		if !l.state.IsOutdated(a.target) {
-			announced = append(announced, anvilorder.Announcement{
-				Target: a.target.ID, Incarnation: a.target.Incarnation, Clock: a.target.Clock, Received: a.at,
-			})
+	l.shared.With(func(s *shared) {
+		for _, a := range arrivals {
+			if !s.state.IsOutdated(a.target) {
+				announced = append(announced, anvilorder.Announcement{
+					Target: a.target.ID, Incarnation: a.target.Incarnation, Clock: a.target.Clock, Received: a.at,
+				})
+			}
 		}
-	}
-	l.mu.Unlock()
+	})
 	if len(announced) == 0 {
 		return
 	}
@@ -121,9 +122,8 @@
 
 // division divides the targets among the voters that this leader reaches.
 func (l *Leader) division() anvilspread.Division {
-	l.mu.Lock()
-	targets := len(l.state.Targets())
-	l.mu.Unlock()
+	var targets int
+	l.shared.With(func(s *shared) { targets = len(s.state.Targets()) })
 	leader, inbound := l.group.ID().Instance, l.bounds.Connections.Inbound
 	if anvilspread.LeaderSuffices(targets, inbound) {
 		return anvilspread.Among(leader)
--- a/io/anvillead/capacity_test.go
+++ b/io/anvillead/capacity_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvillock"
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvilconn"
@@ -15,10 +16,10 @@
 // TestTargetShrinksWhileStartWaits guards against sending a start that has waited for others, although the
 // capacity of its target has shrunk in the meantime.
 func TestTargetShrinksWhileStartWaits(t *testing.T) {
-	l := &Leader{state: anvilwork.New()}
+	l := &Leader{shared: anvillock.New(shared{state: anvilwork.New()})}
 	announce := func(incarnation anvilwork.Incarnation, resources anvilwork.Resources) anvilwork.Target {
 		target := anvilwork.Target{ID: "t", Incarnation: incarnation, Resources: resources}
-		l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: target}}}})
+		l.applyNow(1, anvilwork.Command{Announce: &anvilwork.Announce{Target: target}})
 		return target
 	}
 	s := sender{
@@ -50,7 +51,7 @@
 func TestTargetFallsSilentWhileStartWaits(t *testing.T) {
 	a := newAnnouncer(t)
 	a.announce(1, 4)
-	target, _ := a.leader.state.Target("t")
+	target := a.record()
 	s := sender{
 		limits:  newCallLimits(anvilconn.Budget{Polls: 1, Stops: 1, UrgentStarts: 1, Starts: 1}),
 		leading: func() bool { return true }, hasShrunk: a.leader.hasShrunk, evacuated: a.leader.zoneEvacuated, calls: OutboundCalls{
@@ -60,19 +61,19 @@
 		},
 	}
 	a.clock.Advance(a.leader.bounds.Orders.MaxAnnouncementAge)
-	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted)
+	assert.Equal(t, s.start(anvilorder.Start{Target: target}).Verdict, anvilorder.StartAccepted)
 	s.limits.starts <- struct{}{} // the limit is reached, so that the next start waits
 	answer := make(chan anvilorder.StartAnswer)
-	go func() { answer <- s.start(anvilorder.Start{Target: *target}) }()
+	go func() { answer <- s.start(anvilorder.Start{Target: target}) }()
 	a.clock.Advance(1)
 	<-s.limits.starts
 	withheld := <-answer
 	assert.Assert(t, withheld.Withheld && withheld.Verdict == anvilorder.StartNotSent)
 	a.announce(2, 4)
-	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted)
+	assert.Equal(t, s.start(anvilorder.Start{Target: target}).Verdict, anvilorder.StartAccepted)
 	a.clock.Advance(a.leader.bounds.Orders.MaxAnnouncementAge + 1)
-	a.leader.heard = heardAnnouncements{}
-	assert.Equal(t, s.start(anvilorder.Start{Target: *target}).Verdict, anvilorder.StartAccepted, "a new leader goes by the age of the state")
+	a.forget()
+	assert.Equal(t, s.start(anvilorder.Start{Target: target}).Verdict, anvilorder.StartAccepted, "a new leader goes by the age of the state")
 }
 
 // TestTermEvidence guards against a new leader that takes the changes of a leader which led for a moment for a sign
--- a/io/anvillead/crashes.go
+++ b/io/anvillead/crashes.go
@@ -11,22 +11,21 @@
 const maxPendingCrashes = 1000
 
 // collectCrashes moves the crashes that the replicated state has recorded to pendingCrashes if this voter
-// leads. The caller must have locked mu.
-func (l *Leader) collectCrashes() {
-	crashes := l.state.TakeCrashes()
-	if l.term == 0 {
-		l.pendingCrashes = nil
+// leads.
+func (s *shared) collectCrashes() {
+	crashes := s.state.TakeCrashes()
+	if s.term == 0 {
+		s.pendingCrashes = nil
 		return
 	}
-	if len(l.pendingCrashes) < maxPendingCrashes {
-		l.pendingCrashes = append(l.pendingCrashes, crashes...)
+	if len(s.pendingCrashes) < maxPendingCrashes {
+		s.pendingCrashes = append(s.pendingCrashes, crashes...)
 	}
 }
 
-// logCrashes logs the targets that have crashed since the last step, with the runs that were lost. The caller
-// must have locked mu.
-func (r *leadership) logCrashes() {
-	for _, crash := range r.pendingCrashes {
+// logCrashes logs the targets that have crashed since the last step, with the runs that were lost.
+func (r *leadership) logCrashes(s *shared) {
+	for _, crash := range s.pendingCrashes {
 		r.summary.crashes++
 		r.summary.lostRuns += len(crash.Lost)
 		r.log.Write(anvillogs.TargetCrashed, zap.String("target", string(crash.Target)), zap.Int("runs", len(crash.Lost)))
@@ -34,7 +33,7 @@
 			r.logLostRun(crash, lost)
 		}
 	}
-	r.pendingCrashes = nil
+	s.pendingCrashes = nil
 }
 
 func (r *leadership) logLostRun(crash anvilwork.Crash, lost anvilwork.LostRun) {
--- a/io/anvillead/decide.go
+++ b/io/anvillead/decide.go
@@ -17,25 +17,28 @@
 // decide plans placements if a plan is due, and returns the commands to commit to
 // the replicated log. The last placementCount commands are placements.
 func (r *leadership) decide(now anvilclock.Millis) (commands []anvilwork.Command, placementCount int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.shared.With(func(s *shared) { commands, placementCount = r.decideBy(s, now) })
+	return commands, placementCount
+}
+
+func (r *leadership) decideBy(s *shared, now anvilclock.Millis) (commands []anvilwork.Command, placementCount int) {
 	commands, r.pendingCommands = r.pendingCommands, nil
-	r.tracker.Sync(now, r.state)
-	r.logCrashes()
+	r.tracker.Sync(now, s.state)
+	r.logCrashes(s)
 	if !r.planNeeded && now-r.plannedAt < planInterval {
 		return commands, 0
 	}
 	r.planNeeded, r.plannedAt = false, now
-	r.logEndedJobs()
-	r.stopObsoleteRuns()
-	r.advanceWaves(now)
-	r.learnSpeeds(now)
-	input := r.planInput(now)
+	r.logEndedJobs(s)
+	r.stopObsoleteRuns(s.state)
+	r.advanceWaves(now, s.state)
+	r.learnSpeeds(now, s.state)
+	input := r.planInput(now, s.state)
 	r.demand.Observe(now, anvilplace.UrgentDemand(input))
 	input.Reserve = r.demand.Reserve()
 	idle, omitted := r.findIdleSteps(now, &input)
 	decision := anvilplace.Plan(input)
-	r.logIdleSteps(now, input.Now, idle, omitted, decision.Unplaced)
+	r.logIdleSteps(now, input, idle, omitted, decision.Unplaced)
 	record(r.summary.plan, r.clock.Now()-now)
 	r.summary.placed += len(decision.Placements)
 	r.reservedTargets = decision.Claims
@@ -45,7 +48,7 @@
 		if eviction.Preemptor == eviction.Task.Job {
 			reason = stoppedAsStraggler
 		}
-		r.stopRun(eviction.Target, eviction.Task, reason)
+		r.stopRun(s.state, eviction.Target, eviction.Task, reason)
 		r.log.Write(anvillogs.RunEvicted, zap.Stringer("task", eviction.Task),
 			zap.String("target", string(eviction.Target)), zap.String("for", string(eviction.Preemptor)))
 	}
@@ -57,29 +60,29 @@
 
 // stopObsoleteRuns requests a stop of runs that belong to ended jobs, to tasks
 // of which an earlier run was done, or to gangs that have lost a member.
-func (r *leadership) stopObsoleteRuns() {
-	for _, run := range r.state.RunsToStop() {
+func (r *leadership) stopObsoleteRuns(state *anvilwork.State) {
+	for _, run := range state.RunsToStop() {
 		reason := stoppedAsTornGang
-		if job, ok := r.state.Job(run.Task.Job); ok && (job.Phase.Ended() || job.State(run.Task).DoneRun > 0) {
+		if job, ok := state.Job(run.Task.Job); ok && (job.Phase.Ended() || job.State(run.Task).DoneRun > 0) {
 			reason = stoppedAsDone
 		}
-		r.stopRun(run.Target, run.Task, reason)
+		r.stopRun(state, run.Target, run.Task, reason)
 	}
 }
 
 // stopRun requests a stop of a run, and records it in the summary unless the run is being stopped already.
-func (r *leadership) stopRun(target anvilid.TargetID, task anvilwork.Task, reason stopReason) {
-	if job, ok := r.state.Job(task.Job); ok && !r.tracker.Stopping(target, task) {
+func (r *leadership) stopRun(state *anvilwork.State, target anvilid.TargetID, task anvilwork.Task, reason stopReason) {
+	if job, ok := state.Job(task.Job); ok && !r.tracker.Stopping(target, task) {
 		r.summary.recordStop(reason, job, task, r.logTime())
 	}
 	r.tracker.StopRun(target, task)
 }
 
-func (r *leadership) planInput(now anvilclock.Millis) anvilplace.Input {
+func (r *leadership) planInput(now anvilclock.Millis, state *anvilwork.State) anvilplace.Input {
 	// Targets announce themselves once per interval, and after an election an
 	// announcement may first have to be redirected to the new leader.
 	announceTimeout := 2*r.bounds.AnnounceInterval + anvilclock.Second
-	known := len(r.state.Targets())
+	known := len(state.Targets())
 	slow, ejected := r.tracker.Speeds.Slow(now, known), r.ejector.Ejected(now, known)
 	return anvilplace.Input{
 		Apart:  r.apart(),
@@ -102,7 +105,7 @@
 		Speed: func(target *anvilwork.Target) anvilspeed.Factor {
 			return r.tracker.Lasting.Speed(target.MachineOrSelf())
 		},
-		State: r.state, Now: r.logTime(), Wall: r.wallClock.Now(),
+		State: state, Now: r.logTime(), Wall: r.wallClock.Now(),
 		Usable: func(id anvilid.TargetID) bool {
 			return r.tracker.Usable(now, id, announceTimeout) && !r.upkeep.unavailable[id]
 		},
@@ -164,29 +167,29 @@
 }
 
 // logEndedJobs logs each job that ended since the last plan.
-func (r *leadership) logEndedJobs() {
+func (r *leadership) logEndedJobs(s *shared) {
 	now := r.logTime()
 	for id, first := range r.firstRunAt {
-		job, ok := r.state.Job(id)
+		job, ok := s.state.Job(id)
 		if !ok || !job.Phase.Ended() {
 			continue
 		}
 		delete(r.firstRunAt, id)
-		delete(r.begun, id)
+		delete(s.begun, id)
 		r.ejector.Forget(id)
 		r.advisor.Forget(id)
-		_, due := anvilplace.ScheduledWindow(job, r.state.PolicyOf(job), 0)
+		_, due := anvilplace.ScheduledWindow(job, s.state.PolicyOf(job), 0)
 		r.log.Write(anvillogs.JobEndRecorded, zap.String("job", string(id)), zap.String("queue", string(job.Queue)),
 			zap.Stringer("phase", job.Phase), zap.Int64("waited", int64(waited(job, first))),
 			zap.Int64("took", int64(job.Ended-job.Accepted)), zap.Int64("limit", int64(due-job.Accepted)))
 	}
-	for _, job := range r.state.Active() {
+	for _, job := range s.state.Active() {
 		first, known := r.firstRunAt[job.ID]
 		if !known || first == 0 && job.Phase == anvilwork.JobRunning {
 			first = 0
 			if job.Phase == anvilwork.JobRunning {
 				first = now
-				r.summary.recordStart(now-job.Accepted, r.state.PolicyOf(job).Priority == 0)
+				r.summary.recordStart(now-job.Accepted, s.state.PolicyOf(job).Priority == 0)
 			}
 			r.firstRunAt[job.ID] = first
 		}
--- a/io/anvillead/departure.go
+++ b/io/anvillead/departure.go
@@ -16,14 +16,14 @@
 // until it receives the acknowledgement, which may be lost. Its runs therefore stay assigned until they have
 // ended, or can't be running any more.
 func (l *Leader) depart(ctx context.Context, id anvilid.TargetID) bool {
-	l.mu.Lock()
-	known, ok := l.state.Target(id)
 	var target anvilwork.Target
-	if ok {
-		target = *known
-	}
-	runs := len(l.state.Runs(id))
-	l.mu.Unlock()
+	var runs int
+	l.shared.With(func(s *shared) {
+		if known, ok := s.state.Target(id); ok {
+			target = *known
+		}
+		runs = len(s.state.Runs(id))
+	})
 	switch {
 	case !target.Leaving:
 		// The target is unknown, or this is a late call of an earlier incarnation, which must not end the
--- a/io/anvillead/evacuation.go
+++ b/io/anvillead/evacuation.go
@@ -19,9 +19,9 @@
 		return &anvilrpc.EvacuateReply{Redirection: r}, nil
 	}
 	if call.Zone == "" {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return &anvilrpc.EvacuateReply{Done: true, Zones: evacuatedZones(l.state)}, nil
+		reply := &anvilrpc.EvacuateReply{Done: true}
+		l.shared.With(func(s *shared) { reply.Zones = evacuatedZones(s.state) })
+		return reply, nil
 	}
 	// The instance that sent the call may have given it up while the call was held up on a cut link.
 	if !anvilgate.IsAwaited(ctx) {
@@ -63,8 +63,7 @@
 }
 
 // zoneEvacuated reports whether the zone of a target is evacuated.
-func (l *Leader) zoneEvacuated(target anvilwork.Target) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Evacuated(target.Zone)
+func (l *Leader) zoneEvacuated(target anvilwork.Target) (evacuated bool) {
+	l.shared.With(func(s *shared) { evacuated = s.state.Evacuated(target.Zone) })
+	return evacuated
 }
--- a/io/anvillead/heard.go
+++ b/io/anvillead/heard.go
@@ -101,37 +101,38 @@
 
 // namesUnknownService reports whether an announcement names a service that the configuration doesn't have, so that
 // it is of another writer. A target goes on announcing a service that was removed from the configuration.
-func (l *Leader) namesUnknownService(target anvilwork.Target) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	config := l.state.Config()
-	if config.Version == 0 || config.HasService(target.Service) {
-		return false
-	}
-	known, ok := l.state.Target(target.ID)
-	return !ok || known.Incarnation != target.Incarnation || known.Service != target.Service
+func (l *Leader) namesUnknownService(target anvilwork.Target) (unknown bool) {
+	l.shared.With(func(s *shared) {
+		config := s.state.Config()
+		if config.Version == 0 || config.HasService(target.Service) {
+			return
+		}
+		known, ok := s.state.Target(target.ID)
+		unknown = !ok || known.Incarnation != target.Incarnation || known.Service != target.Service
+	})
+	return unknown
 }
 
 // ignoredEntries returns the number of entries of lists and of announcements that this process has ignored.
 func (l *Leader) ignoredEntries() uint64 { return l.calls.Ignored() + l.ignored.Total() }
 
-// hear records an announcement that arrived at the given time in l.heard, and reports whether a later one was heard
+// hear records an announcement that arrived at the given time, and reports whether a later one was heard
 // before. It returns the announcement with the sequence number that it has for the replicated state.
 func (l *Leader) hear(arrived anvilclock.Millis, target anvilwork.Target) (ordered anvilwork.Target, outdated bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heard.prune(l.state)
-	known, _ := l.state.Target(target.ID)
 	span := l.bounds.Orders.MaxAnnouncementAge + sequenceIntervals*l.bounds.AnnounceInterval
 	ordered = target
-	switch {
-	case l.heard.record(arrived, span, target, known):
-		l.log.Write(anvillogs.LateAnnouncement, zap.String("target", string(target.ID)), zap.Uint64("sequence", target.Sequence),
-			zap.Uint64("latest", l.heard[target.ID].sequence))
-		ordered.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
-		return ordered, true
-	case l.heard.overrules(target, known):
-		ordered.Sequence = anvilwork.UnorderedSequence
-	}
-	return ordered, false
+	l.shared.With(func(s *shared) {
+		s.heard.prune(s.state)
+		known, _ := s.state.Target(target.ID)
+		outdated = s.heard.record(arrived, span, target, known)
+		switch {
+		case outdated:
+			l.log.Write(anvillogs.LateAnnouncement, zap.String("target", string(target.ID)), zap.Uint64("sequence", target.Sequence),
+				zap.Uint64("latest", s.heard[target.ID].sequence))
+			ordered.Sequence = 0 // the replicated state may know a lower number; only the notice to leave counts
+		case s.heard.overrules(target, known):
+			ordered.Sequence = anvilwork.UnorderedSequence
+		}
+	})
+	return ordered, outdated
 }
--- a/io/anvillead/heard_test.go
+++ b/io/anvillead/heard_test.go
@@ -9,6 +9,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvillock"
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilwork"
 	"anvilshunt/io/anvillogs"
@@ -51,13 +52,11 @@
 // TestUnknownService guards against an announcement of another writer that takes the place of a target, because
 // it names a later incarnation beside a service that the configuration doesn't have.
 func TestUnknownService(t *testing.T) {
-	l := &Leader{state: anvilwork.New()}
+	l := &Leader{shared: anvillock.New(shared{state: anvilwork.New()})}
 	target := anvilwork.Target{ID: "t", Incarnation: 1, Service: "removed", Sequence: 7}
 	assert.Assert(t, !l.namesUnknownService(target), "there is no configuration yet")
-	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{
-		{Announce: &anvilwork.Announce{Target: target}},
-		{Configure: &anvilwork.Config{Version: 1, Services: []anvilwork.Service{{Name: "s"}}}},
-	}})
+	l.applyNow(1, anvilwork.Command{Announce: &anvilwork.Announce{Target: target}},
+		anvilwork.Command{Configure: &anvilwork.Config{Version: 1, Services: []anvilwork.Service{{Name: "s"}}}})
 	assert.Assert(t, !l.namesUnknownService(target), "a target goes on with a service that was removed")
 	for _, foreign := range []anvilwork.Target{
 		{ID: "t", Incarnation: 2, Service: "removed"}, {ID: "t", Incarnation: 1, Service: "odd"}, {ID: "u", Incarnation: 1, Service: "odd"},
@@ -83,13 +82,13 @@
 // TestOutdatedKeepalive guards against a foreign capacity with a very high sequence number that counts as fresh
 // because the announcements of the target itself, which the state doesn't take, are keepalives.
 func TestOutdatedKeepalive(t *testing.T) {
-	l := &Leader{state: anvilwork.New(), clock: anvilclock.Boot(), keepalives: make(chan []anvilorder.Announcement, 4)}
+	l := &Leader{shared: anvillock.New(shared{state: anvilwork.New()}), clock: anvilclock.Boot(), keepalives: make(chan []anvilorder.Announcement, 4)}
 	own, foreign := anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 7}, anvilwork.Target{ID: "t", Incarnation: 1, Sequence: 1 << 50}
 	own.Resources.GPU, foreign.Resources.GPU = 4, 8
-	l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: own}}}})
+	l.applyNow(1, anvilwork.Command{Announce: &anvilwork.Announce{Target: own}})
 	l.keepAlive(arrival{target: own})
 	assert.Equal(t, len(l.keepalives), 1, "it confirms the record")
-	l.state.Apply(2, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: foreign}}}})
+	l.applyNow(2, anvilwork.Command{Announce: &anvilwork.Announce{Target: foreign}})
 	own.Sequence++
 	l.keepAlive(arrival{target: own})
 	assert.Equal(t, len(l.keepalives), 1, "the state has 8 accelerators, the target 4")
@@ -106,7 +105,7 @@
 	assert.NilError(t, err)
 	a := &announcer{}
 	a.leader = &Leader{
-		state: anvilwork.New(), clock: a.clock.Clock(), log: log, heard: heardAnnouncements{},
+		shared: anvillock.New(shared{state: anvilwork.New(), heard: heardAnnouncements{}}), clock: a.clock.Clock(), log: log,
 		keepalives: make(chan []anvilorder.Announcement, resultQueueSize),
 		bounds:     Bounds{AnnounceInterval: 1000, Orders: anvilorder.Timing{MaxAnnouncementAge: testSpan - sequenceIntervals*1000}},
 	}
@@ -116,18 +115,35 @@
 func (a *announcer) announce(sequence uint64, gpu anvilid.AcceleratorCount) {
 	l := a.leader
 	ordered, outdated := l.hear(l.clock.Now(), anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Sequence: sequence, Resources: anvilwork.Resources{GPU: gpu}})
+	change, ok := l.changeBy(ordered)
 	switch {
 	case outdated:
-	case l.state.AnnouncementHasEffect(ordered):
-		l.state.Apply(1, anvilwork.Batch{Commands: []anvilwork.Command{{Announce: &anvilwork.Announce{Target: ordered}}}})
+	case ok:
+		l.applyNow(1, change.command)
 	default:
 		l.keepAlive(arrival{ordered, l.clock.Now()})
 	}
 }
 
-func (a *announcer) capacity() anvilid.AcceleratorCount {
-	target, _ := a.leader.state.Target("t")
-	return target.Resources.GPU
+// applyNow applies commands without the replicated log.
+func (l *Leader) applyNow(at anvilclock.Millis, commands ...anvilwork.Command) {
+	l.shared.With(func(s *shared) { s.state.Apply(at, anvilwork.Batch{Commands: commands}) })
+}
+
+// record returns the replicated record of the target.
+func (a *announcer) record() (target anvilwork.Target) {
+	a.leader.shared.With(func(s *shared) {
+		known, _ := s.state.Target("t")
+		target = *known
+	})
+	return target
+}
+
+func (a *announcer) capacity() anvilid.AcceleratorCount { return a.record().Resources.GPU }
+
+// forget makes the leader one that has heard no announcement.
+func (a *announcer) forget() {
+	a.leader.shared.With(func(s *shared) { s.heard = heardAnnouncements{} })
 }
 
 // TestHighestSequence guards against one announcement of another writer with a very high sequence number that
@@ -141,7 +157,7 @@
 				a.announce(7, 4)
 				a.announce(1<<50, foreign)
 				if newLeader {
-					a.leader.heard = heardAnnouncements{}
+					a.forget()
 				}
 				sequence := uint64(8)
 				for ; a.clock.Now() <= testSpan; sequence++ {
@@ -156,10 +172,10 @@
 				a.announce(sequence+3, 2)
 				a.announce(sequence+2, 4)
 				assert.Equal(t, a.capacity(), anvilid.AcceleratorCount(2), "delayed ones are outdated again")
-				known, _ := a.leader.state.Target("t")
+				known := a.record()
 				if foreign == 8 { // the foreign number was replicated and overruled
 					a.announce(sequence+4, 3)
-					known, _ = a.leader.state.Target("t")
+					known = a.record()
 				}
 				assert.Assert(t, known.Sequence == sequence+3 || known.Sequence == sequence+4, "a new leader knows the order again: %d", known.Sequence)
 				a.announce(1<<50, 8)
@@ -179,7 +195,7 @@
 	a := newAnnouncer(t)
 	a.announce(3, 8)
 	a.announce(5, 2)
-	a.leader.heard = heardAnnouncements{}
+	a.forget()
 	a.announce(4, 8)
 	a.clock.Advance(testSpan)
 	a.announce(4, 8)
@@ -207,5 +223,5 @@
 	assert.Assert(t, usable, "the same one over the other way")
 	_, changes := a.leader.changeBy(ordered)
 	assert.Assert(t, !changes)
-	assert.Equal(t, a.leader.heard["t"].at, anvilclock.Millis(1000))
+	a.leader.shared.With(func(s *shared) { assert.Equal(t, s.heard["t"].at, anvilclock.Millis(1000)) })
 }
--- a/io/anvillead/idle.go
+++ b/io/anvillead/idle.go
@@ -99,7 +99,7 @@
 
 // findIdleSteps returns the steps about which lines are to be written, and requests their explanation from the plan.
 func (r *leadership) findIdleSteps(now anvilclock.Millis, input *anvilplace.Input) (due []idleStep, omitted int) {
-	due, omitted = r.idle.check(r.state, input.Now, input.Wall, func(task anvilwork.Task, state *anvilwork.TaskState) bool {
+	due, omitted = r.idle.check(input.State, input.Now, input.Wall, func(task anvilwork.Task, state *anvilwork.TaskState) bool {
 		return r.tracker.AtWork(now, state.Target, task)
 	})
 	if len(due) > 0 {
@@ -113,10 +113,10 @@
 
 // logIdleSteps writes a line about each step that has had no task at work for long, except those whose tasks the plan
 // has placed just now.
-func (r *leadership) logIdleSteps(now, logTime anvilclock.Millis, due []idleStep, omitted int, unplaced []anvilplace.Unplaced) {
+func (r *leadership) logIdleSteps(now anvilclock.Millis, input anvilplace.Input, due []idleStep, omitted int, unplaced []anvilplace.Unplaced) {
 	for _, step := range due {
-		runs := r.idleRuns(now, logTime, step)
-		fields := []zap.Field{zap.Stringer("step", step.Step), zap.Int64("idle", int64(logTime-step.since))}
+		runs := r.idleRuns(now, input, step)
+		fields := []zap.Field{zap.Stringer("step", step.Step), zap.Int64("idle", int64(input.Now-step.since))}
 		var parts []unplacedFields
 		for _, u := range unplaced {
 			if u.Step == step.Step {
@@ -166,8 +166,8 @@
 }
 
 // idleRuns returns the first maxIdleRuns assigned runs of a step.
-func (r *leadership) idleRuns(now, logTime anvilclock.Millis, step idleStep) []idleRun {
-	job, ok := r.state.Job(step.Step.Job)
+func (r *leadership) idleRuns(now anvilclock.Millis, input anvilplace.Input, step idleStep) []idleRun {
+	job, ok := input.State.Job(step.Step.Job)
 	if !ok || step.Assigned == 0 {
 		return nil
 	}
@@ -179,7 +179,7 @@
 			continue
 		}
 		if status, known := r.tracker.Status(now, state.Target, task); known {
-			runs = append(runs, idleRun{task: task, target: state.Target, status: status, assigned: logTime - state.PhaseSince, now: now})
+			runs = append(runs, idleRun{task: task, target: state.Target, status: status, assigned: input.Now - state.PhaseSince, now: now})
 		}
 	}
 	return runs
--- a/io/anvillead/idle_test.go
+++ b/io/anvillead/idle_test.go
@@ -21,17 +21,18 @@
 // idleTest is a leader without targets' answers, whose plans are made by plan.
 type idleTest struct {
 	leadership
+	state  *anvilwork.State
 	now    anvilclock.Millis
 	out    bytes.Buffer
 	writer *anvillogs.AsyncWriter
 }
 
 func newIdleTest(t testing.TB, targets int) *idleTest {
-	w := &idleTest{now: 1000}
+	w := &idleTest{state: anvilwork.New(), now: 1000}
 	w.writer = anvillogs.NewAsyncWriter(&w.out)
 	log, err := anvillogs.NewAsync(w.writer, "info")
 	assert.NilError(t, err)
-	w.leadership = leadership{Leader: &Leader{state: anvilwork.New(), log: log}, tracker: anvilorder.New(1, w.now, anvilorder.Timing{MaxLease: 6000, PollWait: 1000, RetryInterval: 200})}
+	w.leadership = leadership{Leader: &Leader{log: log}, tracker: anvilorder.New(1, w.now, anvilorder.Timing{MaxLease: 6000, PollWait: 1000, RetryInterval: 200})}
 	w.tracker.Sync(w.now, w.state) // the targets announce themselves to this leader
 	for n := range targets {
 		w.apply(anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
@@ -66,7 +67,7 @@
 	}
 	due, omitted := w.findIdleSteps(w.now, &input)
 	decision := anvilplace.Plan(input)
-	w.logIdleSteps(w.now, w.now, due, omitted, decision.Unplaced)
+	w.logIdleSteps(w.now, input, due, omitted, decision.Unplaced)
 	for i := range decision.Placements {
 		w.apply(anvilwork.Command{Place: &decision.Placements[i]})
 		w.tracker.AddPlacements(decision.Placements[i].Assignments)
@@ -163,7 +164,7 @@
 	w.submit("j", 2, 1)
 	due := []idleStep{{IdleStep: anvilplace.IdleStep{Step: anvilwork.StepKey{Job: "j"}, Waiting: 2}}}
 	w.idle.check(w.state, w.now, w.now, func(anvilwork.Task, *anvilwork.TaskState) bool { return false })
-	w.logIdleSteps(w.now, w.now, due, 0, []anvilplace.Unplaced{
+	w.logIdleSteps(w.now, anvilplace.Input{State: w.state, Now: w.now}, due, 0, []anvilplace.Unplaced{
 		{Step: due[0].Step, Waiting: 1, Throttled: true}, {Step: due[0].Step, Waiting: 1, Considered: 1},
 	})
 	w.writer.Flush()
@@ -215,7 +216,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		w.now += idleCheckInterval
-		input := anvilplace.Input{Now: w.now, Wall: w.now}
+		input := anvilplace.Input{State: w.state, Now: w.now, Wall: w.now}
 		due, _ := w.findIdleSteps(w.now, &input)
 		for _, step := range due {
 			w.idle.written(step.Step)
--- a/io/anvillead/leader.go
+++ b/io/anvillead/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +9,7 @@
 	"anvilshunt/core/anviladvice"
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
+	"anvilshunt/core/anvillock"
 	"anvilshunt/core/anvilorder"
 	"anvilshunt/core/anvilpace"
 	"anvilshunt/core/anvilraft"
@@ -92,7 +92,13 @@
 	stateChanged chan struct{}                  // capacity 1; contains a value when the replicated state has changed
 	keepalives   chan []anvilorder.Announcement // announcements that change no replicated state
 
-	mu    sync.Mutex
+	shared *anvillock.Value[shared]
+	// startedAt is when this process started, on the monotonic clock.
+	startedAt anvilclock.Millis
+}
+
+// shared is what the goroutines of a voter share: the one that applies entries, the one of the term, and those of calls.
+type shared struct {
 	state *anvilwork.State
 	// pendingCrashes has the crashes of targets that the leader has not logged yet.
 	pendingCrashes []anvilwork.Crash
@@ -102,16 +108,14 @@
 	begun map[anvilid.JobID]bool
 	// term is the term in which this voter acts as leader, or 0.
 	term anvilid.Term
-	// startedAt is when this process started, on the monotonic clock.
-	startedAt anvilclock.Millis
 }
 
 // New returns the scheduler of a voter. Call Attach before Run.
 func New(clock, wall anvilclock.Clock, log *anvillogs.Logger, calls OutboundCalls, bounds Bounds) *Leader {
 	return &Leader{
-		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds, state: anvilwork.New(),
+		clock: clock, wallClock: wall, log: log, calls: calls, bounds: bounds,
 		stateChanged: make(chan struct{}, 1), keepalives: make(chan []anvilorder.Announcement, resultQueueSize), startedAt: clock.Now(),
-		heard: heardAnnouncements{}, ignored: anvillogs.NewIgnored(clock, log, anvillogs.EntryIgnored),
+		shared: anvillock.New(shared{state: anvilwork.New(), heard: heardAnnouncements{}}), ignored: anvillogs.NewIgnored(clock, log, anvillogs.EntryIgnored),
 	}
 }
 
@@ -131,11 +135,12 @@
 		l.log.Write(anvillogs.EntryUnreadable, zap.Uint64("index", uint64(entry.Index)), zap.Error(err))
 		return []anvilwork.Result(nil)
 	}
-	l.mu.Lock()
-	results := l.state.Apply(entry.At, batch)
-	l.evidence.applied(entry.Term, entry.At, l.bounds.AnnounceInterval)
-	l.collectCrashes()
-	l.mu.Unlock()
+	var results []anvilwork.Result
+	l.shared.With(func(s *shared) {
+		results = s.state.Apply(entry.At, batch)
+		s.evidence.applied(entry.Term, entry.At, l.bounds.AnnounceInterval)
+		s.collectCrashes()
+	})
 	l.signalChange()
 	return results
 }
@@ -145,17 +150,14 @@
 	if err != nil {
 		return err
 	}
-	l.mu.Lock()
-	l.state, l.evidence = state, termEvidence{}
-	l.mu.Unlock()
+	l.shared.With(func(s *shared) { s.state, s.evidence = state, termEvidence{} })
 	l.signalChange()
 	return nil
 }
 
-func (l *Leader) snapshot() ([]byte, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Snapshot()
+func (l *Leader) snapshot() (data []byte, err error) {
+	l.shared.With(func(s *shared) { data, err = s.state.Snapshot() })
+	return data, err
 }
 
 func (l *Leader) signalChange() {
@@ -198,23 +200,18 @@
 	// The age of the state that this leader takes over is read before its first change of it, which may come as
 	// soon as the term is set.
 	leadership := newLeadership(l, term)
-	l.mu.Lock()
-	l.term, l.begun = term, map[anvilid.JobID]bool{}
-	l.mu.Unlock()
+	l.shared.With(func(s *shared) { s.term, s.begun = term, map[anvilid.JobID]bool{} })
 	l.log.Write(anvillogs.LeadershipGained, zap.Uint64("term", uint64(term)))
 	leadership.run(ctx)
-	l.mu.Lock()
-	l.term = 0
-	l.mu.Unlock()
+	l.shared.With(func(s *shared) { s.term = 0 })
 	l.log.Write(anvillogs.LeadershipEnded, zap.Uint64("term", uint64(term)))
 }
 
 // leading reports whether this voter is certainly the leader now: no other
 // voter can have been elected yet, and all earlier changes are applied.
 func (l *Leader) leading() bool {
-	l.mu.Lock()
-	term := l.term
-	l.mu.Unlock()
+	var term anvilid.Term
+	l.shared.With(func(s *shared) { term = s.term })
 	if term == 0 {
 		return false
 	}
--- a/io/anvillead/leadership.go
+++ b/io/anvillead/leadership.go
@@ -88,10 +88,10 @@
 		sender:  sender{limits: newCallLimits(l.bounds.Connections), calls: l.calls, leading: l.leading, hasShrunk: l.hasShrunk, evacuated: l.zoneEvacuated},
 		summary: newSummary(now, l.ignoredEntries()),
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	tracker.SetStateAge(l.logTime() - l.evidence.heardAt)
-	r.inheritSpeeds(now)
+	l.shared.With(func(s *shared) {
+		tracker.SetStateAge(l.logTime() - s.evidence.heardAt)
+		r.inheritSpeeds(now, s.state)
+	})
 	return r
 }
 
@@ -157,11 +157,11 @@
 	if len(jobs) == 0 {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, job := range jobs {
-		r.begun[job] = true
-	}
+	r.shared.With(func(s *shared) {
+		for _, job := range jobs {
+			s.begun[job] = true
+		}
+	})
 }
 
 // step is one iteration of the leader's loop. It commits the pending commands and
@@ -188,11 +188,12 @@
 	if !r.leading() {
 		return
 	}
-	r.mu.Lock()
-	r.tracker.Sync(now, r.state)
-	r.pendingCommands = append(r.pendingCommands, r.tracker.NoteSilences(now)...)
-	effects := r.tracker.Next(now, r.state)
-	r.mu.Unlock()
+	var effects anvilorder.Effects
+	r.shared.With(func(s *shared) {
+		r.tracker.Sync(now, s.state)
+		r.pendingCommands = append(r.pendingCommands, r.tracker.NoteSilences(now)...)
+		effects = r.tracker.Next(now, s.state)
+	})
 	r.logFindings(effects.Findings)
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
 	r.sendOrders(effects)
--- a/io/anvillead/neighbours.go
+++ b/io/anvillead/neighbours.go
@@ -31,22 +31,23 @@
 }
 
 // slowedBy returns a queue that slows a run down and has runs on the same target, or an empty name.
-func (r *leadership) slowedBy(id anvilid.TargetID, task anvilwork.Task) anvilwork.QueueName {
+func (r *leadership) slowedBy(id anvilid.TargetID, task anvilwork.Task) (queue anvilwork.QueueName) {
 	if !r.tracker.Lasting.AnySlows() {
 		return ""
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	job, ok := r.state.Job(task.Job)
-	if !ok {
-		return ""
-	}
-	for other := range r.state.Runs(id) {
-		if neighbour, ok := r.state.Job(other.Job); ok && other != task && r.tracker.Lasting.Slows(job.Queue, neighbour.Queue) {
-			return neighbour.Queue
+	r.shared.With(func(s *shared) {
+		job, ok := s.state.Job(task.Job)
+		if !ok {
+			return
 		}
-	}
-	return ""
+		for other := range s.state.Runs(id) {
+			if neighbour, ok := s.state.Job(other.Job); ok && other != task && r.tracker.Lasting.Slows(job.Queue, neighbour.Queue) {
+				queue = neighbour.Queue
+				return
+			}
+		}
+	})
+	return queue
 }
 
 // logNeighbours logs how queues change each other's speeds if the pairs that slow each other down have changed, and
--- a/io/anvillead/pace.go
+++ b/io/anvillead/pace.go
@@ -18,10 +18,11 @@
 	if !answer.Done || answer.FromOtherIncarnation {
 		return
 	}
-	r.mu.Lock()
-	r.tracker.ObserveProgress(r.state, answer)
-	reports := runReports(r.state, answer.Running)
-	r.mu.Unlock()
+	var reports []anvilpace.RunReport
+	r.shared.With(func(s *shared) {
+		r.tracker.ObserveProgress(s.state, answer)
+		reports = runReports(s.state, answer.Running)
+	})
 	r.throttleRuns(now, answer.Order.Target, reports)
 }
 
--- a/io/anvillead/service.go
+++ b/io/anvillead/service.go
@@ -83,9 +83,10 @@
 	if r := l.redirection(); r != nil {
 		return &anvilrpc.JobReply{Redirection: r}, nil
 	}
-	l.mu.Lock()
-	queue, account, refusal := l.resolve(call)
-	l.mu.Unlock()
+	var queue anvilwork.Queue
+	var account anvilid.AccountID
+	var refusal *anvilrpc.JobReply
+	l.shared.With(func(s *shared) { queue, account, refusal = resolve(s.state, call) })
 	if refusal != nil {
 		return refusal, nil
 	}
@@ -113,15 +114,15 @@
 // account that its key belongs to. It returns copies, because the configuration
 // may change while the call is in progress. If the call must be refused, it
 // returns the reply.
-func (l *Leader) resolve(call *anvilrpc.JobCall) (anvilwork.Queue, anvilid.AccountID, *anvilrpc.JobReply) {
-	if l.state.Config().Version == 0 {
+func resolve(state *anvilwork.State, call *anvilrpc.JobCall) (anvilwork.Queue, anvilid.AccountID, *anvilrpc.JobReply) {
+	if state.Config().Version == 0 {
 		return anvilwork.Queue{}, "", busyReply("no configuration has been published yet; retry later", notReadyRetry)
 	}
-	queue, ok := l.state.Route(call.Host, call.Path)
+	queue, ok := state.Route(call.Host, call.Path)
 	if !ok {
 		return anvilwork.Queue{}, "", refusalReply(anvilrpc.JobCode_JOB_CODE_NO_QUEUE, "no queue matches this host and path")
 	}
-	account, ok := l.state.AccountByKey(call.Key)
+	account, ok := state.AccountByKey(call.Key)
 	switch {
 	case ok:
 		return *queue, account.Name, nil
@@ -139,9 +140,8 @@
 	if err := spec.Check(); err != nil {
 		return refusalReply(anvilrpc.JobCode_JOB_CODE_INVALID, err.Error())
 	}
-	l.mu.Lock()
-	_, known := l.state.Job(id)
-	l.mu.Unlock()
+	var known bool
+	l.shared.With(func(s *shared) { _, known = s.state.Job(id) })
 	if known {
 		return &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE}
 	}
@@ -176,17 +176,21 @@
 // show returns the phase of a job, or the number of waiting jobs of a queue if
 // no job is named.
 func (l *Leader) show(id anvilid.JobID, queue anvilwork.QueueName) *anvilrpc.JobReply {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if id == "" {
-		waiting := l.state.CountWaiting(queue, l.wallClock.Now(), func(job anvilid.JobID) bool { return l.begun[job] })
-		return &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE, Waiting: int64(waiting)}
-	}
-	job, ok := l.state.Job(id)
-	if !ok {
-		return refusalReply(anvilrpc.JobCode_JOB_CODE_NO_JOB, "no job has this id")
-	}
-	return &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE, Phase: job.Phase.String()}
+	reply := &anvilrpc.JobReply{Code: anvilrpc.JobCode_JOB_CODE_DONE}
+	l.shared.With(func(s *shared) {
+		if id == "" {
+			waiting := s.state.CountWaiting(queue, l.wallClock.Now(), func(job anvilid.JobID) bool { return s.begun[job] })
+			reply.Waiting = int64(waiting)
+			return
+		}
+		job, ok := s.state.Job(id)
+		if !ok {
+			reply = refusalReply(anvilrpc.JobCode_JOB_CODE_NO_JOB, "no job has this id")
+			return
+		}
+		reply.Phase = job.Phase.String()
+	})
+	return reply
 }
 
 func (l *Leader) cancel(ctx context.Context, id anvilid.JobID) *anvilrpc.JobReply {
@@ -208,17 +212,16 @@
 		return &anvilrpc.ConfigureReply{Redirection: r}, nil
 	}
 	if len(call.Config) == 0 {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return &anvilrpc.ConfigureReply{Done: true, Raw: l.state.Config().Raw}, nil
+		reply := &anvilrpc.ConfigureReply{Done: true}
+		l.shared.With(func(s *shared) { reply.Raw = s.state.Config().Raw })
+		return reply, nil
 	}
 	var config anvilwork.Config
 	if err := cbor.Unmarshal(call.Config, &config); err != nil {
 		return nil, err
 	}
-	l.mu.Lock()
-	version := l.state.Config().Version
-	l.mu.Unlock()
+	var version anvilwork.Version
+	l.shared.With(func(s *shared) { version = s.state.Config().Version })
 	switch {
 	case config.Version <= version:
 		return &anvilrpc.ConfigureReply{Done: true}, nil
--- a/io/anvillead/speeds.go
+++ b/io/anvillead/speeds.go
@@ -19,16 +19,16 @@
 	speedLinesPerFit = 2
 )
 
-// inheritSpeeds takes over the speeds of machines that earlier leaders have recorded. The caller must have locked mu.
-func (r *leadership) inheritSpeeds(now anvilclock.Millis) {
-	for _, speed := range r.state.Speeds() {
+// inheritSpeeds takes over the speeds of machines that earlier leaders have recorded.
+func (r *leadership) inheritSpeeds(now anvilclock.Millis, state *anvilwork.State) {
+	for _, speed := range state.Speeds() {
 		r.tracker.Lasting.Inherit(now, speed)
 	}
 }
 
 // learnSpeeds estimates the lasting speeds of machines anew if that is due, and requests a commit of those that have
-// changed. The caller must have locked mu.
-func (r *leadership) learnSpeeds(now anvilclock.Millis) {
+// changed.
+func (r *leadership) learnSpeeds(now anvilclock.Millis, state *anvilwork.State) {
 	if !r.tracker.Lasting.Fit(now) {
 		return
 	}
@@ -37,7 +37,7 @@
 	if now-r.speedsRecordedAt < recordSpeedsInterval {
 		return
 	}
-	changes := r.tracker.Lasting.Changes(r.state)
+	changes := r.tracker.Lasting.Changes(state)
 	if len(changes) == 0 {
 		return
 	}
--- a/io/anvillead/upkeep.go
+++ b/io/anvillead/upkeep.go
@@ -40,20 +40,20 @@
 }
 
 // advanceWaves carries the maintenance waves on: it stops runs on machines whose
-// maintenance is next and orders the maintenance of machines without runs. The
-// caller must have locked mu.
-func (r *leadership) advanceWaves(now anvilclock.Millis) {
-	waves := r.state.Waves()
-	r.upkeep.unavailable = r.targetsInMaintenance(waves)
+// maintenance is next and orders the maintenance of machines without runs.
+func (r *leadership) advanceWaves(now anvilclock.Millis, state *anvilwork.State) {
+	waves := state.Waves()
+	r.upkeep.unavailable = r.targetsInMaintenance(state, waves)
 	if len(waves) == 0 {
 		return
 	}
 	r.listMachines(now)
-	effects := r.upkeep.coordinator.Step(now, r.wallClock.Now(), waves, r.upkeep.list, r.load)
+	effects := r.upkeep.coordinator.Step(now, r.wallClock.Now(), waves, r.upkeep.list,
+		func(id anvilid.TargetID) anvilupkeep.Load { return r.load(state, id) })
 	r.pendingCommands = append(r.pendingCommands, effects.Commands...)
 	for _, id := range effects.Stop {
-		for task := range r.state.Runs(id) {
-			if r.state.MayStop(r.stopping, task) {
+		for task := range state.Runs(id) {
+			if state.MayStop(r.stopping(state), task) {
 				r.tracker.StopRun(id, task)
 			}
 		}
@@ -66,7 +66,7 @@
 // targetsInMaintenance returns the targets on machines that are in maintenance. To
 // find them, it uses both the machine name that each target announced and the
 // target that the platform's list names for each machine.
-func (r *leadership) targetsInMaintenance(waves []*anvilwork.Wave) map[anvilid.TargetID]bool {
+func (r *leadership) targetsInMaintenance(state *anvilwork.State, waves []*anvilwork.Wave) map[anvilid.TargetID]bool {
 	unavailable := map[anvilid.TargetID]bool{}
 	inMaintenance := anvilwork.MachinesInMaintenance(waves)
 	if len(inMaintenance) == 0 {
@@ -77,7 +77,7 @@
 			unavailable[listed.Target] = true
 		}
 	}
-	for _, target := range r.state.Targets() {
+	for _, target := range state.Targets() {
 		if inMaintenance[target.Machine] {
 			unavailable[target.ID] = true
 		}
@@ -88,24 +88,26 @@
 // load returns what the maintenance of a target's machine would end: the number of
 // runs on the target, whether one of them must not be stopped, and the work that
 // would be lost.
-func (r *leadership) load(id anvilid.TargetID) anvilupkeep.Load {
+func (r *leadership) load(state *anvilwork.State, id anvilid.TargetID) anvilupkeep.Load {
 	load := anvilupkeep.Load{}
-	runs := slices.Collect(maps.Keys(r.state.Runs(id)))
-	load.ProtectedTogether = !r.state.MayStop(r.stopping, runs...)
+	runs, stopping := slices.Collect(maps.Keys(state.Runs(id))), r.stopping(state)
+	load.ProtectedTogether = !state.MayStop(stopping, runs...)
 	for _, task := range runs {
 		load.Runs++
-		load.Protected = load.Protected || !r.state.MayStop(r.stopping, task)
-		if job, ok := r.state.Job(task.Job); ok {
+		load.Protected = load.Protected || !state.MayStop(stopping, task)
+		if job, ok := state.Job(task.Job); ok {
 			load.Loss += anvilplace.Loss(job, task, r.logTime())
 		}
 	}
 	return load
 }
 
-// stopping reports whether the run of a task is being stopped.
-func (r *leadership) stopping(task anvilwork.Task) bool {
-	job, ok := r.state.Job(task.Job)
-	return ok && r.tracker.Stopping(job.State(task).Target, task)
+// stopping returns the function that reports whether the run of a task is being stopped.
+func (r *leadership) stopping(state *anvilwork.State) func(anvilwork.Task) bool {
+	return func(task anvilwork.Task) bool {
+		job, ok := state.Job(task.Job)
+		return ok && r.tracker.Stopping(job.State(task).Target, task)
+	}
 }
 
 func (r *leadership) listMachines(now anvilclock.Millis) {
@@ -133,11 +135,11 @@
 
 // withAnnounced adds the machines that the targets have announced to a list of which a part could not be read.
 func (r *leadership) withAnnounced(list anvilupkeep.MachineList) anvilupkeep.MachineList {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, target := range r.state.Targets() {
-		list.AddAnnounced(target.Machine, target.ID)
-	}
+	r.shared.With(func(s *shared) {
+		for _, target := range s.state.Targets() {
+			list.AddAnnounced(target.Machine, target.ID)
+		}
+	})
 	return list
 }
 
@@ -159,10 +161,12 @@
 		return &anvilrpc.WaveReply{Redirection: r}, nil
 	}
 	if len(call.Wave) == 0 {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		wave, known := l.state.Wave(anvilwork.WaveNumber(call.Number))
-		return &anvilrpc.WaveReply{Done: true, Known: known, Completed: known && wave.Completed()}, nil
+		reply := &anvilrpc.WaveReply{Done: true}
+		l.shared.With(func(s *shared) {
+			wave, known := s.state.Wave(anvilwork.WaveNumber(call.Number))
+			reply.Known, reply.Completed = known, known && wave.Completed()
+		})
+		return reply, nil
 	}
 	var wave anvilwork.Wave
 	if err := cbor.Unmarshal(call.Wave, &wave); err != nil {
