--- a/io/anvillead/load_test.go
+++ b/io/anvillead/load_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
@@ -21,74 +20,52 @@
 	"anvilshunt/io/anvilrpc"
 )
 
-const (
-	loadTargets    = 4
-	loadCallers    = 4
-	loadJobs       = 60 // of each caller
-	loadListsOfRun = 3  // in which a run is at work before it ends
-)
-
-// loadTarget is a target whose runs end after loadListsOfRun lists.
+// loadTarget accepts all starts. Each run is in one list of running runs and has ended in the next.
 type loadTarget struct {
-	mu    sync.Mutex
-	lists map[anvilwork.Task]int
-	ends  []anvilwork.RunEnd
+	mu      sync.Mutex
+	started []anvilorder.Start
+	listed  int
 }
 
-func (t *loadTarget) answer(target anvilwork.Target) anvilorder.Answer {
+func (t *loadTarget) answer() anvilorder.Answer {
 	now := anvilclock.Boot().Now()
-	return anvilorder.Answer{Target: target.ID, Incarnation: target.Incarnation, AnsweredBy: target.Incarnation, Sent: now, Received: now, Clock: anvilorder.TargetClock(now)}
+	return anvilorder.Answer{Target: "t", Incarnation: 1, Sent: now, Received: now, Clock: anvilorder.TargetClock(now)}
 }
 
-func (t *loadTarget) start(order anvilorder.Start) anvilorder.StartAnswer {
+func (t *loadTarget) start(_ context.Context, order anvilorder.Start) anvilorder.StartAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lists[order.Task] = 0
-	return anvilorder.StartAnswer{Answer: t.answer(order.Target), Order: order, Verdict: anvilorder.StartAccepted}
+	t.started = append(t.started, order)
+	return anvilorder.StartAnswer{Answer: t.answer(), Order: order, Verdict: anvilorder.StartAccepted}
 }
 
-func (t *loadTarget) poll(order anvilorder.Poll) anvilorder.PollAnswer {
+func (t *loadTarget) poll(_ context.Context, order anvilorder.Poll) anvilorder.PollAnswer {
 	time.Sleep(time.Millisecond)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	answer := anvilorder.PollAnswer{Answer: t.answer(order.Target), Order: order, Done: true, Complete: true}
-	for task, lists := range t.lists {
-		if lists == loadListsOfRun {
-			delete(t.lists, task)
-			t.ends = append(t.ends, anvilwork.RunEnd{Number: uint64(len(t.ends) + 1), Task: task, Run: 1, Outcome: anvilwork.RunDone})
-			continue
+	answer := anvilorder.PollAnswer{Answer: t.answer(), Order: order, Done: true, Complete: true}
+	for i, run := range t.started {
+		if i >= t.listed {
+			answer.Running = append(answer.Running, anvilorder.Running{Task: run.Task, Run: run.Run})
+		} else if number := uint64(i + 1); number > order.Cursor {
+			answer.Ended = append(answer.Ended, anvilwork.RunEnd{Number: number, Task: run.Task, Run: run.Run, Outcome: anvilwork.RunDone})
 		}
-		t.lists[task]++
-		answer.Running = append(answer.Running, anvilorder.Running{Task: task, Run: 1, Percent: 30 * lists})
 	}
-	answer.Ended = append(answer.Ended, t.ends[min(order.Cursor, uint64(len(t.ends))):]...)
+	t.listed = len(t.started)
 	return answer
 }
 
-// newLoadedLeader returns a running leader, the only voter of its group, with targets.
+// newLoadedLeader returns a running leader, the only voter of its group, with a queue and a target.
 func newLoadedLeader(t *testing.T) *Leader {
-	targets := map[anvilid.TargetID]*loadTarget{}
-	for i := range loadTargets {
-		targets[anvilid.TargetID(fmt.Sprint("t", i))] = &loadTarget{lists: map[anvilwork.Task]int{}}
-	}
-	calls := OutboundCalls{
-		Start: func(_ context.Context, o anvilorder.Start) anvilorder.StartAnswer {
-			return targets[o.Target.ID].start(o)
-		},
-		Poll: func(_ context.Context, o anvilorder.Poll) anvilorder.PollAnswer { return targets[o.Target.ID].poll(o) },
-		Stop: func(_ context.Context, o anvilorder.Stop) anvilorder.StopAnswer {
-			return anvilorder.StopAnswer{Answer: targets[o.Target.ID].answer(o.Target), Order: o, Done: true}
-		},
-		Ignored: func() uint64 { return 0 },
-	}
+	target := &loadTarget{}
+	calls := OutboundCalls{Start: target.start, Poll: target.poll, Ignored: func() uint64 { return 0 }}
 	l := New(anvilclock.Boot(), anvilclock.Wall(), anvillogs.Discard(), calls, Bounds{
 		Orders:           anvilorder.Timing{MaxLease: 6000, PollWait: 1000, RetryInterval: 50},
-		AnnounceInterval: 60 * anvilclock.Second, Connections: anvilconn.Budget{Inbound: 100, Polls: 8, Stops: 8, UrgentStarts: 8, Starts: 8}, KeepApart: true,
+		AnnounceInterval: anvilclock.Minute, Connections: anvilconn.Budget{Inbound: 100, Polls: 8, Stops: 8, UrgentStarts: 8, Starts: 8},
 	})
 	group, err := anvilgroup.Open(anvilgroup.Settings{
-		Instance: "127.0.0.1", Dir: t.TempDir(), FirstStart: true, Voters: 1,
-		Seeds:           func() []anvilid.InstanceID { return []anvilid.InstanceID{"127.0.0.1"} },
-		ElectionTimeout: 200, Heartbeat: 50,
+		Instance: "127.0.0.1", Dir: t.TempDir(), FirstStart: true, Voters: 1, ElectionTimeout: 200, Heartbeat: 50,
+		Seeds: func() []anvilid.InstanceID { return []anvilid.InstanceID{"127.0.0.1"} },
 	}, l.clock, l.wallClock, nil, l.log, l.StateMachine())
 	assert.NilError(t, err)
 	l.Attach(group)
@@ -97,55 +74,46 @@
 	loops.Go(func() { _ = l.Run(ctx) })
 	loops.Go(func() { _ = group.Voter.Run(ctx) })
 	t.Cleanup(func() { cancel(); loops.Wait() })
-	poll.WaitOn(t, func(poll.LogT) poll.Result { return when(l.leading(), "leading") }, poll.WithTimeout(time.Minute))
-	commands := []anvilwork.Command{{Configure: &anvilwork.Config{
+	for !l.leading() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = l.commit(ctx, anvilwork.Command{Configure: &anvilwork.Config{
 		Version: 1, Services: []anvilwork.Service{{Name: "s"}},
 		Queues: []anvilwork.Queue{{Name: "q", Host: "h", Prefix: "/", AllowAnonymous: true, Policy: anvilwork.QueuePolicy{Service: "s", Attempts: 3}}},
-	}}}
-	for id := range targets {
-		commands = append(commands, anvilwork.Command{Announce: &anvilwork.Announce{Target: anvilwork.Target{
-			ID: id, Incarnation: 1, Service: "s", Address: anvilid.Address(id + ":1"), Zone: "z", Resources: anvilwork.Resources{GPU: 8},
-		}}})
-	}
-	_, err = l.commit(ctx, commands...)
+	}})
 	assert.NilError(t, err)
 	return l
 }
 
-func when(done bool, state string) poll.Result {
-	if done {
-		return poll.Success()
-	}
-	return poll.Continue("not yet %s", state)
-}
-
 // TestJobLoad guards, under the race detector, against a leader that ends with "concurrent map read and map write" while
 // jobs arrive in a burst: one of its goroutines read the replicated state without the lock under which entries are applied.
 func TestJobLoad(t *testing.T) {
+	const callers, jobs = 4, 150
 	l := newLoadedLeader(t)
-	spec, err := cbor.Marshal(anvilwork.Spec{Steps: []anvilwork.Step{{Count: 1, Need: anvilwork.Resources{GPU: 1}, Estimate: 1000}}})
-	assert.NilError(t, err)
-	call := func(action anvilrpc.JobAction, path string) *anvilrpc.JobReply {
+	job := func(action anvilrpc.JobAction, path string) *anvilrpc.JobReply {
+		spec, _ := cbor.Marshal(anvilwork.Spec{Steps: []anvilwork.Step{{Count: 1, Estimate: 1000}}})
 		reply, err := l.Job(t.Context(), &anvilrpc.JobCall{Action: action, Host: "h", Path: path, Spec: spec})
-		assert.Check(t, err)
+		assert.Check(t, err == nil && reply.Code == anvilrpc.JobCode_JOB_CODE_DONE, "%v: %v", err, reply)
 		return reply
 	}
-	var callers sync.WaitGroup
-	for caller := range loadCallers {
-		callers.Go(func() {
-			for i := range loadJobs {
-				reply := call(anvilrpc.JobAction_JOB_ACTION_SUBMIT, fmt.Sprintf("/j%d-%d", caller, i))
-				assert.Check(t, reply.Code == anvilrpc.JobCode_JOB_CODE_DONE, "%v", reply)
+	var calls sync.WaitGroup
+	for caller := range callers {
+		calls.Go(func() {
+			for i := range jobs {
+				job(anvilrpc.JobAction_JOB_ACTION_SUBMIT, fmt.Sprintf("/j%d-%d", caller, i))
+				target, _ := cbor.Marshal(anvilwork.Target{ID: "t", Incarnation: 1, Service: "s", Address: "127.0.0.1:1", Sequence: uint64(i + 1)})
+				_, err := l.Announce(t.Context(), &anvilrpc.AnnounceCall{Target: target})
+				assert.Check(t, err)
+				_, err = l.Evacuate(t.Context(), &anvilrpc.EvacuateCall{})
+				assert.Check(t, err)
 			}
 		})
 	}
-	callers.Wait()
-	for caller := range loadCallers {
-		for i := range loadJobs {
-			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				reply := call(anvilrpc.JobAction_JOB_ACTION_SHOW, fmt.Sprintf("/j%d-%d", caller, i))
-				return when(reply.Phase == anvilwork.JobDone.String(), "done: "+reply.Phase)
-			}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
+	calls.Wait()
+	for i := range callers * jobs {
+		path := fmt.Sprintf("/j%d-%d", i/jobs, i%jobs)
+		for job(anvilrpc.JobAction_JOB_ACTION_SHOW, path).Phase != anvilwork.JobDone.String() {
+			time.Sleep(time.Millisecond)
 		}
 	}
 }
