Hold commands back between the mark of a lost voter and the seat of its successor

A disk begins no sync while one runs. The commands that came while the mark was committed began a sync on each disk, also the entry that announces the committed mark, and the seat then waited for that sync and needed one of its own.

While a mark isn't committed, and for the time of one sync of the leader after that (1 s at most), the leader now holds commands back. It appends them behind the seat by the same write, so that the disks are idle when the seat comes and one sync carries both. A mark that is rejected isn't in the log and holds nothing. If no seat follows, the time ends the wait; a leader that steps down rejects what it holds, which had no effect. With syncs of some milliseconds the wait is as short. The cost: while a lost voter is replaced, a command is committed one sync later than before, or two if it comes right after the mark and the successor takes longer than that time.

--- a/core/anvilraft/effects.go
+++ b/core/anvilraft/effects.go
@@ -98,7 +98,7 @@
 	Term        anvilid.Term
 }
 
-// Rejection reports that an event had no effect. The rejection of a ReadBarrier may come in
+// Rejection reports that an event had no effect. The rejections of Propose and ReadBarrier events may come in
 // a later step, all others come in the step of their event. For a Compact event Key is the
 // index.
 type Rejection struct {
--- a/core/anvilraft/enrollment_timing_test.go
+++ b/core/anvilraft/enrollment_timing_test.go
@@ -13,7 +13,7 @@
 // The leader and another voter lose their disks while commands go on.
 func TestVotesAfterLossOfLeader(t *testing.T) {
 	t.Parallel()
-	for _, test := range []struct{ span, bound anvilclock.Millis }{{10, 600}, {500, 2400}, {800, 3700}, {1000, 4800}} {
+	for _, test := range []struct{ span, bound anvilclock.Millis }{{10, 600}, {500, 1950}, {800, 3100}, {1000, 4000}} {
 		var elected, seated []anvilclock.Millis
 		for seed := range uint64(20) {
 			e := newEnrollmentRun(t, seed, test.span)
@@ -145,3 +145,35 @@
 		e.seatedAfter = since
 	}
 }
+
+// TestHeldCommands guards against commands that wait for good, or are lost without an answer, when a voter is marked and no seat
+// follows, and against a wait that slows down a group with fast disks.
+func TestHeldCommands(t *testing.T) {
+	t.Parallel()
+	for _, span := range []anvilclock.Millis{4, 400} {
+		c := newCluster(t, 1, []string{"a", "b", "c"}, WithElectionTimeout(350, 700), WithLostStorages())
+		c.run(2000)
+		leader, lost := c.leader(), c.voters[0]
+		if lost == leader {
+			lost = c.voters[1]
+		}
+		c.crash(lost, 0)
+		disks := newSlowDisks(c, span, c.voters...)
+		c.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{lost.id}})
+		last := leader.node.log.last()
+		c.step(leader, Propose{Key: 2, Commands: [][]byte{{0, 1}}})
+		assert.Equal(t, leader.node.log.last(), last, "the command is held")
+		start := c.now
+		for leader.state[0] != 1 && c.now-start < 10_000_000 {
+			disks.run()
+		}
+		assert.Assert(t, anvilclock.Millis((c.now-start)/1000) < 3*span+30, "the mark, the wait and the command take a sync each")
+
+		leader.node.hold(heldProposal{key: 3})
+		leader.node.becomeFollower(leader.node.hardState.Term+1, VoterID{})
+		c.step(leader, Tick{})
+		rejected := leader.rejected[len(leader.rejected)-1]
+		assert.Equal(t, rejected.Key, uint64(3))
+		assert.ErrorIs(t, rejected.Reason, ErrNotLeader)
+	}
+}
--- a/core/anvilraft/event.go
+++ b/core/anvilraft/event.go
@@ -21,7 +21,8 @@
 type Receive struct{ Message Message }
 
 // Propose asks the leader to append commands, each as one entry. The answer is an
-// Acceptance or a Rejection with the same Key. After an Acceptance, the outcome is known
+// Acceptance or a Rejection with the same Key. It may come in a later step, as the leader holds commands
+// back while a seat in place of a lost voter is expected. After an Acceptance, the outcome is known
 // when an entry with the accepted index is committed: the command was committed if and only
 // if that entry also has the accepted term. Until then the outcome is unknown, even when
 // this node stops being the leader. It stays unknown on this node if Effects.Restore skips
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -25,6 +25,7 @@
 	pendingBarriers []pendingBarrier
 	// deferredBarriers are the keys of barriers that wait for the first commit of the term.
 	deferredBarriers []uint64
+	held             heldCommands
 }
 
 // becomeLeader makes this node the leader and appends an empty entry, because entries of
@@ -56,36 +57,27 @@
 	for _, key := range leading.deferredBarriers {
 		n.reject(key, ErrNotLeader)
 	}
+	for _, proposal := range leading.held.proposals {
+		n.reject(proposal.key, ErrNotLeader)
+	}
 }
 
-// propose handles a Propose event: the leader appends the commands to its log and accepts the event.
-// It rejects the event with ErrBackPressure if too many bytes are uncommitted. Any other node rejects
+// propose handles a Propose event: the leader appends the commands to its log and accepts the event, or holds them
+// back (holdsCommands). It rejects the event with ErrBackPressure if too many bytes are uncommitted. Any other node rejects
 // it with ErrNotLeader.
 func (n *Node) propose(event Propose) {
 	if n.role != Leader {
 		n.reject(event.Key, ErrNotLeader)
 		return
 	}
-	entries := make([]Entry, len(event.Commands))
-	var size anvilid.ByteCount
-	for i, command := range event.Commands {
-		entries[i] = Entry{Kind: KindCommand, Data: command}
-		size += entries[i].size()
-	}
-	pendingBytes := n.leading.uncommittedBytes
-	if pendingBytes > 0 && pendingBytes+size > n.options.maxUncommittedBytes {
+	held := newHeldProposal(event)
+	pendingBytes := n.leading.uncommittedBytes + n.leading.held.size
+	if pendingBytes > 0 && pendingBytes+held.size > n.options.maxUncommittedBytes {
 		n.reject(event.Key, ErrBackPressure)
 		return
 	}
-	first := n.log.last() + 1
-	n.appendAsLeader(event.At, entries...)
-	n.accept(event.Key, first)
-}
-
-func (n *Node) accept(key uint64, first anvilid.Index) {
-	n.effects.Accepted = append(n.effects.Accepted, Acceptance{
-		Key: key, First: first, Last: n.log.last(), Term: n.hardState.Term,
-	})
+	n.hold(held)
+	n.releaseDueCommands()
 }
 
 // appendAsLeader sets index, term and timestamp of the entries, appends them to the log and
@@ -144,6 +136,7 @@
 	if index <= n.commit {
 		return
 	}
+	firstOfTerm := n.role == Leader && !n.hasCommittedInTerm()
 	entries := n.log.between(n.commit+1, index)
 	n.commit = index
 	n.effects.Committed = append(n.effects.Committed, entries...)
@@ -157,6 +150,9 @@
 		membersChanged = membersChanged || entry.Kind == KindMembers
 	}
 	n.startDeferredBarriers()
+	if firstOfTerm || membersChanged {
+		n.extendHold()
+	}
 	if membersChanged {
 		n.finishMembershipChange()
 	}
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -168,9 +168,7 @@
 		n.reject(event.Key, err)
 		return
 	}
-	first := n.log.last() + 1
-	n.appendAsLeader(0, Entry{Kind: KindMembers, Data: encodeMembers(members)})
-	n.accept(event.Key, first)
+	n.appendChange(event, Entry{Kind: KindMembers, Data: encodeMembers(members)})
 	n.updatePeers()
 	for _, p := range n.leading.peers {
 		n.replicate(p)
@@ -178,6 +176,17 @@
 	n.advanceCommit()
 }
 
+// appendChange appends a change of the members. Commands that were held for a seat follow it in the same write.
+func (n *Node) appendChange(event ChangeVoters, entry Entry) {
+	index := n.log.last() + 1
+	n.accept(event.Key, index, index)
+	if len(event.Seat) > 0 {
+		n.appendWithHeld(entry)
+	} else {
+		n.appendAsLeader(0, entry)
+	}
+}
+
 // mustWait reports whether an earlier change isn't committed and the change to the given members can't follow it at once.
 func (n *Node) mustWait(members Members) bool {
 	return n.members.lastChangeIndex() > n.commit && !n.mayOverlap(members)
@@ -298,9 +307,9 @@
 
 // announceMembers appends an entry with which the others store that the members are committed, unless another one does. It
 // comes with a heartbeat and not with the commit: a change that follows at once would otherwise wait on each slow disk for the
-// sync of this entry.
+// sync of this entry. For the same reason it doesn't come while a seat is expected.
 func (n *Node) announceMembers() {
-	if !n.leading.membersUnannounced {
+	if !n.leading.membersUnannounced || n.holdsCommands() {
 		return
 	}
 	n.leading.membersUnannounced = false
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -126,6 +126,7 @@
 	if n.role == Leader {
 		n.checkQuorum(late)
 		if n.role == Leader {
+			n.releaseDueCommands()
 			n.sendDueHeartbeats()
 		}
 		return
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -1,6 +1,9 @@
 package anvilraft
 
-import "anvilshunt/core/anvilid"
+import (
+	"anvilshunt/core/anvilclock"
+	"anvilshunt/core/anvilid"
+)
 
 // maxWithheldMessages limits the messages withheld while a disk is slow. The oldest are
 // dropped, because the protocol tolerates lost messages.
@@ -16,6 +19,8 @@
 	// hardStateSequence is the sequence number of the Save with the current hard state.
 	hardStateSequence uint64
 	withheld          []withheldMessage
+	// latestSync is the time from the latest Save that is synced to the end of its sync.
+	latestSync anvilclock.Millis
 
 	// The following fields say what the Save of the current step will contain. changedFrom is the
 	// index from which on the log has changed, or 0.
@@ -28,6 +33,7 @@
 type pendingSave struct {
 	sequence  uint64
 	lastIndex anvilid.Index // the log is synced up to here once this Save is synced
+	at        anvilclock.Millis
 }
 
 type withheldMessage struct {
@@ -90,6 +96,7 @@
 	done := 0
 	for ; done < len(p.pendingSaves) && p.pendingSaves[done].sequence <= p.synced; done++ {
 		p.stableIndex = max(p.stableIndex, p.pendingSaves[done].lastIndex)
+		p.latestSync = n.now - p.pendingSaves[done].at
 	}
 	p.pendingSaves = p.pendingSaves[done:]
 	switch n.role {
@@ -147,7 +154,7 @@
 	if p.changedFrom != 0 {
 		save.Entries = n.log.between(p.changedFrom, n.log.last())
 	}
-	p.pendingSaves = append(p.pendingSaves, pendingSave{p.sequence, n.log.last()})
+	p.pendingSaves = append(p.pendingSaves, pendingSave{p.sequence, n.log.last(), n.now})
 	p.hardStateChanged, p.membersNoted, p.snapshotChanged, p.changedFrom = false, false, false, 0
 	n.effects.Save = save
 }
