Let TestSecondLoss lose the leader first, and let commands go on

The voters that it lost were chosen by number, so that the leader was seldom among them, and the disks were idle: neither the election nor a sync of commands was in the way of the enrollment. The cases now count from the leader, commands go on, and two cases lose the leader with another voter.

--- a/io/anvilgroup/second_loss_test.go
+++ b/io/anvilgroup/second_loss_test.go
@@ -1,10 +1,14 @@
 package anvilgroup
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
+
+	"anvilshunt/core/anvilraft"
 )
 
 const (
@@ -16,17 +20,43 @@
 )
 
 // TestSecondLoss guards against voters with lost disks that aren't members again catchUp after they are back: the group
-// then finds no leader for good when two further voters lose their disks. All syncs take 0.65 s.
+// then finds no leader for good when two further voters lose their disks. Commands go on, and all syncs take the same time. The
+// leader may be among the first voters (0).
 func TestSecondLoss(t *testing.T) {
-	for _, lost := range [][]int{{3, 4}, {2, 3}, {4}} {
-		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+	for _, test := range []struct {
+		lost   []int // counted from the leader
+		syncIn int64
+	}{{[]int{3, 4}, 650}, {[]int{2, 3}, 650}, {[]int{4}, 650}, {[]int{0, 1}, 650}, {[]int{0, 1}, 900}} {
+		t.Run(fmt.Sprint(test.lost, test.syncIn), func(t *testing.T) {
 			t.Parallel()
 			nodes := newTestNodes(t, 5)
 			running := nodes.startGroup(5)
-			nodes.syncIn.Store(650)
-			back := nodes.loseDisks(running, lost)
+			leader := slices.Index(running, leaderOf(t, running...))
+			at := func(number int) int { return (leader + number) % len(running) }
+			nodes.syncIn.Store(test.syncIn)
+			for _, node := range running {
+				go node.propose()
+			}
+			time.Sleep(2 * time.Duration(test.syncIn) * time.Millisecond) // a sync is always under way
+			var first, then []int
+			for number := range running {
+				switch {
+				case slices.Contains(test.lost, number):
+					first = append(first, at(number))
+				case len(then) < 2:
+					then = append(then, at(number))
+				}
+			}
+			back := nodes.loseDisks(running, first)
+			for _, number := range first {
+				go func() {
+					node := running[number]
+					eventually(t, "a vote", 10*time.Second, func() bool { return node.hasVote(5) })
+					t.Logf("a vote after %v", time.Since(back))
+				}()
+			}
 			time.Sleep(time.Until(back.Add(catchUp + contact)))
-			nodes.loseDisks(running, []int{0, 1})
+			nodes.loseDisks(running, then)
 			began := time.Now()
 			time.Sleep(time.Second)
 			leaderOf(t, running...)
@@ -35,6 +65,20 @@
 	}
 }
 
+// propose lets commands go on, wherever the leader is, until the node is stopped.
+func (n *testNode) propose() {
+	for {
+		select {
+		case <-n.ended:
+			return
+		case <-time.After(100 * time.Millisecond):
+			if n.Voter.Status().Role == anvilraft.Leader {
+				go func() { _, _, _ = n.Voter.Propose(context.Background(), []byte{1}) }()
+			}
+		}
+	}
+}
+
 // loseDisks stops voters, and starts them again with empty data directories. It returns when it began to start them.
 func (n *testNodes) loseDisks(running []*testNode, lost []int) time.Time {
 	var stops, starts sync.WaitGroup
