Give a joining instance its vote once the rest of the log is on its way

With syncs of a second and 100 entries a second, an emptied voter never got its vote: HasCaughtUp wanted at most 100 entries between what it had acknowledged and the end of the log, and what comes during one sync is more than that.

An instance has caught up now, too, once it has acknowledged what the log had when this leader began to send it, or all but one window of unacknowledged bytes, if the rest has been sent. The seat needs the joining instance for its commit only if too few of the others are left, and then two syncs of it at most. What is behind it in the log is bounded by what the group writes in one sync; an instance that cannot keep up with the rate fills its window, and waits as before. One that has not answered for the maximum election timeout does not count as caught up any more, which is stricter than before: a frozen process did while fewer than 100 entries were written.

--- a/core/anvilraft/effects.go
+++ b/core/anvilraft/effects.go
@@ -17,7 +17,7 @@
 	// ErrChangePending means that an earlier membership change, or the first
 	// entry of the leader's term, is not yet committed.
 	ErrChangePending = errors.New("another membership change is not yet committed; try again later")
-	// ErrNotCaughtUp means that the learner lacks more entries than WithMaxLearnerLag permits.
+	// ErrNotCaughtUp means that the learner or the joining instance lacks more of the log than a voter may, see HasCaughtUp.
 	ErrNotCaughtUp = errors.New("the learner has not caught up with the log; try again later")
 	// ErrInvalidChange means that the change cannot be applied to the current members: the id
 	// is unknown or already a member, the instance already has a voter, or the last voter would
--- a/core/anvilraft/joining.go
+++ b/core/anvilraft/joining.go
@@ -44,10 +44,24 @@
 	}
 }
 
-// HasCaughtUp reports whether this node leads and an instance has as much of the log as a new voter needs.
+// HasCaughtUp reports whether this node leads and an instance has as much of the log as a new voter needs: all but a few entries; or,
+// with the rest on its way, either what the log had when it was first sent, or all but one window. While the log grows and
+// syncs take a second, an instance always lacks what came during the latest sync. One that has not answered for the
+// maximum election timeout may be gone.
 func (n *Node) HasCaughtUp(id VoterID) bool {
 	p := n.peer(id)
-	return p != nil && p.match > 0 && p.match+anvilid.Index(n.options.maxLearnerLag) >= n.log.last()
+	if p == nil || p.match == 0 || n.now-p.lastResponseAt > n.options.maxElectionTimeout {
+		return false
+	}
+	if p.match+anvilid.Index(n.options.maxLearnerLag) >= n.log.last() {
+		return true
+	}
+	return n.hasSentAll(p) && (p.match >= p.firstTarget || p.inflightBytes <= n.options.maxInflightBytes)
+}
+
+// hasSentAll reports whether the rest of the log is on its way to a member, as far as known.
+func (n *Node) hasSentAll(p *peer) bool {
+	return p.next > n.log.last() && !p.probing && (p.transfer == nil || p.transfer.entry)
 }
 
 // Behind returns how many entries of the log an instance has not acknowledged yet. ok is false if this node doesn't send it the log.
--- a/core/anvilraft/joining_test.go
+++ b/core/anvilraft/joining_test.go
@@ -1,11 +1,13 @@
 package anvilraft
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 )
 
@@ -67,6 +69,47 @@
 	}
 }
 
+// TestJoiningUnderLoad guards against a bound on the entries that a new voter may lack: on a disk that syncs in a second, an instance lacks what
+// the group has written in a second, so that it never got its vote under load. One whose process is frozen must not get one.
+func TestJoiningUnderLoad(t *testing.T) {
+	t.Parallel()
+	const syncs = anvilclock.Second
+	for _, perSecond := range []int{10, 100, 1000} {
+		for _, compacted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d/compacted=%t", perSecond, compacted), func(t *testing.T) {
+				c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0))
+				c.run(2000)
+				leader, joining := c.leader(), c.add("d")
+				c.step(leader, Propose{Key: 1, Commands: slices.Repeat([][]byte{make([]byte, 300)}, 500)})
+				c.run(1000)
+				if compacted {
+					c.step(leader, Compact{leader.applied, snapshotData(leader.state, 50_000)})
+				}
+				c.start(joining)
+				disk := newSlowDisks(c, syncs, joining)
+				run := func(span anvilclock.Millis) {
+					for ms := range int(span) {
+						if ms%(1000/perSecond) == 0 {
+							c.step(leader, Propose{Key: 2, Commands: [][]byte{make([]byte, 300)}})
+						}
+						if ms%20 == 0 {
+							c.step(leader, SendLog{To: joining.id, Empty: joining.node.hardState.Group == 0})
+						}
+						disk.run()
+					}
+				}
+				run(syncs - 50)
+				assert.Assert(t, !leader.node.HasCaughtUp(joining.id))
+				run(150)
+				assert.Assert(t, leader.node.HasCaughtUp(joining.id))
+				joining.frozen = true
+				run(1000)
+				assert.Assert(t, !leader.node.HasCaughtUp(joining.id), "a frozen process")
+			})
+		}
+	}
+}
+
 // TestChangesFollowAtOnce guards against a change of the members that waits on each slow disk for the sync of the empty entry after the change
 // before it: two voters that had lost their disks then had their votes 5 s after their start, with syncs of up to 1.5 s.
 func TestChangesFollowAtOnce(t *testing.T) {
--- a/core/anvilraft/options.go
+++ b/core/anvilraft/options.go
@@ -103,7 +103,8 @@
 	return func(o *options) { o.trailingBytes = size }
 }
 
-// WithMaxLearnerLag sets how many entries a learner may still lack when it is made a voter.
+// WithMaxLearnerLag sets how many entries a member may lack when it is made a voter, even if they are not on their way to it
+// (HasCaughtUp).
 func WithMaxLearnerLag(entries int) Option { return func(o *options) { o.maxLearnerLag = entries } }
 
 // WithLostStorages makes a lost storage reduce the quorum of an even number of voters (StorageLost). All voters of a group
--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -10,6 +10,8 @@
 	id    VoterID
 	match anvilid.Index // synced by the member and equal to the leader's log
 	next  anvilid.Index // the next entry to send
+	// firstTarget is the end of the log when this leader began to send it to the member.
+	firstTarget anvilid.Index
 	// probing means that the leader only assumes that the member has the entries before next.
 	// Until the member accepts a message, only messages without entries are sent to it.
 	probing  bool
@@ -40,7 +42,7 @@
 // newPeer returns the record of a member whose log is assumed to equal the leader's. If it
 // does not, the member rejects the first message, and probing starts (peer.probing).
 func (n *Node) newPeer(id VoterID) *peer {
-	return &peer{id: id, next: n.log.last() + 1, lastResponseAt: n.now, answeredSentAt: distantPast}
+	return &peer{id: id, next: n.log.last() + 1, firstTarget: n.log.last(), lastResponseAt: n.now, answeredSentAt: distantPast}
 }
 
 func (n *Node) peer(id VoterID) *peer {
