--- a/core/anvilraft/joining_test.go
+++ b/core/anvilraft/joining_test.go
@@ -13,19 +13,23 @@
 
 // TestJoiningGetsWholeLog guards against an instance with a new disk that needs a sync for each window of a long log, or one for a snapshot
 // and another for the entries after it, before it has caught up: with syncs of up to 1.5 s that took 7 s, and further disks were lost meanwhile.
-// What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered.
+// What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered, without
+// another snapshot.
 func TestJoiningGetsWholeLog(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
 		name       string
 		compacted  bool
-		lost, late int // the numbers of a message that is lost and of one that comes 20 ms late
+		lost, late int  // the numbers of a message that is lost and of one that comes 20 ms late
+		again      bool // the leader compacts its log before the first sync ends
 	}{
 		{name: "entries"},
 		{name: "snapshot", compacted: true},
 		{name: "a lost part", compacted: true, lost: 3},
 		{name: "a late part", compacted: true, late: 5},
 		{name: "a lost batch", compacted: true, lost: 20},
+		{name: "a lost batch and a compaction", lost: 3, again: true},
+		{name: "a lost batch and another compaction", compacted: true, lost: 20, again: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0), WithMessageBytes(400), WithMaxInflight(1000, 10))
@@ -37,6 +41,7 @@
 			if test.compacted {
 				c.step(leader, Compact{leader.applied, snapshotData(leader.state, 5000)})
 			}
+			snapshotIndex := leader.node.snapshot.Index
 			c.step(leader, Propose{Key: 2, Commands: commands})
 			c.run(2000)
 			sent := 0
@@ -60,11 +65,15 @@
 				assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
 			}
 			assert.Assert(t, !leader.node.HasCaughtUp(joining.id))
+			if test.again {
+				c.step(leader, Compact{leader.applied, snapshotData(leader.state, 5000)})
+			}
 			joining.diskStalled = false
 			c.step(joining, Tick{})
 			c.run(200)
 			assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
 			assert.Assert(t, leader.node.HasCaughtUp(joining.id))
+			assert.Equal(t, joining.node.snapshot.Index, snapshotIndex, "it was sent another snapshot")
 		})
 	}
 }
--- a/core/anvilraft/snapshot.go
+++ b/core/anvilraft/snapshot.go
@@ -1,5 +1,7 @@
 package anvilraft
 
+import "anvilshunt/core/anvilid"
+
 // compact handles a Compact event: it replaces the snapshot, and drops the entries that the
 // new one covers from memory, except for the trailing ones (WithTrailingEntries and
 // WithTrailingBytes).
@@ -15,7 +17,17 @@
 	}
 	n.persisted.snapshotChanged = true
 	n.members.discardBefore(entry.Index)
-	n.log.compact(n.log.firstTrailing(entry.Index, n.options.trailingEntries, n.options.trailingBytes) - 1)
+	n.log.compact(n.firstTrailing(entry.Index) - 1)
+}
+
+// firstTrailing returns the first entry that stays in memory after a compaction up to an index. While an instance joins, these are also all
+// that may be on their way to it: if a message was lost, it would get another snapshot instead, which takes several syncs to store.
+func (n *Node) firstTrailing(index anvilid.Index) anvilid.Index {
+	first := n.log.firstTrailing(index, n.options.trailingEntries, n.options.trailingBytes)
+	if len(n.leading.joining) == 0 {
+		return first
+	}
+	return min(first, n.log.firstTrailing(index, joiningWindows*n.options.maxInflightEntries, joiningWindows*n.options.maxInflightBytes))
 }
 
 // receiveSnapshot handles a snapshot chunk from the leader. It installs the snapshot once all chunks
