--- a/core/anvilraft/joining_test.go
+++ b/core/anvilraft/joining_test.go
@@ -1,29 +1,35 @@
 package anvilraft
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 )
 
 // TestJoiningGetsWholeLog guards against an instance with a new disk that needs a sync for each window of a long log, or one for a snapshot
 // and another for the entries after it, before it has caught up: with syncs of up to 1.5 s that took 7 s, and further disks were lost meanwhile.
-// What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered.
+// What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered, without
+// another snapshot.
 func TestJoiningGetsWholeLog(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
 		name       string
 		compacted  bool
-		lost, late int // the numbers of a message that is lost and of one that comes 20 ms late
+		lost, late int  // the numbers of a message that is lost and of one that comes 20 ms late
+		again      bool // the leader compacts its log before the first sync ends
 	}{
 		{name: "entries"},
 		{name: "snapshot", compacted: true},
 		{name: "a lost part", compacted: true, lost: 3},
 		{name: "a late part", compacted: true, late: 5},
 		{name: "a lost batch", compacted: true, lost: 20},
+		{name: "a lost batch and a compaction", lost: 3, again: true},
+		{name: "a lost batch and another compaction", compacted: true, lost: 20, again: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0), WithMessageBytes(400), WithMaxInflight(1000, 10))
@@ -35,6 +41,7 @@
 			if test.compacted {
 				c.step(leader, Compact{leader.applied, snapshotData(leader.state, 5000)})
 			}
+			snapshotIndex := leader.node.snapshot.Index
 			c.step(leader, Propose{Key: 2, Commands: commands})
 			c.run(2000)
 			sent := 0
@@ -58,15 +65,60 @@
 				assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
 			}
 			assert.Assert(t, !leader.node.HasCaughtUp(joining.id))
+			if test.again {
+				c.step(leader, Compact{leader.applied, snapshotData(leader.state, 5000)})
+			}
 			joining.diskStalled = false
 			c.step(joining, Tick{})
 			c.run(200)
 			assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
 			assert.Assert(t, leader.node.HasCaughtUp(joining.id))
+			assert.Equal(t, joining.node.snapshot.Index, snapshotIndex, "it was sent another snapshot")
 		})
 	}
 }
 
+// TestJoiningUnderLoad guards against a bound on the entries that a new voter may lack: on a disk that syncs in a second, an instance lacks what
+// the group has written in a second, so that it never got its vote under load. One whose process is frozen must not get one.
+func TestJoiningUnderLoad(t *testing.T) {
+	t.Parallel()
+	const syncs = anvilclock.Second
+	for _, perSecond := range []int{10, 100, 1000} {
+		for _, compacted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d/compacted=%t", perSecond, compacted), func(t *testing.T) {
+				c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0))
+				c.run(2000)
+				leader, joining := c.leader(), c.add("d")
+				c.step(leader, Propose{Key: 1, Commands: slices.Repeat([][]byte{make([]byte, 300)}, 500)})
+				c.run(1000)
+				if compacted {
+					c.step(leader, Compact{leader.applied, snapshotData(leader.state, 50_000)})
+				}
+				c.start(joining)
+				disk := newSlowDisks(c, syncs, joining)
+				run := func(span anvilclock.Millis) {
+					for ms := range int(span) {
+						if ms%(1000/perSecond) == 0 {
+							c.step(leader, Propose{Key: 2, Commands: [][]byte{make([]byte, 300)}})
+						}
+						if ms%20 == 0 {
+							c.step(leader, SendLog{To: joining.id, Empty: joining.node.hardState.Group == 0})
+						}
+						disk.run()
+					}
+				}
+				run(syncs - 50)
+				assert.Assert(t, !leader.node.HasCaughtUp(joining.id))
+				run(150)
+				assert.Assert(t, leader.node.HasCaughtUp(joining.id))
+				joining.frozen = true
+				run(1000)
+				assert.Assert(t, !leader.node.HasCaughtUp(joining.id), "a frozen process")
+			})
+		}
+	}
+}
+
 // TestChangesFollowAtOnce guards against a change of the members that waits on each slow disk for the sync of the empty entry after the change
 // before it: two voters that had lost their disks then had their votes 5 s after their start, with syncs of up to 1.5 s.
 func TestChangesFollowAtOnce(t *testing.T) {
