Hold commands after a mark is committed only while an instance joins

A marked voter without a successor made each new leader with slow disks hold commands for the time of a sync after its first commit, although no seat could follow. Now they go on at once then. TestHeldCommands has both cases.

--- a/core/anvilraft/enrollment_timing_test.go
+++ b/core/anvilraft/enrollment_timing_test.go
@@ -150,7 +150,11 @@
 // follows, and against a wait that slows down a group with fast disks.
 func TestHeldCommands(t *testing.T) {
 	t.Parallel()
-	for _, span := range []anvilclock.Millis{4, 400} {
+	for _, test := range []struct {
+		span  anvilclock.Millis
+		joins bool  // an instance joins that never catches up
+		syncs int64 // the mark, the wait if an instance joins, the command
+	}{{4, false, 2}, {400, false, 2}, {4, true, 3}, {400, true, 3}} {
 		c := newCluster(t, 1, []string{"a", "b", "c"}, WithElectionTimeout(350, 700), WithLostStorages())
 		c.run(2000)
 		leader, lost := c.leader(), c.voters[0]
@@ -158,7 +162,10 @@
 			lost = c.voters[1]
 		}
 		c.crash(lost, 0)
-		disks := newSlowDisks(c, span, c.voters...)
+		disks := newSlowDisks(c, test.span, c.voters...)
+		if test.joins {
+			c.step(leader, SendLog{To: VoterID{lost.id.Instance, "2"}, Empty: true})
+		}
 		c.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{lost.id}})
 		last := leader.node.log.last()
 		c.step(leader, Propose{Key: 2, Commands: [][]byte{{0, 1}}})
@@ -167,7 +174,8 @@
 		for leader.state[0] != 1 && c.now-start < 10_000_000 {
 			disks.run()
 		}
-		assert.Assert(t, anvilclock.Millis((c.now-start)/1000) < 3*span+30, "the mark, the wait and the command take a sync each")
+		took := anvilclock.Millis((c.now - start) / 1000)
+		assert.Assert(t, took < anvilclock.Millis(test.syncs)*test.span+30, "%+v: %d ms", test, took)
 
 		leader.node.hold(heldProposal{key: 3})
 		leader.node.becomeFollower(leader.node.hardState.Term+1, VoterID{})
--- a/core/anvilraft/hold.go
+++ b/core/anvilraft/hold.go
@@ -38,7 +38,7 @@
 }
 
 // holdsCommands reports whether a seat in place of a marked voter is expected soon: while the mark is not committed, when a command
-// would only wait for the same syncs, and for the time of one sync after that.
+// would only wait for the same syncs, and for the time of one sync after that if an instance joins.
 func (n *Node) holdsCommands() bool {
 	members := n.members.latest()
 	switch {
@@ -47,7 +47,7 @@
 	case n.members.lastChangeIndex() > n.commit, !n.hasCommittedInTerm():
 		return true
 	}
-	return n.now < n.leading.held.until
+	return len(n.leading.joining) > 0 && n.now < n.leading.held.until
 }
 
 // extendHold is called when a change of the members or the first entry of the term is committed.
