Leave out compactions while voters are lost or join

If a compaction fell due while the lost voters came back, their marks and seats waited for that, longer than catch_up_s with syncs of 0.65 s, and two further lost disks left the group without a leader for good. With 100 entries a second and five voters one of them compacts every 8 s. An instance that had just got its vote compacted its new log at once, as it then followed the denser schedule of a voter.

A voter leaves out a compaction of its schedule now while voters of the list are marked or known to be lost, or while it sends the log to instances that join. It is not made up for afterwards, since all would do it at the same time; the next one of the schedule comes at most an interval later. Bounds: four intervals of entries, and the size of the commands as before. A new schedule counts from the entry that brought it.

--- a/core/anvilraft/joining.go
+++ b/core/anvilraft/joining.go
@@ -64,6 +64,17 @@
 	return p.next > n.log.last() && !p.probing && (p.transfer == nil || p.transfer.entry)
 }
 
+// AwaitsVoters reports whether voters of the group are known to have lost their storage, or this leader sends the log to
+// instances that are to become voters. Few voters may be left then, and each commit may need all of them.
+func (n *Node) AwaitsVoters() bool {
+	members := n.members.latest()
+	isLost := func(id VoterID) bool {
+		_, known := n.lost[id]
+		return known
+	}
+	return len(members.Lost)+len(n.leading.joining) > 0 || slices.ContainsFunc(members.Voters, isLost)
+}
+
 // Behind returns how many entries of the log an instance has not acknowledged yet. ok is false if this node doesn't send it the log.
 func (n *Node) Behind(id VoterID) (entries anvilid.Index, ok bool) {
 	p := n.peer(id)
--- a/io/anvilgroup/compaction_test.go
+++ b/io/anvilgroup/compaction_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,19 +15,7 @@
 	nodes := newTestNodes(t, 3)
 	running := []*testNode{nodes.start(0, false), nodes.start(1, false), nodes.start(2, false)}
 	leader := leaderOf(t, running...)
-	// Commands that are proposed at the same time share their syncs. One at a time, they would keep the disk busy for all
-	// other tests.
-	for missing := 1; missing > 0; {
-		var proposals sync.WaitGroup
-		missing = int(2*compactAfter-5) - int(leader.Voter.Status().Applied)
-		for range min(missing, 200) {
-			proposals.Go(func() {
-				_, _, err := leader.Voter.Propose(t.Context(), []byte{1})
-				assert.Check(t, err)
-			})
-		}
-		proposals.Wait()
-	}
+	fill(t, leader, 2*compactAfter-5)
 	nodes.syncIn.Store(syncIn.Milliseconds())
 	var took []time.Duration
 	for range 14 {
--- a/io/anvilvoter/apply.go
+++ b/io/anvilvoter/apply.go
@@ -26,8 +26,8 @@
 // argument snapshotIndex is the index of the last entry that the stored snapshot
 // includes.
 func (v *Voter) applyLoop(ctx context.Context, snapshotIndex anvilid.Index) error {
-	schedule := v.compactionSchedule()
-	appliedBytes := schedule.offsetBytes // of the commands since the latest snapshot; the offset applies to the first one
+	compaction := compactions{limit: anvilid.Index(joiningIntervals * v.compactAfter), maxBytes: v.compactBytes}
+	compaction.begin(snapshotIndex, v.compactionSchedule())
 	for {
 		var item applyItem
 		select {
@@ -39,24 +39,21 @@
 			if err := v.stateMachine.Restore(*item.restore); err != nil {
 				return eris.Wrapf(err, "restore snapshot %d", item.restore.Index)
 			}
-			snapshotIndex = item.restore.Index
-			schedule = v.compactionSchedule()
-			appliedBytes = schedule.offsetBytes
-			v.applied.Store(uint64(snapshotIndex))
+			compaction.begin(item.restore.Index, v.compactionSchedule())
+			v.applied.Store(uint64(item.restore.Index))
 		}
 		for i := range item.entries {
 			v.applyEntry(&item.entries[i], item.waiters)
-			appliedBytes += anvilid.ByteCount(len(item.entries[i].Data))
+			compaction.bytes += anvilid.ByteCount(len(item.entries[i].Data))
 			if item.entries[i].Kind == anvilraft.KindMembers {
-				schedule = v.compactionSchedule()
+				compaction.follow(v.compactionSchedule(), item.entries[i].Index)
 			}
 		}
 		for _, r := range item.barriers {
 			r.finish(0, nil, nil)
 		}
 		applied := anvilid.Index(v.applied.Load())
-		due := schedule.due(snapshotIndex, applied) || appliedBytes >= v.compactBytes
-		if !due || len(v.compactions) > 0 {
+		if len(v.compactions) > 0 || !compaction.due(applied, v.awaitsVoters) {
 			continue
 		}
 		data, err := v.stateMachine.Snapshot()
@@ -64,7 +61,7 @@
 			return eris.Wrapf(err, "create a snapshot at entry %d", applied)
 		}
 		v.compactions <- anvilraft.Compact{Index: applied, Snapshot: data} // never blocks: only this loop sends, and len was 0
-		snapshotIndex, appliedBytes = applied, 0
+		compaction.done(applied)
 	}
 }
 
--- a/io/anvilvoter/compaction_test.go
+++ b/io/anvilvoter/compaction_test.go
@@ -51,3 +51,44 @@
 	assert.Assert(t, !joining.due(3200, 6000))
 	assert.Assert(t, joining.due(3200, 16000), "the log must not grow for good")
 }
+
+// TestCompactionWaitsForVoters guards against a voter that persists no entries for several syncs because it stores a snapshot, while the marks
+// and seats of voters that have lost their disks need it; and against a log that grows for good while they stay away.
+func TestCompactionWaitsForVoters(t *testing.T) {
+	voters := []anvilraft.VoterID{{Instance: "v0", Storage: "s"}, {Instance: "v1", Storage: "s"}}
+	schedule := newCompactionSchedule(voters[1], voters, 4000, 16<<20)
+	for _, test := range []struct {
+		name        string
+		until       anvilid.Index // voters are awaited up to this index
+		seated      anvilid.Index // the voter got its vote with this entry, or 0
+		bytes       anvilid.ByteCount
+		first, next anvilid.Index
+	}{
+		{name: "none awaited", first: 2000, next: 6000},
+		{name: "awaited for a moment", until: 2500, first: 6000, next: 10000},
+		{name: "awaited for long", until: 100_000, first: 16_000, next: 32_000},
+		{name: "just seated", seated: 5000, first: 6000, next: 10000},
+		{name: "large commands", until: 100_000, bytes: 16 << 10, first: 512, next: 1536},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := compactions{limit: 16_000, maxBytes: 16 << 20}
+			joining := newCompactionSchedule(anvilraft.VoterID{Instance: "v1", Storage: "t"}, voters, 4000, 16<<20)
+			if test.seated == 0 {
+				joining = schedule
+			}
+			c.begin(0, joining)
+			var at []anvilid.Index
+			for index := anvilid.Index(1); len(at) < 2; index++ {
+				c.bytes += test.bytes
+				if index == test.seated {
+					c.follow(schedule, index)
+				}
+				if c.due(index, func() bool { return index < test.until }) {
+					at = append(at, index)
+					c.done(index)
+				}
+			}
+			assert.DeepEqual(t, at, []anvilid.Index{test.first, test.next})
+		})
+	}
+}
