--- a/io/anvilgroup/second_loss_test.go
+++ b/io/anvilgroup/second_loss_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 )
 
@@ -21,21 +24,28 @@
 
 // TestSecondLoss guards against voters with lost disks that aren't members again catchUp after they are back: the group
 // then finds no leader for good when two further voters lose their disks. Commands go on, and all syncs take the same time. The
-// leader may be among the first voters (0).
+// leader may be among the first voters (0). With a log, 250 commands a second go on, and one of the others would compact its log at
+// an index that comes meanwhile (2400, 3200).
 func TestSecondLoss(t *testing.T) {
 	for _, test := range []struct {
 		lost   []int // counted from the leader
 		syncIn int64
-	}{{[]int{3, 4}, 650}, {[]int{2, 3}, 650}, {[]int{4}, 650}, {[]int{0, 1}, 650}, {[]int{0, 1}, 900}} {
-		t.Run(fmt.Sprint(test.lost, test.syncIn), func(t *testing.T) {
+		log    anvilid.Index // its length before the loss, or 0
+	}{{[]int{3, 4}, 650, 0}, {[]int{2, 3}, 650, 0}, {[]int{4}, 650, 0}, {[]int{0, 1}, 650, 0}, {[]int{0, 1}, 900, 0}, {[]int{3, 4}, 650, 2300}} {
+		t.Run(fmt.Sprint(test.lost, test.syncIn, test.log), func(t *testing.T) {
 			t.Parallel()
 			nodes := newTestNodes(t, 5)
 			running := nodes.startGroup(5)
 			leader := slices.Index(running, leaderOf(t, running...))
 			at := func(number int) int { return (leader + number) % len(running) }
+			pause := 100 * time.Millisecond
+			if test.log > 0 {
+				fill(t, running[leader], test.log)
+				pause = 4 * time.Millisecond
+			}
 			nodes.syncIn.Store(test.syncIn)
 			for _, node := range running {
-				go node.propose()
+				go node.propose(pause)
 			}
 			time.Sleep(2 * time.Duration(test.syncIn) * time.Millisecond) // a sync is always under way
 			var first, then []int
@@ -48,12 +58,14 @@
 				}
 			}
 			back := nodes.loseDisks(running, first)
+			var votes sync.WaitGroup
+			defer votes.Wait()
 			for _, number := range first {
-				go func() {
-					node := running[number]
+				node := running[number]
+				votes.Go(func() {
 					eventually(t, "a vote", 10*time.Second, func() bool { return node.hasVote(5) })
 					t.Logf("a vote after %v", time.Since(back))
-				}()
+				})
 			}
 			time.Sleep(time.Until(back.Add(catchUp + contact)))
 			nodes.loseDisks(running, then)
@@ -65,13 +77,28 @@
 	}
 }
 
+// fill proposes commands until the log has the given length. Those that are proposed at the same time share their syncs.
+func fill(t *testing.T, leader *testNode, length anvilid.Index) {
+	for missing := 1; missing > 0; {
+		var proposals sync.WaitGroup
+		missing = int(length) - int(leader.Voter.Status().Applied)
+		for range min(missing, 200) {
+			proposals.Go(func() {
+				_, _, err := leader.Voter.Propose(t.Context(), []byte{1})
+				assert.Check(t, err)
+			})
+		}
+		proposals.Wait()
+	}
+}
+
 // propose lets commands go on, wherever the leader is, until the node is stopped.
-func (n *testNode) propose() {
+func (n *testNode) propose(pause time.Duration) {
 	for {
 		select {
 		case <-n.ended:
 			return
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(pause):
 			if n.Voter.Status().Role == anvilraft.Leader {
 				go func() { _, _, _ = n.Voter.Propose(context.Background(), []byte{1}) }()
 			}
