Enroll the known successors of lost storages at an election

A new leader waited for the requests of emptied voters, which come every 0.3 s and later after a round of calls that time out, before it sent them its log. Their copies, which take a sync, then ended after the commit of the mark, and the seat waited for them. It knew whom to enroll: the answer with which an instance shows that a storage is lost (event 220) names its new storage.

The storages that were found in place of lost ones in the last 10 s (enrollSpan) are now recorded as voters that join when this voter is first seen to lead. The leader asks each of them for its storage before it sends anything, as after a request, and forgets one that has changed since; a request of another storage of the same instance goes first.

TestSuccessorsJoinAtElection.

--- a/core/anvilraft/enrollment_timing_test.go
+++ b/core/anvilraft/enrollment_timing_test.go
@@ -13,7 +13,7 @@
 // The leader and another voter lose their disks while commands go on.
 func TestVotesAfterLossOfLeader(t *testing.T) {
 	t.Parallel()
-	for _, test := range []struct{ span, bound anvilclock.Millis }{{10, 600}, {500, 1950}, {800, 3100}, {1000, 4000}} {
+	for _, test := range []struct{ span, bound anvilclock.Millis }{{10, 600}, {500, 1950}, {800, 3000}, {1000, 3850}} {
 		var elected, seated []anvilclock.Millis
 		for seed := range uint64(20) {
 			e := newEnrollmentRun(t, seed, test.span)
@@ -43,7 +43,7 @@
 	disks                     *slowDisks
 	emptied                   []*voter
 	copies                    map[*voter]*slowDisks // of emptied voters
-	asked                     map[*voter]bool       // this leader was asked by the emptied voters
+	asked                     map[*voter]bool       // this leader knows of the emptied voters, or was asked by them
 	key                       uint64
 	electedAfter, seatedAfter anvilclock.Millis // from the start of the emptied voters on
 }
@@ -68,7 +68,11 @@
 func (e *enrollmentRun) advance(span anvilclock.Millis) {
 	for range span {
 		e.disks.run()
-		for v, disk := range e.copies {
+		for _, v := range e.emptied {
+			disk := e.copies[v]
+			if disk == nil {
+				continue
+			}
 			if len(v.unsynced) > 0 && disk.syncStartedAt[v] == 0 {
 				disk.syncStartedAt[v] = e.c.now
 			}
@@ -108,7 +112,7 @@
 			if e.electedAfter == 0 {
 				e.electedAfter = since
 			}
-			e.asked[leader] = e.asked[leader] || asks
+			e.asked[leader] = e.asked[leader] || asks || len(leader.node.lost) == len(e.emptied)
 			e.enroll(leader, since)
 		}
 	}
--- a/io/anvilgroup/enroll_test.go
+++ b/io/anvilgroup/enroll_test.go
@@ -10,6 +10,7 @@
 
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvillogs"
 )
 
 // TestEnrollmentOutlastsCall guards against an enrollment that stands still between the calls of the voter that joins:
@@ -42,6 +43,33 @@
 	assert.DeepEqual(t, g.joining(members), []anvilraft.VoterID{present})
 }
 
+// TestSuccessorsJoinAtElection guards against a new leader that waits for the requests of voters whose new storages it knows, and
+// against one that enrolls a storage that was replaced in turn.
+func TestSuccessorsJoinAtElection(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		since anvilclock.Millis // between the answer and the election
+		asked anvilraft.StorageID
+		want  anvilraft.StorageID
+	}{{"known", 0, "", "2"}, {"long ago", enrollSpan, "", ""}, {"another one has asked", 0, "3", "3"}} {
+		t.Run(test.name, func(t *testing.T) {
+			clock := anvilclock.Manual{}
+			g := newGroup(Settings{}, clock.Clock(), nil, anvillogs.Discard())
+			g.noteSuccessor(anvilraft.VoterID{Instance: "v9", Storage: "2"})
+			clock.Advance(test.since)
+			var want []anvilraft.VoterID
+			if test.want != "" {
+				want = []anvilraft.VoterID{{Instance: "v9", Storage: test.want}}
+			}
+			if test.asked != "" {
+				g.noteJoining(anvilraft.VoterID{Instance: "v9", Storage: test.asked})
+			}
+			g.noteLeading(true)
+			assert.DeepEqual(t, g.joining(anvilraft.Members{}), want)
+		})
+	}
+}
+
 // TestVoteAfterOneSync guards against a voter with a lost disk that makes several syncs one after another before the leader can
 // give it a vote: with syncs of a second it had none yet when two others lost their disks, and the group no leader for good. The
 // syncs of its directory and of its copy of the log must begin together, and it must count for nothing before they end.
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -127,6 +127,8 @@
 	leaving atomic.Bool
 
 	joinLog joinLog // used only by Join
+	// successors are the storages that Join has found in place of lost ones, and when, until this voter leads.
+	successors map[anvilraft.VoterID]anvilclock.Millis
 	// lostStorages are the voters whose storage Join has found to be lost.
 	lostStorages map[anvilraft.VoterID]bool
 }
@@ -176,6 +178,7 @@
 		replaced: map[anvilraft.VoterID]bool{}, joinErrors: map[anvilraft.VoterID]error{}, enrollments: map[anvilraft.VoterID]*enrollment{},
 		changing: map[anvilraft.VoterID]bool{}, releases: map[anvilraft.VoterID]bool{},
 		peers: map[anvilid.InstanceID]anvilrpc.Raft{}, lostStorages: map[anvilraft.VoterID]bool{},
+		successors: map[anvilraft.VoterID]anvilclock.Millis{},
 	}
 }
 
--- a/io/anvilgroup/lost.go
+++ b/io/anvilgroup/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -27,19 +28,43 @@
 			asked = append(asked, voter)
 		}
 	}
-	lost := make(chan anvilraft.VoterID, len(asked))
+	answers := make(chan replacedVoter, len(asked))
 	for _, voter := range asked {
-		go func() { lost <- g.askStorage(ctx, voter) }()
+		go func() { answers <- g.askStorage(ctx, voter) }()
 	}
 	for range asked {
-		if voter := <-lost; !voter.IsZero() {
-			g.lostStorages[voter] = true
-			g.log.Write(anvillogs.StorageLost, zap.Stringer("voter", voter))
-			g.Voter.ReportLost(voter)
+		if answer := <-answers; !answer.former.IsZero() {
+			g.lostStorages[answer.former] = true
+			g.noteSuccessor(answer.successor)
+			g.log.Write(anvillogs.StorageLost, zap.Stringer("voter", answer.former))
+			g.Voter.ReportLost(answer.former)
 		}
 	}
 }
 
+// replacedVoter is a voter whose storage is lost, and the storage that its instance has now.
+type replacedVoter struct{ former, successor anvilraft.VoterID }
+
+// noteSuccessor notes a storage that an instance has shown in place of that of a voter. If this voter is elected, it enrolls that one
+// without waiting for its request, which may come a whole joinInterval and a few calls later.
+func (g *Group) noteSuccessor(id anvilraft.VoterID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.successors[id] = g.clock.Now()
+}
+
+// joinSuccessors records the successors that were noted in the last enrollSpan as voters that join. If one of them has lost its disk
+// again, introduce finds that out. g.mu must be held.
+func (g *Group) joinSuccessors() {
+	for id, at := range g.successors {
+		hasAsked := slices.ContainsFunc(slices.Collect(maps.Keys(g.joiningSince)), isOtherStorageOf(id))
+		if g.clock.Now()-at < enrollSpan && !hasAsked {
+			g.recordJoining(id)
+		}
+	}
+	clear(g.successors)
+}
+
 // checkMarked asks the instances of marked voters that can be reached for their storages. The mark of a voter that was only silent is
 // taken back, as its vote would never count again.
 func (g *Group) checkMarked(ctx context.Context, members anvilraft.Members) {
@@ -76,13 +101,13 @@
 	return false
 }
 
-// askStorage returns the voter if its storage is lost, and the zero value if it isn't or the instance doesn't answer.
-func (g *Group) askStorage(ctx context.Context, voter anvilraft.VoterID) anvilraft.VoterID {
+// askStorage returns the voter and its successor if its storage is lost, and the zero value if it isn't or the instance doesn't answer.
+func (g *Group) askStorage(ctx context.Context, voter anvilraft.VoterID) replacedVoter {
 	storage, ok := g.storageOf(ctx, voter.Instance)
 	if !ok || storage == voter.Storage {
-		return anvilraft.VoterID{} // an instance that doesn't answer is asked again
+		return replacedVoter{} // an instance that doesn't answer is asked again
 	}
-	return voter
+	return replacedVoter{voter, anvilraft.VoterID{Instance: voter.Instance, Storage: storage}}
 }
 
 // storageOf asks an instance for its storage. ok is false if it doesn't answer.
--- a/io/anvilgroup/silence.go
+++ b/io/anvilgroup/silence.go
@@ -102,6 +102,7 @@
 		clear(g.releases)
 	case g.leadingSince < 0:
 		g.leadingSince = g.clock.Now()
+		g.joinSuccessors()
 	}
 	return leads
 }
