Send parts again once after a loss, not once for each rejected part

A member rejects each part of a transfer that comes after a lost one, and a joining instance releases all of these answers with its first sync. It ignores those now that were made before the member got anything that was sent again (Message.Sent).

What is left is one repetition after the rejection and one because the whole transfer is offered again when nothing was acknowledged for the minimum election timeout. The entries after a lost batch were sent again once before, too: they are probed first.

--- a/core/anvilraft/joining_test.go
+++ b/core/anvilraft/joining_test.go
@@ -14,7 +14,7 @@
 // TestJoiningGetsWholeLog guards against an instance with a new disk that needs a sync for each window of a long log, or one for a snapshot
 // and another for the entries after it, before it has caught up: with syncs of up to 1.5 s that took 7 s, and further disks were lost meanwhile.
 // What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered, without
-// another snapshot.
+// another snapshot, and not once for each message that is rejected.
 func TestJoiningGetsWholeLog(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
@@ -61,6 +61,7 @@
 			joining.diskStalled = true
 			c.step(leader, SendLog{To: joining.id, Empty: true})
 			c.run(500)
+			once := sent
 			if test.lost+test.late == 0 {
 				assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
 			}
@@ -74,6 +75,7 @@
 			assert.Equal(t, joining.node.Status().Last, leader.node.Status().Last)
 			assert.Assert(t, leader.node.HasCaughtUp(joining.id))
 			assert.Equal(t, joining.node.snapshot.Index, snapshotIndex, "it was sent another snapshot")
+			assert.Assert(t, sent <= 3*once, "%d messages in place of %d", sent, once)
 		})
 	}
 }
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -22,6 +22,7 @@
 	partSent       bool              // at least one part was sent; an empty snapshot has one
 	allSent        bool              // each part was sent at least once
 	lastProgressAt anvilclock.Millis // when ackedBytes last changed, or parts were sent again
+	resentAt       anvilclock.Millis // when parts were last sent again after a rejection
 }
 
 // incomingTransfer collects the parts of a transfer that this node receives.
@@ -39,7 +40,7 @@
 func (n *Node) startTransfer(p *peer, t transfer) {
 	p.probing = false
 	p.clearInflight()
-	t.lastProgressAt = n.now
+	t.lastProgressAt, t.resentAt = n.now, distantPast
 	p.transfer = &t
 }
 
@@ -140,8 +141,9 @@
 		return
 	}
 	switch {
-	case m.Reject && m.Offset != t.nextOffset:
-		t.ackedBytes, t.nextOffset, t.lastProgressAt = m.Offset, m.Offset, n.now
+	// The member rejects each part that it got after a lost one. Those that came before the parts that were sent again say nothing new.
+	case m.Reject && m.Offset != t.nextOffset && m.Sent >= t.resentAt:
+		t.ackedBytes, t.nextOffset, t.lastProgressAt, t.resentAt = m.Offset, m.Offset, n.now, n.now
 	case m.Offset > t.ackedBytes:
 		t.ackedBytes, t.nextOffset, t.lastProgressAt = m.Offset, max(t.nextOffset, m.Offset), n.now
 	}
