Forget the loss of a storage whose mark is taken back

A new leader marks the storages that it knows to be lost with its first entry, and a node keeps what StorageLost told it for as long as the voter is a member. If such a report was wrong, the mark was taken back and each later leader that had the report set it again: with one more failure, three live voters of five had no leader for good, as the marked one doesn't count.

A node now forgets a loss when an entry takes the mark of that storage back. That only raises quorums.

TestFoundStorageIsNotMarkedAgain fails without the change.

--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -137,6 +137,18 @@
 	return members, nil
 }
 
+// forgetFound forgets the losses of storages whose marks are taken back by changes after the first one given: a leader that knows of
+// them would mark the same voters again at each election.
+func (n *Node) forgetFound(changes []memberChange) {
+	for i, change := range changes[1:] {
+		for _, id := range changes[i].members.Lost {
+			if change.members.IsVoter(id) && !change.members.IsLost(id) {
+				delete(n.lost, id)
+			}
+		}
+	}
+}
+
 // committedMembersIndex returns the highest index up to which member lists are known to be committed.
 func (n *Node) committedMembersIndex() anvilid.Index { return max(n.commit, n.hardState.MembersAt) }
 
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -395,3 +395,28 @@
 		})
 	}
 }
+
+// TestFoundStorageIsNotMarkedAgain guards against a leader that marks a voter at its election although the mark of that storage was taken
+// back: with a second failure, three of five voters were then left without a leader for good.
+func TestFoundStorageIsNotMarkedAgain(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		c := newCluster(t, seed, []string{"a", "b", "c", "d", "e"}, WithLostStorages())
+		c.run(2000)
+		leader := c.leader()
+		present := c.voters[slices.IndexFunc(c.voters, func(v *voter) bool { return v != leader })]
+		for _, v := range c.voters {
+			c.step(v, StorageLost{present.id})
+		}
+		c.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{present.id}})
+		c.run(500)
+		c.step(leader, ChangeVoters{Key: 2, Found: []VoterID{present.id}})
+		c.run(500)
+		for range 2 {
+			c.crash(c.leader(), 0)
+			c.run(5000)
+			assert.Assert(t, c.leader() != nil)
+			assert.Equal(t, len(c.leader().node.Status().Members.Lost), 0)
+		}
+	}
+}
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -56,7 +56,9 @@
 		return
 	}
 	n.log.append(entries...)
+	known := len(n.members.changes)
 	n.members.addFromEntries(entries)
+	n.forgetFound(n.members.changes[known-1:])
 	n.scheduleEntriesSave(entries[0].Index)
 }
 
