Log a crash file that fails by an event of its own

When crash.txt couldn't be read or written (a data directory that is missing, read-only or full), 110 said at level error that the former process had ended by a fatal error, which nobody knows then. That is 111 now, a warning. The text of a crash is also logged before the file is emptied, and no longer lost with a process that ends between the two.

TestCrashLogged has the case of a missing directory.

--- a/io/anvillogs/events.go
+++ b/io/anvillogs/events.go
@@ -13,6 +13,7 @@
 	ClientsGaveWay       = define(108, zapcore.WarnLevel, "clients gave way: too many connections to this process, or too many bytes of bodies")
 	ProcessPaused        = define(109, zapcore.WarnLevel, "process did not run for longer than an election timeout")
 	ProcessCrashed       = define(110, zapcore.ErrorLevel, "former process ended by a fatal error")
+	CrashFileFailed      = define(111, zapcore.WarnLevel, "fatal error of a process can't be read or recorded in its data directory")
 	BackgroundTaskFailed = define(106, zapcore.ErrorLevel, "background task of the instance failed; the instance stops")
 )
 
--- a/io/anvilnode/crash.go
+++ b/io/anvilnode/crash.go
@@ -27,11 +27,14 @@
 func (n *Node) watchCrashes(dir string) {
 	path := filepath.Join(dir, crashFile)
 	former, err := readCrash(path)
+	if former != "" {
+		n.Log.Write(anvillogs.ProcessCrashed, zap.String("text", former))
+	}
 	if err == nil {
 		err = recordCrashes(path)
 	}
-	if former != "" || err != nil {
-		n.Log.Write(anvillogs.ProcessCrashed, zap.String("text", former), zap.Error(err))
+	if err != nil {
+		n.Log.Write(anvillogs.CrashFileFailed, zap.Error(err))
 	}
 }
 
--- a/io/anvilnode/crash_test.go
+++ b/io/anvilnode/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -38,4 +39,7 @@
 	before := lines.String()
 	n.watchCrashes(dir)
 	assert.Equal(t, lines.String(), before, "a crash is logged once")
+
+	n.watchCrashes(filepath.Join(dir, "missing"))
+	assert.Assert(t, strings.Contains(strings.TrimPrefix(lines.String(), before), `"event":111,`), "a file that can't be written isn't a crash: %s", lines.String())
 }
