--- a/io/anvilgroup/second_loss_test.go
+++ b/io/anvilgroup/second_loss_test.go
@@ -51,7 +51,7 @@
 
 // fill proposes commands until the log has the given length. Those that are proposed at the same time share their syncs.
 func fill(t *testing.T, leader *testNode, length anvilid.Index) {
-	for missing := 1; missing > 0; {
+	for missing := 1; missing > 0 && !t.Failed(); {
 		var proposals sync.WaitGroup
 		missing = int(length) - int(leader.Voter.Status().Applied)
 		for range min(missing, 200) {
