--- a/io/anvildisk/disk_test.go
+++ b/io/anvildisk/disk_test.go
@@ -41,7 +41,8 @@
 type simDisk struct {
 	mu              sync.Mutex // Open syncs several files at the same time
 	cached, durable map[string]*inode
-	removed         string // the last removed file, if its removal isn't synced
+	// names are the renamed and removed names since the latest sync of the directory.
+	names []func(map[string]*inode)
 	// calls counts the file-system calls. The call with the number failAt, counted from 0, fails
 	// in the way that mode selects.
 	calls, failAt int
@@ -102,19 +103,19 @@
 		},
 		Open: func(file string) (*File, error) { return d.file(d.cached[path.Base(file)]), d.call(nothing) },
 		Rename: func(from, to string) error {
+			node := d.cached[path.Base(from)]
 			return d.call(func() {
-				d.cached[path.Base(to)] = d.cached[path.Base(from)]
-				delete(d.cached, path.Base(from))
+				d.changeName(func(names map[string]*inode) {
+					names[path.Base(to)] = node
+					delete(names, path.Base(from))
+				})
 			})
 		},
 		Remove: func(file string) error {
-			return d.call(func() {
-				d.removed = path.Base(file)
-				delete(d.cached, d.removed)
-			})
+			return d.call(func() { d.changeName(func(names map[string]*inode) { delete(names, path.Base(file)) }) })
 		},
 		SyncDir: func(string) error {
-			return d.call(func() { d.durable, d.removed = maps.Clone(d.cached), "" })
+			return d.call(func() { d.durable, d.names = maps.Clone(d.cached), nil })
 		},
 	}
 }
@@ -156,11 +157,20 @@
 	}
 }
 
-// losePower simulates a power failure: it drops everything that isn't synced. The last removal of a
-// file stays in effect even if it isn't synced, because a file system may make removals durable in
-// any order.
-func (d *simDisk) losePower() {
-	delete(d.durable, d.removed)
+func (d *simDisk) changeName(change func(map[string]*inode)) {
+	change(d.cached)
+	d.names = append(d.names, change)
+}
+
+// losePower simulates a power failure: it drops everything that isn't synced. Of the names that were changed since, the last one stays in
+// effect, or the first one, because a file system may make them durable in any order.
+func (d *simDisk) losePower(keepsFirst bool) {
+	if n := len(d.names); n > 0 && keepsFirst {
+		d.names[0](d.durable)
+	} else if n > 0 {
+		d.names[n-1](d.durable)
+	}
+	d.names = nil
 	d.cached = maps.Clone(d.durable)
 	for _, node := range d.cached {
 		node.cached, node.unsynced = slices.Clone(node.durable), nil
--- a/io/anvildisk/restore.go
+++ b/io/anvildisk/restore.go
@@ -256,7 +256,8 @@
 	}
 	if snap.Index > 0 && !s.terms.matches(snap.Index, snap.Term) {
 		// The process died after it wrote the snapshot and before it started the next segment.
-		if err := s.startSegmentAfterSnapshot(snap.Index, snap.Term); err != nil {
+		s.terms.startAfterSnapshot(snap.Index, snap.Term)
+		if err := s.discardEntries(); err != nil {
 			return Restored{}, err
 		}
 	}
--- a/io/anvildisk/storage_test.go
+++ b/io/anvildisk/storage_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -120,7 +121,7 @@
 	assert.Assert(t, len(clean.cached) <= 4, "the directory keeps more than 4 files: %v", clean.cached)
 	for mode := range modeCount {
 		for failAt := range clean.calls {
-			for _, crash := range []string{"restart", "power", "both"} {
+			for _, crash := range []string{"restart", "power", "power, first name kept", "both"} {
 				disk := newSimDisk()
 				disk.mode, disk.failAt = mode, failAt
 				allowed, err := runScript(disk, script, opts...)
@@ -140,13 +141,13 @@
 	reopen := func(power bool) (*Storage, anvilraft.PersistentState) {
 		disk.failAt = -1
 		if power {
-			disk.losePower()
+			disk.losePower(crash == "power, first name kept")
 		}
 		storage, restored, err := Open("data", WithFiles(disk.files()), WithSegmentBytes(300))
 		assert.NilError(t, err, label)
 		return storage, restored.PersistentState
 	}
-	storage, restored := reopen(crash == "power")
+	storage, restored := reopen(strings.HasPrefix(crash, "power"))
 	if crash == "both" {
 		first := formatState(restored)
 		storage, restored = reopen(true)
