--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -35,13 +35,13 @@
 	members := leader.node.Status().Members
 	known := leader.node.members.lastChangeIndex() <= leader.node.commit && (s.marksLost || s.quorumKnowsMembers(leader))
 	s.lostDisks = slices.DeleteFunc(s.lostDisks, func(v *voter) bool { return known && members.IsVoter(v.id) })
-	if s.marksLost && len(s.lostDisks) == 0 && !s.recovers && s.chance(500) {
+	if s.marksLost && len(s.lostDisks) == 0 && !s.recovers && !s.inSeries && s.chance(500) {
 		s.loseDisksAtOnce(leader)
 		return
 	}
 	var seats, lost []VoterID
 	for _, v := range s.lostDisks {
-		if members.IsVoter(v.id) {
+		if members.IsVoter(v.id) || s.inSeries && !s.hasAsked(v, leader) {
 			continue
 		}
 		if former := members.voterOf(v.id.Instance); s.marksLost && !former.IsZero() && !members.IsLost(former) {
@@ -55,6 +55,7 @@
 	if s.marksLost && len(seats) > 1 && s.chance(500) {
 		seats = seats[:1] // the next seat may follow before this one is committed
 	}
+	lost = lost[:min(len(lost), max(0, len(members.Voters)-members.Quorum()-len(members.Lost)))]
 	if len(lost) > 0 {
 		s.key++
 		s.c.step(leader, ChangeVoters{Key: s.key, Lost: lost})
@@ -178,6 +179,31 @@
 	}
 }
 
+// TestLossSeries guards against a group that has no leader for good after three to five losses in a row, each as soon as the ones
+// before count as full members again (fullMemberAfter), with slow syncs, lost messages, compacted logs and leaders that change in
+// between.
+func TestLossSeries(t *testing.T) {
+	for seed := range *scheduleSeeds {
+		seed += *scheduleFirst
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			names := []string{"a", "b", "c", "d", "e", "f", "g"}[:[]int{5, 3, 5, 7}[seed%4]]
+			s := newSchedule(newCluster(t, seed, names, WithElectionTimeout(350, 700), WithHeartbeat(80), WithTrailingEntries(5), WithLostStorages()))
+			s.maxLostDisks, s.seatsTogether, s.marksLost = len(names)/2, true, true
+			s.c.latency = func(*voter, Message) int64 {
+				if s.c.random.IntN(100) < int(seed%3) {
+					return -1
+				}
+				return 200 + s.c.random.Int64N(10_000)
+			}
+			s.lossSeries(3+int(seed%3), anvilclock.Millis(*seriesSync))
+			s.recoverFromFaults()
+			s.checkHistory()
+			t.Logf("%d entries committed, %d leaders, %d disks lost, %d snapshots", len(s.c.committed), len(s.c.leaders), s.wipedDisks, s.installedSnapshots)
+		})
+	}
+}
+
 // TestLostStorageVotes guards against elections by votes that must not count. Two leaders in a term, or one without a
 // committed entry, would follow only from rare interleavings, which the random schedules don't find.
 func TestLostStorageVotes(t *testing.T) {
--- a/core/anvilraft/random_test.go
+++ b/core/anvilraft/random_test.go
@@ -91,6 +91,8 @@
 	seatsTogether      bool // all voters with a lost disk are replaced by one change, see repairTogether
 	marksLost          bool // their former storages are marked as lost before, so that the change needs no quorum of them
 	wipedDisks         int
+	inSeries           bool // the storages are lost by a series
+	askedAt            map[joinRequest]int64
 	recovers           bool // the faults have ended, see recoverFromFaults
 	installedSnapshots int
 }
@@ -278,6 +280,9 @@
 		}
 	}
 	leader := s.c.leader()
+	if leader == nil || len(s.lostDisks) > 0 {
+		s.logVoters()
+	}
 	assert.Assert(s.c, leader != nil && len(s.lostDisks) == 0, "the group did not recover: leader %v, %d lost disks", leader, len(s.lostDisks))
 	for _, v := range s.c.voters {
 		assert.Equal(s.c, v.applied, leader.applied, "%v has not applied all entries", v.id)
