Repeat vote requests within a campaign

A candidate asked each voter for its vote once. Where each voter that is left is needed, as after the loss of two of five storages, one lost request or answer made the campaign fail, and the next one took another election timeout and another sync of each voter.

A candidate now asks those that have not granted their vote again with each heartbeat interval. Only the first grant resets the election timeout of a voter, so that a candidate that can't win doesn't hold up others.

TestLostVoteRequest fails without the change.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -92,9 +92,22 @@
 	n.requestVotes(MessageVote, n.hardState.Term)
 }
 
+// repeatVoteRequests asks those voters again that have not granted their vote in the present campaign. A request or its answer may
+// be lost, and a new campaign would take another sync of each voter.
+func (n *Node) repeatVoteRequests() {
+	isOpen := n.campaignTerm > 0 && n.campaignTerm == n.hardState.Term && n.leader.IsZero()
+	if isOpen && n.now-n.votesRequestedAt >= n.options.heartbeatInterval {
+		n.requestVotes(MessageVote, n.campaignTerm)
+	}
+}
+
 func (n *Node) requestVotes(kind MessageType, term anvilid.Term) {
+	if kind == MessageVote {
+		n.votesRequestedAt = n.now
+	}
 	for _, voter := range n.Electors() {
-		if voter != n.self {
+		isGranted := kind == MessageVote && slices.Contains(n.grantedVotes, voter)
+		if voter != n.self && !isGranted {
 			n.send(Message{Type: kind, To: voter, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
 		}
 	}
@@ -135,8 +148,8 @@
 		n.deferElection(m)
 	}
 	if granted && m.Type == MessageVote {
-		n.resetElectionTimeout()
-		if n.hardState.Vote.IsZero() {
+		if n.hardState.Vote.IsZero() { // repeated requests of a candidate that can't win must not hold up others
+			n.resetElectionTimeout()
 			n.hardState.Vote = m.From
 			n.scheduleHardStateSave()
 		}
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -40,6 +40,8 @@
 	grantedPreVotes []votingMember
 	// campaignStartedAt is when that campaign began.
 	campaignStartedAt anvilclock.Millis
+	// votesRequestedAt is when the votes of that campaign were last asked for.
+	votesRequestedAt anvilclock.Millis
 	// campaignsSinceLeader counts the campaigns of this node since it last knew a leader.
 	campaignsSinceLeader int
 	// deferredForTerm is the highest term for whose candidate this node has put off its own
@@ -132,6 +134,7 @@
 		return
 	}
 	n.extendElectionTimeout(late)
+	n.repeatVoteRequests()
 	n.forgetSilentLeader()
 	// A node whose disk has not yet synced the latest hard state does not campaign: another
 	// election would only add writes for the slow disk.
