Count no vote that names no entry

A vote of a build before names no entry, and matches(0, 0) is true as long as the log was never compacted. Such a vote would count unchecked in a group of both builds: one that was granted to a longer log before a crash could elect a candidate without committed entries. Found by the review, by reading.

TestVoteRequestBeforeSync has the case.

--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -190,9 +190,9 @@
 // receiveVoteResponse counts a vote of the current term. It counts as well while this node asks for
 // pre-votes again, because a slow disk may delay a vote for longer than that. The log must still contain the entry
 // with which the request described it: a vote that was granted to a longer log, before a crash, could elect a leader
-// that lacks committed entries.
+// that lacks committed entries. Voters of a build before this rule name no entry, so that their votes don't count.
 func (n *Node) receiveVoteResponse(m Message) {
-	if m.Type == MessageVoteResponse && !m.Reject && n.log.matches(m.Index, m.LogTerm) {
+	if m.Type == MessageVoteResponse && !m.Reject && m.Index > 0 && n.log.matches(m.Index, m.LogTerm) {
 		n.addGrantedVote(m.From)
 	}
 }
--- a/core/anvilraft/timing_test.go
+++ b/core/anvilraft/timing_test.go
@@ -317,6 +317,8 @@
 	assert.Equal(t, restarted.hardState.Term, node.hardState.Term)
 	restarted.Step(2002, Persisted{save})
 	assert.Equal(t, restarted.Step(2003, Receive{vote}).Role, Candidate)
+	vote.Index, vote.LogTerm = 0, 0 // as of a build that names no entry
+	assert.Equal(t, restarted.Step(2003, Receive{vote}).Role, Candidate)
 	assert.Equal(t, restarted.Step(2004, Receive{voteFor(restarted, MessageVoteResponse, "b")}).Role, Leader)
 
 	early := New("a", restored)
