Report lost storages in the series of losses, as the group layer does

Voters without a leader ask the others for their storages, so that a new leader marks the lost ones with its first entry. The series did without, and showed a longer chain than the voters have.

--- a/core/anvilraft/series_test.go
+++ b/core/anvilraft/series_test.go
@@ -62,6 +62,9 @@
 		for _, v := range r.c.voters {
 			r.runVoter(v)
 		}
+		if r.c.leader() == nil && r.chance(3) { // as often as anvilgroup asks for storages
+			r.reportLostStorages()
+		}
 		if r.chance(50) {
 			r.repair()
 		}
