--- a/core/anvilraft/series_test.go
+++ b/core/anvilraft/series_test.go
@@ -24,11 +24,11 @@
 	*schedule
 	maxSync anvilclock.Millis
 	minSync int64 // in microseconds
-	disks   map[*voter]*slowDisk
+	disks   map[*voter]*seriesDisk
 }
 
-// slowDisk makes one sync at a time. What is written meanwhile waits for the next one.
-type slowDisk struct {
+// seriesDisk is the disk of one voter and the times of its process. It makes one sync at a time. What is written meanwhile waits for the next one.
+type seriesDisk struct {
 	syncing         int   // Saves in the sync that is in progress
 	doneAt          int64 // when it ends
 	startAt, fullAt int64 // when the process starts again, and when its voter is a full member again
@@ -36,9 +36,9 @@
 
 // lossSeries carries out a number of losses.
 func (s *schedule) lossSeries(losses int, maxSync anvilclock.Millis) {
-	r := &series{schedule: s, maxSync: maxSync, disks: map[*voter]*slowDisk{}}
+	r := &series{schedule: s, maxSync: maxSync, disks: map[*voter]*seriesDisk{}}
 	for _, v := range s.c.voters {
-		r.disks[v] = &slowDisk{}
+		r.disks[v] = &seriesDisk{}
 	}
 	r.inSeries, r.askedAt = true, map[joinRequest]int64{}
 	if s.c.random.IntN(2) == 0 {
@@ -159,7 +159,7 @@
 func (r *series) stop(v *voter, written int) {
 	r.c.crash(v, written)
 	startAt := r.c.now + 50_000 + r.c.random.Int64N(850_000)
-	*r.disks[v] = slowDisk{startAt: startAt, fullAt: startAt + int64(fullMemberAfter)*1000}
+	*r.disks[v] = seriesDisk{startAt: startAt, fullAt: startAt + int64(fullMemberAfter)*1000}
 }
 
 // logVoters writes what each voter knows, for a schedule that fails.
