Let one function each count spare marks, look up lost storages and claim a voter that joins

How many voters can still be marked stood in anvilraft, in anvilgroup and in a test; the look-up of a lost storage in four places; and joinSuccessors repeated the rule of claimJoining.

--- a/core/anvilraft/election_state.go
+++ b/core/anvilraft/election_state.go
@@ -31,11 +31,10 @@
 func (n *Node) describe(e electorate) Electorate {
 	described := Electorate{Voters: e.voters, Needed: quorumWithout(e.voters, e.lost)}
 	for _, id := range e.voters {
-		_, isLost := n.lost[id]
 		switch {
 		case slices.Contains(e.marked, id):
 			described.Marked = append(described.Marked, id)
-		case isLost:
+		case n.lost.has(id):
 			described.Lost = append(described.Lost, id)
 		}
 	}
--- a/core/anvilraft/identity.go
+++ b/core/anvilraft/identity.go
@@ -61,3 +61,6 @@
 
 // Quorum returns the smallest number of voters that is a majority.
 func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
+
+// SpareMarks returns how many further voters can be marked as lost so that the others are still a quorum.
+func (m Members) SpareMarks() int { return max(0, len(m.Voters)-m.Quorum()-len(m.Lost)) }
--- a/core/anvilraft/joining.go
+++ b/core/anvilraft/joining.go
@@ -68,11 +68,7 @@
 // instances that are to become voters. Few voters may be left then, and each commit may need all of them.
 func (n *Node) AwaitsVoters() bool {
 	members := n.members.latest()
-	isLost := func(id VoterID) bool {
-		_, known := n.lost[id]
-		return known
-	}
-	return len(members.Lost)+len(n.leading.joining) > 0 || slices.ContainsFunc(members.Voters, isLost)
+	return len(members.Lost)+len(n.leading.joining) > 0 || slices.ContainsFunc(members.Voters, n.lost.has)
 }
 
 // Behind returns how many entries of the log an instance has not acknowledged yet. ok is false if this node doesn't send it the log.
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -17,6 +17,12 @@
 // may have given have expired.
 type lostStorages map[VoterID]anvilclock.Millis
 
+// has reports whether the storage of a voter is known to be lost, whether that counts yet or not.
+func (l lostStorages) has(id VoterID) bool {
+	_, known := l[id]
+	return known
+}
+
 // at returns the voters whose lost storage counts at a time.
 func (l lostStorages) at(now anvilclock.Millis) []VoterID {
 	var ids []VoterID
@@ -35,7 +41,7 @@
 
 // noteLostStorage handles a StorageLost event.
 func (n *Node) noteLostStorage(id VoterID) {
-	if _, known := n.lost[id]; known || id == n.self || !n.options.useLostStorages {
+	if n.lost.has(id) || id == n.self || !n.options.useLostStorages {
 		return
 	}
 	for other := range n.lost {
@@ -113,11 +119,8 @@
 // quorum. ok is false if there are none or another change is on its way. In a group of an even number, marks don't help.
 func (n *Node) withKnownLosses() (members Members, ok bool) {
 	old := n.members.latest()
-	lost := slices.DeleteFunc(slices.Clone(old.Voters), func(id VoterID) bool {
-		_, isLost := n.lost[id]
-		return !isLost || old.IsLost(id)
-	})
-	lost = lost[:min(len(lost), max(0, len(old.Voters)-old.Quorum()-len(old.Lost)))]
+	lost := slices.DeleteFunc(slices.Clone(old.Voters), func(id VoterID) bool { return !n.lost.has(id) || old.IsLost(id) })
+	lost = lost[:min(len(lost), old.SpareMarks())]
 	if len(lost) == 0 || len(old.Voters)%2 == 0 {
 		return Members{}, false
 	}
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -55,7 +55,7 @@
 	if s.marksLost && len(seats) > 1 && s.chance(500) {
 		seats = seats[:1] // the next seat may follow before this one is committed
 	}
-	lost = lost[:min(len(lost), max(0, len(members.Voters)-members.Quorum()-len(members.Lost)))]
+	lost = lost[:min(len(lost), members.SpareMarks())]
 	if len(lost) > 0 {
 		s.key++
 		s.c.step(leader, ChangeVoters{Key: s.key, Lost: lost})
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -235,7 +235,7 @@
 		lost = append(lost, silent)
 	}
 	lost = slices.DeleteFunc(lost, members.IsLost)
-	return lost[:min(len(lost), max(0, len(members.Voters)-members.Quorum()-len(members.Lost)))]
+	return lost[:min(len(lost), members.SpareMarks())]
 }
 
 // replacedStorages returns the voters whose instances have shown another storage.
@@ -302,6 +302,11 @@
 func (g *Group) claimJoining(id anvilraft.VoterID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.claim(id)
+}
+
+// claim is claimJoining. g.mu must be held.
+func (g *Group) claim(id anvilraft.VoterID) bool {
 	for other := range g.joiningSince {
 		if isOtherStorageOf(id)(other) {
 			return false
--- a/io/anvilgroup/lost.go
+++ b/io/anvilgroup/lost.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -57,9 +56,8 @@
 // again, introduce finds that out. g.mu must be held.
 func (g *Group) joinSuccessors() {
 	for id, at := range g.successors {
-		hasAsked := slices.ContainsFunc(slices.Collect(maps.Keys(g.joiningSince)), isOtherStorageOf(id))
-		if g.clock.Now()-at < enrollSpan && !hasAsked {
-			g.recordJoining(id)
+		if g.clock.Now()-at < enrollSpan {
+			g.claim(id)
 		}
 	}
 	clear(g.successors)
