--- a/io/anvildisk/disk_test.go
+++ b/io/anvildisk/disk_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"syscall"
+
+	"anvilshunt/core/anvilclock"
 )
 
 var errInjected = errors.New("injected failure")
@@ -90,6 +92,7 @@
 			err = d.call(func() { names = slices.Sorted(maps.Keys(d.cached)) })
 			return names, err
 		},
+		ModTime: func(string) (anvilclock.Millis, error) { return 0, d.call(nothing) },
 		Read: func(file string) (data []byte, err error) {
 			err = d.call(func() { data = slices.Clone(d.cached[path.Base(file)].cached) })
 			return data, err
--- a/io/anvildisk/files.go
+++ b/io/anvildisk/files.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 
+	"anvilshunt/core/anvilclock"
+
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
@@ -23,6 +25,8 @@
 	// MakeDir creates a directory, but not its parents. It succeeds if the directory exists.
 	MakeDir func(dir string) error
 	List    func(dir string) ([]string, error)
+	// ModTime returns when the content of a file was last changed, by the wall clock.
+	ModTime func(path string) (anvilclock.Millis, error)
 	Read    func(path string) ([]byte, error)
 	// Create creates a new file and fails if the path exists.
 	Create func(path string) (*File, error)
@@ -46,6 +50,7 @@
 	return Files{
 		MakeDir: makeDir,
 		List:    listNames,
+		ModTime: modified,
 		Read:    os.ReadFile,
 		Create: func(path string) (*File, error) {
 			return openFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL)
@@ -78,6 +83,14 @@
 	return names, nil
 }
 
+func modified(path string) (anvilclock.Millis, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return 0, err
+	}
+	return anvilclock.Millis(info.ModTime().UnixMilli()), nil
+}
+
 func openFile(path string, flag int) (*File, error) {
 	file, err := os.OpenFile(filepath.Clean(path), flag, fileMode)
 	if err != nil {
--- a/io/anvildisk/open_test.go
+++ b/io/anvildisk/open_test.go
@@ -80,18 +80,25 @@
 
 // TestUnstoredStorage guards against a storage id that is seen again although nothing of the directory was stored, or only a
 // part of its first segment: another directory may have been announced meanwhile. A process that died while it wrote must not
-// leave a directory that can't be opened.
+// leave a directory that can't be opened. Its age tells how long it was there, and how long nothing was stored.
 func TestUnstoredStorage(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "log")
+	var age Age
 	open := func() (*Storage, anvilraft.StorageID, bool) {
 		storage, restored, err := Open(dir, WithDeferredCreation())
 		assert.NilError(t, err)
+		age = restored.Age
 		return storage, restored.Storage, restored.Created
 	}
+	changed := func(name string, before time.Duration) {
+		assert.NilError(t, os.Chtimes(filepath.Join(dir, name), time.Time{}, time.Now().Add(-before)))
+	}
 	storage, first, _ := open()
 	assert.NilError(t, storage.Close())
+	changed(lockName, time.Minute)
 	storage, second, created := open()
 	assert.Assert(t, created && second != first)
+	assert.Assert(t, age.Created >= 60_000 && age.Written == -1, "%+v", age)
 	header := len(storage.header)
 	assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 3, 1), Hard: hardState(1)}))
 	assert.NilError(t, storage.Close())
@@ -101,7 +108,9 @@
 	for size := range content {
 		assert.NilError(t, os.Remove(filepath.Join(dir, createdName)))
 		assert.NilError(t, os.WriteFile(segment, content[:size], fileMode))
+		changed(segmentName(1), 20*time.Second)
 		storage, third, created := open()
+		assert.Assert(t, age.Created >= 60_000 && age.Written >= 20_000 && age.Written < 40_000, "cut at %d: %+v", size, age)
 		assert.Equal(t, third == second, size >= header, "cut at %d", size)
 		assert.Equal(t, created, size < header, "cut at %d", size)
 		assert.NilError(t, storage.Save(anvilraft.Save{From: 1, Entries: entries(1, 1, 1), Hard: hardState(1)}))
--- a/io/anvildisk/restore.go
+++ b/io/anvildisk/restore.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 
+	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
 
@@ -24,8 +25,13 @@
 	Created bool
 	// Truncated is the size of an incomplete last write that Open removed, 0 if there was none.
 	Truncated anvilid.ByteCount
+	Age       Age
 }
 
+// Age tells how long before Open a directory was created, and its log last written, or -1 if it has none. Both are by the wall clock and
+// the times of its files, so that they are only logged.
+type Age struct{ Created, Written anvilclock.Millis }
+
 // Open locks a data directory, initializes it if it is empty, and returns its content. Errors
 // wrap ErrLocked, ErrFormat, ErrDamaged or ErrFailed.
 func Open(dir string, opts ...Option) (*Storage, Restored, error) {
@@ -86,6 +92,33 @@
 	if err != nil {
 		return Restored{}, err
 	}
+	age, err := s.age(found)
+	if err != nil {
+		return Restored{}, err
+	}
+	restored, err := s.read(found)
+	restored.Age = age
+	return restored, err
+}
+
+// age returns the age of the directory, whose lock file was created with it. It must be called before anything is repaired.
+func (s *Storage) age(found fileListing) (Age, error) {
+	now := anvilclock.Wall().Now()
+	locked, err := s.files.ModTime(filepath.Join(s.dir, lockName))
+	age := Age{Created: max(0, now-locked), Written: -1}
+	found.created = false // a start may have written the mark
+	for _, name := range found.leftovers() {
+		written, modifiedErr := s.files.ModTime(filepath.Join(s.dir, name))
+		err = errors.Join(err, modifiedErr)
+		if idle := max(0, now-written); age.Written < 0 || idle < age.Written {
+			age.Written = idle
+		}
+	}
+	return age, err
+}
+
+// read returns the content of the directory, which it initializes if it is empty.
+func (s *Storage) read(found fileListing) (Restored, error) {
 	if found.empty() {
 		return s.create(found)
 	}
--- a/io/anvilgroup/joinlog.go
+++ b/io/anvilgroup/joinlog.go
@@ -12,6 +12,7 @@
 	"anvilshunt/core/anvilid"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
+	"anvilshunt/io/anvilvoter"
 )
 
 const (
@@ -136,6 +137,17 @@
 	return changed && (l.writtenAt == 0 || now-l.writtenAt >= joinLogChangeInterval)
 }
 
+// fields returns the fields of the log line about all rounds without success. The history of the storage and of its copy of the log matters only
+// without a vote.
+func (l *joinLog) fields(now anvilclock.Millis, status anvilvoter.Status, vote bool) []zap.Field {
+	fields := []zap.Field{zap.Bool("vote", vote), zap.Int64("for", int64(now-l.since)), logRange(status)}
+	fields = append(fields, l.refusalFields(now)...)
+	if !vote {
+		fields = slices.Concat(fields, copyFields(status, now), storageFields(status))
+	}
+	return append(fields, zap.Int("rounds", l.rounds))
+}
+
 // logJoin writes a line about a round of requests for membership if one is due.
 func (g *Group) logJoin(round *joinRound) {
 	now, l := g.clock.Now(), &g.joinLog
@@ -145,7 +157,5 @@
 	}
 	l.last, l.writtenAt = round, now
 	status := g.Voter.Status()
-	fields := []zap.Field{zap.Bool("vote", status.Members.IsVoter(g.id)), zap.Int64("for", int64(now-l.since)), logRange(status)}
-	fields = append(append(fields, l.refusalFields(now)...), zap.Int("rounds", l.rounds))
-	g.log.Write(anvillogs.EnrollFailed, append(fields, round.fields()...)...)
+	g.log.Write(anvillogs.EnrollFailed, append(l.fields(now, status, status.Members.IsVoter(g.id)), round.fields()...)...)
 }
--- a/io/anvilgroup/joinlog_test.go
+++ b/io/anvilgroup/joinlog_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"anvilshunt/core/anvilclock"
+	"anvilshunt/io/anvildisk"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilrpc"
 	"anvilshunt/io/anvilvoter"
@@ -91,6 +92,24 @@
 	g.logJoin(round)
 	const cut = `"event":213,"vote":false,"for":79820,"log":"0..0","ago":69100,"reason":"waits for mark for 7 ms`
 	assert.Assert(t, strings.Contains(out.String()[:200], cut), "a record that cuts lines lacks what a leader that is gone waited for: %s", out.String())
+
+	copied := anvilvoter.LogCopy{From: testIDs("2")[0], First: clock.Now() - 4100, Latest: clock.Now() - 20}
+	for _, test := range []struct {
+		reason, want string
+		status       anvilvoter.Status
+	}{
+		{"", `"copy":"4100..20 2/2ab 650","age":0,`, anvilvoter.Status{Copied: copied, LongestSync: 650}},
+		{"waits for log", `"ago":69100,"reason":"waits for log","copy":`, anvilvoter.Status{Copied: copied}},
+		{"", `"tail":5200,"age":4100,"idle":1700,"rounds":`, anvilvoter.Status{Age: anvildisk.Age{Created: 4100, Written: 1700}, Tail: 5200}},
+	} {
+		out.Reset()
+		log, err := anvillogs.New(&out, "info") // another one, as lines are sampled
+		assert.NilError(t, err)
+		g.joinLog.refusal, test.status.Base, test.status.Last = test.reason, 654, 1049
+		fields := append(g.joinLog.fields(clock.Now(), test.status, false), round.fields()...)
+		log.With(zap.String("instance", "10.2.0.111")).Write(anvillogs.EnrollFailed, fields...)
+		assert.Assert(t, strings.Contains(out.String()[:200], `"for":79820,"log":"654..1049",`+test.want), out.String())
+	}
 	g.joinLog.succeeded()
 	assert.Equal(t, len(g.joinLog.refusalFields(clock.Now())), 0)
 }
--- a/io/anvilgroup/quorum.go
+++ b/io/anvilgroup/quorum.go
@@ -1,6 +1,7 @@
 package anvilgroup
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -83,19 +84,49 @@
 func (t tally) lacksQuorum() bool { return len(t.Voters) > 0 && t.votes() < t.Needed }
 
 // field returns the field of the log line about a list. The voters that can't vote come first, as the line may be cut.
-func (t tally) field(name string) zap.Field {
+func (t tally) field(name string, markAge func(...anvilraft.VoterID) string) zap.Field {
 	fields := []zap.Field{zap.Int("need", t.Needed), zap.Int("have", t.votes())}
 	for _, group := range []struct {
 		name string
 		ids  []anvilraft.VoterID
 	}{{"lost", t.Lost}, {"marked", t.Marked}, {"silent", t.silent}, {"reached", t.reached}, {"answer", t.answering}} {
 		if len(group.ids) > 0 {
-			fields = append(fields, zap.String(group.name, shortIDs(group.ids)))
+			names := shortIDs(group.ids)
+			if group.name == "marked" {
+				names = withMarkAges(group.ids, markAge)
+			}
+			fields = append(fields, zap.String(group.name, names))
 		}
 	}
 	return zap.Dict(name, fields...)
 }
 
+// withMarkAges returns ids like shortIDs, each with the age of its mark.
+func withMarkAges(ids []anvilraft.VoterID, markAge func(...anvilraft.VoterID) string) string {
+	names := strings.Fields(shortIDs(ids))
+	for i, id := range ids {
+		names[i] += " " + markAge(id)
+	}
+	return strings.Join(names, " ")
+}
+
+// markAge returns how long before the end of the log the first of some voters was marked as lost: "-38,4210ms" is 38 entries and
+// 4210 ms by the timestamps of the entries, and "-38" a mark whose entry is no longer in memory.
+func (g *Group) markAge(ids ...anvilraft.VoterID) (age string) {
+	var oldest anvilid.Index
+	for _, id := range ids {
+		entries, span, ok := g.Voter.MarkAge(id)
+		if !ok || age != "" && entries <= oldest {
+			continue
+		}
+		oldest, age = entries, fmt.Sprintf("-%d", entries)
+		if span >= 0 {
+			age += fmt.Sprintf(",%dms", span)
+		}
+	}
+	return age
+}
+
 // Values of the field "lacks" of anvillogs.LeaderMissing.
 const (
 	lacksNone   = "none" // each list has a quorum, and nobody is elected
@@ -122,6 +153,7 @@
 type quorumLog struct {
 	group     *Group
 	state     func() anvilraft.ElectionState
+	markAge   func(...anvilraft.VoterID) string
 	written   bool
 	writtenAt anvilclock.Millis
 	lacks     string
@@ -145,12 +177,12 @@
 	}
 	l.written, l.writtenAt, l.lacks = true, now, lacks
 	fields := []zap.Field{zap.String("lacks", lacks), zap.Int64("for", int64(now-leaderlessSince))}
-	lists := []zap.Field{latest.field("latest")}
+	lists := []zap.Field{latest.field("latest", l.markAge)}
 	switch {
 	case lacks == lacksBefore:
-		lists = []zap.Field{before.field("before"), lists[0]}
+		lists = []zap.Field{before.field("before", l.markAge), lists[0]}
 	case len(before.Voters) > 0:
-		lists = append(lists, before.field("before"))
+		lists = append(lists, before.field("before", l.markAge))
 	}
 	l.group.log.Write(anvillogs.LeaderMissing, append(append(fields, lists...), zap.Int("campaigns", state.Campaigns))...)
 }
--- a/io/anvilgroup/quorum_test.go
+++ b/io/anvilgroup/quorum_test.go
@@ -35,6 +35,8 @@
 	quorum, since := quorumLog{group: g, state: func() anvilraft.ElectionState {
 		before := anvilraft.Electorate{Voters: testIDs("1 2 3 4 5"), Needed: 3, Marked: testIDs("4"), Lost: testIDs("5")}
 		return anvilraft.ElectionState{Latest: anvilraft.Electorate{Voters: voters, Needed: 3}, Before: before}
+	}, markAge: func(ids ...anvilraft.VoterID) string {
+		return map[string]string{"10.0.0.4": "-38,4210ms"}[string(ids[0].Instance)]
 	}}, clock.Now()
 	// after updates the log for a span in which one voter sends messages and others take them, and returns the lines.
 	after := func(span anvilclock.Millis, reached string) []string {
@@ -51,7 +53,7 @@
 	assert.Equal(t, len(after(2900, "2 3 7")), 0, "an election takes that long")
 	lines := after(5*anvilclock.Second, "2 7")
 	assert.Equal(t, len(lines), 2, "one after 3 s, and one 3 s after the last sign of the third voter: %v", lines)
-	const before = `"before":{"need":3,"have":2,"lost":"10.0.0.5/5ab","marked":"10.0.0.4/4ab","silent":"10.0.0.3/3ab","reached":"10.0.0.2/2ab","answer":"10.0.0.1/1ab"}`
+	const before = `"before":{"need":3,"have":2,"lost":"10.0.0.5/5ab","marked":"10.0.0.4/4ab -38,4210ms","silent":"10.0.0.3/3ab","reached":"10.0.0.2/2ab","answer":"10.0.0.1/1ab"}`
 	const latest = `"latest":{"need":3,"have":4,"silent":"10.0.0.3/3ab","reached":"2/2ab 7/7ab","answer":"1/1ab 6/6ab"}`
 	assert.Assert(t, strings.Contains(lines[1], `"event":221,"lacks":"before","for":5800,`+before+","+latest), lines[1])
 	same := []anvilraft.VoterID{{Instance: "10.1.0.5", Storage: "a"}, {Instance: "10.2.0.5", Storage: "b"}, {Instance: "10.2.0.15", Storage: "c"}}
--- a/io/anvilgroup/view.go
+++ b/io/anvilgroup/view.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,8 @@
 	// silent are the voters that have sent nothing to this voter for silentTimeout (replacedTimeout if it leads), and
 	// since when. A follower hears only its leader, so it can't tell.
 	silent map[anvilid.InstanceID]anvilclock.Millis
+	// markAge is that of the oldest mark of the latest list, see Group.markAge.
+	markAge string
 }
 
 // view returns what this voter knows now. leaderlessSince is when it was first seen to know no leader, or -1.
@@ -79,7 +82,7 @@
 	} else {
 		fields = append(fields, zap.String("leader", string(v.leader)))
 	}
-	log := logFields(status)
+	log := v.logFields(status, now)
 	if leaderlessSince >= 0 || !v.vote {
 		fields, log = append(fields, log...), nil
 	}
@@ -102,17 +105,22 @@
 }
 
 // logFields returns the fields about what a voter has of the log: after which index it begins and with which it ends, the index of
-// its latest list of members, and how many of the marks in that are committed.
-func logFields(status anvilvoter.Status) []zap.Field {
+// its latest list of members, and how many of the marks in that are committed. Without a vote, they include the history of the data
+// directory and of the copy of the log.
+func (v view) logFields(status anvilvoter.Status, now anvilclock.Millis) []zap.Field {
 	list := strconv.FormatUint(uint64(status.MembersAt), 10)
 	if status.MembersAt > status.Commit {
 		list += " open"
 	}
-	fields := []zap.Field{logRange(status), zap.String("list", list)}
+	fields := []zap.Field{logRange(status)}
+	if !v.vote {
+		fields = slices.Concat(storageFields(status), fields, copyFields(status, now))
+	}
+	fields = append(fields, zap.String("list", list))
 	if marked := status.Members.Lost; len(marked) > 0 {
 		isOpen := func(id anvilraft.VoterID) bool { return !status.Committed.IsLost(id) }
 		committed := len(slices.DeleteFunc(slices.Clone(marked), isOpen))
-		fields = append(fields, zap.String("marks", fmt.Sprintf("%d/%d", committed, len(marked))))
+		fields = append(fields, zap.String("marks", strings.TrimSpace(fmt.Sprintf("%d/%d %s", committed, len(marked), v.markAge))))
 	}
 	return fields
 }
@@ -122,6 +130,35 @@
 	return zap.String("log", fmt.Sprintf("%d..%d", status.Base, status.Last))
 }
 
+// storageFields returns the fields about the data directory as the process has found it: how long before it was created, and, if that
+// has happened, last written.
+func storageFields(status anvilvoter.Status) []zap.Field {
+	fields := []zap.Field{zap.Int64("age", int64(status.Age.Created))}
+	if status.Age.Written >= 0 {
+		fields = append(fields, zap.Int64("idle", int64(status.Age.Written)))
+	}
+	return fields
+}
+
+// copyFields returns the field about the log that leaders have sent in this process: how long ago the first and the latest part came, from
+// whom, after how many changes of the sender, and the longest write to the data directory. If nothing has come, it is how long ago the last
+// entry was stamped.
+func copyFields(status anvilvoter.Status, now anvilclock.Millis) []zap.Field {
+	c := status.Copied
+	switch {
+	case c.From.IsZero() && status.Tail < 0:
+		return nil
+	case c.From.IsZero():
+		return []zap.Field{zap.Int64("tail", int64(status.Tail))}
+	}
+	ids := append([]anvilraft.VoterID{c.From, status.ID}, status.Members.Voters...)
+	from := shortInstance(c.From.Instance, ids) + "/" + shortStorage(c.From.Storage)
+	if c.Changes > 0 {
+		from += fmt.Sprintf("+%d", c.Changes)
+	}
+	return []zap.Field{zap.String("copy", fmt.Sprintf("%d..%d %s %d", now-c.First, now-c.Latest, from, status.LongestSync))}
+}
+
 // spare returns how many further losses of voters a group bears.
 func spare(voters, silent int) int { return (voters-1)/2 - silent }
 
@@ -137,7 +174,7 @@
 // viewInterval or urgentViewInterval, and why no leader is elected (quorumLog), until ctx is done.
 func (g *Group) LogView(ctx context.Context) error {
 	g.awaitReady(ctx, urgentViewInterval)
-	log, quorum := viewLog{group: g, leaderlessSince: -1}, quorumLog{group: g, state: g.Voter.ElectionState}
+	log, quorum := viewLog{group: g, leaderlessSince: -1}, quorumLog{group: g, state: g.Voter.ElectionState, markAge: g.markAge}
 	for ctx.Err() == nil {
 		status := g.Voter.Status()
 		log.update(status)
@@ -188,5 +225,8 @@
 		return
 	}
 	l.written, l.writtenAt, l.last = true, now, v
+	if len(status.Members.Lost) > 0 {
+		v.markAge = l.group.markAge(status.Members.Lost...)
+	}
 	l.group.log.Write(anvillogs.VotersKnown, v.fields(status, now, l.leaderlessSince)...)
 }
--- a/io/anvilgroup/view_test.go
+++ b/io/anvilgroup/view_test.go
@@ -15,6 +15,7 @@
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 	"anvilshunt/core/anvilraft"
+	"anvilshunt/io/anvildisk"
 	"anvilshunt/io/anvillogs"
 	"anvilshunt/io/anvilvoter"
 )
@@ -127,7 +128,8 @@
 
 // TestLogViewCut guards against a line of which a record that is cut after 200 characters lacks the vote, the leader or a voter, and
 // while there is no leader, against one that lacks where the log and the latest list stand and whether the marks are committed: in
-// an incident, it couldn't be told whether joining voters had a snapshot only.
+// an incident, it couldn't be told whether joining voters had a snapshot only. In another one, it couldn't be told whether the copy of the
+// log to a voter without a vote had stalled or was recent, and how long its former storage had been marked.
 func TestLogViewCut(t *testing.T) {
 	var out bytes.Buffer
 	log, err := anvillogs.New(&out, "info")
@@ -143,4 +145,24 @@
 	log.With(zap.String("instance", "10.2.0.119")).Write(anvillogs.VotersKnown, v.fields(status, 69_100, 0)...)
 	const leaderless = `"event":218,"vote":true,"leaderless":69100,"log":"4000..5340","list":"5338 open","marks":"1/2","voters":"1`
 	assert.Assert(t, strings.Contains(out.String()[:200], leaderless), out.String())
+
+	ids := testIDs("111 2 15")
+	copied := anvilvoter.LogCopy{From: ids[1], Changes: 1, First: 65_000, Latest: 69_080}
+	for _, test := range []struct {
+		view   view
+		status anvilvoter.Status
+		want   string
+	}{
+		{view{}, anvilvoter.Status{Age: anvildisk.Age{Written: -1}, Copied: copied}, `"age":0,"log":"654..1049","copy":"4100..20 2/2ab+1 650","list":"10`},
+		{view{}, anvilvoter.Status{Age: anvildisk.Age{Created: 4100, Written: 1700}, Tail: 5200}, `"age":4100,"idle":1700,"log":"654..1049","tail":5200,"list":"1047"`},
+		{view{vote: true, markAge: "-109,4210ms"}, anvilvoter.Status{Members: anvilraft.Members{Lost: ids[:1]}}, `"log":"654..1049","list":"1047","marks":"1/1 -109,4210ms","vo`},
+	} {
+		out.Reset()
+		status := test.status
+		status.ID, status.Base, status.Last, status.MembersAt, status.Commit, status.LongestSync = ids[0], 654, 1049, 1047, 1049, 650
+		status.Members.Voters, status.Committed = ids, status.Members
+		test.view.voters = ids
+		log.With(zap.String("instance", "10.2.0.111")).Write(anvillogs.VotersKnown, test.view.fields(status, 69_100, 0)...)
+		assert.Assert(t, strings.Contains(out.String()[:200], `"leaderless":69100,`+test.want), out.String())
+	}
 }
--- a/io/anvilvoter/step.go
+++ b/io/anvilvoter/step.go
@@ -147,6 +147,7 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	effects := s.node.Step(now, event)
+	s.copied.note(now, event, s.node.Leader())
 	s.mu.Unlock()
 	s.handle(now, effects)
 }
--- a/io/anvilvoter/voter.go
+++ b/io/anvilvoter/voter.go
@@ -100,10 +100,12 @@
 	ready       chan struct{} // closed when the data directory has been read
 	stopped     chan struct{} // closed when Run returns
 
-	mu        sync.Mutex // guards node, created and truncated, which the step loop changes and Status reads
+	mu        sync.Mutex // guards node, created, truncated, age and copied, which the step loop changes and Status reads
 	node      *anvilraft.Node
 	created   bool
 	truncated anvilid.ByteCount
+	age       anvildisk.Age
+	copied    LogCopy
 
 	applied    atomic.Uint64
 	dropped    atomic.Uint64
@@ -244,7 +246,7 @@
 	v.applied.Store(uint64(restored.Snapshot.Index))
 	v.mu.Lock()
 	v.node = anvilraft.New(v.instance, restored.PersistentState, v.nodeOptions...)
-	v.created, v.truncated = restored.Created, restored.Truncated
+	v.created, v.truncated, v.age = restored.Created, restored.Truncated, restored.Age
 	v.mu.Unlock()
 	close(v.ready)
 
@@ -296,6 +298,12 @@
 	Truncated anvilid.ByteCount
 	// LongestSync is the time of the longest write to the data directory so far, with its sync. It may still be in progress.
 	LongestSync anvilclock.Millis
+	// Age is that of the data directory when Run found it. It is only logged.
+	Age anvildisk.Age
+	// Copied is what leaders have sent of the log since the voter has started.
+	Copied LogCopy
+	// Tail is how long ago the last entry was stamped, by the wall clock, or -1 without one. It is only logged.
+	Tail anvilclock.Millis
 }
 
 // Status returns the current state. Before Ready is closed, only the instance,
@@ -315,6 +323,10 @@
 	status.Commit, status.Base, status.Last = node.Commit, node.Base, node.Last
 	status.Members, status.Committed, status.MembersAt = node.Members, node.Committed, node.MembersAt
 	status.Created, status.Truncated = v.created, v.truncated
+	status.Age, status.Copied, status.Tail = v.age, v.copied, -1
+	if at := v.node.LastTimestamp(); at > 0 {
+		status.Tail = max(0, v.wall.Now()-at)
+	}
 	select {
 	case <-v.stopped:
 	default:
@@ -352,3 +364,13 @@
 	}
 	return v.node.CommittedMembers()
 }
+
+// MarkAge returns how long before the end of the log a voter was marked as lost, see anvilraft.Node.MarkAge.
+func (v *Voter) MarkAge(id anvilraft.VoterID) (entries anvilid.Index, span anvilclock.Millis, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.node == nil {
+		return 0, 0, false
+	}
+	return v.node.MarkAge(id)
+}
--- a/io/anvilvoter/voter_test.go
+++ b/io/anvilvoter/voter_test.go
@@ -76,6 +76,8 @@
 	})
 	converge(t, lines(0, 30), fresh)
 	assert.Assert(t, fresh.restored > 0, "the snapshot was not sent")
+	copied := fresh.Status().Copied
+	assert.Assert(t, !copied.From.IsZero() && copied.First > 0 && copied.First <= copied.Latest, "the voter doesn't know that it got the log: %+v", copied)
 
 	// The group of three voters accepts commands without another voter only if
 	// the voter fresh, which replaced the lost one, has a vote.
