--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -155,6 +155,9 @@
 // committedMembersIndex returns the highest index up to which member lists are known to be committed.
 func (n *Node) committedMembersIndex() anvilid.Index { return max(n.commit, n.hardState.MembersAt) }
 
+// knownCommittedMembers returns the members by the last change that is known to be committed, also before a restart.
+func (n *Node) knownCommittedMembers() Members { return n.members.at(n.committedMembersIndex()) }
+
 // noteCommittedMembers notes that the latest member list is committed. The next Save stores that; it isn't worth a sync of
 // its own, which would keep the next change waiting: the leader appends an entry after each change.
 func (n *Node) noteCommittedMembers() {
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -86,12 +86,12 @@
 	if !n.options.useLostStorages {
 		return false
 	}
-	marked := n.CommittedMembers().Lost
+	marked := n.knownCommittedMembers().Lost
 	for _, change := range slices.Backward(n.members.changes) {
 		if !replacesMarked(change.members, members, marked) || takesMarkBack(marked, change.members) {
 			return false
 		}
-		if change.index <= n.commit {
+		if change.index <= n.committedMembersIndex() {
 			break
 		}
 	}
