--- a/core/anvilraft/election.go
+++ b/core/anvilraft/election.go
@@ -141,7 +141,7 @@
 		response.Type, response.Index, response.LogTerm = MessageVoteResponse, m.Index, m.LogTerm
 		canVote = m.Term == n.hardState.Term && (n.hardState.Vote.IsZero() || n.hardState.Vote == m.From)
 	}
-	granted := canVote && n.log.upToDate(m.Index, m.LogTerm)
+	granted := canVote && (n.log.upToDate(m.Index, m.LogTerm) || n.awaitsSeat())
 	response.Reject = !granted
 	if granted && m.Type == MessagePreVote {
 		response.Term = m.Term
@@ -231,10 +231,10 @@
 }
 
 // Electors returns the voters of all lists that count for an election: those of the latest list and, while a change isn't
-// known to be committed, of the list before.
+// known to be committed, of the list before, and the successors of marked ones.
 func (n *Node) Electors() []VoterID {
 	latest, before := n.electorates(nil)
-	voters := slices.Concat(latest.voters, before.voters)
+	voters := slices.Concat(latest.voters, latest.successors, before.voters, before.successors)
 	slices.SortFunc(voters, VoterID.Compare)
 	return slices.Compact(voters)
 }
--- a/core/anvilraft/election_state.go
+++ b/core/anvilraft/election_state.go
@@ -9,6 +9,8 @@
 	// Marked are the voters that Members.Lost names, and Lost the others whose storage this node knows to be lost (StorageLost).
 	// None of them can vote.
 	Marked, Lost []VoterID
+	// Successors can vote in place of marked voters.
+	Successors []VoterID
 }
 
 // ElectionState is what an election needs, by the log of a node.
@@ -29,7 +31,7 @@
 }
 
 func (n *Node) describe(e electorate) Electorate {
-	described := Electorate{Voters: e.voters, Needed: quorumWithout(e.voters, e.lost)}
+	described := Electorate{Voters: e.voters, Needed: quorumWithout(e.voters, e.lost), Successors: e.successors}
 	for _, id := range e.voters {
 		switch {
 		case slices.Contains(e.marked, id):
--- a/core/anvilraft/event.go
+++ b/core/anvilraft/event.go
@@ -75,6 +75,9 @@
 	// Lost marks voters that are probably gone for good, at most as many as leave a quorum. Where an odd number of voters is kept,
 	// a Seat in place of marked voters needs no quorum of the list before it. It needs WithLostStorages.
 	Lost []VoterID
+	// Successors are storages that instances of voters in Lost have now. Their votes count in elections in place of those of the lost
+	// ones as soon as the change is committed.
+	Successors []VoterID
 	// Found takes marks back, of voters that are there after all.
 	Found []VoterID
 }
@@ -82,7 +85,11 @@
 // StorageLost tells the node that the storage of a voter is gone for good: the instance was asked by this node,
 // after the node knew the voter, and answered with another storage. A storage that was reported lost must never
 // be used again. It has no effect without WithLostStorages. See lostStorages for what depends on it.
-type StorageLost struct{ Voter VoterID }
+type StorageLost struct {
+	Voter VoterID
+	// Successor is the storage that the instance answered with.
+	Successor VoterID
+}
 
 // ReadBarrier asks the leader to confirm that it is still the leader, before a linearizable
 // read. The answer is a Barrier or a Rejection with the same Key. Each barrier costs a
--- a/core/anvilraft/identity.go
+++ b/core/anvilraft/identity.go
@@ -45,6 +45,9 @@
 	// Lost are the voters that are marked as lost, see ChangeVoters.Lost. Their votes and acknowledgements don't count, but they
 	// are still voters, so that the quorum stays the same.
 	Lost []VoterID `cbor:"4,keyasint,omitempty" json:"lost,omitempty"`
+	// Successors are the present storages of instances of marked voters, at most one for each mark. Their votes count in elections,
+	// see votingSuccessors.
+	Successors []VoterID `cbor:"5,keyasint,omitempty" json:"successors,omitempty"`
 }
 
 // IsVoter reports whether id has a vote.
--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -30,8 +30,10 @@
 
 // becomeLeader makes this node the leader and appends an empty entry, because entries of
 // earlier terms are committed only when a later entry of this term is committed. The voters whose storages are known
-// to be lost are marked at the same time: a mark that came later would wait on each disk for the sync of that entry.
+// to be lost are marked at the same time: a mark that came later would wait on each disk for the sync of that entry. So
+// are the seats of successors without whose votes it wouldn't lead.
 func (n *Node) becomeLeader() {
+	granted := n.grantedVotes
 	n.role, n.leader, n.campaignsSinceLeader = Leader, n.self, 0
 	n.campaignTerm, n.grantedVotes, n.grantedPreVotes = 0, nil, nil
 	n.leading = leaderState{nextHeartbeatAt: n.now + n.options.heartbeatInterval, lost: n.lost.at(n.now), joining: map[VoterID]anvilclock.Millis{}}
@@ -40,10 +42,15 @@
 	}
 	n.updatePeers()
 	first := []Entry{{Kind: KindEmpty}}
-	if members, ok := n.withKnownLosses(); ok {
+	members, changed := n.membersAtElection(granted)
+	if changed {
 		first = append(first, Entry{Kind: KindMembers, Data: encodeMembers(members)})
 	}
 	n.appendAsLeader(0, first...)
+	if changed {
+		n.updatePeers()
+		n.broadcastHeartbeat() // to those that are voters now
+	}
 }
 
 // stopLeading discards the leader's state and rejects the barriers that are still pending.
@@ -121,9 +128,15 @@
 }
 
 // advanceCommit commits the entries that a quorum of voters has synced to disk. The leader's
-// own copy counts only once it is synced, like those of the other voters.
+// own copy counts only once it is synced, like those of the other voters, and that of a new voter
+// only from its seat on: without that it votes for shorter logs (awaitsSeat).
 func (n *Node) advanceCommit() {
-	index := quorumValue(n, n.persisted.stableIndex, 0, func(p *peer) anvilid.Index { return p.match })
+	index := quorumValue(n, n.persisted.stableIndex, 0, func(p *peer) anvilid.Index {
+		if p.match < n.members.seatedAt(p.id) {
+			return 0
+		}
+		return p.match
+	})
 	// Another leader may still replace entries of earlier terms, even if a quorum has them, so
 	// only entries of this term are counted.
 	if index > n.commit && n.log.matches(index, n.hardState.Term) {
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -15,7 +15,13 @@
 // exception would be two elections by three voters each, of which each counts a vote of the storage that the other one
 // takes for lost. Votes expire after voteLifetime for that reason, and a loss counts only when all votes that the storage
 // may have given have expired.
-type lostStorages map[VoterID]anvilclock.Millis
+type lostStorages map[VoterID]lostStorage
+
+// lostStorage is what is known of a lost storage.
+type lostStorage struct {
+	from      anvilclock.Millis // when the loss begins to count
+	successor VoterID           // the storage that its instance has now, or the zero value if that isn't known
+}
 
 // has reports whether the storage of a voter is known to be lost, whether that counts yet or not.
 func (l lostStorages) has(id VoterID) bool {
@@ -26,8 +32,8 @@
 // at returns the voters whose lost storage counts at a time.
 func (l lostStorages) at(now anvilclock.Millis) []VoterID {
 	var ids []VoterID
-	for id, from := range l {
-		if now >= from {
+	for id, storage := range l {
+		if now >= storage.from {
 			ids = append(ids, id)
 		}
 	}
@@ -40,8 +46,13 @@
 func (o options) voteLifetime() anvilclock.Millis { return 12 * o.minElectionTimeout }
 
 // noteLostStorage handles a StorageLost event.
-func (n *Node) noteLostStorage(id VoterID) {
-	if n.lost.has(id) || id == n.self || !n.options.useLostStorages {
+func (n *Node) noteLostStorage(event StorageLost) {
+	id := event.Voter
+	if id == n.self || !n.options.useLostStorages {
+		return
+	}
+	if storage, known := n.lost[id]; known {
+		n.lost[id] = lostStorage{storage.from, event.Successor}
 		return
 	}
 	for other := range n.lost {
@@ -51,7 +62,7 @@
 	}
 	// The candidate's clock may be slow, and this one fast.
 	span := float64(n.options.voteLifetime()) * (1 + n.options.clockRateError) / (1 - n.options.clockRateError)
-	n.lost[id] = n.now + anvilclock.Millis(span) + roundingMargin
+	n.lost[id] = lostStorage{n.now + anvilclock.Millis(span) + roundingMargin, event.Successor}
 }
 
 // quorumWithout returns how many of the voters whose storage isn't lost are a quorum. An even number of voters
@@ -67,9 +78,10 @@
 
 // electorate is a list of voters of which a decision needs a quorum.
 type electorate struct {
-	voters []VoterID
-	lost   []VoterID // voters that don't count, which reduces the quorum of an even number
-	marked []VoterID // voters that don't count, see Members.Lost
+	voters     []VoterID
+	lost       []VoterID // voters that don't count, which reduces the quorum of an even number
+	marked     []VoterID // voters that don't count, see Members.Lost
+	successors []VoterID // their votes count in place of those of marked voters, see votingSuccessors
 }
 
 // counts reports whether votes and acknowledgements of a voter count.
@@ -81,7 +93,7 @@
 // quorum only of a list that is known to be committed.
 func (n *Node) electorates(lost []VoterID) (latest, before electorate) {
 	members := n.members.latest()
-	latest = electorate{members.Voters, lost, members.Lost}
+	latest = electorate{members.Voters, lost, members.Lost, n.votingSuccessors(members)}
 	if !n.options.useLostStorages {
 		return latest, before
 	}
@@ -89,7 +101,7 @@
 	if changing {
 		latest.lost = nil
 	}
-	return latest, electorate{former.Voters, lost, former.Lost}
+	return latest, electorate{former.Voters, lost, former.Lost, n.votingSuccessors(former)}
 }
 
 // elects reports whether a quorum is among the voters that have granted a vote.
@@ -100,39 +112,67 @@
 			votes++
 		}
 	}
+	for _, id := range e.successors {
+		if slices.Contains(granted, id) {
+			votes++
+		}
+	}
 	return votes >= quorumWithout(e.voters, e.lost)
 }
 
-// withLost returns the members with voters marked as lost.
-func (n *Node) withLost(old Members, lost []VoterID) (Members, error) {
-	members := Members{Voters: old.Voters, Learners: old.Learners, Lost: old.Lost}
-	for _, id := range lost {
-		if !n.options.useLostStorages || id == n.self || !old.IsVoter(id) || members.IsLost(id) {
+// withLost returns the members with voters marked as lost. The mark of a voter that is marked already may name another successor.
+func (n *Node) withLost(old Members, event ChangeVoters) (Members, error) {
+	members := old.followed()
+	for _, id := range event.Lost {
+		if !n.options.useLostStorages || id == n.self || !old.IsVoter(id) {
 			return Members{}, ErrInvalidChange
 		}
-		members.Lost = withID(members.Lost, id)
+		i := slices.IndexFunc(event.Successors, func(other VoterID) bool { return other.Instance == id.Instance })
+		named, _ := members.Successor(id)
+		switch isNew := i >= 0 && event.Successors[i] != named; {
+		case members.IsLost(id) && !isNew, i >= 0 && event.Successors[i] == id:
+			return Members{}, ErrInvalidChange
+		case !members.IsLost(id):
+			members.Lost = withID(members.Lost, id)
+		}
+		if i >= 0 {
+			members = members.withSuccessor(event.Successors[i])
+		}
 	}
 	return members, nil
 }
 
 // withKnownLosses returns the members with marks for the voters whose storages this node knows to be lost, at most as many as leave a
-// quorum. ok is false if there are none or another change is on its way. In a group of an even number, marks don't help.
-func (n *Node) withKnownLosses() (members Members, ok bool) {
-	old := n.members.latest()
-	lost := slices.DeleteFunc(slices.Clone(old.Voters), func(id VoterID) bool { return !n.lost.has(id) || old.IsLost(id) })
-	lost = lost[:min(len(lost), old.SpareMarks())]
-	if len(lost) == 0 || len(old.Voters)%2 == 0 {
-		return Members{}, false
+// quorum. In a group of an even number, marks don't help.
+func (n *Node) withKnownLosses(members Members) Members {
+	lost := slices.DeleteFunc(slices.Clone(members.Voters), func(id VoterID) bool { return !n.lost.has(id) || members.IsLost(id) })
+	if len(members.Voters)%2 == 0 {
+		return members
 	}
-	members, err := n.membersAfter(ChangeVoters{Lost: lost})
-	return members, err == nil && !n.mustWait(members)
+	for _, id := range lost[:min(len(lost), members.SpareMarks())] {
+		members.Lost = withID(members.Lost, id)
+		if successor := n.lost[id].successor; !successor.IsZero() {
+			members = members.withSuccessor(successor)
+		}
+	}
+	return members
+}
+
+// membersAtElection returns the members that this node begins its term with. ok is false if they are the latest ones, or if another
+// change is on its way.
+func (n *Node) membersAtElection(granted []votingMember) (members Members, ok bool) {
+	old := n.members.latest()
+	members = n.withKnownLosses(n.withElectedSuccessors(old.followed(), granted))
+	isOld := slices.Equal(members.Voters, old.Voters) && slices.Equal(members.Lost, old.Lost)
+	return members, !isOld && !n.mustWait(members)
 }
 
-// withFound returns the members with marks taken back. Each quorum of the others still meets each quorum of all voters.
+// withFound returns the members with marks taken back. Each quorum of the others still meets each quorum of all voters, unless a
+// successor may have voted in place of one.
 func withFound(old Members, found []VoterID) (Members, error) {
-	members := Members{Voters: old.Voters, Learners: old.Learners, Lost: old.Lost}
+	members := old.followed()
 	for _, id := range found {
-		if !members.IsLost(id) {
+		if _, named := members.Successor(id); named || !members.IsLost(id) {
 			return Members{}, ErrInvalidChange
 		}
 		members.Lost = withoutID(members.Lost, id)
--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -22,7 +22,7 @@
 			other := c.byInstance(id.Instance)
 			isCut := c.cut[[2]anvilid.InstanceID{v.id.Instance, id.Instance}] || c.cut[[2]anvilid.InstanceID{id.Instance, v.id.Instance}]
 			if other.node != nil && !other.frozen && other.id != id && !isCut {
-				c.step(v, StorageLost{Voter: id})
+				c.step(v, StorageLost{Voter: id, Successor: other.id})
 			}
 		}
 	}
@@ -39,13 +39,18 @@
 		s.loseDisksAtOnce(leader)
 		return
 	}
-	var seats, lost []VoterID
+	var seats, lost, successors, named []VoterID
 	for _, v := range s.lostDisks {
 		if members.IsVoter(v.id) || s.inSeries && !s.hasAsked(v, leader) {
 			continue
 		}
-		if former := members.voterOf(v.id.Instance); s.marksLost && !former.IsZero() && !members.IsLost(former) {
-			lost = append(lost, former)
+		if former := members.voterOf(v.id.Instance); s.marksLost && !former.IsZero() {
+			successors = append(successors, v.id)
+			if other, _ := members.Successor(former); members.IsLost(former) && other != v.id {
+				named = append(named, former)
+			} else if !members.IsLost(former) {
+				lost = append(lost, former)
+			}
 		}
 		s.c.step(leader, SendLog{To: v.id, Empty: v.node != nil && v.node.hardState.Group == 0})
 		if leader.node.HasCaughtUp(v.id) {
@@ -55,10 +60,10 @@
 	if s.marksLost && len(seats) > 1 && s.chance(500) {
 		seats = seats[:1] // the next seat may follow before this one is committed
 	}
-	lost = lost[:min(len(lost), members.SpareMarks())]
+	lost = append(lost[:min(len(lost), members.SpareMarks())], named...)
 	if len(lost) > 0 {
 		s.key++
-		s.c.step(leader, ChangeVoters{Key: s.key, Lost: lost})
+		s.c.step(leader, ChangeVoters{Key: s.key, Lost: lost, Successors: successors})
 	}
 	if len(seats) > 0 {
 		s.key++
@@ -279,7 +284,7 @@
 	node := New("a", restored, WithLostStorages())
 	node.Step(0, Tick{})
 	if lostFor > 0 {
-		node.Step(0, StorageLost{VoterID{"d", "1"}})
+		node.Step(0, StorageLost{Voter: VoterID{"d", "1"}})
 	}
 	now := max(lostFor, 2*node.options.maxElectionTimeout)
 	node.Step(now, Tick{})
@@ -308,7 +313,7 @@
 	voter := func(name string) VoterID { return VoterID{anvilid.InstanceID(name), "1"} }
 	lists := [][]string{{"a", "b", "c", "d", "f"}, {"a", "b", "c", "e", "g"}}
 	node, now := newCandidate(lists, false, 1, "d")
-	node.Step(now, StorageLost{voter("b")})
+	node.Step(now, StorageLost{Voter: voter("b")})
 	before := node.ElectionState().Before
 	assert.Equal(t, before.Needed, 3)
 	assert.DeepEqual(t, [][]VoterID{before.Marked, before.Lost}, [][]VoterID{{voter("d")}, {voter("b")}})
@@ -404,7 +409,7 @@
 			node, now := newCandidate(test.lists, false, 0, "")
 			node.commit = 1
 			for _, name := range test.lost {
-				node.Step(now, StorageLost{VoterID{anvilid.InstanceID(string(name)), "1"}})
+				node.Step(now, StorageLost{Voter: VoterID{anvilid.InstanceID(string(name)), "1"}})
 			}
 			var save *Save
 			for _, name := range []string{"b", "c", "d"} {
@@ -432,7 +437,7 @@
 		leader := c.leader()
 		present := c.voters[slices.IndexFunc(c.voters, func(v *voter) bool { return v != leader })]
 		for _, v := range c.voters {
-			c.step(v, StorageLost{present.id})
+			c.step(v, StorageLost{Voter: present.id})
 		}
 		c.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{present.id}})
 		c.run(500)
@@ -446,3 +451,62 @@
 		}
 	}
 }
+
+// TestLeaderBesideOpenSeat guards against a group without a leader for good after the loss of two storages of five, while the storage
+// of a third one is marked as lost and its successor has no seat yet.
+func TestLeaderBesideOpenSeat(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		ahead bool // the successor has entries that the voters that are left lack
+	}{{"behind", false}, {"ahead", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 1, []string{"a", "b", "c", "d", "e"}, WithElectionTimeout(350, 700), WithHeartbeat(80), WithLostStorages())
+			c.run(2000)
+			leader := c.leader()
+			others := slices.DeleteFunc(slices.Clone(c.voters), func(v *voter) bool { return v == leader })
+			joining, left := others[0], others[1:3]
+			former := joining.id
+			c.crash(joining, 0)
+			c.wipe(joining)
+			c.start(joining)
+			c.step(leader, SendLog{To: joining.id, Empty: true})
+			c.run(20)
+			cut := []*voter{joining}
+			mark := func() {
+				c.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{former}, Successors: []VoterID{joining.id}})
+				c.run(200)
+			}
+			if test.ahead {
+				mark()
+				cut = left
+			}
+			for _, v := range cut {
+				c.cutLink(leader, v)
+			}
+			if !test.ahead {
+				mark()
+			}
+			c.step(leader, Propose{Key: 2, Commands: [][]byte{{0, 1}, {0, 2}}})
+			c.run(20)
+
+			for _, v := range c.voters {
+				c.crash(v, 0)
+				if v == leader || v == others[3] {
+					c.wipe(v)
+				}
+			}
+			clear(c.cut)
+			for _, v := range c.voters {
+				c.start(v)
+			}
+			start := c.now
+			for c.leader() == nil || c.leader().node.commit < c.leader().node.log.last() {
+				c.run(100)
+				c.reportLostStorages()
+				assert.Assert(t, c.now-start < 10_000_000, "no leader commits entries")
+			}
+			assert.Assert(t, c.leader().node.Status().Members.IsVoter(joining.id))
+		})
+	}
+}
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -69,14 +69,17 @@
 // no election or commit counts a marked voter any more. Of n voters, of which l are marked and k <= l are replaced, a majority
 // of m = (n+1)/2 is thus among the n-l that are left, and a majority of the new list holds at least m-k of these. As 2m-k > n-l,
 // the two intersect.
-func replacesLost(former, latest Members) bool { return replacesMarked(former, latest, former.Lost) }
+func replacesLost(former, latest Members) bool { return replacesMarked(former, latest, former) }
 
-// replacesMarked is replacesLost with other marks.
-func replacesMarked(former, latest Members, marked []VoterID) bool {
+// replacesMarked is replacesLost with the marks of another list. A voter whose mark names a successor is replaced by that one only.
+func replacesMarked(former, latest, marks Members) bool {
 	if len(former.Voters)%2 == 0 || len(former.Voters) != len(latest.Voters) {
 		return false
 	}
-	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool { return !latest.IsVoter(id) && !slices.Contains(marked, id) })
+	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool {
+		successor, named := marks.Successor(id)
+		return !latest.IsVoter(id) && (!marks.IsLost(id) || named && !latest.IsVoter(successor))
+	})
 }
 
 // mayOverlap reports whether members may be appended although earlier changes are not committed. The latest committed list and
@@ -86,16 +89,16 @@
 	if !n.options.useLostStorages {
 		return false
 	}
-	marked := n.knownCommittedMembers().Lost
+	committed := n.knownCommittedMembers()
 	for _, change := range slices.Backward(n.members.changes) {
-		if !replacesMarked(change.members, members, marked) || takesMarkBack(marked, change.members) {
+		if !replacesMarked(change.members, members, committed) || takesMarkBack(committed.Lost, change.members) {
 			return false
 		}
 		if change.index <= n.committedMembersIndex() {
 			break
 		}
 	}
-	return !takesMarkBack(marked, members)
+	return !takesMarkBack(committed.Lost, members)
 }
 
 // takesMarkBack reports whether a voter of a list was marked and isn't any more.
@@ -103,6 +106,16 @@
 	return slices.ContainsFunc(marked, func(id VoterID) bool { return members.IsVoter(id) && !members.IsLost(id) })
 }
 
+// seatedAt returns the index of the change that made an instance a voter, or 0 if it was one in the first list.
+func (m *membership) seatedAt(id VoterID) anvilid.Index {
+	for i := len(m.changes) - 1; i > 0; i-- {
+		if m.changes[i].members.IsVoter(id) && !m.changes[i-1].members.IsVoter(id) {
+			return m.changes[i].index
+		}
+	}
+	return 0
+}
+
 // contains reports whether a voter is in one of the lists.
 func (m *membership) contains(id VoterID) bool {
 	return slices.ContainsFunc(m.changes, func(change memberChange) bool { return change.members.Contains(id) })
@@ -208,7 +221,7 @@
 	case len(event.Seat) > 0:
 		return n.withSeats(old, event)
 	case len(event.Lost) > 0:
-		return n.withLost(old, event.Lost)
+		return n.withLost(old, event)
 	case len(event.Found) > 0:
 		return withFound(old, event.Found)
 	case event.AddVoter.IsZero() && event.Remove.IsZero():
@@ -225,7 +238,9 @@
 	if id.IsZero() || old.Contains(id) {
 		return Members{}, ErrInvalidChange
 	}
-	return Members{Voters: old.Voters, Learners: withID(old.Learners, id), Lost: old.Lost}, nil
+	members := old.followed()
+	members.Learners = withID(old.Learners, id)
+	return members, nil
 }
 
 // withPromotedLearner returns the members with a learner turned into a voter. It refuses a
@@ -239,7 +254,9 @@
 	if !n.HasCaughtUp(id) {
 		return Members{}, ErrNotCaughtUp
 	}
-	return Members{Voters: withID(old.Voters, id), Learners: withoutID(old.Learners, id), Lost: old.Lost}, nil
+	members := old.followed()
+	members.Voters, members.Learners = withID(old.Voters, id), withoutID(old.Learners, id)
+	return members, nil
 }
 
 func withoutMember(old Members, id VoterID) (Members, error) {
@@ -249,12 +266,23 @@
 	return old.without(func(other VoterID) bool { return other == id }), nil
 }
 
+// followed returns the members that a change begins with.
+func (m Members) followed() Members {
+	m.Forced = false
+	return m
+}
+
 // without returns the members that are not to be removed.
 func (m Members) without(removed func(VoterID) bool) Members {
+	lost := slices.DeleteFunc(slices.Clone(m.Lost), removed)
+	isUnmarked := func(successor VoterID) bool {
+		return !slices.ContainsFunc(lost, func(id VoterID) bool { return id.Instance == successor.Instance })
+	}
 	return Members{
-		Voters:   slices.DeleteFunc(slices.Clone(m.Voters), removed),
-		Learners: slices.DeleteFunc(slices.Clone(m.Learners), removed),
-		Lost:     slices.DeleteFunc(slices.Clone(m.Lost), removed),
+		Voters:     slices.DeleteFunc(slices.Clone(m.Voters), removed),
+		Learners:   slices.DeleteFunc(slices.Clone(m.Learners), removed),
+		Lost:       lost,
+		Successors: slices.DeleteFunc(slices.Clone(m.Successors), isUnmarked),
 	}
 }
 
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -104,7 +104,7 @@
 	case SendLog:
 		n.sendLog(event)
 	case StorageLost:
-		n.noteLostStorage(event.Voter)
+		n.noteLostStorage(event)
 	case ReadBarrier:
 		n.readBarrier(event.Key)
 	}
--- a/core/anvilraft/overlap_test.go
+++ b/core/anvilraft/overlap_test.go
@@ -25,11 +25,14 @@
 
 // marked returns members with further voters marked as lost.
 func (o *overlap) marked(old Members, percent int) Members {
-	members := Members{Voters: old.Voters, Lost: old.Lost}
+	members := old.followed()
 	for _, i := range o.random.Perm(len(old.Voters)) {
 		id := old.Voters[i]
 		if !members.IsLost(id) && len(members.Lost)+members.Quorum() < len(members.Voters) && o.chance(percent) {
 			members.Lost = withID(members.Lost, id)
+			if o.chance(50) {
+				members = members.withSuccessor(VoterID{id.Instance, "2"})
+			}
 		}
 	}
 	return members
@@ -41,8 +44,12 @@
 	members := old
 	for _, id := range old.Voters {
 		if old.IsLost(id) && o.chance(60) || !old.IsLost(id) && o.chance(unmarked) {
+			successor, named := members.Successor(id)
 			members = members.without(func(other VoterID) bool { return other == id })
-			members.Voters = withID(members.Voters, o.newID())
+			if !named || o.chance(20) {
+				successor = o.newID()
+			}
+			members.Voters = withID(members.Voters, successor)
 		}
 	}
 	return members
@@ -62,7 +69,9 @@
 			return members
 		}
 	case r < 95:
-		return Members{Voters: withID(old.Voters, o.newID()), Lost: old.Lost}
+		members := old.followed()
+		members.Voters = withID(old.Voters, o.newID())
+		return members
 	}
 	gone := old.Voters[o.random.IntN(len(old.Voters))]
 	return old.without(func(other VoterID) bool { return other == gone })
@@ -111,7 +120,7 @@
 func (o *overlap) checkQuorums(t *testing.T, seed uint64) {
 	var ids []VoterID
 	for _, change := range o.node.members.changes {
-		ids = append(ids, change.members.Voters...)
+		ids = append(append(ids, change.members.Voters...), change.members.Successors...)
 	}
 	slices.SortFunc(ids, VoterID.Compare)
 	ids = slices.Compact(ids)
--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -179,15 +179,37 @@
 	return v
 }
 
-// mark lets a leader mark voters, as many as leave it a quorum.
+// join gives an instance another storage, which a leader sends its log.
+func (u *untimed) join(leader *voter, instance anvilid.InstanceID) *voter {
+	joining := u.newStorage(instance)
+	u.sendLog(leader, joining.id)
+	return joining
+}
+
+// sendLog lets a leader send its log to a storage. Mostly all of it arrives.
+func (u *untimed) sendLog(leader *voter, to VoterID) {
+	u.step(leader, SendLog{To: to, Empty: true})
+	percent := []int{30, 100, 100}[u.c.random.IntN(3)]
+	u.deliver(func(m Message) bool {
+		return (m.From == leader.id && m.To == to || m.To == leader.id && m.From == to) && u.chance(percent)
+	})
+}
+
+// mark lets a leader mark voters, as many as leave it a quorum. Most marks name a successor, and some a second one.
 func (u *untimed) mark(v *voter) {
 	members := v.node.Status().Members
 	change := ChangeVoters{Key: u.nextKey()}
 	for _, i := range u.c.random.Perm(len(members.Voters)) {
 		id := members.Voters[i]
 		room := len(members.Voters) - members.Quorum() - len(members.Lost) - len(change.Lost)
-		if id != v.id && !members.IsLost(id) && room > 0 && (len(change.Lost) == 0 || u.chance(40)) {
-			change.Lost = append(change.Lost, id)
+		isOpen := !members.IsLost(id) && room > 0 && (len(change.Lost) == 0 || u.chance(40))
+		isNamedAgain := members.IsLost(id) && u.chance(20)
+		if id == v.id || !isOpen && !isNamedAgain {
+			continue
+		}
+		change.Lost = append(change.Lost, id)
+		if isNamedAgain || u.chance(60) {
+			change.Successors = append(change.Successors, u.join(v, id.Instance).id)
 		}
 	}
 	if len(change.Lost) > 0 {
@@ -212,12 +234,13 @@
 		if id == v.id || len(change.Seat) == (u.size-1)/2 || !members.IsLost(id) && !unmarked || !u.chance(60) {
 			continue
 		}
-		joining := u.newStorage(id.Instance)
-		u.step(v, SendLog{To: joining.id, Empty: true})
-		u.deliver(func(m Message) bool {
-			return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id
-		})
-		change.Seat = append(change.Seat, joining.id)
+		joining, named := members.Successor(id)
+		if !named || u.chance(10) {
+			joining = u.join(v, id.Instance).id
+		} else {
+			u.sendLog(v, joining)
+		}
+		change.Seat = append(change.Seat, joining)
 	}
 	if len(change.Seat) == 0 {
 		return
@@ -228,11 +251,7 @@
 	if u.chance(20) { // an instance at another address takes the place of a marked voter
 		for _, id := range members.Lost {
 			if change.Remove.IsZero() && !slices.ContainsFunc(change.Seat, func(seat VoterID) bool { return seat.Instance == id.Instance }) {
-				joining := u.newStorage(anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
-				u.step(v, SendLog{To: joining.id, Empty: true})
-				u.deliver(func(m Message) bool {
-					return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id
-				})
+				joining := u.join(v, anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
 				change.Seat, change.Remove = append(change.Seat, joining.id), id
 			}
 		}
@@ -264,11 +283,7 @@
 		}
 		return
 	}
-	joining := u.newStorage(anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
-	u.step(v, SendLog{To: joining.id, Empty: true})
-	u.deliver(func(m Message) bool {
-		return m.From == v.id && m.To == joining.id || m.To == v.id && m.From == joining.id
-	})
+	joining := u.join(v, anvilid.InstanceID(fmt.Sprint("x", u.nextKey())))
 	u.step(v, ChangeVoters{Key: u.nextKey(), Seat: []VoterID{joining.id}})
 }
 
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -218,31 +218,46 @@
 	}
 	g.introduced[id] = true
 	for _, voter := range former {
-		g.replaced[voter] = true
+		g.replaced[voter] = id
 	}
 	g.Voter.SendLog(id, !reply.Grouped)
 }
 
-// probablyLost returns the voters to be marked as lost, at most as many as leave a quorum: first those whose instances have shown
-// another storage, then the silent one whose place an instance takes that joins at another address. That one may still have its disk,
+// probablyLost returns the marks to be made, for at most as many voters as leave a quorum: first for those whose instances have shown
+// another storage, which the marks name, then for the silent one whose place an instance takes that joins at another address. That one may still have its disk,
 // and wouldn't count if further disks were lost before the seat is stored, so that its mark waits until the seat can follow.
-func (g *Group) probablyLost(members anvilraft.Members, ids []anvilraft.VoterID) []anvilraft.VoterID {
+// A mark that names a storage that was lost again is renewed.
+func (g *Group) probablyLost(members anvilraft.Members, ids []anvilraft.VoterID) (change anvilraft.ChangeVoters) {
 	if len(members.Voters)%2 == 0 {
-		return nil
+		return change
 	}
 	lost := g.replacedStorages(members)
 	if silent, ok := g.mostSilent(members, replacedTimeout); ok && g.isComplete(len(members.Voters)) && g.hasNewInstance(members, ids) {
 		lost = append(lost, silent)
 	}
 	lost = slices.DeleteFunc(lost, members.IsLost)
-	return lost[:min(len(lost), members.SpareMarks())]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change.Lost = lost[:min(len(lost), members.SpareMarks())]
+	for _, marked := range members.Lost {
+		named, _ := members.Successor(marked)
+		if present := g.replaced[marked]; present != named && g.introduced[present] {
+			change.Lost = append(change.Lost, marked)
+		}
+	}
+	for _, voter := range change.Lost {
+		if successor, ok := g.replaced[voter]; ok {
+			change.Successors = append(change.Successors, successor)
+		}
+	}
+	return change
 }
 
 // replacedStorages returns the voters whose instances have shown another storage.
 func (g *Group) replacedStorages(members anvilraft.Members) []anvilraft.VoterID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(members.Voters), func(id anvilraft.VoterID) bool { return !g.replaced[id] })
+	return slices.DeleteFunc(slices.Clone(members.Voters), func(id anvilraft.VoterID) bool { return g.replaced[id].IsZero() })
 }
 
 // hasNewInstance reports whether an instance without a voter is among those that join and have caught up.
@@ -257,8 +272,8 @@
 // Voters that take the seats of former storages, or that the group lacks, come next and together. No voter is removed for one
 // that may be gone: the silent one may still have its disk.
 func (g *Group) nextEnrollment(members anvilraft.Members, ids []anvilraft.VoterID) (anvilraft.ChangeVoters, error) {
-	if lost := g.probablyLost(members, ids); len(lost) > 0 {
-		return anvilraft.ChangeVoters{Lost: lost}, nil
+	if marks := g.probablyLost(members, ids); len(marks.Lost) > 0 {
+		return marks, nil
 	}
 	ids = slices.DeleteFunc(slices.Clone(ids), func(id anvilraft.VoterID) bool { return !g.Voter.HasCaughtUp(id) || g.isSilent(id) })
 	if len(ids) == 0 {
--- a/io/anvilgroup/group.go
+++ b/io/anvilgroup/group.go
@@ -110,8 +110,8 @@
 	// introduced are those of them that were asked for their storage; the value is true if it was found to be the present
 	// one of the instance.
 	introduced map[anvilraft.VoterID]bool
-	// replaced are voters whose instance has shown another storage to introduce or isPresent.
-	replaced map[anvilraft.VoterID]bool
+	// replaced are voters whose instance has shown another storage to introduce or isPresent, and that storage.
+	replaced map[anvilraft.VoterID]anvilraft.VoterID
 	// enrollments are the steps of the voters that join which trackEnrollments has seen.
 	enrollments map[anvilraft.VoterID]*enrollment
 	// joinErrors is why the last change for each of them was not made.
@@ -129,8 +129,8 @@
 	joinLog joinLog // used only by Join
 	// successors are the storages that Join has found in place of lost ones, and when, until this voter leads.
 	successors map[anvilraft.VoterID]anvilclock.Millis
-	// lostStorages are the voters whose storage Join has found to be lost.
-	lostStorages map[anvilraft.VoterID]bool
+	// lostStorages are the voters whose storage Join has found to be lost, and the one that their instance has shown last.
+	lostStorages map[anvilraft.VoterID]anvilraft.VoterID
 }
 
 // Address returns the network address of a port of an instance. The id of an
@@ -175,9 +175,9 @@
 		settings: settings, clock: clock, links: links, log: log, leadingSince: -1, requested: make(chan struct{}, 1),
 		lastHeard: map[anvilid.InstanceID]anvilclock.Millis{}, lastReached: map[anvilid.InstanceID]anvilclock.Millis{},
 		joiningSince: map[anvilraft.VoterID]anvilclock.Millis{}, introduced: map[anvilraft.VoterID]bool{},
-		replaced: map[anvilraft.VoterID]bool{}, joinErrors: map[anvilraft.VoterID]error{}, enrollments: map[anvilraft.VoterID]*enrollment{},
+		replaced: map[anvilraft.VoterID]anvilraft.VoterID{}, joinErrors: map[anvilraft.VoterID]error{}, enrollments: map[anvilraft.VoterID]*enrollment{},
 		changing: map[anvilraft.VoterID]bool{}, releases: map[anvilraft.VoterID]bool{},
-		peers: map[anvilid.InstanceID]anvilrpc.Raft{}, lostStorages: map[anvilraft.VoterID]bool{},
+		peers: map[anvilid.InstanceID]anvilrpc.Raft{}, lostStorages: map[anvilraft.VoterID]anvilraft.VoterID{},
 		successors: map[anvilraft.VoterID]anvilclock.Millis{},
 	}
 }
--- a/io/anvilgroup/lost.go
+++ b/io/anvilgroup/lost.go
@@ -23,7 +23,7 @@
 	defer cancel()
 	var asked []anvilraft.VoterID
 	for _, voter := range electors {
-		if voter != g.id && !g.lostStorages[voter] {
+		if voter != g.id {
 			asked = append(asked, voter)
 		}
 	}
@@ -32,12 +32,14 @@
 		go func() { answers <- g.askStorage(ctx, voter) }()
 	}
 	for range asked {
-		if answer := <-answers; !answer.former.IsZero() {
-			g.lostStorages[answer.former] = true
-			g.noteSuccessor(answer.successor)
-			g.log.Write(anvillogs.StorageLost, zap.Stringer("voter", answer.former))
-			g.Voter.ReportLost(answer.former)
+		answer := <-answers
+		if answer.former.IsZero() || g.lostStorages[answer.former] == answer.successor {
+			continue
 		}
+		g.lostStorages[answer.former] = answer.successor
+		g.noteSuccessor(answer.successor)
+		g.log.Write(anvillogs.StorageLost, zap.Stringer("voter", answer.former))
+		g.Voter.ReportLost(answer.former, answer.successor)
 	}
 }
 
@@ -64,9 +66,13 @@
 }
 
 // checkMarked asks the instances of marked voters that can be reached for their storages. The mark of a voter that was only silent is
-// taken back, as its vote would never count again.
+// taken back, as its vote would never count again. One whose successor is named is known to be lost.
 func (g *Group) checkMarked(ctx context.Context, members anvilraft.Members) {
-	for _, voter := range slices.DeleteFunc(slices.Clone(members.Lost), g.isUnreachable) {
+	isLost := func(voter anvilraft.VoterID) bool {
+		_, named := members.Successor(voter)
+		return named || g.isUnreachable(voter)
+	}
+	for _, voter := range slices.DeleteFunc(slices.Clone(members.Lost), isLost) {
 		if change := (anvilraft.ChangeVoters{Found: []anvilraft.VoterID{voter}}); g.beginChange(change) {
 			go func() {
 				defer g.endChange(change)
@@ -82,7 +88,8 @@
 func (g *Group) isUnreachable(voter anvilraft.VoterID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.replaced[voter] || voter != g.id && g.unreachableFor(voter.Instance) >= replacedTimeout
+	_, isReplaced := g.replaced[voter]
+	return isReplaced || voter != g.id && g.unreachableFor(voter.Instance) >= replacedTimeout
 }
 
 // isPresent asks the instance of a voter for its storage, and reports whether it is still that of the voter.
@@ -95,7 +102,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.replaced[voter] = true
+	g.replaced[voter] = anvilraft.VoterID{Instance: voter.Instance, Storage: storage}
 	return false
 }
 
--- a/io/anvilgroup/quorum.go
+++ b/io/anvilgroup/quorum.go
@@ -61,7 +61,7 @@
 	defer g.mu.Unlock()
 	t, now := tally{Electorate: electorate}, g.clock.Now()
 	unable := anvilraft.Members{Voters: electorate.Marked, Learners: electorate.Lost}
-	for _, id := range electorate.Voters {
+	for _, id := range slices.Concat(electorate.Voters, electorate.Successors) {
 		heard, wasHeard := g.lastHeard[id.Instance]
 		reached, wasReached := g.lastReached[id.Instance]
 		switch {
--- a/io/anvilvoter/calls.go
+++ b/io/anvilvoter/calls.go
@@ -178,8 +178,11 @@
 	return r.Reason
 }
 
-// ReportLost tells the voter that the storage of another one is gone for good, see anvilraft.StorageLost.
-func (v *Voter) ReportLost(id anvilraft.VoterID) { v.notify(anvilraft.StorageLost{Voter: id}) }
+// ReportLost tells the voter that the storage of another one is gone for good, and which one its instance has now, see
+// anvilraft.StorageLost.
+func (v *Voter) ReportLost(id, successor anvilraft.VoterID) {
+	v.notify(anvilraft.StorageLost{Voter: id, Successor: successor})
+}
 
 // SendLog makes this voter, if it leads, send its log to an instance that joins, see anvilraft.SendLog.
 func (v *Voter) SendLog(to anvilraft.VoterID, empty bool) {
