--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -198,11 +198,23 @@
 // knownCommittedMembers returns the members by the last change that is known to be committed, also before a restart.
 func (n *Node) knownCommittedMembers() Members { return n.members.at(n.committedMembersIndex()) }
 
-// noteCommittedMembers notes that the latest member list is committed. The next Save stores that; it isn't worth a sync of
-// its own, which would keep the next change waiting: the leader appends an entry after each change.
+// noteCommittedMembers notes which member list is committed. The next Save stores that; it isn't worth a sync of
+// its own, which would keep the next change waiting: the leader appends an entry after each change. storeCommittedMembers is the
+// exception.
 func (n *Node) noteCommittedMembers() {
-	if index := n.members.lastChangeIndex(); n.options.useLostStorages && index <= n.commit && index > n.hardState.MembersAt {
-		n.hardState.MembersAt = index
-		n.persisted.membersNoted = true
+	change := n.members.changeAt(n.commit)
+	if !n.options.useLostStorages || change.index <= n.hardState.MembersAt {
+		return
+	}
+	n.hardState.MembersAt = change.index
+	n.persisted.membersNoted, n.persisted.membersNotedAt = true, n.now
+}
+
+// storeCommittedMembers stores that the present list is committed if successors vote from then on, as the group may need their votes
+// after further losses. It first waits for their seats for the time of one sync, as it would keep these waiting for as long.
+func (n *Node) storeCommittedMembers() {
+	p := &n.persisted
+	if p.membersNoted && n.now-p.membersNotedAt >= min(p.latestSync, maxHold) && len(n.knownCommittedMembers().Successors) > 0 {
+		p.hardStateChanged = true
 	}
 }
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -122,13 +122,16 @@
 }
 
 // at returns the members in effect at a committed index.
-func (m *membership) at(index anvilid.Index) Members {
+func (m *membership) at(index anvilid.Index) Members { return m.changeAt(index).members }
+
+// changeAt returns the change that the members in effect at a committed index come from.
+func (m *membership) changeAt(index anvilid.Index) memberChange {
 	for _, change := range slices.Backward(m.changes) {
 		if change.index <= index {
-			return change.members
+			return change
 		}
 	}
-	return m.changes[0].members
+	return m.changes[0]
 }
 
 // addFromEntries adds the changes among new entries. The entries were checked when they
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -125,6 +125,7 @@
 }
 
 func (n *Node) tick(late anvilclock.Millis) {
+	n.storeCommittedMembers()
 	if n.role == Leader {
 		n.checkQuorum(late)
 		if n.role == Leader {
--- a/core/anvilraft/persistence.go
+++ b/core/anvilraft/persistence.go
@@ -26,6 +26,7 @@
 	// index from which on the log has changed, or 0.
 	hardStateChanged bool
 	membersNoted     bool // HardState.MembersAt has changed, which alone needs no Save
+	membersNotedAt   anvilclock.Millis
 	snapshotChanged  bool
 	changedFrom      anvilid.Index
 }
