--- a/core/anvilraft/joining_test.go
+++ b/core/anvilraft/joining_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestJoiningGetsWholeLog guards against an instance with a new disk that needs a sync for each window of a long log, or one for a snapshot
-// and another for the entries after it, before it has caught up: with syncs of up to 1.5 s that took 7 s, and further disks were lost meanwhile.
+// and another for the entries after it, or two for each large entry, before it has caught up: with syncs of up to 1.5 s that took 7 s, and further disks were lost meanwhile.
 // What is lost or overtaken on the way must follow within a heartbeat or two of the first sync, before which nothing is answered, without
 // another snapshot, and not once for each message that is rejected.
 func TestJoiningGetsWholeLog(t *testing.T) {
@@ -22,6 +22,7 @@
 		compacted  bool
 		lost, late int  // the numbers of a message that is lost and of one that comes 20 ms late
 		again      bool // the leader compacts its log before the first sync ends
+		large      bool // one of ten commands is sent in parts
 	}{
 		{name: "entries"},
 		{name: "snapshot", compacted: true},
@@ -30,12 +31,19 @@
 		{name: "a lost batch", compacted: true, lost: 20},
 		{name: "a lost batch and a compaction", lost: 3, again: true},
 		{name: "a lost batch and another compaction", compacted: true, lost: 20, again: true},
+		{name: "large entries", large: true},
+		{name: "large entries behind a snapshot", compacted: true, large: true},
+		{name: "a lost part of a large entry", large: true, lost: 5},
+		{name: "a late part of a large entry", large: true, late: 5},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0), WithMessageBytes(400), WithMaxInflight(1000, 10))
+			c := newCluster(t, 1, []string{"a", "b", "c"}, WithLostStorages(), WithTrailingEntries(0), WithMessageBytes(400), WithMaxInflight(1000, 10), WithEntryBytes(600))
 			c.run(2000)
 			leader, joining := c.leader(), c.add("d")
 			commands := slices.Repeat([][]byte{make([]byte, 50)}, 100)
+			for i := 2; test.large && i < len(commands); i += 10 {
+				commands[i] = make([]byte, 700)
+			}
 			c.step(leader, Propose{Key: 1, Commands: commands})
 			c.run(2000)
 			if test.compacted {
--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -21,6 +21,9 @@
 	inflightEntries int
 	// transfer is not nil while a snapshot or a large entry is being sent to the member in parts.
 	transfer *transfer
+	// backedOffAt is when next was last lowered, and backedOffAgain means that this was shortly after the time before.
+	backedOffAt    anvilclock.Millis
+	backedOffAgain bool
 
 	lastResponseAt anvilclock.Millis // when the latest response arrived
 	missed         anvilclock.Millis // time since then in which this process did not run
@@ -42,7 +45,7 @@
 // newPeer returns the record of a member whose log is assumed to equal the leader's. If it
 // does not, the member rejects the first message, and probing starts (peer.probing).
 func (n *Node) newPeer(id VoterID) *peer {
-	return &peer{id: id, next: n.log.last() + 1, firstTarget: n.log.last(), lastResponseAt: n.now, answeredSentAt: distantPast}
+	return &peer{id: id, next: n.log.last() + 1, firstTarget: n.log.last(), lastResponseAt: n.now, answeredSentAt: distantPast, backedOffAt: distantPast}
 }
 
 func (n *Node) peer(id VoterID) *peer {
@@ -65,13 +68,16 @@
 	}
 	for p.takesEntries() && n.log.base < p.next && p.next <= n.log.last() {
 		if n.needsTransfer(p) {
+			if n.sendLargeEntry(p) {
+				continue
+			}
 			if p.transfer == nil && p.inflightEntries == 0 {
 				n.startEntryTransfer(p)
 				n.sendParts(p, n.maxInflightBytes(p))
 			}
 			return
 		}
-		bytes := n.maxInflightBytes(p) - p.inflightBytes - p.transfer.unacknowledged()
+		bytes := n.freeWindow(p)
 		entries := n.windows(p)*n.options.maxInflightEntries - p.inflightEntries
 		if bytes <= 0 || entries <= 0 {
 			return
@@ -92,26 +98,41 @@
 
 // windows returns how many windows (maxInflightBytes, maxInflightEntries) may be unacknowledged.
 func (n *Node) windows(p *peer) int {
-	if _, joins := n.leading.joining[p.id]; joins {
+	if n.joins(p) {
 		return joiningWindows
 	}
 	return 1
 }
 
+// joins reports whether an instance gets the log before it is a member.
+func (n *Node) joins(p *peer) bool {
+	_, joins := n.leading.joining[p.id]
+	return joins
+}
+
 // maxInflightBytes returns how many bytes may be unacknowledged.
 func (n *Node) maxInflightBytes(p *peer) anvilid.ByteCount {
 	return anvilid.ByteCount(n.windows(p)) * n.options.maxInflightBytes
 }
 
+// freeWindow returns how many further bytes may be sent before an acknowledgement. It is negative if the last message exceeded the limit.
+func (n *Node) freeWindow(p *peer) anvilid.ByteCount {
+	return n.maxInflightBytes(p) - p.inflightBytes - p.transfer.unacknowledged()
+}
+
 // sendBatch sends at most count entries and limit bytes from p.next on, but at least one
 // entry.
 func (n *Node) sendBatch(p *peer, limit anvilid.ByteCount, count int) {
 	entries, size := n.log.batch(p.next, limit, count)
 	n.sendAppend(p, entries)
 	p.next += anvilid.Index(len(entries))
-	p.inflight = append(p.inflight, inflightAppend{p.next - 1, size, len(entries)})
-	p.inflightBytes += size
-	p.inflightEntries += len(entries)
+	p.addInflight(inflightAppend{p.next - 1, size, len(entries)})
+}
+
+func (p *peer) addInflight(sent inflightAppend) {
+	p.inflight = append(p.inflight, sent)
+	p.inflightBytes += sent.bytes
+	p.inflightEntries += sent.entries
 }
 
 // sendAppend sends entries that start at p.next, or a heartbeat if there are none. A
@@ -196,6 +217,7 @@
 		return
 	}
 	p.transfer = nil
+	n.noteBackOff(p)
 	hint, term := n.log.lastAtOrBelow(m.Hint, m.HintTerm)
 	if m.Hint < n.log.base || term > m.HintTerm {
 		// None of the leader's entries in memory can be in the member's log. With p.next at or below
@@ -223,6 +245,7 @@
 		next = max(hint+1, first)
 	}
 	probes := m.Hint+1 >= first && next < p.next // a member that lacks the snapshot would reject each message at once
+	n.noteBackOff(p)
 	p.next, p.probing = next, true
 	p.clearInflight()
 	if probes {
@@ -230,4 +253,10 @@
 	}
 }
 
+// noteBackOff notes that p.next is lowered.
+func (n *Node) noteBackOff(p *peer) {
+	p.backedOffAgain = n.now-p.backedOffAt < n.options.minElectionTimeout
+	p.backedOffAt = n.now
+}
+
 func (p *peer) clearInflight() { p.inflight, p.inflightBytes, p.inflightEntries = nil, 0, 0 }
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -61,7 +61,7 @@
 }
 
 // needsTransfer reports whether the next entry for a member is sent in parts. The entries before it must have
-// arrived, as nothing is sent beside it.
+// arrived, as nothing is sent beside it, except to an instance that joins (sendLargeEntry).
 func (n *Node) needsTransfer(p *peer) bool {
 	return n.log.entryAt(p.next).size() > n.options.maxEntryBytes
 }
@@ -80,6 +80,35 @@
 	p.next++
 }
 
+// sendLargeEntry sends all parts of the next entry to an instance that joins, as far as flow control permits, and reports whether it did.
+// Such an instance gets the entries before and after it without a wait: each wait is for a sync, and a log may have many large entries.
+// If a part is lost, it rejects what follows, and gets the entry again.
+func (n *Node) sendLargeEntry(p *peer) bool {
+	data := encodeEntry(n.log.entryAt(p.next))
+	size := anvilid.ByteCount(len(data))
+	if !n.sendsAllAtOnce(p) || size > n.freeWindow(p) {
+		return false
+	}
+	before := p.next - 1
+	term, _ := n.log.term(before) // in memory, or the last entry that is not, because p.next is in memory
+	for offset := anvilid.ByteCount(0); offset < size; offset += n.options.maxMessageBytes {
+		end := min(size, offset+n.options.maxMessageBytes)
+		n.send(Message{
+			Type: MessageEntryPart, To: p.id, Index: before, LogTerm: term, Offset: offset,
+			Sent: n.now, Round: n.leading.barrierRound, Chunk: &Chunk{Size: size, Data: data[offset:end:end]},
+		})
+	}
+	p.next++
+	p.addInflight(inflightAppend{p.next - 1, size, 1})
+	return true
+}
+
+// sendsAllAtOnce reports whether large entries are sent to an instance without a wait. After two rejections in a short time they aren't for
+// as long: messages that overtake each other would otherwise have the whole log sent again with each round trip.
+func (n *Node) sendsAllAtOnce(p *peer) bool {
+	return n.joins(p) && (!p.backedOffAgain || n.now-p.backedOffAt >= n.options.minElectionTimeout)
+}
+
 // precedesEntries reports whether entries may be sent behind the transfer before it is acknowledged.
 func (t *transfer) precedesEntries() bool { return !t.entry && t.allSent }
 
@@ -176,6 +205,11 @@
 	return anvilid.ByteCount(len(in.data)) >= in.size
 }
 
+// awaitsSnapshot reports whether this node has got some parts of a snapshot from the present leader.
+func (n *Node) awaitsSnapshot() bool {
+	return n.incoming != nil && n.incoming.kind == MessageSnapshot && n.incoming.leaderTerm == n.hardState.Term
+}
+
 // receiveEntryPart handles a part of a large entry. Once all have arrived, the entry is handled as one that
 // arrives in MessageAppend.
 func (n *Node) receiveEntryPart(m Message) {
@@ -189,6 +223,10 @@
 		n.acknowledge(0)
 		return
 	}
+	if n.awaitsSnapshot() && m.Index > n.commit && !n.log.matches(m.Index, m.LogTerm) {
+		n.rejectAppend(m) // the parts of the snapshot, on which the entry depends, are kept
+		return
+	}
 	if !n.addPart(m, MessageEntryPartResponse) {
 		return
 	}
