--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -69,29 +69,37 @@
 // no election or commit counts a marked voter any more. Of n voters, of which l are marked and k <= l are replaced, a majority
 // of m = (n+1)/2 is thus among the n-l that are left, and a majority of the new list holds at least m-k of these. As 2m-k > n-l,
 // the two intersect.
-func replacesLost(former, latest Members) bool { return replacesMarked(former, latest, former) }
+func replacesLost(former, latest Members) bool {
+	return replacesMarked(former, latest, former.Lost) && seatsNamed(former, latest)
+}
 
-// replacesMarked is replacesLost with the marks of another list. A voter whose mark names a successor is replaced by that one only.
-func replacesMarked(former, latest, marks Members) bool {
+// replacesMarked reports whether a change keeps an odd number of voters and removes only those given.
+func replacesMarked(former, latest Members, marked []VoterID) bool {
 	if len(former.Voters)%2 == 0 || len(former.Voters) != len(latest.Voters) {
 		return false
 	}
-	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool {
-		successor, named := marks.Successor(id)
-		return !latest.IsVoter(id) && (!marks.IsLost(id) || named && !latest.IsVoter(successor))
+	return !slices.ContainsFunc(former.Voters, func(id VoterID) bool { return !latest.IsVoter(id) && !slices.Contains(marked, id) })
+}
+
+// seatsNamed reports whether each marked voter that a change removes is replaced by its successor, if its mark names one.
+func seatsNamed(former, latest Members) bool {
+	return !slices.ContainsFunc(former.Lost, func(id VoterID) bool {
+		successor, named := former.Successor(id)
+		return named && !latest.IsVoter(id) && !latest.IsVoter(successor)
 	})
 }
 
 // mayOverlap reports whether members may be appended although earlier changes are not committed. The latest committed list and
 // all lists since may differ from them only in voters that the committed one marks as lost. A storage that took a seat since then
-// must keep it: two successors of one storage could each be in a quorum that lacks the other.
+// must keep it, and one that was named since then is the only one that may take it: two successors of one storage could each be in a
+// quorum that lacks the other.
 func (n *Node) mayOverlap(members Members) bool {
 	if !n.options.useLostStorages {
 		return false
 	}
 	committed := n.knownCommittedMembers()
 	for _, change := range slices.Backward(n.members.changes) {
-		if !replacesMarked(change.members, members, committed) || takesMarkBack(committed.Lost, change.members) {
+		if !replacesMarked(change.members, members, committed.Lost) || !seatsNamed(change.members, members) || takesMarkBack(committed.Lost, change.members) {
 			return false
 		}
 		if change.index <= n.committedMembersIndex() {
--- a/core/anvilraft/overlap_test.go
+++ b/core/anvilraft/overlap_test.go
@@ -31,13 +31,23 @@
 		if !members.IsLost(id) && len(members.Lost)+members.Quorum() < len(members.Voters) && o.chance(percent) {
 			members.Lost = withID(members.Lost, id)
 			if o.chance(50) {
-				members = members.withSuccessor(VoterID{id.Instance, "2"})
+				members = members.withSuccessor(VoterID{id.Instance, id.Storage + "a"})
 			}
 		}
 	}
 	return members
 }
 
+// renamed returns members with a mark that names another storage, which may have been named before.
+func (o *overlap) renamed(old Members) Members {
+	members := old.followed()
+	if len(old.Lost) > 0 {
+		id := old.Lost[o.random.IntN(len(old.Lost))]
+		members = members.withSuccessor(VoterID{id.Instance, id.Storage + []StorageID{"a", "b"}[o.random.IntN(2)]})
+	}
+	return members
+}
+
 // seated returns members with voters replaced, mostly marked ones.
 func (o *overlap) seated(old Members) Members {
 	unmarked := 20 * o.random.IntN(2)
@@ -61,6 +71,8 @@
 	switch r := o.random.IntN(100); {
 	case r < 35:
 		return o.marked(old, 50)
+	case r < 45:
+		return o.renamed(old)
 	case r < 75:
 		return o.seated(old)
 	case r < 90:
@@ -77,9 +89,11 @@
 	return old.without(func(other VoterID) bool { return other == gone })
 }
 
-// electorsAt returns the lists of which an election needs quorums by a log that ends with the given change.
-func (o *overlap) electorsAt(change int) []electorate {
-	node := &Node{options: o.node.options, commit: o.node.commit, members: membership{o.node.members.changes[:change+1]}}
+// electorsAt returns the lists of which an election needs quorums by a log that ends with the given change, on a node that knows the
+// changes up to another one to be committed.
+func (o *overlap) electorsAt(change, known int) []electorate {
+	changes := o.node.members.changes[:change+1]
+	node := &Node{options: o.node.options, commit: changes[known].index, members: membership{changes}}
 	latest, before := node.electorates(nil)
 	if len(before.voters) == 0 {
 		return []electorate{latest}
@@ -116,7 +130,7 @@
 	t.Logf("chains by length: %v", lengths)
 }
 
-// checkQuorums tries all ways to divide the voters into two groups.
+// checkQuorums tries all ways to divide the voters into two groups, with different knowledge of what is committed.
 func (o *overlap) checkQuorums(t *testing.T, seed uint64) {
 	var ids []VoterID
 	for _, change := range o.node.members.changes {
@@ -124,24 +138,37 @@
 	}
 	slices.SortFunc(ids, VoterID.Compare)
 	ids = slices.Compact(ids)
-	elected := make([][]bool, len(o.node.members.changes)) // by change and group
-	for change := range elected {
-		lists := o.electorsAt(change)
-		for group := range 1 << len(ids) {
-			var granted []VoterID
-			for i, id := range ids {
-				if group&(1<<i) != 0 {
-					granted = append(granted, id)
+	type election struct {
+		change, known int    // the log ends with change, and the node knows that known is committed
+		wins          []bool // by group
+	}
+	var elections []election
+	for change := range o.node.members.changes {
+		for _, known := range []int{0, o.random.IntN(change + 1)} {
+			lists := o.electorsAt(change, known)
+			e := election{change: change, known: known}
+			for group := range 1 << len(ids) {
+				var granted []VoterID
+				for i, id := range ids {
+					if group&(1<<i) != 0 {
+						granted = append(granted, id)
+					}
 				}
+				e.wins = append(e.wins, !slices.ContainsFunc(lists, func(e electorate) bool { return !e.elects(granted) }))
 			}
-			elected[change] = append(elected[change], !slices.ContainsFunc(lists, func(e electorate) bool { return !e.elects(granted) }))
+			elections = append(elections, e)
 		}
 	}
-	for first := range elected {
-		for second := range first {
-			for group, ok := range elected[first] {
-				if ok && elected[second][len(elected[second])-1-group] {
-					t.Errorf("seed %d: changes %d and %d of %+v", seed, second, first, o.node.members.changes)
+	for i, first := range elections {
+		for _, second := range elections[:i] {
+			// A change that one of them knows to be committed is in the logs of all that can be elected.
+			if first.known > second.change || second.known > first.change {
+				continue
+			}
+			for group, ok := range first.wins {
+				if ok && second.wins[len(second.wins)-1-group] {
+					t.Errorf("seed %d: changes %d and %d, of which %d and %d are known to be committed, of %+v",
+						seed, second.change, first.change, second.known, first.known, o.node.members.changes)
 					return
 				}
 			}
--- a/core/anvilraft/succession.go
+++ b/core/anvilraft/succession.go
@@ -32,23 +32,34 @@
 	return m
 }
 
-// votingSuccessors returns the successors whose votes count in place of the marked voters of a list: those that the latest committed
-// list names as well.
+// votingSuccessors returns the successors whose votes count in place of the marked voters of a list.
 func (n *Node) votingSuccessors(members Members) []VoterID {
 	if len(members.Successors) == 0 || len(members.Voters)%2 == 0 || !n.options.useLostStorages {
 		return nil
 	}
-	committed := n.knownCommittedMembers()
 	var ids []VoterID
 	for _, marked := range members.Lost {
-		id, ok := members.Successor(marked)
-		if known, isCommitted := committed.Successor(marked); ok && isCommitted && known == id {
+		if id, ok := members.Successor(marked); ok && n.isOnlySuccessor(marked, id) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// isOnlySuccessor reports whether the latest committed list names a successor of a marked voter, and no list since then another one: a
+// name in between may be committed without the knowledge of this node, so that other nodes count its vote.
+func (n *Node) isOnlySuccessor(marked, id VoterID) bool {
+	for _, change := range slices.Backward(n.members.changes) {
+		if named, _ := change.members.Successor(marked); change.members.IsVoter(marked) && named != id {
+			return false
+		}
+		if change.index <= n.committedMembersIndex() {
+			return change.members.IsLost(marked)
+		}
+	}
+	return false
+}
+
 // awaitsSeat reports whether this node is named as a successor by its log. Then it has never been a voter, and nothing that it has
 // acknowledged has counted (advanceCommit), so that it grants its vote to shorter logs, too. They may have less than it was sent.
 func (n *Node) awaitsSeat() bool { return slices.Contains(n.members.latest().Successors, n.self) }
--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"anvilshunt/core/anvilclock"
 	"anvilshunt/core/anvilid"
 )
@@ -24,6 +26,10 @@
 	// changesSize means that voters are also added and removed, so that their number is even at times.
 	changesSize bool
 	contesting  bool // within contest
+	// namesOften means that most marks name successors, which others replace, and that these decide most elections.
+	namesOften bool
+	// named are the storages that marks have named, and seated those that leaders have tried to seat.
+	named, seated map[VoterID]bool
 	// seats is the number of seats that were appended.
 	seats int
 }
@@ -105,7 +111,33 @@
 			u.step(v, StorageLost{Voter: id})
 		}
 	}
-	u.campaignAmong(v, u.someOthers(v, 60), 70)
+	set := u.someOthers(v, 60)
+	if u.namesOften && u.chance(60) {
+		set = u.withSuccessors(v)
+	}
+	u.campaignAmong(v, set, 70)
+}
+
+// withSuccessors returns a voter with the successors that its log names, all storages that were named before, and few others.
+func (u *untimed) withSuccessors(v *voter) map[VoterID]bool {
+	set := u.someOthers(v, 25)
+	for _, change := range v.node.members.changes {
+		for _, id := range change.members.Successors {
+			set[id] = true
+		}
+	}
+	return set
+}
+
+// formerName returns a storage of an instance that was named before and never seated, or nil.
+func (u *untimed) formerName(v *voter, instance anvilid.InstanceID) *voter {
+	for _, i := range u.c.random.Perm(len(u.c.voters)) {
+		other := u.c.voters[i]
+		if other.id.Instance == instance && u.named[other.id] && !u.seated[other.id] {
+			return other
+		}
+	}
+	return nil
 }
 
 // campaignAmong lets a voter ask a set of others for their votes. The given part of the votes isn't delayed.
@@ -203,13 +235,22 @@
 		id := members.Voters[i]
 		room := len(members.Voters) - members.Quorum() - len(members.Lost) - len(change.Lost)
 		isOpen := !members.IsLost(id) && room > 0 && (len(change.Lost) == 0 || u.chance(40))
-		isNamedAgain := members.IsLost(id) && u.chance(20)
+		again := 20
+		if u.namesOften {
+			again = 50
+		}
+		isNamedAgain := members.IsLost(id) && u.chance(again)
 		if id == v.id || !isOpen && !isNamedAgain {
 			continue
 		}
 		change.Lost = append(change.Lost, id)
 		if isNamedAgain || u.chance(60) {
-			change.Successors = append(change.Successors, u.join(v, id.Instance).id)
+			successor := u.formerName(v, id.Instance)
+			if successor == nil || !u.namesOften || u.chance(60) {
+				successor = u.join(v, id.Instance)
+			}
+			u.named[successor.id] = true
+			change.Successors = append(change.Successors, successor.id)
 		}
 	}
 	if len(change.Lost) > 0 {
@@ -241,6 +282,7 @@
 			u.sendLog(v, joining)
 		}
 		change.Seat = append(change.Seat, joining)
+		u.seated[joining] = true
 	}
 	if len(change.Seat) == 0 {
 		return
@@ -357,7 +399,8 @@
 			c := newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMaxLearnerLag(100), WithLostStorages())
 			c.syncAtOnce, c.untimed, c.duplicateProbability = false, true, 0.02
 			c.latency = fixedLatency(0)
-			u := &untimed{c: c, size: len(names), changesSize: seed%8 >= 4, storages: map[anvilid.InstanceID]int{}}
+			u := &untimed{c: c, size: len(names), changesSize: seed%8 >= 4, storages: map[anvilid.InstanceID]int{},
+				named: map[VoterID]bool{}, seated: map[VoterID]bool{}, namesOften: seed/8%2 == 1}
 			for range 120 {
 				u.act()
 				for len(c.packets) > 300 {
@@ -369,3 +412,67 @@
 		})
 	}
 }
+
+// TestSeatOfLatestName guards against a second leader where two storages were named one after the other, and the second one got its
+// seat before the first name was committed: a voter that knows only the first name would be elected by that one.
+func TestSeatOfLatestName(t *testing.T) {
+	c := newCluster(t, 1, []string{"a", "b", "c"}, WithElectionTimeout(300, 320), WithMaxLearnerLag(100), WithLostStorages())
+	c.syncAtOnce, c.untimed, c.latency = false, true, fixedLatency(0)
+	u := &untimed{c: c, size: 3, storages: map[anvilid.InstanceID]int{}}
+	lost, leader, other := c.voters[0], c.voters[1], c.voters[2]
+	settle := func(voters ...*voter) {
+		among := map[VoterID]bool{}
+		for _, v := range voters {
+			among[v.id] = true
+		}
+		for range 5 {
+			for _, v := range voters {
+				c.sync(v, len(v.unsynced))
+			}
+			u.deliver(func(m Message) bool { return among[m.From] && among[m.To] })
+		}
+	}
+	elect := func(v *voter, voters ...*voter) bool {
+		for _, other := range voters {
+			other.clockOffset += 1_000_000
+		}
+		v.clockOffset += 1_000_000
+		u.step(v, Tick{})
+		settle(append(voters, v)...)
+		return v.role == Leader
+	}
+	assert.Assert(t, elect(leader, lost, other))
+	u.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{lost.id}})
+	settle(leader, other)
+
+	first, second := u.newStorage("a"), u.newStorage("a")
+	join := func(v *voter) {
+		u.step(leader, SendLog{To: v.id, Empty: true})
+		settle(leader, v)
+	}
+	join(first)
+	u.step(leader, ChangeVoters{Key: 2, Lost: []VoterID{lost.id}, Successors: []VoterID{first.id}})
+	u.deliver(func(m Message) bool { return m.To == other.id })
+	c.sync(other, len(other.unsynced)) // the answer is under way
+	u.step(leader, ChangeVoters{Key: 3, Lost: []VoterID{lost.id}, Successors: []VoterID{second.id}})
+	join(second)
+	u.step(leader, ChangeVoters{Key: 4, Seat: []VoterID{second.id}})
+	c.packets = slices.DeleteFunc(c.packets, func(p packet) bool { return p.message.To == other.id }) // lost
+	u.deliver(func(m Message) bool { return m.To == leader.id && m.From == other.id })
+	for range 3 { // heartbeats
+		leader.clockOffset += 100_000
+		u.step(leader, Tick{})
+		u.deliver(func(m Message) bool {
+			return m.To == leader.id && m.From == other.id || m.To == other.id && len(m.Entries) == 0
+		})
+	}
+	assert.Equal(t, other.node.commit, other.node.log.last(), "it knows that the first name is committed")
+	u.step(leader, Propose{Key: 5, Commands: [][]byte{{0, 1}}})
+	for range 3 {
+		leader.clockOffset += 100_000
+		u.step(leader, Tick{})
+		settle(leader, second)
+	}
+	isElected := elect(other, first)
+	assert.Assert(t, leader.node.commit < leader.node.log.last() || !isElected, "a leader lacks committed entries")
+}
