--- a/core/anvilraft/untimed_test.go
+++ b/core/anvilraft/untimed_test.go
@@ -130,7 +130,7 @@
 }
 
 // formerName returns a storage of an instance that was named before and never seated, or nil.
-func (u *untimed) formerName(v *voter, instance anvilid.InstanceID) *voter {
+func (u *untimed) formerName(instance anvilid.InstanceID) *voter {
 	for _, i := range u.c.random.Perm(len(u.c.voters)) {
 		other := u.c.voters[i]
 		if other.id.Instance == instance && u.named[other.id] && !u.seated[other.id] {
@@ -245,7 +245,7 @@
 		}
 		change.Lost = append(change.Lost, id)
 		if isNamedAgain || u.chance(60) {
-			successor := u.formerName(v, id.Instance)
+			successor := u.formerName(id.Instance)
 			if successor == nil || !u.namesOften || u.chance(60) {
 				successor = u.join(v, id.Instance)
 			}
@@ -399,8 +399,10 @@
 			c := newCluster(t, seed, names, WithElectionTimeout(300, 320), WithTrailingEntries(5), WithMaxLearnerLag(100), WithLostStorages())
 			c.syncAtOnce, c.untimed, c.duplicateProbability = false, true, 0.02
 			c.latency = fixedLatency(0)
-			u := &untimed{c: c, size: len(names), changesSize: seed%8 >= 4, storages: map[anvilid.InstanceID]int{},
-				named: map[VoterID]bool{}, seated: map[VoterID]bool{}, namesOften: seed/8%2 == 1}
+			u := &untimed{
+				c: c, size: len(names), changesSize: seed%8 >= 4, storages: map[anvilid.InstanceID]int{},
+				named: map[VoterID]bool{}, seated: map[VoterID]bool{}, namesOften: seed/8%2 == 1,
+			}
 			for range 120 {
 				u.act()
 				for len(c.packets) > 300 {
@@ -413,53 +415,83 @@
 	}
 }
 
-// TestSeatOfLatestName guards against a second leader where two storages were named one after the other, and the second one got its
-// seat before the first name was committed: a voter that knows only the first name would be elected by that one.
-func TestSeatOfLatestName(t *testing.T) {
+// newScripted returns three voters whose messages a test delivers. The second one leads and has marked the first one as lost.
+func newScripted(t *testing.T) (u *untimed, lost, leader, other *voter) {
 	c := newCluster(t, 1, []string{"a", "b", "c"}, WithElectionTimeout(300, 320), WithMaxLearnerLag(100), WithLostStorages())
 	c.syncAtOnce, c.untimed, c.latency = false, true, fixedLatency(0)
-	u := &untimed{c: c, size: 3, storages: map[anvilid.InstanceID]int{}}
-	lost, leader, other := c.voters[0], c.voters[1], c.voters[2]
-	settle := func(voters ...*voter) {
-		among := map[VoterID]bool{}
+	u = &untimed{c: c, size: 3, storages: map[anvilid.InstanceID]int{}}
+	lost, leader, other = c.voters[0], c.voters[1], c.voters[2]
+	assert.Assert(t, u.elect(leader, lost, other))
+	u.step(leader, ChangeVoters{Key: u.nextKey(), Lost: []VoterID{lost.id}})
+	u.settle(leader, other)
+	return u, lost, leader, other
+}
+
+// settle delivers the messages among some voters, and syncs their disks.
+func (u *untimed) settle(voters ...*voter) {
+	among := map[VoterID]bool{}
+	for _, v := range voters {
+		among[v.id] = true
+	}
+	for range 5 {
 		for _, v := range voters {
-			among[v.id] = true
-		}
-		for range 5 {
-			for _, v := range voters {
-				c.sync(v, len(v.unsynced))
-			}
-			u.deliver(func(m Message) bool { return among[m.From] && among[m.To] })
+			u.c.sync(v, len(v.unsynced))
 		}
+		u.deliver(func(m Message) bool { return among[m.From] && among[m.To] })
 	}
-	elect := func(v *voter, voters ...*voter) bool {
-		for _, other := range voters {
-			other.clockOffset += 1_000_000
-		}
-		v.clockOffset += 1_000_000
-		u.step(v, Tick{})
-		settle(append(voters, v)...)
-		return v.role == Leader
+}
+
+// elect lets a voter campaign among others that have not heard of a leader for long, and reports whether it leads then.
+func (u *untimed) elect(v *voter, others ...*voter) bool {
+	for _, other := range others {
+		other.clockOffset += 1_000_000
 	}
-	assert.Assert(t, elect(leader, lost, other))
-	u.step(leader, ChangeVoters{Key: 1, Lost: []VoterID{lost.id}})
-	settle(leader, other)
+	v.clockOffset += 1_000_000
+	u.step(v, Tick{})
+	u.settle(append(others, v)...)
+	return v.role == Leader
+}
+
+// dropTo loses the messages that are under way to a voter.
+func (u *untimed) dropTo(v *voter) {
+	u.c.packets = slices.DeleteFunc(u.c.packets, func(p packet) bool { return p.message.To == v.id })
+}
 
-	first, second := u.newStorage("a"), u.newStorage("a")
-	join := func(v *voter) {
-		u.step(leader, SendLog{To: v.id, Empty: true})
-		settle(leader, v)
+// name lets a leader name a new storage as the successor of a marked voter, and send it the log.
+func (u *untimed) name(leader, lost *voter) *voter {
+	successor := u.newStorage(lost.id.Instance)
+	u.step(leader, ChangeVoters{Key: u.nextKey(), Lost: []VoterID{lost.id}, Successors: []VoterID{successor.id}})
+	return successor
+}
+
+func (u *untimed) sendLogTo(leader, joining *voter) {
+	u.step(leader, SendLog{To: joining.id, Empty: true})
+	u.settle(leader, joining)
+}
+
+// heartbeats lets a leader send heartbeats and receive the answers of some voters.
+func (u *untimed) heartbeats(leader *voter, voters ...*voter) {
+	for range 3 {
+		leader.clockOffset += 100_000
+		u.step(leader, Tick{})
+		u.settle(append(voters, leader)...)
 	}
-	join(first)
-	u.step(leader, ChangeVoters{Key: 2, Lost: []VoterID{lost.id}, Successors: []VoterID{first.id}})
+}
+
+// TestSeatOfLatestName guards against a leader that lacks committed entries where two storages were named one after the other and the
+// second one got its seat before the first name was committed: a voter that knows only the first name would be elected by that one.
+func TestSeatOfLatestName(t *testing.T) {
+	u, lost, leader, other := newScripted(t)
+	first := u.name(leader, lost)
+	u.sendLogTo(leader, first)
 	u.deliver(func(m Message) bool { return m.To == other.id })
-	c.sync(other, len(other.unsynced)) // the answer is under way
-	u.step(leader, ChangeVoters{Key: 3, Lost: []VoterID{lost.id}, Successors: []VoterID{second.id}})
-	join(second)
-	u.step(leader, ChangeVoters{Key: 4, Seat: []VoterID{second.id}})
-	c.packets = slices.DeleteFunc(c.packets, func(p packet) bool { return p.message.To == other.id }) // lost
+	u.c.sync(other, len(other.unsynced)) // the answer is under way
+	second := u.name(leader, lost)
+	u.sendLogTo(leader, second)
+	u.step(leader, ChangeVoters{Key: u.nextKey(), Seat: []VoterID{second.id}})
+	u.dropTo(other)
 	u.deliver(func(m Message) bool { return m.To == leader.id && m.From == other.id })
-	for range 3 { // heartbeats
+	for range 3 {
 		leader.clockOffset += 100_000
 		u.step(leader, Tick{})
 		u.deliver(func(m Message) bool {
@@ -467,12 +499,28 @@
 		})
 	}
 	assert.Equal(t, other.node.commit, other.node.log.last(), "it knows that the first name is committed")
-	u.step(leader, Propose{Key: 5, Commands: [][]byte{{0, 1}}})
-	for range 3 {
-		leader.clockOffset += 100_000
-		u.step(leader, Tick{})
-		settle(leader, second)
-	}
-	isElected := elect(other, first)
+	u.step(leader, Propose{Key: u.nextKey(), Commands: [][]byte{{0, 1}}})
+	u.heartbeats(leader, second)
+	isElected := u.elect(other, first)
 	assert.Assert(t, leader.node.commit < leader.node.log.last() || !isElected, "a leader lacks committed entries")
 }
+
+// TestAcknowledgementBeforeSeat guards against a leader that lacks committed entries because an acknowledgement counted which a
+// successor had sent before its seat: without the seat, it votes for shorter logs.
+func TestAcknowledgementBeforeSeat(t *testing.T) {
+	u, lost, leader, other := newScripted(t)
+	successor := u.name(leader, lost)
+	u.settle(leader, other)
+	u.heartbeats(leader, other) // it knows that the name is committed
+	u.step(leader, SendLog{To: successor.id, Empty: true})
+	leader.clockOffset += 1_000_000 // commands are no longer held
+	u.step(leader, Propose{Key: u.nextKey(), Commands: [][]byte{{0, 1}}})
+	u.settle(leader, successor)
+	assert.Equal(t, successor.node.log.last(), leader.node.log.last())
+	u.step(leader, ChangeVoters{Key: u.nextKey(), Seat: []VoterID{successor.id}})
+	u.dropTo(successor)
+	u.dropTo(other)
+	u.settle(leader)
+	assert.Assert(t, u.elect(other, successor))
+	assert.Assert(t, leader.node.commit <= other.node.commit, "a leader lacks committed entries")
+}
