--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -459,7 +459,8 @@
 	for _, test := range []struct {
 		name  string
 		ahead bool // the successor has entries that the voters that are left lack
-	}{{"behind", false}, {"ahead", true}} {
+		empty bool // it has received nothing
+	}{{"behind", false, false}, {"ahead", true, false}, {"empty", false, true}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(t, 1, []string{"a", "b", "c", "d", "e"}, WithElectionTimeout(350, 700), WithHeartbeat(80), WithLostStorages())
 			c.run(2000)
@@ -470,6 +471,9 @@
 			c.crash(joining, 0)
 			c.wipe(joining)
 			c.start(joining)
+			if test.empty {
+				c.cutLink(leader, joining)
+			}
 			c.step(leader, SendLog{To: joining.id, Empty: true})
 			c.run(20)
 			cut := []*voter{joining}
--- a/core/anvilraft/node.go
+++ b/core/anvilraft/node.go
@@ -197,10 +197,11 @@
 	}
 }
 
-// acceptGroup reports whether m belongs to the group of this node. A node with an empty
-// disk joins the group of the first leader that sends to it.
+// acceptGroup reports whether m belongs to the group of this node. A node with an empty disk joins the group of the first leader that
+// sends to it, or of the first candidate: a successor can be named and needed for an election before it gets anything from a leader.
 func (n *Node) acceptGroup(m Message) bool {
-	if n.hardState.Group == 0 && m.Group != 0 && m.fromLeader() {
+	isRequest := m.fromLeader() || m.Type == MessagePreVote || m.Type == MessageVote
+	if n.hardState.Group == 0 && m.Group != 0 && isRequest {
 		n.hardState.Group = m.Group
 		n.scheduleHardStateSave()
 	}
