--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -64,24 +64,24 @@
 		n.startSnapshotTransfer(p)
 	}
 	if p.transfer != nil {
-		n.sendParts(p, n.maxInflightBytes(p))
+		n.sendParts(p, n.maxInflightBytes(p)-p.inflightBytes)
 	}
 	for p.takesEntries() && n.log.base < p.next && p.next <= n.log.last() {
+		bytes := n.freeWindow(p)
+		entries := n.windows(p)*n.options.maxInflightEntries - p.inflightEntries
+		if bytes <= 0 || entries <= 0 {
+			return
+		}
 		if n.needsTransfer(p) {
-			if n.sendLargeEntry(p) {
+			if n.sendLargeEntry(p, bytes) {
 				continue
 			}
-			if p.transfer == nil && p.inflightEntries == 0 {
+			if p.transfer == nil {
 				n.startEntryTransfer(p)
-				n.sendParts(p, n.maxInflightBytes(p))
+				n.sendParts(p, bytes)
 			}
 			return
 		}
-		bytes := n.freeWindow(p)
-		entries := n.windows(p)*n.options.maxInflightEntries - p.inflightEntries
-		if bytes <= 0 || entries <= 0 {
-			return
-		}
 		n.sendBatch(p, min(bytes, n.options.maxMessageBytes), entries)
 	}
 }
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -38,8 +38,6 @@
 
 // startTransfer begins to send data in parts to a member.
 func (n *Node) startTransfer(p *peer, t transfer) {
-	p.probing = false
-	p.clearInflight()
 	t.lastProgressAt, t.resentAt = n.now, distantPast
 	p.transfer = &t
 }
@@ -48,7 +46,8 @@
 // that are no longer in memory. The entries after it follow its last part, so that the member stores both by the same sync.
 func (n *Node) startSnapshotTransfer(p *peer) {
 	snapshot := n.snapshot
-	p.next = snapshot.Index + 1
+	p.next, p.probing = snapshot.Index+1, false
+	p.clearInflight()
 	n.startTransfer(p, transfer{
 		data: snapshot.Data, position: snapshot.Index, completeAt: snapshot.Index,
 		part: func() Message {
@@ -80,15 +79,15 @@
 	p.next++
 }
 
-// sendLargeEntry sends all parts of the next entry to an instance that joins, as far as flow control permits, and reports whether it did.
+// sendLargeEntry sends all parts of the next entry to an instance that joins, if they fit into the window, and reports whether it did.
 // Such an instance gets the entries before and after it without a wait: each wait is for a sync, and a log may have many large entries.
 // If a part is lost, it rejects what follows, and gets the entry again.
-func (n *Node) sendLargeEntry(p *peer) bool {
-	data := encodeEntry(n.log.entryAt(p.next))
-	size := anvilid.ByteCount(len(data))
-	if !n.sendsAllAtOnce(p) || size > n.freeWindow(p) {
+func (n *Node) sendLargeEntry(p *peer, window anvilid.ByteCount) bool {
+	if !n.sendsAllAtOnce(p) || n.log.entryAt(p.next).size() > window {
 		return false
 	}
+	data := encodeEntry(n.log.entryAt(p.next))
+	size := anvilid.ByteCount(len(data))
 	before := p.next - 1
 	term, _ := n.log.term(before) // in memory, or the last entry that is not, because p.next is in memory
 	for offset := anvilid.ByteCount(0); offset < size; offset += n.options.maxMessageBytes {
@@ -176,7 +175,11 @@
 	case m.Offset > t.ackedBytes:
 		t.ackedBytes, t.nextOffset, t.lastProgressAt = m.Offset, max(t.nextOffset, m.Offset), n.now
 	}
-	if !t.entry && t.unacknowledged() == 0 {
+	switch isComplete := t.unacknowledged() == 0; {
+	case isComplete && t.entry: // the member has the entry in memory, like those that were sent before
+		p.transfer = nil
+		p.addInflight(inflightAppend{t.completeAt, anvilid.ByteCount(len(t.data)), 1})
+	case isComplete:
 		p.probing = false // the member has the snapshot in memory, and takes what follows
 	}
 	n.replicate(p)
