--- a/io/anvilgroup/second_loss_test.go
+++ b/io/anvilgroup/second_loss_test.go
@@ -25,20 +25,36 @@
 // TestSecondLoss guards against voters with lost disks that aren't members again catchUp after they are back: the group
 // then finds no leader for good when two further voters lose their disks. Commands go on, and all syncs take the same time. The
 // leader may be among the first voters (0). With a log, 250 commands a second go on, and one of the others would compact its log at
-// an index that comes meanwhile (2400, 3200).
+// an index that comes meanwhile (2400, 3200). Large commands at its beginning
+// are sent in parts, which must not take a sync or two each.
 func TestSecondLoss(t *testing.T) {
 	for _, test := range []struct {
 		lost   []int // counted from the leader
 		syncIn int64
 		log    anvilid.Index // its length before the loss, or 0
-	}{{[]int{3, 4}, 650, 0}, {[]int{2, 3}, 650, 0}, {[]int{4}, 650, 0}, {[]int{0, 1}, 650, 0}, {[]int{0, 1}, 900, 0}, {[]int{3, 4}, 650, 2300}} {
-		t.Run(fmt.Sprint(test.lost, test.syncIn, test.log), func(t *testing.T) {
+		large  int           // how many large commands come first, each followed by a small one
+	}{
+		{[]int{3, 4}, 650, 0, 0},
+		{[]int{2, 3}, 650, 0, 0},
+		{[]int{4}, 650, 0, 0},
+		{[]int{0, 1}, 650, 0, 0},
+		{[]int{0, 1}, 900, 0, 0},
+		{[]int{3, 4}, 650, 2300, 0},
+		{[]int{3, 4}, 650, 400, 6},
+	} {
+		t.Run(fmt.Sprint(test.lost, test.syncIn, test.log, test.large), func(t *testing.T) {
 			t.Parallel()
 			nodes := newTestNodes(t, 5)
 			running := nodes.startGroup(5)
 			leader := slices.Index(running, leaderOf(t, running...))
 			at := func(number int) int { return (leader + number) % len(running) }
 			pause := 100 * time.Millisecond
+			for range test.large {
+				for _, size := range []int{200 << 10, 1} {
+					_, _, err := running[leader].Voter.Propose(t.Context(), make([]byte, size))
+					assert.NilError(t, err)
+				}
+			}
 			if test.log > 0 {
 				fill(t, running[leader], test.log)
 				pause = 4 * time.Millisecond
