--- a/core/anvilraft/lost_test.go
+++ b/core/anvilraft/lost_test.go
@@ -219,7 +219,7 @@
 		name    string
 		lists   [][]string // member lists in the log, of which all but the last are committed
 		known   bool       // the last one is known to be committed
-		marked  string     // a voter that is marked as lost where it is in a list
+		marked  string     // a voter that is marked as lost where it is in a list, and behind a slash the storage that the mark names
 		lostFor anvilclock.Millis
 		voting  anvilclock.Millis // how long the campaign has lasted when the votes arrive
 		votes   []string
@@ -247,6 +247,10 @@
 		{name: "uncommitted seat of another storage", lists: [][]string{all[:3], {"a", "c", "e"}}, marked: "c", votes: []string{"e"}},
 		{name: "vote of a marked storage of the list before", lists: [][]string{all[:3], {"a", "d", "e"}}, marked: "c", votes: []string{"c", "d"}},
 		{name: "uncommitted seat of an even number", lists: [][]string{all, {"a", "b", "c", "e"}}, marked: "d", votes: []string{"b", "e"}},
+		{name: "vote of a successor", lists: [][]string{all[:3]}, known: true, marked: "c/2", votes: []string{"c/2"}, elected: true},
+		{name: "vote of a successor by an uncommitted mark", lists: [][]string{all[:3]}, marked: "c/2", votes: []string{"c/2"}},
+		{name: "vote of another successor", lists: [][]string{all[:3]}, known: true, marked: "c/2", votes: []string{"c/3"}},
+		{name: "vote of a successor in an even number", lists: [][]string{all}, known: true, lostFor: 2 * lifetime, marked: "d/2", votes: []string{"d/2"}},
 		{name: "uncommitted seats of a marked and another storage", lists: [][]string{all[:3], {"a", "d", "e"}}, marked: "c", votes: []string{"e"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -269,8 +273,11 @@
 		for _, name := range names {
 			id := VoterID{anvilid.InstanceID(name), "1"}
 			members.Voters = append(members.Voters, id)
-			if name == marked {
+			if instance, successor, named := strings.Cut(marked, "/"); name == instance {
 				members.Lost = append(members.Lost, id)
+				if named {
+					members = members.withSuccessor(VoterID{id.Instance, StorageID(successor)})
+				}
 			}
 		}
 		save := Bootstrap(7, members.Voters...)
@@ -295,9 +302,14 @@
 	return node, now
 }
 
+// voteFor returns the vote of a voter, or of the storage behind a slash.
 func voteFor(node *Node, kind MessageType, name string) Message {
+	instance, storage, ok := strings.Cut(name, "/")
+	if !ok {
+		storage = "1"
+	}
 	m := Message{
-		Type: kind, Group: 7, From: VoterID{anvilid.InstanceID(name), "1"}, To: node.self, Term: node.hardState.Term,
+		Type: kind, Group: 7, From: VoterID{anvilid.InstanceID(instance), StorageID(storage)}, To: node.self, Term: node.hardState.Term,
 		Index: node.log.last(), LogTerm: node.log.lastTerm(),
 	}
 	if kind == MessagePreVoteResponse {
