Seat no voter beside a mark that names another one, and drop calls that had no effect

A change that seats a voter at another address together with others needs the quorum of the list before if the mark of the former one names a successor; it is made on its own then. The leader's updatePeers and broadcastHeartbeat after its first write sent nothing that the write doesn't.

--- a/core/anvilraft/leader.go
+++ b/core/anvilraft/leader.go
@@ -42,15 +42,10 @@
 	}
 	n.updatePeers()
 	first := []Entry{{Kind: KindEmpty}}
-	members, changed := n.membersAtElection(granted)
-	if changed {
+	if members, ok := n.membersAtElection(granted); ok {
 		first = append(first, Entry{Kind: KindMembers, Data: encodeMembers(members)})
 	}
 	n.appendAsLeader(0, first...)
-	if changed {
-		n.updatePeers()
-		n.broadcastHeartbeat() // to those that are voters now
-	}
 }
 
 // stopLeading discards the leader's state and rejects the barriers that are still pending.
--- a/core/anvilraft/lost.go
+++ b/core/anvilraft/lost.go
@@ -122,7 +122,7 @@
 
 // withLost returns the members with voters marked as lost. The mark of a voter that is marked already may name another successor.
 func (n *Node) withLost(old Members, event ChangeVoters) (Members, error) {
-	members := old.followed()
+	members := old.withoutForced()
 	for _, id := range event.Lost {
 		if !n.options.useLostStorages || id == n.self || !old.IsVoter(id) {
 			return Members{}, ErrInvalidChange
@@ -162,7 +162,7 @@
 // change is on its way.
 func (n *Node) membersAtElection(granted []votingMember) (members Members, ok bool) {
 	old := n.members.latest()
-	members = n.withKnownLosses(n.withElectedSuccessors(old.followed(), granted))
+	members = n.withKnownLosses(n.withElectedSuccessors(old.withoutForced(), granted))
 	isOld := slices.Equal(members.Voters, old.Voters) && slices.Equal(members.Lost, old.Lost)
 	return members, !isOld && !n.mustWait(members)
 }
@@ -170,7 +170,7 @@
 // withFound returns the members with marks taken back. Each quorum of the others still meets each quorum of all voters, unless a
 // successor may have voted in place of one.
 func withFound(old Members, found []VoterID) (Members, error) {
-	members := old.followed()
+	members := old.withoutForced()
 	for _, id := range found {
 		if _, named := members.Successor(id); named || !members.IsLost(id) {
 			return Members{}, ErrInvalidChange
@@ -210,8 +210,9 @@
 	n.persisted.membersNoted, n.persisted.membersNotedAt = true, n.now
 }
 
-// storeCommittedMembers stores that the present list is committed if successors vote from then on, as the group may need their votes
-// after further losses. It first waits for their seats for the time of one sync, as it would keep these waiting for as long.
+// storeCommittedMembers stores that the present list is committed if its marks name successors, as the group may need their votes
+// after further losses. It waits for the time of one sync first: the entry with their seats stores that, too, and a write right before it
+// would delay it by a sync.
 func (n *Node) storeCommittedMembers() {
 	p := &n.persisted
 	if p.membersNoted && n.now-p.membersNotedAt >= min(p.latestSync, maxHold) && len(n.knownCommittedMembers().Successors) > 0 {
--- a/core/anvilraft/membership.go
+++ b/core/anvilraft/membership.go
@@ -249,7 +249,7 @@
 	if id.IsZero() || old.Contains(id) {
 		return Members{}, ErrInvalidChange
 	}
-	members := old.followed()
+	members := old.withoutForced()
 	members.Learners = withID(old.Learners, id)
 	return members, nil
 }
@@ -265,7 +265,7 @@
 	if !n.HasCaughtUp(id) {
 		return Members{}, ErrNotCaughtUp
 	}
-	members := old.followed()
+	members := old.withoutForced()
 	members.Voters, members.Learners = withID(old.Voters, id), withoutID(old.Learners, id)
 	return members, nil
 }
@@ -277,8 +277,8 @@
 	return old.without(func(other VoterID) bool { return other == id }), nil
 }
 
-// followed returns the members that a change begins with.
-func (m Members) followed() Members {
+// withoutForced returns the members that an ordinary change begins with.
+func (m Members) withoutForced() Members {
 	m.Forced = false
 	return m
 }
--- a/core/anvilraft/overlap_test.go
+++ b/core/anvilraft/overlap_test.go
@@ -25,7 +25,7 @@
 
 // marked returns members with further voters marked as lost.
 func (o *overlap) marked(old Members, percent int) Members {
-	members := old.followed()
+	members := old.withoutForced()
 	for _, i := range o.random.Perm(len(old.Voters)) {
 		id := old.Voters[i]
 		if !members.IsLost(id) && len(members.Lost)+members.Quorum() < len(members.Voters) && o.chance(percent) {
@@ -40,7 +40,7 @@
 
 // renamed returns members with a mark that names another storage, which may have been named before.
 func (o *overlap) renamed(old Members) Members {
-	members := old.followed()
+	members := old.withoutForced()
 	if len(old.Lost) > 0 {
 		id := old.Lost[o.random.IntN(len(old.Lost))]
 		members = members.withSuccessor(VoterID{id.Instance, id.Storage + []StorageID{"a", "b"}[o.random.IntN(2)]})
@@ -81,7 +81,7 @@
 			return members
 		}
 	case r < 95:
-		members := old.followed()
+		members := old.withoutForced()
 		members.Voters = withID(old.Voters, o.newID())
 		return members
 	}
--- a/io/anvilgroup/enroll.go
+++ b/io/anvilgroup/enroll.go
@@ -298,10 +298,11 @@
 		return change, nil
 	}
 	former, err := g.replacedBy(others[0], members)
+	_, named := members.Successor(former)
 	switch {
 	case len(change.Seat) == 0:
 		return anvilraft.ChangeVoters{Seat: others[:1], Remove: former}, err
-	case err == nil && members.IsLost(former):
+	case err == nil && members.IsLost(former) && !named:
 		change.Seat, change.Remove = append(change.Seat, others[0]), former
 	}
 	return change, nil
