--- a/core/anvilraft/succession.go
+++ b/core/anvilraft/succession.go
@@ -10,7 +10,7 @@
 // Let n voters have l marks with committed successors, and m be their majority, n odd. A commit needs m of the n-l others, and an election
 // at least m-l of these, so that they intersect, as 2m-l > n-l. Two elections each need m of the same n storages. The list with the
 // seats of the successors needs m of those, too. So only a named successor may take the seat of a voter
-// without a quorum of the list before (replacesMarked), and a mark that names one is never taken back. Another storage may be named,
+// without a quorum of the list before (seatsNamed), and a mark that names one is never taken back. Another storage may be named,
 // but counts only once that is committed.
 
 // Successor returns the storage that is named in place of a marked voter.
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -59,8 +59,8 @@
 	})
 }
 
-// needsTransfer reports whether the next entry for a member is sent in parts. The entries before it must have
-// arrived, as nothing is sent beside it, except to an instance that joins (sendLargeEntry).
+// needsTransfer reports whether the next entry for a member is sent in parts. Nothing is sent beside it, except to an
+// instance that joins (sendLargeEntry).
 func (n *Node) needsTransfer(p *peer) bool {
 	return n.log.entryAt(p.next).size() > n.options.maxEntryBytes
 }
@@ -89,7 +89,7 @@
 	data := encodeEntry(n.log.entryAt(p.next))
 	size := anvilid.ByteCount(len(data))
 	before := p.next - 1
-	term, _ := n.log.term(before) // in memory, or the last entry that is not, because p.next is in memory
+	term, _ := n.log.term(before)
 	for offset := anvilid.ByteCount(0); offset < size; offset += n.options.maxMessageBytes {
 		end := min(size, offset+n.options.maxMessageBytes)
 		n.send(Message{
