Build the parts of a large entry and count votes without successors in one place each

The parts that are sent to an instance that joins were built anew beside those of a transfer, and the votes of the voters without marks were counted beside electorate.elects.

--- a/core/anvilraft/replication.go
+++ b/core/anvilraft/replication.go
@@ -64,7 +64,7 @@
 		n.startSnapshotTransfer(p)
 	}
 	if p.transfer != nil {
-		n.sendParts(p, n.maxInflightBytes(p)-p.inflightBytes)
+		n.sendParts(p, p.transfer, n.maxInflightBytes(p)-p.inflightBytes)
 	}
 	for p.takesEntries() && n.log.base < p.next && p.next <= n.log.last() {
 		bytes := n.freeWindow(p)
@@ -78,7 +78,7 @@
 			}
 			if p.transfer == nil {
 				n.startEntryTransfer(p)
-				n.sendParts(p, bytes)
+				n.sendParts(p, p.transfer, bytes)
 			}
 			return
 		}
--- a/core/anvilraft/succession.go
+++ b/core/anvilraft/succession.go
@@ -67,9 +67,7 @@
 // withElectedSuccessors returns the members with seats for the successors that have voted for this node, if it would not have been
 // elected without them. It couldn't commit anything else. The votes show that they are there.
 func (n *Node) withElectedSuccessors(members Members, granted []votingMember) Members {
-	counts := func(id VoterID) bool { return slices.Contains(granted, id) && !members.IsLost(id) }
-	votes := len(members.Voters) - len(slices.DeleteFunc(slices.Clone(members.Voters), counts))
-	if votes >= members.Quorum() {
+	if (electorate{voters: members.Voters, marked: members.Lost}).elects(granted) {
 		return members
 	}
 	for _, id := range n.votingSuccessors(members) {
--- a/core/anvilraft/transfer.go
+++ b/core/anvilraft/transfer.go
@@ -37,9 +37,9 @@
 }
 
 // startTransfer begins to send data in parts to a member.
-func (n *Node) startTransfer(p *peer, t transfer) {
+func (n *Node) startTransfer(p *peer, t *transfer) {
 	t.lastProgressAt, t.resentAt = n.now, distantPast
-	p.transfer = &t
+	p.transfer = t
 }
 
 // startSnapshotTransfer prepares to send the latest snapshot to a member that needs entries
@@ -48,7 +48,7 @@
 	snapshot := n.snapshot
 	p.next, p.probing = snapshot.Index+1, false
 	p.clearInflight()
-	n.startTransfer(p, transfer{
+	n.startTransfer(p, &transfer{
 		data: snapshot.Data, position: snapshot.Index, completeAt: snapshot.Index,
 		part: func() Message {
 			return Message{
@@ -65,18 +65,23 @@
 	return n.log.entryAt(p.next).size() > n.options.maxEntryBytes
 }
 
-// startEntryTransfer prepares to send the next entry to a member in parts. The parts name the entry before it, as
-// MessageAppend does.
+// startEntryTransfer prepares to send the next entry to a member in parts.
 func (n *Node) startEntryTransfer(p *peer) {
+	n.startTransfer(p, n.entryTransfer(p))
+	p.next++
+}
+
+// entryTransfer returns the transfer of the next entry for a member. The parts name the entry before it, as
+// MessageAppend does.
+func (n *Node) entryTransfer(p *peer) *transfer {
 	before := p.next - 1
 	term, _ := n.log.term(before) // in memory, or the last entry that is not, because p.next is in memory
-	n.startTransfer(p, transfer{
+	return &transfer{
 		entry: true, data: encodeEntry(n.log.entryAt(p.next)), position: before, completeAt: p.next,
 		part: func() Message {
 			return Message{Type: MessageEntryPart, Index: before, LogTerm: term, Chunk: &Chunk{}}
 		},
-	})
-	p.next++
+	}
 }
 
 // sendLargeEntry sends all parts of the next entry to an instance that joins, if they fit into the window, and reports whether it did.
@@ -86,19 +91,10 @@
 	if !n.sendsAllAtOnce(p) || n.log.entryAt(p.next).size() > window {
 		return false
 	}
-	data := encodeEntry(n.log.entryAt(p.next))
-	size := anvilid.ByteCount(len(data))
-	before := p.next - 1
-	term, _ := n.log.term(before)
-	for offset := anvilid.ByteCount(0); offset < size; offset += n.options.maxMessageBytes {
-		end := min(size, offset+n.options.maxMessageBytes)
-		n.send(Message{
-			Type: MessageEntryPart, To: p.id, Index: before, LogTerm: term, Offset: offset,
-			Sent: n.now, Round: n.leading.barrierRound, Chunk: &Chunk{Size: size, Data: data[offset:end:end]},
-		})
-	}
+	t := n.entryTransfer(p)
+	n.sendParts(p, t, t.unacknowledged())
 	p.next++
-	p.addInflight(inflightAppend{p.next - 1, size, 1})
+	p.addInflight(t.inflight())
 	return true
 }
 
@@ -119,13 +115,17 @@
 	return anvilid.ByteCount(len(t.data)) - t.ackedBytes
 }
 
+// inflight returns the record of a large entry that was sent and isn't acknowledged.
+func (t *transfer) inflight() inflightAppend {
+	return inflightAppend{t.completeAt, anvilid.ByteCount(len(t.data)), 1}
+}
+
 // lost reports whether a rejection shows that the member has the whole entry and lacks one before it, which it
 // lost when it was restarted.
 func (t *transfer) lost(m Message) bool { return t.entry && m.Index == t.position }
 
-// sendParts sends parts while fewer than window bytes are unacknowledged.
-func (n *Node) sendParts(p *peer, window anvilid.ByteCount) {
-	t := p.transfer
+// sendParts sends parts of a transfer to a member while fewer than window bytes are unacknowledged.
+func (n *Node) sendParts(p *peer, t *transfer, window anvilid.ByteCount) {
 	size := anvilid.ByteCount(len(t.data))
 	for (t.nextOffset < size || !t.partSent) && t.nextOffset-t.ackedBytes < window {
 		end := min(size, t.nextOffset+n.options.maxMessageBytes)
@@ -152,7 +152,7 @@
 	if t.ackedBytes == size {
 		t.nextOffset = max(0, size-n.options.maxMessageBytes)
 	}
-	n.sendParts(p, t.nextOffset-t.ackedBytes+1)
+	n.sendParts(p, t, t.nextOffset-t.ackedBytes+1)
 }
 
 // receivePartResponse handles a member's answer to a part: it records how many bytes the member
@@ -178,7 +178,7 @@
 	switch isComplete := t.unacknowledged() == 0; {
 	case isComplete && t.entry: // the member has the entry in memory, like those that were sent before
 		p.transfer = nil
-		p.addInflight(inflightAppend{t.completeAt, anvilid.ByteCount(len(t.data)), 1})
+		p.addInflight(t.inflight())
 	case isComplete:
 		p.probing = false // the member has the snapshot in memory, and takes what follows
 	}
